--- /dev/null
+++ b/store.go
@@ -0,0 +1,71 @@
+package lovagestand
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// MaxValueBytes is the largest value the store holds, in bytes.
+const MaxValueBytes = 1 << 20
+
+// Revision counts the changes of one key; 0 means that the key is absent.
+type Revision uint64
+
+// Value is what the store holds under one key.
+type Value struct {
+	Key      string   `json:"key"`
+	Data     []byte   `json:"data"`
+	Revision Revision `json:"revision"`
+}
+
+// LeaseID names a lease of the store; 0 means no lease.
+type LeaseID uint64
+
+// Store is the platform's key-value service. Every call counts against its
+// rates, a waiting watch as one. A call that fails with anything but a
+// [ConflictError] may or may not have taken effect.
+type Store interface {
+	// Get returns the value of a key, or one with revision 0 where it has none.
+	Get(ctx context.Context, key string) (Value, error)
+	// List returns the values of all keys with a prefix, sorted by key.
+	List(ctx context.Context, prefix string) ([]Value, error)
+	// Put replaces the value of a key if its revision is still previous, and
+	// returns the new revision; else it fails with a [ConflictError]. A lease
+	// other than 0 deletes the key when it ends.
+	Put(ctx context.Context, key string, data []byte, previous Revision, lease LeaseID) (Revision, error)
+	// Delete removes a key if its revision is still previous.
+	Delete(ctx context.Context, key string, previous Revision) error
+	// Watch waits until the key's revision differs from after and returns the
+	// value, or the unchanged one when wait has passed.
+	Watch(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error)
+	// Grant opens a lease that ends unless renewed within ttl.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew prolongs a lease by its ttl.
+	Renew(ctx context.Context, lease LeaseID) error
+}
+
+// ConflictError says that a key was not changed because its revision was not
+// the expected one.
+type ConflictError struct {
+	Key string
+	// Expected is what the writer had read, Found what the store holds.
+	Expected, Found Revision
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("store key %q: expected revision %d, found %d", e.Key, e.Expected, e.Found)
+}
+
+// UnavailableError says that an outside system did not answer in time; what
+// was asked may still take effect.
+type UnavailableError struct {
+	System string
+	Reason string
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("%s unavailable: %s", e.System, e.Reason)
+}
