--- /dev/null
+++ b/member/watcher.go
@@ -0,0 +1,168 @@
+// Package member follows the platform's member list and remembers the workers
+// that have left it.
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+)
+
+const (
+	// DefaultInterval is the time between two readings of the list.
+	DefaultInterval = 500 * time.Millisecond
+	// DefaultMemory is how long a worker that has left the list is remembered.
+	DefaultMemory = 15 * time.Minute
+)
+
+// Watcher reads the member list again and again. It is safe for concurrent
+// use.
+type Watcher struct {
+	list     lovagestand.MemberList
+	self     func() lovagestand.Instance
+	log      zerolog.Logger
+	interval time.Duration
+	memory   time.Duration
+
+	mu      sync.Mutex
+	current lovagestand.Members
+	since   time.Time
+	readAt  time.Time
+	seen    map[lovagestand.WorkerName]sighting
+	changed chan struct{}
+}
+
+// sighting is a worker and when the list last had it.
+type sighting struct {
+	worker lovagestand.Worker
+	at     time.Time
+}
+
+// Option changes how a [Watcher] works.
+type Option func(*Watcher)
+
+// WithInterval sets the time between two readings.
+func WithInterval(d time.Duration) Option {
+	return func(w *Watcher) { w.interval = d }
+}
+
+// WithMemory sets how long a worker that has left the list is remembered.
+func WithMemory(d time.Duration) Option {
+	return func(w *Watcher) { w.memory = d }
+}
+
+// NewWatcher returns a watcher that registers the instance that self returns
+// each time it reads the list.
+func NewWatcher(list lovagestand.MemberList, self func() lovagestand.Instance, log zerolog.Logger, options ...Option) *Watcher {
+	w := &Watcher{
+		list:     list,
+		self:     self,
+		log:      log,
+		interval: DefaultInterval,
+		memory:   DefaultMemory,
+		seen:     make(map[lovagestand.WorkerName]sighting),
+		changed:  make(chan struct{}),
+	}
+	for _, o := range options {
+		o(w)
+	}
+	return w
+}
+
+// Run registers and reads until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	ticker := time.NewTicker(w.interval)
+	defer ticker.Stop()
+	for {
+		w.read(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Current returns the last reading and whether there has been one.
+func (w *Watcher) Current() (lovagestand.Members, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current, !w.since.IsZero()
+}
+
+// Since returns when the first reading was made; zero if there was none.
+func (w *Watcher) Since() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.since
+}
+
+// Changed returns a channel that is closed when the list next changes.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// Gone returns the workers of a shard that the list had and has no more.
+func (w *Watcher) Gone(shard lovagestand.ShardName) []lovagestand.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var gone []lovagestand.Worker
+	for _, s := range w.seen {
+		if s.at.Before(w.readAt) && s.worker.Shard() == shard {
+			gone = append(gone, s.worker)
+		}
+	}
+	return gone
+}
+
+func (w *Watcher) read(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, 4*w.interval)
+	defer cancel()
+	if err := w.list.Register(limited, w.self()); err != nil {
+		w.log.Warn().Err(err).Msg("register")
+	}
+	members, err := w.list.Members(limited)
+	if err != nil {
+		w.log.Warn().Err(err).Msg("read member list")
+		return
+	}
+	w.apply(time.Now(), members)
+}
+
+// apply takes over a reading. An older version than the current one is a
+// late reply and changes nothing.
+func (w *Watcher) apply(now time.Time, members lovagestand.Members) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if members.Version < w.current.Version {
+		return
+	}
+	changed := w.since.IsZero() || members.Version != w.current.Version
+	if w.since.IsZero() {
+		w.since = now
+	}
+	w.readAt = now
+	w.current = members
+	w.remember(now, members.Workers)
+	if changed {
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
+}
+
+func (w *Watcher) remember(now time.Time, workers []lovagestand.Worker) {
+	for _, k := range workers {
+		w.seen[k.Name] = sighting{worker: k, at: now}
+	}
+	for n, s := range w.seen {
+		if now.Sub(s.at) > w.memory {
+			delete(w.seen, n)
+		}
+	}
+}
--- /dev/null
+++ b/placer/end.go
@@ -0,0 +1,200 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// end records how an attempt ended on its worker and decides what follows.
+func (s *shard) end(now time.Time, p *part, report lovagestand.TaskReport) {
+	if p.state == partEnded || p.state == partBlocked || p.state == partQueued {
+		return
+	}
+	stopping := p.state == partStopping
+	p.phase = report.Phase
+	p.body = report.Body
+	p.reason = report.Reason
+	if p.started.IsZero() {
+		p.started = report.Started
+	}
+	s.decider.Finish(now, p.task.ID, lovagestand.TaskResult{Phase: report.Phase, Ran: now.Sub(p.started)})
+	s.poke()
+	if stopping && report.Phase == lovagestand.TaskStopped && !p.request.cancelled && !p.request.restarting {
+		// The preemption that stopped the part goes on with it.
+		p.state = partBlocked
+		return
+	}
+	s.after(now, p)
+}
+
+// after decides what follows the end of an attempt.
+func (s *shard) after(now time.Time, p *part) {
+	r := p.request
+	switch {
+	case r.final():
+		p.state = partEnded
+	case p.phase == lovagestand.TaskDone || r.cancelled:
+		p.state = partEnded
+		s.settle(now, r)
+	case r.task.Idempotent && p.attempt.Number < s.timings.maxAttempts:
+		s.again(now, p)
+	case p.phase == lovagestand.TaskFailed:
+		p.state = partEnded
+		s.settle(now, r)
+	default:
+		p.state = partEnded
+		s.abandon(now, p, "stopped on worker "+string(p.worker)+": "+p.reason)
+	}
+}
+
+// settle ends a request whose parts have all ended.
+func (s *shard) settle(now time.Time, r *request) {
+	if !r.ended() {
+		return
+	}
+	if r.restarting && !r.cancelled {
+		s.restart(now, r)
+		return
+	}
+	s.finish(now, r, r.result())
+}
+
+// again makes a further attempt at a part whose last one surely runs no more.
+// A gang starts again whole: its other parts are stopped first.
+func (s *shard) again(now time.Time, p *part) {
+	r := p.request
+	if len(r.parts) > 1 {
+		p.state = partEnded
+		r.restarting = true
+		s.stopOthers(p)
+		s.settle(now, r)
+		return
+	}
+	if !r.hasBody {
+		p.state = partBlocked
+		return
+	}
+	s.retry(now, p)
+}
+
+// restart queues all parts of a gang again.
+func (s *shard) restart(now time.Time, r *request) {
+	r.restarting = false
+	if r.started() && !r.task.Idempotent {
+		s.finish(now, r, lovagestand.Unknown(r.task.Key, "a part of the gang could not start"))
+		return
+	}
+	for _, p := range r.parts {
+		delete(s.parts, p.task.ID)
+		p.setAttempt(p.next())
+		s.parts[p.task.ID] = p
+	}
+	for _, p := range r.parts {
+		if err := s.decider.Submit(now, p.task); err != nil {
+			s.expire(now, p, err.Error(), 0)
+			return
+		}
+	}
+	s.poke()
+}
+
+// stopOthers stops the parts of a gang other than p.
+func (s *shard) stopOthers(p *part) {
+	for _, q := range p.request.parts {
+		if q == p {
+			continue
+		}
+		switch q.state {
+		case partQueued:
+			s.decider.Cancel(q.task.ID)
+			q.state = partEnded
+			q.phase = lovagestand.TaskStopped
+		case partRunning:
+			s.stopSoon(q)
+		case partStarting, partStopping, partBlocked, partEnded:
+		}
+	}
+}
+
+// stopSoon stops a running part. Its end arrives as an event of the worker.
+func (s *shard) stopSoon(p *part) {
+	l, ok := s.links[p.worker]
+	if !ok {
+		return
+	}
+	id := p.task.ID
+	go s.stopTask(s.ctx, l.worker.Address, id)
+}
+
+func (s *shard) stopTask(ctx context.Context, address string, id lovagestand.TaskID) {
+	for {
+		limited, cancel := context.WithTimeout(ctx, s.timings.callTimeout)
+		err := s.deps.Workers.Stop(limited, address, []lovagestand.TaskID{id})
+		cancel()
+		if err == nil || !s.isHeld(id) || !pause(ctx, s.timings.retryInterval) {
+			return
+		}
+	}
+}
+
+func (s *shard) isHeld(id lovagestand.TaskID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.parts[id]
+	return ok && p.state != partEnded
+}
+
+// preempt checkpoints a part, which stops it, and queues it again to resume.
+// If the checkpoint fails, the part runs on unless the worker reports its end.
+func (s *shard) preempt(ctx context.Context, p *part, reason string) {
+	s.mu.Lock()
+	l, ok := s.links[p.worker]
+	id := p.task.ID
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, s.timings.callTimeout)
+	checkpoint, err := s.deps.Workers.Checkpoint(limited, l.worker.Address, id)
+	cancel()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.task.ID != id {
+		return
+	}
+	now := time.Now()
+	switch {
+	case err != nil && p.state == partStopping:
+		s.deps.Log.Warn().Err(err).Str("task", string(id)).Msg("checkpoint")
+		p.state = partRunning
+		s.decider.Adopt(now, p.task, p.worker)
+	case p.state == partStopping:
+		s.decider.Finish(now, id, lovagestand.TaskResult{Phase: lovagestand.TaskStopped, Ran: now.Sub(p.started)})
+		p.checkpoint = checkpoint
+		s.resume(now, p, reason)
+	case p.state == partBlocked:
+		if err == nil {
+			p.checkpoint = checkpoint
+		}
+		s.resume(now, p, reason)
+	}
+}
+
+// resume queues a preempted part again.
+func (s *shard) resume(now time.Time, p *part, reason string) {
+	p.phase = lovagestand.TaskStopped
+	p.reason = reason
+	if p.request.final() || p.request.cancelled {
+		p.state = partEnded
+		s.settle(now, p.request)
+		return
+	}
+	if !p.request.hasBody {
+		p.state = partBlocked
+		return
+	}
+	s.retry(now, p)
+}
--- /dev/null
+++ b/placer/link.go
@@ -0,0 +1,343 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// link is what a shard knows of one worker.
+type link struct {
+	worker lovagestand.Worker
+	pool   lovagestand.PoolName
+	// listed says that the member list has the worker.
+	listed bool
+	// refusing says that the worker itself refuses all new work.
+	refusing bool
+	// joined says that the decider knows the worker.
+	joined bool
+	// sequence is the last event seen.
+	sequence uint64
+	// lastContact is when the worker last answered.
+	lastContact time.Time
+	// lastRenewal is when a start or renewal was last sent, answered or not.
+	lastRenewal time.Time
+	// lost says that leases are no longer renewed.
+	lost bool
+	// lapsed says that the tasks of a lost worker were given up.
+	lapsed bool
+	stop   context.CancelFunc
+}
+
+// leaving reports whether the worker gets no new work.
+func (l *link) leaving() bool {
+	return l.refusing || l.worker.Leaving || !l.listed
+}
+
+func (l *link) status() WorkerStatus {
+	return WorkerStatus{
+		Worker:    l.worker.Name,
+		Pool:      l.pool,
+		Leaving:   l.leaving(),
+		Reachable: !l.lost,
+	}
+}
+
+// refresh applies the member list and the tables to the shard's workers and
+// forgets answers that were kept long enough.
+func (s *shard) refresh(now time.Time) {
+	members, ok := s.deps.Members.Current()
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isReady {
+		return
+	}
+	s.decider.SetPolicies(s.deps.Catalog.Policies(s.name))
+	listed := make(map[lovagestand.WorkerName]bool)
+	for _, w := range members.Workers {
+		if w.Shard() != s.name {
+			continue
+		}
+		listed[w.Name] = true
+		s.applyWorker(now, w)
+	}
+	for n, l := range s.links {
+		if l.listed && !listed[n] {
+			l.listed = false
+			s.setWorker(now, l)
+		}
+		s.checkLost(now, l)
+	}
+	s.sweep(now)
+}
+
+// applyWorker takes over what the member list says of a worker.
+func (s *shard) applyWorker(now time.Time, w lovagestand.Worker) {
+	if s.deps.Catalog.Leaving(w) {
+		w = w.WithLeaving(true)
+	}
+	pool, _ := s.deps.Catalog.PoolOf(w)
+	l, ok := s.links[w.Name]
+	if !ok {
+		s.connect(now, w, pool)
+		return
+	}
+	if l.worker == w && l.pool == pool && l.listed {
+		return
+	}
+	l.worker = w
+	l.pool = pool
+	l.listed = true
+	s.setWorker(now, l)
+}
+
+// connect makes a link to a worker and starts to follow it.
+func (s *shard) connect(now time.Time, w lovagestand.Worker, pool lovagestand.PoolName) *link {
+	ctx, cancel := context.WithCancel(s.ctx)
+	l := &link{worker: w, pool: pool, listed: true, lastContact: now, lastRenewal: now, stop: cancel}
+	s.links[w.Name] = l
+	s.setWorker(now, l)
+	go s.follow(ctx, l)
+	go s.renewLoop(ctx, l)
+	return l
+}
+
+// setWorker tells the decider of a worker as it is now.
+func (s *shard) setWorker(now time.Time, l *link) {
+	if l.lost || l.pool == "" {
+		return
+	}
+	l.joined = true
+	s.decider.SetWorker(now, l.worker.WithLeaving(l.leaving()), l.pool)
+	s.poke()
+}
+
+// follow reads a worker's events until ctx ends. After a failed call the
+// whole state is read, since the worker may have restarted.
+func (s *shard) follow(ctx context.Context, l *link) {
+	broken := true
+	for ctx.Err() == nil {
+		if broken && !s.readWhole(ctx, l) {
+			pause(ctx, s.timings.retryInterval)
+			continue
+		}
+		broken = false
+		limited, cancel := context.WithTimeout(ctx, s.timings.eventWait+s.timings.callTimeout)
+		reports, err := s.deps.Workers.Events(limited, l.worker.Address, s.sequenceOf(l), s.timings.eventWait)
+		cancel()
+		if err != nil {
+			broken = true
+			continue
+		}
+		s.applyEvents(time.Now(), l, reports)
+	}
+}
+
+func (s *shard) sequenceOf(l *link) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.sequence
+}
+
+func (s *shard) readWhole(ctx context.Context, l *link) bool {
+	asked := time.Now()
+	state, err := s.readState(ctx, l.worker.Address)
+	if err != nil {
+		return false
+	}
+	s.reconcile(asked, l, state)
+	return true
+}
+
+func (s *shard) applyEvents(now time.Time, l *link, reports []lovagestand.TaskReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contact(now, l)
+	for _, report := range reports {
+		l.sequence = max(l.sequence, report.Sequence)
+		s.apply(now, l, report)
+	}
+}
+
+// contact records that a worker answered; one that was lost comes back.
+func (s *shard) contact(now time.Time, l *link) {
+	l.lastContact = now
+	if !l.lost {
+		return
+	}
+	l.lost = false
+	l.lapsed = false
+	s.setWorker(now, l)
+}
+
+// reconcile takes over a worker's whole state that was asked for at asked.
+// Parts that were confirmed before that and are not in it run no more.
+func (s *shard) reconcile(asked time.Time, l *link, state lovagestand.WorkerState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.contact(now, l)
+	delete(s.unread, l.worker.Name)
+	if state.Leaving && !l.refusing {
+		l.refusing = true
+		s.setWorker(now, l)
+	}
+	l.sequence = state.Sequence
+	held := make(map[lovagestand.TaskID]bool, len(state.Tasks))
+	for _, report := range state.Tasks {
+		held[report.Task.ID] = true
+		s.apply(now, l, report)
+	}
+	for _, p := range s.partsOn(l.worker.Name) {
+		if !held[p.task.ID] && p.state != partStarting && p.confirmed.Before(asked) {
+			s.lose(now, p, "the worker no longer holds the task")
+		}
+	}
+}
+
+// apply takes over what a worker says of one task.
+func (s *shard) apply(now time.Time, l *link, report lovagestand.TaskReport) {
+	p, ok := s.parts[report.Task.ID]
+	if !ok {
+		s.adopt(now, l, report)
+		return
+	}
+	if report.Phase.Ended() {
+		s.end(now, p, report)
+		return
+	}
+	if p.state == partStarting {
+		p.state = partRunning
+		p.confirmed = now
+	}
+	if p.started.IsZero() {
+		p.started = report.Started
+	}
+}
+
+// partsOn returns the parts that take resources of a worker.
+func (s *shard) partsOn(name lovagestand.WorkerName) []*part {
+	var parts []*part
+	for _, p := range s.parts {
+		placed := p.state == partStarting || p.state == partRunning || p.state == partStopping
+		if placed && p.worker == name {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
+
+// lose ends an attempt that surely runs no more and whose result is gone.
+func (s *shard) lose(now time.Time, p *part, reason string) {
+	s.end(now, p, lovagestand.TaskReport{Task: p.task, Phase: lovagestand.TaskStopped, Reason: reason})
+	if p.state == partBlocked && p.request.hasBody {
+		s.resume(now, p, reason)
+	}
+}
+
+// renewLoop renews the leases of a worker's tasks until ctx ends.
+func (s *shard) renewLoop(ctx context.Context, l *link) {
+	for pause(ctx, s.timings.renewEvery) {
+		now := time.Now()
+		ids := s.renewable(now, l)
+		if len(ids) == 0 {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, s.timings.callTimeout)
+		missing, err := s.deps.Workers.Renew(limited, l.worker.Address, s.timings.lease, ids)
+		cancel()
+		if err != nil {
+			continue
+		}
+		s.applyEvents(now, l, nil)
+		if len(missing) > 0 {
+			s.readWhole(ctx, l)
+		}
+	}
+}
+
+// renewable returns the tasks whose leases are to be renewed now. Without the
+// right in force there are none: the next owner renews.
+func (s *shard) renewable(now time.Time, l *link) []lovagestand.TaskID {
+	if _, ok := s.right(now); !ok {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.lost {
+		return nil
+	}
+	var ids []lovagestand.TaskID
+	for _, p := range s.partsOn(l.worker.Name) {
+		ids = append(ids, p.task.ID)
+	}
+	if len(ids) > 0 {
+		l.lastRenewal = now
+	}
+	return ids
+}
+
+// checkLost stops renewing the leases of a worker that is out of reach, and
+// gives its tasks up once their leases have surely lapsed.
+func (s *shard) checkLost(now time.Time, l *link) {
+	if !l.lost && now.Sub(l.lastContact) > s.timings.lostAfter && now.Sub(l.lastContact) > s.timings.eventWait && len(s.partsOn(l.worker.Name)) == 0 {
+		s.markLost(now, l)
+	}
+	if !l.lost && now.Sub(l.lastContact) > s.timings.lostAfter && len(s.partsOn(l.worker.Name)) > 0 {
+		s.markLost(now, l)
+	}
+	if !l.lost {
+		return
+	}
+	lapse := l.lastRenewal.Add(s.timings.lease + s.timings.startWindow + s.timings.clockSkew)
+	if now.Before(lapse) {
+		return
+	}
+	if !l.lapsed {
+		l.lapsed = true
+		for _, p := range s.partsOn(l.worker.Name) {
+			s.lose(now, p, "worker "+string(l.worker.Name)+" was lost")
+		}
+	}
+	if !l.listed {
+		l.stop()
+		delete(s.links, l.worker.Name)
+	}
+}
+
+// markLost takes a worker out of the decider; its tasks stay in the books
+// until their leases lapse.
+func (s *shard) markLost(now time.Time, l *link) {
+	l.lost = true
+	if l.joined {
+		l.joined = false
+		s.decider.RemoveWorker(now, l.worker.Name)
+	}
+	s.deps.Log.Warn().Str("worker", string(l.worker.Name)).Msg("worker out of reach")
+}
+
+// sweep forgets answers that were kept long enough.
+func (s *shard) sweep(now time.Time) {
+	kept := 0
+	for _, r := range s.requests {
+		if !r.final() {
+			continue
+		}
+		kept++
+		if now.Sub(r.endedAt) > s.timings.keepAnswer {
+			s.forget(r)
+		}
+	}
+	if kept <= s.timings.maxKept {
+		return
+	}
+	for _, r := range s.requests {
+		if r.final() && r.task.Idempotent && !r.task.Exclusive {
+			s.forget(r)
+		}
+	}
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,166 @@
+package placer
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+)
+
+// MemberView is what a placer needs of the member list.
+type MemberView interface {
+	// Current returns the last reading and whether there has been one.
+	Current() (lovagestand.Members, bool)
+	// Since returns when the first reading was made; zero if there was none.
+	Since() time.Time
+	// Gone returns the workers of a shard that have left the list lately.
+	Gone(shard lovagestand.ShardName) []lovagestand.Worker
+}
+
+// Deps are the things a [Placer] works with.
+type Deps struct {
+	Workers   lovagestand.Workers
+	Members   MemberView
+	Catalog   lovagestand.Catalog
+	Ownership lovagestand.Ownership
+	// NewDecider returns an empty decider for a shard.
+	NewDecider func(shard lovagestand.ShardName) lovagestand.Decider
+	Log        zerolog.Logger
+}
+
+// Placer holds the shards that an instance owns. It is safe for concurrent
+// use.
+type Placer struct {
+	deps    Deps
+	timings timings
+
+	mu     sync.Mutex
+	shards map[lovagestand.ShardName]*shard
+}
+
+// New returns a placer without shards.
+func New(deps Deps, options ...Option) *Placer {
+	p := &Placer{
+		deps:    deps,
+		timings: defaultTimings(),
+		shards:  make(map[lovagestand.ShardName]*shard),
+	}
+	for _, o := range options {
+		o(&p.timings)
+	}
+	return p
+}
+
+// Run opens and closes shards as ownership changes, until ctx ends. Then it
+// closes all of them.
+func (p *Placer) Run(ctx context.Context) {
+	ticker := time.NewTicker(p.timings.membersEvery)
+	defer ticker.Stop()
+	defer p.closeAll()
+	for {
+		changed := p.deps.Ownership.Changed()
+		p.sync(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// sync opens a shard for each right in force, closes those whose right has
+// ended or moved to another epoch, and refreshes the others.
+func (p *Placer) sync(ctx context.Context) {
+	now := time.Now()
+	owned := make(map[lovagestand.ShardName]lovagestand.Right)
+	for _, n := range p.deps.Ownership.Owned() {
+		right, ok := p.deps.Ownership.Right(n)
+		if ok && right.Holds(now) {
+			owned[n] = right
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n, s := range p.shards {
+		right, ok := owned[n]
+		if !ok || right.Epoch != s.epoch {
+			s.close()
+			delete(p.shards, n)
+		}
+	}
+	for n, right := range owned {
+		s, ok := p.shards[n]
+		if !ok {
+			s = newShard(p.deps, p.timings, right)
+			p.shards[n] = s
+			s.open(ctx)
+			continue
+		}
+		s.refresh(now)
+	}
+}
+
+func (p *Placer) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n, s := range p.shards {
+		s.close()
+		delete(p.shards, n)
+	}
+}
+
+// shard returns an open shard whose right is in force.
+func (p *Placer) shard(name lovagestand.ShardName) (*shard, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.shards[name]
+	return s, ok
+}
+
+// sorted returns the open shards in the order of their names.
+func (p *Placer) sorted() []*shard {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shards := make([]*shard, 0, len(p.shards))
+	for _, s := range p.shards {
+		shards = append(shards, s)
+	}
+	sort.Slice(shards, func(i, j int) bool { return shards[i].name < shards[j].name })
+	return shards
+}
+
+// Digests returns a digest of each open shard, in the order of their names.
+func (p *Placer) Digests() []lovagestand.Digest {
+	var digests []lovagestand.Digest
+	for _, s := range p.sorted() {
+		if d, ok := s.digest(time.Now()); ok {
+			digests = append(digests, d)
+		}
+	}
+	return digests
+}
+
+// Release stops a shard from placing, waits until the starts in flight are
+// settled or ctx ends, and closes the shard. Requests that wait in it are
+// given back to the entries that hold them.
+func (p *Placer) Release(ctx context.Context, name lovagestand.ShardName) {
+	s, ok := p.shard(name)
+	if !ok {
+		return
+	}
+	s.drain(ctx)
+}
+
+// Status returns the state of each open shard, for operators.
+func (p *Placer) Status() []ShardStatus {
+	var list []ShardStatus
+	for _, s := range p.sorted() {
+		list = append(list, s.status())
+	}
+	return list
+}
--- /dev/null
+++ b/placer/rebuild.go
@@ -0,0 +1,202 @@
+package placer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// rebuildPatience is how long a new owner waits for workers that do not
+// answer before it serves the others.
+const rebuildPatience = 2 * time.Second
+
+// rebuild waits out the starts of earlier owners, then reads what every
+// worker of the shard holds. It returns false if ctx ended first.
+func (s *shard) rebuild(ctx context.Context) bool {
+	right, ok := s.right(time.Now())
+	if !ok {
+		return false
+	}
+	if !pause(ctx, time.Until(right.SettleUntil)) {
+		return false
+	}
+	members, ok := s.awaitMembers(ctx)
+	if !ok {
+		return false
+	}
+	workers := s.candidates(members)
+	states := s.readAll(ctx, workers)
+	if ctx.Err() != nil {
+		return false
+	}
+	s.restore(time.Now(), workers, states)
+	close(s.ready)
+	s.deps.Log.Info().Str("shard", string(s.name)).Uint64("epoch", uint64(s.epoch)).
+		Int("workers", len(workers)).Int("unread", len(workers)-len(states)).Msg("shard ready")
+	return true
+}
+
+func (s *shard) awaitMembers(ctx context.Context) (lovagestand.Members, bool) {
+	for {
+		if members, ok := s.deps.Members.Current(); ok {
+			return members, true
+		}
+		if !pause(ctx, s.timings.retryInterval/4) {
+			return lovagestand.Members{}, false
+		}
+	}
+}
+
+// candidate is a worker that may hold tasks of the shard.
+type candidate struct {
+	worker lovagestand.Worker
+	listed bool
+}
+
+// candidates returns the workers of the shard that are listed or were lately.
+func (s *shard) candidates(members lovagestand.Members) []candidate {
+	var list []candidate
+	for _, w := range members.Workers {
+		if w.Shard() == s.name {
+			list = append(list, candidate{worker: w, listed: true})
+		}
+	}
+	for _, w := range s.deps.Members.Gone(s.name) {
+		list = append(list, candidate{worker: w})
+	}
+	return list
+}
+
+// readAll reads the states of workers side by side and returns those that
+// answered within [rebuildPatience].
+func (s *shard) readAll(ctx context.Context, list []candidate) map[lovagestand.WorkerName]lovagestand.WorkerState {
+	limited, cancel := context.WithTimeout(ctx, rebuildPatience)
+	defer cancel()
+	states := make(map[lovagestand.WorkerName]lovagestand.WorkerState)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, k := range list {
+		group.Go(func() {
+			state, ok := s.readPatiently(limited, k.worker.Address)
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			states[k.worker.Name] = state
+		})
+	}
+	group.Wait()
+	return states
+}
+
+func (s *shard) readPatiently(ctx context.Context, address string) (lovagestand.WorkerState, bool) {
+	for {
+		state, err := s.readState(ctx, address)
+		if err == nil {
+			return state, true
+		}
+		if !pause(ctx, s.timings.retryInterval) {
+			return lovagestand.WorkerState{}, false
+		}
+	}
+}
+
+// restore fills the shard's books from the states of its workers.
+func (s *shard) restore(now time.Time, list []candidate, states map[lovagestand.WorkerName]lovagestand.WorkerState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decider.SetPolicies(s.deps.Catalog.Policies(s.name))
+	for _, k := range list {
+		state, read := states[k.worker.Name]
+		if !read {
+			s.unread[k.worker.Name] = now.Add(s.timings.lease + s.timings.startWindow)
+		}
+		if !k.listed && !read {
+			continue
+		}
+		s.restoreWorker(now, k, state)
+	}
+	s.isReady = true
+}
+
+func (s *shard) restoreWorker(now time.Time, k candidate, state lovagestand.WorkerState) {
+	w := k.worker
+	if s.deps.Catalog.Leaving(w) || state.Leaving {
+		w = w.WithLeaving(true)
+	}
+	pool, _ := s.deps.Catalog.PoolOf(w)
+	l := s.connect(now, w, pool)
+	l.listed = k.listed
+	l.sequence = state.Sequence
+	if !k.listed {
+		s.setWorker(now, l)
+	}
+	for _, report := range state.Tasks {
+		s.apply(now, l, report)
+	}
+}
+
+// adopt takes over a task that a worker holds and the shard does not know:
+// one that an earlier owner started. A running one counts against capacity.
+func (s *shard) adopt(now time.Time, l *link, report lovagestand.TaskReport) {
+	a, ok := attemptOf(report.Task.ID)
+	if !ok {
+		s.occupy(now, l, report)
+		return
+	}
+	r, ok := s.requests[a.Request]
+	if !ok {
+		r = adoptedRequest(a, report.Task)
+		s.hold(r)
+	}
+	if a.Part >= len(r.parts) || r.parts[a.Part].attempt.Number > a.Number {
+		s.occupy(now, l, report)
+		return
+	}
+	p := r.parts[a.Part]
+	s.replaceAttempt(p, a, report.Task)
+	p.state = partRunning
+	p.sent = true
+	p.worker = l.worker.Name
+	p.started = report.Started
+	p.confirmed = now
+	if report.Phase.Ended() {
+		s.end(now, p, report)
+		return
+	}
+	s.decider.Adopt(now, p.task, p.worker)
+}
+
+// occupy counts a running task that belongs to no request against capacity
+// and stops it: a later attempt of the same part is known.
+func (s *shard) occupy(now time.Time, l *link, report lovagestand.TaskReport) {
+	if report.Phase.Ended() {
+		s.decider.Finish(now, report.Task.ID, lovagestand.TaskResult{Phase: report.Phase})
+		return
+	}
+	s.decider.Adopt(now, report.Task, l.worker.Name)
+	go s.stopTask(s.ctx, l.worker.Address, report.Task.ID)
+}
+
+func (s *shard) replaceAttempt(p *part, a attempt, task lovagestand.Task) {
+	if p.state == partQueued {
+		s.decider.Cancel(p.task.ID)
+	}
+	delete(s.parts, p.task.ID)
+	p.setAttempt(a)
+	p.task = task
+	s.parts[task.ID] = p
+}
+
+// adoptedRequest returns the request of a task found on a worker. Its parts
+// count as ended until a worker shows them.
+func adoptedRequest(a attempt, task lovagestand.Task) *request {
+	r := newRequest(task.WithID(a.Request))
+	for _, p := range r.parts {
+		p.state = partBlocked
+	}
+	return r
+}
--- /dev/null
+++ b/placer/rpc.go
@@ -0,0 +1,226 @@
+package placer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/placer/placerpb"
+)
+
+// maxWindow bounds how long one call waits for an answer.
+const maxWindow = 30 * time.Second
+
+// Handler returns the placer's twirp service and the path it is served under.
+func (p *Placer) Handler() (string, http.Handler) {
+	server := placerpb.NewPlacerServer(p)
+	return server.PathPrefix(), server
+}
+
+var _ placerpb.Placer = (*Placer)(nil)
+
+// Place implements the service.
+func (p *Placer) Place(ctx context.Context, m *placerpb.PlaceRequest) (*placerpb.PlaceReply, error) {
+	s, ok := p.shard(lovagestand.ShardName(m.GetShard()))
+	if !ok {
+		return notOwner(), nil
+	}
+	window, cancel := context.WithTimeout(ctx, windowOf(m.GetWindowMillis()))
+	defer cancel()
+	select {
+	case <-s.ready:
+	case <-s.closed:
+		return notOwner(), nil
+	case <-window.Done():
+		return waiting(), nil
+	}
+	r, reply := s.attach(time.Now(), TaskOf(m.GetTask()), m.GetBody(), m.GetResubmitted())
+	if reply != nil {
+		return reply, nil
+	}
+	return s.await(window, r), nil
+}
+
+// Cancel implements the service.
+func (p *Placer) Cancel(_ context.Context, m *placerpb.CancelRequest) (*placerpb.CancelReply, error) {
+	for _, s := range p.sorted() {
+		if a, ok := s.cancel(time.Now(), lovagestand.RequestKey(m.GetKey())); ok {
+			return &placerpb.CancelReply{Found: true, Answer: AnswerMessage(a)}, nil
+		}
+	}
+	return &placerpb.CancelReply{}, nil
+}
+
+// Find implements the service.
+func (p *Placer) Find(ctx context.Context, m *placerpb.FindRequest) (*placerpb.FindReply, error) {
+	window, cancel := context.WithTimeout(ctx, windowOf(m.GetWindowMillis()))
+	defer cancel()
+	for _, s := range p.sorted() {
+		r, ok := s.find(lovagestand.RequestKey(m.GetKey()))
+		if !ok {
+			continue
+		}
+		reply := s.await(window, r)
+		return &placerpb.FindReply{Found: true, Answer: reply.GetAnswer()}, nil
+	}
+	return &placerpb.FindReply{}, nil
+}
+
+func windowOf(millis int64) time.Duration {
+	return min(time.Duration(millis)*time.Millisecond, maxWindow)
+}
+
+func notOwner() *placerpb.PlaceReply {
+	return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_NOT_OWNER}
+}
+
+func waiting() *placerpb.PlaceReply {
+	return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_WAITING}
+}
+
+func final(a lovagestand.Answer) *placerpb.PlaceReply {
+	return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_FINAL, Answer: AnswerMessage(a)}
+}
+
+// attach returns the request of a task, entering it if the shard does not
+// hold it yet, or a reply where nothing is to be waited for.
+func (s *shard) attach(now time.Time, task lovagestand.Task, body []byte, resubmitted bool) (*request, *placerpb.PlaceReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.requests[task.ID]; ok {
+		s.giveBody(now, r, body)
+		return r, nil
+	}
+	if _, ok := s.right(now); !ok || s.draining {
+		return nil, notOwner()
+	}
+	if resubmitted {
+		if reply := s.surelyNotStarted(now, task); reply != nil {
+			return nil, reply
+		}
+	}
+	if !task.StartBy.IsZero() && now.After(task.StartBy) {
+		return nil, final(lovagestand.NotRun(task.Key, "the time to start had passed", 0))
+	}
+	r := newRequest(task)
+	r.body = body
+	r.hasBody = true
+	if err := s.submit(now, r); err != nil {
+		return nil, rejection(err)
+	}
+	return r, nil
+}
+
+// giveBody completes a request that was found on a worker, and starts again
+// the parts that waited for the body.
+func (s *shard) giveBody(now time.Time, r *request, body []byte) {
+	if r.hasBody || r.final() {
+		return
+	}
+	r.body = body
+	r.hasBody = true
+	for _, p := range r.parts {
+		if p.state == partBlocked {
+			s.after(now, p)
+		}
+	}
+}
+
+// surelyNotStarted returns nil if no earlier owner can have started a task
+// that the shard does not know. Work that may run twice needs no proof.
+func (s *shard) surelyNotStarted(now time.Time, task lovagestand.Task) *placerpb.PlaceReply {
+	if task.Idempotent && !task.Exclusive {
+		return nil
+	}
+	latest := time.Time{}
+	for _, lapse := range s.unread {
+		if lapse.After(latest) {
+			latest = lapse
+		}
+	}
+	if now.Before(latest) {
+		return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_WAITING, Reason: "a worker that may run it does not answer"}
+	}
+	if task.Idempotent {
+		return nil
+	}
+	if len(s.unread) > 0 {
+		return final(lovagestand.Unknown(task.Key, "a worker that may have run it was lost"))
+	}
+	if s.deps.Members.Since().After(task.Submitted) {
+		return final(lovagestand.Unknown(task.Key, "a worker may have run it and left before this instance joined"))
+	}
+	return nil
+}
+
+func rejection(err error) *placerpb.PlaceReply {
+	var full *lovagestand.FullError
+	if errors.As(err, &full) {
+		return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_FULL, Reason: err.Error(), RetryAfter: int64(full.RetryAfter)}
+	}
+	return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_UNFIT, Reason: err.Error()}
+}
+
+// await waits until a request has its answer, the shard closes or the window
+// ends.
+func (s *shard) await(window context.Context, r *request) *placerpb.PlaceReply {
+	select {
+	case <-r.done:
+		return final(r.answer)
+	default:
+	}
+	select {
+	case <-r.done:
+		return final(r.answer)
+	case <-s.closed:
+		return notOwner()
+	case <-window.Done():
+		return waiting()
+	}
+}
+
+func (s *shard) find(key lovagestand.RequestKey) (*request, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.byKey[key]
+	return r, ok
+}
+
+// cancel gives up a request. One that waits is answered at once; one that
+// runs is stopped and answered when its worker confirms it.
+func (s *shard) cancel(now time.Time, key lovagestand.RequestKey) (lovagestand.Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.byKey[key]
+	if !ok {
+		return lovagestand.Answer{}, false
+	}
+	if r.final() {
+		return r.answer, true
+	}
+	r.cancelled = true
+	if !r.started() {
+		s.finish(now, r, lovagestand.NotRun(key, "cancelled by the caller", 0))
+		return r.answer, true
+	}
+	for _, p := range r.parts {
+		s.cancelPart(now, p)
+	}
+	return r.answer, true
+}
+
+func (s *shard) cancelPart(now time.Time, p *part) {
+	switch p.state {
+	case partQueued, partBlocked:
+		s.decider.Cancel(p.task.ID)
+		p.state = partEnded
+		p.phase = lovagestand.TaskStopped
+		s.settle(now, p.request)
+	case partRunning:
+		s.stopSoon(p)
+	case partStarting, partStopping, partEnded:
+	}
+}
--- /dev/null
+++ b/placer/status.go
@@ -0,0 +1,57 @@
+package placer
+
+import (
+	"sort"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// ShardStatus is the state of one shard, for operators.
+type ShardStatus struct {
+	Shard   lovagestand.ShardName `json:"shard"`
+	Epoch   lovagestand.Epoch     `json:"epoch"`
+	Ready   bool                  `json:"ready"`
+	Digest  lovagestand.Digest    `json:"digest"`
+	Workers []WorkerStatus        `json:"workers"`
+	// Waiting, Running and Kept count requests without an answer that wait,
+	// those that run, and those whose answer is kept.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	Kept    int `json:"kept"`
+}
+
+// WorkerStatus is the state of one worker, for operators.
+type WorkerStatus struct {
+	Worker  lovagestand.WorkerName `json:"worker"`
+	Pool    lovagestand.PoolName   `json:"pool"`
+	Leaving bool                   `json:"leaving"`
+	// Reachable says that the worker answers.
+	Reachable bool `json:"reachable"`
+	// Tasks counts the tasks placed on the worker.
+	Tasks int `json:"tasks"`
+}
+
+func (s *shard) status() ShardStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := ShardStatus{Shard: s.name, Epoch: s.epoch, Ready: s.isReady}
+	if s.isReady {
+		st.Digest = s.decider.Digest(time.Now())
+	}
+	for _, r := range s.requests {
+		switch {
+		case r.final():
+			st.Kept++
+		case r.started():
+			st.Running++
+		default:
+			st.Waiting++
+		}
+	}
+	for _, l := range s.links {
+		st.Workers = append(st.Workers, l.status())
+	}
+	sort.Slice(st.Workers, func(i, j int) bool { return st.Workers[i].Worker < st.Workers[j].Worker })
+	return st
+}
