entry: callers' HTTP, pursuit of an owner, answers that are true about not run

Cause: callers need one place to submit, wait, fetch again and cancel. Change: package entry; a request is said not to have run only if no owner may still run it (calls carry a time after which they are dropped, refused tasks keep their name so that a late call cannot queue them).

--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// call is one request that the entry pursues or has an answer for.
+type call struct {
+	request     lovagestand.Request
+	route       Route
+	fingerprint uint64
+	submitted   time.Time
+	release     func()
+
+	mu        sync.Mutex
+	answer    lovagestand.Answer
+	done      chan struct{}
+	cancelled chan struct{}
+	// task names the attempt that is pursued.
+	task lovagestand.TaskID
+	// maybe has the shards whose owners may hold the request: they said so, or
+	// a call to them got no reply.
+	maybe map[lovagestand.ShardName]bool
+}
+
+func newCall(request lovagestand.Request, route Route, fingerprint uint64, now time.Time) *call {
+	return &call{
+		request:     request,
+		route:       route,
+		fingerprint: fingerprint,
+		submitted:   now,
+		release:     func() {},
+		answer:      lovagestand.Answer{Key: request.Key, Outcome: lovagestand.OutcomeWaiting},
+		done:        make(chan struct{}),
+		cancelled:   make(chan struct{}),
+		maybe:       make(map[lovagestand.ShardName]bool),
+	}
+}
+
+// attempt returns the task of the attempt that is pursued.
+func (c *call) attempt() lovagestand.Task {
+	return lovagestand.Task{
+		ID:          c.task,
+		Key:         c.request.Key,
+		Route:       c.route.Name,
+		Pool:        c.route.Pool,
+		Team:        c.request.Team,
+		Class:       c.route.Class,
+		Resources:   c.request.Resources,
+		Idempotent:  c.route.Idempotent,
+		Exclusive:   c.route.Exclusive,
+		Checkpoints: c.route.Checkpoints && c.route.Idempotent,
+		GangSize:    gangSize(c.request.Tasks),
+		Submitted:   c.submitted,
+		StartBy:     c.request.StartBy,
+		RunTime:     c.request.RunTime,
+	}
+}
+
+func gangSize(tasks int) int {
+	if tasks <= 1 {
+		return 0
+	}
+	return tasks
+}
+
+// finish makes the answer final and lets waiting callers go.
+func (c *call) finish(a lovagestand.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answer.Outcome.Final() {
+		return
+	}
+	a.Key = c.request.Key
+	c.answer = a
+	close(c.done)
+}
+
+// current returns the answer as it is now.
+func (c *call) current() lovagestand.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer
+}
+
+// cancel asks the call to be given up; later calls change nothing.
+func (c *call) cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.cancelled:
+	default:
+		close(c.cancelled)
+	}
+}
+
+func (c *call) isCancelled() bool {
+	select {
+	case <-c.cancelled:
+		return true
+	default:
+		return false
+	}
+}
+
+// markHeld records that the owner of a shard may hold the request.
+func (c *call) markHeld(shard lovagestand.ShardName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maybe[shard] = true
+}
+
+// markSettled records that the owner of a shard surely does not hold the
+// request without an answer, and will not.
+func (c *call) markSettled(shard lovagestand.ShardName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.maybe, shard)
+}
+
+// mayBeAt reports whether the owner of a shard may hold the request.
+func (c *call) mayBeAt(shard lovagestand.ShardName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.maybe[shard]
+}
+
+// holders returns the shards whose owners may hold the request.
+func (c *call) holders() []lovagestand.ShardName {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shards := make([]lovagestand.ShardName, 0, len(c.maybe))
+	for s := range c.maybe {
+		shards = append(shards, s)
+	}
+	return shards
+}
--- /dev/null
+++ b/entry/deps.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Route is what an entry needs of a row of the routes table.
+type Route struct {
+	Name        lovagestand.RouteName
+	Pool        lovagestand.PoolName
+	Class       lovagestand.Class
+	Idempotent  bool
+	Exclusive   bool
+	Checkpoints bool
+	// Resources is what a request takes that declares nothing.
+	Resources lovagestand.Resources
+	// Tasks is how many tasks a request has that declares nothing.
+	Tasks int
+	// StartWithin is the time to start of a request that declares none.
+	StartWithin time.Duration
+	RunTime     time.Duration
+}
+
+// Claimed reports whether requests of the route take a claim before they may
+// start.
+func (r Route) Claimed() bool {
+	return !r.Idempotent || r.Exclusive
+}
+
+// Routes is the routes table in force.
+type Routes interface {
+	// Ready reports whether any table is in force.
+	Ready() bool
+	// Route returns a row of the table.
+	Route(name lovagestand.RouteName) (Route, bool)
+}
+
+// Limiter admits requests or refuses them with a [LimitedError].
+type Limiter interface {
+	// Admit counts a request in; release counts it out again.
+	Admit(route Route, team lovagestand.TeamName) (release func(), err error)
+}
+
+// Target is a shard that may run a request.
+type Target struct {
+	Shard lovagestand.ShardName
+	// Reason says in words why it was chosen.
+	Reason string
+}
+
+// Chooser chooses among the shards that serve a pool.
+type Chooser interface {
+	// Choose returns a shard for a task, leaving out those in tried. It fails
+	// with a [lovagestand.UnfitError] where no shard can ever hold the task,
+	// and with a [NoTargetError] where there is none to try now.
+	Choose(task lovagestand.Task, bodyBytes int, tried []lovagestand.ShardName) (Target, error)
+}
+
+// Claim is the permission to run one attempt at a claimed request.
+type Claim struct {
+	Task  lovagestand.TaskID
+	Shard lovagestand.ShardName
+	// StartBy is when the attempt must have started.
+	StartBy time.Time
+	// Fresh says that the claim was granted by this call, so that nobody can
+	// have sent the task to a worker before.
+	Fresh bool
+	// Settled is the final answer that is known already, if any.
+	Settled *lovagestand.Answer
+}
+
+// Claims grants claims.
+type Claims interface {
+	// Claim returns the claim of a request's key, granting one if it has none.
+	// An error means that nothing was granted and nothing will run.
+	Claim(ctx context.Context, request lovagestand.Request, fingerprint uint64, target lovagestand.ShardName) (Claim, error)
+	// Settle records the answer of a claimed request.
+	Settle(ctx context.Context, key lovagestand.RequestKey, answer lovagestand.Answer)
+}
+
+// Deps are the things an [Entry] works with.
+type Deps struct {
+	Routes    Routes
+	Limiter   Limiter
+	Chooser   Chooser
+	Claims    Claims
+	Ownership lovagestand.Ownership
+	// Peers returns the instances that are believed to be live.
+	Peers func() []lovagestand.Instance
+	// Client carries the calls to owners.
+	Client *http.Client
+	Log    zerolog.Logger
+}
--- /dev/null
+++ b/entry/problem.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+)
+
+// problem is an error as RFC 9457 lays it out, with members of our own.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// Key, Outcome and Task are set where the request is known.
+	Key     lovagestand.RequestKey `json:"key,omitempty"`
+	Outcome lovagestand.Outcome    `json:"outcome,omitempty"`
+	Task    lovagestand.TaskID     `json:"task,omitempty"`
+	Worker  lovagestand.WorkerName `json:"worker,omitempty"`
+	// Reason repeats the detail for programs.
+	Reason string `json:"reason,omitempty"`
+	// RetryAfterMillis is when to come back.
+	RetryAfterMillis int64 `json:"retryAfterMillis,omitempty"`
+	// Body is the body of a request that ran and failed.
+	Body []byte `json:"body,omitempty"`
+}
+
+// problemTypes are the values of the member "type".
+const (
+	typeInvalid  = "/problems/invalid"
+	typeNotFound = "/problems/notFound"
+	typeMismatch = "/problems/keyMismatch"
+	typeLimited  = "/problems/limited"
+	typeNotReady = "/problems/notReady"
+	typeOutcome  = "/problems/outcome"
+)
+
+// writeAnswer writes a final answer, or says where to ask again.
+func writeAnswer(w http.ResponseWriter, a lovagestand.Answer) {
+	switch a.Outcome {
+	case lovagestand.OutcomeDone:
+		writeJSON(w, http.StatusOK, a)
+	case lovagestand.OutcomeWaiting:
+		w.Header().Set("Location", "/v1/requests/"+string(a.Key))
+		writeJSON(w, http.StatusAccepted, a)
+	default:
+		writeProblem(w, outcomeProblem(a), a.RetryAfter)
+	}
+}
+
+func outcomeProblem(a lovagestand.Answer) problem {
+	return problem{
+		Type:    typeOutcome,
+		Title:   outcomeTitle(a.Outcome),
+		Status:  outcomeStatus(a),
+		Detail:  a.Reason,
+		Key:     a.Key,
+		Outcome: a.Outcome,
+		Task:    a.Task,
+		Worker:  a.Worker,
+		Reason:  a.Reason,
+		Body:    a.Body,
+	}
+}
+
+func outcomeTitle(o lovagestand.Outcome) string {
+	switch o {
+	case lovagestand.OutcomeNotRun:
+		return "the request did not run"
+	case lovagestand.OutcomeFailed:
+		return "the request ran and failed"
+	case lovagestand.OutcomeCancelled:
+		return "the request was cancelled after it had started"
+	default:
+		return "it is not known whether the request ran"
+	}
+}
+
+func outcomeStatus(a lovagestand.Answer) int {
+	switch a.Outcome {
+	case lovagestand.OutcomeNotRun:
+		if a.RetryAfter == 0 {
+			return http.StatusUnprocessableEntity
+		}
+		return http.StatusServiceUnavailable
+	case lovagestand.OutcomeFailed:
+		return http.StatusBadGateway
+	case lovagestand.OutcomeCancelled:
+		return http.StatusGone
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
+
+// writeError writes an error of [Entry.Submit] as a problem.
+func writeError(w http.ResponseWriter, err error) {
+	p, retryAfter := errorProblem(err)
+	writeProblem(w, p, retryAfter)
+}
+
+func errorProblem(err error) (problem, time.Duration) {
+	p := problem{Detail: err.Error(), Reason: err.Error(), Outcome: lovagestand.OutcomeNotRun}
+	var invalid *InvalidError
+	var unknownRoute *UnknownRouteError
+	var mismatch *MismatchError
+	var limited *LimitedError
+	var notReady *NotReadyError
+	var notFound *NotFoundError
+	switch {
+	case errors.As(err, &invalid):
+		p.Type, p.Title, p.Status = typeInvalid, "the request is not valid", http.StatusBadRequest
+	case errors.As(err, &unknownRoute):
+		p.Type, p.Title, p.Status = typeNotFound, "there is no such route", http.StatusNotFound
+	case errors.As(err, &mismatch):
+		p.Type, p.Title, p.Status = typeMismatch, "the key names another request", http.StatusConflict
+		p.Outcome = ""
+	case errors.As(err, &limited):
+		p.Type, p.Title, p.Status = typeLimited, "a limit is reached", http.StatusTooManyRequests
+		return p, limited.RetryAfter
+	case errors.As(err, &notReady):
+		p.Type, p.Title, p.Status = typeNotReady, "the instance takes no requests", http.StatusServiceUnavailable
+		return p, time.Second
+	case errors.As(err, &notFound):
+		p.Type, p.Title, p.Status = typeNotFound, "there is no such request", http.StatusNotFound
+		p.Outcome = ""
+	default:
+		p.Type, p.Title, p.Status = "about:blank", "internal error", http.StatusInternalServerError
+		p.Outcome = lovagestand.OutcomeUnknown
+	}
+	return p, 0
+}
+
+func writeProblem(w http.ResponseWriter, p problem, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		p.RetryAfterMillis = retryAfter.Milliseconds()
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	writeBody(w, p.Status, p)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	writeBody(w, status, v)
+}
+
+func writeBody(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	// A caller that has gone away asks again with its key.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/entry/pursue.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/placer/placerpb"
+)
+
+const (
+	// maxHops bounds how many shards a request is offered to.
+	maxHops = 4
+	// urgentWindow is how long one call to an owner waits for an urgent
+	// request, patientWindow for others.
+	urgentWindow  = 700 * time.Millisecond
+	patientWindow = 10 * time.Second
+	// callSlack is how much longer than its window a call may take.
+	callSlack = 500 * time.Millisecond
+	// retryPause is the pause before an owner is asked again.
+	retryPause = 50 * time.Millisecond
+	// unknownAfter is how long after the time to start an owner out of reach
+	// is waited for before the outcome is called unknown.
+	unknownAfter = 30 * time.Second
+	// moveAfter is how long an owner may be out of reach before work that may
+	// run twice is offered to another.
+	moveAfter = 300 * time.Millisecond
+	// defaultRetryAfter is when a caller may come back where nothing better is
+	// known.
+	defaultRetryAfter = time.Second
+)
+
+// pursue finds an owner for the call's request and returns its final answer.
+// It says that the request did not run only if no owner may still run it.
+func (e *Entry) pursue(ctx context.Context, c *call) lovagestand.Answer {
+	var answer lovagestand.Answer
+	if c.route.Claimed() {
+		answer = e.pursueClaimed(ctx, c)
+	} else {
+		answer = e.pursueFree(ctx, c)
+	}
+	if answer.Outcome != lovagestand.OutcomeNotRun {
+		return answer
+	}
+	for _, s := range c.holders() {
+		if !e.withdraw(ctx, c, s) {
+			return lovagestand.Unknown(c.request.Key, "an instance out of reach may run it; "+answer.Reason)
+		}
+	}
+	return answer
+}
+
+// pursueFree runs a request that may run twice: it is offered to one shard
+// after another.
+func (e *Entry) pursueFree(ctx context.Context, c *call) lovagestand.Answer {
+	c.task = freeTask(c.request.Key)
+	var tried []lovagestand.ShardName
+	for {
+		target, err := e.choose(ctx, c, tried)
+		if err != nil {
+			return refusal(c, err)
+		}
+		result := e.offer(ctx, c, target.Shard)
+		switch result.kind {
+		case offerFinal:
+			return result.answer
+		case offerBounced:
+			tried = append(tried, target.Shard)
+			if len(tried) >= maxHops {
+				return lovagestand.NotRun(c.request.Key, result.reason, result.retryAfter)
+			}
+		case offerMoved:
+			tried = append(tried[:0], target.Shard)
+		}
+	}
+}
+
+// freeTask names a try at a request that takes no claim. Every try has a name
+// of its own, so that a late message of one cannot revive another.
+func freeTask(key lovagestand.RequestKey) lovagestand.TaskID {
+	return lovagestand.TaskID(string(key) + "@" + uuid.NewString()[:8])
+}
+
+// pursueClaimed runs a request that may start at most once, or in one place
+// only: it is claimed for one shard and stays with it.
+func (e *Entry) pursueClaimed(ctx context.Context, c *call) lovagestand.Answer {
+	target, err := e.choose(ctx, c, nil)
+	if err != nil {
+		return refusal(c, err)
+	}
+	limited, cancel := context.WithDeadline(ctx, c.request.StartBy)
+	granted, err := e.deps.Claims.Claim(limited, c.request, c.fingerprint, target.Shard)
+	cancel()
+	if err != nil {
+		return refusal(c, err)
+	}
+	if granted.Settled != nil {
+		return e.settled(ctx, c, *granted.Settled)
+	}
+	c.request = c.request.WithStartBy(granted.StartBy)
+	c.task = granted.Task
+	if !granted.Fresh {
+		c.markHeld(granted.Shard)
+	}
+	result := e.offer(ctx, c, granted.Shard)
+	answer := result.answer
+	if result.kind != offerFinal {
+		answer = lovagestand.NotRun(c.request.Key, result.reason, result.retryAfter)
+	}
+	answer.Task = granted.Task
+	if answer.Outcome != lovagestand.OutcomeNotRun || len(c.holders()) == 0 {
+		e.deps.Claims.Settle(ctx, c.request.Key, answer)
+	}
+	return answer
+}
+
+// settled returns the whole answer of a request that has ended before: from
+// the owner that still holds it if there is one.
+func (e *Entry) settled(ctx context.Context, c *call, known lovagestand.Answer) lovagestand.Answer {
+	if found, ok := e.findElsewhere(ctx, c.request.Key, 0); ok && found.Outcome.Final() {
+		return found
+	}
+	if known.Outcome == lovagestand.OutcomeDone {
+		known.Outcome = lovagestand.OutcomeUnknown
+		known.Reason = "it ran to its end, and its answer is no longer kept"
+	}
+	return known
+}
+
+// choose asks for a shard until there is one or the time to start has passed.
+func (e *Entry) choose(ctx context.Context, c *call, tried []lovagestand.ShardName) (Target, error) {
+	for {
+		target, err := e.deps.Chooser.Choose(c.attempt(), len(c.request.Body), tried)
+		var none *NoTargetError
+		if err == nil || !errors.As(err, &none) {
+			return target, err
+		}
+		if c.isCancelled() || time.Now().After(c.request.StartBy) || len(tried) > 0 && len(c.holders()) == 0 {
+			return target, err
+		}
+		tried = nil
+		if !pause(ctx, retryPause) {
+			return target, ctx.Err()
+		}
+	}
+}
+
+// refusal returns the answer for a request that no shard would take. Coming
+// back is of use unless no worker can ever hold it.
+func refusal(c *call, err error) lovagestand.Answer {
+	retryAfter := defaultRetryAfter
+	var unfit *lovagestand.UnfitError
+	var none *NoTargetError
+	switch {
+	case errors.As(err, &unfit):
+		retryAfter = 0
+	case errors.As(err, &none) && none.RetryAfter > 0:
+		retryAfter = none.RetryAfter
+	}
+	return lovagestand.NotRun(c.request.Key, err.Error(), retryAfter)
+}
+
+// offerKind says how an offer to a shard ended.
+type offerKind int
+
+const (
+	// offerFinal has the final answer.
+	offerFinal offerKind = iota
+	// offerBounced was refused; nothing was queued.
+	offerBounced
+	// offerMoved gave up an owner out of reach; it may hold the request.
+	offerMoved
+)
+
+// offerResult is the end of an offer to a shard.
+type offerResult struct {
+	kind       offerKind
+	answer     lovagestand.Answer
+	reason     string
+	retryAfter time.Duration
+}
+
+// offer asks the owners of one shard, one after the other if they change, to
+// run a task, until there is a final answer or the shard refuses it.
+func (e *Entry) offer(ctx context.Context, c *call, shard lovagestand.ShardName) offerResult {
+	lastContact := time.Now()
+	for {
+		reply, contacted := e.ask(ctx, c, shard)
+		now := time.Now()
+		if contacted {
+			lastContact = now
+		}
+		switch reply.GetStatus() {
+		case placerpb.Status_STATUS_FINAL:
+			return offerResult{kind: offerFinal, answer: placer.AnswerOf(reply.GetAnswer())}
+		case placerpb.Status_STATUS_FULL, placerpb.Status_STATUS_UNFIT:
+			return offerResult{kind: offerBounced, reason: reply.GetReason(), retryAfter: time.Duration(reply.GetRetryAfter())}
+		}
+		if contacted && reply.GetStatus() == placerpb.Status_STATUS_WAITING && ctx.Err() == nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		if result, ok := e.giveUp(c, shard, now, lastContact); ok {
+			return result
+		}
+		if !pause(ctx, retryPause) {
+			return offerResult{kind: offerFinal, answer: lovagestand.Unknown(c.request.Key, "the instance stopped")}
+		}
+	}
+}
+
+// giveUp decides whether an owner out of reach is waited for any longer.
+func (e *Entry) giveUp(c *call, shard lovagestand.ShardName, now, lastContact time.Time) (offerResult, bool) {
+	mayMove := !c.route.Claimed() && !c.isCancelled()
+	if mayMove && now.Sub(lastContact) > moveAfter && now.Before(c.request.StartBy) {
+		return offerResult{kind: offerMoved}, true
+	}
+	if !c.mayBeAt(shard) && (c.isCancelled() || now.After(c.request.StartBy)) {
+		reason := "no instance could place it in time"
+		if c.isCancelled() {
+			reason = "cancelled by the caller"
+		}
+		return offerResult{kind: offerFinal, answer: lovagestand.NotRun(c.request.Key, reason, time.Second)}, true
+	}
+	waitedSince := c.request.StartBy
+	if lastContact.After(waitedSince) {
+		waitedSince = lastContact
+	}
+	if now.After(waitedSince.Add(unknownAfter)) {
+		return offerResult{kind: offerFinal, answer: lovagestand.Unknown(c.request.Key, "its owner is out of reach")}, true
+	}
+	return offerResult{}, false
+}
+
+// ask makes one call to the owner of a shard. contacted is false if the owner
+// did not answer or is not known.
+func (e *Entry) ask(ctx context.Context, c *call, shard lovagestand.ShardName) (reply *placerpb.PlaceReply, contacted bool) {
+	owner, ok := e.deps.Ownership.Owner(shard)
+	if !ok {
+		return nil, false
+	}
+	window := windowOf(c)
+	limited, cancel := context.WithTimeout(ctx, window+callSlack)
+	defer cancel()
+	reply, err := e.placers.at(owner.Address).Place(limited, &placerpb.PlaceRequest{
+		Shard:        string(shard),
+		Task:         placer.TaskMessage(c.attempt()),
+		Body:         c.request.Body,
+		Resubmitted:  c.mayBeAt(shard),
+		WindowMillis: window.Milliseconds(),
+		DeliverBy:    time.Now().Add(window + callSlack).UnixNano(),
+	})
+	if err != nil {
+		if !surelyUnsent(err) {
+			c.markHeld(shard)
+		}
+		return nil, false
+	}
+	switch reply.GetStatus() {
+	case placerpb.Status_STATUS_WAITING:
+		c.markHeld(shard)
+	case placerpb.Status_STATUS_FINAL, placerpb.Status_STATUS_FULL, placerpb.Status_STATUS_UNFIT:
+		c.markSettled(shard)
+	default:
+		return reply, false
+	}
+	return reply, true
+}
+
+func windowOf(c *call) time.Duration {
+	if c.route.Class == lovagestand.ClassUrgent {
+		return urgentWindow
+	}
+	return patientWindow
+}
+
+// pause waits for d; false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/placer/link.go
+++ b/placer/link.go
@@ -328,7 +328,11 @@
 			continue
 		}
 		kept++
-		if now.Sub(r.endedAt) > s.timings.keepAnswer {
+		keep := s.timings.keepAnswer
+		if r.withdrawn {
+			keep = s.timings.keepWithdrawn
+		}
+		if now.Sub(r.endedAt) > keep {
 			s.forget(r)
 		}
 	}
--- a/placer/options.go
+++ b/placer/options.go
@@ -12,6 +12,7 @@
 	lostAfter     time.Duration
 	idleDecide    time.Duration
 	keepAnswer    time.Duration
+	keepWithdrawn time.Duration
 	membersEvery  time.Duration
 	maxAttempts   int
 	clockSkew     time.Duration
@@ -36,6 +37,9 @@
 	// defaultKeepAnswer is how long a final answer is kept for callers that
 	// ask again.
 	defaultKeepAnswer = 10 * time.Minute
+	// defaultKeepWithdrawn is how long the name of a task that was not queued
+	// is kept; a call that could queue it is dropped long before.
+	defaultKeepWithdrawn = 2 * maxWindow
 	// defaultMembersEvery is how often the member list is applied.
 	defaultMembersEvery = 500 * time.Millisecond
 	// defaultMaxAttempts bounds the tries at an idempotent task.
@@ -59,6 +63,7 @@
 		lostAfter:     defaultLostAfter,
 		idleDecide:    defaultIdleDecide,
 		keepAnswer:    defaultKeepAnswer,
+		keepWithdrawn: defaultKeepWithdrawn,
 		membersEvery:  defaultMembersEvery,
 		maxAttempts:   defaultMaxAttempts,
 		clockSkew:     defaultClockSkew,
--- a/placer/request.go
+++ b/placer/request.go
@@ -58,6 +58,8 @@
 	answer    lovagestand.Answer
 	done      chan struct{}
 	cancelled bool
+	// withdrawn says that the request was never queued and must not be.
+	withdrawn bool
 	// restarting says that a gang is being stopped to be started again whole.
 	restarting bool
 	// endedAt is when the answer became final.
@@ -92,6 +94,14 @@
 	return false
 }
 
+// markSent records that an earlier owner may have sent the request to a
+// worker.
+func (r *request) markSent() {
+	for _, p := range r.parts {
+		p.sent = true
+	}
+}
+
 // finish makes the answer final; later calls change nothing.
 func (r *request) finish(now time.Time, a lovagestand.Answer) {
 	if r.final() {
--- a/placer/rpc.go
+++ b/placer/rpc.go
@@ -25,7 +25,7 @@
 // Place implements the service.
 func (p *Placer) Place(ctx context.Context, m *placerpb.PlaceRequest) (*placerpb.PlaceReply, error) {
 	s, ok := p.shard(lovagestand.ShardName(m.GetShard()))
-	if !ok {
+	if !ok || time.Now().After(timeOf(m.GetDeliverBy())) {
 		return notOwner(), nil
 	}
 	window, cancel := context.WithTimeout(ctx, windowOf(m.GetWindowMillis()))
@@ -46,6 +46,9 @@
 
 // Cancel implements the service.
 func (p *Placer) Cancel(_ context.Context, m *placerpb.CancelRequest) (*placerpb.CancelReply, error) {
+	if m.GetTask() != nil {
+		return p.withdraw(m), nil
+	}
 	for _, s := range p.sorted() {
 		if a, ok := s.cancel(time.Now(), lovagestand.RequestKey(m.GetKey())); ok {
 			return &placerpb.CancelReply{Found: true, Answer: AnswerMessage(a)}, nil
@@ -54,6 +57,18 @@
 	return &placerpb.CancelReply{}, nil
 }
 
+func (p *Placer) withdraw(m *placerpb.CancelRequest) *placerpb.CancelReply {
+	s, ok := p.shard(lovagestand.ShardName(m.GetShard()))
+	if !ok {
+		return &placerpb.CancelReply{}
+	}
+	a, ok := s.withdraw(time.Now(), TaskOf(m.GetTask()))
+	if !ok {
+		return &placerpb.CancelReply{}
+	}
+	return &placerpb.CancelReply{Found: true, Answer: AnswerMessage(a)}
+}
+
 // Find implements the service.
 func (p *Placer) Find(ctx context.Context, m *placerpb.FindRequest) (*placerpb.FindReply, error) {
 	window, cancel := context.WithTimeout(ctx, windowOf(m.GetWindowMillis()))
@@ -91,29 +106,72 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r, ok := s.requests[task.ID]; ok {
+		if r.withdrawn {
+			return nil, final(r.answer)
+		}
 		s.giveBody(now, r, body)
 		return r, nil
 	}
 	if _, ok := s.right(now); !ok || s.draining {
 		return nil, notOwner()
 	}
+	r := newRequest(task)
 	if resubmitted {
-		if reply := s.surelyNotStarted(now, task); reply != nil {
-			return nil, reply
+		if s.mayStillRun(now, task) {
+			return nil, waiting()
+		}
+		doubt := s.doubt(task)
+		if doubt != "" && !task.Idempotent {
+			return nil, final(lovagestand.Unknown(task.Key, doubt))
+		}
+		if doubt != "" {
+			r.markSent()
 		}
 	}
 	if !task.StartBy.IsZero() && now.After(task.StartBy) {
-		return nil, final(lovagestand.NotRun(task.Key, "the time to start had passed", 0))
+		s.hold(r)
+		s.expire(now, r.parts[0], "the time to start had passed", 0)
+		return r, nil
 	}
-	r := newRequest(task)
 	r.body = body
 	r.hasBody = true
 	if err := s.submit(now, r); err != nil {
+		s.bury(now, r, err.Error())
 		return nil, rejection(err)
 	}
 	return r, nil
 }
 
+// bury keeps the name of a task that was not queued, so that a call still on
+// its way cannot queue it later.
+func (s *shard) bury(now time.Time, r *request, reason string) {
+	r.withdrawn = true
+	r.finish(now, lovagestand.NotRun(r.task.Key, reason, 0))
+	r.body = nil
+	r.parts = nil
+	s.requests[r.task.ID] = r
+}
+
+// withdraw gives up a task for an entry that has found another way. A task
+// the shard does not know is kept from being queued later; the answer says
+// that it did not run only if no earlier owner can have started it.
+func (s *shard) withdraw(now time.Time, task lovagestand.Task) (lovagestand.Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.right(now); !ok || !s.isReady {
+		return lovagestand.Answer{}, false
+	}
+	if r, ok := s.requests[task.ID]; ok {
+		return s.giveUp(now, r), true
+	}
+	if s.doubt(task) != "" {
+		return lovagestand.Answer{}, false
+	}
+	r := newRequest(task)
+	s.bury(now, r, "withdrawn")
+	return r.answer, true
+}
+
 // giveBody completes a request that was found on a worker, and starts again
 // the parts that waited for the body.
 func (s *shard) giveBody(now time.Time, r *request, body []byte) {
@@ -129,31 +187,30 @@
 	}
 }
 
-// surelyNotStarted returns nil if no earlier owner can have started a task
-// that the shard does not know. Work that may run twice needs no proof.
-func (s *shard) surelyNotStarted(now time.Time, task lovagestand.Task) *placerpb.PlaceReply {
+// mayStillRun reports whether a task that must not run twice may run on a
+// worker that does not answer and whose leases have not lapsed yet.
+func (s *shard) mayStillRun(now time.Time, task lovagestand.Task) bool {
 	if task.Idempotent && !task.Exclusive {
-		return nil
+		return false
 	}
-	latest := time.Time{}
 	for _, lapse := range s.unread {
-		if lapse.After(latest) {
-			latest = lapse
+		if now.Before(lapse) {
+			return true
 		}
 	}
-	if now.Before(latest) {
-		return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_WAITING, Reason: "a worker that may run it does not answer"}
-	}
-	if task.Idempotent {
-		return nil
-	}
+	return false
+}
+
+// doubt returns why an earlier owner may have started a task that the shard
+// does not know; it is empty where none can have.
+func (s *shard) doubt(task lovagestand.Task) string {
 	if len(s.unread) > 0 {
-		return final(lovagestand.Unknown(task.Key, "a worker that may have run it was lost"))
+		return "a worker that may have run it was lost"
 	}
 	if s.deps.Members.Since().After(task.Submitted) {
-		return final(lovagestand.Unknown(task.Key, "a worker may have run it and left before this instance joined"))
+		return "a worker may have run it and left before this instance joined"
 	}
-	return nil
+	return ""
 }
 
 func rejection(err error) *placerpb.PlaceReply {
@@ -198,18 +255,22 @@
 	if !ok {
 		return lovagestand.Answer{}, false
 	}
+	return s.giveUp(now, r), true
+}
+
+func (s *shard) giveUp(now time.Time, r *request) lovagestand.Answer {
 	if r.final() {
-		return r.answer, true
+		return r.answer
 	}
 	r.cancelled = true
 	if !r.started() {
-		s.finish(now, r, lovagestand.NotRun(key, "cancelled by the caller", 0))
-		return r.answer, true
+		s.finish(now, r, lovagestand.NotRun(r.task.Key, "cancelled by the caller", 0))
+		return r.answer
 	}
 	for _, p := range r.parts {
 		s.cancelPart(now, p)
 	}
-	return r.answer, true
+	return r.answer
 }
 
 func (s *shard) cancelPart(now time.Time, p *part) {
