pool/naive: plain-scan decider

Cause: the placer needs a decider, and the real one needs a baseline. Change: pool/naive implements lovagestand.Decider by scanning sorted lists: class order, fair sharing by dominant resource, quotas, headroom, tight packing, spread services, whole gangs, displaced batch, expiry. Conclusion: in place for the placer and for differential tests.

--- /dev/null
+++ b/pool/naive/decide.go
@@ -0,0 +1,187 @@
+package naive
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Decide implements [lovagestand.Decider].
+func (d *Decider) Decide(now time.Time, decisions []lovagestand.Decision) []lovagestand.Decision {
+	decisions = d.expire(now, decisions)
+	for _, pool := range d.pools() {
+		for _, class := range lovagestand.Classes() {
+			decisions = d.startAll(pool, class, decisions)
+		}
+		decisions = d.displace(pool, decisions)
+	}
+	return decisions
+}
+
+// pools lists the pools for which tasks wait, sorted.
+func (d *Decider) pools() []lovagestand.PoolName {
+	var names []lovagestand.PoolName
+	for _, e := range d.waiting {
+		names = append(names, e.task.Pool)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (d *Decider) expire(now time.Time, decisions []lovagestand.Decision) []lovagestand.Decision {
+	for _, e := range slices.Clone(d.waiting) {
+		limit := e.task.StartBy
+		if limit.IsZero() || now.Before(limit) {
+			continue
+		}
+		d.unqueue(e)
+		decisions = append(decisions, lovagestand.Decision{
+			Kind: lovagestand.DecisionExpire, Task: e.task,
+			Reason: "no worker was free before the time limit", RetryAfter: retryAfter,
+		})
+	}
+	return decisions
+}
+
+// startAll starts tasks of a class until none fits, each time the first that
+// fits of the team with the smallest share.
+func (d *Decider) startAll(pool lovagestand.PoolName, class lovagestand.Class, decisions []lovagestand.Decision) []lovagestand.Decision {
+	for {
+		started := false
+		for _, e := range d.line(pool, class) {
+			group := d.group(e)
+			if !d.place(group) {
+				continue
+			}
+			for _, m := range group {
+				decisions = append(decisions, lovagestand.Decision{
+					Kind: lovagestand.DecisionStart, Task: m.task, Worker: m.on.worker.Name,
+				})
+			}
+			started = true
+			break
+		}
+		if !started {
+			return decisions
+		}
+	}
+}
+
+// line returns a class's waiting tasks by team share, then by arrival. The
+// order of teams with equal shares is by arrival too.
+func (d *Decider) line(pool lovagestand.PoolName, class lovagestand.Class) []*entry {
+	var line []*entry
+	shares := map[lovagestand.TeamName]float64{}
+	for _, e := range d.waiting {
+		if e.task.Pool == pool && e.task.Class == class {
+			line = append(line, e)
+			shares[e.task.Team] = d.share(pool, e.task.Team)
+		}
+	}
+	slices.SortStableFunc(line, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(shares[a.task.Team], shares[b.task.Team]), cmp.Compare(a.sequence, b.sequence))
+	})
+	return line
+}
+
+// group returns the tasks that start together with e, or nil if e is not the
+// first of them or some are still missing.
+func (d *Decider) group(e *entry) []*entry {
+	if e.task.Gang == "" {
+		return []*entry{e}
+	}
+	var members []*entry
+	for _, m := range d.waiting {
+		if m.task.Gang == e.task.Gang && m.task.Pool == e.task.Pool {
+			members = append(members, m)
+		}
+	}
+	if members[0] != e || len(members) < e.task.GangSize {
+		return nil
+	}
+	return members[:e.task.GangSize]
+}
+
+// place puts all of a group on workers, or none.
+func (d *Decider) place(group []*entry) bool {
+	if len(group) == 0 {
+		return false
+	}
+	first := group[0].task
+	if !d.withinQuota(first, len(group)) || !d.leavesHeadroom(first, len(group)) {
+		return false
+	}
+	for i, e := range group {
+		h := d.choose(e)
+		if h == nil {
+			for _, placed := range slices.Backward(group[:i]) {
+				placed.on.take()
+			}
+			return false
+		}
+		h.put(e)
+	}
+	for _, e := range group {
+		d.unqueue(e)
+	}
+	return true
+}
+
+// choose returns the worker for a task, or nil if none can hold it now.
+func (d *Decider) choose(e *entry) *holder {
+	var best *holder
+	for _, h := range d.workers {
+		if h.pool != e.task.Pool || !h.holds(e) {
+			continue
+		}
+		if best == nil || d.better(e.task, h, best) {
+			best = h
+		}
+	}
+	return best
+}
+
+// better reports whether a is a better place for t than b, the earlier one:
+// services are spread, all else is packed tightly.
+func (d *Decider) better(t lovagestand.Task, a, b *holder) bool {
+	if t.Class == lovagestand.ClassService {
+		return cmp.Or(
+			cmp.Compare(d.replicas(t, a, sameDomain), d.replicas(t, b, sameDomain)),
+			cmp.Compare(d.replicas(t, a, sameRack), d.replicas(t, b, sameRack)),
+			cmp.Compare(a.free().Accelerators, b.free().Accelerators),
+			cmp.Compare(b.free().MilliCPU, a.free().MilliCPU),
+			cmp.Compare(b.free().MemoryMiB, a.free().MemoryMiB),
+		) < 0
+	}
+	return cmp.Or(
+		cmp.Compare(a.free().Accelerators, b.free().Accelerators),
+		cmp.Compare(a.free().MilliCPU, b.free().MilliCPU),
+		cmp.Compare(a.free().MemoryMiB, b.free().MemoryMiB),
+	) < 0
+}
+
+// replicas counts the service tasks of t's route near h.
+func (d *Decider) replicas(t lovagestand.Task, h *holder, near func(a, b lovagestand.Worker) bool) int {
+	count := 0
+	for _, other := range d.workers {
+		if other.pool != h.pool || !near(h.worker, other.worker) {
+			continue
+		}
+		for _, e := range other.tasks {
+			if e.task.Class == lovagestand.ClassService && e.task.Route == t.Route {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func sameDomain(a, b lovagestand.Worker) bool {
+	return a.Region == b.Region && a.FailureDomain == b.FailureDomain
+}
+
+func sameRack(a, b lovagestand.Worker) bool {
+	return sameDomain(a, b) && a.Rack == b.Rack
+}
--- /dev/null
+++ b/pool/naive/displace.go
@@ -0,0 +1,81 @@
+package naive
+
+import (
+	"cmp"
+	"slices"
+
+	"lovagestand.example/lovagestand"
+)
+
+// displace stops batch tasks that checkpoint to make room for waiting urgent
+// ones. A worker serves one claim at a time and takes nothing else meanwhile.
+func (d *Decider) displace(pool lovagestand.PoolName, decisions []lovagestand.Decision) []lovagestand.Decision {
+	for _, e := range d.line(pool, lovagestand.ClassUrgent) {
+		if d.claims(e) || !d.withinQuota(e.task, 1) {
+			continue
+		}
+		h, victims := d.cheapest(e)
+		if h == nil {
+			continue
+		}
+		h.claimant = e
+		for _, v := range victims {
+			v.preempted = true
+			decisions = append(decisions, lovagestand.Decision{
+				Kind: lovagestand.DecisionPreempt, Task: v.task, Worker: h.worker.Name,
+				Reason: "displaced by urgent task " + string(e.task.ID),
+			})
+		}
+	}
+	return decisions
+}
+
+func (d *Decider) claims(e *entry) bool {
+	for _, h := range d.workers {
+		if h.claimant == e {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapest returns the worker on which the fewest tasks must stop for e.
+func (d *Decider) cheapest(e *entry) (*holder, []*entry) {
+	var best *holder
+	var fewest []*entry
+	for _, h := range d.workers {
+		if h.pool != e.task.Pool || !h.fit() || h.claimant != nil {
+			continue
+		}
+		victims := h.victims(e.task.Resources)
+		if len(victims) > 0 && (best == nil || len(victims) < len(fewest)) {
+			best = h
+			fewest = victims
+		}
+	}
+	return best, fewest
+}
+
+// victims returns the tasks to stop so that asked fits, largest first, or nil
+// if stopping all that may be stopped would not do.
+func (h *holder) victims(asked lovagestand.Resources) []*entry {
+	var candidates []*entry
+	for _, e := range h.tasks {
+		if e.task.Class == lovagestand.ClassBatch && e.task.Checkpoints && !e.preempted {
+			candidates = append(candidates, e)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *entry) int {
+		share := func(e *entry) float64 { return e.task.Resources.DominantShare(h.worker.Capacity) }
+		return cmp.Compare(share(b), share(a))
+	})
+	free := h.free()
+	for i, e := range candidates {
+		free = free.Add(e.task.Resources)
+		slots := h.worker.Slots - len(h.tasks) + i + 1
+		if asked.Fits(free) && slots > 0 {
+			return candidates[:i+1]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pool/naive/fit.go
@@ -0,0 +1,177 @@
+package naive
+
+import (
+	"lovagestand.example/lovagestand"
+)
+
+// put counts e against the worker, even past its capacity.
+func (h *holder) put(e *entry) {
+	e.on = h
+	h.tasks = append(h.tasks, e)
+}
+
+// take undoes the last put.
+func (h *holder) take() {
+	last := len(h.tasks) - 1
+	h.tasks[last].on = nil
+	h.tasks = h.tasks[:last]
+}
+
+func (h *holder) used() lovagestand.Resources {
+	var sum lovagestand.Resources
+	for _, e := range h.tasks {
+		sum = sum.Add(e.task.Resources)
+	}
+	return sum
+}
+
+func (h *holder) free() lovagestand.Resources {
+	return h.worker.Capacity.Sub(h.used())
+}
+
+// fit reports whether the worker takes new tasks at all.
+func (h *holder) fit() bool {
+	return !h.worker.Leaving && h.worker.Slots > 0
+}
+
+// holds reports whether e can start on the worker now.
+func (h *holder) holds(e *entry) bool {
+	if !h.fit() || len(h.tasks) >= h.worker.Slots {
+		return false
+	}
+	if h.claimant != nil && h.claimant != e {
+		return false
+	}
+	return e.task.Resources.Fits(h.free())
+}
+
+// fitsEver fails if no worker could hold t even if it were empty.
+func (d *Decider) fitsEver(t lovagestand.Task) error {
+	e := &lovagestand.UnfitError{Pool: t.Pool, Asked: t.Resources}
+	room := 0
+	for _, h := range d.workers {
+		if h.pool != t.Pool || !h.fit() {
+			continue
+		}
+		e.Largest = largest(e.Largest, h.worker.Capacity)
+		room += roomFor(t.Resources, h.worker.Capacity, h.worker.Slots)
+	}
+	quota := d.team(t.Pool, t.Team).Quota
+	size := max(t.GangSize, 1)
+	switch {
+	case !t.Resources.Valid():
+		e.Reason = "it asks for less than nothing"
+	case room == 0:
+		e.Reason = "it asks for more than any one worker has"
+	case room < size:
+		e.Reason = "the gang asks for more than all workers have together"
+	case quota != nil && !t.Resources.Times(int64(size)).Fits(*quota):
+		e.Reason = "it asks for more than its team's quota"
+	default:
+		return nil
+	}
+	return e
+}
+
+// roomFor returns how many tasks of a size an empty worker holds.
+func roomFor(size, capacity lovagestand.Resources, slots int) int {
+	room := 0
+	for room < slots && size.Times(int64(room+1)).Fits(capacity) {
+		room++
+	}
+	return room
+}
+
+func largest(a, b lovagestand.Resources) lovagestand.Resources {
+	return lovagestand.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// team returns a team's weight and quota.
+func (d *Decider) team(pool lovagestand.PoolName, name lovagestand.TeamName) lovagestand.TeamPolicy {
+	for _, t := range d.policies[pool].Teams {
+		if t.Team == name {
+			return t
+		}
+	}
+	return lovagestand.TeamPolicy{Team: name}
+}
+
+// capacity sums up the pool's fit workers.
+func (d *Decider) capacity(pool lovagestand.PoolName) lovagestand.Resources {
+	var sum lovagestand.Resources
+	for _, h := range d.workers {
+		if h.pool == pool && h.fit() {
+			sum = sum.Add(h.worker.Capacity)
+		}
+	}
+	return sum
+}
+
+// running sums up the pool's placed tasks that keep accepts.
+func (d *Decider) running(pool lovagestand.PoolName, accepts func(*entry) bool) lovagestand.Resources {
+	var sum lovagestand.Resources
+	for _, h := range d.workers {
+		for _, e := range h.tasks {
+			if h.pool == pool && accepts(e) {
+				sum = sum.Add(e.task.Resources)
+			}
+		}
+	}
+	return sum
+}
+
+// share returns what a team takes of its pool by dominant resource, divided
+// by its weight.
+func (d *Decider) share(pool lovagestand.PoolName, name lovagestand.TeamName) float64 {
+	weight := d.team(pool, name).Weight
+	if weight == 0 {
+		weight = 1
+	}
+	used := d.running(pool, func(e *entry) bool { return e.task.Team == name })
+	return used.DominantShare(d.capacity(pool)) / weight
+}
+
+// withinQuota reports whether a team may run size more of t.
+func (d *Decider) withinQuota(t lovagestand.Task, size int) bool {
+	quota := d.team(t.Pool, t.Team).Quota
+	if quota == nil {
+		return true
+	}
+	used := d.running(t.Pool, func(e *entry) bool { return e.task.Team == t.Team })
+	return used.Add(t.Resources.Times(int64(size))).Fits(*quota)
+}
+
+// leavesHeadroom reports whether size more of t leave free what is kept for
+// urgent work. Urgent work that runs counts towards it. A pool that runs
+// nothing but urgent work takes any task, so that none waits for ever.
+func (d *Decider) leavesHeadroom(t lovagestand.Task, size int) bool {
+	share := d.policies[t.Pool].HeadroomShare
+	if t.Class == lovagestand.ClassUrgent || share == 0 {
+		return true
+	}
+	others := d.running(t.Pool, func(e *entry) bool { return e.task.Class != lovagestand.ClassUrgent })
+	if others.IsZero() {
+		return true
+	}
+	capacity := d.capacity(t.Pool)
+	added := t.Resources.Times(int64(size))
+	limit := lovagestand.Resources{
+		MilliCPU:     capacity.MilliCPU - int64(share*float64(capacity.MilliCPU)),
+		MemoryMiB:    capacity.MemoryMiB - int64(share*float64(capacity.MemoryMiB)),
+		Accelerators: capacity.Accelerators - int64(share*float64(capacity.Accelerators)),
+	}
+	return fitsWhereAsked(added, others, limit)
+}
+
+// fitsWhereAsked reports whether used plus added stay within limit in every
+// resource that added asks for.
+func fitsWhereAsked(added, used, limit lovagestand.Resources) bool {
+	sum := used.Add(added)
+	return (added.MilliCPU == 0 || sum.MilliCPU <= limit.MilliCPU) &&
+		(added.MemoryMiB == 0 || sum.MemoryMiB <= limit.MemoryMiB) &&
+		(added.Accelerators == 0 || sum.Accelerators <= limit.Accelerators)
+}
--- /dev/null
+++ b/pool/naive/naive.go
@@ -0,0 +1,185 @@
+// Package naive decides by plain scans over sorted lists, with no index. It is
+// the baseline to which package pool is compared.
+package naive
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Decider implements [lovagestand.Decider] by scanning everything each time.
+type Decider struct {
+	shard    lovagestand.ShardName
+	policies map[lovagestand.PoolName]lovagestand.Policy
+	workers  []*holder
+	waiting  []*entry
+	sequence uint64
+}
+
+// holder is a worker and the tasks placed on it, in order of placement.
+type holder struct {
+	worker lovagestand.Worker
+	pool   lovagestand.PoolName
+	tasks  []*entry
+	// claimant is the urgent task for which tasks of this worker are stopped.
+	claimant *entry
+}
+
+// entry is a task that waits, or runs if on is set.
+type entry struct {
+	task      lovagestand.Task
+	sequence  uint64
+	on        *holder
+	preempted bool
+}
+
+var _ lovagestand.Decider = (*Decider)(nil)
+
+// New returns a decider with no workers and no tasks.
+func New(shard lovagestand.ShardName) *Decider {
+	return &Decider{shard: shard, policies: map[lovagestand.PoolName]lovagestand.Policy{}}
+}
+
+// SetPolicies implements [lovagestand.Decider].
+func (d *Decider) SetPolicies(policies []lovagestand.Policy) {
+	d.policies = map[lovagestand.PoolName]lovagestand.Policy{}
+	for _, p := range policies {
+		d.policies[p.Pool] = p
+	}
+}
+
+// SetWorker implements [lovagestand.Decider].
+func (d *Decider) SetWorker(_ time.Time, w lovagestand.Worker, pool lovagestand.PoolName) {
+	h := d.holder(w.Name)
+	if h == nil {
+		h = &holder{}
+		d.workers = append(d.workers, h)
+	}
+	h.worker = w
+	h.pool = pool
+	if w.Leaving {
+		h.claimant = nil
+	}
+}
+
+// RemoveWorker implements [lovagestand.Decider].
+func (d *Decider) RemoveWorker(_ time.Time, name lovagestand.WorkerName) []lovagestand.Task {
+	for i, h := range d.workers {
+		if h.worker.Name != name {
+			continue
+		}
+		d.workers = append(d.workers[:i:i], d.workers[i+1:]...)
+		var tasks []lovagestand.Task
+		for _, e := range h.tasks {
+			tasks = append(tasks, e.task)
+		}
+		return tasks
+	}
+	return nil
+}
+
+// Adopt implements [lovagestand.Decider]. A worker that is not known yet is
+// taken to have no capacity and to be leaving.
+func (d *Decider) Adopt(now time.Time, t lovagestand.Task, on lovagestand.WorkerName) {
+	d.Cancel(t.ID)
+	d.Finish(now, t.ID, lovagestand.TaskResult{})
+	h := d.holder(on)
+	if h == nil {
+		d.SetWorker(now, lovagestand.Worker{Name: on, Leaving: true}, t.Pool)
+		h = d.holder(on)
+	}
+	h.put(&entry{task: t})
+}
+
+// Submit implements [lovagestand.Decider]. A task that waits or runs already
+// is not queued again.
+func (d *Decider) Submit(_ time.Time, t lovagestand.Task) error {
+	if d.known(t.ID) {
+		return nil
+	}
+	if err := d.fitsEver(t); err != nil {
+		return err
+	}
+	limit := d.policies[t.Pool].QueueLimit
+	waiting := d.countWaiting(t.Pool, t.Class)
+	if limit > 0 && waiting >= limit {
+		return &lovagestand.FullError{Pool: t.Pool, Class: t.Class, Waiting: waiting, RetryAfter: retryAfter}
+	}
+	d.sequence++
+	d.waiting = append(d.waiting, &entry{task: t, sequence: d.sequence})
+	return nil
+}
+
+// Cancel implements [lovagestand.Decider].
+func (d *Decider) Cancel(id lovagestand.TaskID) bool {
+	for _, e := range d.waiting {
+		if e.task.ID == id {
+			d.unqueue(e)
+			return true
+		}
+	}
+	return false
+}
+
+// Finish implements [lovagestand.Decider].
+func (d *Decider) Finish(_ time.Time, id lovagestand.TaskID, _ lovagestand.TaskResult) {
+	for _, h := range d.workers {
+		for i, e := range h.tasks {
+			if e.task.ID == id {
+				h.tasks = append(h.tasks[:i:i], h.tasks[i+1:]...)
+				return
+			}
+		}
+	}
+}
+
+func (d *Decider) holder(name lovagestand.WorkerName) *holder {
+	for _, h := range d.workers {
+		if h.worker.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+func (d *Decider) known(id lovagestand.TaskID) bool {
+	for _, e := range d.waiting {
+		if e.task.ID == id {
+			return true
+		}
+	}
+	for _, h := range d.workers {
+		for _, e := range h.tasks {
+			if e.task.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (d *Decider) countWaiting(pool lovagestand.PoolName, class lovagestand.Class) int {
+	count := 0
+	for _, e := range d.waiting {
+		if e.task.Pool == pool && e.task.Class == class {
+			count++
+		}
+	}
+	return count
+}
+
+// unqueue removes e from the waiting tasks and gives up its claim.
+func (d *Decider) unqueue(e *entry) {
+	for i := range d.waiting {
+		if d.waiting[i] == e {
+			d.waiting = append(d.waiting[:i:i], d.waiting[i+1:]...)
+			break
+		}
+	}
+	for _, h := range d.workers {
+		if h.claimant == e {
+			h.claimant = nil
+		}
+	}
+}
