--- /dev/null
+++ b/chart/chart.go
@@ -0,0 +1,144 @@
+// Package chart interprets state charts that are written in YAML files.
+//
+// A chart is checked when it is loaded and compiled to a small table of
+// integers, so that a transition costs one look-up and no allocation.
+package chart
+
+import "fmt"
+
+// State is the index of a state within its chart.
+type State uint8
+
+// Event is the index of an event within its chart.
+type Event uint8
+
+// Chart is a loaded state chart. It does not change and is safe for
+// concurrent use.
+type Chart struct {
+	name    string
+	initial State
+	states  []string
+	events  []string
+	final   []bool
+	// next holds the state after each event, by state times events plus event.
+	next []State
+}
+
+// absent marks an event that a state does not allow.
+const absent = State(255)
+
+// Name returns the name of the chart.
+func (c *Chart) Name() string {
+	return c.name
+}
+
+// Initial returns the state in which everything starts.
+func (c *Chart) Initial() State {
+	return c.initial
+}
+
+// Final reports whether s allows no event any more.
+func (c *Chart) Final(s State) bool {
+	return c.final[s]
+}
+
+// States returns the names of all states in the order of the file.
+func (c *Chart) States() []string {
+	return append([]string(nil), c.states...)
+}
+
+// StateName returns the name of s.
+func (c *Chart) StateName(s State) string {
+	return c.states[s]
+}
+
+// State returns the state of a name, or an [UnknownNameError].
+func (c *Chart) State(name string) (State, error) {
+	for i, n := range c.states {
+		if n == name {
+			return State(i), nil
+		}
+	}
+	return 0, &UnknownNameError{Chart: c.name, Name: name}
+}
+
+// Event returns the event of a name, or an [UnknownNameError].
+func (c *Chart) Event(name string) (Event, error) {
+	for i, n := range c.events {
+		if n == name {
+			return Event(i), nil
+		}
+	}
+	return 0, &UnknownNameError{Chart: c.name, Name: name}
+}
+
+// MustState is State for names that the program itself holds; it panics if
+// the chart lacks the name.
+func (c *Chart) MustState(name string) State {
+	s, err := c.State(name)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// MustEvent is Event for names that the program itself holds; it panics if
+// the chart lacks the name.
+func (c *Chart) MustEvent(name string) Event {
+	e, err := c.Event(name)
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
+// Allows reports whether e may happen in s.
+func (c *Chart) Allows(s State, e Event) bool {
+	return c.next[int(s)*len(c.events)+int(e)] != absent
+}
+
+// Next returns the state that follows s after e, or s itself and a
+// [NotAllowedError].
+func (c *Chart) Next(s State, e Event) (State, error) {
+	next := c.next[int(s)*len(c.events)+int(e)]
+	if next == absent {
+		return s, &NotAllowedError{Chart: c.name, State: c.states[s], Event: c.events[e]}
+	}
+	return next, nil
+}
+
+// NotAllowedError says that an event may not happen in a state.
+type NotAllowedError struct {
+	Chart, State, Event string
+}
+
+// Error implements error.
+func (e *NotAllowedError) Error() string {
+	return fmt.Sprintf("chart %s: event %s is not allowed in state %s", e.Chart, e.Event, e.State)
+}
+
+// UnknownNameError says that a chart has no state or event of a name.
+type UnknownNameError struct {
+	Chart, Name string
+}
+
+// Error implements error.
+func (e *UnknownNameError) Error() string {
+	return fmt.Sprintf("chart %s: no state or event is named %s", e.Chart, e.Name)
+}
+
+// DefinitionError says what is wrong with the file of a chart.
+type DefinitionError struct {
+	Chart string
+	// State is the state at fault; empty where it is the chart as a whole.
+	State  string
+	Reason string
+}
+
+// Error implements error.
+func (e *DefinitionError) Error() string {
+	if e.State == "" {
+		return fmt.Sprintf("chart %s: %s", e.Chart, e.Reason)
+	}
+	return fmt.Sprintf("chart %s: state %s: %s", e.Chart, e.State, e.Reason)
+}
--- /dev/null
+++ b/chart/parse.go
@@ -0,0 +1,97 @@
+package chart
+
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// file is the written form of a chart.
+type file struct {
+	Name    string      `yaml:"name"`
+	Initial string      `yaml:"initial"`
+	States  []fileState `yaml:"states"`
+}
+
+type fileState struct {
+	Name  string           `yaml:"name"`
+	Final bool             `yaml:"final"`
+	On    []fileTransition `yaml:"on"`
+}
+
+type fileTransition struct {
+	Event string `yaml:"event"`
+	To    string `yaml:"to"`
+}
+
+// maxNames is the most states, and the most events, that a chart may have.
+const maxNames = 200
+
+// Parse loads a chart from YAML. It fails with a [DefinitionError] where the
+// chart does not hold together: names that stand twice or are missing, states
+// that cannot be reached, and states from which no final one can be reached.
+func Parse(data []byte) (*Chart, error) {
+	var f file
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&f); err != nil {
+		return nil, errors.Wrap(err, "chart")
+	}
+	c := &Chart{name: f.Name}
+	if err := c.addNames(f); err != nil {
+		return nil, err
+	}
+	if err := c.addTransitions(f); err != nil {
+		return nil, err
+	}
+	return c, c.check()
+}
+
+func (c *Chart) addNames(f file) error {
+	for _, s := range f.States {
+		if s.Name == "" {
+			return &DefinitionError{Chart: c.name, Reason: "a state has no name"}
+		}
+		if _, err := c.State(s.Name); err == nil {
+			return &DefinitionError{Chart: c.name, State: s.Name, Reason: "it is defined twice"}
+		}
+		c.states = append(c.states, s.Name)
+		c.final = append(c.final, s.Final)
+		for _, t := range s.On {
+			if _, err := c.Event(t.Event); err != nil {
+				c.events = append(c.events, t.Event)
+			}
+		}
+	}
+	if len(c.states) > maxNames || len(c.events) > maxNames {
+		return &DefinitionError{Chart: c.name, Reason: "it has too many states or events"}
+	}
+	initial, err := c.State(f.Initial)
+	if err != nil {
+		return &DefinitionError{Chart: c.name, Reason: "the initial state " + f.Initial + " is not defined"}
+	}
+	c.initial = initial
+	return nil
+}
+
+func (c *Chart) addTransitions(f file) error {
+	c.next = make([]State, len(c.states)*len(c.events))
+	for i := range c.next {
+		c.next[i] = absent
+	}
+	for i, s := range f.States {
+		for _, t := range s.On {
+			to, err := c.State(t.To)
+			if err != nil {
+				return &DefinitionError{Chart: c.name, State: s.Name, Reason: "event " + t.Event + " leads to the undefined state " + t.To}
+			}
+			cell := &c.next[i*len(c.events)+int(c.MustEvent(t.Event))]
+			if *cell != absent {
+				return &DefinitionError{Chart: c.name, State: s.Name, Reason: "event " + t.Event + " is defined twice"}
+			}
+			*cell = to
+		}
+	}
+	return nil
+}
