--- /dev/null
+++ b/common/document/decode.go
@@ -0,0 +1,193 @@
+package document
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// decoder walks a node tree and a Go value side by side.
+type decoder struct {
+	document *Document
+	faults   Errors
+}
+
+func (d *decoder) decode(n *yaml.Node, path string, target any) {
+	if n != nil {
+		d.value(n, path, reflect.ValueOf(target).Elem())
+	}
+}
+
+func (d *decoder) fault(n *yaml.Node, path, problem, hint string) {
+	d.faults = append(d.faults, &Error{
+		File: d.document.file, Line: n.Line, Key: path, Problem: problem, Hint: hint,
+	})
+}
+
+// value decodes one node of any kind.
+func (d *decoder) value(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind == yaml.AliasNode || n.Anchor != "" {
+		d.fault(n, path, "anchors and aliases are not taken", "write the value out")
+		return
+	}
+	if n.Tag == "!!null" && n.Kind == yaml.ScalarNode {
+		d.fault(n, path, "has no value", "give a value or remove the key")
+		return
+	}
+	if v.Kind() == reflect.Pointer {
+		v.Set(reflect.New(v.Type().Elem()))
+		v = v.Elem()
+	}
+	if _, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.scalar(n, path, v)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.mapping(n, path, v)
+	case reflect.Slice:
+		d.sequence(n, path, v)
+	default:
+		d.scalar(n, path, v)
+	}
+}
+
+func (d *decoder) mapping(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.MappingNode {
+		d.fault(n, path, "must be a mapping of keys to values", "")
+		return
+	}
+	fields, names := structFields(v.Type())
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i]
+		inner := join(path, key.Value)
+		index, known := fields[key.Value]
+		switch {
+		case !known:
+			d.fault(key, inner, "is not a known key", Suggest(key.Value, names))
+		case seen[key.Value]:
+			d.fault(key, inner, "is given twice", "keep one of them")
+		default:
+			seen[key.Value] = true
+			d.document.lines[inner] = key.Line
+			d.value(n.Content[i+1], inner, v.Field(index))
+		}
+	}
+}
+
+func (d *decoder) sequence(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.SequenceNode {
+		d.fault(n, path, "must be a list", `start each entry with "- "`)
+		return
+	}
+	list := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
+	for i, entry := range n.Content {
+		inner := fmt.Sprintf("%s[%d]", path, i)
+		d.document.lines[inner] = entry.Line
+		d.value(entry, inner, list.Index(i))
+	}
+	v.Set(list)
+}
+
+func (d *decoder) scalar(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.ScalarNode {
+		d.fault(n, path, "must be a single value", "")
+		return
+	}
+	if problem, hint := setScalar(n, v); problem != "" {
+		d.fault(n, path, problem, hint)
+	}
+}
+
+// setScalar stores a scalar; it returns the problem and a hint if it can't.
+func setScalar(n *yaml.Node, v reflect.Value) (problem, hint string) {
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		if err := u.UnmarshalText([]byte(n.Value)); err != nil {
+			return err.Error(), ""
+		}
+		return "", ""
+	}
+	if v.Type() == reflect.TypeFor[time.Duration]() {
+		return setDuration(n, v)
+	}
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(n.Value)
+		return "", ""
+	case reflect.Bool:
+		return setBool(n, v)
+	case reflect.Float32, reflect.Float64:
+		return setFloat(n, v)
+	case reflect.Int, reflect.Int64, reflect.Int32, reflect.Uint64, reflect.Uint32:
+		return setInteger(n, v)
+	default:
+		return fmt.Sprintf("is of a kind that cannot be decoded: %s", v.Type()), ""
+	}
+}
+
+func setDuration(n *yaml.Node, v reflect.Value) (problem, hint string) {
+	length, err := time.ParseDuration(n.Value)
+	if err != nil {
+		return fmt.Sprintf("%q is not a duration", n.Value), `write it with a unit, such as "2s", "500ms" or "10m"`
+	}
+	v.SetInt(int64(length))
+	return "", ""
+}
+
+func setBool(n *yaml.Node, v reflect.Value) (problem, hint string) {
+	if n.Tag != "!!bool" || (n.Value != "true" && n.Value != "false") {
+		return fmt.Sprintf("%q is neither true nor false", n.Value), ""
+	}
+	v.SetBool(n.Value == "true")
+	return "", ""
+}
+
+func setFloat(n *yaml.Node, v reflect.Value) (problem, hint string) {
+	f, err := strconv.ParseFloat(n.Value, 64)
+	if err != nil || f != f || f > float64(MaxUnits) || f < -float64(MaxUnits) {
+		return fmt.Sprintf("%q is not a number in range", n.Value), ""
+	}
+	v.SetFloat(f)
+	return "", ""
+}
+
+func setInteger(n *yaml.Node, v reflect.Value) (problem, hint string) {
+	i, err := strconv.ParseInt(n.Value, 10, 64)
+	unsigned := v.CanUint()
+	if err != nil || (unsigned && i < 0) || (unsigned && v.OverflowUint(uint64(i))) || (!unsigned && v.OverflowInt(i)) {
+		return fmt.Sprintf("%q is not a whole number in range", n.Value), ""
+	}
+	if unsigned {
+		v.SetUint(uint64(i))
+		return "", ""
+	}
+	v.SetInt(i)
+	return "", ""
+}
+
+// structFields maps the YAML names of a struct to its field indexes.
+func structFields(t reflect.Type) (fields map[string]int, names []string) {
+	fields = map[string]int{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+		if name == "" || name == "-" || !t.Field(i).IsExported() {
+			continue
+		}
+		fields[name] = i
+		names = append(names, name)
+	}
+	return fields, names
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
--- /dev/null
+++ b/common/document/document.go
@@ -0,0 +1,94 @@
+package document
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// MaxBytes is the largest document that is read.
+const MaxBytes = 4 << 20
+
+// Document remembers where the keys of a decoded file stand.
+type Document struct {
+	file  string
+	lines map[string]int
+}
+
+// Decode reads one YAML document into the struct that target points to. It
+// fails with [Errors] that name every fault; target is then of no use.
+func Decode(file string, data []byte, target any) (*Document, error) {
+	d := &Document{file: file, lines: map[string]int{}}
+	root, fault := parse(file, data)
+	if fault != nil {
+		return d, Errors{fault}
+	}
+	w := &decoder{document: d}
+	w.decode(root, "", target)
+	return d, w.faults.AsError()
+}
+
+// Line returns the line of a key such as "routes[2].pool", or that of the
+// nearest key around it; 0 if there is none.
+func (d *Document) Line(key string) int {
+	for {
+		if line, ok := d.lines[key]; ok {
+			return line
+		}
+		if key == "" {
+			return 0
+		}
+		key = parent(key)
+	}
+}
+
+// Fault returns an error at a key of the document.
+func (d *Document) Fault(key, problem, hint string) *Error {
+	return &Error{File: d.file, Line: d.Line(key), Key: key, Problem: problem, Hint: hint}
+}
+
+func parent(key string) string {
+	for i := len(key) - 1; i >= 0; i-- {
+		if key[i] == '.' || key[i] == '[' {
+			return key[:i]
+		}
+	}
+	return ""
+}
+
+// parse returns the root node; nil for an empty document.
+func parse(file string, data []byte) (*yaml.Node, *Error) {
+	if len(data) > MaxBytes {
+		return nil, &Error{File: file, Problem: fmt.Sprintf("larger than %d bytes", MaxBytes)}
+	}
+	reader := yaml.NewDecoder(bytes.NewReader(data))
+	var root, next yaml.Node
+	if err := reader.Decode(&root); errors.Is(err, io.EOF) {
+		return nil, nil
+	} else if err != nil {
+		return nil, syntaxError(file, err)
+	}
+	if err := reader.Decode(&next); !errors.Is(err, io.EOF) {
+		return nil, &Error{File: file, Line: next.Line, Problem: "holds more than one document"}
+	}
+	if len(root.Content) != 1 {
+		return nil, nil
+	}
+	return root.Content[0], nil
+}
+
+var syntaxLine = regexp.MustCompile(`^yaml: line (\d+): (.*)$`)
+
+func syntaxError(file string, err error) *Error {
+	fault := &Error{File: file, Problem: err.Error(), Hint: "check indents, quotes and colons here and one line above"}
+	if m := syntaxLine.FindStringSubmatch(err.Error()); m != nil {
+		fault.Line, _ = strconv.Atoi(m[1])
+		fault.Problem = m[2]
+	}
+	return fault
+}
