--- /dev/null
+++ b/table/parse.go
@@ -0,0 +1,72 @@
+package table
+
+import (
+	"lovagestand.example/lovagestand/common/document"
+)
+
+// Name names one of the two tables.
+type Name string
+
+// The two tables.
+const (
+	RoutesTable Name = "routes"
+	PoolsTable  Name = "pools"
+)
+
+// File returns the file that holds the table.
+func (n Name) File() string {
+	return string(n) + ".yaml"
+}
+
+// RoutesFile is the shape of routes.yaml.
+type RoutesFile struct {
+	Routes []Route `yaml:"routes"`
+}
+
+// PoolsFile is the shape of pools.yaml.
+type PoolsFile struct {
+	Pools []Pool `yaml:"pools"`
+}
+
+// Parse reads and checks routes.yaml and pools.yaml together, at revision 0.
+// It fails with [document.Errors]; nothing is taken in part.
+func Parse(routes, pools []byte) (Tables, error) {
+	var r RoutesFile
+	var p PoolsFile
+	var faults document.Errors
+	from, err := document.Decode(RoutesTable.File(), routes, &r)
+	faults = appendFaults(faults, err)
+	other, err := document.Decode(PoolsTable.File(), pools, &p)
+	faults = appendFaults(faults, err)
+	if len(faults) > 0 {
+		return Tables{}, faults
+	}
+	faults = check(r.Routes, p.Pools, &sources{routes: from, pools: other})
+	if len(faults) > 0 {
+		return Tables{}, faults
+	}
+	return build(0, r.Routes, p.Pools), nil
+}
+
+func appendFaults(faults document.Errors, err error) document.Errors {
+	if more, ok := err.(document.Errors); ok {
+		return append(faults, more...)
+	}
+	return faults
+}
+
+// sources tell where rows were read; nil for rows that come from no file.
+type sources struct {
+	routes, pools *document.Document
+}
+
+func (s *sources) fault(table Name, key, problem, hint string) *document.Error {
+	source := s.routes
+	if table == PoolsTable {
+		source = s.pools
+	}
+	if source == nil {
+		return &document.Error{File: table.File(), Key: key, Problem: problem, Hint: hint}
+	}
+	return source.Fault(key, problem, hint)
+}
--- /dev/null
+++ b/table/tables.go
@@ -0,0 +1,189 @@
+package table
+
+import (
+	"fmt"
+	"slices"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Revision counts the accepted changes of the tables, from 1. It is not the
+// revision of the store's key.
+type Revision uint64
+
+// Tables are both tables at one revision. They are immutable and their rows
+// are sorted by name; callers must not change the slices they get.
+type Tables struct {
+	revision Revision
+	routes   []Route
+	pools    []Pool
+	byRoute  map[lovagestand.RouteName]int
+	byPool   map[lovagestand.PoolName]int
+	homes    map[home]lovagestand.PoolName
+	leaving  map[lovagestand.WorkerName]bool
+}
+
+// home is what places a worker in a pool.
+type home struct {
+	runner string
+	region lovagestand.RegionName
+}
+
+// New returns tables of rows that are checked together. It fails with
+// [document.Errors] that name the rows at fault.
+func New(revision Revision, routes []Route, pools []Pool) (Tables, error) {
+	rows := &sources{routes: nil, pools: nil}
+	faults := check(routes, pools, rows)
+	if err := faults.AsError(); err != nil {
+		return Tables{}, err
+	}
+	return build(revision, routes, pools), nil
+}
+
+// build indexes rows that are known to be sound.
+func build(revision Revision, routes []Route, pools []Pool) Tables {
+	t := Tables{
+		revision: revision,
+		routes:   slices.Clone(routes),
+		pools:    slices.Clone(pools),
+		byRoute:  make(map[lovagestand.RouteName]int, len(routes)),
+		byPool:   make(map[lovagestand.PoolName]int, len(pools)),
+		homes:    map[home]lovagestand.PoolName{},
+		leaving:  map[lovagestand.WorkerName]bool{},
+	}
+	slices.SortFunc(t.routes, func(a, b Route) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(t.pools, func(a, b Pool) int { return compare(a.Name, b.Name) })
+	for i, r := range t.routes {
+		t.byRoute[r.Name] = i
+	}
+	for i, p := range t.pools {
+		t.pools[i] = p.WithTeams(p.Teams...)
+		t.byPool[p.Name] = i
+		t.index(p)
+	}
+	return t
+}
+
+func (t Tables) index(p Pool) {
+	for _, region := range p.Regions {
+		t.homes[home{p.Runner, region}] = p.Name
+	}
+	for _, worker := range p.Leaving {
+		t.leaving[worker] = true
+	}
+}
+
+// Revision returns the revision; 0 for tables that were never accepted.
+func (t Tables) Revision() Revision {
+	return t.revision
+}
+
+// WithRevision returns a copy of t at a revision.
+func (t Tables) WithRevision(revision Revision) Tables {
+	t.revision = revision
+	return t
+}
+
+// Routes returns all routes, sorted by name.
+func (t Tables) Routes() []Route {
+	return t.routes
+}
+
+// Pools returns all pools, sorted by name.
+func (t Tables) Pools() []Pool {
+	return t.pools
+}
+
+// Route returns the row of a route.
+func (t Tables) Route(name lovagestand.RouteName) (Route, bool) {
+	i, found := t.byRoute[name]
+	if !found {
+		return Route{}, false
+	}
+	return t.routes[i], true
+}
+
+// Pool returns the row of a pool.
+func (t Tables) Pool(name lovagestand.PoolName) (Pool, bool) {
+	i, found := t.byPool[name]
+	if !found {
+		return Pool{}, false
+	}
+	return t.pools[i], true
+}
+
+// PoolOf returns the pool that a worker belongs to; false if it has none.
+func (t Tables) PoolOf(w lovagestand.Worker) (lovagestand.PoolName, bool) {
+	pool, found := t.homes[home{w.Runner, w.Region}]
+	return pool, found
+}
+
+// Leaving reports whether the operators take a worker out of use.
+func (t Tables) Leaving(worker lovagestand.WorkerName) bool {
+	return t.leaving[worker]
+}
+
+// Policy returns what a decider must know of a pool, with the quotas of the
+// whole pool; the zero policy for an unknown pool.
+func (t Tables) Policy(pool lovagestand.PoolName) lovagestand.Policy {
+	p, found := t.Pool(pool)
+	if !found {
+		return lovagestand.Policy{}
+	}
+	return p.Policy()
+}
+
+// Admit returns the route that takes a request of a team, or why none does:
+// a [GoneError] or a [TeamError].
+func (t Tables) Admit(route lovagestand.RouteName, team lovagestand.TeamName) (Route, error) {
+	r, found := t.Route(route)
+	if !found {
+		return Route{}, &GoneError{Table: RoutesTable, Name: string(route), Revision: t.revision}
+	}
+	if p, _ := t.Pool(r.Pool); !p.Serves(team) {
+		return Route{}, &TeamError{Pool: r.Pool, Team: team, Revision: t.revision}
+	}
+	return r, nil
+}
+
+// Waits returns nil while a waiting task may go on waiting. Where its route,
+// its pool or its team's row is gone, it returns a [GoneError] or a
+// [TeamError]; the task is then to be answered as not run. Running tasks are
+// never ended by a change of the tables.
+func (t Tables) Waits(task lovagestand.Task) error {
+	if _, found := t.Route(task.Route); !found {
+		return &GoneError{Table: RoutesTable, Name: string(task.Route), Revision: t.revision}
+	}
+	p, found := t.Pool(task.Pool)
+	if !found {
+		return &GoneError{Table: PoolsTable, Name: string(task.Pool), Revision: t.revision}
+	}
+	if !p.Serves(task.Team) {
+		return &TeamError{Pool: p.Name, Team: task.Team, Revision: t.revision}
+	}
+	return nil
+}
+
+// GoneError says that a row is not in the tables in force.
+type GoneError struct {
+	Table    Name
+	Name     string
+	Revision Revision
+}
+
+// Error implements error.
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("%s: no row %q at revision %d", e.Table, e.Name, e.Revision)
+}
+
+// TeamError says that a pool lists teams and a team is not among them.
+type TeamError struct {
+	Pool     lovagestand.PoolName
+	Team     lovagestand.TeamName
+	Revision Revision
+}
+
+// Error implements error.
+func (e *TeamError) Error() string {
+	return fmt.Sprintf("pool %q does not list team %q at revision %d", e.Pool, e.Team, e.Revision)
+}
