--- /dev/null
+++ b/table/diff.go
@@ -0,0 +1,65 @@
+package table
+
+import "fmt"
+
+// ChangeKind says how a row differs.
+type ChangeKind string
+
+// The kinds of difference.
+const (
+	Added   ChangeKind = "added"
+	Removed ChangeKind = "removed"
+	Changed ChangeKind = "changed"
+)
+
+// Difference is one row that differs between two tables.
+type Difference struct {
+	Row  Row
+	Kind ChangeKind
+	// Old and New are the row in JSON; empty where there is none.
+	Old, New string
+}
+
+// String returns the difference on one line.
+func (d Difference) String() string {
+	switch d.Kind {
+	case Added:
+		return fmt.Sprintf("+ %s %s", d.Row, d.New)
+	case Removed:
+		return fmt.Sprintf("- %s %s", d.Row, d.Old)
+	default:
+		return fmt.Sprintf("~ %s %s -> %s", d.Row, d.Old, d.New)
+	}
+}
+
+// Diff returns the rows that differ between two tables, sorted.
+func Diff(from, to Tables) []Difference {
+	before, after := rows(from), rows(to)
+	union := map[Row]bool{}
+	for row := range before {
+		union[row] = true
+	}
+	for row := range after {
+		union[row] = true
+	}
+	var differences []Difference
+	for _, row := range sortedRows(union) {
+		if d, differs := difference(row, before, after); differs {
+			differences = append(differences, d)
+		}
+	}
+	return differences
+}
+
+func difference(row Row, before, after map[Row]content) (Difference, bool) {
+	old, had := before[row]
+	now, has := after[row]
+	d := Difference{Row: row, Kind: Changed, Old: string(old), New: string(now)}
+	switch {
+	case !had:
+		d.Kind = Added
+	case !has:
+		d.Kind = Removed
+	}
+	return d, old != now
+}
--- /dev/null
+++ b/table/following.go
@@ -0,0 +1,150 @@
+package table
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Times and bounds of a follower.
+const (
+	// WatchWait is how long one watch of the store waits; the watch is given
+	// up watchGrace later.
+	WatchWait  = 30 * time.Second
+	watchGrace = 5 * time.Second
+	// minWatchPause spaces the watches of a key whose values are not newer.
+	minWatchPause = 100 * time.Millisecond
+	// firstRetry and maxRetry bound the pause after a failed store call.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 2 * time.Second
+	// PeerGrace is how long the store may take to bring what a peer has.
+	PeerGrace = 250 * time.Millisecond
+	// pullTimeout bounds one call to a peer.
+	pullTimeout = 2 * time.Second
+	// askPeriod is how often peers are asked while no tables are in force.
+	askPeriod = 500 * time.Millisecond
+	// maxClaims bounds how many peers are remembered to be ahead.
+	maxClaims = 8
+)
+
+// followStore keeps one watch waiting at the store.
+func (f *Follower) followStore(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = firstRetry, maxRetry
+	after := lovagestand.Revision(0)
+	for ctx.Err() == nil {
+		value, err := f.watch(ctx, after)
+		if err != nil {
+			sleep(ctx, retry.NextBackOff())
+			continue
+		}
+		retry.Reset()
+		changed := value.Revision != after
+		after = value.Revision
+		if !changed || value.Revision == 0 || !f.adopted(value) {
+			sleep(ctx, minWatchPause)
+		}
+	}
+}
+
+// adopted reports whether a value of the store came into force.
+func (f *Follower) adopted(value lovagestand.Value) bool {
+	newer, err := f.adopt(value.Data, SourceStore)
+	return newer && err == nil
+}
+
+func (f *Follower) watch(ctx context.Context, after lovagestand.Revision) (lovagestand.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, WatchWait+watchGrace)
+	defer cancel()
+	return f.store.Watch(ctx, CurrentKey, after, WatchWait)
+}
+
+// followPeers pulls from peers that are ahead, and asks all of them while no
+// tables are in force.
+func (f *Follower) followPeers(ctx context.Context) {
+	if f.pull == nil {
+		return
+	}
+	ask := time.NewTicker(askPeriod)
+	defer ask.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.heard:
+			sleep(ctx, PeerGrace)
+			f.pullClaimed(ctx)
+		case <-ask.C:
+			if _, found := f.Current(); !found {
+				f.askAll(ctx)
+			}
+			f.pullClaimed(ctx)
+		}
+	}
+}
+
+// pullClaimed pulls from the peer that is furthest ahead. A peer that does
+// not keep its word is forgotten until it is heard again.
+func (f *Follower) pullClaimed(ctx context.Context) {
+	best, found := f.furthest()
+	if !found {
+		return
+	}
+	f.pullFrom(ctx, best.peer)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.claims, best.peer.ID)
+}
+
+func (f *Follower) furthest() (claim, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best claim
+	for _, c := range f.claims {
+		if c.revision > best.revision || (c.revision == best.revision && c.peer.ID < best.peer.ID) {
+			best = c
+		}
+	}
+	return best, best.revision > f.status.Revision
+}
+
+func (f *Follower) pullFrom(ctx context.Context, peer lovagestand.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	_, data, err := f.pull(ctx, peer, f.Status().Revision)
+	if err != nil || len(data) == 0 {
+		return
+	}
+	_, _ = f.adopt(data, SourcePeer) // a refusal is counted and logged there
+}
+
+// askAll asks every peer which revision it has and notes the answers, so that
+// the newest one is pulled.
+func (f *Follower) askAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, peer := range f.peers() {
+		group.Go(func() {
+			revision, _, err := f.pull(ctx, peer, math.MaxUint64)
+			if err == nil {
+				f.Heard(peer, revision)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
