Platform adapters and stand-ins for store, member list and workers

Change: package platform reaches store, member list and workers by JSON over HTTP; standin/kv, members and fleet answer it or are called in process; the command 'standin' runs them as processes. The root package gains LeaseEndedError and TooLargeError. Conclusion: tests pass, also with -race; nothing measured yet.

--- /dev/null
+++ b/commands/standin/workers.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"net"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/standin/fleet"
+	"lovagestand.example/lovagestand/standin/members"
+)
+
+// workersFlags are the flags of "standin workers".
+type workersFlags struct {
+	listen  string
+	firm    string
+	regions []string
+	count   int
+}
+
+func newWorkers(logger zerolog.Logger) *cobra.Command {
+	f := workersFlags{}
+	c := &cobra.Command{
+		Use:   "workers",
+		Short: "Run stand-ins for a firm's workers, and the member list that names them",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runWorkers(c, logger, f)
+		},
+	}
+	c.Flags().StringVar(&f.listen, "listen", "127.0.0.1:7200", "host and port of the member list")
+	c.Flags().StringVar(&f.firm, "firm", "glazedesk", "whose workers: glazedesk or sheet-orders")
+	c.Flags().StringSliceVar(&f.regions, "regions", nil, "regions, in place of the firm's own")
+	c.Flags().IntVar(&f.count, "workers", 0, "how many workers, in place of the firm's own")
+	return c
+}
+
+func runWorkers(c *cobra.Command, logger zerolog.Logger, flags workersFlags) error {
+	firm, err := flags.chosen()
+	if err != nil {
+		return err
+	}
+	host, _, err := net.SplitHostPort(flags.listen)
+	if err != nil {
+		return errors.Wrap(err, "--listen")
+	}
+	server, err := fleet.Listen(host, firm.Specs(), nil)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	logger.Info().Str("standin", "workers").Int("workers", firm.Workers).Msg("listening")
+	list := members.New(server.Specs())
+	return serve(c.Context(), logger, "members", flags.listen, members.Handler(list))
+}
+
+// chosen returns the firm as the flags change it.
+func (f workersFlags) chosen() (fleet.Firm, error) {
+	firm, found := fleet.FirmOf(f.firm)
+	if !found {
+		return fleet.Firm{}, errors.Errorf("--firm: no firm %q", f.firm)
+	}
+	if f.count < 0 {
+		return fleet.Firm{}, errors.Errorf("--workers: %d is below 0", f.count)
+	}
+	if f.count > 0 {
+		firm = firm.WithWorkers(f.count)
+	}
+	if len(f.regions) > 0 {
+		var regions []lovagestand.RegionName
+		for _, r := range f.regions {
+			regions = append(regions, lovagestand.RegionName(r))
+		}
+		firm = firm.WithRegions(regions...)
+	}
+	return firm, nil
+}
--- /dev/null
+++ b/standin/fleet/events.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Events waits for changes, see [lovagestand.Workers].
+func (w *Worker) Events(ctx context.Context, after uint64, wait time.Duration) ([]lovagestand.TaskReport, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		reports, changed, err := w.look(ctx, after)
+		if err != nil || len(reports) > 0 {
+			return reports, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, w.unavailable(ctx.Err().Error())
+		}
+	}
+}
+
+// look reads the changes and returns the channel that tells of the next one.
+func (w *Worker) look(ctx context.Context, after uint64) ([]lovagestand.TaskReport, <-chan struct{}, error) {
+	var reports []lovagestand.TaskReport
+	var changed <-chan struct{}
+	err := w.do(ctx, func(time.Time) error {
+		if after < w.sequence {
+			reports = w.reports(after)
+		}
+		changed = w.changed
+		return nil
+	})
+	return reports, changed, err
+}
+
+// publish gives a task's change the next sequence number.
+func (w *Worker) publish(r *run) {
+	w.sequence++
+	r.report.Sequence = w.sequence
+	w.wake()
+}
+
+// wake lets everyone who waits for events look again.
+func (w *Worker) wake() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// finished ends a task whose time to run has passed.
+func (w *Worker) finished(r *run) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if r.work.Fail {
+		w.end(r, lovagestand.TaskFailed, "request failed")
+		return
+	}
+	w.end(r, lovagestand.TaskDone, "")
+}
+
+// lapsed stops a task whose lease was not renewed in time.
+func (w *Worker) lapsed(r *run) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if time.Now().Before(r.lapsesAt) {
+		return // renewed while the timer fired
+	}
+	w.end(r, lovagestand.TaskStopped, "lease lapsed")
+}
+
+// measured reports a task's usage once the lag has passed.
+func (w *Worker) measured(r *run) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if r.report.Phase != lovagestand.TaskRunning {
+		return
+	}
+	r.report.Usage = r.report.Task.Resources.Times(max(1, w.faults.Outgrow))
+	w.publish(r)
+}
+
+// end ends a task once; later ends change nothing.
+func (w *Worker) end(r *run, phase lovagestand.TaskPhase, reason string) {
+	if r.report.Phase.Ended() {
+		return
+	}
+	for _, t := range []*time.Timer{r.finish, r.lapse, r.measure} {
+		if t != nil {
+			t.Stop()
+		}
+	}
+	r.report.Phase = phase
+	r.report.Reason = reason
+	if phase == lovagestand.TaskDone {
+		r.report.Body = Answer(r.start.Task.Key, r.start.Body)
+	}
+	r.start.Body = nil
+	r.endedAt = time.Now()
+	w.ended = append(w.ended, r)
+	if w.observer != nil {
+		w.observer.Ended(r.endedAt, w.spec, r.report)
+	}
+	w.publish(r)
+}
+
+// forget drops the ended tasks whose retention has passed.
+func (w *Worker) forget(now time.Time) {
+	for len(w.ended) > 0 && now.Sub(w.ended[0].endedAt) >= Retention {
+		delete(w.tasks, w.ended[0].report.Task.ID)
+		w.ended = w.ended[1:]
+	}
+}
--- /dev/null
+++ b/standin/fleet/listen.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Server is a fleet that listens, each worker on a port of its own.
+type Server struct {
+	*Fleet
+	servers []*http.Server
+}
+
+// Listen returns a fleet whose workers listen on free ports of a host, such as
+// "127.0.0.1"; their specs get these addresses.
+func Listen(host string, specs []lovagestand.Worker, observer Observer) (*Server, error) {
+	s := &Server{}
+	var listeners []net.Listener
+	addressed := make([]lovagestand.Worker, 0, len(specs))
+	for _, w := range specs {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			closeAll(listeners)
+			return nil, errors.Wrapf(err, "worker %q", w.Name)
+		}
+		listeners = append(listeners, &limited{Listener: l})
+		w.Address = l.Addr().String()
+		addressed = append(addressed, w)
+	}
+	s.Fleet = New(addressed, observer)
+	for i, w := range s.Workers() {
+		server := &http.Server{Handler: Handler(w)}
+		s.servers = append(s.servers, server)
+		go func() { _ = server.Serve(listeners[i]) }()
+	}
+	return s, nil
+}
+
+// Close breaks all connections and listens no more.
+func (s *Server) Close() {
+	for _, h := range s.servers {
+		_ = h.Close()
+	}
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+}
+
+// limited closes the connections past those that a runner takes.
+type limited struct {
+	net.Listener
+	mutex sync.Mutex
+	open  int
+}
+
+// Accept implements net.Listener.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.take() {
+			return &counted{Conn: c, release: sync.OnceFunc(l.release)}, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (l *limited) take() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.open >= Connections {
+		return false
+	}
+	l.open++
+	return true
+}
+
+func (l *limited) release() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.open--
+}
+
+// counted is a connection that counts until it is closed.
+type counted struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *counted) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/fleet/work.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagestand.example/lovagestand"
+)
+
+// DefaultRunFor is how long a task runs whose body does not tell.
+const DefaultRunFor = 10 * time.Millisecond
+
+// Work is the body of a request to a stand-in worker.
+type Work struct {
+	RunFor Span `json:"runFor"`
+	// AnswerBytes is the size of the answer; it is never cut below the line
+	// that names the key and the hash.
+	AnswerBytes int `json:"answerBytes,omitempty"`
+	// Fail makes the task fail wherever it runs.
+	Fail bool `json:"fail,omitempty"`
+}
+
+// Span is a duration that is written like "30ms".
+type Span time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Span) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(s).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	*s = Span(d)
+	return err
+}
+
+// Body returns w as the body of a request.
+func (w Work) Body() []byte {
+	body, err := json.Marshal(w)
+	if err != nil {
+		panic(err) // a Work holds nothing that cannot be encoded
+	}
+	return body
+}
+
+// parseWork reads a request's body; one of another form runs for the default
+// time.
+func parseWork(body []byte) Work {
+	w := Work{RunFor: Span(DefaultRunFor)}
+	if json.Unmarshal(body, &w) != nil {
+		return Work{RunFor: Span(DefaultRunFor)}
+	}
+	return w
+}
+
+// Answer returns the answer that a worker gives to a request's key and body.
+func Answer(key lovagestand.RequestKey, body []byte) []byte {
+	hash := xxhash.Sum64(body)
+	answer := fmt.Appendf(nil, "key=%s hash=%016x\n", key, hash)
+	size := parseWork(body).AnswerBytes
+	random := rand.New(rand.NewPCG(hash, xxhash.Sum64String(string(key))))
+	for len(answer) < size {
+		answer = append(answer, byte('a'+random.IntN(26)))
+	}
+	return answer
+}
--- /dev/null
+++ b/standin/fleet/worker.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+const (
+	// Slots is how many tasks a runner is meant to hold at once.
+	Slots = 8
+	// Connections is how many connections a runner takes.
+	Connections = 60
+	// Retention is how long an ended task is kept with its whole answer.
+	Retention = 10 * time.Minute
+	// UsageLag is how far reported usage is behind.
+	UsageLag = 200 * time.Millisecond
+)
+
+// Observer is told what truly happens at the workers, in order for each
+// worker. It must not call back.
+type Observer interface {
+	// Started tells of a task that begins to run.
+	Started(at time.Time, on lovagestand.Worker, start lovagestand.TaskStart)
+	// Ended tells of a task that runs no more.
+	Ended(at time.Time, on lovagestand.Worker, report lovagestand.TaskReport)
+	// Left tells that a worker takes no new work from now on.
+	Left(at time.Time, on lovagestand.Worker)
+}
+
+// Worker is one worker with its runner.
+type Worker struct {
+	mutex    sync.Mutex
+	spec     lovagestand.Worker
+	observer Observer
+	faults   Faults
+	tasks    map[lovagestand.TaskID]*run
+	// ended are the tasks retained, first ended first.
+	ended    []*run
+	sequence uint64
+	changed  chan struct{}
+}
+
+// run is one task that a worker holds or retains.
+type run struct {
+	report lovagestand.TaskReport
+	start  lovagestand.TaskStart
+	work   Work
+	// left is how long the task had to run when it started here.
+	left     time.Duration
+	finish   *time.Timer
+	lapse    *time.Timer
+	measure  *time.Timer
+	endedAt  time.Time
+	lapsesAt time.Time
+}
+
+// NewWorker returns a worker without tasks; observer may be nil.
+func NewWorker(spec lovagestand.Worker, observer Observer) *Worker {
+	return &Worker{
+		spec:     spec,
+		observer: observer,
+		tasks:    map[lovagestand.TaskID]*run{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// Spec returns what the member list should tell of w.
+func (w *Worker) Spec() lovagestand.Worker {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.spec
+}
+
+// SetLeaving makes w refuse new work, or take it again.
+func (w *Worker) SetLeaving(leaving bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.spec.Leaving = leaving
+	if leaving && w.observer != nil {
+		w.observer.Left(time.Now(), w.spec)
+	}
+	w.wake()
+}
+
+// Start starts a task, see [lovagestand.Workers].
+func (w *Worker) Start(ctx context.Context, start lovagestand.TaskStart) error {
+	return w.do(ctx, func(now time.Time) error {
+		if w.tasks[start.Task.ID] != nil {
+			return nil
+		}
+		switch {
+		case w.spec.Leaving:
+			return w.refused("leaving")
+		case w.faults.Refuse:
+			return w.refused("takes no tasks")
+		case late(now, start.NotAfter) && !w.faults.IgnoreNotAfter:
+			return w.refused("too late to begin")
+		}
+		w.begin(now, start)
+		return nil
+	})
+}
+
+func late(now, notAfter time.Time) bool {
+	return !notAfter.IsZero() && now.After(notAfter)
+}
+
+// begin runs a task whether it fits or not.
+func (w *Worker) begin(now time.Time, start lovagestand.TaskStart) {
+	r := &run{start: start, work: parseWork(start.Body)}
+	r.left = time.Duration(r.work.RunFor)
+	if len(start.Checkpoint) > 0 {
+		r.left = resume(start.Checkpoint, r.left)
+	}
+	r.report = lovagestand.TaskReport{Task: start.Task, Phase: lovagestand.TaskRunning, Started: now}
+	w.tasks[start.Task.ID] = r
+	if w.observer != nil {
+		w.observer.Started(now, w.spec, start)
+	}
+	w.publish(r)
+	if w.faults.FailAll {
+		w.end(r, lovagestand.TaskFailed, "runner failed")
+		return
+	}
+	r.finish = time.AfterFunc(r.left, func() { w.finished(r) })
+	if start.Lease > 0 {
+		r.lapsesAt = now.Add(start.Lease)
+		r.lapse = time.AfterFunc(start.Lease, func() { w.lapsed(r) })
+	}
+	r.measure = time.AfterFunc(UsageLag, func() { w.measured(r) })
+}
+
+// Renew prolongs leases, see [lovagestand.Workers].
+func (w *Worker) Renew(ctx context.Context, lease time.Duration, tasks []lovagestand.TaskID) ([]lovagestand.TaskID, error) {
+	var missing []lovagestand.TaskID
+	err := w.do(ctx, func(now time.Time) error {
+		for _, id := range tasks {
+			r := w.tasks[id]
+			if r == nil || r.report.Phase.Ended() {
+				missing = append(missing, id)
+				continue
+			}
+			r.lapsesAt = now.Add(lease)
+			if r.lapse != nil {
+				r.lapse.Reset(lease)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return missing, nil
+}
+
+// Stop stops tasks, see [lovagestand.Workers].
+func (w *Worker) Stop(ctx context.Context, tasks []lovagestand.TaskID) error {
+	return w.do(ctx, func(time.Time) error {
+		for _, id := range tasks {
+			if r := w.tasks[id]; r != nil {
+				w.end(r, lovagestand.TaskStopped, "stopped")
+			}
+		}
+		return nil
+	})
+}
+
+// Checkpoint stops a task and returns where to resume it, see
+// [lovagestand.Workers]. A task that has ended is refused.
+func (w *Worker) Checkpoint(ctx context.Context, task lovagestand.TaskID) ([]byte, error) {
+	var text []byte
+	err := w.do(ctx, func(now time.Time) error {
+		r := w.tasks[task]
+		if r == nil || r.report.Phase.Ended() {
+			return w.refused("task does not run")
+		}
+		if !r.report.Task.Checkpoints {
+			return w.refused("task cannot be resumed")
+		}
+		left := max(0, r.left-now.Sub(r.report.Started))
+		text = marshalCheckpoint(left)
+		w.end(r, lovagestand.TaskStopped, "checkpointed")
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return text, nil
+}
+
+// checkpoint is where to resume a task.
+type checkpoint struct {
+	Left Span `json:"left"`
+}
+
+func marshalCheckpoint(left time.Duration) []byte {
+	text, err := json.Marshal(checkpoint{Left: Span(left)})
+	if err != nil {
+		panic(err) // a checkpoint holds nothing that cannot be encoded
+	}
+	return text
+}
+
+// resume returns what is left of a task, all of it where that is not told.
+func resume(text []byte, all time.Duration) time.Duration {
+	c := checkpoint{Left: Span(all)}
+	if json.Unmarshal(text, &c) != nil {
+		return all
+	}
+	return time.Duration(c.Left)
+}
+
+// Throttle holds a task to its reservation, see [lovagestand.Workers].
+func (w *Worker) Throttle(ctx context.Context, task lovagestand.TaskID) error {
+	return w.do(ctx, func(time.Time) error {
+		r := w.tasks[task]
+		if r == nil || r.report.Phase.Ended() {
+			return w.refused("task does not run")
+		}
+		r.report.Phase = lovagestand.TaskThrottled
+		r.report.Usage = r.report.Task.Resources
+		w.publish(r)
+		return nil
+	})
+}
+
+// State returns all that w holds, see [lovagestand.Workers].
+func (w *Worker) State(ctx context.Context) (lovagestand.WorkerState, error) {
+	var s lovagestand.WorkerState
+	err := w.do(ctx, func(time.Time) error {
+		s.Leaving = w.spec.Leaving
+		s.Sequence = w.sequence
+		s.Retention = Retention
+		s.Tasks = w.reports(0)
+		return nil
+	})
+	if err != nil {
+		return lovagestand.WorkerState{}, err
+	}
+	return s, nil
+}
+
+// reports returns the tasks changed after a sequence number, in order.
+func (w *Worker) reports(after uint64) []lovagestand.TaskReport {
+	var reports []lovagestand.TaskReport
+	for _, r := range w.tasks {
+		if r.report.Sequence > after {
+			reports = append(reports, r.report)
+		}
+	}
+	slices.SortFunc(reports, func(a, b lovagestand.TaskReport) int {
+		return int(int64(a.Sequence) - int64(b.Sequence))
+	})
+	return reports
+}
--- /dev/null
+++ b/standin/kv/counts.go
@@ -0,0 +1,67 @@
+package kv
+
+// Call is a kind of call to the store.
+type Call string
+
+// The kinds of call.
+const (
+	CallGet    Call = "get"
+	CallList   Call = "list"
+	CallPut    Call = "put"
+	CallDelete Call = "delete"
+	CallWatch  Call = "watch"
+	CallGrant  Call = "grant"
+	CallRenew  Call = "renew"
+)
+
+// writes reports whether c counts against the rate of writes.
+func (c Call) writes() bool {
+	return c == CallPut || c == CallDelete || c == CallGrant || c == CallRenew
+}
+
+// Counts says how often a store was called, by kind, also in vain.
+type Counts struct {
+	Get    uint64 `json:"get"`
+	List   uint64 `json:"list"`
+	Put    uint64 `json:"put"`
+	Delete uint64 `json:"delete"`
+	Watch  uint64 `json:"watch"`
+	Grant  uint64 `json:"grant"`
+	Renew  uint64 `json:"renew"`
+	// Limited counts the calls turned away because a rate was exceeded.
+	Limited uint64 `json:"limited"`
+	// Waiting is how many watches wait now, MostWaiting the most there were.
+	Waiting     int `json:"waiting"`
+	MostWaiting int `json:"mostWaiting"`
+}
+
+// Total returns how many calls there were of all kinds.
+func (c Counts) Total() uint64 {
+	return c.Get + c.List + c.Put + c.Delete + c.Watch + c.Grant + c.Renew
+}
+
+func (c *Counts) add(kind Call) {
+	switch kind {
+	case CallGet:
+		c.Get++
+	case CallList:
+		c.List++
+	case CallPut:
+		c.Put++
+	case CallDelete:
+		c.Delete++
+	case CallWatch:
+		c.Watch++
+	case CallGrant:
+		c.Grant++
+	case CallRenew:
+		c.Renew++
+	}
+}
+
+// Counts returns the counts up to now.
+func (s *Store) Counts() Counts {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.counts
+}
--- /dev/null
+++ b/standin/members/handler.go
@@ -0,0 +1,23 @@
+package members
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/platform/wire"
+)
+
+// Handler serves l over HTTP to [lovagestand.example/lovagestand/platform].
+func Handler(l *List) http.Handler {
+	r := chi.NewRouter()
+	r.Post(wire.PathMembers, wire.Handler(func(ctx context.Context, _ wire.Empty) (lovagestand.Members, error) {
+		return l.Members(ctx)
+	}))
+	r.Post(wire.PathRegister, wire.Handler(func(ctx context.Context, in lovagestand.Instance) (wire.Empty, error) {
+		return wire.Empty{}, l.Register(ctx, in)
+	}))
+	return r
+}
--- a/store.go
+++ b/store.go
@@ -32,7 +32,8 @@
 	List(ctx context.Context, prefix string) ([]Value, error)
 	// Put replaces the value of a key if its revision is still previous, and
 	// returns the new revision; else it fails with a [ConflictError]. A lease
-	// other than 0 deletes the key when it ends.
+	// other than 0 deletes the key when it ends. A value of more than
+	// [MaxValueBytes] fails with a [TooLargeError].
 	Put(ctx context.Context, key string, data []byte, previous Revision, lease LeaseID) (Revision, error)
 	// Delete removes a key if its revision is still previous.
 	Delete(ctx context.Context, key string, previous Revision) error
@@ -41,7 +42,8 @@
 	Watch(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error)
 	// Grant opens a lease that ends unless renewed within ttl.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// Renew prolongs a lease by its ttl.
+	// Renew prolongs a lease by its ttl; a lease that has ended fails with a
+	// [LeaseEndedError].
 	Renew(ctx context.Context, lease LeaseID) error
 }
 
@@ -69,3 +71,27 @@
 func (e *UnavailableError) Error() string {
 	return fmt.Sprintf("%s unavailable: %s", e.System, e.Reason)
 }
+
+// LeaseEndedError says that a lease of the store has ended or never was.
+type LeaseEndedError struct {
+	Lease LeaseID
+}
+
+// Error implements error.
+func (e *LeaseEndedError) Error() string {
+	return fmt.Sprintf("store lease %d has ended", e.Lease)
+}
+
+// TooLargeError says that the store does not take a value because of its
+// size; nothing was written.
+type TooLargeError struct {
+	Key string `json:"key"`
+	// Bytes is the size of the value, Limit the largest one taken.
+	Bytes int `json:"bytes"`
+	Limit int `json:"limit"`
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("store key %q: %d bytes are more than the %d taken", e.Key, e.Bytes, e.Limit)
+}
