--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -24,6 +24,9 @@
 // Observer is told what truly happens at the workers, in order for each
 // worker. It must not call back.
 type Observer interface {
+	// Offered tells of a start of a task that the worker does not know yet,
+	// whether it will be refused or not.
+	Offered(at time.Time, on lovagestand.Worker, start lovagestand.TaskStart)
 	// Started tells of a task that begins to run.
 	Started(at time.Time, on lovagestand.Worker, start lovagestand.TaskStart)
 	// Ended tells of a task that runs no more.
@@ -93,6 +96,9 @@
 		if w.tasks[start.Task.ID] != nil {
 			return nil
 		}
+		if w.observer != nil {
+			w.observer.Offered(now, w.spec, start)
+		}
 		switch {
 		case w.spec.Leaving:
 			return w.refused("leaving")
