serve: the whole path, thin, with settings, logs and a small cell test

Cause: nothing ran end to end. Change: packages settings, instance, commands, split (baseline ownership by hashing) and logfmt; a cell test runs three instances over stand-ins and callers over HTTP. Found on the way: a shard rebuilt before tables were in force knew no pool and refused everything as unfit; it now waits for tables.

--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,90 @@
+// Package commands is the command line of lovagestand: each command is a thin
+// layer over a library package.
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"lovagestand.example/lovagestand/commands/standin"
+	"lovagestand.example/lovagestand/common/document"
+	"lovagestand.example/lovagestand/common/logfmt"
+)
+
+// The exit codes of the program.
+const (
+	// ExitOK says that all went well.
+	ExitOK = 0
+	// ExitFailed says that the command failed while it ran.
+	ExitFailed = 1
+	// ExitInput says that arguments, settings or tables are wrong; nothing was
+	// started or changed.
+	ExitInput = 2
+)
+
+// coded is an error that tells the exit code it asks for.
+type coded interface {
+	error
+	ExitCode() int
+}
+
+// InputError says that what the operator gave is wrong.
+type InputError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *InputError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the fault.
+func (e *InputError) Unwrap() error { return e.Err }
+
+// ExitCode returns [ExitInput].
+func (e *InputError) ExitCode() int { return ExitInput }
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	root := newRoot(logfmt.New(errOut))
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, "lovagestand:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var faults document.Errors
+	var known coded
+	switch {
+	case errors.As(err, &known):
+		return known.ExitCode()
+	case errors.As(err, &faults):
+		return ExitInput
+	}
+	return ExitFailed
+}
+
+func newRoot(log zerolog.Logger) *cobra.Command {
+	c := &cobra.Command{
+		Use:           "lovagestand",
+		Short:         "A cluster scheduler for unlike workloads",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
+	c.AddCommand(newServe(log), standin.New(log))
+	return c
+}
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,58 @@
+package commands
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"lovagestand.example/lovagestand/instance"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/settings"
+)
+
+func newServe(log zerolog.Logger) *cobra.Command {
+	var path, listen string
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Run an instance",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := settings.Read(path)
+			if err != nil {
+				return &InputError{Err: err}
+			}
+			if listen != "" {
+				s = s.WithListen(listen)
+			}
+			return serve(c.Context(), s, log.Level(s.LogLevel()))
+		},
+	}
+	c.Flags().StringVar(&path, "config", "instance.yaml", "file of settings")
+	c.Flags().StringVar(&listen, "listen", "", "host and port to listen on instead of the settings'")
+	return c
+}
+
+// serve runs an instance until ctx ends, then stops it as planned.
+func serve(ctx context.Context, s settings.Settings, log zerolog.Logger) error {
+	i, err := instance.New(s, instance.Deps{
+		Store:     platform.NewStore(s.Platform.Store),
+		Members:   platform.NewMemberList(s.Platform.Members),
+		Workers:   platform.NewWorkers(),
+		Transport: instance.NewTransport(nil),
+		Log:       log,
+	})
+	if err != nil {
+		return err
+	}
+	i.Start()
+	select {
+	case err := <-i.Failed():
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	limited, cancel := context.WithTimeout(context.Background(), s.StopWithin)
+	defer cancel()
+	return i.Stop(limited)
+}
--- /dev/null
+++ b/instance/http.go
@@ -0,0 +1,91 @@
+package instance
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/table"
+	"lovagestand.example/lovagestand/table/tablepeer"
+)
+
+// Status is what an instance says of itself to operators.
+type Status struct {
+	Instance lovagestand.Instance `json:"instance"`
+	table.Status
+	Uptime string `json:"uptime"`
+	// Ready is empty if the instance serves callers, else why not.
+	NotReady string `json:"notReady,omitempty"`
+	InFlight int    `json:"inFlight"`
+	// Shards are those the instance owns.
+	Shards []placer.ShardStatus `json:"shards"`
+}
+
+// dump is the whole state of an instance, on request.
+type dump struct {
+	Status
+	Members    lovagestand.Members `json:"members"`
+	Goroutines int                 `json:"goroutines"`
+	HeapBytes  uint64              `json:"heapBytes"`
+}
+
+// Status returns the state of the instance.
+func (i *Instance) Status() Status {
+	s := Status{
+		Instance: i.Self(),
+		Status:   i.follower.Status(),
+		Uptime:   time.Since(i.started).Round(time.Second).String(),
+		InFlight: i.entry.InFlight(),
+		Shards:   i.placer.Status(),
+	}
+	if err := i.Ready(); err != nil {
+		s.NotReady = err.Error()
+	}
+	return s
+}
+
+func (i *Instance) router() http.Handler {
+	r := chi.NewRouter()
+	i.entry.Mount(r)
+	r.Mount(i.placer.Handler())
+	r.Mount(tablepeer.Handler(i.follower))
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", i.serveReady)
+	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.Status()) })
+	r.Get("/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.dump()) })
+	r.Handle("/debug/vars", expvar.Handler())
+	return r
+}
+
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := i.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (i *Instance) dump() dump {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	members, _ := i.members.Current()
+	return dump{
+		Status:     i.Status(),
+		Members:    members,
+		Goroutines: runtime.NumGoroutine(),
+		HeapBytes:  m.HeapAlloc,
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(v)
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,208 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/member"
+	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/pool/naive"
+	"lovagestand.example/lovagestand/settings"
+	"lovagestand.example/lovagestand/split"
+	"lovagestand.example/lovagestand/table"
+	"lovagestand.example/lovagestand/table/tablepeer"
+)
+
+// Instance is one scheduler process, or one of several within a process.
+type Instance struct {
+	settings settings.Settings
+	deps     Deps
+	id       lovagestand.InstanceID
+	address  string
+	started  time.Time
+	leaving  atomic.Bool
+	log      zerolog.Logger
+
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+
+	members   *member.Watcher
+	follower  *table.Follower
+	ownership lovagestand.Ownership
+	placer    *placer.Placer
+	entry     *entry.Entry
+
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	served  chan error
+}
+
+// New returns an instance that listens already and does nothing else yet. It
+// fails where the address cannot be listened on.
+func New(s settings.Settings, deps Deps) (*Instance, error) {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	i := &Instance{
+		settings: s,
+		deps:     deps,
+		id:       lovagestand.InstanceID(uuid.NewString()),
+		address:  s.Address,
+		started:  time.Now(),
+		listener: listener,
+		client:   &http.Client{Transport: deps.Transport},
+		served:   make(chan error, 1),
+	}
+	if i.address == "" {
+		i.address = listener.Addr().String()
+	}
+	i.log = deps.Log.With().Str("instance", string(i.id)).Logger()
+	i.assemble()
+	return i, nil
+}
+
+// assemble builds the parts and connects them.
+func (i *Instance) assemble() {
+	i.members = member.NewWatcher(i.deps.Members, i.Self, i.log)
+	i.follower = table.NewFollower(i.deps.Store,
+		table.WithPeers(i.peers, tablepeer.Puller(i.client)),
+		table.WithLogger(i.log))
+	tables := catalog{follower: i.follower}
+	i.ownership = split.New(i.id, i.members.Current, i.members.Changed)
+	i.placer = placer.New(placer.Deps{
+		Workers:    i.deps.Workers,
+		Members:    i.members,
+		Catalog:    tables,
+		Ownership:  i.ownership,
+		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider { return naive.New(n) },
+		Log:        i.log,
+	})
+	i.entry = entry.New(entry.Deps{
+		Routes:    tables,
+		Limiter:   unlimited{},
+		Chooser:   &nearest{self: i.Self, members: i.members, tables: tables},
+		Claims:    unclaimed{},
+		Ownership: i.ownership,
+		Peers:     i.allInstances,
+		Client:    i.client,
+		Log:       i.log,
+	})
+	i.server = &http.Server{
+		Handler:           i.router(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		Protocols:         protocols(),
+	}
+}
+
+// readHeaderTimeout bounds how long a connection may take to send a header.
+const readHeaderTimeout = 10 * time.Second
+
+// protocols lets peers multiplex their long calls over one connection.
+func protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// Self describes the instance as its peers see it.
+func (i *Instance) Self() lovagestand.Instance {
+	return lovagestand.Instance{
+		ID:            i.id,
+		Address:       i.address,
+		Region:        i.settings.Region,
+		FailureDomain: i.settings.FailureDomain,
+		Leaving:       i.leaving.Load(),
+	}
+}
+
+// Address returns the host and port on which the instance is reached.
+func (i *Instance) Address() string {
+	return i.address
+}
+
+// Start begins to serve.
+func (i *Instance) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.running.Go(func() { i.members.Run(ctx) })
+	i.running.Go(func() { _ = i.follower.Run(ctx) })
+	i.running.Go(func() { i.placer.Run(ctx) })
+	i.running.Go(func() { i.entry.Run(ctx) })
+	go func() { i.served <- i.server.Serve(i.listener) }()
+	i.log.Info().Str("address", i.address).Str("region", string(i.settings.Region)).Msg("listening")
+}
+
+// Failed returns a channel that receives the error that ended serving.
+func (i *Instance) Failed() <-chan error {
+	return i.served
+}
+
+// Ready returns an error that says why the instance cannot serve callers yet.
+func (i *Instance) Ready() error {
+	if i.leaving.Load() {
+		return errors.New("leaving")
+	}
+	if _, ok := i.members.Current(); !ok {
+		return errors.New("the member list has not been read")
+	}
+	if _, ok := i.follower.Current(); !ok {
+		return errors.New("no tables are in force")
+	}
+	return nil
+}
+
+// Stop ends the instance as planned: it leaves the balancer, lets requests in
+// flight finish, and hands over what it owns. It returns an error if requests
+// were left when ctx ended.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.leaving.Store(true)
+	i.log.Info().Int("inFlight", i.entry.InFlight()).Msg("leaving")
+	left := i.entry.Stop(ctx)
+	err := i.server.Shutdown(ctx)
+	i.cancel()
+	i.running.Wait()
+	i.log.Info().Int("left", left).Msg("stopped")
+	if left > 0 {
+		return errors.Errorf("%d requests had no final answer", left)
+	}
+	return errors.Wrap(err, "shut down")
+}
+
+// Kill ends the instance at once, as a crash would.
+func (i *Instance) Kill() {
+	_ = i.server.Close()
+	if i.cancel != nil {
+		i.cancel()
+	}
+	i.running.Wait()
+}
+
+// allInstances returns the instances on the member list.
+func (i *Instance) allInstances() []lovagestand.Instance {
+	members, _ := i.members.Current()
+	return members.Instances
+}
+
+// peers returns the other instances on the member list.
+func (i *Instance) peers() []lovagestand.Instance {
+	var others []lovagestand.Instance
+	for _, m := range i.allInstances() {
+		if m.ID != i.id {
+			others = append(others, m)
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/instance/transport.go
@@ -0,0 +1,38 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// dialTimeout bounds how long a connection to a peer may take to open.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout closes connections to peers that are not used.
+	idleTimeout = 90 * time.Second
+	// pingAfter asks a silent connection for a sign of life, and pingTimeout
+	// closes it if there is none.
+	pingAfter   = 2 * time.Second
+	pingTimeout = time.Second
+)
+
+// NewTransport returns a transport for calls to other instances. Many calls
+// share one connection. A nil dial stands for plain TCP.
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:     dial,
+		IdleConnTimeout: idleTimeout,
+		Protocols:       p,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}
+}
--- a/placer/rebuild.go
+++ b/placer/rebuild.go
@@ -22,7 +22,7 @@
 	if !pause(ctx, time.Until(right.SettleUntil)) {
 		return false
 	}
-	members, ok := s.awaitMembers(ctx)
+	members, ok := s.awaitInputs(ctx)
 	if !ok {
 		return false
 	}
@@ -38,9 +38,12 @@
 	return true
 }
 
-func (s *shard) awaitMembers(ctx context.Context) (lovagestand.Members, bool) {
+// awaitInputs waits until the member list has been read and tables are in
+// force.
+func (s *shard) awaitInputs(ctx context.Context) (lovagestand.Members, bool) {
 	for {
-		if members, ok := s.deps.Members.Current(); ok {
+		members, ok := s.deps.Members.Current()
+		if ok && len(s.deps.Catalog.Policies(s.name)) > 0 {
 			return members, true
 		}
 		if !pause(ctx, s.timings.retryInterval/4) {
