placer: failure tests in virtual time

Cause: the placer's handling of lost replies, lost workers, new owners and late calls was not proved. Change: a fixture of one shard over stand-in workers under testing/synctest and 18 tests; each causes one failure.

--- /dev/null
+++ b/placer/fixture_test.go
@@ -0,0 +1,217 @@
+package placer_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/placer/placerpb"
+	"lovagestand.example/lovagestand/pool/naive"
+	"lovagestand.example/lovagestand/standin/fleet"
+)
+
+const shardName = lovagestand.ShardName("malabar/rack1")
+
+// rights is an ownership whose rights the test grants and takes.
+type rights struct {
+	mu      sync.Mutex
+	right   lovagestand.Right
+	changed chan struct{}
+}
+
+func newRights(epoch lovagestand.Epoch, d time.Duration) *rights {
+	r := &rights{changed: make(chan struct{})}
+	r.grant(epoch, d)
+	return r
+}
+
+func (r *rights) grant(epoch lovagestand.Epoch, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.right = lovagestand.Right{Shard: shardName, Epoch: epoch, Until: time.Now().Add(d)}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *rights) Right(lovagestand.ShardName) (lovagestand.Right, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.right, r.right.Holds(time.Now())
+}
+
+func (r *rights) Owned() []lovagestand.ShardName { return []lovagestand.ShardName{shardName} }
+
+func (r *rights) Owner(lovagestand.ShardName) (lovagestand.Instance, bool) {
+	return lovagestand.Instance{}, false
+}
+
+func (r *rights) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// view is a member list that knows all workers since the test began.
+type view struct {
+	mu      sync.Mutex
+	workers []lovagestand.Worker
+	gone    []lovagestand.Worker
+	since   time.Time
+}
+
+func (v *view) Current() (lovagestand.Members, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return lovagestand.Members{Workers: v.workers}, true
+}
+
+func (v *view) Since() time.Time { return v.since }
+
+func (v *view) Gone(lovagestand.ShardName) []lovagestand.Worker { return v.gone }
+
+// catalog puts all workers in one pool.
+type catalog struct{}
+
+func (catalog) PoolOf(lovagestand.Worker) (lovagestand.PoolName, bool) { return "runners", true }
+
+func (catalog) Leaving(lovagestand.Worker) bool { return false }
+
+func (catalog) Policies(lovagestand.ShardName) []lovagestand.Policy {
+	return []lovagestand.Policy{{Pool: "runners"}}
+}
+
+// fixture is one shard with two workers in a bubble of virtual time.
+type fixture struct {
+	*qt.C
+	fleet  *fleet.Fleet
+	view   *view
+	rights *rights
+	placer *placer.Placer
+	stop   context.CancelFunc
+}
+
+// inBubble runs f with a fixture in virtual time.
+func inBubble(t *testing.T, f func(*fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var specs []lovagestand.Worker
+		for _, n := range []lovagestand.WorkerName{"one", "two"} {
+			specs = append(specs, lovagestand.Worker{
+				Name: n, Address: string(n), Region: "malabar", Rack: "rack1", Runner: "glazedesk",
+				Capacity: lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 4096}, Slots: 8,
+			})
+		}
+		x := &fixture{
+			C:      qt.New(t),
+			fleet:  fleet.New(specs, nil),
+			view:   &view{workers: specs, since: time.Now()},
+			rights: newRights(1, time.Hour),
+		}
+		x.open()
+		defer func() {
+			x.stop()
+			synctest.Wait()
+		}()
+		f(x)
+	})
+}
+
+// open starts a placer that knows nothing, as a new owner does.
+func (x *fixture) open() {
+	x.placer = placer.New(placer.Deps{
+		Workers:   x.fleet,
+		Members:   x.view,
+		Catalog:   catalog{},
+		Ownership: x.rights,
+		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
+			return naive.New(n)
+		},
+		Log: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	x.stop = cancel
+	go x.placer.Run(ctx)
+	synctest.Wait()
+}
+
+// replaceOwner ends the owner as a crash would and opens a new one.
+func (x *fixture) replaceOwner(epoch lovagestand.Epoch) {
+	x.stop()
+	x.rights.grant(epoch, time.Hour)
+	x.open()
+}
+
+// task returns a task that takes a whole worker.
+func task(id string) lovagestand.Task {
+	return lovagestand.Task{
+		ID: lovagestand.TaskID(id), Key: lovagestand.RequestKey(id), Route: "quote", Pool: "runners",
+		Team: "showroom", Class: lovagestand.ClassBatch,
+		Resources: lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1024},
+		Submitted: time.Now(), StartBy: time.Now().Add(time.Minute),
+	}
+}
+
+// runFor returns the body of a request that runs for d.
+func runFor(d time.Duration) []byte {
+	return fleet.Work{RunFor: fleet.Span(d)}.Body()
+}
+
+// place sends a task to the placer and waits for it as an entry does.
+func (x *fixture) place(t lovagestand.Task, body []byte, resubmitted bool, window time.Duration) *placerpb.PlaceReply {
+	reply, err := x.placer.Place(context.Background(), &placerpb.PlaceRequest{
+		Shard:        string(shardName),
+		Task:         placer.TaskMessage(t),
+		Body:         body,
+		Resubmitted:  resubmitted,
+		WindowMillis: window.Milliseconds(),
+		DeliverBy:    time.Now().Add(window).UnixNano(),
+	})
+	x.Assert(err, qt.IsNil)
+	return reply
+}
+
+// settle waits until a task has its answer.
+func (x *fixture) settle(t lovagestand.Task, body []byte, resubmitted bool) lovagestand.Answer {
+	for {
+		reply := x.place(t, body, resubmitted, 10*time.Second)
+		switch reply.GetStatus() {
+		case placerpb.Status_STATUS_FINAL:
+			return placer.AnswerOf(reply.GetAnswer())
+		case placerpb.Status_STATUS_WAITING, placerpb.Status_STATUS_NOT_OWNER:
+			time.Sleep(100 * time.Millisecond)
+		default:
+			x.Fatalf("refused: %v", reply)
+		}
+	}
+}
+
+// starts counts the tasks of a key that all workers hold or retain.
+func (x *fixture) starts(key lovagestand.RequestKey) int {
+	n := 0
+	for _, w := range x.fleet.Workers() {
+		state, err := w.State(context.Background())
+		if err != nil {
+			continue
+		}
+		for _, r := range state.Tasks {
+			if r.Task.Key == key {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// faults sets the same faults for all workers.
+func (x *fixture) faults(f fleet.Faults) {
+	for _, w := range x.fleet.Workers() {
+		w.SetFaults(f)
+	}
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,238 @@
+package placer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/placer/placerpb"
+	"lovagestand.example/lovagestand/standin/fleet"
+)
+
+func idempotent(id string) lovagestand.Task {
+	t := task(id)
+	t.Idempotent = true
+	return t
+}
+
+// assertDone checks that the answer is the whole one to the task's own body.
+func (x *fixture) assertDone(a lovagestand.Answer, t lovagestand.Task, body []byte) {
+	x.Helper()
+	x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone, qt.Commentf("%s", a.Reason))
+	x.Assert(a.Body, qt.DeepEquals, fleet.Answer(t.Key, body))
+}
+
+func TestStartWithoutReplyRunsOnce(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		// The reply is lost: calls take effect after the caller gave up.
+		x.faults(fleet.Faults{Delay: 2500 * time.Millisecond, IgnoreNotAfter: true})
+		time.AfterFunc(4*time.Second, func() { x.faults(fleet.Faults{}) })
+		k := task("plan-1")
+		x.assertDone(x.settle(k, runFor(time.Second), false), k, runFor(time.Second))
+		x.Assert(x.starts(k.Key), qt.Equals, 1)
+	})
+}
+
+func TestStartThatNeverArrivedIsMadeAgain(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		time.Sleep(time.Second)
+		x.faults(fleet.Faults{Unreachable: true})
+		time.AfterFunc(3*time.Second, func() { x.faults(fleet.Faults{}) })
+		k := task("plan-2")
+		x.assertDone(x.settle(k, runFor(time.Second), false), k, runFor(time.Second))
+		x.Assert(x.starts(k.Key), qt.Equals, 1)
+	})
+}
+
+func TestRefusedStartGoesToAnotherWorker(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.fleet.Worker("one").SetLeaving(true)
+		k := task("plan-3")
+		a := x.settle(k, runFor(time.Second), false)
+		x.assertDone(a, k, runFor(time.Second))
+		x.Assert(a.Worker, qt.Equals, lovagestand.WorkerName("two"))
+	})
+}
+
+func TestLostWorker(t *testing.T) {
+	lose := func(x *fixture, k lovagestand.Task) lovagestand.Answer {
+		x.place(k, runFor(20*time.Second), false, time.Second)
+		for _, w := range x.fleet.Workers() {
+			if state, _ := w.State(context.Background()); len(state.Tasks) > 0 {
+				w.SetFaults(fleet.Faults{Unreachable: true})
+			}
+		}
+		return x.settle(k, runFor(20*time.Second), false)
+	}
+	t.Run("idempotent work runs again", func(t *testing.T) {
+		inBubble(t, func(x *fixture) {
+			k := idempotent("quote-1")
+			x.assertDone(lose(x, k), k, runFor(20*time.Second))
+		})
+	})
+	t.Run("other work is unknown", func(t *testing.T) {
+		inBubble(t, func(x *fixture) {
+			k := task("plan-4")
+			x.Assert(lose(x, k).Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+		})
+	})
+}
+
+func TestNewOwnerAttachesToWhatRuns(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := task("plan-5")
+		body := runFor(8 * time.Second)
+		x.place(k, body, false, time.Second)
+		x.replaceOwner(2)
+		x.assertDone(x.settle(k, body, true), k, body)
+		x.Assert(x.starts(k.Key), qt.Equals, 1)
+	})
+}
+
+func TestNewOwnerFindsEndedWork(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := task("plan-6")
+		body := runFor(2 * time.Second)
+		x.place(k, body, false, time.Second)
+		x.stop()
+		time.Sleep(5 * time.Second)
+		x.replaceOwner(2)
+		x.assertDone(x.settle(k, body, true), k, body)
+		x.Assert(x.starts(k.Key), qt.Equals, 1)
+	})
+}
+
+func TestNewOwnerCountsUnknownTasks(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		for _, n := range []string{"a", "b"} {
+			x.place(task(n), runFor(time.Hour), false, time.Second)
+		}
+		x.replaceOwner(2)
+		k := task("late")
+		k.StartBy = time.Now().Add(5 * time.Second)
+		a := x.settle(k, runFor(time.Second), false)
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeNotRun)
+		x.Assert(x.starts(k.Key), qt.Equals, 0)
+	})
+}
+
+func TestResubmittedWorkThatMayHaveRun(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := task("plan-7")
+		x.place(k, runFor(time.Hour), false, time.Second)
+		x.faults(fleet.Faults{Unreachable: true})
+		x.replaceOwner(2)
+		a := x.settle(k, runFor(time.Hour), true)
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+	})
+}
+
+func TestResubmittedWorkToYoungInstance(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := task("plan-8")
+		time.Sleep(time.Second)
+		x.view.since = time.Now()
+		x.replaceOwner(2)
+		a := x.settle(k, runFor(time.Second), true)
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+		x.Assert(x.starts(k.Key), qt.Equals, 0)
+	})
+}
+
+func TestNothingStartsWithoutTheRight(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		time.Sleep(time.Second)
+		x.rights.grant(1, -time.Second)
+		reply := x.place(task("plan-9"), runFor(time.Second), false, 3*time.Second)
+		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_NOT_OWNER)
+		x.Assert(x.starts("plan-9"), qt.Equals, 0)
+	})
+}
+
+func TestLateCallIsDropped(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		time.Sleep(time.Second)
+		reply, err := x.placer.Place(context.Background(), &placerpb.PlaceRequest{
+			Shard: string(shardName), Task: placer.TaskMessage(task("late")), Body: runFor(time.Second),
+			WindowMillis: 1000, DeliverBy: time.Now().Add(-time.Millisecond).UnixNano(),
+		})
+		x.Assert(err, qt.IsNil)
+		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_NOT_OWNER)
+		x.Assert(x.starts("late"), qt.Equals, 0)
+	})
+}
+
+func TestWithdrawnTaskIsNotQueuedLater(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		time.Sleep(time.Second)
+		k := idempotent("gone")
+		reply, err := x.placer.Cancel(context.Background(), &placerpb.CancelRequest{
+			Key: "gone", Shard: string(shardName), Task: placer.TaskMessage(k),
+		})
+		x.Assert(err, qt.IsNil)
+		x.Assert(reply.GetFound(), qt.IsTrue)
+		x.Assert(x.settle(k, runFor(time.Second), false).Outcome, qt.Equals, lovagestand.OutcomeNotRun)
+		x.Assert(x.starts("gone"), qt.Equals, 0)
+	})
+}
+
+func TestRefusedTaskIsNotQueuedLater(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		time.Sleep(time.Second)
+		k := task("huge")
+		k.Resources = k.Resources.WithMilliCPU(1 << 30)
+		reply := x.place(k, nil, false, time.Second)
+		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_UNFIT)
+		k.Resources = k.Resources.WithMilliCPU(1)
+		x.Assert(x.settle(k, runFor(time.Second), false).Outcome, qt.Equals, lovagestand.OutcomeNotRun)
+		x.Assert(x.starts("huge"), qt.Equals, 0)
+	})
+}
+
+func TestGangRunsWhole(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := idempotent("model")
+		k.Class = lovagestand.ClassGang
+		k.GangSize = 2
+		x.Assert(x.settle(k, runFor(time.Second), false).Outcome, qt.Equals, lovagestand.OutcomeDone)
+		x.Assert(x.starts("model"), qt.Equals, 2)
+	})
+}
+
+func TestGangStartsAgainWhole(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := idempotent("model")
+		k.Class = lovagestand.ClassGang
+		k.GangSize = 2
+		k.Resources = k.Resources.WithMilliCPU(1000)
+		// One worker refuses, so a part of the gang is turned away at first.
+		x.fleet.Worker("one").SetLeaving(true)
+		x.Assert(x.settle(k, runFor(time.Second), false).Outcome, qt.Equals, lovagestand.OutcomeDone)
+	})
+}
+
+func TestLeasesAreRenewed(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := task("long")
+		body := runFor(5 * time.Minute)
+		x.assertDone(x.settle(k, body, false), k, body)
+	})
+}
+
+func TestReleasedShardKeepsItsTasks(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := task("plan-10")
+		body := runFor(8 * time.Second)
+		x.place(k, body, false, time.Second)
+		x.placer.Release(context.Background(), shardName)
+		reply := x.place(task("other"), body, false, time.Second)
+		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_NOT_OWNER)
+		x.replaceOwner(2)
+		x.assertDone(x.settle(k, body, true), k, body)
+		x.Assert(x.starts(k.Key), qt.Equals, 1)
+	})
+}
