entry: failure tests in virtual time

Cause: the entry's word on not run, moves and resubmission was not proved. Change: scripted owners over an in-process transport under testing/synctest, 14 tests; Submit returns a Pending, since asking again after not run starts another try.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,16 +97,30 @@
 	return n
 }
 
+// Pending is a request that an entry has taken.
+type Pending struct {
+	call *call
+}
+
+// Done returns a channel that is closed when the answer is final.
+func (p Pending) Done() <-chan struct{} {
+	return p.call.done
+}
+
+// Answer returns the answer as it is now.
+func (p Pending) Answer() lovagestand.Answer {
+	return p.call.current()
+}
+
 // Submit takes a request, or attaches to the one with the same key. It fails
 // with an [InvalidError], [UnknownRouteError], [MismatchError],
-// [LimitedError], [NotReadyError] or [lovagestand.UnfitError]; then nothing
-// runs.
-func (e *Entry) Submit(request lovagestand.Request) (lovagestand.Answer, <-chan struct{}, error) {
+// [LimitedError] or [NotReadyError]; then nothing runs.
+func (e *Entry) Submit(request lovagestand.Request) (Pending, error) {
 	c, err := e.enter(request)
 	if err != nil {
-		return lovagestand.Answer{}, nil, err
+		return Pending{}, err
 	}
-	return c.current(), c.done, nil
+	return Pending{call: c}, nil
 }
 
 func (e *Entry) enter(request lovagestand.Request) (*call, error) {
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,158 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/placer/placerpb"
+)
+
+// urgentStart is the time within which urgent work starts.
+const urgentStart = 1400 * time.Millisecond
+
+func TestLostReplyAttachesToTheSameTask(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.loseReplies = 1
+		a, _ := x.submit("plan")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone)
+		x.Assert(x.first.calls(), qt.Equals, 2)
+		x.Assert(x.first.placed[0].GetTask().GetId(), qt.Equals, x.first.placed[1].GetTask().GetId())
+		x.Assert(x.first.placed[0].GetResubmitted(), qt.IsFalse)
+		x.Assert(x.first.placed[1].GetResubmitted(), qt.IsTrue)
+		x.Assert(x.second.calls(), qt.Equals, 0)
+	})
+}
+
+func TestUrgentWorkMovesFromAnOwnerOutOfReach(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.paused = make(chan struct{})
+		a, waited := x.submit("quote")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone)
+		x.Assert(waited < urgentStart, qt.IsTrue, qt.Commentf("%v", waited))
+		x.Assert(x.second.calls(), qt.Equals, 1)
+	})
+}
+
+func TestClaimedWorkStaysWithItsShard(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.paused = make(chan struct{})
+		time.AfterFunc(15*time.Second, func() { close(x.first.paused) })
+		a, _ := x.submit("plan")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone)
+		x.Assert(x.second.calls(), qt.Equals, 0)
+	})
+}
+
+func TestFullShardsMeanNotRun(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = status(placerpb.Status_STATUS_FULL)
+		x.second.place = status(placerpb.Status_STATUS_FULL)
+		a, waited := x.submit("quote")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeNotRun)
+		x.Assert(a.RetryAfter > 0, qt.IsTrue)
+		x.Assert(waited < time.Second, qt.IsTrue)
+	})
+}
+
+// pausedThenFull makes the first owner hold a request in doubt and the second
+// refuse it.
+func pausedThenFull(x *fixture) {
+	x.first.paused = make(chan struct{})
+	x.second.place = status(placerpb.Status_STATUS_FULL)
+}
+
+func TestNotRunIsNotSaidOfWorkInDoubt(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		pausedThenFull(x)
+		a, _ := x.submit("quote")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+	})
+}
+
+func TestWithdrawnWorkIsNotRun(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.loseReplies = 1000
+		x.first.cancel = func(*placerpb.CancelRequest) *placerpb.CancelReply {
+			x.first.loseReplies = 0
+			return &placerpb.CancelReply{Found: true, Answer: &placerpb.Answer{Outcome: "notRun"}}
+		}
+		x.second.place = status(placerpb.Status_STATUS_FULL)
+		time.AfterFunc(2*time.Second, func() {
+			x.first.mu.Lock()
+			defer x.first.mu.Unlock()
+			x.first.loseReplies = 0
+			x.first.place = status(placerpb.Status_STATUS_FULL)
+		})
+		a, _ := x.submit("quote")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeNotRun)
+	})
+}
+
+func TestOwnerOutOfReachForGoodIsUnknown(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.paused = make(chan struct{})
+		a, _ := x.submit("plan")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+		for _, s := range x.claims.settled {
+			x.Assert(s.Outcome, qt.Not(qt.Equals), lovagestand.OutcomeNotRun)
+		}
+	})
+}
+
+func TestRepeatedClaimIsResubmitted(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.claims.fresh = false
+		a, _ := x.submit("plan")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone)
+		x.Assert(x.first.placed[0].GetResubmitted(), qt.IsTrue)
+	})
+}
+
+func TestNotRunMayBeTriedAgain(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = notRun
+		r := lovagestand.Request{Key: "k", Route: "quote", Team: "showroom"}
+		p, err := x.entry.Submit(r)
+		x.Assert(err, qt.IsNil)
+		<-p.Done()
+		x.first.place = done
+		p, err = x.entry.Submit(r)
+		x.Assert(err, qt.IsNil)
+		<-p.Done()
+		first, second := x.first.placed[0].GetTask().GetId(), x.first.placed[1].GetTask().GetId()
+		x.Assert(first, qt.Not(qt.Equals), second)
+	})
+}
+
+func TestRefusedRequests(t *testing.T) {
+	submit := func(x *fixture, change func(*lovagestand.Request)) error {
+		r := lovagestand.Request{Key: "k", Route: "quote", Team: "showroom"}
+		change(&r)
+		_, err := x.entry.Submit(r)
+		return err
+	}
+	for name, change := range map[string]func(*lovagestand.Request){
+		"key":       func(r *lovagestand.Request) { r.Key = "a~b" },
+		"team":      func(r *lovagestand.Request) { r.Team = "" },
+		"tasks":     func(r *lovagestand.Request) { r.Tasks = 2 },
+		"resources": func(r *lovagestand.Request) { r.Resources.MilliCPU = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(x *fixture) {
+				var invalid *entry.InvalidError
+				x.Assert(submit(x, change), qt.ErrorAs, &invalid)
+				x.Assert(invalid.Field, qt.Equals, name)
+			})
+		})
+	}
+	t.Run("route", func(t *testing.T) {
+		inBubble(t, func(x *fixture) {
+			var unknown *entry.UnknownRouteError
+			x.Assert(submit(x, func(r *lovagestand.Request) { r.Route = "none" }), qt.ErrorAs, &unknown)
+		})
+	})
+}
--- /dev/null
+++ b/entry/fixture_test.go
@@ -0,0 +1,214 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/placer/placerpb"
+)
+
+// owner is a scripted owner of one shard.
+type owner struct {
+	mu sync.Mutex
+	// paused holds every call back until it ends.
+	paused chan struct{}
+	// loseReplies is how many replies are lost after the call took effect.
+	loseReplies int
+	place       func(*placerpb.PlaceRequest) *placerpb.PlaceReply
+	cancel      func(*placerpb.CancelRequest) *placerpb.CancelReply
+	placed      []*placerpb.PlaceRequest
+}
+
+func (o *owner) Place(_ context.Context, m *placerpb.PlaceRequest) (*placerpb.PlaceReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.placed = append(o.placed, m)
+	return o.place(m), nil
+}
+
+func (o *owner) Cancel(_ context.Context, m *placerpb.CancelRequest) (*placerpb.CancelReply, error) {
+	if o.cancel == nil {
+		return &placerpb.CancelReply{}, nil
+	}
+	return o.cancel(m), nil
+}
+
+func (o *owner) Find(context.Context, *placerpb.FindRequest) (*placerpb.FindReply, error) {
+	return &placerpb.FindReply{}, nil
+}
+
+func (o *owner) calls() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.placed)
+}
+
+// network carries calls to owners in this process.
+type network map[string]*owner
+
+// RoundTrip implements [http.RoundTripper].
+func (n network) RoundTrip(r *http.Request) (*http.Response, error) {
+	o := n[r.URL.Host]
+	if o.paused != nil {
+		select {
+		case <-o.paused:
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+	recorder := httptest.NewRecorder()
+	placerpb.NewPlacerServer(o).ServeHTTP(recorder, r)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.loseReplies > 0 {
+		o.loseReplies--
+		return nil, context.DeadlineExceeded
+	}
+	return recorder.Result(), nil
+}
+
+// owners says that shard "r/x" is owned by the instance at address "x".
+type owners struct{}
+
+func (owners) Owner(shard lovagestand.ShardName) (lovagestand.Instance, bool) {
+	return lovagestand.Instance{Address: string(shard[2:])}, true
+}
+
+func (owners) Right(lovagestand.ShardName) (lovagestand.Right, bool) {
+	return lovagestand.Right{}, false
+}
+
+func (owners) Owned() []lovagestand.ShardName { return nil }
+
+func (owners) Changed() <-chan struct{} { return nil }
+
+// inOrder chooses the first shard not tried.
+type inOrder []lovagestand.ShardName
+
+// Choose implements [entry.Chooser].
+func (n inOrder) Choose(task lovagestand.Task, _ int, tried []lovagestand.ShardName) (entry.Target, error) {
+	left := make(map[lovagestand.ShardName]bool)
+	for _, s := range tried {
+		left[s] = true
+	}
+	for _, s := range n {
+		if !left[s] {
+			return entry.Target{Shard: s}, nil
+		}
+	}
+	return entry.Target{}, &entry.NoTargetError{Pool: task.Pool, Reason: "none left"}
+}
+
+// routes has one idempotent urgent route and one that is claimed.
+type routes struct{}
+
+// Ready implements [entry.Routes].
+func (routes) Ready() bool { return true }
+
+// Route implements [entry.Routes].
+func (routes) Route(name lovagestand.RouteName) (entry.Route, bool) {
+	r := entry.Route{Name: name, Pool: "runners", Class: lovagestand.ClassBatch, StartWithin: time.Minute}
+	if name == "quote" {
+		r.Idempotent = true
+		r.Class = lovagestand.ClassUrgent
+	}
+	return r, name == "quote" || name == "plan"
+}
+
+// free grants every claim at once and keeps what was settled.
+type free struct {
+	mu      sync.Mutex
+	fresh   bool
+	settled []lovagestand.Answer
+}
+
+// Claim implements [entry.Claims].
+func (f *free) Claim(_ context.Context, r lovagestand.Request, _ uint64, target lovagestand.ShardName) (entry.Claim, error) {
+	return entry.Claim{Task: "claimed", Shard: target, StartBy: r.StartBy, Fresh: f.fresh}, nil
+}
+
+// Settle implements [entry.Claims].
+func (f *free) Settle(_ context.Context, _ lovagestand.RequestKey, a lovagestand.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settled = append(f.settled, a)
+}
+
+// open admits everything.
+type open struct{}
+
+// Admit implements [entry.Limiter].
+func (open) Admit(entry.Route, lovagestand.TeamName) (func(), error) { return func() {}, nil }
+
+// fixture is an entry before two scripted owners.
+type fixture struct {
+	*qt.C
+	entry  *entry.Entry
+	first  *owner
+	second *owner
+	claims *free
+}
+
+func inBubble(t *testing.T, f func(*fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		x := &fixture{
+			C:      qt.New(t),
+			first:  &owner{place: done},
+			second: &owner{place: done},
+			claims: &free{fresh: true},
+		}
+		x.entry = entry.New(entry.Deps{
+			Routes:    routes{},
+			Limiter:   open{},
+			Chooser:   inOrder{"r/first", "r/second"},
+			Claims:    x.claims,
+			Ownership: owners{},
+			Peers:     func() []lovagestand.Instance { return nil },
+			Client:    &http.Client{Transport: network{"first": x.first, "second": x.second}},
+			Log:       zerolog.Nop(),
+		})
+		f(x)
+	})
+}
+
+// submit sends a request and waits for its final answer.
+func (x *fixture) submit(route lovagestand.RouteName) (lovagestand.Answer, time.Duration) {
+	begun := time.Now()
+	r := lovagestand.Request{Key: "k", Route: route, Team: "showroom", Body: []byte("body")}
+	p, err := x.entry.Submit(r)
+	x.Assert(err, qt.IsNil)
+	<-p.Done()
+	return p.Answer(), time.Since(begun)
+}
+
+func done(m *placerpb.PlaceRequest) *placerpb.PlaceReply {
+	return answered(m, lovagestand.OutcomeDone)
+}
+
+func notRun(m *placerpb.PlaceRequest) *placerpb.PlaceReply {
+	return answered(m, lovagestand.OutcomeNotRun)
+}
+
+func answered(m *placerpb.PlaceRequest, outcome lovagestand.Outcome) *placerpb.PlaceReply {
+	return &placerpb.PlaceReply{
+		Status: placerpb.Status_STATUS_FINAL,
+		Answer: &placerpb.Answer{Key: m.GetTask().GetKey(), Outcome: string(outcome), Body: m.GetBody()},
+	}
+}
+
+func status(s placerpb.Status) func(*placerpb.PlaceRequest) *placerpb.PlaceReply {
+	return func(*placerpb.PlaceRequest) *placerpb.PlaceReply {
+		return &placerpb.PlaceReply{Status: s, Reason: "scripted"}
+	}
+}
