owner: state machine of ownership, first form

Change: package owner holds entries, promises, takeovers by consent, handovers by store and by hand, standby choice, assignment and rebalancing as a pure state machine.

--- /dev/null
+++ b/owner/entry.go
@@ -0,0 +1,104 @@
+package owner
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+)
+
+// KeyPrefix is the prefix of the store keys that hold documents; the region's
+// name follows.
+const KeyPrefix = "owners/"
+
+// KeyOf returns the store key of a region's document.
+func KeyOf(region lovagestand.RegionName) string {
+	return KeyPrefix + string(region)
+}
+
+// Entry says who owns a shard in one epoch.
+type Entry struct {
+	Shard    lovagestand.ShardName    `json:"shard"`
+	Region   lovagestand.RegionName   `json:"-"`
+	Epoch    lovagestand.Epoch        `json:"epoch"`
+	Owner    lovagestand.InstanceID   `json:"owner"`
+	Standbys []lovagestand.InstanceID `json:"standbys"`
+	// Settled says that the earlier owner left no start unanswered, so that
+	// this one need not wait for any.
+	Settled bool `json:"settled,omitempty"`
+}
+
+// HasStandby reports whether an instance is one of the standbys.
+func (e Entry) HasStandby(id lovagestand.InstanceID) bool {
+	return slices.Contains(e.Standbys, id)
+}
+
+// Next returns the entry of the following epoch.
+func (e Entry) Next(owner lovagestand.InstanceID, standbys []lovagestand.InstanceID, settled bool) Entry {
+	e.Epoch++
+	e.Owner = owner
+	e.Standbys = standbys
+	e.Settled = settled
+	return e
+}
+
+// Document is what the store holds for one region. It is immutable.
+type Document struct {
+	Region lovagestand.RegionName `json:"region"`
+	// Entries are sorted by shard.
+	Entries []Entry `json:"entries"`
+}
+
+// ParseDocument reads the document of a region; no data is an empty one.
+func ParseDocument(region lovagestand.RegionName, data []byte) (Document, error) {
+	d := Document{Region: region}
+	if len(data) == 0 {
+		return d, nil
+	}
+	if err := json.Unmarshal(data, &d); err != nil {
+		return d, errors.Wrapf(err, "owners of region %q", region)
+	}
+	for i := range d.Entries {
+		d.Entries[i].Region = region
+	}
+	return d, nil
+}
+
+// Encode returns the document as the store holds it.
+func (d Document) Encode() ([]byte, error) {
+	data, err := json.Marshal(d)
+	return data, errors.Wrapf(err, "owners of region %q", d.Region)
+}
+
+// Entry returns the entry of a shard; false if it has none.
+func (d Document) Entry(shard lovagestand.ShardName) (Entry, bool) {
+	i, found := d.find(shard)
+	if !found {
+		return Entry{}, false
+	}
+	return d.Entries[i], true
+}
+
+// With returns a copy of d in which entries replace those of their shards.
+func (d Document) With(entries ...Entry) Document {
+	d.Entries = slices.Clone(d.Entries)
+	for _, e := range entries {
+		e.Region = d.Region
+		i, found := d.find(e.Shard)
+		if found {
+			d.Entries[i] = e
+			continue
+		}
+		d.Entries = slices.Insert(d.Entries, i, e)
+	}
+	return d
+}
+
+func (d Document) find(shard lovagestand.ShardName) (int, bool) {
+	return slices.BinarySearchFunc(d.Entries, shard, func(e Entry, s lovagestand.ShardName) int {
+		return strings.Compare(string(e.Shard), string(s))
+	})
+}
--- /dev/null
+++ b/owner/node.go
@@ -0,0 +1,211 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Node is one instance's part in the ownership of shards. It is not safe for
+// concurrent use. Times are this process's own monotonic clock.
+type Node struct {
+	self     lovagestand.Instance
+	timing   Timing
+	started  time.Time
+	seats    map[lovagestand.ShardName]*seat
+	regions  map[lovagestand.RegionName]*region
+	units    map[lovagestand.RegionName][]Unit
+	peers    map[lovagestand.InstanceID]*peer
+	list     listing
+	leaving  bool
+	attempts uint64
+	nextMove time.Time
+	version  uint64
+	effects  []Effect
+}
+
+// NewNode returns the state of an instance that starts now.
+func NewNode(now time.Time, self lovagestand.Instance, timing Timing) *Node {
+	n := &Node{
+		self:     self,
+		timing:   timing,
+		started:  now,
+		seats:    map[lovagestand.ShardName]*seat{},
+		regions:  map[lovagestand.RegionName]*region{},
+		units:    map[lovagestand.RegionName][]Unit{},
+		peers:    map[lovagestand.InstanceID]*peer{},
+		nextMove: now.Add(timing.Rebalance),
+	}
+	n.peers[self.ID] = &peer{instance: self}
+	return n
+}
+
+// SetUnits replaces what there is to own, by region.
+func (n *Node) SetUnits(units []Unit) {
+	n.units = map[lovagestand.RegionName][]Unit{}
+	for _, u := range units {
+		n.units[u.Region] = append(n.units[u.Region], u)
+	}
+	for _, list := range n.units {
+		slices.SortFunc(list, func(a, b Unit) int { return cmpShard(a.Shard, b.Shard) })
+	}
+}
+
+// Leave makes the instance pass on all it owns.
+func (n *Node) Leave(now time.Time) []Effect {
+	n.leaving = true
+	n.self = n.self.WithLeaving(true)
+	return n.Tick(now)
+}
+
+// Tick does what is due; it is called once a heartbeat.
+func (n *Node) Tick(now time.Time) []Effect {
+	for _, shard := range n.shards() {
+		n.tickSeat(now, n.seats[shard])
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.units)) {
+		n.rebalance(now, name)
+		if !n.region(name).known && n.proposes(now, name) {
+			n.read(name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.regions)) {
+		r := n.regions[name]
+		if r.unclear && !r.reading {
+			n.read(name)
+		}
+		n.plan(now, r)
+	}
+	return n.take()
+}
+
+func (n *Node) tickSeat(now time.Time, s *seat) {
+	if s.entry.Owner != n.self.ID {
+		n.watchOwner(now, s)
+		return
+	}
+	n.ask(now, s)
+	if n.leaving {
+		n.depart(now, s)
+	}
+	if s.handover != nil {
+		n.passOn(now, s)
+	}
+}
+
+// Receive takes a message of another instance.
+func (n *Node) Receive(now time.Time, from lovagestand.InstanceID, m Message) []Effect {
+	switch m.Kind {
+	case KindAsk:
+		n.promise(now, from, m)
+	case KindPromise:
+		n.granted(now, from, m)
+	case KindSealed:
+		n.sealedOut(now, m)
+	case KindNewer:
+		n.learn(now, m.Entry)
+	case KindSeal:
+		n.seal(now, from, m)
+	case KindConsent:
+		n.consented(now, from, m)
+	case KindUnseal:
+		n.unseal(m)
+	case KindWarm:
+		n.warm(now, from, m)
+	case KindWarmed:
+		n.warmed(from, m)
+	case KindPass:
+		n.passed(now, m)
+	}
+	return n.take()
+}
+
+// sealedOut notes that a standby will promise no more in this epoch, so that
+// the owner needs the next one.
+func (n *Node) sealedOut(now time.Time, m Message) {
+	s := n.seats[m.Entry.Shard]
+	if s == nil || s.entry.Epoch != m.Entry.Epoch || s.entry.Owner != n.self.ID {
+		return
+	}
+	s.refused = true
+	n.plan(now, n.region(s.entry.Region))
+}
+
+// Right returns the right to a shard; false if there is none now.
+func (n *Node) Right(now time.Time, shard lovagestand.ShardName) (lovagestand.Right, bool) {
+	return n.right(now, n.seats[shard])
+}
+
+// Owned returns the shards to which this instance has a right now, sorted.
+func (n *Node) Owned(now time.Time) []lovagestand.ShardName {
+	var owned []lovagestand.ShardName
+	for _, shard := range n.shards() {
+		if _, ok := n.right(now, n.seats[shard]); ok {
+			owned = append(owned, shard)
+		}
+	}
+	return owned
+}
+
+// Entry returns the newest entry known of a shard.
+func (n *Node) Entry(shard lovagestand.ShardName) (Entry, bool) {
+	s := n.seats[shard]
+	if s == nil {
+		return Entry{}, false
+	}
+	return s.entry, true
+}
+
+// Entries returns the newest entries known, sorted by shard.
+func (n *Node) Entries() []Entry {
+	entries := make([]Entry, 0, len(n.seats))
+	for _, shard := range n.shards() {
+		entries = append(entries, n.seats[shard].entry)
+	}
+	return entries
+}
+
+// Regions returns the regions whose documents this instance has a part in,
+// sorted: its own and those that name it.
+func (n *Node) Regions() []lovagestand.RegionName {
+	regions := map[lovagestand.RegionName]bool{n.self.Region: true}
+	for _, s := range n.seats {
+		if s.entry.Owner == n.self.ID || s.entry.HasStandby(n.self.ID) {
+			regions[s.entry.Region] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(regions))
+}
+
+// Version grows with every change of entries and beginning of a right.
+func (n *Node) Version() uint64 {
+	return n.version
+}
+
+func (n *Node) send(to lovagestand.InstanceID, m Message) {
+	n.effects = append(n.effects, Send{To: to, Message: m})
+}
+
+// take returns the effects so far and forgets them.
+func (n *Node) take() []Effect {
+	effects := n.effects
+	n.effects = nil
+	return effects
+}
+
+func (n *Node) shards() []lovagestand.ShardName {
+	return slices.Sorted(maps.Keys(n.seats))
+}
+
+// seatsOf returns the seats of a region's shards, sorted by shard.
+func (n *Node) seatsOf(name lovagestand.RegionName) []*seat {
+	var seats []*seat
+	for _, shard := range n.shards() {
+		if s := n.seats[shard]; s.entry.Region == name {
+			seats = append(seats, s)
+		}
+	}
+	return seats
+}
