peer: drive ownership over twirp, first working form

Change: peer.New, Run, Handler, Leave, hooks, digests, revisions; heartbeats batched per peer of the region, surveys of other regions, one watch per region document, member list read once a second. In-process tests with 1 to 9 instances over fakes under virtual time. Conclusion: usable for wiring; exploring tests of the protocol come next.

--- a/owner/assign.go
+++ b/owner/assign.go
@@ -27,19 +27,22 @@
 }
 
 // candidates returns the usable instances of a region, sorted, or those of all
-// regions if it has none.
+// regions if the member list has none of it.
 func (n *Node) candidates(now time.Time, region lovagestand.RegionName) []lovagestand.InstanceID {
 	var own, all []lovagestand.InstanceID
-	for id := range n.peers {
+	listed := n.self.Region == region
+	for id, p := range n.peers {
+		inside := n.instance(id).Region == region
+		listed = listed || inside && p.listed && !p.instance.Leaving
 		if !n.usable(now, id) {
 			continue
 		}
 		all = append(all, id)
-		if n.instance(id).Region == region {
+		if inside {
 			own = append(own, id)
 		}
 	}
-	if len(own) == 0 {
+	if !listed {
 		own = all
 	}
 	slices.Sort(own)
--- /dev/null
+++ b/peer/drive.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/owner"
+)
+
+// apply feeds the state machine and carries out what it asks for. Messages to
+// reply are returned, to travel with the answer under way.
+func (p *Peer) apply(reply lovagestand.InstanceID, feed func(now time.Time, n *owner.Node) []owner.Effect) []owner.Message {
+	p.mu.Lock()
+	effects := feed(time.Now(), p.node)
+	p.notify()
+	p.mu.Unlock()
+	var replies []owner.Message
+	mail := map[lovagestand.InstanceID][]owner.Message{}
+	for _, e := range effects {
+		send, ok := e.(owner.Send)
+		switch {
+		case !ok:
+			p.perform(e)
+		case send.To == reply:
+			replies = append(replies, send.Message)
+		default:
+			mail[send.To] = append(mail[send.To], send.Message)
+		}
+	}
+	for to, messages := range mail {
+		p.spawn(func() { p.exchange(to, messages, nil) })
+	}
+	return replies
+}
+
+// notify wakes those who wait for a change of owners.
+func (p *Peer) notify() {
+	if p.node.Version() == p.version {
+		return
+	}
+	p.version = p.node.Version()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Peer) perform(e owner.Effect) {
+	switch e := e.(type) {
+	case owner.Read:
+		p.spawn(func() { p.read(e.Region) })
+	case owner.Write:
+		p.spawn(func() { p.write(e) })
+	case owner.Warm:
+		p.spawn(func() { p.warm(e.Shard) })
+	case owner.Acquire:
+		p.spawn(func() { p.acquire(e.Right) })
+	case owner.Release:
+		p.spawn(func() { p.release(e) })
+	}
+}
+
+func (p *Peer) read(region lovagestand.RegionName) {
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	p.counters.StoreReads.Add(1)
+	value, err := p.store.Get(ctx, owner.KeyOf(region))
+	document, bad := owner.ParseDocument(region, value.Data)
+	if err != nil || bad != nil {
+		p.warnStore("read", region, err, bad)
+	}
+	p.apply("", func(now time.Time, n *owner.Node) []owner.Effect {
+		return n.ReadDone(now, document, value.Revision, err == nil && bad == nil)
+	})
+}
+
+func (p *Peer) write(w owner.Write) {
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	region := w.Document.Region
+	data, err := w.Document.Encode()
+	var revision lovagestand.Revision
+	if err == nil {
+		p.counters.StoreWrites.Add(1)
+		revision, err = p.store.Put(ctx, owner.KeyOf(region), data, w.Previous, 0)
+	}
+	if err != nil {
+		p.warnStore("write", region, err, nil)
+	}
+	p.apply("", func(now time.Time, n *owner.Node) []owner.Effect {
+		return n.WriteDone(now, w.Document, revision, err)
+	})
+}
+
+func (p *Peer) warnStore(call string, region lovagestand.RegionName, err, bad error) {
+	if err == nil {
+		err = bad
+	}
+	p.log.Warn().Err(err).Str("event", "storeFailed").Str("call", call).Str("region", string(region)).Send()
+}
+
+// list registers this instance and reads the member list.
+func (p *Peer) list() {
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	began := time.Now()
+	if err := p.members.Register(ctx, p.instance()); err != nil {
+		p.log.Warn().Err(err).Str("event", "registerFailed").Send()
+	}
+	m, err := p.members.Members(ctx)
+	if err != nil {
+		p.log.Warn().Err(err).Str("event", "listFailed").Send()
+		p.apply("", func(_ time.Time, n *owner.Node) []owner.Effect {
+			n.Unlisted(began)
+			return nil
+		})
+		return
+	}
+	units := p.units(m)
+	p.apply("", func(now time.Time, n *owner.Node) []owner.Effect {
+		n.SetUnits(units)
+		n.Forget(now)
+		return n.Listed(now, began, m.Instances)
+	})
+}
+
+// instance returns this instance as it is now.
+func (p *Peer) instance() lovagestand.Instance {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.self.WithLeaving(p.leaving)
+}
--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/owner"
+)
+
+// Handler returns the handler of the calls that peers make.
+func (p *Peer) Handler() http.Handler {
+	return NewPeersServer(p)
+}
+
+// Exchange implements [Peers].
+func (p *Peer) Exchange(_ context.Context, request *ExchangeRequest) (*ExchangeResponse, error) {
+	from := fromMember(request.GetFrom())
+	p.learnDigests(request.GetDigests())
+	replies := p.deliver(request.GetFrom(), request.GetMessages(), from.ID)
+	return &ExchangeResponse{From: p.me(), Messages: toMessages(replies)}, nil
+}
+
+// deliver feeds the messages of a peer to the state machine.
+func (p *Peer) deliver(from *Member, messages []*OwnerMessage, reply lovagestand.InstanceID) []owner.Message {
+	sender := fromMember(from)
+	return p.apply(reply, func(now time.Time, n *owner.Node) []owner.Effect {
+		n.Heard(now, sender)
+		p.hear(sender.ID, from.GetRevision(), now)
+		var effects []owner.Effect
+		for _, m := range fromMessages(messages) {
+			effects = append(effects, n.Receive(now, sender.ID, m)...)
+		}
+		return effects
+	})
+}
+
+// beat is one heartbeat.
+func (p *Peer) beat() {
+	p.followRegions()
+	digests := p.encodeDigests(p.sumUp())
+	p.mu.Lock()
+	now := time.Now()
+	effects := p.node.Tick(now)
+	p.notify()
+	mail := map[lovagestand.InstanceID][]owner.Message{}
+	for _, i := range p.node.Live(now) {
+		if i.Region == p.self.Region && i.ID != p.self.ID {
+			mail[i.ID] = nil
+		}
+	}
+	p.mu.Unlock()
+	for _, e := range effects {
+		if send, ok := e.(owner.Send); ok {
+			mail[send.To] = append(mail[send.To], send.Message)
+			continue
+		}
+		p.perform(e)
+	}
+	for to, messages := range mail {
+		p.spawn(func() { p.exchange(to, messages, digests) })
+	}
+}
+
+// exchange calls one peer. What is lost is said again at the next heartbeat.
+func (p *Peer) exchange(to lovagestand.InstanceID, messages []owner.Message, digests []*ShardDigest) {
+	client, ok := p.clientOf(to)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	request := &ExchangeRequest{From: p.me(), Messages: toMessages(messages), Digests: digests}
+	p.counters.Exchanges.Add(1)
+	p.counters.BytesSent.Add(int64(proto.Size(request)))
+	response, err := client.Exchange(ctx, request)
+	if err != nil {
+		p.counters.Failures.Add(1)
+		p.log.Debug().Err(err).Str("event", "exchangeFailed").Str("peer", string(to)).Send()
+		return
+	}
+	p.counters.BytesReceived.Add(int64(proto.Size(response)))
+	p.deliver(response.GetFrom(), response.GetMessages(), "")
+}
+
+// clientOf returns the client for an instance; false if its address is unknown.
+func (p *Peer) clientOf(id lovagestand.InstanceID) (Peers, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, ok := p.node.Instance(id)
+	if !ok || i.Address == "" {
+		return nil, false
+	}
+	client := p.clients[i.Address]
+	if client == nil {
+		client = NewPeersProtobufClient("http://"+i.Address, p.client)
+		p.clients[i.Address] = client
+	}
+	return client, true
+}
+
+func (p *Peer) me() *Member {
+	return toMember(p.instance(), p.ownRevision(), 0)
+}
+
+func (p *Peer) encodeDigests(views []DigestView) []*ShardDigest {
+	now := time.Now()
+	var list []*ShardDigest
+	for _, v := range views {
+		list = append(list, toDigest(v.aged(now)))
+	}
+	return list
+}
+
+func (p *Peer) learnDigests(list []*ShardDigest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, d := range list {
+		v := fromDigest(d)
+		v.taken = now.Add(-v.Age)
+		p.note(v)
+	}
+}
+
+func compareIDs(a, b lovagestand.InstanceID) int {
+	return cmp.Compare(a, b)
+}
--- /dev/null
+++ b/peer/fakes_test.go
@@ -0,0 +1,207 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// fakeStore is a store in memory that can be away.
+type fakeStore struct {
+	mu      sync.Mutex
+	values  map[string]lovagestand.Value
+	changed chan struct{}
+	down    bool
+	// calls counts reads, writes and watches.
+	calls int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{values: map[string]lovagestand.Value{}, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) callsSoFar() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *fakeStore) enter() error {
+	s.calls++
+	if s.down {
+		return &lovagestand.UnavailableError{System: "store", Reason: "down"}
+	}
+	return nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (lovagestand.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key], s.enter()
+}
+
+func (s *fakeStore) List(context.Context, string) ([]lovagestand.Value, error) {
+	return nil, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, data []byte, previous lovagestand.Revision, _ lovagestand.LeaseID) (lovagestand.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	if found := s.values[key].Revision; found != previous {
+		return 0, &lovagestand.ConflictError{Key: key, Expected: previous, Found: found}
+	}
+	s.values[key] = lovagestand.Value{Key: key, Data: data, Revision: previous + 1}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return previous + 1, nil
+}
+
+func (s *fakeStore) Delete(context.Context, string, lovagestand.Revision) error { return nil }
+
+func (s *fakeStore) Watch(ctx context.Context, key string, after lovagestand.Revision, wait time.Duration) (lovagestand.Value, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Lock()
+	err := s.enter()
+	s.mu.Unlock()
+	for err == nil {
+		s.mu.Lock()
+		value, changed, down := s.values[key], s.changed, s.down
+		s.mu.Unlock()
+		if value.Revision != after || down {
+			return value, nil
+		}
+		select {
+		case <-ctx.Done():
+			return value, ctx.Err()
+		case <-timer.C:
+			return value, nil
+		case <-changed:
+		}
+	}
+	return lovagestand.Value{}, err
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (lovagestand.LeaseID, error) {
+	return 0, nil
+}
+
+func (s *fakeStore) Renew(context.Context, lovagestand.LeaseID) error { return nil }
+
+// fakeList is a member list that drops what has not registered for a lag.
+type fakeList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	last    map[lovagestand.InstanceID]time.Time
+	members map[lovagestand.InstanceID]lovagestand.Instance
+	workers []lovagestand.Worker
+	down    bool
+}
+
+func newFakeList(workers []lovagestand.Worker) *fakeList {
+	return &fakeList{
+		lag:     3 * time.Second,
+		last:    map[lovagestand.InstanceID]time.Time{},
+		members: map[lovagestand.InstanceID]lovagestand.Instance{},
+		workers: workers,
+	}
+}
+
+func (l *fakeList) Register(_ context.Context, i lovagestand.Instance) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return &lovagestand.UnavailableError{System: "list", Reason: "down"}
+	}
+	l.last[i.ID] = time.Now()
+	l.members[i.ID] = i
+	return nil
+}
+
+func (l *fakeList) Members(context.Context) (lovagestand.Members, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return lovagestand.Members{}, &lovagestand.UnavailableError{System: "list", Reason: "down"}
+	}
+	m := lovagestand.Members{Workers: l.workers}
+	for _, id := range slices.Sorted(maps.Keys(l.members)) {
+		if time.Since(l.last[id]) < l.lag {
+			m.Instances = append(m.Instances, l.members[id])
+		}
+	}
+	return m, nil
+}
+
+// fakeNetwork carries HTTP calls to handlers by address, after a latency.
+type fakeNetwork struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	latency  time.Duration
+	// cut are pairs of addresses, "from>to", between which nothing passes.
+	cut map[string]bool
+}
+
+func newFakeNetwork() *fakeNetwork {
+	return &fakeNetwork{handlers: map[string]http.Handler{}, latency: time.Millisecond, cut: map[string]bool{}}
+}
+
+// from returns a client whose calls come from an address.
+func (n *fakeNetwork) from(address string) *http.Client {
+	return &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+		return n.call(address, r)
+	})}
+}
+
+func (n *fakeNetwork) call(from string, r *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	handler := n.handlers[r.URL.Host]
+	cut := n.cut[from+">"+r.URL.Host]
+	n.mu.Unlock()
+	if handler == nil || cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	time.Sleep(n.latency)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	inner := r.Clone(context.Background())
+	inner.Body = io.NopCloser(bytes.NewReader(body))
+	inner.RequestURI = strings.TrimPrefix(r.URL.Path, "/")
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, inner)
+	return w.Result(), nil
+}
+
+func (n *fakeNetwork) set(address string, handler http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[address] = handler
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements [http.RoundTripper].
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/owner"
+)
+
+const (
+	defaultWatchWait   = time.Minute
+	defaultSurveyEvery = 2 * time.Second
+	// callTimeout bounds one call to a peer, the store or the member list.
+	callTimeout = time.Second
+	// listEvery is the time between two readings of the member list.
+	listEvery = time.Second
+)
+
+// Peer is one instance among its peers. It implements [lovagestand.Ownership].
+type Peer struct {
+	self    lovagestand.Instance
+	store   lovagestand.Store
+	members lovagestand.MemberList
+
+	timing      owner.Timing
+	hooks       Hooks
+	units       func(lovagestand.Members) []owner.Unit
+	client      *http.Client
+	log         zerolog.Logger
+	watchWait   time.Duration
+	surveyEvery time.Duration
+
+	// ctx ends with Run, for what outlives the call that causes it.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	// closing guards running against work that begins while Run ends.
+	closing sync.Mutex
+	closed  bool
+
+	counters Counters
+	hooking  hookLocks
+
+	mu       sync.RWMutex
+	node     *owner.Node
+	version  uint64
+	changed  chan struct{}
+	leaving  bool
+	watches  map[lovagestand.RegionName]context.CancelFunc
+	clients  map[string]Peers
+	digests  map[lovagestand.ShardName]DigestView
+	news     map[lovagestand.InstanceID]news
+	digest   func() []lovagestand.Digest
+	revision func() uint64
+}
+
+var _ lovagestand.Ownership = (*Peer)(nil)
+
+// New returns a peer that does nothing until [Peer.Run].
+func New(self lovagestand.Instance, store lovagestand.Store, members lovagestand.MemberList, options ...Option) *Peer {
+	p := &Peer{
+		self:        self,
+		store:       store,
+		members:     members,
+		timing:      owner.DefaultTiming(),
+		units:       WorkerUnits,
+		client:      http.DefaultClient,
+		log:         zerolog.Nop(),
+		watchWait:   defaultWatchWait,
+		surveyEvery: defaultSurveyEvery,
+		changed:     make(chan struct{}),
+		watches:     map[lovagestand.RegionName]context.CancelFunc{},
+		clients:     map[string]Peers{},
+		digests:     map[lovagestand.ShardName]DigestView{},
+		news:        map[lovagestand.InstanceID]news{},
+		digest:      func() []lovagestand.Digest { return nil },
+		revision:    func() uint64 { return 0 },
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	for _, o := range options {
+		o(p)
+	}
+	p.node = owner.NewNode(time.Now(), self, p.timing)
+	return p
+}
+
+// Run takes part until the context ends, and returns when all is at rest.
+func (p *Peer) Run(ctx context.Context) {
+	defer context.AfterFunc(ctx, p.cancel)()
+	p.list()
+	p.spawn(func() { p.every(listEvery, p.list) })
+	p.spawn(func() { p.every(p.surveyEvery, p.survey) })
+	p.every(p.timing.Heartbeat, p.beat)
+	p.cancel()
+	p.closing.Lock()
+	p.closed = true
+	p.closing.Unlock()
+	p.running.Wait()
+}
+
+// Right implements [lovagestand.Ownership].
+func (p *Peer) Right(shard lovagestand.ShardName) (lovagestand.Right, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.node.Right(time.Now(), shard)
+}
+
+// Owned implements [lovagestand.Ownership].
+func (p *Peer) Owned() []lovagestand.ShardName {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.node.Owned(time.Now())
+}
+
+// Owner implements [lovagestand.Ownership]. Of shards in other regions it knows
+// what the last survey told.
+func (p *Peer) Owner(shard lovagestand.ShardName) (lovagestand.Instance, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	id := p.digests[shard].Owner
+	if e, ok := p.node.Entry(shard); ok && e.Epoch >= p.digests[shard].Epoch {
+		id = e.Owner
+	}
+	if id == "" {
+		return lovagestand.Instance{}, false
+	}
+	return p.node.Instance(id)
+}
+
+// Changed implements [lovagestand.Ownership].
+func (p *Peer) Changed() <-chan struct{} {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.changed
+}
+
+// Peers returns the instances that are listed or were heard of lately, this one
+// included.
+func (p *Peer) Peers() []lovagestand.Instance {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.node.Live(time.Now())
+}
+
+// Entries returns what is known of who owns what, for a dump.
+func (p *Peer) Entries() []owner.Entry {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.node.Entries()
+}
+
+// Counters returns the live counters.
+func (p *Peer) Counters() *Counters {
+	return &p.counters
+}
+
+// every calls f once a period until Run's context ends.
+func (p *Peer) every(period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
+// spawn runs f on its own, unless Run is ending.
+func (p *Peer) spawn(f func()) {
+	p.closing.Lock()
+	defer p.closing.Unlock()
+	if p.closed {
+		return
+	}
+	p.running.Add(1)
+	go func() {
+		defer p.running.Done()
+		f()
+	}()
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,182 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/owner"
+	"lovagestand.example/lovagestand/peer"
+)
+
+// fleet is some instances over fakes.
+type fleet struct {
+	store   *fakeStore
+	list    *fakeList
+	network *fakeNetwork
+	peers   []*peer.Peer
+	stops   []func()
+	mu      sync.Mutex
+	// released counts calls of the hooks.
+	warmed, acquired, released int
+}
+
+// newFleet starts count instances spread over regions, and racks of 8 workers
+// in each region.
+func newFleet(count, regions, racks int) *fleet {
+	var workers []lovagestand.Worker
+	for i := range regions * racks * 8 {
+		workers = append(workers, lovagestand.Worker{
+			Name:   lovagestand.WorkerName(fmt.Sprintf("w%d", i)),
+			Region: regionName(i % regions),
+			Rack:   lovagestand.RackName(fmt.Sprintf("rack%d", i/regions/8)),
+		})
+	}
+	f := &fleet{store: newFakeStore(), list: newFakeList(workers), network: newFakeNetwork()}
+	for i := range count {
+		f.start(i, regions)
+	}
+	return f
+}
+
+func regionName(i int) lovagestand.RegionName {
+	return lovagestand.RegionName(fmt.Sprintf("region%d", i))
+}
+
+// start starts an instance and returns its index.
+func (f *fleet) start(i, regions int) int {
+	self := lovagestand.Instance{
+		ID:            lovagestand.InstanceID(fmt.Sprintf("instance%02d", i)),
+		Address:       fmt.Sprintf("10.0.0.%d:80", i),
+		Region:        regionName(i % regions),
+		FailureDomain: lovagestand.FailureDomain(fmt.Sprintf("domain%d", i/regions%3)),
+	}
+	count := func(n *int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		*n++
+	}
+	p := peer.New(self, f.store, f.list, peer.WithClient(f.network.from(self.Address)), peer.WithHooks(peer.Hooks{
+		Warm:    func(context.Context, lovagestand.ShardName) error { count(&f.warmed); return nil },
+		Acquire: func(context.Context, lovagestand.Right) { count(&f.acquired) },
+		Release: func(context.Context, lovagestand.ShardName) error { count(&f.released); return nil },
+	}))
+	f.network.set(self.Address, p.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Run(ctx)
+	}()
+	f.peers = append(f.peers, p)
+	f.stops = append(f.stops, func() {
+		f.network.set(self.Address, nil)
+		cancel()
+		<-done
+	})
+	return len(f.peers) - 1
+}
+
+func (f *fleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+// owners returns who holds the right to each shard and may use it.
+func (f *fleet) owners(c *qt.C) map[lovagestand.ShardName]int {
+	owners := map[lovagestand.ShardName]int{}
+	for i, p := range f.peers {
+		for _, shard := range p.Owned() {
+			_, twice := owners[shard]
+			c.Assert(twice, qt.IsFalse, qt.Commentf("two owners of %s", shard))
+			right, ok := p.Right(shard)
+			if ok && !time.Now().Before(right.SettleUntil) {
+				owners[shard] = i
+			}
+		}
+	}
+	return owners
+}
+
+// gap runs until all shards are owned again and returns the longest time that
+// one was not.
+func (f *fleet) gap(c *qt.C, shards int) time.Duration {
+	const step = 5 * time.Millisecond
+	began, last := time.Now(), time.Now()
+	for time.Since(began) < 30*time.Second {
+		if len(f.owners(c)) < shards {
+			last = time.Now()
+		}
+		time.Sleep(step)
+	}
+	return last.Sub(began)
+}
+
+func TestEveryShardGetsOneOwnerOfItsRegion(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 9} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(count, 3, 4)
+				defer f.stop()
+				time.Sleep(40 * time.Second)
+				c.Assert(f.owners(c), qt.HasLen, 12)
+				if count == 9 {
+					f.assertBalanced(c)
+				}
+			})
+		})
+	}
+}
+
+func (f *fleet) assertBalanced(c *qt.C) {
+	for _, p := range f.peers {
+		owned := len(p.Owned())
+		c.Assert(owned >= 1 && owned <= 2, qt.IsTrue, qt.Commentf("owns %d", owned))
+		for _, shard := range p.Owned() {
+			c.Assert(entryOf(p, shard).Standbys, qt.HasLen, 2)
+		}
+	}
+}
+
+func entryOf(p *peer.Peer, shard lovagestand.ShardName) owner.Entry {
+	for _, e := range p.Entries() {
+		if e.Shard == shard {
+			return e
+		}
+	}
+	return owner.Entry{}
+}
+
+func TestSteadyStateOnlyWatchesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(9, 3, 4)
+		defer f.stop()
+		time.Sleep(time.Minute)
+		before := f.store.callsSoFar()
+		time.Sleep(10 * time.Minute)
+		calls := f.store.callsSoFar() - before
+		c.Assert(calls <= 9*11, qt.IsTrue, qt.Commentf("%d calls", calls))
+	})
+}
+
+func TestCrashIsTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(9, 3, 4)
+		defer f.stop()
+		time.Sleep(time.Minute)
+		f.stops[0]()
+		gap := f.gap(c, 12)
+		t.Log("gap after a crash:", gap)
+		c.Assert(gap < 5*time.Second, qt.IsTrue, qt.Commentf("gap %s", gap))
+	})
+}
--- /dev/null
+++ b/peer/units.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/owner"
+)
+
+// ClaimPrefix begins the name of every claim home; its number follows.
+const ClaimPrefix = "claims/"
+
+// ClaimHome returns the name of a claim home.
+func ClaimHome(number int) lovagestand.ShardName {
+	return lovagestand.ShardName(ClaimPrefix + strconv.Itoa(number))
+}
+
+// WorkerUnits returns the shards of the listed workers, each with its number of
+// workers as weight, sorted.
+func WorkerUnits(m lovagestand.Members) []owner.Unit {
+	units := map[lovagestand.ShardName]owner.Unit{}
+	for _, w := range m.Workers {
+		u := units[w.Shard()]
+		u.Shard = w.Shard()
+		u.Region = w.Region
+		u.Weight++
+		units[u.Shard] = u
+	}
+	sorted := make([]owner.Unit, 0, len(units))
+	for _, shard := range slices.Sorted(maps.Keys(units)) {
+		sorted = append(sorted, units[shard])
+	}
+	return sorted
+}
+
+// ClaimUnits returns count claim homes spread over regions. The count and the
+// order of regions must be the same on all instances, and stay.
+func ClaimUnits(count int, regions []lovagestand.RegionName) []owner.Unit {
+	units := make([]owner.Unit, 0, count)
+	for i := range count {
+		units = append(units, owner.Unit{Shard: ClaimHome(i), Region: regions[i%len(regions)], Weight: 1})
+	}
+	return units
+}
--- /dev/null
+++ b/peer/watch.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/owner"
+)
+
+const (
+	firstRetry   = 200 * time.Millisecond
+	longestRetry = 5 * time.Second
+)
+
+// followRegions watches the documents in which this instance has a part, and
+// no others.
+func (p *Peer) followRegions() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := map[lovagestand.RegionName]bool{}
+	for _, region := range p.node.Regions() {
+		wanted[region] = true
+		if p.watches[region] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(p.ctx)
+		p.watches[region] = cancel
+		p.spawn(func() { p.watch(ctx, region) })
+	}
+	for region, cancel := range p.watches {
+		if !wanted[region] {
+			cancel()
+			delete(p.watches, region)
+		}
+	}
+}
+
+// watch follows one document until the context ends. It never gives up.
+func (p *Peer) watch(ctx context.Context, region lovagestand.RegionName) {
+	var seen lovagestand.Value
+	retry := newBackOff()
+	for first := true; ctx.Err() == nil; {
+		value, err := p.nextValue(ctx, region, seen.Revision, first)
+		if err != nil {
+			sleep(ctx, retry.NextBackOff())
+			continue
+		}
+		retry.Reset()
+		if first || value.Revision != seen.Revision {
+			p.watched(region, value)
+		}
+		first = false
+		seen = value
+	}
+}
+
+func (p *Peer) nextValue(ctx context.Context, region lovagestand.RegionName, after lovagestand.Revision, first bool) (lovagestand.Value, error) {
+	if first {
+		p.counters.StoreReads.Add(1)
+		return p.store.Get(ctx, owner.KeyOf(region))
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.watchWait+callTimeout)
+	defer cancel()
+	p.counters.StoreWatches.Add(1)
+	return p.store.Watch(ctx, owner.KeyOf(region), after, p.watchWait)
+}
+
+func (p *Peer) watched(region lovagestand.RegionName, value lovagestand.Value) {
+	document, err := owner.ParseDocument(region, value.Data)
+	if err != nil {
+		p.warnStore("watch", region, err, nil)
+		return
+	}
+	p.apply("", func(now time.Time, n *owner.Node) []owner.Effect {
+		return n.Watched(now, document, value.Revision)
+	})
+}
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRetry
+	b.MaxInterval = longestRetry
+	return b
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
