--- a/table/apply.go
+++ b/table/apply.go
@@ -19,7 +19,7 @@
 const HistoryPrefix = "tables/history/"
 
 // Attempts bounds how often one apply tries again.
-const Attempts = 8
+const Attempts = 12
 
 // Edit is an operator's wish: tables made from those at a base revision.
 type Edit struct {
@@ -82,7 +82,7 @@
 func (a *Applier) Apply(ctx context.Context, e Edit) (Result, error) {
 	attempt := &attempt{applier: a, edit: e, token: a.token()}
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = a.pause
+	wait.InitialInterval, wait.MaxInterval = a.pause, maxRetry
 	result, err := backoff.Retry(ctx, func() (Result, error) {
 		r, err := attempt.try(ctx)
 		if err != nil && !repeatable(err) {
--- /dev/null
+++ b/table/apply_test.go
@@ -0,0 +1,160 @@
+package table_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/document"
+	"lovagestand.example/lovagestand/examples"
+	"lovagestand.example/lovagestand/standin/kv"
+	"lovagestand.example/lovagestand/table"
+)
+
+// sample returns the tables of sheet-orders.
+func sample(t testing.TB) table.Tables {
+	tables, err := examples.Tables("sheet-orders")
+	qt.Assert(t, err, qt.IsNil)
+	return tables
+}
+
+// withBurst returns tables whose route i has another burst.
+func withBurst(t testing.TB, tables table.Tables, i, burst int) table.Tables {
+	routes := append([]table.Route(nil), tables.Routes()...)
+	limits := routes[i].Limits
+	limits.Burst, limits.RatePerSecond = burst, 1
+	routes[i] = routes[i].WithLimits(limits)
+	edited, err := table.New(tables.Revision(), routes, tables.Pools())
+	qt.Assert(t, err, qt.IsNil)
+	return edited
+}
+
+// seeded returns a store that holds the sample at revision 1.
+func seeded(t testing.TB) (*kv.Store, table.Tables) {
+	store := kv.New()
+	result, err := table.NewApplier(store).Apply(t.Context(), table.Edit{Tables: sample(t), Writer: "first"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, result.Revision, qt.Equals, table.Revision(1))
+	return store, sample(t).WithRevision(1)
+}
+
+func apply(t testing.TB, store lovagestand.Store, base, edited table.Tables, writer string) (table.Result, error) {
+	return table.NewApplier(store).Apply(t.Context(), table.Edit{Tables: edited, Base: base.Revision(), Writer: writer})
+}
+
+func assertBursts(t testing.TB, store lovagestand.Store, revision table.Revision, bursts ...int) {
+	t.Helper()
+	record, _, err := table.Load(context.Background(), store)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, record.Tables.Revision(), qt.Equals, revision)
+	qt.Assert(t, len(record.Changes), qt.Equals, int(revision))
+	for i, burst := range bursts {
+		qt.Assert(t, record.Tables.Routes()[i].Limits.Burst, qt.Equals, burst)
+	}
+}
+
+func TestApplyMergesByRow(t *testing.T) {
+	c := qt.New(t)
+	store, base := seeded(t)
+	_, err := apply(t, store, base, withBurst(t, base, 0, 11), "asha")
+	c.Assert(err, qt.IsNil)
+	result, err := apply(t, store, base, withBurst(t, base, 1, 12), "ben")
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Merged, qt.IsTrue)
+	assertBursts(t, store, 3, 11, 12)
+
+	_, err = apply(t, store, base, withBurst(t, base, 0, 13), "chitra")
+	var conflict *table.ConflictError
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	c.Assert(conflict.Writer, qt.Equals, "asha")
+	c.Assert(conflict.Row.Name, qt.Equals, string(base.Routes()[0].Name))
+	assertBursts(t, store, 3, 11, 12)
+
+	_, err = apply(t, store, base.WithRevision(99), base, "dev")
+	var missing *table.BaseError
+	c.Assert(errors.As(err, &missing), qt.IsTrue)
+}
+
+func TestApplyRefusesDanglingMerge(t *testing.T) {
+	c := qt.New(t)
+	store, base := seeded(t)
+	spare := table.Pool{Name: "spare", Runner: "other", Regions: []lovagestand.RegionName{"northbank"}}
+	wider, err := table.New(0, base.Routes(), append([]table.Pool{spare}, base.Pools()...))
+	c.Assert(err, qt.IsNil)
+	_, err = apply(t, store, base, wider, "asha")
+	c.Assert(err, qt.IsNil)
+	moved := append([]table.Route(nil), base.Routes()...)
+	moved[0] = moved[0].WithPool("spare")
+	users, err := table.New(0, moved, wider.Pools())
+	c.Assert(err, qt.IsNil)
+	_, err = apply(t, store, base.WithRevision(2), users, "ben")
+	c.Assert(err, qt.IsNil)
+	_, err = apply(t, store, base.WithRevision(2), base, "chitra")
+	var fault *document.Error
+	c.Assert(errors.As(err, &fault), qt.IsTrue)
+	c.Assert(fault.Problem, qt.Contains, "names no row of the pools table")
+	record, _, err := table.Load(t.Context(), store)
+	c.Assert(err, qt.IsNil)
+	c.Assert(record.Tables.Revision(), qt.Equals, table.Revision(3))
+}
+
+func TestApplyUnderStoreFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults kv.Faults
+	}{
+		{"reply lost", kv.Faults{LoseReplies: 1}},
+		{"late effect", kv.Faults{EffectDelay: 250 * time.Millisecond}},
+		{"very late effect", kv.Faults{EffectDelay: 2 * time.Second}},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, base := seeded(t)
+				store.SetFaults(k.faults)
+				result, err := apply(t, store, base, withBurst(t, base, 0, 11), "asha")
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, result.Changed, qt.IsTrue)
+				time.Sleep(5 * time.Second)
+				assertBursts(t, store, 2, 11)
+			})
+		})
+	}
+	t.Run("outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store, base := seeded(t)
+			store.SetFaults(kv.Faults{Down: true})
+			_, err := apply(t, store, base, withBurst(t, base, 0, 11), "asha")
+			var pending *table.PendingError
+			qt.Assert(t, errors.As(err, &pending), qt.IsTrue)
+			qt.Assert(t, pending.Sent, qt.IsFalse)
+		})
+	})
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	store := kv.New(kv.WithRates(1e6, 1e6))
+	base := sample(t)
+	for i := range table.HistoryLength + 5 {
+		_, err := apply(t, store, base, withBurst(t, base, 0, i+1), "asha")
+		c.Assert(err, qt.IsNil)
+		base = base.WithRevision(base.Revision() + 1)
+	}
+	kept, err := store.List(t.Context(), table.HistoryPrefix)
+	c.Assert(err, qt.IsNil)
+	c.Assert(kept, qt.HasLen, table.HistoryLength)
+	record, _, err := table.Load(t.Context(), store)
+	c.Assert(err, qt.IsNil)
+	c.Assert(record.Changes, qt.HasLen, table.HistoryLength)
+	old, err := table.Past(t.Context(), store, record, base.Revision()-100)
+	c.Assert(err, qt.IsNil)
+	c.Assert(old.Tables.Routes()[0].Limits.Burst, qt.Equals, int(base.Revision())-100)
+	_, err = table.Past(t.Context(), store, record, 1)
+	c.Assert(err, qt.ErrorMatches, "base revision 1 is not kept.*")
+}
--- a/table/follower.go
+++ b/table/follower.go
@@ -11,8 +11,8 @@
 )
 
 // Pull asks a peer for the record it has in force if that is newer than a
-// revision. The data is empty where the peer has nothing newer; the revision
-// is the peer's in any case.
+// revision, and tells the peer of that revision. The data is empty where the
+// peer has nothing newer; the revision is the peer's in any case.
 type Pull func(ctx context.Context, peer lovagestand.Instance, after Revision) (Revision, []byte, error)
 
 // Source says where a record came from.
@@ -40,6 +40,7 @@
 // back, whatever the store or a peer answers. It is safe for concurrent use.
 type Follower struct {
 	store lovagestand.Store
+	self  lovagestand.InstanceID
 	peers func() []lovagestand.Instance
 	pull  Pull
 	log   zerolog.Logger
@@ -52,6 +53,9 @@
 	// claims are peers that reported a newer revision than ours.
 	claims map[lovagestand.InstanceID]claim
 	heard  chan struct{}
+	// news holds the last revision that came into force and that no peer was
+	// told of.
+	news chan Revision
 }
 
 // claim is a revision that a peer says it has.
@@ -63,9 +67,9 @@
 // FollowerOption changes a [Follower] under construction.
 type FollowerOption func(*Follower)
 
-// WithPeers sets which peers are asked and how.
-func WithPeers(peers func() []lovagestand.Instance, pull Pull) FollowerOption {
-	return func(f *Follower) { f.peers, f.pull = peers, pull }
+// WithPeers sets which other instances are told and asked, and how.
+func WithPeers(self lovagestand.InstanceID, peers func() []lovagestand.Instance, pull Pull) FollowerOption {
+	return func(f *Follower) { f.self, f.peers, f.pull = self, peers, pull }
 }
 
 // WithLogger sets where events are logged.
@@ -83,6 +87,7 @@
 		changed: make(chan struct{}),
 		claims:  map[lovagestand.InstanceID]claim{},
 		heard:   make(chan struct{}, 1),
+		news:    make(chan Revision, 1),
 	}
 	for _, option := range options {
 		option(f)
@@ -133,7 +138,7 @@
 func (f *Follower) Heard(peer lovagestand.Instance, revision Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.status.Revision {
+	if revision <= f.status.Revision || peer.ID == f.self {
 		return
 	}
 	if _, known := f.claims[peer.ID]; !known && len(f.claims) >= maxClaims {
@@ -176,6 +181,7 @@
 			delete(f.claims, id)
 		}
 	}
+	f.tellLater(revision)
 	close(f.changed)
 	f.changed = make(chan struct{})
 	f.log.Info().Uint64("revision", uint64(revision)).Str("source", string(from)).Msg("tables in force")
--- a/table/following.go
+++ b/table/following.go
@@ -1,12 +1,16 @@
 package table
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
 
 	"lovagestand.example/lovagestand"
 )
@@ -28,6 +32,8 @@
 	pullTimeout = 2 * time.Second
 	// askPeriod is how often peers are asked while no tables are in force.
 	askPeriod = 500 * time.Millisecond
+	// toldPeers is how many peers an instance tells of a new revision.
+	toldPeers = 3
 	// maxClaims bounds how many peers are remembered to be ahead.
 	maxClaims = 8
 )
@@ -79,6 +85,9 @@
 		case <-f.heard:
 			sleep(ctx, PeerGrace)
 			f.pullClaimed(ctx)
+		case revision := <-f.news:
+			sleep(ctx, PeerGrace)
+			f.tell(ctx, revision)
 		case <-ask.C:
 			if _, found := f.Current(); !found {
 				f.askAll(ctx)
@@ -123,6 +132,36 @@
 	_, _ = f.adopt(data, SourcePeer) // a refusal is counted and logged there
 }
 
+// tellLater has peers told of a revision; an older one need not be told.
+func (f *Follower) tellLater(revision Revision) {
+	select {
+	case <-f.news:
+	default:
+	}
+	f.news <- revision
+}
+
+// tell tells a few peers of a revision, others for each revision and teller,
+// so that it reaches those that the store does not.
+func (f *Follower) tell(ctx context.Context, revision Revision) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	peers := slices.Clone(f.peers())
+	rank := func(peer lovagestand.Instance) uint64 {
+		return xxhash.Sum64String(fmt.Sprint(f.self, "/", peer.ID, "/", revision))
+	}
+	slices.SortFunc(peers, func(a, b lovagestand.Instance) int { return cmp.Compare(rank(a), rank(b)) })
+	var group sync.WaitGroup
+	for _, peer := range peers[:min(toldPeers, len(peers))] {
+		group.Go(func() {
+			if theirs, _, err := f.pull(ctx, peer, revision); err == nil {
+				f.Heard(peer, theirs)
+			}
+		})
+	}
+	group.Wait()
+}
+
 // askAll asks every peer which revision it has and notes the answers, so that
 // the newest one is pulled.
 func (f *Follower) askAll(ctx context.Context) {
--- /dev/null
+++ b/table/linear_test.go
@@ -0,0 +1,148 @@
+package table_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand/standin/kv"
+	"lovagestand.example/lovagestand/table"
+)
+
+// bursts are the values of the rows under test.
+type bursts [2]int
+
+// edit is one operation: a read, or a row's change from what was read before.
+type edit struct {
+	read     bool
+	row      int
+	from, to int
+}
+
+type outcome struct {
+	values            bursts
+	conflict, unknown bool
+}
+
+// rowModel is a register for each row, written by compare-and-swap.
+func rowModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{bursts{}} },
+		Step: func(state, input, output any) []any {
+			s, e, o := state.(bursts), input.(edit), output.(outcome)
+			if e.read {
+				if s == o.values {
+					return []any{s}
+				}
+				return nil
+			}
+			written := s
+			written[e.row] = e.to
+			fits := s[e.row] == e.from
+			switch {
+			case o.unknown && fits:
+				return []any{s, written}
+			case o.unknown || fits != o.conflict:
+				if fits {
+					return []any{written}
+				}
+				return []any{s}
+			default:
+				return nil
+			}
+		},
+		Equal: func(a, b any) bool { return a.(bursts) == b.(bursts) },
+	}
+	return model.ToModel()
+}
+
+// history collects operations of several writers.
+type history struct {
+	mu         sync.Mutex
+	operations []porcupine.Operation
+}
+
+func (h *history) add(writer int, call time.Time, e edit, o outcome) {
+	returned := time.Now().UnixNano()
+	if o.unknown {
+		returned = 1 << 62
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{
+		ClientId: writer, Input: e, Output: o, Call: call.UnixNano(), Return: returned,
+	})
+}
+
+// write reads the tables and changes one row, as an operator does.
+func (h *history) write(t *testing.T, store *kv.Store, writer, row, to int, think time.Duration) {
+	call := time.Now()
+	record, _, err := table.Load(t.Context(), store)
+	for err != nil {
+		time.Sleep(50 * time.Millisecond)
+		call = time.Now()
+		record, _, err = table.Load(t.Context(), store)
+	}
+	read := outcome{}
+	for i := range read.values {
+		read.values[i] = record.Tables.Routes()[i].Limits.Burst
+	}
+	h.add(writer, call, edit{read: true}, read)
+	time.Sleep(think)
+	call = time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, err = table.NewApplier(store).Apply(ctx, table.Edit{
+		Tables: withBurst(t, record.Tables, row, to), Base: record.Tables.Revision(), Writer: "w",
+	})
+	var conflict *table.ConflictError
+	var pending *table.PendingError
+	o := outcome{conflict: errors.As(err, &conflict), unknown: errors.As(err, &pending)}
+	qt.Check(t, err == nil || o.conflict || o.unknown, qt.IsTrue, qt.Commentf("%v", err))
+	h.add(writer, call, edit{row: row, from: read.values[row], to: to}, o)
+}
+
+// disturb changes the store's faults at random until the context ends.
+func disturb(ctx context.Context, store *kv.Store, random *rand.Rand) {
+	kinds := []kv.Faults{{}, {LoseReplies: 0.5}, {EffectDelay: 90 * time.Millisecond}, {Down: true}, {Delay: 40 * time.Millisecond}}
+	for ctx.Err() == nil {
+		store.SetFaults(kinds[random.IntN(len(kinds))])
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+	store.SetFaults(kv.Faults{})
+}
+
+func TestTableWritesAreLinearizable(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			store, h := kv.New(kv.WithSeed(seed)), &history{}
+			base := withBurst(t, withBurst(t, sample(t), 0, 0), 1, 0)
+			_, err := apply(t, store, sample(t), base, "first")
+			qt.Assert(t, err, qt.IsNil)
+			ctx, cancel := context.WithCancel(t.Context())
+			go disturb(ctx, store, rand.New(rand.NewPCG(seed, 0)))
+			var writers sync.WaitGroup
+			for w := range 4 {
+				random := rand.New(rand.NewPCG(seed, uint64(w+1)))
+				writers.Go(func() {
+					for i := range 6 {
+						h.write(t, store, w, random.IntN(2), 1+w*100+i, time.Duration(random.IntN(200))*time.Millisecond)
+					}
+				})
+			}
+			writers.Wait()
+			cancel()
+			synctest.Wait()
+			time.Sleep(time.Second)
+			qt.Assert(t, porcupine.CheckOperations(rowModel(), h.operations), qt.IsTrue, qt.Commentf("seed %d", seed))
+			qt.Assert(t, len(h.operations), qt.Equals, 48)
+		})
+	}
+}
--- a/table/tablepeer/peer.go
+++ b/table/tablepeer/peer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 
 	"lovagestand.example/lovagestand"
@@ -23,6 +24,10 @@
 
 // Pull implements tablepb.Tables.
 func (s *service) Pull(_ context.Context, r *tablepb.PullRequest) (*tablepb.PullResponse, error) {
+	if r.GetInstance() != "" && r.GetAfter() < math.MaxUint64 {
+		peer := lovagestand.Instance{ID: lovagestand.InstanceID(r.GetInstance()), Address: r.GetAddress()}
+		s.follower.Heard(peer, table.Revision(r.GetAfter()))
+	}
 	revision, data := s.follower.Encoded()
 	response := &tablepb.PullResponse{Revision: uint64(revision)}
 	if uint64(revision) > r.GetAfter() {
@@ -31,11 +36,13 @@
 	return response, nil
 }
 
-// Puller returns a function that pulls from peers with an HTTP client.
-func Puller(client *http.Client) table.Pull {
+// Puller returns a function that pulls from peers on behalf of an instance.
+func Puller(client *http.Client, self lovagestand.Instance) table.Pull {
 	return func(ctx context.Context, peer lovagestand.Instance, after table.Revision) (table.Revision, []byte, error) {
 		remote := tablepb.NewTablesProtobufClient("http://"+peer.Address, client)
-		response, err := remote.Pull(ctx, &tablepb.PullRequest{After: uint64(after)})
+		response, err := remote.Pull(ctx, &tablepb.PullRequest{
+			After: uint64(after), Instance: string(self.ID), Address: self.Address,
+		})
 		if err != nil {
 			return 0, nil, err
 		}
