trial/network: hosts on loopback that can be delayed, paused, killed, cut off

Cause: a trial runs nine instances in one process and must fail them one by one. Change: every connection of a host passes a gate; links between regions are delayed and counted; killing a host breaks all of its connections.

--- a/audit/auditor.go
+++ b/audit/auditor.go
@@ -21,7 +21,6 @@
 // others by the callers and by whoever runs the instances.
 type Auditor struct {
 	mutex     sync.Mutex
-	expected  func(lovagestand.RequestKey, []byte) []byte
 	workers   map[lovagestand.WorkerName]*load
 	works     map[lovagestand.RequestKey]*work
 	revisions map[string]lovagestand.Revision
@@ -41,7 +40,7 @@
 // work is what became of one request key.
 type work struct {
 	asked   bool
-	body    []byte
+	due     []byte
 	runs    []place
 	starts  int
 	notRun  bool
@@ -54,11 +53,9 @@
 	worker lovagestand.WorkerName
 }
 
-// New returns an auditor of workers. The whole answer to a request of some key
-// and body is the one that expected returns.
-func New(workers []lovagestand.Worker, expected func(key lovagestand.RequestKey, body []byte) []byte) *Auditor {
+// New returns an auditor of workers.
+func New(workers []lovagestand.Worker) *Auditor {
 	a := &Auditor{
-		expected:  expected,
 		workers:   map[lovagestand.WorkerName]*load{},
 		works:     map[lovagestand.RequestKey]*work{},
 		revisions: map[string]lovagestand.Revision{},
--- a/audit/callers.go
+++ b/audit/callers.go
@@ -8,13 +8,14 @@
 	"lovagestand.example/lovagestand"
 )
 
-// Asked notes a request before its caller sends it for the first time.
-func (a *Auditor) Asked(key lovagestand.RequestKey, body []byte) {
+// Asked notes a request before its caller sends it for the first time; due is
+// the body of the whole answer to it.
+func (a *Auditor) Asked(key lovagestand.RequestKey, due []byte) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	w := a.work(key)
 	w.asked = true
-	w.body = slices.Clone(body)
+	w.due = slices.Clone(due)
 }
 
 // Answered judges what the caller of a key was told.
@@ -41,16 +42,15 @@
 }
 
 func (a *Auditor) judgeBody(v Violation, w *work, body []byte) {
-	want := a.expected(v.Key, w.body)
-	if bytes.Equal(body, want) {
+	if bytes.Equal(body, w.due) {
 		return
 	}
 	v.Kind = KindWrongAnswer
-	if bytes.HasPrefix(want, body) {
-		a.violate(v, "only %d of %d bytes came", len(body), len(want))
+	if bytes.HasPrefix(w.due, body) {
+		a.violate(v, "only %d of %d bytes came", len(body), len(w.due))
 		return
 	}
-	a.violate(v, "%d bytes came that are not the %d due", len(body), len(want))
+	a.violate(v, "%d bytes came that are not the %d due", len(body), len(w.due))
 }
 
 func (a *Auditor) judgeNotRun(v Violation, w *work) {
--- /dev/null
+++ b/trial/network/host.go
@@ -0,0 +1,142 @@
+package network
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Host is one process of a trial as its network sees it: all of its
+// connections, in and out. It can be paused and killed.
+type Host struct {
+	network *Network
+	place   Place
+
+	mutex     sync.Mutex
+	dead      bool
+	paused    chan struct{} // closed at the end of a pause; nil without one
+	conns     map[*conn]struct{}
+	listeners []net.Listener
+}
+
+// Host returns a host at a place.
+func (n *Network) Host(p Place) *Host {
+	return &Host{network: n, place: p, conns: map[*conn]struct{}{}}
+}
+
+// Listen opens a listener on a free port of loopback and registers it.
+func (h *Host) Listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	h.network.Register(l.Addr().String(), h.place)
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.listeners = append(h.listeners, l)
+	return &listener{Listener: l, host: h}, nil
+}
+
+// Dial connects h to an address; it has the form that a transport takes.
+func (h *Host) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := h.await(ctx.Done()); err != nil {
+		return nil, err
+	}
+	inner, to, err := h.network.dial(ctx, h.place, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return h.adopt(inner, &to)
+}
+
+// Pause holds up everything that h sends or receives until Resume.
+func (h *Host) Pause() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.paused == nil {
+		h.paused = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (h *Host) Resume() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.paused != nil {
+		close(h.paused)
+		h.paused = nil
+	}
+}
+
+// Kill breaks all connections of h and lets it make no new ones.
+func (h *Host) Kill() {
+	h.mutex.Lock()
+	h.dead = true
+	var conns []*conn
+	for c := range h.conns {
+		conns = append(conns, c)
+	}
+	listeners := h.listeners
+	h.mutex.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// await waits while h is paused, or until done.
+func (h *Host) await(done <-chan struct{}) error {
+	h.mutex.Lock()
+	dead, paused := h.dead, h.paused
+	h.mutex.Unlock()
+	if dead {
+		return net.ErrClosed
+	}
+	if paused == nil {
+		return nil
+	}
+	select {
+	case <-paused:
+		return nil
+	case <-done:
+		return net.ErrClosed
+	}
+}
+
+// adopt makes a connection one of h; to is where it leads if h dialled it.
+func (h *Host) adopt(inner net.Conn, to *Place) (net.Conn, error) {
+	c := &conn{Conn: inner, host: h, to: to, closed: make(chan struct{}), turn: true}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.dead {
+		_ = inner.Close()
+		return nil, net.ErrClosed
+	}
+	h.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (h *Host) forget(c *conn) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delete(h.conns, c)
+}
+
+// listener accepts connections of a host.
+type listener struct {
+	net.Listener
+	host *Host
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.host.adopt(inner, nil)
+}
--- /dev/null
+++ b/trial/network/network.go
@@ -0,0 +1,133 @@
+package network
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+)
+
+// dialTimeout is how long a dial into a region that is cut off takes to fail.
+const dialTimeout = time.Second
+
+// Network knows what stands at which address and which regions are cut off.
+type Network struct {
+	mutex  sync.Mutex
+	places map[string]Place
+	cut    lovagestand.RegionName
+	// changed is closed and replaced at each change of cut.
+	changed chan struct{}
+	bytes   [kinds]atomic.Uint64
+	callers atomic.Uint64
+	across  atomic.Uint64
+}
+
+// New returns a network without places.
+func New() *Network {
+	return &Network{places: map[string]Place{}, changed: make(chan struct{})}
+}
+
+// Register says what stands at an address.
+func (n *Network) Register(address string, p Place) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.places[address] = p
+}
+
+// Cut cuts a region from all others; the empty name joins all again. What was
+// sent meanwhile arrives late.
+func (n *Network) Cut(region lovagestand.RegionName) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cut = region
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Bytes returns the counts up to now.
+func (n *Network) Bytes() Bytes {
+	return Bytes{
+		Callers:       n.callers.Load(),
+		Instances:     n.bytes[KindInstance].Load(),
+		Workers:       n.bytes[KindWorker].Load(),
+		Store:         n.bytes[KindStore].Load(),
+		MemberList:    n.bytes[KindMemberList].Load(),
+		AcrossRegions: n.across.Load(),
+	}
+}
+
+func (n *Network) place(address string) Place {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.places[address]
+}
+
+// parted reports whether two regions are cut from each other, and returns a
+// channel that tells of the next change.
+func (n *Network) parted(a, b lovagestand.RegionName) (bool, <-chan struct{}) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.cut != "" && a != b && (a == n.cut || b == n.cut), n.changed
+}
+
+// pass waits while two regions are cut from each other, or until closed.
+func (n *Network) pass(a, b lovagestand.RegionName, closed <-chan struct{}) error {
+	for {
+		parted, changed := n.parted(a, b)
+		if !parted {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-closed:
+			return net.ErrClosed
+		}
+	}
+}
+
+// count adds n bytes sent or received on a link.
+func (n *Network) count(from, to Place, bytes int) {
+	if from.Kind == KindCaller {
+		n.callers.Add(uint64(bytes))
+		return
+	}
+	n.bytes[to.Kind].Add(uint64(bytes))
+	if from.Region != to.Region {
+		n.across.Add(uint64(bytes))
+	}
+}
+
+// dial connects a place to an address; it fails late into a region cut off.
+func (n *Network) dial(ctx context.Context, from Place, network, address string) (net.Conn, Place, error) {
+	to := n.place(address)
+	if parted, _ := n.parted(from.Region, to.Region); parted {
+		if err := sleep(ctx, dialTimeout); err != nil {
+			return nil, to, err
+		}
+		return nil, to, &net.OpError{Op: "dial", Net: network, Err: errors.New("region cut off")}
+	}
+	if err := sleep(ctx, from.trip(to)); err != nil {
+		return nil, to, err
+	}
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	return conn, to, err
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
