report: table, JSON and one HTML page with plots of a trial

Cause: a trial's result must be readable by a person and by a program. Change: package report holds the typed result; report/plot draws SVG. Conclusion: the page refers to no other file, shown by a test.

--- /dev/null
+++ b/report/page.go
@@ -0,0 +1,117 @@
+package report
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/report/plot"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
+	"percent": func(v float64) float64 { return 100 * v },
+	"seconds": func(millis float64) float64 { return millis / 1000 },
+}).Parse(pageText))
+
+// page is what the template shows.
+type page struct {
+	Report
+	Plots []template.HTML
+}
+
+// WriteHTML writes r as one page that needs no other file.
+func (r Report) WriteHTML(w io.Writer) error {
+	p := page{Report: r}
+	for _, q := range r.plots() {
+		// SVG escapes all text that it is given.
+		p.Plots = append(p.Plots, template.HTML(q.SVG()))
+	}
+	return errors.Wrap(pageTemplate.Execute(w, p), "report")
+}
+
+// Offset returns when a violation came, in seconds from the start.
+func (p page) Offset(i int) float64 {
+	return p.Audit.Violations[i].At.Sub(p.Started).Seconds()
+}
+
+func (r Report) plots() []plot.Plot {
+	plots := []plot.Plot{
+		{Title: "Waiting time by kind: median (full) and 99th percentile (dashed)", Unit: "ms", Log: true, Lines: r.waitingLines()},
+		{Title: "Placements and store calls", Unit: "a second", Lines: []plot.Line{
+			r.line("placements", 0, func(s Sample) float64 { return s.PlacementsPerSecond }),
+			r.line("store calls", 1, func(s Sample) float64 { return s.StoreCallsPerSecond }),
+		}},
+		{Title: "Packing: dominant share given to running tasks", Unit: "%", Lines: []plot.Line{
+			r.line("of busy workers", 0, func(s Sample) float64 { return 100 * s.Packing }),
+			r.line("of all workers", 1, func(s Sample) float64 { return 100 * s.Share }),
+		}},
+		{Title: "Running tasks", Unit: "tasks", Lines: []plot.Line{
+			r.line("running", 0, func(s Sample) float64 { return float64(s.Running) }),
+		}},
+		{Title: "Violations, counted up", Unit: "violations", Lines: []plot.Line{
+			r.line("violations", 1, func(s Sample) float64 { return float64(s.Violations) }),
+		}},
+	}
+	for i := range plots {
+		plots[i].Seconds = r.plotSeconds()
+		plots[i].Bands = r.bands()
+	}
+	return plots
+}
+
+// plotSeconds is the time shown: the trial and the wait for its last answers.
+func (r Report) plotSeconds() float64 {
+	if n := len(r.Samples); n > 0 {
+		return max(r.Seconds, r.Samples[n-1].AtMillis/1000)
+	}
+	return r.Seconds
+}
+
+func (r Report) bands() []plot.Band {
+	var bands []plot.Band
+	for _, f := range r.Faults {
+		bands = append(bands, plot.Band{Name: f.Name, From: f.FromMillis / 1000, Until: f.UntilMillis / 1000})
+	}
+	return bands
+}
+
+func (r Report) line(name string, color int, value func(Sample) float64) plot.Line {
+	l := plot.Line{Name: name, Color: color}
+	for _, s := range r.Samples {
+		l.Points = append(l.Points, plot.Point{Seconds: s.AtMillis / 1000, Value: value(s)})
+	}
+	return l
+}
+
+func (r Report) waitingLines() []plot.Line {
+	var lines []plot.Line
+	for i, k := range r.Kinds {
+		p50 := plot.Line{Name: string(k.Route), Color: i}
+		p99 := plot.Line{Name: string(k.Route) + " p99", Color: i, Dashed: true}
+		for _, s := range r.Samples {
+			w := s.waiting(k.Route)
+			if w.Count == 0 {
+				continue
+			}
+			p50.Points = append(p50.Points, plot.Point{Seconds: s.AtMillis / 1000, Value: w.P50})
+			p99.Points = append(p99.Points, plot.Point{Seconds: s.AtMillis / 1000, Value: w.P99})
+		}
+		lines = append(lines, p50, p99)
+	}
+	return lines
+}
+
+func (s Sample) waiting(route lovagestand.RouteName) Spread {
+	for _, w := range s.Waiting {
+		if w.Route == route {
+			return w.Spread
+		}
+	}
+	return Spread{}
+}
--- /dev/null
+++ b/report/plot/plot.go
@@ -0,0 +1,150 @@
+package plot
+
+import (
+	"fmt"
+	"html"
+	"math"
+	"strings"
+)
+
+// The size of a plot and of the margins around its field, in pixels.
+const (
+	width       = 860
+	height      = 260
+	marginLeft  = 64
+	marginRight = 190
+	marginTop   = 34
+	marginFoot  = 36
+	rowHeight   = 16
+	ticks       = 5
+)
+
+// colors are told apart by people who see colors differently.
+var colors = []string{"#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9", "#000000"}
+
+// Point is one value at a time in seconds.
+type Point struct {
+	Seconds float64
+	Value   float64
+}
+
+// Line is a named series in the order of time.
+type Line struct {
+	Name   string
+	Points []Point
+	// Dashed draws the line broken, for a second value of the same thing.
+	Dashed bool
+	// Color is the index of the line's color.
+	Color int
+}
+
+// Band is a named span of time that is shaded.
+type Band struct {
+	Name        string
+	From, Until float64
+}
+
+// Plot is some lines over the same time.
+type Plot struct {
+	Title string
+	// Unit names what the values are measured in.
+	Unit string
+	// Seconds is the length of the time axis.
+	Seconds float64
+	// Log makes the axis of values logarithmic.
+	Log   bool
+	Lines []Line
+	Bands []Band
+}
+
+// SVG returns the plot as an svg element.
+func (p Plot) SVG() string {
+	var b strings.Builder
+	a := p.axis()
+	fmt.Fprintf(&b, `<svg viewBox="0 0 %d %d" role="img" aria-label="%s" font-family="sans-serif" font-size="11">`,
+		width, height, html.EscapeString(p.Title))
+	fmt.Fprintf(&b, `<text x="%d" y="18" font-size="14" font-weight="bold">%s</text>`, marginLeft, html.EscapeString(p.Title))
+	p.drawBands(&b, a)
+	p.drawAxes(&b, a)
+	p.drawLines(&b, a)
+	p.drawLegend(&b)
+	b.WriteString(`</svg>`)
+	return b.String()
+}
+
+// drawBands shades spans of time and names them in rows, so that the names of
+// spans that overlap can be read.
+func (p Plot) drawBands(b *strings.Builder, a axis) {
+	for i, s := range p.Bands {
+		left, right := a.x(s.From), a.x(min(s.Until, p.Seconds))
+		fmt.Fprintf(b, `<rect x="%.1f" y="%d" width="%.1f" height="%d" fill="#888" fill-opacity="0.13"><title>%s</title></rect>`,
+			left, marginTop, max(1, right-left), height-marginTop-marginFoot, html.EscapeString(s.Name))
+		fmt.Fprintf(b, `<text x="%.1f" y="%d" font-size="9" fill="#666">%s</text>`,
+			left+2, marginTop+9+(i%4)*10, html.EscapeString(s.Name))
+	}
+}
+
+func (p Plot) drawAxes(b *strings.Builder, a axis) {
+	for _, v := range a.ticks() {
+		y := a.y(v)
+		fmt.Fprintf(b, `<line x1="%d" y1="%.1f" x2="%d" y2="%.1f" stroke="#ddd"/>`, marginLeft, y, width-marginRight, y)
+		fmt.Fprintf(b, `<text x="%d" y="%.1f" text-anchor="end">%s</text>`, marginLeft-6, y+4, label(v))
+	}
+	for i := range ticks + 1 {
+		s := p.Seconds * float64(i) / ticks
+		fmt.Fprintf(b, `<text x="%.1f" y="%d" text-anchor="middle">%s s</text>`, a.x(s), height-marginFoot+16, label(s))
+	}
+	fmt.Fprintf(b, `<text x="14" y="%d" transform="rotate(-90 14 %d)" text-anchor="middle">%s</text>`,
+		height/2, height/2, html.EscapeString(p.Unit))
+	fmt.Fprintf(b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="#444"/>`,
+		marginLeft, height-marginFoot, width-marginRight, height-marginFoot)
+}
+
+func (p Plot) drawLines(b *strings.Builder, a axis) {
+	for _, l := range p.Lines {
+		if len(l.Points) == 0 {
+			continue
+		}
+		fmt.Fprintf(b, `<polyline fill="none" stroke="%s" stroke-width="1.6"%s points="`, l.color(), l.dash())
+		for _, q := range l.Points {
+			fmt.Fprintf(b, "%.1f,%.1f ", a.x(q.Seconds), a.y(q.Value))
+		}
+		b.WriteString(`"/>`)
+		for _, q := range l.Points {
+			fmt.Fprintf(b, `<circle cx="%.1f" cy="%.1f" r="2" fill="%s"><title>%s: %s %s at %.1f s</title></circle>`,
+				a.x(q.Seconds), a.y(q.Value), l.color(), html.EscapeString(l.Name), label(q.Value), html.EscapeString(p.Unit), q.Seconds)
+		}
+	}
+}
+
+func (p Plot) drawLegend(b *strings.Builder) {
+	x := width - marginRight + 12
+	for i, l := range p.Lines {
+		y := marginTop + 8 + i*rowHeight
+		fmt.Fprintf(b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="%s" stroke-width="2"%s/>`,
+			x, y, x+18, y, l.color(), l.dash())
+		fmt.Fprintf(b, `<text x="%d" y="%d">%s</text>`, x+24, y+4, html.EscapeString(l.Name))
+	}
+}
+
+func (l Line) color() string {
+	return colors[l.Color%len(colors)]
+}
+
+func (l Line) dash() string {
+	if l.Dashed {
+		return ` stroke-dasharray="4 3"`
+	}
+	return ""
+}
+
+// label writes a value with as many digits as are of use.
+func label(v float64) string {
+	if v != 0 && math.Abs(v) < 0.1 {
+		return fmt.Sprintf("%.2g", v)
+	}
+	if v == math.Trunc(v) {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.1f", v)
+}
--- /dev/null
+++ b/report/report_test.go
@@ -0,0 +1,70 @@
+package report_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand/audit"
+	"lovagestand.example/lovagestand/report"
+)
+
+func sample() report.Report {
+	began := time.Date(2026, 6, 1, 8, 0, 0, 0, time.UTC)
+	a := audit.New(nil)
+	a.CutOff(began.Add(1500*time.Millisecond), "k<1>", "i1", "connection broken")
+	spread := report.Spread{Count: 3, P50: 1.5, P99: 20, Max: 21}
+	return report.Report{
+		Started: began, Seed: 7, Seconds: 10, Instances: 9, Workers: 50,
+		Faults: []report.Fault{{Name: "kill", FromMillis: 1000, UntilMillis: 2000, Target: "i1"}},
+		Kinds:  []report.Kind{{Route: "counter-quote", Class: "urgent", Asked: 3, Done: 3, Waiting: spread}},
+		Samples: []report.Sample{{
+			AtMillis: 1000, PlacementsPerSecond: 3,
+			Waiting: []report.RouteSpread{{Route: "counter-quote", Spread: spread}},
+		}},
+		Audit: a.Result(),
+	}
+}
+
+func assertHolds(c *qt.C, text string, parts ...string) {
+	c.Helper()
+	for _, p := range parts {
+		c.Assert(strings.Contains(text, p), qt.IsTrue, qt.Commentf("lacks %q:\n%s", p, text))
+	}
+}
+
+func TestTable(t *testing.T) {
+	c := qt.New(t)
+	var b bytes.Buffer
+	c.Assert(sample().WriteTable(&b), qt.IsNil)
+	assertHolds(c, b.String(), "counter-quote", "faults: kill", "violations    1", "cutOff         1", "1.500s violation=cutOff")
+}
+
+func TestFiles(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	page := filepath.Join(dir, "r.html")
+	c.Assert(sample().WriteFile(page), qt.IsNil)
+	text, err := os.ReadFile(page)
+	c.Assert(err, qt.IsNil)
+	assertHolds(c, string(text), "<b>1 violations</b>", "k&lt;1&gt;", "<polyline", "1.500")
+	for _, outside := range []string{"http://", "https://", "src="} {
+		c.Assert(strings.Contains(string(text), outside), qt.IsFalse)
+	}
+
+	document := filepath.Join(dir, "r.json")
+	c.Assert(sample().WriteFile(document), qt.IsNil)
+	text, err = os.ReadFile(document)
+	c.Assert(err, qt.IsNil)
+	var read report.Report
+	c.Assert(json.Unmarshal(text, &read), qt.IsNil)
+	c.Assert(read, qt.DeepEquals, sample())
+
+	c.Assert(sample().WriteFile(filepath.Join(dir, "r.txt")), qt.ErrorAs, new(*report.FormatError))
+}
