--- a/trial/network/host.go
+++ b/trial/network/host.go
@@ -109,11 +109,14 @@
 
 // adopt makes a connection one of h; to is where it leads if h dialled it.
 func (h *Host) adopt(inner net.Conn, to *Place) (net.Conn, error) {
-	c := &conn{Conn: inner, host: h, to: to, closed: make(chan struct{}), turn: true}
+	c := &conn{Conn: inner, host: h, to: to, closed: make(chan struct{})}
+	if to != nil {
+		c.Conn = delay(inner, h.place.trip(*to))
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.dead {
-		_ = inner.Close()
+		_ = c.Conn.Close()
 		return nil, net.ErrClosed
 	}
 	h.conns[c] = struct{}{}
