claim: at-most-once and exclusive claims by group commit

Cause: non-idempotent and exclusive requests need one task per attempt over caller retries, entry deaths and paused owners, without a store call each. Not granted, ambiguous and not owner are typed apart.

--- /dev/null
+++ b/claim/fake_test.go
@@ -0,0 +1,179 @@
+package claim
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	lovagestand "lovagestand.example/lovagestand"
+)
+
+// fakeStore is a store in memory whose calls take virtual time and fail as
+// fault says.
+type fakeStore struct {
+	lovagestand.Store
+	mu sync.Mutex
+	// fault decides what happens to a call, "put", "get" or "list".
+	fault  func(call string) fault
+	values map[string]lovagestand.Value
+	puts   int
+}
+
+// fault is what happens to one call of a store.
+type fault struct {
+	// before and after delay the effect and the reply.
+	before, after time.Duration
+	// down drops the call, lost drops the reply, and late lets the effect
+	// happen later than the reply that tells of a failure.
+	down, lost bool
+	late       time.Duration
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		fault:  func(string) fault { return fault{after: 2 * time.Millisecond} },
+		values: make(map[string]lovagestand.Value),
+	}
+}
+
+// fail makes all later calls meet a fault.
+func (s *fakeStore) fail(f fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = func(string) fault { return f }
+}
+
+func (s *fakeStore) faulty(ctx context.Context, call string, effect func()) error {
+	s.mu.Lock()
+	f := s.fault(call)
+	s.mu.Unlock()
+	unavailable := &lovagestand.UnavailableError{System: "store", Reason: "fault"}
+	if f.late > 0 {
+		time.AfterFunc(f.late, effect)
+		return unavailable
+	}
+	time.Sleep(f.before)
+	if f.down {
+		return unavailable
+	}
+	effect()
+	time.Sleep(f.after)
+	if f.lost || ctx.Err() != nil {
+		return unavailable
+	}
+	return nil
+}
+
+func (s *fakeStore) Put(ctx context.Context, key string, data []byte, previous lovagestand.Revision, _ lovagestand.LeaseID) (revision lovagestand.Revision, err error) {
+	// With a late effect the reply has been sent before the effect sets these.
+	var result struct {
+		revision lovagestand.Revision
+		err      error
+	}
+	failure := s.faulty(ctx, "put", func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.puts++
+		v := s.values[key]
+		if v.Revision != previous {
+			result.err = &lovagestand.ConflictError{Key: key, Expected: previous, Found: v.Revision}
+			return
+		}
+		result.revision = previous + 1
+		s.values[key] = lovagestand.Value{Key: key, Data: data, Revision: result.revision}
+	})
+	if failure != nil {
+		return 0, failure
+	}
+	return result.revision, result.err
+}
+
+func (s *fakeStore) Get(ctx context.Context, key string) (v lovagestand.Value, err error) {
+	err = s.faulty(ctx, "get", func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		v = s.values[key]
+	})
+	return v, err
+}
+
+func (s *fakeStore) List(ctx context.Context, prefix string) (list []lovagestand.Value, err error) {
+	err = s.faulty(ctx, "list", func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for key, v := range s.values {
+			if strings.HasPrefix(key, prefix) {
+				list = append(list, v)
+			}
+		}
+		sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	})
+	return list, err
+}
+
+func (s *fakeStore) Delete(_ context.Context, key string, previous lovagestand.Revision) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.values[key]
+	if v.Revision != previous {
+		return &lovagestand.ConflictError{Key: key, Expected: previous, Found: v.Revision}
+	}
+	delete(s.values, key)
+	return nil
+}
+
+// tenure is a time for which one instance owns every home.
+type tenure struct {
+	owner       lovagestand.InstanceID
+	epoch       lovagestand.Epoch
+	from, until time.Time
+}
+
+// tenures is the history of owners, known beforehand.
+type tenures []tenure
+
+// fakeOwnership is how one instance sees the history of owners.
+type fakeOwnership struct {
+	self    lovagestand.InstanceID
+	tenures tenures
+}
+
+func (o fakeOwnership) Right(name lovagestand.ShardName) (lovagestand.Right, bool) {
+	for _, t := range o.tenures {
+		if t.owner == o.self && !time.Now().Before(t.from) && time.Now().Before(t.until) {
+			return lovagestand.Right{Shard: name, Epoch: t.epoch, Until: t.until}, true
+		}
+	}
+	return lovagestand.Right{}, false
+}
+
+func (o fakeOwnership) Owned() []lovagestand.ShardName { return nil }
+
+func (o fakeOwnership) Owner(lovagestand.ShardName) (owner lovagestand.Instance, ok bool) {
+	for _, t := range o.tenures {
+		if !time.Now().Before(t.from) {
+			owner, ok = lovagestand.Instance{ID: t.owner}, true
+		}
+	}
+	return owner, ok
+}
+
+func (o fakeOwnership) Changed() <-chan struct{} {
+	changed := make(chan struct{})
+	for _, t := range o.tenures {
+		if d := time.Until(t.from); d > 0 {
+			time.AfterFunc(d, func() { close(changed) })
+			break
+		}
+	}
+	return changed
+}
+
+// alone is the ownership of an instance that owns everything for ever.
+func alone(epoch lovagestand.Epoch) fakeOwnership {
+	return fakeOwnership{self: "a", tenures: tenures{
+		{owner: "a", epoch: epoch, from: time.Now(), until: time.Now().Add(1000 * time.Hour)},
+	}}
+}
--- /dev/null
+++ b/claim/message.go
@@ -0,0 +1,120 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	lovagestand "lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/claim/claimpb"
+)
+
+func nanos(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func timeOf(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos)
+}
+
+func messageOf(c Claim) *claimpb.Claim {
+	return &claimpb.Claim{
+		Key:         string(c.Key),
+		Fingerprint: c.Fingerprint,
+		Attempt:     int64(c.Attempt),
+		Task:        string(c.Task),
+		Shard:       string(c.Shard),
+		Created:     nanos(c.Created),
+		StartBy:     nanos(c.StartBy),
+		Outcome:     string(c.Outcome),
+		Reason:      c.Reason,
+		Ran:         c.Ran,
+		Touched:     nanos(c.Touched),
+		Retention:   int64(c.Retention),
+		ValidUntil:  nanos(c.ValidUntil),
+	}
+}
+
+func claimOf(m *claimpb.Claim) Claim {
+	return Claim{
+		Key:         lovagestand.RequestKey(m.Key),
+		Fingerprint: m.Fingerprint,
+		Attempt:     int(m.Attempt),
+		Task:        lovagestand.TaskID(m.Task),
+		Shard:       lovagestand.ShardName(m.Shard),
+		Created:     timeOf(m.Created),
+		StartBy:     timeOf(m.StartBy),
+		Outcome:     lovagestand.Outcome(m.Outcome),
+		Reason:      m.Reason,
+		Ran:         m.Ran,
+		Touched:     timeOf(m.Touched),
+		Retention:   time.Duration(m.Retention),
+		ValidUntil:  timeOf(m.ValidUntil),
+	}
+}
+
+// refusalOf returns the message of a typed error; nil for any other error.
+func refusalOf(err error) *claimpb.Refusal {
+	var (
+		mismatch   *MismatchError
+		notGranted *NotGrantedError
+		ambiguous  *AmbiguousError
+		notOwner   *NotOwnerError
+		stale      *StaleError
+		tooEarly   *TooEarlyError
+		invalid    *InvalidError
+	)
+	r := &claimpb.Refusal{}
+	switch {
+	case errors.As(err, &mismatch):
+		r.Kind, r.Key = claimpb.RefusalKind_REFUSAL_KIND_MISMATCH, string(mismatch.Key)
+		r.Asked, r.Found = mismatch.Asked, mismatch.Found
+	case errors.As(err, &notGranted):
+		r.Kind, r.Key = claimpb.RefusalKind_REFUSAL_KIND_NOT_GRANTED, string(notGranted.Key)
+		r.Reason, r.Until = notGranted.Reason, nanos(notGranted.ValidUntil)
+	case errors.As(err, &ambiguous):
+		r.Kind, r.Key = claimpb.RefusalKind_REFUSAL_KIND_AMBIGUOUS, string(ambiguous.Key)
+		r.Reason = ambiguous.Reason
+	case errors.As(err, &notOwner):
+		r.Kind, r.Home = claimpb.RefusalKind_REFUSAL_KIND_NOT_OWNER, string(notOwner.Home)
+	case errors.As(err, &stale):
+		r.Kind, r.Key = claimpb.RefusalKind_REFUSAL_KIND_STALE, string(stale.Key)
+		r.Task, r.Last = string(stale.Task), string(stale.Last)
+	case errors.As(err, &tooEarly):
+		r.Kind, r.Key = claimpb.RefusalKind_REFUSAL_KIND_TOO_EARLY, string(tooEarly.Key)
+		r.Until = nanos(tooEarly.After)
+	case errors.As(err, &invalid):
+		r.Kind, r.Key = claimpb.RefusalKind_REFUSAL_KIND_INVALID, string(invalid.Key)
+		r.Reason = invalid.Reason
+	default:
+		return nil
+	}
+	return r
+}
+
+// errorOf returns the typed error of a message.
+func errorOf(r *claimpb.Refusal) error {
+	key := lovagestand.RequestKey(r.Key)
+	switch r.Kind {
+	case claimpb.RefusalKind_REFUSAL_KIND_MISMATCH:
+		return &MismatchError{Key: key, Asked: r.Asked, Found: r.Found}
+	case claimpb.RefusalKind_REFUSAL_KIND_NOT_GRANTED:
+		return &NotGrantedError{Key: key, Reason: r.Reason, ValidUntil: timeOf(r.Until)}
+	case claimpb.RefusalKind_REFUSAL_KIND_NOT_OWNER:
+		return &NotOwnerError{Home: lovagestand.ShardName(r.Home)}
+	case claimpb.RefusalKind_REFUSAL_KIND_STALE:
+		return &StaleError{Key: key, Task: lovagestand.TaskID(r.Task), Last: lovagestand.TaskID(r.Last)}
+	case claimpb.RefusalKind_REFUSAL_KIND_TOO_EARLY:
+		return &TooEarlyError{Key: key, After: timeOf(r.Until)}
+	case claimpb.RefusalKind_REFUSAL_KIND_INVALID:
+		return &InvalidError{Key: key, Reason: r.Reason}
+	default:
+		return &AmbiguousError{Key: key, Reason: r.Reason}
+	}
+}
--- /dev/null
+++ b/claim/service.go
@@ -0,0 +1,104 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	lovagestand "lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/claim/claimpb"
+)
+
+// service serves a [Server] by twirp.
+type service struct {
+	server Server
+}
+
+// NewService returns the twirp service that answers from server.
+func NewService(server Server) claimpb.Claims {
+	return &service{server: server}
+}
+
+// Claim implements claimpb.Claims.
+func (s *service) Claim(ctx context.Context, m *claimpb.ClaimRequest) (*claimpb.ClaimReply, error) {
+	return replyOf(s.server.Claim(ctx, Request{
+		ID:          m.Id,
+		Key:         lovagestand.RequestKey(m.Key),
+		Fingerprint: m.Fingerprint,
+		Shard:       lovagestand.ShardName(m.Shard),
+		StartBy:     timeOf(m.StartBy),
+		Retention:   time.Duration(m.Retention),
+		Rerun:       m.Rerun,
+	}))
+}
+
+// Settle implements claimpb.Claims.
+func (s *service) Settle(ctx context.Context, m *claimpb.SettleRequest) (*claimpb.ClaimReply, error) {
+	return replyOf(s.server.Settle(ctx, Settlement{
+		ID:      m.Id,
+		Key:     lovagestand.RequestKey(m.Key),
+		Task:    lovagestand.TaskID(m.Task),
+		Outcome: lovagestand.Outcome(m.Outcome),
+		Reason:  m.Reason,
+	}))
+}
+
+// Remote is the [Server] of another instance, reached by twirp.
+type Remote struct {
+	client claimpb.Claims
+}
+
+// NewRemote returns the server behind a twirp client.
+func NewRemote(client claimpb.Claims) *Remote {
+	return &Remote{client: client}
+}
+
+// Claim implements [Server].
+func (r *Remote) Claim(ctx context.Context, q Request) (Claim, error) {
+	return answerOf(r.client.Claim(ctx, &claimpb.ClaimRequest{
+		Id:          q.ID,
+		Key:         string(q.Key),
+		Fingerprint: q.Fingerprint,
+		Shard:       string(q.Shard),
+		StartBy:     nanos(q.StartBy),
+		Retention:   int64(q.Retention),
+		Rerun:       q.Rerun,
+	}))
+}
+
+// Settle implements [Server].
+func (r *Remote) Settle(ctx context.Context, s Settlement) (Claim, error) {
+	return answerOf(r.client.Settle(ctx, &claimpb.SettleRequest{
+		Id:      s.ID,
+		Key:     string(s.Key),
+		Task:    string(s.Task),
+		Outcome: string(s.Outcome),
+		Reason:  s.Reason,
+	}))
+}
+
+func answerOf(m *claimpb.ClaimReply, err error) (Claim, error) {
+	switch {
+	case err != nil:
+		return Claim{}, errors.Wrap(err, "call the home's owner")
+	case m.Refusal != nil:
+		return Claim{}, errorOf(m.Refusal)
+	case m.Claim == nil:
+		return Claim{}, errors.New("the home's owner sent an empty reply")
+	default:
+		return claimOf(m.Claim), nil
+	}
+}
+
+func replyOf(c Claim, err error) (*claimpb.ClaimReply, error) {
+	if err == nil {
+		return &claimpb.ClaimReply{Claim: messageOf(c)}, nil
+	}
+	refusal := refusalOf(err)
+	if refusal == nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &claimpb.ClaimReply{Refusal: refusal}, nil
+}
