--- /dev/null
+++ b/queue/deadlines.go
@@ -0,0 +1,83 @@
+package queue
+
+// Deadlines orders items by their time limits. A limit that matters no more
+// stays until its time or the next sweep, so cancelling costs nothing.
+type Deadlines struct {
+	heap []Deadline
+}
+
+// Deadline is an item's time limit, in nanoseconds since 1970. Version tells
+// an item from a later one of the same number.
+type Deadline struct {
+	At      int64
+	Item    Item
+	Version uint32
+}
+
+// sweepAt is the fewest limits that are worth sweeping.
+const sweepAt = 1024
+
+// Add adds a limit.
+func (d *Deadlines) Add(l Deadline) {
+	d.heap = append(d.heap, l)
+	d.up(len(d.heap) - 1)
+}
+
+// Pop removes and returns the earliest limit if it is not after now.
+func (d *Deadlines) Pop(now int64) (Deadline, bool) {
+	if len(d.heap) == 0 || d.heap[0].At > now {
+		return Deadline{}, false
+	}
+	first := d.heap[0]
+	last := len(d.heap) - 1
+	d.heap[0] = d.heap[last]
+	d.heap = d.heap[:last]
+	d.down(0)
+	return first, true
+}
+
+// Sweep drops the limits that matter no more, where live is the number of
+// those that do and most are dead.
+func (d *Deadlines) Sweep(live int, matters func(Deadline) bool) {
+	if len(d.heap) < sweepAt || len(d.heap) < 2*live {
+		return
+	}
+	kept := d.heap[:0]
+	for _, l := range d.heap {
+		if matters(l) {
+			kept = append(kept, l)
+		}
+	}
+	d.heap = kept
+	for i := len(d.heap) / 2; i >= 0; i-- {
+		d.down(i)
+	}
+}
+
+func (d *Deadlines) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if d.heap[i].At >= d.heap[parent].At {
+			return
+		}
+		d.heap[i], d.heap[parent] = d.heap[parent], d.heap[i]
+		i = parent
+	}
+}
+
+func (d *Deadlines) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(d.heap) {
+			return
+		}
+		if other := child + 1; other < len(d.heap) && d.heap[other].At < d.heap[child].At {
+			child = other
+		}
+		if d.heap[child].At >= d.heap[i].At {
+			return
+		}
+		d.heap[i], d.heap[child] = d.heap[child], d.heap[i]
+		i = child
+	}
+}
--- /dev/null
+++ b/queue/line.go
@@ -0,0 +1,192 @@
+package queue
+
+import "lovagestand.example/lovagestand/team"
+
+func (q *Queue) group(shape Shape) int32 {
+	if g, ok := q.groupOf[shape]; ok {
+		return g
+	}
+	var g int32
+	if n := len(q.unusedGroups); n > 0 {
+		g = q.unusedGroups[n-1]
+		q.unusedGroups = q.unusedGroups[:n-1]
+	} else {
+		g = int32(len(q.groups))
+		q.groups = append(q.groups, Group{})
+	}
+	q.groups[g] = Group{Shape: shape, heap: q.groups[g].heap[:0]}
+	q.groupOf[shape] = g
+	q.byRank[shape.Rank] = append(q.byRank[shape.Rank], g)
+	return g
+}
+
+func (q *Queue) dropGroup(g int32) {
+	shape := q.groups[g].Shape
+	delete(q.groupOf, shape)
+	q.byRank[shape.Rank] = without(q.byRank[shape.Rank], g)
+	q.unusedGroups = append(q.unusedGroups, g)
+}
+
+func (q *Queue) line(key lineKey) int32 {
+	if n, ok := q.lineOf[key]; ok {
+		return n
+	}
+	var n int32
+	if u := len(q.unusedLines); u > 0 {
+		n = q.unusedLines[u-1]
+		q.unusedLines = q.unusedLines[:u-1]
+	} else {
+		n = int32(len(q.lines))
+		q.lines = append(q.lines, line{})
+	}
+	q.lines[n] = line{key: key, head: none, tail: none, at: parked}
+	q.lineOf[key] = n
+	q.reach(key.team)
+	q.byTeam[key.team] = append(q.byTeam[key.team], n)
+	q.groups[key.group].lines++
+	q.enter(n)
+	return n
+}
+
+func (q *Queue) dropLine(n int32) {
+	l := &q.lines[n]
+	q.leave(n)
+	delete(q.lineOf, l.key)
+	q.byTeam[l.key.team] = without(q.byTeam[l.key.team], n)
+	q.unusedLines = append(q.unusedLines, n)
+	g := &q.groups[l.key.group]
+	g.lines--
+	if g.lines == 0 {
+		q.dropGroup(l.key.group)
+	}
+}
+
+func without(list []int32, n int32) []int32 {
+	for i := range list {
+		if list[i] == n {
+			list[i] = list[len(list)-1]
+			return list[:len(list)-1]
+		}
+	}
+	return list
+}
+
+// reach makes room for a team.
+func (q *Queue) reach(id team.ID) {
+	for int(id) >= len(q.byTeam) {
+		q.byTeam = append(q.byTeam, nil)
+	}
+	for int(id) >= len(q.shares) {
+		q.shares = append(q.shares, 0)
+	}
+}
+
+// SetShare says what a team uses now, which sets its place among the teams.
+func (q *Queue) SetShare(id team.ID, share float64) {
+	q.reach(id)
+	q.shares[id] = share
+	for _, n := range q.byTeam[id] {
+		q.settle(n)
+	}
+}
+
+// Park sets aside the team that a group serves next, until [Queue.Unpark].
+func (q *Queue) Park(g int32) {
+	q.leave(q.groups[g].heap[0])
+}
+
+// Unpark takes a team's items back into their groups; true if any was parked.
+func (q *Queue) Unpark(id team.ID) bool {
+	if int(id) >= len(q.byTeam) {
+		return false
+	}
+	found := false
+	for _, n := range q.byTeam[id] {
+		if q.lines[n].at == parked {
+			q.enter(n)
+			found = true
+		}
+	}
+	return found
+}
+
+func (q *Queue) enter(n int32) {
+	l := &q.lines[n]
+	g := &q.groups[l.key.group]
+	l.at = int32(len(g.heap))
+	g.heap = append(g.heap, n)
+	if l.head != none {
+		q.up(g, l.at)
+	}
+}
+
+func (q *Queue) leave(n int32) {
+	l := &q.lines[n]
+	if l.at == parked {
+		return
+	}
+	g := &q.groups[l.key.group]
+	last := int32(len(g.heap) - 1)
+	at := l.at
+	q.swap(g, at, last)
+	g.heap = g.heap[:last]
+	l.at = parked
+	if at < last {
+		q.down(g, at)
+		q.up(g, at)
+	}
+}
+
+// settle moves a line to its place after a change.
+func (q *Queue) settle(n int32) {
+	l := &q.lines[n]
+	if l.at == parked {
+		return
+	}
+	g := &q.groups[l.key.group]
+	q.up(g, l.at)
+	q.down(g, l.at)
+}
+
+func (q *Queue) before(a, b int32) bool {
+	l, m := &q.lines[a], &q.lines[b]
+	s, t := q.shares[l.key.team], q.shares[m.key.team]
+	if s != t {
+		return s < t
+	}
+	return q.tickets[l.head].sequence < q.tickets[m.head].sequence
+}
+
+func (q *Queue) up(g *Group, i int32) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !q.before(g.heap[i], g.heap[parent]) {
+			return
+		}
+		q.swap(g, i, parent)
+		i = parent
+	}
+}
+
+func (q *Queue) down(g *Group, i int32) {
+	for {
+		child := 2*i + 1
+		if int(child) >= len(g.heap) {
+			return
+		}
+		if other := child + 1; int(other) < len(g.heap) && q.before(g.heap[other], g.heap[child]) {
+			child = other
+		}
+		if !q.before(g.heap[child], g.heap[i]) {
+			return
+		}
+		q.swap(g, i, child)
+		i = child
+	}
+}
+
+func (q *Queue) swap(g *Group, i, k int32) {
+	g.heap[i], g.heap[k] = g.heap[k], g.heap[i]
+	q.lines[g.heap[i]].at = i
+	q.lines[g.heap[k]].at = k
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,225 @@
+// Package queue holds waiting tasks in the order in which fair sharing serves
+// them, learns how long tasks run and keeps time limits.
+package queue
+
+import (
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/team"
+)
+
+// Item is what waits, by the caller's own number.
+type Item int32
+
+// Ticket is an item's place in a [Queue]; it is reused after [Queue.Remove].
+type Ticket int32
+
+// Shape is what makes waiting items alike for placement.
+type Shape struct {
+	// Rank is the class's place in [lovagestand.Classes].
+	Rank int8
+	// Tasks is how many tasks start together, each of Size.
+	Tasks int32
+	Size  lovagestand.Resources
+}
+
+// Queue holds items by shape, within a shape by team, within a team by
+// arrival. Adding and removing cost the logarithm of the number of teams and
+// finding the next one of a shape costs nothing. It is not safe for
+// concurrent use.
+type Queue struct {
+	tickets       []ticket
+	unusedTickets []Ticket
+	lines         []line
+	unusedLines   []int32
+	groups        []Group
+	unusedGroups  []int32
+	lineOf        map[lineKey]int32
+	groupOf       map[Shape]int32
+	byRank        [][]int32
+	byTeam        [][]int32
+	shares        []float64
+}
+
+type ticket struct {
+	item       Item
+	line       int32
+	prev, next Ticket
+	sequence   uint64
+}
+
+type lineKey struct {
+	group int32
+	team  team.ID
+}
+
+// line is a team's items of one shape, first come first.
+type line struct {
+	key        lineKey
+	head, tail Ticket
+	// at is the line's place in its group's heap; parked if it has none.
+	at int32
+}
+
+// Group is the waiting items of one shape.
+type Group struct {
+	Shape Shape
+	// Tried is for the caller's own use: the state in which the shape last
+	// found no place. It is 0 for a new group.
+	Tried uint64
+	// heap holds the lines that are not parked, by share, then by arrival.
+	heap  []int32
+	lines int32
+}
+
+const (
+	none   = -1
+	parked = int32(-1)
+)
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{
+		lineOf:  map[lineKey]int32{},
+		groupOf: map[Shape]int32{},
+		byRank:  make([][]int32, len(lovagestand.Classes())),
+	}
+}
+
+// Push adds an item. Items of one team are served by sequence.
+func (q *Queue) Push(item Item, shape Shape, id team.ID, sequence uint64) Ticket {
+	n := q.line(lineKey{q.group(shape), id})
+	t := q.newTicket()
+	q.tickets[t] = ticket{item: item, line: n, prev: none, next: none, sequence: sequence}
+	q.link(&q.lines[n], t)
+	q.settle(n)
+	return t
+}
+
+// link puts t behind all earlier ones of its line.
+func (q *Queue) link(l *line, t Ticket) {
+	after := l.tail
+	for after != none && q.tickets[after].sequence > q.tickets[t].sequence {
+		after = q.tickets[after].prev
+	}
+	before := l.head
+	if after != none {
+		before = q.tickets[after].next
+		q.tickets[after].next = t
+	} else {
+		l.head = t
+	}
+	if before != none {
+		q.tickets[before].prev = t
+	} else {
+		l.tail = t
+	}
+	q.tickets[t].prev, q.tickets[t].next = after, before
+}
+
+// Remove takes an item out.
+func (q *Queue) Remove(t Ticket) {
+	k := q.tickets[t]
+	l := &q.lines[k.line]
+	if k.prev != none {
+		q.tickets[k.prev].next = k.next
+	} else {
+		l.head = k.next
+	}
+	if k.next != none {
+		q.tickets[k.next].prev = k.prev
+	} else {
+		l.tail = k.prev
+	}
+	q.unusedTickets = append(q.unusedTickets, t)
+	if l.head == none {
+		q.dropLine(k.line)
+		return
+	}
+	if k.prev == none {
+		q.settle(k.line)
+	}
+}
+
+func (q *Queue) newTicket() Ticket {
+	if n := len(q.unusedTickets); n > 0 {
+		t := q.unusedTickets[n-1]
+		q.unusedTickets = q.unusedTickets[:n-1]
+		return t
+	}
+	q.tickets = append(q.tickets, ticket{})
+	return Ticket(len(q.tickets) - 1)
+}
+
+// Groups returns the shapes that wait in a class, in no order. The result is
+// valid until the next change.
+func (q *Queue) Groups(rank int8) []int32 {
+	return q.byRank[rank]
+}
+
+// Group returns a group of [Queue.Groups].
+func (q *Queue) Group(g int32) *Group {
+	return &q.groups[g]
+}
+
+// Next is the item that a group serves next.
+type Next struct {
+	Item     Item
+	Team     team.ID
+	Share    float64
+	Sequence uint64
+}
+
+// Before reports whether n is served before m: the smaller share first, then
+// the earlier item.
+func (n Next) Before(m Next) bool {
+	if n.Share != m.Share {
+		return n.Share < m.Share
+	}
+	return n.Sequence < m.Sequence
+}
+
+// Next returns the item that a group serves next; false if all are parked.
+func (q *Queue) Next(g int32) (Next, bool) {
+	heap := q.groups[g].heap
+	if len(heap) == 0 {
+		return Next{}, false
+	}
+	l := &q.lines[heap[0]]
+	t := &q.tickets[l.head]
+	return Next{t.item, l.key.team, q.shares[l.key.team], t.sequence}, true
+}
+
+// Oldest returns the earliest item of a group, parked ones included.
+func (q *Queue) Oldest(g int32) Item {
+	best := Ticket(none)
+	for _, n := range q.byTeamOf(g) {
+		head := q.lines[n].head
+		if best == none || q.tickets[head].sequence < q.tickets[best].sequence {
+			best = head
+		}
+	}
+	return q.tickets[best].item
+}
+
+func (q *Queue) byTeamOf(g int32) []int32 {
+	var lines []int32
+	for id := range q.byTeam {
+		if n, ok := q.lineOf[lineKey{g, team.ID(id)}]; ok {
+			lines = append(lines, n)
+		}
+	}
+	return lines
+}
+
+// Sequence returns the sequence of an item.
+func (q *Queue) Sequence(t Ticket) uint64 {
+	return q.tickets[t].sequence
+}
+
+// Share returns the share last set for a team.
+func (q *Queue) Share(id team.ID) float64 {
+	if int(id) >= len(q.shares) {
+		return 0
+	}
+	return q.shares[id]
+}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,88 @@
+package queue_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand/queue"
+	"lovagestand.example/lovagestand/team"
+)
+
+func TestQuantileBoundsSamples(t *testing.T) {
+	c := qt.New(t)
+	var r queue.RunTimes
+	c.Assert(r.Quantile(0.5), qt.Equals, time.Duration(0))
+	for i := 1; i <= 100; i++ {
+		r.Add(time.Duration(i) * time.Second)
+	}
+	half := r.Quantile(0.5)
+	c.Assert(half >= 50*time.Second && half <= 63*time.Second, qt.IsTrue, qt.Commentf("%s", half))
+	c.Assert(r.Quantile(1) >= 100*time.Second, qt.IsTrue)
+}
+
+func TestDeadlinesPopInOrder(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	var d queue.Deadlines
+	for i := range 3000 {
+		d.Add(queue.Deadline{At: random.Int64N(1000), Item: queue.Item(i)})
+	}
+	d.Sweep(100, func(l queue.Deadline) bool { return l.Item%30 == 0 })
+	last, popped := int64(0), 0
+	for l, ok := d.Pop(500); ok; l, ok = d.Pop(500) {
+		c.Assert(l.At >= last && l.At <= 500 && l.Item%30 == 0, qt.IsTrue)
+		last = l.At
+		popped++
+	}
+	c.Assert(popped > 30 && popped < 70, qt.IsTrue)
+}
+
+// TestQueueServesSmallestShare compares the queue to a sorted scan.
+func TestQueueServesSmallestShare(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	q := queue.New()
+	waiting := map[queue.Ticket]queue.Next{}
+	shares := [5]float64{}
+	var tickets []queue.Ticket
+	for sequence := range uint64(5000) {
+		id := team.ID(random.IntN(len(shares)))
+		switch random.IntN(3) {
+		case 0:
+			shares[id] = float64(random.IntN(3))
+			q.SetShare(id, shares[id])
+		case 1:
+			if len(tickets) == 0 {
+				continue
+			}
+			i := random.IntN(len(tickets))
+			q.Remove(tickets[i])
+			delete(waiting, tickets[i])
+			tickets = slices.Delete(tickets, i, i+1)
+		default:
+			order := random.Uint64N(sequence+1)*10000 + sequence
+			ticket := q.Push(queue.Item(sequence), queue.Shape{Tasks: 1}, id, order)
+			tickets = append(tickets, ticket)
+			waiting[ticket] = queue.Next{Item: queue.Item(sequence), Team: id, Sequence: order}
+		}
+		assertNext(c, q, waiting, shares[:])
+	}
+}
+
+func assertNext(c *qt.C, q *queue.Queue, waiting map[queue.Ticket]queue.Next, shares []float64) {
+	groups := q.Groups(0)
+	c.Assert(len(groups) == 0, qt.Equals, len(waiting) == 0)
+	if len(groups) == 0 {
+		return
+	}
+	next, ok := q.Next(groups[0])
+	c.Assert(ok, qt.IsTrue)
+	for _, n := range waiting {
+		n.Share = shares[n.Team]
+		c.Assert(n.Before(next), qt.IsFalse)
+	}
+}
--- /dev/null
+++ b/queue/runtimes.go
@@ -0,0 +1,73 @@
+package queue
+
+import (
+	"math/bits"
+	"time"
+)
+
+// RunTimes is what was learned of how long a route's tasks run: a histogram
+// with four steps to each doubling, in which old samples fade. The zero value
+// knows nothing.
+type RunTimes struct {
+	counts  [runTimeSteps]uint16
+	samples uint32
+}
+
+const (
+	// runTimeUnit is the finest difference of run times.
+	runTimeUnit = time.Millisecond
+	// runTimeSteps reach past 17 days.
+	runTimeSteps = 128
+	// fadeAt is the number of samples at which all counts are halved.
+	fadeAt = 512
+)
+
+// Add adds a sample.
+func (r *RunTimes) Add(ran time.Duration) {
+	r.counts[step(ran)]++
+	r.samples++
+	if r.samples < fadeAt {
+		return
+	}
+	r.samples = 0
+	for i := range r.counts {
+		r.counts[i] /= 2
+		r.samples += uint32(r.counts[i])
+	}
+}
+
+// Samples returns how many samples count.
+func (r *RunTimes) Samples() int {
+	return int(r.samples)
+}
+
+// Quantile returns a run time that at least the fraction q of the samples did
+// not pass; 0 without samples.
+func (r *RunTimes) Quantile(q float64) time.Duration {
+	if r.samples == 0 {
+		return 0
+	}
+	needed := max(uint32(q*float64(r.samples)+0.999999), 1)
+	seen := uint32(0)
+	for i, n := range r.counts {
+		seen += uint32(n)
+		if seen >= needed {
+			return ceiling(i)
+		}
+	}
+	return ceiling(runTimeSteps - 1)
+}
+
+// step returns the place of a run time: four steps to each doubling.
+func step(ran time.Duration) int {
+	units := uint64(max(ran, 0)/runTimeUnit) + 4
+	doublings := bits.Len64(units) - 3
+	quarter := int(units>>doublings) - 4
+	return min(doublings*4+quarter, runTimeSteps-1)
+}
+
+// ceiling returns the longest run time of a step.
+func ceiling(i int) time.Duration {
+	next := uint64(i%4+5) << (i / 4)
+	return time.Duration(next-4) * runTimeUnit
+}
--- /dev/null
+++ b/worker/kind.go
@@ -0,0 +1,68 @@
+package worker
+
+import "lovagestand.example/lovagestand"
+
+// kind counts the fit workers that are alike in capacity and slots.
+type kind struct {
+	capacity lovagestand.Resources
+	slots    int32
+	workers  int
+}
+
+func (l *Ledger) countKind(w *row, by int) {
+	for i := range l.kinds {
+		k := &l.kinds[i]
+		if k.capacity != w.capacity || k.slots != w.slots {
+			continue
+		}
+		k.workers += by
+		if k.workers == 0 {
+			l.kinds = append(l.kinds[:i], l.kinds[i+1:]...)
+		}
+		return
+	}
+	l.kinds = append(l.kinds, kind{w.capacity, w.slots, by})
+}
+
+// LargestCapacity returns the most of each resource that one fit worker has.
+func (l *Ledger) LargestCapacity() lovagestand.Resources {
+	var most lovagestand.Resources
+	for i := range l.kinds {
+		most = larger(most, l.kinds[i].capacity)
+	}
+	return most
+}
+
+// Room returns how many tasks of a size all fit workers would hold if they
+// were empty, counted up to limit.
+func (l *Ledger) Room(size lovagestand.Resources, limit int) int {
+	room := 0
+	for i := range l.kinds {
+		k := &l.kinds[i]
+		each := int64(k.slots)
+		each = min(each, quotient(k.capacity.MilliCPU, size.MilliCPU, each))
+		each = min(each, quotient(k.capacity.MemoryMiB, size.MemoryMiB, each))
+		each = min(each, quotient(k.capacity.Accelerators, size.Accelerators, each))
+		room += int(each) * k.workers
+		if room >= limit {
+			return limit
+		}
+	}
+	return room
+}
+
+// quotient returns how often part goes into whole, or most where part is none.
+func quotient(whole, part, most int64) int64 {
+	if part <= 0 {
+		return most
+	}
+	return whole / part
+}
+
+func larger(a, b lovagestand.Resources) lovagestand.Resources {
+	return lovagestand.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
--- /dev/null
+++ b/worker/ledger.go
@@ -0,0 +1,300 @@
+// Package worker keeps the ledger of a pool's workers: what each has, what is
+// taken, and an index that finds a place for a task without scanning.
+package worker
+
+import (
+	"lovagestand.example/lovagestand"
+)
+
+// Row is a worker's place in a [Ledger]; it is reused after [Ledger.Remove].
+type Row int32
+
+// None is no row.
+const None = Row(-1)
+
+// MaxAccelerators is the most accelerators that are counted on one worker.
+const MaxAccelerators = 255
+
+// Ledger counts what the tasks of a pool take of each worker. It never takes
+// more than a worker has except by [Ledger.Adopt]. It is not safe for
+// concurrent use.
+type Ledger struct {
+	rows   []row
+	unused []Row
+	index  index
+	kinds  []kind
+	sites  []site
+	totals Totals
+	grown  uint64
+	order  uint32
+}
+
+type row struct {
+	capacity, used lovagestand.Resources
+	slots, tasks   int32
+	order          uint32
+	site           int32
+	present        bool
+	// fit says that the worker takes new tasks; closed that it takes none
+	// for the moment.
+	fit, closed, indexed bool
+}
+
+// Totals sums up a ledger. Sums of resources are over fit workers.
+type Totals struct {
+	Capacity, Free lovagestand.Resources
+	// Workers counts the fit workers, Tasks the tasks on all workers.
+	Workers, Tasks int
+}
+
+// Spec is what a ledger must know of a worker.
+type Spec struct {
+	Capacity lovagestand.Resources
+	// Slots is the most tasks at once.
+	Slots int
+	// Fit says that the worker takes new tasks.
+	Fit  bool
+	Site Site
+}
+
+// NewLedger returns a ledger with no workers.
+func NewLedger() *Ledger {
+	return &Ledger{}
+}
+
+// Add adds a worker.
+func (l *Ledger) Add(s Spec) Row {
+	r := l.newRow()
+	l.order++
+	l.rows[r] = row{present: true, order: l.order, site: l.siteOf(s.Site)}
+	l.sites[l.rows[r].site].add(r)
+	l.apply(r, s)
+	return r
+}
+
+// Set replaces what is known of a worker; its tasks stay.
+func (l *Ledger) Set(r Row, s Spec) {
+	l.detach(r)
+	l.sites[l.rows[r].site].remove(r)
+	l.rows[r].site = l.siteOf(s.Site)
+	l.sites[l.rows[r].site].add(r)
+	l.apply(r, s)
+}
+
+// Remove forgets a worker and what was taken of it.
+func (l *Ledger) Remove(r Row) {
+	l.detach(r)
+	l.sites[l.rows[r].site].remove(r)
+	l.totals.Tasks -= int(l.rows[r].tasks)
+	l.rows[r] = row{}
+	l.unused = append(l.unused, r)
+}
+
+func (l *Ledger) newRow() Row {
+	if n := len(l.unused); n > 0 {
+		r := l.unused[n-1]
+		l.unused = l.unused[:n-1]
+		return r
+	}
+	l.rows = append(l.rows, row{})
+	l.index.grow()
+	return Row(len(l.rows) - 1)
+}
+
+// apply puts a spec in force on a detached row.
+func (l *Ledger) apply(r Row, s Spec) {
+	w := &l.rows[r]
+	w.capacity = s.Capacity
+	w.capacity.Accelerators = min(w.capacity.Accelerators, MaxAccelerators)
+	w.slots = int32(s.Slots)
+	w.fit = s.Fit && s.Slots > 0
+	if w.fit {
+		l.totals.Workers++
+		l.totals.Capacity = l.totals.Capacity.Add(w.capacity)
+		l.totals.Free = l.totals.Free.Add(w.free())
+		l.countKind(w, 1)
+	}
+	l.enter(r)
+	l.grown++
+}
+
+// detach takes a row out of the totals and the index.
+func (l *Ledger) detach(r Row) {
+	w := &l.rows[r]
+	l.leave(r)
+	if !w.fit {
+		return
+	}
+	l.totals.Workers--
+	l.totals.Capacity = l.totals.Capacity.Sub(w.capacity)
+	l.totals.Free = l.totals.Free.Sub(w.free())
+	l.countKind(w, -1)
+}
+
+// free returns what is free of a worker, nothing where it is overfilled.
+func (w *row) free() lovagestand.Resources {
+	f := w.capacity.Sub(w.used)
+	return lovagestand.Resources{
+		MilliCPU:     max(f.MilliCPU, 0),
+		MemoryMiB:    max(f.MemoryMiB, 0),
+		Accelerators: max(f.Accelerators, 0),
+	}
+}
+
+// Holds reports whether a fit worker has room for a task now, closed or not.
+func (l *Ledger) Holds(r Row, size lovagestand.Resources) bool {
+	w := &l.rows[r]
+	return w.fit && w.tasks < w.slots && size.Fits(w.capacity.Sub(w.used))
+}
+
+// Take takes a task's resources of a worker; false, with nothing taken, where
+// it has no room.
+func (l *Ledger) Take(r Row, size lovagestand.Resources) bool {
+	if !l.Holds(r, size) {
+		return false
+	}
+	l.change(r, size, 1)
+	return true
+}
+
+// Adopt counts a task that runs already, even past capacity.
+func (l *Ledger) Adopt(r Row, size lovagestand.Resources) {
+	l.change(r, size, 1)
+}
+
+// Give returns what a task took.
+func (l *Ledger) Give(r Row, size lovagestand.Resources) {
+	l.change(r, lovagestand.Resources{}.Sub(size), -1)
+	l.grown++
+}
+
+// Resize changes what a task takes; false, with nothing changed, where the
+// worker lacks room for the growth.
+func (l *Ledger) Resize(r Row, from, to lovagestand.Resources) bool {
+	w := &l.rows[r]
+	used := w.used.Sub(from).Add(to)
+	if !to.Fits(from) && !used.Fits(w.capacity) {
+		return false
+	}
+	l.change(r, to.Sub(from), 0)
+	l.grown++
+	return true
+}
+
+func (l *Ledger) change(r Row, size lovagestand.Resources, tasks int32) {
+	w := &l.rows[r]
+	before := w.free()
+	l.leave(r)
+	w.used = w.used.Add(size)
+	w.tasks += tasks
+	l.totals.Tasks += int(tasks)
+	if w.fit {
+		l.totals.Free = l.totals.Free.Sub(before).Add(w.free())
+	}
+	l.enter(r)
+}
+
+// Close stops or allows new tasks on a worker for the moment; it still counts
+// as fit.
+func (l *Ledger) Close(r Row, closed bool) {
+	l.leave(r)
+	l.rows[r].closed = closed
+	l.enter(r)
+	if !closed {
+		l.grown++
+	}
+}
+
+// enter puts a row in the index if it can take a task.
+func (l *Ledger) enter(r Row) {
+	w := &l.rows[r]
+	if !w.fit || w.closed || w.tasks >= w.slots || !w.used.Fits(w.capacity) {
+		return
+	}
+	w.indexed = true
+	l.index.insert(int32(r), w.capacity.Sub(w.used), w.order)
+}
+
+func (l *Ledger) leave(r Row) {
+	if w := &l.rows[r]; w.indexed {
+		w.indexed = false
+		l.index.remove(int32(r), w.capacity.Sub(w.used).Accelerators)
+	}
+}
+
+// Tightest returns the open worker that holds a task with the least to spare:
+// fewest accelerators, then processors, then memory; None if there is none.
+func (l *Ledger) Tightest(size lovagestand.Resources) Row {
+	return Row(l.index.first(size))
+}
+
+// Tighter reports whether a has less to spare than b, in the order of
+// [Ledger.Tightest].
+func (l *Ledger) Tighter(a, b Row) bool {
+	return tighter(&l.rows[a], &l.rows[b])
+}
+
+func tighter(a, b *row) bool {
+	f, g := a.capacity.Sub(a.used), b.capacity.Sub(b.used)
+	switch {
+	case f.Accelerators != g.Accelerators:
+		return f.Accelerators < g.Accelerators
+	case f.MilliCPU != g.MilliCPU:
+		return f.MilliCPU < g.MilliCPU
+	case f.MemoryMiB != g.MemoryMiB:
+		return f.MemoryMiB < g.MemoryMiB
+	}
+	return a.order < b.order
+}
+
+// Free returns what is free of a worker; fields are negative where it is
+// overfilled.
+func (l *Ledger) Free(r Row) lovagestand.Resources {
+	return l.rows[r].capacity.Sub(l.rows[r].used)
+}
+
+// Capacity returns what a worker has.
+func (l *Ledger) Capacity(r Row) lovagestand.Resources {
+	return l.rows[r].capacity
+}
+
+// Slots returns how many tasks a worker holds at most and holds now.
+func (l *Ledger) Slots(r Row) (most, now int) {
+	return int(l.rows[r].slots), int(l.rows[r].tasks)
+}
+
+// Fit reports whether a row is a worker that takes new tasks.
+func (l *Ledger) Fit(r Row) bool {
+	return l.rows[r].fit
+}
+
+// Closed reports whether a worker takes no tasks for the moment.
+func (l *Ledger) Closed(r Row) bool {
+	return l.rows[r].closed
+}
+
+// Earlier reports whether a joined before b.
+func (l *Ledger) Earlier(a, b Row) bool {
+	return l.rows[a].order < l.rows[b].order
+}
+
+// Rows returns how many rows there are, unused ones included.
+func (l *Ledger) Rows() Row {
+	return Row(len(l.rows))
+}
+
+// Totals returns the sums.
+func (l *Ledger) Totals() Totals {
+	return l.totals
+}
+
+// Grown counts the changes after which a task that found no place may find
+// one.
+func (l *Ledger) Grown() uint64 {
+	return l.grown
+}
+
+// Largest returns the most of each resource that one open worker has free.
+func (l *Ledger) Largest() lovagestand.Resources {
+	return l.index.largest()
+}
--- /dev/null
+++ b/worker/site.go
@@ -0,0 +1,125 @@
+package worker
+
+import "lovagestand.example/lovagestand"
+
+// Site is where a worker stands: its failure domain and its rack.
+type Site struct {
+	Region        lovagestand.RegionName
+	FailureDomain lovagestand.FailureDomain
+	Rack          lovagestand.RackName
+}
+
+// site is a rack and the workers in it.
+type site struct {
+	name Site
+	// domain is the first site of the same failure domain.
+	domain int32
+	rows   []Row
+}
+
+func (s *site) add(r Row) {
+	s.rows = append(s.rows, r)
+}
+
+func (s *site) remove(r Row) {
+	for i := range s.rows {
+		if s.rows[i] == r {
+			s.rows = append(s.rows[:i], s.rows[i+1:]...)
+			return
+		}
+	}
+}
+
+func (l *Ledger) siteOf(name Site) int32 {
+	domain := int32(len(l.sites))
+	for i := range l.sites {
+		s := &l.sites[i]
+		if s.name == name {
+			return int32(i)
+		}
+		if s.name.Region == name.Region && s.name.FailureDomain == name.FailureDomain {
+			domain = min(domain, s.domain)
+		}
+	}
+	l.sites = append(l.sites, site{name: name, domain: domain})
+	return int32(len(l.sites) - 1)
+}
+
+// Replicas counts a route's service tasks by failure domain and by rack. The
+// zero value counts none.
+type Replicas struct {
+	domains, racks []int32
+}
+
+// Count adds by to the replicas on a worker.
+func (l *Ledger) Count(p *Replicas, r Row, by int32) {
+	for len(p.racks) < len(l.sites) {
+		p.racks = append(p.racks, 0)
+		p.domains = append(p.domains, 0)
+	}
+	at := l.rows[r].site
+	p.racks[at] += by
+	p.domains[l.sites[at].domain] += by
+}
+
+func (p *Replicas) near(at, domain int32) (inDomain, inRack int32) {
+	if int(domain) < len(p.domains) {
+		inDomain = p.domains[domain]
+	}
+	if int(at) < len(p.racks) {
+		inRack = p.racks[at]
+	}
+	return inDomain, inRack
+}
+
+// Spread returns the open worker for a further replica: in the failure domain
+// with the fewest, then the rack with the fewest, then with the most to
+// spare; None if there is none.
+func (l *Ledger) Spread(size lovagestand.Resources, p *Replicas) Row {
+	best := None
+	var bestDomain, bestRack int32
+	for i := range l.sites {
+		s := &l.sites[i]
+		inDomain, inRack := p.near(int32(i), s.domain)
+		if best != None && (inDomain > bestDomain || inDomain == bestDomain && inRack > bestRack) {
+			continue
+		}
+		r := l.loosest(s, size)
+		if r == None {
+			continue
+		}
+		if best == None || inDomain < bestDomain || inRack < bestRack || looser(&l.rows[r], &l.rows[best]) {
+			best, bestDomain, bestRack = r, inDomain, inRack
+		}
+	}
+	return best
+}
+
+func (l *Ledger) loosest(s *site, size lovagestand.Resources) Row {
+	best := None
+	for _, r := range s.rows {
+		w := &l.rows[r]
+		if !w.indexed || !size.Fits(w.capacity.Sub(w.used)) {
+			continue
+		}
+		if best == None || looser(w, &l.rows[best]) {
+			best = r
+		}
+	}
+	return best
+}
+
+// looser reports whether a has fewer free accelerators than b or else more of
+// the rest.
+func looser(a, b *row) bool {
+	f, g := a.capacity.Sub(a.used), b.capacity.Sub(b.used)
+	switch {
+	case f.Accelerators != g.Accelerators:
+		return f.Accelerators < g.Accelerators
+	case f.MilliCPU != g.MilliCPU:
+		return f.MilliCPU > g.MilliCPU
+	case f.MemoryMiB != g.MemoryMiB:
+		return f.MemoryMiB > g.MemoryMiB
+	}
+	return a.order < b.order
+}
