instance: ownership by promises, claims in the store, planned stop with hand-over

Cause: the thin path split shards by hashing and granted every claim. Found: a request cancelled before its owner had it ran on for an hour; two tests cause it now.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -107,6 +107,9 @@
 	// ValidUntil is when the home's word on this claim may be overtaken by
 	// that of another owner.
 	ValidUntil time.Time `json:"-"`
+	// Sole says that nobody else had been given the attempt when this answer
+	// was made, so that nobody else can have sent its task to a worker.
+	Sole bool `json:"-"`
 }
 
 // Settled reports whether the attempt has ended for good.
--- a/claim/grant.go
+++ b/claim/grant.go
@@ -177,6 +177,7 @@
 	}
 	c := w.entry.claim
 	c.ValidUntil = right.Until.Round(0)
+	c.Sole = w.entry.heldOnlyBy(w.id)
 	return c
 }
 
--- a/claim/home_test.go
+++ b/claim/home_test.go
@@ -62,7 +62,10 @@
 	inTime(t, func(c *qt.C, s *fakeStore, h *Home) {
 		first := claimed(c, h, request("1", "order"))
 		c.Assert(first.Attempt, qt.Equals, 1)
-		c.Assert(claimed(c, h, request("2", "order").WithShard("malabar/r2")), qt.DeepEquals, first)
+		c.Assert(first.Sole, qt.IsTrue)
+		shared := first
+		shared.Sole = false
+		c.Assert(claimed(c, h, request("2", "order").WithShard("malabar/r2")), qt.DeepEquals, shared)
 		var mismatch *MismatchError
 		other := request("3", "order")
 		other.Fingerprint = 8
--- a/claim/message.go
+++ b/claim/message.go
@@ -38,6 +38,7 @@
 		Touched:     nanos(c.Touched),
 		Retention:   int64(c.Retention),
 		ValidUntil:  nanos(c.ValidUntil),
+		Sole:        c.Sole,
 	}
 }
 
@@ -56,6 +57,7 @@
 		Touched:     timeOf(m.Touched),
 		Retention:   time.Duration(m.Retention),
 		ValidUntil:  timeOf(m.ValidUntil),
+		Sole:        m.Sole,
 	}
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -21,6 +21,8 @@
 	cancelled chan struct{}
 	// task names the attempt that is pursued.
 	task lovagestand.TaskID
+	// granted is the claim of the attempt; nil if it needs or has none.
+	granted *Claim
 	// maybe has the shards whose owners may hold the request: they said so, or
 	// a call to them got no reply.
 	maybe map[lovagestand.ShardName]bool
--- a/entry/deps.go
+++ b/entry/deps.go
@@ -64,12 +64,16 @@
 
 // Claim is the permission to run one attempt at a claimed request.
 type Claim struct {
+	// ID names the holder of the claim.
+	ID    string
 	Task  lovagestand.TaskID
 	Shard lovagestand.ShardName
+	// Created is when the claim was granted first, here or elsewhere.
+	Created time.Time
 	// StartBy is when the attempt must have started.
 	StartBy time.Time
-	// Fresh says that the claim was granted by this call, so that nobody can
-	// have sent the task to a worker before.
+	// Fresh says that nobody else had been given the attempt, so that nobody
+	// can have sent the task to a worker before.
 	Fresh bool
 	// Settled is the final answer that is known already, if any.
 	Settled *lovagestand.Answer
@@ -78,10 +82,12 @@
 // Claims grants claims.
 type Claims interface {
 	// Claim returns the claim of a request's key, granting one if it has none.
-	// An error means that nothing was granted and nothing will run.
-	Claim(ctx context.Context, request lovagestand.Request, fingerprint uint64, target lovagestand.ShardName) (Claim, error)
-	// Settle records the answer of a claimed request.
-	Settle(ctx context.Context, key lovagestand.RequestKey, answer lovagestand.Answer)
+	// It fails with a [MismatchError], with a [DoubtError] where the request
+	// may run through another instance, and else surely grants nothing.
+	Claim(ctx context.Context, request lovagestand.Request, fingerprint uint64, target lovagestand.ShardName, idempotent bool) (Claim, error)
+	// Settle records the answer to a claimed request and returns the one to
+	// give: not run only if nobody can run the attempt any more.
+	Settle(ctx context.Context, claim Claim, answer lovagestand.Answer) lovagestand.Answer
 }
 
 // Deps are the things an [Entry] works with.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,6 +123,16 @@
 	return Pending{call: c}, nil
 }
 
+// Cancel gives up a request that this entry pursues; false if it has none with
+// the key.
+func (e *Entry) Cancel(key lovagestand.RequestKey) bool {
+	c, ok := e.held(key)
+	if ok {
+		c.cancel()
+	}
+	return ok
+}
+
 func (e *Entry) enter(request lovagestand.Request) (*call, error) {
 	now := time.Now()
 	if !e.deps.Routes.Ready() {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -156,3 +156,37 @@
 		})
 	})
 }
+
+func TestCancelReachesAnOwnerThatIsBeingAsked(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = func(m *placerpb.PlaceRequest) *placerpb.PlaceReply {
+			time.Sleep(5 * time.Second)
+			return answered(m, lovagestand.OutcomeCancelled)
+		}
+		cancels := make(chan string, 10)
+		x.first.cancel = func(m *placerpb.CancelRequest) *placerpb.CancelReply {
+			cancels <- m.GetKey()
+			return &placerpb.CancelReply{Found: true}
+		}
+		r := lovagestand.Request{Key: "k", Route: "plan", Team: "showroom"}
+		p, err := x.entry.Submit(r)
+		x.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		x.Assert(x.entry.Cancel("k"), qt.IsTrue)
+		x.Assert(<-cancels, qt.Equals, "k")
+		<-p.Done()
+		x.Assert(p.Answer().Outcome, qt.Equals, lovagestand.OutcomeCancelled)
+	})
+}
+
+func TestCancelBeforeAnyOwnerIsNotRun(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = status(placerpb.Status_STATUS_NOT_OWNER)
+		p, err := x.entry.Submit(lovagestand.Request{Key: "k", Route: "plan", Team: "showroom"})
+		x.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		x.Assert(x.entry.Cancel("k"), qt.IsTrue)
+		<-p.Done()
+		x.Assert(p.Answer().Outcome, qt.Equals, lovagestand.OutcomeNotRun)
+	})
+}
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -80,3 +80,14 @@
 func (e *NotFoundError) Error() string {
 	return fmt.Sprintf("no request with key %q is held", e.Key)
 }
+
+// DoubtError says that a request may run through another instance.
+type DoubtError struct {
+	Key    lovagestand.RequestKey
+	Reason string
+}
+
+// Error implements error.
+func (e *DoubtError) Error() string {
+	return fmt.Sprintf("request %q may run: %s", e.Key, e.Reason)
+}
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -31,9 +31,10 @@
 
 func (o *owner) Place(_ context.Context, m *placerpb.PlaceRequest) (*placerpb.PlaceReply, error) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.placed = append(o.placed, m)
-	return o.place(m), nil
+	place := o.place
+	o.mu.Unlock()
+	return place(m), nil
 }
 
 func (o *owner) Cancel(_ context.Context, m *placerpb.CancelRequest) (*placerpb.CancelReply, error) {
@@ -133,15 +134,16 @@
 }
 
 // Claim implements [entry.Claims].
-func (f *free) Claim(_ context.Context, r lovagestand.Request, _ uint64, target lovagestand.ShardName) (entry.Claim, error) {
-	return entry.Claim{Task: "claimed", Shard: target, StartBy: r.StartBy, Fresh: f.fresh}, nil
+func (f *free) Claim(_ context.Context, r lovagestand.Request, _ uint64, target lovagestand.ShardName, _ bool) (entry.Claim, error) {
+	return entry.Claim{Created: time.Now(), Task: "claimed", Shard: target, StartBy: r.StartBy, Fresh: f.fresh}, nil
 }
 
 // Settle implements [entry.Claims].
-func (f *free) Settle(_ context.Context, _ lovagestand.RequestKey, a lovagestand.Answer) {
+func (f *free) Settle(_ context.Context, _ entry.Claim, a lovagestand.Answer) lovagestand.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settled = append(f.settled, a)
+	return a
 }
 
 // open admits everything.
--- a/entry/http.go
+++ b/entry/http.go
@@ -116,18 +116,16 @@
 
 func (e *Entry) serveDelete(w http.ResponseWriter, r *http.Request) {
 	key := lovagestand.RequestKey(chi.URLParam(r, "key"))
-	c, held := e.held(key)
-	if held {
+	if c, held := e.held(key); held {
 		c.cancel()
+		writeJSON(w, http.StatusOK, c.await(r.Context(), urgentWindow))
+		return
 	}
 	answer, found := e.cancelElsewhere(r.Context(), key)
-	if !held && !found {
+	if !found {
 		writeError(w, &NotFoundError{Key: key})
 		return
 	}
-	if held {
-		answer = c.await(r.Context(), urgentWindow)
-	}
 	writeJSON(w, http.StatusOK, answer)
 }
 
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -32,6 +32,8 @@
 	// defaultRetryAfter is when a caller may come back where nothing better is
 	// known.
 	defaultRetryAfter = time.Second
+
+	cancelledReason = "cancelled by the caller"
 )
 
 // pursue finds an owner for the call's request and returns its final answer.
@@ -43,15 +45,26 @@
 	} else {
 		answer = e.pursueFree(ctx, c)
 	}
-	if answer.Outcome != lovagestand.OutcomeNotRun {
+	if answer.Outcome == lovagestand.OutcomeNotRun && !e.withdrawAll(ctx, c) {
+		answer = lovagestand.Unknown(c.request.Key, "an instance out of reach may run it; "+answer.Reason)
+	}
+	if c.granted == nil {
 		return answer
 	}
+	answer.Key = c.request.Key
+	answer.Task = c.task
+	return e.deps.Claims.Settle(ctx, *c.granted, answer)
+}
+
+// withdrawAll takes a request back from all who may hold it; false if one of
+// them may still run it.
+func (e *Entry) withdrawAll(ctx context.Context, c *call) bool {
 	for _, s := range c.holders() {
 		if !e.withdraw(ctx, c, s) {
-			return lovagestand.Unknown(c.request.Key, "an instance out of reach may run it; "+answer.Reason)
+			return false
 		}
 	}
-	return answer
+	return true
 }
 
 // pursueFree runs a request that may run twice: it is offered to one shard
@@ -92,9 +105,7 @@
 	if err != nil {
 		return refusal(c, err)
 	}
-	limited, cancel := context.WithDeadline(ctx, c.request.StartBy)
-	granted, err := e.deps.Claims.Claim(limited, c.request, c.fingerprint, target.Shard)
-	cancel()
+	granted, err := e.deps.Claims.Claim(ctx, c.request, c.fingerprint, target.Shard, c.route.Idempotent)
 	if err != nil {
 		return refusal(c, err)
 	}
@@ -102,20 +113,17 @@
 		return e.settled(ctx, c, *granted.Settled)
 	}
 	c.request = c.request.WithStartBy(granted.StartBy)
+	c.submitted = granted.Created
 	c.task = granted.Task
+	c.granted = &granted
 	if !granted.Fresh {
 		c.markHeld(granted.Shard)
 	}
 	result := e.offer(ctx, c, granted.Shard)
-	answer := result.answer
 	if result.kind != offerFinal {
-		answer = lovagestand.NotRun(c.request.Key, result.reason, result.retryAfter)
+		return lovagestand.NotRun(c.request.Key, result.reason, result.retryAfter)
 	}
-	answer.Task = granted.Task
-	if answer.Outcome != lovagestand.OutcomeNotRun || len(c.holders()) == 0 {
-		e.deps.Claims.Settle(ctx, c.request.Key, answer)
-	}
-	return answer
+	return result.answer
 }
 
 // settled returns the whole answer of a request that has ended before: from
@@ -152,11 +160,16 @@
 // refusal returns the answer for a request that no shard would take. Coming
 // back is of use unless no worker can ever hold it.
 func refusal(c *call, err error) lovagestand.Answer {
+	var doubt *DoubtError
+	if errors.As(err, &doubt) {
+		return lovagestand.Unknown(c.request.Key, err.Error())
+	}
 	retryAfter := defaultRetryAfter
 	var unfit *lovagestand.UnfitError
+	var mismatch *MismatchError
 	var none *NoTargetError
 	switch {
-	case errors.As(err, &unfit):
+	case errors.As(err, &unfit), errors.As(err, &mismatch):
 		retryAfter = 0
 	case errors.As(err, &none) && none.RetryAfter > 0:
 		retryAfter = none.RetryAfter
@@ -189,6 +202,9 @@
 func (e *Entry) offer(ctx context.Context, c *call, shard lovagestand.ShardName) offerResult {
 	lastContact := time.Now()
 	for {
+		if c.isCancelled() && !c.mayBeAt(shard) {
+			return offerResult{kind: offerFinal, answer: lovagestand.NotRun(c.request.Key, cancelledReason, 0)}
+		}
 		reply, contacted := e.ask(ctx, c, shard)
 		now := time.Now()
 		if contacted {
@@ -222,7 +238,7 @@
 	if !c.mayBeAt(shard) && (c.isCancelled() || now.After(c.request.StartBy)) {
 		reason := "no instance could place it in time"
 		if c.isCancelled() {
-			reason = "cancelled by the caller"
+			reason = cancelledReason
 		}
 		return offerResult{kind: offerFinal, answer: lovagestand.NotRun(c.request.Key, reason, time.Second)}, true
 	}
@@ -246,6 +262,7 @@
 	window := windowOf(c)
 	limited, cancel := context.WithTimeout(ctx, window+callSlack)
 	defer cancel()
+	go e.passCancel(limited, c, owner)
 	reply, err := e.placers.at(owner.Address).Place(limited, &placerpb.PlaceRequest{
 		Shard:        string(shard),
 		Task:         placer.TaskMessage(c.attempt()),
@@ -271,6 +288,22 @@
 	return reply, true
 }
 
+// passCancel tells an owner that is being asked of a cancellation, again until
+// it holds the request or ctx ends.
+func (e *Entry) passCancel(ctx context.Context, c *call, owner lovagestand.Instance) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-c.cancelled:
+	}
+	for {
+		reply, err := e.placers.at(owner.Address).Cancel(ctx, &placerpb.CancelRequest{Key: string(c.request.Key)})
+		if err == nil && reply.GetFound() || !pause(ctx, retryPause) {
+			return
+		}
+	}
+}
+
 func windowOf(c *call) time.Duration {
 	if c.route.Class == lovagestand.ClassUrgent {
 		return urgentWindow
--- a/instance/cell_test.go
+++ b/instance/cell_test.go
@@ -63,6 +63,7 @@
 func (c *cell) addInstance(region lovagestand.RegionName) *instance.Instance {
 	s := settings.Default().WithListen("127.0.0.1:0")
 	s.Region = region
+	s.Regions = fleet.Glazedesk().Regions
 	s.FailureDomain = fleet.Domain(region, len(c.instances))
 	i, err := instance.New(s, instance.Deps{
 		Store:     c.store,
--- /dev/null
+++ b/instance/hooks.go
@@ -0,0 +1,28 @@
+package instance
+
+import (
+	"context"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/claim"
+	"lovagestand.example/lovagestand/owner"
+	"lovagestand.example/lovagestand/peer"
+)
+
+// units returns all there is to own: the workers' shards and the homes of
+// claims, which are spread over the cell's regions.
+func (i *Instance) units(m lovagestand.Members) []owner.Unit {
+	return append(peer.WorkerUnits(m), peer.ClaimUnits(claim.NumberOfHomes, i.settings.Regions)...)
+}
+
+// hooks connects ownership to the placer.
+func (i *Instance) hooks() peer.Hooks {
+	return peer.Hooks{
+		Warm: func(ctx context.Context, shard lovagestand.ShardName) error {
+			return i.placer.Warm(ctx, shard)
+		},
+		Release: func(ctx context.Context, shard lovagestand.ShardName) error {
+			return i.placer.Release(ctx, shard)
+		},
+	}
+}
--- a/instance/http.go
+++ b/instance/http.go
@@ -10,6 +10,10 @@
 	"github.com/go-chi/chi/v5"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/claim"
+	"lovagestand.example/lovagestand/claim/claimpb"
+	"lovagestand.example/lovagestand/owner"
+	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/table/tablepeer"
@@ -31,6 +35,7 @@
 type dump struct {
 	Status
 	Members    lovagestand.Members `json:"members"`
+	Owners     []owner.Entry       `json:"owners"`
 	Goroutines int                 `json:"goroutines"`
 	HeapBytes  uint64              `json:"heapBytes"`
 }
@@ -55,6 +60,9 @@
 	i.entry.Mount(r)
 	r.Mount(i.placer.Handler())
 	r.Mount(tablepeer.Handler(i.follower))
+	r.Mount(peer.PeersPathPrefix, i.ownership.Handler())
+	claimServer := claimpb.NewClaimsServer(claim.NewService(i.homes))
+	r.Mount(claimServer.PathPrefix(), claimServer)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", i.serveReady)
 	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.Status()) })
@@ -78,6 +86,7 @@
 	return dump{
 		Status:     i.Status(),
 		Members:    members,
+		Owners:     i.ownership.Entries(),
 		Goroutines: runtime.NumGoroutine(),
 		HeapBytes:  m.HeapAlloc,
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,12 +13,14 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/claim"
+	"lovagestand.example/lovagestand/claim/claimpb"
 	"lovagestand.example/lovagestand/entry"
 	"lovagestand.example/lovagestand/member"
+	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/pool/naive"
 	"lovagestand.example/lovagestand/settings"
-	"lovagestand.example/lovagestand/split"
 	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/table/tablepeer"
 )
@@ -39,7 +41,8 @@
 
 	members   *member.Watcher
 	follower  *table.Follower
-	ownership lovagestand.Ownership
+	ownership *peer.Peer
+	homes     *claim.Homes
 	placer    *placer.Placer
 	entry     *entry.Entry
 
@@ -77,25 +80,34 @@
 func (i *Instance) assemble() {
 	i.members = member.NewWatcher(i.deps.Members, i.Self, i.log)
 	i.follower = table.NewFollower(i.deps.Store,
-		table.WithPeers(i.peers, tablepeer.Puller(i.client)),
+		table.WithPeers(i.id, i.peers, tablepeer.Puller(i.client, i.Self())),
 		table.WithLogger(i.log))
 	tables := catalog{follower: i.follower}
-	i.ownership = split.New(i.id, i.members.Current, i.members.Changed)
+	i.ownership = peer.New(i.Self(), i.deps.Store, i.members,
+		peer.WithHooks(i.hooks()),
+		peer.WithUnits(i.units),
+		peer.WithClient(i.client),
+		peer.WithLogger(i.log))
 	i.placer = placer.New(placer.Deps{
-		Workers:    i.deps.Workers,
-		Members:    i.members,
-		Catalog:    tables,
-		Ownership:  i.ownership,
-		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider { return naive.New(n) },
-		Log:        i.log,
+		Workers:   i.deps.Workers,
+		Members:   i.members,
+		Catalog:   tables,
+		Ownership: i.ownership,
+		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
+			return naive.New(n)
+		},
+		Log: i.log,
 	})
+	i.ownership.SetDigest(i.placer.Digests)
+	i.ownership.SetRevision(func() uint64 { return uint64(i.follower.Status().Revision) })
+	i.homes = claim.NewHomes(i.deps.Store, i.ownership)
 	i.entry = entry.New(entry.Deps{
 		Routes:    tables,
 		Limiter:   unlimited{},
-		Chooser:   &nearest{self: i.Self, members: i.members, tables: tables},
-		Claims:    unclaimed{},
+		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
+		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
-		Peers:     i.allInstances,
+		Peers:     i.ownership.Peers,
 		Client:    i.client,
 		Log:       i.log,
 	})
@@ -106,6 +118,19 @@
 	}
 }
 
+// remoteClaims returns the claims served by another instance.
+func (i *Instance) remoteClaims(other lovagestand.Instance) claim.Server {
+	return claim.NewRemote(claimpb.NewClaimsProtobufClient("http://"+other.Address, i.client))
+}
+
+// unlimited admits everything.
+type unlimited struct{}
+
+// Admit implements [entry.Limiter].
+func (unlimited) Admit(entry.Route, lovagestand.TeamName) (func(), error) {
+	return func() {}, nil
+}
+
 // readHeaderTimeout bounds how long a connection may take to send a header.
 const readHeaderTimeout = 10 * time.Second
 
@@ -139,7 +164,9 @@
 	i.cancel = cancel
 	i.running.Go(func() { i.members.Run(ctx) })
 	i.running.Go(func() { _ = i.follower.Run(ctx) })
+	i.running.Go(func() { i.ownership.Run(ctx) })
 	i.running.Go(func() { i.placer.Run(ctx) })
+	i.running.Go(func() { _ = i.homes.Run(ctx) })
 	i.running.Go(func() { i.entry.Run(ctx) })
 	go func() { i.served <- i.server.Serve(i.listener) }()
 	i.log.Info().Str("address", i.address).Str("region", string(i.settings.Region)).Msg("listening")
@@ -161,6 +188,9 @@
 	if _, ok := i.follower.Current(); !ok {
 		return errors.New("no tables are in force")
 	}
+	if len(i.ownership.Digests("")) == 0 {
+		return errors.New("no shard's owner is known")
+	}
 	return nil
 }
 
@@ -170,6 +200,9 @@
 func (i *Instance) Stop(ctx context.Context) error {
 	i.leaving.Store(true)
 	i.log.Info().Int("inFlight", i.entry.InFlight()).Msg("leaving")
+	if err := i.ownership.Leave(ctx); err != nil {
+		i.log.Warn().Err(err).Msg("leave")
+	}
 	left := i.entry.Stop(ctx)
 	err := i.server.Shutdown(ctx)
 	i.cancel()
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -17,6 +17,8 @@
 	DefaultInterval = 500 * time.Millisecond
 	// DefaultMemory is how long a worker that has left the list is remembered.
 	DefaultMemory = 15 * time.Minute
+	// staleReadings is how many intervals a reading counts as the present one.
+	staleReadings = 6
 )
 
 // Watcher reads the member list again and again. It is safe for concurrent
@@ -42,6 +44,8 @@
 	at     time.Time
 }
 
+var _ lovagestand.MemberList = (*Watcher)(nil)
+
 // Option changes how a [Watcher] works.
 type Option func(*Watcher)
 
@@ -94,6 +98,22 @@
 	return w.current, !w.since.IsZero()
 }
 
+// Members implements [lovagestand.MemberList] from memory. It fails when the
+// platform's list has not been read for a while.
+func (w *Watcher) Members(context.Context) (lovagestand.Members, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.since.IsZero() || time.Since(w.readAt) > staleReadings*w.interval {
+		return lovagestand.Members{}, &lovagestand.UnavailableError{System: "member list", Reason: "not read lately"}
+	}
+	return w.current, nil
+}
+
+// Register implements [lovagestand.MemberList]: [Watcher.Run] registers.
+func (w *Watcher) Register(context.Context, lovagestand.Instance) error {
+	return nil
+}
+
 // Since returns when the first reading was made; zero if there was none.
 func (w *Watcher) Since() time.Time {
 	w.mu.Lock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
@@ -145,15 +146,37 @@
 	return digests
 }
 
+// Warm checks that the workers of a shard can be reached, before this instance
+// takes the shard over from another that still serves it.
+func (p *Placer) Warm(ctx context.Context, name lovagestand.ShardName) error {
+	members, ok := p.deps.Members.Current()
+	if !ok {
+		return errors.New("the member list has not been read")
+	}
+	for _, w := range members.Workers {
+		if w.Shard() != name {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, p.timings.callTimeout)
+		_, err := p.deps.Workers.State(limited, w.Address)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		p.deps.Log.Warn().Err(err).Str("worker", string(w.Name)).Msg("not reached before a hand-over")
+	}
+	return nil
+}
+
 // Release stops a shard from placing, waits until the starts in flight are
-// settled or ctx ends, and closes the shard. Requests that wait in it are
-// given back to the entries that hold them.
-func (p *Placer) Release(ctx context.Context, name lovagestand.ShardName) {
+// settled and closes the shard. Requests that wait in it are given back to the
+// entries that hold them. An error says that a start may still take effect.
+func (p *Placer) Release(ctx context.Context, name lovagestand.ShardName) error {
 	s, ok := p.shard(name)
 	if !ok {
-		return
+		return nil
 	}
-	s.drain(ctx)
+	return s.drain(ctx)
 }
 
 // Status returns the state of each open shard, for operators.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -228,7 +228,7 @@
 		k := task("plan-10")
 		body := runFor(8 * time.Second)
 		x.place(k, body, false, time.Second)
-		x.placer.Release(context.Background(), shardName)
+		x.Assert(x.placer.Release(context.Background(), shardName), qt.IsNil)
 		reply := x.place(task("other"), body, false, time.Second)
 		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_NOT_OWNER)
 		x.replaceOwner(2)
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagestand.example/lovagestand"
 )
 
@@ -93,7 +95,7 @@
 
 // drain stops the shard from starting anything more and waits for the starts
 // in flight.
-func (s *shard) drain(ctx context.Context) {
+func (s *shard) drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
@@ -102,11 +104,13 @@
 		s.flying.Wait()
 		close(settled)
 	}()
+	defer s.close()
 	select {
 	case <-settled:
+		return nil
 	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "starts in flight")
 	}
-	s.close()
 }
 
 // poke asks for decisions soon.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,8 +21,10 @@
 	Listen string `yaml:"listen"`
 	// Address is the host and port that peers and callers reach; where it is
 	// missing it is the one listened on.
-	Address       string                    `yaml:"address"`
-	Region        lovagestand.RegionName    `yaml:"region"`
+	Address string                 `yaml:"address"`
+	Region  lovagestand.RegionName `yaml:"region"`
+	// Regions are all regions of the cell, in the same order at all instances.
+	Regions       []lovagestand.RegionName  `yaml:"regions"`
 	FailureDomain lovagestand.FailureDomain `yaml:"failureDomain"`
 	Platform      Platform                  `yaml:"platform"`
 	Log           Log                       `yaml:"log"`
@@ -117,6 +120,9 @@
 	if s.FailureDomain == "" {
 		add("failureDomain", "is missing", "name the failure domain this instance runs in")
 	}
+	if !slices.Contains(s.Regions, s.Region) {
+		add("regions", "does not have the instance's own region", "list all regions of the cell, the same everywhere")
+	}
 	checkURL(add, "platform.store", s.Platform.Store)
 	checkURL(add, "platform.members", s.Platform.Members)
 	if _, err := s.Log.level(); err != nil {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -10,6 +10,7 @@
 
 const good = `listen: 127.0.0.1:7400
 region: malabar
+regions: [ernakulam, malabar]
 failureDomain: malabar-1
 platform:
   store: http://127.0.0.1:7500
@@ -26,11 +27,11 @@
 
 func TestParseFaults(t *testing.T) {
 	for _, k := range []struct{ name, data, want string }{
-		{"unknown key", good + "rack: 3\n", `instance\.yaml:7: .*rack.*`},
-		{"bad unit", good + "stopWithin: 3 parsecs\n", `instance\.yaml:7: .*stopWithin.*`},
+		{"unknown key", good + "rack: 3\n", `instance\.yaml:8: .*rack.*`},
+		{"bad unit", good + "stopWithin: 3 parsecs\n", `instance\.yaml:8: .*stopWithin.*`},
 		{"missing name", "listen: 127.0.0.1:7400\n", `(?s).*region.*is missing.*failureDomain.*platform\.store.*`},
 		{"host name", "listen: localhost:7400\n", `(?s)instance\.yaml:1: .*listen.*IP number.*`},
-		{"log level", good + "log: {level: loud}\n", `instance\.yaml:7: .*log\.level.*loud.*`},
+		{"log level", good + "log: {level: loud}\n", `instance\.yaml:8: .*log\.level.*loud.*`},
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			_, err := settings.Parse("instance.yaml", []byte(k.data))
