trial: the whole path in one process, with faults and an auditor

Cause: the promises must be judged on the running whole, and under faults. Change: package trial runs stand-ins, nine instances, callers over HTTP and ten faults by name; trial/caller draws and sends requests; the command 'trial' writes the table and the report and exits 1 on a violation. instance.Deps takes a Listen function, and Instance tells its tables' revision.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"lovagestand.example/lovagestand/commands/standin"
+	"lovagestand.example/lovagestand/commands/trial"
 	"lovagestand.example/lovagestand/common/document"
 	"lovagestand.example/lovagestand/common/logfmt"
 )
@@ -85,6 +86,6 @@
 		SilenceErrors: true,
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
-	c.AddCommand(newServe(log), standin.New(log))
+	c.AddCommand(newServe(log), standin.New(log), trial.New(log))
 	return c
 }
--- /dev/null
+++ b/commands/trial/trial.go
@@ -0,0 +1,162 @@
+// Package trial holds the command that runs the whole path in one process.
+package trial
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"lovagestand.example/lovagestand/examples"
+	"lovagestand.example/lovagestand/report"
+	"lovagestand.example/lovagestand/table"
+	"lovagestand.example/lovagestand/trial"
+)
+
+const (
+	exitViolations = 1
+	exitInput      = 2
+)
+
+// InputError says that a flag or a table is wrong; nothing was started.
+type InputError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *InputError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the fault.
+func (e *InputError) Unwrap() error { return e.Err }
+
+// ExitCode returns the exit code of a command that was given wrong input.
+func (*InputError) ExitCode() int { return exitInput }
+
+// ViolationsError says that promises were broken.
+type ViolationsError struct {
+	Count int
+}
+
+// Error implements error.
+func (e *ViolationsError) Error() string {
+	return fmt.Sprintf("trial: %d violations", e.Count)
+}
+
+// ExitCode returns the exit code of a trial that broke promises.
+func (*ViolationsError) ExitCode() int { return exitViolations }
+
+// flags are the flags of "trial".
+type flags struct {
+	tables   string
+	duration time.Duration
+	seed     uint64
+	rate     float64
+	faults   string
+	report   string
+}
+
+// New returns the command "trial". Instances log errors only, to logger.
+func New(logger zerolog.Logger) *cobra.Command {
+	f := flags{}
+	c := &cobra.Command{
+		Use:   "trial",
+		Short: "Run callers, nine instances and a firm's workers in one process, and judge them",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return run(c, f, logger.Level(zerolog.ErrorLevel))
+		},
+	}
+	c.Flags().StringVar(&f.tables, "tables", "", "directory of routes.yaml and pools.yaml, in place of glazedesk's")
+	c.Flags().DurationVar(&f.duration, "duration", trial.DefaultDuration, "how long callers send requests")
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of requests and faults")
+	c.Flags().Float64Var(&f.rate, "rate", trial.DefaultRate, "requests a second")
+	c.Flags().StringVar(&f.faults, "faults", "", "faults with commas between, or all")
+	c.Flags().StringVar(&f.report, "report", "", "file that ends in .html or .json")
+	return c
+}
+
+func run(c *cobra.Command, f flags, logger zerolog.Logger) error {
+	config, err := f.config()
+	if err != nil {
+		return &InputError{Err: err}
+	}
+	config.Launch = launcher(logger)
+	config.Progress = progress(c.ErrOrStderr())
+	r, err := trial.Run(c.Context(), config)
+	if err != nil {
+		return err
+	}
+	if err := r.WriteTable(c.OutOrStdout()); err != nil {
+		return err
+	}
+	if f.report != "" {
+		if err := r.WriteFile(f.report); err != nil {
+			return err
+		}
+	}
+	if n := r.Audit.Total(); n > 0 {
+		return &ViolationsError{Count: n}
+	}
+	return nil
+}
+
+func (f flags) config() (trial.Config, error) {
+	config := trial.Config{Duration: f.duration, Rate: f.rate, Seed: f.seed}
+	if f.duration <= 0 {
+		return config, errors.New("--duration: must be more than 0")
+	}
+	if f.rate <= 0 {
+		return config, errors.New("--rate: must be more than 0")
+	}
+	if f.report != "" {
+		if err := report.CheckPath(f.report); err != nil {
+			return config, errors.Wrap(err, "--report")
+		}
+	}
+	var err error
+	if config.Faults, err = trial.ParseFaults(f.faults); err != nil {
+		return config, errors.Wrap(err, "--faults")
+	}
+	config.Tables, err = f.readTables()
+	return config, err
+}
+
+func (f flags) readTables() (table.Tables, error) {
+	if f.tables == "" {
+		return examples.Tables("glazedesk")
+	}
+	routes, err := os.ReadFile(filepath.Join(f.tables, table.RoutesTable.File()))
+	if err != nil {
+		return table.Tables{}, errors.Wrap(err, "--tables")
+	}
+	pools, err := os.ReadFile(filepath.Join(f.tables, table.PoolsTable.File()))
+	if err != nil {
+		return table.Tables{}, errors.Wrap(err, "--tables")
+	}
+	return table.Parse(routes, pools)
+}
+
+// progress returns a function that shows how far a trial is, or nil where
+// nobody looks at a terminal.
+func progress(w io.Writer) func(trial.Progress) {
+	file, ok := w.(*os.File)
+	if !ok {
+		return nil
+	}
+	info, err := file.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return func(p trial.Progress) {
+		fmt.Fprintf(w, "\r\x1b[K%3.0f s of %.0f s  requests %d  answered %d  placements %d  violations %d  %s",
+			p.Elapsed.Seconds(), p.Duration.Seconds(), p.Asked, p.Answered, p.Placements, p.Violations, p.Fault)
+		if p.Elapsed >= p.Duration && p.Asked == p.Answered {
+			fmt.Fprintln(w)
+		}
+	}
+}
--- a/instance/deps.go
+++ b/instance/deps.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/rs/zerolog"
@@ -15,5 +16,7 @@
 	Workers lovagestand.Workers
 	// Transport carries the calls to other instances.
 	Transport http.RoundTripper
-	Log       zerolog.Logger
+	// Listen opens the listener; nil stands for TCP at the settings' address.
+	Listen func() (net.Listener, error)
+	Log    zerolog.Logger
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,7 +51,10 @@
 // New returns an instance that listens already and does nothing else yet. It
 // fails where the address cannot be listened on.
 func New(s settings.Settings, deps Deps) (*Instance, error) {
-	listener, err := net.Listen("tcp", s.Listen)
+	if deps.Listen == nil {
+		deps.Listen = func() (net.Listener, error) { return net.Listen("tcp", s.Listen) }
+	}
+	listener, err := deps.Listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -206,3 +209,8 @@
 	}
 	return others
 }
+
+// TablesRevision returns the revision of the tables in force; 0 for none.
+func (i *Instance) TablesRevision() table.Revision {
+	return i.follower.Status().Revision
+}
--- /dev/null
+++ b/trial/node.go
@@ -0,0 +1,137 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/standin/fleet"
+	"lovagestand.example/lovagestand/trial/network"
+)
+
+// nodeState is how an instance fares.
+type nodeState int
+
+const (
+	nodeUp nodeState = iota
+	nodePaused
+	nodeStopping
+	nodeGone
+	nodeKilled
+)
+
+// node is an instance with its host.
+type node struct {
+	name     string
+	region   lovagestand.RegionName
+	index    int
+	host     *network.Host
+	instance Instance
+
+	mutex sync.Mutex
+	state nodeState
+}
+
+func (n *node) is() nodeState {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.state
+}
+
+// become changes the state; false if the node was in none of those given.
+func (n *node) become(next nodeState, from ...nodeState) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, s := range from {
+		if n.state == s {
+			n.state = next
+			return true
+		}
+	}
+	return false
+}
+
+// kill breaks the node off as a crash would.
+func (n *node) kill() {
+	if n.become(nodeKilled, nodeUp, nodePaused, nodeStopping) {
+		n.host.Kill()
+		n.host.Resume()
+		n.instance.Kill()
+	}
+}
+
+// stop stops the node as planned.
+func (n *node) stop(ctx context.Context) error {
+	if !n.become(nodeStopping, nodeUp) {
+		return nil
+	}
+	err := n.instance.Stop(ctx)
+	n.become(nodeGone, nodeStopping)
+	return errors.Wrapf(err, "planned stop of %s", n.name)
+}
+
+// launch starts an instance in a region as the index-th of it.
+func (t *Trial) launch(region lovagestand.RegionName, index int) (*node, error) {
+	domain := fleet.Domain(region, index)
+	host := t.network.Host(network.Place{Kind: network.KindInstance, Region: region, Domain: domain})
+	i, err := t.config.Launch(Site{
+		Region:        region,
+		FailureDomain: domain,
+		Listen:        host.Listen,
+		Dial:          host.Dial,
+		Transport:     platform.NewTransport(host.Dial),
+		Store:         "http://" + t.storeAddress,
+		Members:       "http://" + t.membersAddress,
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "instance in %s", region)
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.launched++
+	n := &node{name: fmt.Sprintf("%s/%d", region, t.launched), region: region, index: index, host: host, instance: i}
+	t.nodes = append(t.nodes, n)
+	return n, nil
+}
+
+// awaitReady waits until the node serves.
+func (n *node) awaitReady(ctx context.Context) error {
+	for {
+		err := n.instance.Ready()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "instance %s is not ready", n.name)
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// replace starts an instance in the place of one that is gone.
+func (t *Trial) replace(n *node) {
+	if _, err := t.launch(n.region, n.index); err != nil {
+		t.note("could not start an instance: " + err.Error())
+	}
+}
+
+// present returns the nodes that are in one of the states given.
+func (t *Trial) present(states ...nodeState) []*node {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var nodes []*node
+	for _, n := range t.nodes {
+		for _, s := range states {
+			if n.is() == s {
+				nodes = append(nodes, n)
+			}
+		}
+	}
+	return nodes
+}
--- /dev/null
+++ b/trial/sampler.go
@@ -0,0 +1,144 @@
+package trial
+
+import (
+	"context"
+	"time"
+
+	"lovagestand.example/lovagestand/report"
+	"lovagestand.example/lovagestand/standin/kv"
+	"lovagestand.example/lovagestand/trial/network"
+)
+
+// sampler measures at even times. Its base values exclude the time before the
+// load began.
+type sampler struct {
+	trial   *Trial
+	every   time.Duration
+	samples []report.Sample
+
+	calls  kv.Counts
+	bytes  network.Bytes
+	lastAt time.Time
+	// lastStarts and lastCalls are the counts at the last sample.
+	lastStarts int
+	lastCalls  uint64
+}
+
+func newSampler(t *Trial) *sampler {
+	s := &sampler{
+		trial:  t,
+		every:  max(sampleEvery, t.config.Duration/maxSamples),
+		calls:  t.store.Counts(),
+		bytes:  t.network.Bytes(),
+		lastAt: t.began,
+	}
+	s.lastCalls = s.calls.Total()
+	return s
+}
+
+// run samples until ctx ends, and once more then.
+func (s *sampler) run(ctx context.Context) {
+	last := time.Time{}
+	for pause(ctx, s.every) {
+		s.sample(time.Now())
+		if p := s.trial.config.Progress; p != nil && time.Since(last) >= time.Second {
+			last = time.Now()
+			p(s.trial.progress())
+		}
+	}
+	s.sample(time.Now())
+}
+
+func (s *sampler) sample(now time.Time) {
+	t := s.trial
+	usage := t.record.Usage()
+	calls := t.store.Counts().Total()
+	seconds := max(now.Sub(s.lastAt).Seconds(), 1e-3)
+	s.samples = append(s.samples, report.Sample{
+		AtMillis:            float64(now.Sub(t.began).Milliseconds()),
+		PlacementsPerSecond: float64(usage.Starts-s.lastStarts) / seconds,
+		StoreCallsPerSecond: float64(calls-s.lastCalls) / seconds,
+		Running:             usage.Running,
+		Packing:             usage.Packing,
+		Share:               usage.Share,
+		Violations:          t.record.Result().Total(),
+		Waiting:             t.record.recentWaits(),
+	})
+	s.lastAt, s.lastStarts, s.lastCalls = now, usage.Starts, calls
+}
+
+// totals sums up; packing and rates go by the time in which load was sent, calls
+// and bytes by all the time until now.
+func (s *sampler) totals(now time.Time) report.Totals {
+	t := s.trial
+	calls, bytes := t.store.Counts(), t.network.Bytes()
+	seconds := now.Sub(t.began).Seconds()
+	nodes := float64(len(t.firm.Regions) * InstancesPerRegion)
+	control := bytes.Control() - s.bytes.Control()
+	r := report.Totals{
+		StoreCallsPerSecond: callRates(s.calls, calls, seconds),
+		StoreLimited:        calls.Limited,
+		StoreMostWaiting:    calls.MostWaiting,
+		ControlBytes:        control,
+		ControlBytesPerNode: float64(control) / seconds / nodes,
+		PaidBytes:           bytes.AcrossRegions - s.bytes.AcrossRegions,
+		CallerBytes:         bytes.Callers - s.bytes.Callers,
+		LinkBytes: []report.LinkBytes{
+			{Link: "instances", Bytes: bytes.Instances - s.bytes.Instances},
+			{Link: "workers", Bytes: bytes.Workers - s.bytes.Workers},
+			{Link: "store", Bytes: bytes.Store - s.bytes.Store},
+			{Link: "member list", Bytes: bytes.MemberList - s.bytes.MemberList},
+		},
+	}
+	s.means(&r)
+	t.tables.sumUp(&r)
+	return r
+}
+
+// means fills in the means over the time in which load was sent.
+func (s *sampler) means(r *report.Totals) {
+	r.Placements = s.trial.record.Usage().Starts
+	r.PlacementsPerSecond = float64(r.Placements) / s.trial.config.Duration.Seconds()
+	n := 0
+	for _, x := range s.samples {
+		if x.AtMillis > float64(s.trial.config.Duration.Milliseconds()) {
+			break
+		}
+		n++
+		r.Packing += x.Packing
+		r.Share += x.Share
+	}
+	if n > 0 {
+		r.Packing /= float64(n)
+		r.Share /= float64(n)
+	}
+}
+
+func callRates(from, to kv.Counts, seconds float64) []report.StoreCall {
+	rate := func(kind kv.Call, before, after uint64) report.StoreCall {
+		return report.StoreCall{Kind: string(kind), PerSecond: float64(after-before) / seconds}
+	}
+	return []report.StoreCall{
+		rate(kv.CallGet, from.Get, to.Get),
+		rate(kv.CallList, from.List, to.List),
+		rate(kv.CallPut, from.Put, to.Put),
+		rate(kv.CallDelete, from.Delete, to.Delete),
+		rate(kv.CallWatch, from.Watch, to.Watch),
+		rate(kv.CallGrant, from.Grant, to.Grant),
+		rate(kv.CallRenew, from.Renew, to.Renew),
+	}
+}
+
+// progress returns how far the trial is.
+func (t *Trial) progress() Progress {
+	sent, answered := t.record.progress()
+	return Progress{
+		Elapsed:    time.Since(t.began),
+		Duration:   t.config.Duration,
+		Asked:      sent,
+		Answered:   answered,
+		Placements: t.record.Usage().Starts,
+		Violations: t.record.Result().Total(),
+		Fault:      t.faultsInForce(),
+	}
+}
--- /dev/null
+++ b/trial/trial.go
@@ -0,0 +1,216 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit"
+	"lovagestand.example/lovagestand/report"
+	"lovagestand.example/lovagestand/standin/fleet"
+	"lovagestand.example/lovagestand/standin/kv"
+	"lovagestand.example/lovagestand/standin/members"
+	"lovagestand.example/lovagestand/table"
+	"lovagestand.example/lovagestand/trial/caller"
+	"lovagestand.example/lovagestand/trial/network"
+)
+
+const (
+	// readyWithin is how long all instances may take to serve.
+	readyWithin = 20 * time.Second
+	// stopWithin bounds a planned stop.
+	stopWithin = 60 * time.Second
+	// storeDelay is how long the store takes for a call.
+	storeDelay = 2 * time.Millisecond
+	// pollEvery is how often the trial looks at its instances.
+	pollEvery = 20 * time.Millisecond
+)
+
+// Trial is one run of the whole path.
+type Trial struct {
+	config  Config
+	firm    fleet.Firm
+	network *network.Network
+	store   *kv.Store
+	list    *members.List
+	fleet   *fleet.Server
+	record  *recorder
+	tables  *tablesWriter
+	began   time.Time
+
+	storeAddress, membersAddress string
+	servers                      []*http.Server
+
+	mutex    sync.Mutex
+	nodes    []*node
+	launched int
+	notes    []string
+	faults   []report.Fault
+	// open counts the requests without an answer; live has those that may be
+	// cancelled.
+	open map[lovagestand.RequestKey]inFlight
+
+	source  *caller.Source
+	callers []*caller.Caller
+	random  *rand.Rand
+	flying  sync.WaitGroup
+}
+
+// inFlight is a request whose caller waits.
+type inFlight struct {
+	work   caller.Work
+	caller *caller.Caller
+}
+
+// Run runs a trial and returns what it measured. It fails where the trial could
+// not be set up; broken promises are in the report.
+func Run(ctx context.Context, config Config) (report.Report, error) {
+	t, err := newTrial(config)
+	if err != nil {
+		return report.Report{}, err
+	}
+	defer t.close()
+	if err := t.start(ctx); err != nil {
+		return report.Report{}, err
+	}
+	return t.run(ctx), nil
+}
+
+func newTrial(config Config) (*Trial, error) {
+	firm, err := firmOf(config.Tables)
+	if err != nil {
+		return nil, err
+	}
+	t := &Trial{
+		config:  config,
+		firm:    firm,
+		network: network.New(),
+		store:   kv.New(kv.WithSeed(config.Seed)),
+		open:    map[lovagestand.RequestKey]inFlight{},
+		source:  caller.NewSource(caller.KindsOf(config.Tables), config.Seed),
+		random:  rand.New(rand.NewPCG(config.Seed, 2)),
+	}
+	t.record = newRecorder(audit.New(firm.Specs()), config.Tables)
+	t.record.stateOf = t.stateOf
+	t.tables = newTablesWriter(t)
+	return t, nil
+}
+
+// firmOf returns the firm whose workers serve the pools of the tables.
+func firmOf(t table.Tables) (fleet.Firm, error) {
+	for _, p := range t.Pools() {
+		if f, found := fleet.FirmOf(p.Runner); found {
+			return f, nil
+		}
+	}
+	return fleet.Firm{}, errors.New("no pool of the tables names a runner that the stand-ins know")
+}
+
+// start brings up the stand-ins, the tables, the instances and the callers.
+func (t *Trial) start(ctx context.Context) error {
+	if err := t.startPlatform(); err != nil {
+		return err
+	}
+	if err := t.tables.begin(ctx); err != nil {
+		return err
+	}
+	began := time.Now()
+	for i := range InstancesPerRegion {
+		for _, r := range t.firm.Regions {
+			if _, err := t.launch(r, i); err != nil {
+				return err
+			}
+		}
+	}
+	limited, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, n := range t.present(nodeUp) {
+		if err := n.awaitReady(limited); err != nil {
+			return err
+		}
+	}
+	t.note("all instances ready after " + time.Since(began).Round(time.Millisecond).String())
+	t.startCallers()
+	return nil
+}
+
+func (t *Trial) startPlatform() error {
+	f, err := fleet.Listen("127.0.0.1", t.firm.Specs(), t.record)
+	if err != nil {
+		return err
+	}
+	t.fleet = f
+	for _, w := range f.Specs() {
+		t.network.Register(w.Address, network.Place{Kind: network.KindWorker, Region: w.Region, Domain: w.FailureDomain})
+	}
+	t.list = members.New(f.Specs())
+	t.store.SetFaults(kv.Faults{Delay: storeDelay})
+	t.storeAddress, err = t.serve(network.KindStore, kv.Handler(t.store))
+	if err != nil {
+		return err
+	}
+	t.membersAddress, err = t.serve(network.KindMemberList, members.Handler(t.list))
+	return err
+}
+
+// serve serves one of the platform's services in the first region.
+func (t *Trial) serve(kind network.Kind, handler http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "platform")
+	}
+	region := t.firm.Regions[0]
+	t.network.Register(l.Addr().String(), network.Place{Kind: kind, Region: region, Domain: fleet.Domain(region, 0)})
+	server := &http.Server{Handler: handler}
+	t.servers = append(t.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+func (t *Trial) startCallers() {
+	b := &balancer{trial: t, random: rand.New(rand.NewPCG(t.config.Seed, 3))}
+	for _, r := range t.firm.Regions {
+		host := t.network.Host(network.Place{Kind: network.KindCaller, Region: r, Domain: fleet.Domain(r, 0)})
+		transport := &http.Transport{DialContext: host.Dial, MaxIdleConnsPerHost: MaxInFlight}
+		t.callers = append(t.callers, caller.New(r, transport, b, t.record))
+	}
+}
+
+// stateOf returns the state of an instance by name.
+func (t *Trial) stateOf(instance string) nodeState {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, n := range t.nodes {
+		if n.name == instance {
+			return n.is()
+		}
+	}
+	return nodeGone
+}
+
+func (t *Trial) note(text string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.notes = append(t.notes, text)
+}
+
+// close ends everything at once.
+func (t *Trial) close() {
+	var all sync.WaitGroup
+	for _, n := range t.present(nodeUp, nodePaused, nodeStopping) {
+		all.Go(n.kill)
+	}
+	all.Wait()
+	if t.fleet != nil {
+		t.fleet.Close()
+	}
+	for _, s := range t.servers {
+		_ = s.Close()
+	}
+}
