trial: tests with a small scheduler that keeps or breaks each promise

Cause: the trial must be shown to fail, and not to fail a sound scheduler. Change: a fake scheduler in the test runs behind the real HTTP forms; looks at the instances no longer overlap, which could have judged a revision as reverted that was only read earlier.

--- a/trial/caller/work.go
+++ b/trial/caller/work.go
@@ -111,15 +111,15 @@
 
 // Source draws requests, the same ones for the same seed.
 type Source struct {
+	name   string
 	kinds  []Kind
 	random *rand.Rand
-	seed   uint64
 	drawn  int
 }
 
-// NewSource returns a source of requests.
-func NewSource(kinds []Kind, seed uint64) *Source {
-	return &Source{kinds: kinds, random: rand.New(rand.NewPCG(seed, 1)), seed: seed}
+// NewSource returns a source of requests; its name is part of their keys.
+func NewSource(name string, kinds []Kind, seed uint64) *Source {
+	return &Source{name: name, kinds: kinds, random: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Pause draws the time until the next request at a mean rate a second.
@@ -161,7 +161,7 @@
 func (s *Source) of(k Kind) Work {
 	s.drawn++
 	w := Work{
-		Key:         lovagestand.RequestKey(fmt.Sprintf("%s-%d-%d", k.Route.Name, s.seed, s.drawn)),
+		Key:         lovagestand.RequestKey(fmt.Sprintf("%s-%s-%d", k.Route.Name, s.name, s.drawn)),
 		Route:       k.Route.Name,
 		Class:       k.Route.Class,
 		Team:        k.Teams[s.random.IntN(len(k.Teams))],
--- /dev/null
+++ b/trial/fake_test.go
@@ -0,0 +1,181 @@
+package trial_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/table"
+	"lovagestand.example/lovagestand/trial"
+)
+
+// submission is what the fake reads of a request.
+type submission struct {
+	Key   lovagestand.RequestKey `json:"key"`
+	Route lovagestand.RouteName  `json:"route"`
+	Body  []byte                 `json:"body"`
+}
+
+// scheduler is a tiny one that all fake instances share. Its slots keep every
+// task apart: it runs one at a time on each worker.
+type scheduler struct {
+	tables table.Tables
+	breaks string
+
+	mutex sync.Mutex
+	calls map[lovagestand.RequestKey]*call
+	slots chan lovagestand.Worker
+	once  sync.Once
+}
+
+type call struct {
+	done   chan struct{}
+	answer lovagestand.Answer
+}
+
+// fake is one instance of a scheduler.
+type fake struct {
+	scheduler *scheduler
+	workers   *platform.Workers
+	store     *platform.Store
+	address   string
+	server    *http.Server
+	asked     int
+	revision  table.Revision
+}
+
+func (s *scheduler) launch(site trial.Site) (trial.Instance, error) {
+	list := platform.NewMemberList(site.Members, platform.WithTransport(site.Transport))
+	m, err := list.Members(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	s.once.Do(func() {
+		s.slots = make(chan lovagestand.Worker, len(m.Workers))
+		for _, w := range m.Workers {
+			s.slots <- w
+		}
+	})
+	l, err := site.Listen()
+	if err != nil {
+		return nil, err
+	}
+	f := &fake{
+		scheduler: s,
+		workers:   platform.NewWorkers(platform.WithTransport(site.Transport)),
+		store:     platform.NewStore(site.Store, platform.WithTransport(site.Transport)),
+		address:   l.Addr().String(),
+	}
+	f.serve(l)
+	return f, nil
+}
+
+func (f *fake) serve(l net.Listener) {
+	f.server = &http.Server{Handler: http.HandlerFunc(f.handle)}
+	go func() { _ = f.server.Serve(l) }()
+}
+
+func (f *fake) Address() string { return f.address }
+
+func (f *fake) Ready() error { return nil }
+
+func (f *fake) Stop(ctx context.Context) error { return f.server.Shutdown(ctx) }
+
+func (f *fake) Kill() { _ = f.server.Close() }
+
+// Revision reads the store each time, so that it is late only in an outage.
+func (f *fake) Revision() table.Revision {
+	f.asked++
+	if f.scheduler.breaks == "reverted" && f.asked%5 == 0 {
+		return 0
+	}
+	if record, _, err := table.Load(context.Background(), f.store); err == nil {
+		f.revision = record.Tables.Revision()
+	}
+	return f.revision
+}
+
+func (f *fake) handle(w http.ResponseWriter, r *http.Request) {
+	var s submission
+	_ = json.NewDecoder(r.Body).Decode(&s)
+	if r.Method == http.MethodGet {
+		s.Key = lovagestand.RequestKey(strings.TrimPrefix(r.URL.Path, "/v1/requests/"))
+	}
+	c := f.scheduler.find(f, s)
+	select {
+	case <-c.done:
+		_ = json.NewEncoder(w).Encode(c.answer)
+	case <-time.After(2 * time.Second):
+		w.WriteHeader(http.StatusAccepted)
+		_ = json.NewEncoder(w).Encode(lovagestand.Answer{Key: s.Key, Outcome: lovagestand.OutcomeWaiting})
+	}
+}
+
+// find returns the call of a key; the first one runs the request.
+func (s *scheduler) find(f *fake, sub submission) *call {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	c := s.calls[sub.Key]
+	if c == nil {
+		c = &call{done: make(chan struct{})}
+		s.calls[sub.Key] = c
+		go s.run(f, sub, c)
+	}
+	return c
+}
+
+func (s *scheduler) run(f *fake, sub submission, c *call) {
+	defer close(c.done)
+	w := <-s.slots
+	defer func() { s.slots <- w }()
+	route, _ := s.tables.Route(sub.Route)
+	task := lovagestand.Task{
+		ID: lovagestand.TaskID(sub.Key), Key: sub.Key, Resources: route.Resources.Value(),
+		Idempotent: route.Idempotent, Exclusive: route.Exclusive,
+	}
+	if s.breaks == "overCommit" {
+		task.Resources = w.Capacity.Add(task.Resources)
+	}
+	c.answer = f.runTask(w, task, sub.Body)
+	switch s.breaks {
+	case "repeated":
+		f.runTask(w, task.WithID(task.ID+"-again"), sub.Body)
+	case "wrongAnswer":
+		c.answer.Body = c.answer.Body[1:]
+	case "falseNotRun":
+		c.answer.Outcome = lovagestand.OutcomeNotRun
+	}
+}
+
+// runTask runs a task to its end.
+func (f *fake) runTask(w lovagestand.Worker, task lovagestand.Task, body []byte) lovagestand.Answer {
+	ctx := context.Background()
+	start := lovagestand.TaskStart{Task: task, Body: body}
+	err := f.workers.Start(ctx, w.Address, start)
+	var refused *lovagestand.RefusedError
+	if errors.As(err, &refused) {
+		return lovagestand.NotRun(task.Key, err.Error(), 0)
+	}
+	after := uint64(0)
+	for range 100 {
+		reports, err := f.workers.Events(ctx, w.Address, after, time.Second)
+		if err != nil {
+			break
+		}
+		for _, r := range reports {
+			after = r.Sequence
+			if r.Task.ID == task.ID && r.Phase.Ended() {
+				return lovagestand.Answer{Key: task.Key, Outcome: lovagestand.OutcomeDone, Body: r.Body}
+			}
+		}
+	}
+	return lovagestand.Unknown(task.Key, "lost sight of the worker")
+}
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -181,7 +181,7 @@
 
 // wave draws requests of its own, so that those of the load stay the same.
 func (t *Trial) wave(runFor time.Duration) []caller.Work {
-	source := caller.NewSource(caller.KindsOf(t.config.Tables), t.config.Seed+1<<32)
+	source := caller.NewSource("wave", caller.KindsOf(t.config.Tables), t.config.Seed)
 	var works []caller.Work
 	for range waveRequests {
 		works = append(works, source.NextBatch(runFor))
--- a/trial/tables.go
+++ b/trial/tables.go
@@ -26,6 +26,9 @@
 // was accepted comes into force everywhere and stays.
 type tablesWriter struct {
 	trial *Trial
+	// looking lets one look at the instances end before the next begins, so
+	// that revisions are judged in the order in which they were read.
+	looking sync.Mutex
 
 	mutex sync.Mutex
 	// accepted has, for each route edited, the last change accepted.
@@ -131,6 +134,8 @@
 // look judges the instances' revisions; true if all that are up and not cut off
 // have the newest one.
 func (w *tablesWriter) look() bool {
+	w.looking.Lock()
+	defer w.looking.Unlock()
 	everywhere := true
 	w.mutex.Lock()
 	newest := w.newest
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -93,7 +93,7 @@
 		network: network.New(),
 		store:   kv.New(kv.WithSeed(config.Seed)),
 		open:    map[lovagestand.RequestKey]inFlight{},
-		source:  caller.NewSource(caller.KindsOf(config.Tables), config.Seed),
+		source:  caller.NewSource("load", caller.KindsOf(config.Tables), config.Seed),
 		random:  rand.New(rand.NewPCG(config.Seed, 2)),
 	}
 	t.record = newRecorder(audit.New(firm.Specs()), config.Tables)
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,85 @@
+package trial_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit"
+	"lovagestand.example/lovagestand/report"
+	"lovagestand.example/lovagestand/table"
+	"lovagestand.example/lovagestand/trial"
+)
+
+const routes = `routes:
+  - {name: quote, pool: runners, class: urgent, idempotent: true, resources: {processors: 1, memory: 1GiB}, startWithin: 10s}
+  - {name: plan, pool: runners, class: batch, resources: {processors: 1, memory: 1GiB}, startWithin: 10s}
+`
+
+const pools = `pools:
+  - {name: runners, runner: glazedesk, regions: [ernakulam, malabar, travancore]}
+`
+
+// run runs a short trial of a scheduler that breaks one promise, or none.
+func run(c *qt.C, breaks, faults string) report.Report {
+	c.Helper()
+	tables, err := table.Parse([]byte(routes), []byte(pools))
+	c.Assert(err, qt.IsNil)
+	chosen, err := trial.ParseFaults(faults)
+	c.Assert(err, qt.IsNil)
+	s := &scheduler{tables: tables, breaks: breaks, calls: map[lovagestand.RequestKey]*call{}}
+	r, err := trial.Run(context.Background(), trial.Config{
+		Tables: tables, Duration: 600 * time.Millisecond, Rate: 50, Seed: 1, Faults: chosen, Launch: s.launch,
+	})
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
+func TestSoundSchedulerBreaksNothing(t *testing.T) {
+	for _, faults := range []string{"", "planned-stop,store-outage,table-race"} {
+		t.Run("faults "+faults, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := run(c, "", faults)
+			c.Assert(r.Audit.Total(), qt.Equals, 0, qt.Commentf("%v", r.Audit.Violations))
+			done := 0
+			for _, k := range r.Kinds {
+				done += k.Done
+			}
+			c.Assert(done > 0, qt.IsTrue)
+			c.Assert(r.Totals.Placements > 0, qt.IsTrue)
+			c.Assert(r.Totals.ControlBytes > 0, qt.IsTrue)
+		})
+	}
+}
+
+func TestBrokenPromisesAreCounted(t *testing.T) {
+	for _, kind := range []audit.Kind{
+		audit.KindOverCommit, audit.KindRepeated, audit.KindWrongAnswer, audit.KindFalseNotRun, audit.KindReverted,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := run(c, string(kind), "")
+			c.Assert(r.Audit.Of(kind) > 0, qt.IsTrue)
+			c.Assert(r.Audit.Total(), qt.Equals, r.Audit.Of(kind))
+		})
+	}
+}
+
+func TestParseFaults(t *testing.T) {
+	c := qt.New(t)
+	all, err := trial.ParseFaults("all")
+	c.Assert(err, qt.IsNil)
+	c.Assert(all, qt.HasLen, 10)
+	two, err := trial.ParseFaults("kill, region-cut")
+	c.Assert(err, qt.IsNil)
+	c.Assert(two[1].Name, qt.Equals, "region-cut")
+	_, err = trial.ParseFaults("kill,flood")
+	var unknown *trial.FaultError
+	c.Assert(err, qt.ErrorAs, &unknown)
+	c.Assert(unknown.Name, qt.Equals, "flood")
+}
