--- a/report/table.go
+++ b/report/table.go
@@ -49,6 +49,11 @@
 	fmt.Fprintf(b, "packing       %.1f%% of busy workers, %.1f%% of all\n", 100*t.Packing, 100*t.Share)
 	fmt.Fprintf(b, "control bytes %d, %.0f a second and instance; %d paid across regions\n",
 		t.ControlBytes, t.ControlBytesPerNode, t.PaidBytes)
+	fmt.Fprintf(b, "  by link     ")
+	for _, l := range t.LinkBytes {
+		fmt.Fprintf(b, "%s %d  ", l.Link, l.Bytes)
+	}
+	fmt.Fprintf(b, "callers %d\n", t.CallerBytes)
 	fmt.Fprintf(b, "store calls   ")
 	for _, c := range t.StoreCallsPerSecond {
 		fmt.Fprintf(b, "%s %.1f  ", c.Kind, c.PerSecond)
--- a/standin/members/handler.go
+++ b/standin/members/handler.go
@@ -13,8 +13,12 @@
 // Handler serves l over HTTP to [lovagestand.example/lovagestand/platform].
 func Handler(l *List) http.Handler {
 	r := chi.NewRouter()
-	r.Post(wire.PathMembers, wire.Handler(func(ctx context.Context, _ wire.Empty) (lovagestand.Members, error) {
-		return l.Members(ctx)
+	r.Post(wire.PathMembers, wire.Handler(func(ctx context.Context, in wire.MembersRequest) (wire.MembersReply, error) {
+		m, err := l.Members(ctx)
+		if m.Version == in.Known {
+			return wire.MembersReply{Unchanged: true}, err
+		}
+		return wire.MembersReply{Members: &m}, err
 	}))
 	r.Post(wire.PathRegister, wire.Handler(func(ctx context.Context, in lovagestand.Instance) (wire.Empty, error) {
 		return wire.Empty{}, l.Register(ctx, in)
