Trial: faults stay in long enough to be felt; two waiting plots; process tests

Cause: with all ten faults in 10 s a worker left for 1.4 s, so work offered more than 3 s later could not be seen; medians and 99th percentiles of five kinds in one plot could not be told apart. Change: faults have a least length and the slow ones come first; one plot each for median and 99th percentile; evidence of a false 'not run' names the reason.

--- a/audit/callers.go
+++ b/audit/callers.go
@@ -37,7 +37,7 @@
 	case lovagestand.OutcomeDone:
 		a.judgeBody(v, w, answer.Body)
 	case lovagestand.OutcomeNotRun:
-		a.judgeNotRun(v, w)
+		a.judgeNotRun(v, w, answer.Reason)
 	}
 }
 
@@ -53,13 +53,13 @@
 	a.violate(v, "%d bytes came that are not the %d due", len(body), len(w.due))
 }
 
-func (a *Auditor) judgeNotRun(v Violation, w *work) {
+func (a *Auditor) judgeNotRun(v Violation, w *work, reason string) {
 	w.notRun = true
 	if w.starts == 0 {
 		return
 	}
 	v.Kind = KindFalseNotRun
-	a.violate(v, "the caller was told so after %d starts", w.starts)
+	a.violate(v, "the caller was told so after %d starts: %s", w.starts, reason)
 }
 
 // CutOff notes that a planned stop of an instance broke off a request.
--- /dev/null
+++ b/commands/standin/standin_test.go
@@ -0,0 +1,84 @@
+package standin_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"regexp"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/commands/standin"
+	"lovagestand.example/lovagestand/platform"
+)
+
+// process is a command that runs aside until its context ends.
+type process struct {
+	*qt.C
+	cancel context.CancelFunc
+	ended  chan error
+	log    *lines
+}
+
+// lines keeps what is written and tells of addresses.
+type lines struct {
+	mutex   sync.Mutex
+	text    bytes.Buffer
+	address chan string
+}
+
+var listening = regexp.MustCompile(`"standin":"(?:store|members)","address":"([^"]+)"`)
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if m := listening.FindSubmatch(p); m != nil {
+		l.address <- string(m[1])
+	}
+	return l.text.Write(p)
+}
+
+func start(c *qt.C, args ...string) *process {
+	p := &process{C: c, ended: make(chan error, 1), log: &lines{address: make(chan string, 1)}}
+	var ctx context.Context
+	ctx, p.cancel = context.WithCancel(context.Background())
+	cmd := standin.New(zerolog.New(p.log))
+	cmd.SetArgs(args)
+	cmd.SetOut(io.Discard)
+	cmd.SetErr(io.Discard)
+	go func() { p.ended <- cmd.ExecuteContext(ctx) }()
+	return p
+}
+
+func TestStoreProcess(t *testing.T) {
+	p := start(qt.New(t), "store", "--listen", "127.0.0.1:0")
+	s := platform.NewStore("http://" + <-p.log.address)
+	_, err := s.Put(context.Background(), "a", []byte("x"), 0, 0)
+	p.Assert(err, qt.IsNil)
+	p.cancel()
+	p.Assert(<-p.ended, qt.IsNil)
+}
+
+func TestWorkersProcess(t *testing.T) {
+	p := start(qt.New(t), "workers", "--listen", "127.0.0.1:0", "--firm", "sheet-orders", "--workers", "3", "--regions", "northbank")
+	m, err := platform.NewMemberList("http://" + <-p.log.address).Members(context.Background())
+	p.Assert(err, qt.IsNil)
+	p.Assert(m.Workers, qt.HasLen, 3)
+	p.Assert(m.Workers[2].Region, qt.Equals, lovagestand.RegionName("northbank"))
+	state, err := platform.NewWorkers().State(context.Background(), m.Workers[0].Address)
+	p.Assert(err, qt.IsNil)
+	p.Assert(state.Tasks, qt.HasLen, 0)
+	p.cancel()
+	p.Assert(<-p.ended, qt.IsNil)
+}
+
+func TestWrongFlags(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(<-start(c, "workers", "--firm", "nobody").ended, qt.ErrorMatches, `--firm: no firm "nobody"`)
+	c.Assert(<-start(c, "workers", "--workers", "-1").ended, qt.ErrorMatches, `--workers: .*`)
+}
--- a/report/page.go
+++ b/report/page.go
@@ -42,7 +42,8 @@
 
 func (r Report) plots() []plot.Plot {
 	plots := []plot.Plot{
-		{Title: "Waiting time by kind: median (full) and 99th percentile (dashed)", Unit: "ms", Log: true, Lines: r.waitingLines()},
+		{Title: "Waiting time by kind, 99th percentile", Unit: "ms", Log: true, Lines: r.waitingLines(func(s Spread) float64 { return s.P99 })},
+		{Title: "Waiting time by kind, median", Unit: "ms", Log: true, Lines: r.waitingLines(func(s Spread) float64 { return s.P50 })},
 		{Title: "Placements and store calls", Unit: "a second", Lines: []plot.Line{
 			r.line("placements", 0, func(s Sample) float64 { return s.PlacementsPerSecond }),
 			r.line("store calls", 1, func(s Sample) float64 { return s.StoreCallsPerSecond }),
@@ -89,20 +90,16 @@
 	return l
 }
 
-func (r Report) waitingLines() []plot.Line {
+func (r Report) waitingLines(value func(Spread) float64) []plot.Line {
 	var lines []plot.Line
 	for i, k := range r.Kinds {
-		p50 := plot.Line{Name: string(k.Route), Color: i}
-		p99 := plot.Line{Name: string(k.Route) + " p99", Color: i, Dashed: true}
+		l := plot.Line{Name: string(k.Route), Color: i}
 		for _, s := range r.Samples {
-			w := s.waiting(k.Route)
-			if w.Count == 0 {
-				continue
+			if w := s.waiting(k.Route); w.Count > 0 {
+				l.Points = append(l.Points, plot.Point{Seconds: s.AtMillis / 1000, Value: value(w)})
 			}
-			p50.Points = append(p50.Points, plot.Point{Seconds: s.AtMillis / 1000, Value: w.P50})
-			p99.Points = append(p99.Points, plot.Point{Seconds: s.AtMillis / 1000, Value: w.P99})
 		}
-		lines = append(lines, p50, p99)
+		lines = append(lines, l)
 	}
 	return lines
 }
--- a/report/plot/plot.go
+++ b/report/plot/plot.go
@@ -32,8 +32,6 @@
 type Line struct {
 	Name   string
 	Points []Point
-	// Dashed draws the line broken, for a second value of the same thing.
-	Dashed bool
 	// Color is the index of the line's color.
 	Color int
 }
@@ -77,7 +75,7 @@
 func (p Plot) drawBands(b *strings.Builder, a axis) {
 	for i, s := range p.Bands {
 		left, right := a.x(s.From), a.x(min(s.Until, p.Seconds))
-		fmt.Fprintf(b, `<rect x="%.1f" y="%d" width="%.1f" height="%d" fill="#888" fill-opacity="0.13"><title>%s</title></rect>`,
+		fmt.Fprintf(b, `<rect x="%.1f" y="%d" width="%.1f" height="%d" fill="#888" fill-opacity="0.10" stroke="#888" stroke-opacity="0.35" stroke-width="0.6"><title>%s</title></rect>`,
 			left, marginTop, max(1, right-left), height-marginTop-marginFoot, html.EscapeString(s.Name))
 		fmt.Fprintf(b, `<text x="%.1f" y="%d" font-size="9" fill="#666">%s</text>`,
 			left+2, marginTop+9+(i%4)*10, html.EscapeString(s.Name))
@@ -105,7 +103,7 @@
 		if len(l.Points) == 0 {
 			continue
 		}
-		fmt.Fprintf(b, `<polyline fill="none" stroke="%s" stroke-width="1.6"%s points="`, l.color(), l.dash())
+		fmt.Fprintf(b, `<polyline fill="none" stroke="%s" stroke-width="1.6" points="`, l.color())
 		for _, q := range l.Points {
 			fmt.Fprintf(b, "%.1f,%.1f ", a.x(q.Seconds), a.y(q.Value))
 		}
@@ -121,8 +119,8 @@
 	x := width - marginRight + 12
 	for i, l := range p.Lines {
 		y := marginTop + 8 + i*rowHeight
-		fmt.Fprintf(b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="%s" stroke-width="2"%s/>`,
-			x, y, x+18, y, l.color(), l.dash())
+		fmt.Fprintf(b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="%s" stroke-width="2"/>`,
+			x, y, x+18, y, l.color())
 		fmt.Fprintf(b, `<text x="%d" y="%d">%s</text>`, x+24, y+4, html.EscapeString(l.Name))
 	}
 }
@@ -131,13 +129,6 @@
 	return colors[l.Color%len(colors)]
 }
 
-func (l Line) dash() string {
-	if l.Dashed {
-		return ` stroke-dasharray="4 3"`
-	}
-	return ""
-}
-
 // label writes a value with as many digits as are of use.
 func label(v float64) string {
 	if v != 0 && math.Abs(v) < 0.1 {
--- a/report/plot/plot_test.go
+++ b/report/plot/plot_test.go
@@ -35,7 +35,7 @@
 		c := qt.New(t)
 		p := plot.Plot{Title: "a < b", Unit: "ms", Seconds: 10, Log: log, Lines: []plot.Line{
 			{Name: "one", Points: []plot.Point{{Seconds: 0, Value: 3}, {Seconds: 5, Value: 70}}},
-			{Name: "two", Dashed: true, Points: []plot.Point{{Seconds: 1, Value: 0}}},
+			{Name: "two", Points: []plot.Point{{Seconds: 1, Value: 0}}},
 			{Name: "empty"},
 		}, Bands: []plot.Band{{Name: "kill & pause", From: 2, Until: 99}}}
 		svg := p.SVG()
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit"
 	"lovagestand.example/lovagestand/standin/fleet"
 	"lovagestand.example/lovagestand/standin/kv"
 	"lovagestand.example/lovagestand/trial/caller"
@@ -18,23 +19,26 @@
 	slowWorker = 300 * time.Millisecond
 	// slowStore is how long the store takes for a call once it is up again.
 	slowStore = 400 * time.Millisecond
+	// feltLate is longer than the leases and lags by which a fault is noticed.
+	feltLate = 4 * time.Second
 	// lostShare is the share of writes whose reply is lost.
 	lostShare = 0.5
 )
 
-// Faults returns all faults in the order in which they are put in.
+// Faults returns all faults in the order in which they are put in: those that
+// take long to be felt come first.
 func Faults() []Fault {
 	return []Fault{
-		{"kill", killFault},
-		{"pause", pauseFault},
-		{"planned-stop", plannedStopFault},
-		{"store-outage", storeOutageFault},
-		{"lost-replies", lostRepliesFault},
-		{"leaving-worker", leavingWorkerFault},
-		{"bad-worker", badWorkerFault},
-		{"cancel-wave", cancelWaveFault},
-		{"table-race", tableRaceFault},
-		{"region-cut", regionCutFault},
+		{"kill", feltLate, killFault},
+		{"pause", feltLate, pauseFault},
+		{"region-cut", feltLate, regionCutFault},
+		{"leaving-worker", audit.LeavingGrace + 2*time.Second, leavingWorkerFault},
+		{"store-outage", feltLate, storeOutageFault},
+		{"planned-stop", 0, plannedStopFault},
+		{"bad-worker", 0, badWorkerFault},
+		{"lost-replies", 0, lostRepliesFault},
+		{"cancel-wave", 0, cancelWaveFault},
+		{"table-race", 0, tableRaceFault},
 	}
 }
 
--- a/trial/schedule.go
+++ b/trial/schedule.go
@@ -18,6 +18,8 @@
 // Fault is a fault that a trial can put in.
 type Fault struct {
 	Name string
+	// atLeast is how long the fault stays in, at the least, to be felt.
+	atLeast time.Duration
 	// begin puts the fault in, tells what it hits and returns how to end it.
 	begin func(s stage) (target string, end func())
 }
@@ -73,12 +75,11 @@
 		return
 	}
 	slot := t.config.Duration / time.Duration(n+1)
-	length := min(slot*3/2, maxFault)
 	var all sync.WaitGroup
 	for i, f := range t.config.Faults {
 		all.Go(func() {
 			if pause(ctx, slot*time.Duration(2*i+1)/2) {
-				t.runFault(ctx, f, i, length)
+				t.runFault(ctx, f, i, max(f.atLeast, min(slot*3/2, maxFault)))
 			}
 		})
 	}
