--- a/owner/assign.go
+++ b/owner/assign.go
@@ -64,7 +64,7 @@
 		}
 		e := Entry{Shard: u.Shard, Region: r.name}
 		if s != nil {
-			e = s.entry
+			e = s.entry.beyond()
 		}
 		to := lightest(loads)
 		loads[to] += u.Weight
@@ -74,12 +74,11 @@
 }
 
 func (n *Node) abandoned(now time.Time, e Entry) bool {
+	abandoned := n.dropped(now, e.Owner)
 	for _, id := range e.Standbys {
-		if !n.dropped(now, id) {
-			return false
-		}
+		abandoned = n.dropped(now, id) && abandoned
 	}
-	return n.dropped(now, e.Owner)
+	return abandoned
 }
 
 // loads returns the summed weights owned in a region by each candidate.
--- a/owner/entry.go
+++ b/owner/entry.go
@@ -36,6 +36,17 @@
 	return slices.Contains(e.Standbys, id)
 }
 
+// handEpochs is more than the epochs that the members of one group can pass on
+// by hand.
+const handEpochs = 16
+
+// beyond returns e in an epoch past all that its members, if dead, may have
+// passed on without the store.
+func (e Entry) beyond() Entry {
+	e.Epoch += handEpochs
+	return e
+}
+
 // Next returns the entry of the following epoch.
 func (e Entry) Next(owner lovagestand.InstanceID, standbys []lovagestand.InstanceID, settled bool) Entry {
 	e.Epoch++
--- /dev/null
+++ b/owner/explore_test.go
@@ -0,0 +1,110 @@
+package owner_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand/owner"
+)
+
+// explorations is how many seeds are explored, from 0 on.
+var explorations = flag.Int("explorations", 400, "seeds explored")
+
+const (
+	// batches is how many of the explorations' shares run side by side.
+	batches = 16
+	// flawExplorations is how many seeds may be tried for each flaw.
+	flawExplorations = 2500
+	// calm is how long a fleet has to recover after the last fault.
+	calm = 30 * time.Second
+)
+
+// TestNoTwoOwnersStartOnOneShard explores interleavings of faults, judged by
+// the workers, and that every shard is placed on again afterwards.
+func TestNoTwoOwnersStartOnOneShard(t *testing.T) {
+	for batch := range batches {
+		t.Run(fmt.Sprint(batch), func(t *testing.T) {
+			t.Parallel()
+			for seed := batch; seed < *explorations; seed += batches {
+				assertSound(qt.New(t), uint64(seed))
+			}
+		})
+	}
+}
+
+func assertSound(c *qt.C, seed uint64) {
+	c.Helper()
+	s := newSimulation(seed, flaw{})
+	c.Assert(s.run(s.quiet+calm), qt.Equals, "", qt.Commentf("seed %d", seed))
+	for shard := range s.shards {
+		var owners int
+		for _, p := range s.processes {
+			if _, ok := p.node.Right(p.clock(), shard); ok && !p.dead {
+				owners++
+			}
+		}
+		c.Assert(owners, qt.Equals, 1, qt.Commentf("seed %d: owners of %s", seed, shard))
+	}
+	c.Assert(s.accepted > 100, qt.IsTrue, qt.Commentf("seed %d: %d starts", seed, s.accepted))
+}
+
+// TestFlawsAreFound puts a mistake into the protocol and expects the
+// exploration to find it.
+func TestFlawsAreFound(t *testing.T) {
+	flaws := map[string]flaw{
+		"no settle wait":              {timing: func(t *owner.Timing) { t.Settle = 0 }},
+		"list trusted at once":        {timing: func(t *owner.Timing) { t.Dropped = 0 }},
+		"list not read after a pause": {from: 700, timing: func(t *owner.Timing) { t.ListFresh = time.Hour }},
+		"promise from its reply":      {from: 980, carry: promiseFromReply},
+		"epoch ignored":               {carry: ignoreEpoch},
+		"consent not asked for":       {carry: skipConsent},
+		"right kept past the promise": {timing: func(t *owner.Timing) { t.Guard = -t.Promise }},
+	}
+	for name, f := range flaws {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			for seed := f.from; seed < f.from+flawExplorations; seed++ {
+				s := newSimulation(seed, f)
+				if s.run(s.quiet) != "" {
+					t.Logf("found with seed %d", seed)
+					return
+				}
+			}
+			c.Fatalf("not found by %d explorations", flawExplorations)
+		})
+	}
+}
+
+// ignoreEpoch lets a standby promise whatever it is asked for.
+func ignoreEpoch(_ *simulation, from, to *process, m owner.Message) bool {
+	if m.Kind != owner.KindAsk {
+		return false
+	}
+	to.do(func() { to.carry(from, owner.Message{Kind: owner.KindPromise, Entry: m.Entry, Sent: m.Sent}) })
+	return true
+}
+
+// skipConsent lets a takeover go on as if the other standby had consented.
+func skipConsent(_ *simulation, from, to *process, m owner.Message) bool {
+	if m.Kind != owner.KindSeal {
+		return false
+	}
+	to.carry(from, owner.Message{Kind: owner.KindConsent, Entry: m.Entry, Attempt: m.Attempt})
+	return true
+}
+
+// promiseFromReply counts a promise from when it arrives.
+func promiseFromReply(_ *simulation, from, to *process, m owner.Message) bool {
+	late := to.clock().Sub(time.Unix(0, 0))
+	if m.Kind != owner.KindPromise || m.Sent == late {
+		return false
+	}
+	m.Sent = late
+	to.step(func(now time.Time) []owner.Effect { return to.node.Receive(now, from.self.ID, m) })
+	return true
+}
--- a/owner/member.go
+++ b/owner/member.go
@@ -33,6 +33,9 @@
 
 // Listed reports a reading of the member list that began at began.
 func (n *Node) Listed(now, began time.Time, members []lovagestand.Instance) []Effect {
+	if began.Before(n.list.read) {
+		return nil
+	}
 	n.list.checked = began
 	n.list.read = began
 	listed := map[lovagestand.InstanceID]bool{}
--- a/owner/node.go
+++ b/owner/node.go
@@ -11,10 +11,12 @@
 // Node is one instance's part in the ownership of shards. It is not safe for
 // concurrent use. Times are this process's own monotonic clock.
 type Node struct {
-	self     lovagestand.Instance
-	timing   Timing
-	started  time.Time
-	seats    map[lovagestand.ShardName]*seat
+	self    lovagestand.Instance
+	timing  Timing
+	started time.Time
+	seats   map[lovagestand.ShardName]*seat
+	// order holds the shards of seats, sorted.
+	order    []lovagestand.ShardName
 	regions  map[lovagestand.RegionName]*region
 	units    map[lovagestand.RegionName][]Unit
 	peers    map[lovagestand.InstanceID]*peer
@@ -62,7 +64,7 @@
 
 // Tick does what is due; it is called once a heartbeat.
 func (n *Node) Tick(now time.Time) []Effect {
-	for _, shard := range n.shards() {
+	for _, shard := range n.order {
 		n.tickSeat(now, n.seats[shard])
 	}
 	for _, name := range slices.Sorted(maps.Keys(n.units)) {
@@ -141,7 +143,7 @@
 // Owned returns the shards to which this instance has a right now, sorted.
 func (n *Node) Owned(now time.Time) []lovagestand.ShardName {
 	var owned []lovagestand.ShardName
-	for _, shard := range n.shards() {
+	for _, shard := range n.order {
 		if _, ok := n.right(now, n.seats[shard]); ok {
 			owned = append(owned, shard)
 		}
@@ -161,7 +163,7 @@
 // Entries returns the newest entries known, sorted by shard.
 func (n *Node) Entries() []Entry {
 	entries := make([]Entry, 0, len(n.seats))
-	for _, shard := range n.shards() {
+	for _, shard := range n.order {
 		entries = append(entries, n.seats[shard].entry)
 	}
 	return entries
@@ -195,14 +197,10 @@
 	return effects
 }
 
-func (n *Node) shards() []lovagestand.ShardName {
-	return slices.Sorted(maps.Keys(n.seats))
-}
-
 // seatsOf returns the seats of a region's shards, sorted by shard.
 func (n *Node) seatsOf(name lovagestand.RegionName) []*seat {
 	var seats []*seat
-	for _, shard := range n.shards() {
+	for _, shard := range n.order {
 		if s := n.seats[shard]; s.entry.Region == name {
 			seats = append(seats, s)
 		}
--- a/owner/region.go
+++ b/owner/region.go
@@ -159,7 +159,11 @@
 // next returns the entry that this instance wants written for a shard.
 func (n *Node) next(now time.Time, r *region, s *seat) (Entry, bool) {
 	if s.takeover != nil && s.takeover.stage == takeoverReady {
-		return s.entry.Next(n.self.ID, n.standbys(now, s.entry, n.self.ID, ""), false), true
+		e := s.entry
+		if s.takeover.dropped {
+			e = e.beyond()
+		}
+		return e.Next(n.self.ID, n.standbys(now, e, n.self.ID, ""), false), true
 	}
 	if s.entry.Owner != n.self.ID {
 		return Entry{}, false
--- a/owner/seat.go
+++ b/owner/seat.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -79,6 +80,9 @@
 	n.version++
 	if old != nil {
 		s.promised = old.promised
+	} else {
+		i, _ := slices.BinarySearch(n.order, e.Shard)
+		n.order = slices.Insert(n.order, i, e.Shard)
 	}
 	if e.Owner != n.self.ID {
 		return true
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -29,6 +29,8 @@
 	read uint64
 	// lapses are the ends of the standbys' promises, of those who consented.
 	lapses map[lovagestand.InstanceID]time.Time
+	// dropped says that the member list spoke for a standby.
+	dropped bool
 }
 
 // watchOwner begins or goes on with a takeover whose time has come.
@@ -60,12 +62,14 @@
 		return
 	}
 	ready := true
+	ownerDropped := n.dropped(now, s.entry.Owner)
 	for _, id := range s.entry.Standbys {
 		if lapse, ok := t.lapses[id]; ok {
 			ready = ready && !now.Before(lapse)
 			continue
 		}
-		if n.dropped(now, id) && n.dropped(now, s.entry.Owner) {
+		if n.dropped(now, id) && ownerDropped {
+			t.dropped = true
 			continue
 		}
 		ready = false
