owner, peer: keep owners going through store outages; more failure tests

Cause: tests of the driver showed that an owner that wanted a new standby while the store was away wrote, did not learn the outcome, and let its right lapse: a planned stop in an outage ended with no owner, and a crash took the shards of the survivors along. Change: the store is probed before every write, ever less often while it does not answer; and while a write's outcome is unknown the owner goes on by those standbys that the old and the new group share, whose promises bind in both. An instance gives owners to another region only after 10 s, so that a fleet's start scatters nothing.

--- a/owner/assign.go
+++ b/owner/assign.go
@@ -17,9 +17,14 @@
 
 // proposes reports whether this instance gives owners to the shards of a
 // region that have none: the lowest usable one of the region, or of all
-// regions where it has none. More than one proposer is harmless.
+// regions where it has none. More than one proposer is harmless, but early ones
+// know few instances and none of other regions.
 func (n *Node) proposes(now time.Time, region lovagestand.RegionName) bool {
-	if n.leaving || !n.confirmed(now) || now.Sub(n.started) < 2*n.timing.Heartbeat {
+	patience := 4 * n.timing.Heartbeat
+	if region != n.self.Region {
+		patience = n.timing.Dropped
+	}
+	if n.leaving || !n.confirmed(now) || now.Sub(n.started) < patience {
 		return false
 	}
 	candidates := n.candidates(now, region)
@@ -133,12 +138,26 @@
 			best, weight = s, u.Weight
 		}
 	}
+	if best != nil && !inside {
+		to = n.nearest(now, best, to)
+	}
 	if best != nil {
 		n.nextMove = now.Add(n.timing.Rebalance)
 		n.handOver(now, best, to)
 	}
 }
 
+// nearest returns a standby of the shard's own region, which needs no joining,
+// or else to.
+func (n *Node) nearest(now time.Time, s *seat, to lovagestand.InstanceID) lovagestand.InstanceID {
+	for _, id := range s.entry.Standbys {
+		if n.usable(now, id) && n.instance(id).Region == s.entry.Region {
+			return id
+		}
+	}
+	return to
+}
+
 func (n *Node) movable(now time.Time, s *seat) bool {
 	_, ok := n.right(now, s)
 	return ok && s.handover == nil && !now.Before(s.resting) && !now.Before(s.settle)
--- a/owner/group.go
+++ b/owner/group.go
@@ -102,7 +102,8 @@
 	} else if n.leaving && !s.given {
 		return Entry{}, false
 	}
-	forced := s.refused || s.given || s.sent
+	_, holds := n.right(now, s)
+	forced := s.refused || s.given || s.sent || !holds && now.Sub(s.learned) > n.timing.Promise
 	if !forced && must == "" && now.Sub(s.learned) < 2*n.timing.Heartbeat {
 		return Entry{}, false
 	}
--- a/owner/member.go
+++ b/owner/member.go
@@ -11,6 +11,10 @@
 // binds itself.
 const dropSeal = "dropped"
 
+// remoteSilence is by how much longer an instance of another region, which is
+// heard of less often, may be silent.
+const remoteSilence = 3
+
 // peer is what is known of one instance.
 type peer struct {
 	instance lovagestand.Instance
@@ -151,7 +155,14 @@
 	if id == n.self.ID {
 		return !n.leaving && !n.list.gone
 	}
-	return p != nil && p.listed && !p.instance.Leaving && !p.heard.IsZero() && now.Sub(p.heard) < n.timing.Replace
+	if p == nil || !p.listed || p.instance.Leaving || p.heard.IsZero() {
+		return false
+	}
+	silence := n.timing.Replace
+	if p.instance.Region != n.self.Region {
+		silence *= remoteSilence
+	}
+	return now.Sub(p.heard) < silence
 }
 
 // dropped reports whether the member list has lacked an instance for so long
--- a/owner/node.go
+++ b/owner/node.go
@@ -75,8 +75,8 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(n.regions)) {
 		r := n.regions[name]
-		if r.unclear && !r.reading {
-			n.read(name)
+		if r.unclear {
+			n.probe(now, r)
 		}
 		n.plan(now, r)
 	}
--- /dev/null
+++ b/owner/node_test.go
@@ -0,0 +1,119 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/owner"
+)
+
+func ExampleDocument_With() {
+	e := owner.Entry{Shard: "malabar/rack1"}.Next("a", []lovagestand.InstanceID{"b", "c"}, true)
+	d := owner.Document{Region: "malabar"}.With(e)
+	data, _ := d.Encode()
+	fmt.Println(string(data))
+	// Output: {"region":"malabar","entries":[{"shard":"malabar/rack1","epoch":1,"owner":"a","standbys":["b","c"],"settled":true}]}
+}
+
+// group is an owner, its standbys and one shard, at a time when all have just
+// read the member list.
+type group struct {
+	now   time.Time
+	entry owner.Entry
+	nodes map[lovagestand.InstanceID]*owner.Node
+}
+
+func newGroup() *group {
+	g := &group{now: time.Unix(0, 0), nodes: map[lovagestand.InstanceID]*owner.Node{}}
+	g.entry = owner.Entry{Shard: "malabar/rack1", Region: "malabar"}.Next("a", []lovagestand.InstanceID{"b", "c"}, true)
+	for _, id := range []lovagestand.InstanceID{"a", "b", "c"} {
+		g.nodes[id] = owner.NewNode(g.now, lovagestand.Instance{ID: id, Region: "malabar"}, owner.DefaultTiming())
+	}
+	g.list("a", "b", "c")
+	for _, n := range g.nodes {
+		n.Watched(g.now, owner.Document{Region: "malabar"}.With(g.entry), 1)
+	}
+	return g
+}
+
+func (g *group) list(ids ...lovagestand.InstanceID) {
+	var members []lovagestand.Instance
+	for _, id := range ids {
+		members = append(members, lovagestand.Instance{ID: id, Region: "malabar"})
+	}
+	for _, n := range g.nodes {
+		n.Listed(g.now, g.now, members)
+	}
+}
+
+func (g *group) asks() int {
+	var asks int
+	for _, e := range g.nodes["a"].Tick(g.now) {
+		if send, ok := e.(owner.Send); ok && send.Message.Kind == owner.KindAsk {
+			asks++
+		}
+	}
+	return asks
+}
+
+func (g *group) promises(entry owner.Entry) bool {
+	effects := g.nodes["b"].Receive(g.now, entry.Owner, owner.Message{Kind: owner.KindAsk, Entry: entry})
+	return len(effects) == 1 && effects[0].(owner.Send).Message.Kind == owner.KindPromise
+}
+
+func TestRightRestsOnOnePromise(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	c.Assert(g.asks(), qt.Equals, 2)
+	c.Assert(g.nodes["a"].Owned(g.now), qt.HasLen, 0)
+	g.nodes["a"].Receive(g.now, "c", owner.Message{Kind: owner.KindPromise, Entry: g.entry})
+	right, ok := g.nodes["a"].Right(g.now, g.entry.Shard)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(right.Until.Sub(g.now), qt.Equals, 1900*time.Millisecond)
+}
+
+func TestNothingIsDoneUntilTheListWasReadAfterAPause(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	c.Assert(g.promises(g.entry), qt.IsTrue)
+	g.now = g.now.Add(owner.DefaultTiming().ListFresh)
+	c.Assert(g.asks(), qt.Equals, 0)
+	c.Assert(g.promises(g.entry), qt.IsFalse)
+	g.list("a", "b", "c")
+	c.Assert(g.asks(), qt.Equals, 2)
+	c.Assert(g.promises(g.entry), qt.IsTrue)
+}
+
+func TestDroppedInstancePromisesOnlyNewEpochs(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	g.list("a", "c")
+	c.Assert(g.promises(g.entry), qt.IsFalse)
+	g.list("a", "b", "c")
+	c.Assert(g.promises(g.entry), qt.IsFalse)
+	c.Assert(g.promises(g.entry.Next("a", g.entry.Standbys, true)), qt.IsTrue)
+}
+
+func TestSealedInstanceRefusesWhatIsPassedByHand(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	g.now = g.now.Add(2 * time.Second)
+	g.nodes["b"].Receive(g.now, "c", owner.Message{Kind: owner.KindSeal, Entry: g.entry, Attempt: "c/1"})
+	next := g.entry.Next("b", []lovagestand.InstanceID{"c", "a"}, true)
+	pass := owner.Message{Kind: owner.KindPass, Entry: next, ByHand: true}
+	g.nodes["b"].Receive(g.now, "a", pass)
+	assertEpoch(c, g.nodes["b"], g.entry, 1)
+	g.nodes["b"].Receive(g.now, "c", owner.Message{Kind: owner.KindUnseal, Entry: g.entry, Attempt: "c/1"})
+	g.nodes["b"].Receive(g.now, "a", pass)
+	assertEpoch(c, g.nodes["b"], g.entry, 2)
+}
+
+func assertEpoch(c *qt.C, n *owner.Node, entry owner.Entry, epoch lovagestand.Epoch) {
+	c.Helper()
+	e, _ := n.Entry(entry.Shard)
+	c.Assert(e.Epoch, qt.Equals, epoch)
+}
--- a/owner/region.go
+++ b/owner/region.go
@@ -1,11 +1,18 @@
 package owner
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lovagestand.example/lovagestand"
 )
 
+// maxFailures bounds how far the pauses between tries at the store grow: to
+// 8 heartbeats.
+const maxFailures = 3
+
 // region is what is known of one region's document and asked of the store.
 type region struct {
 	name     lovagestand.RegionName
@@ -21,6 +28,38 @@
 	// last one met a conflict, or may or may not have taken effect.
 	unclear  bool
 	sentWith lovagestand.Revision
+	// answered is when the store last answered, failures how often it did not
+	// since, and retry when it is asked again for what can wait.
+	answered time.Time
+	failures int
+	retry    time.Time
+}
+
+// answers notes whether the store answered; while it does not, it is asked
+// ever less often.
+func (n *Node) answers(now time.Time, r *region, ok bool) {
+	if ok {
+		r.answered = now
+		r.failures = 0
+		r.retry = time.Time{}
+		return
+	}
+	r.failures = min(r.failures+1, maxFailures)
+	pause := n.timing.Heartbeat << r.failures
+	jitter := xxhash.Sum64String(string(n.self.ID)+strconv.FormatUint(r.reads, 10)) % uint64(pause)
+	r.retry = now.Add(pause/2 + time.Duration(jitter))
+}
+
+// probe asks the store whether it answers, unless it did just now; false if
+// that is not known yet.
+func (n *Node) probe(now time.Time, r *region) bool {
+	if now.Sub(r.answered) < n.timing.Heartbeat && r.failures == 0 {
+		return true
+	}
+	if !r.reading && !now.Before(r.retry) {
+		n.read(r.name)
+	}
+	return false
 }
 
 func (n *Node) region(name lovagestand.RegionName) *region {
@@ -53,6 +92,7 @@
 func (n *Node) ReadDone(now time.Time, d Document, revision lovagestand.Revision, ok bool) []Effect {
 	r := n.region(d.Region)
 	r.reading = false
+	n.answers(now, r, ok)
 	if ok {
 		r.unclear = false
 		n.observe(now, r, d, revision)
@@ -91,6 +131,7 @@
 	r := n.region(d.Region)
 	r.writing = false
 	if err == nil {
+		n.answers(now, r, true)
 		n.announce(r, d)
 		n.observe(now, r, d, revision)
 	} else {
@@ -136,24 +177,46 @@
 	if !r.known || r.writing || r.unclear {
 		return
 	}
+	entries := n.due(now, r)
+	if len(entries) == 0 || !n.probe(now, r) {
+		return
+	}
+	for _, e := range entries {
+		s := n.seats[e.Shard]
+		if s != nil && e.Epoch > s.entry.Epoch {
+			s.share(e)
+		}
+	}
+	r.writing = true
+	r.sentWith = r.revision
+	n.effects = append(n.effects, Write{Document: r.document.With(entries...), Previous: r.revision})
+}
+
+// due returns the entries that this instance wants written.
+func (n *Node) due(now time.Time, r *region) []Entry {
 	var entries []Entry
 	for _, s := range n.seatsOf(r.name) {
 		e, ok := n.next(now, r, s)
-		if !ok {
-			continue
-		}
-		if e.Epoch > s.entry.Epoch {
-			s.sent = true
+		if ok {
+			entries = append(entries, e)
 		}
-		entries = append(entries, e)
 	}
-	entries = append(entries, n.assign(now, r)...)
-	if len(entries) == 0 {
-		return
+	return append(entries, n.assign(now, r)...)
+}
+
+// share notes that an entry is sent which ends this epoch.
+func (s *seat) share(next Entry) {
+	if !s.sent {
+		s.shared = s.entry.Standbys
+	}
+	s.sent = true
+	var shared []lovagestand.InstanceID
+	for _, id := range s.shared {
+		if next.HasStandby(id) {
+			shared = append(shared, id)
+		}
 	}
-	r.writing = true
-	r.sentWith = r.revision
-	n.effects = append(n.effects, Write{Document: r.document.With(entries...), Previous: r.revision})
+	s.shared = shared
 }
 
 // next returns the entry that this instance wants written for a shard.
--- a/owner/seat.go
+++ b/owner/seat.go
@@ -18,6 +18,10 @@
 	seals map[string]bool
 	// sent says that a write which ends this epoch may be under way.
 	sent bool
+	// shared are the standbys of this epoch that every entry sent to end it
+	// has too. Their promises bind in the next epoch as well, so the owner may
+	// go on by them while it does not know which epoch it is.
+	shared []lovagestand.InstanceID
 
 	// What follows is in use by the owner.
 
@@ -111,15 +115,19 @@
 
 // ask asks the standbys of an owned shard for their promises.
 func (n *Node) ask(now time.Time, s *seat) {
-	if s.entry.Owner != n.self.ID || s.given || s.sent || !n.confirmed(now) {
+	if s.entry.Owner != n.self.ID || s.given || !n.confirmed(now) {
 		return
 	}
-	if len(s.entry.Standbys) == 0 {
+	standbys := s.entry.Standbys
+	if s.sent {
+		standbys = s.shared
+	}
+	if len(s.entry.Standbys) == 0 && !s.sent {
 		s.grants[n.self.ID] = now.Add(n.timing.Promise - n.timing.Guard)
 		n.begin(now, s)
 	}
 	m := Message{Kind: KindAsk, Entry: s.entry, Sent: now.Sub(n.started)}
-	for _, id := range s.entry.Standbys {
+	for _, id := range standbys {
 		n.send(id, m)
 	}
 }
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -46,6 +46,9 @@
 	if now.Before(s.lapse(n.timing).Add(time.Duration(rank) * n.timing.Stagger)) {
 		return
 	}
+	if now.Before(n.region(s.entry.Region).retry) {
+		return
+	}
 	n.attempts++
 	s.takeover = &takeover{
 		attempt: fmt.Sprintf("%s/%d", n.self.ID, n.attempts),
--- a/owner/timing.go
+++ b/owner/timing.go
@@ -40,7 +40,7 @@
 		Stagger:   500 * time.Millisecond,
 		Dropped:   10 * time.Second,
 		ListFresh: 5 * time.Second,
-		Replace:   3 * time.Second,
+		Replace:   2 * time.Second,
 		Rebalance: 5 * time.Second,
 		Warm:      10 * time.Second,
 	}
--- /dev/null
+++ b/peer/failures_test.go
@@ -0,0 +1,151 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand/owner"
+)
+
+// settled runs a test in virtual time on a fleet whose shards have found their
+// owners.
+func settled(t *testing.T, count, regions int, test func(c *qt.C, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(count, regions, 4)
+		defer f.stop()
+		time.Sleep(time.Minute)
+		test(qt.New(t), f)
+	})
+}
+
+// leave makes an instance leave, and stops it afterwards.
+func (f *fleet) leave(c *qt.C, i int) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		c.Check(f.peers[i].Leave(ctx), qt.IsNil)
+		f.stops[i]()
+	}()
+}
+
+func assertGap(c *qt.C, what string, gap, most time.Duration) {
+	c.Helper()
+	c.Logf("gap after %s: %s", what, gap)
+	c.Assert(gap <= most, qt.IsTrue, qt.Commentf("gap after %s: %s", what, gap))
+}
+
+func TestPlannedStop(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		f.leave(c, 0)
+		assertGap(c, "a planned stop", f.gap(c, 12), 50*time.Millisecond)
+	})
+}
+
+func TestPlannedStopDuringStoreOutage(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		f.store.setDown(true)
+		f.leave(c, 0)
+		assertGap(c, "a planned stop without the store", f.gap(c, 12), 50*time.Millisecond)
+		f.store.setDown(false)
+		assertGap(c, "the store's return", f.gap(c, 12), 0)
+		f.assertWritten(c)
+	})
+}
+
+// assertWritten asserts that the store says what the owners hold to be true.
+func (f *fleet) assertWritten(c *qt.C) {
+	for _, p := range f.peers {
+		for _, shard := range p.Owned() {
+			e := entryOf(p, shard)
+			value, err := f.store.Get(context.Background(), owner.KeyOf(e.Region))
+			c.Assert(err, qt.IsNil)
+			document, err := owner.ParseDocument(e.Region, value.Data)
+			c.Assert(err, qt.IsNil)
+			written, _ := document.Entry(shard)
+			c.Assert(written, qt.DeepEquals, e)
+		}
+	}
+}
+
+func TestStoreOutageStopsNobody(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		f.store.setDown(true)
+		time.Sleep(10 * time.Minute)
+		assertGap(c, "ten minutes without the store", f.gap(c, 12), 0)
+	})
+}
+
+func TestCrashDuringStoreOutage(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		lost := len(f.peers[0].Owned())
+		f.store.setDown(true)
+		f.stops[0]()
+		time.Sleep(time.Minute)
+		c.Assert(f.owners(c), qt.HasLen, 12-lost)
+		f.store.setDown(false)
+		assertGap(c, "the store's return", f.gap(c, 12), 10*time.Second)
+	})
+}
+
+func TestRegionCutFromOthers(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		f.network.isolate(f, func(i int) bool { return i%3 == 0 })
+		assertGap(c, "a region's cut", f.gap(c, 12), 0)
+	})
+}
+
+func TestStandbyLostThenOwner(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		f.stops[3]()
+		time.Sleep(10 * time.Second)
+		f.stops[0]()
+		assertGap(c, "the second crash of a region", f.gap(c, 12), 5*time.Second)
+	})
+}
+
+func TestOwnerAndStandbyLostTogether(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		f.stops[3]()
+		f.stops[0]()
+		assertGap(c, "two crashes at once", f.gap(c, 12), 20*time.Second)
+	})
+}
+
+func TestCrashOfOneOfTwo(t *testing.T) {
+	settled(t, 2, 1, func(c *qt.C, f *fleet) {
+		f.stops[0]()
+		assertGap(c, "the crash of one of two", f.gap(c, 4), 5*time.Second)
+	})
+}
+
+func TestNewInstanceTakesItsPart(t *testing.T) {
+	settled(t, 2, 1, func(c *qt.C, f *fleet) {
+		i := f.start(2, 1)
+		assertGap(c, "a join", f.gap(c, 4), 50*time.Millisecond)
+		c.Assert(len(f.peers[i].Owned()) >= 1, qt.IsTrue)
+	})
+}
+
+func TestDigestsReachAllRegions(t *testing.T) {
+	settled(t, 9, 3, func(c *qt.C, f *fleet) {
+		for _, p := range f.peers {
+			p.SetDigest(digestsOf(p))
+			p.SetRevision(func() uint64 { return 7 })
+		}
+		time.Sleep(20 * time.Second)
+		for _, p := range f.peers {
+			c.Assert(p.Digests("pool"), qt.HasLen, 12)
+			c.Assert(p.Revisions(), qt.HasLen, 9)
+			for _, v := range p.Digests("pool") {
+				c.Assert(v.Age < 8*time.Second, qt.IsTrue, qt.Commentf("age %s", v.Age))
+				o, ok := p.Owner(v.Digest.Shard)
+				c.Assert(ok && o.ID == v.Owner, qt.IsTrue)
+			}
+		}
+	})
+}
--- a/peer/fakes_test.go
+++ b/peer/fakes_test.go
@@ -195,6 +195,17 @@
 	return w.Result(), nil
 }
 
+// isolate cuts the instances that are inside from the others.
+func (n *fakeNetwork) isolate(f *fleet, inside func(i int) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range f.peers {
+		for j := range f.peers {
+			n.cut[address(i)+">"+address(j)] = inside(i) != inside(j)
+		}
+	}
+}
+
 func (n *fakeNetwork) set(address string, handler http.Handler) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
