--- a/instance/instance.go
+++ b/instance/instance.go
@@ -77,7 +77,7 @@
 func (i *Instance) assemble() {
 	i.members = member.NewWatcher(i.deps.Members, i.Self, i.log)
 	i.follower = table.NewFollower(i.deps.Store,
-		table.WithPeers(i.peers, tablepeer.Puller(i.client)),
+		table.WithPeers(i.id, i.peers, tablepeer.Puller(i.client, i.Self())),
 		table.WithLogger(i.log))
 	tables := catalog{follower: i.follower}
 	i.ownership = split.New(i.id, i.members.Current, i.members.Changed)
--- a/table/following.go
+++ b/table/following.go
@@ -32,6 +32,9 @@
 	pullTimeout = 2 * time.Second
 	// askPeriod is how often peers are asked while no tables are in force.
 	askPeriod = 500 * time.Millisecond
+	// comparePeriod is how often an instance compares revisions with a peer, in
+	// asking periods.
+	comparePeriod = 10
 	// toldPeers is how many peers an instance tells of a new revision.
 	toldPeers = 3
 	// maxClaims bounds how many peers are remembered to be ahead.
@@ -78,7 +81,7 @@
 	}
 	ask := time.NewTicker(askPeriod)
 	defer ask.Stop()
-	for ctx.Err() == nil {
+	for tick := 1; ctx.Err() == nil; {
 		select {
 		case <-ctx.Done():
 			return
@@ -87,12 +90,11 @@
 			f.pullClaimed(ctx)
 		case revision := <-f.news:
 			sleep(ctx, PeerGrace)
-			f.tell(ctx, revision)
+			f.tell(ctx, revision, 0, toldPeers)
 		case <-ask.C:
-			if _, found := f.Current(); !found {
-				f.askAll(ctx)
-			}
+			f.compare(ctx, tick)
 			f.pullClaimed(ctx)
+			tick++
 		}
 	}
 }
@@ -141,18 +143,30 @@
 	f.news <- revision
 }
 
-// tell tells a few peers of a revision, others for each revision and teller,
-// so that it reaches those that the store does not.
-func (f *Follower) tell(ctx context.Context, revision Revision) {
+// compare asks all peers while no tables are in force, and now and then one
+// peer afterwards.
+func (f *Follower) compare(ctx context.Context, tick int) {
+	tables, found := f.Current()
+	if !found {
+		f.askAll(ctx)
+	} else if tick%comparePeriod == 0 {
+		f.tell(ctx, tables.revision, tick, 1)
+	}
+}
+
+// tell tells a few peers of a revision, others for each revision, teller and
+// salt, so that it reaches those that the store does not. What they answer is
+// noted.
+func (f *Follower) tell(ctx context.Context, revision Revision, salt, count int) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	peers := slices.Clone(f.peers())
 	rank := func(peer lovagestand.Instance) uint64 {
-		return xxhash.Sum64String(fmt.Sprint(f.self, "/", peer.ID, "/", revision))
+		return xxhash.Sum64String(fmt.Sprint(f.self, "/", peer.ID, "/", revision, "/", salt))
 	}
 	slices.SortFunc(peers, func(a, b lovagestand.Instance) int { return cmp.Compare(rank(a), rank(b)) })
 	var group sync.WaitGroup
-	for _, peer := range peers[:min(toldPeers, len(peers))] {
+	for _, peer := range peers[:min(count, len(peers))] {
 		group.Go(func() {
 			if theirs, _, err := f.pull(ctx, peer, revision); err == nil {
 				f.Heard(peer, theirs)
