--- /dev/null
+++ b/commands/tables/change.go
@@ -0,0 +1,183 @@
+package tables
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"lovagestand.example/lovagestand/table"
+)
+
+func (c *command) check() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check DIR",
+		Short: "Check routes.yaml and pools.yaml of a directory",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			tables, err := readTables(args[0])
+			if err != nil {
+				return coded(err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "sound: %d routes, %d pools\n", len(tables.Routes()), len(tables.Pools()))
+			return nil
+		},
+	}
+}
+
+func (c *command) fetch() *cobra.Command {
+	var revision uint64
+	cmd := &cobra.Command{
+		Use:   "fetch DIR",
+		Short: "Write the tables in force, or a kept revision, to a directory for editing",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), c.timeout)
+			defer cancel()
+			record, err := c.load(ctx)
+			if err == nil && revision > 0 {
+				record, err = table.Past(ctx, c.deps.Store(c.store), record, table.Revision(revision))
+			}
+			if err != nil {
+				return coded(err)
+			}
+			if err := writeTables(args[0], record.Tables); err != nil {
+				return coded(err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "fetched revision %d\n", record.Tables.Revision())
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&revision, "revision", 0, "revision to fetch; 0 for the one in force")
+	return cmd
+}
+
+func (c *command) load(ctx context.Context) (table.Record, error) {
+	record, _, err := table.Load(ctx, c.deps.Store(c.store))
+	return record, err
+}
+
+func (c *command) diff() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff DIR",
+		Short: "Show the rows in which a directory differs from the tables in force",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), c.timeout)
+			defer cancel()
+			tables, err := readTables(args[0])
+			if err != nil {
+				return coded(err)
+			}
+			record, err := c.load(ctx)
+			if err != nil {
+				return coded(err)
+			}
+			printDifferences(cmd.OutOrStdout(), table.Diff(record.Tables, tables))
+			return nil
+		},
+	}
+}
+
+func printDifferences(w io.Writer, differences []table.Difference) {
+	for _, d := range differences {
+		fmt.Fprintln(w, d)
+	}
+}
+
+// change are the flags of apply.
+type change struct {
+	base            uint64
+	writer, message string
+}
+
+func (c *command) apply() *cobra.Command {
+	flags := &change{}
+	cmd := &cobra.Command{
+		Use:   "apply DIR",
+		Short: "Make the tables of a directory those in force, merged by row with others' changes",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), c.timeout)
+			defer cancel()
+			return coded(c.applyDirectory(ctx, cmd.OutOrStdout(), args[0], *flags))
+		},
+	}
+	cmd.Flags().Uint64Var(&flags.base, "base", 0, "revision the tables were made from; 0 for the one noted in the directory")
+	cmd.Flags().StringVar(&flags.writer, "writer", writer(), "who makes the change")
+	cmd.Flags().StringVar(&flags.message, "message", "", "why the change is made")
+	return cmd
+}
+
+func (c *command) applyDirectory(ctx context.Context, w io.Writer, dir string, flags change) error {
+	tables, err := readTables(dir)
+	if err != nil {
+		return err
+	}
+	base := table.Revision(flags.base)
+	if base == 0 {
+		if base, err = readRevision(dir); err != nil {
+			return err
+		}
+	}
+	applier := table.NewApplier(c.deps.Store(c.store))
+	result, err := applier.Apply(ctx, table.Edit{Tables: tables, Base: base, Writer: flags.writer, Message: flags.message})
+	if err != nil {
+		return err
+	}
+	printDifferences(w, result.Rows)
+	if !result.Changed {
+		fmt.Fprintf(w, "nothing to change: revision %d is accepted\n", result.Revision)
+	} else {
+		fmt.Fprintf(w, "accepted as revision %d\n", result.Revision)
+	}
+	if result.Merged {
+		fmt.Fprintln(w, "others changed rows too: run tables fetch before the next edit")
+		return nil
+	}
+	return errors.Wrap(writeRevision(dir, result.Revision), "accepted, but the revision could not be noted")
+}
+
+func (c *command) history() *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "List the accepted changes, newest first",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), c.timeout)
+			defer cancel()
+			record, err := c.load(ctx)
+			if err != nil {
+				return coded(err)
+			}
+			return printHistory(cmd.OutOrStdout(), record.Changes)
+		},
+	}
+}
+
+func printHistory(w io.Writer, changes []table.Change) error {
+	columns := newColumns(w)
+	fmt.Fprintln(columns, "REVISION\tAT\tWRITER\tROWS\tMESSAGE")
+	for i := len(changes) - 1; i >= 0; i-- {
+		change := changes[i]
+		rows := ""
+		for _, row := range change.Rows {
+			rows += row.String() + " "
+		}
+		if more := change.RowCount - len(change.Rows); more > 0 {
+			rows += fmt.Sprintf("and %d more", more)
+		}
+		fmt.Fprintf(columns, "%d\t%s\t%s\t%s\t%s\n", change.Revision, change.At.Format(time.RFC3339), change.Writer, rows, change.Message)
+	}
+	return columns.Flush()
+}
+
+// newColumns returns a writer that aligns tab-separated cells.
+func newColumns(w io.Writer) *tabwriter.Writer {
+	const padding = 2
+	return tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
+}
--- a/table/apply.go
+++ b/table/apply.go
@@ -36,7 +36,8 @@
 	Revision Revision
 	// Changed says that there was something to change.
 	Changed bool
-	// Merged says that others had changed other rows meanwhile.
+	// Merged says that the tables accepted hold rows of others that the edit
+	// does not.
 	Merged bool
 	Rows   []Difference
 }
--- a/table/attempt.go
+++ b/table/attempt.go
@@ -33,7 +33,7 @@
 	}
 	differences := Diff(current.Tables, merged)
 	if len(differences) == 0 && current.Tables.revision > 0 {
-		return Result{Revision: current.Tables.revision}, nil
+		return Result{Revision: current.Tables.revision, Merged: a.differs(merged)}, nil
 	}
 	next := current.With(merged, a.change(differences))
 	data, err := next.Encode()
@@ -50,10 +50,15 @@
 	}
 	return Result{
 		Revision: next.Tables.revision, Changed: true, Rows: differences,
-		Merged: current.Tables.revision != a.edit.Base,
+		Merged: a.differs(merged),
 	}, nil
 }
 
+// differs reports whether others' rows joined the edit's.
+func (a *attempt) differs(merged Tables) bool {
+	return len(Diff(a.edit.Tables, merged)) > 0
+}
+
 func isConflict(err error) bool {
 	var conflict *lovagestand.ConflictError
 	return errors.As(err, &conflict)
