limit: rate and concurrency by route and team, overload protection

Cause: limits hold over all instances but may cost no store call. Change: each instance applies its share; lower classes are kept out earlier as unanswered requests mount; refused callers get times spread over the rate at which room comes free; refusals counted and logged by limit and route.

--- /dev/null
+++ b/limit/limiter.go
@@ -0,0 +1,218 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/table"
+)
+
+const (
+	// DefaultInFlight is how many unanswered requests an instance holds.
+	DefaultInFlight = 8192
+	// MaxTeams bounds the team limits remembered; further teams of a route
+	// share one until others are idle.
+	MaxTeams = 4096
+)
+
+// Limiter admits requests. It is safe for concurrent use.
+type Limiter struct {
+	mu       sync.Mutex
+	now      func() time.Time
+	log      zerolog.Logger
+	capacity int
+	tables   table.Tables
+	share    Share
+	inFlight int
+	overload returns
+	routes   map[lovagestand.RouteName]*gate
+	teams    map[teamKey]*gate
+	lastScan time.Time
+	refusals refusals
+}
+
+// teamKey names a team on a route. The empty team stands for all teams that
+// find no room.
+type teamKey struct {
+	route lovagestand.RouteName
+	team  lovagestand.TeamName
+}
+
+// Option changes a [Limiter] under construction.
+type Option func(*Limiter)
+
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option {
+	return func(l *Limiter) { l.now = now }
+}
+
+// WithInFlight sets how many unanswered requests the instance holds.
+func WithInFlight(n int) Option {
+	return func(l *Limiter) { l.capacity = n }
+}
+
+// WithLogger sets where refusals are logged.
+func WithLogger(log zerolog.Logger) Option {
+	return func(l *Limiter) { l.log = log }
+}
+
+// New returns a limiter that knows no routes before [Limiter.SetTables].
+func New(options ...Option) *Limiter {
+	l := &Limiter{
+		now:      time.Now,
+		log:      zerolog.Nop(),
+		capacity: DefaultInFlight,
+		share:    Share{Live: 1},
+		routes:   map[lovagestand.RouteName]*gate{},
+		teams:    map[teamKey]*gate{},
+	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
+}
+
+// SetTables brings other tables into force. Requests in flight stay counted.
+func (l *Limiter) SetTables(tables table.Tables) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tables = tables
+	l.reset()
+}
+
+// SetShare sets the instance's share of the limits.
+func (l *Limiter) SetShare(share Share) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if share != l.share {
+		l.share = share
+		l.reset()
+	}
+}
+
+// reset gives every gate its bounds and drops those of routes that are gone.
+func (l *Limiter) reset() {
+	now := l.now()
+	for name, g := range l.routes {
+		if r, found := l.tables.Route(name); found {
+			g.set(l.routeBounds(r.Limits), now)
+		} else {
+			delete(l.routes, name)
+		}
+	}
+	for key, g := range l.teams {
+		if r, found := l.tables.Route(key.route); found {
+			g.set(l.teamBounds(r.Limits), now)
+		} else {
+			delete(l.teams, key)
+		}
+	}
+}
+
+func (l *Limiter) routeBounds(limits table.Limits) bounds {
+	burst := limits.Burst
+	if burst == 0 {
+		burst = int(limits.RatePerSecond)
+	}
+	return bounds{
+		rate: l.share.rate(limits.RatePerSecond), burst: l.share.burst(burst),
+		limited: limits.Concurrent > 0, concurrent: l.share.count(limits.Concurrent),
+	}
+}
+
+func (l *Limiter) teamBounds(limits table.Limits) bounds {
+	return bounds{
+		rate: l.share.rate(limits.TeamRatePerSecond), burst: l.share.burst(int(limits.TeamRatePerSecond)),
+		limited: limits.TeamConcurrent > 0, concurrent: l.share.count(limits.TeamConcurrent),
+	}
+}
+
+// Admit lets a request of a route in and returns what to call once it is
+// answered, or fails with an [Error] or a [table.GoneError]. Calling release
+// again has no effect.
+func (l *Limiter) Admit(route lovagestand.RouteName, team lovagestand.TeamName) (release func(), err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, found := l.tables.Route(route)
+	if !found {
+		return nil, &table.GoneError{Table: table.RoutesTable, Name: string(route), Revision: l.tables.Revision()}
+	}
+	now := l.now()
+	all := l.routeGate(r)
+	own := l.teamGate(r, team, now)
+	if kind, after := l.refuse(r.Class, all, own, now); kind != "" {
+		refusal := &Error{Kind: kind, Route: route, Team: team, Class: r.Class, RetryAfter: after}
+		l.refusals.add(refusal, now, l.log)
+		return nil, refusal
+	}
+	l.inFlight++
+	all.enter(now)
+	if own != nil {
+		own.enter(now)
+	}
+	return sync.OnceFunc(func() { l.leave(all, own) }), nil
+}
+
+func (l *Limiter) leave(all, own *gate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.inFlight--
+	l.overload.left(now)
+	all.leave(now)
+	if own != nil {
+		own.leave(now)
+	}
+}
+
+// refuse returns which limit keeps a request out and when to come back; the
+// empty kind lets it in.
+func (l *Limiter) refuse(class lovagestand.Class, all, own *gate, now time.Time) (Kind, time.Duration) {
+	switch {
+	case l.inFlight >= room(class, l.capacity):
+		return Overload, l.overload.after(now, l.overload.rate)
+	case own != nil && own.crowded():
+		return TeamConcurrent, own.returns.after(now, own.returns.rate)
+	case own != nil && own.dry(now):
+		return TeamRate, own.returns.after(now, own.bounds.rate)
+	case all.crowded():
+		return RouteConcurrent, all.returns.after(now, all.returns.rate)
+	case all.dry(now):
+		return RouteRate, all.returns.after(now, all.bounds.rate)
+	default:
+		return "", 0
+	}
+}
+
+// room is how many unanswered requests there may be for a class to be let in:
+// the lower the class, the earlier it is kept out.
+func room(class lovagestand.Class, capacity int) int {
+	const urgent, service, gang, batch = 100, 80, 70, 60 // percent
+	percent := batch
+	switch class {
+	case lovagestand.ClassUrgent:
+		percent = urgent
+	case lovagestand.ClassService:
+		percent = service
+	case lovagestand.ClassGang:
+		percent = gang
+	}
+	return capacity * percent / 100
+}
+
+// InFlight returns how many requests were let in and not released.
+func (l *Limiter) InFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight
+}
+
+// Refusals returns how many requests were refused, by limit and route.
+func (l *Limiter) Refusals() []Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refusals.list()
+}
--- /dev/null
+++ b/limit/refusal.go
@@ -0,0 +1,73 @@
+package limit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+)
+
+// logPeriod spaces the log lines about one limit of one route.
+const logPeriod = time.Second
+
+// Refusal counts the requests that one limit of one route kept out.
+type Refusal struct {
+	Kind  Kind                  `json:"kind"`
+	Route lovagestand.RouteName `json:"route"`
+	Count uint64                `json:"count"`
+	// LastTeam is the team refused last, at LastAt.
+	LastTeam lovagestand.TeamName `json:"lastTeam"`
+	LastAt   time.Time            `json:"lastAt"`
+}
+
+type refusalKey struct {
+	kind  Kind
+	route lovagestand.RouteName
+}
+
+// refusals counts by limit and route; routes come from the tables, so that
+// their number is bounded.
+type refusals struct {
+	counts map[refusalKey]*counter
+}
+
+type counter struct {
+	Refusal
+	logged   time.Time
+	unlogged uint64
+}
+
+func (r *refusals) add(e *Error, now time.Time, log zerolog.Logger) {
+	if r.counts == nil {
+		r.counts = map[refusalKey]*counter{}
+	}
+	key := refusalKey{e.Kind, e.Route}
+	c := r.counts[key]
+	if c == nil {
+		c = &counter{Refusal: Refusal{Kind: e.Kind, Route: e.Route}}
+		r.counts[key] = c
+	}
+	c.Count++
+	c.unlogged++
+	c.LastTeam, c.LastAt = e.Team, now
+	if now.Sub(c.logged) < logPeriod {
+		return
+	}
+	log.Warn().Str("limit", string(e.Kind)).Str("route", string(e.Route)).Str("team", string(e.Team)).
+		Str("class", string(e.Class)).Uint64("refused", c.unlogged).Dur("retryAfterMs", e.RetryAfter).Msg("limited")
+	c.logged, c.unlogged = now, 0
+}
+
+func (r *refusals) list() []Refusal {
+	list := make([]Refusal, 0, len(r.counts))
+	for _, c := range r.counts {
+		list = append(list, c.Refusal)
+	}
+	slices.SortFunc(list, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Route, b.Route))
+	})
+	return list
+}
--- /dev/null
+++ b/limit/team.go
@@ -0,0 +1,57 @@
+package limit
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/table"
+)
+
+// scanPeriod spaces the searches for idle team gates.
+const scanPeriod = time.Second
+
+func (l *Limiter) routeGate(r table.Route) *gate {
+	g := l.routes[r.Name]
+	if g == nil {
+		g = newGate(l.routeBounds(r.Limits))
+		l.routes[r.Name] = g
+	}
+	return g
+}
+
+// teamGate returns the gate of a team on a route; nil where teams have no
+// limits there.
+func (l *Limiter) teamGate(r table.Route, team lovagestand.TeamName, now time.Time) *gate {
+	if r.Limits.TeamRatePerSecond == 0 && r.Limits.TeamConcurrent == 0 {
+		return nil
+	}
+	key := teamKey{r.Name, team}
+	if g := l.teams[key]; g != nil {
+		return g
+	}
+	if len(l.teams) >= MaxTeams {
+		l.forgetIdle(now)
+	}
+	if len(l.teams) >= MaxTeams {
+		key.team = ""
+		if g := l.teams[key]; g != nil {
+			return g
+		}
+	}
+	g := newGate(l.teamBounds(r.Limits))
+	l.teams[key] = g
+	return g
+}
+
+// forgetIdle drops the gates that would let as much in if they were new.
+func (l *Limiter) forgetIdle(now time.Time) {
+	if now.Sub(l.lastScan) < scanPeriod {
+		return
+	}
+	l.lastScan = now
+	for key, g := range l.teams {
+		if g.idle(now) {
+			delete(l.teams, key)
+		}
+	}
+}
