claim: exploring test of claims, and what it found

Cause: the protocol had only unit tests. The exploring test runs two owners, two entries, a store and a worker in virtual time with lost, late and held up calls, an outage and pauses, and judges starts at the worker, every 'not run', and the history by porcupine. Found and mended: (1) a late 'not granted' reply was told after the same home had granted a repeat: the word now holds for a stated time, in which the home begins no other attempt and after which the client asks again; (2) a settlement as not run was accepted by what its sender had read before another holder's start: settlements carry ReadAt. Both are kept as mutations. Ignoring the token alone is not caught, because the right is checked after the write; it is tested together with that check removed.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -19,6 +19,10 @@
 	MaxKeyBytes = 256
 	// ClockMargin is by how much the clocks of two processes may differ.
 	ClockMargin = 500 * time.Millisecond
+	// NotRunHold is how long after its word that a request has not run a home
+	// begins no other attempt of it. In that time the word must reach the
+	// caller.
+	NotRunHold = 3 * ClockMargin
 	// MaxStartDelay is the longest time from a claim to its StartBy.
 	MaxStartDelay = WorkerRetention / 2
 	// WorkerRetention is how long workers keep ended tasks at least. Within
@@ -104,8 +108,8 @@
 	// Touched is when the claim was last settled, or last said to be waiting.
 	Touched   time.Time     `json:"touched,omitzero"`
 	Retention time.Duration `json:"retention"`
-	// ValidUntil is when the home's word on this claim may be overtaken by
-	// that of another owner.
+	// ValidUntil is when the home's word that the attempt has not run may be
+	// overtaken by another attempt; set only with that outcome.
 	ValidUntil time.Time `json:"-"`
 }
 
@@ -167,6 +171,10 @@
 	// worker confirmed the stop, or its lease has lapsed.
 	Outcome lovagestand.Outcome
 	Reason  string
+	// ReadAt is when the shard's owner, or its workers, were asked for the
+	// outcome. It counts for [lovagestand.OutcomeNotRun]: what was read before
+	// every holder's time to start had passed says nothing of later starts.
+	ReadAt time.Time
 }
 
 const maxReasonBytes = 256
--- a/claim/client.go
+++ b/claim/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
 	lovagestand "lovagestand.example/lovagestand"
@@ -23,14 +24,27 @@
 	ownership lovagestand.Ownership
 	local     Server
 	remote    func(lovagestand.Instance) Server
+	pauses    func() backoff.BackOff
+}
+
+// ClientOption configures a [Client].
+type ClientOption func(*Client)
+
+// WithClientPauses sets the source of the pauses between calls.
+func WithClientPauses(pauses func() backoff.BackOff) ClientOption {
+	return func(c *Client) { c.pauses = pauses }
 }
 
 // NewClient returns a client for the instance self, which serves its own homes
 // by local and reaches others by remote.
 func NewClient(self lovagestand.InstanceID, ownership lovagestand.Ownership, local Server,
-	remote func(lovagestand.Instance) Server,
+	remote func(lovagestand.Instance) Server, options ...ClientOption,
 ) *Client {
-	return &Client{self: self, ownership: ownership, local: local, remote: remote}
+	c := &Client{self: self, ownership: ownership, local: local, remote: remote, pauses: newPause}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Claim returns the claim of a key. It fails with a [MismatchError], an
@@ -60,7 +74,7 @@
 
 // repeat calls the owner of a key's home until an answer holds.
 func (c *Client) repeat(ctx context.Context, key lovagestand.RequestKey, do call) (Claim, error) {
-	pause := newPause()
+	pause := c.pauses()
 	for {
 		claim, err := c.once(ctx, key, do)
 		if holds(claim, err, time.Now()) {
--- a/claim/errors.go
+++ b/claim/errors.go
@@ -24,7 +24,7 @@
 type NotGrantedError struct {
 	Key    lovagestand.RequestKey
 	Reason string
-	// ValidUntil is when the word may be overtaken by another owner's grant.
+	// ValidUntil is when the word may be overtaken by another attempt.
 	ValidUntil time.Time
 }
 
--- /dev/null
+++ b/claim/explore_test.go
@@ -0,0 +1,368 @@
+package claim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cenkalti/backoff/v5"
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	lovagestand "lovagestand.example/lovagestand"
+)
+
+// exploredSeeds is how many interleavings the exploring test runs.
+var exploredSeeds = flag.Int("seeds", defaultSeeds, "interleavings to explore")
+
+// mutation is a fault put into the protocol, to test the exploring test.
+type mutation string
+
+const (
+	unchanged         mutation = ""
+	ignoreRevision    mutation = "ignore epoch and revision"
+	ignoreRight       mutation = "ignore the end of the right"
+	ignoreToken       mutation = "ignore the end of the right and the token on read back"
+	grantAmbiguous    mutation = "grant an ambiguous write"
+	skipReading       mutation = "open without reading the claims"
+	notRunEarly       mutation = "answer not run early"
+	ignoreValidity    mutation = "trust a late answer"
+	ignoreHolders     mutation = "settle as not run for one of two holders"
+	ignoreReadTime    mutation = "settle by what was read too early"
+	retryAmbiguousRun mutation = "retry an ambiguous start"
+)
+
+func TestExploreClaims(t *testing.T) {
+	c := qt.New(t)
+	for seed := range *exploredSeeds {
+		c.Assert(explore(t, uint64(seed), unchanged), qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
+
+func TestExploreCatchesMutations(t *testing.T) {
+	for _, m := range []mutation{
+		ignoreRevision, ignoreRight, ignoreToken, grantAmbiguous, skipReading, notRunEarly, ignoreValidity, ignoreHolders,
+		ignoreReadTime, retryAmbiguousRun,
+	} {
+		t.Run(string(m), func(t *testing.T) {
+			for seed := range 3 * *exploredSeeds {
+				found := explore(t, uint64(seed), m)
+				if found != "" {
+					t.Logf("seed %d: %s", seed, found)
+					return
+				}
+			}
+			t.Fatal("not caught")
+		})
+	}
+}
+
+// explore runs one interleaving and returns what it violated.
+func explore(t *testing.T, seed uint64, m mutation) (violation string) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(seed, m)
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, i := range w.instances {
+			go func() { _ = i.homes.follow(ctx, HomeName(0)) }()
+		}
+		var calls sync.WaitGroup
+		for n := range 14 {
+			r := rand.New(rand.NewPCG(seed, uint64(100+n)))
+			calls.Go(func() { w.request(fmt.Sprint("call", n), r) })
+		}
+		calls.Wait()
+		cancel()
+		time.Sleep(30 * time.Second) // what is under way ends
+		violation = w.judge()
+	})
+	return violation
+}
+
+// world is two instances, each an entry and at times the owner of home 0, a
+// store and a worker, all of which fail.
+type world struct {
+	mutation  mutation
+	store     *fakeStore
+	instances []*explored
+	keys      []lovagestand.RequestKey
+	worker    fakeWorker
+
+	mu      sync.Mutex
+	answers []answer
+	history []porcupine.Operation
+}
+
+type explored struct {
+	homes  *Homes
+	client *Client
+}
+
+// answer is a caller's "not run".
+type answer struct {
+	key lovagestand.RequestKey
+	at  time.Time
+}
+
+func newWorld(seed uint64, m mutation) *world {
+	r := rand.New(rand.NewPCG(seed, 1))
+	w := &world{mutation: m, store: newFakeStore(), worker: fakeWorker{refused: map[start]bool{}}}
+	w.store.fault = faults(rand.New(rand.NewPCG(seed, 2)), kindOf(seed))
+	for n := 0; len(w.keys) < 2; n++ {
+		key := lovagestand.RequestKey(fmt.Sprint("key", n))
+		if HomeOf(key) == HomeName(0) {
+			w.keys = append(w.keys, key)
+		}
+	}
+	history := randomTenures(r)
+	servers := make(map[lovagestand.InstanceID]Server)
+	for i, id := range []lovagestand.InstanceID{"a", "b"} {
+		ownership := fakeOwnership{self: id, tenures: history, lag: upTo(r, time.Second)}
+		ownership.endless = m == ignoreRight || m == ignoreToken
+		store := &mutatedStore{Store: w.store, mutation: m}
+		homes := NewHomes(store, ownership, WithIDs(safeIDs(string(id))), WithWritesPerSecond(20*NumberOfHomes), WithPauses(pauses))
+		server := &link{Server: homes, mutation: m, kind: kindOf(seed), random: rand.New(rand.NewPCG(seed, uint64(10+i)))}
+		servers[id] = server
+		remote := func(i lovagestand.Instance) Server { return servers[i.ID] }
+		client := NewClient(id, ownership, server, remote, WithClientPauses(pauses))
+		w.instances = append(w.instances, &explored{homes: homes, client: client})
+	}
+	return w
+}
+
+func safeIDs(prefix string) func() string {
+	var mu sync.Mutex
+	next := ids(prefix)
+	return func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		return next()
+	}
+}
+
+// pauses returns pauses without chance, so that a seed says all.
+func pauses() backoff.BackOff {
+	return backoff.NewConstantBackOff(170 * time.Millisecond)
+}
+
+func upTo(r *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(d))) + 1
+}
+
+func randomTenures(r *rand.Rand) (history tenures) {
+	at := time.Now()
+	for epoch := range lovagestand.Epoch(12) {
+		owner := []lovagestand.InstanceID{"a", "b"}[r.IntN(2)]
+		until := at.Add(700*time.Millisecond + upTo(r, 2*time.Second))
+		history = append(history, tenure{owner: owner, epoch: epoch + 1, from: at, until: until})
+		at = until.Add(upTo(r, 300*time.Millisecond))
+	}
+	history[len(history)-1].until = at.Add(time.Hour)
+	return history
+}
+
+// kind says which faults a run is made of.
+type kind uint64
+
+const (
+	allFaults kind = iota
+	pausedOwners
+	lateReplies
+	numberOfKinds
+)
+
+func kindOf(seed uint64) kind {
+	return kind(seed) % numberOfKinds
+}
+
+// faults returns the faults of a store with one outage.
+func faults(r *rand.Rand, k kind) func(string) fault {
+	down := time.Now().Add(upTo(r, 12*time.Second))
+	up := down.Add(upTo(r, 5*time.Second))
+	return func(call string) fault {
+		f := fault{before: upTo(r, 20*time.Millisecond), after: upTo(r, 20*time.Millisecond)}
+		if k == pausedOwners && call == "put" && r.IntN(2) == 0 {
+			f.before = upTo(r, 4*time.Second)
+		}
+		if k != allFaults {
+			return f
+		}
+		f.down = time.Now().After(down) && time.Now().Before(up)
+		switch n := r.IntN(100); {
+		case n < 10:
+			f.lost = true
+		case n < 20 && call == "put":
+			f.late = upTo(r, 4*time.Second)
+		case n < 28:
+			f.before = upTo(r, 4*time.Second)
+		case n < 32:
+			f.after = upTo(r, 4*time.Second)
+		}
+		return f
+	}
+}
+
+// link loses, delays and holds up calls of a server and their replies.
+type link struct {
+	Server
+	mutation mutation
+	kind     kind
+	mu       sync.Mutex
+	random   *rand.Rand
+}
+
+func (l *link) Claim(ctx context.Context, r Request) (Claim, error) {
+	c, err := l.carry(ctx, func(ctx context.Context) (Claim, error) { return l.Server.Claim(ctx, r) })
+	var notGranted *NotGrantedError
+	if l.mutation == ignoreValidity && errors.As(err, &notGranted) {
+		notGranted.ValidUntil = time.Now().Add(time.Hour)
+	}
+	if l.mutation == notRunEarly && err != nil && notGranted == nil {
+		err = &NotGrantedError{Key: r.Key, ValidUntil: time.Now().Add(time.Hour)}
+	}
+	return c, err
+}
+
+func (l *link) Settle(ctx context.Context, s Settlement) (Claim, error) {
+	c, err := l.carry(ctx, func(ctx context.Context) (Claim, error) { return l.Server.Settle(ctx, s) })
+	var early *TooEarlyError
+	if l.mutation == ignoreValidity && err == nil {
+		c.ValidUntil = time.Now().Add(time.Hour)
+	}
+	if l.mutation == ignoreHolders && errors.As(err, &early) {
+		return Claim{Key: s.Key, Task: s.Task, Outcome: s.Outcome, ValidUntil: time.Now().Add(time.Hour)}, nil
+	}
+	return c, err
+}
+
+type reply struct {
+	claim Claim
+	err   error
+}
+
+// carry makes a call that goes on when its caller has given up.
+func (l *link) carry(ctx context.Context, do func(context.Context) (Claim, error)) (Claim, error) {
+	l.mu.Lock()
+	lost, before, after := l.random.IntN(10), upTo(l.random, 20*time.Millisecond), upTo(l.random, 20*time.Millisecond)
+	n := l.random.IntN(12)
+	switch {
+	case l.kind == pausedOwners:
+		lost = -1
+	case n == 0:
+		before = upTo(l.random, 3*time.Second)
+	case n == 1 || l.kind == lateReplies && n < 6:
+		after = upTo(l.random, 3*time.Second)
+	}
+	l.mu.Unlock()
+	replies := make(chan reply, 1)
+	go func() {
+		time.Sleep(before)
+		if lost == 0 {
+			replies <- reply{err: errors.New("request lost")}
+			return
+		}
+		c, err := do(context.WithoutCancel(ctx))
+		time.Sleep(after)
+		if lost == 1 {
+			err = errors.New("reply lost")
+		}
+		replies <- reply{claim: c, err: err}
+	}()
+	select {
+	case r := <-replies:
+		return r.claim, r.err
+	case <-ctx.Done():
+		return Claim{}, ctx.Err()
+	}
+}
+
+// mutatedStore breaks the use that a home makes of the store.
+type mutatedStore struct {
+	lovagestand.Store
+	mutation mutation
+	last     head
+}
+
+func (s *mutatedStore) Put(ctx context.Context, key string, data []byte, previous lovagestand.Revision, lease lovagestand.LeaseID) (lovagestand.Revision, error) {
+	s.last, _ = decodeHead(lovagestand.Value{Data: data, Revision: 1})
+	revision, err := s.Store.Put(ctx, key, data, previous, lease)
+	var conflict *lovagestand.ConflictError
+	if s.mutation == ignoreRevision && errors.As(err, &conflict) {
+		return s.Store.Put(ctx, key, data, conflict.Found, lease)
+	}
+	var unavailable *lovagestand.UnavailableError
+	if s.mutation == grantAmbiguous && errors.As(err, &unavailable) {
+		return previous + 1, nil
+	}
+	return revision, err
+}
+
+func (s *mutatedStore) Get(ctx context.Context, key string) (lovagestand.Value, error) {
+	v, err := s.Store.Get(ctx, key)
+	if s.mutation == ignoreToken && err == nil {
+		d, _ := decodeHead(v)
+		d.Token = s.last.Token
+		d.Epoch = s.last.Epoch
+		v.Data, _ = encode(d)
+	}
+	return v, err
+}
+
+func (s *mutatedStore) List(ctx context.Context, prefix string) ([]lovagestand.Value, error) {
+	values, err := s.Store.List(ctx, prefix)
+	if s.mutation == skipReading {
+		for i := range values {
+			d, _ := decodeHead(values[i])
+			values[i].Data, _ = encode(head{Epoch: d.Epoch, Token: d.Token})
+		}
+	}
+	return values, err
+}
+
+// fakeWorker starts tasks and remembers them for ever.
+type fakeWorker struct {
+	mu     sync.Mutex
+	starts []start
+	// refused are the messages that an owner has refused, told by task and
+	// sender; another owner does not know of them.
+	refused map[start]bool
+}
+
+type start struct {
+	key  lovagestand.RequestKey
+	task lovagestand.TaskID
+	// held is when the sender had the claim.
+	held, at time.Time
+}
+
+// run starts the task of a claim unless it is too late or was refused.
+func (w *fakeWorker) run(c Claim, held time.Time, refuse bool) (ran bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.knows(c.Task) {
+		return true
+	}
+	s := start{key: c.Key, task: c.Task, held: held}
+	if refuse || w.refused[s] || !time.Now().Before(c.StartBy) {
+		w.refused[s] = true
+		return false
+	}
+	s.at = time.Now()
+	w.starts = append(w.starts, s)
+	return true
+}
+
+func (w *fakeWorker) knows(task lovagestand.TaskID) bool {
+	for _, s := range w.starts {
+		if s.task == task {
+			return true
+		}
+	}
+	return false
+}
--- a/claim/fake_test.go
+++ b/claim/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -124,7 +125,7 @@
 	return nil
 }
 
-// tenure is a time for which one instance owns every home.
+// tenure is a time for which one instance owns home 0.
 type tenure struct {
 	owner       lovagestand.InstanceID
 	epoch       lovagestand.Epoch
@@ -138,11 +139,18 @@
 type fakeOwnership struct {
 	self    lovagestand.InstanceID
 	tenures tenures
+	// lag is how late it learns of another owner.
+	lag time.Duration
+	// endless makes it take its last right for one that does not end.
+	endless bool
 }
 
 func (o fakeOwnership) Right(name lovagestand.ShardName) (lovagestand.Right, bool) {
-	for _, t := range o.tenures {
-		if t.owner == o.self && !time.Now().Before(t.from) && time.Now().Before(t.until) {
+	for _, t := range slices.Backward(o.tenures) {
+		if o.endless && t.owner == o.self {
+			t.until = time.Now().Add(time.Hour)
+		}
+		if name == HomeName(0) && t.owner == o.self && !time.Now().Before(t.from) && time.Now().Before(t.until) {
 			return lovagestand.Right{Shard: name, Epoch: t.epoch, Until: t.until}, true
 		}
 	}
@@ -153,7 +161,7 @@
 
 func (o fakeOwnership) Owner(lovagestand.ShardName) (owner lovagestand.Instance, ok bool) {
 	for _, t := range o.tenures {
-		if !time.Now().Before(t.from) {
+		if !time.Now().Before(t.from.Add(o.lag)) {
 			owner, ok = lovagestand.Instance{ID: t.owner}, true
 		}
 	}
@@ -163,7 +171,7 @@
 func (o fakeOwnership) Changed() <-chan struct{} {
 	changed := make(chan struct{})
 	for _, t := range o.tenures {
-		if d := time.Until(t.from); d > 0 {
+		if d := time.Until(t.from.Add(o.lag)); d > 0 {
 			time.AfterFunc(d, func() { close(changed) })
 			break
 		}
--- a/claim/grant.go
+++ b/claim/grant.go
@@ -13,6 +13,9 @@
 // a [NotGrantedError] or, where others wait for the same claim, with an
 // [AmbiguousError].
 func (h *Home) Claim(ctx context.Context, r Request) (Claim, error) {
+	if sleep(ctx, time.Until(h.heldUntil(r.Key))) != nil {
+		return Claim{}, &AmbiguousError{Key: r.Key, Reason: "the key was said not to have run just now"}
+	}
 	w, err := h.enter(r, time.Now())
 	if err != nil {
 		return Claim{}, err
@@ -51,6 +54,13 @@
 	}
 }
 
+// heldUntil returns when another attempt of a key may begin.
+func (h *Home) heldUntil(key lovagestand.RequestKey) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.told[key]
+}
+
 // enter finds or begins the attempt for a request.
 func (h *Home) enter(r Request, now time.Time) (wait, error) {
 	err := r.check()
@@ -63,6 +73,9 @@
 	if err != nil || h.closed {
 		return wait{}, &NotOwnerError{Home: h.name}
 	}
+	if now.Before(h.told[r.Key]) {
+		return wait{}, &AmbiguousError{Key: r.Key, Reason: "the key was said not to have run just now"}
+	}
 	e, known := h.entries[r.Key]
 	if known && e.claim.Fingerprint != r.Fingerprint {
 		return wait{}, &MismatchError{Key: r.Key, Asked: r.Fingerprint, Found: e.claim.Fingerprint}
@@ -74,7 +87,7 @@
 			return wait{}, mayHaveRun(r.Key)
 		}
 		if reason != "" {
-			return wait{}, h.refuse(r.Key, reason, right)
+			return wait{}, h.refuse(r.Key, reason, right, now)
 		}
 		e = h.begin(e, r, now)
 	}
@@ -127,9 +140,9 @@
 }
 
 // refuse returns the answer for a request whose claim nobody was given.
-func (h *Home) refuse(key lovagestand.RequestKey, reason string, right lovagestand.Right) error {
+func (h *Home) refuse(key lovagestand.RequestKey, reason string, right lovagestand.Right, now time.Time) error {
 	h.stats.NotGranted++
-	return &NotGrantedError{Key: key, Reason: reason, ValidUntil: right.Until.Round(0)}
+	return &NotGrantedError{Key: key, Reason: reason, ValidUntil: h.tell(key, right, now)}
 }
 
 // mayHaveRun returns the answer for a request that was not given a new attempt
@@ -155,7 +168,7 @@
 		return Claim{}, &AmbiguousError{Key: e.claim.Key, Reason: "another attempt has begun"}
 	}
 	if e.granted() {
-		return h.handOut(w, right), nil
+		return h.handOut(w, right, now), nil
 	}
 	if e.awaitedByOthers(w.id) {
 		return Claim{}, &AmbiguousError{Key: e.claim.Key, Reason: "the claim is not written yet, and others wait for it"}
@@ -164,19 +177,27 @@
 	if e.claim.Ran {
 		return Claim{}, mayHaveRun(e.claim.Key)
 	}
-	return Claim{}, h.refuse(e.claim.Key, "the store did not answer in time", right)
+	return Claim{}, h.refuse(e.claim.Key, "the store did not answer in time", right, now)
 }
 
 // handOut gives the claim to a request. The caller holds the lock.
-func (h *Home) handOut(w wait, right lovagestand.Right) Claim {
+func (h *Home) handOut(w wait, right lovagestand.Right, now time.Time) Claim {
 	w.entry.handOut(w.id)
 	if w.fresh {
 		h.stats.Granted++
 	} else {
 		h.stats.Attached++
 	}
-	c := w.entry.claim
-	c.ValidUntil = right.Until.Round(0)
+	return h.word(w.entry, right, now)
+}
+
+// word returns an entry's claim as it is given to an asker. The caller holds
+// the lock.
+func (h *Home) word(e *entry, right lovagestand.Right, now time.Time) Claim {
+	c := e.claim
+	if c.Outcome == lovagestand.OutcomeNotRun {
+		c.ValidUntil = h.tell(c.Key, right, now)
+	}
 	return c
 }
 
--- a/claim/home.go
+++ b/claim/home.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
@@ -42,6 +43,11 @@
 	return func(h *Home) { h.nextID = next }
 }
 
+// WithPauses sets the source of the pauses between tries of a store call.
+func WithPauses(pauses func() backoff.BackOff) Option {
+	return func(h *Home) { h.pauses = pauses }
+}
+
 // Home serves the claims of one home while this instance has the right to it.
 // It is safe for concurrent use.
 type Home struct {
@@ -52,6 +58,7 @@
 	budget     *rate.Limiter
 	maxPending int
 	nextID     func() string
+	pauses     func() backoff.BackOff
 	// lost is closed when the home is served no more.
 	lost chan struct{}
 	// wake holds an element when there is something to write.
@@ -64,6 +71,9 @@
 	// queue are the entries that wait for the next write, in order.
 	queue []*entry
 	stats Stats
+	// told are the keys lately said not to have run, and until when the word
+	// holds.
+	told map[lovagestand.RequestKey]time.Time
 
 	// What follows belongs to the goroutine that opens and runs the home.
 	revision lovagestand.Revision
@@ -101,9 +111,11 @@
 		epoch:      right.Epoch,
 		maxPending: DefaultMaxPending,
 		nextID:     uuid.NewString,
+		pauses:     newPause,
 		lost:       make(chan struct{}),
 		wake:       make(chan struct{}, 1),
 		entries:    make(map[lovagestand.RequestKey]*entry),
+		told:       make(map[lovagestand.RequestKey]time.Time),
 	}
 	WithWritesPerSecond(DefaultWritesPerSecond)(h)
 	for _, o := range options {
@@ -178,4 +190,20 @@
 			delete(h.entries, key)
 		}
 	}
+	for key, until := range h.told {
+		if !now.Before(until) {
+			delete(h.told, key)
+		}
+	}
+}
+
+// tell returns until when the word that a key has not run holds, and begins no
+// other attempt of it before. The caller holds the lock.
+func (h *Home) tell(key lovagestand.RequestKey, right lovagestand.Right, now time.Time) time.Time {
+	until := now.Add(NotRunHold)
+	h.told[key] = until
+	if right.Until.Before(until) {
+		until = right.Until
+	}
+	return until.Round(0)
 }
--- a/claim/home_test.go
+++ b/claim/home_test.go
@@ -18,6 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		h, stop := openHome(qt.New(t), s, 1)
+		defer time.Sleep(time.Minute) // what is under way ends
 		defer stop()
 		do(qt.New(t), s, h)
 	})
@@ -28,8 +29,15 @@
 	h, err := Open(context.Background(), HomeName(0), s, alone(epoch), WithIDs(ids(fmt.Sprint("t", epoch))))
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _ = h.Run(ctx) }()
-	return h, cancel
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = h.Run(ctx)
+	}()
+	return h, func() {
+		cancel()
+		<-done
+	}
 }
 
 func ids(prefix string) func() string {
@@ -53,7 +61,7 @@
 
 func settled(c *qt.C, h *Home, claim Claim, id string, outcome lovagestand.Outcome) Claim {
 	c.Helper()
-	claim, err := h.Settle(Settlement{ID: id, Key: claim.Key, Task: claim.Task, Outcome: outcome})
+	claim, err := h.Settle(Settlement{ID: id, Key: claim.Key, Task: claim.Task, Outcome: outcome, ReadAt: time.Now()})
 	c.Assert(err, qt.IsNil)
 	return claim
 }
@@ -86,7 +94,7 @@
 		c.Assert(second.Attempt, qt.Equals, 2)
 		claimed(c, h, request("3", "order"))
 		var early *TooEarlyError
-		_, err := h.Settle(Settlement{ID: "2", Key: "order", Task: second.Task, Outcome: lovagestand.OutcomeNotRun})
+		_, err := h.Settle(Settlement{ID: "2", Key: "order", Task: second.Task, Outcome: lovagestand.OutcomeNotRun, ReadAt: time.Now()})
 		c.Assert(err, qt.ErrorAs, &early)
 		time.Sleep(time.Until(early.After))
 		c.Assert(settled(c, h, second, "2", lovagestand.OutcomeNotRun).Outcome, qt.Equals, lovagestand.OutcomeNotRun)
@@ -126,10 +134,14 @@
 func TestArchivesKeepEveryLivingClaim(t *testing.T) {
 	inTime(t, func(c *qt.C, s *fakeStore, h *Home) {
 		key := func(i int) lovagestand.RequestKey { return lovagestand.RequestKey(fmt.Sprint("k", i)) }
-		const count = 10 * rollRecords
+		const askers, count = 32, 4 * rollRecords
 		done := make(chan Claim, count)
-		for i := range count {
-			go func() { done <- claimed(c, h, request("1", key(i))) }()
+		for a := range askers {
+			go func() {
+				for i := a; i < count; i += askers {
+					done <- claimed(c, h, request("1", key(i)))
+				}
+			}()
 		}
 		tasks := make(map[lovagestand.RequestKey]lovagestand.TaskID)
 		for range count {
--- /dev/null
+++ b/claim/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package claim
+
+const defaultSeeds = 600
--- a/claim/service.go
+++ b/claim/service.go
@@ -42,6 +42,7 @@
 		Task:    lovagestand.TaskID(m.Task),
 		Outcome: lovagestand.Outcome(m.Outcome),
 		Reason:  m.Reason,
+		ReadAt:  timeOf(m.ReadAt),
 	}))
 }
 
@@ -76,6 +77,7 @@
 		Task:    string(s.Task),
 		Outcome: string(s.Outcome),
 		Reason:  s.Reason,
+		ReadAt:  nanos(s.ReadAt),
 	}))
 }
 
--- a/claim/settle.go
+++ b/claim/settle.go
@@ -8,9 +8,9 @@
 
 // Settle records what became of a claimed task and returns the claim as it is
 // now; the first final outcome stays. It is written with the home's next
-// write. A settlement as not run fails with a [TooEarlyError] while another
-// holder of the claim may still start the task, and is recorded as unknown
-// when workers may have forgotten the task already.
+// write. A settlement as not run fails with a [TooEarlyError] if another holder
+// of the claim may have started the task after it was read, and is recorded as
+// unknown if workers may have forgotten the task by then.
 func (h *Home) Settle(s Settlement) (Claim, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -25,13 +25,12 @@
 	if e.claim.Task != s.Task || !e.granted() {
 		return Claim{}, &StaleError{Key: s.Key, Task: s.Task, Last: e.claim.Task}
 	}
-	err = h.settle(e, s, time.Now())
+	now := time.Now()
+	err = h.settle(e, s, now)
 	if err != nil {
 		return Claim{}, err
 	}
-	c := e.claim
-	c.ValidUntil = right.Until.Round(0)
-	return c, nil
+	return h.word(e, right, now), nil
 }
 
 // settle applies a settlement. The caller holds the lock.
@@ -42,10 +41,10 @@
 	outcome := s.Outcome
 	if outcome == lovagestand.OutcomeNotRun && !e.heldOnlyBy(s.ID) {
 		after := e.claim.StartBy.Add(ClockMargin)
-		if now.Before(after) {
+		if s.ReadAt.Before(after) {
 			return &TooEarlyError{Key: s.Key, After: after}
 		}
-		if now.After(e.claim.Created.Add(WorkerRetention - ClockMargin)) {
+		if s.ReadAt.After(e.claim.Created.Add(WorkerRetention - ClockMargin)) {
 			outcome = lovagestand.OutcomeUnknown
 		}
 	}
--- a/claim/write.go
+++ b/claim/write.go
@@ -145,7 +145,7 @@
 // same write is repeated until it is known to have taken effect or another
 // owner's has.
 func (h *Home) write(ctx context.Context, g *group) error {
-	pause := newPause()
+	pause := h.pauses()
 	for {
 		err := h.pay(ctx)
 		if err != nil {
