retry: budgets, full jitter and typed failures

Cause: repeats of failed calls must neither start anything twice nor arrive as a storm when the store or a region comes back. Change: KindOf tells not started, ambiguous and permanent apart; Do repeats a start only after not started, with full jitter from cenkalti/backoff and a budget of a tenth of the calls plus one a second.

--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,81 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// DefaultRatio is how many repeats each call earns.
+	DefaultRatio = 0.1
+	// DefaultFloor is how many repeats a second are allowed without any calls.
+	DefaultFloor = 1.0
+	// DefaultBurst is the most repeats that can be saved up.
+	DefaultBurst = 20.0
+)
+
+// Budget bounds repeats to a fraction of the calls plus a small floor, so that
+// a failure of everything adds little load. It is safe for concurrent use.
+type Budget struct {
+	ratio, floor, burst float64
+
+	mu     sync.Mutex
+	tokens float64
+	filled time.Time
+}
+
+// BudgetOption configures a [Budget].
+type BudgetOption func(*Budget)
+
+// WithRatio sets how many repeats each call earns.
+func WithRatio(repeats float64) BudgetOption {
+	return func(b *Budget) { b.ratio = repeats }
+}
+
+// WithFloor sets how many repeats a second are allowed without any calls.
+func WithFloor(repeats float64) BudgetOption {
+	return func(b *Budget) { b.floor = repeats }
+}
+
+// WithBurst sets the most repeats that can be saved up.
+func WithBurst(repeats float64) BudgetOption {
+	return func(b *Budget) { b.burst = repeats }
+}
+
+// NewBudget returns a full budget.
+func NewBudget(options ...BudgetOption) *Budget {
+	b := &Budget{ratio: DefaultRatio, floor: DefaultFloor, burst: DefaultBurst}
+	for _, o := range options {
+		o(b)
+	}
+	b.tokens = b.burst
+	return b
+}
+
+// Earn counts a first call.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(b.ratio)
+}
+
+// Spend reports whether a call may be repeated now, and counts the repeat.
+func (b *Budget) Spend(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.After(b.filled) {
+		if !b.filled.IsZero() {
+			b.add(b.floor * now.Sub(b.filled).Seconds())
+		}
+		b.filled = now
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, b.burst)
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,129 @@
+package retry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	lovagestand "lovagestand.example/lovagestand"
+)
+
+// triesOf returns how often a call that fails with err is made at most 4 times.
+func triesOf(t *testing.T, effect Effect, err error) (tries int) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		_, _ = Do(context.Background(), New(), effect, func(context.Context) (int, error) {
+			tries++
+			if tries == 4 {
+				return 0, nil
+			}
+			return 0, err
+		})
+	})
+	return tries
+}
+
+func TestRepeatsOnlyWhatIsSafe(t *testing.T) {
+	for _, test := range []struct {
+		err                 error
+		start, idempotently int
+	}{
+		{&lovagestand.RefusedError{}, 4, 4},
+		{fmt.Errorf("wrapped: %w", &lovagestand.FullError{}), 4, 4},
+		{&NotStartedError{Err: errors.New("x")}, 4, 4},
+		{&net.OpError{Op: "dial", Err: errors.New("refused")}, 4, 4},
+		{&net.OpError{Op: "read", Err: errors.New("reset")}, 1, 4},
+		{&lovagestand.UnavailableError{}, 1, 4},
+		{errors.New("anything"), 1, 4},
+		{&lovagestand.UnfitError{}, 1, 1},
+		{&lovagestand.ConflictError{}, 1, 1},
+	} {
+		t.Run(test.err.Error(), func(t *testing.T) {
+			c := qt.New(t)
+			c.Assert(triesOf(t, Start, test.err), qt.Equals, test.start)
+			c.Assert(triesOf(t, Idempotent, test.err), qt.Equals, test.idempotently)
+		})
+	}
+}
+
+func TestBudgetIsAFractionOfCalls(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(WithRatio(0.1), WithFloor(2), WithBurst(10))
+	now := time.Unix(0, 0)
+	spent := func() (n int) {
+		for b.Spend(now) {
+			n++
+		}
+		return n
+	}
+	c.Assert(spent(), qt.Equals, 10)
+	for range 55 {
+		b.Earn()
+	}
+	c.Assert(spent(), qt.Equals, 5)
+	now = now.Add(2 * time.Second)
+	c.Assert(spent(), qt.Equals, 4)
+	now = now.Add(time.Hour)
+	c.Assert(spent(), qt.Equals, 10)
+}
+
+// outage is a system that is down for a time and counts calls by second.
+type outage struct {
+	mu         sync.Mutex
+	began      time.Time
+	from, till time.Duration
+	bySecond   map[int]int
+}
+
+func (o *outage) call(context.Context) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at := time.Since(o.began)
+	o.bySecond[int(at/time.Second)]++
+	if at >= o.from && at < o.till {
+		return 0, &lovagestand.UnavailableError{System: "store"}
+	}
+	return 0, nil
+}
+
+// storm returns the most calls in a second during and after an outage, as a
+// multiple of the steady rate.
+func storm(t *testing.T, r *Retrier, rate int) (peak float64) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		o := &outage{began: time.Now(), from: 10 * time.Second, till: 40 * time.Second, bySecond: make(map[int]int)}
+		var calls sync.WaitGroup
+		for range 60 * rate {
+			calls.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+				defer cancel()
+				_, _ = Do(ctx, r, Idempotent, o.call)
+			})
+			time.Sleep(time.Second / time.Duration(rate))
+		}
+		calls.Wait()
+		for second := 10; second < 60; second++ {
+			peak = max(peak, float64(o.bySecond[second])/float64(rate))
+		}
+	})
+	return peak
+}
+
+func TestNoStormAfterOutage(t *testing.T) {
+	c := qt.New(t)
+	generous := NewBudget(WithRatio(1e6), WithBurst(1e9))
+	unbounded := storm(t, New(WithBudget(generous), WithPauses(50*time.Millisecond, 50*time.Millisecond)), 40)
+	growing := storm(t, New(WithBudget(generous)), 40)
+	bounded := storm(t, New(), 40)
+	t.Logf("peak over steady rate: fixed pauses %.1f, growing pauses %.1f, with budget %.2f", unbounded, growing, bounded)
+	c.Assert(unbounded > 10, qt.IsTrue)
+	c.Assert(bounded < 3, qt.IsTrue)
+	c.Assert(bounded < growing, qt.IsTrue)
+}
