pool: the indexed decider, with gangs over several owners

Cause: pool/naive scans everything at each decision. Change: package pool implements lovagestand.Decider over the ledger, the accounts and the queue: spread services, packed batch, whole gangs, displaced batch, room for tasks that have waited long, backfill by learned run times, shedding by estimated wait, headroom following demand, quarantine and probes, explanations by worker group. On the way the property test found that a commit started on a worker that had shrunk since the hold; Commit now refuses. Conclusion: the placer can use pool.New.

--- /dev/null
+++ b/pool/admit.go
@@ -0,0 +1,110 @@
+package pool
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+const (
+	// minRetryAfter and maxRetryAfter bound when callers are told to return.
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+	// sheddingMargin is the part of the estimated wait that a time limit must
+	// allow: estimates are often too long.
+	sheddingMargin = 0.5
+)
+
+// admit fails if t can never run here or should not wait now.
+func (d *Decider) admit(now time.Time, t *lovagestand.Task) error {
+	p := d.pool(t.Pool)
+	if reason := d.unfit(p, t); reason != "" {
+		return &lovagestand.UnfitError{
+			Pool: t.Pool, Asked: t.Resources, Largest: p.ledger.LargestCapacity(), Reason: reason,
+		}
+	}
+	rank := rankOf(t.Class)
+	waiting := p.waiting[rank]
+	limit := p.policy.QueueLimit
+	full := limit > 0 && waiting >= limit
+	if full || d.hopeless(p, now, t, rank) {
+		return &lovagestand.FullError{
+			Pool: t.Pool, Class: classes[rank], Waiting: waiting, RetryAfter: p.retryAfter(rank),
+		}
+	}
+	return nil
+}
+
+// unfit returns why no worker can ever run t, or nothing.
+func (d *Decider) unfit(p *state, t *lovagestand.Task) string {
+	size := max(t.GangSize, 1)
+	switch {
+	case !t.Resources.Valid():
+		return "it asks for less than nothing"
+	case t.Gang != "" && d.unlike(p, t):
+		return "the tasks of a gang must be alike"
+	case p.ledger.Room(t.Resources, size) == 0:
+		return d.lacking(p, t)
+	case p.ledger.Room(t.Resources, size) < size:
+		return "the gang asks for more than all workers have together"
+	case p.accounts.Limits(p.team(t.Team), t.Resources.Times(int64(size))):
+		return "it asks for more than its team's quota"
+	case !d.options.noQuarantine && d.requests.bad(t.Key):
+		return "the request failed on several workers that run others well"
+	}
+	return ""
+}
+
+// unlike reports whether t differs from the tasks of its gang.
+func (d *Decider) unlike(p *state, t *lovagestand.Task) bool {
+	n, ok := d.gangs.byKey[gangKey{p.number, t.Gang}]
+	if !ok || len(d.gangs.rows[n].waiting) == 0 {
+		return false
+	}
+	r := d.tasks.at(d.gangs.rows[n].waiting[0])
+	return r.size != t.Resources || r.rank != rankOf(t.Class) || r.team != p.team(t.Team) || d.gangs.rows[n].size != max(t.GangSize, 1)
+}
+
+// lacking names what no worker has enough of.
+func (*Decider) lacking(p *state, t *lovagestand.Task) string {
+	most := p.ledger.LargestCapacity()
+	switch {
+	case p.ledger.Totals().Workers == 0:
+		return "no worker of the pool takes tasks here"
+	case t.Resources.MilliCPU > most.MilliCPU:
+		return "it asks for more processors than any one worker has"
+	case t.Resources.MemoryMiB > most.MemoryMiB:
+		return "it asks for more memory than any one worker has"
+	case t.Resources.Accelerators > most.Accelerators:
+		return "it asks for more accelerators than any one worker has"
+	}
+	return "no one worker has all that it asks for"
+}
+
+// hopeless reports whether t will surely not start within its time limit. It
+// says so only when enough is known.
+func (d *Decider) hopeless(p *state, now time.Time, t *lovagestand.Task, rank int8) bool {
+	if d.options.noShedding || t.StartBy.IsZero() || p.pace.samples < enoughSamples {
+		return false
+	}
+	wait := time.Duration(sheddingMargin * float64(p.wait(rank)))
+	return now.Add(wait).After(t.StartBy)
+}
+
+// wait estimates the wait of a new task of a class from the tasks ahead of it
+// and the rate at which running ones end.
+func (p *state) wait(rank int8) time.Duration {
+	ahead := 0
+	for k := int8(0); k <= rank; k++ {
+		ahead += p.waiting[k]
+	}
+	tasks := p.ledger.Totals().Tasks
+	if ahead == 0 || tasks == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) * p.pace.mean / float64(tasks))
+}
+
+func (p *state) retryAfter(rank int8) time.Duration {
+	return min(max(p.wait(rank), minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/pool/decide.go
@@ -0,0 +1,205 @@
+package pool
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/queue"
+	"lovagestand.example/lovagestand/worker"
+)
+
+// Decide implements [lovagestand.Decider]. It costs next to nothing when
+// nothing has changed since the last call.
+func (d *Decider) Decide(now time.Time, decisions []lovagestand.Decision) []lovagestand.Decision {
+	n := now.UnixNano()
+	decisions = d.expire(n, decisions)
+	d.expireHolds(now)
+	for _, p := range d.sorted {
+		if p.changed || n >= p.nextCheck {
+			decisions = d.decidePool(p, now, decisions)
+		}
+	}
+	return decisions
+}
+
+// checkEvery is how often a pool is looked at without a change.
+const checkEvery = time.Second
+
+func (d *Decider) decidePool(p *state, now time.Time, decisions []lovagestand.Decision) []lovagestand.Decision {
+	n := now.UnixNano()
+	p.changed = false
+	p.now = n
+	p.refresh()
+	check := n >= p.nextCheck
+	if check {
+		p.nextCheck = n + int64(checkEvery)
+		p.probe(now)
+		d.expireClaims(p, n)
+		d.follow(p)
+	}
+	for rank := range int8(len(classes)) {
+		decisions = d.startAll(p, rank, n, decisions)
+	}
+	decisions = d.displace(p, n, decisions)
+	if check {
+		decisions = d.makeRoom(p, n, decisions)
+	}
+	return decisions
+}
+
+// expire gives up the waiting tasks whose time limit has come.
+func (d *Decider) expire(now int64, decisions []lovagestand.Decision) []lovagestand.Decision {
+	for l, ok := d.deadlines.Pop(now); ok; l, ok = d.deadlines.Pop(now) {
+		if !d.limits(l) {
+			continue
+		}
+		s := slot(l.Item)
+		r := d.tasks.at(s)
+		decisions = append(decisions, lovagestand.Decision{
+			Kind: lovagestand.DecisionExpire, Task: d.task(r),
+			Reason:     "no worker was free before the time limit",
+			RetryAfter: d.pools[r.pool].retryAfter(r.rank),
+		})
+		d.leaveQueue(s, eventExpire)
+		d.forget(s)
+	}
+	return decisions
+}
+
+// startAll starts tasks of a class until none fits.
+func (d *Decider) startAll(p *state, rank int8, now int64, decisions []lovagestand.Decision) []lovagestand.Decision {
+	for {
+		s := d.next(p, rank)
+		if s == none {
+			return decisions
+		}
+		decisions = d.start(p, s, now, decisions)
+	}
+}
+
+// next returns the task of a class that starts now and chooses its workers
+// into the scratch rows: of all that fit, the one of the team with the
+// smallest share, then the earliest. It returns none if nothing fits.
+func (d *Decider) next(p *state, rank int8) slot {
+	for {
+		group, best := d.first(p, rank)
+		claimant := d.firstClaimant(p, rank, best, group >= 0)
+		if claimant != none {
+			if d.choose(p, claimant) {
+				return claimant
+			}
+			p.giveUp(claimant)
+			continue
+		}
+		if group < 0 {
+			return none
+		}
+		s := slot(best.Item)
+		if !p.accounts.Allows(best.Team, totalOf(p.queue.Group(group).Shape)) {
+			p.queue.Park(group)
+			continue
+		}
+		if p.leavesHeadroom(p.queue.Group(group).Shape) && d.choose(p, s) {
+			return s
+		}
+		p.queue.Group(group).Tried = p.version()
+	}
+}
+
+// first returns the group of a class with the task to be served next, among
+// those that may fit; -1 if there is none.
+func (*Decider) first(p *state, rank int8) (int32, queue.Next) {
+	best := queue.Next{}
+	found := int32(-1)
+	version := p.version()
+	for _, g := range p.queue.Groups(rank) {
+		if p.queue.Group(g).Tried == version {
+			continue
+		}
+		n, ok := p.queue.Next(g)
+		if ok && (found < 0 || n.Before(best)) {
+			found, best = g, n
+		}
+	}
+	return found, best
+}
+
+func totalOf(s queue.Shape) lovagestand.Resources {
+	return s.Size.Times(int64(s.Tasks))
+}
+
+// choose puts the workers for a task, or for its whole gang, in the scratch
+// rows with their resources taken; false, with nothing taken, if not all fit.
+func (d *Decider) choose(p *state, s slot) bool {
+	d.scratch.rows = d.scratch.rows[:0]
+	r := d.tasks.at(s)
+	tasks := 1
+	if r.gang >= 0 {
+		tasks = d.gangs.rows[r.gang].size
+		d.openClaims(p, s, true)
+		defer d.openClaims(p, s, false)
+	}
+	for range tasks {
+		row := d.chooseOne(p, r)
+		if row == worker.None || !p.ledger.Take(row, r.size) {
+			for _, taken := range d.scratch.rows {
+				p.ledger.Undo(taken, r.size)
+			}
+			return false
+		}
+		d.scratch.rows = append(d.scratch.rows, row)
+	}
+	return true
+}
+
+// chooseOne returns the worker for one task; worker.None if none has room.
+func (d *Decider) chooseOne(p *state, r *record) worker.Row {
+	if d.options.firstFit {
+		return firstFit(p, r.size)
+	}
+	if r.rank == rankService && r.gang < 0 {
+		return p.ledger.Spread(r.size, p.replicasOf(r.route))
+	}
+	if row := p.probeFor(r); row != worker.None {
+		return row
+	}
+	row := p.ledger.Tightest(r.size)
+	claimed := r.row
+	if claimed != worker.None && p.ledger.Holds(claimed, r.size) && (row == worker.None || p.ledger.Tighter(claimed, row)) {
+		return claimed
+	}
+	if row == worker.None {
+		return d.backfill(p, r)
+	}
+	return row
+}
+
+func firstFit(p *state, size lovagestand.Resources) worker.Row {
+	for row := range p.ledger.Rows() {
+		if p.ledger.Holds(row, size) && !p.ledger.Closed(row) {
+			return row
+		}
+	}
+	return worker.None
+}
+
+// start starts a task, or its whole gang, on the scratch rows.
+func (d *Decider) start(p *state, s slot, now int64, decisions []lovagestand.Decision) []lovagestand.Decision {
+	r := d.tasks.at(s)
+	if r.gang < 0 {
+		return append(decisions, d.startOne(p, s, d.scratch.rows[0], now))
+	}
+	for _, row := range d.scratch.rows {
+		first := d.gangs.rows[r.gang].waiting[0]
+		decisions = append(decisions, d.startOne(p, first, row, now))
+	}
+	return decisions
+}
+
+func (d *Decider) startOne(p *state, s slot, row worker.Row, now int64) lovagestand.Decision {
+	d.leaveQueue(s, eventPlace)
+	d.settle(now, s, row)
+	return lovagestand.Decision{
+		Kind: lovagestand.DecisionStart, Task: d.task(d.tasks.at(s)), Worker: p.members[row].worker.Name,
+	}
+}
--- /dev/null
+++ b/pool/decider.go
@@ -0,0 +1,239 @@
+// Package pool decides which waiting task of a shard starts on which worker
+// and when: services are spread, batch is packed, gangs start whole, urgent
+// work displaces batch.
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/chart"
+	"lovagestand.example/lovagestand/queue"
+	"lovagestand.example/lovagestand/worker"
+)
+
+// Decider implements [lovagestand.GangDecider] for the workers of one shard.
+// It is not safe for concurrent use.
+type Decider struct {
+	shard   lovagestand.ShardName
+	options options
+	tasks   table
+	routes  routes
+	gangs   gangs
+	pools   []*state
+	byName  map[lovagestand.PoolName]*state
+	// sorted are the pools by name.
+	sorted    []*state
+	workers   map[lovagestand.WorkerName]place
+	holds     map[string]*hold
+	deadlines queue.Deadlines
+	requests  requests
+	// waiting counts waiting tasks, sequence all tasks ever submitted.
+	waiting  int
+	sequence int64
+	scratch  scratch
+}
+
+// place is where a worker stands: its pool and its row in the pool's ledger.
+type place struct {
+	pool uint16
+	row  worker.Row
+}
+
+// scratch is memory that decisions use again and again.
+type scratch struct {
+	rows    []worker.Row
+	victims []slot
+	best    []slot
+}
+
+var _ lovagestand.GangDecider = (*Decider)(nil)
+
+var taskChart = chart.Task()
+
+// The events of the task chart.
+var (
+	eventPlace   = taskChart.MustEvent("place")
+	eventAdopt   = taskChart.MustEvent("adopt")
+	eventCancel  = taskChart.MustEvent("cancel")
+	eventExpire  = taskChart.MustEvent("expire")
+	eventPreempt = taskChart.MustEvent("preempt")
+	eventFinish  = taskChart.MustEvent("finish")
+	eventLose    = taskChart.MustEvent("lose")
+)
+
+// New returns a decider with no workers and no tasks.
+func New(shard lovagestand.ShardName, opts ...Option) *Decider {
+	d := &Decider{
+		shard:   shard,
+		options: defaults(),
+		routes:  routes{ids: map[lovagestand.RouteName]int32{}},
+		gangs:   gangs{byKey: map[gangKey]int32{}},
+		byName:  map[lovagestand.PoolName]*state{},
+		workers: map[lovagestand.WorkerName]place{},
+		holds:   map[string]*hold{},
+	}
+	for _, o := range opts {
+		o(&d.options)
+	}
+	return d
+}
+
+// pool returns the state of a pool, opening a new one.
+func (d *Decider) pool(name lovagestand.PoolName) *state {
+	if p, ok := d.byName[name]; ok {
+		return p
+	}
+	p := newState(name, uint16(len(d.pools)), !d.options.noSharing)
+	d.pools = append(d.pools, p)
+	d.byName[name] = p
+	d.sorted = append(d.sorted, p)
+	slices.SortFunc(d.sorted, func(a, b *state) int { return cmp.Compare(a.name, b.name) })
+	return p
+}
+
+// SetPolicies implements [lovagestand.Decider].
+func (d *Decider) SetPolicies(policies []lovagestand.Policy) {
+	for _, p := range d.pools {
+		p.setPolicy(lovagestand.Policy{Pool: p.name})
+	}
+	for _, policy := range policies {
+		d.pool(policy.Pool).setPolicy(policy)
+	}
+}
+
+// Submit implements [lovagestand.Decider]. A task that waits or runs already
+// is not queued again.
+func (d *Decider) Submit(now time.Time, t lovagestand.Task) error {
+	if d.tasks.find(t.ID) != none {
+		return nil
+	}
+	if err := d.admit(now, &t); err != nil {
+		return err
+	}
+	s := d.record(&t)
+	r := d.tasks.at(s)
+	d.sequence++
+	r.moment = d.sequence
+	p := d.pools[r.pool]
+	p.waiting[r.rank]++
+	p.changed = true
+	d.waiting++
+	if r.startBy != noTime {
+		d.deadlines.Add(queue.Deadline{At: r.startBy, Item: queue.Item(s), Version: r.version})
+	}
+	if r.gang >= 0 {
+		d.join(s)
+		return nil
+	}
+	d.enqueue(s, 1)
+	return nil
+}
+
+// enqueue puts a task in its pool's queue, for as many tasks as start with it.
+func (d *Decider) enqueue(s slot, tasks int) {
+	r := d.tasks.at(s)
+	p := d.pools[r.pool]
+	shape := queue.Shape{Rank: r.rank, Tasks: int32(tasks), Size: r.size}
+	r.ticket = p.queue.Push(queue.Item(s), shape, r.team, uint64(r.moment))
+	if r.rank == rankUrgent && r.gang < 0 {
+		d.list(p, s)
+	}
+	p.changed = true
+}
+
+// unqueue takes a task out of its pool's queue and gives up what it claims.
+func (d *Decider) unqueue(s slot) {
+	r := d.tasks.at(s)
+	if r.ticket < 0 {
+		return
+	}
+	p := d.pools[r.pool]
+	p.queue.Remove(r.ticket)
+	r.ticket = -1
+	d.unlist(p, s)
+	d.dropClaims(p, s)
+}
+
+// Cancel implements [lovagestand.Decider].
+func (d *Decider) Cancel(id lovagestand.TaskID) bool {
+	s := d.tasks.find(id)
+	if s == none || !taskChart.Allows(d.tasks.at(s).state, eventCancel) {
+		return false
+	}
+	d.leaveQueue(s, eventCancel)
+	d.forget(s)
+	return true
+}
+
+// leaveQueue ends the waiting of a task.
+func (d *Decider) leaveQueue(s slot, e chart.Event) {
+	r := d.tasks.at(s)
+	p := d.pools[r.pool]
+	r.step(e)
+	if r.gang >= 0 {
+		d.part(s)
+	}
+	d.unqueue(s)
+	p.waiting[r.rank]--
+	d.waiting--
+	p.changed = true
+	d.deadlines.Sweep(d.waiting, d.limits)
+}
+
+// limits reports whether a time limit still matters.
+func (d *Decider) limits(l queue.Deadline) bool {
+	r := d.tasks.at(slot(l.Item))
+	return r.version == l.Version && taskChart.Allows(r.state, eventExpire)
+}
+
+// Finish implements [lovagestand.Decider].
+func (d *Decider) Finish(now time.Time, id lovagestand.TaskID, result lovagestand.TaskResult) {
+	s := d.tasks.find(id)
+	if s == none || !taskChart.Allows(d.tasks.at(s).state, eventFinish) {
+		return
+	}
+	d.learn(now, s, result)
+	d.displaced(s)
+	d.release(s, eventFinish)
+	d.forget(s)
+}
+
+// release takes a placed task off its worker.
+func (d *Decider) release(s slot, e chart.Event) {
+	r := d.tasks.at(s)
+	p := d.pools[r.pool]
+	r.step(e)
+	p.detach(d, s)
+	p.ledger.Give(r.row, r.size)
+	p.charge(r.team, r.rank, lovagestand.Resources{}.Sub(r.size))
+	p.changed = true
+}
+
+// Grow changes the reservation of a placed task; false, with nothing changed,
+// where its worker or its team's quota lacks room.
+func (d *Decider) Grow(id lovagestand.TaskID, size lovagestand.Resources) bool {
+	s := d.tasks.find(id)
+	if s == none || !taskChart.Allows(d.tasks.at(s).state, eventFinish) || !size.Valid() {
+		return false
+	}
+	r := d.tasks.at(s)
+	p := d.pools[r.pool]
+	more := size.Sub(r.size)
+	if !size.Fits(r.size) && !p.accounts.Allows(r.team, more) {
+		return false
+	}
+	if !p.ledger.Resize(r.row, r.size, size) {
+		return false
+	}
+	m := &p.members[r.row]
+	if m.displaceable(r) {
+		m.room = m.room.Add(more)
+	}
+	r.size = size
+	p.charge(r.team, r.rank, more)
+	p.changed = true
+	return true
+}
--- /dev/null
+++ b/pool/digest.go
@@ -0,0 +1,35 @@
+package pool
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Digest implements [lovagestand.Decider]. It costs nothing that grows with
+// tasks.
+func (d *Decider) Digest(time.Time) lovagestand.Digest {
+	digest := lovagestand.Digest{Shard: d.shard}
+	for _, p := range d.sorted {
+		if p.ledger.Known() > 0 || p.waiting != [4]int{} {
+			digest.Pools = append(digest.Pools, p.digest())
+		}
+	}
+	return digest
+}
+
+func (p *state) digest() lovagestand.PoolDigest {
+	totals := p.ledger.Totals()
+	sum := lovagestand.PoolDigest{
+		Pool: p.name, Capacity: totals.Capacity, Free: totals.Free,
+		Largest: p.ledger.Largest(), LargestCapacity: p.ledger.LargestCapacity(),
+		Workers: totals.Workers, Running: totals.Tasks,
+		Waiting: make(map[lovagestand.Class]int, len(classes)),
+		Wait:    make(map[lovagestand.Class]time.Duration, len(classes)),
+	}
+	for rank, class := range classes {
+		sum.Waiting[class] = p.waiting[rank]
+		sum.Wait[class] = p.wait(int8(rank))
+	}
+	return sum
+}
--- /dev/null
+++ b/pool/gangs.go
@@ -0,0 +1,95 @@
+package pool
+
+import "slices"
+
+// gangs holds the gangs that have waiting or placed tasks.
+type gangs struct {
+	byKey  map[gangKey]int32
+	rows   []gang
+	unused []int32
+}
+
+type gangKey struct {
+	pool uint16
+	name string
+}
+
+// gang is a group of tasks that start together.
+type gang struct {
+	name string
+	pool uint16
+	size int
+	// tasks counts the records that refer to the gang.
+	tasks int
+	// waiting are its waiting tasks, first come first.
+	waiting []slot
+	// queued is the task under which the whole gang stands in the queue.
+	queued slot
+}
+
+// hold returns the gang of a key, counting one more task of it.
+func (g *gangs) hold(key gangKey, size int) int32 {
+	n, ok := g.byKey[key]
+	if !ok {
+		n = g.open()
+		g.byKey[key] = n
+		g.rows[n] = gang{name: key.name, pool: key.pool, size: max(size, 1), queued: none}
+	}
+	g.rows[n].tasks++
+	return n
+}
+
+func (g *gangs) open() int32 {
+	if n := len(g.unused); n > 0 {
+		last := g.unused[n-1]
+		g.unused = g.unused[:n-1]
+		return last
+	}
+	g.rows = append(g.rows, gang{})
+	return int32(len(g.rows) - 1)
+}
+
+func (g *gangs) release(n int32) {
+	row := &g.rows[n]
+	row.tasks--
+	if row.tasks > 0 {
+		return
+	}
+	delete(g.byKey, gangKey{row.pool, row.name})
+	*row = gang{}
+	g.unused = append(g.unused, n)
+}
+
+// join adds a waiting task and queues the gang if it is whole.
+func (d *Decider) join(s slot) {
+	g := &d.gangs.rows[d.tasks.at(s).gang]
+	g.waiting = append(g.waiting, s)
+	d.requeue(g)
+}
+
+// part removes a waiting task; the gang waits until it is whole again.
+func (d *Decider) part(s slot) {
+	g := &d.gangs.rows[d.tasks.at(s).gang]
+	i := slices.Index(g.waiting, s)
+	g.waiting = slices.Delete(g.waiting, i, i+1)
+	d.requeue(g)
+}
+
+// requeue puts a gang in the queue under its first task if it is whole, else
+// takes it out.
+func (d *Decider) requeue(g *gang) {
+	first := none
+	if len(g.waiting) >= g.size {
+		first = g.waiting[0]
+	}
+	if g.queued == first {
+		return
+	}
+	if g.queued != none {
+		d.unqueue(g.queued)
+	}
+	g.queued = first
+	if first != none {
+		d.enqueue(first, g.size)
+	}
+}
--- /dev/null
+++ b/pool/hold.go
@@ -0,0 +1,157 @@
+package pool
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/team"
+	"lovagestand.example/lovagestand/worker"
+)
+
+// hold is room kept for a part of a gang that spans several shards.
+type hold struct {
+	pool uint16
+	team team.ID
+	size lovagestand.Resources
+	rows []worker.Row
+	// until is when the room is given back unless committed.
+	until time.Time
+}
+
+// Hold implements [lovagestand.GangDecider].
+func (d *Decider) Hold(now time.Time, h lovagestand.Hold) error {
+	d.Release(h.Gang)
+	p := d.pool(h.Pool)
+	fail := func(reason string) error {
+		return &lovagestand.HoldError{Gang: h.Gang, Reason: reason}
+	}
+	total := h.Resources.Times(int64(h.Tasks))
+	id := p.team(h.Team)
+	switch {
+	case h.Tasks < 1 || !h.Resources.Valid():
+		return fail("it asks for nothing")
+	case !now.Before(h.Until):
+		return fail("its time is over")
+	case !p.accounts.Allows(id, total):
+		return fail("the team is at its quota")
+	}
+	rows, ok := p.takeRows(h.Resources, h.Tasks)
+	if !ok {
+		return fail("not enough is free")
+	}
+	p.charge(id, rankGang, total)
+	d.holds[h.Gang] = &hold{pool: p.number, team: id, size: h.Resources, rows: rows, until: h.Until}
+	return nil
+}
+
+// takeRows takes room for tasks tasks or for none.
+func (p *state) takeRows(size lovagestand.Resources, tasks int) ([]worker.Row, bool) {
+	rows := make([]worker.Row, 0, tasks)
+	for range tasks {
+		row := p.ledger.Tightest(size)
+		if row == worker.None || !p.ledger.Take(row, size) {
+			for _, taken := range rows {
+				p.ledger.Undo(taken, size)
+			}
+			return nil, false
+		}
+		rows = append(rows, row)
+	}
+	return rows, true
+}
+
+// Commit implements [lovagestand.GangDecider].
+func (d *Decider) Commit(now time.Time, gang string, tasks []lovagestand.Task, decisions []lovagestand.Decision) ([]lovagestand.Decision, error) {
+	h, ok := d.holds[gang]
+	if !ok || !now.Before(h.until) {
+		return decisions, &lovagestand.HoldError{Gang: gang, Reason: "nothing is held"}
+	}
+	if !d.covers(h, tasks) {
+		return decisions, &lovagestand.HoldError{Gang: gang, Reason: "the tasks are not those it was held for"}
+	}
+	p := d.pools[h.pool]
+	if !p.stillHolds(h) {
+		d.Release(gang)
+		return decisions, &lovagestand.HoldError{Gang: gang, Reason: "a worker or the quota has shrunk since"}
+	}
+	delete(d.holds, gang)
+	p.charge(h.team, rankGang, lovagestand.Resources{}.Sub(h.size.Times(int64(len(h.rows)))))
+	for i := range tasks {
+		s := d.record(&tasks[i])
+		d.tasks.at(s).step(eventPlace)
+		d.settle(now.UnixNano(), s, h.rows[i])
+		decisions = append(decisions, lovagestand.Decision{
+			Kind: lovagestand.DecisionStart, Task: tasks[i], Worker: p.members[h.rows[i]].worker.Name,
+		})
+	}
+	return decisions, nil
+}
+
+// stillHolds reports whether the workers of a hold still take new tasks and
+// are not overfilled, and the team is within its quota.
+func (p *state) stillHolds(h *hold) bool {
+	for _, row := range h.rows {
+		most, now := p.ledger.Slots(row)
+		if !p.ledger.Fit(row) || !p.ledger.Free(row).Valid() || now > most {
+			return false
+		}
+	}
+	return p.accounts.Allows(h.team, lovagestand.Resources{})
+}
+
+// covers reports whether tasks are new and like what was held for.
+func (d *Decider) covers(h *hold, tasks []lovagestand.Task) bool {
+	if len(tasks) != len(h.rows) {
+		return false
+	}
+	p := d.pools[h.pool]
+	seen := map[lovagestand.TaskID]bool{}
+	for i := range tasks {
+		t := &tasks[i]
+		alike := t.Pool == p.name && t.Resources == h.size && t.Team == p.teams[h.team]
+		if !alike || seen[t.ID] || d.tasks.find(t.ID) != none {
+			return false
+		}
+		seen[t.ID] = true
+	}
+	return true
+}
+
+// Release implements [lovagestand.GangDecider].
+func (d *Decider) Release(gang string) {
+	h, ok := d.holds[gang]
+	if !ok {
+		return
+	}
+	delete(d.holds, gang)
+	p := d.pools[h.pool]
+	for _, row := range h.rows {
+		p.ledger.Give(row, h.size)
+	}
+	p.charge(h.team, rankGang, lovagestand.Resources{}.Sub(h.size.Times(int64(len(h.rows)))))
+	p.changed = true
+}
+
+// expireHolds gives back what was held too long.
+func (d *Decider) expireHolds(now time.Time) {
+	for gang, h := range d.holds {
+		if !now.Before(h.until) {
+			d.Release(gang)
+		}
+	}
+}
+
+// breakHolds gives up the holds that have room on a worker that is gone.
+func (d *Decider) breakHolds(p *state, row worker.Row) {
+	for gang, h := range d.holds {
+		if h.pool != p.number {
+			continue
+		}
+		for _, held := range h.rows {
+			if held == row {
+				d.Release(gang)
+				break
+			}
+		}
+	}
+}
--- a/pool/naive/decide.go
+++ b/pool/naive/decide.go
@@ -146,7 +146,7 @@
 // better reports whether a is a better place for t than b, the earlier one:
 // services are spread, all else is packed tightly.
 func (d *Decider) better(t lovagestand.Task, a, b *holder) bool {
-	if t.Class == lovagestand.ClassService {
+	if t.Class == lovagestand.ClassService && t.Gang == "" {
 		return cmp.Or(
 			cmp.Compare(d.replicas(t, a, sameDomain), d.replicas(t, b, sameDomain)),
 			cmp.Compare(d.replicas(t, a, sameRack), d.replicas(t, b, sameRack)),
--- a/pool/naive/digest.go
+++ b/pool/naive/digest.go
@@ -23,6 +23,7 @@
 	for _, h := range d.workers {
 		names = append(names, h.pool)
 	}
+	names = append(names, d.pools()...)
 	slices.Sort(names)
 	for _, name := range slices.Compact(names) {
 		digest.Pools = append(digest.Pools, d.poolDigest(name))
@@ -46,7 +47,7 @@
 		p.Workers++
 		p.Free = p.Free.Add(largest(h.free(), lovagestand.Resources{}))
 		p.LargestCapacity = largest(p.LargestCapacity, h.worker.Capacity)
-		if len(h.tasks) < h.worker.Slots {
+		if h.claimant == nil && h.free().Valid() && len(h.tasks) < h.worker.Slots {
 			p.Largest = largest(p.Largest, h.free())
 		}
 	}
--- a/pool/naive/displace.go
+++ b/pool/naive/displace.go
@@ -8,9 +8,12 @@
 )
 
 // displace stops batch tasks that checkpoint to make room for waiting urgent
-// ones. A worker serves one claim at a time and takes nothing else meanwhile.
+// ones, first come first. A worker serves one claim at a time and takes nothing else meanwhile.
 func (d *Decider) displace(pool lovagestand.PoolName, decisions []lovagestand.Decision) []lovagestand.Decision {
-	for _, e := range d.line(pool, lovagestand.ClassUrgent) {
+	for _, e := range d.waiting {
+		if e.task.Pool != pool || e.task.Class != lovagestand.ClassUrgent || e.task.Gang != "" {
+			continue
+		}
 		if d.claims(e) || !d.withinQuota(e.task, 1) {
 			continue
 		}
--- a/pool/naive/fit.go
+++ b/pool/naive/fit.go
@@ -61,6 +61,8 @@
 	switch {
 	case !t.Resources.Valid():
 		e.Reason = "it asks for less than nothing"
+	case d.unlike(t):
+		e.Reason = "the tasks of a gang must be alike"
 	case room == 0:
 		e.Reason = "it asks for more than any one worker has"
 	case room < size:
@@ -73,6 +75,17 @@
 	return e
 }
 
+// unlike reports whether t differs from the tasks of its gang.
+func (d *Decider) unlike(t lovagestand.Task) bool {
+	for _, e := range d.waiting {
+		m := e.task
+		if t.Gang != "" && m.Gang == t.Gang && m.Pool == t.Pool {
+			return m.Resources != t.Resources || m.Class != t.Class || m.Team != t.Team || m.GangSize != t.GangSize
+		}
+	}
+	return false
+}
+
 // roomFor returns how many tasks of a size an empty worker holds.
 func roomFor(size, capacity lovagestand.Resources, slots int) int {
 	room := 0
--- /dev/null
+++ b/pool/record.go
@@ -0,0 +1,172 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/chart"
+	"lovagestand.example/lovagestand/queue"
+	"lovagestand.example/lovagestand/team"
+	"lovagestand.example/lovagestand/worker"
+)
+
+// slot is a task's place in a [table].
+type slot int32
+
+// none is no slot.
+const none = slot(-1)
+
+// record is a task in compact form. Times are nanoseconds since 1970.
+type record struct {
+	id        lovagestand.TaskID
+	key       lovagestand.RequestKey
+	size      lovagestand.Resources
+	submitted int64
+	startBy   int64
+	runTime   time.Duration
+	// moment is the sequence of a waiting task and the start of a placed one.
+	moment int64
+	route  int32
+	gang   int32
+	team   team.ID
+	ticket queue.Ticket
+	// row is the worker of a placed task and the claimed one of a waiting
+	// task.
+	row worker.Row
+	// prev and next link the tasks of a worker, or the waiting urgent tasks.
+	prev, next slot
+	version    uint32
+	pool       uint16
+	rank       int8
+	state      chart.State
+	flags      flags
+}
+
+// flags are the yes-or-no properties of a task.
+type flags uint8
+
+const (
+	flagIdempotent flags = 1 << iota
+	flagExclusive
+	flagCheckpoints
+	// flagListed says that a waiting task is in its pool's urgent list.
+	flagListed
+)
+
+const (
+	// noTime stands for the zero time, and for times too late to count.
+	noTime = math.MinInt64
+	// firstYear and lastYear bound the times that are kept as they are.
+	firstYear, lastYear = 1970, 2261
+)
+
+func nanoseconds(t time.Time) int64 {
+	switch {
+	case t.IsZero() || t.Year() > lastYear:
+		return noTime
+	case t.Year() < firstYear:
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func timeOf(n int64) time.Time {
+	if n == noTime {
+		return time.Time{}
+	}
+	return time.Unix(0, n).UTC()
+}
+
+func flagsOf(t *lovagestand.Task) flags {
+	var f flags
+	if t.Idempotent {
+		f |= flagIdempotent
+	}
+	if t.Exclusive {
+		f |= flagExclusive
+	}
+	if t.Checkpoints {
+		f |= flagCheckpoints
+	}
+	return f
+}
+
+func (f flags) has(g flags) bool {
+	return f&g != 0
+}
+
+// classes are the classes by rank.
+var classes = lovagestand.Classes()
+
+// The ranks of the classes.
+const (
+	rankUrgent int8 = iota
+	rankService
+	rankGang
+	rankBatch
+)
+
+// rankOf returns the rank of a class; an unknown one counts as batch.
+func rankOf(c lovagestand.Class) int8 {
+	for i := range classes {
+		if classes[i] == c {
+			return int8(i)
+		}
+	}
+	return rankBatch
+}
+
+// task returns the task that a record stands for.
+func (d *Decider) task(r *record) lovagestand.Task {
+	t := lovagestand.Task{
+		ID: r.id, Key: r.key, Route: d.routes.names[r.route], Pool: d.pools[r.pool].name,
+		Team: d.pools[r.pool].teams[r.team], Class: classes[r.rank], Resources: r.size,
+		Idempotent: r.flags.has(flagIdempotent), Exclusive: r.flags.has(flagExclusive),
+		Checkpoints: r.flags.has(flagCheckpoints),
+		Submitted:   timeOf(r.submitted), StartBy: timeOf(r.startBy), RunTime: r.runTime,
+	}
+	if r.gang >= 0 {
+		t.Gang = d.gangs.rows[r.gang].name
+		t.GangSize = d.gangs.rows[r.gang].size
+	}
+	return t
+}
+
+// record opens a record for a task in its initial state.
+func (d *Decider) record(t *lovagestand.Task) slot {
+	p := d.pool(t.Pool)
+	s := d.tasks.open(t.ID)
+	r := d.tasks.at(s)
+	version := r.version + 1
+	*r = record{
+		id: t.ID, key: t.Key, size: t.Resources, submitted: nanoseconds(t.Submitted),
+		startBy: nanoseconds(t.StartBy), runTime: t.RunTime, route: d.routes.id(t.Route),
+		gang: -1, team: p.team(t.Team), ticket: -1, row: worker.None, prev: none, next: none,
+		version: version, pool: p.number, rank: rankOf(t.Class), state: taskChart.Initial(),
+		flags: flagsOf(t),
+	}
+	if t.Gang != "" {
+		r.gang = d.gangs.hold(gangKey{p.number, t.Gang}, t.GangSize)
+	}
+	return s
+}
+
+// forget closes a record that reached a final state.
+func (d *Decider) forget(s slot) {
+	r := d.tasks.at(s)
+	if r.gang >= 0 {
+		d.gangs.release(r.gang)
+	}
+	d.tasks.close(s)
+}
+
+// step moves a task along its chart. Callers ask [chart.Chart.Allows] first
+// where an event may be out of place.
+func (r *record) step(e chart.Event) {
+	next, err := taskChart.Next(r.state, e)
+	if err != nil {
+		panic(err)
+	}
+	r.state = next
+}
--- /dev/null
+++ b/pool/workers.go
@@ -0,0 +1,178 @@
+package pool
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/chart"
+	"lovagestand.example/lovagestand/worker"
+)
+
+var workerChart = chart.Worker()
+
+// The states and events of the worker chart.
+var (
+	stateFit         = workerChart.MustState("fit")
+	stateProbing     = workerChart.MustState("probing")
+	stateQuarantined = workerChart.MustState("quarantined")
+	stateLeaving     = workerChart.MustState("leaving")
+	stateGone        = workerChart.MustState("gone")
+	eventDistrust    = workerChart.MustEvent("distrust")
+	eventProbe       = workerChart.MustEvent("probe")
+	eventTrust       = workerChart.MustEvent("trust")
+	eventLeave       = workerChart.MustEvent("leave")
+	eventReturn      = workerChart.MustEvent("return")
+	eventRemove      = workerChart.MustEvent("remove")
+)
+
+// SetWorker implements [lovagestand.Decider].
+func (d *Decider) SetWorker(now time.Time, w lovagestand.Worker, pool lovagestand.PoolName) {
+	at, ok := d.workers[w.Name]
+	if ok && d.pools[at.pool].name != pool {
+		d.move(now, w, pool)
+		return
+	}
+	p := d.pool(pool)
+	p.changed = true
+	if !ok {
+		row := p.ledger.Add(worker.Spec{})
+		for int(row) >= len(p.members) {
+			p.members = append(p.members, member{})
+		}
+		p.members[row] = member{first: none, last: none, state: workerChart.Initial()}
+		d.workers[w.Name] = place{p.number, row}
+		d.set(p, row, w)
+		return
+	}
+	d.recount(p, at.row, -1)
+	d.set(p, at.row, w)
+	d.recount(p, at.row, 1)
+}
+
+// set puts what is known of a worker in force.
+func (d *Decider) set(p *state, row worker.Row, w lovagestand.Worker) {
+	m := &p.members[row]
+	m.worker = w
+	if w.Leaving {
+		p.turn(row, eventLeave)
+		d.dropClaimsOn(p, row)
+	} else {
+		p.turn(row, eventReturn)
+	}
+	p.register(row)
+}
+
+// register tells the ledger what a worker may take in its state.
+func (p *state) register(row worker.Row) {
+	m := &p.members[row]
+	spec := worker.Spec{
+		Capacity: m.worker.Capacity,
+		Slots:    m.worker.Slots,
+		Fit:      m.state == stateFit || m.state == stateProbing,
+		Site:     worker.Site{Region: m.worker.Region, FailureDomain: m.worker.FailureDomain, Rack: m.worker.Rack},
+	}
+	if m.state == stateProbing {
+		spec.Slots = min(spec.Slots, 1)
+	}
+	p.ledger.Set(row, spec)
+	p.ledger.Close(row, m.claimed || m.state == stateProbing)
+	p.changed = true
+}
+
+// turn moves a worker along its chart if the event is allowed, and reports
+// whether it was.
+func (p *state) turn(row worker.Row, e chart.Event) bool {
+	m := &p.members[row]
+	next, err := workerChart.Next(m.state, e)
+	if err != nil {
+		return false
+	}
+	p.quarantined += count(next == stateQuarantined) - count(m.state == stateQuarantined)
+	p.probing += count(next == stateProbing) - count(m.state == stateProbing)
+	m.state = next
+	return true
+}
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// recount adds by to the replica counts for each service of a worker, whose
+// rack may change.
+func (d *Decider) recount(p *state, row worker.Row, by int32) {
+	for s := p.members[row].first; s != none; s = d.tasks.at(s).next {
+		if r := d.tasks.at(s); r.rank == rankService {
+			p.ledger.Count(p.replicasOf(r.route), row, by)
+		}
+	}
+}
+
+// move takes a worker and its tasks to another pool.
+func (d *Decider) move(now time.Time, w lovagestand.Worker, pool lovagestand.PoolName) {
+	tasks := d.RemoveWorker(now, w.Name)
+	d.SetWorker(now, w, pool)
+	for i := range tasks {
+		tasks[i].Pool = pool
+		d.Adopt(now, tasks[i], w.Name)
+	}
+}
+
+// RemoveWorker implements [lovagestand.Decider].
+func (d *Decider) RemoveWorker(_ time.Time, name lovagestand.WorkerName) []lovagestand.Task {
+	at, ok := d.workers[name]
+	if !ok {
+		return nil
+	}
+	delete(d.workers, name)
+	p := d.pools[at.pool]
+	var tasks []lovagestand.Task
+	for s := p.members[at.row].first; s != none; s = p.members[at.row].first {
+		tasks = append(tasks, d.task(d.tasks.at(s)))
+		d.displaced(s)
+		d.release(s, eventLose)
+		d.forget(s)
+	}
+	d.breakHolds(p, at.row)
+	d.dropClaimsOn(p, at.row)
+	p.turn(at.row, eventRemove)
+	p.ledger.Remove(at.row)
+	p.changed = true
+	return tasks
+}
+
+// Adopt implements [lovagestand.Decider]. A worker that is not known yet is
+// taken to have no capacity and to be leaving.
+func (d *Decider) Adopt(now time.Time, t lovagestand.Task, on lovagestand.WorkerName) {
+	d.Cancel(t.ID)
+	if s := d.tasks.find(t.ID); s != none {
+		d.displaced(s)
+		d.release(s, eventFinish)
+		d.forget(s)
+	}
+	at, ok := d.workers[on]
+	if !ok {
+		d.SetWorker(now, lovagestand.Worker{Name: on, Leaving: true}, t.Pool)
+		at = d.workers[on]
+	}
+	p := d.pools[at.pool]
+	t.Pool = p.name
+	s := d.record(&t)
+	r := d.tasks.at(s)
+	r.step(eventAdopt)
+	p.ledger.Adopt(at.row, r.size)
+	d.settle(now.UnixNano(), s, at.row)
+}
+
+// settle counts a task as placed on a worker whose ledger row has it already.
+func (d *Decider) settle(now int64, s slot, row worker.Row) {
+	r := d.tasks.at(s)
+	p := d.pools[r.pool]
+	r.row = row
+	r.moment = now
+	p.attach(d, s)
+	p.charge(r.team, r.rank, r.size)
+	p.changed = true
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -189,31 +189,20 @@
 	return Next{t.item, l.key.team, q.shares[l.key.team], t.sequence}, true
 }
 
-// Oldest returns the earliest item of a group, parked ones included.
-func (q *Queue) Oldest(g int32) Item {
-	best := Ticket(none)
-	for _, n := range q.byTeamOf(g) {
-		head := q.lines[n].head
-		if best == none || q.tickets[head].sequence < q.tickets[best].sequence {
-			best = head
+// Oldest returns the earliest item of a group that is not parked; false if
+// all are. It looks at each of the group's teams.
+func (q *Queue) Oldest(g int32) (Next, bool) {
+	var best Next
+	found := false
+	for _, n := range q.groups[g].heap {
+		l := &q.lines[n]
+		t := &q.tickets[l.head]
+		if !found || t.sequence < best.Sequence {
+			best = Next{t.item, l.key.team, q.shares[l.key.team], t.sequence}
+			found = true
 		}
 	}
-	return q.tickets[best].item
-}
-
-func (q *Queue) byTeamOf(g int32) []int32 {
-	var lines []int32
-	for id := range q.byTeam {
-		if n, ok := q.lineOf[lineKey{g, team.ID(id)}]; ok {
-			lines = append(lines, n)
-		}
-	}
-	return lines
-}
-
-// Sequence returns the sequence of an item.
-func (q *Queue) Sequence(t Ticket) uint64 {
-	return q.tickets[t].sequence
+	return best, found
 }
 
 // Share returns the share last set for a team.
--- a/worker/kind.go
+++ b/worker/kind.go
@@ -39,11 +39,7 @@
 	room := 0
 	for i := range l.kinds {
 		k := &l.kinds[i]
-		each := int64(k.slots)
-		each = min(each, quotient(k.capacity.MilliCPU, size.MilliCPU, each))
-		each = min(each, quotient(k.capacity.MemoryMiB, size.MemoryMiB, each))
-		each = min(each, quotient(k.capacity.Accelerators, size.Accelerators, each))
-		room += int(each) * k.workers
+		room += Times(k.capacity, size, int(k.slots)) * k.workers
 		if room >= limit {
 			return limit
 		}
@@ -51,8 +47,20 @@
 	return room
 }
 
-// quotient returns how often part goes into whole, or most where part is none.
+// Times returns how many tasks of a size go into free resources, at most most.
+func Times(free, size lovagestand.Resources, most int) int {
+	n := int64(max(most, 0))
+	n = min(n, quotient(free.MilliCPU, size.MilliCPU, n))
+	n = min(n, quotient(free.MemoryMiB, size.MemoryMiB, n))
+	return int(min(n, quotient(free.Accelerators, size.Accelerators, n)))
+}
+
+// quotient returns how often part goes into whole, or most where
+// part is none.
 func quotient(whole, part, most int64) int64 {
+	if whole < 0 {
+		return 0
+	}
 	if part <= 0 {
 		return most
 	}
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -168,6 +168,12 @@
 	l.grown++
 }
 
+// Undo returns what [Ledger.Take] took for a task that is not to start after
+// all; nothing that found no place before will find one now.
+func (l *Ledger) Undo(r Row, size lovagestand.Resources) {
+	l.change(r, lovagestand.Resources{}.Sub(size), -1)
+}
+
 // Resize changes what a task takes; false, with nothing changed, where the
 // worker lacks room for the growth.
 func (l *Ledger) Resize(r Row, from, to lovagestand.Resources) bool {
@@ -205,6 +211,14 @@
 	}
 }
 
+// Reopen is Close for a moment within one decision: a task that found no
+// place before will find none after it.
+func (l *Ledger) Reopen(r Row, open bool) {
+	l.leave(r)
+	l.rows[r].closed = !open
+	l.enter(r)
+}
+
 // enter puts a row in the index if it can take a task.
 func (l *Ledger) enter(r Row) {
 	w := &l.rows[r]
@@ -298,3 +312,8 @@
 func (l *Ledger) Largest() lovagestand.Resources {
 	return l.index.largest()
 }
+
+// Known returns how many workers there are, fit or not.
+func (l *Ledger) Known() int {
+	return len(l.rows) - len(l.unused)
+}
