--- /dev/null
+++ b/pool/baseline/baseline.go
@@ -0,0 +1,156 @@
+// Package baseline decides by arrival alone, with no policies: the simplest
+// schedulers to which package pool is compared in benchmarks and replays.
+package baseline
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Decider implements [lovagestand.Decider] by arrival: each waiting task in
+// turn takes a worker that holds it, and waits where there is none. Teams,
+// quotas, headroom and classes do not count, nothing is displaced, and a gang
+// starts when all of it is there and fits.
+type Decider struct {
+	shard   lovagestand.ShardName
+	random  *rand.Rand
+	workers []*holder
+	byName  map[lovagestand.WorkerName]*holder
+	tasks   map[lovagestand.TaskID]*entry
+	waiting []*entry
+	changed bool
+}
+
+type holder struct {
+	worker lovagestand.Worker
+	pool   lovagestand.PoolName
+	used   lovagestand.Resources
+	tasks  int
+}
+
+type entry struct {
+	task lovagestand.Task
+	on   *holder
+	// gone says that the entry does not wait any more.
+	gone bool
+}
+
+var _ lovagestand.Decider = (*Decider)(nil)
+
+// Option changes how a [Decider] places tasks.
+type Option func(*Decider)
+
+// WithRandom places each task on a random worker that holds it, instead of
+// the first one.
+func WithRandom(seed uint64) Option {
+	return func(d *Decider) { d.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a decider that places first-fit unless told otherwise.
+func New(shard lovagestand.ShardName, opts ...Option) *Decider {
+	d := &Decider{
+		shard:  shard,
+		byName: map[lovagestand.WorkerName]*holder{},
+		tasks:  map[lovagestand.TaskID]*entry{},
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
+}
+
+// SetPolicies implements [lovagestand.Decider]; policies do not count.
+func (*Decider) SetPolicies([]lovagestand.Policy) {}
+
+// SetWorker implements [lovagestand.Decider].
+func (d *Decider) SetWorker(_ time.Time, w lovagestand.Worker, pool lovagestand.PoolName) {
+	h, ok := d.byName[w.Name]
+	if !ok {
+		h = &holder{}
+		d.byName[w.Name] = h
+		d.workers = append(d.workers, h)
+	}
+	h.worker = w
+	h.pool = pool
+	d.changed = true
+}
+
+// RemoveWorker implements [lovagestand.Decider].
+func (d *Decider) RemoveWorker(now time.Time, name lovagestand.WorkerName) []lovagestand.Task {
+	h, ok := d.byName[name]
+	if !ok {
+		return nil
+	}
+	delete(d.byName, name)
+	for i := range d.workers {
+		if d.workers[i] == h {
+			d.workers = append(d.workers[:i:i], d.workers[i+1:]...)
+			break
+		}
+	}
+	var lost []lovagestand.Task
+	for id, e := range d.tasks {
+		if e.on == h {
+			lost = append(lost, e.task)
+			d.Finish(now, id, lovagestand.TaskResult{})
+		}
+	}
+	return lost
+}
+
+// Adopt implements [lovagestand.Decider].
+func (d *Decider) Adopt(_ time.Time, t lovagestand.Task, on lovagestand.WorkerName) {
+	if h, ok := d.byName[on]; ok {
+		e := &entry{task: t}
+		d.tasks[t.ID] = e
+		h.put(e)
+	}
+}
+
+// Submit implements [lovagestand.Decider].
+func (d *Decider) Submit(_ time.Time, t lovagestand.Task) error {
+	e := &entry{task: t}
+	d.tasks[t.ID] = e
+	d.waiting = append(d.waiting, e)
+	d.changed = true
+	return nil
+}
+
+// Cancel implements [lovagestand.Decider].
+func (d *Decider) Cancel(id lovagestand.TaskID) bool {
+	e, ok := d.tasks[id]
+	if !ok || e.on != nil {
+		return false
+	}
+	e.gone = true
+	delete(d.tasks, id)
+	return true
+}
+
+// Finish implements [lovagestand.Decider].
+func (d *Decider) Finish(_ time.Time, id lovagestand.TaskID, _ lovagestand.TaskResult) {
+	if e, ok := d.tasks[id]; ok && e.on != nil {
+		e.on.take(e)
+		delete(d.tasks, id)
+		d.changed = true
+	}
+}
+
+// Digest implements [lovagestand.Decider]; it is empty but for the shard.
+func (d *Decider) Digest(time.Time) lovagestand.Digest {
+	return lovagestand.Digest{Shard: d.shard}
+}
+
+// Explain implements [lovagestand.Decider].
+func (d *Decider) Explain(_ time.Time, id lovagestand.TaskID) string {
+	e, ok := d.tasks[id]
+	switch {
+	case !ok:
+		return "not known in this shard"
+	case e.on != nil:
+		return "runs on worker " + string(e.on.worker.Name)
+	}
+	return "waits"
+}
--- /dev/null
+++ b/pool/baseline/decide.go
@@ -0,0 +1,117 @@
+package baseline
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Decide implements [lovagestand.Decider].
+func (d *Decider) Decide(now time.Time, decisions []lovagestand.Decision) []lovagestand.Decision {
+	decisions = d.expire(now, decisions)
+	if !d.changed {
+		return decisions
+	}
+	d.changed = false
+	gangs := d.gangs()
+	for _, e := range d.waiting {
+		if e.gone || e.on != nil {
+			continue
+		}
+		group := []*entry{e}
+		if e.task.Gang != "" {
+			group = gangs[e.task.Gang]
+		}
+		if len(group) < e.task.GangSize || !d.place(group) {
+			continue
+		}
+		for _, m := range group {
+			decisions = append(decisions, lovagestand.Decision{
+				Kind: lovagestand.DecisionStart, Task: m.task, Worker: m.on.worker.Name,
+			})
+		}
+	}
+	d.sweep()
+	return decisions
+}
+
+func (d *Decider) gangs() map[string][]*entry {
+	gangs := map[string][]*entry{}
+	for _, e := range d.waiting {
+		if !e.gone && e.task.Gang != "" {
+			gangs[e.task.Gang] = append(gangs[e.task.Gang], e)
+		}
+	}
+	return gangs
+}
+
+func (d *Decider) expire(now time.Time, decisions []lovagestand.Decision) []lovagestand.Decision {
+	for _, e := range d.waiting {
+		limit := e.task.StartBy
+		if e.gone || limit.IsZero() || now.Before(limit) {
+			continue
+		}
+		d.Cancel(e.task.ID)
+		decisions = append(decisions, lovagestand.Decision{
+			Kind: lovagestand.DecisionExpire, Task: e.task, Reason: "no worker was free before the time limit",
+		})
+	}
+	return decisions
+}
+
+// sweep drops what does not wait any more.
+func (d *Decider) sweep() {
+	kept := d.waiting[:0]
+	for _, e := range d.waiting {
+		if !e.gone && e.on == nil {
+			kept = append(kept, e)
+		}
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+}
+
+func (d *Decider) place(group []*entry) bool {
+	for i, e := range group {
+		h := d.choose(e)
+		if h == nil {
+			for _, placed := range group[:i] {
+				placed.on.take(placed)
+			}
+			return false
+		}
+		h.put(e)
+	}
+	return true
+}
+
+func (d *Decider) choose(e *entry) *holder {
+	offset := 0
+	if d.random != nil && len(d.workers) > 0 {
+		offset = d.random.IntN(len(d.workers))
+	}
+	for i := range d.workers {
+		h := d.workers[(i+offset)%len(d.workers)]
+		if h.holds(e) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (h *holder) holds(e *entry) bool {
+	return h.pool == e.task.Pool && !h.worker.Leaving && h.tasks < h.worker.Slots &&
+		h.used.Add(e.task.Resources).Fits(h.worker.Capacity)
+}
+
+func (h *holder) put(e *entry) {
+	e.on = h
+	h.tasks++
+	h.used = h.used.Add(e.task.Resources)
+}
+
+func (h *holder) take(e *entry) {
+	e.on = nil
+	h.tasks--
+	h.used = h.used.Sub(e.task.Resources)
+}
--- /dev/null
+++ b/pool/bench_test.go
@@ -0,0 +1,182 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/pool"
+	"lovagestand.example/lovagestand/pool/baseline"
+	"lovagestand.example/lovagestand/pool/naive"
+)
+
+// tasksPerWorker times 1,900 workers is 47,500 tasks.
+const tasksPerWorker = 25
+
+var contenders = []struct {
+	name string
+	make func() lovagestand.Decider
+	// most bounds the workers, since setting up is quadratic for some.
+	most int
+}{
+	{"pool", func() lovagestand.Decider { return pool.New("s") }, 1900},
+	{"firstFit", func() lovagestand.Decider { return baseline.New("s") }, 1900},
+	{"random", func() lovagestand.Decider { return baseline.New("s", baseline.WithRandom(1)) }, 1900},
+	{"naive", func() lovagestand.Decider { return naive.New("s") }, 500},
+}
+
+// BenchmarkDecide measures one decision of a full cell: a task ends, another
+// arrives, and it is placed.
+func BenchmarkDecide(b *testing.B) {
+	for _, c := range contenders {
+		for _, workers := range []int{50, 500, 1900} {
+			if workers > c.most {
+				continue
+			}
+			b.Run(fmt.Sprintf("%s/workers=%d", c.name, workers), func(b *testing.B) {
+				benchmark(b, newLoad(c.make(), workers))
+			})
+		}
+	}
+}
+
+func benchmark(b *testing.B, l *load) {
+	b.ReportAllocs()
+	var slow []time.Duration
+	for b.Loop() {
+		started := time.Now()
+		l.turn()
+		slow = append(slow, time.Since(started))
+	}
+	slices.Sort(slow)
+	b.ReportMetric(float64(slow[len(slow)*99/100].Nanoseconds()), "p99-ns")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "decisions/s")
+	b.ReportMetric(float64(l.started)/float64(b.N), "starts/op")
+}
+
+// load is a cell in which tasks of 20 shapes from 380 teams come and go.
+type load struct {
+	decider   lovagestand.Decider
+	random    *rand.Rand
+	now       time.Time
+	// running and unused are the IDs of all tasks.
+	running   []lovagestand.TaskID
+	unused    []lovagestand.TaskID
+	decisions []lovagestand.Decision
+	started   int
+}
+
+func newLoad(d lovagestand.Decider, workers int) *load {
+	l := &load{decider: d, random: rand.New(rand.NewPCG(1, 2)), now: began}
+	for i := range workers {
+		d.SetWorker(l.now, lovagestand.Worker{
+			Name: lovagestand.WorkerName(fmt.Sprintf("w%d", i)), Slots: 40,
+			FailureDomain: lovagestand.FailureDomain(fmt.Sprintf("d%d", i/8%13)),
+			Rack:          lovagestand.RackName(fmt.Sprintf("r%d", i/8)),
+			Capacity:      lovagestand.Resources{MilliCPU: 28000, MemoryMiB: 131072, Accelerators: int64(i % 2 * 4)},
+		}, "cell")
+	}
+	for i := range workers * tasksPerWorker * 12 / 10 {
+		l.unused = append(l.unused, lovagestand.TaskID(fmt.Sprintf("task-%08d", i)))
+	}
+	for i := range workers * tasksPerWorker {
+		t := l.task()
+		d.Adopt(l.now, t, lovagestand.WorkerName(fmt.Sprintf("w%d", i%workers)))
+		l.running = append(l.running, t.ID)
+	}
+	return l
+}
+
+func (l *load) task() lovagestand.Task {
+	n := l.random.IntN(20)
+	class := lovagestand.ClassBatch
+	switch {
+	case n == 0:
+		class = lovagestand.ClassService
+	case n < 4:
+		class = lovagestand.ClassUrgent
+	}
+	last := len(l.unused) - 1
+	id := l.unused[last]
+	l.unused = l.unused[:last]
+	return lovagestand.Task{
+		ID: id, Key: "key", Route: routeNames[n], Pool: "cell", Class: class, Checkpoints: true,
+		Team:      teamNames[l.random.IntN(len(teamNames))],
+		Resources: lovagestand.Resources{MilliCPU: int64(200 + 80*n), MemoryMiB: int64(1024 + 512*(n%7))},
+		Submitted: l.now, StartBy: l.now.Add(time.Minute),
+	}
+}
+
+// turn ends one random task, submits another and decides.
+func (l *load) turn() {
+	l.now = l.now.Add(time.Millisecond)
+	i := l.random.IntN(len(l.running))
+	result := lovagestand.TaskResult{Phase: lovagestand.TaskDone, Ran: time.Second}
+	l.decider.Finish(l.now, l.running[i], result)
+	l.unused = append(l.unused, l.running[i])
+	l.running[i] = l.running[len(l.running)-1]
+	l.running = l.running[:len(l.running)-1]
+	if err := l.decider.Submit(l.now, l.task()); err != nil {
+		panic(err)
+	}
+	l.decisions = l.decider.Decide(l.now, l.decisions[:0])
+	for i := range l.decisions {
+		switch l.decisions[i].Kind {
+		case lovagestand.DecisionExpire:
+			l.unused = append(l.unused, l.decisions[i].Task.ID)
+		case lovagestand.DecisionStart:
+			l.running = append(l.running, l.decisions[i].Task.ID)
+			l.started++
+		}
+	}
+}
+
+var routeNames, teamNames = names[lovagestand.RouteName]("route", 20), names[lovagestand.TeamName]("team", 380)
+
+func names[N ~string](kind string, count int) []N {
+	out := make([]N, count)
+	for i := range out {
+		out[i] = N(fmt.Sprintf("%s%d", kind, i))
+	}
+	return out
+}
+
+// BenchmarkMemory reports the memory of a cell of 1,900 workers with 47,500
+// tasks, their names left out since the caller holds them too.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		l := newLoad(pool.New("s"), 1900)
+		held := heap()
+		l.decider = nil
+		b.ReportMetric(float64(held-heap())/(1<<20), "MiB")
+		runtime.KeepAlive(l)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkIdle measures decisions and digests when nothing has changed.
+func BenchmarkIdle(b *testing.B) {
+	l := newLoad(pool.New("s"), 1900)
+	l.decider.Decide(l.now, nil)
+	b.Run("decide", func(b *testing.B) {
+		for b.Loop() {
+			l.decider.Decide(l.now, nil)
+		}
+	})
+	b.Run("digest", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			l.decider.Digest(l.now)
+		}
+	})
+}
