--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -60,9 +60,9 @@
 
 // load is a cell in which tasks of 20 shapes from 380 teams come and go.
 type load struct {
-	decider   lovagestand.Decider
-	random    *rand.Rand
-	now       time.Time
+	decider lovagestand.Decider
+	random  *rand.Rand
+	now     time.Time
 	// running and unused are the IDs of all tasks.
 	running   []lovagestand.TaskID
 	unused    []lovagestand.TaskID
--- a/worker/index.go
+++ b/worker/index.go
@@ -7,199 +7,225 @@
 )
 
 // index finds the open worker with the least to spare. For each count of free
-// accelerators it keeps a treap ordered by free processors, memory and
-// arrival, in which each node knows the most memory below it. A look-up and a
-// change cost the logarithm of the number of workers.
+// accelerators it keeps the workers in order of free processors, memory and
+// arrival. They lie in short chunks, each of which knows its most memory, so
+// that a look-up or a change touches few cache lines.
 type index struct {
-	nodes []node
-	roots [MaxAccelerators + 1]int32
-	// filled has a bit for each root that is not empty.
+	levels [MaxAccelerators + 1]level
+	// filled has a bit for each level that is not empty.
 	filled [(MaxAccelerators + 64) / 64]uint64
 }
 
-type node struct {
-	milliCPU, memoryMiB, maxMemoryMiB int64
-	left, right                       int32
-	priority, order                   uint32
-}
+// level is an ordered list of chunks, none of them empty.
+type level []*chunk
 
-// empty is no node.
-const empty = int32(-1)
+const (
+	// chunkSize is the most workers in a chunk.
+	chunkSize = 32
+	// mergeSize is the most workers that two neighbours are merged to.
+	mergeSize = chunkSize / 2
+)
 
-// grow adds room for one more worker.
-func (x *index) grow() {
-	if len(x.nodes) == 0 {
-		for i := range x.roots {
-			x.roots[i] = empty
-		}
-	}
-	x.nodes = append(x.nodes, node{})
+type chunk struct {
+	count        int
+	maxMemoryMiB int64
+	keys         [chunkSize]key
 }
 
-func (x *index) insert(n int32, free lovagestand.Resources, order uint32) {
-	x.nodes[n] = node{
-		milliCPU: free.MilliCPU, memoryMiB: free.MemoryMiB, maxMemoryMiB: free.MemoryMiB,
-		left: empty, right: empty, priority: scramble(order), order: order,
-	}
-	level := free.Accelerators
-	x.roots[level] = x.add(x.roots[level], n)
-	x.filled[level/64] |= 1 << (level % 64)
+// key is what a worker is ordered by.
+type key struct {
+	milliCPU, memoryMiB int64
+	order               uint32
+	row                 Row
+}
+
+func keyOf(r Row, free lovagestand.Resources, order uint32) key {
+	return key{free.MilliCPU, free.MemoryMiB, order, r}
 }
 
-func (x *index) remove(n int32, level int64) {
-	x.roots[level] = x.cut(x.roots[level], n)
-	if x.roots[level] == empty {
-		x.filled[level/64] &^= 1 << (level % 64)
+func (k *key) less(m *key) bool {
+	if k.milliCPU != m.milliCPU {
+		return k.milliCPU < m.milliCPU
+	}
+	if k.memoryMiB != m.memoryMiB {
+		return k.memoryMiB < m.memoryMiB
 	}
+	return k.order < m.order
 }
 
-// scramble spreads n over all of uint32, for priorities without a generator.
-func scramble(n uint32) uint32 {
-	n ^= n >> 16
-	n *= 0x7feb352d
-	n ^= n >> 15
-	n *= 0x846ca68b
-	return n ^ n>>16
+func (x *index) insert(r Row, free lovagestand.Resources, order uint32) {
+	n := free.Accelerators
+	x.levels[n].insert(keyOf(r, free, order))
+	x.filled[n/64] |= 1 << (n % 64)
 }
 
-func (x *index) less(a, b int32) bool {
-	m, n := &x.nodes[a], &x.nodes[b]
-	if m.milliCPU != n.milliCPU {
-		return m.milliCPU < n.milliCPU
+func (x *index) remove(r Row, free lovagestand.Resources, order uint32) {
+	n := free.Accelerators
+	x.levels[n].remove(keyOf(r, free, order))
+	if len(x.levels[n]) == 0 {
+		x.filled[n/64] &^= 1 << (n % 64)
 	}
-	if m.memoryMiB != n.memoryMiB {
-		return m.memoryMiB < n.memoryMiB
-	}
-	return m.order < n.order
 }
 
-func (x *index) add(root, n int32) int32 {
-	if root == empty {
-		return n
-	}
-	r := &x.nodes[root]
-	if x.nodes[n].priority > r.priority {
-		x.nodes[n].left, x.nodes[n].right = x.split(root, n)
-		x.sum(n)
-		return n
-	}
-	if x.less(n, root) {
-		r.left = x.add(r.left, n)
-	} else {
-		r.right = x.add(r.right, n)
+// chunkOf returns the place of the last chunk that does not start after k, or
+// of the first chunk.
+func (l level) chunkOf(k *key) int {
+	low, high := 0, len(l)
+	for high-low > 1 {
+		middle := (low + high) / 2
+		if k.less(&l[middle].keys[0]) {
+			high = middle
+		} else {
+			low = middle
+		}
 	}
-	x.sum(root)
-	return root
+	return low
 }
 
-func (x *index) cut(root, n int32) int32 {
-	r := &x.nodes[root]
-	if root == n {
-		return x.merge(r.left, r.right)
-	}
-	if x.less(n, root) {
-		r.left = x.cut(r.left, n)
-	} else {
-		r.right = x.cut(r.right, n)
+func (l *level) insert(k key) {
+	if len(*l) == 0 {
+		*l = append(*l, &chunk{})
+	}
+	i := l.chunkOf(&k)
+	c := (*l)[i]
+	if c.count == chunkSize {
+		half := c.split()
+		l.insertChunk(i+1, half)
+		if !k.less(&half.keys[0]) {
+			c = half
+		}
 	}
-	x.sum(root)
-	return root
+	c.insert(k)
 }
 
-// split parts a treap into what is before n and what is after.
-func (x *index) split(root, n int32) (before, after int32) {
-	if root == empty {
-		return empty, empty
-	}
-	r := &x.nodes[root]
-	if x.less(root, n) {
-		r.right, after = x.split(r.right, n)
-		x.sum(root)
-		return root, after
-	}
-	before, r.left = x.split(r.left, n)
-	x.sum(root)
-	return before, root
+func (l *level) insertChunk(i int, c *chunk) {
+	*l = append(*l, nil)
+	copy((*l)[i+1:], (*l)[i:])
+	(*l)[i] = c
 }
 
-func (x *index) merge(a, b int32) int32 {
-	if a == empty {
-		return b
+func (l *level) removeChunk(i int) {
+	copy((*l)[i:], (*l)[i+1:])
+	(*l)[len(*l)-1] = nil
+	*l = (*l)[:len(*l)-1]
+}
+
+func (l *level) remove(k key) {
+	i := l.chunkOf(&k)
+	c := (*l)[i]
+	c.remove(k)
+	if c.count == 0 {
+		l.removeChunk(i)
+		return
 	}
-	if b == empty {
-		return a
+	if i+1 < len(*l) && c.count+(*l)[i+1].count <= mergeSize {
+		c.merge((*l)[i+1])
+		l.removeChunk(i + 1)
 	}
-	if x.nodes[a].priority > x.nodes[b].priority {
-		x.nodes[a].right = x.merge(x.nodes[a].right, b)
-		x.sum(a)
-		return a
+}
+
+// place returns where k is in a chunk or would be inserted.
+func (c *chunk) place(k *key) int {
+	low, high := 0, c.count
+	for low < high {
+		middle := (low + high) / 2
+		if c.keys[middle].less(k) {
+			low = middle + 1
+		} else {
+			high = middle
+		}
 	}
-	x.nodes[b].left = x.merge(a, x.nodes[b].left)
-	x.sum(b)
-	return b
+	return low
+}
+
+func (c *chunk) insert(k key) {
+	i := c.place(&k)
+	copy(c.keys[i+1:c.count+1], c.keys[i:c.count])
+	c.keys[i] = k
+	c.count++
+	c.maxMemoryMiB = max(c.maxMemoryMiB, k.memoryMiB)
 }
 
-func (x *index) sum(n int32) {
-	m := &x.nodes[n]
-	most := m.memoryMiB
-	if m.left != empty {
-		most = max(most, x.nodes[m.left].maxMemoryMiB)
+func (c *chunk) remove(k key) {
+	i := c.place(&k)
+	copy(c.keys[i:c.count-1], c.keys[i+1:c.count])
+	c.count--
+	if k.memoryMiB == c.maxMemoryMiB {
+		c.sum()
 	}
-	if m.right != empty {
-		most = max(most, x.nodes[m.right].maxMemoryMiB)
+}
+
+// split moves the upper half of a chunk to a new one.
+func (c *chunk) split() *chunk {
+	half := &chunk{}
+	half.count = copy(half.keys[:], c.keys[c.count/2:c.count])
+	c.count -= half.count
+	c.sum()
+	half.sum()
+	return half
+}
+
+// merge takes over the keys of the following chunk.
+func (c *chunk) merge(following *chunk) {
+	c.count += copy(c.keys[c.count:], following.keys[:following.count])
+	c.sum()
+}
+
+func (c *chunk) sum() {
+	c.maxMemoryMiB = 0
+	for i := range c.count {
+		c.maxMemoryMiB = max(c.maxMemoryMiB, c.keys[i].memoryMiB)
 	}
-	m.maxMemoryMiB = most
 }
 
-// first returns the first node that holds size, or empty.
-func (x *index) first(size lovagestand.Resources) int32 {
-	level := max(size.Accelerators, 0)
-	for level <= MaxAccelerators {
-		rest := x.filled[level/64] >> (level % 64)
+// first returns the first worker that holds size, or [None].
+func (x *index) first(size lovagestand.Resources) Row {
+	n := max(size.Accelerators, 0)
+	for n <= MaxAccelerators {
+		rest := x.filled[n/64] >> (n % 64)
 		if rest == 0 {
-			level = (level/64 + 1) * 64
+			n = (n/64 + 1) * 64
 			continue
 		}
-		level += int64(bits.TrailingZeros64(rest))
-		if n := x.find(x.roots[level], size.MilliCPU, size.MemoryMiB); n != empty {
-			return n
+		n += int64(bits.TrailingZeros64(rest))
+		if r := x.levels[n].first(size); r != None {
+			return r
 		}
-		level++
+		n++
 	}
-	return empty
+	return None
 }
 
-func (x *index) find(root int32, milliCPU, memoryMiB int64) int32 {
-	for root != empty {
-		r := &x.nodes[root]
-		if r.maxMemoryMiB < memoryMiB {
-			return empty
-		}
-		if r.milliCPU >= milliCPU {
-			if n := x.find(r.left, milliCPU, memoryMiB); n != empty {
-				return n
-			}
-			if r.memoryMiB >= memoryMiB {
-				return root
+func (l level) first(size lovagestand.Resources) Row {
+	least := key{milliCPU: size.MilliCPU, memoryMiB: size.MemoryMiB}
+	i := l.chunkOf(&least)
+	from := l[i].place(&least)
+	for ; i < len(l); i++ {
+		if l[i].maxMemoryMiB >= size.MemoryMiB {
+			for k := from; k < l[i].count; k++ {
+				if l[i].keys[k].memoryMiB >= size.MemoryMiB {
+					return l[i].keys[k].row
+				}
 			}
 		}
-		root = r.right
+		from = 0
 	}
-	return empty
+	return None
 }
 
+// largest returns the most of each resource that one worker has free.
 func (x *index) largest() lovagestand.Resources {
 	var most lovagestand.Resources
 	for word, rest := range x.filled {
 		for ; rest != 0; rest &= rest - 1 {
-			level := int64(word*64 + bits.TrailingZeros64(rest))
-			root := x.roots[level]
-			most.Accelerators = level
-			most.MemoryMiB = max(most.MemoryMiB, x.nodes[root].maxMemoryMiB)
-			for x.nodes[root].right != empty {
-				root = x.nodes[root].right
+			n := word*64 + bits.TrailingZeros64(rest)
+			l := x.levels[n]
+			last := l[len(l)-1]
+			most.Accelerators = int64(n)
+			most.MilliCPU = max(most.MilliCPU, last.keys[last.count-1].milliCPU)
+			for _, c := range l {
+				most.MemoryMiB = max(most.MemoryMiB, c.maxMemoryMiB)
 			}
-			most.MilliCPU = max(most.MilliCPU, x.nodes[root].milliCPU)
 		}
 	}
 	return most
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -97,7 +97,6 @@
 		return r
 	}
 	l.rows = append(l.rows, row{})
-	l.index.grow()
 	return Row(len(l.rows) - 1)
 }
 
@@ -226,20 +225,20 @@
 		return
 	}
 	w.indexed = true
-	l.index.insert(int32(r), w.capacity.Sub(w.used), w.order)
+	l.index.insert(r, w.capacity.Sub(w.used), w.order)
 }
 
 func (l *Ledger) leave(r Row) {
 	if w := &l.rows[r]; w.indexed {
 		w.indexed = false
-		l.index.remove(int32(r), w.capacity.Sub(w.used).Accelerators)
+		l.index.remove(r, w.capacity.Sub(w.used), w.order)
 	}
 }
 
 // Tightest returns the open worker that holds a task with the least to spare:
 // fewest accelerators, then processors, then memory; None if there is none.
 func (l *Ledger) Tightest(size lovagestand.Resources) Row {
-	return Row(l.index.first(size))
+	return l.index.first(size)
 }
 
 // Tighter reports whether a has less to spare than b, in the order of
