--- a/pool/decide.go
+++ b/pool/decide.go
@@ -154,16 +154,13 @@
 
 // chooseOne returns the worker for one task; worker.None if none has room.
 func (d *Decider) chooseOne(p *state, r *record) worker.Row {
-	if d.options.firstFit {
-		return firstFit(p, r.size)
-	}
 	if r.rank == rankService && r.gang < 0 {
 		return p.ledger.Spread(r.size, p.replicasOf(r.route))
 	}
 	if row := p.probeFor(r); row != worker.None {
 		return row
 	}
-	row := p.ledger.Tightest(r.size)
+	row := d.open(p, r.size)
 	claimed := r.row
 	if claimed != worker.None && p.ledger.Holds(claimed, r.size) && (row == worker.None || p.ledger.Tighter(claimed, row)) {
 		return claimed
@@ -174,6 +171,14 @@
 	return row
 }
 
+// open returns an open worker that holds a size.
+func (d *Decider) open(p *state, size lovagestand.Resources) worker.Row {
+	if d.options.firstFit {
+		return firstFit(p, size)
+	}
+	return p.ledger.Tightest(size)
+}
+
 func firstFit(p *state, size lovagestand.Resources) worker.Row {
 	for row := range p.ledger.Rows() {
 		if p.ledger.Holds(row, size) && !p.ledger.Closed(row) {
--- a/pool/headroom.go
+++ b/pool/headroom.go
@@ -44,15 +44,20 @@
 }
 
 // leavesHeadroom reports whether a shape leaves free what is kept for urgent
-// work. Urgent work that runs counts towards it. A pool that runs nothing but
-// urgent work takes any shape, so that none waits for ever.
+// work. Urgent work that runs counts towards it. Batch gives way: services and
+// gangs look only at each other, batch at all three. Where none of these runs
+// any shape may start, so that none waits for ever.
 func (p *state) leavesHeadroom(s queue.Shape) bool {
 	share := p.headroom.share
-	if s.Rank == rankUrgent || share == 0 || p.others.IsZero() {
+	before := p.firm
+	if s.Rank == rankBatch {
+		before = p.firm.Add(p.batch)
+	}
+	if s.Rank == rankUrgent || share == 0 || before.IsZero() {
 		return true
 	}
 	added := totalOf(s)
-	sum := p.others.Add(added)
+	sum := before.Add(added)
 	return (added.MilliCPU == 0 || sum.MilliCPU <= keep(p.capacity.MilliCPU, share)) &&
 		(added.MemoryMiB == 0 || sum.MemoryMiB <= keep(p.capacity.MemoryMiB, share)) &&
 		(added.Accelerators == 0 || sum.Accelerators <= keep(p.capacity.Accelerators, share))
--- a/pool/naive/fit.go
+++ b/pool/naive/fit.go
@@ -159,14 +159,18 @@
 }
 
 // leavesHeadroom reports whether size more of t leave free what is kept for
-// urgent work. Urgent work that runs counts towards it. A pool that runs
-// nothing but urgent work takes any task, so that none waits for ever.
+// urgent work. Urgent work that runs counts towards it. Batch gives way:
+// services and gangs look only at each other, batch at all three. Where none
+// of these runs any task may start, so that none waits for ever.
 func (d *Decider) leavesHeadroom(t lovagestand.Task, size int) bool {
 	share := d.policies[t.Pool].HeadroomShare
 	if t.Class == lovagestand.ClassUrgent || share == 0 {
 		return true
 	}
-	others := d.running(t.Pool, func(e *entry) bool { return e.task.Class != lovagestand.ClassUrgent })
+	others := d.running(t.Pool, func(e *entry) bool {
+		isBatch := e.task.Class == lovagestand.ClassBatch
+		return e.task.Class != lovagestand.ClassUrgent && (!isBatch || t.Class == lovagestand.ClassBatch)
+	})
 	if others.IsZero() {
 		return true
 	}
--- /dev/null
+++ b/pool/replay/compare/main.go
@@ -0,0 +1,89 @@
+// Command compare replays one load with the policy, with each of its parts
+// switched off, and with the simplest schedulers, and prints a table.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/pool"
+	"lovagestand.example/lovagestand/pool/baseline"
+	"lovagestand.example/lovagestand/pool/replay"
+)
+
+// contender is a decider and the load on which it runs.
+type contender struct {
+	name    string
+	decider func() lovagestand.Decider
+	change  func(replay.Load) replay.Load
+}
+
+func with(options ...pool.Option) func() lovagestand.Decider {
+	return func() lovagestand.Decider { return pool.New("cell", options...) }
+}
+
+func same(l replay.Load) replay.Load {
+	return l
+}
+
+func contenders() []contender {
+	return []contender{
+		{"policy", with(), same},
+		{"fixed headroom", with(pool.WithFixedHeadroom()), same},
+		{"no headroom", with(), func(l replay.Load) replay.Load { l.Headroom = 0; return l }},
+		{"no displacing", with(pool.WithoutDisplacing()), same},
+		{"no ageing", with(pool.WithoutAgeing()), same},
+		{"no backfill", with(pool.WithoutBackfill()), same},
+		{"no sharing", with(pool.WithoutSharing()), same},
+		{"first fit", with(pool.WithFirstFit()), same},
+		{"FIFO first-fit", func() lovagestand.Decider { return baseline.New("cell") }, same},
+		{"FIFO random", func() lovagestand.Decider { return baseline.New("cell", baseline.WithRandom(1)) }, same},
+	}
+}
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of the load")
+	offered := flag.Float64("offered", 0.95, "offered load as a fraction of all processors")
+	off := flag.Float64("off", 5, "most by which declared sizes and run times are wrong")
+	flag.Parse()
+	load := replay.Standard(*seed)
+	load.Offered = *offered
+	load.Off = *off
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "\turgent p50\tp99\tservice p99\tgang p50\tp99\tbatch p50\tp99\tplaced %\tused %\twasted %\tdisplaced\tworst team %\tkept %\tpeak queue\t")
+	for _, c := range contenders() {
+		print(w, c.name, replay.Run(c.change(load), c.decider()))
+	}
+	if err := w.Flush(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func print(w *tabwriter.Writer, name string, r replay.Result) {
+	fmt.Fprintf(w, "%s\t", name)
+	for _, q := range []struct {
+		class    lovagestand.Class
+		quantile float64
+	}{
+		{lovagestand.ClassUrgent, 0.5},
+		{lovagestand.ClassUrgent, 0.99},
+		{lovagestand.ClassService, 0.99},
+		{lovagestand.ClassGang, 0.5},
+		{lovagestand.ClassGang, 0.99},
+		{lovagestand.ClassBatch, 0.5},
+		{lovagestand.ClassBatch, 0.99},
+	} {
+		fmt.Fprintf(w, "%s\t", seconds(r.Wait(q.class, q.quantile)))
+	}
+	fmt.Fprintf(w, "%.1f\t%.1f\t%.2f\t%d\t%.1f\t%.2f\t%d\t\n",
+		100*r.Placed, 100*r.Used, 100*r.Wasted, r.Preempted, 100*r.WorstTeam, 100*r.Kept, r.Peak)
+}
+
+func seconds(d time.Duration) string {
+	return fmt.Sprintf("%.2f s", d.Seconds())
+}
--- a/pool/room.go
+++ b/pool/room.go
@@ -174,3 +174,14 @@
 	}
 	return half
 }
+
+// Kept returns what is free on the workers that are kept for waiting tasks.
+func (d *Decider) Kept() lovagestand.Resources {
+	var kept lovagestand.Resources
+	for _, p := range d.pools {
+		for i := range p.claims {
+			kept = kept.Add(p.ledger.Free(p.claims[i].row))
+		}
+	}
+	return kept
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -21,9 +21,10 @@
 	teams    []lovagestand.TeamName
 	members  []member
 	replicas map[int32]*worker.Replicas
-	// urgent and others are what urgent and all other tasks take.
-	urgent, others lovagestand.Resources
-	waiting        [4]int
+	// urgent, firm and batch are what is taken by urgent tasks, by services
+	// and gangs, and by batch.
+	urgent, firm, batch lovagestand.Resources
+	waiting             [4]int
 	// running counts placed tasks by rank.
 	running [4]int
 	// first and last are the ends of the list of waiting urgent tasks that
@@ -125,10 +126,13 @@
 // charge counts size for a team and a class; it may be negative.
 func (p *state) charge(id team.ID, rank int8, size lovagestand.Resources) {
 	p.accounts.Take(id, size)
-	if rank == rankUrgent {
+	switch rank {
+	case rankUrgent:
 		p.urgent = p.urgent.Add(size)
-	} else {
-		p.others = p.others.Add(size)
+	case rankBatch:
+		p.batch = p.batch.Add(size)
+	default:
+		p.firm = p.firm.Add(size)
 	}
 	p.rank(id)
 	if !size.Valid() {
