--- a/pool/claims.go
+++ b/pool/claims.go
@@ -17,6 +17,8 @@
 	// expected is when the worker is believed to have room; tasks that surely
 	// end before may start there meanwhile. 0 allows none.
 	expected int64
+	// drains says that tasks are left to end there.
+	drains bool
 	// tried is the state in which the claimant last found no place.
 	tried uint64
 }
--- a/pool/displace.go
+++ b/pool/displace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -56,36 +57,52 @@
 }
 
 // cheapest returns the worker on which the fewest tasks must stop for a size,
-// and puts them in scratch.best; worker.None if stopping does not help.
+// those of teams with large shares first, and puts them in scratch.best;
+// worker.None if stopping does not help.
 func (d *Decider) cheapest(p *state, size lovagestand.Resources) worker.Row {
 	best := worker.None
-	fewest := 0
+	fewest, richest := 0, 0.0
 	for i := range p.members {
 		row := worker.Row(i)
 		m := &p.members[i]
 		if m.stoppable == 0 || !p.claimable(row) || !size.Fits(p.ledger.Free(row).Add(m.room)) {
 			continue
 		}
-		if fewest == 1 && p.ledger.Earlier(best, row) {
+		n := d.victims(p, row, size)
+		if n == 0 || best != worker.None && n > fewest {
 			continue
 		}
-		n := d.victims(p, row, size)
-		if n == 0 || best != worker.None && (n > fewest || n == fewest && p.ledger.Earlier(best, row)) {
+		least := d.leastShare(p, d.scratch.victims[:n])
+		if best != worker.None && n == fewest && (least < richest || least == richest && p.ledger.Earlier(best, row)) {
 			continue
 		}
-		best, fewest = row, n
+		best, fewest, richest = row, n, least
 		d.scratch.best = append(d.scratch.best[:0], d.scratch.victims[:n]...)
 	}
 	return best
 }
 
-// victims puts the tasks of a worker that may be stopped in scratch.victims,
-// largest first, and returns how many must stop for a size; 0 if all would
-// not do.
+// leastShare returns the smallest share of the teams of tasks.
+func (d *Decider) leastShare(p *state, tasks []slot) float64 {
+	least := math.Inf(1)
+	for _, s := range tasks {
+		least = min(least, p.accounts.Share(d.tasks.at(s).team))
+	}
+	return least
+}
+
+// victims puts the tasks of a worker that may be stopped in scratch.victims
+// and returns how many of the first must stop for a size; 0 if all would not
+// do. One that is enough alone comes first, of the team with the largest share
+// and then the smallest; else the largest come first.
 func (d *Decider) victims(p *state, row worker.Row, size lovagestand.Resources) int {
 	victims := d.stoppable(p, row)
 	free := p.ledger.Free(row)
 	most, now := p.ledger.Slots(row)
+	if i := d.enoughAlone(p, victims, size.Sub(free)); i >= 0 && now-1 < most {
+		victims[0], victims[i] = victims[i], victims[0]
+		return 1
+	}
 	for i, s := range victims {
 		free = free.Add(d.tasks.at(s).size)
 		if size.Fits(free) && most-now+i+1 > 0 {
@@ -95,6 +112,21 @@
 	return 0
 }
 
+// enoughAlone returns the place of the victim that makes up for what is
+// lacking, of the team with the largest share; the last, smallest one of
+// several. It returns -1 if there is none.
+func (d *Decider) enoughAlone(p *state, victims []slot, lacking lovagestand.Resources) int {
+	best := -1
+	richest := 0.0
+	for i, s := range victims {
+		r := d.tasks.at(s)
+		if share := p.accounts.Share(r.team); lacking.Fits(r.size) && (best < 0 || share >= richest) {
+			best, richest = i, share
+		}
+	}
+	return best
+}
+
 func (d *Decider) stoppable(p *state, row worker.Row) []slot {
 	victims := d.scratch.victims[:0]
 	m := &p.members[row]
--- a/pool/naive/displace.go
+++ b/pool/naive/displace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"lovagestand.example/lovagestand"
@@ -42,26 +43,41 @@
 	return false
 }
 
-// cheapest returns the worker on which the fewest tasks must stop for e.
+// cheapest returns the worker on which the fewest tasks must stop for e, those
+// of teams with large shares first.
 func (d *Decider) cheapest(e *entry) (*holder, []*entry) {
 	var best *holder
 	var fewest []*entry
+	richest := 0.0
 	for _, h := range d.workers {
 		if h.pool != e.task.Pool || !h.fit() || h.claimant != nil {
 			continue
 		}
-		victims := h.victims(e.task.Resources)
-		if len(victims) > 0 && (best == nil || len(victims) < len(fewest)) {
-			best = h
-			fewest = victims
+		victims := d.victims(h, e.task.Resources)
+		if len(victims) == 0 {
+			continue
+		}
+		least := d.leastShare(victims)
+		if best == nil || cmp.Or(cmp.Compare(len(victims), len(fewest)), cmp.Compare(richest, least)) < 0 {
+			best, fewest, richest = h, victims, least
 		}
 	}
 	return best, fewest
 }
 
-// victims returns the tasks to stop so that asked fits, largest first, or nil
-// if stopping all that may be stopped would not do.
-func (h *holder) victims(asked lovagestand.Resources) []*entry {
+// leastShare returns the smallest share of the teams of tasks.
+func (d *Decider) leastShare(tasks []*entry) float64 {
+	least := math.Inf(1)
+	for _, e := range tasks {
+		least = min(least, d.share(e.on.pool, e.task.Team))
+	}
+	return least
+}
+
+// victims returns the tasks to stop so that asked fits, or nil if stopping all
+// that may be stopped would not do: one that is enough alone, of the team with
+// the largest share and then the smallest; else the largest first.
+func (d *Decider) victims(h *holder, asked lovagestand.Resources) []*entry {
 	var candidates []*entry
 	for _, e := range h.tasks {
 		if e.task.Class == lovagestand.ClassBatch && e.task.Checkpoints && !e.preempted {
@@ -73,6 +89,16 @@
 		return cmp.Compare(share(b), share(a))
 	})
 	free := h.free()
+	var alone *entry
+	for _, e := range candidates {
+		enough := asked.Fits(free.Add(e.task.Resources)) && len(h.tasks)-1 < h.worker.Slots
+		if enough && (alone == nil || d.leastShare([]*entry{e}) >= d.leastShare([]*entry{alone})) {
+			alone = e
+		}
+	}
+	if alone != nil {
+		return []*entry{alone}
+	}
 	for i, e := range candidates {
 		free = free.Add(e.task.Resources)
 		slots := h.worker.Slots - len(h.tasks) + i + 1
--- a/pool/options.go
+++ b/pool/options.go
@@ -20,7 +20,7 @@
 
 const (
 	// defaultAgeAfter is how long a task waits before room is made for it.
-	defaultAgeAfter = 30 * time.Second
+	defaultAgeAfter = 5 * time.Second
 	// defaultClaimFor is how long a displaced task may take to stop.
 	defaultClaimFor = 30 * time.Second
 )
--- a/pool/replay/compare/main.go
+++ b/pool/replay/compare/main.go
@@ -41,6 +41,10 @@
 		{"no sharing", with(pool.WithoutSharing()), same},
 		{"first fit", with(pool.WithFirstFit()), same},
 		{"FIFO first-fit", func() lovagestand.Decider { return baseline.New("cell") }, same},
+		{"FIFO, one big worker", func() lovagestand.Decider { return baseline.New("cell") }, func(l replay.Load) replay.Load {
+			l.Merged = true
+			return l
+		}},
 		{"FIFO random", func() lovagestand.Decider { return baseline.New("cell", baseline.WithRandom(1)) }, same},
 	}
 }
@@ -48,14 +52,20 @@
 func main() {
 	seed := flag.Uint64("seed", 1, "seed of the load")
 	offered := flag.Float64("offered", 0.95, "offered load as a fraction of all processors")
+	only := flag.String("only", "", "name of the one contender to run")
+	headroom := flag.Float64("headroom", replay.Standard(1).Headroom, "fraction kept for urgent work")
 	off := flag.Float64("off", 5, "most by which declared sizes and run times are wrong")
 	flag.Parse()
 	load := replay.Standard(*seed)
 	load.Offered = *offered
 	load.Off = *off
+	load.Headroom = *headroom
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "\turgent p50\tp99\tservice p99\tgang p50\tp99\tbatch p50\tp99\tplaced %\tused %\twasted %\tdisplaced\tworst team %\tkept %\tpeak queue\t")
 	for _, c := range contenders() {
+		if *only != "" && *only != c.name {
+			continue
+		}
 		print(w, c.name, replay.Run(c.change(load), c.decider()))
 	}
 	if err := w.Flush(); err != nil {
--- a/pool/replay/load.go
+++ b/pool/replay/load.go
@@ -28,6 +28,8 @@
 	Headroom float64
 	// Checkpoint is how long a displaced task takes to stop.
 	Checkpoint time.Duration
+	// Merged makes one worker of all, on which nothing is lost by packing.
+	Merged bool
 	// Greedy is the part of the batch load that one team sends.
 	Greedy float64
 }
@@ -54,6 +56,9 @@
 )
 
 func (l Load) workers() []lovagestand.Worker {
+	if l.Merged {
+		return []lovagestand.Worker{l.merged()}
+	}
 	var out []lovagestand.Worker
 	for i := range l.Workers {
 		out = append(out, lovagestand.Worker{
@@ -69,6 +74,11 @@
 	return out
 }
 
+func (l Load) merged() lovagestand.Worker {
+	each := lovagestand.Resources{MilliCPU: coresPerWorker * 1000, MemoryMiB: 128 << 10}
+	return lovagestand.Worker{Name: "all", Slots: 1 << 20, Capacity: each.Times(int64(l.Workers))}
+}
+
 func (l Load) policy() lovagestand.Policy {
 	return lovagestand.Policy{Pool: poolName, HeadroomShare: l.Headroom}
 }
--- a/pool/room.go
+++ b/pool/room.go
@@ -6,71 +6,134 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/queue"
 	"lovagestand.example/lovagestand/worker"
 )
 
-// makeRoom keeps workers for the one task of a pool that has waited longest,
-// if that is too long. Services and gangs displace batch tasks that
-// checkpoint; for all else the tasks that run there are left to end.
+// makeRoom keeps workers for the task of each class that has waited too long
+// and whose team has the least. Services and gangs displace batch tasks that
+// checkpoint, batch those of teams that have much more; for all else the tasks
+// that run there are left to end.
 func (d *Decider) makeRoom(p *state, now int64, decisions []lovagestand.Decision) []lovagestand.Decision {
-	if d.options.noAgeing || d.making(p) {
+	if d.options.noAgeing {
 		return decisions
 	}
-	s := d.starved(p, now)
-	if s == none {
-		return decisions
+	for rank := rankService; rank <= rankBatch; rank++ {
+		for range makeAtMost {
+			s := d.starved(p, rank, now)
+			if s == none {
+				break
+			}
+			claims := len(p.claims)
+			decisions = d.makeRoomFor(p, s, now, decisions)
+			if len(p.claims) == claims {
+				break
+			}
+		}
 	}
+	return decisions
+}
+
+// makeAtMost bounds the tasks of a class for which room is made at once.
+const makeAtMost = 8
+
+func (d *Decider) makeRoomFor(p *state, s slot, now int64, decisions []lovagestand.Decision) []lovagestand.Decision {
 	r := d.tasks.at(s)
 	tasks := 1
 	if r.gang >= 0 {
 		tasks = d.gangs.rows[r.gang].size
 	}
 	rows := d.cheapestRows(p, r, tasks, now)
+	if len(rows) > 0 && rows[len(rows)-1].expected > now && d.draining(p, r.rank) {
+		return decisions
+	}
 	for _, c := range rows {
-		d.claim(p, claim{claimant: s, row: c.row, until: d.lapse(now, drainAtMost), expected: c.expected})
-		if r.rank == rankBatch || d.options.noDisplacing {
-			continue
-		}
-		d.scratch.best = append(d.scratch.best[:0], d.stoppable(p, c.row)[:c.stop]...)
+		d.claim(p, claim{claimant: s, row: c.row, until: d.lapse(now, drainAtMost), expected: c.expected, drains: c.expected > now})
+		d.scratch.best = append(d.scratch.best[:0], d.stoppableFor(p, c.row, r)[:c.stop]...)
 		decisions = d.preempt(p, c.row, "displaced by waiting "+string(classes[r.rank])+" task "+string(r.id), decisions)
+		p.changed = true
 	}
-	p.changed = p.changed || len(rows) > 0
 	return decisions
 }
 
-// making reports whether room is being made already.
-func (d *Decider) making(p *state) bool {
+// draining reports whether a worker is kept already for a class until tasks
+// end on it.
+func (d *Decider) draining(p *state, rank int8) bool {
 	for i := range p.claims {
-		if d.tasks.at(p.claims[i].claimant).rank != rankUrgent {
+		c := &p.claims[i]
+		if c.drains && d.tasks.at(c.claimant).rank == rank {
 			return true
 		}
 	}
 	return false
 }
 
-// starved returns the task that has waited longest and too long, leaving out
-// those that room would not help; none if there is none.
-func (d *Decider) starved(p *state, now int64) slot {
+// claiming reports whether a task claims a worker.
+func (d *Decider) claiming(p *state, s slot) bool {
+	if r := d.tasks.at(s); r.gang < 0 {
+		return r.row != worker.None
+	}
+	for i := range p.claims {
+		if p.claims[i].claimant == s {
+			return true
+		}
+	}
+	return false
+}
+
+// starved returns the task of a class that has waited too long, of the team
+// with the smallest share, leaving out those that room would not help; none if
+// there is none.
+func (d *Decider) starved(p *state, rank int8, now int64) slot {
 	found := none
-	for rank := rankService; rank <= rankBatch; rank++ {
-		for _, g := range p.queue.Groups(rank) {
-			shape := p.queue.Group(g).Shape
-			n, ok := p.queue.Oldest(g)
-			if !ok || !p.leavesHeadroom(shape) || !p.accounts.Allows(n.Team, totalOf(shape)) {
+	var best queue.Next
+	for _, g := range p.queue.Groups(rank) {
+		shape := p.queue.Group(g).Shape
+		if !p.leavesHeadroom(shape) {
+			continue
+		}
+		for _, n := range p.queue.Heads(g) {
+			waited := now - d.tasks.at(slot(n.Item)).submitted
+			if waited < int64(d.options.ageAfter) || !p.accounts.Allows(n.Team, totalOf(shape)) {
 				continue
 			}
-			r := d.tasks.at(slot(n.Item))
-			if now-r.submitted < int64(d.options.ageAfter) {
+			if d.claiming(p, slot(n.Item)) {
 				continue
 			}
-			if found == none || r.moment < d.tasks.at(found).moment {
-				found = slot(n.Item)
+			if found == none || n.Before(best) {
+				found, best = slot(n.Item), n
 			}
 		}
 	}
 	return found
 }
 
+// stoppableFor returns the tasks of a worker that may be displaced for r, those
+// of the teams with the largest shares first. A
+// batch task displaces only those of teams that will have more than its own
+// all the same, so that no two displace each other in turn.
+func (d *Decider) stoppableFor(p *state, row worker.Row, r *record) []slot {
+	if d.options.noDisplacing {
+		return nil
+	}
+	victims := d.stoppable(p, row)
+	slices.SortStableFunc(victims, func(a, b slot) int {
+		return cmp.Compare(p.accounts.Share(d.tasks.at(b).team), p.accounts.Share(d.tasks.at(a).team))
+	})
+	if r.rank != rankBatch {
+		return victims
+	}
+	least := p.accounts.Share(r.team) + r.size.DominantShare(p.capacity)
+	kept := victims[:0]
+	for _, s := range victims {
+		v := d.tasks.at(s)
+		if p.accounts.Share(v.team)-v.size.DominantShare(p.capacity) > least {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
 // candidate is a worker on which room can be made.
 type candidate struct {
 	row worker.Row
@@ -113,13 +176,11 @@
 	c := candidate{row: row, expected: now, tasks: min(p.roomNow(row, r.size), tasks)}
 	free := p.ledger.Free(row)
 	most, used := p.ledger.Slots(row)
-	if r.rank != rankBatch && !d.options.noDisplacing {
-		for i, s := range d.stoppable(p, row) {
-			free = free.Add(d.tasks.at(s).size)
-			room := min(worker.Times(free, r.size, most-used+i+1), tasks)
-			if room > c.tasks {
-				c.tasks, c.stop = room, i+1
-			}
+	for i, s := range d.stoppableFor(p, row, r) {
+		free = free.Add(d.tasks.at(s).size)
+		room := min(worker.Times(free, r.size, most-used+i+1), tasks)
+		if room > c.tasks {
+			c.tasks, c.stop = room, i+1
 		}
 	}
 	if c.tasks > 0 {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -189,20 +189,16 @@
 	return Next{t.item, l.key.team, q.shares[l.key.team], t.sequence}, true
 }
 
-// Oldest returns the earliest item of a group that is not parked; false if
-// all are. It looks at each of the group's teams.
-func (q *Queue) Oldest(g int32) (Next, bool) {
-	var best Next
-	found := false
+// Heads returns the first item of each team of a group that is not parked, in
+// no order.
+func (q *Queue) Heads(g int32) []Next {
+	var heads []Next
 	for _, n := range q.groups[g].heap {
 		l := &q.lines[n]
 		t := &q.tickets[l.head]
-		if !found || t.sequence < best.Sequence {
-			best = Next{t.item, l.key.team, q.shares[l.key.team], t.sequence}
-			found = true
-		}
+		heads = append(heads, Next{t.item, l.key.team, q.shares[l.key.team], t.sequence})
 	}
-	return best, found
+	return heads
 }
 
 // Share returns the share last set for a team.
