--- a/pool/replay/compare/main.go
+++ b/pool/replay/compare/main.go
@@ -66,7 +66,7 @@
 		if *only != "" && *only != c.name {
 			continue
 		}
-		print(w, c.name, replay.Run(c.change(load), c.decider()))
+		printRow(w, c.name, replay.Run(c.change(load), c.decider()))
 	}
 	if err := w.Flush(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -74,7 +74,7 @@
 	}
 }
 
-func print(w *tabwriter.Writer, name string, r replay.Result) {
+func printRow(w *tabwriter.Writer, name string, r replay.Result) {
 	fmt.Fprintf(w, "%s\t", name)
 	for _, q := range []struct {
 		class    lovagestand.Class
