--- a/queue/queue.go
+++ b/queue/queue.go
@@ -189,31 +189,16 @@
 	return Next{t.item, l.key.team, q.shares[l.key.team], t.sequence}, true
 }
 
-// Oldest returns the earliest item of a group, parked ones included.
-func (q *Queue) Oldest(g int32) Item {
-	best := Ticket(none)
-	for _, n := range q.byTeamOf(g) {
-		head := q.lines[n].head
-		if best == none || q.tickets[head].sequence < q.tickets[best].sequence {
-			best = head
-		}
+// Heads returns the first item of each team of a group that is not parked, in
+// no order.
+func (q *Queue) Heads(g int32) []Next {
+	var heads []Next
+	for _, n := range q.groups[g].heap {
+		l := &q.lines[n]
+		t := &q.tickets[l.head]
+		heads = append(heads, Next{t.item, l.key.team, q.shares[l.key.team], t.sequence})
 	}
-	return q.tickets[best].item
-}
-
-func (q *Queue) byTeamOf(g int32) []int32 {
-	var lines []int32
-	for id := range q.byTeam {
-		if n, ok := q.lineOf[lineKey{g, team.ID(id)}]; ok {
-			lines = append(lines, n)
-		}
-	}
-	return lines
-}
-
-// Sequence returns the sequence of an item.
-func (q *Queue) Sequence(t Ticket) uint64 {
-	return q.tickets[t].sequence
+	return heads
 }
 
 // Share returns the share last set for a team.
--- a/worker/ledger.go
+++ b/worker/ledger.go
@@ -97,7 +97,6 @@
 		return r
 	}
 	l.rows = append(l.rows, row{})
-	l.index.grow()
 	return Row(len(l.rows) - 1)
 }
 
@@ -168,6 +167,12 @@
 	l.grown++
 }
 
+// Undo returns what [Ledger.Take] took for a task that is not to start after
+// all; nothing that found no place before will find one now.
+func (l *Ledger) Undo(r Row, size lovagestand.Resources) {
+	l.change(r, lovagestand.Resources{}.Sub(size), -1)
+}
+
 // Resize changes what a task takes; false, with nothing changed, where the
 // worker lacks room for the growth.
 func (l *Ledger) Resize(r Row, from, to lovagestand.Resources) bool {
@@ -205,6 +210,14 @@
 	}
 }
 
+// Reopen is Close for a moment within one decision: a task that found no
+// place before will find none after it.
+func (l *Ledger) Reopen(r Row, open bool) {
+	l.leave(r)
+	l.rows[r].closed = !open
+	l.enter(r)
+}
+
 // enter puts a row in the index if it can take a task.
 func (l *Ledger) enter(r Row) {
 	w := &l.rows[r]
@@ -212,20 +225,20 @@
 		return
 	}
 	w.indexed = true
-	l.index.insert(int32(r), w.capacity.Sub(w.used), w.order)
+	l.index.insert(r, w.capacity.Sub(w.used), w.order)
 }
 
 func (l *Ledger) leave(r Row) {
 	if w := &l.rows[r]; w.indexed {
 		w.indexed = false
-		l.index.remove(int32(r), w.capacity.Sub(w.used).Accelerators)
+		l.index.remove(r, w.capacity.Sub(w.used), w.order)
 	}
 }
 
 // Tightest returns the open worker that holds a task with the least to spare:
 // fewest accelerators, then processors, then memory; None if there is none.
 func (l *Ledger) Tightest(size lovagestand.Resources) Row {
-	return Row(l.index.first(size))
+	return l.index.first(size)
 }
 
 // Tighter reports whether a has less to spare than b, in the order of
@@ -298,3 +311,8 @@
 func (l *Ledger) Largest() lovagestand.Resources {
 	return l.index.largest()
 }
+
+// Known returns how many workers there are, fit or not.
+func (l *Ledger) Known() int {
+	return len(l.rows) - len(l.unused)
+}
