entry: shards without an owner are waited for

Cause: a request moved from an ownerless shard was told not run as soon as no other shard was known, in the first second of a cell. Change: only a refusal makes having no shard left final. A test causes it.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -190,3 +190,17 @@
 		x.Assert(p.Answer().Outcome, qt.Equals, lovagestand.OutcomeNotRun)
 	})
 }
+
+func TestOwnerlessShardsAreWaitedFor(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = status(placerpb.Status_STATUS_NOT_OWNER)
+		x.second.place = status(placerpb.Status_STATUS_NOT_OWNER)
+		time.AfterFunc(2*time.Second, func() {
+			x.first.mu.Lock()
+			defer x.first.mu.Unlock()
+			x.first.place = done
+		})
+		a, _ := x.submit("quote")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone)
+	})
+}
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -72,8 +72,9 @@
 func (e *Entry) pursueFree(ctx context.Context, c *call) lovagestand.Answer {
 	c.task = freeTask(c.request.Key)
 	var tried []lovagestand.ShardName
+	bounced := false
 	for {
-		target, err := e.choose(ctx, c, tried)
+		target, err := e.choose(ctx, c, tried, bounced)
 		if err != nil {
 			return refusal(c, err)
 		}
@@ -82,6 +83,7 @@
 		case offerFinal:
 			return result.answer
 		case offerBounced:
+			bounced = true
 			tried = append(tried, target.Shard)
 			if len(tried) >= maxHops {
 				return lovagestand.NotRun(c.request.Key, result.reason, result.retryAfter)
@@ -101,7 +103,7 @@
 // pursueClaimed runs a request that may start at most once, or in one place
 // only: it is claimed for one shard and stays with it.
 func (e *Entry) pursueClaimed(ctx context.Context, c *call) lovagestand.Answer {
-	target, err := e.choose(ctx, c, nil)
+	target, err := e.choose(ctx, c, nil, false)
 	if err != nil {
 		return refusal(c, err)
 	}
@@ -140,14 +142,15 @@
 }
 
 // choose asks for a shard until there is one or the time to start has passed.
-func (e *Entry) choose(ctx context.Context, c *call, tried []lovagestand.ShardName) (Target, error) {
+// Once a shard has refused the request, having none left to try is final.
+func (e *Entry) choose(ctx context.Context, c *call, tried []lovagestand.ShardName, bounced bool) (Target, error) {
 	for {
 		target, err := e.deps.Chooser.Choose(c.attempt(), len(c.request.Body), tried)
 		var none *NoTargetError
 		if err == nil || !errors.As(err, &none) {
 			return target, err
 		}
-		if c.isCancelled() || time.Now().After(c.request.StartBy) || len(tried) > 0 && len(c.holders()) == 0 {
+		if c.isCancelled() || time.Now().After(c.request.StartBy) || bounced {
 			return target, err
 		}
 		tried = nil
