--- a/commands/trial/launch.go
+++ b/commands/trial/launch.go
@@ -25,6 +25,7 @@
 	return func(site trial.Site) (trial.Instance, error) {
 		s := settings.Default()
 		s.Region = site.Region
+		s.Regions = site.Regions
 		s.FailureDomain = site.FailureDomain
 		i, err := instance.New(s, instance.Deps{
 			Store:     platform.NewStore(site.Store, platform.WithTransport(site.Transport)),
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -57,6 +57,9 @@
 	if deps.Listen == nil {
 		deps.Listen = func() (net.Listener, error) { return net.Listen("tcp", s.Listen) }
 	}
+	if len(s.Regions) == 0 {
+		return nil, errors.New("no regions are set")
+	}
 	listener, err := deps.Listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
--- a/trial/config.go
+++ b/trial/config.go
@@ -67,7 +67,9 @@
 
 // Site is all that an instance is given by a trial.
 type Site struct {
-	Region        lovagestand.RegionName
+	Region lovagestand.RegionName
+	// Regions are all regions of the cell.
+	Regions       []lovagestand.RegionName
 	FailureDomain lovagestand.FailureDomain
 	// Listen opens the instance's listener.
 	Listen func() (net.Listener, error)
--- a/trial/node.go
+++ b/trial/node.go
@@ -81,6 +81,7 @@
 	host := t.network.Host(network.Place{Kind: network.KindInstance, Region: region, Domain: domain})
 	i, err := t.config.Launch(Site{
 		Region:        region,
+		Regions:       t.firm.Regions,
 		FailureDomain: domain,
 		Listen:        host.Listen,
 		Dial:          host.Dial,
