placer: nothing placed on unread workers, truth of not run under takeover

Change: each mended at its place, each with a test that fails without it. Not done: false not run remains, being traced.

--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -284,7 +284,9 @@
 	case placerpb.Status_STATUS_WAITING:
 		c.markHeld(shard)
 	case placerpb.Status_STATUS_FINAL, placerpb.Status_STATUS_FULL, placerpb.Status_STATUS_UNFIT:
-		c.markSettled(shard)
+		if !reply.GetDoubt() {
+			c.markSettled(shard)
+		}
 	default:
 		return reply, false
 	}
--- a/instance/hooks.go
+++ b/instance/hooks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/claim"
@@ -9,6 +10,10 @@
 	"lovagestand.example/lovagestand/peer"
 )
 
+// releaseTimeout bounds how long a hand-over waits for starts in flight. The
+// successor waits out those that are left.
+const releaseTimeout = 3 * time.Second
+
 // units returns all there is to own: the workers' shards and the homes of
 // claims, which are spread over the cell's regions.
 func (i *Instance) units(m lovagestand.Members) []owner.Unit {
@@ -22,7 +27,9 @@
 			return i.placer.Warm(ctx, shard)
 		},
 		Release: func(ctx context.Context, shard lovagestand.ShardName) error {
-			return i.placer.Release(ctx, shard)
+			limited, cancel := context.WithTimeout(ctx, releaseTimeout)
+			defer cancel()
+			return i.placer.Release(limited, shard)
 		},
 	}
 }
--- a/placer/fixture_test.go
+++ b/placer/fixture_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	right   lovagestand.Right
 	changed chan struct{}
+	// asked is called before every question for the right; may be nil.
+	asked func()
 }
 
 func newRights(epoch lovagestand.Epoch, d time.Duration) *rights {
@@ -41,6 +43,9 @@
 }
 
 func (r *rights) Right(lovagestand.ShardName) (lovagestand.Right, bool) {
+	if r.asked != nil {
+		r.asked()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.right, r.right.Holds(time.Now())
@@ -72,6 +77,17 @@
 	return lovagestand.Members{Workers: v.workers}, true
 }
 
+// leave marks a worker as leaving on the list.
+func (v *view) leave(name lovagestand.WorkerName) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i, w := range v.workers {
+		if w.Name == name {
+			v.workers[i] = w.WithLeaving(true)
+		}
+	}
+}
+
 func (v *view) Since() time.Time { return v.since }
 
 func (v *view) Gone(lovagestand.ShardName) []lovagestand.Worker { return v.gone }
--- a/placer/link.go
+++ b/placer/link.go
@@ -15,6 +15,9 @@
 	listed bool
 	// refusing says that the worker itself refuses all new work.
 	refusing bool
+	// read says that all the worker holds has been read since it was last out
+	// of reach; before that it gets no work.
+	read bool
 	// joined says that the decider knows the worker.
 	joined bool
 	// sequence is the last event seen.
@@ -86,6 +89,11 @@
 		s.connect(now, w, pool)
 		return
 	}
+	if pool == "" && l.pool != "" {
+		// The tables no longer use the worker; what runs there ends there.
+		pool = l.pool
+		w = w.WithLeaving(true)
+	}
 	if l.worker == w && l.pool == pool && l.listed {
 		return
 	}
@@ -106,16 +114,27 @@
 	return l
 }
 
-// setWorker tells the decider of a worker as it is now.
+// setWorker tells the decider of a worker as it is now. A worker that comes
+// back brings the tasks that the shard still counts on it.
 func (s *shard) setWorker(now time.Time, l *link) {
-	if l.lost || l.pool == "" {
+	if l.lost || !l.read || l.pool == "" {
 		return
 	}
+	if !l.joined {
+		defer s.adoptAll(now, l)
+	}
 	l.joined = true
 	s.decider.SetWorker(now, l.worker.WithLeaving(l.leaving()), l.pool)
 	s.poke()
 }
 
+// adoptAll counts the parts on a worker against its capacity again.
+func (s *shard) adoptAll(now time.Time, l *link) {
+	for _, p := range s.partsOn(l.worker.Name) {
+		s.decider.Adopt(now, p.task, l.worker.Name)
+	}
+}
+
 // follow reads a worker's events until ctx ends. After a failed call the
 // whole state is read, since the worker may have restarted.
 func (s *shard) follow(ctx context.Context, l *link) {
@@ -156,36 +175,26 @@
 func (s *shard) applyEvents(now time.Time, l *link, reports []lovagestand.TaskReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.contact(now, l)
+	l.lastContact = now
 	for _, report := range reports {
 		l.sequence = max(l.sequence, report.Sequence)
 		s.apply(now, l, report)
 	}
 }
 
-// contact records that a worker answered; one that was lost comes back.
-func (s *shard) contact(now time.Time, l *link) {
-	l.lastContact = now
-	if !l.lost {
-		return
-	}
-	l.lost = false
-	l.lapsed = false
-	s.setWorker(now, l)
-}
-
 // reconcile takes over a worker's whole state that was asked for at asked.
 // Parts that were confirmed before that and are not in it run no more.
 func (s *shard) reconcile(asked time.Time, l *link, state lovagestand.WorkerState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.contact(now, l)
+	l.lastContact = now
+	l.lost = false
+	l.lapsed = false
+	l.read = true
 	delete(s.unread, l.worker.Name)
-	if state.Leaving && !l.refusing {
-		l.refusing = true
-		s.setWorker(now, l)
-	}
+	l.refusing = l.refusing || state.Leaving
+	s.setWorker(now, l)
 	l.sequence = state.Sequence
 	held := make(map[lovagestand.TaskID]bool, len(state.Tasks))
 	for _, report := range state.Tasks {
@@ -313,6 +322,7 @@
 // until their leases lapse.
 func (s *shard) markLost(now time.Time, l *link) {
 	l.lost = true
+	l.read = false
 	if l.joined {
 		l.joined = false
 		s.decider.RemoveWorker(now, l.worker.Name)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -41,6 +41,9 @@
 
 	mu     sync.Mutex
 	shards map[lovagestand.ShardName]*shard
+	// flights has, for each shard closed here, when the last start sent has
+	// surely taken effect or is too late.
+	flights map[lovagestand.ShardName]time.Time
 }
 
 // New returns a placer without shards.
@@ -49,6 +52,7 @@
 		deps:    deps,
 		timings: defaultTimings(),
 		shards:  make(map[lovagestand.ShardName]*shard),
+		flights: make(map[lovagestand.ShardName]time.Time),
 	}
 	for _, o := range options {
 		o(&p.timings)
@@ -90,13 +94,14 @@
 	for n, s := range p.shards {
 		right, ok := owned[n]
 		if !ok || right.Epoch != s.epoch {
-			s.close()
+			p.flights[n] = s.close()
 			delete(p.shards, n)
 		}
 	}
 	for n, right := range owned {
 		s, ok := p.shards[n]
 		if !ok {
+			right.SettleUntil = later(right.SettleUntil, p.flights[n])
 			s = newShard(p.deps, p.timings, right)
 			p.shards[n] = s
 			s.open(ctx)
@@ -115,6 +120,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // shard returns an open shard whose right is in force.
 func (p *Placer) shard(name lovagestand.ShardName) (*shard, bool) {
 	p.mu.Lock()
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -236,3 +237,126 @@
 		x.Assert(x.starts(k.Key), qt.Equals, 1)
 	})
 }
+
+// runs returns how many tasks run on a worker now.
+func (x *fixture) runs(name lovagestand.WorkerName) int {
+	state, err := x.fleet.Worker(name).State(context.Background())
+	x.Assert(err, qt.IsNil)
+	n := 0
+	for _, r := range state.Tasks {
+		if !r.Phase.Ended() {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWorkerThatComesBackKeepsItsTasksCounted(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		for _, n := range []string{"a", "b"} {
+			x.place(task(n), runFor(time.Hour), false, time.Second)
+		}
+		x.faults(fleet.Faults{Unreachable: true})
+		// Longer than the workers may be out of reach, shorter than the leases.
+		time.Sleep(7 * time.Second)
+		x.faults(fleet.Faults{})
+		x.place(task("c"), runFor(time.Hour), false, 5*time.Second)
+		x.Assert(x.runs("one"), qt.Equals, 1)
+		x.Assert(x.runs("two"), qt.Equals, 1)
+	})
+}
+
+func TestUnreadWorkerGetsNoWork(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		for _, n := range []string{"a", "b"} {
+			x.place(task(n), runFor(time.Hour), false, time.Second)
+		}
+		x.faults(fleet.Faults{Unreachable: true})
+		x.replaceOwner(2)
+		time.Sleep(4 * time.Second)
+		x.faults(fleet.Faults{})
+		x.place(task("c"), runFor(time.Hour), false, 5*time.Second)
+		x.Assert(x.runs("one"), qt.Equals, 1)
+		x.Assert(x.runs("two"), qt.Equals, 1)
+	})
+}
+
+func TestCancelledBeforeItsStartIsSent(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		for _, n := range []string{"a", "b"} {
+			x.place(task(n), runFor(3*time.Second), false, time.Second)
+		}
+		x.place(idempotent("c"), runFor(time.Second), false, time.Second)
+		// The right is asked for after the decision to start "c" and before
+		// the start is sent: the cancellation arrives then.
+		freed, cancelled := false, false
+		x.rights.asked = func() {
+			n := x.placer.Status()[0].Digest.Pools[0].Running
+			freed = freed || n < 2
+			if freed && n > 0 && x.starts("c") == 0 && !cancelled && x.decided() {
+				cancelled = true
+				x.rights.asked = nil
+				reply, err := x.placer.Cancel(context.Background(), &placerpb.CancelRequest{Key: "c"})
+				x.Assert(err, qt.IsNil)
+				x.Assert(reply.GetAnswer().GetOutcome(), qt.Equals, string(lovagestand.OutcomeNotRun))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		x.Assert(cancelled, qt.IsTrue)
+		x.Assert(x.starts("c"), qt.Equals, 0)
+	})
+}
+
+// decided reports whether the decider counts a task as placed.
+func (x *fixture) decided() bool {
+	for _, p := range x.placer.Status()[0].Digest.Pools {
+		return p.Waiting[lovagestand.ClassBatch] == 0
+	}
+	return false
+}
+
+func TestStaleOwnerDoesNotSayNotRun(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		for _, n := range []string{"a", "b"} {
+			x.place(task(n), runFor(time.Hour), false, time.Second)
+		}
+		x.place(task("c"), runFor(time.Second), false, time.Second)
+		x.rights.mu.Lock()
+		x.rights.right.Until = time.Now()
+		x.rights.mu.Unlock()
+		reply, err := x.placer.Cancel(context.Background(), &placerpb.CancelRequest{Key: "c"})
+		x.Assert(err, qt.IsNil)
+		x.Assert(reply.GetFound(), qt.IsFalse)
+	})
+}
+
+func TestRefusalInDoubtIsSaid(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		time.Sleep(time.Second)
+		x.view.since = time.Now()
+		k := idempotent("huge")
+		k.Submitted = time.Now().Add(-time.Second)
+		k.Resources = k.Resources.WithMilliCPU(1 << 30)
+		reply := x.place(k, nil, true, time.Second)
+		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_UNFIT)
+		x.Assert(reply.GetDoubt(), qt.IsTrue)
+	})
+}
+
+func TestReopenedShardWaitsOutItsOwnStarts(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := task("plan-11")
+		body := runFor(5 * time.Second)
+		// The start is on its way when the right is withheld for a moment.
+		x.faults(fleet.Faults{Delay: 500 * time.Millisecond})
+		x.place(k, body, false, 100*time.Millisecond)
+		x.rights.grant(1, -time.Second)
+		synctest.Wait()
+		x.faults(fleet.Faults{})
+		x.view.leave("one")
+		x.rights.grant(1, time.Hour)
+		synctest.Wait()
+		x.assertDone(x.settle(k, body, true), k, body)
+		x.Assert(x.starts(k.Key), qt.Equals, 1)
+	})
+}
--- a/placer/rebuild.go
+++ b/placer/rebuild.go
@@ -15,11 +15,7 @@
 // rebuild waits out the starts of earlier owners, then reads what every
 // worker of the shard holds. It returns false if ctx ended first.
 func (s *shard) rebuild(ctx context.Context) bool {
-	right, ok := s.right(time.Now())
-	if !ok {
-		return false
-	}
-	if !pause(ctx, time.Until(right.SettleUntil)) {
+	if !pause(ctx, time.Until(s.settleUntil)) {
 		return false
 	}
 	members, ok := s.awaitInputs(ctx)
@@ -120,12 +116,12 @@
 		if !k.listed && !read {
 			continue
 		}
-		s.restoreWorker(now, k, state)
+		s.restoreWorker(now, k, state, read)
 	}
 	s.isReady = true
 }
 
-func (s *shard) restoreWorker(now time.Time, k candidate, state lovagestand.WorkerState) {
+func (s *shard) restoreWorker(now time.Time, k candidate, state lovagestand.WorkerState, read bool) {
 	w := k.worker
 	if s.deps.Catalog.Leaving(w) || state.Leaving {
 		w = w.WithLeaving(true)
@@ -133,10 +129,9 @@
 	pool, _ := s.deps.Catalog.PoolOf(w)
 	l := s.connect(now, w, pool)
 	l.listed = k.listed
+	l.read = read
 	l.sequence = state.Sequence
-	if !k.listed {
-		s.setWorker(now, l)
-	}
+	s.setWorker(now, l)
 	for _, report := range state.Tasks {
 		s.apply(now, l, report)
 	}
--- a/placer/rpc.go
+++ b/placer/rpc.go
@@ -136,8 +136,11 @@
 	r.body = body
 	r.hasBody = true
 	if err := s.submit(now, r); err != nil {
+		doubt := r.started()
 		s.bury(now, r, err.Error())
-		return nil, rejection(err)
+		reply := rejection(err)
+		reply.Doubt = doubt
+		return nil, reply
 	}
 	return r, nil
 }
@@ -146,7 +149,11 @@
 // its way cannot queue it later.
 func (s *shard) bury(now time.Time, r *request, reason string) {
 	r.withdrawn = true
-	r.finish(now, lovagestand.NotRun(r.task.Key, reason, 0))
+	if r.started() {
+		r.finish(now, lovagestand.Unknown(r.task.Key, "an earlier owner may have started it; "+reason))
+	} else {
+		r.finish(now, lovagestand.NotRun(r.task.Key, reason, 0))
+	}
 	r.body = nil
 	r.parts = nil
 	s.requests[r.task.ID] = r
@@ -255,6 +262,10 @@
 	if !ok {
 		return lovagestand.Answer{}, false
 	}
+	if _, ok := s.right(now); !ok && !r.final() {
+		// Another owner may start what waits here.
+		return lovagestand.Answer{}, false
+	}
 	return s.giveUp(now, r), true
 }
 
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -38,25 +38,31 @@
 	// unread are workers that may hold tasks of earlier owners and could not
 	// be read, with the time by which their leases have lapsed.
 	unread map[lovagestand.WorkerName]time.Time
+	// settleUntil is when starts of earlier owners are over.
+	settleUntil time.Time
+	// lastFlight is the latest time at which a start sent may take effect.
+	lastFlight time.Time
 	// scratch is reused for decisions.
 	scratch []lovagestand.Decision
 }
 
 func newShard(deps Deps, t timings, right lovagestand.Right) *shard {
 	return &shard{
-		name:     right.Shard,
-		epoch:    right.Epoch,
-		deps:     deps,
-		timings:  t,
-		wake:     make(chan struct{}, 1),
-		ready:    make(chan struct{}),
-		closed:   make(chan struct{}),
-		decider:  deps.NewDecider(right.Shard),
-		links:    make(map[lovagestand.WorkerName]*link),
-		requests: make(map[lovagestand.TaskID]*request),
-		parts:    make(map[lovagestand.TaskID]*part),
-		byKey:    make(map[lovagestand.RequestKey]*request),
-		unread:   make(map[lovagestand.WorkerName]time.Time),
+		name:  right.Shard,
+		epoch: right.Epoch,
+
+		settleUntil: right.SettleUntil,
+		deps:        deps,
+		timings:     t,
+		wake:        make(chan struct{}, 1),
+		ready:       make(chan struct{}),
+		closed:      make(chan struct{}),
+		decider:     deps.NewDecider(right.Shard),
+		links:       make(map[lovagestand.WorkerName]*link),
+		requests:    make(map[lovagestand.TaskID]*request),
+		parts:       make(map[lovagestand.TaskID]*part),
+		byKey:       make(map[lovagestand.RequestKey]*request),
+		unread:      make(map[lovagestand.WorkerName]time.Time),
 	}
 }
 
@@ -72,8 +78,9 @@
 }
 
 // close ends the shard. What runs goes on running under its leases until the
-// next owner adopts it.
-func (s *shard) close() {
+// next owner adopts it. It returns when the last start sent has surely taken
+// effect or is too late.
+func (s *shard) close() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	select {
@@ -82,6 +89,7 @@
 		close(s.closed)
 	}
 	s.stop()
+	return s.lastFlight.Add(s.timings.clockSkew)
 }
 
 // right returns the right under which the shard was opened, if it still holds.
--- a/placer/start.go
+++ b/placer/start.go
@@ -20,7 +20,7 @@
 	right, ok := s.right(now)
 	s.mu.Lock()
 	l, known := s.links[on]
-	if !ok || !known {
+	if !ok || !known || p.request.final() || p.request.cancelled {
 		s.unstarted(now, p, "the right to the shard ended")
 		s.mu.Unlock()
 		return
@@ -35,6 +35,7 @@
 	wasSent := p.sent
 	p.sent = true
 	l.lastRenewal = now
+	s.lastFlight = later(s.lastFlight, start.NotAfter)
 	address := l.worker.Address
 	s.mu.Unlock()
 
