entry, placer: not run by key, over all instances; attempts named by epoch

Cause: a caller whose connection broke sends the key again elsewhere; the second instance said not run of work the first had run. An owner that gave a shard up answered like one that never held the task. Two owners could give two attempts one name. Change: Check asks all instances before not run is said without a claim; NOT_OWNER carries doubt; the epoch is part of an attempt's name.

--- a/entry/call.go
+++ b/entry/call.go
@@ -23,6 +23,8 @@
 	task lovagestand.TaskID
 	// granted is the claim of the attempt; nil if it needs or has none.
 	granted *Claim
+	// vouched says that the home of the key's claim gave the word on it.
+	vouched bool
 	// maybe has the shards whose owners may hold the request: they said so, or
 	// a call to them got no reply.
 	maybe map[lovagestand.ShardName]bool
--- a/entry/deps.go
+++ b/entry/deps.go
@@ -97,6 +97,10 @@
 	Chooser   Chooser
 	Claims    Claims
 	Ownership lovagestand.Ownership
+	// Self is the instance this entry belongs to.
+	Self lovagestand.InstanceID
+	// Shards returns all shards of workers on the member list.
+	Shards func() []lovagestand.ShardName
 	// Peers returns the instances that are believed to be live.
 	Peers func() []lovagestand.Instance
 	// Client carries the calls to owners.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 type Entry struct {
 	deps    Deps
 	placers *placers
+	checker *checker
 
 	mu       sync.Mutex
 	calls    map[lovagestand.RequestKey]*call
@@ -45,9 +46,11 @@
 
 // New returns an entry that holds no requests.
 func New(deps Deps) *Entry {
+	p := newPlacers(deps.Client)
 	return &Entry{
 		deps:    deps,
-		placers: newPlacers(deps.Client),
+		placers: p,
+		checker: &checker{deps: deps, placers: p},
 		calls:   make(map[lovagestand.RequestKey]*call),
 	}
 }
@@ -219,6 +222,13 @@
 	e.kept = append(e.kept[:0], e.kept[n:]...)
 }
 
+// Pursues reports whether the entry pursues a request or has an answer that
+// says more than that it did not run.
+func (e *Entry) Pursues(key lovagestand.RequestKey) bool {
+	c, ok := e.held(key)
+	return ok && c.current().Outcome != lovagestand.OutcomeNotRun
+}
+
 func (e *Entry) held(key lovagestand.RequestKey) (*call, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -204,3 +204,37 @@
 		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone)
 	})
 }
+
+func TestNotRunIsNotSaidOfWorkThroughAnotherInstance(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = status(placerpb.Status_STATUS_FULL)
+		x.second.place = status(placerpb.Status_STATUS_FULL)
+		x.second.ran = true
+		a, _ := x.submit("quote")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+	})
+}
+
+func TestNotRunNeedsTheWordOfAllOwners(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = status(placerpb.Status_STATUS_FULL)
+		x.second.place = status(placerpb.Status_STATUS_FULL)
+		x.second.shard = "r/other"
+		a, _ := x.submit("quote")
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+	})
+}
+
+func TestCancelOfWorkThatAnOwnerHeldIsInDoubt(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.place = func(*placerpb.PlaceRequest) *placerpb.PlaceReply {
+			return &placerpb.PlaceReply{Status: placerpb.Status_STATUS_NOT_OWNER, Doubt: true}
+		}
+		p, err := x.entry.Submit(lovagestand.Request{Key: "k", Route: "plan", Team: "showroom"})
+		x.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		x.Assert(x.entry.Cancel("k"), qt.IsTrue)
+		<-p.Done()
+		x.Assert(p.Answer().Outcome, qt.Equals, lovagestand.OutcomeUnknown)
+	})
+}
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -19,7 +19,8 @@
 
 // owner is a scripted owner of one shard.
 type owner struct {
-	mu sync.Mutex
+	mu    sync.Mutex
+	shard string
 	// paused holds every call back until it ends.
 	paused chan struct{}
 	// loseReplies is how many replies are lost after the call took effect.
@@ -27,6 +28,16 @@
 	place       func(*placerpb.PlaceRequest) *placerpb.PlaceReply
 	cancel      func(*placerpb.CancelRequest) *placerpb.CancelReply
 	placed      []*placerpb.PlaceRequest
+	// ran says that the request may have run here through another entry.
+	ran bool
+}
+
+func (o *owner) Check(_ context.Context, m *placerpb.CheckRequest) (*placerpb.CheckReply, error) {
+	clear := make([]bool, len(m.GetKeys()))
+	for i := range clear {
+		clear[i] = !o.ran
+	}
+	return &placerpb.CheckReply{Clear: clear, Complete: true, Shards: []string{o.shard}}, nil
 }
 
 func (o *owner) Place(_ context.Context, m *placerpb.PlaceRequest) (*placerpb.PlaceReply, error) {
@@ -166,8 +177,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		x := &fixture{
 			C:      qt.New(t),
-			first:  &owner{place: done},
-			second: &owner{place: done},
+			first:  &owner{place: done, shard: "r/first"},
+			second: &owner{place: done, shard: "r/second"},
 			claims: &free{fresh: true},
 		}
 		x.entry = entry.New(entry.Deps{
@@ -176,9 +187,12 @@
 			Chooser:   inOrder{"r/first", "r/second"},
 			Claims:    x.claims,
 			Ownership: owners{},
-			Peers:     func() []lovagestand.Instance { return nil },
-			Client:    &http.Client{Transport: network{"first": x.first, "second": x.second}},
-			Log:       zerolog.Nop(),
+			Shards:    func() []lovagestand.ShardName { return []lovagestand.ShardName{"r/first", "r/second"} },
+			Peers: func() []lovagestand.Instance {
+				return []lovagestand.Instance{{Address: "first"}, {Address: "second"}}
+			},
+			Client: &http.Client{Transport: network{"first": x.first, "second": x.second}},
+			Log:    zerolog.Nop(),
 		})
 		f(x)
 	})
--- a/entry/http.go
+++ b/entry/http.go
@@ -111,7 +111,7 @@
 		writeError(w, &NotFoundError{Key: key})
 		return
 	}
-	writeAnswer(w, answer)
+	writeAnswer(w, hearsay(answer))
 }
 
 func (e *Entry) serveDelete(w http.ResponseWriter, r *http.Request) {
@@ -126,7 +126,16 @@
 		writeError(w, &NotFoundError{Key: key})
 		return
 	}
-	writeJSON(w, http.StatusOK, answer)
+	writeJSON(w, http.StatusAccepted, hearsay(answer))
+}
+
+// hearsay returns an answer as another instance may pass it on. That a request
+// did not run is for the entry that pursues it to say, which may know more.
+func hearsay(a lovagestand.Answer) lovagestand.Answer {
+	if a.Outcome != lovagestand.OutcomeNotRun {
+		return a
+	}
+	return lovagestand.Unknown(a.Key, "send the request again with its key for an answer; "+a.Reason)
 }
 
 // await returns the final answer, or the current one once wait has passed.
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -121,10 +121,13 @@
 		p.Type, p.Title, p.Status = typeMismatch, "the key names another request", http.StatusConflict
 		p.Outcome = ""
 	case errors.As(err, &limited):
+		// Of an earlier request with the same key this says nothing.
 		p.Type, p.Title, p.Status = typeLimited, "a limit is reached", http.StatusTooManyRequests
+		p.Outcome = ""
 		return p, limited.RetryAfter
 	case errors.As(err, &notReady):
 		p.Type, p.Title, p.Status = typeNotReady, "the instance takes no requests", http.StatusServiceUnavailable
+		p.Outcome = ""
 		return p, time.Second
 	case errors.As(err, &notFound):
 		p.Type, p.Title, p.Status = typeNotFound, "there is no such request", http.StatusNotFound
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -49,13 +49,26 @@
 		answer = lovagestand.Unknown(c.request.Key, "an instance out of reach may run it; "+answer.Reason)
 	}
 	if c.granted == nil {
-		return answer
+		return e.checked(ctx, c, answer)
 	}
 	answer.Key = c.request.Key
 	answer.Task = c.task
 	return e.deps.Claims.Settle(ctx, *c.granted, answer)
 }
 
+// checked makes sure that a request without a claim is only said not to have
+// run if it did not run through another instance either: a caller whose
+// connection broke sends the same key again elsewhere.
+func (e *Entry) checked(ctx context.Context, c *call, answer lovagestand.Answer) lovagestand.Answer {
+	if answer.Outcome != lovagestand.OutcomeNotRun || c.vouched || e.checker.clear(ctx, c.request.Key) {
+		return answer
+	}
+	if found, ok := e.findElsewhere(ctx, c.request.Key, 0); ok && found.Outcome == lovagestand.OutcomeDone {
+		return found
+	}
+	return lovagestand.Unknown(c.request.Key, "it may have run through another instance; "+answer.Reason)
+}
+
 // withdrawAll takes a request back from all who may hold it; false if one of
 // them may still run it.
 func (e *Entry) withdrawAll(ctx context.Context, c *call) bool {
@@ -109,6 +122,7 @@
 	}
 	granted, err := e.deps.Claims.Claim(ctx, c.request, c.fingerprint, target.Shard, c.route.Idempotent)
 	if err != nil {
+		c.vouched = true
 		return refusal(c, err)
 	}
 	if granted.Settled != nil {
@@ -288,6 +302,9 @@
 			c.markSettled(shard)
 		}
 	default:
+		if reply.GetDoubt() {
+			c.markHeld(shard)
+		}
 		return reply, false
 	}
 	return reply, true
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -99,6 +99,8 @@
 		Members:   i.members,
 		Catalog:   tables,
 		Ownership: i.ownership,
+		Self:      i.id,
+		Pursues:   func(key lovagestand.RequestKey) bool { return i.entry.Pursues(key) },
 		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
 			return naive.New(n)
 		},
@@ -113,6 +115,8 @@
 		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
 		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
+		Self:      i.id,
+		Shards:    i.workerShards,
 		Peers:     i.ownership.Peers,
 		Client:    i.client,
 		Log:       i.log,
@@ -229,6 +233,16 @@
 	i.running.Wait()
 }
 
+// workerShards returns the shards of the listed workers.
+func (i *Instance) workerShards() []lovagestand.ShardName {
+	members, _ := i.members.Current()
+	var shards []lovagestand.ShardName
+	for _, u := range peer.WorkerUnits(members) {
+		shards = append(shards, u.Shard)
+	}
+	return shards
+}
+
 // allInstances returns the instances on the member list.
 func (i *Instance) allInstances() []lovagestand.Instance {
 	members, _ := i.members.Current()
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -12,6 +12,9 @@
 // keys cannot contain it.
 const attemptSeparator = "~"
 
+// attemptFields is how many numbers follow the separator.
+const attemptFields = 3
+
 // attempt names one try at one part of a request.
 type attempt struct {
 	// Request is the task of the whole request.
@@ -20,11 +23,14 @@
 	Part int
 	// Number counts the tries at the part, from 1.
 	Number int
+	// Epoch is that of the owner who made the attempt, so that two owners
+	// never give two attempts one name.
+	Epoch lovagestand.Epoch
 }
 
 // ID returns the TaskID under which the attempt runs on a worker.
 func (a attempt) ID() lovagestand.TaskID {
-	return lovagestand.TaskID(fmt.Sprintf("%s%s%d.%d", a.Request, attemptSeparator, a.Part, a.Number))
+	return lovagestand.TaskID(fmt.Sprintf("%s%s%d.%d.%d", a.Request, attemptSeparator, a.Part, a.Number, a.Epoch))
 }
 
 // attemptOf reads the TaskID of an attempt; false if it is not one.
@@ -33,17 +39,22 @@
 	if cut < 0 {
 		return attempt{}, false
 	}
-	part, number, ok := strings.Cut(string(id[cut+1:]), ".")
-	if !ok {
-		return attempt{}, false
-	}
-	p, err := strconv.Atoi(part)
-	if err != nil {
+	fields := strings.Split(string(id[cut+1:]), ".")
+	if len(fields) != attemptFields {
 		return attempt{}, false
 	}
-	n, err := strconv.Atoi(number)
-	if err != nil {
-		return attempt{}, false
+	var numbers [attemptFields]uint64
+	for i, f := range fields {
+		n, err := strconv.ParseUint(f, 10, 32)
+		if err != nil {
+			return attempt{}, false
+		}
+		numbers[i] = n
 	}
-	return attempt{Request: id[:cut], Part: p, Number: n}, true
+	return attempt{
+		Request: id[:cut],
+		Part:    int(numbers[0]),
+		Number:  int(numbers[1]),
+		Epoch:   lovagestand.Epoch(numbers[2]),
+	}, true
 }
--- /dev/null
+++ b/placer/check.go
@@ -0,0 +1,55 @@
+package placer
+
+import (
+	"context"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/placer/placerpb"
+)
+
+// Check implements the service.
+func (p *Placer) Check(_ context.Context, m *placerpb.CheckRequest) (*placerpb.CheckReply, error) {
+	reply := &placerpb.CheckReply{Complete: true, Clear: make([]bool, len(m.GetKeys()))}
+	shards := p.sorted()
+	open := make(map[lovagestand.ShardName]bool, len(shards))
+	for _, s := range shards {
+		open[s.name] = s.complete()
+	}
+	for _, n := range p.deps.Ownership.Owned() {
+		reply.Shards = append(reply.Shards, string(n))
+		if complete, ok := open[n]; ok && !complete {
+			reply.Complete = false
+		}
+	}
+	for i, k := range m.GetKeys() {
+		reply.Clear[i] = p.clear(shards, lovagestand.RequestKey(k), m.GetAsker())
+	}
+	return reply, nil
+}
+
+// clear reports whether nothing here runs, ran or pursues a request.
+func (p *Placer) clear(shards []*shard, key lovagestand.RequestKey, asker string) bool {
+	if p.deps.Pursues != nil && asker != string(p.deps.Self) && p.deps.Pursues(key) {
+		return false
+	}
+	for _, s := range shards {
+		r, ok := s.find(key)
+		if ok && s.mayHaveRun(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// complete reports whether the shard knows all that its workers hold.
+func (s *shard) complete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isReady && len(s.unread) == 0
+}
+
+func (s *shard) mayHaveRun(r *request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.mayHaveRun()
+}
--- a/placer/end.go
+++ b/placer/end.go
@@ -88,7 +88,7 @@
 	}
 	for _, p := range r.parts {
 		delete(s.parts, p.task.ID)
-		p.setAttempt(p.next())
+		p.setAttempt(p.next(s.epoch))
 		s.parts[p.task.ID] = p
 	}
 	for _, p := range r.parts {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -28,6 +28,11 @@
 	Members   MemberView
 	Catalog   lovagestand.Catalog
 	Ownership lovagestand.Ownership
+	// Self is the instance this placer belongs to.
+	Self lovagestand.InstanceID
+	// Pursues reports whether this instance pursues a request for a caller, or
+	// has an answer that says more than that it did not run; may be nil.
+	Pursues func(key lovagestand.RequestKey) bool
 	// NewDecider returns an empty decider for a shard.
 	NewDecider func(shard lovagestand.ShardName) lovagestand.Decider
 	Log        zerolog.Logger
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -224,6 +224,15 @@
 	})
 }
 
+func TestClosedShardSaysWhatItHeld(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		time.AfterFunc(time.Second, func() { x.rights.grant(1, -time.Second) })
+		reply := x.place(task("plan-12"), runFor(time.Minute), false, 5*time.Second)
+		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_NOT_OWNER)
+		x.Assert(reply.GetDoubt(), qt.IsTrue)
+	})
+}
+
 func TestReleasedShardKeepsItsTasks(t *testing.T) {
 	inBubble(t, func(x *fixture) {
 		k := task("plan-10")
--- a/placer/rebuild.go
+++ b/placer/rebuild.go
@@ -150,7 +150,7 @@
 		r = adoptedRequest(a, report.Task)
 		s.hold(r)
 	}
-	if a.Part >= len(r.parts) || r.parts[a.Part].attempt.Number > a.Number {
+	if a.Part >= len(r.parts) || !s.replaces(r.parts[a.Part], a, report) {
 		s.occupy(now, l, report)
 		return
 	}
@@ -168,6 +168,20 @@
 	s.decider.Adopt(now, p.task, p.worker)
 }
 
+// replaces reports whether an attempt found on a worker takes the place of the
+// one that the shard knows of the part. One that is placed or has ended stays,
+// unless the one found has ended well.
+func (s *shard) replaces(p *part, found attempt, report lovagestand.TaskReport) bool {
+	switch p.state {
+	case partQueued, partBlocked:
+		return report.Phase == lovagestand.TaskDone || !report.Phase.Ended() || found.Number >= p.attempt.Number
+	case partEnded:
+		return !p.request.final() && found.Number > p.attempt.Number
+	default:
+		return false
+	}
+}
+
 // occupy counts a running task that belongs to no request against capacity
 // and stops it: a later attempt of the same part is known.
 func (s *shard) occupy(now time.Time, l *link, report lovagestand.TaskReport) {
@@ -192,7 +206,7 @@
 // adoptedRequest returns the request of a task found on a worker. Its parts
 // count as ended until a worker shows them.
 func adoptedRequest(a attempt, task lovagestand.Task) *request {
-	r := newRequest(task.WithID(a.Request))
+	r := newRequest(task.WithID(a.Request), a.Epoch)
 	for _, p := range r.parts {
 		p.state = partBlocked
 	}
--- a/placer/request.go
+++ b/placer/request.go
@@ -60,6 +60,8 @@
 	cancelled bool
 	// withdrawn says that the request was never queued and must not be.
 	withdrawn bool
+	// keyRan says that an earlier request with the same key may have run here.
+	keyRan bool
 	// restarting says that a gang is being stopped to be started again whole.
 	restarting bool
 	// endedAt is when the answer became final.
@@ -68,12 +70,12 @@
 
 // newRequest returns a request with all of its parts queued for a first
 // attempt.
-func newRequest(task lovagestand.Task) *request {
+func newRequest(task lovagestand.Task, epoch lovagestand.Epoch) *request {
 	r := &request{task: task, done: make(chan struct{})}
 	r.answer = lovagestand.Answer{Key: task.Key, Outcome: lovagestand.OutcomeWaiting, Task: task.ID}
 	for i := range max(task.GangSize, 1) {
 		p := &part{request: r}
-		p.setAttempt(attempt{Request: task.ID, Part: i, Number: 1})
+		p.setAttempt(attempt{Request: task.ID, Part: i, Number: 1, Epoch: epoch})
 		r.parts = append(r.parts, p)
 	}
 	return r
@@ -94,6 +96,11 @@
 	return false
 }
 
+// mayHaveRun reports whether a request with the key has run here or may yet.
+func (r *request) mayHaveRun() bool {
+	return r.keyRan || r.started() || r.answer.Outcome != lovagestand.OutcomeNotRun
+}
+
 // markSent records that an earlier owner may have sent the request to a
 // worker.
 func (r *request) markSent() {
@@ -172,9 +179,11 @@
 	}
 }
 
-// next returns the attempt after the current one.
-func (p *part) next() attempt {
+// next returns the attempt after the current one, made by the owner of an
+// epoch.
+func (p *part) next(epoch lovagestand.Epoch) attempt {
 	a := p.attempt
 	a.Number++
+	a.Epoch = epoch
 	return a
 }
--- a/placer/rpc.go
+++ b/placer/rpc.go
@@ -115,7 +115,7 @@
 	if _, ok := s.right(now); !ok || s.draining {
 		return nil, notOwner()
 	}
-	r := newRequest(task)
+	r := newRequest(task, s.epoch)
 	if resubmitted {
 		if s.mayStillRun(now, task) {
 			return nil, waiting()
@@ -174,7 +174,7 @@
 	if s.doubt(task) != "" {
 		return lovagestand.Answer{}, false
 	}
-	r := newRequest(task)
+	r := newRequest(task, s.epoch)
 	s.bury(now, r, "withdrawn")
 	return r.answer, true
 }
@@ -240,7 +240,10 @@
 	case <-r.done:
 		return final(r.answer)
 	case <-s.closed:
-		return notOwner()
+		// It was held here, and may have been started.
+		reply := notOwner()
+		reply.Doubt = true
+		return reply
 	case <-window.Done():
 		return waiting()
 	}
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -231,6 +231,9 @@
 // hold enters a request and its parts in the shard's books.
 func (s *shard) hold(r *request) {
 	s.requests[r.task.ID] = r
+	if old, ok := s.byKey[r.task.Key]; ok && old != r {
+		r.keyRan = old.mayHaveRun()
+	}
 	s.byKey[r.task.Key] = r
 	for _, p := range r.parts {
 		s.parts[p.task.ID] = p
@@ -251,7 +254,7 @@
 // retry queues the next attempt at a part whose last one surely runs no more.
 func (s *shard) retry(now time.Time, p *part) {
 	delete(s.parts, p.task.ID)
-	p.setAttempt(p.next())
+	p.setAttempt(p.next(s.epoch))
 	s.parts[p.task.ID] = p
 	if err := s.decider.Submit(now, p.task); err != nil {
 		s.expire(now, p, err.Error(), 0)
