region: choice among owners from digests, paid bytes

Cause: an entry must choose a shard from digests of some age; always the least loaded one pays for two thirds of all bytes and herds. Meter counts paid bytes by link and route; Explain appraises every candidate.

--- /dev/null
+++ b/region/meter.go
@@ -0,0 +1,63 @@
+package region
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	lovagestand "lovagestand.example/lovagestand"
+)
+
+// Paid counts the bytes sent over one link for one route.
+type Paid struct {
+	From  lovagestand.RegionName `json:"from"`
+	To    lovagestand.RegionName `json:"to"`
+	Route lovagestand.RouteName  `json:"route"`
+	Bytes uint64                 `json:"bytes"`
+}
+
+// Meter counts the bytes that are paid for, by link and route. It is safe for
+// concurrent use.
+type Meter struct {
+	mu   sync.Mutex
+	paid map[Paid]uint64
+}
+
+// NewMeter returns a meter that has counted nothing.
+func NewMeter() *Meter {
+	return &Meter{paid: make(map[Paid]uint64)}
+}
+
+// Count adds bytes sent from one region to another; within a region nothing is
+// paid.
+func (m *Meter) Count(from, to lovagestand.RegionName, route lovagestand.RouteName, bytes int) {
+	if from == to || bytes <= 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paid[Paid{From: from, To: to, Route: route}] += uint64(bytes)
+}
+
+// Rows returns what was counted, sorted by link and route.
+func (m *Meter) Rows() []Paid {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := make([]Paid, 0, len(m.paid))
+	for p, bytes := range m.paid {
+		p.Bytes = bytes
+		rows = append(rows, p)
+	}
+	slices.SortFunc(rows, func(a, b Paid) int {
+		return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To), cmp.Compare(a.Route, b.Route))
+	})
+	return rows
+}
+
+// Total returns all bytes counted.
+func (m *Meter) Total() (bytes uint64) {
+	for _, p := range m.Rows() {
+		bytes += p.Bytes
+	}
+	return bytes
+}
--- /dev/null
+++ b/region/weighing.go
@@ -0,0 +1,238 @@
+package region
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	lovagestand "lovagestand.example/lovagestand"
+)
+
+const (
+	// DefaultLinkDelay is the time between two regions one way.
+	DefaultLinkDelay = 20 * time.Millisecond
+	// maxRemembered is the most placements remembered for one shard.
+	maxRemembered = 4096
+	// noiseFactor is how much of the noise of another region's estimate its
+	// saving must exceed.
+	noiseFactor = 1.0
+)
+
+// Weighing stays in its region unless another is worth its cost. Within the
+// region, and among the others, it takes the better of two candidates drawn at
+// random, each corrected by what this entry has sent there since the digest
+// was made. It is safe for concurrent use.
+type Weighing struct {
+	region      lovagestand.RegionName
+	links       Links
+	weights     func(lovagestand.RouteName) Weights
+	answerBytes func(lovagestand.RouteName) int
+	entries     int
+	now         func() time.Time
+
+	mu     sync.Mutex
+	random *rand.Rand
+	sent   map[destination][]time.Time
+}
+
+// destination is one pool in one shard.
+type destination struct {
+	shard lovagestand.ShardName
+	pool  lovagestand.PoolName
+}
+
+// Option configures a [Weighing].
+type Option func(*Weighing)
+
+// WithLinks sets the delays between regions.
+func WithLinks(links Links) Option {
+	return func(w *Weighing) { w.links = links }
+}
+
+// WithWeights sets the weights of each route.
+func WithWeights(weights func(lovagestand.RouteName) Weights) Option {
+	return func(w *Weighing) { w.weights = weights }
+}
+
+// WithAnswerBytes sets how long the answers of each route are expected to be.
+func WithAnswerBytes(answerBytes func(lovagestand.RouteName) int) Option {
+	return func(w *Weighing) { w.answerBytes = answerBytes }
+}
+
+// WithEntries sets how many entries of the region send alike; each takes it
+// that the others send as much as itself.
+func WithEntries(entries int) Option {
+	return func(w *Weighing) { w.entries = entries }
+}
+
+// WithRandom sets the source of the draws.
+func WithRandom(random *rand.Rand) Option {
+	return func(w *Weighing) { w.random = random }
+}
+
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option {
+	return func(w *Weighing) { w.now = now }
+}
+
+// NewWeighing returns a chooser for an entry in a region.
+func NewWeighing(region lovagestand.RegionName, options ...Option) *Weighing {
+	w := &Weighing{
+		region:      region,
+		links:       EvenLinks(DefaultLinkDelay),
+		weights:     func(lovagestand.RouteName) Weights { return DefaultWeights() },
+		answerBytes: func(lovagestand.RouteName) int { return 0 },
+		entries:     1,
+		now:         time.Now,
+		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		sent:        make(map[destination][]time.Time),
+	}
+	for _, o := range options {
+		o(w)
+	}
+	return w
+}
+
+// Appraisal is what a candidate is expected to cost for one task.
+type Appraisal struct {
+	Candidate Candidate
+	// Wait is the expected wait in the shard, Link the time on the way there.
+	Wait, Link time.Duration
+	PaidBytes  int
+	Cost       float64
+	// Noise is by how much Wait may be off for the digest's age.
+	Noise time.Duration
+	free  float64
+}
+
+// String returns a in words.
+func (a Appraisal) String() string {
+	return fmt.Sprintf("%s: wait %s, link %s, %d paid bytes, cost %.4g, digest %s old",
+		a.Candidate.Shard, a.Wait.Round(time.Millisecond), a.Link, a.PaidBytes, a.Cost,
+		a.Candidate.Age.Round(time.Millisecond))
+}
+
+// better reports whether a costs less than b, or as much with more room.
+func (a Appraisal) better(b Appraisal) bool {
+	if a.Cost != b.Cost {
+		return a.Cost < b.Cost
+	}
+	return a.free > b.free
+}
+
+// Choose implements [Chooser]. The chosen shard is taken to be sent the task.
+func (w *Weighing) Choose(t lovagestand.Task, bodyBytes int, candidates []Candidate) (Candidate, string, error) {
+	fit, err := eligible(t, candidates)
+	if err != nil {
+		return Candidate{}, "", err
+	}
+	near, far := split(w.region, fit)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	chosen, reason := w.weigh(t, bodyBytes, near, far)
+	w.remember(destination{shard: chosen.Candidate.Shard, pool: t.Pool})
+	return chosen.Candidate, reason, nil
+}
+
+// weigh compares the best near candidate with the best far one.
+func (w *Weighing) weigh(t lovagestand.Task, bodyBytes int, near, far []*Candidate) (Appraisal, string) {
+	if len(near) == 0 {
+		chosen := w.twoChoices(t, bodyBytes, far)
+		return chosen, "own region has no such worker; " + chosen.String()
+	}
+	best := w.twoChoices(t, bodyBytes, near)
+	if len(far) == 0 || best.Wait == 0 {
+		return best, "own region; " + best.String()
+	}
+	other := w.twoChoices(t, bodyBytes, far)
+	doubt := w.weights(t.Route).cost(time.Duration(float64(other.Noise)*noiseFactor), 0)
+	if other.Cost+doubt < w.cheapest(t, bodyBytes, near) {
+		return other, fmt.Sprintf("saves %s of waiting; %s", (best.Wait - other.Wait).Round(time.Millisecond), other)
+	}
+	return best, "no other region is worth its cost; " + best.String()
+}
+
+// cheapest returns the least cost among all candidates, so that an unlucky
+// draw sends nothing away.
+func (w *Weighing) cheapest(t lovagestand.Task, bodyBytes int, candidates []*Candidate) float64 {
+	least := math.Inf(1)
+	for _, c := range candidates {
+		least = min(least, w.appraise(t, bodyBytes, c).Cost)
+	}
+	return least
+}
+
+// twoChoices appraises two candidates drawn at random and returns the better.
+func (w *Weighing) twoChoices(t lovagestand.Task, bodyBytes int, candidates []*Candidate) Appraisal {
+	i := w.random.IntN(len(candidates))
+	first := w.appraise(t, bodyBytes, candidates[i])
+	if len(candidates) == 1 {
+		return first
+	}
+	j := w.random.IntN(len(candidates) - 1)
+	if j >= i {
+		j++
+	}
+	second := w.appraise(t, bodyBytes, candidates[j])
+	if second.better(first) {
+		return second
+	}
+	return first
+}
+
+func (w *Weighing) appraise(t lovagestand.Task, bodyBytes int, c *Candidate) Appraisal {
+	e := estimateOf(t, c, w.entries*w.sentSince(destination{shard: c.Shard, pool: t.Pool}, c.Age))
+	a := Appraisal{Candidate: *c, Wait: e.wait, Link: w.links.Delay(w.region, c.Region), Noise: e.noise, free: e.free}
+	if c.Region != w.region {
+		a.PaidBytes = bodyBytes + w.answerBytes(t.Route)
+	}
+	a.Cost = w.weights(t.Route).cost(a.Wait+a.Link, a.PaidBytes)
+	return a
+}
+
+// Explain appraises every candidate that can hold a task, cheapest first.
+func (w *Weighing) Explain(t lovagestand.Task, bodyBytes int, candidates []Candidate) ([]Appraisal, error) {
+	fit, err := eligible(t, candidates)
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	appraisals := make([]Appraisal, 0, len(fit))
+	for _, c := range fit {
+		appraisals = append(appraisals, w.appraise(t, bodyBytes, c))
+	}
+	slices.SortStableFunc(appraisals, func(a, b Appraisal) int {
+		switch {
+		case a.better(b):
+			return -1
+		case b.better(a):
+			return 1
+		default:
+			return 0
+		}
+	})
+	return appraisals, nil
+}
+
+// remember notes that a task is sent somewhere now.
+func (w *Weighing) remember(to destination) {
+	sent := append(w.sent[to], w.now())
+	if len(sent) > maxRemembered {
+		sent = sent[len(sent)-maxRemembered:]
+	}
+	w.sent[to] = sent
+}
+
+// sentSince counts the tasks sent somewhere within age, and forgets older
+// ones.
+func (w *Weighing) sentSince(to destination, age time.Duration) int {
+	since := w.now().Add(-age)
+	sent := w.sent[to]
+	i, _ := slices.BinarySearchFunc(sent, since, time.Time.Compare)
+	w.sent[to] = sent[i:]
+	return len(sent) - i
+}
