--- a/claim/claim.go
+++ b/claim/claim.go
@@ -111,6 +111,9 @@
 	// ValidUntil is when the home's word that the attempt has not run may be
 	// overtaken by another attempt; set only with that outcome.
 	ValidUntil time.Time `json:"-"`
+	// Sole says that nobody else had been given the attempt when this answer
+	// was made, so that nobody else can have sent its task to a worker.
+	Sole bool `json:"-"`
 }
 
 // Settled reports whether the attempt has ended for good.
--- a/claim/grant.go
+++ b/claim/grant.go
@@ -188,7 +188,9 @@
 	} else {
 		h.stats.Attached++
 	}
-	return h.word(w.entry, right, now)
+	c := h.word(w.entry, right, now)
+	c.Sole = w.entry.heldOnlyBy(w.id)
+	return c
 }
 
 // word returns an entry's claim as it is given to an asker. The caller holds
--- a/table/apply.go
+++ b/table/apply.go
@@ -19,7 +19,7 @@
 const HistoryPrefix = "tables/history/"
 
 // Attempts bounds how often one apply tries again.
-const Attempts = 8
+const Attempts = 12
 
 // Edit is an operator's wish: tables made from those at a base revision.
 type Edit struct {
@@ -36,7 +36,8 @@
 	Revision Revision
 	// Changed says that there was something to change.
 	Changed bool
-	// Merged says that others had changed other rows meanwhile.
+	// Merged says that the tables accepted hold rows of others that the edit
+	// does not.
 	Merged bool
 	Rows   []Difference
 }
@@ -82,7 +83,7 @@
 func (a *Applier) Apply(ctx context.Context, e Edit) (Result, error) {
 	attempt := &attempt{applier: a, edit: e, token: a.token()}
 	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = a.pause
+	wait.InitialInterval, wait.MaxInterval = a.pause, maxRetry
 	result, err := backoff.Retry(ctx, func() (Result, error) {
 		r, err := attempt.try(ctx)
 		if err != nil && !repeatable(err) {
