claim: an unknown outcome leaves the claim open unless the task has stopped

Cause: an entry that loses sight of a shard's owner settles as unknown; a rerun of an exclusive request was then granted while the first attempt could still run, which breaks I2. Change: Settlement.Stopped says that the task surely runs no more. Unknown without it leaves the claim open, so that a repeated key attaches to the task and may still get its answer. Conclusion: only a stop or a lapsed lease opens the way to a rerun.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -170,9 +170,12 @@
 	Key  lovagestand.RequestKey
 	Task lovagestand.TaskID
 	// Outcome is final, or [lovagestand.OutcomeWaiting] to say that the task
-	// still runs. Any outcome but waiting says that the task runs no more: its
-	// worker confirmed the stop, or its lease has lapsed.
+	// still runs. Done, failed and cancelled are what the task's worker said.
 	Outcome lovagestand.Outcome
+	// Stopped says that the task surely runs no more: its worker confirmed the
+	// stop, or its lease has lapsed. [lovagestand.OutcomeUnknown] without it
+	// leaves the claim open, so that a repeated key attaches to the task.
+	Stopped bool
 	Reason  string
 	// ReadAt is when the shard's owner, or its workers, were asked for the
 	// outcome. It counts for [lovagestand.OutcomeNotRun]: what was read before
--- a/claim/home_test.go
+++ b/claim/home_test.go
@@ -115,7 +115,11 @@
 		again := request("2", "frame")
 		again.Rerun = true
 		c.Assert(claimed(c, h, again).Attempt, qt.Equals, 1)
-		settled(c, h, first, "", lovagestand.OutcomeUnknown)
+		// While the task may still run, there is no other attempt.
+		c.Assert(settled(c, h, first, "", lovagestand.OutcomeUnknown).Settled(), qt.IsFalse)
+		c.Assert(claimed(c, h, again).Attempt, qt.Equals, 1)
+		_, err := h.Settle(Settlement{Key: "frame", Task: first.Task, Outcome: lovagestand.OutcomeUnknown, Stopped: true})
+		c.Assert(err, qt.IsNil)
 		c.Assert(claimed(c, h, request("3", "frame")).Outcome, qt.Equals, lovagestand.OutcomeUnknown)
 		second := claimed(c, h, again)
 		c.Assert(second.Attempt, qt.Equals, 2)
--- a/claim/service.go
+++ b/claim/service.go
@@ -43,6 +43,7 @@
 		Outcome: lovagestand.Outcome(m.Outcome),
 		Reason:  m.Reason,
 		ReadAt:  timeOf(m.ReadAt),
+		Stopped: m.Stopped,
 	}))
 }
 
@@ -78,6 +79,7 @@
 		Outcome: string(s.Outcome),
 		Reason:  s.Reason,
 		ReadAt:  nanos(s.ReadAt),
+		Stopped: s.Stopped,
 	}))
 }
 
--- a/claim/settle.go
+++ b/claim/settle.go
@@ -35,10 +35,13 @@
 
 // settle applies a settlement. The caller holds the lock.
 func (h *Home) settle(e *entry, s Settlement, now time.Time) error {
-	if !e.claim.accepts(s.Outcome) {
+	outcome := s.Outcome
+	if outcome == lovagestand.OutcomeUnknown && !s.Stopped {
+		outcome = lovagestand.OutcomeWaiting
+	}
+	if !e.claim.accepts(outcome) {
 		return nil
 	}
-	outcome := s.Outcome
 	if outcome == lovagestand.OutcomeNotRun && !e.heldOnlyBy(s.ID) {
 		after := e.claim.StartBy.Add(ClockMargin)
 		if s.ReadAt.Before(after) {
