peer: halve the bytes of heartbeats and surveys

Cause: at 39 instances and 234 shards steady state cost 29.62 kB/s for each instance, all of the budget; and nobody knew the owners of claim homes in other regions, which have no digest. Change: a standby that has promised is asked by shard and epoch alone; digests go with every second heartbeat; a survey carries the owners only when they changed and the digests only of the shards with most free for each pool, every 3 s instead of 2 s.

--- a/owner/handover.go
+++ b/owner/handover.go
@@ -130,6 +130,9 @@
 func (n *Node) warm(now time.Time, from lovagestand.InstanceID, m Message) {
 	n.learn(now, m.Entry)
 	s := n.seats[m.Entry.Shard]
+	if s == nil || m.Entry.Epoch > s.entry.Epoch {
+		return
+	}
 	if s.entry.Epoch == m.Entry.Epoch && s.entry.Owner == from {
 		n.effects = append(n.effects, Warm{Shard: m.Entry.Shard})
 	}
--- a/owner/seat.go
+++ b/owner/seat.go
@@ -73,10 +73,11 @@
 	return lapse
 }
 
-// learn replaces what is known of a shard if e is newer.
+// learn replaces what is known of a shard if e is newer. One that only names an
+// epoch teaches nothing.
 func (n *Node) learn(now time.Time, e Entry) bool {
 	old := n.seats[e.Shard]
-	if old != nil && e.Epoch <= old.entry.Epoch {
+	if e.Owner == "" || old != nil && e.Epoch <= old.entry.Epoch {
 		return false
 	}
 	s := newSeat(now, e)
@@ -126,8 +127,11 @@
 		s.grants[n.self.ID] = now.Add(n.timing.Promise - n.timing.Guard)
 		n.begin(now, s)
 	}
-	m := Message{Kind: KindAsk, Entry: s.entry, Sent: now.Sub(n.started)}
 	for _, id := range standbys {
+		m := Message{Kind: KindAsk, Entry: s.entry, Sent: now.Sub(n.started)}
+		if now.Before(s.grants[id]) {
+			m.Entry = short(s.entry)
+		}
 		n.send(id, m)
 	}
 }
@@ -159,6 +163,9 @@
 func (n *Node) promise(now time.Time, from lovagestand.InstanceID, m Message) {
 	n.learn(now, m.Entry)
 	s := n.seats[m.Entry.Shard]
+	if s == nil || m.Entry.Epoch > s.entry.Epoch {
+		return
+	}
 	if m.Entry.Epoch < s.entry.Epoch {
 		n.send(from, Message{Kind: KindNewer, Entry: s.entry})
 		return
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -122,6 +122,9 @@
 func (n *Node) seal(now time.Time, from lovagestand.InstanceID, m Message) {
 	n.learn(now, m.Entry)
 	s := n.seats[m.Entry.Shard]
+	if s == nil || m.Entry.Epoch > s.entry.Epoch {
+		return
+	}
 	if m.Entry.Epoch < s.entry.Epoch {
 		n.send(from, Message{Kind: KindNewer, Entry: s.entry})
 		return
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -1,5 +1,7 @@
 package peer
 
+//go:generate protoc -I .. --go_out=.. --go_opt=paths=source_relative --twirp_out=.. --twirp_opt=paths=source_relative ../peer/peers.proto
+
 import (
 	"time"
 
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -64,8 +64,9 @@
 	return v.aged(time.Now()), ok
 }
 
-// Digests returns the newest digests known of all shards that serve a pool,
-// sorted by shard; an empty pool stands for all.
+// Digests returns the newest digests known of shards that serve a pool, sorted
+// by shard; an empty pool stands for all. Of other regions they are those that
+// have most free.
 func (p *Peer) Digests(pool lovagestand.PoolName) []DigestView {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -12,6 +12,9 @@
 	"lovagestand.example/lovagestand/owner"
 )
 
+// digestBeats is how many heartbeats there are for each that carries digests.
+const digestBeats = 2
+
 // Handler returns the handler of the calls that peers make.
 func (p *Peer) Handler() http.Handler {
 	return NewPeersServer(p)
@@ -44,6 +47,10 @@
 	p.followRegions()
 	digests := p.encodeDigests(p.sumUp())
 	p.mu.Lock()
+	p.beats++
+	if p.beats%digestBeats != 0 {
+		digests = nil
+	}
 	now := time.Now()
 	effects := p.node.Tick(now)
 	p.notify()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,7 +14,7 @@
 
 const (
 	defaultWatchWait   = time.Minute
-	defaultSurveyEvery = 2 * time.Second
+	defaultSurveyEvery = 3 * time.Second
 	// callTimeout bounds one call to a peer, the store or the member list.
 	callTimeout = time.Second
 	// listEvery is the time between two readings of the member list.
@@ -54,6 +54,8 @@
 	watches  map[lovagestand.RegionName]context.CancelFunc
 	clients  map[string]Peers
 	digests  map[lovagestand.ShardName]DigestView
+	abroad   map[lovagestand.RegionName]abroad
+	beats    int
 	news     map[lovagestand.InstanceID]news
 	digest   func() []lovagestand.Digest
 	revision func() uint64
@@ -77,6 +79,7 @@
 		watches:     map[lovagestand.RegionName]context.CancelFunc{},
 		clients:     map[string]Peers{},
 		digests:     map[lovagestand.ShardName]DigestView{},
+		abroad:      map[lovagestand.RegionName]abroad{},
 		news:        map[lovagestand.InstanceID]news{},
 		digest:      func() []lovagestand.Digest { return nil },
 		revision:    func() uint64 { return 0 },
@@ -122,14 +125,19 @@
 func (p *Peer) Owner(shard lovagestand.ShardName) (lovagestand.Instance, bool) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	id := p.digests[shard].Owner
-	if e, ok := p.node.Entry(shard); ok && e.Epoch >= p.digests[shard].Epoch {
-		id = e.Owner
+	best, _ := p.node.Entry(shard)
+	if d := p.digests[shard]; d.Epoch > best.Epoch {
+		best.Owner, best.Epoch = d.Owner, d.Epoch
 	}
-	if id == "" {
+	for _, a := range p.abroad {
+		if e := a.owners[shard]; e.Epoch > best.Epoch {
+			best = e
+		}
+	}
+	if best.Owner == "" {
 		return lovagestand.Instance{}, false
 	}
-	return p.node.Instance(id)
+	return p.node.Instance(best.Owner)
 }
 
 // Changed implements [lovagestand.Ownership].
--- a/peer/survey.go
+++ b/peer/survey.go
@@ -25,11 +25,13 @@
 			response.Members = append(response.Members, toMember(i, said.revision, now.Sub(said.said)))
 		}
 	}
-	for _, v := range p.digests {
-		owner, ok := p.node.Instance(v.Owner)
-		if ok && owner.Region == p.self.Region {
-			response.Digests = append(response.Digests, toDigest(v.aged(now)))
-		}
+	for _, v := range p.bestDigests() {
+		response.Digests = append(response.Digests, toDigest(v.aged(now)))
+	}
+	owners := p.regionOwners()
+	response.OwnersHash = hashOwners(owners)
+	if response.OwnersHash != request.GetKnown() {
+		response.Owners = owners
 	}
 	return response, nil
 }
@@ -56,7 +58,8 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 	defer cancel()
-	request := &SurveyRequest{From: p.me()}
+	region := p.regionOf(to)
+	request := &SurveyRequest{From: p.me(), Known: p.knownAbroad(region)}
 	p.counters.Surveys.Add(1)
 	p.counters.BytesSent.Add(int64(proto.Size(request)))
 	response, err := client.Survey(ctx, request)
@@ -68,6 +71,7 @@
 	p.deliver(response.GetFrom(), nil, "")
 	p.learnDigests(response.GetDigests())
 	p.learnMembers(response.GetMembers())
+	p.learnOwners(region, response)
 }
 
 func (p *Peer) learnMembers(members []*Member) {
