--- a/owner/group.go
+++ b/owner/group.go
@@ -124,5 +124,10 @@
 	if len(standbys) == len(s.entry.Standbys) {
 		return false
 	}
+	for _, id := range s.entry.Standbys {
+		if n.instance(id).Leaving {
+			return true
+		}
+	}
 	return now.Sub(s.learned) >= n.timing.Replace
 }
--- a/owner/region.go
+++ b/owner/region.go
@@ -106,7 +106,7 @@
 			s.handover.read = 0
 			n.chosenWay(now, s, ok)
 		}
-		if !ok && n.leaving && s.handover != nil && s.handover.stage == stagePassing {
+		if !ok && s.handover != nil && s.handover.stage == stagePassing {
 			s.handover.byHand = true
 			n.passOn(now, s)
 		}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -11,6 +11,8 @@
 const (
 	// digestKept is how long an old digest is of any use.
 	digestKept = time.Minute
+	// clientsKept is how many clients of peers, most of them gone, are kept.
+	clientsKept = 256
 	// newsKept is how long an instance's last word counts.
 	newsKept = 30 * time.Second
 )
@@ -41,7 +43,7 @@
 }
 
 // SetDigest sets the function that sums up the shards this instance owns. It is
-// called once a heartbeat.
+// called once in two heartbeats.
 func (p *Peer) SetDigest(digest func() []lovagestand.Digest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -102,8 +104,9 @@
 	return revision()
 }
 
-// sumUp takes this instance's own digests.
-func (p *Peer) sumUp() []DigestView {
+// sumUp takes this instance's own digests for the next heartbeat. It runs apart
+// from the heartbeats, which must not wait for it.
+func (p *Peer) sumUp() {
 	p.mu.RLock()
 	digest := p.digest
 	p.mu.RUnlock()
@@ -111,7 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	var views []DigestView
+	p.fresh = nil
 	for _, d := range list {
 		right, ok := p.node.Right(now, d.Shard)
 		if !ok {
@@ -119,10 +122,9 @@
 		}
 		v := DigestView{Digest: d, Owner: p.self.ID, Epoch: right.Epoch, taken: now}
 		p.note(v)
-		views = append(views, v)
+		p.fresh = append(p.fresh, toDigest(v))
 	}
 	p.forget(now)
-	return views
 }
 
 // note keeps a digest if it is newer than the one known.
@@ -142,6 +144,9 @@
 
 func (p *Peer) forget(now time.Time) {
 	maps.DeleteFunc(p.digests, func(_ lovagestand.ShardName, v DigestView) bool { return now.Sub(v.taken) > digestKept })
+	if len(p.clients) > clientsKept {
+		clear(p.clients)
+	}
 	maps.DeleteFunc(p.news, func(_ lovagestand.InstanceID, s news) bool { return now.Sub(s.said) > newsKept })
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -12,9 +12,6 @@
 	"lovagestand.example/lovagestand/owner"
 )
 
-// digestBeats is how many heartbeats there are for each that carries digests.
-const digestBeats = 2
-
 // Handler returns the handler of the calls that peers make.
 func (p *Peer) Handler() http.Handler {
 	return NewPeersServer(p)
@@ -45,12 +42,9 @@
 // beat is one heartbeat.
 func (p *Peer) beat() {
 	p.followRegions()
-	digests := p.encodeDigests(p.sumUp())
 	p.mu.Lock()
-	p.beats++
-	if p.beats%digestBeats != 0 {
-		digests = nil
-	}
+	digests := p.fresh
+	p.fresh = nil
 	now := time.Now()
 	effects := p.node.Tick(now)
 	p.notify()
@@ -114,15 +108,6 @@
 	return toMember(p.instance(), p.ownRevision(), 0)
 }
 
-func (p *Peer) encodeDigests(views []DigestView) []*ShardDigest {
-	now := time.Now()
-	var list []*ShardDigest
-	for _, v := range views {
-		list = append(list, toDigest(v.aged(now)))
-	}
-	return list
-}
-
 func (p *Peer) learnDigests(list []*ShardDigest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/peer/fakes_test.go
+++ b/peer/fakes_test.go
@@ -15,6 +15,9 @@
 	"lovagestand.example/lovagestand"
 )
 
+// storeLatency is the time from asking the store to its answer.
+const storeLatency = 3 * time.Millisecond
+
 // fakeStore is a store in memory that can be away.
 type fakeStore struct {
 	mu      sync.Mutex
@@ -52,6 +55,7 @@
 }
 
 func (s *fakeStore) Get(_ context.Context, key string) (lovagestand.Value, error) {
+	time.Sleep(storeLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.values[key], s.enter()
@@ -62,6 +66,7 @@
 }
 
 func (s *fakeStore) Put(_ context.Context, key string, data []byte, previous lovagestand.Revision, _ lovagestand.LeaseID) (lovagestand.Revision, error) {
+	time.Sleep(storeLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
--- a/peer/hook.go
+++ b/peer/hook.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -80,7 +81,9 @@
 	settled := true
 	if p.hooks.Release != nil {
 		unlock := p.hooking.lock(e.Shard)
-		err := p.hooks.Release(p.ctx, e.Shard)
+		ctx, cancel := context.WithTimeout(p.ctx, p.timing.Warm)
+		err := p.hooks.Release(ctx, e.Shard)
+		cancel()
 		unlock()
 		settled = err == nil
 	}
--- a/peer/leave.go
+++ b/peer/leave.go
@@ -10,7 +10,9 @@
 )
 
 // Leave passes all shards of this instance to others and returns when none is
-// left, or with an error when the context ends first. Run must still be running.
+// left and, unless that takes long, when no owner relies on this instance's
+// promises any more. It fails when the context ends before the shards are passed
+// on. Run must still be running.
 func (p *Peer) Leave(ctx context.Context) error {
 	p.mu.Lock()
 	p.leaving = true
@@ -18,24 +20,30 @@
 	p.apply("", func(now time.Time, n *owner.Node) []owner.Effect { return n.Leave(now) })
 	ticker := time.NewTicker(p.timing.Heartbeat / 10)
 	defer ticker.Stop()
-	for p.owns() {
+	patience := time.Now().Add(2 * p.timing.Promise)
+	for {
+		owns, promises := p.bound()
+		if !owns && (!promises || time.Now().After(patience)) {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
+			if !owns {
+				return nil
+			}
 			return errors.Wrap(ctx.Err(), "shards not passed on")
 		case <-ticker.C:
 		}
 	}
-	return nil
 }
 
-// owns reports whether this instance is the owner of a shard.
-func (p *Peer) owns() bool {
+// bound reports whether this instance is the owner or a standby of a shard.
+func (p *Peer) bound() (owns, promises bool) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, e := range p.node.Entries() {
-		if e.Owner == p.self.ID {
-			return true
-		}
+		owns = owns || e.Owner == p.self.ID
+		promises = promises || e.HasStandby(p.self.ID)
 	}
-	return false
+	return owns, promises
 }
--- a/peer/options.go
+++ b/peer/options.go
@@ -21,7 +21,8 @@
 	Acquire func(ctx context.Context, right lovagestand.Right)
 	// Release is called before a shard is passed on. It stops new starts and
 	// returns when those sent have been answered; an error says that some may
-	// still begin, which makes the successor wait.
+	// still begin, which makes the successor wait. Its context ends after the
+	// timing's Warm.
 	Release func(ctx context.Context, shard lovagestand.ShardName) error
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,6 +17,8 @@
 	defaultSurveyEvery = 3 * time.Second
 	// callTimeout bounds one call to a peer, the store or the member list.
 	callTimeout = time.Second
+	// digestBeats is how many heartbeats there are for each that carries digests.
+	digestBeats = 2
 	// listEvery is the time between two readings of the member list.
 	listEvery = time.Second
 )
@@ -46,16 +48,17 @@
 	counters Counters
 	hooking  hookLocks
 
-	mu       sync.RWMutex
-	node     *owner.Node
-	version  uint64
-	changed  chan struct{}
-	leaving  bool
-	watches  map[lovagestand.RegionName]context.CancelFunc
-	clients  map[string]Peers
-	digests  map[lovagestand.ShardName]DigestView
-	abroad   map[lovagestand.RegionName]abroad
-	beats    int
+	mu      sync.RWMutex
+	node    *owner.Node
+	version uint64
+	changed chan struct{}
+	leaving bool
+	watches map[lovagestand.RegionName]context.CancelFunc
+	clients map[string]Peers
+	digests map[lovagestand.ShardName]DigestView
+	abroad  map[lovagestand.RegionName]abroad
+	// fresh are own digests that no heartbeat has carried yet.
+	fresh    []*ShardDigest
 	news     map[lovagestand.InstanceID]news
 	digest   func() []lovagestand.Digest
 	revision func() uint64
@@ -98,6 +101,7 @@
 	p.list()
 	p.spawn(func() { p.every(listEvery, p.list) })
 	p.spawn(func() { p.every(p.surveyEvery, p.survey) })
+	p.spawn(func() { p.every(digestBeats*p.timing.Heartbeat, p.sumUp) })
 	p.every(p.timing.Heartbeat, p.beat)
 	p.cancel()
 	p.closing.Lock()
