--- a/owner/member.go
+++ b/owner/member.go
@@ -40,7 +40,7 @@
 	if began.Before(n.list.read) {
 		return nil
 	}
-	n.list.checked = began
+	n.check(began)
 	n.list.read = began
 	listed := map[lovagestand.InstanceID]bool{}
 	for _, i := range members {
@@ -62,7 +62,18 @@
 
 // Unlisted reports that the member list could not be read.
 func (n *Node) Unlisted(began time.Time) {
-	n.list.checked = began
+	n.check(began)
+}
+
+// check notes a try at reading the list. After too long without one, as after a
+// pause, the list may have dropped this instance and taken it up again since.
+func (n *Node) check(began time.Time) {
+	if !n.list.checked.IsZero() && began.Sub(n.list.checked) >= n.timing.ListFresh {
+		n.stopAll()
+	}
+	if began.After(n.list.checked) {
+		n.list.checked = began
+	}
 }
 
 // judgeSelf stops all that this instance does once the list has dropped it,
--- a/peer/failures_test.go
+++ b/peer/failures_test.go
@@ -15,6 +15,7 @@
 // owners.
 func settled(t *testing.T, count, regions int, test func(c *qt.C, f *fleet)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(count, regions, 4)
 		defer f.stop()
