--- a/pool/naive/fit.go
+++ b/pool/naive/fit.go
@@ -61,6 +61,8 @@
 	switch {
 	case !t.Resources.Valid():
 		e.Reason = "it asks for less than nothing"
+	case d.unlike(t):
+		e.Reason = "the tasks of a gang must be alike"
 	case room == 0:
 		e.Reason = "it asks for more than any one worker has"
 	case room < size:
@@ -73,6 +75,17 @@
 	return e
 }
 
+// unlike reports whether t differs from the tasks of its gang.
+func (d *Decider) unlike(t lovagestand.Task) bool {
+	for _, e := range d.waiting {
+		m := e.task
+		if t.Gang != "" && m.Gang == t.Gang && m.Pool == t.Pool {
+			return m.Resources != t.Resources || m.Class != t.Class || m.Team != t.Team || m.GangSize != t.GangSize
+		}
+	}
+	return false
+}
+
 // roomFor returns how many tasks of a size an empty worker holds.
 func roomFor(size, capacity lovagestand.Resources, slots int) int {
 	room := 0
@@ -146,14 +159,18 @@
 }
 
 // leavesHeadroom reports whether size more of t leave free what is kept for
-// urgent work. Urgent work that runs counts towards it. A pool that runs
-// nothing but urgent work takes any task, so that none waits for ever.
+// urgent work. Urgent work that runs counts towards it. Batch gives way:
+// services and gangs look only at each other, batch at all three. Where none
+// of these runs any task may start, so that none waits for ever.
 func (d *Decider) leavesHeadroom(t lovagestand.Task, size int) bool {
 	share := d.policies[t.Pool].HeadroomShare
 	if t.Class == lovagestand.ClassUrgent || share == 0 {
 		return true
 	}
-	others := d.running(t.Pool, func(e *entry) bool { return e.task.Class != lovagestand.ClassUrgent })
+	others := d.running(t.Pool, func(e *entry) bool {
+		isBatch := e.task.Class == lovagestand.ClassBatch
+		return e.task.Class != lovagestand.ClassUrgent && (!isBatch || t.Class == lovagestand.ClassBatch)
+	})
 	if others.IsZero() {
 		return true
 	}
