owner: a hand-over with starts in flight waits for their window, not the successor

Cause: the placer lets a start begin up to 1 s after its check, more than the 500 ms that a successor waits; and a survey's few digests could hide the only worker that a task fits. Change: an owner whose release ends with starts unanswered passes on only after the start window, so Settle covers clocks alone (two times their difference); surveys show the shards with the largest capacities too.

--- a/owner/explore_test.go
+++ b/owner/explore_test.go
@@ -60,7 +60,7 @@
 // exploration to find it.
 func TestFlawsAreFound(t *testing.T) {
 	flaws := map[string]flaw{
-		"no settle wait":              {timing: func(t *owner.Timing) { t.Settle = 0 }},
+		"no settle wait":              {timing: func(t *owner.Timing) { t.Settle, t.StartWindow = 0, 0 }},
 		"list trusted at once":        {timing: func(t *owner.Timing) { t.Dropped = 0 }},
 		"promise from its reply":      {from: 540, carry: promiseFromReply, timing: lateReplacement},
 		"epoch ignored":               {carry: ignoreEpoch},
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -30,6 +30,14 @@
 	// byHand passes without the store.
 	byHand bool
 	next   Entry
+	// from is when next may be in force: all starts of this owner have been
+	// answered or are too late.
+	from time.Time
+}
+
+// due reports whether the next entry may be written or passed.
+func (h *handover) due(now time.Time) bool {
+	return h.stage == stagePassing && !now.Before(h.from)
 }
 
 // handOver begins to pass an owned shard.
@@ -57,7 +65,7 @@
 	case stageWarming:
 		n.send(h.to, Message{Kind: KindWarm, Entry: s.entry})
 	case stagePassing:
-		if h.byHand {
+		if h.byHand && h.due(now) {
 			n.send(h.to, Message{Kind: KindPass, Entry: h.next, ByHand: true})
 		}
 	}
@@ -107,6 +115,10 @@
 	h := s.handover
 	h.stage = stagePassing
 	h.next = s.entry.Next(h.to, n.swapped(s.entry, h.to), settled && !now.Before(s.settle))
+	h.from = now
+	if !settled {
+		h.from = now.Add(n.timing.StartWindow)
+	}
 	s.given = true
 	n.version++
 	n.passOn(now, s)
--- a/owner/region.go
+++ b/owner/region.go
@@ -232,7 +232,7 @@
 		return Entry{}, false
 	}
 	if s.handover != nil && s.handover.stage == stagePassing {
-		return s.handover.next, true
+		return s.handover.next, s.handover.due(now)
 	}
 	if e, ok := n.regroup(now, s); ok {
 		return e, true
--- a/owner/simulation_test.go
+++ b/owner/simulation_test.go
@@ -115,7 +115,8 @@
 		cut:      map[[2]int]bool{},
 		shards:   map[lovagestand.ShardName]*judge{},
 	}
-	s.timing.Settle = startWindow + 2*wallSkew
+	s.timing.StartWindow = startWindow
+	s.timing.Settle = 2 * wallSkew
 	if f.timing != nil {
 		f.timing(&s.timing)
 	}
--- a/owner/timing.go
+++ b/owner/timing.go
@@ -11,8 +11,12 @@
 	// Guard is taken off a promise by the owner, for clocks that run at
 	// different rates.
 	Guard time.Duration
-	// Settle is how long a new owner waits for starts of an earlier one. It
-	// covers the difference of wall clocks between an owner and a worker.
+	// StartWindow is the longest time from an owner's check of its right to the
+	// last moment at which the start may begin.
+	StartWindow time.Duration
+	// Settle is how long a new owner waits where the starts of an earlier one
+	// are too late by that one's clock. It covers twice the difference between
+	// wall clocks.
 	Settle time.Duration
 	// Stagger is how long the second standby leaves a takeover to the first.
 	Stagger time.Duration
@@ -33,15 +37,16 @@
 // DefaultTiming returns the timing in use unless set otherwise.
 func DefaultTiming() Timing {
 	return Timing{
-		Heartbeat: 500 * time.Millisecond,
-		Promise:   2 * time.Second,
-		Guard:     100 * time.Millisecond,
-		Settle:    500 * time.Millisecond,
-		Stagger:   500 * time.Millisecond,
-		Dropped:   10 * time.Second,
-		ListFresh: 5 * time.Second,
-		Replace:   2 * time.Second,
-		Rebalance: 5 * time.Second,
-		Warm:      10 * time.Second,
+		Heartbeat:   500 * time.Millisecond,
+		Promise:     2 * time.Second,
+		Guard:       100 * time.Millisecond,
+		StartWindow: time.Second,
+		Settle:      500 * time.Millisecond,
+		Stagger:     500 * time.Millisecond,
+		Dropped:     10 * time.Second,
+		ListFresh:   5 * time.Second,
+		Replace:     2 * time.Second,
+		Rebalance:   5 * time.Second,
+		Warm:        10 * time.Second,
 	}
 }
--- a/peer/abroad.go
+++ b/peer/abroad.go
@@ -77,7 +77,8 @@
 }
 
 // bestDigests returns the digests of those shards of this region that have most
-// free for some pool, by processors and by accelerators.
+// free for some pool, by processors and by accelerators, and of those that show
+// what the largest workers can hold.
 func (p *Peer) bestDigests() []DigestView {
 	byPool := map[lovagestand.PoolName][]DigestView{}
 	for _, v := range p.digests {
@@ -91,8 +92,9 @@
 	}
 	best := map[lovagestand.ShardName]DigestView{}
 	for pool, views := range byPool {
-		keepBest(best, views, func(v DigestView) int64 { return v.free(pool).MilliCPU })
-		keepBest(best, views, func(v DigestView) int64 { return v.free(pool).Accelerators })
+		keepBest(best, views, func(v DigestView) int64 { return v.of(pool).Free.MilliCPU })
+		keepBest(best, views, func(v DigestView) int64 { return v.of(pool).Free.Accelerators })
+		keepLargest(best, views, pool)
 	}
 	return slices.Collect(maps.Values(best))
 }
@@ -106,11 +108,28 @@
 	}
 }
 
-func (v DigestView) free(pool lovagestand.PoolName) lovagestand.Resources {
+// keepLargest keeps the shards whose largest capacity no other one matches in
+// every resource, so that nobody takes a task for one that fits nowhere.
+func keepLargest(best map[lovagestand.ShardName]DigestView, views []DigestView, pool lovagestand.PoolName) {
+	var kept []lovagestand.Resources
+	slices.SortFunc(views, func(a, b DigestView) int {
+		return cmp.Compare(b.of(pool).LargestCapacity.MilliCPU, a.of(pool).LargestCapacity.MilliCPU)
+	})
+	for _, v := range views {
+		largest := v.of(pool).LargestCapacity
+		if slices.ContainsFunc(kept, largest.Fits) {
+			continue
+		}
+		kept = append(kept, largest)
+		best[v.Digest.Shard] = v
+	}
+}
+
+func (v DigestView) of(pool lovagestand.PoolName) lovagestand.PoolDigest {
 	for _, d := range v.Digest.Pools {
 		if d.Pool == pool {
-			return d.Free
+			return d
 		}
 	}
-	return lovagestand.Resources{}
+	return lovagestand.PoolDigest{}
 }
