--- a/owner/region.go
+++ b/owner/region.go
@@ -106,7 +106,7 @@
 			s.handover.read = 0
 			n.chosenWay(now, s, ok)
 		}
-		if !ok && n.leaving && s.handover != nil && s.handover.stage == stagePassing {
+		if !ok && s.handover != nil && s.handover.stage == stagePassing {
 			s.handover.byHand = true
 			n.passOn(now, s)
 		}
@@ -232,7 +232,7 @@
 		return Entry{}, false
 	}
 	if s.handover != nil && s.handover.stage == stagePassing {
-		return s.handover.next, true
+		return s.handover.next, s.handover.due(now)
 	}
 	if e, ok := n.regroup(now, s); ok {
 		return e, true
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,9 +14,11 @@
 
 const (
 	defaultWatchWait   = time.Minute
-	defaultSurveyEvery = 2 * time.Second
+	defaultSurveyEvery = 3 * time.Second
 	// callTimeout bounds one call to a peer, the store or the member list.
 	callTimeout = time.Second
+	// digestBeats is how many heartbeats there are for each that carries digests.
+	digestBeats = 2
 	// listEvery is the time between two readings of the member list.
 	listEvery = time.Second
 )
@@ -46,14 +48,17 @@
 	counters Counters
 	hooking  hookLocks
 
-	mu       sync.RWMutex
-	node     *owner.Node
-	version  uint64
-	changed  chan struct{}
-	leaving  bool
-	watches  map[lovagestand.RegionName]context.CancelFunc
-	clients  map[string]Peers
-	digests  map[lovagestand.ShardName]DigestView
+	mu      sync.RWMutex
+	node    *owner.Node
+	version uint64
+	changed chan struct{}
+	leaving bool
+	watches map[lovagestand.RegionName]context.CancelFunc
+	clients map[string]Peers
+	digests map[lovagestand.ShardName]DigestView
+	abroad  map[lovagestand.RegionName]abroad
+	// fresh are own digests that no heartbeat has carried yet.
+	fresh    []*ShardDigest
 	news     map[lovagestand.InstanceID]news
 	digest   func() []lovagestand.Digest
 	revision func() uint64
@@ -77,6 +82,7 @@
 		watches:     map[lovagestand.RegionName]context.CancelFunc{},
 		clients:     map[string]Peers{},
 		digests:     map[lovagestand.ShardName]DigestView{},
+		abroad:      map[lovagestand.RegionName]abroad{},
 		news:        map[lovagestand.InstanceID]news{},
 		digest:      func() []lovagestand.Digest { return nil },
 		revision:    func() uint64 { return 0 },
@@ -95,6 +101,7 @@
 	p.list()
 	p.spawn(func() { p.every(listEvery, p.list) })
 	p.spawn(func() { p.every(p.surveyEvery, p.survey) })
+	p.spawn(func() { p.every(digestBeats*p.timing.Heartbeat, p.sumUp) })
 	p.every(p.timing.Heartbeat, p.beat)
 	p.cancel()
 	p.closing.Lock()
@@ -122,14 +129,19 @@
 func (p *Peer) Owner(shard lovagestand.ShardName) (lovagestand.Instance, bool) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	id := p.digests[shard].Owner
-	if e, ok := p.node.Entry(shard); ok && e.Epoch >= p.digests[shard].Epoch {
-		id = e.Owner
+	best, _ := p.node.Entry(shard)
+	if d := p.digests[shard]; d.Epoch > best.Epoch {
+		best.Owner, best.Epoch = d.Owner, d.Epoch
 	}
-	if id == "" {
+	for _, a := range p.abroad {
+		if e := a.owners[shard]; e.Epoch > best.Epoch {
+			best = e
+		}
+	}
+	if best.Owner == "" {
 		return lovagestand.Instance{}, false
 	}
-	return p.node.Instance(id)
+	return p.node.Instance(best.Owner)
 }
 
 // Changed implements [lovagestand.Ownership].
