quota: shares of strict quotas, explored under faults

Cause: quotas hold over all shards without a store call for each request. Change: a state machine per shard; lower first, write, then start within more; fenced by epochs; a new quota is used only once every shard has counted what it runs; the tables record since when a team is limited without a break. Exploring found two faults, both mended: a quota taken away and set again while one owner skipped the revision between (the tables' record now tells), and a former owner that sent a prepared write after handing over.

--- /dev/null
+++ b/quota/book.go
@@ -0,0 +1,200 @@
+package quota
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/table"
+)
+
+// Groups is how many books the teams of a pool are spread over.
+const Groups = 4
+
+// KeyPrefix begins the store's keys of books.
+const KeyPrefix = "quota/"
+
+// BookID names a book.
+type BookID struct {
+	Pool  lovagestand.PoolName
+	Group int
+}
+
+// Key returns the store's key of the book.
+func (id BookID) Key() string {
+	return fmt.Sprintf("%s%s/%d", KeyPrefix, id.Pool, id.Group)
+}
+
+// GroupOf returns the group that a team's quota is kept in.
+func GroupOf(team lovagestand.TeamName) int {
+	return int(xxhash.Sum64String(string(team)) % Groups)
+}
+
+// Amount is a compact form of [lovagestand.Resources]: thousandths of a core,
+// mebibytes and accelerators.
+type Amount [3]int64
+
+// AmountOf returns the compact form of r.
+func AmountOf(r lovagestand.Resources) Amount {
+	return Amount{r.MilliCPU, r.MemoryMiB, r.Accelerators}
+}
+
+// Value returns the resources.
+func (a Amount) Value() lovagestand.Resources {
+	return lovagestand.Resources{MilliCPU: a[0], MemoryMiB: a[1], Accelerators: a[2]}
+}
+
+// Book holds the shares of one group of teams over all shards of a pool.
+type Book struct {
+	// Tables is the newest revision that a writer had in force. A writer with
+	// an older one may not raise shares.
+	Tables table.Revision                     `json:"tables"`
+	Shards []Entry                            `json:"shards"`
+	Teams  map[lovagestand.TeamName]*TeamBook `json:"teams"`
+}
+
+// Entry is a shard's line in a book. Shares refer to it by its index.
+type Entry struct {
+	// Name is empty for a line that is free.
+	Name lovagestand.ShardName `json:"name"`
+	// Epoch is that of the owner who writes the shard's shares.
+	Epoch lovagestand.Epoch `json:"epoch"`
+	// Tables is the revision the owner had in force when it last wrote.
+	Tables table.Revision `json:"tables"`
+}
+
+// TeamBook holds the shares of one team.
+type TeamBook struct {
+	// Since is the newest [Rule.Since] of a writer. No share is raised before
+	// every shard has counted what it runs under that revision.
+	Since table.Revision `json:"since"`
+	// Shares and Demands are by the shard's index; demands are what runs and
+	// waits there.
+	Shares  map[int]Amount `json:"shares,omitempty"`
+	Demands map[int]Amount `json:"demands,omitempty"`
+}
+
+// Encode returns the book as a store value.
+func (b *Book) Encode() ([]byte, error) {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > lovagestand.MaxValueBytes {
+		return nil, &table.SizeError{Bytes: len(data)}
+	}
+	return data, nil
+}
+
+// DecodeBook reads a store value; no data gives an empty book.
+func DecodeBook(data []byte) (*Book, error) {
+	b := &Book{}
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, b); err != nil {
+			return nil, err
+		}
+	}
+	if b.Teams == nil {
+		b.Teams = map[lovagestand.TeamName]*TeamBook{}
+	}
+	return b, nil
+}
+
+// index returns a shard's index; -1 if it has no line.
+func (b *Book) index(shard lovagestand.ShardName) int {
+	for i, e := range b.Shards {
+		if e.Name == shard {
+			return i
+		}
+	}
+	return -1
+}
+
+// enter gives a shard a line and returns its index.
+func (b *Book) enter(shard lovagestand.ShardName) int {
+	if i := b.index(shard); i >= 0 {
+		return i
+	}
+	if i := b.index(""); i >= 0 {
+		b.Shards[i] = Entry{Name: shard}
+		return i
+	}
+	b.Shards = append(b.Shards, Entry{Name: shard})
+	return len(b.Shards) - 1
+}
+
+// Retire removes a shard that has no owner and no workers any more and frees
+// its shares. Its last owner's tasks must have ended.
+func (b *Book) Retire(shard lovagestand.ShardName) {
+	i := b.index(shard)
+	if i < 0 || shard == "" {
+		return
+	}
+	b.Shards[i] = Entry{}
+	for _, t := range b.Teams {
+		delete(t.Shares, i)
+		delete(t.Demands, i)
+	}
+}
+
+// share returns a shard's written share of a team's quota.
+func (b *Book) share(team lovagestand.TeamName, i int) lovagestand.Resources {
+	t := b.Teams[team]
+	if t == nil {
+		return lovagestand.Resources{}
+	}
+	return t.Shares[i].Value()
+}
+
+// sum returns what all shards hold of a team's quota.
+func (t *TeamBook) sum() lovagestand.Resources {
+	var sum lovagestand.Resources
+	for _, s := range t.Shares {
+		sum = sum.Add(s.Value())
+	}
+	return sum
+}
+
+func (t *TeamBook) demand() lovagestand.Resources {
+	var sum lovagestand.Resources
+	for _, d := range t.Demands {
+		sum = sum.Add(d.Value())
+	}
+	return sum
+}
+
+// set writes a shard's share and demand; nothing is kept of zeros.
+func (t *TeamBook) set(i int, share, demand lovagestand.Resources) {
+	t.Shares = put(t.Shares, i, share)
+	t.Demands = put(t.Demands, i, demand)
+}
+
+func put(m map[int]Amount, i int, r lovagestand.Resources) map[int]Amount {
+	if r.IsZero() {
+		delete(m, i)
+		return m
+	}
+	if m == nil {
+		m = map[int]Amount{}
+	}
+	m[i] = AmountOf(r)
+	return m
+}
+
+// counted reports whether every shard has counted what it runs of a team since
+// the team has a quota.
+func (b *Book) counted(t *TeamBook, known []lovagestand.ShardName) bool {
+	for _, shard := range known {
+		if b.index(shard) < 0 {
+			return false
+		}
+	}
+	for _, e := range b.Shards {
+		if e.Name != "" && e.Tables < t.Since {
+			return false
+		}
+	}
+	return true
+}
--- a/table/record.go
+++ b/table/record.go
@@ -43,12 +43,16 @@
 	Routes   []Route  `json:"routes"`
 	Pools    []Pool   `json:"pools"`
 	Changes  []Change `json:"changes"`
+	// LimitedSince is as in [Tables.LimitedSince].
+	LimitedSince limitedSince `json:"limitedSince"`
 }
 
 // Encode returns the record as a store value. It fails with a [SizeError]
 // where the store could not hold it.
 func (r Record) Encode() ([]byte, error) {
-	data, err := json.Marshal(recordShape{r.Tables.revision, r.Tables.routes, r.Tables.pools, r.Changes})
+	data, err := json.Marshal(recordShape{
+		r.Tables.revision, r.Tables.routes, r.Tables.pools, r.Changes, r.Tables.since,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +76,7 @@
 	if err != nil {
 		return Record{}, err
 	}
+	tables.since = shape.LimitedSince
 	return Record{Tables: tables, Changes: shape.Changes}, nil
 }
 
@@ -83,7 +88,7 @@
 	kept := r.Changes[max(0, len(r.Changes)-HistoryLength+1):]
 	changes := make([]Change, 0, len(kept)+1)
 	changes = append(append(changes, kept...), change)
-	return Record{Tables: tables.WithRevision(next), Changes: changes}
+	return Record{Tables: tables.withSince(r.Tables, next), Changes: changes}
 }
 
 // change returns the listed change that carries a token.
--- a/table/tables.go
+++ b/table/tables.go
@@ -21,8 +21,14 @@
 	byPool   map[lovagestand.PoolName]int
 	homes    map[home]lovagestand.PoolName
 	leaving  map[lovagestand.WorkerName]bool
+	since    limitedSince
 }
 
+// limitedSince holds by pool and team at which revision the team last came
+// to have a quota where it had none. Accepting a change sets it, so that it is
+// exact also for instances that did not see every revision.
+type limitedSince map[lovagestand.PoolName]map[lovagestand.TeamName]Revision
+
 // home is what places a worker in a pool.
 type home struct {
 	runner string
@@ -118,6 +124,32 @@
 	return pool, found
 }
 
+// LimitedSince returns the revision from which on a team has had a quota in a
+// pool without a break; 0 if it has none.
+func (t Tables) LimitedSince(pool lovagestand.PoolName, team lovagestand.TeamName) Revision {
+	return t.since[pool][team]
+}
+
+// withSince returns tables that follow older ones at a revision.
+func (t Tables) withSince(older Tables, revision Revision) Tables {
+	t.revision = revision
+	t.since = limitedSince{}
+	for _, p := range t.pools {
+		teams := map[lovagestand.TeamName]Revision{}
+		for _, team := range p.Teams {
+			if p.Quota(team) == nil {
+				continue
+			}
+			teams[team.Name] = revision
+			if since := older.LimitedSince(p.Name, team.Name); since > 0 {
+				teams[team.Name] = since
+			}
+		}
+		t.since[p.Name] = teams
+	}
+	return t
+}
+
 // Leaving reports whether the operators take a worker out of use.
 func (t Tables) Leaving(worker lovagestand.WorkerName) bool {
 	return t.leaving[worker]
