--- a/quota/holder.go
+++ b/quota/holder.go
@@ -153,15 +153,20 @@
 func (h *Holder) Limits() Quotas {
 	limits := make(Quotas, len(h.rules))
 	for team := range h.rules {
-		share := h.shares[team]
-		if h.frozen[team] || h.ended {
-			share = lovagestand.Resources{}
-		}
-		limits[team] = least(share, h.capOf(team, share))
+		limits[team] = h.limit(team)
 	}
 	return limits
 }
 
+// limit returns what a team may run in the shard now.
+func (h *Holder) limit(team lovagestand.TeamName) lovagestand.Resources {
+	if _, limited := h.rules[team]; !limited || h.frozen[team] || h.ended {
+		return lovagestand.Resources{}
+	}
+	share := h.shares[team]
+	return least(share, h.capOf(team, share))
+}
+
 func (h *Holder) capOf(team lovagestand.TeamName, none lovagestand.Resources) lovagestand.Resources {
 	if c, capped := h.caps[team]; capped {
 		return c
--- /dev/null
+++ b/quota/keeper_test.go
@@ -0,0 +1,254 @@
+package quota_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/quota"
+	"lovagestand.example/lovagestand/standin/kv"
+	"lovagestand.example/lovagestand/table"
+)
+
+const (
+	teamQuota = 40 // cores
+	tick      = 100 * time.Millisecond
+)
+
+// job is a task of one core or two.
+type job struct {
+	cores int64
+	until time.Time
+}
+
+// rack is a shard whose workers are never full.
+type rack struct {
+	mu      sync.Mutex
+	name    lovagestand.ShardName
+	epoch   lovagestand.Epoch
+	keeper  *quota.Keeper
+	policy  lovagestand.Policy
+	limits  map[lovagestand.TeamName]lovagestand.Resources
+	running map[lovagestand.TeamName][]job
+	waiting map[lovagestand.TeamName][]job
+}
+
+func sumOf(jobs []job) lovagestand.Resources {
+	var sum lovagestand.Resources
+	for _, j := range jobs {
+		sum = sum.Add(lovagestand.Resources{MilliCPU: 1000, MemoryMiB: 1024}.Times(j.cores))
+	}
+	return sum
+}
+
+// refresh implements the contract of [quota.Shard].
+func (r *rack) refresh() (map[lovagestand.PoolName]map[lovagestand.TeamName]quota.Usage, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usage := map[lovagestand.TeamName]quota.Usage{}
+	for _, t := range r.keeper.Policies(r.name, []lovagestand.Policy{r.policy})[0].Teams {
+		r.limits[t.Team] = *t.Quota
+		u := quota.Usage{Running: sumOf(r.running[t.Team]), Waiting: sumOf(r.waiting[t.Team])}
+		if len(r.waiting[t.Team]) > 0 {
+			u.Next = sumOf(r.waiting[t.Team][smallest(r.waiting[t.Team]):][:1])
+		}
+		usage[t.Team] = u
+	}
+	return map[lovagestand.PoolName]map[lovagestand.TeamName]quota.Usage{"p": usage}, true
+}
+
+func (r *rack) add(team lovagestand.TeamName, j job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting[team] = append(r.waiting[team], j)
+}
+
+// move gives the rack to another owner, who starts nothing at first.
+func (r *rack) move(to *quota.Keeper) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.epoch++
+	r.keeper = to
+	clear(r.limits)
+}
+
+// work ends what is due and starts what fits.
+func (r *rack) work(team lovagestand.TeamName, random *rand.Rand) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var left []job
+	for _, j := range r.running[team] {
+		if time.Now().Before(j.until) {
+			left = append(left, j)
+		}
+	}
+	r.running[team] = left
+	for len(r.waiting[team]) > 0 {
+		next := 0
+		if !r.fits(team, r.waiting[team][next]) {
+			next = smallest(r.waiting[team])
+		}
+		j := r.waiting[team][next]
+		if !r.fits(team, j) {
+			return
+		}
+		j.until = time.Now().Add(time.Duration(2+random.IntN(8)) * time.Second)
+		r.running[team] = append(r.running[team], j)
+		r.waiting[team] = slices.Delete(r.waiting[team], next, next+1)
+	}
+}
+
+func (r *rack) fits(team lovagestand.TeamName, j job) bool {
+	return sumOf(append(slices.Clone(r.running[team]), j)).Fits(r.limits[team])
+}
+
+func smallest(jobs []job) int {
+	least := 0
+	for i, j := range jobs {
+		if j.cores < jobs[least].cores {
+			least = i
+		}
+	}
+	return least
+}
+
+// firm is a pool of racks owned by instances, with some teams.
+type firm struct {
+	store  *kv.Store
+	racks  []*rack
+	owner  []*quota.Keeper
+	teams  []lovagestand.TeamName
+	random *rand.Rand
+	tables table.Tables
+	known  []lovagestand.ShardName
+}
+
+func newFirm(t testing.TB, instances, racks, teams int) *firm {
+	f := &firm{store: kv.New(), random: rand.New(rand.NewPCG(1, 2))}
+	pool := table.Pool{Name: "p", Runner: "r", Regions: []lovagestand.RegionName{"a"}}
+	for i := range teams {
+		f.teams = append(f.teams, lovagestand.TeamName(fmt.Sprint("team-", i)))
+		pool.Teams = append(pool.Teams, table.Team{Name: f.teams[i], Quota: &table.Amount{Processors: teamQuota * 1000, Memory: teamQuota * 1024}})
+	}
+	tables, err := table.New(0, nil, []table.Pool{pool})
+	qt.Assert(t, err, qt.IsNil)
+	f.tables = table.Record{}.With(tables, table.Change{}).Tables
+	for i := range racks {
+		f.known = append(f.known, lovagestand.ShardName(fmt.Sprintf("a/%03d", i)))
+		f.racks = append(f.racks, &rack{
+			name: f.known[i], epoch: 1, policy: f.tables.Policy("p"), limits: map[lovagestand.TeamName]lovagestand.Resources{},
+			running: map[lovagestand.TeamName][]job{}, waiting: map[lovagestand.TeamName][]job{},
+		})
+	}
+	for i := range instances {
+		f.owner = append(f.owner, f.keeper(i))
+	}
+	for i, r := range f.racks {
+		r.keeper = f.owner[i%instances]
+	}
+	return f
+}
+
+func (f *firm) keeper(i int) *quota.Keeper {
+	return quota.New(quota.Deps{
+		Store:  f.store,
+		Tables: func() (table.Tables, bool) { return f.tables, true },
+		Known:  func(lovagestand.PoolName) []lovagestand.ShardName { return f.known },
+		Seed:   uint64(i),
+		Live:   func() int { return len(f.owner) },
+		Shards: func() []quota.Shard {
+			var shards []quota.Shard
+			for _, r := range f.racks {
+				r.mu.Lock()
+				if r.keeper == f.owner[i] {
+					shards = append(shards, quota.Shard{Name: r.name, Epoch: r.epoch, Refresh: r.refresh})
+				}
+				r.mu.Unlock()
+			}
+			return shards
+		},
+	})
+}
+
+// spell runs the firm for a while at an offered load, each team's demand on a
+// few racks of its own, and returns how much quota lay idle of what was asked.
+// It fails where more runs than the quota.
+func (f *firm) spell(t testing.TB, length time.Duration, place int, load float64) (idle float64) {
+	var asked, used int64
+	const meanJob = 1.5 * 5.5 // core seconds
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(tick) {
+		for n, name := range f.teams {
+			arrivals := load * teamQuota / meanJob * tick.Seconds()
+			for ; arrivals > f.random.Float64(); arrivals-- {
+				r := f.racks[(place+n+f.random.IntN(max(1, len(f.racks)/3)))%len(f.racks)]
+				r.add(name, job{cores: 1 + f.random.Int64N(2)})
+			}
+			var runs, waits int64
+			for _, r := range f.racks {
+				r.work(name, f.random)
+				runs += sumOf(r.running[name]).MilliCPU / 1000
+				waits += sumOf(r.waiting[name]).MilliCPU / 1000
+			}
+			qt.Assert(t, runs <= teamQuota, qt.IsTrue, qt.Commentf("%s runs %d", name, runs))
+			used += runs
+			asked += min(teamQuota, runs+waits)
+		}
+	}
+	return 1 - float64(used)/float64(asked)
+}
+
+// TestQuotaFollowsShiftingDemand moves every team's demand to other racks each
+// minute, with a store that answers after 5 ms and loses a twentieth of its
+// replies.
+func TestQuotaFollowsShiftingDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFirm(t, 9, 9, 12)
+		ctx, cancel := context.WithCancel(t.Context())
+		f.store.SetFaults(kv.Faults{Delay: 5 * time.Millisecond, LoseReplies: 0.05})
+		for _, k := range f.owner {
+			go k.Run(ctx)
+		}
+		f.spell(t, 20*time.Second, 0, 1)
+		before, total, minutes := f.store.Counts(), 0.0, 6
+		for minute := range minutes {
+			total += f.spell(t, time.Minute, 3*minute, 1.2)
+		}
+		after, seconds := f.store.Counts(), float64(minutes)*60
+		t.Logf("idle %.2f%%, reads %.1f/s, writes %.1f/s", 100*total/float64(minutes),
+			float64(after.Get-before.Get)/seconds, float64(after.Put-before.Put)/seconds)
+		qt.Assert(t, total/float64(minutes) < 0.05, qt.IsTrue)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestQuotaThroughTakeOverAndOutage moves racks to other owners in the middle
+// of work, while the store comes and goes.
+func TestQuotaThroughTakeOverAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFirm(t, 4, 8, 4)
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, k := range f.owner {
+			go k.Run(ctx)
+		}
+		for i := range 20 {
+			f.store.SetFaults(kv.Faults{Down: i%4 == 3, LoseReplies: 0.2, Delay: time.Duration(i%3) * 200 * time.Millisecond})
+			f.spell(t, 7*time.Second, i, 1.2)
+			f.racks[f.random.IntN(len(f.racks))].move(f.owner[f.random.IntN(len(f.owner))])
+		}
+		f.store.SetFaults(kv.Faults{})
+		f.spell(t, 20*time.Second, 0, 1.2)
+		idle := f.spell(t, 30*time.Second, 0, 1.2)
+		qt.Assert(t, idle < 0.05, qt.IsTrue, qt.Commentf("%.3f", idle))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/quota/want.go
+++ b/quota/want.go
@@ -56,16 +56,27 @@
 
 // plan returns what a shard should start within until its share is written.
 func plan(t *TeamBook, i int, shards int64, q lovagestand.Resources, u Usage, limit lovagestand.Resources) lovagestand.Resources {
-	lowered := least(limit, most(u.Running, want(t, i, shards, q, u)))
-	free := q.Sub(t.sum())
+	wanted := want(t, i, shards, q, u)
 	scarce := !t.demand().Fits(q)
-	if scarce && u.stuck(lowered) && u.stuck(lowered.Add(most(free, lovagestand.Resources{}))) {
+	if scarce {
+		wanted = wanted.Add(slack(wanted, u.Next))
+	}
+	lowered := least(limit, most(u.Running, wanted))
+	free := most(q.Sub(t.sum()), lovagestand.Resources{})
+	if scarce && u.stuck(lowered.Add(free)) {
 		// What is left is too little for a task here; another shard may use it.
 		return least(limit, u.Running)
 	}
 	return lowered
 }
 
+// slack is how far a shard in use may stay above what it should have: what is
+// given up lies idle until another shard has it.
+func slack(wanted, task lovagestand.Resources) lovagestand.Resources {
+	const part = 4
+	return each3(func(r resource) int64 { return max(r.of(wanted)/part, r.of(task)) })
+}
+
 // grant returns how much is added to a share: what is needed as far as there
 // is room. Nothing is taken while it would not let the next task start.
 func grant(need, room lovagestand.Resources, u Usage, held lovagestand.Resources) lovagestand.Resources {
--- a/quota/write.go
+++ b/quota/write.go
@@ -47,7 +47,7 @@
 		return held
 	}
 	q, u := rule.Quota, w.usage[team]
-	limit := w.holder.Limits()[team]
+	limit := w.holder.limit(team)
 	share := w.share(team, t, held, limit, q)
 	step := w.book.step(q)
 	moved := !near(held, share, step)
