--- /dev/null
+++ b/claim/settle.go
@@ -0,0 +1,67 @@
+package claim
+
+import (
+	"time"
+
+	lovagestand "lovagestand.example/lovagestand"
+)
+
+// Settle records what became of a claimed task and returns the claim as it is
+// now; the first final outcome stays. It is written with the home's next
+// write. A settlement as not run fails with a [TooEarlyError] if another holder
+// of the claim may have started the task after it was read, and is recorded as
+// unknown if workers may have forgotten the task by then.
+func (h *Home) Settle(s Settlement) (Claim, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	right, err := h.right()
+	if err != nil || h.closed {
+		return Claim{}, &NotOwnerError{Home: h.name}
+	}
+	e, ok := h.entries[s.Key]
+	if !ok {
+		return Claim{}, &StaleError{Key: s.Key, Task: s.Task}
+	}
+	if e.claim.Task != s.Task || !e.granted() {
+		return Claim{}, &StaleError{Key: s.Key, Task: s.Task, Last: e.claim.Task}
+	}
+	now := time.Now()
+	err = h.settle(e, s, now)
+	if err != nil {
+		return Claim{}, err
+	}
+	return h.word(e, right, now), nil
+}
+
+// settle applies a settlement. The caller holds the lock.
+func (h *Home) settle(e *entry, s Settlement, now time.Time) error {
+	if !e.claim.accepts(s.Outcome) {
+		return nil
+	}
+	outcome := s.Outcome
+	if outcome == lovagestand.OutcomeNotRun && !e.heldOnlyBy(s.ID) {
+		after := e.claim.StartBy.Add(ClockMargin)
+		if s.ReadAt.Before(after) {
+			return &TooEarlyError{Key: s.Key, After: after}
+		}
+		if s.ReadAt.After(e.claim.Created.Add(WorkerRetention - ClockMargin)) {
+			outcome = lovagestand.OutcomeUnknown
+		}
+	}
+	e.set(e.claim.WithOutcome(outcome, s.Reason, now))
+	h.enqueue(e)
+	return nil
+}
+
+// accepts reports whether an outcome may be recorded over the present one. An
+// unknown outcome gives way to what the worker reports later.
+func (c Claim) accepts(outcome lovagestand.Outcome) bool {
+	switch c.Outcome {
+	case lovagestand.OutcomeWaiting:
+		return true
+	case lovagestand.OutcomeUnknown:
+		return outcome.Final() && outcome != lovagestand.OutcomeNotRun && outcome != lovagestand.OutcomeUnknown
+	default:
+		return false
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,12 +13,14 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/claim"
+	"lovagestand.example/lovagestand/claim/claimpb"
 	"lovagestand.example/lovagestand/entry"
 	"lovagestand.example/lovagestand/member"
+	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/pool/naive"
 	"lovagestand.example/lovagestand/settings"
-	"lovagestand.example/lovagestand/split"
 	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/table/tablepeer"
 )
@@ -39,7 +41,8 @@
 
 	members   *member.Watcher
 	follower  *table.Follower
-	ownership lovagestand.Ownership
+	ownership *peer.Peer
+	homes     *claim.Homes
 	placer    *placer.Placer
 	entry     *entry.Entry
 
@@ -51,7 +54,13 @@
 // New returns an instance that listens already and does nothing else yet. It
 // fails where the address cannot be listened on.
 func New(s settings.Settings, deps Deps) (*Instance, error) {
-	listener, err := net.Listen("tcp", s.Listen)
+	if deps.Listen == nil {
+		deps.Listen = func() (net.Listener, error) { return net.Listen("tcp", s.Listen) }
+	}
+	if len(s.Regions) == 0 {
+		return nil, errors.New("no regions are set")
+	}
+	listener, err := deps.Listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -80,22 +89,31 @@
 		table.WithPeers(i.id, i.peers, tablepeer.Puller(i.client, i.Self())),
 		table.WithLogger(i.log))
 	tables := catalog{follower: i.follower}
-	i.ownership = split.New(i.id, i.members.Current, i.members.Changed)
+	i.ownership = peer.New(i.Self(), i.deps.Store, i.members,
+		peer.WithHooks(i.hooks()),
+		peer.WithUnits(i.units),
+		peer.WithClient(i.client),
+		peer.WithLogger(i.log))
 	i.placer = placer.New(placer.Deps{
-		Workers:    i.deps.Workers,
-		Members:    i.members,
-		Catalog:    tables,
-		Ownership:  i.ownership,
-		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider { return naive.New(n) },
-		Log:        i.log,
+		Workers:   i.deps.Workers,
+		Members:   i.members,
+		Catalog:   tables,
+		Ownership: i.ownership,
+		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
+			return naive.New(n)
+		},
+		Log: i.log,
 	})
+	i.ownership.SetDigest(i.placer.Digests)
+	i.ownership.SetRevision(func() uint64 { return uint64(i.follower.Status().Revision) })
+	i.homes = claim.NewHomes(i.deps.Store, i.ownership)
 	i.entry = entry.New(entry.Deps{
 		Routes:    tables,
 		Limiter:   unlimited{},
-		Chooser:   &nearest{self: i.Self, members: i.members, tables: tables},
-		Claims:    unclaimed{},
+		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
+		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
-		Peers:     i.allInstances,
+		Peers:     i.ownership.Peers,
 		Client:    i.client,
 		Log:       i.log,
 	})
@@ -106,6 +124,19 @@
 	}
 }
 
+// remoteClaims returns the claims served by another instance.
+func (i *Instance) remoteClaims(other lovagestand.Instance) claim.Server {
+	return claim.NewRemote(claimpb.NewClaimsProtobufClient("http://"+other.Address, i.client))
+}
+
+// unlimited admits everything.
+type unlimited struct{}
+
+// Admit implements [entry.Limiter].
+func (unlimited) Admit(entry.Route, lovagestand.TeamName) (func(), error) {
+	return func() {}, nil
+}
+
 // readHeaderTimeout bounds how long a connection may take to send a header.
 const readHeaderTimeout = 10 * time.Second
 
@@ -139,7 +170,9 @@
 	i.cancel = cancel
 	i.running.Go(func() { i.members.Run(ctx) })
 	i.running.Go(func() { _ = i.follower.Run(ctx) })
+	i.running.Go(func() { i.ownership.Run(ctx) })
 	i.running.Go(func() { i.placer.Run(ctx) })
+	i.running.Go(func() { _ = i.homes.Run(ctx) })
 	i.running.Go(func() { i.entry.Run(ctx) })
 	go func() { i.served <- i.server.Serve(i.listener) }()
 	i.log.Info().Str("address", i.address).Str("region", string(i.settings.Region)).Msg("listening")
@@ -161,6 +194,9 @@
 	if _, ok := i.follower.Current(); !ok {
 		return errors.New("no tables are in force")
 	}
+	if len(i.ownership.Digests("")) == 0 {
+		return errors.New("no shard's owner is known")
+	}
 	return nil
 }
 
@@ -170,6 +206,9 @@
 func (i *Instance) Stop(ctx context.Context) error {
 	i.leaving.Store(true)
 	i.log.Info().Int("inFlight", i.entry.InFlight()).Msg("leaving")
+	if err := i.ownership.Leave(ctx); err != nil {
+		i.log.Warn().Err(err).Msg("leave")
+	}
 	left := i.entry.Stop(ctx)
 	err := i.server.Shutdown(ctx)
 	i.cancel()
@@ -206,3 +245,8 @@
 	}
 	return others
 }
+
+// TablesRevision returns the revision of the tables in force; 0 for none.
+func (i *Instance) TablesRevision() table.Revision {
+	return i.follower.Status().Revision
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
@@ -40,6 +41,9 @@
 
 	mu     sync.Mutex
 	shards map[lovagestand.ShardName]*shard
+	// flights has, for each shard closed here, when the last start sent has
+	// surely taken effect or is too late.
+	flights map[lovagestand.ShardName]time.Time
 }
 
 // New returns a placer without shards.
@@ -48,6 +52,7 @@
 		deps:    deps,
 		timings: defaultTimings(),
 		shards:  make(map[lovagestand.ShardName]*shard),
+		flights: make(map[lovagestand.ShardName]time.Time),
 	}
 	for _, o := range options {
 		o(&p.timings)
@@ -89,13 +94,14 @@
 	for n, s := range p.shards {
 		right, ok := owned[n]
 		if !ok || right.Epoch != s.epoch {
-			s.close()
+			p.flights[n] = s.close()
 			delete(p.shards, n)
 		}
 	}
 	for n, right := range owned {
 		s, ok := p.shards[n]
 		if !ok {
+			right.SettleUntil = later(right.SettleUntil, p.flights[n])
 			s = newShard(p.deps, p.timings, right)
 			p.shards[n] = s
 			s.open(ctx)
@@ -114,6 +120,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // shard returns an open shard whose right is in force.
 func (p *Placer) shard(name lovagestand.ShardName) (*shard, bool) {
 	p.mu.Lock()
@@ -145,15 +158,37 @@
 	return digests
 }
 
+// Warm checks that the workers of a shard can be reached, before this instance
+// takes the shard over from another that still serves it.
+func (p *Placer) Warm(ctx context.Context, name lovagestand.ShardName) error {
+	members, ok := p.deps.Members.Current()
+	if !ok {
+		return errors.New("the member list has not been read")
+	}
+	for _, w := range members.Workers {
+		if w.Shard() != name {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, p.timings.callTimeout)
+		_, err := p.deps.Workers.State(limited, w.Address)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		p.deps.Log.Warn().Err(err).Str("worker", string(w.Name)).Msg("not reached before a hand-over")
+	}
+	return nil
+}
+
 // Release stops a shard from placing, waits until the starts in flight are
-// settled or ctx ends, and closes the shard. Requests that wait in it are
-// given back to the entries that hold them.
-func (p *Placer) Release(ctx context.Context, name lovagestand.ShardName) {
+// settled and closes the shard. Requests that wait in it are given back to the
+// entries that hold them. An error says that a start may still take effect.
+func (p *Placer) Release(ctx context.Context, name lovagestand.ShardName) error {
 	s, ok := p.shard(name)
 	if !ok {
-		return
+		return nil
 	}
-	s.drain(ctx)
+	return s.drain(ctx)
 }
 
 // Status returns the state of each open shard, for operators.
