--- a/commands/tables/tables_test.go
+++ b/commands/tables/tables_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -122,3 +124,19 @@
 	c.Assert(os.CopyFS(dir, os.DirFS("../../examples/"+user)), qt.IsNil)
 	return dir
 }
+
+// TestReferenceNamesCommands compares the operators' page with the commands.
+func TestReferenceNamesCommands(t *testing.T) {
+	c := qt.New(t)
+	text, err := os.ReadFile("../../docs/operators/tables.md")
+	c.Assert(err, qt.IsNil)
+	for _, sub := range tables.Command(tables.Deps{}).Commands() {
+		c.Assert(string(text), qt.Contains, "lovagestand tables "+sub.Name()+" ")
+		for _, flag := range regexp.MustCompile(`--\w+`).FindAllString(sub.Flags().FlagUsages(), -1) {
+			c.Assert(string(text), qt.Contains, flag)
+		}
+	}
+	for code := range tables.ExitStore + 1 {
+		c.Assert(string(text), qt.Contains, fmt.Sprintf("\n| %d | ", code))
+	}
+}
