instance: limits and quota shares in force

Cause: the limiter and the quota keeper were not connected. Change: the placer tells what teams take and puts their shares in force in one critical section; the instance's limits follow the tables and the member list.

--- a/instance/catalog.go
+++ b/instance/catalog.go
@@ -3,12 +3,14 @@
 import (
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/table"
 )
 
 // catalog shows the tables in force to the placer and the entry.
 type catalog struct {
 	follower *table.Follower
+	quotas   *quota.Keeper
 }
 
 var (
@@ -32,7 +34,7 @@
 }
 
 // Policies implements [lovagestand.Catalog].
-func (c catalog) Policies(lovagestand.ShardName) []lovagestand.Policy {
+func (c catalog) Policies(shard lovagestand.ShardName) []lovagestand.Policy {
 	tables, ok := c.follower.Current()
 	if !ok {
 		return nil
@@ -41,7 +43,7 @@
 	for _, p := range tables.Pools() {
 		policies = append(policies, p.Policy())
 	}
-	return policies
+	return c.quotas.Policies(shard, policies)
 }
 
 // Ready implements [entry.Routes].
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,10 +16,12 @@
 	"lovagestand.example/lovagestand/claim"
 	"lovagestand.example/lovagestand/claim/claimpb"
 	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/member"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/pool/naive"
+	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/table/tablepeer"
@@ -41,6 +43,8 @@
 
 	members   *member.Watcher
 	follower  *table.Follower
+	limiter   *limit.Limiter
+	quotas    *quota.Keeper
 	ownership *peer.Peer
 	homes     *claim.Homes
 	placer    *placer.Placer
@@ -88,7 +92,9 @@
 	i.follower = table.NewFollower(i.deps.Store,
 		table.WithPeers(i.id, i.peers, tablepeer.Puller(i.client, i.Self())),
 		table.WithLogger(i.log))
-	tables := catalog{follower: i.follower}
+	i.limiter = limit.New(limit.WithLogger(i.log))
+	i.quotas = quota.New(i.quotaDeps())
+	tables := catalog{follower: i.follower, quotas: i.quotas}
 	i.ownership = peer.New(i.Self(), i.deps.Store, i.members,
 		peer.WithHooks(i.hooks()),
 		peer.WithUnits(i.units),
@@ -109,7 +115,7 @@
 	i.homes = claim.NewHomes(i.deps.Store, i.ownership)
 	i.entry = entry.New(entry.Deps{
 		Routes:    tables,
-		Limiter:   unlimited{},
+		Limiter:   limits{limiter: i.limiter},
 		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
 		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
@@ -129,14 +135,6 @@
 	return claim.NewRemote(claimpb.NewClaimsProtobufClient("http://"+other.Address, i.client))
 }
 
-// unlimited admits everything.
-type unlimited struct{}
-
-// Admit implements [entry.Limiter].
-func (unlimited) Admit(entry.Route, lovagestand.TeamName) (func(), error) {
-	return func() {}, nil
-}
-
 // readHeaderTimeout bounds how long a connection may take to send a header.
 const readHeaderTimeout = 10 * time.Second
 
@@ -172,6 +170,8 @@
 	i.running.Go(func() { _ = i.follower.Run(ctx) })
 	i.running.Go(func() { i.ownership.Run(ctx) })
 	i.running.Go(func() { i.placer.Run(ctx) })
+	i.running.Go(func() { i.followLimits(ctx) })
+	i.running.Go(func() { i.quotas.Run(ctx) })
 	i.running.Go(func() { _ = i.homes.Run(ctx) })
 	i.running.Go(func() { i.entry.Run(ctx) })
 	go func() { i.served <- i.server.Serve(i.listener) }()
--- /dev/null
+++ b/instance/limits.go
@@ -0,0 +1,98 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/limit"
+	"lovagestand.example/lovagestand/quota"
+	"lovagestand.example/lovagestand/table"
+)
+
+// limits shows the limits in force to the entry.
+type limits struct {
+	limiter *limit.Limiter
+}
+
+// Admit implements [entry.Limiter].
+func (l limits) Admit(route entry.Route, team lovagestand.TeamName) (func(), error) {
+	release, err := l.limiter.Admit(route.Name, team)
+	var refusal *limit.Error
+	var gone *table.GoneError
+	switch {
+	case errors.As(err, &refusal):
+		return nil, &entry.LimitedError{Limit: string(refusal.Kind), RetryAfter: refusal.RetryAfter}
+	case errors.As(err, &gone):
+		return nil, &entry.LimitedError{Limit: gone.Error(), RetryAfter: limit.MinRetryAfter}
+	}
+	return release, err
+}
+
+// followLimits keeps the limits at the tables in force and at the instance's
+// share among the live ones.
+func (i *Instance) followLimits(ctx context.Context) {
+	for {
+		tables, members := i.follower.Changed(), i.members.Changed()
+		if current, found := i.follower.Current(); found {
+			i.limiter.SetTables(current)
+		}
+		i.limiter.SetShare(i.share())
+		select {
+		case <-ctx.Done():
+			return
+		case <-tables:
+		case <-members:
+		}
+	}
+}
+
+// share returns the instance's place among the instances listed.
+func (i *Instance) share() limit.Share {
+	instances := slices.Clone(i.allInstances())
+	slices.SortFunc(instances, func(a, b lovagestand.Instance) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	index := slices.IndexFunc(instances, func(o lovagestand.Instance) bool { return o.ID == i.id })
+	return limit.Share{Index: max(index, 0), Live: max(len(instances), 1)}
+}
+
+// quotaDeps connects the keeper of quota shares.
+func (i *Instance) quotaDeps() quota.Deps {
+	return quota.Deps{
+		Store:  i.deps.Store,
+		Tables: i.follower.Current,
+		Shards: func() []quota.Shard { return i.placer.QuotaShards() },
+		Known:  i.shardsOf,
+		Live:   func() int { return i.share().Live },
+		Seed:   xxhash.Sum64String(string(i.id)),
+		Log:    i.log,
+	}
+}
+
+// shardsOf returns the shards that have workers of a pool, sorted.
+func (i *Instance) shardsOf(pool lovagestand.PoolName) []lovagestand.ShardName {
+	tables, found := i.follower.Current()
+	if !found {
+		return nil
+	}
+	var shards []lovagestand.ShardName
+	for _, w := range i.allWorkers() {
+		if p, serves := tables.PoolOf(w); serves && p == pool {
+			shards = append(shards, w.Shard())
+		}
+	}
+	slices.Sort(shards)
+	return slices.Compact(shards)
+}
+
+// allWorkers returns the workers on the member list.
+func (i *Instance) allWorkers() []lovagestand.Worker {
+	members, _ := i.members.Current()
+	return members.Workers
+}
--- /dev/null
+++ b/placer/quota.go
@@ -0,0 +1,62 @@
+package placer
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/quota"
+)
+
+// usages is what teams take, by pool.
+type usages map[lovagestand.PoolName]map[lovagestand.TeamName]quota.Usage
+
+// QuotaShards returns the open shards as a [quota.Keeper] sees them.
+func (p *Placer) QuotaShards() []quota.Shard {
+	var shards []quota.Shard
+	for _, s := range p.sorted() {
+		shards = append(shards, quota.Shard{Name: s.name, Epoch: s.epoch, Refresh: s.refreshQuotas})
+	}
+	return shards
+}
+
+// refreshQuotas puts the policies in force and returns what teams take under
+// them; false while the shard does not know of all that may run in it.
+func (s *shard) refreshQuotas() (map[lovagestand.PoolName]map[lovagestand.TeamName]quota.Usage, bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isReady {
+		return nil, false
+	}
+	for _, lapse := range s.unread {
+		if now.Before(lapse) {
+			return nil, false
+		}
+	}
+	s.decider.SetPolicies(s.deps.Catalog.Policies(s.name))
+	taken := usages{}
+	for _, p := range s.parts {
+		taken.add(p)
+	}
+	s.poke()
+	return taken, true
+}
+
+// add counts one part.
+func (u usages) add(p *part) {
+	if p.state == partEnded || p.state == partBlocked {
+		return
+	}
+	teams := u[p.task.Pool]
+	if teams == nil {
+		teams = map[lovagestand.TeamName]quota.Usage{}
+		u[p.task.Pool] = teams
+	}
+	usage := teams[p.task.Team]
+	if p.state == partQueued {
+		usage = usage.WithWaiting(p.task.Resources)
+	} else {
+		usage.Running = usage.Running.Add(p.task.Resources)
+	}
+	teams[p.task.Team] = usage
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -13,10 +13,19 @@
 	Running lovagestand.Resources
 	// Waiting is the sum over the tasks that wait.
 	Waiting lovagestand.Resources
-	// Next is what the task takes that would start next.
+	// Next is what the smallest waiting task takes.
 	Next lovagestand.Resources
 }
 
+// WithWaiting returns a copy of u in which one more task waits.
+func (u Usage) WithWaiting(task lovagestand.Resources) Usage {
+	if u.Waiting.IsZero() || task.Fits(u.Next) {
+		u.Next = task
+	}
+	u.Waiting = u.Waiting.Add(task)
+	return u
+}
+
 // demand is all that the shard could use.
 func (u Usage) demand() lovagestand.Resources {
 	return u.Running.Add(u.Waiting)
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -56,9 +56,9 @@
 	usage := map[lovagestand.TeamName]quota.Usage{}
 	for _, t := range r.keeper.Policies(r.name, []lovagestand.Policy{r.policy})[0].Teams {
 		r.limits[t.Team] = *t.Quota
-		u := quota.Usage{Running: sumOf(r.running[t.Team]), Waiting: sumOf(r.waiting[t.Team])}
-		if len(r.waiting[t.Team]) > 0 {
-			u.Next = sumOf(r.waiting[t.Team][smallest(r.waiting[t.Team]):][:1])
+		u := quota.Usage{Running: sumOf(r.running[t.Team])}
+		for i := range r.waiting[t.Team] {
+			u = u.WithWaiting(sumOf(r.waiting[t.Team][i : i+1]))
 		}
 		usage[t.Team] = u
 	}
