claim, entry: late copies of a request are not another try

Cause: a copy of a request held up at a paused instance claimed a new attempt after the caller had been told elsewhere that it did not run. Change: claims carry when the request reached its entry; a copy whose caller hung up is not begun. A test causes it.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -80,6 +80,10 @@
 	// Retention is how long the claim is kept once settled; DefaultRetention
 	// if shorter than that.
 	Retention time.Duration
+	// Submitted is when the caller's request reached the instance; zero stands
+	// for now. A request from before the key was said not to have run is not
+	// another try, but a late copy of the one answered.
+	Submitted time.Time
 	// Rerun asks for another attempt if the last one ended without being done.
 	// Set it only for idempotent requests.
 	Rerun bool
@@ -162,6 +166,13 @@
 	}
 }
 
+// answers reports whether the claim's word that it did not run is the answer
+// to a request too: one submitted before the word was given.
+func (c Claim) answers(r Request) bool {
+	late := !r.Submitted.IsZero() && !r.Submitted.After(c.Touched.Add(ClockMargin))
+	return c.Outcome == lovagestand.OutcomeNotRun && late
+}
+
 // Settlement says what became of a claimed task.
 type Settlement struct {
 	// ID is the ID of the settling holder's [Request]; empty for the owner of
--- a/claim/grant.go
+++ b/claim/grant.go
@@ -80,7 +80,7 @@
 	if known && e.claim.Fingerprint != r.Fingerprint {
 		return wait{}, &MismatchError{Key: r.Key, Asked: r.Fingerprint, Found: e.claim.Fingerprint}
 	}
-	fresh := !known || e.claim.repeatable(r.Rerun)
+	fresh := !known || e.claim.repeatable(r.Rerun) && !e.claim.answers(r)
 	if fresh {
 		reason := h.obstacle(r, now)
 		if reason != "" && known && e.claim.mayHaveRun() {
--- a/claim/home_test.go
+++ b/claim/home_test.go
@@ -221,3 +221,21 @@
 		})
 	}
 }
+
+func TestLateCopyIsNotAnotherTry(t *testing.T) {
+	inTime(t, func(c *qt.C, _ *fakeStore, h *Home) {
+		late := request("2", "order")
+		late.Submitted = time.Now()
+		first := claimed(c, h, request("1", "order"))
+		time.Sleep(time.Second)
+		_, err := h.Settle(Settlement{ID: "1", Key: first.Key, Task: first.Task, Outcome: lovagestand.OutcomeNotRun})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Minute)
+		got := claimed(c, h, late)
+		c.Assert(got.Attempt, qt.Equals, 1)
+		c.Assert(got.Outcome, qt.Equals, lovagestand.OutcomeNotRun)
+		again := request("3", "order")
+		again.Submitted = time.Now()
+		c.Assert(claimed(c, h, again).Attempt, qt.Equals, 2)
+	})
+}
--- a/claim/service.go
+++ b/claim/service.go
@@ -31,6 +31,7 @@
 		StartBy:     timeOf(m.StartBy),
 		Retention:   time.Duration(m.Retention),
 		Rerun:       m.Rerun,
+		Submitted:   timeOf(m.Submitted),
 	}))
 }
 
@@ -67,6 +68,7 @@
 		StartBy:     nanos(q.StartBy),
 		Retention:   int64(q.Retention),
 		Rerun:       q.Rerun,
+		Submitted:   nanos(q.Submitted),
 	}))
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -15,6 +16,10 @@
 	submitted   time.Time
 	release     func()
 
+	// abandoned says that the caller who brought the request hung up before
+	// anything was said to them.
+	abandoned atomic.Bool
+
 	mu        sync.Mutex
 	answer    lovagestand.Answer
 	done      chan struct{}
--- a/entry/deps.go
+++ b/entry/deps.go
@@ -79,12 +79,24 @@
 	Settled *lovagestand.Answer
 }
 
+// ClaimRequest asks for the claim of a request's key.
+type ClaimRequest struct {
+	Request     lovagestand.Request
+	Fingerprint uint64
+	// Shard is where the request is to run if the key is new.
+	Shard lovagestand.ShardName
+	// Idempotent says that the request may be tried again if it failed.
+	Idempotent bool
+	// Submitted is when the request reached this entry.
+	Submitted time.Time
+}
+
 // Claims grants claims.
 type Claims interface {
 	// Claim returns the claim of a request's key, granting one if it has none.
 	// It fails with a [MismatchError], with a [DoubtError] where the request
 	// may run through another instance, and else surely grants nothing.
-	Claim(ctx context.Context, request lovagestand.Request, fingerprint uint64, target lovagestand.ShardName, idempotent bool) (Claim, error)
+	Claim(ctx context.Context, r ClaimRequest) (Claim, error)
 	// Settle records the answer to a claimed request and returns the one to
 	// give: not run only if nobody can run the attempt any more.
 	Settle(ctx context.Context, claim Claim, answer lovagestand.Answer) lovagestand.Answer
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -156,6 +156,7 @@
 		if c.fingerprint != mark {
 			return nil, &MismatchError{Key: request.Key}
 		}
+		c.abandoned.Store(false)
 		return c, nil
 	}
 	if e.stopping {
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -145,8 +145,8 @@
 }
 
 // Claim implements [entry.Claims].
-func (f *free) Claim(_ context.Context, r lovagestand.Request, _ uint64, target lovagestand.ShardName, _ bool) (entry.Claim, error) {
-	return entry.Claim{Created: time.Now(), Task: "claimed", Shard: target, StartBy: r.StartBy, Fresh: f.fresh}, nil
+func (f *free) Claim(_ context.Context, r entry.ClaimRequest) (entry.Claim, error) {
+	return entry.Claim{Created: time.Now(), Task: "claimed", Shard: r.Shard, StartBy: r.Request.StartBy, Fresh: f.fresh}, nil
 }
 
 // Settle implements [entry.Claims].
--- a/entry/http.go
+++ b/entry/http.go
@@ -92,7 +92,10 @@
 		writeError(w, err)
 		return
 	}
-	writeAnswer(w, c.await(r.Context(), wait))
+	stop := context.AfterFunc(r.Context(), func() { c.abandoned.Store(true) })
+	answer := c.await(r.Context(), wait)
+	stop()
+	writeAnswer(w, answer)
 }
 
 func (e *Entry) serveGet(w http.ResponseWriter, r *http.Request) {
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -33,6 +33,10 @@
 	// known.
 	defaultRetryAfter = time.Second
 
+	// hangUpGrace is how long a claimed request waits before it is begun, so
+	// that a copy which was held up on its way is found to have no caller.
+	hangUpGrace = 5 * time.Millisecond
+
 	cancelledReason = "cancelled by the caller"
 )
 
@@ -120,7 +124,16 @@
 	if err != nil {
 		return refusal(c, err)
 	}
-	granted, err := e.deps.Claims.Claim(ctx, c.request, c.fingerprint, target.Shard, c.route.Idempotent)
+	if pause(ctx, hangUpGrace) && c.abandoned.Load() {
+		return lovagestand.NotRun(c.request.Key, "the caller hung up before it was taken", defaultRetryAfter)
+	}
+	granted, err := e.deps.Claims.Claim(ctx, ClaimRequest{
+		Request:     c.request,
+		Fingerprint: c.fingerprint,
+		Shard:       target.Shard,
+		Idempotent:  c.route.Idempotent,
+		Submitted:   c.submitted,
+	})
 	if err != nil {
 		c.vouched = true
 		return refusal(c, err)
--- a/instance/claims.go
+++ b/instance/claims.go
@@ -25,18 +25,19 @@
 var _ entry.Claims = claims{}
 
 // Claim implements [entry.Claims].
-func (c claims) Claim(ctx context.Context, r lovagestand.Request, fingerprint uint64, target lovagestand.ShardName, idempotent bool) (entry.Claim, error) {
+func (c claims) Claim(ctx context.Context, r entry.ClaimRequest) (entry.Claim, error) {
 	id := uuid.NewString()
 	granted, err := c.client.Claim(ctx, claim.Request{
 		ID:          id,
-		Key:         r.Key,
-		Fingerprint: fingerprint,
-		Shard:       target,
-		StartBy:     r.StartBy,
-		Rerun:       idempotent,
+		Key:         r.Request.Key,
+		Fingerprint: r.Fingerprint,
+		Shard:       r.Shard,
+		StartBy:     r.Request.StartBy,
+		Submitted:   r.Submitted,
+		Rerun:       r.Idempotent,
 	})
 	if err != nil {
-		return entry.Claim{}, claimError(r.Key, err)
+		return entry.Claim{}, claimError(r.Request.Key, err)
 	}
 	g := entry.Claim{
 		ID:      id,
@@ -47,7 +48,7 @@
 		Fresh:   granted.Sole,
 	}
 	if granted.Settled() {
-		g.Settled = &lovagestand.Answer{Key: r.Key, Outcome: granted.Outcome, Reason: granted.Reason, Task: granted.Task}
+		g.Settled = &lovagestand.Answer{Key: r.Request.Key, Outcome: granted.Outcome, Reason: granted.Reason, Task: granted.Task}
 	}
 	return g, nil
 }
