--- a/instance/cell_test.go
+++ b/instance/cell_test.go
@@ -34,6 +34,7 @@
 
 // newCell returns a cell of glazedesk with one instance in each region.
 func newCell(t *testing.T) *cell {
+	t.Parallel()
 	firm := fleet.Glazedesk().WithWorkers(6)
 	specs := firm.Specs()
 	c := &cell{
@@ -119,7 +120,9 @@
 		Key:   key,
 		Route: "counter-quote",
 		Team:  "showroom",
-		Body:  fleet.Work{RunFor: fleet.Span(5 * time.Millisecond), AnswerBytes: 3000}.Body(),
+		// A busy machine must not decide the verdict.
+		StartWithin: "1m",
+		Body:        fleet.Work{RunFor: fleet.Span(5 * time.Millisecond), AnswerBytes: 3000}.Body(),
 	}
 }
 
