pool: room made ten times a second, much smaller tasks give way to old ones

Cause: tasks of half a worker waited for minutes, and a scan for room over 1,900 workers took up to 25 ms. Change: room is made for one task of a class each 100 ms, over at most 64 workers; batch that waited a minute displaces tasks a quarter its size.

--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -17,6 +17,10 @@
 // tasksPerWorker times 1,900 workers is 47,500 tasks.
 const tasksPerWorker = 25
 
+// roomy and crowded are processors of a worker, in thousandths: the tasks fit
+// well, or some always wait.
+const roomy, crowded = 28000, 22000
+
 var contenders = []struct {
 	name string
 	make func() lovagestand.Decider
@@ -38,12 +42,21 @@
 				continue
 			}
 			b.Run(fmt.Sprintf("%s/workers=%d", c.name, workers), func(b *testing.B) {
-				benchmark(b, newLoad(c.make(), workers))
+				benchmark(b, newLoad(c.make(), workers, roomy))
 			})
 		}
 	}
 }
 
+// BenchmarkBacklog measures a decision of a cell in which tasks always wait.
+func BenchmarkBacklog(b *testing.B) {
+	l := newLoad(pool.New("s"), 1900, crowded)
+	for range 200_000 {
+		l.turn()
+	}
+	benchmark(b, l)
+}
+
 func benchmark(b *testing.B, l *load) {
 	b.ReportAllocs()
 	var slow []time.Duration
@@ -53,6 +66,7 @@
 		slow = append(slow, time.Since(started))
 	}
 	slices.Sort(slow)
+	b.ReportMetric(float64(slow[len(slow)-1].Nanoseconds()), "worst-ns")
 	b.ReportMetric(float64(slow[len(slow)*99/100].Nanoseconds()), "p99-ns")
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "decisions/s")
 	b.ReportMetric(float64(l.started)/float64(b.N), "starts/op")
@@ -70,14 +84,14 @@
 	started   int
 }
 
-func newLoad(d lovagestand.Decider, workers int) *load {
+func newLoad(d lovagestand.Decider, workers int, milliCPU int64) *load {
 	l := &load{decider: d, random: rand.New(rand.NewPCG(1, 2)), now: began}
 	for i := range workers {
 		d.SetWorker(l.now, lovagestand.Worker{
 			Name: lovagestand.WorkerName(fmt.Sprintf("w%d", i)), Slots: 40,
 			FailureDomain: lovagestand.FailureDomain(fmt.Sprintf("d%d", i/8%13)),
 			Rack:          lovagestand.RackName(fmt.Sprintf("r%d", i/8)),
-			Capacity:      lovagestand.Resources{MilliCPU: 28000, MemoryMiB: 131072, Accelerators: int64(i % 2 * 4)},
+			Capacity:      lovagestand.Resources{MilliCPU: milliCPU, MemoryMiB: 131072, Accelerators: int64(i % 2 * 4)},
 		}, "cell")
 	}
 	for i := range workers * tasksPerWorker * 12 / 10 {
@@ -120,12 +134,16 @@
 	l.unused = append(l.unused, l.running[i])
 	l.running[i] = l.running[len(l.running)-1]
 	l.running = l.running[:len(l.running)-1]
-	if err := l.decider.Submit(l.now, l.task()); err != nil {
-		panic(err)
+	if t := l.task(); l.decider.Submit(l.now, t) != nil {
+		l.unused = append(l.unused, t.ID)
 	}
 	l.decisions = l.decider.Decide(l.now, l.decisions[:0])
 	for i := range l.decisions {
 		switch l.decisions[i].Kind {
+		case lovagestand.DecisionPreempt:
+			l.decider.Finish(l.now, l.decisions[i].Task.ID, lovagestand.TaskResult{Phase: lovagestand.TaskStopped})
+			l.drop(l.decisions[i].Task.ID)
+			l.unused = append(l.unused, l.decisions[i].Task.ID)
 		case lovagestand.DecisionExpire:
 			l.unused = append(l.unused, l.decisions[i].Task.ID)
 		case lovagestand.DecisionStart:
@@ -149,7 +167,7 @@
 // tasks, their names left out since the caller holds them too.
 func BenchmarkMemory(b *testing.B) {
 	for b.Loop() {
-		l := newLoad(pool.New("s"), 1900)
+		l := newLoad(pool.New("s"), 1900, roomy)
 		held := heap()
 		l.decider = nil
 		b.ReportMetric(float64(held-heap())/(1<<20), "MiB")
@@ -166,7 +184,7 @@
 
 // BenchmarkIdle measures decisions and digests when nothing has changed.
 func BenchmarkIdle(b *testing.B) {
-	l := newLoad(pool.New("s"), 1900)
+	l := newLoad(pool.New("s"), 1900, roomy)
 	l.decider.Decide(l.now, nil)
 	b.Run("decide", func(b *testing.B) {
 		for b.Loop() {
@@ -180,3 +198,10 @@
 		}
 	})
 }
+
+// drop takes a displaced task out of the running ones.
+func (l *load) drop(id lovagestand.TaskID) {
+	i := slices.Index(l.running, id)
+	l.running[i] = l.running[len(l.running)-1]
+	l.running = l.running[:len(l.running)-1]
+}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -22,8 +22,12 @@
 	return decisions
 }
 
-// checkEvery is how often a pool is looked at without a change.
-const checkEvery = time.Second
+const (
+	// checkEvery is how often a pool is looked at without a change.
+	checkEvery = time.Second
+	// roomEvery is how often room is made for one task of each class.
+	roomEvery = 100 * time.Millisecond
+)
 
 func (d *Decider) decidePool(p *state, now time.Time, decisions []lovagestand.Decision) []lovagestand.Decision {
 	n := now.UnixNano()
@@ -41,7 +45,8 @@
 		decisions = d.startAll(p, rank, n, decisions)
 	}
 	decisions = d.displace(p, n, decisions)
-	if check {
+	if n >= p.nextRoom {
+		p.nextRoom = n + int64(roomEvery)
 		decisions = d.makeRoom(p, n, decisions)
 	}
 	return decisions
--- a/pool/displace.go
+++ b/pool/displace.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/worker"
@@ -127,7 +126,20 @@
 	return best
 }
 
+// stoppable puts the tasks of a worker that may be stopped in
+// scratch.victims, largest first.
 func (d *Decider) stoppable(p *state, row worker.Row) []slot {
+	victims := d.collect(p, row)
+	capacity := p.ledger.Capacity(row)
+	slices.SortStableFunc(victims, func(a, b slot) int {
+		return cmp.Compare(d.tasks.at(b).size.DominantShare(capacity), d.tasks.at(a).size.DominantShare(capacity))
+	})
+	return victims
+}
+
+// collect puts the tasks of a worker that may be stopped in scratch.victims,
+// in order of their start.
+func (d *Decider) collect(p *state, row worker.Row) []slot {
 	victims := d.scratch.victims[:0]
 	m := &p.members[row]
 	for s := m.first; s != none; s = d.tasks.at(s).next {
@@ -135,13 +147,6 @@
 			victims = append(victims, s)
 		}
 	}
-	capacity := p.ledger.Capacity(row)
-	slices.SortStableFunc(victims, func(a, b slot) int {
-		return cmp.Compare(d.tasks.at(b).size.DominantShare(capacity), d.tasks.at(a).size.DominantShare(capacity))
-	})
 	d.scratch.victims = victims
 	return victims
 }
-
-// drainAtMost bounds how long a worker is kept for a task while others end.
-const drainAtMost = 10 * time.Minute
--- a/pool/replay/compare/main.go
+++ b/pool/replay/compare/main.go
@@ -30,21 +30,28 @@
 	return l
 }
 
+func wide(l replay.Load) replay.Load {
+	l.Headroom = 0.1
+	return l
+}
+
+func merged(l replay.Load) replay.Load {
+	l.Merged = true
+	return l
+}
+
 func contenders() []contender {
 	return []contender{
 		{"policy", with(), same},
-		{"fixed headroom", with(pool.WithFixedHeadroom()), same},
-		{"no headroom", with(), func(l replay.Load) replay.Load { l.Headroom = 0; return l }},
+		{"headroom 10%", with(), wide},
+		{"headroom 10%, fixed", with(pool.WithFixedHeadroom()), wide},
 		{"no displacing", with(pool.WithoutDisplacing()), same},
 		{"no ageing", with(pool.WithoutAgeing()), same},
 		{"no backfill", with(pool.WithoutBackfill()), same},
 		{"no sharing", with(pool.WithoutSharing()), same},
 		{"first fit", with(pool.WithFirstFit()), same},
 		{"FIFO first-fit", func() lovagestand.Decider { return baseline.New("cell") }, same},
-		{"FIFO, one big worker", func() lovagestand.Decider { return baseline.New("cell") }, func(l replay.Load) replay.Load {
-			l.Merged = true
-			return l
-		}},
+		{"FIFO, one big worker", func() lovagestand.Decider { return baseline.New("cell") }, merged},
 		{"FIFO random", func() lovagestand.Decider { return baseline.New("cell", baseline.WithRandom(1)) }, same},
 	}
 }
@@ -53,13 +60,11 @@
 	seed := flag.Uint64("seed", 1, "seed of the load")
 	offered := flag.Float64("offered", 0.95, "offered load as a fraction of all processors")
 	only := flag.String("only", "", "name of the one contender to run")
-	headroom := flag.Float64("headroom", replay.Standard(1).Headroom, "fraction kept for urgent work")
 	off := flag.Float64("off", 5, "most by which declared sizes and run times are wrong")
 	flag.Parse()
 	load := replay.Standard(*seed)
 	load.Offered = *offered
 	load.Off = *off
-	load.Headroom = *headroom
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "\turgent p50\tp99\tservice p99\tgang p50\tp99\tbatch p50\tp99\tplaced %\tused %\twasted %\tdisplaced\tworst team %\tkept %\tpeak queue\t")
 	for _, c := range contenders() {
--- a/pool/room.go
+++ b/pool/room.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/queue"
@@ -19,35 +18,20 @@
 		return decisions
 	}
 	for rank := rankService; rank <= rankBatch; rank++ {
-		for range makeAtMost {
-			s := d.starved(p, rank, now)
-			if s == none {
-				break
-			}
-			claims := len(p.claims)
+		if s := d.starved(p, rank, now); s != none {
 			decisions = d.makeRoomFor(p, s, now, decisions)
-			if len(p.claims) == claims {
-				break
-			}
 		}
 	}
 	return decisions
 }
 
-// makeAtMost bounds the tasks of a class for which room is made at once.
-const makeAtMost = 8
-
 func (d *Decider) makeRoomFor(p *state, s slot, now int64, decisions []lovagestand.Decision) []lovagestand.Decision {
 	r := d.tasks.at(s)
 	tasks := 1
 	if r.gang >= 0 {
 		tasks = d.gangs.rows[r.gang].size
 	}
-	rows := d.cheapestRows(p, r, tasks, now)
-	if len(rows) > 0 && rows[len(rows)-1].expected > now && d.draining(p, r.rank) {
-		return decisions
-	}
-	for _, c := range rows {
+	for _, c := range d.cheapestRows(p, r, tasks, now) {
 		d.claim(p, claim{claimant: s, row: c.row, until: d.lapse(now, drainAtMost), expected: c.expected, drains: c.expected > now})
 		d.scratch.best = append(d.scratch.best[:0], d.stoppableFor(p, c.row, r)[:c.stop]...)
 		decisions = d.preempt(p, c.row, "displaced by waiting "+string(classes[r.rank])+" task "+string(r.id), decisions)
@@ -56,18 +40,6 @@
 	return decisions
 }
 
-// draining reports whether a worker is kept already for a class until tasks
-// end on it.
-func (d *Decider) draining(p *state, rank int8) bool {
-	for i := range p.claims {
-		c := &p.claims[i]
-		if c.drains && d.tasks.at(c.claimant).rank == rank {
-			return true
-		}
-	}
-	return false
-}
-
 // claiming reports whether a task claims a worker.
 func (d *Decider) claiming(p *state, s slot) bool {
 	if r := d.tasks.at(s); r.gang < 0 {
@@ -108,26 +80,43 @@
 	return found
 }
 
+const (
+	// oldAfter is how many times the age at which room is made a batch task
+	// waits before it may displace smaller ones of any team.
+	oldAfter = 12
+	// smaller is how many times smaller those must be.
+	smaller = 4
+)
+
 // stoppableFor returns the tasks of a worker that may be displaced for r, those
-// of the teams with the largest shares first. A
-// batch task displaces only those of teams that will have more than its own
-// all the same, so that no two displace each other in turn.
+// of the teams with the largest shares first. A batch task displaces only
+// those of teams that will have more than its own all the same, so that no two
+// displace each other in turn; an old one also much smaller ones.
 func (d *Decider) stoppableFor(p *state, row worker.Row, r *record) []slot {
 	if d.options.noDisplacing {
 		return nil
 	}
-	victims := d.stoppable(p, row)
+	victims := d.collect(p, row)
+	if r.rank == rankBatch {
+		victims = d.poorerLeftOut(p, victims, r)
+	}
 	slices.SortStableFunc(victims, func(a, b slot) int {
-		return cmp.Compare(p.accounts.Share(d.tasks.at(b).team), p.accounts.Share(d.tasks.at(a).team))
+		v, w := d.tasks.at(a), d.tasks.at(b)
+		return cmp.Or(cmp.Compare(p.accounts.Share(w.team), p.accounts.Share(v.team)), cmp.Compare(w.size.MilliCPU, v.size.MilliCPU))
 	})
-	if r.rank != rankBatch {
-		return victims
-	}
-	least := p.accounts.Share(r.team) + r.size.DominantShare(p.capacity)
+	return victims
+}
+
+// poorerLeftOut keeps the victims that a batch task may displace.
+func (d *Decider) poorerLeftOut(p *state, victims []slot, r *record) []slot {
+	asked := r.size.DominantShare(p.capacity)
+	least := p.accounts.Share(r.team) + asked
+	old := p.now-r.submitted > oldAfter*int64(d.options.ageAfter)
 	kept := victims[:0]
 	for _, s := range victims {
 		v := d.tasks.at(s)
-		if p.accounts.Share(v.team)-v.size.DominantShare(p.capacity) > least {
+		size := v.size.DominantShare(p.capacity)
+		if p.accounts.Share(v.team)-size > least || old && size*smaller <= asked {
 			kept = append(kept, s)
 		}
 	}
@@ -144,19 +133,63 @@
 	expected int64
 }
 
+// scanAtMost bounds the workers that are looked at for a task alone; the next
+// scan goes on from there.
+const scanAtMost = 64
+
 // cheapestRows returns the workers on which room for tasks tasks like r is
-// made soonest; none if all workers together would not do.
+// made soonest: at once by displacing or, failing that, by letting tasks end
+// unless workers are kept for that already. It returns none if all that it
+// looked at together would not do.
 func (d *Decider) cheapestRows(p *state, r *record, tasks int, now int64) []candidate {
+	rows := d.scan(p, r, tasks)
 	var all []candidate
-	for i := range p.members {
-		row := worker.Row(i)
-		if !p.claimable(row) {
-			continue
+	room := 0
+	for _, row := range rows {
+		c := d.roomOn(p, row, r, tasks, now)
+		if c.tasks > 0 {
+			all = append(all, c)
+		}
+		room += c.tasks
+		if room >= roomyEnough*tasks && len(all) >= scanAtMost {
+			break
 		}
-		if c := d.roomOn(p, row, r, tasks, now); c.tasks > 0 {
+	}
+	if chosen := enough(all, tasks); chosen != nil || d.draining(p, r.rank) {
+		return chosen
+	}
+	for _, row := range rows {
+		if c := d.drained(p, row, r, now); c.tasks > 0 && !slices.ContainsFunc(all, c.same) {
 			all = append(all, c)
 		}
 	}
+	return enough(all, tasks)
+}
+
+// roomyEnough is how many times the room a gang needs is found before the
+// search ends.
+const roomyEnough = 2
+
+// scan returns the workers to look at for r.
+func (d *Decider) scan(p *state, r *record, tasks int) []worker.Row {
+	most := len(p.members)
+	if tasks == 1 {
+		most = min(most, scanAtMost)
+	}
+	var rows []worker.Row
+	for range most {
+		row := worker.Row(p.cursor)
+		p.cursor = (p.cursor + 1) % len(p.members)
+		if p.claimable(row) && r.size.Fits(p.ledger.Capacity(row)) {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// enough returns the first candidates that together hold tasks tasks, those
+// that are ready sooner and displace fewer first; none if all do not.
+func enough(all []candidate, tasks int) []candidate {
 	slices.SortStableFunc(all, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.expected, b.expected), cmp.Compare(a.stop*b.tasks, b.stop*a.tasks))
 	})
@@ -170,11 +203,18 @@
 	return nil
 }
 
-// roomOn tells what room can be made on a worker: at once, by displacing or,
-// failing both for even one task, by letting tasks end.
+// same reports whether c and o are on the same worker.
+func (c candidate) same(o candidate) bool {
+	return c.row == o.row
+}
+
+// roomOn tells what room is on a worker or can be made there by displacing.
 func (d *Decider) roomOn(p *state, row worker.Row, r *record, tasks int, now int64) candidate {
 	c := candidate{row: row, expected: now, tasks: min(p.roomNow(row, r.size), tasks)}
 	free := p.ledger.Free(row)
+	if !r.size.Fits(free.Add(p.members[row].room)) {
+		return c
+	}
 	most, used := p.ledger.Slots(row)
 	for i, s := range d.stoppableFor(p, row, r) {
 		free = free.Add(d.tasks.at(s).size)
@@ -183,57 +223,7 @@
 			c.tasks, c.stop = room, i+1
 		}
 	}
-	if c.tasks > 0 {
-		return c
-	}
-	return d.drained(p, row, r, now)
-}
-
-// drained tells when a worker has room for one task like r if it starts no
-// more.
-func (d *Decider) drained(p *state, row worker.Row, r *record, now int64) candidate {
-	ends := d.ends(p, row, now)
-	free := p.ledger.Free(row)
-	most, used := p.ledger.Slots(row)
-	for i, e := range ends {
-		free = free.Add(e.size)
-		if worker.Times(free, r.size, most-used+i+1) > 0 {
-			return candidate{row: row, tasks: 1, expected: e.at}
-		}
-	}
-	return candidate{row: row}
-}
-
-// ending is when a running task is believed to end.
-type ending struct {
-	at   int64
-	size lovagestand.Resources
-}
-
-// ends returns the tasks of a worker in the order in which they are believed
-// to end, by what was learned of their routes. Services do not end.
-func (d *Decider) ends(p *state, row worker.Row, now int64) []ending {
-	var ends []ending
-	for s := p.members[row].first; s != none; s = d.tasks.at(s).next {
-		r := d.tasks.at(s)
-		if r.rank == rankService {
-			continue
-		}
-		ends = append(ends, ending{r.moment + int64(d.likely(r, now)), r.size})
-	}
-	slices.SortStableFunc(ends, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
-	return ends
-}
-
-// likely returns the run time of a running task that half of its route's
-// tasks keep, or twice what it has run already.
-func (d *Decider) likely(r *record, now int64) time.Duration {
-	times := &d.routes.rows[r.route].runTimes
-	half := times.Quantile(0.5)
-	if ran := time.Duration(now - r.moment); half <= ran {
-		return 2*ran + time.Second
-	}
-	return half
+	return c
 }
 
 // Kept returns what is free on the workers that are kept for waiting tasks.
--- a/pool/state.go
+++ b/pool/state.go
@@ -33,6 +33,8 @@
 	claims      []claim
 	headroom    headroom
 	pace        pace
+	// cursor is the worker to look at next to make room.
+	cursor      int
 	quarantined int
 	probing     int
 	// epoch counts the changes, besides those of the ledger, after which a
@@ -47,6 +49,8 @@
 	sharing   bool
 	resized   bool
 	nextCheck int64
+	// nextRoom is when room is next made for tasks that have waited long.
+	nextRoom int64
 	// now is the time of the decision being made.
 	now int64
 	// capacity is the total of which shares were last taken.
