pool: a refused hold makes room for its gang

Cause: a gang over several owners starved in a full cell, since a refused hold was all that happened. Change: batch is displaced for one refused gang at a time and the workers are kept until it asks again.

--- a/gang.go
+++ b/gang.go
@@ -14,7 +14,8 @@
 type GangDecider interface {
 	Decider
 	// Hold keeps room for all tasks of a hold or fails with a [HoldError].
-	// Holding for a gang again replaces its hold.
+	// Holding for a gang again replaces its hold. After a refusal room is
+	// made for one gang at a time, so that it finds room when it asks again.
 	Hold(now time.Time, hold Hold) error
 	// Commit starts tasks in the room held for a gang and appends the
 	// decisions. It fails with a [HoldError], starting none, where nothing is
--- a/pool/claims.go
+++ b/pool/claims.go
@@ -8,9 +8,12 @@
 	"lovagestand.example/lovagestand/worker"
 )
 
-// claim keeps a worker for a waiting task until it fits there.
+// claim keeps a worker for a waiting task, or for a hold that was refused,
+// until it fits there.
 type claim struct {
+	// claimant is the task; none where hold names the gang.
 	claimant slot
+	hold     string
 	row      worker.Row
 	// until is when the claim lapses.
 	until int64
@@ -31,9 +34,8 @@
 
 // claim keeps a worker for s.
 func (d *Decider) claim(p *state, c claim) {
-	r := d.tasks.at(c.claimant)
-	if r.gang < 0 {
-		r.row = c.row
+	if c.claimant != none && d.tasks.at(c.claimant).gang < 0 {
+		d.tasks.at(c.claimant).row = c.row
 		d.unlist(p, c.claimant)
 	}
 	p.claims = append(p.claims, c)
@@ -69,9 +71,8 @@
 		m := &p.members[c.row]
 		m.claimed = false
 		p.ledger.Close(c.row, m.state == stateProbing)
-		r := d.tasks.at(c.claimant)
-		if r.gang < 0 {
-			r.row = worker.None
+		if c.claimant != none && d.tasks.at(c.claimant).gang < 0 {
+			d.tasks.at(c.claimant).row = worker.None
 			d.list(p, c.claimant)
 		}
 		p.changed = true
@@ -95,6 +96,9 @@
 	found := none
 	for i := range p.claims {
 		s := p.claims[i].claimant
+		if s == none {
+			continue
+		}
 		r := d.tasks.at(s)
 		if r.rank != rank || !d.ready(p, &p.claims[i]) {
 			continue
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -14,6 +14,7 @@
 	n := now.UnixNano()
 	decisions = d.expire(n, decisions)
 	d.expireHolds(now)
+	decisions = d.takePending(decisions)
 	for _, p := range d.sorted {
 		if p.changed || n >= p.nextCheck {
 			decisions = d.decidePool(p, now, decisions)
--- a/pool/decider.go
+++ b/pool/decider.go
@@ -30,6 +30,8 @@
 	holds     map[string]*hold
 	deadlines queue.Deadlines
 	requests  requests
+	// pending are the decisions to be returned next.
+	pending []lovagestand.Decision
 	// waiting counts waiting tasks, sequence all tasks ever submitted.
 	waiting  int
 	sequence int64
--- a/pool/drain.go
+++ b/pool/drain.go
@@ -64,7 +64,7 @@
 func (d *Decider) draining(p *state, rank int8) bool {
 	for i := range p.claims {
 		c := &p.claims[i]
-		if c.drains && d.tasks.at(c.claimant).rank == rank {
+		if c.drains && (c.claimant == none && rank == rankGang || c.claimant != none && d.tasks.at(c.claimant).rank == rank) {
 			return true
 		}
 	}
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -20,7 +20,7 @@
 
 // Hold implements [lovagestand.GangDecider].
 func (d *Decider) Hold(now time.Time, h lovagestand.Hold) error {
-	d.Release(h.Gang)
+	d.giveBack(h.Gang)
 	p := d.pool(h.Pool)
 	fail := func(reason string) error {
 		return &lovagestand.HoldError{Gang: h.Gang, Reason: reason}
@@ -35,10 +35,14 @@
 	case !p.accounts.Allows(id, total):
 		return fail("the team is at its quota")
 	}
+	p.openRoom(h.Gang, true)
 	rows, ok := p.takeRows(h.Resources, h.Tasks)
+	p.openRoom(h.Gang, false)
 	if !ok {
+		d.makeRoomForHold(p, id, &h, now.UnixNano())
 		return fail("not enough is free")
 	}
+	d.dropRoom(p, h.Gang)
 	p.charge(id, rankGang, total)
 	d.holds[h.Gang] = &hold{pool: p.number, team: id, size: h.Resources, rows: rows, until: h.Until}
 	return nil
@@ -119,6 +123,13 @@
 
 // Release implements [lovagestand.GangDecider].
 func (d *Decider) Release(gang string) {
+	d.giveBack(gang)
+	for _, p := range d.pools {
+		d.dropRoom(p, gang)
+	}
+}
+
+func (d *Decider) giveBack(gang string) {
 	h, ok := d.holds[gang]
 	if !ok {
 		return
--- a/pool/policy_test.go
+++ b/pool/policy_test.go
@@ -229,3 +229,23 @@
 	// start g0 w0 <nil>
 	// start g1 w0 <nil>
 }
+
+func TestRefusedHoldFindsRoomLater(t *testing.T) {
+	c := qt.New(t)
+	d := showroom(1)
+	assertSubmits(c, d, began, work("a", "batch", 3))
+	assertDecides(c, d, began, "start a w0")
+	held := lovagestand.Hold{
+		Gang: "roofs", Pool: "showroom", Team: "counter", Tasks: 2, Until: after(9 * time.Second),
+		Resources: lovagestand.Resources{MilliCPU: 2000, MemoryMiB: 64},
+	}
+	var refused *lovagestand.HoldError
+	c.Assert(d.Hold(began, held), qt.ErrorAs, &refused)
+	assertDecides(c, d, began, "preempt a w0")
+	finishAs(d, began, "a", lovagestand.TaskStopped, time.Second)
+	assertSubmits(c, d, began, work("b", "batch", 1))
+	assertDecides(c, d, began)
+	c.Assert(d.Hold(began, held), qt.IsNil)
+	d.Release("roofs")
+	assertDecides(c, d, began, "start b w0")
+}
