pool: a displaced task ages anew

Cause: displaced tasks counted as old at once and displaced others in chains. Change: ageing counts from the submission to this decider.

--- a/pool/decider.go
+++ b/pool/decider.go
@@ -119,6 +119,7 @@
 	r := d.tasks.at(s)
 	d.sequence++
 	r.moment = d.sequence
+	r.queued = now.UnixNano()
 	p := d.pools[r.pool]
 	p.waiting[r.rank]++
 	p.changed = true
--- a/pool/holdroom.go
+++ b/pool/holdroom.go
@@ -16,7 +16,7 @@
 	if d.options.noDisplacing || p.ledger.Known() == 0 {
 		return
 	}
-	r := &record{size: h.Resources, team: id, rank: rankGang, submitted: now}
+	r := &record{size: h.Resources, team: id, rank: rankGang, queued: now}
 	for _, c := range d.cheapestRows(p, r, h.Tasks, now) {
 		d.claim(p, claim{
 			claimant: none, hold: h.Gang, row: c.row, until: d.lapse(now, 0),
--- a/pool/record.go
+++ b/pool/record.go
@@ -23,8 +23,11 @@
 	key       lovagestand.RequestKey
 	size      lovagestand.Resources
 	submitted int64
-	startBy   int64
-	runTime   time.Duration
+	// queued is when the task was submitted here. A displaced task ages anew,
+	// so that displaced tasks do not displace others in chains.
+	queued  int64
+	startBy int64
+	runTime time.Duration
 	// moment is the sequence of a waiting task and the start of a placed one.
 	moment int64
 	route  int32
--- a/pool/replay/compare/main.go
+++ b/pool/replay/compare/main.go
@@ -66,7 +66,7 @@
 	load.Offered = *offered
 	load.Off = *off
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "\turgent p50\tp99\tservice p99\tgang p50\tp99\tbatch p50\tp99\tplaced %\tused %\twasted %\tdisplaced\tworst team %\tkept %\tpeak queue\t")
+	fmt.Fprintln(w, "\turgent p50\tp99\tservice p99\tgang p50\tp99\tbatch p50\tp99\tplaced %\tuseful %\twasted %\tdisplaced\tworst team %\tkept %\tpeak queue\t")
 	for _, c := range contenders() {
 		if *only != "" && *only != c.name {
 			continue
@@ -96,7 +96,7 @@
 		fmt.Fprintf(w, "%s\t", seconds(r.Wait(q.class, q.quantile)))
 	}
 	fmt.Fprintf(w, "%.1f\t%.1f\t%.2f\t%d\t%.1f\t%.2f\t%d\t\n",
-		100*r.Placed, 100*r.Used, 100*r.Wasted, r.Preempted, 100*r.WorstTeam, 100*r.Kept, r.Peak)
+		100*r.Placed, 100*r.Used*(1-r.Wasted), 100*r.Wasted, r.Preempted, 100*r.WorstTeam, 100*r.Kept, r.Peak)
 }
 
 func seconds(d time.Duration) string {
--- a/pool/room.go
+++ b/pool/room.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		for _, n := range p.queue.Heads(g) {
-			waited := now - d.tasks.at(slot(n.Item)).submitted
+			waited := now - d.tasks.at(slot(n.Item)).queued
 			if waited < int64(d.options.ageAfter) || !p.accounts.Allows(n.Team, totalOf(shape)) {
 				continue
 			}
@@ -111,7 +111,7 @@
 func (d *Decider) poorerLeftOut(p *state, victims []slot, r *record) []slot {
 	asked := r.size.DominantShare(p.capacity)
 	least := p.accounts.Share(r.team) + asked
-	old := p.now-r.submitted > oldAfter*int64(d.options.ageAfter)
+	old := p.now-r.queued > oldAfter*int64(d.options.ageAfter)
 	kept := victims[:0]
 	for _, s := range victims {
 		v := d.tasks.at(s)
