--- a/audit/callers.go
+++ b/audit/callers.go
@@ -8,13 +8,14 @@
 	"lovagestand.example/lovagestand"
 )
 
-// Asked notes a request before its caller sends it for the first time.
-func (a *Auditor) Asked(key lovagestand.RequestKey, body []byte) {
+// Asked notes a request before its caller sends it for the first time; due is
+// the body of the whole answer to it.
+func (a *Auditor) Asked(key lovagestand.RequestKey, due []byte) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	w := a.work(key)
 	w.asked = true
-	w.body = slices.Clone(body)
+	w.due = slices.Clone(due)
 }
 
 // Answered judges what the caller of a key was told.
@@ -36,30 +37,29 @@
 	case lovagestand.OutcomeDone:
 		a.judgeBody(v, w, answer.Body)
 	case lovagestand.OutcomeNotRun:
-		a.judgeNotRun(v, w)
+		a.judgeNotRun(v, w, answer.Reason)
 	}
 }
 
 func (a *Auditor) judgeBody(v Violation, w *work, body []byte) {
-	want := a.expected(v.Key, w.body)
-	if bytes.Equal(body, want) {
+	if bytes.Equal(body, w.due) {
 		return
 	}
 	v.Kind = KindWrongAnswer
-	if bytes.HasPrefix(want, body) {
-		a.violate(v, "only %d of %d bytes came", len(body), len(want))
+	if bytes.HasPrefix(w.due, body) {
+		a.violate(v, "only %d of %d bytes came", len(body), len(w.due))
 		return
 	}
-	a.violate(v, "%d bytes came that are not the %d due", len(body), len(want))
+	a.violate(v, "%d bytes came that are not the %d due", len(body), len(w.due))
 }
 
-func (a *Auditor) judgeNotRun(v Violation, w *work) {
+func (a *Auditor) judgeNotRun(v Violation, w *work, reason string) {
 	w.notRun = true
 	if w.starts == 0 {
 		return
 	}
 	v.Kind = KindFalseNotRun
-	a.violate(v, "the caller was told so after %d starts", w.starts)
+	a.violate(v, "the caller was told so after %d starts: %s", w.starts, reason)
 }
 
 // CutOff notes that a planned stop of an instance broke off a request.
