pool: records of 128 bytes again

Change: the time of submission is kept in seconds, and time limits tell tasks apart by the limit itself in place of a version.

--- a/pool/decider.go
+++ b/pool/decider.go
@@ -120,13 +120,13 @@
 	r := d.tasks.at(s)
 	d.sequence++
 	r.moment = d.sequence
-	r.queued = now.UnixNano()
+	r.queued = uint32(now.Unix())
 	p := d.pools[r.pool]
 	p.waiting[r.rank]++
 	p.changed = true
 	d.waiting++
 	if r.startBy != noTime {
-		d.deadlines.Add(queue.Deadline{At: r.startBy, Item: queue.Item(s), Version: r.version})
+		d.deadlines.Add(queue.Deadline{At: r.startBy, Item: queue.Item(s)})
 	}
 	if r.gang >= 0 {
 		d.join(s)
@@ -187,10 +187,11 @@
 	d.deadlines.Sweep(d.waiting, d.limits)
 }
 
-// limits reports whether a time limit still matters.
+// limits reports whether a time limit still matters. Its slot may hold a later
+// task by now, whose own limit it is then only if it is the same.
 func (d *Decider) limits(l queue.Deadline) bool {
 	r := d.tasks.at(slot(l.Item))
-	return r.version == l.Version && taskChart.Allows(r.state, eventExpire)
+	return r.startBy == l.At && taskChart.Allows(r.state, eventExpire)
 }
 
 // Finish implements [lovagestand.Decider].
--- a/pool/holdroom.go
+++ b/pool/holdroom.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/team"
 )
@@ -16,7 +18,7 @@
 	if d.options.noDisplacing || p.ledger.Known() == 0 {
 		return
 	}
-	r := &record{size: h.Resources, team: id, rank: rankGang, queued: now}
+	r := &record{size: h.Resources, team: id, rank: rankGang, queued: uint32(now / int64(time.Second))}
 	for _, c := range d.cheapestRows(p, r, h.Tasks, now) {
 		d.claim(p, claim{
 			claimant: none, hold: h.Gang, row: c.row, until: d.lapse(now, 0),
--- a/pool/record.go
+++ b/pool/record.go
@@ -23,11 +23,8 @@
 	key       lovagestand.RequestKey
 	size      lovagestand.Resources
 	submitted int64
-	// queued is when the task was submitted here. A displaced task ages anew,
-	// so that displaced tasks do not displace others in chains.
-	queued  int64
-	startBy int64
-	runTime time.Duration
+	startBy   int64
+	runTime   time.Duration
 	// moment is the sequence of a waiting task and the start of a placed one.
 	moment int64
 	route  int32
@@ -39,11 +36,14 @@
 	row worker.Row
 	// prev and next link the tasks of a worker, or the waiting urgent tasks.
 	prev, next slot
-	version    uint32
-	pool       uint16
-	rank       int8
-	state      chart.State
-	flags      flags
+	// queued is when the task was submitted here, in seconds since 1970. A
+	// displaced task ages anew, so that displaced tasks do not displace others
+	// in chains.
+	queued uint32
+	pool   uint16
+	rank   int8
+	state  chart.State
+	flags  flags
 }
 
 // flags are the yes-or-no properties of a task.
@@ -141,12 +141,11 @@
 	p := d.pool(t.Pool)
 	s := d.tasks.open(t.ID)
 	r := d.tasks.at(s)
-	version := r.version + 1
 	*r = record{
 		id: t.ID, key: t.Key, size: t.Resources, submitted: nanoseconds(t.Submitted),
 		startBy: nanoseconds(t.StartBy), runTime: t.RunTime, route: d.routes.id(t.Route),
 		gang: -1, team: p.team(t.Team), ticket: -1, row: worker.None, prev: none, next: none,
-		version: version, pool: p.number, rank: rankOf(t.Class), state: taskChart.Initial(),
+		pool: p.number, rank: rankOf(t.Class), state: taskChart.Initial(),
 		flags: flagsOf(t),
 	}
 	if t.Gang != "" {
@@ -173,3 +172,8 @@
 	}
 	r.state = next
 }
+
+// age returns how long a task has waited here, to the second.
+func (r *record) age(now int64) time.Duration {
+	return time.Duration(now) - time.Duration(r.queued)*time.Second
+}
--- a/pool/room.go
+++ b/pool/room.go
@@ -69,8 +69,7 @@
 		}
 		d.scratch.heads = p.queue.Heads(g, starvedAmong, d.scratch.heads[:0])
 		for _, n := range d.scratch.heads {
-			waited := now - d.tasks.at(slot(n.Item)).queued
-			if waited < int64(d.options.ageAfter) || !p.accounts.Allows(n.Team, totalOf(shape)) {
+			if d.tasks.at(slot(n.Item)).age(now) < d.options.ageAfter || !p.accounts.Allows(n.Team, totalOf(shape)) {
 				continue
 			}
 			if d.claiming(p, slot(n.Item)) {
@@ -115,7 +114,7 @@
 func (d *Decider) poorerLeftOut(p *state, victims []slot, r *record) []slot {
 	asked := r.size.DominantShare(p.capacity)
 	least := p.accounts.Share(r.team) + asked
-	old := p.now-r.queued > oldAfter*int64(d.options.ageAfter)
+	old := r.age(p.now) > oldAfter*d.options.ageAfter
 	kept := victims[:0]
 	for _, s := range victims {
 		v := d.tasks.at(s)
--- a/pool/table.go
+++ b/pool/table.go
@@ -121,7 +121,6 @@
 	t.cells[i].slot = none
 	r.id = ""
 	r.key = ""
-	r.version++
 	t.unused = append(t.unused, s)
 	t.count--
 }
--- a/queue/deadlines.go
+++ b/queue/deadlines.go
@@ -6,12 +6,10 @@
 	heap []Deadline
 }
 
-// Deadline is an item's time limit, in nanoseconds since 1970. Version tells
-// an item from a later one of the same number.
+// Deadline is an item's time limit, in nanoseconds since 1970.
 type Deadline struct {
-	At      int64
-	Item    Item
-	Version uint32
+	At   int64
+	Item Item
 }
 
 // sweepAt is the fewest limits that are worth sweeping.
