owner: takeover and handover follow state charts in files

Cause: house style wants state charts in files that the code interprets. Change: takeover.yaml and handover.yaml, read through package chart; behaviour as before.

--- /dev/null
+++ b/owner/charts.go
@@ -0,0 +1,54 @@
+package owner
+
+import (
+	_ "embed" // The charts are files that the program carries.
+
+	"lovagestand.example/lovagestand/chart"
+)
+
+var (
+	//go:embed takeover.yaml
+	takeoverFile []byte
+	//go:embed handover.yaml
+	handoverFile []byte
+
+	takeoverChart = mustParse(takeoverFile)
+	handoverChart = mustParse(handoverFile)
+)
+
+// The states and events of a takeover that the code asks about.
+var (
+	takeoverChecking = takeoverChart.MustState("checking")
+	takeoverSealing  = takeoverChart.MustState("sealing")
+	takeoverReady    = takeoverChart.MustState("ready")
+	takeoverAnswer   = takeoverChart.MustEvent("answer")
+	takeoverConsent  = takeoverChart.MustEvent("consent")
+	takeoverWithdraw = takeoverChart.MustEvent("withdraw")
+)
+
+// The states and events of a handover that the code asks about.
+var (
+	handoverJoining = handoverChart.MustState("joining")
+	handoverWarming = handoverChart.MustState("warming")
+	handoverPassing = handoverChart.MustState("passing")
+	handoverJoin    = handoverChart.MustEvent("join")
+	handoverWarm    = handoverChart.MustEvent("warm")
+	handoverChoose  = handoverChart.MustEvent("choose")
+	handoverRelease = handoverChart.MustEvent("release")
+	handoverDesist  = handoverChart.MustEvent("desist")
+)
+
+func mustParse(data []byte) *chart.Chart {
+	c, err := chart.Parse(data)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// follow moves a state along its chart; false if the event is not allowed in it.
+func follow(c *chart.Chart, state *chart.State, e chart.Event) bool {
+	next, err := c.Next(*state, e)
+	*state = next
+	return err == nil
+}
--- a/owner/group.go
+++ b/owner/group.go
@@ -93,7 +93,7 @@
 // regroup returns the entry by which an owner follows itself with better
 // standbys; false if there is no need.
 func (n *Node) regroup(now time.Time, s *seat) (Entry, bool) {
-	if s.handover != nil && s.handover.stage != stageJoining || !n.confirmed(now) {
+	if s.handover != nil && s.handover.stage != handoverJoining || !n.confirmed(now) {
 		return Entry{}, false
 	}
 	var must lovagestand.InstanceID
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -4,27 +4,13 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
-)
-
-type handoverStage int
-
-const (
-	// stageJoining makes the successor a standby.
-	stageJoining handoverStage = iota + 1
-	// stageWarming waits until the successor is ready; the owner goes on.
-	stageWarming
-	// stageChecking reads the store, to choose how to pass.
-	stageChecking
-	// stageReleasing waits for the starts under way.
-	stageReleasing
-	// stagePassing has given up the right and writes the next entry.
-	stagePassing
+	"lovagestand.example/lovagestand/chart"
 )
 
 // handover is an owner's try to pass a shard to a successor.
 type handover struct {
 	to    lovagestand.InstanceID
-	stage handoverStage
+	stage chart.State
 	since time.Time
 	read  uint64
 	// byHand passes without the store.
@@ -37,15 +23,15 @@
 
 // due reports whether the next entry may be written or passed.
 func (h *handover) due(now time.Time) bool {
-	return h.stage == stagePassing && !now.Before(h.from)
+	return h.stage == handoverPassing && !now.Before(h.from)
 }
 
 // handOver begins to pass an owned shard.
 func (n *Node) handOver(now time.Time, s *seat, to lovagestand.InstanceID) {
-	h := &handover{to: to, stage: stageJoining, since: now}
+	h := &handover{to: to, stage: handoverChart.Initial(), since: now}
 	s.handover = h
 	if s.entry.HasStandby(to) {
-		h.stage = stageWarming
+		follow(handoverChart, &h.stage, handoverJoin)
 	}
 }
 
@@ -53,18 +39,18 @@
 // leaves the owner as it was, to try again later.
 func (n *Node) passOn(now time.Time, s *seat) {
 	h := s.handover
-	if h.stage < stageReleasing && (now.Sub(h.since) > n.timing.Warm || !n.usable(now, h.to)) {
+	if handoverChart.Allows(h.stage, handoverDesist) && (now.Sub(h.since) > n.timing.Warm || !n.usable(now, h.to)) {
 		n.desist(now, s)
 		return
 	}
 	switch h.stage {
-	case stageJoining:
+	case handoverJoining:
 		if s.entry.HasStandby(h.to) {
-			h.stage = stageWarming
+			follow(handoverChart, &h.stage, handoverJoin)
 		}
-	case stageWarming:
+	case handoverWarming:
 		n.send(h.to, Message{Kind: KindWarm, Entry: s.entry})
-	case stagePassing:
+	case handoverPassing:
 		if h.byHand && h.due(now) {
 			n.send(h.to, Message{Kind: KindPass, Entry: h.next, ByHand: true})
 		}
@@ -72,6 +58,7 @@
 }
 
 func (n *Node) desist(now time.Time, s *seat) {
+	follow(handoverChart, &s.handover.stage, handoverDesist)
 	s.handover = nil
 	s.resting = now.Add(n.timing.Rebalance)
 	if n.leaving {
@@ -86,8 +73,7 @@
 		return
 	}
 	h := s.handover
-	if h.to == from && h.stage == stageWarming && !s.sent {
-		h.stage = stageChecking
+	if h.to == from && !s.sent && follow(handoverChart, &h.stage, handoverWarm) {
 		h.read = n.read(s.entry.Region)
 	}
 }
@@ -100,8 +86,10 @@
 		n.desist(now, s)
 		return
 	}
+	if !follow(handoverChart, &h.stage, handoverChoose) {
+		return
+	}
 	h.byHand = !ok
-	h.stage = stageReleasing
 	n.effects = append(n.effects, Release{Shard: s.entry.Shard, Epoch: s.entry.Epoch})
 }
 
@@ -109,11 +97,13 @@
 // settled is false where some of them may still begin.
 func (n *Node) ReleaseDone(now time.Time, shard lovagestand.ShardName, epoch lovagestand.Epoch, settled bool) []Effect {
 	s := n.seats[shard]
-	if s == nil || s.entry.Epoch != epoch || s.handover == nil || s.handover.stage != stageReleasing {
+	if s == nil || s.entry.Epoch != epoch || s.handover == nil {
 		return n.take()
 	}
 	h := s.handover
-	h.stage = stagePassing
+	if !follow(handoverChart, &h.stage, handoverRelease) {
+		return n.take()
+	}
 	h.next = s.entry.Next(h.to, n.swapped(s.entry, h.to), settled && !now.Before(s.settle))
 	h.from = now
 	if !settled {
--- a/owner/region.go
+++ b/owner/region.go
@@ -106,7 +106,7 @@
 			s.handover.read = 0
 			n.chosenWay(now, s, ok)
 		}
-		if !ok && s.handover != nil && s.handover.stage == stagePassing {
+		if !ok && s.handover != nil && s.handover.stage == handoverPassing {
 			s.handover.byHand = true
 			n.passOn(now, s)
 		}
@@ -231,7 +231,7 @@
 	if s.entry.Owner != n.self.ID {
 		return Entry{}, false
 	}
-	if s.handover != nil && s.handover.stage == stagePassing {
+	if s.handover != nil && s.handover.stage == handoverPassing {
 		return s.handover.next, s.handover.due(now)
 	}
 	if e, ok := n.regroup(now, s); ok {
--- a/owner/seat.go
+++ b/owner/seat.go
@@ -108,7 +108,7 @@
 	s.resting = old.resting
 	if !old.given {
 		s.leftover = old.until()
-		if h := old.handover; h != nil && h.stage == stageJoining && s.entry.HasStandby(h.to) {
+		if h := old.handover; h != nil && h.stage == handoverJoining && s.entry.HasStandby(h.to) {
 			s.handover = h
 		}
 	}
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -6,25 +6,13 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
-)
-
-type takeoverStage int
-
-const (
-	// takeoverChecking reads the store, so that an outage seals nothing.
-	takeoverChecking takeoverStage = iota + 1
-	// takeoverSealing collects the standbys' consent and waits their promises out.
-	takeoverSealing
-	// takeoverRechecking reads the store once more before the write.
-	takeoverRechecking
-	// takeoverReady writes.
-	takeoverReady
+	"lovagestand.example/lovagestand/chart"
 )
 
 // takeover is one standby's try to own a shard.
 type takeover struct {
 	attempt string
-	stage   takeoverStage
+	stage   chart.State
 	// read is the number of the store read that is waited for.
 	read uint64
 	// lapses are the ends of the standbys' promises, of those who consented.
@@ -52,7 +40,7 @@
 	n.attempts++
 	s.takeover = &takeover{
 		attempt: fmt.Sprintf("%s/%d", n.self.ID, n.attempts),
-		stage:   takeoverChecking,
+		stage:   takeoverChart.Initial(),
 		read:    n.read(s.entry.Region),
 		lapses:  map[lovagestand.InstanceID]time.Time{},
 	}
@@ -79,7 +67,7 @@
 		n.send(id, Message{Kind: KindSeal, Entry: s.entry, Attempt: t.attempt})
 	}
 	if ready {
-		t.stage = takeoverRechecking
+		follow(takeoverChart, &t.stage, takeoverConsent)
 		t.read = n.read(s.entry.Region)
 	}
 }
@@ -87,18 +75,16 @@
 // storeAnswered goes on with a takeover that waits for the store.
 func (n *Node) storeAnswered(now time.Time, s *seat, ok bool) {
 	t := s.takeover
-	switch {
-	case !ok:
-		if !s.sent && t.stage != takeoverSealing {
+	if !ok {
+		if !s.sent {
 			n.withdraw(s)
 		}
-	case t.stage == takeoverChecking:
-		t.stage = takeoverSealing
+		return
+	}
+	if follow(takeoverChart, &t.stage, takeoverAnswer) && t.stage == takeoverSealing {
 		s.seals[t.attempt] = true
 		t.lapses[n.self.ID] = s.lapse(n.timing)
 		n.collect(now, s)
-	case t.stage == takeoverRechecking:
-		t.stage = takeoverReady
 	}
 }
 
@@ -107,7 +93,8 @@
 	t := s.takeover
 	s.takeover = nil
 	delete(s.seals, t.attempt)
-	if t.stage == takeoverChecking {
+	unasked := t.stage == takeoverChecking
+	if !follow(takeoverChart, &t.stage, takeoverWithdraw) || unasked {
 		return
 	}
 	for _, id := range s.entry.Standbys {
--- a/peer/failures_test.go
+++ b/peer/failures_test.go
@@ -78,6 +78,12 @@
 		f.store.setDown(true)
 		time.Sleep(3 * time.Minute)
 		assertGap(c, "three minutes without the store", f.gap(c, 12), 0)
+		f.store.setDown(false)
+		before := f.store.callsSoFar()
+		time.Sleep(10 * time.Second)
+		calls := f.store.callsSoFar() - before
+		c.Logf("store calls of 9 instances in 10 s after an outage: %d", calls)
+		c.Assert(calls <= 5*9, qt.IsTrue, qt.Commentf("%d calls", calls))
 	})
 }
 
