placer: requests that wait for a removed row are answered not run

Cause: removing a route, a pool or a team's row must be stated and safe. Change: Catalog.Waits (root interface) says why the tables no longer let a task run; the shard's owner answers such requests while it holds the right; what may have started is left alone.

--- a/instance/catalog.go
+++ b/instance/catalog.go
@@ -46,6 +46,15 @@
 	return c.quotas.Policies(shard, policies)
 }
 
+// Waits implements [lovagestand.Catalog].
+func (c catalog) Waits(t lovagestand.Task) error {
+	tables, ok := c.follower.Current()
+	if !ok {
+		return nil
+	}
+	return tables.Waits(t)
+}
+
 // Ready implements [entry.Routes].
 func (c catalog) Ready() bool {
 	_, ok := c.follower.Current()
--- a/placer/fixture_test.go
+++ b/placer/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -95,6 +96,15 @@
 // catalog puts all workers in one pool.
 type catalog struct{}
 
+// Waits lets every task wait but those of the route "removed", two seconds
+// after they came.
+func (catalog) Waits(t lovagestand.Task) error {
+	if t.Route == "removed" && time.Since(t.Submitted) > 2*time.Second {
+		return errors.New("the route was removed")
+	}
+	return nil
+}
+
 func (catalog) PoolOf(lovagestand.Worker) (lovagestand.PoolName, bool) { return "runners", true }
 
 func (catalog) Leaving(lovagestand.Worker) bool { return false }
--- a/placer/link.go
+++ b/placer/link.go
@@ -76,6 +76,7 @@
 		s.checkLost(now, l)
 	}
 	s.sweep(now)
+	s.recheck = true
 }
 
 // applyWorker takes over what the member list says of a worker.
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -42,6 +42,9 @@
 	settleUntil time.Time
 	// lastFlight is the latest time at which a start sent may take effect.
 	lastFlight time.Time
+	// recheck says that the tables may have changed since the requests that
+	// wait were last compared with them.
+	recheck bool
 	// scratch is reused for decisions.
 	scratch []lovagestand.Decision
 }
@@ -155,6 +158,7 @@
 	if s.draining {
 		return
 	}
+	s.answerRemoved(now)
 	s.scratch = s.decider.Decide(now, s.scratch[:0])
 	for _, d := range s.scratch {
 		s.carryOut(ctx, now, d)
