--- a/commands/tables/tables_test.go
+++ b/commands/tables/tables_test.go
@@ -87,7 +87,7 @@
 	c.Assert(c.run(0, "diff", theirs), qt.Equals, "")
 
 	c.edit(mine, "routes.yaml", "startWithin: 1400ms", "startWithin: 1300ms")
-	c.Assert(c.run(0, "diff", mine), qt.Contains, "~ routes/counter-quote")
+	c.Assert(c.run(0, "diff", mine), qt.Contains, `~ routes/counter-quote startWithin: "1.4s" -> "1.3s"`+"\n")
 	c.run(0, "apply", mine, "--writer", "asha", "--message", "quicker")
 	c.edit(theirs, "pools.yaml", "headroom: 0.1", "headroom: 0.2")
 	c.Assert(c.run(0, "apply", theirs, "--writer", "ben"), qt.Contains, "accepted as revision 3")
--- a/instance/http.go
+++ b/instance/http.go
@@ -12,9 +12,11 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/claim"
 	"lovagestand.example/lovagestand/claim/claimpb"
+	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/owner"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/table/tablepeer"
 )
@@ -27,6 +29,10 @@
 	// Ready is empty if the instance serves callers, else why not.
 	NotReady string `json:"notReady,omitempty"`
 	InFlight int    `json:"inFlight"`
+	// Refusals count the requests that limits kept out.
+	Refusals []limit.Refusal `json:"refusals"`
+	// QuotaCalls count the store calls for quota shares.
+	QuotaCalls quota.Counts `json:"quotaCalls"`
 	// Shards are those the instance owns.
 	Shards []placer.ShardStatus `json:"shards"`
 }
@@ -48,6 +54,9 @@
 		Uptime:   time.Since(i.started).Round(time.Second).String(),
 		InFlight: i.entry.InFlight(),
 		Shards:   i.placer.Status(),
+
+		Refusals:   i.limiter.Refusals(),
+		QuotaCalls: i.quotas.Counts(),
 	}
 	if err := i.Ready(); err != nil {
 		s.NotReady = err.Error()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -115,7 +115,7 @@
 	i.homes = claim.NewHomes(i.deps.Store, i.ownership)
 	i.entry = entry.New(entry.Deps{
 		Routes:    tables,
-		Limiter:   limits{limiter: i.limiter},
+		Limiter:   limits{limiter: i.limiter, follower: i.follower},
 		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
 		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
--- a/instance/limits.go
+++ b/instance/limits.go
@@ -17,19 +17,29 @@
 
 // limits shows the limits in force to the entry.
 type limits struct {
-	limiter *limit.Limiter
+	limiter  *limit.Limiter
+	follower *table.Follower
 }
 
 // Admit implements [entry.Limiter].
 func (l limits) Admit(route entry.Route, team lovagestand.TeamName) (func(), error) {
 	release, err := l.limiter.Admit(route.Name, team)
-	var refusal *limit.Error
 	var gone *table.GoneError
+	if errors.As(err, &gone) {
+		// The route may have come with tables that the limiter has not yet.
+		current, _ := l.follower.Current()
+		l.limiter.SetTables(current)
+		release, err = l.limiter.Admit(route.Name, team)
+	}
+	var refusal *limit.Error
+	var unlisted *table.TeamError
 	switch {
 	case errors.As(err, &refusal):
 		return nil, &entry.LimitedError{Limit: string(refusal.Kind), RetryAfter: refusal.RetryAfter}
 	case errors.As(err, &gone):
-		return nil, &entry.LimitedError{Limit: gone.Error(), RetryAfter: limit.MinRetryAfter}
+		return nil, &entry.UnknownRouteError{Route: route.Name}
+	case errors.As(err, &unlisted):
+		return nil, &entry.InvalidError{Field: "team", Reason: unlisted.Error()}
 	}
 	return release, err
 }
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -75,10 +75,14 @@
 	return l
 }
 
-// SetTables brings other tables into force. Requests in flight stay counted.
+// SetTables brings other tables into force, unless newer ones are already.
+// Requests in flight stay counted.
 func (l *Limiter) SetTables(tables table.Tables) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if tables.Revision() < l.tables.Revision() {
+		return
+	}
 	l.tables = tables
 	l.reset()
 }
@@ -131,14 +135,14 @@
 }
 
 // Admit lets a request of a route in and returns what to call once it is
-// answered, or fails with an [Error] or a [table.GoneError]. Calling release
-// again has no effect.
+// answered, or fails with an [Error], a [table.GoneError] or a
+// [table.TeamError]. Calling release again has no effect.
 func (l *Limiter) Admit(route lovagestand.RouteName, team lovagestand.TeamName) (release func(), err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, found := l.tables.Route(route)
-	if !found {
-		return nil, &table.GoneError{Table: table.RoutesTable, Name: string(route), Revision: l.tables.Revision()}
+	r, err := l.tables.Admit(route, team)
+	if err != nil {
+		return nil, err
 	}
 	now := l.now()
 	all := l.routeGate(r)
--- a/table/diff.go
+++ b/table/diff.go
@@ -20,15 +20,17 @@
 	Old, New string
 }
 
-// String returns the difference on one line.
+// String returns the difference on one line, a changed row by the fields that
+// differ.
 func (d Difference) String() string {
+	before, after := fields(d.Row, d.Old), fields(d.Row, d.New)
 	switch d.Kind {
 	case Added:
-		return fmt.Sprintf("+ %s %s", d.Row, d.New)
+		return fmt.Sprintf("+ %s %s", d.Row, showFields(after))
 	case Removed:
-		return fmt.Sprintf("- %s %s", d.Row, d.Old)
+		return fmt.Sprintf("- %s %s", d.Row, showFields(before))
 	default:
-		return fmt.Sprintf("~ %s %s -> %s", d.Row, d.Old, d.New)
+		return fmt.Sprintf("~ %s %s", d.Row, showChange(before, after))
 	}
 }
 
--- /dev/null
+++ b/table/show.go
@@ -0,0 +1,78 @@
+package table
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// fields returns the keys of a row and their values as operators write them.
+func fields(row Row, text string) map[string]string {
+	shown := map[string]string{}
+	if text == "" {
+		return shown
+	}
+	var values map[string]any
+	if err := yaml.Unmarshal(asYAML(row, content(text)), &values); err != nil {
+		return map[string]string{"row": text}
+	}
+	for key, value := range values {
+		line, err := json.Marshal(value)
+		if err != nil {
+			line = []byte(fmt.Sprint(value))
+		}
+		shown[key] = string(line)
+	}
+	return shown
+}
+
+// asYAML returns a row as it stands in its file.
+func asYAML(row Row, text content) []byte {
+	var value any
+	switch {
+	case row.Table == RoutesTable:
+		value = decodeRow[Route](text)
+	case row.Team != "":
+		value = decodeRow[Team](text)
+	default:
+		value = decodeRow[Pool](text)
+	}
+	data, err := yaml.Marshal(value)
+	if err != nil {
+		panic(err) // rows are plain data
+	}
+	return data
+}
+
+// showFields lists all fields of a row on one line.
+func showFields(shown map[string]string) string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(shown)) {
+		parts = append(parts, key+": "+shown[key])
+	}
+	return strings.Join(parts, ", ")
+}
+
+// showChange lists the fields in which two rows differ, on one line.
+func showChange(before, after map[string]string) string {
+	union := maps.Clone(before)
+	maps.Copy(union, after)
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(union)) {
+		if before[key] != after[key] {
+			parts = append(parts, fmt.Sprintf("%s: %s -> %s", key, orNone(before[key]), orNone(after[key])))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+func orNone(value string) string {
+	if value == "" {
+		return "none"
+	}
+	return value
+}
