trial: planned stop takes an instance that no other fault holds

The report's faults show it paused from 1.64 s to 5.64 s and cut off until 6.73 s; the planned stop drew it at 6.00 s. All broken calls were 4 s timeouts that ended by 7.64 s, so they began by 3.64 s, in the pause and the cut. Change: the planned stop draws among instances that no pause or cut holds, nor did within the last call's timeout. The auditor is unchanged.

--- a/trial/caller/client.go
+++ b/trial/caller/client.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// window is how long one call asks to wait for an answer, callTimeout when
-	// the caller takes the call for broken.
-	window      = 2 * time.Second
-	callTimeout = 4 * time.Second
+	// CallTimeout is when a caller takes a call for broken.
+	CallTimeout = 4 * time.Second
+	// window is how long one call asks to wait for an answer.
+	window = 2 * time.Second
 )
 
 // submission is the JSON of a request.
@@ -96,7 +96,7 @@
 }
 
 func (c client) call(ctx context.Context, method, url string, key lovagestand.RequestKey, body []byte) (reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -78,16 +78,19 @@
 	if n == nil || !n.become(nodePaused, nodeUp) {
 		return none()
 	}
+	n.hold()
 	n.host.Pause()
 	return n.name, func() {
 		n.host.Resume()
+		n.release()
 		n.become(nodeUp, nodePaused)
 	}
 }
 
-// plannedStopFault stops an instance as planned and replaces it.
+// plannedStopFault stops an instance as planned and replaces it. It takes one
+// that no other fault holds, so that a broken call is the stop's doing.
 func plannedStopFault(s stage) (string, func()) {
-	n := s.node()
+	n := s.steady()
 	if n == nil {
 		return none()
 	}
@@ -210,6 +213,18 @@
 func regionCutFault(s stage) (string, func()) {
 	regions := s.trial.firm.Regions
 	r := regions[s.random.IntN(len(regions))]
+	var cut []*node
+	for _, n := range s.trial.present(nodeUp, nodePaused) {
+		if n.region == r {
+			n.hold()
+			cut = append(cut, n)
+		}
+	}
 	s.trial.network.Cut(r)
-	return string(r), func() { s.trial.network.Cut("") }
+	return string(r), func() {
+		s.trial.network.Cut("")
+		for _, n := range cut {
+			n.release()
+		}
+	}
 }
--- a/trial/node.go
+++ b/trial/node.go
@@ -35,6 +35,7 @@
 
 	mutex sync.Mutex
 	state nodeState
+	held  hold
 }
 
 func (n *node) is() nodeState {
