standin: audit and store faults over HTTP; tables command in the program

Cause: a drill with real processes needs an auditor at the workers' process, faults of the store's process, and tables apply, which no command offered.

--- /dev/null
+++ b/audit/remote/client.go
@@ -0,0 +1,99 @@
+package remote
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit"
+)
+
+// timeout bounds one call to an auditor.
+const timeout = 10 * time.Second
+
+// Client tells an auditor in another process what callers see. Each method
+// returns once the auditor has taken it, so that the order is kept. It is safe
+// for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the auditor at a base URL.
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{Timeout: timeout}}
+}
+
+// Audit returns what has been found up to now.
+func (c *Client) Audit(ctx context.Context) (Audit, error) {
+	var found Audit
+	err := c.call(ctx, http.MethodGet, PathAudit, nil, &found)
+	return found, err
+}
+
+// Usage returns what the workers hold now.
+func (c *Client) Usage(ctx context.Context) (audit.Usage, error) {
+	var u audit.Usage
+	err := c.call(ctx, http.MethodGet, PathUsage, nil, &u)
+	return u, err
+}
+
+// Asked tells of a request before it is sent for the first time.
+func (c *Client) Asked(ctx context.Context, key lovagestand.RequestKey, due []byte) error {
+	return c.tell(ctx, PathAsked, Asked{Key: key, Due: due})
+}
+
+// Answered tells what the caller of a key was told.
+func (c *Client) Answered(ctx context.Context, at time.Time, key lovagestand.RequestKey, answer lovagestand.Answer) error {
+	return c.tell(ctx, PathAnswered, Answered{At: at, Key: key, Answer: answer})
+}
+
+// CutOff tells of a request that a planned stop broke off.
+func (c *Client) CutOff(ctx context.Context, at time.Time, key lovagestand.RequestKey, instance, reason string) error {
+	return c.tell(ctx, PathCutOff, CutOff{At: at, Key: key, Instance: instance, Reason: reason})
+}
+
+// InForce tells which revision of the tables an instance says is in force.
+func (c *Client) InForce(ctx context.Context, at time.Time, instance string, revision lovagestand.Revision) error {
+	return c.tell(ctx, PathInForce, InForce{At: at, Instance: instance, Revision: revision})
+}
+
+// Close judges the callers without an answer, once nobody waits any more.
+func (c *Client) Close(ctx context.Context, at time.Time) error {
+	return c.tell(ctx, PathClose, Close{At: at})
+}
+
+func (c *Client) tell(ctx context.Context, path string, message any) error {
+	var none struct{}
+	return c.call(ctx, http.MethodPost, path, message, &none)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, message, answer any) error {
+	text, err := json.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "auditor")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(text))
+	if err != nil {
+		return errors.Wrap(err, "auditor")
+	}
+	reply, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "auditor")
+	}
+	defer reply.Body.Close()
+	text, err = io.ReadAll(reply.Body)
+	if err != nil {
+		return errors.Wrap(err, "auditor")
+	}
+	if reply.StatusCode != http.StatusOK {
+		return errors.Errorf("auditor: %s: %s", reply.Status, text)
+	}
+	return errors.Wrap(json.Unmarshal(text, answer), "auditor")
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -86,6 +86,6 @@
 		SilenceErrors: true,
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
-	c.AddCommand(newServe(log), standin.New(log), trial.New(log))
+	c.AddCommand(newServe(log), newTables(), standin.New(log), trial.New(log))
 	return c
 }
--- a/commands/standin/standin_test.go
+++ b/commands/standin/standin_test.go
@@ -12,8 +12,10 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit/remote"
 	"lovagestand.example/lovagestand/commands/standin"
 	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/standin/kv"
 )
 
 // process is a command that runs aside until its context ends.
@@ -57,9 +59,21 @@
 
 func TestStoreProcess(t *testing.T) {
 	p := start(qt.New(t), "store", "--listen", "127.0.0.1:0")
-	s := platform.NewStore("http://" + <-p.log.address)
+	base := "http://" + <-p.log.address
+	s := platform.NewStore(base)
 	_, err := s.Put(context.Background(), "a", []byte("x"), 0, 0)
 	p.Assert(err, qt.IsNil)
+	knobs := kv.NewKnobs(base)
+	p.Assert(knobs.SetFaults(context.Background(), kv.Faults{LoseReplies: 1}), qt.IsNil)
+	_, err = s.Put(context.Background(), "b", []byte("x"), 0, 0)
+	p.Assert(err, qt.ErrorMatches, ".*reply lost.*")
+	p.Assert(knobs.SetFaults(context.Background(), kv.Faults{}), qt.IsNil)
+	v, err := s.Get(context.Background(), "b")
+	p.Assert(err, qt.IsNil)
+	p.Assert(string(v.Data), qt.Equals, "x")
+	counts, err := knobs.Counts(context.Background())
+	p.Assert(err, qt.IsNil)
+	p.Assert(counts.Put, qt.Equals, uint64(2))
 	p.cancel()
 	p.Assert(<-p.ended, qt.IsNil)
 }
@@ -77,6 +91,23 @@
 	p.Assert(<-p.ended, qt.IsNil)
 }
 
+func TestAuditedWorkers(t *testing.T) {
+	p := start(qt.New(t), "workers", "--listen", "127.0.0.1:0", "--workers", "1", "--audit")
+	base := "http://" + <-p.log.address
+	m, err := platform.NewMemberList(base).Members(context.Background())
+	p.Assert(err, qt.IsNil)
+	whole := lovagestand.TaskStart{Task: lovagestand.Task{Key: "k", Idempotent: true, Resources: m.Workers[0].Capacity}}
+	for _, id := range []lovagestand.TaskID{"t1", "t2"} {
+		whole.Task = whole.Task.WithID(id)
+		p.Assert(platform.NewWorkers().Start(context.Background(), m.Workers[0].Address, whole), qt.IsNil)
+	}
+	found, err := remote.NewClient(base).Audit(context.Background())
+	p.Assert(err, qt.IsNil)
+	p.Assert(found.Usage.Starts, qt.Equals, 2)
+	p.cancel()
+	p.Assert(<-p.ended, qt.IsNil)
+}
+
 func TestWrongFlags(t *testing.T) {
 	c := qt.New(t)
 	c.Assert(<-start(c, "workers", "--firm", "nobody").ended, qt.ErrorMatches, `--firm: no firm "nobody"`)
--- a/commands/standin/store.go
+++ b/commands/standin/store.go
@@ -16,7 +16,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			store := kv.New(kv.WithRates(reads, writes))
-			return serve(c.Context(), logger, "store", listen, kv.Handler(store))
+			return serve(c.Context(), logger, "store", listen, kv.HandlerWithKnobs(store))
 		},
 	}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:7100", "host and port of the store")
--- a/commands/standin/workers.go
+++ b/commands/standin/workers.go
@@ -2,12 +2,15 @@
 
 import (
 	"net"
+	"net/http"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit"
+	"lovagestand.example/lovagestand/audit/remote"
 	"lovagestand.example/lovagestand/standin/fleet"
 	"lovagestand.example/lovagestand/standin/members"
 )
@@ -18,6 +21,7 @@
 	firm    string
 	regions []string
 	count   int
+	audit   bool
 }
 
 func newWorkers(logger zerolog.Logger) *cobra.Command {
@@ -34,6 +38,7 @@
 	c.Flags().StringVar(&f.firm, "firm", "glazedesk", "whose workers: glazedesk or sheet-orders")
 	c.Flags().StringSliceVar(&f.regions, "regions", nil, "regions, in place of the firm's own")
 	c.Flags().IntVar(&f.count, "workers", 0, "how many workers, in place of the firm's own")
+	c.Flags().BoolVar(&f.audit, "audit", false, "judge what happens at the workers; GET /audit at the member list tells the violations")
 	return c
 }
 
@@ -46,14 +51,35 @@
 	if err != nil {
 		return errors.Wrap(err, "--listen")
 	}
-	server, err := fleet.Listen(host, firm.Specs(), nil)
+	auditor := audit.New(firm.Specs())
+	server, err := fleet.Listen(host, firm.Specs(), flags.observer(auditor))
 	if err != nil {
 		return err
 	}
 	defer server.Close()
 	logger.Info().Str("standin", "workers").Int("workers", firm.Workers).Msg("listening")
-	list := members.New(server.Specs())
-	return serve(c.Context(), logger, "members", flags.listen, members.Handler(list))
+	handler := members.Handler(members.New(server.Specs()))
+	if flags.audit {
+		handler = withAudit(handler, auditor)
+	}
+	return serve(c.Context(), logger, "members", flags.listen, handler)
+}
+
+// observer returns who is told what happens at the workers; nil for nobody.
+func (f workersFlags) observer(a *audit.Auditor) fleet.Observer {
+	if f.audit {
+		return a
+	}
+	return nil
+}
+
+// withAudit returns a handler that serves an auditor besides.
+func withAudit(handler http.Handler, a *audit.Auditor) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", handler)
+	mux.Handle(remote.PathAudit, remote.Handler(a))
+	mux.Handle(remote.PathAudit+"/", remote.Handler(a))
+	return mux
 }
 
 // chosen returns the firm as the flags change it.
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -7,16 +7,17 @@
 	"lovagestand.example/lovagestand"
 )
 
-// Faults says how a [Store] misbehaves; the zero value is a sound store.
+// Faults says how a [Store] misbehaves; the zero value is a sound store. Its
+// durations are nanoseconds in JSON.
 type Faults struct {
 	// Down makes every call and every waiting watch fail.
-	Down bool
+	Down bool `json:"down,omitempty"`
 	// Delay is added to every call before it takes effect.
-	Delay time.Duration
+	Delay time.Duration `json:"delay,omitempty"`
 	// LoseReplies is the share of writes, 0 to 1, that take effect but fail.
-	LoseReplies float64
+	LoseReplies float64 `json:"loseReplies,omitempty"`
 	// EffectDelay makes a write fail at once but take effect after this time.
-	EffectDelay time.Duration
+	EffectDelay time.Duration `json:"effectDelay,omitempty"`
 }
 
 // SetFaults replaces the faults from now on.
--- /dev/null
+++ b/standin/kv/knobs.go
@@ -0,0 +1,86 @@
+package kv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand/platform/wire"
+)
+
+// The paths of the knobs, which the platform's own store has not.
+const (
+	// PathFaults takes a POST of [Faults].
+	PathFaults = "/faults"
+	// PathCounts answers a GET with [Counts].
+	PathCounts = "/counts"
+)
+
+// HandlerWithKnobs serves s over HTTP as [Handler] does, and its knobs besides.
+func HandlerWithKnobs(s *Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", Handler(s))
+	mux.Handle("POST "+PathFaults, wire.Handler(func(_ context.Context, f Faults) (wire.Empty, error) {
+		s.SetFaults(f)
+		return wire.Empty{}, nil
+	}))
+	mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Counts())
+	})
+	return mux
+}
+
+// Knobs reaches the knobs of a store in another process.
+type Knobs struct {
+	base string
+}
+
+// NewKnobs returns the knobs of the store at a base URL.
+func NewKnobs(base string) Knobs {
+	return Knobs{base: base}
+}
+
+// SetFaults replaces the faults from now on.
+func (k Knobs) SetFaults(ctx context.Context, f Faults) error {
+	text, err := json.Marshal(f)
+	if err != nil {
+		return errors.Wrap(err, "knobs")
+	}
+	_, err = k.call(ctx, http.MethodPost, PathFaults, text)
+	return err
+}
+
+// Counts returns how often the store was called.
+func (k Knobs) Counts(ctx context.Context) (Counts, error) {
+	text, err := k.call(ctx, http.MethodGet, PathCounts, nil)
+	if err != nil {
+		return Counts{}, err
+	}
+	var c Counts
+	return c, errors.Wrap(json.Unmarshal(text, &c), "knobs")
+}
+
+func (k Knobs) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, k.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "knobs")
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "knobs")
+	}
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "knobs")
+	}
+	if reply.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("knobs: %s: %s", reply.Status, text)
+	}
+	return text, nil
+}
