--- /dev/null
+++ b/drill/cell.go
@@ -0,0 +1,265 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit/remote"
+	"lovagestand.example/lovagestand/settings"
+	"lovagestand.example/lovagestand/standin/fleet"
+	"lovagestand.example/lovagestand/standin/kv"
+	"lovagestand.example/lovagestand/trial/caller"
+)
+
+const (
+	instancesPerRegion = 3
+	// filePermissions are those of settings.
+	filePermissions = 0o600
+)
+
+// cell is all processes of a drill.
+type cell struct {
+	start     Starter
+	directory string
+	firm      fleet.Firm
+	platform  settings.Platform
+	store     Process
+	knobs     kv.Knobs
+	auditor   *remote.Client
+	random    *rand.Rand
+
+	mutex     sync.Mutex
+	instances []*instance
+	processes []Process
+}
+
+var _ caller.Balancer = (*cell)(nil)
+
+// freeAddress returns an address of loopback that nothing listens at now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "address")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// run starts the program and keeps it for the end.
+func (c *cell) run(name string, args ...string) (Process, error) {
+	p, err := c.start(name, args...)
+	if err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.processes = append(c.processes, p)
+	return p, nil
+}
+
+// startPlatform starts the stand-ins and puts the tables in force.
+func (c *cell) startPlatform(ctx context.Context, tables string) error {
+	store, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	members, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	c.platform = settings.Platform{Store: "http://" + store, Members: "http://" + members}
+	c.knobs = kv.NewKnobs(c.platform.Store)
+	c.auditor = remote.NewClient(c.platform.Members)
+	if c.store, err = c.run("store", "standin", "store", "--listen", store); err != nil {
+		return err
+	}
+	if _, err = c.run("workers", "standin", "workers", "--listen", members, "--firm", c.firm.Runner, "--audit"); err != nil {
+		return err
+	}
+	if err := c.awaitPlatform(ctx); err != nil {
+		return err
+	}
+	apply, err := c.run("tables", "tables", "apply", tables, "--store", c.platform.Store)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(apply.Wait(), "tables apply")
+}
+
+func (c *cell) awaitPlatform(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for {
+		_, storeErr := c.knobs.Counts(ctx)
+		_, workersErr := c.auditor.Usage(ctx)
+		if storeErr == nil && workersErr == nil {
+			return nil
+		}
+		if !pause(ctx, askEvery) {
+			return errors.New("the stand-ins did not get ready")
+		}
+	}
+}
+
+// launchAll starts all instances and returns how long the slowest took to
+// serve.
+func (c *cell) launchAll(ctx context.Context) (time.Duration, error) {
+	for n := range instancesPerRegion {
+		for _, r := range c.firm.Regions {
+			address, err := freeAddress()
+			if err != nil {
+				return 0, err
+			}
+			if _, err := c.launch(site{region: r, domain: fleet.Domain(r, n), address: address}); err != nil {
+				return 0, err
+			}
+		}
+	}
+	slowest := time.Duration(0)
+	for _, i := range c.all() {
+		took, err := i.awaitReady(ctx)
+		if err != nil {
+			return 0, err
+		}
+		slowest = max(slowest, took)
+	}
+	return slowest, nil
+}
+
+// launch starts one instance at a site.
+func (c *cell) launch(at site) (*instance, error) {
+	c.mutex.Lock()
+	name := fmt.Sprintf("%s-%d", at.region, len(c.instances)+1)
+	c.mutex.Unlock()
+	file, err := c.writeSettings(name, at)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	p, err := c.run(name, "serve", "--config", file)
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{name: name, site: at, process: p, began: began}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.instances = append(c.instances, i)
+	return i, nil
+}
+
+func (c *cell) writeSettings(name string, at site) (string, error) {
+	s := settings.Default()
+	s.Listen = at.address
+	s.Region = at.region
+	s.Regions = c.firm.Regions
+	s.FailureDomain = at.domain
+	s.Platform = c.platform
+	text, err := yaml.Marshal(s)
+	if err != nil {
+		return "", errors.Wrap(err, name)
+	}
+	file := filepath.Join(c.directory, name+".yaml")
+	return file, errors.Wrap(os.WriteFile(file, text, filePermissions), name)
+}
+
+// all returns the instances that are not gone.
+func (c *cell) all() []*instance {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var present []*instance
+	for _, i := range c.instances {
+		if s, _ := i.is(); s == up || s == paused {
+			present = append(present, i)
+		}
+	}
+	return present
+}
+
+// draw returns an instance that is up.
+func (c *cell) draw() *instance {
+	present := c.all()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return present[c.random.IntN(len(present))]
+}
+
+// stateOf returns the state of an instance by name.
+func (c *cell) stateOf(name string) state {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, i := range c.instances {
+		if i.name == name {
+			s, _ := i.is()
+			return s
+		}
+	}
+	return killed
+}
+
+// Pick implements [caller.Balancer]: an instance of the caller's region where
+// one is ready.
+func (c *cell) Pick(region lovagestand.RegionName, last string) (caller.Target, bool) {
+	var near, far []*instance
+	for _, i := range c.all() {
+		_, ready := i.is()
+		switch {
+		case !ready || i.name == last:
+		case i.site.region == region:
+			near = append(near, i)
+		default:
+			far = append(far, i)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return caller.Target{}, false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	i := near[c.random.IntN(len(near))]
+	return caller.Target{Name: i.name, Address: i.site.address}, true
+}
+
+// follow keeps the balancer informed and tells the auditor which tables are in
+// force until ctx ends.
+func (c *cell) follow(ctx context.Context) {
+	for pause(ctx, askEvery) {
+		var looks sync.WaitGroup
+		for _, i := range c.all() {
+			looks.Go(func() { c.look(ctx, i) })
+		}
+		looks.Wait()
+	}
+}
+
+func (c *cell) look(ctx context.Context, i *instance) {
+	i.look(ctx)
+	if r, err := i.revision(ctx); err == nil {
+		_ = c.auditor.InForce(ctx, time.Now(), i.name, lovagestand.Revision(r))
+	}
+}
+
+// close ends every process that is left.
+func (c *cell) close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, p := range c.processes {
+		_ = p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range c.processes {
+		_ = p.Wait()
+	}
+}
--- /dev/null
+++ b/drill/log.go
@@ -0,0 +1,100 @@
+package drill
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/audit/remote"
+	"lovagestand.example/lovagestand/trial/caller"
+)
+
+// outcome is how one request ended for its caller.
+type outcome struct {
+	asked   time.Time
+	ended   time.Time
+	runFor  time.Duration
+	outcome lovagestand.Outcome
+}
+
+// log tells the auditor what callers see and keeps how their requests ended.
+type log struct {
+	auditor *remote.Client
+	stateOf func(instance string) state
+
+	mutex    sync.Mutex
+	requests map[lovagestand.RequestKey]*outcome
+	broken   int
+	// failed is the first failure to reach the auditor, which voids the drill.
+	failed error
+}
+
+var _ caller.Log = (*log)(nil)
+
+func newLog(auditor *remote.Client, stateOf func(string) state) *log {
+	return &log{auditor: auditor, stateOf: stateOf, requests: map[lovagestand.RequestKey]*outcome{}}
+}
+
+// check keeps a failure to reach the auditor.
+func (l *log) check(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.failed == nil {
+		l.failed = err
+	}
+}
+
+// Asked implements [caller.Log].
+func (l *log) Asked(at time.Time, w caller.Work) {
+	l.check(l.auditor.Asked(context.Background(), w.Key, w.Due))
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.requests[w.Key] = &outcome{asked: at, runFor: w.RunFor}
+}
+
+// Repeated implements [caller.Log].
+func (*log) Repeated(caller.Work) {}
+
+// Answered implements [caller.Log]; of several answers the first counts.
+func (l *log) Answered(at time.Time, w caller.Work, answer lovagestand.Answer) {
+	l.check(l.auditor.Answered(context.Background(), at, w.Key, answer))
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if r := l.requests[w.Key]; r != nil && r.ended.IsZero() {
+		r.ended, r.outcome = at, answer.Outcome
+	}
+}
+
+// Broken implements [caller.Log].
+func (l *log) Broken(at time.Time, w caller.Work, t caller.Target, reason string) {
+	if l.stateOf(t.Name).promises() {
+		l.check(l.auditor.CutOff(context.Background(), at, w.Key, t.Name, reason))
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.broken++
+}
+
+// window sums up the requests asked between two times.
+func (l *log) window(from, until time.Time) Answers {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var a Answers
+	for _, r := range l.requests {
+		if r.asked.Before(from) || r.asked.After(until) {
+			continue
+		}
+		a.Asked++
+		switch r.outcome {
+		case lovagestand.OutcomeDone:
+			a.Done++
+			a.Slowest = max(a.Slowest, r.ended.Sub(r.asked)-r.runFor)
+		case lovagestand.OutcomeNotRun:
+			a.NotRun++
+		case lovagestand.OutcomeUnknown:
+			a.Unknown++
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/drill/measure.go
@@ -0,0 +1,61 @@
+package drill
+
+import (
+	"context"
+	"time"
+)
+
+// measure measures all instances over a span.
+func (d *drill) measure(ctx context.Context, name string) error {
+	d.say(name)
+	began := time.Now()
+	instances := d.cell.all()
+	before, err := usages(instances)
+	if err != nil {
+		return err
+	}
+	calls, err := d.cell.knobs.Counts(ctx)
+	if err != nil {
+		return err
+	}
+	if err := wait(ctx, measureFor); err != nil {
+		return err
+	}
+	after, err := usages(instances)
+	if err != nil {
+		return err
+	}
+	callsAfter, err := d.cell.knobs.Counts(ctx)
+	if err != nil {
+		return err
+	}
+	l := loadOf(before, after, time.Since(began))
+	l.Name = name
+	l.StoreCalls = float64(callsAfter.Total()-calls.Total()) / l.Span.Seconds()
+	d.report.Loads = append(d.report.Loads, l)
+	return nil
+}
+
+func usages(instances []*instance) ([]Usage, error) {
+	read := make([]Usage, 0, len(instances))
+	for _, i := range instances {
+		u, err := ReadUsage(i.process.PID())
+		if err != nil {
+			return nil, err
+		}
+		read = append(read, u)
+	}
+	return read, nil
+}
+
+// loadOf compares two readings of the same processes.
+func loadOf(before, after []Usage, span time.Duration) Load {
+	l := Load{Span: span}
+	for i := range after {
+		cores := (after[i].Processor - before[i].Processor).Seconds() / span.Seconds()
+		l.Cores += cores / float64(len(after))
+		l.MostCores = max(l.MostCores, cores)
+		l.MostBytes = max(l.MostBytes, after[i].ResidentBytes)
+	}
+	return l
+}
