trial, drill: starts in the report, a page that fits a phone, evidence of false not run

Cause: the report's page was cut off at phone width, fault names covered each other, and the wait for instances was one note. A false not run names the start it contradicts; the drill adds the caller's broken calls.

--- a/audit/auditor.go
+++ b/audit/auditor.go
@@ -43,6 +43,9 @@
 	due     []byte
 	runs    []place
 	starts  int
+	// latest is where and when an attempt started last.
+	latest  place
+	startAt time.Time
 	notRun  bool
 	answers int
 }
--- a/audit/callers.go
+++ b/audit/callers.go
@@ -59,7 +59,8 @@
 		return
 	}
 	v.Kind = KindFalseNotRun
-	a.violate(v, "the caller was told so after %d starts: %s", w.starts, reason)
+	a.violate(v, "the caller was told so after %d starts, the last one of task %s at worker %s %s earlier, %d still running: %s",
+		w.starts, w.latest.task, w.latest.worker, v.At.Sub(w.startAt).Round(time.Millisecond), len(w.runs), reason)
 }
 
 // CutOff notes that a planned stop of an instance broke off a request.
--- a/audit/workers.go
+++ b/audit/workers.go
@@ -67,7 +67,8 @@
 		v.Kind = KindFalseNotRun
 		a.violate(v, "started after its caller was told that it did not run")
 	}
-	w.runs = append(w.runs, place{task: t.ID, worker: v.Worker})
+	w.latest, w.startAt = place{task: t.ID, worker: v.Worker}, v.At
+	w.runs = append(w.runs, w.latest)
 }
 
 // Ended notes that a task runs no more.
--- a/drill/log.go
+++ b/drill/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 	ended   time.Time
 	runFor  time.Duration
 	outcome lovagestand.Outcome
+	// trail tells of its calls that broke.
+	trail []string
 }
 
 // log tells the auditor what callers see and keeps how their requests ended.
@@ -32,6 +35,9 @@
 
 var _ caller.Log = (*log)(nil)
 
+// clock is the form of times of the day.
+const clock = "15:04:05.000"
+
 func newLog(auditor *remote.Client, stateOf func(string) state) *log {
 	return &log{auditor: auditor, stateOf: stateOf, requests: map[lovagestand.RequestKey]*outcome{}}
 }
@@ -74,6 +80,21 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.broken++
+	if r := l.requests[w.Key]; r != nil {
+		r.trail = append(r.trail, fmt.Sprintf("%s broke at %s after %s: %s", at.Format(clock), t.Name, at.Sub(r.asked), reason))
+	}
+}
+
+// trail tells how a caller fared with a key.
+func (l *log) trail(key lovagestand.RequestKey) []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	r := l.requests[key]
+	if r == nil {
+		return nil
+	}
+	lines := append([]string{r.asked.Format(clock) + " asked"}, r.trail...)
+	return append(lines, fmt.Sprintf("%s %s", r.ended.Format(clock), r.outcome))
 }
 
 // window sums up the requests asked between two times.
--- a/report/page.go
+++ b/report/page.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"fmt"
 	"html/template"
 	"io"
 
@@ -17,6 +18,9 @@
 var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
 	"percent": func(v float64) float64 { return 100 * v },
 	"seconds": func(millis float64) float64 { return millis / 1000 },
+	"number":  func(i int) int { return i + 1 },
+	"mega":    func(bytes uint64) string { return fmt.Sprintf("%.1f MB", float64(bytes)/1e6) },
+	"kilo":    func(bytes float64) string { return fmt.Sprintf("%.1f kB", bytes/1e3) },
 }).Parse(pageText))
 
 // page is what the template shows.
--- a/report/plot/plot.go
+++ b/report/plot/plot.go
@@ -9,13 +9,16 @@
 
 // The size of a plot and of the margins around its field, in pixels.
 const (
-	width       = 860
-	height      = 260
-	marginLeft  = 64
-	marginRight = 190
-	marginTop   = 34
-	marginFoot  = 36
-	rowHeight   = 16
+	width       = 640
+	height      = 270
+	marginLeft  = 56
+	marginRight = 20
+	marginTop   = 62
+	marginFoot  = 30
+	legendY     = 38
+	// legendMark and letterWidth are the widths that a legend's entry takes.
+	legendMark  = 34
+	letterWidth = 6.2
 	ticks       = 5
 )
 
@@ -70,15 +73,14 @@
 	return b.String()
 }
 
-// drawBands shades spans of time and names them in rows, so that the names of
-// spans that overlap can be read.
+// drawBands shades spans of time and numbers them from 1 above the field.
 func (p Plot) drawBands(b *strings.Builder, a axis) {
 	for i, s := range p.Bands {
 		left, right := a.x(s.From), a.x(min(s.Until, p.Seconds))
 		fmt.Fprintf(b, `<rect x="%.1f" y="%d" width="%.1f" height="%d" fill="#888" fill-opacity="0.10" stroke="#888" stroke-opacity="0.35" stroke-width="0.6"><title>%s</title></rect>`,
 			left, marginTop, max(1, right-left), height-marginTop-marginFoot, html.EscapeString(s.Name))
-		fmt.Fprintf(b, `<text x="%.1f" y="%d" font-size="9" fill="#666">%s</text>`,
-			left+2, marginTop+9+(i%4)*10, html.EscapeString(s.Name))
+		fmt.Fprintf(b, `<text x="%.1f" y="%d" font-size="10" fill="#555" text-anchor="middle">%d<title>%s</title></text>`,
+			left, marginTop-4, i+1, html.EscapeString(s.Name))
 	}
 }
 
@@ -88,8 +90,8 @@
 		fmt.Fprintf(b, `<line x1="%d" y1="%.1f" x2="%d" y2="%.1f" stroke="#ddd"/>`, marginLeft, y, width-marginRight, y)
 		fmt.Fprintf(b, `<text x="%d" y="%.1f" text-anchor="end">%s</text>`, marginLeft-6, y+4, label(v))
 	}
-	for i := range ticks + 1 {
-		s := p.Seconds * float64(i) / ticks
+	step := above(p.Seconds / ticks)
+	for s := 0.0; s <= p.Seconds; s += step {
 		fmt.Fprintf(b, `<text x="%.1f" y="%d" text-anchor="middle">%s s</text>`, a.x(s), height-marginFoot+16, label(s))
 	}
 	fmt.Fprintf(b, `<text x="14" y="%d" transform="rotate(-90 14 %d)" text-anchor="middle">%s</text>`,
@@ -116,12 +118,12 @@
 }
 
 func (p Plot) drawLegend(b *strings.Builder) {
-	x := width - marginRight + 12
-	for i, l := range p.Lines {
-		y := marginTop + 8 + i*rowHeight
-		fmt.Fprintf(b, `<line x1="%d" y1="%d" x2="%d" y2="%d" stroke="%s" stroke-width="2"/>`,
-			x, y, x+18, y, l.color())
-		fmt.Fprintf(b, `<text x="%d" y="%d">%s</text>`, x+24, y+4, html.EscapeString(l.Name))
+	x := float64(marginLeft)
+	for _, l := range p.Lines {
+		fmt.Fprintf(b, `<line x1="%.1f" y1="%d" x2="%.1f" y2="%d" stroke="%s" stroke-width="3"/>`,
+			x, legendY-4, x+14, legendY-4, l.color())
+		fmt.Fprintf(b, `<text x="%.1f" y="%d">%s</text>`, x+18, legendY, html.EscapeString(l.Name))
+		x += legendMark + letterWidth*float64(len(l.Name))
 	}
 }
 
--- a/report/report.go
+++ b/report/report.go
@@ -14,6 +14,7 @@
 	Seconds   float64      `json:"seconds"`
 	Instances int          `json:"instances"`
 	Workers   int          `json:"workers"`
+	Starts    []Start      `json:"starts"`
 	Faults    []Fault      `json:"faults"`
 	Kinds     []Kind       `json:"kinds"`
 	Totals    Totals       `json:"totals"`
@@ -23,6 +24,15 @@
 	Notes []string `json:"notes,omitempty"`
 }
 
+// Start is how one instance started.
+type Start struct {
+	Instance string `json:"instance"`
+	// AtMillis is below 0 for those that started before the load.
+	AtMillis float64 `json:"atMillis"`
+	// ReadyMillis is how long the instance took to serve; 0 if it never did.
+	ReadyMillis float64 `json:"readyMillis"`
+}
+
 // Fault is one fault as it was put in.
 type Fault struct {
 	Name        string  `json:"name"`
--- a/report/table.go
+++ b/report/table.go
@@ -61,11 +61,22 @@
 	fmt.Fprintf(b, "a second; %d turned away, at most %d watches waiting\n", t.StoreLimited, t.StoreMostWaiting)
 	fmt.Fprintf(b, "tables        %d changes accepted, %d refused, slowest in force everywhere after %.0f ms\n",
 		t.TablesAccepted, t.TablesRefused, t.TablesSlowestMillis)
+	for _, s := range r.Starts {
+		fmt.Fprintf(b, "start         %s at %.2f s, %s\n", s.Instance, s.AtMillis/1000, s.Ready())
+	}
 	for _, n := range r.Notes {
 		fmt.Fprintf(b, "note          %s\n", n)
 	}
 }
 
+// Ready tells in words how long the instance took to serve.
+func (s Start) Ready() string {
+	if s.ReadyMillis == 0 {
+		return "never ready"
+	}
+	return fmt.Sprintf("ready after %.0f ms", s.ReadyMillis)
+}
+
 func (r Report) violationTable(b *strings.Builder) {
 	fmt.Fprintf(b, "\nviolations    %d\n", r.Audit.Total())
 	for _, c := range r.Audit.Counts {
--- a/trial/node.go
+++ b/trial/node.go
@@ -10,6 +10,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/report"
 	"lovagestand.example/lovagestand/standin/fleet"
 	"lovagestand.example/lovagestand/trial/network"
 )
@@ -32,8 +33,11 @@
 	index    int
 	host     *network.Host
 	instance Instance
+	launched time.Time
 
 	mutex sync.Mutex
+	// ready is when the node first served; zero until then.
+	ready time.Time
 	state nodeState
 	held  hold
 }
@@ -80,6 +84,7 @@
 func (t *Trial) launch(region lovagestand.RegionName, index int) (*node, error) {
 	domain := fleet.Domain(region, index)
 	host := t.network.Host(network.Place{Kind: network.KindInstance, Region: region, Domain: domain})
+	began := time.Now()
 	i, err := t.config.Launch(Site{
 		Region:        region,
 		Regions:       t.firm.Regions,
@@ -96,8 +101,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.launched++
-	n := &node{name: fmt.Sprintf("%s/%d", region, t.launched), region: region, index: index, host: host, instance: i}
+	n := &node{name: fmt.Sprintf("%s/%d", region, t.launched), region: region, index: index, host: host, instance: i, launched: began}
 	t.nodes = append(t.nodes, n)
+	t.watching.Go(func() { _ = n.awaitReady(t.alive) })
 	return n, nil
 }
 
@@ -106,6 +112,7 @@
 	for {
 		err := n.instance.Ready()
 		if err == nil {
+			n.noteReady(time.Now())
 			return nil
 		}
 		select {
@@ -116,6 +123,26 @@
 	}
 }
 
+// noteReady notes when the node first served.
+func (n *node) noteReady(at time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.ready.IsZero() {
+		n.ready = at
+	}
+}
+
+// start tells how the node started.
+func (n *node) start(began time.Time) report.Start {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	s := report.Start{Instance: n.name, AtMillis: milliseconds(n.launched.Sub(began))}
+	if !n.ready.IsZero() {
+		s.ReadyMillis = milliseconds(n.ready.Sub(n.launched))
+	}
+	return s
+}
+
 // replace starts an instance in the place of one that is gone.
 func (t *Trial) replace(n *node) {
 	if _, err := t.launch(n.region, n.index); err != nil {
--- a/trial/run.go
+++ b/trial/run.go
@@ -65,12 +65,17 @@
 func (t *Trial) report(s *sampler, now time.Time) report.Report {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	var starts []report.Start
+	for _, n := range t.nodes {
+		starts = append(starts, n.start(t.began))
+	}
 	return report.Report{
 		Started:   t.began,
 		Seed:      t.config.Seed,
 		Seconds:   t.config.Duration.Seconds(),
 		Instances: len(t.firm.Regions) * InstancesPerRegion,
 		Workers:   t.firm.Workers,
+		Starts:    starts,
 		Faults:    t.faults,
 		Kinds:     t.record.result(),
 		Totals:    s.totals(now),
