--- a/audit/auditor.go
+++ b/audit/auditor.go
@@ -39,10 +39,10 @@
 
 // work is what became of one request key.
 type work struct {
-	asked   bool
-	due     []byte
-	runs    []place
-	starts  int
+	asked  bool
+	due    []byte
+	runs   []place
+	starts int
 	// latest is where and when an attempt started last.
 	latest  place
 	startAt time.Time
