operate: status, explain and dump over HTTP, and a page on each instance

Operators could read one instance's /status and /dump only. Now every instance serves /cell (the whole cell: digests, revisions with age, and what each instance it knows says of itself), /explain, /v1/requests/KEY/explain and the same as a read-only page at /. The commands status, explain and dump call any instance. tables is mounted in the command line.

--- /dev/null
+++ b/cell/explanation.go
@@ -0,0 +1,97 @@
+package cell
+
+import (
+	"fmt"
+	"io"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Explanation says where a request is and why.
+type Explanation struct {
+	Key lovagestand.RequestKey `json:"key"`
+	// Found says that some instance knows the request.
+	Found bool   `json:"found"`
+	Notes []Note `json:"notes"`
+	// Silent are the instances that did not answer.
+	Silent []string `json:"silent,omitempty"`
+}
+
+// Note is what one part of an instance knows of a request.
+type Note struct {
+	// Instance is the address of the instance that says it.
+	Instance string                `json:"instance"`
+	Shard    lovagestand.ShardName `json:"shard,omitempty"`
+	Text     string                `json:"text"`
+}
+
+// Write writes the explanation as text for a terminal.
+func (e Explanation) Write(w io.Writer) error {
+	if !e.Found {
+		fmt.Fprintf(w, "no instance that answers holds a request with key %q: it was never sent, or its answer is no longer kept\n", e.Key)
+	}
+	for _, n := range e.Notes {
+		where := n.Instance
+		if n.Shard != "" {
+			where += ", shard " + string(n.Shard)
+		}
+		fmt.Fprintf(w, "%s: %s\n", where, n.Text)
+	}
+	for _, address := range e.Silent {
+		fmt.Fprintf(w, "%s: does not answer\n", address)
+	}
+	return nil
+}
+
+// Outlook says where a request of a route would go, and why not elsewhere.
+type Outlook struct {
+	Route     lovagestand.RouteName `json:"route"`
+	Pool      lovagestand.PoolName  `json:"pool"`
+	Class     lovagestand.Class     `json:"class"`
+	Resources lovagestand.Resources `json:"resources"`
+	// Shard is the one it would go to; empty if to none.
+	Shard  lovagestand.ShardName `json:"shard,omitempty"`
+	Reason string                `json:"reason"`
+	Shards []Prospect            `json:"shards"`
+}
+
+// Prospect is what speaks for and against one shard.
+type Prospect struct {
+	Shard lovagestand.ShardName `json:"shard"`
+	Owner string                `json:"owner"`
+	Text  string                `json:"text"`
+}
+
+// Write writes the outlook as text for a terminal.
+func (o Outlook) Write(w io.Writer) error {
+	fmt.Fprintf(w, "route %s: pool %s, class %s, takes %s\n", o.Route, o.Pool, o.Class, Resources(o.Resources))
+	if o.Shard == "" {
+		fmt.Fprintf(w, "would go nowhere: %s\n", o.Reason)
+	} else {
+		fmt.Fprintf(w, "would go to shard %s: %s\n", o.Shard, o.Reason)
+	}
+	for _, p := range o.Shards {
+		fmt.Fprintf(w, "  %s (owner %s): %s\n", p.Shard, p.Owner, p.Text)
+	}
+	return nil
+}
+
+// Judge says what speaks for and against a shard as the place of a task.
+func Judge(task lovagestand.Task, d lovagestand.PoolDigest, home bool) string {
+	switch {
+	case d.Workers == 0:
+		return "no worker of the pool is fit"
+	case !task.Resources.Fits(d.LargestCapacity):
+		return "never: its largest worker has " + Resources(d.LargestCapacity)
+	}
+	text := fmt.Sprintf("expected wait %v, %d waiting in its class", d.Wait[task.Class], d.Waiting[task.Class])
+	if task.Resources.Fits(d.Largest) {
+		text += ", some worker may have room now"
+	} else {
+		text += ", no worker has room now"
+	}
+	if !home {
+		text += ", in another region"
+	}
+	return text
+}
--- /dev/null
+++ b/cell/page.go
@@ -0,0 +1,17 @@
+package cell
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{"millis": Millis}).Parse(pageText))
+
+// WritePage writes the state as a page for a browser. It refreshes itself.
+func (s State) WritePage(w io.Writer) error {
+	return page.Execute(w, s)
+}
--- /dev/null
+++ b/cell/text.go
@@ -0,0 +1,160 @@
+package cell
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// columnPadding is the space between two columns.
+const columnPadding = 2
+
+// section is one part of the text: a heading, a row of titles and rows.
+type section struct {
+	title, columns string
+	rows           []string
+	// none is written in place of no rows.
+	none string
+}
+
+// Write writes the state as text for a terminal.
+func (s State) Write(w io.Writer) error {
+	fmt.Fprintf(w, "cell as %s sees it at %s, tables revision %d\n", s.AskedAt, s.At.Format(time.RFC3339), s.Revision)
+	for _, part := range []section{s.regions(), s.pools(), s.queues(), s.shards(), s.instances(), s.unfit()} {
+		if err := part.write(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s section) write(w io.Writer) error {
+	fmt.Fprintf(w, "\n%s\n", s.title)
+	if len(s.rows) == 0 {
+		_, err := fmt.Fprintln(w, s.none)
+		return err
+	}
+	columns := tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)
+	fmt.Fprintln(columns, s.columns)
+	for _, r := range s.rows {
+		fmt.Fprintln(columns, r)
+	}
+	return columns.Flush()
+}
+
+func (s *section) add(format string, values ...any) {
+	s.rows = append(s.rows, fmt.Sprintf(format, values...))
+}
+
+func (s State) regions() section {
+	part := section{title: "Regions", columns: "REGION\tINSTANCES\tUNHEALTHY\tSHARDS\tWORKERS\tRUNNING\tWAITING", none: "none known"}
+	for _, r := range s.Regions {
+		part.add("%s\t%d\t%d\t%d\t%d\t%d\t%d", r.Region, r.Instances, r.Unhealthy, r.Shards, r.Workers, r.Running, r.Waiting)
+	}
+	return part
+}
+
+func (s State) pools() section {
+	part := section{title: "Pools (free of capacity)", columns: "POOL\tWORKERS\tRUNNING\tPROCESSORS\tMEMORY\tACCELERATORS", none: "none known"}
+	for _, p := range s.Pools {
+		part.add("%s\t%d\t%d\t%s\t%s\t%s", p.Pool, p.Workers, p.Running, p.Processors(), p.Memory(), p.Accelerators())
+	}
+	return part
+}
+
+func (s State) queues() section {
+	part := section{title: "Queues", columns: "POOL\tCLASS\tWAITING\tEXPECTED WAIT", none: "none known"}
+	for _, p := range s.Pools {
+		for _, q := range p.Queues {
+			part.add("%s\t%s\t%d\t%s", p.Pool, q.Class, q.Waiting, q.Wait())
+		}
+	}
+	return part
+}
+
+func (s State) shards() section {
+	part := section{title: "Shards", columns: "SHARD\tOWNER\tEPOCH\tDIGEST AGE", none: "no owner is known"}
+	for _, d := range s.Shards {
+		part.add("%s\t%s\t%d\t%s", d.Shard, d.Owner, d.Epoch, Millis(d.AgeMillis))
+	}
+	return part
+}
+
+func (s State) instances() section {
+	part := section{title: "Instances", columns: "REGION\tADDRESS\tDOMAIN\tREVISION\tAGE\tUPTIME\tIN FLIGHT\tSHARDS\tSTATE", none: "none known"}
+	for _, i := range s.Instances {
+		part.add("%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%s", i.Region, i.Address, i.FailureDomain, i.Revision, Millis(i.AgeMillis), i.Uptime, i.InFlight, i.Shards, i.State())
+	}
+	return part
+}
+
+func (s State) unfit() section {
+	part := section{title: "Workers that get no new work", columns: "WORKER\tSHARD\tPOOL\tWHY", none: "none"}
+	for _, u := range s.Unfit {
+		part.add("%s\t%s\t%s\t%s", u.Worker, u.Shard, u.Pool, u.Reason)
+	}
+	return part
+}
+
+// State returns the trouble of an instance, or that it is healthy or leaving.
+func (i Instance) State() string {
+	switch {
+	case i.Trouble != "":
+		return i.Trouble
+	case i.Leaving:
+		return "leaving"
+	}
+	return "healthy"
+}
+
+// Processors returns the free cores of the pool's capacity in words.
+func (p Pool) Processors() string {
+	return fmt.Sprintf("%s of %s", cores(p.Free.MilliCPU), cores(p.Capacity.MilliCPU))
+}
+
+// Memory returns the free memory of the pool's capacity in words.
+func (p Pool) Memory() string {
+	return fmt.Sprintf("%s of %s", memory(p.Free.MemoryMiB), memory(p.Capacity.MemoryMiB))
+}
+
+// Accelerators returns the free accelerators of the pool's capacity in words.
+func (p Pool) Accelerators() string {
+	return fmt.Sprintf("%d of %d", p.Free.Accelerators, p.Capacity.Accelerators)
+}
+
+// Wait returns the range of expected waits in words.
+func (q Queue) Wait() string {
+	if q.LeastWaitMillis == q.LongestWaitMillis {
+		return Millis(q.LeastWaitMillis)
+	}
+	return Millis(q.LeastWaitMillis) + " to " + Millis(q.LongestWaitMillis)
+}
+
+// Millis returns a count of milliseconds as a duration in words.
+func Millis(n int64) string {
+	return (time.Duration(n) * time.Millisecond).String()
+}
+
+const (
+	milliPerCore = 1000
+	mibPerGiB    = 1024
+)
+
+func cores(milli int64) string {
+	return fmt.Sprintf("%.4g", float64(milli)/milliPerCore)
+}
+
+func memory(mib int64) string {
+	if mib < mibPerGiB {
+		return fmt.Sprintf("%d MiB", mib)
+	}
+	return fmt.Sprintf("%.5g GiB", float64(mib)/mibPerGiB)
+}
+
+// Resources returns an amount in words.
+func Resources(r lovagestand.Resources) string {
+	return fmt.Sprintf("%s cores, %s, %d accelerators", cores(r.MilliCPU), memory(r.MemoryMiB), r.Accelerators)
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os/signal"
 	"syscall"
 
@@ -13,10 +14,14 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/commands/operate"
 	"lovagestand.example/lovagestand/commands/standin"
+	"lovagestand.example/lovagestand/commands/tables"
 	"lovagestand.example/lovagestand/commands/trial"
 	"lovagestand.example/lovagestand/common/document"
 	"lovagestand.example/lovagestand/common/logfmt"
+	"lovagestand.example/lovagestand/platform"
 )
 
 // The exit codes of the program.
@@ -86,6 +91,16 @@
 		SilenceErrors: true,
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
-	c.AddCommand(newServe(log), standin.New(log), trial.New(log))
+	c.AddCommand(newServe(log), standin.New(log), trial.New(log), newTables())
+	c.AddCommand(operate.Commands(http.DefaultClient)...)
 	return c
 }
+
+// newTables returns the command "tables" over the platform's services.
+func newTables() *cobra.Command {
+	return tables.Command(tables.Deps{
+		Store:   func(base string) lovagestand.Store { return platform.NewStore(base) },
+		Members: func(base string) lovagestand.MemberList { return platform.NewMemberList(base) },
+		Client:  http.DefaultClient,
+	})
+}
--- /dev/null
+++ b/commands/operate/explain.go
@@ -0,0 +1,107 @@
+package operate
+
+import (
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"lovagestand.example/lovagestand/cell"
+	"lovagestand.example/lovagestand/common/document"
+	"lovagestand.example/lovagestand/table"
+)
+
+// plan is a request that is only thought of.
+type plan struct {
+	route, team  string
+	processors   document.Processors
+	memory       document.Memory
+	accelerators int64
+}
+
+func newExplain(client *http.Client) *cobra.Command {
+	a := &asker{client: client}
+	p := &plan{}
+	c := &cobra.Command{
+		Use:   "explain [KEY]",
+		Short: "Say why a request waits or where it runs, or where one of a route would go",
+		Example: "  lovagestand explain quote-17\n" +
+			"  lovagestand explain --route counter-quote --team showroom --processors 2 --memory 4GiB",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			switch {
+			case len(args) == 1 && p.route == "":
+				return a.show(c, "/v1/requests/"+url.PathEscape(args[0])+"/explain", &cell.Explanation{})
+			case len(args) == 0 && p.route != "":
+				return a.show(c, "/explain?"+p.query().Encode(), &cell.Outlook{})
+			}
+			return &UsageError{Reason: "name either the key of a request or --route and --team"}
+		},
+	}
+	a.flags(c)
+	a.jsonFlag(c)
+	p.flags(c)
+	return c
+}
+
+func (p *plan) flags(c *cobra.Command) {
+	c.Flags().StringVar(&p.route, "route", "", "route of a request that is only thought of")
+	c.Flags().StringVar(&p.team, "team", "", "team that would send it")
+	c.Flags().TextVar(&p.processors, "processors", document.Processors(0), "cores it would take, such as 2 or 500m; the route's if 0")
+	c.Flags().TextVar(&p.memory, "memory", document.Memory(0), "memory it would take, such as 4GiB")
+	c.Flags().Int64Var(&p.accelerators, "accelerators", 0, "accelerators it would take")
+	// Completion is a convenience: an unknown flag is the only way it can fail.
+	_ = c.RegisterFlagCompletionFunc("route", completeRoutes)
+}
+
+func (p *plan) query() url.Values {
+	return url.Values{
+		"route":        {p.route},
+		"team":         {p.team},
+		"milliCPU":     {strconv.FormatInt(int64(p.processors), 10)},
+		"memoryMiB":    {strconv.FormatInt(int64(p.memory), 10)},
+		"accelerators": {strconv.FormatInt(p.accelerators, 10)},
+	}
+}
+
+// completeRoutes offers the routes of the tables in the working directory.
+func completeRoutes(*cobra.Command, []string, string) ([]string, cobra.ShellCompDirective) {
+	tables, err := tablesHere()
+	if err != nil {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	var names []string
+	for _, r := range tables.Routes() {
+		names = append(names, string(r.Name))
+	}
+	return names, cobra.ShellCompDirectiveNoFileComp
+}
+
+func tablesHere() (table.Tables, error) {
+	routes, err := os.ReadFile(table.RoutesTable.File())
+	if err != nil {
+		return table.Tables{}, errors.Wrap(err, "routes")
+	}
+	pools, err := os.ReadFile(table.PoolsTable.File())
+	if err != nil {
+		return table.Tables{}, errors.Wrap(err, "pools")
+	}
+	return table.Parse(routes, pools)
+}
+
+// UsageError says that the arguments do not go together.
+type UsageError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Reason }
+
+// exitUsage is the exit code for wrong arguments.
+const exitUsage = 2
+
+// ExitCode returns the exit code of the program.
+func (e *UsageError) ExitCode() int { return exitUsage }
--- a/entry/call.go
+++ b/entry/call.go
@@ -13,7 +13,10 @@
 	route       Route
 	fingerprint uint64
 	submitted   time.Time
-	release     func()
+	// arrived is when the request came here, and lastStart when it had to have
+	// started then; a claim may change what is pursued.
+	arrived, lastStart time.Time
+	release            func()
 
 	mu        sync.Mutex
 	answer    lovagestand.Answer
@@ -34,6 +37,8 @@
 		route:       route,
 		fingerprint: fingerprint,
 		submitted:   now,
+		arrived:     now,
+		lastStart:   request.StartBy,
 		release:     func() {},
 		answer:      lovagestand.Answer{Key: request.Key, Outcome: lovagestand.OutcomeWaiting},
 		done:        make(chan struct{}),
--- /dev/null
+++ b/entry/explain.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Explain says in words what this entry knows of a request; false if nothing.
+func (e *Entry) Explain(key lovagestand.RequestKey) (string, bool) {
+	c, ok := e.held(key)
+	if !ok {
+		return "", false
+	}
+	return c.explain(time.Now()), true
+}
+
+func (c *call) explain(now time.Time) string {
+	answer := c.current()
+	if answer.Outcome.Final() {
+		return explainAnswer(answer)
+	}
+	text := fmt.Sprintf("route %s, pool %s: taken %v ago, must start within %v", c.route.Name, c.route.Pool,
+		now.Sub(c.arrived).Round(time.Millisecond), c.lastStart.Sub(now).Round(time.Millisecond))
+	shards := c.holders()
+	slices.Sort(shards)
+	switch {
+	case c.isCancelled():
+		text += "; being cancelled"
+	case len(shards) > 0:
+		text += "; handed to " + joinNames(shards)
+	case c.route.Claimed():
+		text += "; no owner has taken it yet: it waits for its claim or for an owner"
+	default:
+		text += "; no owner has taken it yet"
+	}
+	return text
+}
+
+func explainAnswer(a lovagestand.Answer) string {
+	text := fmt.Sprintf("its answer is final: %s", a.Outcome)
+	if a.Worker != "" {
+		text += " on worker " + string(a.Worker)
+	}
+	if a.Reason != "" {
+		text += ": " + a.Reason
+	}
+	return text
+}
+
+func joinNames(shards []lovagestand.ShardName) string {
+	var names []string
+	for _, s := range shards {
+		names = append(names, string(s))
+	}
+	return "shard " + strings.Join(names, " and ")
+}
+
+// Plan returns the task that a request would become with what its route gives
+// it. It fails with an [UnknownRouteError], a [NotReadyError] or an
+// [InvalidError].
+func (e *Entry) Plan(request lovagestand.Request) (lovagestand.Task, error) {
+	now := time.Now()
+	if !e.deps.Routes.Ready() {
+		return lovagestand.Task{}, &NotReadyError{Reason: "no tables are in force yet"}
+	}
+	route, ok := e.deps.Routes.Route(request.Route)
+	if !ok {
+		return lovagestand.Task{}, &UnknownRouteError{Route: request.Route}
+	}
+	request = withDefaults(request, route, now)
+	if err := check(request, route); err != nil {
+		return lovagestand.Task{}, err
+	}
+	return newCall(request, route, 0, now).attempt(), nil
+}
--- /dev/null
+++ b/instance/explain.go
@@ -0,0 +1,146 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/cell"
+	"lovagestand.example/lovagestand/entry"
+)
+
+// serveExplain says where a request is and why. With "here" it tells only what
+// this instance knows, which is how instances ask each other.
+func (i *Instance) serveExplain(w http.ResponseWriter, r *http.Request) {
+	key := lovagestand.RequestKey(chi.URLParam(r, "key"))
+	if r.URL.Query().Has("here") {
+		writeJSON(w, i.explainHere(key))
+		return
+	}
+	writeJSON(w, i.explain(r.Context(), key))
+}
+
+// explainHere returns what the entry and the placer of this instance know.
+func (i *Instance) explainHere(key lovagestand.RequestKey) cell.Explanation {
+	e := cell.Explanation{Key: key, Notes: []cell.Note{}}
+	if text, ok := i.entry.Explain(key); ok {
+		e.Notes = append(e.Notes, cell.Note{Instance: i.address, Text: text})
+	}
+	if shard, text, ok := i.placer.Explain(key); ok {
+		e.Notes = append(e.Notes, cell.Note{Instance: i.address, Shard: shard, Text: text})
+	}
+	e.Found = len(e.Notes) > 0
+	return e
+}
+
+// explain puts together what all instances know.
+func (i *Instance) explain(ctx context.Context, key lovagestand.RequestKey) cell.Explanation {
+	whole := i.explainHere(key)
+	path := "/v1/requests/" + url.PathEscape(string(key)) + "/explain?here"
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(maxAsked)
+	for _, other := range i.known() {
+		if other.ID == i.id {
+			continue
+		}
+		group.Go(func() error {
+			var part cell.Explanation
+			err := i.fetch(ctx, other, path, &part)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				whole.Silent = append(whole.Silent, other.Address)
+				return nil
+			}
+			whole.Notes = append(whole.Notes, part.Notes...)
+			whole.Found = whole.Found || part.Found
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return whole
+}
+
+// serveOutlook says where a request of a route would go.
+func (i *Instance) serveOutlook(w http.ResponseWriter, r *http.Request) {
+	request, err := planned(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	task, err := i.entry.Plan(request)
+	if err != nil {
+		http.Error(w, err.Error(), planStatus(err))
+		return
+	}
+	writeJSON(w, i.outlook(task))
+}
+
+// planKey stands for the key of a request that is only thought of.
+const planKey = "planned"
+
+func planned(query url.Values) (lovagestand.Request, error) {
+	r := lovagestand.Request{
+		Key:   planKey,
+		Route: lovagestand.RouteName(query.Get("route")),
+		Team:  lovagestand.TeamName(query.Get("team")),
+	}
+	for name, field := range map[string]*int64{
+		"milliCPU":     &r.Resources.MilliCPU,
+		"memoryMiB":    &r.Resources.MemoryMiB,
+		"accelerators": &r.Resources.Accelerators,
+	} {
+		text := query.Get(name)
+		if text == "" {
+			continue
+		}
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return r, errors.Errorf("%s: %q is not a whole number", name, text)
+		}
+		*field = n
+	}
+	return r, nil
+}
+
+func planStatus(err error) int {
+	var notReady *entry.NotReadyError
+	var unknown *entry.UnknownRouteError
+	switch {
+	case errors.As(err, &notReady):
+		return http.StatusServiceUnavailable
+	case errors.As(err, &unknown):
+		return http.StatusNotFound
+	}
+	return http.StatusBadRequest
+}
+
+// outlook judges all shards that serve the task's pool, and asks the chooser
+// that real requests are sent by.
+func (i *Instance) outlook(task lovagestand.Task) cell.Outlook {
+	o := cell.Outlook{Route: task.Route, Pool: task.Pool, Class: task.Class, Resources: task.Resources, Shards: []cell.Prospect{}}
+	target, err := i.chooser.Choose(task, 0, nil)
+	if err != nil {
+		o.Reason = err.Error()
+	} else {
+		o.Shard, o.Reason = target.Shard, target.Reason
+	}
+	for _, v := range i.ownership.Digests(task.Pool) {
+		p := cell.Prospect{Shard: v.Digest.Shard}
+		if owner, ok := i.ownership.Owner(p.Shard); ok {
+			p.Owner = owner.Address
+		}
+		home := cell.RegionOf(p.Shard) == i.settings.Region
+		p.Text = cell.Judge(task, poolDigest(v.Digest, task.Pool), home)
+		o.Shards = append(o.Shards, p)
+	}
+	return o
+}
