--- a/cell/gather.go
+++ b/cell/gather.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
@@ -21,6 +24,8 @@
 	Reports []Report
 	Heard   map[lovagestand.InstanceID]Heard
 	Digests []peer.DigestView
+	// Listed are the workers on the member list.
+	Listed []lovagestand.Worker
 }
 
 // New returns the state of a cell.
@@ -33,21 +38,60 @@
 		s.Instances = append(s.Instances, instanceOf(r, from.Heard[r.Instance.ID], s.Revision))
 		s.Unfit = append(s.Unfit, unfit(r.Own.Shards)...)
 	}
+	owned := make(map[lovagestand.InstanceID]Owned)
 	for _, v := range from.Digests {
+		owned[v.Owner] = owned[v.Owner].with(v.Digest.Shard)
+		if isClaimHome(v.Digest.Shard) {
+			continue
+		}
 		s.Shards = append(s.Shards, Shard{
 			Shard:     v.Digest.Shard,
-			Owner:     addresses[v.Owner],
+			Owner:     cmp.Or(addresses[v.Owner], string(v.Owner)),
 			Epoch:     v.Epoch,
 			AgeMillis: v.Age.Milliseconds(),
 			Pools:     v.Digest.Pools,
 		})
 	}
+	for n, i := range s.Instances {
+		s.Instances[n].Owned = owned[i.ID]
+	}
+	s.Shards = append(s.Shards, ownerless(from.Listed, s.Shards)...)
 	s.sort()
 	s.Regions = regionsOf(s)
 	s.Pools = poolsOf(s.Shards)
 	return s
 }
 
+// ownerless returns the shards of listed workers that no owner has told of.
+func ownerless(listed []lovagestand.Worker, known []Shard) []Shard {
+	seen := make(map[lovagestand.ShardName]bool)
+	for _, s := range known {
+		seen[s.Shard] = s.Owner != ""
+	}
+	var missing []Shard
+	for _, w := range listed {
+		if _, ok := seen[w.Shard()]; !ok {
+			seen[w.Shard()] = false
+			missing = append(missing, Shard{Shard: w.Shard()})
+		}
+	}
+	return missing
+}
+
+// with counts one more shard or claim home.
+func (o Owned) with(shard lovagestand.ShardName) Owned {
+	if isClaimHome(shard) {
+		o.ClaimHomes++
+	} else {
+		o.Shards++
+	}
+	return o
+}
+
+func isClaimHome(shard lovagestand.ShardName) bool {
+	return strings.HasPrefix(string(shard), peer.ClaimPrefix)
+}
+
 func newest(from Sources) uint64 {
 	var revision uint64
 	for _, h := range from.Heard {
@@ -72,7 +116,7 @@
 func instanceOf(r Report, heard Heard, newest uint64) Instance {
 	i := Instance{Instance: r.Instance, Revision: heard.Revision, AgeMillis: heard.Age.Milliseconds()}
 	if r.Err != nil {
-		i.Trouble = "does not answer: " + r.Err.Error()
+		i.Trouble = "does not answer: " + brief(r.Err)
 		return i
 	}
 	i.Instance = r.Own.Instance
@@ -80,7 +124,6 @@
 	i.AgeMillis = 0
 	i.Uptime = r.Own.Uptime
 	i.InFlight = r.Own.InFlight
-	i.Shards = len(r.Own.Shards)
 	switch {
 	case r.Own.NotReady != "":
 		i.Trouble = "not ready: " + r.Own.NotReady
@@ -90,6 +133,15 @@
 	return i
 }
 
+// brief returns the cause of a failed call without its URL.
+func brief(err error) string {
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return failed.Err.Error()
+	}
+	return err.Error()
+}
+
 // unfit returns the workers of shards that get no new work.
 func unfit(shards []placer.ShardStatus) []Worker {
 	var workers []Worker
--- a/cell/state.go
+++ b/cell/state.go
@@ -99,11 +99,19 @@
 	AgeMillis int64  `json:"ageMillis"`
 	Uptime    string `json:"uptime"`
 	InFlight  int    `json:"inFlight"`
-	Shards    int    `json:"shards"`
+	Owned
 	// Trouble is empty for a healthy instance.
 	Trouble string `json:"trouble,omitempty"`
 }
 
+// Owned counts what an instance owns.
+type Owned struct {
+	// Shards are shards of workers.
+	Shards int `json:"shards"`
+	// ClaimHomes keep the claims of requests that run at most once.
+	ClaimHomes int `json:"claimHomes"`
+}
+
 // Worker is a worker that gets no new work.
 type Worker struct {
 	Worker lovagestand.WorkerName `json:"worker"`
--- a/cell/text.go
+++ b/cell/text.go
@@ -78,15 +78,19 @@
 func (s State) shards() section {
 	part := section{title: "Shards", columns: "SHARD\tOWNER\tEPOCH\tDIGEST AGE", none: "no owner is known"}
 	for _, d := range s.Shards {
+		if d.Owner == "" {
+			part.add("%s\tno owner is known\t\t", d.Shard)
+			continue
+		}
 		part.add("%s\t%s\t%d\t%s", d.Shard, d.Owner, d.Epoch, Millis(d.AgeMillis))
 	}
 	return part
 }
 
 func (s State) instances() section {
-	part := section{title: "Instances", columns: "REGION\tADDRESS\tDOMAIN\tREVISION\tAGE\tUPTIME\tIN FLIGHT\tSHARDS\tSTATE", none: "none known"}
+	part := section{title: "Instances", columns: "REGION\tADDRESS\tDOMAIN\tREVISION\tAGE\tUPTIME\tIN FLIGHT\tSHARDS\tCLAIM HOMES\tSTATE", none: "none known"}
 	for _, i := range s.Instances {
-		part.add("%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%s", i.Region, i.Address, i.FailureDomain, i.Revision, Millis(i.AgeMillis), i.Uptime, i.InFlight, i.Shards, i.State())
+		part.add("%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%s", i.Region, i.Address, i.FailureDomain, i.Revision, Millis(i.AgeMillis), i.Uptime, i.InFlight, i.Shards, i.ClaimHomes, i.State())
 	}
 	return part
 }
--- a/instance/cell.go
+++ b/instance/cell.go
@@ -43,12 +43,14 @@
 // cell sums up the cell from what the live instances say and from what the
 // owners' digests tell.
 func (i *Instance) cell(ctx context.Context) cell.State {
+	members, _ := i.members.Current()
 	from := cell.Sources{
 		AskedAt: i.address,
 		At:      time.Now(),
 		Reports: i.askAll(ctx),
 		Heard:   make(map[lovagestand.InstanceID]cell.Heard),
 		Digests: i.ownership.Digests(""),
+		Listed:  members.Workers,
 	}
 	for _, r := range i.ownership.Revisions() {
 		from.Heard[r.Instance] = cell.Heard{Revision: r.Revision, Age: r.Age}
