--- a/entry/deps.go
+++ b/entry/deps.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/metrics"
 )
 
 // Route is what an entry needs of a row of the routes table.
@@ -101,5 +102,7 @@
 	Peers func() []lovagestand.Instance
 	// Client carries the calls to owners.
 	Client *http.Client
-	Log    zerolog.Logger
+	// Metrics counts answers and refusals; nil counts for nobody.
+	Metrics *metrics.Metrics
+	Log     zerolog.Logger
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/metrics"
 )
 
 const (
@@ -45,6 +47,9 @@
 
 // New returns an entry that holds no requests.
 func New(deps Deps) *Entry {
+	if deps.Metrics == nil {
+		deps.Metrics = metrics.New()
+	}
 	return &Entry{
 		deps:    deps,
 		placers: newPlacers(deps.Client),
@@ -160,6 +165,7 @@
 	}
 	release, err := e.deps.Limiter.Admit(route, request.Team)
 	if err != nil {
+		e.countLimited(err, request.Team)
 		return nil, err
 	}
 	c := newCall(request, route, mark, now)
@@ -169,6 +175,14 @@
 	return c, nil
 }
 
+// countLimited counts a request that a limit kept out.
+func (e *Entry) countLimited(err error, team lovagestand.TeamName) {
+	var limited *LimitedError
+	if errors.As(err, &limited) {
+		e.deps.Metrics.Limited(limited.Limit, team)
+	}
+}
+
 // restartable reports whether asking again with the same key asks for another
 // try: the caller was told that the request did not run.
 func restartable(c *call) bool {
@@ -189,7 +203,7 @@
 	answer := e.pursue(context.Background(), c)
 	c.release()
 	c.finish(answer)
-	metrics.count(c, answer)
+	e.deps.Metrics.Answered(c.route.Name, c.route.Class, answer)
 	e.keep(c, answer)
 }
 
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/metrics"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/placer/placerpb"
 )
@@ -263,7 +264,7 @@
 		return nil, false
 	}
 	window := windowOf(c)
-	limited, cancel := context.WithTimeout(ctx, window+callSlack)
+	limited, cancel := context.WithTimeout(metrics.WithRoute(ctx, c.route.Name), window+callSlack)
 	defer cancel()
 	go e.passCancel(limited, c, owner)
 	reply, err := e.placers.at(owner.Address).Place(limited, &placerpb.PlaceRequest{
--- a/instance/http.go
+++ b/instance/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"expvar"
 	"net/http"
 	"runtime"
 	"time"
@@ -58,7 +57,7 @@
 	r.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.Status()) })
 	i.mountOperators(r)
 	r.Get("/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.dump()) })
-	r.Handle("/debug/vars", expvar.Handler())
+	r.Handle("/debug/vars", i.metrics)
 	return r
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 	"lovagestand.example/lovagestand/claim/claimpb"
 	"lovagestand.example/lovagestand/entry"
 	"lovagestand.example/lovagestand/member"
+	"lovagestand.example/lovagestand/metrics"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/pool/naive"
@@ -39,6 +40,7 @@
 	server   *http.Server
 	client   *http.Client
 
+	metrics   *metrics.Metrics
 	members   *member.Watcher
 	follower  *table.Follower
 	ownership *peer.Peer
@@ -85,6 +87,7 @@
 
 // assemble builds the parts and connects them.
 func (i *Instance) assemble() {
+	i.count()
 	i.members = member.NewWatcher(i.deps.Members, i.Self, i.log)
 	i.follower = table.NewFollower(i.deps.Store,
 		table.WithPeers(i.id, i.peers, tablepeer.Puller(i.client, i.Self())),
@@ -117,8 +120,10 @@
 		Ownership: i.ownership,
 		Peers:     i.ownership.Peers,
 		Client:    i.client,
+		Metrics:   i.metrics,
 		Log:       i.log,
 	})
+	i.publish()
 	i.server = &http.Server{
 		Handler:           i.router(),
 		ReadHeaderTimeout: readHeaderTimeout,
--- /dev/null
+++ b/metrics/transport.go
@@ -0,0 +1,79 @@
+package metrics
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"lovagestand.example/lovagestand"
+)
+
+// routeKey keys the route in a context.
+type routeKey struct{}
+
+// WithRoute returns a context whose calls to other instances are counted for a
+// route.
+func WithRoute(ctx context.Context, route lovagestand.RouteName) context.Context {
+	return context.WithValue(ctx, routeKey{}, route)
+}
+
+func routeOf(ctx context.Context) lovagestand.RouteName {
+	route, _ := ctx.Value(routeKey{}).(lovagestand.RouteName)
+	return route
+}
+
+// Regions returns the region of the instance at an address; false if none is
+// known there.
+type Regions func(address string) (lovagestand.RegionName, bool)
+
+// transport counts the bodies that pass between regions.
+type transport struct {
+	next    http.RoundTripper
+	metrics *Metrics
+	home    lovagestand.RegionName
+	regions Regions
+}
+
+// Transport returns a transport that counts the bytes of bodies sent from and
+// to instances in other regions. Headers are not counted.
+func (m *Metrics) Transport(next http.RoundTripper, home lovagestand.RegionName, regions Regions) http.RoundTripper {
+	if next == nil {
+		next = http.DefaultTransport
+	}
+	return &transport{next: next, metrics: m, home: home, regions: regions}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	region, ok := t.regions(r.URL.Host)
+	if !ok || region == t.home {
+		return t.next.RoundTrip(r)
+	}
+	route := routeOf(r.Context())
+	if r.ContentLength > 0 {
+		t.metrics.paid(t.home, region, route, int(r.ContentLength))
+	}
+	response, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &countingBody{ReadCloser: response.Body, count: func(n int) {
+		t.metrics.paid(region, t.home, route, n)
+	}}
+	return response, nil
+}
+
+// countingBody counts what is read.
+type countingBody struct {
+	io.ReadCloser
+	count func(n int)
+}
+
+// Read implements io.Reader.
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.count(n)
+	}
+	return n, err
+}
