--- /dev/null
+++ b/instance/callers_test.go
@@ -0,0 +1,61 @@
+package instance_test
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// example is a curl line of a page and the statuses it may get.
+type example struct {
+	method, path, data string
+	statuses           string
+}
+
+var (
+	exampleLines = regexp.MustCompile(`(?m)^curl (.+)\n# (.+)$`)
+	curlLines    = regexp.MustCompile(`(?m)^curl `)
+	curlParts    = regexp.MustCompile(`^(?:-X (\w+) )?(?:-d '([^']*)' )?'?http://127\.0\.0\.1:7400([^ ']+)'?$`)
+)
+
+// examplesOf returns the curl lines of a page, all of which must be understood.
+func examplesOf(c *qt.C, path string) []example {
+	page, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	var examples []example
+	for _, line := range exampleLines.FindAllStringSubmatch(string(page), -1) {
+		parts := curlParts.FindStringSubmatch(line[1])
+		c.Assert(parts, qt.HasLen, 4, qt.Commentf("not understood: %s", line[1]))
+		e := example{method: parts[1], path: parts[3], data: parts[2], statuses: line[2]}
+		if e.method == "" && e.data != "" {
+			e.method = http.MethodPost
+		}
+		examples = append(examples, e)
+	}
+	c.Assert(examples, qt.HasLen, len(curlLines.FindAllIndex(page, -1)))
+	return examples
+}
+
+// send sends an example to the n-th instance and returns the status.
+func (c *cell) send(n int, e example) string {
+	r, err := http.NewRequest(e.method, "http://"+c.instances[n].Address()+e.path, strings.NewReader(e.data))
+	c.Assert(err, qt.IsNil)
+	reply, err := http.DefaultClient.Do(r)
+	c.Assert(err, qt.IsNil)
+	_ = reply.Body.Close()
+	return strconv.Itoa(reply.StatusCode)
+}
+
+func TestCurlLinesOfTheCallersPage(t *testing.T) {
+	c := newCell(t)
+	c.awaitReady()
+	for _, e := range examplesOf(c.C, "../docs/operators/callers.md") {
+		got := c.send(0, e)
+		c.Check(strings.Split(e.statuses, " or "), qt.Contains, got, qt.Commentf("%s %s %s", e.method, e.path, e.data))
+	}
+}
