--- a/commands/commands.go
+++ b/commands/commands.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os/signal"
 	"syscall"
 
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"lovagestand.example/lovagestand/commands/operate"
 	"lovagestand.example/lovagestand/commands/standin"
 	"lovagestand.example/lovagestand/commands/trial"
 	"lovagestand.example/lovagestand/common/document"
@@ -87,5 +89,6 @@
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
 	c.AddCommand(newServe(log), newTables(), standin.New(log), trial.New(log))
+	c.AddCommand(operate.Commands(http.DefaultClient)...)
 	return c
 }
