quota, placer: shares for a shard that has come are asked for at once

Cause: teams with quotas start nothing in a new owner's shard until a quota round, about a second; urgent quotes missed their 1.4 s. A task above the shard's share was refused as unfit for ever. Change: three hurried rounds when a shard is ready; the share bounds starts, not admission.

--- a/decider.go
+++ b/decider.go
@@ -52,7 +52,8 @@
 	// Weight is the team's part in fair sharing; 0 counts as 1.
 	Weight float64 `json:"weight"`
 	// Quota is the most the team may run in the shard at once; nil for no
-	// quota.
+	// quota. It is the shard's share of the pool's quota, which moves by need:
+	// a task that asks for more than the share waits.
 	Quota *Resources `json:"quota,omitempty"`
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -111,6 +111,7 @@
 		Ownership: i.ownership,
 		Self:      i.id,
 		Pursues:   func(key lovagestand.RequestKey) bool { return i.entry.Pursues(key) },
+		Ready:     i.quotas.Hurry,
 		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
 			return pool.New(n)
 		},
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -33,6 +33,8 @@
 	// Pursues reports whether this instance pursues a request for a caller, or
 	// has an answer that says more than that it did not run; may be nil.
 	Pursues func(key lovagestand.RequestKey) bool
+	// Ready is called when a shard has been rebuilt; may be nil.
+	Ready func()
 	// NewDecider returns an empty decider for a shard.
 	NewDecider func(shard lovagestand.ShardName) lovagestand.Decider
 	Log        zerolog.Logger
--- a/placer/rebuild.go
+++ b/placer/rebuild.go
@@ -29,6 +29,9 @@
 	}
 	s.restore(time.Now(), workers, states)
 	close(s.ready)
+	if s.deps.Ready != nil {
+		s.deps.Ready()
+	}
 	s.deps.Log.Info().Str("shard", string(s.name)).Uint64("epoch", uint64(s.epoch)).
 		Int("workers", len(workers)).Int("unread", len(workers)-len(states)).Msg("shard ready")
 	return true
--- a/pool/admit.go
+++ b/pool/admit.go
@@ -47,8 +47,6 @@
 		return d.lacking(p, t)
 	case p.ledger.Room(t.Resources, size) < size:
 		return "the gang asks for more than all workers have together"
-	case p.accounts.Limits(p.team(t.Team), t.Resources.Times(int64(size))):
-		return "it asks for more than its team's quota"
 	case !d.options.noQuarantine && d.requests.bad(t.Key):
 		return "the request failed on several workers that run others well"
 	}
--- a/pool/naive/fit.go
+++ b/pool/naive/fit.go
@@ -56,7 +56,6 @@
 		e.Largest = largest(e.Largest, h.worker.Capacity)
 		room += roomFor(t.Resources, h.worker.Capacity, h.worker.Slots)
 	}
-	quota := d.team(t.Pool, t.Team).Quota
 	size := max(t.GangSize, 1)
 	switch {
 	case !t.Resources.Valid():
@@ -67,8 +66,6 @@
 		e.Reason = "it asks for more than any one worker has"
 	case room < size:
 		e.Reason = "the gang asks for more than all workers have together"
-	case quota != nil && !t.Resources.Times(int64(size)).Fits(*quota):
-		e.Reason = "it asks for more than its team's quota"
 	default:
 		return nil
 	}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -22,6 +22,10 @@
 	WriteBudget = 60
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 2 * time.Second
+	// hurriedRounds follow each other by hurriedPause after a shard has come:
+	// its teams start nothing before it has a share.
+	hurriedRounds = 3
+	hurriedPause  = 150 * time.Millisecond
 )
 
 // Shard is a shard that this instance owns, with all that runs there known.
@@ -59,6 +63,9 @@
 	round  sync.Mutex
 	random *rand.Rand
 
+	// hurry asks for rounds at once.
+	hurry chan struct{}
+
 	mu     sync.Mutex
 	seats  map[seatKey]*seat
 	counts Counts
@@ -88,22 +95,38 @@
 
 // New returns a keeper that grants nothing before [Keeper.Run].
 func New(deps Deps) *Keeper {
-	return &Keeper{deps: deps, seats: map[seatKey]*seat{}, random: rand.New(rand.NewPCG(deps.Seed, 0))}
+	return &Keeper{deps: deps, hurry: make(chan struct{}, 1), seats: map[seatKey]*seat{}, random: rand.New(rand.NewPCG(deps.Seed, 0))}
 }
 
 // Run makes rounds until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	hurried := 0
 	for ctx.Err() == nil {
 		k.Round(ctx)
-		timer := time.NewTimer(k.pause())
+		wait := k.pause()
+		if hurried > 0 {
+			hurried--
+			wait = hurriedPause
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case <-k.hurry:
+			hurried = hurriedRounds
 		}
 		timer.Stop()
 	}
 }
 
+// Hurry asks for some rounds at once, for a shard that has come.
+func (k *Keeper) Hurry() {
+	select {
+	case k.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // pause returns the time to the next round: longer the more instances and
 // books there are, and a little uneven.
 func (k *Keeper) pause() time.Duration {
