--- a/region/estimate.go
+++ b/region/estimate.go
@@ -33,23 +33,24 @@
 func estimateOf(t lovagestand.Task, c *Candidate, sent int) estimate {
 	p, _ := c.Pool(t.Pool)
 	wait := p.Wait[t.Class]
-	added := max(sent-ended(t, c, p), 0)
-	beyond := added
+	free := room(t.Resources, p.Free)
+	// As many can run at once as run already and as fit besides.
+	atOnce := max(p.Running+free, 1)
+	turn := runTime(t) / time.Duration(atOnce)
+	ended := min(int(c.Age/max(turn, 1)), sent)
+	beyond := sent - ended
 	if wait == 0 {
-		beyond += 1 - room(t.Resources, p.Free)
+		beyond += 1 - free
 	}
-	turn := runTime(t) / time.Duration(max(p.Running, 1))
 	if beyond > 0 {
 		wait += time.Duration(beyond) * turn
 	}
-	noise := math.Sqrt(float64(sent+ended(t, c, p))) * float64(turn)
-	taken := t.Resources.Times(int64(added)).Add(p.Capacity.Sub(p.Free))
-	return estimate{wait: wait, free: 1 - taken.DominantShare(p.Capacity), noise: time.Duration(noise)}
-}
-
-// ended returns how many tasks are expected to have ended since the digest.
-func ended(t lovagestand.Task, c *Candidate, p lovagestand.PoolDigest) int {
-	return int(float64(p.Running) * c.Age.Seconds() / runTime(t).Seconds())
+	taken := t.Resources.Times(int64(sent - ended)).Add(p.Capacity.Sub(p.Free))
+	return estimate{
+		wait:  wait,
+		free:  1 - taken.DominantShare(p.Capacity),
+		noise: time.Duration(math.Sqrt(float64(sent+ended)) * float64(turn)),
+	}
 }
 
 // room returns how many tasks of a size fit into an amount.
