--- a/entry/call.go
+++ b/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -13,7 +14,14 @@
 	route       Route
 	fingerprint uint64
 	submitted   time.Time
-	release     func()
+	// arrived is when the request came here, and lastStart when it had to have
+	// started then; a claim may change what is pursued.
+	arrived, lastStart time.Time
+	release            func()
+
+	// abandoned says that the caller who brought the request hung up before
+	// anything was said to them.
+	abandoned atomic.Bool
 
 	mu        sync.Mutex
 	answer    lovagestand.Answer
@@ -23,6 +31,8 @@
 	task lovagestand.TaskID
 	// granted is the claim of the attempt; nil if it needs or has none.
 	granted *Claim
+	// vouched says that the home of the key's claim gave the word on it.
+	vouched bool
 	// maybe has the shards whose owners may hold the request: they said so, or
 	// a call to them got no reply.
 	maybe map[lovagestand.ShardName]bool
@@ -34,6 +44,8 @@
 		route:       route,
 		fingerprint: fingerprint,
 		submitted:   now,
+		arrived:     now,
+		lastStart:   request.StartBy,
 		release:     func() {},
 		answer:      lovagestand.Answer{Key: request.Key, Outcome: lovagestand.OutcomeWaiting},
 		done:        make(chan struct{}),
--- a/instance/hooks.go
+++ b/instance/hooks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/claim"
@@ -9,6 +10,10 @@
 	"lovagestand.example/lovagestand/peer"
 )
 
+// releaseTimeout bounds how long a hand-over waits for starts in flight. The
+// successor waits out those that are left.
+const releaseTimeout = 3 * time.Second
+
 // units returns all there is to own: the workers' shards and the homes of
 // claims, which are spread over the cell's regions.
 func (i *Instance) units(m lovagestand.Members) []owner.Unit {
@@ -21,8 +26,12 @@
 		Warm: func(ctx context.Context, shard lovagestand.ShardName) error {
 			return i.placer.Warm(ctx, shard)
 		},
+		Acquire: func(context.Context, lovagestand.Right) { i.metrics.Acquired() },
 		Release: func(ctx context.Context, shard lovagestand.ShardName) error {
-			return i.placer.Release(ctx, shard)
+			i.metrics.Released()
+			limited, cancel := context.WithTimeout(ctx, releaseTimeout)
+			defer cancel()
+			return i.placer.Release(limited, shard)
 		},
 	}
 }
--- a/names.go
+++ b/names.go
@@ -1,5 +1,7 @@
 package lovagestand
 
+import "strings"
+
 // The names of the users' trade. Each is a type of its own so that one cannot
 // be passed where another is meant.
 type (
@@ -34,6 +36,12 @@
 	return ShardName(string(region) + "/" + string(rack))
 }
 
+// Region returns the region whose workers a shard holds.
+func (s ShardName) Region() RegionName {
+	region, _, _ := strings.Cut(string(s), "/")
+	return RegionName(region)
+}
+
 // Epoch counts the owners a shard has had. A higher epoch always wins.
 type Epoch uint64
 
--- a/placer/fixture_test.go
+++ b/placer/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,8 @@
 	mu      sync.Mutex
 	right   lovagestand.Right
 	changed chan struct{}
+	// asked is called before every question for the right; may be nil.
+	asked func()
 }
 
 func newRights(epoch lovagestand.Epoch, d time.Duration) *rights {
@@ -41,6 +44,9 @@
 }
 
 func (r *rights) Right(lovagestand.ShardName) (lovagestand.Right, bool) {
+	if r.asked != nil {
+		r.asked()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.right, r.right.Holds(time.Now())
@@ -72,6 +78,17 @@
 	return lovagestand.Members{Workers: v.workers}, true
 }
 
+// leave marks a worker as leaving on the list.
+func (v *view) leave(name lovagestand.WorkerName) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i, w := range v.workers {
+		if w.Name == name {
+			v.workers[i] = w.WithLeaving(true)
+		}
+	}
+}
+
 func (v *view) Since() time.Time { return v.since }
 
 func (v *view) Gone(lovagestand.ShardName) []lovagestand.Worker { return v.gone }
@@ -79,6 +96,15 @@
 // catalog puts all workers in one pool.
 type catalog struct{}
 
+// Waits lets every task wait but those of the route "removed", two seconds
+// after they came.
+func (catalog) Waits(t lovagestand.Task) error {
+	if t.Route == "removed" && time.Since(t.Submitted) > 2*time.Second {
+		return errors.New("the route was removed")
+	}
+	return nil
+}
+
 func (catalog) PoolOf(lovagestand.Worker) (lovagestand.PoolName, bool) { return "runners", true }
 
 func (catalog) Leaving(lovagestand.Worker) bool { return false }
--- a/placer/rebuild.go
+++ b/placer/rebuild.go
@@ -15,11 +15,7 @@
 // rebuild waits out the starts of earlier owners, then reads what every
 // worker of the shard holds. It returns false if ctx ended first.
 func (s *shard) rebuild(ctx context.Context) bool {
-	right, ok := s.right(time.Now())
-	if !ok {
-		return false
-	}
-	if !pause(ctx, time.Until(right.SettleUntil)) {
+	if !pause(ctx, time.Until(s.settleUntil)) {
 		return false
 	}
 	members, ok := s.awaitInputs(ctx)
@@ -120,12 +116,12 @@
 		if !k.listed && !read {
 			continue
 		}
-		s.restoreWorker(now, k, state)
+		s.restoreWorker(now, k, state, read)
 	}
 	s.isReady = true
 }
 
-func (s *shard) restoreWorker(now time.Time, k candidate, state lovagestand.WorkerState) {
+func (s *shard) restoreWorker(now time.Time, k candidate, state lovagestand.WorkerState, read bool) {
 	w := k.worker
 	if s.deps.Catalog.Leaving(w) || state.Leaving {
 		w = w.WithLeaving(true)
@@ -133,10 +129,9 @@
 	pool, _ := s.deps.Catalog.PoolOf(w)
 	l := s.connect(now, w, pool)
 	l.listed = k.listed
+	l.read = read
 	l.sequence = state.Sequence
-	if !k.listed {
-		s.setWorker(now, l)
-	}
+	s.setWorker(now, l)
 	for _, report := range state.Tasks {
 		s.apply(now, l, report)
 	}
@@ -155,7 +150,7 @@
 		r = adoptedRequest(a, report.Task)
 		s.hold(r)
 	}
-	if a.Part >= len(r.parts) || r.parts[a.Part].attempt.Number > a.Number {
+	if a.Part >= len(r.parts) || !s.replaces(r.parts[a.Part], a, report) {
 		s.occupy(now, l, report)
 		return
 	}
@@ -173,6 +168,20 @@
 	s.decider.Adopt(now, p.task, p.worker)
 }
 
+// replaces reports whether an attempt found on a worker takes the place of the
+// one that the shard knows of the part. One that is placed or has ended stays,
+// unless the one found has ended well.
+func (s *shard) replaces(p *part, found attempt, report lovagestand.TaskReport) bool {
+	switch p.state {
+	case partQueued, partBlocked:
+		return report.Phase == lovagestand.TaskDone || !report.Phase.Ended() || found.Number >= p.attempt.Number
+	case partEnded:
+		return !p.request.final() && found.Number > p.attempt.Number
+	default:
+		return false
+	}
+}
+
 // occupy counts a running task that belongs to no request against capacity
 // and stops it: a later attempt of the same part is known.
 func (s *shard) occupy(now time.Time, l *link, report lovagestand.TaskReport) {
@@ -197,7 +206,7 @@
 // adoptedRequest returns the request of a task found on a worker. Its parts
 // count as ended until a worker shows them.
 func adoptedRequest(a attempt, task lovagestand.Task) *request {
-	r := newRequest(task.WithID(a.Request))
+	r := newRequest(task.WithID(a.Request), a.Epoch)
 	for _, p := range r.parts {
 		p.state = partBlocked
 	}
--- a/placer/rpc.go
+++ b/placer/rpc.go
@@ -115,7 +115,7 @@
 	if _, ok := s.right(now); !ok || s.draining {
 		return nil, notOwner()
 	}
-	r := newRequest(task)
+	r := newRequest(task, s.epoch)
 	if resubmitted {
 		if s.mayStillRun(now, task) {
 			return nil, waiting()
@@ -136,8 +136,11 @@
 	r.body = body
 	r.hasBody = true
 	if err := s.submit(now, r); err != nil {
+		doubt := r.started()
 		s.bury(now, r, err.Error())
-		return nil, rejection(err)
+		reply := rejection(err)
+		reply.Doubt = doubt
+		return nil, reply
 	}
 	return r, nil
 }
@@ -146,7 +149,11 @@
 // its way cannot queue it later.
 func (s *shard) bury(now time.Time, r *request, reason string) {
 	r.withdrawn = true
-	r.finish(now, lovagestand.NotRun(r.task.Key, reason, 0))
+	if r.started() {
+		r.finish(now, lovagestand.Unknown(r.task.Key, "an earlier owner may have started it; "+reason))
+	} else {
+		r.finish(now, lovagestand.NotRun(r.task.Key, reason, 0))
+	}
 	r.body = nil
 	r.parts = nil
 	s.requests[r.task.ID] = r
@@ -167,7 +174,7 @@
 	if s.doubt(task) != "" {
 		return lovagestand.Answer{}, false
 	}
-	r := newRequest(task)
+	r := newRequest(task, s.epoch)
 	s.bury(now, r, "withdrawn")
 	return r.answer, true
 }
@@ -233,7 +240,10 @@
 	case <-r.done:
 		return final(r.answer)
 	case <-s.closed:
-		return notOwner()
+		// It was held here, and may have been started.
+		reply := notOwner()
+		reply.Doubt = true
+		return reply
 	case <-window.Done():
 		return waiting()
 	}
@@ -255,6 +265,10 @@
 	if !ok {
 		return lovagestand.Answer{}, false
 	}
+	if _, ok := s.right(now); !ok && !r.final() {
+		// Another owner may start what waits here.
+		return lovagestand.Answer{}, false
+	}
 	return s.giveUp(now, r), true
 }
 
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -38,25 +38,34 @@
 	// unread are workers that may hold tasks of earlier owners and could not
 	// be read, with the time by which their leases have lapsed.
 	unread map[lovagestand.WorkerName]time.Time
+	// settleUntil is when starts of earlier owners are over.
+	settleUntil time.Time
+	// lastFlight is the latest time at which a start sent may take effect.
+	lastFlight time.Time
+	// recheck says that the tables may have changed since the requests that
+	// wait were last compared with them.
+	recheck bool
 	// scratch is reused for decisions.
 	scratch []lovagestand.Decision
 }
 
 func newShard(deps Deps, t timings, right lovagestand.Right) *shard {
 	return &shard{
-		name:     right.Shard,
-		epoch:    right.Epoch,
-		deps:     deps,
-		timings:  t,
-		wake:     make(chan struct{}, 1),
-		ready:    make(chan struct{}),
-		closed:   make(chan struct{}),
-		decider:  deps.NewDecider(right.Shard),
-		links:    make(map[lovagestand.WorkerName]*link),
-		requests: make(map[lovagestand.TaskID]*request),
-		parts:    make(map[lovagestand.TaskID]*part),
-		byKey:    make(map[lovagestand.RequestKey]*request),
-		unread:   make(map[lovagestand.WorkerName]time.Time),
+		name:  right.Shard,
+		epoch: right.Epoch,
+
+		settleUntil: right.SettleUntil,
+		deps:        deps,
+		timings:     t,
+		wake:        make(chan struct{}, 1),
+		ready:       make(chan struct{}),
+		closed:      make(chan struct{}),
+		decider:     deps.NewDecider(right.Shard),
+		links:       make(map[lovagestand.WorkerName]*link),
+		requests:    make(map[lovagestand.TaskID]*request),
+		parts:       make(map[lovagestand.TaskID]*part),
+		byKey:       make(map[lovagestand.RequestKey]*request),
+		unread:      make(map[lovagestand.WorkerName]time.Time),
 	}
 }
 
@@ -72,8 +81,9 @@
 }
 
 // close ends the shard. What runs goes on running under its leases until the
-// next owner adopts it.
-func (s *shard) close() {
+// next owner adopts it. It returns when the last start sent has surely taken
+// effect or is too late.
+func (s *shard) close() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	select {
@@ -82,6 +92,7 @@
 		close(s.closed)
 	}
 	s.stop()
+	return s.lastFlight.Add(s.timings.clockSkew)
 }
 
 // right returns the right under which the shard was opened, if it still holds.
@@ -147,6 +158,7 @@
 	if s.draining {
 		return
 	}
+	s.answerRemoved(now)
 	s.scratch = s.decider.Decide(now, s.scratch[:0])
 	for _, d := range s.scratch {
 		s.carryOut(ctx, now, d)
@@ -223,6 +235,9 @@
 // hold enters a request and its parts in the shard's books.
 func (s *shard) hold(r *request) {
 	s.requests[r.task.ID] = r
+	if old, ok := s.byKey[r.task.Key]; ok && old != r {
+		r.keyRan = old.mayHaveRun()
+	}
 	s.byKey[r.task.Key] = r
 	for _, p := range r.parts {
 		s.parts[p.task.ID] = p
@@ -243,7 +258,7 @@
 // retry queues the next attempt at a part whose last one surely runs no more.
 func (s *shard) retry(now time.Time, p *part) {
 	delete(s.parts, p.task.ID)
-	p.setAttempt(p.next())
+	p.setAttempt(p.next(s.epoch))
 	s.parts[p.task.ID] = p
 	if err := s.decider.Submit(now, p.task); err != nil {
 		s.expire(now, p, err.Error(), 0)
