--- a/region/replay_test.go
+++ b/region/replay_test.go
@@ -200,17 +200,18 @@
 // report makes a shard's digest, of the moment it is first looked at.
 func (r *replay) report(i int) {
 	s := r.shards[i]
+	slots := max(r.slotsOf(s), s.running)
 	p := lovagestand.PoolDigest{
 		Pool: pool, Workers: 1, Running: s.running,
-		Capacity:        lovagestand.Resources{MilliCPU: int64(s.slots) * 1000},
-		Free:            lovagestand.Resources{MilliCPU: int64(s.slots-s.running) * 1000},
-		LargestCapacity: lovagestand.Resources{MilliCPU: int64(s.slots) * 1000},
+		Capacity:        lovagestand.Resources{MilliCPU: int64(slots) * 1000},
+		Free:            lovagestand.Resources{MilliCPU: int64(slots-s.running) * 1000},
+		LargestCapacity: lovagestand.Resources{MilliCPU: int64(slots) * 1000},
 		Waiting:         map[lovagestand.Class]int{lovagestand.ClassUrgent: len(s.urgent), lovagestand.ClassBatch: len(s.batch)},
 		Wait:            make(map[lovagestand.Class]time.Duration),
 	}
-	if s.running >= s.slots {
-		p.Wait[lovagestand.ClassUrgent] = time.Duration(len(s.urgent)+1) * replayRunTime / time.Duration(s.slots)
-		p.Wait[lovagestand.ClassBatch] = time.Duration(len(s.urgent)+len(s.batch)+1) * replayRunTime / time.Duration(s.slots)
+	if s.running >= slots {
+		p.Wait[lovagestand.ClassUrgent] = time.Duration(len(s.urgent)+1) * replayRunTime / time.Duration(slots)
+		p.Wait[lovagestand.ClassBatch] = time.Duration(len(s.urgent)+len(s.batch)+1) * replayRunTime / time.Duration(slots)
 	}
 	s.digest = lovagestand.Digest{Pools: []lovagestand.PoolDigest{p}}
 }
