region: number of entries as a function; learned answer sizes

Cause: the entries of a region come and go, and what an answer will weigh on a paid link is known only from earlier ones. Change: WithEntries takes a function; Answers learns the size by route, for WithAnswerBytes. Conclusion: the instance can wire both.

--- a/region/compare_test.go
+++ b/region/compare_test.go
@@ -33,7 +33,7 @@
 	"leastLoaded": func(*replay, lovagestand.RegionName) Chooser { return LeastLoaded{} },
 	"nearest":     func(_ *replay, region lovagestand.RegionName) Chooser { return NewNearest(region) },
 	"weighing":    func(r *replay, region lovagestand.RegionName) Chooser { return weighing(r, region) },
-	"uncorrected": func(r *replay, region lovagestand.RegionName) Chooser { return weighing(r, region, WithEntries(0)) },
+	"uncorrected": func(r *replay, region lovagestand.RegionName) Chooser { return weighing(r, region, WithEntries(func() int { return 0 })) },
 	// Of no region, it weighs nothing and takes the better of any two shards.
 	"anyTwo": func(r *replay, _ lovagestand.RegionName) Chooser { return weighing(r, "") },
 }
@@ -43,7 +43,7 @@
 		WithClock(func() time.Time { return time.Unix(0, 0).Add(r.now) }),
 		WithRandom(rand.New(rand.NewPCG(r.random.Uint64(), 1))),
 		WithAnswerBytes(func(lovagestand.RouteName) int { return replayBytes }),
-		WithEntries(replayEntries),
+		WithEntries(func() int { return replayEntries }),
 		WithWeights(weightsOf),
 	}, options...)...)
 }
--- a/region/region_test.go
+++ b/region/region_test.go
@@ -116,3 +116,11 @@
 	fmt.Println(m.Rows(), m.Total())
 	// Output: [{malabar ernakulam quote 1500}] 1500
 }
+
+func ExampleAnswers() {
+	a := NewAnswers()
+	a.Observe("quote", 1000)
+	a.Observe("quote", 2000)
+	fmt.Println(a.Expected("quote"), a.Expected("bulk"))
+	// Output: 1100 0
+}
--- a/region/weighing.go
+++ b/region/weighing.go
@@ -30,7 +30,7 @@
 	links       Links
 	weights     func(lovagestand.RouteName) Weights
 	answerBytes func(lovagestand.RouteName) int
-	entries     int
+	entries     func() int
 	now         func() time.Time
 
 	mu     sync.Mutex
@@ -62,9 +62,9 @@
 	return func(w *Weighing) { w.answerBytes = answerBytes }
 }
 
-// WithEntries sets how many entries of the region send alike; each takes it
+// WithEntries tells how many entries of the region send alike; each takes it
 // that the others send as much as itself.
-func WithEntries(entries int) Option {
+func WithEntries(entries func() int) Option {
 	return func(w *Weighing) { w.entries = entries }
 }
 
@@ -85,7 +85,7 @@
 		links:       EvenLinks(DefaultLinkDelay),
 		weights:     func(lovagestand.RouteName) Weights { return DefaultWeights() },
 		answerBytes: func(lovagestand.RouteName) int { return 0 },
-		entries:     1,
+		entries:     func() int { return 1 },
 		now:         time.Now,
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		sent:        make(map[destination][]time.Time),
@@ -184,7 +184,7 @@
 }
 
 func (w *Weighing) appraise(t lovagestand.Task, bodyBytes int, c *Candidate) Appraisal {
-	e := estimateOf(t, c, w.entries*w.sentSince(destination{shard: c.Shard, pool: t.Pool}, c.Age))
+	e := estimateOf(t, c, w.entries()*w.sentSince(destination{shard: c.Shard, pool: t.Pool}, c.Age))
 	a := Appraisal{Candidate: *c, Wait: e.wait, Link: w.links.Delay(w.region, c.Region), Noise: e.noise, free: e.free}
 	if c.Region != w.region {
 		a.PaidBytes = bodyBytes + w.answerBytes(t.Route)
