--- a/region/compare_test.go
+++ b/region/compare_test.go
@@ -33,7 +33,9 @@
 	"leastLoaded": func(*replay, lovagestand.RegionName) Chooser { return LeastLoaded{} },
 	"nearest":     func(_ *replay, region lovagestand.RegionName) Chooser { return NewNearest(region) },
 	"weighing":    func(r *replay, region lovagestand.RegionName) Chooser { return weighing(r, region) },
-	"uncorrected": func(r *replay, region lovagestand.RegionName) Chooser { return weighing(r, region, WithEntries(func() int { return 0 })) },
+	"uncorrected": func(r *replay, region lovagestand.RegionName) Chooser {
+		return weighing(r, region, WithEntries(func() int { return 0 }))
+	},
 	// Of no region, it weighs nothing and takes the better of any two shards.
 	"anyTwo": func(r *replay, _ lovagestand.RegionName) Chooser { return weighing(r, "") },
 }
