--- a/pool/differential_test.go
+++ b/pool/differential_test.go
@@ -29,8 +29,19 @@
 }
 
 func stepBoth(t *rapid.T, a *auditor, n *naive.Decider, i int) {
-	both := []lovagestand.Decider{a.decider, n}
 	a.now = a.now.Add(time.Duration(small(t, 1500, "passes")) * time.Millisecond)
+	callBoth(t, a, n, i)
+	decisions := n.Decide(a.now, nil)
+	sameDecisions(t, a.decider.Decide(a.now, nil), decisions)
+	for _, d := range decisions {
+		a.place(d.Task, d.Worker)
+	}
+	sameDigests(t, a.decider.Digest(a.now), n.Digest(a.now))
+}
+
+// callBoth makes one random call to both.
+func callBoth(t *rapid.T, a *auditor, n *naive.Decider, i int) {
+	both := []lovagestand.Decider{a.decider, n}
 	switch small(t, 11, "step") {
 	case 0:
 		p := []lovagestand.Policy{randomPolicy(t)}
@@ -69,12 +80,6 @@
 		checker(t).Assert(fmt.Sprintf("%T", errs[0]), qt.Equals, fmt.Sprintf("%T", errs[1]))
 		a.waiting[task.ID] = task
 	}
-	decisions := n.Decide(a.now, nil)
-	sameDecisions(t, a.decider.Decide(a.now, nil), decisions)
-	for _, d := range decisions {
-		a.place(d.Task, d.Worker)
-	}
-	sameDigests(t, a.decider.Digest(a.now), n.Digest(a.now))
 }
 
 func sameTasks(t *rapid.T, got, want []lovagestand.Task) {
