--- a/claim/service.go
+++ b/claim/service.go
@@ -31,6 +31,7 @@
 		StartBy:     timeOf(m.StartBy),
 		Retention:   time.Duration(m.Retention),
 		Rerun:       m.Rerun,
+		Submitted:   timeOf(m.Submitted),
 	}))
 }
 
@@ -43,6 +44,7 @@
 		Outcome: lovagestand.Outcome(m.Outcome),
 		Reason:  m.Reason,
 		ReadAt:  timeOf(m.ReadAt),
+		Stopped: m.Stopped,
 	}))
 }
 
@@ -66,6 +68,7 @@
 		StartBy:     nanos(q.StartBy),
 		Retention:   int64(q.Retention),
 		Rerun:       q.Rerun,
+		Submitted:   nanos(q.Submitted),
 	}))
 }
 
@@ -78,6 +81,7 @@
 		Outcome: string(s.Outcome),
 		Reason:  s.Reason,
 		ReadAt:  nanos(s.ReadAt),
+		Stopped: s.Stopped,
 	}))
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,10 +16,13 @@
 	"lovagestand.example/lovagestand/claim"
 	"lovagestand.example/lovagestand/claim/claimpb"
 	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/member"
+	"lovagestand.example/lovagestand/metrics"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
-	"lovagestand.example/lovagestand/pool/naive"
+	"lovagestand.example/lovagestand/pool"
+	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/table/tablepeer"
@@ -39,11 +42,15 @@
 	server   *http.Server
 	client   *http.Client
 
+	metrics   *metrics.Metrics
 	members   *member.Watcher
 	follower  *table.Follower
+	limiter   *limit.Limiter
+	quotas    *quota.Keeper
 	ownership *peer.Peer
 	homes     *claim.Homes
 	placer    *placer.Placer
+	chooser   entry.Chooser
 	entry     *entry.Entry
 
 	cancel  context.CancelFunc
@@ -84,11 +91,14 @@
 
 // assemble builds the parts and connects them.
 func (i *Instance) assemble() {
+	i.count()
 	i.members = member.NewWatcher(i.deps.Members, i.Self, i.log)
 	i.follower = table.NewFollower(i.deps.Store,
 		table.WithPeers(i.id, i.peers, tablepeer.Puller(i.client, i.Self())),
 		table.WithLogger(i.log))
-	tables := catalog{follower: i.follower}
+	i.limiter = limit.New(limit.WithLogger(i.log))
+	i.quotas = quota.New(i.quotaDeps())
+	tables := catalog{follower: i.follower, quotas: i.quotas}
 	i.ownership = peer.New(i.Self(), i.deps.Store, i.members,
 		peer.WithHooks(i.hooks()),
 		peer.WithUnits(i.units),
@@ -99,24 +109,31 @@
 		Members:   i.members,
 		Catalog:   tables,
 		Ownership: i.ownership,
+		Self:      i.id,
+		Pursues:   func(key lovagestand.RequestKey) bool { return i.entry.Pursues(key) },
 		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
-			return naive.New(n)
+			return pool.New(n)
 		},
 		Log: i.log,
 	})
 	i.ownership.SetDigest(i.placer.Digests)
 	i.ownership.SetRevision(func() uint64 { return uint64(i.follower.Status().Revision) })
 	i.homes = claim.NewHomes(i.deps.Store, i.ownership)
+	i.chooser = newChooser(i.Self(), i.ownership, i.follower)
 	i.entry = entry.New(entry.Deps{
 		Routes:    tables,
-		Limiter:   unlimited{},
-		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
+		Limiter:   limits{limiter: i.limiter, follower: i.follower},
+		Chooser:   i.chooser,
 		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
+		Self:      i.id,
+		Shards:    i.workerShards,
 		Peers:     i.ownership.Peers,
 		Client:    i.client,
+		Metrics:   i.metrics,
 		Log:       i.log,
 	})
+	i.publish()
 	i.server = &http.Server{
 		Handler:           i.router(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -129,14 +146,6 @@
 	return claim.NewRemote(claimpb.NewClaimsProtobufClient("http://"+other.Address, i.client))
 }
 
-// unlimited admits everything.
-type unlimited struct{}
-
-// Admit implements [entry.Limiter].
-func (unlimited) Admit(entry.Route, lovagestand.TeamName) (func(), error) {
-	return func() {}, nil
-}
-
 // readHeaderTimeout bounds how long a connection may take to send a header.
 const readHeaderTimeout = 10 * time.Second
 
@@ -172,6 +181,8 @@
 	i.running.Go(func() { _ = i.follower.Run(ctx) })
 	i.running.Go(func() { i.ownership.Run(ctx) })
 	i.running.Go(func() { i.placer.Run(ctx) })
+	i.running.Go(func() { i.followLimits(ctx) })
+	i.running.Go(func() { i.quotas.Run(ctx) })
 	i.running.Go(func() { _ = i.homes.Run(ctx) })
 	i.running.Go(func() { i.entry.Run(ctx) })
 	go func() { i.served <- i.server.Serve(i.listener) }()
@@ -229,6 +240,16 @@
 	i.running.Wait()
 }
 
+// workerShards returns the shards of the listed workers.
+func (i *Instance) workerShards() []lovagestand.ShardName {
+	members, _ := i.members.Current()
+	var shards []lovagestand.ShardName
+	for _, u := range peer.WorkerUnits(members) {
+		shards = append(shards, u.Shard)
+	}
+	return shards
+}
+
 // allInstances returns the instances on the member list.
 func (i *Instance) allInstances() []lovagestand.Instance {
 	members, _ := i.members.Current()
