pool: refusals count against a worker, a missed probe trusts it again

Cause: a worker that refuses every start was chosen again and again, and one set aside in a pool without idempotent routes stayed so for ever. Change: a refusal is blamed on the worker; a worker due for a probe that gets none within a minute is trusted again.

--- a/pool/learn.go
+++ b/pool/learn.go
@@ -20,7 +20,11 @@
 			d.routes.rows[r.route].runTimes.Add(result.Ran)
 		}
 	}
-	if !d.options.noQuarantine && (done || failed) {
+	switch {
+	case d.options.noQuarantine:
+	case result.Refused:
+		d.blame(p, now, r, worker.FailureRate{})
+	case done || failed:
 		d.judge(p, now, r, failed)
 	}
 }
@@ -44,7 +48,13 @@
 	if d.requests.failed(key, p.number, r.row) {
 		return
 	}
-	if m.health.Fail(key, *rate) || m.state == stateProbing {
+	d.blame(p, now, r, *rate)
+}
+
+// blame counts a failure or a refusal against a worker.
+func (d *Decider) blame(p *state, now time.Time, r *record, usual worker.FailureRate) {
+	m := &p.members[r.row]
+	if m.health.Fail(xxhash.Sum64String(string(r.key)), usual) || m.state == stateProbing {
 		d.distrust(p, now, r.row)
 	}
 }
@@ -71,17 +81,23 @@
 	}
 }
 
-// probe lets quarantined workers that are due take one task at a time.
+// probe lets quarantined workers that are due take one task at a time, and
+// trusts those again for which no such task came.
 func (p *state) probe(now time.Time) {
-	if p.quarantined == 0 {
+	if p.quarantined == 0 && p.probing == 0 {
 		return
 	}
 	for i := range p.members {
 		m := &p.members[i]
-		if m.state == stateQuarantined && m.health.ProbeDue(now) {
+		switch {
+		case m.state == stateQuarantined && m.health.ProbeDue(now):
 			p.turn(worker.Row(i), eventProbe)
-			p.register(worker.Row(i))
+		case m.state == stateProbing && m.first == none && m.health.ProbeMissed(now):
+			p.turn(worker.Row(i), eventTrust)
+		default:
+			continue
 		}
+		p.register(worker.Row(i))
 	}
 }
 
--- a/pool/policy_test.go
+++ b/pool/policy_test.go
@@ -249,3 +249,22 @@
 	d.Release("roofs")
 	assertDecides(c, d, began, "start b w0")
 }
+
+func TestRefusingWorkerIsQuarantined(t *testing.T) {
+	c := qt.New(t)
+	d := showroom(2)
+	for i := range 3 {
+		id := fmt.Sprintf("t%d", i)
+		assertSubmits(c, d, began, work(id, "batch", 4))
+		assertDecides(c, d, began, "start "+id+" w0")
+		d.Finish(began, lovagestand.TaskID(id), lovagestand.TaskResult{Refused: true})
+	}
+	c.Assert(d.Digest(began).Pools[0].Workers, qt.Equals, 1)
+	once := work("once", "batch", 4)
+	once.Idempotent = false
+	twice := once.WithID("twice")
+	assertSubmits(c, d, began, once, twice)
+	assertDecides(c, d, began, "start once w1")
+	assertDecides(c, d, after(31*time.Second))
+	assertDecides(c, d, after(2*time.Minute), "start twice w0")
+}
--- a/worker/health.go
+++ b/worker/health.go
@@ -52,6 +52,8 @@
 	// probeAfter is the time to the first probe; it doubles up to probeAtMost.
 	probeAfter  = 30 * time.Second
 	probeAtMost = 10 * time.Minute
+	// probeWithin is how long a worker waits for a task to be probed with.
+	probeWithin = time.Minute
 )
 
 // Fail counts a failed task of a request, by the hash of its key, and reports
@@ -87,3 +89,9 @@
 func (h *Health) ProbeDue(now time.Time) bool {
 	return !now.Before(h.until)
 }
+
+// ProbeMissed reports whether a worker has been due for a probe so long that no
+// fitting task seems to come.
+func (h *Health) ProbeMissed(now time.Time) bool {
+	return !now.Before(h.until.Add(probeWithin))
+}
