quota: shares belong to an epoch; a new shard asks for a round

Cause: an instance that lost a shard and had it again used the shares of the older epoch until its next round, which another owner may have lowered since; a shard that had just come waited up to a round for its first shares. Change: Policies asks which epoch is owned; a shard without shares wakes the keeper. Conclusion: a test has the rack lost and regained.

--- a/instance/limits.go
+++ b/instance/limits.go
@@ -78,10 +78,14 @@
 		Store:  i.deps.Store,
 		Tables: i.follower.Current,
 		Shards: func() []quota.Shard { return i.placer.QuotaShards() },
-		Known:  i.shardsOf,
-		Live:   func() int { return i.share().Live },
-		Seed:   xxhash.Sum64String(string(i.id)),
-		Log:    i.log,
+		Epoch: func(shard lovagestand.ShardName) (lovagestand.Epoch, bool) {
+			right, owned := i.ownership.Right(shard)
+			return right.Epoch, owned
+		},
+		Known: i.shardsOf,
+		Live:  func() int { return i.share().Live },
+		Seed:  xxhash.Sum64String(string(i.id)),
+		Log:   i.log,
 	}
 }
 
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -17,6 +17,8 @@
 const (
 	// MinPeriod is the shortest time between two rounds.
 	MinPeriod = time.Second
+	// wakePause is the shortest time to a round that was asked for.
+	wakePause = 100 * time.Millisecond
 	// WriteBudget is how many writes a second all instances together may make
 	// to the books.
 	WriteBudget = 60
@@ -42,6 +44,9 @@
 	Tables func() (table.Tables, bool)
 	// Shards returns the shards owned here.
 	Shards func() []Shard
+	// Epoch returns the epoch under which a shard is owned here now; false if
+	// it is not.
+	Epoch func(lovagestand.ShardName) (lovagestand.Epoch, bool)
 	// Known returns all shards with workers of a pool.
 	Known func(lovagestand.PoolName) []lovagestand.ShardName
 	// Live returns how many instances are live.
@@ -58,6 +63,8 @@
 	// round lets one round run at a time.
 	round  sync.Mutex
 	random *rand.Rand
+	// wake asks for a round soon: a shard came that has no shares yet.
+	wake chan struct{}
 
 	mu     sync.Mutex
 	seats  map[seatKey]*seat
@@ -88,19 +95,26 @@
 
 // New returns a keeper that grants nothing before [Keeper.Run].
 func New(deps Deps) *Keeper {
-	return &Keeper{deps: deps, seats: map[seatKey]*seat{}, random: rand.New(rand.NewPCG(deps.Seed, 0))}
+	return &Keeper{deps: deps, seats: map[seatKey]*seat{}, wake: make(chan struct{}, 1), random: rand.New(rand.NewPCG(deps.Seed, 0))}
 }
 
 // Run makes rounds until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		k.Round(ctx)
-		timer := time.NewTimer(k.pause())
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		wait(ctx, wakePause, nil)
+		wait(ctx, k.pause()-wakePause, k.wake)
+	}
+}
+
+// wait waits for a time, or until it is woken.
+func wait(ctx context.Context, length time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
 	}
 }
 
@@ -131,6 +145,7 @@
 // Policies returns policies with the quotas of the whole pool replaced by what
 // each team may run in a shard. A team with a quota and no share runs nothing.
 func (k *Keeper) Policies(shard lovagestand.ShardName, policies []lovagestand.Policy) []lovagestand.Policy {
+	epoch, owned := k.deps.Epoch(shard)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	out := slices.Clone(policies)
@@ -138,17 +153,27 @@
 		out[i].Teams = slices.Clone(p.Teams)
 		for j, t := range p.Teams {
 			if t.Quota != nil {
-				out[i].Teams[j].Quota = k.limit(shard, p.Pool, t.Team)
+				out[i].Teams[j].Quota = k.limit(seatKey{shard, BookID{p.Pool, GroupOf(t.Team)}}, epoch, owned, t.Team)
 			}
 		}
 	}
 	return out
 }
 
-func (k *Keeper) limit(shard lovagestand.ShardName, pool lovagestand.PoolName, team lovagestand.TeamName) *lovagestand.Resources {
+// limit returns what a team may run in a shard. Shares that were held under
+// another epoch of the shard count for nothing.
+func (k *Keeper) limit(key seatKey, epoch lovagestand.Epoch, owned bool, team lovagestand.TeamName) *lovagestand.Resources {
 	limit := lovagestand.Resources{}
-	if s := k.seats[seatKey{shard, BookID{pool, GroupOf(team)}}]; s != nil {
+	s := k.seats[key]
+	switch {
+	case !owned:
+	case s != nil && s.holder.epoch == epoch:
 		limit = s.holder.limit(team)
+	default:
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
 	}
 	return &limit
 }
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -163,6 +163,7 @@
 		Tables: func() (table.Tables, bool) { return f.tables, true },
 		Known:  func(lovagestand.PoolName) []lovagestand.ShardName { return f.known },
 		Seed:   uint64(i),
+		Epoch:  func(name lovagestand.ShardName) (lovagestand.Epoch, bool) { return f.epoch(i, name) },
 		Live:   func() int { return len(f.owner) },
 		Shards: func() []quota.Shard {
 			var shards []quota.Shard
@@ -178,6 +179,12 @@
 	})
 }
 
+// epoch returns the epoch under which an owner has a rack.
+func (f *firm) epoch(i int, name lovagestand.ShardName) (lovagestand.Epoch, bool) {
+	r := f.racks[slices.Index(f.known, name)]
+	return r.epoch, r.keeper == f.owner[i]
+}
+
 // spell runs the firm for a while at an offered load, each team's demand on a
 // few racks of its own, and returns how much quota lay idle of what was asked.
 // It fails where more runs than the quota.
@@ -252,3 +259,23 @@
 		synctest.Wait()
 	})
 }
+
+// TestSharesOfAnOldEpochCountForNothing has an owner lose a rack and get it
+// back before its next round.
+func TestSharesOfAnOldEpochCountForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFirm(t, 1, 1, 1)
+		r, name := f.racks[0], f.teams[0]
+		for range 3 {
+			f.owner[0].Round(t.Context())
+		}
+		qt.Assert(t, r.limits[name].IsZero(), qt.IsFalse)
+		r.move(f.owner[0])
+		r.refresh()
+		qt.Assert(t, r.limits[name].IsZero(), qt.IsTrue)
+		for range 3 {
+			f.owner[0].Round(t.Context())
+		}
+		qt.Assert(t, r.limits[name].IsZero(), qt.IsFalse)
+	})
+}
