quota: the share of a shard that vanished is freed

Cause: a rack taken away for good kept its share, and a team's new quota waited for it to be counted for ever. Change: a shard without workers on the member list for ten minutes is struck from the books. Conclusion: a test in virtual time removes a rack.

--- a/instance/limits.go
+++ b/instance/limits.go
@@ -82,10 +82,11 @@
 			right, owned := i.ownership.Right(shard)
 			return right.Epoch, owned
 		},
-		Known: i.shardsOf,
-		Live:  func() int { return i.share().Live },
-		Seed:  xxhash.Sum64String(string(i.id)),
-		Log:   i.log,
+		Known:  i.shardsOf,
+		Exists: i.hasWorkers,
+		Live:   func() int { return i.share().Live },
+		Seed:   xxhash.Sum64String(string(i.id)),
+		Log:    i.log,
 	}
 }
 
@@ -105,6 +106,13 @@
 	return slices.Compact(shards)
 }
 
+// hasWorkers reports whether a shard has workers on the member list; it may
+// have while the list was not read.
+func (i *Instance) hasWorkers(shard lovagestand.ShardName) bool {
+	members, read := i.members.Current()
+	return !read || slices.ContainsFunc(members.Workers, func(w lovagestand.Worker) bool { return w.Shard() == shard })
+}
+
 // allWorkers returns the workers on the member list.
 func (i *Instance) allWorkers() []lovagestand.Worker {
 	members, _ := i.members.Current()
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -22,6 +22,9 @@
 	// WriteBudget is how many writes a second all instances together may make
 	// to the books.
 	WriteBudget = 60
+	// RetireAfter is how long a shard has had no workers when its shares are
+	// freed; it is longer than any lease of a task.
+	RetireAfter = 10 * time.Minute
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 2 * time.Second
 )
@@ -49,6 +52,8 @@
 	Epoch func(lovagestand.ShardName) (lovagestand.Epoch, bool)
 	// Known returns all shards with workers of a pool.
 	Known func(lovagestand.PoolName) []lovagestand.ShardName
+	// Exists reports whether a shard has workers of any pool, or may have.
+	Exists func(lovagestand.ShardName) bool
 	// Live returns how many instances are live.
 	Live func() int
 	// Seed makes the rounds of instances uneven, each in its own way.
@@ -69,6 +74,8 @@
 	mu     sync.Mutex
 	seats  map[seatKey]*seat
 	counts Counts
+	// missing holds since when shards have had no workers.
+	missing map[lovagestand.ShardName]time.Time
 }
 
 // seatKey names a shard's part in a book.
@@ -95,7 +102,7 @@
 
 // New returns a keeper that grants nothing before [Keeper.Run].
 func New(deps Deps) *Keeper {
-	return &Keeper{deps: deps, seats: map[seatKey]*seat{}, wake: make(chan struct{}, 1), random: rand.New(rand.NewPCG(deps.Seed, 0))}
+	return &Keeper{deps: deps, seats: map[seatKey]*seat{}, missing: map[lovagestand.ShardName]time.Time{}, wake: make(chan struct{}, 1), random: rand.New(rand.NewPCG(deps.Seed, 0))}
 }
 
 // Run makes rounds until ctx ends.
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -164,6 +164,7 @@
 		Known:  func(lovagestand.PoolName) []lovagestand.ShardName { return f.known },
 		Seed:   uint64(i),
 		Epoch:  func(name lovagestand.ShardName) (lovagestand.Epoch, bool) { return f.epoch(i, name) },
+		Exists: func(name lovagestand.ShardName) bool { return slices.Contains(f.known, name) },
 		Live:   func() int { return len(f.owner) },
 		Shards: func() []quota.Shard {
 			var shards []quota.Shard
@@ -260,6 +261,31 @@
 	})
 }
 
+// TestVanishedRackGivesItsShareBack removes a rack with all its workers.
+func TestVanishedRackGivesItsShareBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFirm(t, 2, 2, 1)
+		rounds := func(length time.Duration) int64 {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second) {
+				for _, k := range f.owner {
+					k.Round(t.Context())
+				}
+			}
+			return f.racks[0].limits[f.teams[0]].MilliCPU / 1000
+		}
+		for _, r := range f.racks {
+			for range 30 {
+				r.add(f.teams[0], job{cores: 1})
+			}
+		}
+		qt.Assert(t, rounds(20*time.Second) < 30, qt.IsTrue)
+		f.racks[1].move(nil)
+		f.known = f.known[:1]
+		qt.Assert(t, rounds(quota.RetireAfter-30*time.Second) < 30, qt.IsTrue)
+		qt.Assert(t, rounds(time.Minute) >= 30, qt.IsTrue)
+	})
+}
+
 // TestSharesOfAnOldEpochCountForNothing has an owner lose a rack and get it
 // back before its next round.
 func TestSharesOfAnOldEpochCountForNothing(t *testing.T) {
--- a/quota/round.go
+++ b/quota/round.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/table"
@@ -169,7 +170,7 @@
 	if err != nil {
 		return nil, nil, nil
 	}
-	worth := false
+	worth := k.retire(book, time.Now())
 	var writers []*seat
 	for _, s := range seats {
 		if !s.ready || s.holder.Ended() {
@@ -192,3 +193,25 @@
 	}
 	return book, writers, data
 }
+
+// retire frees the shares of shards that have had no workers for long, and
+// reports whether there were any. Without it they would be lost, and a team's
+// new quota would wait for them to be counted.
+func (k *Keeper) retire(b *Book, now time.Time) bool {
+	retired := false
+	for _, e := range slices.Clone(b.Shards) {
+		if e.Name == "" || k.deps.Exists(e.Name) {
+			delete(k.missing, e.Name)
+			continue
+		}
+		since, known := k.missing[e.Name]
+		if !known {
+			k.missing[e.Name] = now
+		}
+		if known && now.Sub(since) >= RetireAfter {
+			b.Retire(e.Name)
+			retired = true
+		}
+	}
+	return retired
+}
