--- /dev/null
+++ b/cell/gather.go
@@ -0,0 +1,248 @@
+package cell
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/peer"
+	"lovagestand.example/lovagestand/placer"
+)
+
+// Sources are what a [State] is made of.
+type Sources struct {
+	AskedAt string
+	At      time.Time
+	// Reports are what the live instances said.
+	Reports []Report
+	Heard   map[lovagestand.InstanceID]Heard
+	Digests []peer.DigestView
+	// Listed are the workers on the member list.
+	Listed []lovagestand.Worker
+}
+
+// New returns the state of a cell.
+func New(from Sources) State {
+	s := State{AskedAt: from.AskedAt, At: from.At, Unfit: []Worker{}}
+	s.Revision = newest(from)
+	addresses := make(map[lovagestand.InstanceID]string)
+	for _, r := range from.Reports {
+		addresses[r.Instance.ID] = r.Instance.Address
+		s.Instances = append(s.Instances, instanceOf(r, from.Heard[r.Instance.ID], s.Revision))
+		s.Unfit = append(s.Unfit, unfit(r.Own.Shards)...)
+	}
+	owned := make(map[lovagestand.InstanceID]Owned)
+	for _, v := range from.Digests {
+		owned[v.Owner] = owned[v.Owner].with(v.Digest.Shard)
+		if isClaimHome(v.Digest.Shard) {
+			continue
+		}
+		s.Shards = append(s.Shards, Shard{
+			Shard:     v.Digest.Shard,
+			Owner:     cmp.Or(addresses[v.Owner], string(v.Owner)),
+			Epoch:     v.Epoch,
+			AgeMillis: v.Age.Milliseconds(),
+			Pools:     v.Digest.Pools,
+		})
+	}
+	for n, i := range s.Instances {
+		s.Instances[n].Owned = owned[i.ID]
+	}
+	s.Shards = append(s.Shards, ownerless(from.Listed, s.Shards)...)
+	s.sort()
+	s.Regions = regionsOf(s)
+	s.Pools = poolsOf(s.Shards)
+	return s
+}
+
+// ownerless returns the shards of listed workers that no owner has told of.
+func ownerless(listed []lovagestand.Worker, known []Shard) []Shard {
+	seen := make(map[lovagestand.ShardName]bool)
+	for _, s := range known {
+		seen[s.Shard] = s.Owner != ""
+	}
+	var missing []Shard
+	for _, w := range listed {
+		if _, ok := seen[w.Shard()]; !ok {
+			seen[w.Shard()] = false
+			missing = append(missing, Shard{Shard: w.Shard()})
+		}
+	}
+	return missing
+}
+
+// with counts one more shard or claim home.
+func (o Owned) with(shard lovagestand.ShardName) Owned {
+	if isClaimHome(shard) {
+		o.ClaimHomes++
+	} else {
+		o.Shards++
+	}
+	return o
+}
+
+func isClaimHome(shard lovagestand.ShardName) bool {
+	return strings.HasPrefix(string(shard), peer.ClaimPrefix)
+}
+
+func newest(from Sources) uint64 {
+	var revision uint64
+	for _, h := range from.Heard {
+		revision = max(revision, h.Revision)
+	}
+	for _, r := range from.Reports {
+		revision = max(revision, uint64(r.Own.Revision))
+	}
+	return revision
+}
+
+func (s State) sort() {
+	slices.SortFunc(s.Instances, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Address, b.Address))
+	})
+	slices.SortFunc(s.Unfit, func(a, b Worker) int { return cmp.Compare(a.Worker, b.Worker) })
+	slices.SortFunc(s.Shards, func(a, b Shard) int { return cmp.Compare(a.Shard, b.Shard) })
+}
+
+// instanceOf puts together what an instance said itself and what its peers
+// heard of it.
+func instanceOf(r Report, heard Heard, newest uint64) Instance {
+	i := Instance{Instance: r.Instance, Revision: heard.Revision, AgeMillis: heard.Age.Milliseconds()}
+	if r.Err != nil {
+		i.Trouble = "does not answer: " + brief(r.Err)
+		return i
+	}
+	i.Instance = r.Own.Instance
+	i.Revision = uint64(r.Own.Revision)
+	i.AgeMillis = 0
+	i.Uptime = r.Own.Uptime
+	i.InFlight = r.Own.InFlight
+	switch {
+	case r.Own.NotReady != "":
+		i.Trouble = "not ready: " + r.Own.NotReady
+	case i.Revision < newest:
+		i.Trouble = fmt.Sprintf("has revision %d of the tables in force, not %d", i.Revision, newest)
+	}
+	return i
+}
+
+// brief returns the cause of a failed call without its URL.
+func brief(err error) string {
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return failed.Err.Error()
+	}
+	return err.Error()
+}
+
+// unfit returns the workers of shards that get no new work.
+func unfit(shards []placer.ShardStatus) []Worker {
+	var workers []Worker
+	for _, s := range shards {
+		for _, w := range s.Workers {
+			if reason := unfitReason(w); reason != "" {
+				workers = append(workers, Worker{Worker: w.Worker, Shard: s.Shard, Pool: w.Pool, Reason: reason})
+			}
+		}
+	}
+	return workers
+}
+
+func unfitReason(w placer.WorkerStatus) string {
+	var reasons []string
+	if !w.Reachable {
+		reasons = append(reasons, "out of reach")
+	}
+	if w.Leaving {
+		reasons = append(reasons, "leaving")
+	}
+	if w.Pool == "" {
+		reasons = append(reasons, "in no pool")
+	}
+	return strings.Join(reasons, ", ")
+}
+
+func regionsOf(s State) []Region {
+	byName := make(map[lovagestand.RegionName]*Region)
+	at := func(name lovagestand.RegionName) *Region {
+		if byName[name] == nil {
+			byName[name] = &Region{Region: name}
+		}
+		return byName[name]
+	}
+	for _, i := range s.Instances {
+		r := at(i.Region)
+		r.Instances++
+		if i.Trouble != "" {
+			r.Unhealthy++
+		}
+	}
+	for _, d := range s.Shards {
+		at(d.Shard.Region()).add(d)
+	}
+	var regions []Region
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		regions = append(regions, *byName[name])
+	}
+	return regions
+}
+
+func (r *Region) add(s Shard) {
+	r.Shards++
+	for _, p := range s.Pools {
+		r.Workers += p.Workers
+		r.Running += p.Running
+		for _, n := range p.Waiting {
+			r.Waiting += n
+		}
+	}
+}
+
+func poolsOf(shards []Shard) []Pool {
+	byName := make(map[lovagestand.PoolName][]lovagestand.PoolDigest)
+	for _, s := range shards {
+		for _, p := range s.Pools {
+			byName[p.Pool] = append(byName[p.Pool], p)
+		}
+	}
+	var pools []Pool
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		pools = append(pools, poolOf(name, byName[name]))
+	}
+	return pools
+}
+
+// poolOf adds up the digests of one pool.
+func poolOf(name lovagestand.PoolName, digests []lovagestand.PoolDigest) Pool {
+	p := Pool{Pool: name}
+	for _, d := range digests {
+		p.Capacity = p.Capacity.Add(d.Capacity)
+		p.Free = p.Free.Add(d.Free)
+		p.Workers += d.Workers
+		p.Running += d.Running
+	}
+	for _, class := range lovagestand.Classes() {
+		p.Queues = append(p.Queues, queueOf(class, digests))
+	}
+	return p
+}
+
+func queueOf(class lovagestand.Class, digests []lovagestand.PoolDigest) Queue {
+	q := Queue{Class: class}
+	for i, d := range digests {
+		q.Waiting += d.Waiting[class]
+		wait := d.Wait[class].Milliseconds()
+		q.LongestWaitMillis = max(q.LongestWaitMillis, wait)
+		if i == 0 || wait < q.LeastWaitMillis {
+			q.LeastWaitMillis = wait
+		}
+	}
+	return q
+}
--- a/entry/deps.go
+++ b/entry/deps.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/metrics"
 )
 
 // Route is what an entry needs of a row of the routes table.
@@ -79,12 +80,24 @@
 	Settled *lovagestand.Answer
 }
 
+// ClaimRequest asks for the claim of a request's key.
+type ClaimRequest struct {
+	Request     lovagestand.Request
+	Fingerprint uint64
+	// Shard is where the request is to run if the key is new.
+	Shard lovagestand.ShardName
+	// Idempotent says that the request may be tried again if it failed.
+	Idempotent bool
+	// Submitted is when the request reached this entry.
+	Submitted time.Time
+}
+
 // Claims grants claims.
 type Claims interface {
 	// Claim returns the claim of a request's key, granting one if it has none.
 	// It fails with a [MismatchError], with a [DoubtError] where the request
 	// may run through another instance, and else surely grants nothing.
-	Claim(ctx context.Context, request lovagestand.Request, fingerprint uint64, target lovagestand.ShardName, idempotent bool) (Claim, error)
+	Claim(ctx context.Context, r ClaimRequest) (Claim, error)
 	// Settle records the answer to a claimed request and returns the one to
 	// give: not run only if nobody can run the attempt any more.
 	Settle(ctx context.Context, claim Claim, answer lovagestand.Answer) lovagestand.Answer
@@ -97,9 +110,15 @@
 	Chooser   Chooser
 	Claims    Claims
 	Ownership lovagestand.Ownership
+	// Self is the instance this entry belongs to.
+	Self lovagestand.InstanceID
+	// Shards returns all shards of workers on the member list.
+	Shards func() []lovagestand.ShardName
 	// Peers returns the instances that are believed to be live.
 	Peers func() []lovagestand.Instance
 	// Client carries the calls to owners.
 	Client *http.Client
-	Log    zerolog.Logger
+	// Metrics counts answers and refusals; nil counts for nobody.
+	Metrics *metrics.Metrics
+	Log     zerolog.Logger
 }
--- a/instance/chooser.go
+++ b/instance/chooser.go
@@ -1,13 +1,16 @@
 package instance
 
 import (
-	"fmt"
-	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/entry"
 	"lovagestand.example/lovagestand/peer"
+	"lovagestand.example/lovagestand/region"
+	"lovagestand.example/lovagestand/table"
 )
 
 // noOwnerRetryAfter is when a caller may come back while no shard has an owner.
@@ -15,66 +18,69 @@
 
 // chooser chooses among the owners of a pool's shards by their digests.
 type chooser struct {
-	self  lovagestand.Instance
-	peers *peer.Peer
+	peers    *peer.Peer
+	weighing region.Chooser
 }
 
-// Choose implements [entry.Chooser].
-func (h *chooser) Choose(task lovagestand.Task, _ int, tried []lovagestand.ShardName) (entry.Target, error) {
-	left := make(map[lovagestand.ShardName]bool)
-	for _, s := range tried {
-		left[s] = true
-	}
-	var largest lovagestand.Resources
-	var best peer.DigestView
-	var bestWait time.Duration
-	fits, found := false, false
-	views := h.peers.Digests(task.Pool)
-	for _, v := range views {
-		d := poolDigest(v.Digest, task.Pool)
-		largest = larger(largest, d.LargestCapacity)
-		if !task.Resources.Fits(d.LargestCapacity) {
-			continue
-		}
-		fits = true
-		if left[v.Digest.Shard] {
-			continue
-		}
-		wait := d.Wait[task.Class] + time.Duration(rand.Int64N(int64(time.Millisecond)))
-		if !h.near(v.Digest.Shard) {
-			wait += 100 * time.Millisecond
-		}
-		if !found || wait < bestWait {
-			best, bestWait, found = v, wait, true
-		}
-	}
-	switch {
-	case len(views) > 0 && !fits:
-		return entry.Target{}, &lovagestand.UnfitError{Pool: task.Pool, Asked: task.Resources, Largest: largest, Reason: fmt.Sprintf("asked %s, the largest worker has %s", task.Resources, largest)}
-	case !found:
-		return entry.Target{}, &entry.NoTargetError{Pool: task.Pool, Reason: "no shard is left to try", RetryAfter: noOwnerRetryAfter}
+// newChooser returns the chooser of an instance; the weights of routes come
+// from the tables in force.
+func newChooser(self lovagestand.Instance, peers *peer.Peer, follower *table.Follower) *chooser {
+	weights := func(route lovagestand.RouteName) region.Weights { return weightsOf(follower, route) }
+	return &chooser{
+		peers:    peers,
+		weighing: region.NewWeighing(self.Region, region.WithWeights(weights)),
 	}
-	return entry.Target{Shard: best.Digest.Shard, Reason: fmt.Sprintf("expected wait %v", bestWait)}, nil
 }
 
-func (h *chooser) near(shard lovagestand.ShardName) bool {
-	prefix := string(h.self.Region) + "/"
-	return len(shard) > len(prefix) && string(shard[:len(prefix)]) == prefix
+// weightsOf returns the weights of a route in the tables in force. Where the
+// tables say nothing about waiting, a second counts 1.
+func weightsOf(follower *table.Follower, name lovagestand.RouteName) region.Weights {
+	tables, ok := follower.Current()
+	if !ok {
+		return region.DefaultWeights()
+	}
+	route, ok := tables.Route(name)
+	if !ok || route.Weights == (table.Weights{}) {
+		return region.DefaultWeights()
+	}
+	weights := region.Weights{WaitSecond: route.Weights.Waiting, Megabyte: route.Weights.PaidBytes}
+	if weights.WaitSecond == 0 {
+		weights.WaitSecond = 1
+	}
+	return weights
 }
 
-func poolDigest(d lovagestand.Digest, pool lovagestand.PoolName) lovagestand.PoolDigest {
-	for _, p := range d.Pools {
-		if p.Pool == pool {
-			return p
-		}
+// Choose implements [entry.Chooser].
+func (h *chooser) Choose(task lovagestand.Task, bodyBytes int, tried []lovagestand.ShardName) (entry.Target, error) {
+	all := h.candidates(task.Pool)
+	left := slices.DeleteFunc(slices.Clone(all), func(k region.Candidate) bool {
+		return slices.Contains(tried, k.Shard)
+	})
+	chosen, reason, err := h.weighing.Choose(task, bodyBytes, left)
+	if err == nil {
+		return entry.Target{Shard: chosen.Shard, Reason: reason}, nil
 	}
-	return lovagestand.PoolDigest{}
+	var unfit *lovagestand.UnfitError
+	if errors.As(err, &unfit) && len(left) == len(all) {
+		return entry.Target{}, err
+	}
+	return entry.Target{}, &entry.NoTargetError{Pool: task.Pool, Reason: "no shard is left to try", RetryAfter: noOwnerRetryAfter}
 }
 
-func larger(a, b lovagestand.Resources) lovagestand.Resources {
-	return lovagestand.Resources{
-		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
-		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
-		Accelerators: max(a.Accelerators, b.Accelerators),
+// candidates returns the shards that serve a pool, as their last digests show
+// them.
+func (h *chooser) candidates(pool lovagestand.PoolName) []region.Candidate {
+	views := h.peers.Digests(pool)
+	list := make([]region.Candidate, 0, len(views))
+	for _, v := range views {
+		owner, _ := h.peers.Owner(v.Digest.Shard)
+		list = append(list, region.Candidate{
+			Shard:  v.Digest.Shard,
+			Region: v.Digest.Shard.Region(),
+			Owner:  owner,
+			Digest: v.Digest,
+			Age:    v.Age,
+		})
 	}
+	return list
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,9 +18,10 @@
 	"lovagestand.example/lovagestand/entry"
 	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/member"
+	"lovagestand.example/lovagestand/metrics"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
-	"lovagestand.example/lovagestand/pool/naive"
+	"lovagestand.example/lovagestand/pool"
 	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/table"
@@ -41,6 +42,7 @@
 	server   *http.Server
 	client   *http.Client
 
+	metrics   *metrics.Metrics
 	members   *member.Watcher
 	follower  *table.Follower
 	limiter   *limit.Limiter
@@ -48,6 +50,7 @@
 	ownership *peer.Peer
 	homes     *claim.Homes
 	placer    *placer.Placer
+	chooser   entry.Chooser
 	entry     *entry.Entry
 
 	cancel  context.CancelFunc
@@ -88,6 +91,7 @@
 
 // assemble builds the parts and connects them.
 func (i *Instance) assemble() {
+	i.count()
 	i.members = member.NewWatcher(i.deps.Members, i.Self, i.log)
 	i.follower = table.NewFollower(i.deps.Store,
 		table.WithPeers(i.id, i.peers, tablepeer.Puller(i.client, i.Self())),
@@ -105,24 +109,31 @@
 		Members:   i.members,
 		Catalog:   tables,
 		Ownership: i.ownership,
+		Self:      i.id,
+		Pursues:   func(key lovagestand.RequestKey) bool { return i.entry.Pursues(key) },
 		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
-			return naive.New(n)
+			return pool.New(n)
 		},
 		Log: i.log,
 	})
 	i.ownership.SetDigest(i.placer.Digests)
 	i.ownership.SetRevision(func() uint64 { return uint64(i.follower.Status().Revision) })
 	i.homes = claim.NewHomes(i.deps.Store, i.ownership)
+	i.chooser = newChooser(i.Self(), i.ownership, i.follower)
 	i.entry = entry.New(entry.Deps{
 		Routes:    tables,
 		Limiter:   limits{limiter: i.limiter, follower: i.follower},
-		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
+		Chooser:   i.chooser,
 		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
+		Self:      i.id,
+		Shards:    i.workerShards,
 		Peers:     i.ownership.Peers,
 		Client:    i.client,
+		Metrics:   i.metrics,
 		Log:       i.log,
 	})
+	i.publish()
 	i.server = &http.Server{
 		Handler:           i.router(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -229,6 +240,16 @@
 	i.running.Wait()
 }
 
+// workerShards returns the shards of the listed workers.
+func (i *Instance) workerShards() []lovagestand.ShardName {
+	members, _ := i.members.Current()
+	var shards []lovagestand.ShardName
+	for _, u := range peer.WorkerUnits(members) {
+		shards = append(shards, u.Shard)
+	}
+	return shards
+}
+
 // allInstances returns the instances on the member list.
 func (i *Instance) allInstances() []lovagestand.Instance {
 	members, _ := i.members.Current()
--- a/owner/group.go
+++ b/owner/group.go
@@ -93,7 +93,7 @@
 // regroup returns the entry by which an owner follows itself with better
 // standbys; false if there is no need.
 func (n *Node) regroup(now time.Time, s *seat) (Entry, bool) {
-	if s.handover != nil && s.handover.stage != stageJoining || !n.confirmed(now) {
+	if s.handover != nil && s.handover.stage != handoverJoining || !n.confirmed(now) {
 		return Entry{}, false
 	}
 	var must lovagestand.InstanceID
@@ -124,5 +124,10 @@
 	if len(standbys) == len(s.entry.Standbys) {
 		return false
 	}
+	for _, id := range s.entry.Standbys {
+		if n.instance(id).Leaving {
+			return true
+		}
+	}
 	return now.Sub(s.learned) >= n.timing.Replace
 }
--- a/pool/decider.go
+++ b/pool/decider.go
@@ -30,6 +30,8 @@
 	holds     map[string]*hold
 	deadlines queue.Deadlines
 	requests  requests
+	// pending are the decisions to be returned next.
+	pending []lovagestand.Decision
 	// waiting counts waiting tasks, sequence all tasks ever submitted.
 	waiting  int
 	sequence int64
@@ -47,6 +49,7 @@
 	rows    []worker.Row
 	victims []slot
 	best    []slot
+	heads   []queue.Next
 }
 
 var _ lovagestand.GangDecider = (*Decider)(nil)
@@ -117,12 +120,13 @@
 	r := d.tasks.at(s)
 	d.sequence++
 	r.moment = d.sequence
+	r.queued = uint32(now.Unix())
 	p := d.pools[r.pool]
 	p.waiting[r.rank]++
 	p.changed = true
 	d.waiting++
 	if r.startBy != noTime {
-		d.deadlines.Add(queue.Deadline{At: r.startBy, Item: queue.Item(s), Version: r.version})
+		d.deadlines.Add(queue.Deadline{At: r.startBy, Item: queue.Item(s)})
 	}
 	if r.gang >= 0 {
 		d.join(s)
@@ -183,10 +187,11 @@
 	d.deadlines.Sweep(d.waiting, d.limits)
 }
 
-// limits reports whether a time limit still matters.
+// limits reports whether a time limit still matters. Its slot may hold a later
+// task by now, whose own limit it is then only if it is the same.
 func (d *Decider) limits(l queue.Deadline) bool {
 	r := d.tasks.at(slot(l.Item))
-	return r.version == l.Version && taskChart.Allows(r.state, eventExpire)
+	return r.startBy == l.At && taskChart.Allows(r.state, eventExpire)
 }
 
 // Finish implements [lovagestand.Decider].
