--- a/entry/checker.go
+++ b/entry/checker.go
@@ -98,14 +98,14 @@
 			return nil
 		})
 	}
-	clear := make([]bool, len(keys))
+	result := make([]bool, len(keys))
 	if group.Wait() != nil || !k.covered(replies) {
-		return clear
+		return result
 	}
 	for n := range keys {
-		clear[n] = allClear(replies, n)
+		result[n] = allClear(replies, n)
 	}
-	return clear
+	return result
 }
 
 // covered reports whether the owners of all shards are among those that
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -33,11 +33,11 @@
 }
 
 func (o *owner) Check(_ context.Context, m *placerpb.CheckRequest) (*placerpb.CheckReply, error) {
-	clear := make([]bool, len(m.GetKeys()))
-	for i := range clear {
-		clear[i] = !o.ran
+	result := make([]bool, len(m.GetKeys()))
+	for i := range result {
+		result[i] = !o.ran
 	}
-	return &placerpb.CheckReply{Clear: clear, Complete: true, Shards: []string{o.shard}}, nil
+	return &placerpb.CheckReply{Clear: result, Complete: true, Shards: []string{o.shard}}, nil
 }
 
 func (o *owner) Place(_ context.Context, m *placerpb.PlaceRequest) (*placerpb.PlaceReply, error) {
