pool: wait estimates count displacing and leave services out

Cause: urgent tasks were shed by the run time of batch, which they displace. Change: the rate at which places come free counts displaceable tasks for urgent work and leaves out services, which do not end.

--- a/pool/admit.go
+++ b/pool/admit.go
@@ -91,18 +91,26 @@
 	return now.Add(wait).After(t.StartBy)
 }
 
+// stopTime is what a displaced task is taken to need to stop.
+const stopTime = time.Second
+
 // wait estimates the wait of a new task of a class from the tasks ahead of it
-// and the rate at which running ones end.
+// and the rate at which places come free: running tasks end, and for urgent
+// ones batch is displaced. Services do not end.
 func (p *state) wait(rank int8) time.Duration {
 	ahead := 0
 	for k := int8(0); k <= rank; k++ {
 		ahead += p.waiting[k]
 	}
-	tasks := p.ledger.Totals().Tasks
-	if ahead == 0 || tasks == 0 {
+	ending := p.ledger.Totals().Tasks - p.running[rankService]
+	if ahead == 0 || ending <= 0 || p.pace.mean <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) * p.pace.mean / float64(tasks))
+	rate := float64(ending) / p.pace.mean
+	if rank == rankUrgent {
+		rate += float64(p.stoppable) / float64(stopTime)
+	}
+	return time.Duration(float64(ahead) / rate)
 }
 
 func (p *state) retryAfter(rank int8) time.Duration {
--- a/pool/policy_test.go
+++ b/pool/policy_test.go
@@ -268,3 +268,26 @@
 	assertDecides(c, d, after(31*time.Second))
 	assertDecides(c, d, after(2*time.Minute), "start twice w0")
 }
+
+// TestDisplacingShortensTheWait estimates the wait of urgent work behind long
+// batch tasks that can be displaced.
+func TestDisplacingShortensTheWait(t *testing.T) {
+	for class, want := range map[lovagestand.Class]time.Duration{
+		lovagestand.ClassUrgent: time.Second * 100 / 101, lovagestand.ClassBatch: 200 * time.Second,
+	} {
+		t.Run(string(class), func(t *testing.T) {
+			c := qt.New(t)
+			d := showroom(1)
+			for i := range 20 {
+				id := fmt.Sprintf("old%d", i)
+				assertSubmits(c, d, began, work(id, "batch", 4))
+				d.Decide(began, nil)
+				finishAs(d, began, lovagestand.TaskID(id), lovagestand.TaskDone, 100*time.Second)
+			}
+			assertSubmits(c, d, began, work("long", "batch", 4))
+			d.Decide(began, nil)
+			assertSubmits(c, d, began, work("u", "urgent", 4), work("b", "batch", 4))
+			c.Assert(d.Digest(began).Pools[0].Wait[class].Round(time.Microsecond), qt.Equals, want.Round(time.Microsecond))
+		})
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -27,6 +27,8 @@
 	waiting             [4]int
 	// running counts placed tasks by rank.
 	running [4]int
+	// stoppable counts the placed tasks that may be displaced.
+	stoppable int
 	// first and last are the ends of the list of waiting urgent tasks that
 	// claim no worker.
 	first, last slot
@@ -159,6 +161,7 @@
 	if m.displaceable(r) {
 		m.room = m.room.Add(r.size)
 		m.stoppable++
+		p.stoppable++
 	}
 	if r.rank == rankService {
 		p.ledger.Count(p.replicasOf(r.route), r.row, 1)
@@ -188,10 +191,12 @@
 // displaced takes a task out of what may be displaced of its worker.
 func (d *Decider) displaced(s slot) {
 	r := d.tasks.at(s)
-	m := &d.pools[r.pool].members[r.row]
+	p := d.pools[r.pool]
+	m := &p.members[r.row]
 	if m.displaceable(r) {
 		m.room = m.room.Sub(r.size)
 		m.stoppable--
+		p.stoppable--
 	}
 }
 
