--- a/quota/holder.go
+++ b/quota/holder.go
@@ -82,11 +82,13 @@
 	frozen map[lovagestand.TeamName]bool
 	// seen is the revision of the book last read.
 	seen lovagestand.Revision
-	// pending says that the outcome of a write of proposed shares, made at
-	// revision sentAt, is not known.
+	// pending says that the outcome of writes made at revision sentAt is not
+	// known; proposed are the least shares among them.
 	pending  bool
 	sentAt   lovagestand.Revision
 	proposed Quotas
+	// draft are the shares of a write that is not sent yet.
+	draft Quotas
 	// entered says that the book carries this owner's epoch.
 	entered bool
 	ended   bool
@@ -266,9 +268,9 @@
 		w.settleTeams()
 	}
 	b.Shards[i].Epoch, b.Shards[i].Tables = h.epoch, max(b.Shards[i].Tables, h.tables)
-	h.proposed = Quotas{}
+	h.draft = Quotas{}
 	for team, t := range b.Teams {
-		h.proposed[team] = w.team(team, t)
+		h.draft[team] = w.team(team, t)
 	}
 	return w.worth
 }
@@ -295,7 +297,10 @@
 	if h.ended {
 		return false
 	}
-	h.pending, h.sentAt = true, previous
+	if h.pending {
+		h.draft = lower(h.draft, h.proposed)
+	}
+	h.pending, h.sentAt, h.proposed = true, previous, h.draft
 	return true
 }
 
