--- a/region/replay_test.go
+++ b/region/replay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -102,6 +101,8 @@
 // policy makes the chooser of one entry in a region.
 type policy func(r *replay, region lovagestand.RegionName) Chooser
 
+var shardNames = []lovagestand.ShardName{"0", "1", "2", "3", "4", "5", "6", "7", "8"}
+
 func regionOf(i int) lovagestand.RegionName {
 	return []lovagestand.RegionName{"malabar", "ernakulam", "travancore"}[i]
 }
@@ -169,8 +170,7 @@
 	if err != nil {
 		panic(err)
 	}
-	var to int
-	_, _ = fmt.Sscan(string(chosen.Shard), &to)
+	to := slices.Index(shardNames, chosen.Shard)
 	at := r.now
 	if r.shards[to].region != region {
 		at += DefaultLinkDelay
@@ -179,7 +179,8 @@
 	heap.Push(&r.events, event{at: at, shard: to, arrives: &job{arrived: r.now, class: t.Class}})
 }
 
-func (r *replay) candidates(region int) (candidates []Candidate) {
+func (r *replay) candidates(region int) []Candidate {
+	candidates := make([]Candidate, 0, len(r.shards))
 	for i, s := range r.shards {
 		if r.cut && r.disturbed(r.now) && s.region != region && (region == 0 || s.region == 0) {
 			continue
@@ -189,7 +190,7 @@
 			r.report(i)
 		}
 		candidates = append(candidates, Candidate{
-			Shard: lovagestand.ShardName(fmt.Sprint(i)), Region: regionOf(s.region),
+			Shard: shardNames[i], Region: regionOf(s.region),
 			Digest: s.digest, Age: r.now - s.made,
 		})
 	}
@@ -199,17 +200,18 @@
 // report makes a shard's digest, of the moment it is first looked at.
 func (r *replay) report(i int) {
 	s := r.shards[i]
+	slots := max(r.slotsOf(s), s.running)
 	p := lovagestand.PoolDigest{
 		Pool: pool, Workers: 1, Running: s.running,
-		Capacity:        lovagestand.Resources{MilliCPU: int64(s.slots) * 1000},
-		Free:            lovagestand.Resources{MilliCPU: int64(s.slots-s.running) * 1000},
-		LargestCapacity: lovagestand.Resources{MilliCPU: int64(s.slots) * 1000},
+		Capacity:        lovagestand.Resources{MilliCPU: int64(slots) * 1000},
+		Free:            lovagestand.Resources{MilliCPU: int64(slots-s.running) * 1000},
+		LargestCapacity: lovagestand.Resources{MilliCPU: int64(slots) * 1000},
 		Waiting:         map[lovagestand.Class]int{lovagestand.ClassUrgent: len(s.urgent), lovagestand.ClassBatch: len(s.batch)},
 		Wait:            make(map[lovagestand.Class]time.Duration),
 	}
-	if s.running >= s.slots {
-		p.Wait[lovagestand.ClassUrgent] = time.Duration(len(s.urgent)+1) * replayRunTime / time.Duration(s.slots)
-		p.Wait[lovagestand.ClassBatch] = time.Duration(len(s.urgent)+len(s.batch)+1) * replayRunTime / time.Duration(s.slots)
+	if s.running >= slots {
+		p.Wait[lovagestand.ClassUrgent] = time.Duration(len(s.urgent)+1) * replayRunTime / time.Duration(slots)
+		p.Wait[lovagestand.ClassBatch] = time.Duration(len(s.urgent)+len(s.batch)+1) * replayRunTime / time.Duration(slots)
 	}
 	s.digest = lovagestand.Digest{Pools: []lovagestand.PoolDigest{p}}
 }
