--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -35,7 +35,7 @@
 func troubled() cell.State {
 	ahead := cell.Own{Instance: instanceOf("1"), Status: table.Status{Revision: 7}, Shards: []placer.ShardStatus{{
 		Shard:   "malabar/rack1",
-		Workers: []placer.WorkerStatus{{Worker: "w1", Pool: "runners", Reachable: true}, {Worker: "w2", Pool: "runners", Reachable: true, Leaving: true}},
+		Workers: []placer.WorkerStatus{{Worker: "w1", Pool: "runners", Reachable: true}, {Worker: "w2", Pool: "runners", Reachable: true, Leaving: true}, {Worker: "w3", Pool: "runners", Reachable: true, Quarantined: true}},
 	}}}
 	second := runners(500, 2*time.Second)
 	second.Shard = "malabar/rack2"
@@ -68,6 +68,7 @@
 		`malabar/rack9 +no owner is known`,
 		`10\.0\.0\.2:7400 .* 1 +1 +has revision 6 of the tables in force, not 7`,
 		`10\.0\.0\.3:7400 .* 5 +9s .* does not answer: connection refused`,
+		`w3 +malabar/rack1 +runners +quarantined: it failed .*`,
 		`w2 +malabar/rack1 +runners +leaving`,
 	} {
 		c.Check(text.String(), qt.Matches, `(?s).*`+want+`.*`)
--- a/cell/gather.go
+++ b/cell/gather.go
@@ -163,6 +163,9 @@
 	if w.Leaving {
 		reasons = append(reasons, "leaving")
 	}
+	if w.Quarantined {
+		reasons = append(reasons, "quarantined: it failed what others run")
+	}
 	if w.Pool == "" {
 		reasons = append(reasons, "in no pool")
 	}
--- a/placer/status.go
+++ b/placer/status.go
@@ -28,6 +28,9 @@
 	Leaving bool                   `json:"leaving"`
 	// Reachable says that the worker answers.
 	Reachable bool `json:"reachable"`
+	// Quarantined says that the worker failed what others run and gets no new
+	// work but a probe now and then.
+	Quarantined bool `json:"quarantined,omitempty"`
 	// Tasks counts the tasks placed on the worker.
 	Tasks int `json:"tasks"`
 }
@@ -50,8 +53,16 @@
 		}
 	}
 	for _, l := range s.links {
-		st.Workers = append(st.Workers, l.status())
+		w := l.status()
+		w.Tasks = len(s.partsOn(l.worker.Name))
+		w.Quarantined = s.quarantined(l.worker.Name)
+		st.Workers = append(st.Workers, w)
 	}
 	sort.Slice(st.Workers, func(i, j int) bool { return st.Workers[i].Worker < st.Workers[j].Worker })
 	return st
 }
+
+func (s *shard) quarantined(name lovagestand.WorkerName) bool {
+	d, ok := s.decider.(lovagestand.QuarantineDecider)
+	return ok && d.Quarantined(name)
+}
--- a/pool/policy_test.go
+++ b/pool/policy_test.go
@@ -126,12 +126,15 @@
 	assertSubmits(c, d, now, work("x", "batch", 4))
 	assertDecides(c, d, now, "start x w1")
 	c.Assert(d.Digest(now).Pools[0].Workers, qt.Equals, 1)
+	c.Assert(d.Quarantined("w0"), qt.IsTrue)
+	c.Assert(d.Quarantined("w1"), qt.IsFalse)
 	assertSubmits(c, d, now, work("probe", "batch", 1))
 	assertDecides(c, d, now)
 	now = now.Add(time.Minute)
 	assertDecides(c, d, now, "start probe w0")
 	finishAs(d, now, "probe", lovagestand.TaskDone, time.Second)
 	c.Assert(d.Digest(now).Pools[0].Workers, qt.Equals, 2)
+	c.Assert(d.Quarantined("w0"), qt.IsFalse)
 }
 
 // TestBadRequestIsRefused lets one request fail on three workers that run
