--- a/cell/state.go
+++ b/cell/state.go
@@ -8,7 +8,7 @@
 	"lovagestand.example/lovagestand/table"
 )
 
-// Own is what an instance says of itself.
+// Own is what an instance says of itself at /status.
 type Own struct {
 	Instance lovagestand.Instance `json:"instance"`
 	table.Status
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -14,14 +14,11 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/commands/operate"
 	"lovagestand.example/lovagestand/commands/standin"
-	"lovagestand.example/lovagestand/commands/tables"
 	"lovagestand.example/lovagestand/commands/trial"
 	"lovagestand.example/lovagestand/common/document"
 	"lovagestand.example/lovagestand/common/logfmt"
-	"lovagestand.example/lovagestand/platform"
 )
 
 // The exit codes of the program.
@@ -90,17 +87,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
-	c.AddCommand(newServe(log), standin.New(log), trial.New(log), newTables())
 	c.AddCommand(operate.Commands(http.DefaultClient)...)
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
+	c.AddCommand(newServe(log), newTables(), standin.New(log), trial.New(log))
 	return c
 }
-
-// newTables returns the command "tables" over the platform's services.
-func newTables() *cobra.Command {
-	return tables.Command(tables.Deps{
-		Store:   func(base string) lovagestand.Store { return platform.NewStore(base) },
-		Members: func(base string) lovagestand.MemberList { return platform.NewMemberList(base) },
-		Client:  http.DefaultClient,
-	})
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
-	"lovagestand.example/lovagestand/metrics"
 )
 
 const (
@@ -47,9 +46,6 @@
 
 // New returns an entry that holds no requests.
 func New(deps Deps) *Entry {
-	if deps.Metrics == nil {
-		deps.Metrics = metrics.New()
-	}
 	return &Entry{
 		deps:    deps,
 		placers: newPlacers(deps.Client),
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -59,21 +59,31 @@
 	return "shard " + strings.Join(names, " and ")
 }
 
-// Plan returns the task that a request would become with what its route gives
-// it. It fails with an [UnknownRouteError], a [NotReadyError] or an
-// [InvalidError].
-func (e *Entry) Plan(request lovagestand.Request) (lovagestand.Task, error) {
+// Plan is what would become of a request if it were sent now.
+type Plan struct {
+	Task lovagestand.Task
+	// Target is the shard it would be offered to first, unless Refused.
+	Target Target
+	// Refused says why no shard would be chosen.
+	Refused error
+}
+
+// Plan returns what would become of a request. It fails with an
+// [UnknownRouteError], a [NotReadyError] or an [InvalidError].
+func (e *Entry) Plan(request lovagestand.Request) (Plan, error) {
 	now := time.Now()
 	if !e.deps.Routes.Ready() {
-		return lovagestand.Task{}, &NotReadyError{Reason: "no tables are in force yet"}
+		return Plan{}, &NotReadyError{Reason: "no tables are in force yet"}
 	}
 	route, ok := e.deps.Routes.Route(request.Route)
 	if !ok {
-		return lovagestand.Task{}, &UnknownRouteError{Route: request.Route}
+		return Plan{}, &UnknownRouteError{Route: request.Route}
 	}
 	request = withDefaults(request, route, now)
 	if err := check(request, route); err != nil {
-		return lovagestand.Task{}, err
+		return Plan{}, err
 	}
-	return newCall(request, route, 0, now).attempt(), nil
+	p := Plan{Task: newCall(request, route, 0, now).attempt()}
+	p.Target, p.Refused = e.deps.Chooser.Choose(p.Task, len(request.Body), nil)
+	return p, nil
 }
--- a/instance/cell.go
+++ b/instance/cell.go
@@ -68,7 +68,7 @@
 		group.Go(func() error {
 			reports[n] = cell.Report{Instance: other}
 			if other.ID == i.id {
-				reports[n].Own = i.Status()
+				reports[n].Own = i.own()
 				return nil
 			}
 			reports[n].Err = i.fetch(ctx, other, "/status", &reports[n].Own)
@@ -113,3 +113,16 @@
 	}
 	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply), "decode")
 }
+
+// own returns the part of the status that other instances show too.
+func (i *Instance) own() cell.Own {
+	s := i.Status()
+	return cell.Own{
+		Instance: s.Instance,
+		Status:   s.Status,
+		Uptime:   s.Uptime,
+		NotReady: s.NotReady,
+		InFlight: s.InFlight,
+		Shards:   s.Shards,
+	}
+}
--- a/instance/explain.go
+++ b/instance/explain.go
@@ -76,12 +76,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	task, err := i.entry.Plan(request)
+	plan, err := i.entry.Plan(request)
 	if err != nil {
 		http.Error(w, err.Error(), planStatus(err))
 		return
 	}
-	writeJSON(w, i.outlook(task))
+	writeJSON(w, i.outlook(plan))
 }
 
 // planKey stands for the key of a request that is only thought of.
@@ -123,15 +123,13 @@
 	return http.StatusBadRequest
 }
 
-// outlook judges all shards that serve the task's pool, and asks the chooser
-// that real requests are sent by.
-func (i *Instance) outlook(task lovagestand.Task) cell.Outlook {
+// outlook judges all shards that serve the pool of a planned task.
+func (i *Instance) outlook(plan entry.Plan) cell.Outlook {
+	task := plan.Task
 	o := cell.Outlook{Route: task.Route, Pool: task.Pool, Class: task.Class, Resources: task.Resources, Shards: []cell.Prospect{}}
-	target, err := i.chooser.Choose(task, 0, nil)
-	if err != nil {
-		o.Reason = err.Error()
-	} else {
-		o.Shard, o.Reason = target.Shard, target.Reason
+	o.Shard, o.Reason = plan.Target.Shard, plan.Target.Reason
+	if plan.Refused != nil {
+		o.Reason = plan.Refused.Error()
 	}
 	for _, v := range i.ownership.Digests(task.Pool) {
 		p := cell.Prospect{Shard: v.Digest.Shard}
--- a/instance/http.go
+++ b/instance/http.go
@@ -9,16 +9,26 @@
 	"github.com/go-chi/chi/v5"
 
 	"lovagestand.example/lovagestand"
-	"lovagestand.example/lovagestand/cell"
 	"lovagestand.example/lovagestand/claim"
 	"lovagestand.example/lovagestand/claim/claimpb"
 	"lovagestand.example/lovagestand/owner"
 	"lovagestand.example/lovagestand/peer"
+	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/table/tablepeer"
 )
 
 // Status is what an instance says of itself to operators.
-type Status = cell.Own
+type Status struct {
+	Instance lovagestand.Instance `json:"instance"`
+	table.Status
+	Uptime string `json:"uptime"`
+	// Ready is empty if the instance serves callers, else why not.
+	NotReady string `json:"notReady,omitempty"`
+	InFlight int    `json:"inFlight"`
+	// Shards are those the instance owns.
+	Shards []placer.ShardStatus `json:"shards"`
+}
 
 // dump is the whole state of an instance, on request.
 type dump struct {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -46,7 +46,6 @@
 	ownership *peer.Peer
 	homes     *claim.Homes
 	placer    *placer.Placer
-	chooser   entry.Chooser
 	entry     *entry.Entry
 
 	cancel  context.CancelFunc
@@ -111,11 +110,10 @@
 	i.ownership.SetDigest(i.placer.Digests)
 	i.ownership.SetRevision(func() uint64 { return uint64(i.follower.Status().Revision) })
 	i.homes = claim.NewHomes(i.deps.Store, i.ownership)
-	i.chooser = &chooser{self: i.Self(), peers: i.ownership}
 	i.entry = entry.New(entry.Deps{
 		Routes:    tables,
 		Limiter:   unlimited{},
-		Chooser:   i.chooser,
+		Chooser:   &chooser{self: i.Self(), peers: i.ownership},
 		Claims:    claims{client: claim.NewClient(i.id, i.ownership, i.homes, i.remoteClaims), log: i.log},
 		Ownership: i.ownership,
 		Peers:     i.ownership.Peers,
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -34,6 +34,7 @@
 )
 
 // Metrics are the counters of one instance. It is safe for concurrent use.
+// Answered and Limited count nothing on a nil Metrics.
 type Metrics struct {
 	all         *expvar.Map
 	answers     *counters
@@ -78,6 +79,9 @@
 // Answered counts a final answer of a route, and how long it waited for its
 // start if it started.
 func (m *Metrics) Answered(route lovagestand.RouteName, class lovagestand.Class, a lovagestand.Answer) {
+	if m == nil {
+		return
+	}
 	m.answers.Add(string(route)+"."+string(a.Outcome), 1)
 	if a.Outcome == lovagestand.OutcomeDone {
 		m.waits.record(class, a.Waited)
@@ -86,6 +90,9 @@
 
 // Limited counts a request of a team that a limit kept out.
 func (m *Metrics) Limited(limit string, team lovagestand.TeamName) {
+	if m == nil {
+		return
+	}
 	m.limited.Add(limit+"."+string(team), 1)
 }
 
