--- a/cell/gather.go
+++ b/cell/gather.go
@@ -188,7 +188,7 @@
 		}
 	}
 	for _, d := range s.Shards {
-		at(RegionOf(d.Shard)).add(d)
+		at(d.Shard.Region()).add(d)
 	}
 	var regions []Region
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
@@ -208,12 +208,6 @@
 	}
 }
 
-// RegionOf returns the region of a shard.
-func RegionOf(shard lovagestand.ShardName) lovagestand.RegionName {
-	region, _, _ := strings.Cut(string(shard), "/")
-	return lovagestand.RegionName(region)
-}
-
 func poolsOf(shards []Shard) []Pool {
 	byName := make(map[lovagestand.PoolName][]lovagestand.PoolDigest)
 	for _, s := range shards {
--- a/cell/state.go
+++ b/cell/state.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/placer"
+	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/table"
 )
 
@@ -17,6 +19,10 @@
 	NotReady string `json:"notReady,omitempty"`
 	// InFlight counts the requests without a final answer.
 	InFlight int `json:"inFlight"`
+	// Refusals count the requests that limits kept out.
+	Refusals []limit.Refusal `json:"refusals"`
+	// QuotaCalls count the store calls for quota shares.
+	QuotaCalls quota.Counts `json:"quotaCalls"`
 	// Shards are those the instance owns.
 	Shards []placer.ShardStatus `json:"shards"`
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -18,6 +19,10 @@
 	arrived, lastStart time.Time
 	release            func()
 
+	// abandoned says that the caller who brought the request hung up before
+	// anything was said to them.
+	abandoned atomic.Bool
+
 	mu        sync.Mutex
 	answer    lovagestand.Answer
 	done      chan struct{}
@@ -26,6 +31,8 @@
 	task lovagestand.TaskID
 	// granted is the claim of the attempt; nil if it needs or has none.
 	granted *Claim
+	// vouched says that the home of the key's claim gave the word on it.
+	vouched bool
 	// maybe has the shards whose owners may hold the request: they said so, or
 	// a call to them got no reply.
 	maybe map[lovagestand.ShardName]bool
--- a/instance/explain.go
+++ b/instance/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,6 +15,7 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/cell"
 	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/region"
 )
 
 // serveExplain says where a request is and why. With "here" it tells only what
@@ -76,12 +78,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	plan, err := i.entry.Plan(request)
+	task, err := i.entry.Plan(request)
 	if err != nil {
 		http.Error(w, err.Error(), planStatus(err))
 		return
 	}
-	writeJSON(w, i.outlook(plan))
+	writeJSON(w, i.outlook(task))
 }
 
 // planKey stands for the key of a request that is only thought of.
@@ -123,22 +125,37 @@
 	return http.StatusBadRequest
 }
 
-// outlook judges all shards that serve the pool of a planned task.
-func (i *Instance) outlook(plan entry.Plan) cell.Outlook {
-	task := plan.Task
+// outlook tells which shard the chooser would take, and judges all that serve
+// the task's pool.
+func (i *Instance) outlook(task lovagestand.Task) cell.Outlook {
 	o := cell.Outlook{Route: task.Route, Pool: task.Pool, Class: task.Class, Resources: task.Resources, Shards: []cell.Prospect{}}
-	o.Shard, o.Reason = plan.Target.Shard, plan.Target.Reason
-	if plan.Refused != nil {
-		o.Reason = plan.Refused.Error()
+	candidates := i.chooser.candidates(task.Pool)
+	target, reason, err := i.chooser.weighing.Preview(task, 0, candidates)
+	o.Shard, o.Reason = target.Shard, reason
+	if err != nil {
+		o.Reason = err.Error()
 	}
-	for _, v := range i.ownership.Digests(task.Pool) {
-		p := cell.Prospect{Shard: v.Digest.Shard}
-		if owner, ok := i.ownership.Owner(p.Shard); ok {
-			p.Owner = owner.Address
+	costs := i.chooser.costs(task, candidates)
+	for _, k := range candidates {
+		digest, _ := k.Pool(task.Pool)
+		text := cell.Judge(task, digest, k.Region == i.settings.Region)
+		if cost, ok := costs[k.Shard]; ok {
+			text += "; " + cost
 		}
-		home := cell.RegionOf(p.Shard) == i.settings.Region
-		p.Text = cell.Judge(task, poolDigest(v.Digest, task.Pool), home)
-		o.Shards = append(o.Shards, p)
+		o.Shards = append(o.Shards, cell.Prospect{Shard: k.Shard, Owner: k.Owner.Address, Text: text})
 	}
 	return o
 }
+
+// costs returns in words what each shard that can hold a task would cost.
+func (h *chooser) costs(task lovagestand.Task, candidates []region.Candidate) map[lovagestand.ShardName]string {
+	costs := make(map[lovagestand.ShardName]string)
+	appraisals, err := h.weighing.Explain(task, 0, candidates)
+	if err != nil {
+		return costs
+	}
+	for _, a := range appraisals {
+		costs[a.Candidate.Shard] = fmt.Sprintf("link %v, %d paid bytes, cost %.4g", a.Link, a.PaidBytes, a.Cost)
+	}
+	return costs
+}
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -42,6 +42,9 @@
 	settleUntil time.Time
 	// lastFlight is the latest time at which a start sent may take effect.
 	lastFlight time.Time
+	// recheck says that the tables may have changed since the requests that
+	// wait were last compared with them.
+	recheck bool
 	// scratch is reused for decisions.
 	scratch []lovagestand.Decision
 }
@@ -155,6 +158,7 @@
 	if s.draining {
 		return
 	}
+	s.answerRemoved(now)
 	s.scratch = s.decider.Decide(now, s.scratch[:0])
 	for _, d := range s.scratch {
 		s.carryOut(ctx, now, d)
@@ -231,6 +235,9 @@
 // hold enters a request and its parts in the shard's books.
 func (s *shard) hold(r *request) {
 	s.requests[r.task.ID] = r
+	if old, ok := s.byKey[r.task.Key]; ok && old != r {
+		r.keyRan = old.mayHaveRun()
+	}
 	s.byKey[r.task.Key] = r
 	for _, p := range r.parts {
 		s.parts[p.task.ID] = p
@@ -251,7 +258,7 @@
 // retry queues the next attempt at a part whose last one surely runs no more.
 func (s *shard) retry(now time.Time, p *part) {
 	delete(s.parts, p.task.ID)
-	p.setAttempt(p.next())
+	p.setAttempt(p.next(s.epoch))
 	s.parts[p.task.ID] = p
 	if err := s.decider.Submit(now, p.task); err != nil {
 		s.expire(now, p, err.Error(), 0)
