--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/region"
 )
 
 // The names of the counters under "lovagestand" in the dump of variables.
@@ -44,24 +45,23 @@
 	workerCalls *counters
 	storeCalls  *counters
 	storeFails  *counters
-	paidByLink  *counters
-	paidByRoute *counters
+	paid        *region.Meter
 	ownership   *counters
 }
 
 // New returns counters at zero.
 func New() *Metrics {
-	m := &Metrics{all: new(expvar.Map), waits: newWaits()}
+	m := &Metrics{all: new(expvar.Map), waits: newWaits(), paid: region.NewMeter()}
 	m.answers = m.add(nameAnswers)
 	m.limited = m.add(nameLimited)
 	m.starts = m.add(nameStarts)
 	m.workerCalls = m.add(nameWorkerCalls)
 	m.storeCalls = m.add(nameStoreCalls)
 	m.storeFails = m.add(nameStoreFails)
-	m.paidByLink = m.add(namePaidByLink)
-	m.paidByRoute = m.add(namePaidByRoute)
 	m.ownership = m.add(nameOwnership)
 	m.all.Set(nameWaits, m.waits)
+	m.all.Set(namePaidByLink, expvar.Func(func() any { return sums(m.paid.Rows(), linkOf) }))
+	m.all.Set(namePaidByRoute, expvar.Func(func() any { return sums(m.paid.Rows(), routeOfRow) }))
 	return m
 }
 
@@ -102,15 +102,27 @@
 // Released counts a shard that this instance passed on as planned.
 func (m *Metrics) Released() { m.ownership.Add("released", 1) }
 
-// paid counts bytes sent between two regions, for a route if there is one.
-func (m *Metrics) paid(from, to lovagestand.RegionName, route lovagestand.RouteName, bytes int) {
-	m.paidByLink.Add(string(from)+">"+string(to), int64(bytes))
+// pay counts bytes sent between two regions, for a route if there is one.
+func (m *Metrics) pay(from, to lovagestand.RegionName, route lovagestand.RouteName, bytes int) {
 	if route == "" {
 		route = controlRoute
 	}
-	m.paidByRoute.Add(string(route), int64(bytes))
+	m.paid.Count(from, to, route, bytes)
 }
 
+// sums adds up rows by key.
+func sums(rows []region.Paid, keyOf func(region.Paid) string) map[string]uint64 {
+	byKey := make(map[string]uint64)
+	for _, r := range rows {
+		byKey[keyOf(r)] += r.Bytes
+	}
+	return byKey
+}
+
+func linkOf(r region.Paid) string { return string(r.From) + ">" + string(r.To) }
+
+func routeOfRow(r region.Paid) string { return string(r.Route) }
+
 // ServeHTTP writes the variables of the process and of this instance as JSON.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/metrics/transport.go
+++ b/metrics/transport.go
@@ -51,14 +51,14 @@
 	}
 	route := routeOf(r.Context())
 	if r.ContentLength > 0 {
-		t.metrics.paid(t.home, region, route, int(r.ContentLength))
+		t.metrics.pay(t.home, region, route, int(r.ContentLength))
 	}
 	response, err := t.next.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
 	response.Body = &countingBody{ReadCloser: response.Body, count: func(n int) {
-		t.metrics.paid(region, t.home, route, n)
+		t.metrics.pay(region, t.home, route, n)
 	}}
 	return response, nil
 }
