--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -11,6 +11,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/cell"
+	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/table"
@@ -37,13 +38,16 @@
 		Shard:   "malabar/rack1",
 		Workers: []placer.WorkerStatus{{Worker: "w1", Pool: "runners", Reachable: true}, {Worker: "w2", Pool: "runners", Reachable: true, Leaving: true}, {Worker: "w3", Pool: "runners", Reachable: true, Quarantined: true}},
 	}}}
+	ahead.Refusals = []limit.Refusal{{Kind: "rate", Route: "counter-quote", Count: 2, LastTeam: "website", LastAt: time.Unix(1, 0)}}
+	behind := cell.Own{Instance: instanceOf("2"), Status: table.Status{Revision: 6}}
+	behind.Refusals = []limit.Refusal{{Kind: "rate", Route: "counter-quote", Count: 3, LastTeam: "showroom", LastAt: time.Unix(2, 0)}}
 	second := runners(500, 2*time.Second)
 	second.Shard = "malabar/rack2"
 	return cell.New(cell.Sources{
 		AskedAt: "10.0.0.1:7400",
 		Reports: []cell.Report{
 			{Instance: instanceOf("1"), Own: ahead},
-			{Instance: instanceOf("2"), Own: cell.Own{Instance: instanceOf("2"), Status: table.Status{Revision: 6}}},
+			{Instance: instanceOf("2"), Own: behind},
 			{Instance: instanceOf("3"), Err: errors.New("connection refused")},
 		},
 		Heard: map[lovagestand.InstanceID]cell.Heard{"3": {Revision: 5, Age: 9 * time.Second}},
@@ -69,6 +73,7 @@
 		`10\.0\.0\.2:7400 .* 1 +1 +has revision 6 of the tables in force, not 7`,
 		`10\.0\.0\.3:7400 .* 5 +9s .* does not answer: connection refused`,
 		`w3 +malabar/rack1 +runners +quarantined: it failed .*`,
+		`counter-quote +rate +5 +showroom `,
 		`w2 +malabar/rack1 +runners +leaving`,
 	} {
 		c.Check(text.String(), qt.Matches, `(?s).*`+want+`.*`)
@@ -81,7 +86,7 @@
 	c := qt.New(t)
 	var page strings.Builder
 	c.Assert(troubled().WritePage(&page), qt.IsNil)
-	for _, want := range []string{"has revision 6 of", "connection refused", "malabar/rack9", "no owner is known", "w2", "1s to 2s"} {
+	for _, want := range []string{"has revision 6 of", "connection refused", "malabar/rack9", "no owner is known", "w2", "1s to 2s", "showroom"} {
 		c.Check(page.String(), qt.Contains, want)
 	}
 }
--- a/cell/gather.go
+++ b/cell/gather.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/peer"
 	"lovagestand.example/lovagestand/placer"
 )
@@ -30,7 +31,7 @@
 
 // New returns the state of a cell.
 func New(from Sources) State {
-	s := State{AskedAt: from.AskedAt, At: from.At, Unfit: []Worker{}}
+	s := State{AskedAt: from.AskedAt, At: from.At, Unfit: []Worker{}, Limited: limited(from.Reports)}
 	s.Revision = newest(from)
 	addresses := make(map[lovagestand.InstanceID]string)
 	for _, r := range from.Reports {
@@ -249,3 +250,27 @@
 	}
 	return q
 }
+
+// limited adds up what each limit of each route refused at all instances; the
+// team is the one refused last.
+func limited(reports []Report) []limit.Refusal {
+	sums := []limit.Refusal{}
+	for _, r := range reports {
+		for _, f := range r.Own.Refusals {
+			n := slices.IndexFunc(sums, func(s limit.Refusal) bool { return s.Kind == f.Kind && s.Route == f.Route })
+			if n < 0 {
+				sums = append(sums, f)
+				continue
+			}
+			count := sums[n].Count + f.Count
+			if f.LastAt.After(sums[n].LastAt) {
+				sums[n] = f
+			}
+			sums[n].Count = count
+		}
+	}
+	slices.SortFunc(sums, func(a, b limit.Refusal) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Kind, b.Kind))
+	})
+	return sums
+}
--- a/cell/state.go
+++ b/cell/state.go
@@ -53,6 +53,9 @@
 	Instances []Instance `json:"instances"`
 	// Unfit are the workers that get no new work.
 	Unfit []Worker `json:"unfitWorkers"`
+	// Limited are the limits that kept requests out, over all instances that
+	// answered, since each began.
+	Limited []limit.Refusal `json:"limited"`
 }
 
 // Region sums up one region.
--- a/cell/text.go
+++ b/cell/text.go
@@ -23,7 +23,7 @@
 // Write writes the state as text for a terminal.
 func (s State) Write(w io.Writer) error {
 	fmt.Fprintf(w, "cell as %s sees it at %s, tables revision %d\n", s.AskedAt, s.At.Format(time.RFC3339), s.Revision)
-	for _, part := range []section{s.regions(), s.pools(), s.queues(), s.shards(), s.instances(), s.unfit()} {
+	for _, part := range []section{s.regions(), s.pools(), s.queues(), s.shards(), s.instances(), s.unfit(), s.limited()} {
 		if err := part.write(w); err != nil {
 			return err
 		}
@@ -103,6 +103,14 @@
 	return part
 }
 
+func (s State) limited() section {
+	part := section{title: "Limits that kept requests out", columns: "ROUTE\tLIMIT\tREFUSED\tLAST TEAM\tLAST", none: "none"}
+	for _, f := range s.Limited {
+		part.add("%s\t%s\t%d\t%s\t%s", f.Route, f.Kind, f.Count, f.LastTeam, f.LastAt.Format(time.RFC3339))
+	}
+	return part
+}
+
 // State returns the trouble of an instance, or that it is healthy or leaving.
 func (i Instance) State() string {
 	switch {
--- a/instance/operators_test.go
+++ b/instance/operators_test.go
@@ -46,7 +46,7 @@
 func TestStatusShowsTheCell(t *testing.T) {
 	c := newCell(t)
 	c.awaitReady()
-	c.awaitText(0, `(?s).*tables revision 1\n.*ernakulam.*malabar.*travancore.*runners +6 .*healthy.*healthy.*healthy.*no new work\nnone\n`, "status")
+	c.awaitText(0, `(?s).*tables revision 1\n.*ernakulam.*malabar.*travancore.*runners +6 .*healthy.*healthy.*healthy.*no new work\nnone\n\nLimits that kept requests out\nnone\n`, "status")
 	text, err := c.run(1, "status", "--json")
 	c.Assert(err, qt.IsNil)
 	c.Assert(text, qt.Contains, `"tablesRevision": 1`)
