--- a/entry/explain.go
+++ b/entry/explain.go
@@ -33,9 +33,9 @@
 	case len(shards) > 0:
 		text += "; handed to " + joinNames(shards)
 	case c.route.Claimed():
-		text += "; no owner has taken it yet: it waits for its claim or for an owner"
+		text += "; neither the home of its claim nor an owner has answered yet"
 	default:
-		text += "; no owner has taken it yet"
+		text += "; no owner has answered yet"
 	}
 	return text
 }
