--- a/commands/commands.go
+++ b/commands/commands.go
@@ -87,8 +87,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	c.AddCommand(operate.Commands(http.DefaultClient)...)
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
 	c.AddCommand(newServe(log), newTables(), standin.New(log), trial.New(log))
-	c.AddCommand(operate.Commands(http.DefaultClient)...)
 	return c
 }
--- a/instance/chooser.go
+++ b/instance/chooser.go
@@ -19,7 +19,7 @@
 // chooser chooses among the owners of a pool's shards by their digests.
 type chooser struct {
 	peers    *peer.Peer
-	weighing region.Chooser
+	weighing *region.Weighing
 }
 
 // newChooser returns the chooser of an instance; the weights of routes come
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,7 +50,7 @@
 	ownership *peer.Peer
 	homes     *claim.Homes
 	placer    *placer.Placer
-	chooser   entry.Chooser
+	chooser   *chooser
 	entry     *entry.Entry
 
 	cancel  context.CancelFunc
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/region"
 )
 
 // The names of the counters under "lovagestand" in the dump of variables.
@@ -34,6 +35,7 @@
 )
 
 // Metrics are the counters of one instance. It is safe for concurrent use.
+// Answered and Limited count nothing on a nil Metrics.
 type Metrics struct {
 	all         *expvar.Map
 	answers     *counters
@@ -43,24 +45,23 @@
 	workerCalls *counters
 	storeCalls  *counters
 	storeFails  *counters
-	paidByLink  *counters
-	paidByRoute *counters
+	paid        *region.Meter
 	ownership   *counters
 }
 
 // New returns counters at zero.
 func New() *Metrics {
-	m := &Metrics{all: new(expvar.Map), waits: newWaits()}
+	m := &Metrics{all: new(expvar.Map), waits: newWaits(), paid: region.NewMeter()}
 	m.answers = m.add(nameAnswers)
 	m.limited = m.add(nameLimited)
 	m.starts = m.add(nameStarts)
 	m.workerCalls = m.add(nameWorkerCalls)
 	m.storeCalls = m.add(nameStoreCalls)
 	m.storeFails = m.add(nameStoreFails)
-	m.paidByLink = m.add(namePaidByLink)
-	m.paidByRoute = m.add(namePaidByRoute)
 	m.ownership = m.add(nameOwnership)
 	m.all.Set(nameWaits, m.waits)
+	m.all.Set(namePaidByLink, expvar.Func(func() any { return sums(m.paid.Rows(), linkOf) }))
+	m.all.Set(namePaidByRoute, expvar.Func(func() any { return sums(m.paid.Rows(), routeOfRow) }))
 	return m
 }
 
@@ -78,6 +79,9 @@
 // Answered counts a final answer of a route, and how long it waited for its
 // start if it started.
 func (m *Metrics) Answered(route lovagestand.RouteName, class lovagestand.Class, a lovagestand.Answer) {
+	if m == nil {
+		return
+	}
 	m.answers.Add(string(route)+"."+string(a.Outcome), 1)
 	if a.Outcome == lovagestand.OutcomeDone {
 		m.waits.record(class, a.Waited)
@@ -86,6 +90,9 @@
 
 // Limited counts a request of a team that a limit kept out.
 func (m *Metrics) Limited(limit string, team lovagestand.TeamName) {
+	if m == nil {
+		return
+	}
 	m.limited.Add(limit+"."+string(team), 1)
 }
 
@@ -95,15 +102,27 @@
 // Released counts a shard that this instance passed on as planned.
 func (m *Metrics) Released() { m.ownership.Add("released", 1) }
 
-// paid counts bytes sent between two regions, for a route if there is one.
-func (m *Metrics) paid(from, to lovagestand.RegionName, route lovagestand.RouteName, bytes int) {
-	m.paidByLink.Add(string(from)+">"+string(to), int64(bytes))
+// pay counts bytes sent between two regions, for a route if there is one.
+func (m *Metrics) pay(from, to lovagestand.RegionName, route lovagestand.RouteName, bytes int) {
 	if route == "" {
 		route = controlRoute
 	}
-	m.paidByRoute.Add(string(route), int64(bytes))
+	m.paid.Count(from, to, route, bytes)
 }
 
+// sums adds up rows by key.
+func sums(rows []region.Paid, keyOf func(region.Paid) string) map[string]uint64 {
+	byKey := make(map[string]uint64)
+	for _, r := range rows {
+		byKey[keyOf(r)] += r.Bytes
+	}
+	return byKey
+}
+
+func linkOf(r region.Paid) string { return string(r.From) + ">" + string(r.To) }
+
+func routeOfRow(r region.Paid) string { return string(r.Route) }
+
 // ServeHTTP writes the variables of the process and of this instance as JSON.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
