--- a/commands/tables.go
+++ b/commands/tables.go
@@ -14,6 +14,6 @@
 	return tables.Command(tables.Deps{
 		Store:   func(base string) lovagestand.Store { return platform.NewStore(base) },
 		Members: func(base string) lovagestand.MemberList { return platform.NewMemberList(base) },
-		Client:  &http.Client{},
+		Client:  http.DefaultClient,
 	})
 }
