--- a/audit/auditor.go
+++ b/audit/auditor.go
@@ -47,6 +47,9 @@
 	latest  place
 	startAt time.Time
 	notRun  bool
+	// toldAt and toldWhy are when and why the caller was told so.
+	toldAt  time.Time
+	toldWhy string
 	answers int
 }
 
--- a/audit/callers.go
+++ b/audit/callers.go
@@ -54,7 +54,7 @@
 }
 
 func (a *Auditor) judgeNotRun(v Violation, w *work, reason string) {
-	w.notRun = true
+	w.notRun, w.toldAt, w.toldWhy = true, v.At, reason
 	if w.starts == 0 {
 		return
 	}
--- a/audit/workers.go
+++ b/audit/workers.go
@@ -65,7 +65,8 @@
 	}
 	if w.notRun {
 		v.Kind = KindFalseNotRun
-		a.violate(v, "started after its caller was told that it did not run")
+		a.violate(v, "started %s after its caller was told that it did not run: %s",
+			v.At.Sub(w.toldAt).Round(time.Millisecond), w.toldWhy)
 	}
 	w.latest, w.startAt = place{task: t.ID, worker: v.Worker}, v.At
 	w.runs = append(w.runs, w.latest)
