--- a/drill/cell.go
+++ b/drill/cell.go
@@ -37,7 +37,8 @@
 	store     Process
 	knobs     kv.Knobs
 	auditor   *remote.Client
-	random    *rand.Rand
+	// random is the balancer's, targets the faults', so that a seed fixes them.
+	random, targets *rand.Rand
 
 	mutex     sync.Mutex
 	instances []*instance
@@ -191,7 +192,7 @@
 	present := c.all()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return present[c.random.IntN(len(present))]
+	return present[c.targets.IntN(len(present))]
 }
 
 // stateOf returns the state of an instance by name.
--- a/drill/run.go
+++ b/drill/run.go
@@ -66,7 +66,7 @@
 func Run(ctx context.Context, config Config) (Report, error) {
 	c := &cell{
 		start: config.Start, directory: config.Directory, firm: config.Firm,
-		random: rand.New(rand.NewPCG(config.Seed, 1)),
+		random: rand.New(rand.NewPCG(config.Seed, 1)), targets: rand.New(rand.NewPCG(config.Seed, 3)),
 	}
 	defer c.close()
 	d := &drill{config: config, cell: c, gaps: &gaps{}, report: Report{Rate: config.Rate}}
