--- a/drill/log.go
+++ b/drill/log.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"regexp"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,7 @@
 	ended   time.Time
 	runFor  time.Duration
 	outcome lovagestand.Outcome
+	reason  string
 	// trail tells of its calls that broke.
 	trail []string
 }
@@ -68,7 +71,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if r := l.requests[w.Key]; r != nil && r.ended.IsZero() {
-		r.ended, r.outcome = at, answer.Outcome
+		r.ended, r.outcome, r.reason = at, answer.Outcome, answer.Reason
 	}
 }
 
@@ -119,3 +122,26 @@
 	}
 	return a
 }
+
+// names are the parts of a reason that differ from request to request.
+var names = regexp.MustCompile(`"[^"]*"|[0-9][0-9a-zµ.:-]*`)
+
+// reasons counts why requests were not run or have an unknown outcome, the
+// most frequent first.
+func (l *log) reasons() []Reason {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	counts := map[Reason]int{}
+	for _, r := range l.requests {
+		if r.outcome == lovagestand.OutcomeNotRun || r.outcome == lovagestand.OutcomeUnknown {
+			counts[Reason{Outcome: r.outcome, Text: names.ReplaceAllString(r.reason, "…")}]++
+		}
+	}
+	reasons := make([]Reason, 0, len(counts))
+	for r, n := range counts {
+		r.Count = n
+		reasons = append(reasons, r)
+	}
+	slices.SortFunc(reasons, func(a, b Reason) int { return b.Count - a.Count })
+	return reasons
+}
--- a/drill/process_test.go
+++ b/drill/process_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
 )
 
 func TestParseUsage(t *testing.T) {
@@ -38,3 +40,16 @@
 		c.Assert(tt.state.promises(), qt.Equals, tt.want)
 	}
 }
+
+func TestReasonsAreCountedTogether(t *testing.T) {
+	c := qt.New(t)
+	l := newLog(nil, nil)
+	for i, reason := range []string{`claim of key "a-1": late by 12ms`, `claim of key "b-2": late by 3.5s`, "full"} {
+		l.requests[lovagestand.RequestKey(rune('a'+i))] = &outcome{outcome: lovagestand.OutcomeNotRun, reason: reason}
+	}
+	l.requests["d"] = &outcome{outcome: lovagestand.OutcomeDone}
+	c.Assert(l.reasons(), qt.DeepEquals, []Reason{
+		{Outcome: lovagestand.OutcomeNotRun, Text: "claim of key …: late by …", Count: 2},
+		{Outcome: lovagestand.OutcomeNotRun, Text: "full", Count: 1},
+	})
+}
--- a/drill/report.go
+++ b/drill/report.go
@@ -6,9 +6,13 @@
 	"text/tabwriter"
 	"time"
 
+	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/audit"
 )
 
+// mostReasons is how many reasons are written.
+const mostReasons = 12
+
 // Answers sums up how the requests of a span ended.
 type Answers struct {
 	Asked, Done, NotRun, Unknown int
@@ -25,6 +29,13 @@
 	Answers Answers
 }
 
+// Reason is why requests did not run or have an unknown outcome.
+type Reason struct {
+	Outcome lovagestand.Outcome
+	Text    string
+	Count   int
+}
+
 // Load is what the instances took of the machine over a span.
 type Load struct {
 	Name string
@@ -46,8 +57,9 @@
 	Loads []Load
 	Steps []Step
 	// Broken counts the calls without a whole answer, whatever broke them.
-	Broken int
-	Audit  audit.Result
+	Broken  int
+	Audit   audit.Result
+	Reasons []Reason
 	// Trails tell, for each violation, how the caller of its key fared.
 	Trails [][]string
 	Usage  audit.Usage
@@ -70,6 +82,9 @@
 			l.Cores, l.MostCores, float64(l.MostBytes)/(1<<20), l.StoreCalls)
 	}
 	_ = columns.Flush()
+	for _, reason := range r.Reasons[:min(mostReasons, len(r.Reasons))] {
+		fmt.Fprintf(w, "%5d %s: %s\n", reason.Count, reason.Outcome, reason.Text)
+	}
 	fmt.Fprintf(w, "violations %d\n", r.Audit.Total())
 	for _, c := range r.Audit.Counts {
 		fmt.Fprintf(w, "  %s %d\n", c.Kind, c.Count)
--- a/drill/run.go
+++ b/drill/run.go
@@ -190,6 +190,7 @@
 		return err
 	}
 	d.report.Audit, d.report.Usage = found.Result, found.Usage
+	d.report.Reasons = d.log.reasons()
 	for _, v := range found.Violations {
 		d.report.Trails = append(d.report.Trails, d.log.trail(v.Key))
 	}
