--- a/drill/run.go
+++ b/drill/run.go
@@ -66,7 +66,7 @@
 func Run(ctx context.Context, config Config) (Report, error) {
 	c := &cell{
 		start: config.Start, directory: config.Directory, firm: config.Firm,
-		random: rand.New(rand.NewPCG(config.Seed, 1)),
+		random: rand.New(rand.NewPCG(config.Seed, 1)), targets: rand.New(rand.NewPCG(config.Seed, 3)),
 	}
 	defer c.close()
 	d := &drill{config: config, cell: c, gaps: &gaps{}, report: Report{Rate: config.Rate}}
@@ -190,6 +190,7 @@
 		return err
 	}
 	d.report.Audit, d.report.Usage = found.Result, found.Usage
+	d.report.Reasons = d.log.reasons()
 	for _, v := range found.Violations {
 		d.report.Trails = append(d.report.Trails, d.log.trail(v.Key))
 	}
