quota: shards join the books sooner; placer: a test without a data race

Change: rounds follow each other by 30 ms for each live instance while a shard or the tables are new. TestCancelledBeforeItsStartIsSent swapped its hook without a lock.

--- a/placer/fixture_test.go
+++ b/placer/fixture_test.go
@@ -44,14 +44,24 @@
 }
 
 func (r *rights) Right(lovagestand.ShardName) (lovagestand.Right, bool) {
-	if r.asked != nil {
-		r.asked()
+	r.mu.Lock()
+	asked := r.asked
+	r.mu.Unlock()
+	if asked != nil {
+		asked()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.right, r.right.Holds(time.Now())
 }
 
+// onAsked sets what is called before every question for the right.
+func (r *rights) onAsked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked = f
+}
+
 func (r *rights) Owned() []lovagestand.ShardName { return []lovagestand.ShardName{shardName} }
 
 func (r *rights) Owner(lovagestand.ShardName) (lovagestand.Instance, bool) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -298,18 +299,17 @@
 		x.place(idempotent("c"), runFor(time.Second), false, time.Second)
 		// The right is asked for after the decision to start "c" and before
 		// the start is sent: the cancellation arrives then.
-		cancelled := false
-		x.rights.asked = func() {
-			if !cancelled && x.decided() && x.starts("c") == 0 {
-				cancelled = true
-				x.rights.asked = nil
+		var cancelled atomic.Bool
+		x.rights.onAsked(func() {
+			if x.decided() && x.starts("c") == 0 && cancelled.CompareAndSwap(false, true) {
+				x.rights.onAsked(nil)
 				reply, err := x.placer.Cancel(context.Background(), &placerpb.CancelRequest{Key: "c"})
 				x.Assert(err, qt.IsNil)
 				x.Assert(reply.GetAnswer().GetOutcome(), qt.Equals, string(lovagestand.OutcomeNotRun))
 			}
-		}
+		})
 		time.Sleep(10 * time.Second)
-		x.Assert(cancelled, qt.IsTrue)
+		x.Assert(cancelled.Load(), qt.IsTrue)
 		x.Assert(x.starts("c"), qt.Equals, 0)
 	})
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -314,6 +314,12 @@
 	h.pending = false
 }
 
+// Settled reports whether the shard has joined the book and none of its teams
+// waits for other shards.
+func (h *Holder) Settled() bool {
+	return h.ended || h.entered && len(h.frozen) == 0
+}
+
 // Ended reports whether a later owner has written or the shares were handed
 // over.
 func (h *Holder) Ended() bool {
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -17,6 +17,10 @@
 const (
 	// MinPeriod is the shortest time between two rounds.
 	MinPeriod = time.Second
+	// settlingPause is the time between two rounds for each live instance while
+	// shards join the books, settlingRounds how many such rounds there are.
+	settlingPause  = 30 * time.Millisecond
+	settlingRounds = 20
 	// wakePause is the shortest time to a round that was asked for.
 	wakePause = 100 * time.Millisecond
 	// WriteBudget is how many writes a second all instances together may make
@@ -71,9 +75,11 @@
 	// wake asks for a round soon: a shard came that has no shares yet.
 	wake chan struct{}
 
-	mu     sync.Mutex
-	seats  map[seatKey]*seat
-	counts Counts
+	mu    sync.Mutex
+	seats map[seatKey]*seat
+	// revision is that of the tables in the last round.
+	revision table.Revision
+	counts   Counts
 	// missing holds since when shards have had no workers.
 	missing map[lovagestand.ShardName]time.Time
 }
@@ -105,13 +111,43 @@
 	return &Keeper{deps: deps, seats: map[seatKey]*seat{}, missing: map[lovagestand.ShardName]time.Time{}, wake: make(chan struct{}, 1), random: rand.New(rand.NewPCG(deps.Seed, 0))}
 }
 
-// Run makes rounds until ctx ends.
+// Run makes rounds until ctx ends. While a shard or the tables are new here,
+// rounds follow each other sooner: teams start nothing before all shards have
+// joined the books.
 func (k *Keeper) Run(ctx context.Context) {
+	left := settlingRounds
 	for ctx.Err() == nil {
-		k.Round(ctx)
+		if k.Round(ctx) {
+			left = settlingRounds
+		}
+		pause := k.pause()
+		if left > 0 && k.settling() {
+			left--
+			pause = k.settlingPause()
+		}
 		wait(ctx, wakePause, nil)
-		wait(ctx, k.pause()-wakePause, k.wake)
+		wait(ctx, pause-wakePause, k.wake)
+	}
+}
+
+// settling reports whether a shard owned here has yet to join a book, or has
+// teams that start nothing until others have.
+func (k *Keeper) settling() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range k.seats {
+		if s.ready && !s.holder.Settled() {
+			return true
+		}
 	}
+	return false
+}
+
+// settlingPause returns the time to the next round while shards join: longer
+// the more instances there are, so that their writes seldom meet.
+func (k *Keeper) settlingPause() time.Duration {
+	mean := settlingPause * time.Duration(max(k.deps.Live(), 1))
+	return mean/2 + time.Duration(k.random.Int64N(int64(mean)))
 }
 
 // wait waits for a time, or until it is woken.
--- a/quota/round.go
+++ b/quota/round.go
@@ -21,17 +21,17 @@
 }
 
 // Round reads the books, lowers what is too much, and writes what the shards
-// need.
-func (k *Keeper) Round(ctx context.Context) {
+// need. It reports whether a shard or the tables were new here.
+func (k *Keeper) Round(ctx context.Context) bool {
 	k.round.Lock()
 	defer k.round.Unlock()
 	tables, found := k.deps.Tables()
 	if !found {
-		return
+		return false
 	}
 	shards := k.deps.Shards()
 	ids := books(tables)
-	k.seat(tables, ids, shards)
+	fresh := k.seat(tables, ids, shards)
 	var drafts []*draft
 	for _, id := range ids {
 		if len(k.seatsOf(id)) > 0 {
@@ -45,29 +45,34 @@
 		}
 	}
 	k.refresh(shards)
+	return fresh
 }
 
 // seat makes holders for the shards owned now and brings the tables into
-// force at all holders. A holder stays until its shard comes back with a later
+// force at all holders. It reports whether anything of that is new. A holder stays until its shard comes back with a later
 // epoch, since only it knows of its writes with no known outcome.
-func (k *Keeper) seat(tables table.Tables, ids []BookID, shards []Shard) {
+func (k *Keeper) seat(tables table.Tables, ids []BookID, shards []Shard) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range k.seats {
 		s.ready = false
 	}
+	fresh := tables.Revision() != k.revision
+	k.revision = tables.Revision()
 	for _, id := range ids {
 		for _, shard := range shards {
 			key := seatKey{shard.Name, id}
 			s := k.seats[key]
 			if s == nil && k.serves(shard.Name, id.Pool) || s != nil && s.holder.epoch < shard.Epoch {
 				k.seats[key] = &seat{holder: NewHolder(shard.Name, shard.Epoch)}
+				fresh = true
 			}
 		}
 	}
 	for key, s := range k.seats {
 		s.holder.SetTables(tables.Revision(), RulesOf(tables, key.book))
 	}
+	return fresh
 }
 
 func (k *Keeper) serves(shard lovagestand.ShardName, pool lovagestand.PoolName) bool {
