--- a/entry/deps.go
+++ b/entry/deps.go
@@ -116,6 +116,9 @@
 	Shards func() []lovagestand.ShardName
 	// Peers returns the instances that are believed to be live.
 	Peers func() []lovagestand.Instance
+	// Unsteady reports whether the instance may have been paused lately, so
+	// that requests may reach it long after they were sent.
+	Unsteady func() bool
 	// Client carries the calls to owners.
 	Client *http.Client
 	// Metrics counts answers and refusals; nil counts for nobody.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,10 +1,15 @@
 package entry_test
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-chi/chi/v5"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/entry"
@@ -238,3 +243,17 @@
 		x.Assert(p.Answer().Outcome, qt.Equals, lovagestand.OutcomeUnknown)
 	})
 }
+
+func TestLateCopyWithoutACallerIsNotBegun(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		router := chi.NewRouter()
+		x.entry.Mount(router)
+		ctx, hangUp := context.WithCancel(context.Background())
+		hangUp()
+		body := strings.NewReader(`{"key":"k","route":"quote","team":"showroom"}`)
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/requests?wait=1s", body)
+		router.ServeHTTP(httptest.NewRecorder(), r)
+		time.Sleep(time.Minute)
+		x.Assert(x.first.calls()+x.second.calls(), qt.Equals, 0)
+	})
+}
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -34,8 +34,8 @@
 	// known.
 	defaultRetryAfter = time.Second
 
-	// hangUpGrace is how long a claimed request waits before it is begun, so
-	// that a copy which was held up on its way is found to have no caller.
+	// hangUpGrace is how long a request may wait before it is begun, so that a
+	// copy which was held up on its way is found to have no caller.
 	hangUpGrace = 5 * time.Millisecond
 
 	cancelledReason = "cancelled by the caller"
@@ -45,6 +45,9 @@
 // It says that the request did not run only if no owner may still run it.
 func (e *Entry) pursue(ctx context.Context, c *call) lovagestand.Answer {
 	var answer lovagestand.Answer
+	if e.isLateCopy(ctx, c) {
+		return lovagestand.Unknown(c.request.Key, "the caller hung up before it was taken here")
+	}
 	if c.route.Claimed() {
 		answer = e.pursueClaimed(ctx, c)
 	} else {
@@ -74,6 +77,17 @@
 	return lovagestand.Unknown(c.request.Key, "it may have run through another instance; "+answer.Reason)
 }
 
+// isLateCopy reports whether the caller who sent the request had hung up before
+// it was taken. They may have been told elsewhere what became of it, so it is
+// not begun. Only where it matters or is likely is the connection given the
+// time to show that it was closed.
+func (e *Entry) isLateCopy(ctx context.Context, c *call) bool {
+	if c.route.Claimed() || e.deps.Unsteady() {
+		pause(ctx, hangUpGrace)
+	}
+	return c.abandoned.Load()
+}
+
 // withdrawAll takes a request back from all who may hold it; false if one of
 // them may still run it.
 func (e *Entry) withdrawAll(ctx context.Context, c *call) bool {
@@ -125,9 +139,6 @@
 	if err != nil {
 		return refusal(c, err)
 	}
-	if pause(ctx, hangUpGrace) && c.abandoned.Load() {
-		return lovagestand.NotRun(c.request.Key, "the caller hung up before it was taken", defaultRetryAfter)
-	}
 	granted, err := e.deps.Claims.Claim(ctx, ClaimRequest{
 		Request:     c.request,
 		Fingerprint: c.fingerprint,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -128,6 +128,7 @@
 		Ownership: i.ownership,
 		Self:      i.id,
 		Shards:    i.workerShards,
+		Unsteady:  i.members.Unsteady,
 		Peers:     i.ownership.Peers,
 		Client:    i.client,
 		Metrics:   i.metrics,
--- a/member/watcher.go
+++ b/member/watcher.go
@@ -17,6 +17,10 @@
 	DefaultInterval = 500 * time.Millisecond
 	// DefaultMemory is how long a worker that has left the list is remembered.
 	DefaultMemory = 15 * time.Minute
+	// lateReadings is how many intervals after the last a reading is late, and
+	// steadyAfter how long after a late one the instance counts as unsteady.
+	lateReadings = 3
+	steadyAfter  = 2 * time.Second
 	// staleReadings is how many intervals a reading counts as the present one.
 	staleReadings = 6
 )
@@ -34,6 +38,8 @@
 	current lovagestand.Members
 	since   time.Time
 	readAt  time.Time
+	// gapEnd is when a reading followed the one before late.
+	gapEnd  time.Time
 	seen    map[lovagestand.WorkerName]sighting
 	changed chan struct{}
 }
@@ -114,6 +120,15 @@
 	return nil
 }
 
+// Unsteady reports whether the list has not been read in time just now or
+// lately: this process may have been paused or cut off.
+func (w *Watcher) Unsteady() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	return now.Sub(w.readAt) > lateReadings*w.interval || now.Sub(w.gapEnd) < steadyAfter
+}
+
 // Since returns when the first reading was made; zero if there was none.
 func (w *Watcher) Since() time.Time {
 	w.mu.Lock()
@@ -167,6 +182,9 @@
 	if w.since.IsZero() {
 		w.since = now
 	}
+	if !w.readAt.IsZero() && now.Sub(w.readAt) > lateReadings*w.interval {
+		w.gapEnd = now
+	}
 	w.readAt = now
 	w.current = members
 	w.remember(now, members.Workers)
