placer: all parts of an adopted gang count; quota: no rounds for claim homes

A gang restarted by a new owner lost its body. Claim homes asked for a quota round each time policies were applied. Change: each mended, each with a test that fails without it.

--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -191,8 +191,9 @@
 			Peers: func() []lovagestand.Instance {
 				return []lovagestand.Instance{{Address: "first"}, {Address: "second"}}
 			},
-			Client: &http.Client{Transport: network{"first": x.first, "second": x.second}},
-			Log:    zerolog.Nop(),
+			Client:   &http.Client{Transport: network{"first": x.first, "second": x.second}},
+			Unsteady: func() bool { return true },
+			Log:      zerolog.Nop(),
 		})
 		f(x)
 	})
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -37,6 +37,8 @@
 	// hangUpGrace is how long a request may wait before it is begun, so that a
 	// copy which was held up on its way is found to have no caller.
 	hangUpGrace = 5 * time.Millisecond
+	// unsteadyGrace is the same at an instance that may have been paused.
+	unsteadyGrace = 50 * time.Millisecond
 
 	cancelledReason = "cancelled by the caller"
 )
@@ -82,7 +84,10 @@
 // not begun. Only where it matters or is likely is the connection given the
 // time to show that it was closed.
 func (e *Entry) isLateCopy(ctx context.Context, c *call) bool {
-	if c.route.Claimed() || e.deps.Unsteady() {
+	switch {
+	case e.deps.Unsteady():
+		pause(ctx, unsteadyGrace)
+	case c.route.Claimed():
 		pause(ctx, hangUpGrace)
 	}
 	return c.abandoned.Load()
--- a/placer/end.go
+++ b/placer/end.go
@@ -86,6 +86,14 @@
 		s.finish(now, r, lovagestand.Unknown(r.task.Key, "a part of the gang could not start"))
 		return
 	}
+	if !r.hasBody {
+		// The entry that attaches brings the body, see giveBody.
+		r.restarting = true
+		for _, p := range r.parts {
+			p.state = partBlocked
+		}
+		return
+	}
 	for _, p := range r.parts {
 		delete(s.parts, p.task.ID)
 		p.setAttempt(p.next(s.epoch))
--- a/placer/link.go
+++ b/placer/link.go
@@ -212,7 +212,7 @@
 // apply takes over what a worker says of one task.
 func (s *shard) apply(now time.Time, l *link, report lovagestand.TaskReport) {
 	p, ok := s.parts[report.Task.ID]
-	if !ok {
+	if !ok || p.unseen() {
 		s.adopt(now, l, report)
 		return
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -217,6 +218,38 @@
 	})
 }
 
+func TestNewOwnerCountsAllPartsOfAGang(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := idempotent("model")
+		k.Class = lovagestand.ClassGang
+		k.GangSize = 2
+		x.place(k, runFor(time.Hour), false, time.Second)
+		x.replaceOwner(2)
+		x.Assert(x.placer.Status()[0].Digest.Pools[0].Running, qt.Equals, 2)
+	})
+}
+
+func TestAdoptedGangStartsAgainWithItsBody(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		k := idempotent("model")
+		k.Class = lovagestand.ClassGang
+		k.GangSize = 2
+		body := runFor(30 * time.Second)
+		x.place(k, body, false, time.Second)
+		x.replaceOwner(2)
+		state, err := x.fleet.Worker("one").State(context.Background())
+		x.Assert(err, qt.IsNil)
+		x.Assert(x.fleet.Worker("one").Stop(context.Background(), []lovagestand.TaskID{state.Tasks[0].Task.ID}), qt.IsNil)
+		time.Sleep(5 * time.Second)
+		a := x.settle(k, body, true)
+		x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone, qt.Commentf("%s", a.Reason))
+		whole := fleet.Answer(k.Key, body)
+		joined, err := json.Marshal([][]byte{whole, whole})
+		x.Assert(err, qt.IsNil)
+		x.Assert(string(a.Body), qt.Equals, string(joined))
+	})
+}
+
 func TestLeasesAreRenewed(t *testing.T) {
 	inBubble(t, func(x *fixture) {
 		k := task("long")
--- a/placer/request.go
+++ b/placer/request.go
@@ -171,6 +171,7 @@
 	p.attempt = a
 	p.state = partQueued
 	p.worker = ""
+	p.phase = ""
 	p.confirmed = time.Time{}
 	p.started = time.Time{}
 	p.task = p.request.task.WithID(a.ID())
@@ -179,6 +180,13 @@
 	}
 }
 
+// unseen reports whether the shard has not placed the current attempt and no
+// worker has shown it: one part of a gang that was found on a worker names the
+// others, too.
+func (p *part) unseen() bool {
+	return p.phase == "" && (p.state == partBlocked || p.state == partQueued)
+}
+
 // next returns the attempt after the current one, made by the owner of an
 // epoch.
 func (p *part) next(epoch lovagestand.Epoch) attempt {
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -212,6 +212,8 @@
 	case !owned:
 	case s != nil && s.holder.epoch == epoch:
 		limit = s.holder.limit(team)
+	case s == nil && !k.serves(key.shard, key.book.Pool):
+		// It has no workers of the pool, like a home of claims.
 	default:
 		select {
 		case k.wake <- struct{}{}:
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -305,3 +305,28 @@
 		qt.Assert(t, r.limits[name].IsZero(), qt.IsFalse)
 	})
 }
+
+func TestUnitsWithoutWorkersAskForNoRounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limited := table.Pool{Name: "p", Runner: "r", Regions: []lovagestand.RegionName{"r"}, Teams: []table.Team{{Name: "a", Quota: &table.Amount{Processors: 1000}}}}
+		tables, err := table.New(1, nil, []table.Pool{limited})
+		c.Assert(err, qt.IsNil)
+		k := quota.New(quota.Deps{
+			Store:  kv.New(),
+			Tables: func() (table.Tables, bool) { return tables, true },
+			Shards: func() []quota.Shard { return nil },
+			Known:  func(lovagestand.PoolName) []lovagestand.ShardName { return []lovagestand.ShardName{"r/one"} },
+			Exists: func(lovagestand.ShardName) bool { return true },
+			Epoch:  func(lovagestand.ShardName) (lovagestand.Epoch, bool) { return 1, true },
+			Live:   func() int { return 1 },
+		})
+		policies := []lovagestand.Policy{tables.Policy("p")}
+		for range 2 {
+			k.Policies("claims/1", policies)
+			c.Assert(k.Woken(), qt.IsFalse)
+		}
+		k.Policies("r/one", policies)
+		c.Assert(k.Woken(), qt.IsTrue)
+	})
+}
