--- a/placer/end.go
+++ b/placer/end.go
@@ -16,6 +16,10 @@
 	p.phase = report.Phase
 	p.body = report.Body
 	p.reason = report.Reason
+	if p.usage.outgrown && report.Phase == lovagestand.TaskStopped {
+		p.phase = lovagestand.TaskFailed
+		p.reason = outgrewReason
+	}
 	if p.started.IsZero() {
 		p.started = report.Started
 	}
--- a/placer/link.go
+++ b/placer/link.go
@@ -74,6 +74,7 @@
 			s.setWorker(now, l)
 		}
 		s.checkLost(now, l)
+		s.judgeUsage(now, l)
 	}
 	s.sweep(now)
 	s.recheck = true
@@ -227,6 +228,7 @@
 	if p.started.IsZero() {
 		p.started = report.Started
 	}
+	p.noteUsage(now, report)
 }
 
 // partsOn returns the parts that take resources of a worker.
--- /dev/null
+++ b/placer/overuse.go
@@ -0,0 +1,114 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/worker"
+)
+
+// usage is what a worker last said that a part takes.
+type usage struct {
+	amount lovagestand.Resources
+	at     time.Time
+	// judged counts the judgements in a row that found it over the
+	// reservation.
+	judged int
+	// throttled says that the part was held to its processors.
+	throttled bool
+	// outgrown says that the part is being stopped for what it takes.
+	outgrown bool
+}
+
+// noteUsage takes over what a worker says that a running part takes.
+func (p *part) noteUsage(now time.Time, report lovagestand.TaskReport) {
+	p.usage.amount = report.Usage
+	p.usage.at = now
+	p.usage.throttled = p.usage.throttled || report.Phase == lovagestand.TaskThrottled
+}
+
+// judgeUsage acts on the parts of a worker that outgrew their reservations.
+func (s *shard) judgeUsage(now time.Time, l *link) {
+	parts := s.partsOn(l.worker.Name)
+	spare := l.worker.Capacity
+	for _, p := range parts {
+		spare = spare.Sub(p.task.Resources)
+	}
+	for _, p := range parts {
+		if p.state == partRunning && !p.usage.outgrown {
+			s.judgePart(now, p, spare)
+		}
+	}
+}
+
+func (s *shard) judgePart(now time.Time, p *part, spare lovagestand.Resources) {
+	if p.usage.amount.Fits(p.task.Resources) {
+		p.usage.judged = 0
+		return
+	}
+	p.usage.judged++
+	action := worker.Judge(worker.Overuse{
+		Reserved:    p.task.Resources,
+		Usage:       p.usage.amount,
+		Spare:       spare,
+		Age:         now.Sub(p.usage.at),
+		Reports:     p.usage.judged,
+		Throttled:   p.usage.throttled,
+		Checkpoints: p.task.Checkpoints,
+	})
+	if action == worker.ActionNone {
+		return
+	}
+	s.deps.Log.Warn().Str("task", string(p.task.ID)).Str("worker", string(p.worker)).
+		Str("action", string(action)).Msg("task outgrew its reservation")
+	s.curb(p, action)
+}
+
+// curb throttles, checkpoints or stops a part. A part that is stopped asks for
+// what it took when it is started again.
+func (s *shard) curb(p *part, action worker.Action) {
+	switch action {
+	case worker.ActionThrottle:
+		p.usage.throttled = true
+		go s.throttle(s.ctx, p.worker, p.task.ID)
+	case worker.ActionCheckpoint:
+		s.grow(p)
+		p.state = partStopping
+		s.spawn(func() { s.preempt(s.ctx, p, outgrewReason) })
+	case worker.ActionStop:
+		s.grow(p)
+		s.stopSoon(p)
+	case worker.ActionNone:
+	}
+}
+
+// outgrewReason is told of work that was stopped for what it took.
+const outgrewReason = "it took more than its reservation"
+
+// grow raises the reservation of a request's further attempts.
+func (s *shard) grow(p *part) {
+	p.usage.outgrown = true
+	r := p.request
+	r.task.Resources = lovagestand.Resources{
+		MilliCPU:     r.task.Resources.MilliCPU,
+		MemoryMiB:    max(r.task.Resources.MemoryMiB, p.usage.amount.MemoryMiB),
+		Accelerators: max(r.task.Resources.Accelerators, p.usage.amount.Accelerators),
+	}
+}
+
+// throttle holds a task to its reservation, once; the next usage report tells
+// whether it did.
+func (s *shard) throttle(ctx context.Context, on lovagestand.WorkerName, id lovagestand.TaskID) {
+	s.mu.Lock()
+	l, ok := s.links[on]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, s.timings.callTimeout)
+	defer cancel()
+	if err := s.deps.Workers.Throttle(limited, l.worker.Address, id); err != nil {
+		s.deps.Log.Warn().Err(err).Str("task", string(id)).Msg("throttle")
+	}
+}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -400,3 +400,61 @@
 		x.Assert(x.starts(k.Key), qt.Equals, 1)
 	})
 }
+
+// outgrow starts a task of 1 GiB that takes n times its reservation.
+func outgrow(x *fixture, k lovagestand.Task, n int64) lovagestand.Answer {
+	x.faults(fleet.Faults{Outgrow: n})
+	return x.settle(k, runFor(20*time.Second), false)
+}
+
+func TestTaskThatOutgrowsItsProcessorsIsThrottled(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.faults(fleet.Faults{Outgrow: 2})
+		k := task("greedy")
+		k.Resources = lovagestand.Resources{MilliCPU: 1000}
+		x.place(k, runFor(time.Minute), false, 10*time.Second)
+		for _, w := range x.fleet.Workers() {
+			state, err := w.State(context.Background())
+			x.Assert(err, qt.IsNil)
+			for _, r := range state.Tasks {
+				x.Assert(r.Phase, qt.Equals, lovagestand.TaskThrottled)
+			}
+		}
+		x.Assert(x.starts(k.Key), qt.Equals, 1)
+	})
+}
+
+func TestTaskThatOutgrowsItsMemory(t *testing.T) {
+	t.Run("is stopped and said to have failed", func(t *testing.T) {
+		inBubble(t, func(x *fixture) {
+			a := outgrow(x, task("greedy"), 8)
+			x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeFailed)
+			x.Assert(a.Reason, qt.Equals, "it took more than its reservation")
+		})
+	})
+	t.Run("starts again with what it took", func(t *testing.T) {
+		inBubble(t, func(x *fixture) {
+			time.AfterFunc(time.Second, func() { x.faults(fleet.Faults{}) })
+			k := idempotent("greedy")
+			k.Resources = lovagestand.Resources{MemoryMiB: 512}
+			a := outgrow(x, k, 8)
+			x.assertDone(a, k, runFor(20*time.Second))
+			x.Assert(x.largest(k.Key).MemoryMiB, qt.Equals, int64(4096))
+		})
+	})
+}
+
+// largest returns the most memory that any attempt at a key was given.
+func (x *fixture) largest(key lovagestand.RequestKey) lovagestand.Resources {
+	var most lovagestand.Resources
+	for _, w := range x.fleet.Workers() {
+		state, err := w.State(context.Background())
+		x.Assert(err, qt.IsNil)
+		for _, r := range state.Tasks {
+			if r.Task.Key == key && r.Task.Resources.MemoryMiB > most.MemoryMiB {
+				most = r.Task.Resources
+			}
+		}
+	}
+	return most
+}
--- a/placer/request.go
+++ b/placer/request.go
@@ -41,6 +41,7 @@
 	confirmed  time.Time
 	started    time.Time
 	phase      lovagestand.TaskPhase
+	usage      usage
 	checkpoint []byte
 	body       []byte
 	reason     string
@@ -172,6 +173,7 @@
 	p.state = partQueued
 	p.worker = ""
 	p.phase = ""
+	p.usage = usage{}
 	p.confirmed = time.Time{}
 	p.started = time.Time{}
 	p.task = p.request.task.WithID(a.ID())
