--- a/claim/claim.go
+++ b/claim/claim.go
@@ -55,16 +55,6 @@
 	return names
 }
 
-// Fingerprint sums up a request's route and body, to tell a repeated request
-// from another one under the same key.
-func Fingerprint(route lovagestand.RouteName, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(route))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
-
 // Request asks for the claim of a key.
 type Request struct {
 	// ID names one call of a caller at one entry. Asking again with the same
--- a/drill/cell.go
+++ b/drill/cell.go
@@ -16,6 +16,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/audit/remote"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/standin/fleet"
 	"lovagestand.example/lovagestand/standin/kv"
@@ -107,7 +108,7 @@
 		if storeErr == nil && workersErr == nil {
 			return nil
 		}
-		if !pause(ctx, startEvery) {
+		if !pause.For(ctx, startEvery) {
 			return errors.New("the stand-ins did not get ready")
 		}
 	}
@@ -236,7 +237,7 @@
 
 // follow asks every instance now and then until ctx ends.
 func (c *cell) follow(ctx context.Context, every time.Duration, look func(context.Context, *instance)) {
-	for pause(ctx, every) {
+	for pause.For(ctx, every) {
 		var looks sync.WaitGroup
 		for _, i := range c.all() {
 			looks.Go(func() { look(ctx, i) })
--- a/drill/gaps.go
+++ b/drill/gaps.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand/audit/remote"
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 // lookEvery is how often the workers are asked for the tasks started; gaps are
@@ -21,7 +22,7 @@
 
 // follow looks at the auditor until ctx ends.
 func (g *gaps) follow(ctx context.Context, auditor *remote.Client) {
-	for pause(ctx, lookEvery) {
+	for pause.For(ctx, lookEvery) {
 		if u, err := auditor.Usage(ctx); err == nil {
 			g.note(time.Now(), u.Starts)
 		}
@@ -53,15 +54,3 @@
 	}
 	return max(longest, until.Sub(last))
 }
-
-// pause waits for d; false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/drill/instance.go
+++ b/drill/instance.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/table"
 )
 
@@ -139,7 +140,7 @@
 		if _, ready := i.is(); ready {
 			return time.Since(i.began), nil
 		}
-		if !pause(ctx, startEvery) {
+		if !pause.For(ctx, startEvery) {
 			return 0, errors.Errorf("%s did not get ready", i.name)
 		}
 	}
--- a/drill/run.go
+++ b/drill/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/standin/fleet"
 	"lovagestand.example/lovagestand/table"
 	"lovagestand.example/lovagestand/trial/caller"
@@ -157,7 +158,7 @@
 func (d *drill) load(ctx context.Context) {
 	source := caller.NewSource("drill", caller.KindsOf(d.config.Tables), d.config.Seed)
 	random := rand.New(rand.NewPCG(d.config.Seed, 2))
-	for pause(ctx, source.Pause(d.config.Rate)) {
+	for pause.For(ctx, source.Pause(d.config.Rate)) {
 		w := source.Next()
 		c := d.callers[random.IntN(len(d.callers))]
 		// The callers wait beyond the end of the load.
--- a/drill/steps.go
+++ b/drill/steps.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/standin/kv"
 )
 
@@ -48,7 +49,7 @@
 
 // wait waits, or tells that ctx ended.
 func wait(ctx context.Context, d time.Duration) error {
-	if !pause(ctx, d) {
+	if !pause.For(ctx, d) {
 		return errors.Wrap(ctx.Err(), "drill")
 	}
 	return nil
--- a/entry/pursue.go
+++ b/entry/pursue.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/metrics"
 	"lovagestand.example/lovagestand/placer"
 	"lovagestand.example/lovagestand/placer/placerpb"
@@ -86,9 +87,9 @@
 func (e *Entry) isLateCopy(ctx context.Context, c *call) bool {
 	switch {
 	case e.deps.Unsteady():
-		pause(ctx, unsteadyGrace)
+		pause.For(ctx, unsteadyGrace)
 	case c.route.Claimed():
-		pause(ctx, hangUpGrace)
+		pause.For(ctx, hangUpGrace)
 	}
 	return c.abandoned.Load()
 }
@@ -198,7 +199,7 @@
 			return target, err
 		}
 		tried = nil
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return target, ctx.Err()
 		}
 	}
@@ -264,13 +265,13 @@
 			return offerResult{kind: offerBounced, reason: reply.GetReason(), retryAfter: time.Duration(reply.GetRetryAfter())}
 		}
 		if contacted && reply.GetStatus() == placerpb.Status_STATUS_WAITING && ctx.Err() == nil {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		if result, ok := e.giveUp(c, shard, now, lastContact); ok {
 			return result
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return offerResult{kind: offerFinal, answer: lovagestand.Unknown(c.request.Key, "the instance stopped")}
 		}
 	}
@@ -350,7 +351,7 @@
 	}
 	for {
 		reply, err := e.placers.at(owner.Address).Cancel(ctx, &placerpb.CancelRequest{Key: string(c.request.Key)})
-		if err == nil && reply.GetFound() || !pause(ctx, retryPause) {
+		if err == nil && reply.GetFound() || !pause.For(ctx, retryPause) {
 			return
 		}
 	}
@@ -362,15 +363,3 @@
 	}
 	return patientWindow
 }
-
-// pause waits for d; false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/owner"
 )
 
@@ -45,7 +46,7 @@
 	for first := true; ctx.Err() == nil; {
 		value, err := p.nextValue(ctx, region, seen.Revision, first)
 		if err != nil {
-			sleep(ctx, retry.NextBackOff())
+			pause.For(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
@@ -85,12 +86,3 @@
 	b.MaxInterval = longestRetry
 	return b
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/placer/end.go
+++ b/placer/end.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 // end records how an attempt ended on its worker and decides what follows.
@@ -145,7 +146,7 @@
 		limited, cancel := context.WithTimeout(ctx, s.timings.callTimeout)
 		err := s.deps.Workers.Stop(limited, address, []lovagestand.TaskID{id})
 		cancel()
-		if err == nil || !s.isHeld(id) || !pause(ctx, s.timings.retryInterval) {
+		if err == nil || !s.isHeld(id) || !pause.For(ctx, s.timings.retryInterval) {
 			return
 		}
 	}
--- a/placer/link.go
+++ b/placer/link.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 // link is what a shard knows of one worker.
@@ -143,7 +144,7 @@
 	broken := true
 	for ctx.Err() == nil {
 		if broken && !s.readWhole(ctx, l) {
-			pause(ctx, s.timings.retryInterval)
+			pause.For(ctx, s.timings.retryInterval)
 			continue
 		}
 		broken = false
@@ -253,7 +254,7 @@
 
 // renewLoop renews the leases of a worker's tasks until ctx ends.
 func (s *shard) renewLoop(ctx context.Context, l *link) {
-	for pause(ctx, s.timings.renewEvery) {
+	for pause.For(ctx, s.timings.renewEvery) {
 		now := time.Now()
 		ids := s.renewable(now, l)
 		if len(ids) == 0 {
--- a/placer/rebuild.go
+++ b/placer/rebuild.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 // rebuildPatience is how long a new owner waits for workers that do not
@@ -15,7 +16,7 @@
 // rebuild waits out the starts of earlier owners, then reads what every
 // worker of the shard holds. It returns false if ctx ended first.
 func (s *shard) rebuild(ctx context.Context) bool {
-	if !pause(ctx, time.Until(s.settleUntil)) {
+	if !pause.For(ctx, time.Until(s.settleUntil)) {
 		return false
 	}
 	members, ok := s.awaitInputs(ctx)
@@ -42,7 +43,7 @@
 		if ok && len(s.deps.Catalog.Policies(s.name)) > 0 {
 			return members, true
 		}
-		if !pause(ctx, s.timings.retryInterval/4) {
+		if !pause.For(ctx, s.timings.retryInterval/4) {
 			return lovagestand.Members{}, false
 		}
 	}
@@ -97,7 +98,7 @@
 		if err == nil {
 			return state, true
 		}
-		if !pause(ctx, s.timings.retryInterval) {
+		if !pause.For(ctx, s.timings.retryInterval) {
 			return lovagestand.WorkerState{}, false
 		}
 	}
--- a/placer/start.go
+++ b/placer/start.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 // maxRefusals bounds how many workers may refuse a part before it is given up.
@@ -142,7 +143,7 @@
 				return
 			}
 		}
-		if !pause(ctx, s.timings.retryInterval) {
+		if !pause.For(ctx, s.timings.retryInterval) {
 			return
 		}
 	}
@@ -159,15 +160,3 @@
 	defer cancel()
 	return s.deps.Workers.State(limited, address)
 }
-
-// pause waits for d; false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	lovagestand "lovagestand.example/lovagestand"
+
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 const (
@@ -98,7 +100,7 @@
 		if !repeatable(effect, KindOf(err)) || ctx.Err() != nil {
 			return result, err
 		}
-		if !sleep(ctx, max(pauses.NextBackOff(), hint(err, pauses))) {
+		if !pause.For(ctx, max(pauses.NextBackOff(), hint(err, pauses))) {
 			return result, err
 		}
 		if !r.budget.Spend(time.Now()) {
@@ -140,15 +142,3 @@
 		return false
 	}
 }
-
-// sleep waits for d; false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/table/following.go
+++ b/table/following.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 // Times and bounds of a follower.
@@ -49,14 +50,14 @@
 	for ctx.Err() == nil {
 		value, err := f.watch(ctx, after)
 		if err != nil {
-			sleep(ctx, retry.NextBackOff())
+			pause.For(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
 		changed := value.Revision != after
 		after = value.Revision
 		if !changed || value.Revision == 0 || !f.adopted(value) {
-			sleep(ctx, minWatchPause)
+			pause.For(ctx, minWatchPause)
 		}
 	}
 }
@@ -86,10 +87,10 @@
 		case <-ctx.Done():
 			return
 		case <-f.heard:
-			sleep(ctx, PeerGrace)
+			pause.For(ctx, PeerGrace)
 			f.pullClaimed(ctx)
 		case revision := <-f.news:
-			sleep(ctx, PeerGrace)
+			pause.For(ctx, PeerGrace)
 			f.tell(ctx, revision, 0, toldPeers)
 		case <-ask.C:
 			f.compare(ctx, tick)
@@ -192,12 +193,3 @@
 	}
 	group.Wait()
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/trial/caller/caller.go
+++ b/trial/caller/caller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 )
 
 const (
@@ -113,12 +114,12 @@
 		return r, err
 	}
 	if p.sent > 0 {
-		sleep(ctx, p.pause)
+		pause.For(ctx, p.pause)
 		p.pause = min(2*p.pause, maxPause)
 	}
 	target, found := c.balancer.Pick(c.region, p.target.Name)
 	if !found {
-		sleep(ctx, maxPause)
+		pause.For(ctx, maxPause)
 		return reply{kind: replyElsewhere}, nil
 	}
 	p.target = target
@@ -168,12 +169,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -7,6 +7,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/audit"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/standin/fleet"
 	"lovagestand.example/lovagestand/standin/kv"
 	"lovagestand.example/lovagestand/trial/caller"
@@ -113,7 +114,7 @@
 func storeOutageFault(s stage) (string, func()) {
 	s.trial.store.SetFaults(kv.Faults{Down: true})
 	go func() {
-		if pause(s.ctx, s.length*2/3) {
+		if pause.For(s.ctx, s.length*2/3) {
 			s.trial.store.SetFaults(kv.Faults{Delay: slowStore})
 		}
 	}()
@@ -135,7 +136,7 @@
 		s.trial.list.SetLeaving(w.Spec().Name, true)
 	}
 	go func() {
-		if pause(s.ctx, s.length/2) {
+		if pause.For(s.ctx, s.length/2) {
 			s.trial.list.RemoveWorker(second.Spec().Name)
 		}
 	}()
@@ -179,7 +180,7 @@
 		s.trial.send(w)
 	}
 	go func() {
-		if pause(s.ctx, s.length/2) {
+		if pause.For(s.ctx, s.length/2) {
 			s.trial.cancelAll(lovagestand.ClassBatch)
 		}
 	}()
@@ -201,7 +202,7 @@
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		for pause(s.ctx, raceEvery) {
+		for pause.For(s.ctx, raceEvery) {
 			s.trial.tables.race(s.ctx, len(s.trial.config.Tables.Routes())+1)
 		}
 	}()
--- a/trial/load.go
+++ b/trial/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/trial/caller"
 )
 
@@ -22,7 +23,7 @@
 func (t *Trial) load(ctx context.Context) {
 	held := 0
 	for ctx.Err() == nil {
-		pause(ctx, t.source.Pause(t.config.Rate))
+		pause.For(ctx, t.source.Pause(t.config.Rate))
 		t.mutex.Lock()
 		full := len(t.open) >= MaxInFlight
 		t.mutex.Unlock()
@@ -60,7 +61,7 @@
 		t.flying.Go(func() { also.RunAlso(ctx, w) })
 	case drawn < twice+withdrawn:
 		t.flying.Go(func() {
-			pause(ctx, wait)
+			pause.For(ctx, wait)
 			c.Cancel(ctx, w)
 		})
 	}
@@ -80,15 +81,3 @@
 	}
 	return n
 }
-
-// pause waits for d; false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/trial/sampler.go
+++ b/trial/sampler.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/report"
 	"lovagestand.example/lovagestand/standin/kv"
 	"lovagestand.example/lovagestand/trial/network"
@@ -39,7 +40,7 @@
 // run samples until ctx ends, and once more then.
 func (s *sampler) run(ctx context.Context) {
 	last := time.Time{}
-	for pause(ctx, s.every) {
+	for pause.For(ctx, s.every) {
 		s.sample(time.Now())
 		if p := s.trial.config.Progress; p != nil && time.Since(last) >= time.Second {
 			last = time.Now()
--- a/trial/schedule.go
+++ b/trial/schedule.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/report"
 )
 
@@ -78,7 +79,7 @@
 	var all sync.WaitGroup
 	for i, f := range t.config.Faults {
 		all.Go(func() {
-			if pause(ctx, slot*time.Duration(2*i+1)/2) {
+			if pause.For(ctx, slot*time.Duration(2*i+1)/2) {
 				t.runFault(ctx, f, i, max(f.atLeast, min(slot*3/2, maxFault)))
 			}
 		})
--- a/trial/tables.go
+++ b/trial/tables.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/report"
 	"lovagestand.example/lovagestand/table"
 )
@@ -62,7 +63,7 @@
 
 // edit edits the tables now and then until ctx ends.
 func (w *tablesWriter) edit(ctx context.Context) {
-	for pause(ctx, w.trial.config.Duration/(edits+1)) {
+	for pause.For(ctx, w.trial.config.Duration/(edits+1)) {
 		w.race(ctx, 1)
 	}
 }
@@ -126,7 +127,7 @@
 
 // follow watches which revision is in force in each instance until ctx ends.
 func (w *tablesWriter) follow(ctx context.Context) {
-	for pause(ctx, pollEvery) {
+	for pause.For(ctx, pollEvery) {
 		w.look()
 	}
 }
@@ -160,7 +161,7 @@
 	limited, cancel := context.WithTimeout(ctx, inForceWithin)
 	defer cancel()
 	for !w.look() {
-		if !pause(limited, pollEvery) {
+		if !pause.For(limited, pollEvery) {
 			w.late()
 			break
 		}
