--- a/commands/serve.go
+++ b/commands/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -34,8 +35,13 @@
 	return c
 }
 
+// gcPercent is how far the heap may grow between two collections.
+const gcPercent = 50
+
 // serve runs an instance until ctx ends, then stops it as planned.
 func serve(ctx context.Context, s settings.Settings, log zerolog.Logger) error {
+	// Instances are small: memory is dearer than the collector's time.
+	debug.SetGCPercent(gcPercent)
 	i, err := instance.New(s, instance.Deps{
 		Store:     platform.NewStore(s.Platform.Store),
 		Members:   platform.NewMemberList(s.Platform.Members),
--- a/placer/link.go
+++ b/placer/link.go
@@ -333,29 +333,3 @@
 	}
 	s.deps.Log.Warn().Str("worker", string(l.worker.Name)).Msg("worker out of reach")
 }
-
-// sweep forgets answers that were kept long enough.
-func (s *shard) sweep(now time.Time) {
-	kept := 0
-	for _, r := range s.requests {
-		if !r.final() {
-			continue
-		}
-		kept++
-		keep := s.timings.keepAnswer
-		if r.withdrawn {
-			keep = s.timings.keepWithdrawn
-		}
-		if now.Sub(r.endedAt) > keep {
-			s.forget(r)
-		}
-	}
-	if kept <= s.timings.maxKept {
-		return
-	}
-	for _, r := range s.requests {
-		if r.final() && r.task.Idempotent && !r.task.Exclusive {
-			s.forget(r)
-		}
-	}
-}
--- a/placer/options.go
+++ b/placer/options.go
@@ -17,6 +17,7 @@
 	maxAttempts   int
 	clockSkew     time.Duration
 	maxKept       int
+	maxKeptBytes  int
 	retryInterval time.Duration
 }
 
@@ -48,6 +49,9 @@
 	defaultClockSkew = 100 * time.Millisecond
 	// defaultMaxKept bounds the final answers kept for one shard.
 	defaultMaxKept = 20000
+	// defaultMaxKeptBytes bounds the bodies of the final answers kept for one
+	// shard.
+	defaultMaxKeptBytes = 1 << 20
 	// defaultRetryInterval is the pause before a failed call to a worker is
 	// repeated.
 	defaultRetryInterval = 200 * time.Millisecond
@@ -68,6 +72,7 @@
 		maxAttempts:   defaultMaxAttempts,
 		clockSkew:     defaultClockSkew,
 		maxKept:       defaultMaxKept,
+		maxKeptBytes:  defaultMaxKeptBytes,
 		retryInterval: defaultRetryInterval,
 	}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -1,8 +1,10 @@
 package placer_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -26,7 +28,7 @@
 func (x *fixture) assertDone(a lovagestand.Answer, t lovagestand.Task, body []byte) {
 	x.Helper()
 	x.Assert(a.Outcome, qt.Equals, lovagestand.OutcomeDone, qt.Commentf("%s", a.Reason))
-	x.Assert(a.Body, qt.DeepEquals, fleet.Answer(t.Key, body))
+	x.Assert(bytes.Equal(a.Body, fleet.Answer(t.Key, body)), qt.IsTrue)
 }
 
 func TestStartWithoutReplyRunsOnce(t *testing.T) {
@@ -458,3 +460,20 @@
 	}
 	return most
 }
+
+func TestKeptAnswersAreBoundedInBytes(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		const requests, answerBytes = 24, 100 << 10
+		body := fleet.Work{RunFor: fleet.Span(time.Millisecond), AnswerBytes: answerBytes}.Body()
+		for i := range requests {
+			k := idempotent(fmt.Sprintf("big-%d", i))
+			x.assertDone(x.settle(k, body, false), k, body)
+		}
+		plan := task("plan")
+		x.assertDone(x.settle(plan, body, false), plan, body)
+		time.Sleep(10 * time.Second)
+		x.Assert(x.placer.Status()[0].Kept*answerBytes <= 1<<20, qt.IsTrue)
+		x.assertDone(x.settle(plan, body, true), plan, body)
+		x.Assert(x.starts(plan.Key), qt.Equals, 1)
+	})
+}
