instance: a last instance stops at once; claim homes are no placers' shards

Cause: an instance with nobody to pass its shards to tried for all of stopWithin, 60 s; every owned claim home was opened as a shard of the placer and logged as one. Change: a stop passes shards on only to an instance that stays, for 20 s at most; the placer opens units that have workers; status counts claim homes from ownership. A test stops a whole cell.

--- a/cell/gather.go
+++ b/cell/gather.go
@@ -25,6 +25,8 @@
 	Reports []Report
 	Heard   map[lovagestand.InstanceID]Heard
 	Digests []peer.DigestView
+	// Homes counts the homes of claims by the instance that owns them.
+	Homes map[lovagestand.InstanceID]int
 	// Listed are the workers on the member list.
 	Listed []lovagestand.Worker
 }
@@ -41,10 +43,12 @@
 	}
 	owned := make(map[lovagestand.InstanceID]Owned)
 	for _, v := range from.Digests {
-		owned[v.Owner] = owned[v.Owner].with(v.Digest.Shard)
-		if isClaimHome(v.Digest.Shard) {
+		if strings.HasPrefix(string(v.Digest.Shard), peer.ClaimPrefix) {
 			continue
 		}
+		o := owned[v.Owner]
+		o.Shards++
+		owned[v.Owner] = o
 		s.Shards = append(s.Shards, Shard{
 			Shard:     v.Digest.Shard,
 			Owner:     cmp.Or(addresses[v.Owner], string(v.Owner)),
@@ -54,7 +58,9 @@
 		})
 	}
 	for n, i := range s.Instances {
-		s.Instances[n].Owned = owned[i.ID]
+		o := owned[i.ID]
+		o.ClaimHomes = from.Homes[i.ID]
+		s.Instances[n].Owned = o
 	}
 	s.Shards = append(s.Shards, ownerless(from.Listed, s.Shards)...)
 	s.sort()
@@ -79,20 +85,6 @@
 	return missing
 }
 
-// with counts one more shard or claim home.
-func (o Owned) with(shard lovagestand.ShardName) Owned {
-	if isClaimHome(shard) {
-		o.ClaimHomes++
-	} else {
-		o.Shards++
-	}
-	return o
-}
-
-func isClaimHome(shard lovagestand.ShardName) bool {
-	return strings.HasPrefix(string(shard), peer.ClaimPrefix)
-}
-
 func newest(from Sources) uint64 {
 	var revision uint64
 	for _, h := range from.Heard {
--- a/instance/cell.go
+++ b/instance/cell.go
@@ -13,6 +13,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/cell"
+	"lovagestand.example/lovagestand/claim"
 )
 
 const (
@@ -50,6 +51,7 @@
 		Reports: i.askAll(ctx),
 		Heard:   make(map[lovagestand.InstanceID]cell.Heard),
 		Digests: i.ownership.Digests(""),
+		Homes:   i.homesByOwner(),
 		Listed:  members.Workers,
 	}
 	for _, r := range i.ownership.Revisions() {
@@ -113,3 +115,14 @@
 	}
 	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply), "decode")
 }
+
+// homesByOwner counts the homes of claims by owner, as far as they are known.
+func (i *Instance) homesByOwner() map[lovagestand.InstanceID]int {
+	homes := make(map[lovagestand.InstanceID]int)
+	for _, n := range claim.HomeNames() {
+		if owner, ok := i.ownership.Owner(n); ok {
+			homes[owner.ID]++
+		}
+	}
+	return homes
+}
--- a/instance/cell_test.go
+++ b/instance/cell_test.go
@@ -220,3 +220,17 @@
 	c.Assert(c.instances[1].Stop(ctx), qt.IsNil)
 	c.Assert(<-got, qt.Equals, http.StatusOK)
 }
+
+func TestLastInstanceStopsWithoutASuccessor(t *testing.T) {
+	c := newCell(t)
+	c.awaitReady()
+	for _, i := range c.instances[1:] {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		c.Assert(i.Stop(ctx), qt.IsNil)
+		cancel()
+	}
+	// Less than the time for which shards are tried to be passed on.
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	c.Assert(c.instances[0].Stop(ctx), qt.IsNil)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,6 +111,7 @@
 		Members:   i.members,
 		Catalog:   tables,
 		Ownership: i.ownership,
+		Places:    func(n lovagestand.ShardName) bool { return !strings.HasPrefix(string(n), peer.ClaimPrefix) },
 		Self:      i.id,
 		Pursues:   func(key lovagestand.RequestKey) bool { return i.entry.Pursues(key) },
 		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
@@ -147,6 +150,9 @@
 	return claim.NewRemote(claimpb.NewClaimsProtobufClient("http://"+other.Address, i.client))
 }
 
+// leaveTimeout bounds how long a planned stop tries to pass its shards on.
+const leaveTimeout = 20 * time.Second
+
 // readHeaderTimeout bounds how long a connection may take to send a header.
 const readHeaderTimeout = 10 * time.Second
 
@@ -218,9 +224,7 @@
 func (i *Instance) Stop(ctx context.Context) error {
 	i.leaving.Store(true)
 	i.log.Info().Int("inFlight", i.entry.InFlight()).Msg("leaving")
-	if err := i.ownership.Leave(ctx); err != nil {
-		i.log.Warn().Err(err).Msg("leave")
-	}
+	i.handOver(ctx)
 	left := i.entry.Stop(ctx)
 	err := i.server.Shutdown(ctx)
 	i.cancel()
@@ -232,6 +236,26 @@
 	return errors.Wrap(err, "shut down")
 }
 
+// handOver passes the shards on. Where nobody is left to take them, or not in
+// time, the next owner takes over as after a crash.
+func (i *Instance) handOver(ctx context.Context) {
+	if !i.hasSuccessor() {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := i.ownership.Leave(limited); err != nil {
+		i.log.Warn().Err(err).Msg("shards not all passed on")
+	}
+}
+
+// hasSuccessor reports whether an instance that stays is known.
+func (i *Instance) hasSuccessor() bool {
+	return slices.ContainsFunc(i.ownership.Peers(), func(p lovagestand.Instance) bool {
+		return p.ID != i.id && !p.Leaving
+	})
+}
+
 // Kill ends the instance at once, as a crash would.
 func (i *Instance) Kill() {
 	_ = i.server.Close()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -28,6 +28,9 @@
 	Members   MemberView
 	Catalog   lovagestand.Catalog
 	Ownership lovagestand.Ownership
+	// Places reports whether an owned unit has workers to place on; nil stands
+	// for all.
+	Places func(shard lovagestand.ShardName) bool
 	// Self is the instance this placer belongs to.
 	Self lovagestand.InstanceID
 	// Pursues reports whether this instance pursues a request for a caller, or
@@ -89,6 +92,9 @@
 	now := time.Now()
 	owned := make(map[lovagestand.ShardName]lovagestand.Right)
 	for _, n := range p.deps.Ownership.Owned() {
+		if p.deps.Places != nil && !p.deps.Places(n) {
+			continue
+		}
 		right, ok := p.deps.Ownership.Right(n)
 		if ok && right.Holds(now) {
 			owned[n] = right
