trial: of two callers with one key, none asks anew after either was told not run

Traced (POST and answer of each caller printed): the key was sent by two callers at once (the trial's button pressed twice); one was told not run, cancelled; the other, kept out by a rate limit meanwhile, went on sending the key and was taken up to 7 s later. That is a new request, which the scheduler must run. Change: the two share what they are told and send no new submission after not run; questions and copies already sent are judged as before, and so is all else.

--- a/trial/caller/caller.go
+++ b/trial/caller/caller.go
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithTimeout(ctx, w.StartWithin+w.RunFor+giveUpAfter)
 	defer cancel()
 	p := &pursuit{work: w, pause: firstPause}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && (p.submitted || !w.refused()) {
 		r, err := c.try(ctx, p)
 		if ctx.Err() != nil {
 			return
@@ -152,6 +152,7 @@
 func (c *Caller) take(p *pursuit, r reply) bool {
 	switch r.kind {
 	case replyFinal:
+		p.work.heard(r.answer.Outcome)
 		c.log.Answered(time.Now(), p.work, r.answer)
 		return true
 	case replyWaiting:
@@ -160,6 +161,7 @@
 	case replyElsewhere:
 		// Of a request that may have been taken this is a claim to be judged.
 		if p.maybe && r.answer.Outcome == lovagestand.OutcomeNotRun {
+			p.work.heard(r.answer.Outcome)
 			c.log.Answered(time.Now(), p.work, r.answer)
 			return true
 		}
--- a/trial/caller/work.go
+++ b/trial/caller/work.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -107,6 +108,28 @@
 	Body        []byte
 	// Due is the body of the whole answer.
 	Due []byte
+	// Refused is set once anyone who asked with the key was told that it did
+	// not run. To send the key after that is to ask anew, which nobody does;
+	// nil where only one asks.
+	Refused *atomic.Bool
+}
+
+// WithSharedWord returns a copy of w for callers who ask with the same key and
+// hear what the others are told.
+func (w Work) WithSharedWord() Work {
+	w.Refused = new(atomic.Bool)
+	return w
+}
+
+func (w Work) refused() bool {
+	return w.Refused != nil && w.Refused.Load()
+}
+
+// heard notes what one of the callers was told.
+func (w Work) heard(outcome lovagestand.Outcome) {
+	if w.Refused != nil && outcome == lovagestand.OutcomeNotRun {
+		w.Refused.Store(true)
+	}
 }
 
 // Source draws requests, the same ones for the same seed.
--- a/trial/load.go
+++ b/trial/load.go
@@ -44,6 +44,9 @@
 	c := t.callers[t.random.IntN(len(t.callers))]
 	also := t.callers[t.random.IntN(len(t.callers))]
 	drawn := t.random.Float64()
+	if drawn < twice {
+		w = w.WithSharedWord()
+	}
 	wait := time.Duration(t.random.Int64N(int64(withdrawWithin)))
 	t.open[w.Key] = inFlight{work: w, caller: c}
 	t.mutex.Unlock()
