entry: only claimed work has its time to start capped

Cause: every request was cut to 8 minutes to start, though the tables say 30 minutes or an hour; only claimed work needs the cap, for the proof that an unknown task did not run.

--- a/entry/check.go
+++ b/entry/check.go
@@ -13,8 +13,9 @@
 	maxBodyBytes = 1 << 20
 	// maxTasks is the largest gang.
 	maxTasks = 256
-	// maxStartWithin bounds the time to start of a request. Workers retain
-	// ended tasks for longer than this.
+	// maxStartWithin bounds the time to start of a claimed request. Workers
+	// retain ended tasks for longer than this, so that one no worker knows has
+	// surely not run.
 	maxStartWithin = 8 * time.Minute
 )
 
@@ -31,8 +32,7 @@
 	if request.StartBy.IsZero() {
 		request.StartBy = now.Add(route.StartWithin)
 	}
-	latest := now.Add(maxStartWithin)
-	if request.StartBy.After(latest) {
+	if latest := now.Add(maxStartWithin); route.Claimed() && request.StartBy.After(latest) {
 		request.StartBy = latest
 	}
 	if request.RunTime == 0 {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -257,3 +257,17 @@
 		x.Assert(x.first.calls()+x.second.calls(), qt.Equals, 0)
 	})
 }
+
+func TestTimeToStartIsCappedForClaimedWorkOnly(t *testing.T) {
+	for route, capped := range map[lovagestand.RouteName]bool{"quote": false, "plan": true} {
+		t.Run(string(route), func(t *testing.T) {
+			inBubble(t, func(x *fixture) {
+				hour := time.Now().Add(time.Hour)
+				p, err := x.entry.Submit(lovagestand.Request{Key: "k", Route: route, Team: "showroom", StartBy: hour})
+				x.Assert(err, qt.IsNil)
+				<-p.Done()
+				x.Assert(x.first.placed[0].GetTask().GetStartBy() < hour.UnixNano(), qt.Equals, capped)
+			})
+		})
+	}
+}
