--- a/chart/embedded.go
+++ b/chart/embedded.go
@@ -12,6 +12,10 @@
 	requestFile []byte
 	//go:embed worker.yaml
 	workerFile []byte
+	//go:embed job.yaml
+	jobFile []byte
+	//go:embed jobtask.yaml
+	jobTaskFile []byte
 )
 
 var (
@@ -21,6 +25,10 @@
 	Request = sync.OnceValue(func() *Chart { return mustParse(requestFile) })
 	// Worker returns the chart of a worker as the owner of its shard sees it.
 	Worker = sync.OnceValue(func() *Chart { return mustParse(workerFile) })
+	// Job returns the chart of a job as its callers see it.
+	Job = sync.OnceValue(func() *Chart { return mustParse(jobFile) })
+	// JobTask returns the chart of one task of a job.
+	JobTask = sync.OnceValue(func() *Chart { return mustParse(jobTaskFile) })
 )
 
 func mustParse(data []byte) *Chart {
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -89,6 +89,6 @@
 	}
 	c.AddCommand(operate.Commands(http.DefaultClient)...)
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &InputError{Err: err} })
-	c.AddCommand(newServe(log), newTables(), standin.New(log), trial.New(log))
+	c.AddCommand(newServe(log), newNode(), newTables(), standin.New(log), trial.New(log))
 	return c
 }
--- /dev/null
+++ b/commands/node.go
@@ -0,0 +1,90 @@
+package commands
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"lovagestand.example/lovagestand/common/logbuffer"
+	"lovagestand.example/lovagestand/common/logfmt"
+	"lovagestand.example/lovagestand/node"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/settings"
+)
+
+const (
+	// settingsVariable names the file of settings on the users' machines.
+	settingsVariable = "LOVAGESTAND_SETTINGS"
+	// memoryShare is the part of the allowed memory at which the collector
+	// works harder.
+	memoryShare = 0.5
+	// nodeGCPercent trades memory for the collector's time: instances use a
+	// small part of what they have.
+	nodeGCPercent = 300
+)
+
+func newNode() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "node",
+		Short: "Run an instance on the users' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if path == "" {
+				return &InputError{Err: errors.Errorf("no settings: give --config or set %s", settingsVariable)}
+			}
+			s, err := settings.ReadNode(path)
+			if err != nil {
+				return &InputError{Err: err}
+			}
+			out := logbuffer.New(os.Stdout)
+			defer out.Close()
+			return runNode(c.Context(), path, s, logfmt.New(out).Level(zerolog.InfoLevel))
+		},
+	}
+	c.Flags().StringVar(&path, "config", os.Getenv(settingsVariable), "file of settings")
+	return c
+}
+
+func runNode(ctx context.Context, path string, s settings.Node, log zerolog.Logger) error {
+	debug.SetGCPercent(nodeGCPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMiB<<20)))
+	go reportReloads(ctx, path, log)
+	deps := node.Deps{
+		Keys:         platform.NewKeyspace(s.Store, platform.NewHTTPClient(), nil),
+		Fleet:        platform.NewFleet(platform.NewHTTPClient()),
+		DecodeWorker: platform.DecodeWorker,
+		WorkerPrefix: platform.WorkerPrefix(),
+		Log:          log,
+	}
+	if s.Advice != "" {
+		deps.Adviser = platform.NewAdviser(s.Advice, platform.NewHTTPClient())
+	}
+	return node.New(s, deps).Run(ctx)
+}
+
+// reportReloads checks the settings when told that they have changed. What an
+// instance listens on and reaches does not change while it runs.
+func reportReloads(ctx context.Context, path string, log zerolog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		if _, err := settings.ReadNode(path); err != nil {
+			log.Error().Err(err).Msg("settings changed but are not valid; the former ones stay in force")
+			continue
+		}
+		log.Info().Msg("settings read again; nothing that can change at run time has changed")
+	}
+}
--- /dev/null
+++ b/common/logbuffer/logbuffer.go
@@ -0,0 +1,87 @@
+// Package logbuffer writes log lines in the background. It holds a bounded
+// amount and never blocks: lines that do not fit are dropped and counted.
+package logbuffer
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// maxBytes bounds what is held for a slow reader of the log.
+	maxBytes = 256 << 10
+	// interval spaces writes, so that one carries many lines.
+	interval = 200 * time.Millisecond
+)
+
+// Buffer is a writer of log lines. It is safe for concurrent use.
+type Buffer struct {
+	out  io.Writer
+	stop chan struct{}
+	done chan struct{}
+
+	mu      sync.Mutex
+	held    []byte
+	dropped int
+}
+
+// New returns a buffer that writes to out until it is closed.
+func New(out io.Writer) *Buffer {
+	b := &Buffer{out: out, stop: make(chan struct{}), done: make(chan struct{})}
+	go b.run()
+	return b
+}
+
+// Write implements [io.Writer]; it always takes the whole line or drops it.
+func (b *Buffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.held)+len(line) > maxBytes {
+		b.dropped++
+		return len(line), nil
+	}
+	b.held = append(b.held, line...)
+	return len(line), nil
+}
+
+func (b *Buffer) run() {
+	defer close(b.done)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-b.stop:
+			b.flush()
+			return
+		case <-ticker.C:
+			b.flush()
+		}
+	}
+}
+
+func (b *Buffer) flush() {
+	b.mu.Lock()
+	lines, dropped := b.held, b.dropped
+	b.held, b.dropped = nil, 0
+	b.mu.Unlock()
+	if dropped > 0 {
+		lines = fmt.Appendf(lines, "level=warn message=\"log lines dropped\" lines=%d\n", dropped)
+	}
+	if len(lines) == 0 {
+		return
+	}
+	if _, err := b.out.Write(lines); err != nil {
+		b.mu.Lock()
+		b.dropped += dropped + 1
+		b.mu.Unlock()
+	}
+}
+
+// Close writes what is held and stops.
+func (b *Buffer) Close() error {
+	close(b.stop)
+	<-b.done
+	return nil
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,370 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// Worker is a worker as the plan sees it.
+type Worker struct {
+	Rack     lovagestand.RackName
+	Labels   []string
+	Capacity lovagestand.Resources
+	Free     lovagestand.Resources
+	// Open says that the worker may take new tasks.
+	Open bool
+	// Slowness is how many times as long as usual tasks run here.
+	Slowness float64
+	// Releases are when running tasks are expected to end, soonest first.
+	Releases []Release
+
+	// reservedUntil is when a gang is to start here; shorter tasks may run
+	// until then.
+	reservedUntil time.Time
+}
+
+// Release is an expected end of a task.
+type Release struct {
+	At    time.Time
+	Frees lovagestand.Resources
+}
+
+// Candidate is a worker that policy allows for a step.
+type Candidate struct {
+	Worker int
+	// Permitted says that a ticket for it is at hand and valid.
+	Permitted bool
+}
+
+// Step is a step with tasks that wait for a worker.
+type Step struct {
+	Tasks        int
+	Needs        lovagestand.Resources
+	Gang         bool
+	SameRack     bool
+	Label        string
+	Affinity     lovagestand.RackName
+	MaxPerWorker int
+	// Placed counts the step's tasks by worker, for MaxPerWorker.
+	Placed map[int]int
+	// Avoid are workers on which a task of the step has failed.
+	Avoid map[int]bool
+	// Advised says that tasks need tickets; Candidates are then the workers
+	// known to be allowed, nil before the first advice.
+	Advised    bool
+	Candidates []Candidate
+	// Asking says that a call for advice is under way.
+	Asking bool
+	// RunTime is how long one task is expected to run.
+	RunTime time.Duration
+	Score   float64
+}
+
+// Decision is what becomes of one step in this pass.
+type Decision struct {
+	// Step is the index of the step.
+	Step int
+	// Workers has the worker of each task to start, by index.
+	Workers []int
+	// Ask lists workers about which to ask for advice.
+	Ask []int
+}
+
+const (
+	// maxReservations bounds how many gangs that do not fit reserve workers.
+	maxReservations = 4
+	// reservationHorizon is how far ahead a reservation may lie.
+	reservationHorizon = 10 * time.Second
+	// maxAsk and minAsk bound how many workers one call for advice names.
+	maxAsk = 96
+	minAsk = 32
+	// askPerTask is how many workers are named for each task.
+	askPerTask = 5
+	// slownessCost is how much packing a slow worker must save.
+	slownessCost = 0.4
+	// affinityGain prefers workers next to the data.
+	affinityGain = 2
+	// avoidCost keeps tasks off workers on which one of their step failed.
+	avoidCost = 4
+)
+
+// planner works through the steps of one pass.
+type planner struct {
+	now          time.Time
+	workers      []Worker
+	reservations int
+	decisions    []Decision
+}
+
+// Plan decides for all steps, best score first. It changes the free resources
+// of workers to what is left.
+func Plan(now time.Time, workers []Worker, steps []Step) []Decision {
+	p := &planner{now: now, workers: workers}
+	order := make([]int, len(steps))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(steps[b].Score, steps[a].Score) })
+	for _, i := range order {
+		p.decide(i, &steps[i])
+	}
+	return p.decisions
+}
+
+func (p *planner) decide(index int, s *Step) {
+	if s.Advised && s.Candidates == nil {
+		if !s.Asking {
+			p.decisions = append(p.decisions, Decision{Step: index, Ask: p.toAsk(s)})
+		}
+		return
+	}
+	chosen := p.choose(s, true)
+	if len(chosen) == s.Tasks || !s.Advised && len(chosen) > 0 && !s.Gang {
+		p.decisions = append(p.decisions, Decision{Step: index, Workers: chosen})
+		return
+	}
+	if !s.Gang && len(chosen) > 0 {
+		p.decisions = append(p.decisions, Decision{Step: index, Workers: chosen})
+	} else {
+		p.giveBack(s, chosen)
+	}
+	if s.Advised {
+		p.askAgain(index, s, len(chosen))
+		return
+	}
+	p.reserve(s)
+}
+
+// askAgain renews tickets for workers that have room but no valid ticket, and
+// keeps that room for the step.
+func (p *planner) askAgain(index int, s *Step, placed int) {
+	rest := *s
+	if !s.Gang {
+		rest.Tasks -= placed
+	}
+	wanted := p.choose(&rest, false)
+	if s.Gang && len(wanted) < s.Tasks || len(wanted) == 0 {
+		p.giveBack(s, wanted)
+		p.reserve(s)
+		return
+	}
+	if !s.Asking {
+		slices.Sort(wanted)
+		p.decisions = append(p.decisions, Decision{Step: index, Ask: p.withRoom(s, slices.Compact(wanted))})
+	}
+}
+
+// withRoom adds to the workers asked about the others that have room, since
+// one more costs little next to the call.
+func (p *planner) withRoom(s *Step, wanted []int) []int {
+	for _, c := range s.Candidates {
+		if len(wanted) >= maxAsk {
+			break
+		}
+		if !slices.Contains(wanted, c.Worker) && p.fits(s, c.Worker) {
+			wanted = append(wanted, c.Worker)
+		}
+	}
+	return wanted
+}
+
+// choose takes room for the tasks of a step and returns their workers; fewer
+// than all where there is not enough room.
+func (p *planner) choose(s *Step, permitted bool) []int {
+	eligible := p.eligible(s, permitted)
+	if s.Gang && s.SameRack {
+		for _, rack := range p.racks(eligible) {
+			chosen := p.take(s, rack)
+			if len(chosen) == s.Tasks {
+				return chosen
+			}
+			p.giveBack(s, chosen)
+		}
+	}
+	return p.take(s, eligible)
+}
+
+func (p *planner) eligible(s *Step, permitted bool) []int {
+	var eligible []int
+	if s.Advised {
+		for _, c := range s.Candidates {
+			if (c.Permitted || !permitted) && p.allowed(s, c.Worker) {
+				eligible = append(eligible, c.Worker)
+			}
+		}
+		return eligible
+	}
+	for i := range p.workers {
+		if p.allowed(s, i) {
+			eligible = append(eligible, i)
+		}
+	}
+	return eligible
+}
+
+// allowed reports whether a task of the step may start on a worker now, room
+// aside.
+func (p *planner) allowed(s *Step, worker int) bool {
+	w := &p.workers[worker]
+	if !w.Open || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+		return false
+	}
+	if w.reservedUntil.IsZero() {
+		return true
+	}
+	return !p.now.Add(scale(s.RunTime, w.Slowness)).After(w.reservedUntil)
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * max(factor, 1))
+}
+
+// racks splits workers by rack, those with more workers first.
+func (p *planner) racks(eligible []int) [][]int {
+	byRack := map[lovagestand.RackName][]int{}
+	for _, i := range eligible {
+		byRack[p.workers[i].Rack] = append(byRack[p.workers[i].Rack], i)
+	}
+	racks := make([][]int, 0, len(byRack))
+	for _, rack := range byRack {
+		racks = append(racks, rack)
+	}
+	slices.SortFunc(racks, func(a, b []int) int {
+		return cmp.Or(cmp.Compare(len(b), len(a)), cmp.Compare(a[0], b[0]))
+	})
+	return racks
+}
+
+func (p *planner) take(s *Step, eligible []int) []int {
+	var chosen []int
+	count := map[int]int{}
+	for len(chosen) < s.Tasks {
+		best, bestCost := -1, 0.0
+		for _, i := range eligible {
+			if !s.Needs.Fits(p.workers[i].Free) || s.MaxPerWorker > 0 && s.Placed[i]+count[i] >= s.MaxPerWorker {
+				continue
+			}
+			if cost := p.cost(s, i); best < 0 || cost < bestCost {
+				best, bestCost = i, cost
+			}
+		}
+		if best < 0 {
+			return chosen
+		}
+		chosen = append(chosen, best)
+		count[best]++
+		p.workers[best].Free = p.workers[best].Free.Sub(s.Needs)
+	}
+	return chosen
+}
+
+// cost ranks workers with room: fullest first, fast ones before slow ones.
+func (p *planner) cost(s *Step, worker int) float64 {
+	w := &p.workers[worker]
+	left := w.Free.Sub(s.Needs)
+	cost := float64(left.MilliCPU)/float64(max(1, w.Capacity.MilliCPU)) + slownessCost*(max(w.Slowness, 1)-1)
+	if s.Affinity != "" && w.Rack == s.Affinity {
+		cost -= affinityGain
+	}
+	if s.Avoid[worker] {
+		cost += avoidCost
+	}
+	return cost
+}
+
+func (p *planner) giveBack(s *Step, chosen []int) {
+	for _, i := range chosen {
+		p.workers[i].Free = p.workers[i].Free.Add(s.Needs)
+	}
+}
+
+func (p *planner) fits(s *Step, worker int) bool {
+	return p.allowed(s, worker) && s.Needs.Fits(p.workers[worker].Free)
+}
+
+// toAsk names the workers that are likely to have room soonest.
+func (p *planner) toAsk(s *Step) []int {
+	type ranked struct {
+		worker int
+		at     time.Time
+	}
+	var ranking []ranked
+	for i := range p.workers {
+		w := &p.workers[i]
+		if !w.Open || s.Label != "" && !slices.Contains(w.Labels, s.Label) || !s.Needs.Fits(w.Capacity) {
+			continue
+		}
+		times := p.slots(s, i, 1)
+		if len(times) == 0 {
+			continue
+		}
+		ranking = append(ranking, ranked{worker: i, at: times[0]})
+	}
+	slices.SortStableFunc(ranking, func(a, b ranked) int { return a.at.Compare(b.at) })
+	n := min(len(ranking), max(minAsk, min(maxAsk, askPerTask*s.Tasks)))
+	workers := make([]int, n)
+	for i := range workers {
+		workers[i] = ranking[i].worker
+	}
+	return workers
+}
+
+// slots returns when a worker has room for one, two and more tasks of a step,
+// as far as the expected ends tell.
+func (p *planner) slots(s *Step, worker, most int) []time.Time {
+	w := &p.workers[worker]
+	free := w.Free
+	var times []time.Time
+	at := p.now
+	next := 0
+	for len(times) < most {
+		if s.MaxPerWorker > 0 && s.Placed[worker]+len(times) >= s.MaxPerWorker {
+			return times
+		}
+		for !s.Needs.Fits(free) {
+			if next == len(w.Releases) {
+				return times
+			}
+			free = free.Add(w.Releases[next].Frees)
+			if w.Releases[next].At.After(at) {
+				at = w.Releases[next].At
+			}
+			next++
+		}
+		free = free.Sub(s.Needs)
+		times = append(times, at)
+	}
+	return times
+}
+
+// reserve marks the workers on which a gang that does not fit now fits first.
+func (p *planner) reserve(s *Step) {
+	if !s.Gang || p.reservations >= maxReservations {
+		return
+	}
+	type slot struct {
+		worker int
+		at     time.Time
+	}
+	var slots []slot
+	for _, i := range p.eligible(s, false) {
+		for _, at := range p.slots(s, i, s.Tasks) {
+			slots = append(slots, slot{worker: i, at: at})
+		}
+	}
+	if len(slots) < s.Tasks {
+		return
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
+	start := slots[s.Tasks-1].at
+	if start.Sub(p.now) > reservationHorizon {
+		return
+	}
+	p.reservations++
+	for _, slot := range slots[:s.Tasks] {
+		p.workers[slot.worker].reservedUntil = start
+	}
+}
--- /dev/null
+++ b/election/directory.go
@@ -0,0 +1,265 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
+)
+
+const (
+	// Prefix holds all keys of the directory.
+	Prefix       = "cell/"
+	ownerPrefix  = Prefix + "owner/"
+	memberPrefix = Prefix + "member/"
+	// followWait bounds one watch, so that a connection that has gone silent
+	// hides changes for no longer.
+	followWait = 2 * time.Second
+	// callTimeout bounds one call to the store beyond the time it may wait.
+	callTimeout = time.Second
+	// retryDelay spaces calls to a store that fails.
+	retryDelay = 100 * time.Millisecond
+)
+
+// OwnerKey returns the key that the owner of a shard holds.
+func OwnerKey(shard string) string { return ownerPrefix + shard }
+
+// MemberKey returns the key under which an instance registers.
+func MemberKey(id lovagestand.InstanceID) string { return memberPrefix + string(id) }
+
+// Owner is the owner of a shard as the directory knows it.
+type Owner struct {
+	lovagestand.Instance
+	Epoch lovagestand.Epoch
+}
+
+// Directory follows owners and members in the store. It is safe for
+// concurrent use.
+type Directory struct {
+	keys lovagestand.Keyspace
+	log  zerolog.Logger
+
+	mu       sync.Mutex
+	owners   map[string]Owner
+	members  map[lovagestand.InstanceID]lovagestand.Instance
+	revision lovagestand.Revision
+	loaded   bool
+	changed  chan struct{}
+	refresh  chan struct{}
+}
+
+// NewDirectory returns a directory that knows nothing until it runs.
+func NewDirectory(keys lovagestand.Keyspace, log zerolog.Logger) *Directory {
+	return &Directory{
+		keys: keys, log: log, owners: map[string]Owner{}, members: map[lovagestand.InstanceID]lovagestand.Instance{},
+		changed: make(chan struct{}), refresh: make(chan struct{}, 1),
+	}
+}
+
+// Owner returns the owner of a shard; false if it has none, as far as known.
+func (d *Directory) Owner(shard string) (Owner, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o, ok := d.owners[shard]
+	return o, ok
+}
+
+// Members returns the live instances, sorted by ID.
+func (d *Directory) Members() []lovagestand.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ids := slices.Sorted(maps.Keys(d.members))
+	members := make([]lovagestand.Instance, len(ids))
+	for i, id := range ids {
+		members[i] = d.members[id]
+	}
+	return members
+}
+
+// Member reports whether an instance is registered.
+func (d *Directory) Member(id lovagestand.InstanceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.members[id]
+	return ok
+}
+
+// Loaded reports whether the directory has ever been read.
+func (d *Directory) Loaded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loaded
+}
+
+// Over reports whether the directory shows that the ownership of a shard with
+// an epoch has ended.
+func (d *Directory) Over(shard string, epoch lovagestand.Epoch) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if lovagestand.Epoch(d.revision) < epoch {
+		return false
+	}
+	owner, owned := d.owners[shard]
+	return !owned || owner.Epoch != epoch
+}
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Refresh asks for the directory to be read anew, because a caller has seen
+// that it is out of date.
+func (d *Directory) Refresh() {
+	select {
+	case d.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the store until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	follower := Follower{
+		Keys: d.keys, Prefix: Prefix, Wait: followWait, Refresh: d.refresh, Log: d.log,
+		Reset: d.reset, Apply: d.apply,
+	}
+	follower.Run(ctx)
+}
+
+func (d *Directory) reset(items []lovagestand.Item, revision lovagestand.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if revision < d.revision {
+		return
+	}
+	clear(d.owners)
+	clear(d.members)
+	d.loaded = true
+	d.take(items, revision)
+}
+
+func (d *Directory) apply(items []lovagestand.Item, revision lovagestand.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.take(items, revision)
+}
+
+func (d *Directory) take(items []lovagestand.Item, revision lovagestand.Revision) {
+	d.revision = revision
+	for _, i := range items {
+		d.set(i)
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *Directory) set(i lovagestand.Item) {
+	var instance lovagestand.Instance
+	if !i.Deleted {
+		if err := json.Unmarshal(i.Value, &instance); err != nil {
+			d.log.Warn().Err(err).Str("key", i.Key).Msg("directory entry not understood")
+			return
+		}
+	}
+	if shard, ok := strings.CutPrefix(i.Key, ownerPrefix); ok {
+		if i.Deleted {
+			delete(d.owners, shard)
+		} else {
+			d.owners[shard] = Owner{Instance: instance, Epoch: lovagestand.Epoch(i.Revision)}
+		}
+		d.log.Info().Str("shard", shard).Str("owner", string(instance.ID)).Uint64("epoch", uint64(i.Revision)).Bool("vacant", i.Deleted).Msg("owner changed")
+		return
+	}
+	if id, ok := strings.CutPrefix(i.Key, memberPrefix); ok {
+		if i.Deleted {
+			delete(d.members, lovagestand.InstanceID(id))
+			return
+		}
+		d.members[lovagestand.InstanceID(id)] = instance
+	}
+}
+
+// Follower keeps a copy of a prefix of the store up to date.
+type Follower struct {
+	Keys   lovagestand.Keyspace
+	Prefix string
+	Wait   time.Duration
+	// Refresh asks for a new reading; nil never does.
+	Refresh <-chan struct{}
+	Log     zerolog.Logger
+	// Reset takes the whole range, Apply the changes since.
+	Reset func(items []lovagestand.Item, revision lovagestand.Revision)
+	Apply func(items []lovagestand.Item, revision lovagestand.Revision)
+}
+
+// Run follows until ctx ends.
+func (f Follower) Run(ctx context.Context) {
+	healthy := true
+	for ctx.Err() == nil {
+		err := f.read(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		var compacted *lovagestand.CompactedError
+		if !errors.As(err, &compacted) && healthy {
+			f.Log.Warn().Err(err).Str("prefix", f.Prefix).Msg("watch of the store lost")
+		}
+		healthy = errors.As(err, &compacted)
+		pause.For(ctx, retryDelay)
+	}
+}
+
+// read reads the range and follows it until a call fails or a new reading is
+// asked for.
+func (f Follower) read(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	items, revision, err := f.Keys.Range(limited, f.Prefix)
+	cancel()
+	if err != nil {
+		return err
+	}
+	f.Reset(items, revision)
+	for {
+		changes, next, refresh, err := f.follow(ctx, revision)
+		if err != nil || refresh {
+			return err
+		}
+		if len(changes) > 0 {
+			f.Apply(changes, next)
+		}
+		revision = next
+	}
+}
+
+func (f Follower) follow(ctx context.Context, after lovagestand.Revision) ([]lovagestand.Item, lovagestand.Revision, bool, error) {
+	limited, cancel := context.WithTimeout(ctx, f.Wait+callTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	refreshed := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.Refresh:
+			refreshed <- true
+			cancel()
+		case <-done:
+			refreshed <- false
+		}
+	}()
+	changes, next, err := f.Keys.Follow(limited, f.Prefix, after, f.Wait)
+	close(done)
+	if <-refreshed {
+		return nil, after, true, nil
+	}
+	return changes, next, false, err
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/shard"
+)
+
+// Owner passes calls to the owner of the shard, wherever it is.
+type Owner interface {
+	Submit(ctx context.Context, j job.Job) error
+	State(ctx context.Context, id job.ID) (string, error)
+	Cancel(ctx context.Context, id job.ID) error
+	Pending(ctx context.Context, route lovagestand.RouteName) (int, error)
+}
+
+const (
+	// defaultDeadline bounds a call whose caller names no deadline.
+	defaultDeadline = 3 * time.Second
+	// deadlineMargin is left for the answer to reach the caller in time.
+	deadlineMargin = 50 * time.Millisecond
+	// defaultBodyBytes bounds a body where the configuration does not.
+	defaultBodyBytes = 256 << 10
+	// noOwnerDelay is when callers may come back while no instance owns the
+	// shard: a takeover takes about so long.
+	noOwnerDelay = time.Second
+)
+
+// Gateway is the handler of callers' requests.
+type Gateway struct {
+	routes  *Routes
+	owner   Owner
+	log     zerolog.Logger
+	closing atomic.Bool
+}
+
+// New returns a gateway.
+func New(routes *Routes, owner Owner, log zerolog.Logger) *Gateway {
+	return &Gateway{routes: routes, owner: owner, log: log}
+}
+
+// Close asks callers to use other connections from now on.
+func (g *Gateway) Close() { g.closing.Store(true) }
+
+// Ready reports whether new callers are welcome.
+func (g *Gateway) Ready() bool {
+	return g.routes.Loaded() && !g.closing.Load()
+}
+
+// ServeHTTP implements [http.Handler].
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	now := g.routes.now.Load()
+	if now == nil {
+		reject(w, noOwnerDelay, "no configuration yet")
+		return
+	}
+	route, rest, ok := now.find(r.Host, r.URL.Path)
+	if !ok {
+		http.Error(w, "no such route", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
+	defer cancel()
+	switch {
+	case rest == "" && r.Method == http.MethodGet:
+		g.pending(ctx, w, route)
+	case !job.ValidID(rest):
+		http.Error(w, "a job's ID has 16 hexadecimal digits", http.StatusBadRequest)
+	case r.Method == http.MethodPost:
+		g.submit(ctx, w, r, now, route, job.ID(rest))
+	case r.Method == http.MethodGet:
+		g.state(ctx, w, job.ID(rest))
+	case r.Method == http.MethodDelete:
+		g.cancel(ctx, w, job.ID(rest))
+	default:
+		http.Error(w, "use POST, GET or DELETE", http.StatusMethodNotAllowed)
+	}
+}
+
+// deadline returns how long the caller waits for an answer, less what the
+// answer needs to reach it.
+func deadline(r *http.Request) time.Duration {
+	n, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 32)
+	if err != nil || n <= 0 {
+		return defaultDeadline
+	}
+	return max(time.Duration(n)*time.Millisecond-deadlineMargin, time.Duration(n)*time.Millisecond/2)
+}
+
+func reject(w http.ResponseWriter, after time.Duration, reason string) {
+	seconds := int64((after + time.Second - 1) / time.Second)
+	w.Header().Set("Retry-After", strconv.FormatInt(max(1, seconds), 10))
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, now *routing, route platform.Route, id job.ID) {
+	limit := now.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err != nil {
+		http.Error(w, "body is not complete", http.StatusBadRequest)
+		return
+	}
+	j, err := platform.DecodeSubmission(id, route.Policy, body)
+	if err != nil {
+		g.log.Info().Err(err).Str("job", string(id)).Str("route", string(route.Policy.Route)).Msg("job is not valid")
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = g.owner.Submit(ctx, j)
+	g.log.Info().Str("job", string(id)).Str("route", string(route.Policy.Route)).Int64("version", now.Version).Str("outcome", outcome(err)).Msg("job submitted")
+	if err != nil {
+		g.fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return err.Error()
+}
+
+// fail answers a call that did not succeed.
+func (g *Gateway) fail(w http.ResponseWriter, err error) {
+	var rejected *shard.RejectedError
+	var absent *shard.UnknownJobError
+	var notOwner *shard.NotOwnerError
+	switch {
+	case errors.As(err, &rejected):
+		reject(w, rejected.RetryAfter, rejected.Reason)
+	case errors.As(err, &absent):
+		http.Error(w, "no such job", http.StatusGone)
+	case errors.As(err, &notOwner):
+		reject(w, noOwnerDelay, "no instance owns the shard at the moment")
+	default:
+		http.Error(w, "the outcome is not known; ask again", http.StatusGatewayTimeout)
+	}
+}
+
+func (g *Gateway) state(ctx context.Context, w http.ResponseWriter, id job.ID) {
+	phase, err := g.owner.State(ctx, id)
+	if err != nil {
+		g.log.Info().Str("job", string(id)).Str("outcome", outcome(err)).Msg("state asked for")
+		g.fail(w, err)
+		return
+	}
+	body, err := platform.StateBody(phase)
+	g.answer(w, body, err)
+}
+
+func (g *Gateway) answer(w http.ResponseWriter, body []byte, err error) {
+	if err != nil {
+		g.log.Error().Err(err).Msg("answer cannot be encoded")
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(body); err != nil {
+		g.log.Debug().Err(err).Msg("caller left before its answer")
+	}
+}
+
+func (g *Gateway) cancel(ctx context.Context, w http.ResponseWriter, id job.ID) {
+	err := g.owner.Cancel(ctx, id)
+	g.log.Info().Str("job", string(id)).Str("outcome", outcome(err)).Msg("cancel asked for")
+	if err != nil {
+		g.fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) pending(ctx context.Context, w http.ResponseWriter, route platform.Route) {
+	n, err := g.owner.Pending(ctx, route.Policy.Route)
+	if err != nil {
+		g.fail(w, err)
+		return
+	}
+	body, err := platform.PendingBody(n)
+	g.answer(w, body, err)
+}
--- /dev/null
+++ b/gateway/routes.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/platform"
+)
+
+// followWait bounds one watch of the configuration: a connection that has gone
+// silent may hide a version for this long, and versions are due within seconds.
+const followWait = 900 * time.Millisecond
+
+// Routes follows the operator's configuration. A version once in force is
+// never replaced by an older one. It is safe for concurrent use.
+type Routes struct {
+	keys lovagestand.Keyspace
+	log  zerolog.Logger
+	now  atomic.Pointer[routing]
+}
+
+// routing is one version with its routes by host, longest prefix first.
+type routing struct {
+	platform.Configuration
+	byHost map[string][]platform.Route
+}
+
+// NewRoutes returns routes that know no version until they run.
+func NewRoutes(keys lovagestand.Keyspace, log zerolog.Logger) *Routes {
+	return &Routes{keys: keys, log: log}
+}
+
+// Run follows the configuration until ctx ends.
+func (r *Routes) Run(ctx context.Context) {
+	take := func(items []lovagestand.Item, _ lovagestand.Revision) {
+		for _, i := range items {
+			r.take(i)
+		}
+	}
+	election.Follower{Keys: r.keys, Prefix: platform.ConfigurationKey, Wait: followWait, Log: r.log, Reset: take, Apply: take}.Run(ctx)
+}
+
+func (r *Routes) take(i lovagestand.Item) {
+	if i.Key != platform.ConfigurationKey || i.Deleted {
+		return
+	}
+	c, err := platform.DecodeConfiguration(i.Value)
+	if err != nil {
+		r.log.Error().Err(err).Uint64("revision", uint64(i.Revision)).Msg("configuration not understood, the former one stays in force")
+		return
+	}
+	former := r.now.Load()
+	if former != nil && former.Version >= c.Version {
+		return
+	}
+	r.now.Store(newRouting(c))
+	r.log.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Msg("configuration in force")
+}
+
+func newRouting(c platform.Configuration) *routing {
+	n := &routing{Configuration: c, byHost: map[string][]platform.Route{}}
+	for _, route := range c.Routes {
+		n.byHost[route.Host] = append(n.byHost[route.Host], route)
+	}
+	for _, routes := range n.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return n
+}
+
+// Loaded reports whether any version is in force.
+func (r *Routes) Loaded() bool {
+	return r.now.Load() != nil
+}
+
+// find returns the route of a host and path, and what follows its prefix.
+func (n *routing) find(host, path string) (platform.Route, string, bool) {
+	host, _, _ = strings.Cut(host, ":")
+	for _, route := range n.byHost[host] {
+		if rest, ok := strings.CutPrefix(path, route.Prefix); ok {
+			return route, rest, true
+		}
+	}
+	return platform.Route{}, "", false
+}
--- /dev/null
+++ b/job/progress.go
@@ -0,0 +1,379 @@
+package job
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand/chart"
+)
+
+// Progress is how far a job is. It is not safe for concurrent use.
+type Progress struct {
+	job   Job
+	phase chart.State
+	// accepted is when the job was taken; it starts the objective.
+	accepted time.Time
+	// firstRun is below every run number that may be used from now on.
+	firstRun    int64
+	occurrences []occurrence
+	remaining   int
+}
+
+// occurrence is one pass through all steps; steps is nil until it is due.
+type occurrence struct {
+	steps     []step
+	remaining int
+}
+
+// step is one step of one occurrence.
+type step struct {
+	tasks []task
+	// blockers counts the steps in after that are not done.
+	blockers int
+	undone   int
+	waiting  int
+	// failures and failedRun count the failed runs of a gang as a whole.
+	failures  int
+	failedRun int64
+	run       int64
+}
+
+type task struct {
+	phase      chart.State
+	failures   int
+	run        int64
+	checkpoint string
+}
+
+// New returns the progress of a job of which nothing has started.
+func New(j Job, accepted time.Time) *Progress {
+	p := &Progress{job: j, phase: jobQueued, accepted: accepted}
+	p.occurrences = make([]occurrence, j.Schedule.Occurrences())
+	p.remaining = len(p.occurrences)
+	for k := range p.occurrences {
+		p.occurrences[k].remaining = len(j.Steps)
+	}
+	return p
+}
+
+// Job returns what was submitted.
+func (p *Progress) Job() Job { return p.job }
+
+// Accepted returns when the job was taken.
+func (p *Progress) Accepted() time.Time { return p.accepted }
+
+// Phase returns the state that callers see, as the chart of jobs names it.
+func (p *Progress) Phase() string { return chart.Job().StateName(p.phase) }
+
+// Final reports whether nothing of the job may start any more.
+func (p *Progress) Final() bool { return chart.Job().Final(p.phase) }
+
+// Started reports whether a task has ever started.
+func (p *Progress) Started() bool { return p.phase != jobQueued }
+
+func (p *Progress) open(k int) []step {
+	o := &p.occurrences[k]
+	if o.steps != nil {
+		return o.steps
+	}
+	o.steps = make([]step, len(p.job.Steps))
+	for i, s := range p.job.Steps {
+		o.steps[i] = step{
+			tasks:    make([]task, s.Count),
+			blockers: len(s.After),
+			undone:   s.Count,
+			waiting:  s.Count,
+		}
+	}
+	return o.steps
+}
+
+// StepRef names one step of one occurrence.
+type StepRef struct {
+	Occurrence, Step int
+}
+
+// Startable returns the steps that have waiting tasks whose turn has come, and
+// when the next occurrence is due; the zero time when none is to come.
+func (p *Progress) Startable(now time.Time) ([]StepRef, time.Time) {
+	if p.Final() {
+		return nil, time.Time{}
+	}
+	var refs []StepRef
+	for k := range p.occurrences {
+		if p.occurrences[k].remaining == 0 {
+			continue
+		}
+		if due := p.job.Schedule.Due(k); due.After(now) {
+			return refs, due
+		}
+		for i, s := range p.open(k) {
+			if s.blockers == 0 && s.waiting > 0 {
+				refs = append(refs, StepRef{Occurrence: k, Step: i})
+			}
+		}
+	}
+	return refs, time.Time{}
+}
+
+// Waiting returns the indexes of the tasks of a step that wait to start.
+func (p *Progress) Waiting(ref StepRef) []int {
+	s := &p.open(ref.Occurrence)[ref.Step]
+	indexes := make([]int, 0, s.waiting)
+	for i := range s.tasks {
+		if s.tasks[i].phase == taskWaiting {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+// WaitingCount returns how many tasks of a step wait to start.
+func (p *Progress) WaitingCount(ref StepRef) int {
+	return p.open(ref.Occurrence)[ref.Step].waiting
+}
+
+// Checkpoint returns where a task resumes; all members of a gang resume from
+// the same one.
+func (p *Progress) Checkpoint(t Task) string {
+	s := &p.open(t.Occurrence)[t.Step]
+	if p.job.Steps[t.Step].Gang {
+		return s.tasks[0].checkpoint
+	}
+	return s.tasks[t.Index].checkpoint
+}
+
+// NextRun returns the run number for the next start of a task; the members of
+// a gang share it.
+func (p *Progress) NextRun(t Task) int64 {
+	s := &p.open(t.Occurrence)[t.Step]
+	last := s.tasks[t.Index].run
+	if p.job.Steps[t.Step].Gang {
+		last = s.run
+	}
+	return max(last, p.firstRun) + 1
+}
+
+// ReserveRuns makes all later runs higher than n, so that runs of which this
+// process has not heard cannot be higher.
+func (p *Progress) ReserveRuns(n int64) {
+	p.firstRun = max(p.firstRun, n)
+}
+
+// valid reports whether the job has such a task.
+func (p *Progress) valid(t Task) bool {
+	return t.Occurrence < len(p.occurrences) && t.Step < len(p.job.Steps) && t.Index < p.job.Steps[t.Step].Count
+}
+
+// Start notes that a run of a task was ordered or seen; false if the task is
+// not to run any more or a higher run is known.
+func (p *Progress) Start(t Task, run int64) bool {
+	if p.Final() || !p.valid(t) {
+		return false
+	}
+	s := &p.open(t.Occurrence)[t.Step]
+	k := &s.tasks[t.Index]
+	if s.blockers > 0 || chart.JobTask().Final(k.phase) || run < k.run {
+		return false
+	}
+	if k.phase == taskWaiting {
+		s.waiting--
+	}
+	k.phase = taskActive
+	k.run = run
+	s.run = max(s.run, run)
+	p.phase = jobRunning
+	return true
+}
+
+// Requeue notes that a run ended without a verdict; a checkpoint that is not
+// empty is where the task resumes. It reports whether the run was current.
+func (p *Progress) Requeue(t Task, run int64, checkpoint string) bool {
+	k := p.current(t, run)
+	if k == nil {
+		return false
+	}
+	p.setCheckpoint(t, checkpoint)
+	if k.phase == taskActive {
+		k.phase = taskWaiting
+		p.occurrences[t.Occurrence].steps[t.Step].waiting++
+	}
+	return true
+}
+
+// Saved notes a checkpoint of a running task.
+func (p *Progress) Saved(t Task, run int64, checkpoint string) {
+	if p.current(t, run) != nil {
+		p.setCheckpoint(t, checkpoint)
+	}
+}
+
+func (p *Progress) setCheckpoint(t Task, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	s := &p.occurrences[t.Occurrence].steps[t.Step]
+	if p.job.Steps[t.Step].Gang {
+		s.tasks[0].checkpoint = checkpoint
+		return
+	}
+	s.tasks[t.Index].checkpoint = checkpoint
+}
+
+// current returns the task if it is active in this run.
+func (p *Progress) current(t Task, run int64) *task {
+	if p.Final() || !p.valid(t) {
+		return nil
+	}
+	k := &p.open(t.Occurrence)[t.Step].tasks[t.Index]
+	if chart.JobTask().Final(k.phase) || run != k.run {
+		return nil
+	}
+	return k
+}
+
+// Fail notes that a run failed. The task waits again, or the job fails when
+// its attempts are used up. It reports whether this changed what must last.
+func (p *Progress) Fail(t Task, run int64, checkpoint string) bool {
+	if p.Final() || !p.valid(t) {
+		return false
+	}
+	s := &p.open(t.Occurrence)[t.Step]
+	k := &s.tasks[t.Index]
+	if chart.JobTask().Final(k.phase) {
+		return false
+	}
+	if p.job.Steps[t.Step].Gang {
+		return p.failGang(t, run, checkpoint)
+	}
+	k.failures++
+	k.run = max(k.run, run)
+	p.Requeue(t, run, checkpoint)
+	if !p.job.Steps[t.Step].Lasting && k.failures >= max(1, p.job.Policy.MaxAttempts) {
+		k.phase = taskExhausted
+		p.phase = jobFailed
+	}
+	return true
+}
+
+// failGang counts one failure for a run of a gang, however many members fail.
+func (p *Progress) failGang(t Task, run int64, checkpoint string) bool {
+	s := &p.open(t.Occurrence)[t.Step]
+	p.Requeue(t, run, checkpoint)
+	if run <= s.failedRun {
+		return false
+	}
+	s.failedRun = run
+	s.run = max(s.run, run)
+	s.failures++
+	if !p.job.Steps[t.Step].Lasting && s.failures >= max(1, p.job.Policy.MaxAttempts) {
+		p.phase = jobFailed
+	}
+	return true
+}
+
+// Finish notes that a run ended done; one member stands for a whole gang. It
+// reports whether this changed what must last.
+func (p *Progress) Finish(t Task, run int64) bool {
+	if p.Final() || !p.valid(t) {
+		return false
+	}
+	if p.job.Steps[t.Step].Lasting {
+		return p.Requeue(t, run, "")
+	}
+	s := &p.open(t.Occurrence)[t.Step]
+	if !p.job.Steps[t.Step].Gang {
+		return p.finishTask(t, run)
+	}
+	changed := false
+	for i := range s.tasks {
+		t.Index = i
+		changed = p.finishTask(t, run) || changed
+	}
+	return changed
+}
+
+func (p *Progress) finishTask(t Task, run int64) bool {
+	s := &p.open(t.Occurrence)[t.Step]
+	k := &s.tasks[t.Index]
+	if chart.JobTask().Final(k.phase) {
+		return false
+	}
+	if k.phase == taskWaiting {
+		s.waiting--
+	}
+	k.phase = taskDone
+	k.run = max(k.run, run)
+	k.checkpoint = ""
+	s.undone--
+	p.phase = jobRunning
+	if s.undone == 0 {
+		p.stepDone(t)
+	}
+	return true
+}
+
+func (p *Progress) stepDone(t Task) {
+	o := &p.occurrences[t.Occurrence]
+	for i, s := range p.job.Steps {
+		for _, a := range s.After {
+			if a == t.Step {
+				o.steps[i].blockers--
+			}
+		}
+	}
+	o.remaining--
+	if o.remaining > 0 {
+		return
+	}
+	p.remaining--
+	if p.remaining == 0 {
+		p.phase = jobCompleted
+	}
+}
+
+// Cancel ends the job; false if it has ended already.
+func (p *Progress) Cancel() bool {
+	if p.Final() {
+		return false
+	}
+	p.phase = jobCancelled
+	return true
+}
+
+// IsDone reports whether a task has ended done.
+func (p *Progress) IsDone(t Task) bool {
+	return p.valid(t) && p.open(t.Occurrence)[t.Step].tasks[t.Index].phase == taskDone
+}
+
+// Failures returns how many runs of a task, or of its gang, have failed.
+func (p *Progress) Failures(t Task) int {
+	if !p.valid(t) {
+		return 0
+	}
+	s := &p.open(t.Occurrence)[t.Step]
+	if p.job.Steps[t.Step].Gang {
+		return s.failures
+	}
+	return s.tasks[t.Index].failures
+}
+
+// RemainingWork returns the core time and the longest chain of estimated run
+// times that are not done, in one occurrence.
+func (p *Progress) RemainingWork(occurrence int, runTime func(Step) time.Duration) (core, chain time.Duration) {
+	steps := p.open(occurrence)
+	ends := make([]time.Duration, len(steps))
+	for i, s := range p.job.Steps {
+		var begin time.Duration
+		for _, a := range s.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin
+		if steps[i].undone > 0 {
+			d := runTime(s)
+			ends[i] += d
+			core += time.Duration(float64(d) * float64(steps[i].undone) * float64(s.Needs.MilliCPU) / 1000)
+		}
+		chain = max(chain, ends[i])
+	}
+	return core, chain
+}
--- /dev/null
+++ b/jobstore/store.go
@@ -0,0 +1,157 @@
+package jobstore
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
+)
+
+const (
+	// MaxJobs is how many jobs one write takes; two conditions and the
+	// sequence key take the other entries of a transaction.
+	MaxJobs = lovagestand.MaxTransactionEntries - 3
+	// attemptTimeout bounds one attempt at a write: several times the
+	// slowest answer of a store that still serves.
+	attemptTimeout = 800 * time.Millisecond
+	// retryDelay spaces attempts at a store that rejects calls.
+	retryDelay = 50 * time.Millisecond
+)
+
+// SequenceKey returns the key whose revision each write requires and changes.
+func SequenceKey(shard string) string { return "sequence/" + shard }
+
+// entryPrefix returns the prefix of the keys of a shard's entries.
+func entryPrefix(shard string) string { return "shards/" + shard + "/" }
+
+// RosterKey is the entry that lists the workers which may hold tasks of the
+// shard; all other entries are jobs.
+const RosterKey = "roster"
+
+// Term is one ownership of a shard.
+type Term struct {
+	Shard string
+	// Key is the ownership key; its revision is the term's epoch.
+	Key   string
+	Epoch lovagestand.Epoch
+	// Sequence is the revision of the sequence key when the term began.
+	Sequence lovagestand.Revision
+}
+
+// LostError says that another term has begun; nothing more may be written.
+type LostError struct {
+	Shard string
+	Epoch lovagestand.Epoch
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("shard %s: epoch %d is over", e.Shard, e.Epoch)
+}
+
+// Store reads and writes the jobs of one shard in one term. Only one write may
+// be under way.
+type Store struct {
+	keys     lovagestand.Keyspace
+	term     Term
+	sequence lovagestand.Revision
+	writes   int64
+}
+
+// New returns a store for a term.
+func New(keys lovagestand.Keyspace, term Term) *Store {
+	return &Store{keys: keys, term: term, sequence: term.Sequence}
+}
+
+// Entry is the kept value of one job, or of the roster; an empty value forgets
+// it.
+type Entry struct {
+	ID    string
+	Value []byte
+}
+
+// Load returns all entries of the shard.
+func (s *Store) Load(ctx context.Context) ([]Entry, error) {
+	prefix := entryPrefix(s.term.Shard)
+	items, _, err := s.keys.Range(ctx, prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "load jobs")
+	}
+	entries := make([]Entry, len(items))
+	for i, item := range items {
+		entries[i] = Entry{ID: strings.TrimPrefix(item.Key, prefix), Value: item.Value}
+	}
+	return entries, nil
+}
+
+// Write makes at most [MaxJobs] entries durable. It tries until it knows the
+// outcome and fails with a [LostError] when the term is over, or with the
+// context's error.
+func (s *Store) Write(ctx context.Context, entries []Entry) error {
+	s.writes++
+	token := fmt.Sprintf("%d/%d", s.term.Epoch, s.writes)
+	t := s.transaction(token, entries)
+	for {
+		revision, err := s.attempt(ctx, t)
+		if err == nil {
+			s.sequence = revision
+			return nil
+		}
+		var condition *lovagestand.ConditionError
+		if errors.As(err, &condition) {
+			return s.settle(condition, token)
+		}
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "write jobs")
+		}
+		var rejected *lovagestand.RejectedError
+		if errors.As(err, &rejected) && !pause.For(ctx, retryDelay) {
+			return errors.Wrap(ctx.Err(), "write jobs")
+		}
+		var unavailable *lovagestand.UnavailableError
+		if errors.As(err, &unavailable) && !pause.For(ctx, retryDelay/5) {
+			return errors.Wrap(ctx.Err(), "write jobs")
+		}
+	}
+}
+
+func (s *Store) attempt(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return s.keys.Commit(ctx, t)
+}
+
+func (s *Store) transaction(token string, entries []Entry) lovagestand.Transaction {
+	t := lovagestand.Transaction{
+		If: []lovagestand.Condition{
+			{Key: s.term.Key, Revision: lovagestand.Revision(s.term.Epoch)},
+			{Key: SequenceKey(s.term.Shard), Revision: s.sequence},
+		},
+		Set: []lovagestand.Write{{Key: SequenceKey(s.term.Shard), Value: []byte(token)}},
+	}
+	for _, e := range entries {
+		key := entryPrefix(s.term.Shard) + e.ID
+		if len(e.Value) == 0 {
+			t.Remove = append(t.Remove, key)
+			continue
+		}
+		t.Set = append(t.Set, lovagestand.Write{Key: key, Value: e.Value})
+	}
+	return t
+}
+
+// settle decides whether a write whose conditions no longer hold was applied
+// by an earlier attempt with a lost reply.
+func (s *Store) settle(e *lovagestand.ConditionError, token string) error {
+	sequence := e.Item(SequenceKey(s.term.Shard))
+	if string(sequence.Value) == token {
+		s.sequence = sequence.Revision
+		return nil
+	}
+	return &LostError{Shard: s.term.Shard, Epoch: s.term.Epoch}
+}
--- /dev/null
+++ b/node/cell.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/cellpb"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/shard"
+)
+
+// cellServer serves the other instances; it implements cellpb.Cell.
+type cellServer struct {
+	adviser lovagestand.Adviser
+
+	mu    sync.Mutex
+	shard *shard.Shard
+}
+
+// own sets the shard that this instance owns; nil for none.
+func (c *cellServer) own(s *shard.Shard) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shard = s
+}
+
+func (c *cellServer) owned() *shard.Shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shard
+}
+
+// verdict returns the verdict that stands for an error.
+func verdict(err error) cellpb.Verdict {
+	var rejected *shard.RejectedError
+	var absent *shard.UnknownJobError
+	var notOwner *shard.NotOwnerError
+	switch {
+	case err == nil:
+		return cellpb.Verdict_VERDICT_OK
+	case errors.As(err, &rejected):
+		return cellpb.Verdict_VERDICT_REJECTED
+	case errors.As(err, &absent):
+		return cellpb.Verdict_VERDICT_NO_SUCH_JOB
+	case errors.As(err, &notOwner):
+		return cellpb.Verdict_VERDICT_NOT_OWNER
+	}
+	return cellpb.Verdict_VERDICT_UNKNOWN
+}
+
+// Submit implements cellpb.Cell.
+func (c *cellServer) Submit(ctx context.Context, r *cellpb.SubmitRequest) (*cellpb.SubmitReply, error) {
+	s := c.owned()
+	if s == nil {
+		return &cellpb.SubmitReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
+	}
+	j, err := job.DecodeJob(r.GetJob())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("job", err.Error())
+	}
+	err = s.Submit(ctx, j, r.GetJob())
+	reply := &cellpb.SubmitReply{Verdict: verdict(err)}
+	var rejected *shard.RejectedError
+	if errors.As(err, &rejected) {
+		reply.Reason = rejected.Reason
+		reply.RetryAfterMillis = rejected.RetryAfter.Milliseconds()
+	}
+	return reply, nil
+}
+
+// State implements cellpb.Cell.
+func (c *cellServer) State(_ context.Context, r *cellpb.JobRequest) (*cellpb.StateReply, error) {
+	s := c.owned()
+	if s == nil {
+		return &cellpb.StateReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
+	}
+	phase, err := s.State(job.ID(r.GetId()))
+	return &cellpb.StateReply{Verdict: verdict(err), Phase: phase}, nil
+}
+
+// Cancel implements cellpb.Cell.
+func (c *cellServer) Cancel(ctx context.Context, r *cellpb.JobRequest) (*cellpb.CancelReply, error) {
+	s := c.owned()
+	if s == nil {
+		return &cellpb.CancelReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
+	}
+	return &cellpb.CancelReply{Verdict: verdict(s.Cancel(ctx, job.ID(r.GetId())))}, nil
+}
+
+// Pending implements cellpb.Cell.
+func (c *cellServer) Pending(_ context.Context, r *cellpb.PendingRequest) (*cellpb.PendingReply, error) {
+	s := c.owned()
+	if s == nil {
+		return &cellpb.PendingReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
+	}
+	n, err := s.Pending(lovagestand.RouteName(r.GetRoute()))
+	return &cellpb.PendingReply{Verdict: verdict(err), Jobs: int64(n)}, nil
+}
+
+// Advise implements cellpb.Cell.
+func (c *cellServer) Advise(ctx context.Context, r *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
+	workers := make([]lovagestand.WorkerName, len(r.GetWorkers()))
+	for i, w := range r.GetWorkers() {
+		workers[i] = lovagestand.WorkerName(w)
+	}
+	advice, err := c.adviser.Advise(ctx, r.GetStep(), workers)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	reply := &cellpb.AdviseReply{ValidityMillis: advice.Validity.Milliseconds()}
+	for _, t := range advice.Tickets {
+		reply.Tickets = append(reply.Tickets, &cellpb.Ticket{Worker: string(t.Worker), Value: t.Value})
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/node/lines.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/cellpb"
+	"lovagestand.example/lovagestand/shard"
+)
+
+// lines returns the instances that can ask for advice, this one included.
+func (n *Node) lines() []shard.Line {
+	if n.deps.Adviser == nil {
+		return nil
+	}
+	lines := []shard.Line{{Instance: n.self.ID, Near: true, Ask: n.deps.Adviser.Advise}}
+	for _, m := range n.directory.Members() {
+		if m.ID == n.self.ID {
+			continue
+		}
+		lines = append(lines, shard.Line{Instance: m.ID, Near: m.Region == n.self.Region, Ask: n.askThrough(m.Address)})
+	}
+	return lines
+}
+
+func (n *Node) askThrough(address string) func(context.Context, string, []lovagestand.WorkerName) (lovagestand.Advice, error) {
+	return func(ctx context.Context, step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error) {
+		request := &cellpb.AdviseRequest{Step: step, Workers: make([]string, len(workers))}
+		for i, w := range workers {
+			request.Workers[i] = string(w)
+		}
+		reply, err := n.peers.at(address).Advise(ctx, request)
+		if err != nil {
+			return lovagestand.Advice{}, err
+		}
+		advice := lovagestand.Advice{Validity: time.Duration(reply.GetValidityMillis()) * time.Millisecond}
+		for _, t := range reply.GetTickets() {
+			advice.Tickets = append(advice.Tickets, lovagestand.Ticket{Worker: lovagestand.WorkerName(t.GetWorker()), Value: t.GetValue()})
+		}
+		return advice, nil
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/cellpb"
+	"lovagestand.example/lovagestand/common/pause"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/gateway"
+	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/settings"
+	"lovagestand.example/lovagestand/shard"
+)
+
+const (
+	// shardName is the one shard of a cell of today's size.
+	shardName = "0"
+	// listInterval spaces readings of the list of workers by the owner.
+	listInterval = 500 * time.Millisecond
+	// listTimeout bounds one reading.
+	listTimeout = 1500 * time.Millisecond
+	// lameDuck is how long a stopping instance still serves callers, so that
+	// the balancer has sent new ones elsewhere.
+	lameDuck = 2500 * time.Millisecond
+	// stopReserve is left of the grace for the process to end.
+	stopReserve = 500 * time.Millisecond
+	// headerTimeout and idleTimeout bound callers' connections.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 30 * time.Second
+	// loadRetry spaces attempts to load a shard that was won.
+	loadRetry = 100 * time.Millisecond
+	// loadTimeout bounds one attempt.
+	loadTimeout = 3 * time.Second
+)
+
+// Deps is what a node works with.
+type Deps struct {
+	Keys  lovagestand.Keyspace
+	Fleet lovagestand.Fleet
+	// Adviser is nil where no route needs advice.
+	Adviser lovagestand.Adviser
+	// DecodeWorker returns the worker that an item of the store under
+	// WorkerPrefix registers.
+	DecodeWorker func(lovagestand.Item) (lovagestand.FleetWorker, bool)
+	WorkerPrefix string
+	Log          zerolog.Logger
+}
+
+// Node is one instance.
+type Node struct {
+	settings  settings.Node
+	deps      Deps
+	self      lovagestand.Instance
+	directory *election.Directory
+	routes    *gateway.Routes
+	gateway   *gateway.Gateway
+	cell      *cellServer
+	peers     *peers
+	servers   []*http.Server
+}
+
+// New returns a node that does nothing until it runs.
+func New(s settings.Node, deps Deps) *Node {
+	self := lovagestand.Instance{
+		ID: s.Instance, Address: net.JoinHostPort(s.Host, strconv.Itoa(s.Ports[0])), Region: s.Region, FailureDomain: s.FailureDomain,
+	}
+	n := &Node{
+		settings: s, deps: deps, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
+		routes: gateway.NewRoutes(deps.Keys, deps.Log), cell: &cellServer{adviser: deps.Adviser}, peers: newPeers(),
+	}
+	owner := &ownerClient{shard: shardName, self: self, directory: n.directory, peers: n.peers, local: n.cell, log: deps.Log}
+	n.gateway = gateway.New(n.routes, owner, deps.Log)
+	return n
+}
+
+// Run works until ctx ends, then stops as planned.
+func (n *Node) Run(ctx context.Context) error {
+	failed := make(chan error, 3)
+	if err := n.listen(failed); err != nil {
+		return err
+	}
+	n.deps.Log.Info().Str("instance", string(n.self.ID)).Str("region", string(n.self.Region)).Str("address", n.self.Address).Msg("started")
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	contending, resign := context.WithCancel(working)
+	defer resign()
+	var running, owning sync.WaitGroup
+	running.Go(func() { n.directory.Run(working) })
+	running.Go(func() { n.routes.Run(working) })
+	running.Go(func() { election.Register(contending, n.deps.Keys, n.directory, n.self, n.deps.Log) })
+	candidate := &election.Candidate{
+		Shard: shardName, Self: n.self, Keys: n.deps.Keys, Directory: n.directory, Log: n.deps.Log, Serve: n.serveShard,
+	}
+	owning.Go(func() { candidate.Run(contending) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	n.deps.Log.Info().Msg("stopping")
+	n.gateway.Close()
+	resign()
+	owning.Wait()
+	n.shutDown(ctx)
+	stop()
+	running.Wait()
+	n.deps.Log.Info().Msg("stopped")
+	return err
+}
+
+// shutDown serves callers until the balancer has had time to leave, then ends
+// the connections that are idle.
+func (n *Node) shutDown(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
+	pause.For(ctx, lameDuck)
+	limited, cancel := context.WithTimeout(ctx, n.settings.Grace-lameDuck-stopReserve)
+	defer cancel()
+	for _, s := range n.servers {
+		if err := s.Shutdown(limited); err != nil {
+			n.deps.Log.Warn().Err(err).Str("address", s.Addr).Msg("connections cut at the end of the grace period")
+		}
+	}
+}
+
+func (n *Node) listen(failed chan<- error) error {
+	ready := chi.NewRouter()
+	ready.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.gateway.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	inner := chi.NewRouter()
+	inner.Mount(cellpb.CellPathPrefix, cellpb.NewCellServer(n.cell))
+	inner.Get("/debug/vars", expvar.Handler().ServeHTTP)
+	inner.Get("/debug/state", n.dump)
+	for address, handler := range map[string]http.Handler{
+		n.settings.Callers: n.gateway, n.settings.Ready: ready, n.self.Address: inner,
+	} {
+		if err := n.serve(address, handler, failed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) serve(address string, handler http.Handler, failed chan<- error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.servers = append(n.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- errors.Wrap(err, "serve "+address)
+		}
+	}()
+	return nil
+}
+
+// dump tells what the process believes, for operators.
+func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
+	state := struct {
+		Instance lovagestand.Instance   `json:"instance"`
+		Members  []lovagestand.Instance `json:"members"`
+		Owner    *election.Owner        `json:"owner,omitempty"`
+		Shard    *shard.Status          `json:"shard,omitempty"`
+	}{Instance: n.self, Members: n.directory.Members()}
+	if owner, owned := n.directory.Owner(shardName); owned {
+		state.Owner = &owner
+	}
+	if s := n.cell.owned(); s != nil {
+		status := s.Status()
+		state.Shard = &status
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(state); err != nil {
+		n.deps.Log.Debug().Err(err).Msg("reader of the state left")
+	}
+}
+
+// serveShard runs the shard for one term.
+func (n *Node) serveShard(ctx context.Context, term jobstore.Term, confirmed func() bool) {
+	s := shard.New(term, shard.Limits{
+		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, CheckpointInterval: n.settings.CheckpointInterval,
+	}, shard.Deps{
+		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term), Lines: n.lines, Confirmed: confirmed, Log: n.deps.Log,
+	})
+	for {
+		limited, cancel := context.WithTimeout(ctx, loadTimeout)
+		err := s.Load(limited)
+		cancel()
+		if err == nil {
+			break
+		}
+		n.deps.Log.Warn().Err(err).Msg("shard not loaded")
+		if !pause.For(ctx, loadRetry) {
+			return
+		}
+	}
+	serving, stop := context.WithCancel(ctx)
+	defer stop()
+	var running sync.WaitGroup
+	running.Go(func() { n.followWorkers(serving, s) })
+	n.cell.own(s)
+	s.Run(ctx)
+	n.cell.own(nil)
+	stop()
+	running.Wait()
+}
+
+// followWorkers reads the list of workers for as long as the shard is owned.
+func (n *Node) followWorkers(ctx context.Context, s *shard.Shard) {
+	healthy := true
+	for {
+		limited, cancel := context.WithTimeout(ctx, listTimeout)
+		items, revision, err := n.deps.Keys.Range(limited, n.deps.WorkerPrefix)
+		cancel()
+		if (err == nil) != healthy && ctx.Err() == nil {
+			healthy = err == nil
+			n.deps.Log.Warn().Bool("healthy", healthy).Err(err).Msg("list of workers")
+		}
+		if err == nil {
+			s.SetWorkers(n.decode(items, revision))
+		}
+		if !pause.For(ctx, listInterval) {
+			return
+		}
+	}
+}
+
+func (n *Node) decode(items []lovagestand.Item, revision lovagestand.Revision) []lovagestand.FleetWorker {
+	var workers []lovagestand.FleetWorker
+	for _, i := range items {
+		w, ok := n.deps.DecodeWorker(i)
+		if !ok {
+			n.deps.Log.Warn().Str("key", i.Key).Uint64("revision", uint64(revision)).Msg("entry names no worker to use")
+			continue
+		}
+		workers = append(workers, w)
+	}
+	return workers
+}
--- /dev/null
+++ b/node/owner.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/cellpb"
+	"lovagestand.example/lovagestand/common/pause"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/shard"
+)
+
+const (
+	// handoverWait is how long a call waits for the next owner after the
+	// former one gave the shard up: a planned handover takes less.
+	handoverWait = 400 * time.Millisecond
+	// handoverPoll spaces tries at a shard whose owner is about to change.
+	handoverPoll = 40 * time.Millisecond
+	// connectTimeout bounds the opening of a connection to another instance.
+	connectTimeout = 400 * time.Millisecond
+	// callTimeout bounds a call to the owner: it answers once the store has
+	// kept a change, which a slow store does within a second.
+	callTimeout = 1800 * time.Millisecond
+	// peerConnections bounds idle connections to one instance.
+	peerConnections = 16
+)
+
+// peers calls other instances.
+type peers struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[string]cellpb.Cell
+}
+
+func newPeers() *peers {
+	return &peers{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			MaxIdleConnsPerHost: peerConnections,
+			IdleConnTimeout:     90 * time.Second,
+		}},
+		clients: map[string]cellpb.Cell{},
+	}
+}
+
+func (p *peers) at(address string) cellpb.Cell {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = cellpb.NewCellProtobufClient("http://"+address, p.http)
+		p.clients[address] = c
+	}
+	return c
+}
+
+// ownerClient passes calls to the owner of the shard; it implements
+// gateway.Owner.
+type ownerClient struct {
+	shard     string
+	self      lovagestand.Instance
+	directory *election.Directory
+	peers     *peers
+	local     cellpb.Cell
+	log       zerolog.Logger
+}
+
+// notSent reports whether err says that nothing was sent.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// call sends a call to the owner, again to the next one while the answer is
+// that the instance is not the owner.
+func (c *ownerClient) call(ctx context.Context, name string, send func(context.Context, cellpb.Cell) (cellpb.Verdict, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	begun := time.Now()
+	sent := false
+	for {
+		verdict, err := c.once(ctx, send)
+		if err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER {
+			return verdictError(verdict)
+		}
+		if err != nil && !notSent(err) {
+			c.log.Warn().Err(err).Str("call", name).Msg("owner did not answer")
+			c.directory.Refresh()
+			sent = true
+		}
+		if sent {
+			return &shard.UnknownError{}
+		}
+		if time.Since(begun) > handoverWait || !pause.For(ctx, handoverPoll) {
+			return &shard.NotOwnerError{}
+		}
+	}
+}
+
+func (c *ownerClient) once(ctx context.Context, send func(context.Context, cellpb.Cell) (cellpb.Verdict, error)) (cellpb.Verdict, error) {
+	owner, owned := c.directory.Owner(c.shard)
+	if !owned {
+		return cellpb.Verdict_VERDICT_NOT_OWNER, nil
+	}
+	if owner.ID == c.self.ID {
+		return send(ctx, c.local)
+	}
+	verdict, err := send(ctx, c.peers.at(owner.Address))
+	if err != nil || verdict == cellpb.Verdict_VERDICT_NOT_OWNER {
+		c.directory.Refresh()
+	}
+	return verdict, err
+}
+
+func verdictError(v cellpb.Verdict) error {
+	switch v {
+	case cellpb.Verdict_VERDICT_OK:
+		return nil
+	case cellpb.Verdict_VERDICT_NO_SUCH_JOB:
+		return &shard.UnknownJobError{}
+	case cellpb.Verdict_VERDICT_NOT_OWNER:
+		return &shard.NotOwnerError{}
+	}
+	return &shard.UnknownError{}
+}
+
+// Submit implements gateway.Owner.
+func (c *ownerClient) Submit(ctx context.Context, j job.Job) error {
+	body, err := job.EncodeJob(j)
+	if err != nil {
+		return err
+	}
+	var reply *cellpb.SubmitReply
+	err = c.call(ctx, "submit", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+		var err error
+		reply, err = to.Submit(ctx, &cellpb.SubmitRequest{Shard: c.shard, Id: string(j.ID), Job: body})
+		return reply.GetVerdict(), err
+	})
+	if reply.GetVerdict() == cellpb.Verdict_VERDICT_REJECTED {
+		return &shard.RejectedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond}
+	}
+	return err
+}
+
+// State implements gateway.Owner.
+func (c *ownerClient) State(ctx context.Context, id job.ID) (string, error) {
+	phase := ""
+	err := c.call(ctx, "state", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+		reply, err := to.State(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id)})
+		phase = reply.GetPhase()
+		return reply.GetVerdict(), err
+	})
+	return phase, err
+}
+
+// Cancel implements gateway.Owner.
+func (c *ownerClient) Cancel(ctx context.Context, id job.ID) error {
+	return c.call(ctx, "cancel", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+		reply, err := to.Cancel(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id)})
+		return reply.GetVerdict(), err
+	})
+}
+
+// Pending implements gateway.Owner.
+func (c *ownerClient) Pending(ctx context.Context, route lovagestand.RouteName) (int, error) {
+	n := 0
+	err := c.call(ctx, "pending", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+		reply, err := to.Pending(ctx, &cellpb.PendingRequest{Shard: c.shard, Route: string(route)})
+		n = int(reply.GetJobs())
+		return reply.GetVerdict(), err
+	})
+	return n, err
+}
--- /dev/null
+++ b/shard/ending.go
@@ -0,0 +1,129 @@
+package shard
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+)
+
+// release gives the room of a placement back.
+func (s *Shard) release(p *placement) {
+	if p.worker.placements[p.name] == p {
+		delete(p.worker.placements, p.name)
+	}
+	e := p.entry
+	if e.active[p.name] == p {
+		delete(e.active, p.name)
+		if e.steps != nil {
+			st := e.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step})
+			st.placed[p.worker.info.Name]--
+		}
+	}
+	if e.kept && len(e.active) == 0 && e.progress != nil {
+		s.settleFinal(e)
+	}
+}
+
+// vanish takes a placement as ended without a verdict: the task waits again.
+func (s *Shard) vanish(p *placement) {
+	current := p.entry.active[p.name] == p
+	s.release(p)
+	if current && p.entry.progress != nil {
+		p.entry.progress.Requeue(p.task, p.run, p.saved)
+		s.breakGang(p)
+	}
+	s.wake()
+}
+
+// breakGang stops the other members of a gang of which one will not run.
+func (s *Shard) breakGang(p *placement) {
+	if p.entry.progress == nil || !p.entry.progress.Job().Steps[p.task.Step].Gang {
+		return
+	}
+	for _, o := range p.entry.active {
+		if o.task.Step == p.task.Step && o.task.Occurrence == p.task.Occurrence && o.run == p.run {
+			s.stop(o)
+		}
+	}
+}
+
+// ended takes an end that a worker lists.
+func (s *Shard) ended(w *worker, end lovagestand.EndedTask) {
+	now := time.Now()
+	id, task, ok := job.ParseTaskName(end.Task)
+	p := w.placements[end.Task]
+	if p != nil && p.run != end.Run {
+		p = nil
+	}
+	if p != nil {
+		s.release(p)
+	}
+	delete(w.strays, end.Task)
+	e := s.jobs[id]
+	s.log.Info().Str("task", end.Task).Int64("run", end.Run).Str("worker", string(w.info.Name)).Str("how", string(end.Ending)).Int64("number", end.Number).Msg("task ended")
+	if !ok || e == nil || e.progress == nil {
+		return
+	}
+	switch end.Ending {
+	case lovagestand.EndingDone:
+		w.noteDone()
+		s.learn(w, p, now)
+		s.done(e, task, end, p)
+	case lovagestand.EndingFailed:
+		s.runFailed(w, e, task, end, now)
+	default:
+		e.progress.Requeue(task, end.Run, end.Checkpoint)
+		if p != nil {
+			s.breakGang(p)
+		}
+	}
+}
+
+func (s *Shard) done(e *entry, task job.Task, end lovagestand.EndedTask, p *placement) {
+	if !e.progress.Finish(task, end.Run) {
+		return
+	}
+	if e.progress.Job().Steps[task.Step].Gang {
+		s.gangDone(e, task)
+	}
+	s.enqueue(e)
+	if e.progress.Final() {
+		s.log.Info().Str("job", string(e.id)).Dur("age", time.Since(e.progress.Accepted())).Dur("objective", e.objective).Msg("job completed")
+		s.finish(e)
+	}
+	if other := e.active[end.Task]; other != nil && other != p {
+		s.stop(other)
+	}
+}
+
+// gangDone forgets which member was where: one end stands for all, and the
+// others give their room back when their own ends are listed.
+func (s *Shard) gangDone(e *entry, task job.Task) {
+	for name, p := range e.active {
+		if p.task.Step == task.Step && p.task.Occurrence == task.Occurrence {
+			delete(e.active, name)
+		}
+	}
+}
+
+func (s *Shard) runFailed(w *worker, e *entry, task job.Task, end lovagestand.EndedTask, now time.Time) {
+	if w.noteFailed(now) {
+		s.log.Warn().Str("worker", string(w.info.Name)).Dur("for", quarantineFor).Msg("worker quarantined: its tasks fail")
+	}
+	if !e.progress.Fail(task, end.Run, end.Checkpoint) {
+		return
+	}
+	e.step(job.StepRef{Occurrence: task.Occurrence, Step: task.Step}).avoid[w.info.Name]++
+	s.enqueue(e)
+	if e.progress.Final() {
+		s.log.Warn().Str("job", string(e.id)).Str("task", end.Task).Int("failures", e.progress.Failures(task)).Msg("job failed: its attempts are used up")
+		s.finish(e)
+		return
+	}
+	for _, p := range e.active {
+		if p.task.Step == task.Step && p.run == end.Run && e.progress.Job().Steps[task.Step].Gang {
+			s.stop(p)
+		}
+	}
+}
--- /dev/null
+++ b/shard/order.go
@@ -0,0 +1,156 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
+	"lovagestand.example/lovagestand/job"
+)
+
+const (
+	// orderTimeout bounds one order: several round trips to the farthest
+	// region.
+	orderTimeout = 500 * time.Millisecond
+	// stopRetry spaces orders to stop that got no answer.
+	stopRetry = 100 * time.Millisecond
+	// staleRunJump raises run numbers past those that a former term used.
+	staleRunJump = 50
+	// refusedFor closes a worker that refuses orders though it should not.
+	refusedFor = time.Second
+)
+
+// place takes room on a worker for a task and sends the order to start it.
+func (s *Shard) place(e *entry, task job.Task, run int64, w *worker, t ticket, expect time.Duration) {
+	j := e.progress.Job()
+	name := j.TaskName(task)
+	if !e.progress.Start(task, run) {
+		return
+	}
+	now := time.Now()
+	p := &placement{
+		entry: e, task: task, name: name, run: run, needs: j.Steps[task.Step].Needs, worker: w,
+		begun: now, expect: expect, sending: true, saved: e.progress.Checkpoint(task), savedAt: now,
+	}
+	w.placements[name] = p
+	e.active[name] = p
+	e.step(job.StepRef{Occurrence: task.Occurrence, Step: task.Step}).placed[w.info.Name]++
+	lease := w.lease(s.limits)
+	w.leaseEnd = laterOf(w.leaseEnd, now.Add(time.Duration(float64(lease)*clockRate)+leaseSlack))
+	order := lovagestand.Order{
+		Task: name, Run: run, Spec: j.Spec, Until: w.workerTime(now) + lease.Milliseconds(),
+		Epoch: s.term.Epoch, Checkpoint: p.saved, Ticket: t.value,
+	}
+	s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
+		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", s.free(w).MilliCPU).Msg("task placed")
+	go s.start(p, order)
+}
+
+// start sends the order and notes what became of it.
+func (s *Shard) start(p *placement, order lovagestand.Order) {
+	limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
+	defer cancel()
+	_, err := s.deps.Fleet.Start(limited, p.worker.info, order)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return
+	}
+	p.sending = false
+	if err == nil {
+		p.settled = time.Now()
+		if p.stop {
+			p.stop = false
+			s.stop(p)
+		}
+		return
+	}
+	var refused *lovagestand.OrderRefusedError
+	if errors.As(err, &refused) {
+		s.refused(p, refused.Reason)
+		return
+	}
+	s.log.Warn().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Err(err).Msg("start not answered")
+	p.stop = false
+	s.stop(p)
+	s.breakGang(p)
+}
+
+// refused takes back a placement that the worker surely did not start.
+func (s *Shard) refused(p *placement, reason lovagestand.RefusalReason) {
+	s.log.Warn().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Str("reason", string(reason)).Msg("start refused")
+	if p.worker.placements[p.name] != p {
+		return
+	}
+	now := time.Now()
+	switch reason {
+	case lovagestand.RefusalFenced:
+		s.lose("worker " + string(p.worker.info.Name) + " has seen a higher epoch")
+		return
+	case lovagestand.RefusalStaleRun:
+		if p.entry.progress != nil {
+			p.entry.progress.ReserveRuns(p.run + staleRunJump)
+		}
+	case lovagestand.RefusalTicket:
+		if p.entry.steps != nil {
+			st := p.entry.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step})
+			st.tickets[p.worker.info.Name] = ticket{}
+		}
+	default:
+		p.worker.until = laterOf(p.worker.until, now.Add(refusedFor))
+	}
+	s.vanish(p)
+}
+
+// stop orders a run to be stopped; its room is taken until its end is listed
+// or the worker no longer lists it.
+func (s *Shard) stop(p *placement) {
+	if p.stop {
+		return
+	}
+	p.stop = true
+	if p.sending {
+		return
+	}
+	go s.sendStop(p)
+}
+
+func (s *Shard) sendStop(p *placement) {
+	for {
+		limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		_, err := s.deps.Fleet.Stop(limited, p.worker.info, p.name, p.run, s.term.Epoch)
+		cancel()
+		s.mu.Lock()
+		done := s.ctx.Err() != nil || p.worker.placements[p.name] != p
+		var refused *lovagestand.OrderRefusedError
+		if err == nil || errors.As(err, &refused) && refused.Reason != lovagestand.RefusalUnhealthy {
+			p.stopped = true
+			p.settled = time.Now()
+			done = true
+		}
+		s.mu.Unlock()
+		if done || !pause.For(s.ctx, stopRetry) {
+			return
+		}
+	}
+}
+
+func (s *Shard) stopStray(ctx context.Context, w *worker, r lovagestand.RunningTask) {
+	for {
+		limited, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err := s.deps.Fleet.Stop(limited, w.info, r.Task, r.Run, s.term.Epoch)
+		cancel()
+		if err == nil || !pause.For(ctx, stopRetry) {
+			return
+		}
+		s.mu.Lock()
+		_, there := w.strays[r.Task]
+		s.mu.Unlock()
+		if !there {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/shard/recover.go
@@ -0,0 +1,107 @@
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/jobstore"
+)
+
+const (
+	// recoveredRuns is the least run number after a takeover.
+	recoveredRuns = 10
+	// runInterval is the least time between two starts of one task by one
+	// owner; a later owner's run numbers leave room for that many.
+	runInterval = 200 * time.Millisecond
+)
+
+// formerLease is how long a worker may still run what a former term started.
+func (s *Shard) formerLease() time.Duration {
+	lease := min(wantedLease, s.limits.MaxLease)
+	return time.Duration(float64(lease)*clockRate) + leaseSlack
+}
+
+// Load reads what the terms before have kept. It must return before Run.
+func (s *Shard) Load(ctx context.Context) error {
+	begun := time.Now()
+	entries, err := s.deps.Store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.began = time.Now()
+	for _, k := range entries {
+		if k.ID == jobstore.RosterKey {
+			s.loadRoster(k.Value)
+			continue
+		}
+		if err := s.loadJob(k, begun); err != nil {
+			s.log.Error().Err(err).Str("entry", k.ID).Msg("kept job not understood")
+		}
+	}
+	s.resolved = len(s.unresolved) == 0
+	s.log.Info().Int("jobs", len(s.jobs)).Int("live", len(s.live)).Int("workers", len(s.unresolved)).Dur("took", time.Since(begun)).Msg("shard loaded")
+	return nil
+}
+
+func (s *Shard) loadRoster(value []byte) {
+	var roster map[lovagestand.WorkerName]string
+	if err := json.Unmarshal(value, &roster); err != nil {
+		s.log.Error().Err(err).Msg("kept roster not understood")
+		return
+	}
+	for name, address := range roster {
+		s.unresolved[name] = address
+	}
+}
+
+func (s *Shard) loadJob(k jobstore.Entry, now time.Time) error {
+	r, body, err := job.DecodeRecord(k.Value)
+	if err != nil {
+		return err
+	}
+	id := job.ID(strings.TrimPrefix(k.ID, jobPrefix))
+	if r.Finished > 0 {
+		s.jobs[id] = &entry{
+			id: id, route: r.Route, phase: r.Phase, finished: time.UnixMilli(r.Finished), durable: true, kept: true,
+			active: map[string]*placement{},
+		}
+		return nil
+	}
+	j, err := job.DecodeJob(body)
+	if err != nil {
+		return errors.Wrapf(err, "job %s", id)
+	}
+	progress, err := job.Restore(j, r)
+	if err != nil {
+		return errors.Wrapf(err, "job %s", id)
+	}
+	progress.ReserveRuns(recoveredRuns + max(0, int64(now.Sub(progress.Accepted())/runInterval)))
+	e := newEntry(progress, body)
+	e.durable, e.recovered = true, true
+	s.size(e)
+	s.jobs[id] = e
+	s.live[id] = e
+	return nil
+}
+
+// resolve notes that what a worker ran for a former term is known, or over.
+func (s *Shard) resolve(name lovagestand.WorkerName) {
+	if s.resolved {
+		return
+	}
+	delete(s.unresolved, name)
+	if len(s.unresolved) > 0 {
+		return
+	}
+	s.resolved = true
+	s.log.Info().Dur("took", time.Since(s.began)).Msg("all that former terms started is known")
+	s.wake()
+}
--- /dev/null
+++ b/shard/shard.go
@@ -0,0 +1,250 @@
+package shard
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/jobstore"
+)
+
+// Line is one instance that can ask for advice; it serves one call at a time.
+type Line struct {
+	Instance lovagestand.InstanceID
+	// Near says that the instance is in the owner's region.
+	Near bool
+	Ask  func(ctx context.Context, step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
+}
+
+// Deps is what a shard works with.
+type Deps struct {
+	Fleet lovagestand.Fleet
+	Store *jobstore.Store
+	// Lines returns the instances that can ask for advice now.
+	Lines func() []Line
+	// Confirmed reports whether the ownership was confirmed a moment ago.
+	Confirmed func() bool
+	Log       zerolog.Logger
+}
+
+// Limits are the bounds that the platform sets.
+type Limits struct {
+	// MaxLease bounds the lease of a worker.
+	MaxLease time.Duration
+	// Retention is how long the state of a finished job is kept.
+	Retention time.Duration
+	// CheckpointInterval is how often a task that saves its progress does so.
+	CheckpointInterval time.Duration
+}
+
+// Shard is the state of a shard in one term. It is safe for concurrent use.
+type Shard struct {
+	deps   Deps
+	term   jobstore.Term
+	limits Limits
+	log    zerolog.Logger
+
+	mu      sync.Mutex
+	ctx     context.Context
+	jobs    map[job.ID]*entry
+	live    map[job.ID]*entry
+	workers map[lovagestand.WorkerName]*worker
+	listed  bool
+	// closing says that the term ends: no new jobs are taken.
+	closing bool
+
+	queue    []*entry
+	queued   int64
+	written  int64
+	dirtied  chan struct{}
+	stalled  bool
+	rosterAt int64
+	rosterIn map[lovagestand.WorkerName]string
+
+	// began is when the term began; unresolved are the workers that may still
+	// hold tasks of the term before.
+	began      time.Time
+	unresolved map[lovagestand.WorkerName]string
+	resolved   bool
+
+	wakeup   chan struct{}
+	lines    map[lovagestand.InstanceID]*line
+	learned  map[lovagestand.RouteName]*routeStats
+	random   *rand.Rand
+	failed   chan struct{}
+	failOnce sync.Once
+}
+
+// New returns a shard for a term.
+func New(term jobstore.Term, limits Limits, deps Deps) *Shard {
+	return &Shard{
+		deps: deps, term: term, limits: limits,
+		log:  deps.Log.With().Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Logger(),
+		jobs: map[job.ID]*entry{}, live: map[job.ID]*entry{}, workers: map[lovagestand.WorkerName]*worker{},
+		dirtied: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
+		rosterIn: map[lovagestand.WorkerName]string{}, unresolved: map[lovagestand.WorkerName]string{},
+		lines: map[lovagestand.InstanceID]*line{}, learned: map[lovagestand.RouteName]*routeStats{},
+		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), failed: make(chan struct{}),
+	}
+}
+
+// entry is a job with all that this term knows of it.
+type entry struct {
+	id       job.ID
+	route    lovagestand.RouteName
+	progress *job.Progress
+	body     []byte
+	// phase and finished stand for progress once a finished job is durable.
+	phase    string
+	finished time.Time
+
+	// durable says that the job is kept, kept that its end is, and writing
+	// that a write of it is under way.
+	durable, kept, writing bool
+	// queuedAt is the entry's place in the write queue; 0 when it is not in it.
+	queuedAt int64
+	// waiters are told of the write that the entry is queued for.
+	waiters []chan error
+
+	// recovered jobs may have tasks running that this term has not seen.
+	recovered bool
+	steps     map[job.StepRef]*stepState
+	nextDue   time.Time
+	objective time.Duration
+	total     time.Duration
+	active    map[string]*placement
+}
+
+// stepState is what placing knows of one step.
+type stepState struct {
+	asking  bool
+	advised bool
+	tickets map[lovagestand.WorkerName]ticket
+	placed  map[lovagestand.WorkerName]int
+	avoid   map[lovagestand.WorkerName]int
+}
+
+type ticket struct {
+	value string
+	until time.Time
+}
+
+func (e *entry) step(ref job.StepRef) *stepState {
+	s := e.steps[ref]
+	if s == nil {
+		s = &stepState{tickets: map[lovagestand.WorkerName]ticket{}, placed: map[lovagestand.WorkerName]int{}, avoid: map[lovagestand.WorkerName]int{}}
+		e.steps[ref] = s
+	}
+	return s
+}
+
+func newEntry(p *job.Progress, body []byte) *entry {
+	return &entry{
+		id: p.Job().ID, route: p.Job().Policy.Route, progress: p, body: body,
+		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{},
+	}
+}
+
+// currentPhase returns the state that callers see.
+func (e *entry) currentPhase() string {
+	if e.progress != nil {
+		return e.progress.Phase()
+	}
+	return e.phase
+}
+
+func (e *entry) final() bool {
+	return e.progress == nil || e.progress.Final()
+}
+
+// Lost returns a channel that is closed when the term is seen to be over.
+func (s *Shard) Lost() <-chan struct{} { return s.failed }
+
+func (s *Shard) lose(reason string) {
+	s.failOnce.Do(func() {
+		s.log.Warn().Str("reason", reason).Msg("term is over")
+		close(s.failed)
+	})
+}
+
+// Run works until ctx ends or the term is over.
+func (s *Shard) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	var running sync.WaitGroup
+	running.Go(func() { s.writeLoop(ctx) })
+	running.Go(func() { s.planLoop(ctx) })
+	select {
+	case <-ctx.Done():
+	case <-s.failed:
+	}
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	cancel()
+	running.Wait()
+	s.abandon()
+}
+
+// abandon answers callers that still wait: what they asked for may have been
+// written.
+func (s *Shard) abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.jobs {
+		answer(e.waiters, &UnknownError{})
+		e.waiters = nil
+	}
+}
+
+func answer(waiters []chan error, err error) {
+	for _, w := range waiters {
+		w <- err
+	}
+}
+
+func (s *Shard) wake() {
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// Status is a summary for operators.
+type Status struct {
+	Epoch    uint64 `json:"epoch"`
+	Jobs     int    `json:"jobs"`
+	Live     int    `json:"liveJobs"`
+	Workers  int    `json:"workers"`
+	Open     int    `json:"openWorkers"`
+	Running  int    `json:"runningTasks"`
+	Unsaved  int    `json:"unsavedJobs"`
+	Stalled  bool   `json:"storeStalled"`
+	Resolved bool   `json:"formerTermResolved"`
+}
+
+// Status returns a summary of the shard.
+func (s *Shard) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Status{
+		Epoch: uint64(s.term.Epoch), Jobs: len(s.jobs), Live: len(s.live), Workers: len(s.workers),
+		Unsaved: len(s.queue), Stalled: s.stalled, Resolved: s.resolved,
+	}
+	now := time.Now()
+	for _, w := range s.workers {
+		out.Running += len(w.placements)
+		if w.open(now) {
+			out.Open++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/shard/submit.go
@@ -0,0 +1,174 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+)
+
+// RejectedError says that a job was surely not taken.
+type RejectedError struct {
+	Reason string
+	// RetryAfter is when to come back.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("job rejected: %s", e.Reason)
+}
+
+// UnknownError says that a change may or may not have been kept.
+type UnknownError struct{}
+
+// Error implements error.
+func (e *UnknownError) Error() string { return "the store has not confirmed the change" }
+
+// UnknownJobError says that there is no such job.
+type UnknownJobError struct{}
+
+// Error implements error.
+func (e *UnknownJobError) Error() string { return "no such job" }
+
+// NotOwnerError says that this instance does not own the shard for sure.
+type NotOwnerError struct{}
+
+// Error implements error.
+func (e *NotOwnerError) Error() string { return "this instance does not own the shard" }
+
+// retryDelay is when callers may come back after an outage of the store.
+const retryDelay = time.Second
+
+// Submit takes a job and returns once it is durable. A repeated job is the
+// same job.
+func (s *Shard) Submit(ctx context.Context, j job.Job, body []byte) error {
+	s.mu.Lock()
+	e, known := s.jobs[j.ID]
+	if known && e.durable {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.closing {
+		s.mu.Unlock()
+		return &NotOwnerError{}
+	}
+	if !known {
+		if s.stalled {
+			s.mu.Unlock()
+			return &RejectedError{Reason: "the store does not answer", RetryAfter: retryDelay}
+		}
+		e = newEntry(job.New(j, time.Now()), body)
+		s.size(e)
+		s.jobs[j.ID] = e
+		s.live[j.ID] = e
+		s.log.Info().Str("job", string(j.ID)).Str("route", string(e.route)).Int("steps", len(j.Steps)).Int("live", len(s.live)).Msg("job taken")
+	}
+	s.enqueue(e)
+	done := s.await(e)
+	s.mu.Unlock()
+	return s.wait(ctx, e, done)
+}
+
+// await adds a waiter for the next write of an entry.
+func (s *Shard) await(e *entry) chan error {
+	done := make(chan error, 1)
+	e.waiters = append(e.waiters, done)
+	return done
+}
+
+// wait waits for a write. Whoever leaves early does not know the outcome.
+func (s *Shard) wait(ctx context.Context, e *entry, done chan error) error {
+	select {
+	case err := <-done:
+		return err
+	case <-s.failed:
+		return &UnknownError{}
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Info().Str("job", string(e.id)).Bool("inQueue", e.queuedAt > 0).Msg("caller gave up before the job was kept")
+	return &UnknownError{}
+}
+
+// State returns what callers see of a job.
+func (s *Shard) State(id job.ID) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.jobs[id]
+	if known && e.durable {
+		return e.shownPhase(), nil
+	}
+	if known || !s.deps.Confirmed() {
+		return "", &NotOwnerError{}
+	}
+	return "", &UnknownJobError{}
+}
+
+// shownPhase is the phase that callers may be told: an end only once it is
+// kept.
+func (e *entry) shownPhase() string {
+	phase := e.currentPhase()
+	if e.final() && !e.kept {
+		return "running"
+	}
+	return phase
+}
+
+// Cancel ends a job and returns once that is durable.
+func (s *Shard) Cancel(ctx context.Context, id job.ID) error {
+	s.mu.Lock()
+	e, known := s.jobs[id]
+	if !known {
+		s.mu.Unlock()
+		if !s.deps.Confirmed() {
+			return &NotOwnerError{}
+		}
+		return &UnknownJobError{}
+	}
+	if e.kept {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.closing {
+		s.mu.Unlock()
+		return &NotOwnerError{}
+	}
+	if e.progress.Cancel() {
+		s.log.Info().Str("job", string(id)).Int("running", len(e.active)).Msg("job cancelled")
+		s.finish(e)
+	}
+	s.enqueue(e)
+	done := s.await(e)
+	s.mu.Unlock()
+	return s.wait(ctx, e, done)
+}
+
+// finish stops all that still runs of a job that has ended.
+func (s *Shard) finish(e *entry) {
+	delete(s.live, e.id)
+	e.finished = time.Now()
+	for _, p := range e.active {
+		s.stop(p)
+	}
+	s.wake()
+}
+
+// Pending returns how many accepted jobs of a route have not started.
+func (s *Shard) Pending(route lovagestand.RouteName) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.deps.Confirmed() {
+		return 0, &NotOwnerError{}
+	}
+	n := 0
+	for _, e := range s.live {
+		if e.route == route && e.durable && !e.progress.Started() {
+			n++
+		}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/shard/write.go
@@ -0,0 +1,255 @@
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand/common/pause"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/jobstore"
+)
+
+const (
+	// groupWindow is the least time between two writes, so that one write
+	// carries what many callers and workers said.
+	groupWindow = 12 * time.Millisecond
+	// stallAfter is how long a write may take before new jobs are rejected
+	// rather than queued behind it.
+	stallAfter = 600 * time.Millisecond
+	// sweepInterval spaces the search for finished jobs to forget.
+	sweepInterval = 2 * time.Second
+)
+
+// enqueue puts an entry into the write queue.
+func (s *Shard) enqueue(e *entry) {
+	if e.queuedAt == 0 {
+		s.queued++
+		e.queuedAt = s.queued
+		s.queue = append(s.queue, e)
+	}
+	select {
+	case s.dirtied <- struct{}{}:
+	default:
+	}
+}
+
+// writeLoop writes queued entries in groups.
+func (s *Shard) writeLoop(ctx context.Context) {
+	writing, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if pause.For(writing, flushTimeout) {
+			cancel()
+		}
+	})()
+	sweep := time.Now()
+	for {
+		timer := time.NewTimer(sweepInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			s.writeAll(writing)
+			return
+		case <-s.dirtied:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if time.Since(sweep) > sweepInterval {
+			sweep = time.Now()
+			s.forget()
+		}
+		if !s.writeAll(writing) {
+			return
+		}
+	}
+}
+
+// flushTimeout bounds the last writes of a planned stop.
+const flushTimeout = time.Second
+
+// writeAll writes until the queue is empty; false when the term is over.
+func (s *Shard) writeAll(ctx context.Context) bool {
+	for {
+		begun := time.Now()
+		batch, values, roster := s.nextBatch()
+		if len(values) == 0 {
+			return true
+		}
+		stall := time.AfterFunc(stallAfter, s.stall)
+		err := s.deps.Store.Write(ctx, values)
+		stall.Stop()
+		if err != nil {
+			var lost *jobstore.LostError
+			if errors.As(err, &lost) {
+				s.lose("a write found another owner")
+			}
+			for _, b := range batch {
+				answer(b.waiters, &UnknownError{})
+			}
+			return false
+		}
+		s.writtenBatch(batch, roster, time.Since(begun))
+		pause.For(ctx, groupWindow-time.Since(begun))
+	}
+}
+
+// stall rejects the queued new jobs: none of them is in the write under way.
+func (s *Shard) stall() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stalled = true
+	kept := s.queue[:0]
+	rejected := 0
+	for _, e := range s.queue {
+		if e.durable || e.writing || e.progress == nil {
+			kept = append(kept, e)
+			continue
+		}
+		rejected++
+		delete(s.jobs, e.id)
+		delete(s.live, e.id)
+		answer(e.waiters, &RejectedError{Reason: "the store does not answer", RetryAfter: retryDelay})
+	}
+	s.queue = kept
+	s.log.Warn().Int("rejected", rejected).Int("queued", len(kept)).Msg("store stalled: new jobs are rejected")
+}
+
+// batchEntry is an entry in a write with what it was when it was encoded.
+type batchEntry struct {
+	entry   *entry
+	at      int64
+	final   bool
+	waiters []chan error
+}
+
+const jobPrefix = "jobs/"
+
+func jobKey(id job.ID) string { return jobPrefix + string(id) }
+
+func (s *Shard) nextBatch() ([]batchEntry, []jobstore.Entry, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var batch []batchEntry
+	var values []jobstore.Entry
+	roster := int64(0)
+	if s.rosterAt > 0 {
+		roster = s.rosterAt
+		s.rosterAt = 0
+		values = append(values, s.encodeRoster())
+	}
+	taken := 0
+	for taken < len(s.queue) && len(values) < jobstore.MaxJobs {
+		e := s.queue[taken]
+		taken++
+		value, err := s.encode(e)
+		if err != nil {
+			s.log.Error().Err(err).Str("job", string(e.id)).Msg("job cannot be kept")
+			continue
+		}
+		values = append(values, jobstore.Entry{ID: jobKey(e.id), Value: value})
+		batch = append(batch, batchEntry{entry: e, at: e.queuedAt, final: e.final(), waiters: e.waiters})
+		e.queuedAt, e.waiters, e.writing = 0, nil, true
+	}
+	s.queue = append(s.queue[:0], s.queue[taken:]...)
+	return batch, values, roster
+}
+
+// encode returns the kept value of an entry.
+func (s *Shard) encode(e *entry) ([]byte, error) {
+	if e.progress == nil {
+		// The job has been over for its retention.
+		return nil, nil
+	}
+	if e.final() && e.finished.IsZero() {
+		e.finished = time.Now()
+	}
+	r := e.progress.Record()
+	if e.final() {
+		r.Finished = e.finished.UnixMilli()
+		r.Tasks, r.Gangs = nil, nil
+	}
+	return r.Encode(e.body)
+}
+
+// writtenBatch notes that a batch is durable.
+func (s *Shard) writtenBatch(batch []batchEntry, roster int64, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stalled {
+		s.stalled = false
+		s.log.Info().Dur("took", took).Msg("store answers again")
+	}
+	for _, b := range batch {
+		e := b.entry
+		s.written = max(s.written, b.at)
+		e.writing = false
+		e.durable = true
+		if b.final {
+			e.kept = true
+			s.settleFinal(e)
+		}
+		answer(b.waiters, nil)
+	}
+	if roster > 0 {
+		s.rosterWritten()
+	}
+	s.acknowledge()
+	s.wake()
+}
+
+// settleFinal drops what a finished, kept job no longer needs.
+func (s *Shard) settleFinal(e *entry) {
+	if e.progress == nil {
+		delete(s.jobs, e.id)
+		return
+	}
+	if len(e.active) > 0 {
+		return
+	}
+	e.phase = e.progress.Phase()
+	e.progress, e.body, e.steps = nil, nil, nil
+}
+
+// forget removes jobs that have been finished for the retention.
+func (s *Shard) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.jobs {
+		if !e.kept || e.queuedAt != 0 || e.writing || len(e.active) > 0 {
+			continue
+		}
+		if e.progress != nil {
+			s.settleFinal(e)
+		}
+		if time.Since(e.finished) > s.limits.Retention {
+			s.enqueue(e)
+		}
+	}
+}
+
+// encodeRoster returns the list of workers that may be given tasks.
+func (s *Shard) encodeRoster() jobstore.Entry {
+	roster := map[string]string{}
+	for name, address := range s.unresolved {
+		roster[string(name)] = address
+	}
+	for name, w := range s.workers {
+		roster[string(name)] = w.info.Address
+		w.rosterSent = true
+	}
+	value, err := json.Marshal(roster)
+	if err != nil {
+		s.log.Error().Err(err).Msg("roster cannot be kept")
+		value = []byte("{}")
+	}
+	return jobstore.Entry{ID: jobstore.RosterKey, Value: value}
+}
+
+func (s *Shard) rosterWritten() {
+	for _, w := range s.workers {
+		w.enrolled = w.enrolled || w.rosterSent
+	}
+}
