--- a/job/progress.go
+++ b/job/progress.go
@@ -164,15 +164,25 @@
 	return t.Occurrence < len(p.occurrences) && t.Step < len(p.job.Steps) && t.Index < p.job.Steps[t.Step].Count
 }
 
-// Start notes that a run of a task was ordered or seen; false if the task is
-// not to run any more or a higher run is known.
+// Start notes that a run of a task is ordered; false if the task is not to run
+// now or a higher run is known.
 func (p *Progress) Start(t Task, run int64) bool {
+	if p.Final() || !p.valid(t) || p.open(t.Occurrence)[t.Step].blockers > 0 {
+		return false
+	}
+	return p.Adopt(t, run)
+}
+
+// Adopt notes that a run that an earlier owner ordered goes on; that owner may
+// have known of ends that are not listed here yet. It is false if the task is
+// not to run any more or a higher run is known.
+func (p *Progress) Adopt(t Task, run int64) bool {
 	if p.Final() || !p.valid(t) {
 		return false
 	}
 	s := &p.open(t.Occurrence)[t.Step]
 	k := &s.tasks[t.Index]
-	if s.blockers > 0 || chart.JobTask().Final(k.phase) || run < k.run {
+	if chart.JobTask().Final(k.phase) || run < k.run {
 		return false
 	}
 	if k.phase == taskWaiting {
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -9,10 +9,11 @@
 
 // release gives the room of a placement back.
 func (s *Shard) release(p *placement) {
+	e := p.entry
 	if p.worker.placements[p.name] == p {
 		delete(p.worker.placements, p.name)
+		e.unhold(p.name)
 	}
-	e := p.entry
 	if e.active[p.name] == p {
 		delete(e.active, p.name)
 		if e.steps != nil {
--- a/shard/order.go
+++ b/shard/order.go
@@ -36,6 +36,7 @@
 		begun: now, expect: expect, sending: true, saved: e.progress.Checkpoint(task), savedAt: now,
 	}
 	w.placements[name] = p
+	e.held[name]++
 	e.active[name] = p
 	e.step(job.StepRef{Occurrence: task.Occurrence, Step: task.Step}).placed[w.info.Name]++
 	lease := w.lease(s.limits)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -141,8 +141,8 @@
 	j := e.progress.Job()
 	for _, ref := range refs {
 		step := j.Steps[ref.Step]
-		waiting := e.progress.WaitingCount(ref)
-		if step.Gang && waiting < step.Count {
+		waiting := len(e.startable(ref))
+		if waiting == 0 || step.Gang && waiting < step.Count {
 			continue
 		}
 		p.steps = append(p.steps, s.plannedStep(p, e, ref, step, waiting))
@@ -218,7 +218,7 @@
 func (s *Shard) placeAll(p *pass, r stepRef, workers []int) {
 	e := r.entry
 	st := e.step(r.ref)
-	indexes := e.progress.Waiting(r.ref)
+	indexes := e.startable(r.ref)
 	step := e.progress.Job().Steps[r.ref.Step]
 	expect := s.runTime(e, step)
 	for n, i := range workers {
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -71,7 +71,7 @@
 	if r.Finished > 0 {
 		s.jobs[id] = &entry{
 			id: id, route: r.Route, phase: r.Phase, finished: time.UnixMilli(r.Finished), durable: true, kept: true,
-			active: map[string]*placement{},
+			active: map[string]*placement{}, held: map[string]int{},
 		}
 		return nil
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -118,6 +118,32 @@
 	objective time.Duration
 	total     time.Duration
 	active    map[string]*placement
+	// held counts the runs of a task that workers may hold, also those that
+	// are being stopped: it starts nowhere else before they have ended.
+	held map[string]int
+}
+
+func (e *entry) unhold(task string) {
+	e.held[task]--
+	if e.held[task] <= 0 {
+		delete(e.held, task)
+	}
+}
+
+// startable returns the waiting tasks of a step that no worker may hold.
+func (e *entry) startable(ref job.StepRef) []int {
+	waiting := e.progress.Waiting(ref)
+	if len(e.held) == len(e.active) {
+		return waiting
+	}
+	j := e.progress.Job()
+	free := waiting[:0]
+	for _, i := range waiting {
+		if e.held[j.TaskName(job.Task{Occurrence: ref.Occurrence, Step: ref.Step, Index: i})] == 0 {
+			free = append(free, i)
+		}
+	}
+	return free
 }
 
 // stepState is what placing knows of one step.
@@ -146,7 +172,7 @@
 func newEntry(p *job.Progress, body []byte) *entry {
 	return &entry{
 		id: p.Job().ID, route: p.Job().Policy.Route, progress: p, body: body,
-		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{},
+		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, held: map[string]int{},
 	}
 }
 
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -45,6 +45,7 @@
 	lastSee time.Time // when it was last listed
 
 	contacted   bool
+	silent      bool
 	lastAnswer  time.Time
 	clock       int64
 	clockAt     time.Time
@@ -127,7 +128,7 @@
 		s.startUnlisted()
 	}
 	for name, w := range s.workers {
-		if !w.listed && now.Sub(w.lastSee) > missingFor && len(w.placements) == 0 && len(w.strays) == 0 && now.After(w.leaseEnd) && now.Sub(w.lastAnswer) > missingFor {
+		if s.gone(w, now) {
 			s.log.Info().Str("worker", string(name)).Msg("worker is gone")
 			w.cancel()
 			delete(s.workers, name)
@@ -137,6 +138,17 @@
 	s.wake()
 }
 
+// gone reports whether a worker has left and cannot run anything of ours.
+func (s *Shard) gone(w *worker, now time.Time) bool {
+	if _, unresolved := s.unresolved[w.info.Name]; unresolved || w.listed {
+		return false
+	}
+	if len(w.placements)+len(w.strays) > 0 || !now.After(w.leaseEnd) {
+		return false
+	}
+	return now.Sub(w.lastSee) > missingFor && now.Sub(w.lastAnswer) > missingFor
+}
+
 func (s *Shard) setWorker(info lovagestand.FleetWorker, now time.Time) {
 	w := s.workers[info.Name]
 	if w == nil {
@@ -297,6 +309,10 @@
 		}
 	}
 	now := time.Now()
+	if !w.silent {
+		w.silent = true
+		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
+	}
 	if w.contacted && now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
 		s.expire(w, "its lease has expired")
 	}
@@ -348,6 +364,7 @@
 		s.log.Info().Str("worker", string(w.info.Name)).Int("running", len(h.Running)).Int("ended", len(h.Ended)).Msg("worker contacted")
 	}
 	w.contacted = true
+	w.silent = false
 	w.lastAnswer = now
 	w.clock, w.clockAt = h.Clock, now
 	for _, end := range h.Ended {
@@ -422,8 +439,9 @@
 		entry: e, task: task, name: r.Task, run: r.Run, needs: step.Needs, worker: w,
 		begun: now, settled: now, seen: true, saved: r.Checkpoint, savedAt: now, expect: s.runTime(e, step),
 	}
-	wanted := e.active[r.Task] == nil && e.progress.Start(task, r.Run)
+	wanted := e.active[r.Task] == nil && e.progress.Adopt(task, r.Run)
 	w.placements[r.Task] = p
+	e.held[r.Task]++
 	if !wanted {
 		s.log.Info().Str("task", r.Task).Int64("run", r.Run).Str("worker", string(w.info.Name)).Msg("unwanted run is stopped")
 		s.stop(p)
