--- a/common/logbuffer/logbuffer.go
+++ b/common/logbuffer/logbuffer.go
@@ -3,6 +3,7 @@
 package logbuffer
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -14,6 +15,8 @@
 	maxBytes = 256 << 10
 	// interval spaces writes, so that one carries many lines.
 	interval = 200 * time.Millisecond
+	// maxWrite bounds one write to what a pipe takes without being cut.
+	maxWrite = 4 << 10
 )
 
 // Buffer is a writer of log lines. It is safe for concurrent use.
@@ -72,11 +75,27 @@
 	if len(lines) == 0 {
 		return
 	}
-	if _, err := b.out.Write(lines); err != nil {
-		b.mu.Lock()
-		b.dropped += dropped + 1
-		b.mu.Unlock()
+	for len(lines) > 0 {
+		n := chunk(lines)
+		if _, err := b.out.Write(lines[:n]); err != nil {
+			b.mu.Lock()
+			b.dropped += dropped + 1
+			b.mu.Unlock()
+			return
+		}
+		lines = lines[n:]
+	}
+}
+
+// chunk returns the length of the whole lines that one write carries.
+func chunk(lines []byte) int {
+	if len(lines) <= maxWrite {
+		return len(lines)
+	}
+	if n := bytes.LastIndexByte(lines[:maxWrite], '\n'); n >= 0 {
+		return n + 1
 	}
+	return maxWrite
 }
 
 // Close writes what is held and stops.
--- a/job/progress.go
+++ b/job/progress.go
@@ -38,8 +38,11 @@
 }
 
 type task struct {
-	phase      chart.State
-	failures   int
+	phase    chart.State
+	failures int
+	// failedRun is the highest run counted in failures: an end may be listed
+	// again to a later owner.
+	failedRun  int64
 	run        int64
 	checkpoint string
 }
@@ -255,9 +258,13 @@
 	if p.job.Steps[t.Step].Gang {
 		return p.failGang(t, run, checkpoint)
 	}
+	if run <= k.failedRun {
+		return false
+	}
 	k.failures++
-	k.run = max(k.run, run)
+	k.failedRun = run
 	p.Requeue(t, run, checkpoint)
+	k.run = max(k.run, run)
 	if !p.job.Steps[t.Step].Lasting && k.failures >= max(1, p.job.Policy.MaxAttempts) {
 		k.phase = taskExhausted
 		p.phase = jobFailed
--- a/job/record.go
+++ b/job/record.go
@@ -26,7 +26,7 @@
 }
 
 // TaskRecord is what must last of one task: occurrence, step, index, done (1),
-// failed runs and the highest run that ended.
+// failed runs and the last run that failed or was done.
 type TaskRecord [6]int64
 
 // GangRecord is what must last of one gang: occurrence, step, failures and the
@@ -50,12 +50,12 @@
 	}
 	for i := range s.tasks {
 		k := &s.tasks[i]
-		done := int64(0)
+		done, last := int64(0), k.failedRun
 		if k.phase == taskDone {
-			done = 1
+			done, last = 1, k.run
 		}
 		if done > 0 || k.failures > 0 {
-			r.Tasks = append(r.Tasks, TaskRecord{int64(occurrence), int64(index), int64(i), done, int64(k.failures), k.run})
+			r.Tasks = append(r.Tasks, TaskRecord{int64(occurrence), int64(index), int64(i), done, int64(k.failures), last})
 		}
 	}
 	return r
@@ -122,6 +122,7 @@
 	}
 	s := &p.open(t.Occurrence)[t.Step]
 	s.tasks[t.Index].failures = int(r[4])
+	s.tasks[t.Index].failedRun = r[5]
 	s.tasks[t.Index].run = r[5]
 	s.run = max(s.run, r[5])
 	if r[3] == 1 {
