--- a/job/progress.go
+++ b/job/progress.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"lovagestand.example/lovagestand/chart"
@@ -31,18 +32,27 @@
 	blockers int
 	undone   int
 	waiting  int
-	// failures and failedRun count the failed runs of a gang as a whole.
-	failures  int
-	failedRun int64
-	run       int64
+	// failures are the failed runs of a gang as a whole, run its highest run.
+	failures failures
+	run      int64
+}
+
+// failures are the runs that failed. Ends may be listed again to a later
+// owner, and in any order.
+type failures []int64
+
+// add notes a failed run; false if it is known.
+func (f *failures) add(run int64) bool {
+	if slices.Contains(*f, run) {
+		return false
+	}
+	*f = append(*f, run)
+	return true
 }
 
 type task struct {
-	phase    chart.State
-	failures int
-	// failedRun is the highest run counted in failures: an end may be listed
-	// again to a later owner.
-	failedRun  int64
+	phase      chart.State
+	failures   failures
 	run        int64
 	checkpoint string
 }
@@ -164,7 +174,8 @@
 
 // valid reports whether the job has such a task.
 func (p *Progress) valid(t Task) bool {
-	return t.Occurrence < len(p.occurrences) && t.Step < len(p.job.Steps) && t.Index < p.job.Steps[t.Step].Count
+	return t.Occurrence >= 0 && t.Step >= 0 && t.Index >= 0 &&
+		t.Occurrence < len(p.occurrences) && t.Step < len(p.job.Steps) && t.Index < p.job.Steps[t.Step].Count
 }
 
 // Start notes that a run of a task is ordered; false if the task is not to run
@@ -255,17 +266,18 @@
 	if chart.JobTask().Final(k.phase) {
 		return false
 	}
+	if p.job.Steps[t.Step].Lasting {
+		return p.Requeue(t, run, checkpoint)
+	}
 	if p.job.Steps[t.Step].Gang {
 		return p.failGang(t, run, checkpoint)
 	}
-	if run <= k.failedRun {
+	if !k.failures.add(run) {
 		return false
 	}
-	k.failures++
-	k.failedRun = run
 	p.Requeue(t, run, checkpoint)
 	k.run = max(k.run, run)
-	if !p.job.Steps[t.Step].Lasting && k.failures >= max(1, p.job.Policy.MaxAttempts) {
+	if len(k.failures) >= max(1, p.job.Policy.MaxAttempts) {
 		k.phase = taskExhausted
 		p.phase = jobFailed
 	}
@@ -276,13 +288,11 @@
 func (p *Progress) failGang(t Task, run int64, checkpoint string) bool {
 	s := &p.open(t.Occurrence)[t.Step]
 	p.Requeue(t, run, checkpoint)
-	if run <= s.failedRun {
+	if !s.failures.add(run) {
 		return false
 	}
-	s.failedRun = run
 	s.run = max(s.run, run)
-	s.failures++
-	if !p.job.Steps[t.Step].Lasting && s.failures >= max(1, p.job.Policy.MaxAttempts) {
+	if len(s.failures) >= max(1, p.job.Policy.MaxAttempts) {
 		p.phase = jobFailed
 	}
 	return true
@@ -369,9 +379,9 @@
 	}
 	s := &p.open(t.Occurrence)[t.Step]
 	if p.job.Steps[t.Step].Gang {
-		return s.failures
+		return len(s.failures)
 	}
-	return s.tasks[t.Index].failures
+	return len(s.tasks[t.Index].failures)
 }
 
 // RemainingWork returns the core time and the longest chain of estimated run
--- a/job/record.go
+++ b/job/record.go
@@ -25,13 +25,18 @@
 	Gangs      []GangRecord `json:"gangs,omitempty"`
 }
 
-// TaskRecord is what must last of one task: occurrence, step, index, done (1),
-// failed runs and the last run that failed or was done.
-type TaskRecord [6]int64
+// TaskRecord is what must last of one task: occurrence, step, index, the run
+// that was done (0 for none), then the runs that failed.
+type TaskRecord []int64
 
-// GangRecord is what must last of one gang: occurrence, step, failures and the
-// last run that failed.
-type GangRecord [4]int64
+// GangRecord is what must last of one gang: occurrence, step, then the runs
+// that failed.
+type GangRecord []int64
+
+const (
+	taskRecordFields = 4
+	gangRecordFields = 2
+)
 
 // Record returns what must last of p.
 func (p *Progress) Record() Record {
@@ -45,17 +50,17 @@
 }
 
 func (r Record) withStep(occurrence, index int, s *step) Record {
-	if s.failures > 0 {
-		r.Gangs = append(r.Gangs, GangRecord{int64(occurrence), int64(index), int64(s.failures), s.failedRun})
+	if len(s.failures) > 0 {
+		r.Gangs = append(r.Gangs, append(GangRecord{int64(occurrence), int64(index)}, s.failures...))
 	}
 	for i := range s.tasks {
 		k := &s.tasks[i]
-		done, last := int64(0), k.failedRun
+		done := int64(0)
 		if k.phase == taskDone {
-			done, last = 1, k.run
+			done = k.run
 		}
-		if done > 0 || k.failures > 0 {
-			r.Tasks = append(r.Tasks, TaskRecord{int64(occurrence), int64(index), int64(i), done, int64(k.failures), last})
+		if done > 0 || len(k.failures) > 0 {
+			r.Tasks = append(r.Tasks, append(TaskRecord{int64(occurrence), int64(index), int64(i), done}, k.failures...))
 		}
 	}
 	return r
@@ -100,15 +105,14 @@
 	}
 	p := New(j, time.UnixMilli(r.Accepted))
 	for _, g := range r.Gangs {
-		if !p.valid(Task{Occurrence: int(g[0]), Step: int(g[1])}) {
-			continue
+		if err := p.restoreGang(g); err != nil {
+			return nil, err
 		}
-		s := &p.open(int(g[0]))[g[1]]
-		s.failures, s.failedRun = int(g[2]), g[3]
-		s.run = max(s.run, g[3])
 	}
 	for _, k := range r.Tasks {
-		p.restoreTask(Task{Occurrence: int(k[0]), Step: int(k[1]), Index: int(k[2])}, k)
+		if err := p.restoreTask(k); err != nil {
+			return nil, err
+		}
 	}
 	if chart.Job().Final(phase) || p.phase == jobQueued {
 		p.phase = phase
@@ -116,18 +120,47 @@
 	return p, nil
 }
 
-func (p *Progress) restoreTask(t Task, r TaskRecord) {
+// RecordError says that a record does not fit its job.
+type RecordError struct {
+	ID ID
+}
+
+// Error implements error.
+func (e *RecordError) Error() string {
+	return "record of job " + string(e.ID) + " does not fit the job"
+}
+
+func (p *Progress) restoreGang(g GangRecord) error {
+	if len(g) < gangRecordFields || !p.valid(Task{Occurrence: int(g[0]), Step: int(g[1])}) {
+		return &RecordError{ID: p.job.ID}
+	}
+	s := &p.open(int(g[0]))[g[1]]
+	s.failures = failures(g[gangRecordFields:])
+	for _, run := range s.failures {
+		s.run = max(s.run, run)
+	}
+	return nil
+}
+
+func (p *Progress) restoreTask(r TaskRecord) error {
+	if len(r) < taskRecordFields {
+		return &RecordError{ID: p.job.ID}
+	}
+	t := Task{Occurrence: int(r[0]), Step: int(r[1]), Index: int(r[2])}
 	if !p.valid(t) {
-		return
+		return &RecordError{ID: p.job.ID}
 	}
 	s := &p.open(t.Occurrence)[t.Step]
-	s.tasks[t.Index].failures = int(r[4])
-	s.tasks[t.Index].failedRun = r[5]
-	s.tasks[t.Index].run = r[5]
-	s.run = max(s.run, r[5])
-	if r[3] == 1 {
-		p.finishTask(t, r[5])
+	k := &s.tasks[t.Index]
+	k.failures = failures(r[taskRecordFields:])
+	for _, run := range k.failures {
+		k.run = max(k.run, run)
+	}
+	s.run = max(s.run, k.run, r[3])
+	if r[3] > 0 {
+		p.finishTask(t, r[3])
 	}
+	return nil
 }
 
 // EncodeJob returns the bytes of a job.
