--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -56,6 +56,8 @@
 	// known to be allowed, nil before the first advice.
 	Advised    bool
 	Candidates []Candidate
+	// Asked are the workers of which the policy's answer is known.
+	Asked map[int]bool
 	// Asking says that a call for advice is under way.
 	Asking bool
 	// RunTime is how long one task is expected to run.
@@ -80,7 +82,7 @@
 	reservationHorizon = 10 * time.Second
 	// maxAsk and minAsk bound how many workers one call for advice names.
 	maxAsk = 96
-	minAsk = 32
+	minAsk = 48
 	// askPerTask is how many workers are named for each task.
 	askPerTask = 5
 	// slownessCost is how much packing a slow worker must save.
@@ -116,8 +118,8 @@
 
 func (p *planner) decide(index int, s *Step) {
 	if s.Advised && s.Candidates == nil {
-		if !s.Asking {
-			p.decisions = append(p.decisions, Decision{Step: index, Ask: p.toAsk(s)})
+		if ask := p.toAsk(s); !s.Asking && len(ask) > 0 {
+			p.decisions = append(p.decisions, Decision{Step: index, Ask: ask})
 		}
 		return
 	}
@@ -149,6 +151,9 @@
 	if s.Gang && len(wanted) < s.Tasks || len(wanted) == 0 {
 		p.giveBack(s, wanted)
 		p.reserve(s)
+		if more := p.toAsk(s); !s.Asking && len(more) > 0 && (p.hopeless(s) || p.roomAmong(s, more)) {
+			p.decisions = append(p.decisions, Decision{Step: index, Ask: more})
+		}
 		return
 	}
 	if !s.Asking {
@@ -171,6 +176,51 @@
 	return wanted
 }
 
+// hopeless reports whether the workers known to be allowed could not hold the
+// step even if they were empty.
+func (p *planner) hopeless(s *Step) bool {
+	room := 0
+	for _, c := range s.Candidates {
+		if w := &p.workers[c.Worker]; w.Open {
+			room += slotsIn(w.Capacity, s)
+		}
+	}
+	if s.Gang {
+		return room < s.Tasks
+	}
+	return room == 0
+}
+
+// roomAmong reports whether workers not asked about have room now.
+func (p *planner) roomAmong(s *Step, workers []int) bool {
+	room := 0
+	for _, i := range workers {
+		if p.allowed(s, i) {
+			room += slotsIn(p.workers[i].Free, s)
+		}
+	}
+	if s.Gang {
+		return room >= s.Tasks
+	}
+	return room > 0
+}
+
+// slotsIn returns how many tasks of a step fit into an amount of resources.
+func slotsIn(r lovagestand.Resources, s *Step) int {
+	n := s.Tasks
+	for _, pair := range [][2]int64{
+		{r.MilliCPU, s.Needs.MilliCPU}, {r.MemoryMiB, s.Needs.MemoryMiB}, {r.Accelerators, s.Needs.Accelerators},
+	} {
+		if pair[1] > 0 {
+			n = min(n, int(max(0, pair[0])/pair[1]))
+		}
+	}
+	if s.MaxPerWorker > 0 {
+		n = min(n, s.MaxPerWorker)
+	}
+	return n
+}
+
 // choose takes room for the tasks of a step and returns their workers; fewer
 // than all where there is not enough room.
 func (p *planner) choose(s *Step, permitted bool) []int {
@@ -294,7 +344,7 @@
 	var ranking []ranked
 	for i := range p.workers {
 		w := &p.workers[i]
-		if !w.Open || s.Label != "" && !slices.Contains(w.Labels, s.Label) || !s.Needs.Fits(w.Capacity) {
+		if !w.Open || s.Asked[i] || s.Label != "" && !slices.Contains(w.Labels, s.Label) || !s.Needs.Fits(w.Capacity) {
 			continue
 		}
 		times := p.slots(s, i, 1)
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -122,6 +122,9 @@
 		return
 	}
 	st.advised = true
+	for _, name := range names {
+		st.asked[name] = true
+	}
 	validity := advice.Validity
 	if validity <= 0 {
 		validity = r.entry.progress.Job().Policy.Advice.Validity
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -176,6 +176,12 @@
 	}
 	if out.Advised && st.advised {
 		out.Candidates = s.candidates(p, st)
+		out.Asked = make(map[int]bool, len(st.asked))
+		for name := range st.asked {
+			if i, ok := s.indexOf(p, name); ok {
+				out.Asked[i] = true
+			}
+		}
 	}
 	return out
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -150,6 +150,9 @@
 type stepState struct {
 	asking  bool
 	advised bool
+	// asked are the workers of which the policy's answer is known; it does not
+	// change during a step.
+	asked   map[lovagestand.WorkerName]bool
 	tickets map[lovagestand.WorkerName]ticket
 	placed  map[lovagestand.WorkerName]int
 	avoid   map[lovagestand.WorkerName]int
@@ -163,7 +166,7 @@
 func (e *entry) step(ref job.StepRef) *stepState {
 	s := e.steps[ref]
 	if s == nil {
-		s = &stepState{tickets: map[lovagestand.WorkerName]ticket{}, placed: map[lovagestand.WorkerName]int{}, avoid: map[lovagestand.WorkerName]int{}}
+		s = &stepState{asked: map[lovagestand.WorkerName]bool{}, tickets: map[lovagestand.WorkerName]ticket{}, placed: map[lovagestand.WorkerName]int{}, avoid: map[lovagestand.WorkerName]int{}}
 		e.steps[ref] = s
 	}
 	return s
