--- /dev/null
+++ b/election/election_test.go
@@ -0,0 +1,173 @@
+package election_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/standin/keyspace"
+)
+
+// cell notes which candidate owns the shard in which epoch.
+type cell struct {
+	mu     sync.Mutex
+	owners map[lovagestand.Epoch]lovagestand.InstanceID
+	now    lovagestand.InstanceID
+}
+
+func (k *cell) owner() (lovagestand.InstanceID, int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.now, len(k.owners)
+}
+
+// stand starts a candidate with a store of its own faults; the returned
+// function stops it as planned.
+func (k *cell) stand(keys lovagestand.Keyspace, name string) func() {
+	self := lovagestand.Instance{ID: lovagestand.InstanceID(name), Address: name}
+	ctx, cancel := context.WithCancel(context.Background())
+	directory := election.NewDirectory(keys, zerolog.Nop())
+	var running sync.WaitGroup
+	running.Go(func() { directory.Run(ctx) })
+	running.Go(func() { election.Register(ctx, keys, directory, self, zerolog.Nop()) })
+	candidate := &election.Candidate{
+		Shard: "0", Self: self, Keys: keys, Directory: directory, Log: zerolog.Nop(),
+		Serve: func(ctx context.Context, term jobstore.Term, _ func() bool) {
+			k.mu.Lock()
+			k.owners[term.Epoch] = self.ID
+			k.now = self.ID
+			k.mu.Unlock()
+			<-ctx.Done()
+		},
+	}
+	running.Go(func() { candidate.Run(ctx) })
+	return func() { cancel(); running.Wait() }
+}
+
+// link is one instance's way to the store, which can be cut.
+type link struct {
+	lovagestand.Keyspace
+	cut func() bool
+}
+
+func (l link) lost(ctx context.Context) error {
+	<-ctx.Done()
+	return &lovagestand.UnavailableError{System: "store"}
+}
+
+func (l link) Commit(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
+	if l.cut() {
+		return 0, l.lost(ctx)
+	}
+	return l.Keyspace.Commit(ctx, t)
+}
+
+func (l link) Renew(ctx context.Context, id lovagestand.LeaseID) error {
+	if l.cut() {
+		return l.lost(ctx)
+	}
+	return l.Keyspace.Renew(ctx, id)
+}
+
+func newCell() *cell {
+	return &cell{owners: map[lovagestand.Epoch]lovagestand.InstanceID{}}
+}
+
+func TestOneOwnerAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		var stops []func()
+		for i := range 5 {
+			stops = append(stops, k.stand(keys, fmt.Sprint("i", i)))
+		}
+		time.Sleep(5 * time.Second)
+		_, terms := k.owner()
+		c.Assert(terms, qt.Equals, 1)
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
+
+func TestPlannedStopHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		first := k.stand(keys, "a")
+		time.Sleep(time.Second)
+		second := k.stand(keys, "b")
+		defer second()
+		time.Sleep(time.Second)
+		first()
+		time.Sleep(time.Second)
+		owner, terms := k.owner()
+		c.Assert(owner, qt.Equals, lovagestand.InstanceID("b"))
+		c.Assert(terms, qt.Equals, 2)
+	})
+}
+
+func TestOwnerCutFromTheStoreIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		var mu sync.Mutex
+		cut := false
+		first := k.stand(link{Keyspace: keys, cut: func() bool { mu.Lock(); defer mu.Unlock(); return cut }}, "a")
+		defer first()
+		time.Sleep(time.Second)
+		second := k.stand(keys, "b")
+		defer second()
+		time.Sleep(time.Second)
+		mu.Lock()
+		cut = true
+		mu.Unlock()
+		time.Sleep(3 * time.Second)
+		owner, _ := k.owner()
+		c.Assert(owner, qt.Equals, lovagestand.InstanceID("b"))
+	})
+}
+
+func TestOwnershipTakenAwayIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		stop := k.stand(keys, "a")
+		defer stop()
+		time.Sleep(time.Second)
+		keys.Remove(election.OwnerKey("0"))
+		time.Sleep(2 * time.Second)
+		_, terms := k.owner()
+		c.Assert(terms, qt.Equals, 2, qt.Commentf("a new term with a new epoch"))
+	})
+}
+
+func TestDirectorySurvivesLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys := keyspace.New()
+		d := election.NewDirectory(keys, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		time.Sleep(time.Second)
+		keys.Put(election.MemberKey("a"), []byte(`{"id":"a","address":"x"}`))
+		keys.Compact()
+		time.Sleep(3 * time.Second)
+		c.Assert(d.Member("a"), qt.IsTrue)
+		keys.Remove(election.MemberKey("a"))
+		time.Sleep(time.Second)
+		c.Assert(d.Member("a"), qt.IsFalse)
+		cancel()
+		running.Wait()
+	})
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,136 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/gateway"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/shard"
+	"lovagestand.example/lovagestand/standin/keyspace"
+)
+
+const (
+	first  = `{"version":3,"routes":[{"name":"r1","host":"a.example","prefix":"/x/","service":"s","max_attempts":2}],"limits":{"max_body_bytes":200}}`
+	second = `{"version":9,"routes":[{"name":"r2","host":"a.example","prefix":"/x/y/","service":"s"}],"limits":{"max_body_bytes":200}}`
+	valid  = `{"spec":"t","steps":[{"count":1,"cpu":500}]}`
+)
+
+// owner answers each call with err and notes the jobs it takes.
+type owner struct {
+	err  error
+	jobs []job.Job
+}
+
+func (o *owner) Submit(_ context.Context, j job.Job) error {
+	o.jobs = append(o.jobs, j)
+	return o.err
+}
+
+func (o *owner) State(context.Context, job.ID) (string, error)               { return "running", o.err }
+func (o *owner) Cancel(context.Context, job.ID) error                        { return o.err }
+func (o *owner) Pending(context.Context, lovagestand.RouteName) (int, error) { return 12, o.err }
+
+// serve returns a gateway under a configuration, and the store it follows.
+func serve(t *testing.T, o *owner) (*gateway.Gateway, *keyspace.Store) {
+	keys := keyspace.New()
+	routes := gateway.NewRoutes(keys, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); routes.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return gateway.New(routes, o, zerolog.Nop()), keys
+}
+
+func ask(g *gateway.Gateway, method, path, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	return w
+}
+
+func assertStatus(c *qt.C, g *gateway.Gateway, method, path, body string, status int) {
+	c.Helper()
+	c.Assert(ask(g, method, path, body).Code, qt.Equals, status)
+}
+
+const jobPath = "/x/5c0e7a21d94b36f8"
+
+func TestConfigurations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g, keys := serve(t, &owner{})
+		c.Assert(g.Ready(), qt.IsFalse)
+		assertStatus(c, g, http.MethodPost, jobPath, valid, http.StatusServiceUnavailable)
+		keys.Put(platform.ConfigurationKey, []byte(first))
+		time.Sleep(time.Second)
+		c.Assert(g.Ready(), qt.IsTrue)
+		assertStatus(c, g, http.MethodPost, jobPath, valid, http.StatusOK)
+		keys.Put(platform.ConfigurationKey, []byte(second))
+		keys.Compact()
+		time.Sleep(time.Second)
+		assertStatus(c, g, http.MethodPost, jobPath, valid, http.StatusNotFound)
+		assertStatus(c, g, http.MethodPost, "/x/y/5c0e7a21d94b36f8", valid, http.StatusOK)
+		keys.Put(platform.ConfigurationKey, []byte(first))
+		keys.Put(platform.ConfigurationKey, []byte(`{"version":`))
+		time.Sleep(2 * time.Second)
+		assertStatus(c, g, http.MethodPost, jobPath, valid, http.StatusNotFound)
+	})
+}
+
+func TestRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		o := &owner{}
+		g, keys := serve(t, o)
+		keys.Put(platform.ConfigurationKey, []byte(first))
+		time.Sleep(time.Second)
+		c.Assert(ask(g, http.MethodGet, jobPath, "").Body.String(), qt.Equals, `{"state":"running"}`)
+		c.Assert(ask(g, http.MethodGet, "/x/", "").Body.String(), qt.Equals, `{"pending":12}`)
+		assertStatus(c, g, http.MethodDelete, jobPath, "", http.StatusOK)
+		assertStatus(c, g, http.MethodPut, jobPath, "", http.StatusMethodNotAllowed)
+		assertStatus(c, g, http.MethodPost, "/x/short", valid, http.StatusBadRequest)
+		assertStatus(c, g, http.MethodPost, jobPath, "{", http.StatusBadRequest)
+		assertStatus(c, g, http.MethodPost, jobPath, `{"steps":[{"count":-1}]}`, http.StatusBadRequest)
+		assertStatus(c, g, http.MethodPost, jobPath, `{"steps":"x"}`, http.StatusBadRequest)
+		assertStatus(c, g, http.MethodPost, jobPath, strings.Repeat(" ", 300), http.StatusRequestEntityTooLarge)
+		c.Assert(o.jobs, qt.HasLen, 0, qt.Commentf("bad requests leave nothing behind"))
+		assertStatus(c, g, http.MethodPost, jobPath, valid, http.StatusOK)
+		c.Assert(o.jobs[0].Policy.MaxAttempts, qt.Equals, 2)
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		o := &owner{}
+		g, keys := serve(t, o)
+		keys.Put(platform.ConfigurationKey, []byte(first))
+		time.Sleep(time.Second)
+		for status, err := range map[int]error{
+			http.StatusServiceUnavailable: &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second},
+			http.StatusGatewayTimeout:     &shard.UnknownError{},
+			http.StatusGone:               &shard.UnknownJobError{},
+		} {
+			o.err = err
+			assertStatus(c, g, http.MethodPost, jobPath, valid, status)
+		}
+		o.err = &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second}
+		c.Assert(ask(g, http.MethodPost, jobPath, valid).Header().Get("Retry-After"), qt.Equals, "2")
+		o.err = &shard.NotOwnerError{}
+		assertStatus(c, g, http.MethodGet, jobPath, "", http.StatusServiceUnavailable)
+		g.Close()
+		c.Assert(g.Ready(), qt.IsFalse)
+		c.Assert(ask(g, http.MethodGet, jobPath, "").Header().Get("Connection"), qt.Equals, "close")
+	})
+}
