Gangs renew tickets ahead of their start; starts in doubt are settled at once; dead owners are deposed

Cause: rooms reserved for a gang stood idle while tickets were renewed (0.6 s for each of about 30 gangs at the peak); a start without an answer waited for the next hold; a killed owner kept its shard for the whole lease.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -60,6 +60,9 @@
 	Asked map[int]bool
 	// Asking says that a call for advice is under way.
 	Asking bool
+	// AskAhead is how long before a reserved start tickets are renewed, so
+	// that the room is not idle while the call is under way.
+	AskAhead time.Duration
 	// RunTime is how long one task is expected to run.
 	RunTime time.Duration
 	Score   float64
@@ -140,6 +143,30 @@
 	p.reserve(s)
 }
 
+// askAhead renews the tickets for workers on which a gang is about to start.
+func (p *planner) askAhead(index int, s *Step, workers []int, start time.Time) {
+	if s.Asking || len(workers) == 0 || start.Sub(p.now) > s.AskAhead {
+		return
+	}
+	for _, c := range s.Candidates {
+		if c.Permitted && slices.Contains(workers, c.Worker) {
+			return
+		}
+	}
+	p.decisions = append(p.decisions, Decision{Step: index, Ask: p.allCandidates(s)})
+}
+
+// allCandidates returns the open workers that are known to be allowed.
+func (p *planner) allCandidates(s *Step) []int {
+	var workers []int
+	for _, c := range s.Candidates {
+		if p.workers[c.Worker].Open && len(workers) < maxAsk {
+			workers = append(workers, c.Worker)
+		}
+	}
+	return workers
+}
+
 // askAgain renews tickets for workers that have room but no valid ticket, and
 // keeps that room for the step.
 func (p *planner) askAgain(index int, s *Step, placed int) {
@@ -150,10 +177,12 @@
 	wanted := p.choose(&rest, false)
 	if s.Gang && len(wanted) < s.Tasks || len(wanted) == 0 {
 		p.giveBack(s, wanted)
-		p.reserve(s)
 		if more := p.toAsk(s); !s.Asking && len(more) > 0 && (p.hopeless(s) || p.roomAmong(s, more)) {
 			p.decisions = append(p.decisions, Decision{Step: index, Ask: more})
+			return
 		}
+		workers, start := p.reserve(s)
+		p.askAhead(index, s, workers, start)
 		return
 	}
 	if !s.Asking {
@@ -390,10 +419,11 @@
 	return times
 }
 
-// reserve marks the workers on which a gang that does not fit now fits first.
-func (p *planner) reserve(s *Step) {
+// reserve marks the workers on which a gang that does not fit now fits first,
+// and returns them with the expected start; none if it reserves nothing.
+func (p *planner) reserve(s *Step) ([]int, time.Time) {
 	if !s.Gang || p.reservations >= maxReservations {
-		return
+		return nil, time.Time{}
 	}
 	type slot struct {
 		worker int
@@ -406,15 +436,18 @@
 		}
 	}
 	if len(slots) < s.Tasks {
-		return
+		return nil, time.Time{}
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
 	start := slots[s.Tasks-1].at
 	if start.Sub(p.now) > reservationHorizon {
-		return
+		return nil, time.Time{}
 	}
 	p.reservations++
+	var workers []int
 	for _, slot := range slots[:s.Tasks] {
 		p.workers[slot.worker].reservedUntil = start
+		workers = append(workers, slot.worker)
 	}
+	return workers, start
 }
--- a/election/candidate.go
+++ b/election/candidate.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// ownerTTL is how long a crashed owner keeps its shard: the shortest that
-	// outlives a store that answers in half a second.
-	ownerTTL = 1500 * time.Millisecond
+	// ownerTTL is how long an owner that does not answer keeps its shard: the
+	// shortest that outlives a store that answers in half a second.
+	ownerTTL = 1200 * time.Millisecond
 	// memberTTL is how long a crashed instance stays listed.
 	memberTTL = 4 * time.Second
 	// renewals is how many renewals fit into the time to live of a lease.
@@ -42,17 +42,21 @@
 
 	mu        sync.Mutex
 	confirmed time.Time
+	deposed   lovagestand.Epoch
+	deposing  chan struct{}
 }
 
 // Run contends until ctx ends. It then gives the shard up at once.
 func (c *Candidate) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.vacant(ctx) {
+		former, ok := c.chance(ctx)
+		if !ok {
 			continue
 		}
-		term, lease, err := c.win(ctx)
+		term, lease, err := c.win(ctx, former)
 		if err != nil {
 			c.Log.Debug().Err(err).Str("shard", c.Shard).Msg("shard not won")
+			c.Directory.Refresh()
 			pause.For(ctx, retryDelay)
 			continue
 		}
@@ -60,27 +64,61 @@
 	}
 }
 
-// vacant waits until the shard has no owner and nearer instances had their
-// turn.
-func (c *Candidate) vacant(ctx context.Context) bool {
+// Depose has the candidate contend although an owner is listed, because no
+// process listens at the owner's address. A live owner that is deposed by
+// mistake is locked out by its epoch like any other.
+func (c *Candidate) Depose(epoch lovagestand.Epoch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deposed >= epoch {
+		return
+	}
+	c.deposed = epoch
+	close(c.signal())
+	c.deposing = nil
+}
+
+// signal returns the channel that is closed at the next call of Depose.
+func (c *Candidate) signal() chan struct{} {
+	if c.deposing == nil {
+		c.deposing = make(chan struct{})
+	}
+	return c.deposing
+}
+
+// open reports whether the shard may be contended for, and the revision of the
+// ownership key that must not have changed.
+func (c *Candidate) open() (lovagestand.Revision, bool) {
+	owner, owned := c.Directory.Owner(c.Shard)
+	if !owned {
+		return 0, c.Directory.Loaded()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// An entry of this instance's own is that of a former life.
+	return lovagestand.Revision(owner.Epoch), owner.ID == c.Self.ID || c.deposed == owner.Epoch
+}
+
+// chance waits until the shard is open and nearer instances had their turn.
+func (c *Candidate) chance(ctx context.Context) (lovagestand.Revision, bool) {
 	changed := c.Directory.Changed()
-	if owner, owned := c.Directory.Owner(c.Shard); owned || !c.Directory.Loaded() {
-		if owned && owner.ID == c.Self.ID && owner.Address == c.Self.Address {
-			// A leftover of an attempt whose reply was lost ends with its lease.
-			c.Directory.Refresh()
-			return pause.For(ctx, retryDelay) && false
-		}
+	c.mu.Lock()
+	deposing := c.signal()
+	c.mu.Unlock()
+	former, ok := c.open()
+	if !ok {
 		select {
 		case <-changed:
+		case <-deposing:
 		case <-ctx.Done():
 		}
-		return false
+		return 0, false
 	}
 	if !pause.For(ctx, c.handicap(ctx)) {
-		return false
+		return 0, false
 	}
-	_, owned := c.Directory.Owner(c.Shard)
-	return !owned
+	now, ok := c.open()
+	return former, ok && now == former
 }
 
 // handicap measures how far the store is.
@@ -88,14 +126,14 @@
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	begun := time.Now()
-	item, err := c.Keys.Item(limited, OwnerKey(c.Shard))
-	if err != nil || item.Revision != 0 {
+	if _, err := c.Keys.Item(limited, OwnerKey(c.Shard)); err != nil {
 		return maxHandicap
 	}
 	return min(maxHandicap, handicapFactor*time.Since(begun))
 }
 
-func (c *Candidate) win(ctx context.Context) (jobstore.Term, lovagestand.LeaseID, error) {
+// win takes the shard if its ownership key still has the former revision.
+func (c *Candidate) win(ctx context.Context, former lovagestand.Revision) (jobstore.Term, lovagestand.LeaseID, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	begun := time.Now()
@@ -109,7 +147,7 @@
 	}
 	key := OwnerKey(c.Shard)
 	revision, err := c.Keys.Commit(limited, lovagestand.Transaction{
-		If: []lovagestand.Condition{{Key: key}},
+		If: []lovagestand.Condition{{Key: key, Revision: former}},
 		Set: []lovagestand.Write{
 			{Key: key, Value: value, Lease: lease},
 			{Key: jobstore.SequenceKey(c.Shard), Value: []byte("begin " + string(c.Self.ID))},
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,7 @@
 	deps      Deps
 	self      lovagestand.Instance
 	directory *election.Directory
+	candidate *election.Candidate
 	routes    *gateway.Routes
 	gateway   *gateway.Gateway
 	cell      *cellServer
@@ -80,7 +81,12 @@
 		settings: s, deps: deps, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
 		routes: gateway.NewRoutes(deps.Keys, deps.Log), cell: &cellServer{adviser: deps.Adviser}, peers: newPeers(),
 	}
-	owner := &ownerClient{shard: shardName, self: self, directory: n.directory, peers: n.peers, local: n.cell, log: deps.Log}
+	n.candidate = &election.Candidate{
+		Shard: shardName, Self: self, Keys: deps.Keys, Directory: n.directory, Log: deps.Log, Serve: n.serveShard,
+	}
+	owner := &ownerClient{
+		shard: shardName, self: self, directory: n.directory, peers: n.peers, local: n.cell, depose: n.candidate.Depose, log: deps.Log,
+	}
 	n.gateway = gateway.New(n.routes, owner, deps.Log)
 	return n
 }
@@ -100,10 +106,7 @@
 	running.Go(func() { n.directory.Run(working) })
 	running.Go(func() { n.routes.Run(working) })
 	running.Go(func() { election.Register(contending, n.deps.Keys, n.directory, n.self, n.deps.Log) })
-	candidate := &election.Candidate{
-		Shard: shardName, Self: n.self, Keys: n.deps.Keys, Directory: n.directory, Log: n.deps.Log, Serve: n.serveShard,
-	}
-	owning.Go(func() { candidate.Run(contending) })
+	owning.Go(func() { n.candidate.Run(contending) })
 	var err error
 	select {
 	case <-ctx.Done():
--- a/node/owner.go
+++ b/node/owner.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,7 +72,9 @@
 	directory *election.Directory
 	peers     *peers
 	local     cellpb.Cell
-	log       zerolog.Logger
+	// depose is told of an owner at whose address no process listens.
+	depose func(lovagestand.Epoch)
+	log    zerolog.Logger
 }
 
 // notSent reports whether err says that nothing was sent.
@@ -115,6 +118,10 @@
 		return send(ctx, c.local)
 	}
 	verdict, err := send(ctx, c.peers.at(owner.Address))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.log.Warn().Str("owner", string(owner.ID)).Uint64("epoch", uint64(owner.Epoch)).Msg("owner's process is gone")
+		c.depose(owner.Epoch)
+	}
 	if err != nil || verdict == cellpb.Verdict_VERDICT_NOT_OWNER {
 		c.directory.Refresh()
 	}
--- a/shard/order.go
+++ b/shard/order.go
@@ -14,7 +14,7 @@
 const (
 	// orderTimeout bounds one order: several round trips to the farthest
 	// region.
-	orderTimeout = 500 * time.Millisecond
+	orderTimeout = 250 * time.Millisecond
 	// stopRetry spaces orders to stop that got no answer.
 	stopRetry = 100 * time.Millisecond
 	// staleRunJump raises run numbers past those that a former term used.
@@ -134,6 +134,9 @@
 			done = true
 		}
 		s.mu.Unlock()
+		if p.stopped {
+			s.look(p.worker)
+		}
 		if done || !pause.For(s.ctx, stopRetry) {
 			return
 		}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -24,6 +24,10 @@
 	// ticketMargin is how long before its end a ticket is no longer used: an
 	// order must arrive in time.
 	ticketMargin = 150 * time.Millisecond
+	// askAheadWorkers and askAheadMargin size how long a call for advice
+	// takes from here.
+	askAheadWorkers = 20
+	askAheadMargin  = 100 * time.Millisecond
 )
 
 // planLoop places waiting tasks whenever something has changed.
@@ -71,6 +75,7 @@
 			s.addSteps(p, e)
 		}
 	}
+	s.summarize(p)
 	if len(p.steps) == 0 {
 		return
 	}
@@ -156,7 +161,8 @@
 	out := dispatch.Step{
 		Tasks: waiting, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, Advised: j.Policy.Advice.Needed(), Asking: st.asking,
-		RunTime: s.runTime(e, step), Score: s.score(p.now, e, ref),
+		AskAhead: j.Policy.Advice.Cost(askAheadWorkers) + askAheadMargin,
+		RunTime:  s.runTime(e, step), Score: s.score(p.now, e, ref),
 	}
 	if step.MaxPerWorker > 0 {
 		out.Placed = map[int]int{}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -74,6 +74,8 @@
 	unresolved map[lovagestand.WorkerName]string
 	resolved   bool
 
+	summarized time.Time
+
 	wakeup   chan struct{}
 	lines    map[lovagestand.InstanceID]*line
 	learned  map[lovagestand.RouteName]*routeStats
--- /dev/null
+++ b/shard/summary.go
@@ -0,0 +1,47 @@
+package shard
+
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// summaryInterval spaces the lines that sum up the load.
+const summaryInterval = time.Second
+
+// summarize logs how much of the workers is in use and what waits.
+func (s *Shard) summarize(p *pass) {
+	if p.now.Sub(s.summarized) < summaryInterval {
+		return
+	}
+	s.summarized = p.now
+	var capacity, used, open lovagestand.Resources
+	for i, w := range p.workers {
+		capacity = capacity.Add(w.info.Capacity)
+		used = used.Add(w.info.Capacity.Sub(s.free(w)))
+		if p.planned[i].Open {
+			open = open.Add(w.info.Capacity)
+		}
+	}
+	gangs, gangCores, others, otherCores, unadvised := 0, int64(0), 0, int64(0), 0
+	for _, st := range p.steps {
+		if st.Gang {
+			gangs++
+			gangCores += st.Needs.MilliCPU * int64(st.Tasks)
+		} else {
+			others++
+			otherCores += st.Needs.MilliCPU * int64(st.Tasks)
+		}
+		if st.Advised && st.Candidates == nil {
+			unadvised++
+		}
+	}
+	backlog := time.Duration(0)
+	for _, l := range s.lines {
+		backlog += max(0, l.busyUntil.Sub(p.now))
+	}
+	s.log.Info().Int("live", len(s.live)).Int64("milliCPU", capacity.MilliCPU).Int64("openMilliCPU", open.MilliCPU).
+		Int64("usedMilliCPU", used.MilliCPU).Int64("usedMemoryMiB", used.MemoryMiB).Int64("memoryMiB", capacity.MemoryMiB).
+		Int("gangsWaiting", gangs).Int64("gangMilliCPU", gangCores).Int("stepsWaiting", others).Int64("stepMilliCPU", otherCores).
+		Int("unadvised", unadvised).Dur("adviceBacklog", backlog).Msg("load")
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -47,6 +47,7 @@
 	contacted   bool
 	silent      bool
 	lastAnswer  time.Time
+	askedAt     time.Time // when the last hold that was answered was sent
 	clock       int64
 	clockAt     time.Time
 	leaseEnd    time.Time
@@ -231,6 +232,22 @@
 	}
 }
 
+// look asks a worker at once what it holds, because a start was left in doubt.
+func (s *Shard) look(w *worker) {
+	s.mu.Lock()
+	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
+	s.mu.Unlock()
+	begun := time.Now()
+	limited, cancel := context.WithTimeout(s.ctx, holdTimeout)
+	holding, err := s.deps.Fleet.Hold(limited, w.info, request)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && s.ctx.Err() == nil {
+		s.held(w, begun, holding)
+	}
+}
+
 // holdRequest returns the next hold, and whether ends are seen that may not be
 // acknowledged yet.
 func (s *Shard) holdRequest(w *worker) (lovagestand.HoldRequest, bool) {
@@ -353,6 +370,12 @@
 
 // held takes what a worker answered to a hold that was sent at begun.
 func (s *Shard) held(w *worker, begun time.Time, h lovagestand.Holding) {
+	if begun.Before(w.askedAt) {
+		// A later hold was answered first; what this one tells may be outdated.
+		w.lastAnswer = laterOf(w.lastAnswer, begun)
+		return
+	}
+	w.askedAt = begun
 	if h.Born != 0 && w.info.Born != 0 && h.Born != w.info.Born {
 		s.reborn(w, h.Born)
 	}
--- a/shard/write.go
+++ b/shard/write.go
@@ -15,7 +15,7 @@
 const (
 	// groupWindow is the least time between two writes, so that one write
 	// carries what many callers and workers said.
-	groupWindow = 12 * time.Millisecond
+	groupWindow = 25 * time.Millisecond
 	// stallAfter is how long a write may take before new jobs are rejected
 	// rather than queued behind it.
 	stallAfter = 600 * time.Millisecond
