Planning bounded and cheap enough for 350 workers; the owner is an instance with many processors

Cause: a pass looked at every waiting step with fresh maps for each; at 350 workers a pass took longer than its events, its share of time was capped, and work piled up.

--- a/commands/node.go
+++ b/commands/node.go
@@ -23,10 +23,10 @@
 	settingsVariable = "LOVAGESTAND_SETTINGS"
 	// memoryShare is the part of the allowed memory at which the collector
 	// works harder.
-	memoryShare = 0.5
+	memoryShare = 0.4
 	// nodeGCPercent trades memory for the collector's time: instances use a
 	// small part of what they have.
-	nodeGCPercent = 300
+	nodeGCPercent = 200
 )
 
 func newNode() *cobra.Command {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -18,8 +18,6 @@
 	Open bool
 	// Slowness is how many times as long as usual tasks run here.
 	Slowness float64
-	// Releases are when running tasks are expected to end, soonest first.
-	Releases []Release
 
 	// reservedUntil is when a gang is to start here; shorter tasks may run
 	// until then.
@@ -56,8 +54,11 @@
 	// known to be allowed, nil before the first advice.
 	Advised    bool
 	Candidates []Candidate
-	// Asked are the workers of which the policy's answer is known.
-	Asked map[int]bool
+	// Asked reports whether the policy's answer for a worker is known; nil for
+	// none.
+	Asked func(worker int) bool
+	// Seed spreads the workers that different steps ask about.
+	Seed uint64
 	// Asking says that a call for advice is under way.
 	Asking bool
 	// AskAhead is how long before a reserved start tickets are renewed, so
@@ -79,13 +80,18 @@
 }
 
 const (
-	// maxReservations bounds how many gangs that do not fit reserve workers.
-	maxReservations = 4
+	// minReservations and workersPerReservation bound how many gangs that do
+	// not fit reserve workers.
+	minReservations       = 4
+	workersPerReservation = 12
 	// reservationHorizon is how far ahead a reservation may lie.
 	reservationHorizon = 10 * time.Second
 	// maxAsk and minAsk bound how many workers one call for advice names.
 	maxAsk = 96
 	minAsk = 48
+	// spreadFactor mixes seeds and workers: an odd number near the golden
+	// ratio of 64 bits.
+	spreadFactor = 0x9e3779b97f4a7c15
 	// askPerTask is how many workers are named for each task.
 	askPerTask = 5
 	// slownessCost is how much packing a slow worker must save.
@@ -96,33 +102,63 @@
 	avoidCost = 4
 )
 
+// Load is what one pass decides about.
+type Load struct {
+	Now     time.Time
+	Workers []Worker
+	// Releases returns when running tasks of a worker are expected to end,
+	// soonest first; nil for never.
+	Releases func(worker int) []Release
+	Steps    []Step
+	// Asks bounds the calls for advice that the pass decides on.
+	Asks int
+}
+
 // planner works through the steps of one pass.
 type planner struct {
-	now          time.Time
-	workers      []Worker
+	Load
+	releases     [][]Release
 	reservations int
 	decisions    []Decision
 }
 
 // Plan decides for all steps, best score first. It changes the free resources
 // of workers to what is left.
-func Plan(now time.Time, workers []Worker, steps []Step) []Decision {
-	p := &planner{now: now, workers: workers}
-	order := make([]int, len(steps))
+func Plan(l Load) []Decision {
+	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
+	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
+	order := make([]int, len(l.Steps))
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(steps[b].Score, steps[a].Score) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(l.Steps[b].Score, l.Steps[a].Score) })
 	for _, i := range order {
-		p.decide(i, &steps[i])
+		p.decide(i, &l.Steps[i])
 	}
 	return p.decisions
 }
 
+// releasesOf returns the expected ends on a worker.
+func (p *planner) releasesOf(worker int) []Release {
+	if p.releases[worker] == nil && p.Releases != nil {
+		p.releases[worker] = p.Releases(worker)
+	}
+	return p.releases[worker]
+}
+
+// ask decides on a call for advice, if one is left in this pass.
+func (p *planner) ask(index int, workers []int) {
+	if p.Asks <= 0 || len(workers) == 0 {
+		return
+	}
+	p.Asks--
+	p.decisions = append(p.decisions, Decision{Step: index, Ask: workers})
+}
+
 func (p *planner) decide(index int, s *Step) {
 	if s.Advised && s.Candidates == nil {
-		if ask := p.toAsk(s); !s.Asking && len(ask) > 0 {
-			p.decisions = append(p.decisions, Decision{Step: index, Ask: ask})
+		if !s.Asking && p.Asks > 0 {
+			p.ask(index, p.toAsk(s))
 		}
 		return
 	}
@@ -145,7 +181,7 @@
 
 // askAhead renews the tickets for workers on which a gang is about to start.
 func (p *planner) askAhead(index int, s *Step, workers []int, start time.Time) {
-	if s.Asking || len(workers) == 0 || start.Sub(p.now) > s.AskAhead {
+	if s.Asking || len(workers) == 0 || start.Sub(p.Now) > s.AskAhead {
 		return
 	}
 	for _, c := range s.Candidates {
@@ -153,14 +189,14 @@
 			return
 		}
 	}
-	p.decisions = append(p.decisions, Decision{Step: index, Ask: p.allCandidates(s)})
+	p.ask(index, p.allCandidates(s))
 }
 
 // allCandidates returns the open workers that are known to be allowed.
 func (p *planner) allCandidates(s *Step) []int {
 	var workers []int
 	for _, c := range s.Candidates {
-		if p.workers[c.Worker].Open && len(workers) < maxAsk {
+		if p.Workers[c.Worker].Open && len(workers) < maxAsk {
 			workers = append(workers, c.Worker)
 		}
 	}
@@ -177,8 +213,7 @@
 	wanted := p.choose(&rest, false)
 	if s.Gang && len(wanted) < s.Tasks || len(wanted) == 0 {
 		p.giveBack(s, wanted)
-		if more := p.toAsk(s); !s.Asking && len(more) > 0 && (p.hopeless(s) || p.roomAmong(s, more)) {
-			p.decisions = append(p.decisions, Decision{Step: index, Ask: more})
+		if p.askMore(index, s) {
 			return
 		}
 		workers, start := p.reserve(s)
@@ -187,8 +222,22 @@
 	}
 	if !s.Asking {
 		slices.Sort(wanted)
-		p.decisions = append(p.decisions, Decision{Step: index, Ask: p.withRoom(s, slices.Compact(wanted))})
+		p.ask(index, p.withRoom(s, slices.Compact(wanted)))
+	}
+}
+
+// askMore asks about workers of which the policy's answer is not known, where
+// those allowed cannot hold the step or others could hold it now.
+func (p *planner) askMore(index int, s *Step) bool {
+	if s.Asking || p.Asks <= 0 {
+		return false
+	}
+	more := p.toAsk(s)
+	if len(more) == 0 || !p.hopeless(s) && !p.roomAmong(s, more) {
+		return false
 	}
+	p.ask(index, more)
+	return true
 }
 
 // withRoom adds to the workers asked about the others that have room, since
@@ -210,7 +259,7 @@
 func (p *planner) hopeless(s *Step) bool {
 	room := 0
 	for _, c := range s.Candidates {
-		if w := &p.workers[c.Worker]; w.Open {
+		if w := &p.Workers[c.Worker]; w.Open {
 			room += slotsIn(w.Capacity, s)
 		}
 	}
@@ -225,7 +274,7 @@
 	room := 0
 	for _, i := range workers {
 		if p.allowed(s, i) {
-			room += slotsIn(p.workers[i].Free, s)
+			room += slotsIn(p.Workers[i].Free, s)
 		}
 	}
 	if s.Gang {
@@ -276,7 +325,7 @@
 		}
 		return eligible
 	}
-	for i := range p.workers {
+	for i := range p.Workers {
 		if p.allowed(s, i) {
 			eligible = append(eligible, i)
 		}
@@ -287,14 +336,14 @@
 // allowed reports whether a task of the step may start on a worker now, room
 // aside.
 func (p *planner) allowed(s *Step, worker int) bool {
-	w := &p.workers[worker]
+	w := &p.Workers[worker]
 	if !w.Open || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 		return false
 	}
 	if w.reservedUntil.IsZero() {
 		return true
 	}
-	return !p.now.Add(scale(s.RunTime, w.Slowness)).After(w.reservedUntil)
+	return !p.Now.Add(scale(s.RunTime, w.Slowness)).After(w.reservedUntil)
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
@@ -305,7 +354,7 @@
 func (p *planner) racks(eligible []int) [][]int {
 	byRack := map[lovagestand.RackName][]int{}
 	for _, i := range eligible {
-		byRack[p.workers[i].Rack] = append(byRack[p.workers[i].Rack], i)
+		byRack[p.Workers[i].Rack] = append(byRack[p.Workers[i].Rack], i)
 	}
 	racks := make([][]int, 0, len(byRack))
 	for _, rack := range byRack {
@@ -323,7 +372,7 @@
 	for len(chosen) < s.Tasks {
 		best, bestCost := -1, 0.0
 		for _, i := range eligible {
-			if !s.Needs.Fits(p.workers[i].Free) || s.MaxPerWorker > 0 && s.Placed[i]+count[i] >= s.MaxPerWorker {
+			if !s.Needs.Fits(p.Workers[i].Free) || s.MaxPerWorker > 0 && s.Placed[i]+count[i] >= s.MaxPerWorker {
 				continue
 			}
 			if cost := p.cost(s, i); best < 0 || cost < bestCost {
@@ -335,14 +384,14 @@
 		}
 		chosen = append(chosen, best)
 		count[best]++
-		p.workers[best].Free = p.workers[best].Free.Sub(s.Needs)
+		p.Workers[best].Free = p.Workers[best].Free.Sub(s.Needs)
 	}
 	return chosen
 }
 
 // cost ranks workers with room: fullest first, fast ones before slow ones.
 func (p *planner) cost(s *Step, worker int) float64 {
-	w := &p.workers[worker]
+	w := &p.Workers[worker]
 	left := w.Free.Sub(s.Needs)
 	cost := float64(left.MilliCPU)/float64(max(1, w.Capacity.MilliCPU)) + slownessCost*(max(w.Slowness, 1)-1)
 	if s.Affinity != "" && w.Rack == s.Affinity {
@@ -356,12 +405,12 @@
 
 func (p *planner) giveBack(s *Step, chosen []int) {
 	for _, i := range chosen {
-		p.workers[i].Free = p.workers[i].Free.Add(s.Needs)
+		p.Workers[i].Free = p.Workers[i].Free.Add(s.Needs)
 	}
 }
 
 func (p *planner) fits(s *Step, worker int) bool {
-	return p.allowed(s, worker) && s.Needs.Fits(p.workers[worker].Free)
+	return p.allowed(s, worker) && s.Needs.Fits(p.Workers[worker].Free)
 }
 
 // toAsk names the workers that are likely to have room soonest.
@@ -369,20 +418,23 @@
 	type ranked struct {
 		worker int
 		at     time.Time
+		spread uint64
 	}
 	var ranking []ranked
-	for i := range p.workers {
-		w := &p.workers[i]
-		if !w.Open || s.Asked[i] || s.Label != "" && !slices.Contains(w.Labels, s.Label) || !s.Needs.Fits(w.Capacity) {
+	for i := range p.Workers {
+		w := &p.Workers[i]
+		if !w.Open || s.Asked != nil && s.Asked(i) || s.Label != "" && !slices.Contains(w.Labels, s.Label) || !s.Needs.Fits(w.Capacity) {
 			continue
 		}
 		times := p.slots(s, i, 1)
 		if len(times) == 0 {
 			continue
 		}
-		ranking = append(ranking, ranked{worker: i, at: times[0]})
+		ranking = append(ranking, ranked{worker: i, at: times[0], spread: (s.Seed + uint64(i)) * spreadFactor})
 	}
-	slices.SortStableFunc(ranking, func(a, b ranked) int { return a.at.Compare(b.at) })
+	slices.SortFunc(ranking, func(a, b ranked) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spread, b.spread))
+	})
 	n := min(len(ranking), max(minAsk, min(maxAsk, askPerTask*s.Tasks)))
 	workers := make([]int, n)
 	for i := range workers {
@@ -394,22 +446,23 @@
 // slots returns when a worker has room for one, two and more tasks of a step,
 // as far as the expected ends tell.
 func (p *planner) slots(s *Step, worker, most int) []time.Time {
-	w := &p.workers[worker]
+	w := &p.Workers[worker]
 	free := w.Free
 	var times []time.Time
-	at := p.now
+	at := p.Now
 	next := 0
 	for len(times) < most {
 		if s.MaxPerWorker > 0 && s.Placed[worker]+len(times) >= s.MaxPerWorker {
 			return times
 		}
 		for !s.Needs.Fits(free) {
-			if next == len(w.Releases) {
+			releases := p.releasesOf(worker)
+			if next == len(releases) {
 				return times
 			}
-			free = free.Add(w.Releases[next].Frees)
-			if w.Releases[next].At.After(at) {
-				at = w.Releases[next].At
+			free = free.Add(releases[next].Frees)
+			if releases[next].At.After(at) {
+				at = releases[next].At
 			}
 			next++
 		}
@@ -422,7 +475,7 @@
 // reserve marks the workers on which a gang that does not fit now fits first,
 // and returns them with the expected start; none if it reserves nothing.
 func (p *planner) reserve(s *Step) ([]int, time.Time) {
-	if !s.Gang || p.reservations >= maxReservations {
+	if !s.Gang || p.reservations <= 0 {
 		return nil, time.Time{}
 	}
 	type slot struct {
@@ -440,13 +493,13 @@
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
 	start := slots[s.Tasks-1].at
-	if start.Sub(p.now) > reservationHorizon {
+	if start.Sub(p.Now) > reservationHorizon {
 		return nil, time.Time{}
 	}
-	p.reservations++
+	p.reservations--
 	var workers []int
 	for _, slot := range slots[:s.Tasks] {
-		p.workers[slot.worker].reservedUntil = start
+		p.Workers[slot.worker].reservedUntil = start
 		workers = append(workers, slot.worker)
 	}
 	return workers, start
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,11 @@
 
 var now = time.UnixMilli(1_700_000_000_000)
 
+// plan runs a pass without expected ends.
+func plan(workers []dispatch.Worker, steps []dispatch.Step) []dispatch.Decision {
+	return dispatch.Plan(dispatch.Load{Now: now, Workers: workers, Steps: steps, Asks: 100})
+}
+
 func cores(n int64) lovagestand.Resources {
 	return lovagestand.Resources{MilliCPU: n * 1000, MemoryMiB: n * 100}
 }
@@ -60,10 +66,10 @@
 	c := qt.New(t)
 	workers := empty(2)
 	steps := []dispatch.Step{{Tasks: 7, Needs: cores(9), Gang: true, RunTime: time.Second}}
-	c.Assert(placed(dispatch.Plan(now, workers, steps), 0), qt.HasLen, 0)
+	c.Assert(placed(plan(workers, steps), 0), qt.HasLen, 0)
 	c.Assert(workers[0].Free, qt.Equals, cores(32))
 	steps[0].Tasks = 6
-	c.Assert(placed(dispatch.Plan(now, workers, steps), 0), qt.HasLen, 6)
+	c.Assert(placed(plan(workers, steps), 0), qt.HasLen, 6)
 }
 
 func TestHigherScoreGoesFirst(t *testing.T) {
@@ -72,75 +78,81 @@
 		{Tasks: 3, Needs: cores(10), Score: 1},
 		{Tasks: 3, Needs: cores(10), Score: 2},
 	}
-	decisions := dispatch.Plan(now, empty(1), steps)
+	decisions := plan(empty(1), steps)
 	c.Assert(placed(decisions, 0), qt.HasLen, 0)
 	c.Assert(placed(decisions, 1), qt.HasLen, 3)
 }
 
 func TestWaitingGangReservesWorkers(t *testing.T) {
 	c := qt.New(t)
-	busy := func() []dispatch.Worker {
+	busy := func(steps []dispatch.Step) []dispatch.Decision {
 		workers := empty(1)
 		workers[0].Free = cores(16)
-		workers[0].Releases = []dispatch.Release{{At: now.Add(2 * time.Second), Frees: cores(16)}}
-		return workers
+		return dispatch.Plan(dispatch.Load{
+			Now: now, Workers: workers, Steps: steps,
+			Releases: func(int) []dispatch.Release {
+				return []dispatch.Release{{At: now.Add(2 * time.Second), Frees: cores(16)}}
+			},
+		})
 	}
 	gang := dispatch.Step{Tasks: 3, Needs: cores(10), Gang: true, Score: 2, RunTime: time.Second}
 	c.Run("longer tasks wait for the gang", func(c *qt.C) {
 		steps := []dispatch.Step{gang, {Tasks: 1, Needs: cores(2), Score: 1, RunTime: 5 * time.Second}}
-		c.Assert(placed(dispatch.Plan(now, busy(), steps), 1), qt.HasLen, 0)
+		c.Assert(placed(busy(steps), 1), qt.HasLen, 0)
 	})
 	c.Run("shorter tasks fill the gap", func(c *qt.C) {
 		steps := []dispatch.Step{gang, {Tasks: 1, Needs: cores(2), Score: 1, RunTime: time.Second}}
-		c.Assert(placed(dispatch.Plan(now, busy(), steps), 1), qt.HasLen, 1)
+		c.Assert(placed(busy(steps), 1), qt.HasLen, 1)
 	})
 }
 
 func TestAdvice(t *testing.T) {
 	c := qt.New(t)
 	c.Run("is asked for before the first start", func(c *qt.C) {
-		decisions := dispatch.Plan(now, empty(4), []dispatch.Step{{Tasks: 1, Needs: cores(1), Advised: true}})
+		decisions := plan(empty(4), []dispatch.Step{{Tasks: 1, Needs: cores(1), Advised: true}})
 		c.Assert(asked(decisions, 0), qt.HasLen, 4)
 		c.Assert(placed(decisions, 0), qt.HasLen, 0)
 	})
 	c.Run("is not asked for twice at once", func(c *qt.C) {
-		decisions := dispatch.Plan(now, empty(4), []dispatch.Step{{Tasks: 1, Needs: cores(1), Advised: true, Asking: true}})
+		decisions := plan(empty(4), []dispatch.Step{{Tasks: 1, Needs: cores(1), Advised: true, Asking: true}})
 		c.Assert(decisions, qt.HasLen, 0)
 	})
 	c.Run("limits where tasks start", func(c *qt.C) {
 		steps := []dispatch.Step{{Tasks: 2, Needs: cores(1), Advised: true, Candidates: permitted(2)}}
-		c.Assert(placed(dispatch.Plan(now, empty(4), steps), 0), qt.DeepEquals, []int{2, 2})
+		c.Assert(placed(plan(empty(4), steps), 0), qt.DeepEquals, []int{2, 2})
 	})
 	c.Run("is renewed when tickets have expired", func(c *qt.C) {
 		steps := []dispatch.Step{
 			{Tasks: 1, Needs: cores(32), Score: 2, Advised: true, Candidates: []dispatch.Candidate{{Worker: 0}}},
 			{Tasks: 1, Needs: cores(1), Score: 1},
 		}
-		decisions := dispatch.Plan(now, empty(1), steps)
+		decisions := plan(empty(1), steps)
 		c.Assert(asked(decisions, 0), qt.DeepEquals, []int{0})
 		c.Assert(placed(decisions, 1), qt.HasLen, 0, qt.Commentf("the room is kept for the step"))
 	})
 	c.Run("is asked about more workers when those allowed can never hold the step", func(c *qt.C) {
 		steps := []dispatch.Step{{
-			Tasks: 4, Needs: cores(10), Gang: true, Advised: true, Candidates: permitted(0), Asked: map[int]bool{0: true},
+			Tasks: 4, Needs: cores(10), Gang: true, Advised: true, Candidates: permitted(0), Asked: func(worker int) bool { return worker == 0 },
 		}}
-		c.Assert(asked(dispatch.Plan(now, empty(3), steps), 0), qt.DeepEquals, []int{1, 2})
+		workers := asked(plan(empty(3), steps), 0)
+		slices.Sort(workers)
+		c.Assert(workers, qt.DeepEquals, []int{1, 2})
 	})
 }
 
 func TestMaxPerWorker(t *testing.T) {
 	c := qt.New(t)
 	steps := []dispatch.Step{{Tasks: 5, Needs: cores(1), MaxPerWorker: 2, Placed: map[int]int{0: 1}}}
-	c.Assert(placed(dispatch.Plan(now, empty(2), steps), 0), qt.HasLen, 3)
+	c.Assert(placed(plan(empty(2), steps), 0), qt.HasLen, 3)
 }
 
 func TestLabelAndAvoid(t *testing.T) {
 	c := qt.New(t)
 	workers := empty(3)
 	workers[1].Labels = []string{"b"}
-	c.Assert(placed(dispatch.Plan(now, workers, []dispatch.Step{{Tasks: 1, Needs: cores(1), Label: "b"}}), 0), qt.DeepEquals, []int{1})
+	c.Assert(placed(plan(workers, []dispatch.Step{{Tasks: 1, Needs: cores(1), Label: "b"}}), 0), qt.DeepEquals, []int{1})
 	steps := []dispatch.Step{{Tasks: 1, Needs: cores(1), Avoid: map[int]bool{0: true, 1: true}}}
-	c.Assert(placed(dispatch.Plan(now, empty(3), steps), 0), qt.DeepEquals, []int{2})
+	c.Assert(placed(plan(empty(3), steps), 0), qt.DeepEquals, []int{2})
 }
 
 // TestPlanKeepsToCapacity checks all decisions for random loads against a
@@ -151,7 +163,6 @@
 		for i := range workers {
 			workers[i].Free = cores(rapid.Int64Range(0, 32).Draw(t, "free"))
 			workers[i].Open = rapid.IntRange(0, 4).Draw(t, "open") > 0
-			workers[i].Releases = []dispatch.Release{{At: now.Add(time.Second), Frees: cores(32).Sub(workers[i].Free)}}
 		}
 		before := append([]dispatch.Worker(nil), workers...)
 		var steps []dispatch.Step
@@ -160,7 +171,10 @@
 		}
 		taken := make([]lovagestand.Resources, len(workers))
 		starts := make([]int, len(steps))
-		for _, d := range dispatch.Plan(now, workers, steps) {
+		load := dispatch.Load{Now: now, Workers: workers, Steps: steps, Asks: 100, Releases: func(i int) []dispatch.Release {
+			return []dispatch.Release{{At: now.Add(time.Second), Frees: cores(32).Sub(before[i].Free)}}
+		}}
+		for _, d := range dispatch.Plan(load) {
 			starts[d.Step] += len(d.Workers)
 			for _, w := range d.Workers {
 				taken[w] = taken[w].Add(steps[d.Step].Needs)
@@ -237,7 +251,7 @@
 				for i := range 20 {
 					steps = append(steps, dispatch.Step{Tasks: 5, Needs: cores(2), Score: float64(i)})
 				}
-				dispatch.Plan(now, workers, steps)
+				plan(workers, steps)
 			}
 		})
 	}
--- a/election/candidate.go
+++ b/election/candidate.go
@@ -27,6 +27,9 @@
 	maxHandicap = 200 * time.Millisecond
 	// handicapFactor times the store's round trip is that wait.
 	handicapFactor = 4
+	// weakHandicap is how much longer an instance waits that has fewer
+	// processors than another.
+	weakHandicap = 300 * time.Millisecond
 )
 
 // Candidate contends for one shard and holds it while it can.
@@ -121,15 +124,22 @@
 	return former, ok && now == former
 }
 
-// handicap measures how far the store is.
+// handicap is how long to let others go first: by how far the store is, and by
+// whether others have more processors.
 func (c *Candidate) handicap(ctx context.Context) time.Duration {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	wait := time.Duration(0)
+	for _, m := range c.Directory.Members() {
+		if m.Processors > c.Self.Processors {
+			wait = weakHandicap
+		}
+	}
 	begun := time.Now()
 	if _, err := c.Keys.Item(limited, OwnerKey(c.Shard)); err != nil {
-		return maxHandicap
+		return wait + maxHandicap
 	}
-	return min(maxHandicap, handicapFactor*time.Since(begun))
+	return wait + min(maxHandicap, handicapFactor*time.Since(begun))
 }
 
 // win takes the shard if its ownership key still has the former revision.
--- a/member.go
+++ b/member.go
@@ -10,6 +10,8 @@
 	Region        RegionName    `json:"region"`
 	FailureDomain FailureDomain `json:"failureDomain"`
 	Leaving       bool          `json:"leaving,omitempty"`
+	// Processors is how many cores the instance may use.
+	Processors float64 `json:"processors,omitempty"`
 }
 
 // WithLeaving returns a copy of i that is or is not leaving.
--- a/node/node.go
+++ b/node/node.go
@@ -76,6 +76,7 @@
 func New(s settings.Node, deps Deps) *Node {
 	self := lovagestand.Instance{
 		ID: s.Instance, Address: net.JoinHostPort(s.Host, strconv.Itoa(s.Ports[0])), Region: s.Region, FailureDomain: s.FailureDomain,
+		Processors: s.Processors,
 	}
 	n := &Node{
 		settings: s, deps: deps, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
--- a/settings/node.go
+++ b/settings/node.go
@@ -25,6 +25,8 @@
 	// Store and Advice are the platform's services; Advice may be empty.
 	Store  string `yaml:"store"`
 	Advice string `yaml:"advice"`
+	// Processors is how many cores the process may use.
+	Processors float64 `yaml:"processors"`
 	// MemoryMiB is how much memory the process may use.
 	MemoryMiB int64 `yaml:"memoryMiB"`
 	// Heartbeat is how often workers write their entries.
@@ -84,6 +86,9 @@
 	if len(n.Ports) == 0 || n.Ports[0] <= 0 || n.Ports[0] > 65535 {
 		add("ports", "has no port", "give the first port on which instances reach each other")
 	}
+	if n.Processors <= 0 {
+		add("processors", "must be more than 0", "")
+	}
 	if n.MemoryMiB <= 0 {
 		add("memoryMiB", "must be more than 0", "")
 	}
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -21,6 +21,7 @@
 ports: [7720, 7735]
 store: "10.200.1.7:8169"
 advice: ""
+processors: 0.4
 memoryMiB: 284
 heartbeat: 1500ms
 grace: 6s
@@ -41,6 +42,7 @@
 		"a name as address":  {`"10.1.0.13:8161"`, `"callers:80"`},
 		"a unit left out":    {`6s`, `6`},
 		"an unknown key":     {`grace`, `grase`},
+		"no processors":      {`0.4`, `0`},
 		"no memory":          {`284`, `0`},
 		"a missing instance": {`"edge-1"`, `""`},
 	} {
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// asksPerLine is how many calls one pass books on a free line at most.
+	asksPerLine = 3
 	// maxLineBacklog is how far ahead a line may be booked.
 	maxLineBacklog = 1500 * time.Millisecond
 	// longCall is a call that must not stand in the way of short ones.
@@ -32,7 +34,7 @@
 }
 
 // ask asks for advice about workers for a step, if a line is free enough.
-func (s *Shard) ask(p *pass, r stepRef, indexes []int) {
+func (s *Shard) ask(p *pass, r waitingStep, indexes []int) {
 	policy := r.entry.progress.Job().Policy.Advice
 	cost := policy.Cost(len(indexes)) + adviceCallCost
 	chosen, state := s.pickLine(p.now, cost)
@@ -53,6 +55,18 @@
 	go s.advise(chosen, state, r, step, names, timeout)
 }
 
+// freeAsks returns how many calls the lines can take now.
+func (s *Shard) freeAsks(now time.Time) int {
+	n := 0
+	for _, l := range s.deps.Lines() {
+		state := s.lines[l.Instance]
+		if state == nil || !state.closedUntil.After(now) && state.busyUntil.Sub(now) < maxLineBacklog {
+			n += asksPerLine
+		}
+	}
+	return n
+}
+
 // pickLine returns the line that answers a call of a cost first; nil when all
 // are booked.
 func (s *Shard) pickLine(now time.Time, cost time.Duration) (Line, *line) {
@@ -103,7 +117,7 @@
 	return sorted
 }
 
-func (s *Shard) advise(l Line, state *line, r stepRef, step string, names []lovagestand.WorkerName, timeout time.Duration) {
+func (s *Shard) advise(l Line, state *line, r waitingStep, step string, names []lovagestand.WorkerName, timeout time.Duration) {
 	limited, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	advice, err := l.Ask(limited, step, names)
@@ -123,14 +137,18 @@
 	}
 	st.advised = true
 	for _, name := range names {
-		st.asked[name] = true
+		if w := s.workers[name]; w != nil {
+			st.asked[w] = true
+		}
 	}
 	validity := advice.Validity
 	if validity <= 0 {
 		validity = r.entry.progress.Job().Policy.Advice.Validity
 	}
 	for _, t := range advice.Tickets {
-		st.tickets[t.Worker] = ticket{value: t.Value, until: now.Add(validity)}
+		if w := s.workers[t.Worker]; w != nil {
+			st.tickets[w] = ticket{value: t.Value, until: now.Add(validity)}
+		}
 	}
 	s.log.Info().Str("step", step).Str("by", string(l.Instance)).Int("asked", len(names)).Int("allowed", len(advice.Tickets)).Msg("advice")
 	s.wake()
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -7,11 +7,18 @@
 	"lovagestand.example/lovagestand/job"
 )
 
+// take has a placement hold room on its worker.
+func (s *Shard) take(p *placement) {
+	p.worker.placements[p.name] = p
+	p.worker.free = p.worker.free.Sub(p.needs)
+}
+
 // release gives the room of a placement back.
 func (s *Shard) release(p *placement) {
 	e := p.entry
 	if p.worker.placements[p.name] == p {
 		delete(p.worker.placements, p.name)
+		p.worker.free = p.worker.free.Add(p.needs)
 		e.unhold(p.name)
 	}
 	if e.active[p.name] == p {
@@ -62,6 +69,9 @@
 	}
 	delete(w.strays, end.Task)
 	e := s.jobs[id]
+	if e != nil {
+		e.stale = true
+	}
 	s.log.Info().Str("task", end.Task).Int64("run", end.Run).Str("worker", string(w.info.Name)).Str("how", string(end.Ending)).Int64("number", end.Number).Msg("task ended")
 	if !ok || e == nil || e.progress == nil {
 		return
--- a/shard/order.go
+++ b/shard/order.go
@@ -35,7 +35,7 @@
 		entry: e, task: task, name: name, run: run, needs: j.Steps[task.Step].Needs, worker: w,
 		begun: now, expect: expect, sending: true, saved: e.progress.Checkpoint(task), savedAt: now,
 	}
-	w.placements[name] = p
+	s.take(p)
 	e.held[name]++
 	e.active[name] = p
 	e.step(job.StepRef{Occurrence: task.Occurrence, Step: task.Step}).placed[w.info.Name]++
@@ -46,7 +46,7 @@
 		Epoch: s.term.Epoch, Checkpoint: p.saved, Ticket: t.value,
 	}
 	s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
-		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", s.free(w).MilliCPU).Msg("task placed")
+		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Msg("task placed")
 	go s.start(p, order)
 }
 
@@ -99,7 +99,7 @@
 	case lovagestand.RefusalTicket:
 		if p.entry.steps != nil {
 			st := p.entry.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step})
-			st.tickets[p.worker.info.Name] = ticket{}
+			st.tickets[p.worker] = ticket{}
 		}
 	default:
 		p.worker.until = laterOf(p.worker.until, now.Add(refusedFor))
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -6,7 +6,8 @@
 	"slices"
 	"time"
 
-	"lovagestand.example/lovagestand"
+	"github.com/cespare/xxhash/v2"
+
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
@@ -20,7 +21,9 @@
 	idleInterval = 200 * time.Millisecond
 	// planShare bounds the share of time that passes take: a pass that took
 	// long is followed by a longer pause.
-	planShare = 8
+	planShare = 2
+	// maxSteps bounds the steps that one pass looks at, best score first.
+	maxSteps = 250
 	// ticketMargin is how long before its end a ticket is no longer used: an
 	// order must arrive in time.
 	ticketMargin = 150 * time.Millisecond
@@ -55,73 +58,78 @@
 type pass struct {
 	now     time.Time
 	workers []*worker
-	index   map[*worker]int
 	planned []dispatch.Worker
+	waiting []waitingStep
 	steps   []dispatch.Step
-	refs    []stepRef
 }
 
-type stepRef struct {
+// waitingStep is a step with tasks that may start.
+type waitingStep struct {
 	entry *entry
 	ref   job.StepRef
+	tasks int
+	score float64
 }
 
 func (s *Shard) plan() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.newPass(time.Now())
+	p := &pass{now: time.Now()}
 	for _, e := range s.live {
 		if e.durable && (!e.recovered || s.resolved) {
-			s.addSteps(p, e)
+			s.collect(p, e)
 		}
 	}
+	s.addWorkers(p)
 	s.summarize(p)
-	if len(p.steps) == 0 {
+	if len(p.waiting) == 0 {
 		return
 	}
-	for _, d := range dispatch.Plan(p.now, p.planned, p.steps) {
-		r := p.refs[d.Step]
+	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
+	})
+	p.waiting = p.waiting[:min(len(p.waiting), maxSteps)]
+	for _, w := range p.waiting {
+		p.steps = append(p.steps, s.plannedStep(p, w))
+	}
+	load := dispatch.Load{Now: p.now, Workers: p.planned, Steps: p.steps, Asks: s.freeAsks(p.now), Releases: func(i int) []dispatch.Release {
+		return p.workers[i].releases(p.now)
+	}}
+	for _, d := range dispatch.Plan(load) {
+		w := p.waiting[d.Step]
 		if len(d.Workers) > 0 {
-			s.placeAll(p, r, d.Workers)
+			s.placeAll(p, w, d.Workers)
 		}
 		if len(d.Ask) > 0 {
-			s.ask(p, r, d.Ask)
+			s.ask(p, w, d.Ask)
 		}
 	}
 }
 
-func (s *Shard) newPass(now time.Time) *pass {
-	p := &pass{now: now, index: make(map[*worker]int, len(s.workers))}
+// addWorkers lists the workers in a fixed order.
+func (s *Shard) addWorkers(p *pass) {
 	for _, w := range s.workers {
 		p.workers = append(p.workers, w)
 	}
 	slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.info.Name, b.info.Name) })
+	p.planned = make([]dispatch.Worker, len(p.workers))
 	for i, w := range p.workers {
-		p.index[w] = i
-		p.planned = append(p.planned, s.planned(w, now))
-	}
-	return p
-}
-
-// free returns the room that is left on a worker.
-func (s *Shard) free(w *worker) lovagestand.Resources {
-	free := w.info.Capacity
-	for _, p := range w.placements {
-		free = free.Sub(p.needs)
+		w.index = i
+		p.planned[i] = dispatch.Worker{
+			Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
+			Open: w.open(p.now), Slowness: w.slowness,
+		}
 	}
-	return free
 }
 
-func (s *Shard) planned(w *worker, now time.Time) dispatch.Worker {
-	out := dispatch.Worker{
-		Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: s.free(w),
-		Open: w.open(now), Slowness: w.slowness,
-	}
+// releases returns when the worker's runs are expected to end, soonest first.
+func (w *worker) releases(now time.Time) []dispatch.Release {
+	releases := make([]dispatch.Release, 0, len(w.placements))
 	for _, p := range w.placements {
-		out.Releases = append(out.Releases, dispatch.Release{At: p.expectedEnd(now), Frees: p.needs})
+		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Frees: p.needs})
 	}
-	slices.SortFunc(out.Releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
-	return out
+	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
+	return releases
 }
 
 // expectedEnd guesses when a run ends; one that is overdue is guessed to need
@@ -137,75 +145,58 @@
 	return now.Add(now.Sub(p.begun) / 4)
 }
 
-func (s *Shard) addSteps(p *pass, e *entry) {
-	refs, due := e.progress.Startable(p.now)
-	e.nextDue = due
-	if len(refs) == 0 {
-		return
-	}
+// collect lists the steps of a job that have tasks to start.
+func (s *Shard) collect(p *pass, e *entry) {
+	refs, _ := e.progress.Startable(p.now)
 	j := e.progress.Job()
 	for _, ref := range refs {
 		step := j.Steps[ref.Step]
-		waiting := len(e.startable(ref))
-		if waiting == 0 || step.Gang && waiting < step.Count {
+		tasks := len(e.startable(ref))
+		if tasks == 0 || step.Gang && tasks < step.Count {
 			continue
 		}
-		p.steps = append(p.steps, s.plannedStep(p, e, ref, step, waiting))
-		p.refs = append(p.refs, stepRef{entry: e, ref: ref})
+		p.waiting = append(p.waiting, waitingStep{entry: e, ref: ref, tasks: tasks, score: s.score(p.now, e, ref)})
 	}
 }
 
-func (s *Shard) plannedStep(p *pass, e *entry, ref job.StepRef, step job.Step, waiting int) dispatch.Step {
-	st := e.step(ref)
+func (s *Shard) plannedStep(p *pass, w waitingStep) dispatch.Step {
+	e, st := w.entry, w.entry.step(w.ref)
 	j := e.progress.Job()
+	step := j.Steps[w.ref.Step]
 	out := dispatch.Step{
-		Tasks: waiting, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Label: step.Label,
+		Tasks: w.tasks, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, Advised: j.Policy.Advice.Needed(), Asking: st.asking,
 		AskAhead: j.Policy.Advice.Cost(askAheadWorkers) + askAheadMargin,
-		RunTime:  s.runTime(e, step), Score: s.score(p.now, e, ref),
+		RunTime:  s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
 	}
 	if step.MaxPerWorker > 0 {
 		out.Placed = map[int]int{}
-	}
-	for name, n := range st.placed {
-		if i, ok := s.indexOf(p, name); ok && out.Placed != nil {
-			out.Placed[i] = n
+		for name, n := range st.placed {
+			if w := s.workers[name]; w != nil {
+				out.Placed[w.index] = n
+			}
 		}
 	}
 	for name := range st.avoid {
-		if i, ok := s.indexOf(p, name); ok {
+		if w := s.workers[name]; w != nil {
 			if out.Avoid == nil {
 				out.Avoid = map[int]bool{}
 			}
-			out.Avoid[i] = true
+			out.Avoid[w.index] = true
 		}
 	}
 	if out.Advised && st.advised {
 		out.Candidates = s.candidates(p, st)
-		out.Asked = make(map[int]bool, len(st.asked))
-		for name := range st.asked {
-			if i, ok := s.indexOf(p, name); ok {
-				out.Asked[i] = true
-			}
-		}
+		out.Asked = func(i int) bool { return st.asked[p.workers[i]] }
 	}
 	return out
 }
 
-func (s *Shard) indexOf(p *pass, name lovagestand.WorkerName) (int, bool) {
-	w := s.workers[name]
-	if w == nil {
-		return 0, false
-	}
-	i, ok := p.index[w]
-	return i, ok
-}
-
 func (s *Shard) candidates(p *pass, st *stepState) []dispatch.Candidate {
 	candidates := make([]dispatch.Candidate, 0, len(st.tickets))
-	for name, t := range st.tickets {
-		if i, ok := s.indexOf(p, name); ok {
-			candidates = append(candidates, dispatch.Candidate{Worker: i, Permitted: t.until.After(p.now.Add(ticketMargin))})
+	for w, t := range st.tickets {
+		if s.workers[w.info.Name] == w {
+			candidates = append(candidates, dispatch.Candidate{Worker: w.index, Permitted: t.until.After(p.now.Add(ticketMargin))})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
@@ -213,21 +204,23 @@
 }
 
 func (s *Shard) score(now time.Time, e *entry, ref job.StepRef) float64 {
-	runTime := func(step job.Step) time.Duration { return s.runTime(e, step) }
-	core, chain := e.progress.RemainingWork(ref.Occurrence, runTime)
+	if e.stale || e.measured != ref.Occurrence || e.core == 0 {
+		e.core, e.chain = e.progress.RemainingWork(ref.Occurrence, func(step job.Step) time.Duration { return s.runTime(e, step) })
+		e.measured, e.stale = ref.Occurrence, false
+	}
 	j := e.progress.Job()
 	accepted := e.progress.Accepted()
 	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
 		accepted = due
 	}
 	return dispatch.Score(dispatch.Work{
-		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, Chain: chain,
-		Total: e.total, Remaining: core, Mean: s.stats(e.route).core,
+		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, Chain: e.chain,
+		Total: e.total, Remaining: e.core, Mean: s.stats(e.route).core,
 	})
 }
 
 // placeAll starts waiting tasks of a step on the workers chosen for them.
-func (s *Shard) placeAll(p *pass, r stepRef, workers []int) {
+func (s *Shard) placeAll(p *pass, r waitingStep, workers []int) {
 	e := r.entry
 	st := e.step(r.ref)
 	indexes := e.startable(r.ref)
@@ -240,6 +233,6 @@
 			run--
 		}
 		w := p.workers[i]
-		s.place(e, task, run, w, st.tickets[w.info.Name], expect)
+		s.place(e, task, run, w, st.tickets[w], expect)
 	}
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -122,7 +122,12 @@
 	nextDue   time.Time
 	objective time.Duration
 	total     time.Duration
-	active    map[string]*placement
+	// core and chain are the work left in one occurrence; they are worked out
+	// anew when stale.
+	core, chain time.Duration
+	measured    int
+	stale       bool
+	active      map[string]*placement
 	// held counts the runs of a task that workers may hold, also those that
 	// are being stopped: it starts nowhere else before they have ended.
 	held map[string]int
@@ -157,8 +162,8 @@
 	advised bool
 	// asked are the workers of which the policy's answer is known; it does not
 	// change during a step.
-	asked   map[lovagestand.WorkerName]bool
-	tickets map[lovagestand.WorkerName]ticket
+	asked   map[*worker]bool
+	tickets map[*worker]ticket
 	placed  map[lovagestand.WorkerName]int
 	avoid   map[lovagestand.WorkerName]int
 }
@@ -171,7 +176,7 @@
 func (e *entry) step(ref job.StepRef) *stepState {
 	s := e.steps[ref]
 	if s == nil {
-		s = &stepState{asked: map[lovagestand.WorkerName]bool{}, tickets: map[lovagestand.WorkerName]ticket{}, placed: map[lovagestand.WorkerName]int{}, avoid: map[lovagestand.WorkerName]int{}}
+		s = &stepState{asked: map[*worker]bool{}, tickets: map[*worker]ticket{}, placed: map[lovagestand.WorkerName]int{}, avoid: map[lovagestand.WorkerName]int{}}
 		e.steps[ref] = s
 	}
 	return s
--- a/shard/summary.go
+++ b/shard/summary.go
@@ -18,21 +18,23 @@
 	var capacity, used, open lovagestand.Resources
 	for i, w := range p.workers {
 		capacity = capacity.Add(w.info.Capacity)
-		used = used.Add(w.info.Capacity.Sub(s.free(w)))
+		used = used.Add(w.info.Capacity.Sub(w.free))
 		if p.planned[i].Open {
 			open = open.Add(w.info.Capacity)
 		}
 	}
 	gangs, gangCores, others, otherCores, unadvised := 0, int64(0), 0, int64(0), 0
-	for _, st := range p.steps {
-		if st.Gang {
+	for _, w := range p.waiting {
+		j := w.entry.progress.Job()
+		step := j.Steps[w.ref.Step]
+		if step.Gang {
 			gangs++
-			gangCores += st.Needs.MilliCPU * int64(st.Tasks)
+			gangCores += step.Needs.MilliCPU * int64(w.tasks)
 		} else {
 			others++
-			otherCores += st.Needs.MilliCPU * int64(st.Tasks)
+			otherCores += step.Needs.MilliCPU * int64(w.tasks)
 		}
-		if st.Advised && st.Candidates == nil {
+		if j.Policy.Advice.Needed() && !w.entry.step(w.ref).advised {
 			unadvised++
 		}
 	}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -56,6 +56,10 @@
 	acks        chan struct{}
 
 	placements map[string]*placement
+	// free is the capacity less what placements need.
+	free lovagestand.Resources
+	// index is the worker's place in the pass under way.
+	index int
 	// strays are runs here that belong to nothing this term knows; their
 	// needs are not known, so nothing new is placed beside them.
 	strays map[string]int64
@@ -164,6 +168,7 @@
 		s.log.Info().Str("worker", string(info.Name)).Bool("ready", info.Ready).Msg("worker changed state")
 	}
 	born := w.info.Born
+	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	w.info = info
 	if info.Born == 0 {
 		w.info.Born = born
@@ -185,7 +190,7 @@
 func (s *Shard) addWorker(info lovagestand.FleetWorker, now time.Time) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{
-		info: info, cancel: cancel, listed: !now.IsZero(), lastSee: now,
+		info: info, free: info.Capacity, cancel: cancel, listed: !now.IsZero(), lastSee: now,
 		placements: map[string]*placement{}, strays: map[string]int64{}, acks: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
@@ -463,7 +468,7 @@
 		begun: now, settled: now, seen: true, saved: r.Checkpoint, savedAt: now, expect: s.runTime(e, step),
 	}
 	wanted := e.active[r.Task] == nil && e.progress.Adopt(task, r.Run)
-	w.placements[r.Task] = p
+	s.take(p)
 	e.held[r.Task]++
 	if !wanted {
 		s.log.Info().Str("task", r.Task).Int64("run", r.Run).Str("worker", string(w.info.Name)).Msg("unwanted run is stopped")
