--- a/commands/node.go
+++ b/commands/node.go
@@ -13,6 +13,7 @@
 
 	"lovagestand.example/lovagestand/common/logbuffer"
 	"lovagestand.example/lovagestand/common/logfmt"
+	"lovagestand.example/lovagestand/metrics"
 	"lovagestand.example/lovagestand/node"
 	"lovagestand.example/lovagestand/platform"
 	"lovagestand.example/lovagestand/settings"
@@ -56,12 +57,16 @@
 	debug.SetGCPercent(nodeGCPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMiB<<20)))
 	go reportReloads(ctx, path, log)
+	recorder := metrics.NewRecorder()
+	countCall := func(call string) { recorder.Count("storeCalls", call) }
 	deps := node.Deps{
-		Keys:         platform.NewKeyspace(s.Store, platform.NewHTTPClient(), nil),
+		Keys:         platform.NewKeyspace(s.Store, platform.NewHTTPClient(), countCall),
 		Fleet:        platform.NewFleet(platform.NewHTTPClient()),
 		DecodeWorker: platform.DecodeWorker,
 		WorkerPrefix: platform.WorkerPrefix(),
 		Log:          log,
+		Recorder:     recorder,
+		Metrics:      recorder,
 	}
 	if s.Advice != "" {
 		deps.Adviser = platform.NewAdviser(s.Advice, platform.NewHTTPClient())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,15 +39,16 @@
 
 // Gateway is the handler of callers' requests.
 type Gateway struct {
-	routes  *Routes
-	owner   Owner
-	log     zerolog.Logger
-	closing atomic.Bool
+	routes   *Routes
+	owner    Owner
+	log      zerolog.Logger
+	recorder lovagestand.Recorder
+	closing  atomic.Bool
 }
 
 // New returns a gateway.
-func New(routes *Routes, owner Owner, log zerolog.Logger) *Gateway {
-	return &Gateway{routes: routes, owner: owner, log: log}
+func New(routes *Routes, owner Owner, log zerolog.Logger, recorder lovagestand.Recorder) *Gateway {
+	return &Gateway{routes: routes, owner: owner, log: log, recorder: recorder}
 }
 
 // Close asks callers to use other connections from now on.
@@ -58,8 +59,28 @@
 	return g.routes.Loaded() && !g.closing.Load()
 }
 
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements [http.ResponseWriter].
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // ServeHTTP implements [http.Handler].
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	answer := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+	g.serve(answer, r)
+	g.recorder.Count("answers", r.Method+" "+strconv.Itoa(answer.status))
+	g.recorder.Observe("answerTimes", r.Method, time.Since(begun))
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -49,7 +49,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); routes.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return gateway.New(routes, o, zerolog.Nop()), keys
+	return gateway.New(routes, o, zerolog.Nop(), lovagestand.NoRecorder{}), keys
 }
 
 func ask(g *gateway.Gateway, method, path, body string) *httptest.ResponseRecorder {
--- a/metrics/waits.go
+++ b/metrics/waits.go
@@ -59,12 +59,7 @@
 	defer w.mu.Unlock()
 	sums := make(map[lovagestand.Class]Wait)
 	for c, h := range w.byClass {
-		sums[c] = Wait{
-			Count:     h.TotalCount(),
-			P50Millis: millis(h.ValueAtQuantile(quantileHalf)),
-			P99Millis: millis(h.ValueAtQuantile(quantileMost)),
-			MaxMillis: millis(h.Max()),
-		}
+		sums[c] = waitOf(h)
 	}
 	text, err := json.Marshal(sums)
 	if err != nil {
@@ -73,6 +68,15 @@
 	return string(text)
 }
 
+func waitOf(h *hdrhistogram.Histogram) Wait {
+	return Wait{
+		Count:     h.TotalCount(),
+		P50Millis: millis(h.ValueAtQuantile(quantileHalf)),
+		P99Millis: millis(h.ValueAtQuantile(quantileMost)),
+		MaxMillis: millis(h.Max()),
+	}
+}
+
 func millis(micros int64) float64 {
 	return float64(micros) / microsPerMill
 }
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"expvar"
 	"net"
 	"net/http"
 	"strconv"
@@ -56,6 +55,9 @@
 	DecodeWorker func(lovagestand.Item) (lovagestand.FleetWorker, bool)
 	WorkerPrefix string
 	Log          zerolog.Logger
+	Recorder     lovagestand.Recorder
+	// Metrics serves what the recorder has.
+	Metrics http.Handler
 }
 
 // Node is one instance.
@@ -88,7 +90,7 @@
 	owner := &ownerClient{
 		shard: shardName, self: self, directory: n.directory, peers: n.peers, local: n.cell, depose: n.candidate.Depose, log: deps.Log,
 	}
-	n.gateway = gateway.New(n.routes, owner, deps.Log)
+	n.gateway = gateway.New(n.routes, owner, deps.Log, deps.Recorder)
 	return n
 }
 
@@ -147,7 +149,7 @@
 	})
 	inner := chi.NewRouter()
 	inner.Mount(cellpb.CellPathPrefix, cellpb.NewCellServer(n.cell))
-	inner.Get("/debug/vars", expvar.Handler().ServeHTTP)
+	inner.Get("/debug/vars", n.deps.Metrics.ServeHTTP)
 	inner.Get("/debug/state", n.dump)
 	for address, handler := range map[string]http.Handler{
 		n.settings.Callers: n.gateway, n.settings.Ready: ready, n.self.Address: inner,
@@ -201,6 +203,7 @@
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, CheckpointInterval: n.settings.CheckpointInterval,
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term), Lines: n.lines, Confirmed: confirmed, Log: n.deps.Log,
+		Recorder: n.deps.Recorder,
 	})
 	for {
 		limited, cancel := context.WithTimeout(ctx, loadTimeout)
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,133 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/metrics"
+	"lovagestand.example/lovagestand/node"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/settings"
+	"lovagestand.example/lovagestand/standin/site"
+)
+
+// freePort returns a port that was free a moment ago.
+func freePort(c *qt.C) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// instance is a node that runs in this process.
+type instance struct {
+	settings settings.Node
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+func start(c *qt.C, s *site.Site, name string) *instance {
+	local := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(c)) }
+	i := &instance{done: make(chan error, 1), settings: settings.Node{
+		Instance: lovagestand.InstanceID(name), Region: "region", FailureDomain: "zone-1", Callers: local(), Ready: local(),
+		Host: "127.0.0.1", Ports: []int{freePort(c)}, Store: s.Store(), Processors: 1, MemoryMiB: 200,
+		Heartbeat: time.Second, Grace: 6 * time.Second, MaxLease: 10 * time.Second, Retention: time.Minute,
+	}}
+	recorder := metrics.NewRecorder()
+	n := node.New(i.settings, node.Deps{
+		Keys: platform.NewKeyspace(s.Store(), platform.NewHTTPClient(), nil), Fleet: platform.NewFleet(platform.NewHTTPClient()),
+		DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix(), Log: zerolog.Nop(), Recorder: recorder, Metrics: recorder,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	go func() { i.done <- n.Run(ctx) }()
+	return i
+}
+
+// call returns status and body of a call, or 0 where there is no answer.
+func (i *instance) call(c *qt.C, method, path, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+i.settings.Callers+path, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	r.Host = "a.example"
+	reply, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	c.Assert(err, qt.IsNil)
+	return reply.StatusCode, string(text)
+}
+
+// eventually tries until ok, as long as the test may run.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+// TestCell runs three instances against a stand-in platform: jobs go in at any
+// of them, the owner is stopped in between, and each job is done once.
+func TestCell(t *testing.T) {
+	c := qt.New(t)
+	s, err := site.Open("127.0.0.1:0", 4)
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	c.Assert(s.Configure(3, "a.example", "/x/"), qt.IsNil)
+	var cell []*instance
+	for i := range 3 {
+		cell = append(cell, start(c, s, fmt.Sprint("node-", i)))
+	}
+	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":2,"cpu":1000,"estimate_ms":50},{"count":1,"cpu":1000,"after":[0]}]}`,
+		site.Spec{MilliCPU: 1000, Work: 50 * time.Millisecond}.String())
+	path := func(n int) string { return fmt.Sprintf("/x/%016x", n) }
+	submit := func(i *instance, n int) {
+		eventually(t, "job is taken", func() bool {
+			status, _ := i.call(c, http.MethodPost, path(n), body)
+			return status == http.StatusOK
+		})
+	}
+	for n := range 10 {
+		submit(cell[n%3], n)
+	}
+	cell[0].cancel()
+	for n := range 10 {
+		submit(cell[1+n%2], 10+n)
+	}
+	c.Assert(<-cell[0].done, qt.IsNil)
+	for n := range 20 {
+		eventually(t, "job completes", func() bool {
+			_, text := cell[1+n%2].call(c, http.MethodGet, path(n), "")
+			return text == `{"state":"completed"}`
+		})
+	}
+	status, _ := cell[1].call(c, http.MethodGet, path(99), "")
+	c.Assert(status, qt.Equals, http.StatusGone)
+	status, text := cell[1].call(c, http.MethodGet, "/x/", "")
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(text, qt.Equals, `{"pending":0}`)
+	c.Assert(s.Fleet.Violations(), qt.HasLen, 0)
+	c.Assert(s.Fleet.Starts(), qt.Equals, 60)
+	var stopping sync.WaitGroup
+	for _, i := range cell[1:] {
+		i.cancel()
+		stopping.Go(func() { <-i.done })
+	}
+	stopping.Wait()
+}
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -120,7 +120,9 @@
 func (s *Shard) advise(l Line, state *line, r waitingStep, step string, names []lovagestand.WorkerName, timeout time.Duration) {
 	limited, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
+	begun := time.Now()
 	advice, err := l.Ask(limited, step, names)
+	s.deps.Recorder.Observe("adviceTimes", string(r.entry.route), time.Since(begun))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil || r.entry.steps == nil {
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -59,6 +59,7 @@
 // ended takes an end that a worker lists.
 func (s *Shard) ended(w *worker, end lovagestand.EndedTask) {
 	now := time.Now()
+	s.deps.Recorder.Count("ends", string(end.Ending))
 	id, task, ok := job.ParseTaskName(end.Task)
 	p := w.placements[end.Task]
 	if p != nil && p.run != end.Run {
@@ -100,6 +101,7 @@
 	}
 	s.enqueue(e)
 	if e.progress.Final() {
+		s.deps.Recorder.Observe("jobTimes", string(e.route), time.Since(e.progress.Accepted()))
 		s.log.Info().Str("job", string(e.id)).Dur("age", time.Since(e.progress.Accepted())).Dur("objective", e.objective).Msg("job completed")
 		s.finish(e)
 	}
--- a/shard/order.go
+++ b/shard/order.go
@@ -45,6 +45,10 @@
 		Task: name, Run: run, Spec: j.Spec, Until: w.workerTime(now) + lease.Milliseconds(),
 		Epoch: s.term.Epoch, Checkpoint: p.saved, Ticket: t.value,
 	}
+	if !e.begun {
+		e.begun = true
+		s.deps.Recorder.Observe("waits", string(e.route), now.Sub(e.progress.Accepted()))
+	}
 	s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
 		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Msg("task placed")
 	go s.start(p, order)
@@ -54,6 +58,7 @@
 func (s *Shard) start(p *placement, order lovagestand.Order) {
 	limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
+	begun := time.Now()
 	clock, err := s.deps.Fleet.Start(limited, p.worker.info, order)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,6 +66,8 @@
 		return
 	}
 	p.sending = false
+	s.deps.Recorder.Count("starts", startOutcome(err))
+	s.deps.Recorder.Observe("orderTimes", "start", time.Since(begun))
 	if err == nil {
 		p.settled = time.Now()
 		p.born = clock.Born
@@ -81,6 +88,18 @@
 	s.breakGang(p)
 }
 
+// startOutcome names what became of an order, for metrics.
+func startOutcome(err error) string {
+	var refused *lovagestand.OrderRefusedError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &refused):
+		return string(refused.Reason)
+	}
+	return "noAnswer"
+}
+
 // refused takes back a placement that the worker surely did not start.
 func (s *Shard) refused(p *placement, reason lovagestand.RefusalReason) {
 	s.log.Warn().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Str("reason", string(reason)).Msg("start refused")
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -30,6 +30,7 @@
 	// Confirmed reports whether the ownership was confirmed a moment ago.
 	Confirmed func() bool
 	Log       zerolog.Logger
+	Recorder  lovagestand.Recorder
 }
 
 // Limits are the bounds that the platform sets.
@@ -118,6 +119,8 @@
 
 	// recovered jobs may have tasks running that this term has not seen.
 	recovered bool
+	// begun says that this term has placed a task of the job.
+	begun     bool
 	steps     map[job.StepRef]*stepState
 	nextDue   time.Time
 	objective time.Duration
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -39,11 +39,11 @@
 	stop func()
 }
 
-func needs(string) lovagestand.Resources {
+func needs(lovagestand.Order) lovagestand.Resources {
 	return lovagestand.Resources{MilliCPU: 1000, MemoryMiB: 100}
 }
 
-func newCell(c *qt.C, workers int, work func(task string, run int64) (time.Duration, lovagestand.RunEnding)) *cell {
+func newCell(c *qt.C, workers int, work func(lovagestand.Order) (time.Duration, lovagestand.RunEnding)) *cell {
 	k := &cell{c: c, log: zerolog.Nop(), keys: keyspace.New(), fleet: runner.New(needs, work)}
 	for i := range workers {
 		k.workers = append(k.workers, k.fleet.Add(lovagestand.WorkerName(fmt.Sprintf("w%d", i)), lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
@@ -51,8 +51,8 @@
 	return k
 }
 
-func always(d time.Duration, ending lovagestand.RunEnding) func(string, int64) (time.Duration, lovagestand.RunEnding) {
-	return func(string, int64) (time.Duration, lovagestand.RunEnding) { return d, ending }
+func always(d time.Duration, ending lovagestand.RunEnding) func(lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+	return func(lovagestand.Order) (time.Duration, lovagestand.RunEnding) { return d, ending }
 }
 
 // own begins a term and runs the shard in it.
@@ -68,7 +68,7 @@
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
 	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, CheckpointInterval: time.Second}, shard.Deps{
-		Fleet: k.fleet, Store: jobstore.New(k.keys, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log,
+		Fleet: k.fleet, Store: jobstore.New(k.keys, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	})
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -123,7 +123,7 @@
 
 func (o *owner) submitJob(j job.Job) error {
 	for i := range j.Steps {
-		j.Steps[i].Needs = needs("")
+		j.Steps[i].Needs = needs(lovagestand.Order{})
 		j.Steps[i].Estimate = time.Second
 	}
 	body, err := job.EncodeJob(j)
@@ -216,8 +216,8 @@
 func TestFailuresAreCountedOnceAcrossOwners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		k := newCell(c, 2, func(_ string, run int64) (time.Duration, lovagestand.RunEnding) {
-			if run == 1 {
+		k := newCell(c, 2, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if o.Run == 1 {
 				return 300 * time.Millisecond, lovagestand.EndingFailed
 			}
 			return time.Second, lovagestand.EndingDone
@@ -451,7 +451,7 @@
 func explore(t *testing.T, seed uint64) {
 	c := qt.New(t)
 	r := rand.New(rand.NewPCG(seed, 1))
-	k := newCell(c, 4, func(string, int64) (time.Duration, lovagestand.RunEnding) {
+	k := newCell(c, 4, func(lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
 		return time.Duration(200+r.IntN(2000)) * time.Millisecond, lovagestand.EndingDone
 	})
 	if os.Getenv("EXPLORE_LOG") != "" {
--- a/shard/write.go
+++ b/shard/write.go
@@ -176,6 +176,7 @@
 
 // writtenBatch notes that a batch is durable.
 func (s *Shard) writtenBatch(batch []batchEntry, roster int64, took time.Duration) {
+	s.deps.Recorder.Observe("writeTimes", "jobs", took)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stalled {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -34,8 +34,8 @@
 type Fleet struct {
 	mu      sync.Mutex
 	workers map[lovagestand.WorkerName]*worker
-	needs   func(task string) lovagestand.Resources
-	work    func(task string, run int64) (time.Duration, lovagestand.RunEnding)
+	needs   func(order lovagestand.Order) lovagestand.Resources
+	work    func(order lovagestand.Order) (time.Duration, lovagestand.RunEnding)
 	fault   func(worker lovagestand.WorkerName, order string) Fault
 	late    []func()
 	// done are the tasks of which a run has ended done, by name.
@@ -64,12 +64,13 @@
 
 type run struct {
 	number int64
+	needs  lovagestand.Resources
 	timer  *time.Timer
 }
 
-// New returns a fleet without workers. Needs tells what a task takes; work how
-// long a run takes and how it ends.
-func New(needs func(task string) lovagestand.Resources, work func(task string, run int64) (time.Duration, lovagestand.RunEnding)) *Fleet {
+// New returns a fleet without workers. Needs tells what a run takes; work how
+// long it takes and how it ends.
+func New(needs func(lovagestand.Order) lovagestand.Resources, work func(lovagestand.Order) (time.Duration, lovagestand.RunEnding)) *Fleet {
 	return &Fleet{
 		workers: map[lovagestand.WorkerName]*worker{}, needs: needs, work: work,
 		done: map[string]bool{}, running: map[string]int{},
@@ -241,8 +242,8 @@
 	}
 	f.extend(w, o.Until)
 	f.check(w, o)
-	duration, ending := f.work(o.Task, o.Run)
-	r := &run{number: o.Run}
+	duration, ending := f.work(o)
+	r := &run{number: o.Run, needs: f.needs(o)}
 	r.timer = time.AfterFunc(duration, func() { f.end(w, o.Task, o.Run, ending) })
 	w.runs[o.Task] = r
 	w.highest[o.Task] = o.Run
@@ -259,9 +260,9 @@
 	if f.done[o.Task] {
 		f.violate("%s starts after it was done", o.Task)
 	}
-	taken := f.needs(o.Task)
-	for task := range w.runs {
-		taken = taken.Add(f.needs(task))
+	taken := f.needs(o)
+	for _, r := range w.runs {
+		taken = taken.Add(r.needs)
 	}
 	if !taken.Fits(w.capacity) {
 		f.violate("%s brings %s over its capacity", o.Task, w.name)
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,167 @@
+// Package site stands in for the users' platform as a whole on one machine: a
+// store with the operator's configuration, and workers that register in it.
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/standin/keyspace"
+	"lovagestand.example/lovagestand/standin/runner"
+)
+
+// Site is a stand-in platform that listens on loopback addresses.
+type Site struct {
+	Keys  *keyspace.Store
+	Fleet *runner.Fleet
+
+	mu      sync.Mutex
+	store   string
+	servers []*http.Server
+}
+
+// capacity is what each worker has.
+var capacity = lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 4096}
+
+const (
+	service = "glazedesk"
+	// workersPerRack is how many workers share a rack.
+	workersPerRack = 8
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+// Spec is what a task does here; its text form is the spec of a job.
+type Spec struct {
+	MilliCPU int64
+	Work     time.Duration
+	Fails    bool
+}
+
+// String returns the text form, such as "milliCPU=1000 millis=300 fails=false".
+func (s Spec) String() string {
+	return fmt.Sprintf("milliCPU=%d millis=%d fails=%t", s.MilliCPU, s.Work.Milliseconds(), s.Fails)
+}
+
+// parse reads the text form; what is missing or wrong counts as zero.
+func parse(text string) Spec {
+	var s Spec
+	for _, field := range strings.Fields(text) {
+		key, value, _ := strings.Cut(field, "=")
+		n, _ := strconv.ParseInt(value, 10, 64)
+		switch key {
+		case "milliCPU":
+			s.MilliCPU = n
+		case "millis":
+			s.Work = time.Duration(n) * time.Millisecond
+		case "fails":
+			s.Fails = value == "true"
+		}
+	}
+	return s
+}
+
+func needs(o lovagestand.Order) lovagestand.Resources {
+	return lovagestand.Resources{MilliCPU: parse(o.Spec).MilliCPU}
+}
+
+func work(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+	s := parse(o.Spec)
+	if s.Fails {
+		return s.Work, lovagestand.EndingFailed
+	}
+	return s.Work, lovagestand.EndingDone
+}
+
+// Open starts a site with a number of workers. Its store listens at an address,
+// such as "127.0.0.1:0"; the workers listen on free ports of the same host.
+func Open(address string, workers int) (*Site, error) {
+	s := &Site{Keys: keyspace.New(), Fleet: runner.New(needs, work)}
+	store, err := s.serve(address, platform.NewKeyspaceHandler(s.Keys))
+	if err != nil {
+		return nil, err
+	}
+	s.store = store
+	host, _, err := net.SplitHostPort(store)
+	if err != nil {
+		return nil, errors.Wrap(err, "address of the store")
+	}
+	for i := range workers {
+		if err := s.addWorker(net.JoinHostPort(host, "0"), i); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Store returns the address of the store.
+func (s *Site) Store() string { return s.store }
+
+func (s *Site) serve(address string, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (s *Site) addWorker(address string, i int) error {
+	w := s.Fleet.Add(lovagestand.WorkerName(fmt.Sprintf("i-%04d", i)), capacity)
+	w.Rack = lovagestand.RackName(fmt.Sprintf("r1-%d", i/workersPerRack))
+	w.Labels = []string{"a", string(w.Rack)}
+	w.FailureDomain = "zone-1"
+	handler := platform.NewWorkerHandler(s.Fleet, w)
+	at, err := s.serve(address, handler)
+	if err != nil {
+		return err
+	}
+	w.Address = at
+	value, err := platform.EncodeWorker(w)
+	if err != nil {
+		return err
+	}
+	s.Keys.Put(platform.WorkerPrefix()+string(w.Name), value)
+	return nil
+}
+
+// Configure puts a version of the operator's configuration in force, with one
+// route at a host and prefix.
+func (s *Site) Configure(version int, host, prefix string) error {
+	value, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "quote", "host": host, "prefix": prefix, "service": service, "max_attempts": 2, "stretch": 2,
+			"target_duration_ms": 1000,
+		}},
+		"limits": map[string]int{"max_body_bytes": 1 << 18},
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	s.Keys.Put(platform.ConfigurationKey, value)
+	return nil
+}
+
+// Close stops listening and cuts all connections.
+func (s *Site) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
