--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,8 +20,9 @@
 	Slowness float64
 
 	// reservedUntil is when a gang is to start here; shorter tasks may run
-	// until then.
+	// until then, longer ones only within spare, the room that is left then.
 	reservedUntil time.Time
+	spare         lovagestand.Resources
 }
 
 // Release is an expected end of a task.
@@ -340,10 +341,12 @@
 	if !w.Open || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 		return false
 	}
-	if w.reservedUntil.IsZero() {
-		return true
-	}
-	return !p.Now.Add(scale(s.RunTime, w.Slowness)).After(w.reservedUntil)
+	return !p.delays(s, w) || s.Needs.Fits(w.spare)
+}
+
+// delays reports whether a task of the step would run past a reserved start.
+func (p *planner) delays(s *Step, w *Worker) bool {
+	return !w.reservedUntil.IsZero() && p.Now.Add(scale(s.RunTime, w.Slowness)).After(w.reservedUntil)
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
@@ -372,6 +375,9 @@
 	for len(chosen) < s.Tasks {
 		best, bestCost := -1, 0.0
 		for _, i := range eligible {
+			if w := &p.Workers[i]; p.delays(s, w) && !s.Needs.Fits(w.spare) {
+				continue
+			}
 			if !s.Needs.Fits(p.Workers[i].Free) || s.MaxPerWorker > 0 && s.Placed[i]+count[i] >= s.MaxPerWorker {
 				continue
 			}
@@ -384,7 +390,11 @@
 		}
 		chosen = append(chosen, best)
 		count[best]++
-		p.Workers[best].Free = p.Workers[best].Free.Sub(s.Needs)
+		w := &p.Workers[best]
+		w.Free = w.Free.Sub(s.Needs)
+		if p.delays(s, w) {
+			w.spare = w.spare.Sub(s.Needs)
+		}
 	}
 	return chosen
 }
@@ -405,7 +415,11 @@
 
 func (p *planner) giveBack(s *Step, chosen []int) {
 	for _, i := range chosen {
-		p.Workers[i].Free = p.Workers[i].Free.Add(s.Needs)
+		w := &p.Workers[i]
+		w.Free = w.Free.Add(s.Needs)
+		if p.delays(s, w) {
+			w.spare = w.spare.Add(s.Needs)
+		}
 	}
 }
 
@@ -499,8 +513,25 @@
 	p.reservations--
 	var workers []int
 	for _, slot := range slots[:s.Tasks] {
-		p.Workers[slot.worker].reservedUntil = start
+		p.reserveOn(slot.worker, s.Needs, start)
 		workers = append(workers, slot.worker)
 	}
 	return workers, start
 }
+
+// reserveOn keeps room for one task on a worker from a time on.
+func (p *planner) reserveOn(worker int, needs lovagestand.Resources, start time.Time) {
+	w := &p.Workers[worker]
+	if w.reservedUntil.IsZero() {
+		w.spare = w.Free
+	}
+	for _, r := range p.releasesOf(worker) {
+		if r.At.After(w.reservedUntil) && !r.At.After(start) {
+			w.spare = w.spare.Add(r.Frees)
+		}
+	}
+	if start.After(w.reservedUntil) {
+		w.reservedUntil = start
+	}
+	w.spare = w.spare.Sub(needs)
+}
--- a/shard/health.go
+++ b/shard/health.go
@@ -7,6 +7,12 @@
 	// worker for quarantineFor; then one more failure closes it again.
 	quarantineAfter = 3
 	quarantineFor   = 4 * time.Second
+	// overdueFactor times its expected run time, and overdueSlack more, make a
+	// run overdue; a worker with as many overdue runs as minOverdue, and half
+	// of its runs, gets nothing new until runs end there again.
+	overdueFactor = 2.5
+	overdueSlack  = 300 * time.Millisecond
+	minOverdue    = 2
 )
 
 // health is what ends and answers tell of a worker.
@@ -21,6 +27,17 @@
 	return now.Before(h.until)
 }
 
+// stuck reports whether too many runs on a worker are overdue.
+func (w *worker) stuck(now time.Time) bool {
+	overdue := 0
+	for _, p := range w.placements {
+		if !p.stop && now.Sub(p.begun) > time.Duration(overdueFactor*float64(p.expect))+overdueSlack {
+			overdue++
+		}
+	}
+	return overdue >= minOverdue && 2*overdue >= len(w.placements)
+}
+
 func (h *health) noteDone() {
 	h.failures = 0
 }
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -26,6 +27,8 @@
 	ratio float64
 	// core is the usual core time of a job.
 	core time.Duration
+	// run is the usual run time of a task.
+	run time.Duration
 }
 
 func (s *Shard) stats(route lovagestand.RouteName) *routeStats {
@@ -43,7 +46,13 @@
 	if estimate <= 0 {
 		estimate = defaultRunTime
 	}
-	return max(minRunTime, time.Duration(float64(estimate)*s.stats(e.route).ratio))
+	r := s.stats(e.route)
+	expected := float64(estimate) * r.ratio
+	if r.run > 0 {
+		// Estimates are far off either way: half of the weight is the route's.
+		expected = math.Sqrt(expected * float64(r.run))
+	}
+	return max(minRunTime, time.Duration(expected))
 }
 
 // size works out how much work a job is and when it should be done.
@@ -80,4 +89,8 @@
 		w.slowness += slownessWeight * (min(relative, maxSlowness) - w.slowness)
 	}
 	r.ratio += learnWeight * (min(ratio, maxSlowness) - r.ratio)
+	if r.run == 0 {
+		r.run = took
+	}
+	r.run += time.Duration(learnWeight * float64(took-r.run))
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -112,7 +112,7 @@
 	if !w.listed && now.Sub(w.lastSee) > missingFor {
 		return false
 	}
-	return !w.quarantined(now)
+	return !w.quarantined(now) && !w.stuck(now)
 }
 
 // SetWorkers takes the list of registered workers.
