--- a/election/candidate.go
+++ b/election/candidate.go
@@ -30,6 +30,10 @@
 	// weakHandicap is how much longer an instance waits that has fewer
 	// processors than another.
 	weakHandicap = 300 * time.Millisecond
+	// yieldFactor is how many times the processors of a weak owner another
+	// instance must have for the owner to yield to it, after yieldAfter.
+	yieldFactor = 2
+	yieldAfter  = time.Second
 )
 
 // Candidate contends for one shard and holds it while it can.
@@ -46,7 +50,6 @@
 	mu        sync.Mutex
 	confirmed time.Time
 	deposed   lovagestand.Epoch
-	deposing  chan struct{}
 }
 
 // Run contends until ctx ends. It then gives the shard up at once.
@@ -67,9 +70,9 @@
 	}
 }
 
-// Depose has the candidate contend although an owner is listed, because no
-// process listens at the owner's address. A live owner that is deposed by
-// mistake is locked out by its epoch like any other.
+// Depose has an owner's key removed because no process listens at the owner's
+// address; then all instances contend as usual. A live owner that is deposed by
+// mistake is locked out by the epoch of the next one.
 func (c *Candidate) Depose(epoch lovagestand.Epoch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,16 +80,19 @@
 		return
 	}
 	c.deposed = epoch
-	close(c.signal())
-	c.deposing = nil
+	go c.remove(epoch)
 }
 
-// signal returns the channel that is closed at the next call of Depose.
-func (c *Candidate) signal() chan struct{} {
-	if c.deposing == nil {
-		c.deposing = make(chan struct{})
-	}
-	return c.deposing
+func (c *Candidate) remove(epoch lovagestand.Epoch) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	key := OwnerKey(c.Shard)
+	_, err := c.Keys.Commit(ctx, lovagestand.Transaction{
+		If:     []lovagestand.Condition{{Key: key, Revision: lovagestand.Revision(epoch)}},
+		Remove: []string{key},
+	})
+	c.Log.Info().Err(err).Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("owner deposed")
+	c.Directory.Refresh()
 }
 
 // open reports whether the shard may be contended for, and the revision of the
@@ -96,23 +102,17 @@
 	if !owned {
 		return 0, c.Directory.Loaded()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	// An entry of this instance's own is that of a former life.
-	return lovagestand.Revision(owner.Epoch), owner.ID == c.Self.ID || c.deposed == owner.Epoch
+	return lovagestand.Revision(owner.Epoch), owner.ID == c.Self.ID
 }
 
 // chance waits until the shard is open and nearer instances had their turn.
 func (c *Candidate) chance(ctx context.Context) (lovagestand.Revision, bool) {
 	changed := c.Directory.Changed()
-	c.mu.Lock()
-	deposing := c.signal()
-	c.mu.Unlock()
 	former, ok := c.open()
 	if !ok {
 		select {
 		case <-changed:
-		case <-deposing:
 		case <-ctx.Done():
 		}
 		return 0, false
@@ -130,10 +130,8 @@
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	wait := time.Duration(0)
-	for _, m := range c.Directory.Members() {
-		if m.Processors > c.Self.Processors {
-			wait = weakHandicap
-		}
+	if c.outranked(1) {
+		wait = weakHandicap
 	}
 	begun := time.Now()
 	if _, err := c.Keys.Item(limited, OwnerKey(c.Shard)); err != nil {
@@ -142,6 +140,17 @@
 	return wait + min(maxHandicap, handicapFactor*time.Since(begun))
 }
 
+// outranked reports whether another instance has more than factor times the
+// processors of this one.
+func (c *Candidate) outranked(factor float64) bool {
+	for _, m := range c.Directory.Members() {
+		if m.Processors > factor*c.Self.Processors {
+			return true
+		}
+	}
+	return false
+}
+
 // win takes the shard if its ownership key still has the former revision.
 func (c *Candidate) win(ctx context.Context, former lovagestand.Revision) (jobstore.Term, lovagestand.LeaseID, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
@@ -213,7 +222,12 @@
 
 // renew keeps the lease until it is known to have ended or ctx ends.
 func (c *Candidate) renew(ctx context.Context, lease lovagestand.LeaseID, term jobstore.Term) {
+	won := time.Now()
 	for pause.For(ctx, ownerTTL/renewals) {
+		if time.Since(won) > yieldAfter && c.outranked(yieldFactor) {
+			c.Log.Info().Str("shard", c.Shard).Uint64("epoch", uint64(term.Epoch)).Msg("ownership yielded to an instance with more processors")
+			return
+		}
 		if c.Directory.Over(c.Shard, term.Epoch) {
 			c.Log.Warn().Str("shard", c.Shard).Uint64("epoch", uint64(term.Epoch)).Msg("ownership lost: the directory shows its end")
 			return
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -33,7 +33,11 @@
 // stand starts a candidate with a store of its own faults; the returned
 // function stops it as planned.
 func (k *cell) stand(keys lovagestand.Keyspace, name string) func() {
-	self := lovagestand.Instance{ID: lovagestand.InstanceID(name), Address: name}
+	return k.standWith(keys, name, 1)
+}
+
+func (k *cell) standWith(keys lovagestand.Keyspace, name string, processors float64) func() {
+	self := lovagestand.Instance{ID: lovagestand.InstanceID(name), Address: name, Processors: processors}
 	ctx, cancel := context.WithCancel(context.Background())
 	directory := election.NewDirectory(keys, zerolog.Nop())
 	var running sync.WaitGroup
@@ -137,6 +141,42 @@
 	})
 }
 
+func TestWeakOwnerYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		weak := k.standWith(keys, "weak", 0.2)
+		defer weak()
+		time.Sleep(time.Second)
+		strong := k.standWith(keys, "strong", 0.8)
+		defer strong()
+		time.Sleep(4 * time.Second)
+		owner, terms := k.owner()
+		c.Assert(owner, qt.Equals, lovagestand.InstanceID("strong"))
+		c.Assert(terms, qt.Equals, 2, qt.Commentf("the strong one keeps the shard"))
+	})
+}
+
+func TestDeposedOwnerIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		keys.Put(election.OwnerKey("0"), []byte(`{"id":"dead","address":"x"}`))
+		stop := k.stand(keys, "a")
+		defer stop()
+		time.Sleep(3 * time.Second)
+		_, terms := k.owner()
+		c.Assert(terms, qt.Equals, 0, qt.Commentf("an owner without a lease is not simply passed over"))
+		item, err := keys.Item(t.Context(), election.OwnerKey("0"))
+		c.Assert(err, qt.IsNil)
+		candidate := &election.Candidate{Shard: "0", Keys: keys, Directory: election.NewDirectory(keys, zerolog.Nop()), Log: zerolog.Nop()}
+		candidate.Depose(lovagestand.Epoch(item.Revision))
+		time.Sleep(time.Second)
+		owner, _ := k.owner()
+		c.Assert(owner, qt.Equals, lovagestand.InstanceID("a"))
+	})
+}
+
 func TestOwnershipTakenAwayIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/node/owner.go
+++ b/node/owner.go
@@ -27,9 +27,12 @@
 	handoverPoll = 40 * time.Millisecond
 	// connectTimeout bounds the opening of a connection to another instance.
 	connectTimeout = 400 * time.Millisecond
-	// callTimeout bounds a call to the owner: it answers once the store has
-	// kept a change, which a slow store does within a second.
-	callTimeout = 1800 * time.Millisecond
+	// attemptTimeout bounds one call to the owner: it answers once the store
+	// has kept a change, which a slow store does within half a second.
+	attemptTimeout = 800 * time.Millisecond
+	// callTimeout bounds all calls for one request. All are idempotent, so a
+	// call without an answer is made again, at the next owner if there is one.
+	callTimeout = 2500 * time.Millisecond
 	// peerConnections bounds idle connections to one instance.
 	peerConnections = 16
 )
@@ -83,8 +86,9 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// call sends a call to the owner, again to the next one while the answer is
-// that the instance is not the owner.
+// call sends a call to the owner, and again while it is not answered or the
+// instance is not the owner. A call that was never sent is given up early, so
+// that the caller comes back.
 func (c *ownerClient) call(ctx context.Context, name string, send func(context.Context, cellpb.Cell) (cellpb.Verdict, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -92,20 +96,23 @@
 	sent := false
 	for {
 		verdict, err := c.once(ctx, send)
-		if err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER {
+		if err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER && verdict != cellpb.Verdict_VERDICT_UNKNOWN {
 			return verdictError(verdict)
 		}
-		if err != nil && !notSent(err) {
-			c.log.Warn().Err(err).Str("call", name).Msg("owner did not answer")
-			c.directory.Refresh()
+		if err != nil && !notSent(err) || verdict == cellpb.Verdict_VERDICT_UNKNOWN {
+			c.log.Warn().Err(err).Str("call", name).Bool("first", !sent).Msg("owner did not answer")
 			sent = true
 		}
+		if !sent && time.Since(begun) > handoverWait {
+			return &shard.NotOwnerError{}
+		}
+		if pause.For(ctx, handoverPoll) {
+			continue
+		}
 		if sent {
 			return &shard.UnknownError{}
 		}
-		if time.Since(begun) > handoverWait || !pause.For(ctx, handoverPoll) {
-			return &shard.NotOwnerError{}
-		}
+		return &shard.NotOwnerError{}
 	}
 }
 
@@ -117,6 +124,8 @@
 	if owner.ID == c.self.ID {
 		return send(ctx, c.local)
 	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	verdict, err := send(ctx, c.peers.at(owner.Address))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.log.Warn().Str("owner", string(owner.ID)).Uint64("epoch", uint64(owner.Epoch)).Msg("owner's process is gone")
