--- a/election/directory.go
+++ b/election/directory.go
@@ -53,8 +53,10 @@
 	members  map[lovagestand.InstanceID]lovagestand.Instance
 	revision lovagestand.Revision
 	loaded   bool
-	changed  chan struct{}
-	refresh  chan struct{}
+	// heard is when the store last answered.
+	heard   time.Time
+	changed chan struct{}
+	refresh chan struct{}
 }
 
 // NewDirectory returns a directory that knows nothing until it runs.
@@ -112,6 +114,23 @@
 	return !owned || owner.Epoch != epoch
 }
 
+// staleAfter is how long the store may be silent: a watch that ends without a
+// change answers within its wait.
+const staleAfter = followWait + 300*time.Millisecond
+
+// Stale reports whether the store has not answered for too long.
+func (d *Directory) Stale() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.heard) > staleAfter
+}
+
+func (d *Directory) hear() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard = time.Now()
+}
+
 // Changed returns a channel that is closed at the next change.
 func (d *Directory) Changed() <-chan struct{} {
 	d.mu.Lock()
@@ -132,7 +151,7 @@
 func (d *Directory) Run(ctx context.Context) {
 	follower := Follower{
 		Keys: d.keys, Prefix: Prefix, Wait: followWait, Refresh: d.refresh, Log: d.log,
-		Reset: d.reset, Apply: d.apply,
+		Reset: d.reset, Apply: d.apply, Heard: d.hear,
 	}
 	follower.Run(ctx)
 }
@@ -201,6 +220,8 @@
 	// Reset takes the whole range, Apply the changes since.
 	Reset func(items []lovagestand.Item, revision lovagestand.Revision)
 	Apply func(items []lovagestand.Item, revision lovagestand.Revision)
+	// Heard is called whenever the store has answered; nil calls nothing.
+	Heard func()
 }
 
 // Run follows until ctx ends.
@@ -230,11 +251,13 @@
 		return err
 	}
 	f.Reset(items, revision)
+	f.hear()
 	for {
 		changes, next, refresh, err := f.follow(ctx, revision)
 		if err != nil || refresh {
 			return err
 		}
+		f.hear()
 		if len(changes) > 0 {
 			f.Apply(changes, next)
 		}
@@ -242,6 +265,12 @@
 	}
 }
 
+func (f Follower) hear() {
+	if f.Heard != nil {
+		f.Heard()
+	}
+}
+
 func (f Follower) follow(ctx context.Context, after lovagestand.Revision) ([]lovagestand.Item, lovagestand.Revision, bool, error) {
 	limited, cancel := context.WithTimeout(ctx, f.Wait+callTimeout)
 	defer cancel()
--- a/fleet.go
+++ b/fleet.go
@@ -26,6 +26,8 @@
 	Capacity      Resources
 	// Ready is false for a worker that is about to leave.
 	Ready bool
+	// Heartbeat changes with each heartbeat of the worker.
+	Heartbeat int64
 }
 
 // Order starts one run of a task on a worker.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,7 +124,7 @@
 
 func reject(w http.ResponseWriter, after time.Duration, reason string) {
 	seconds := int64((after + time.Second - 1) / time.Second)
-	w.Header().Set("Retry-After", strconv.FormatInt(max(1, seconds), 10))
+	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
@@ -170,7 +170,12 @@
 	var rejected *shard.RejectedError
 	var absent *shard.UnknownJobError
 	var notOwner *shard.NotOwnerError
+	var isolated *shard.IsolatedError
 	switch {
+	case errors.As(err, &isolated):
+		// Another instance can serve the caller: a new connection finds one.
+		w.Header().Set("Connection", "close")
+		reject(w, 0, err.Error())
 	case errors.As(err, &rejected):
 		reject(w, rejected.RetryAfter, rejected.Reason)
 	case errors.As(err, &absent):
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -127,6 +127,11 @@
 		}
 		o.err = &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second}
 		c.Assert(ask(g, http.MethodPost, jobPath, valid).Header().Get("Retry-After"), qt.Equals, "2")
+		o.err = &shard.IsolatedError{}
+		isolated := ask(g, http.MethodPost, jobPath, valid)
+		c.Assert(isolated.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(isolated.Header().Get("Retry-After"), qt.Equals, "0")
+		c.Assert(isolated.Header().Get("Connection"), qt.Equals, "close")
 		o.err = &shard.NotOwnerError{}
 		assertStatus(c, g, http.MethodGet, jobPath, "", http.StatusServiceUnavailable)
 		g.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,9 @@
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 30 * time.Second
+	// silentBeats is how many heartbeats a worker misses before the platform
+	// takes its entry away.
+	silentBeats = 3
 	// loadRetry spaces attempts to load a shard that was won.
 	loadRetry = 100 * time.Millisecond
 	// loadTimeout bounds one attempt.
@@ -67,6 +70,7 @@
 	self      lovagestand.Instance
 	directory *election.Directory
 	candidate *election.Candidate
+	owner     *ownerClient
 	routes    *gateway.Routes
 	gateway   *gateway.Gateway
 	cell      *cellServer
@@ -87,10 +91,10 @@
 	n.candidate = &election.Candidate{
 		Shard: shardName, Self: self, Keys: deps.Keys, Directory: n.directory, Log: deps.Log, Serve: n.serveShard,
 	}
-	owner := &ownerClient{
+	n.owner = &ownerClient{
 		shard: shardName, self: self, directory: n.directory, peers: n.peers, local: n.cell, depose: n.candidate.Depose, log: deps.Log,
 	}
-	n.gateway = gateway.New(n.routes, owner, deps.Log, deps.Recorder)
+	n.gateway = gateway.New(n.routes, n.owner, deps.Log, deps.Recorder)
 	return n
 }
 
@@ -108,6 +112,7 @@
 	var running, owning sync.WaitGroup
 	running.Go(func() { n.directory.Run(working) })
 	running.Go(func() { n.routes.Run(working) })
+	running.Go(func() { n.owner.probe(working) })
 	running.Go(func() { election.Register(contending, n.deps.Keys, n.directory, n.self, n.deps.Log) })
 	owning.Go(func() { n.candidate.Run(contending) })
 	var err error
@@ -143,7 +148,7 @@
 func (n *Node) listen(failed chan<- error) error {
 	ready := chi.NewRouter()
 	ready.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.gateway.Ready() {
+		if !n.gateway.Ready() || n.owner.isolated() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -200,7 +205,8 @@
 // serveShard runs the shard for one term.
 func (n *Node) serveShard(ctx context.Context, term jobstore.Term, confirmed func() bool) {
 	s := shard.New(term, shard.Limits{
-		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, CheckpointInterval: n.settings.CheckpointInterval,
+		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention,
+		Silence: silentBeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term), Lines: n.lines, Confirmed: confirmed, Log: n.deps.Log,
 		Recorder: n.deps.Recorder,
--- a/node/owner.go
+++ b/node/owner.go
@@ -22,7 +22,12 @@
 const (
 	// handoverWait is how long a call waits for the next owner after the
 	// former one gave the shard up: a planned handover takes less.
-	handoverWait = 400 * time.Millisecond
+	handoverWait = 700 * time.Millisecond
+	// isolatedAfter is how long no call may be answered before this instance
+	// sends callers elsewhere.
+	isolatedAfter = 900 * time.Millisecond
+	// probeInterval spaces calls to find out whether the owner is back.
+	probeInterval = 300 * time.Millisecond
 	// handoverPoll spaces tries at a shard whose owner is about to change.
 	handoverPoll = 40 * time.Millisecond
 	// connectTimeout bounds the opening of a connection to another instance.
@@ -78,6 +83,53 @@
 	// depose is told of an owner at whose address no process listens.
 	depose func(lovagestand.Epoch)
 	log    zerolog.Logger
+
+	mu sync.Mutex
+	// failing is since when no owner has served a call, unreachable whether a
+	// listed owner did not answer since then; both zero while calls are served.
+	failing     time.Time
+	unreachable bool
+}
+
+// note takes what became of a call to the owner.
+func (c *ownerClient) note(served, unreachable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreachable = !served && (c.unreachable || unreachable)
+	switch {
+	case served:
+		if c.isolatedAt(time.Now()) {
+			c.log.Info().Msg("owner reached again")
+		}
+		c.failing = time.Time{}
+	case c.failing.IsZero():
+		c.failing = time.Now()
+	}
+}
+
+func (c *ownerClient) isolatedAt(now time.Time) bool {
+	return !c.failing.IsZero() && now.Sub(c.failing) > isolatedAfter && (c.unreachable || c.directory.Stale())
+}
+
+// isolated reports whether this instance has not reached the owner for long.
+func (c *ownerClient) isolated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isolatedAt(time.Now())
+}
+
+// probe calls the owner now and then while it is not reached.
+func (c *ownerClient) probe(ctx context.Context) {
+	for pause.For(ctx, probeInterval) {
+		if !c.isolated() {
+			continue
+		}
+		_, err := c.once(ctx, func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+			reply, err := to.Pending(ctx, &cellpb.PendingRequest{Shard: c.shard})
+			return reply.GetVerdict(), err
+		})
+		c.log.Debug().Err(err).Msg("owner probed")
+	}
 }
 
 // notSent reports whether err says that nothing was sent.
@@ -92,6 +144,9 @@
 func (c *ownerClient) call(ctx context.Context, name string, send func(context.Context, cellpb.Cell) (cellpb.Verdict, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if c.isolated() {
+		return &shard.IsolatedError{}
+	}
 	begun := time.Now()
 	sent := false
 	for {
@@ -119,14 +174,18 @@
 func (c *ownerClient) once(ctx context.Context, send func(context.Context, cellpb.Cell) (cellpb.Verdict, error)) (cellpb.Verdict, error) {
 	owner, owned := c.directory.Owner(c.shard)
 	if !owned {
+		c.note(false, false)
 		return cellpb.Verdict_VERDICT_NOT_OWNER, nil
 	}
 	if owner.ID == c.self.ID {
-		return send(ctx, c.local)
+		verdict, err := send(ctx, c.local)
+		c.note(err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER, false)
+		return verdict, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	verdict, err := send(ctx, c.peers.at(owner.Address))
+	c.note(err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER, err != nil)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.log.Warn().Str("owner", string(owner.ID)).Uint64("epoch", uint64(owner.Epoch)).Msg("owner's process is gone")
 		c.depose(owner.Epoch)
--- a/shard/order.go
+++ b/shard/order.go
@@ -82,6 +82,11 @@
 		s.refused(p, refused.Reason)
 		return
 	}
+	var unavailable *lovagestand.UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Refused {
+		s.refused(p, lovagestand.RefusalUnhealthy)
+		return
+	}
 	s.log.Warn().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Err(err).Msg("start not answered")
 	p.stop = false
 	s.stop(p)
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -52,13 +52,13 @@
 }
 
 func (s *Shard) loadRoster(value []byte) {
-	var roster map[lovagestand.WorkerName]string
+	var roster map[lovagestand.WorkerName]rosterEntry
 	if err := json.Unmarshal(value, &roster); err != nil {
 		s.log.Error().Err(err).Msg("kept roster not understood")
 		return
 	}
-	for name, address := range roster {
-		s.unresolved[name] = address
+	for name, former := range roster {
+		s.unresolved[name] = former
 	}
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -39,6 +39,9 @@
 	MaxLease time.Duration
 	// Retention is how long the state of a finished job is kept.
 	Retention time.Duration
+	// Silence is how long a worker's heartbeat must be missing before the
+	// platform takes its entry away.
+	Silence time.Duration
 	// CheckpointInterval is how often a task that saves its progress does so.
 	CheckpointInterval time.Duration
 }
@@ -67,12 +70,11 @@
 	dirtied  chan struct{}
 	stalled  bool
 	rosterAt int64
-	rosterIn map[lovagestand.WorkerName]string
 
 	// began is when the term began; unresolved are the workers that may still
 	// hold tasks of the term before.
 	began      time.Time
-	unresolved map[lovagestand.WorkerName]string
+	unresolved map[lovagestand.WorkerName]rosterEntry
 	resolved   bool
 
 	summarized time.Time
@@ -93,8 +95,8 @@
 		log:  deps.Log.With().Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Logger(),
 		jobs: map[job.ID]*entry{}, live: map[job.ID]*entry{}, workers: map[lovagestand.WorkerName]*worker{},
 		dirtied: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
-		rosterIn: map[lovagestand.WorkerName]string{}, unresolved: map[lovagestand.WorkerName]string{},
-		lines: map[lovagestand.InstanceID]*line{}, learned: map[lovagestand.RouteName]*routeStats{},
+		unresolved: map[lovagestand.WorkerName]rosterEntry{},
+		lines:      map[lovagestand.InstanceID]*line{}, learned: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), failed: make(chan struct{}),
 	}
 }
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -67,7 +67,7 @@
 	})
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
-	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, CheckpointInterval: time.Second}, shard.Deps{
+	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, CheckpointInterval: time.Second}, shard.Deps{
 		Fleet: k.fleet, Store: jobstore.New(k.keys, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	})
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
@@ -393,6 +393,25 @@
 			c.Assert(k.fleet.Starts(), qt.Equals, 0)
 		})
 	})
+	c.Run("one that has left gives its tasks back at once", func(c *qt.C) {
+		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
+			o := k.ownReady("a")
+			defer o.stop()
+			o.submit(c, id(1), job.Step{Count: 4})
+			for beat := range 4 {
+				time.Sleep(500 * time.Millisecond)
+				k.workers[0].Ready, k.workers[0].Heartbeat = false, int64(beat+1)
+				k.workers[1].Heartbeat = int64(beat + 1)
+			}
+			k.fleet.Crash("w0")
+			k.workers = k.workers[1:]
+			time.Sleep(4 * time.Second)
+			assertPhase(c, o, id(1), "completed")
+			k.assertSound()
+		})
+	})
 	c.Run("those that have left before a takeover do not hold it up for good", func(c *qt.C) {
 		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
 			c := qt.New(t)
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -39,6 +39,13 @@
 // Error implements error.
 func (e *NotOwnerError) Error() string { return "this instance does not own the shard" }
 
+// IsolatedError says that this instance does not reach the owner although there
+// is one: nothing was done, and another instance can be asked at once.
+type IsolatedError struct{}
+
+// Error implements error.
+func (e *IsolatedError) Error() string { return "this instance does not reach the owner of the shard" }
+
 // retryDelay is when callers may come back after an outage of the store.
 const retryDelay = time.Second
 
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -33,6 +33,8 @@
 	holdRetry = 200 * time.Millisecond
 	// missingFor is how long a worker that answers may be missing in the list.
 	missingFor = 4 * time.Second
+	// leftMargin covers how late a heartbeat and its absence are seen here.
+	leftMargin = 1200 * time.Millisecond
 	// ackWait is how long a hold waits for the store to keep the ends seen.
 	ackWait = 150 * time.Millisecond
 )
@@ -43,6 +45,7 @@
 	cancel  context.CancelFunc
 	listed  bool
 	lastSee time.Time // when it was last listed
+	beatAt  time.Time // when its heartbeat was last seen to change
 
 	contacted   bool
 	silent      bool
@@ -134,6 +137,9 @@
 		s.startUnlisted()
 	}
 	for name, w := range s.workers {
+		if s.left(w, now) {
+			s.dismiss(w, "it has left")
+		}
 		if s.gone(w, now) {
 			s.log.Info().Str("worker", string(name)).Msg("worker is gone")
 			w.cancel()
@@ -144,6 +150,12 @@
 	s.wake()
 }
 
+// left reports whether a worker that was about to leave has done so: its entry
+// is gone although its heartbeat was not silent for long enough to lapse.
+func (s *Shard) left(w *worker, now time.Time) bool {
+	return !w.listed && !w.info.Ready && !w.beatAt.IsZero() && now.Sub(w.beatAt) < s.limits.Silence-leftMargin
+}
+
 // gone reports whether a worker has left and cannot run anything of ours.
 func (s *Shard) gone(w *worker, now time.Time) bool {
 	if _, unresolved := s.unresolved[w.info.Name]; unresolved || w.listed {
@@ -166,6 +178,10 @@
 	}
 	if w.info.Ready != info.Ready {
 		s.log.Info().Str("worker", string(info.Name)).Bool("ready", info.Ready).Msg("worker changed state")
+		s.enrol()
+	}
+	if info.Heartbeat != w.info.Heartbeat {
+		w.beatAt = now
 	}
 	born := w.info.Born
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
@@ -179,9 +195,9 @@
 // startUnlisted begins to hold the workers that a former term may have given
 // tasks to and that are not listed now.
 func (s *Shard) startUnlisted() {
-	for name, address := range s.unresolved {
+	for name, former := range s.unresolved {
 		if s.workers[name] == nil {
-			info := lovagestand.FleetWorker{WorkerLife: lovagestand.WorkerLife{Name: name}, Address: address}
+			info := lovagestand.FleetWorker{WorkerLife: lovagestand.WorkerLife{Name: name}, Address: former.Address, Ready: !former.Leaving}
 			s.addWorker(info, time.Time{})
 		}
 	}
@@ -332,6 +348,11 @@
 		}
 	}
 	now := time.Now()
+	var unavailable *lovagestand.UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready {
+		s.dismiss(w, "it was leaving, and no process listens there any more")
+		return
+	}
 	if !w.silent {
 		w.silent = true
 		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
@@ -344,6 +365,12 @@
 	}
 }
 
+// dismiss takes a worker as gone for good.
+func (s *Shard) dismiss(w *worker, reason string) {
+	s.expire(w, reason)
+	w.leaseEnd, w.lastAnswer, w.lastSee = time.Time{}, time.Time{}, time.Time{}
+}
+
 // expire takes everything on a worker as ended without a verdict.
 func (s *Shard) expire(w *worker, reason string) {
 	if len(w.placements)+len(w.strays) > 0 {
--- a/shard/write.go
+++ b/shard/write.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/jobstore"
@@ -231,14 +232,20 @@
 	}
 }
 
+// rosterEntry is a kept worker that may hold tasks.
+type rosterEntry struct {
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
 // encodeRoster returns the list of workers that may be given tasks.
 func (s *Shard) encodeRoster() jobstore.Entry {
-	roster := map[string]string{}
-	for name, address := range s.unresolved {
-		roster[string(name)] = address
+	roster := map[lovagestand.WorkerName]rosterEntry{}
+	for name, former := range s.unresolved {
+		roster[name] = former
 	}
 	for name, w := range s.workers {
-		roster[string(name)] = w.info.Address
+		roster[name] = rosterEntry{Address: w.info.Address, Leaving: !w.info.Ready}
 		w.rosterSent = true
 	}
 	value, err := json.Marshal(roster)
--- a/store.go
+++ b/store.go
@@ -65,6 +65,8 @@
 type UnavailableError struct {
 	System string
 	Reason string
+	// Refused says that no process listens there: nothing was done.
+	Refused bool
 }
 
 // Error implements error.
