--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -83,8 +83,8 @@
 const (
 	// minReservations and workersPerReservation bound how many gangs that do
 	// not fit reserve workers.
-	minReservations       = 4
-	workersPerReservation = 12
+	minReservations       = 2
+	workersPerReservation = 60
 	// reservationHorizon is how far ahead a reservation may lie.
 	reservationHorizon = 10 * time.Second
 	// maxAsk and minAsk bound how many workers one call for advice names.
