--- /dev/null
+++ b/soak/cell.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand/standin/site"
+)
+
+// Cell is the platform's stand-in with the processes that run against it.
+type Cell struct {
+	Site    *site.Site
+	Nodes   []*Node
+	Workers []*Proxy
+}
+
+// Node is one process of the program with its own way to the store.
+type Node struct {
+	Callers string
+	Store   *Proxy
+
+	program, settings, log string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// Open starts a cell of the program's processes; logs and settings go to a
+// directory.
+func Open(program, directory string, nodes, workers int) (*Cell, error) {
+	c := &Cell{}
+	through := func(address string) (string, error) {
+		p, err := NewProxy(address)
+		if err != nil {
+			return "", err
+		}
+		c.Workers = append(c.Workers, p)
+		return p.Address(), nil
+	}
+	var err error
+	if c.Site, err = site.Open("127.0.0.1:0", workers, site.WithWorkersThrough(through)); err != nil {
+		return nil, err
+	}
+	if err := c.Site.Configure(1, "a.example", "/x/"); err != nil {
+		return nil, err
+	}
+	for i := range nodes {
+		n, err := c.newNode(program, directory, fmt.Sprintf("node-%d", i))
+		if err != nil {
+			return nil, err
+		}
+		c.Nodes = append(c.Nodes, n)
+		if err := n.Start(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// Close kills all processes and stops listening.
+func (c *Cell) Close() {
+	for _, n := range c.Nodes {
+		n.Signal(syscall.SIGKILL)
+		n.Wait()
+		n.Store.Close()
+	}
+	for _, w := range c.Workers {
+		w.Close()
+	}
+	c.Site.Close()
+}
+
+// settingsText is the file of settings of one process.
+const settingsText = `instance: %q
+region: "region-1"
+failureDomain: "zone-1"
+callers: "127.0.0.1:%d"
+ready: "127.0.0.1:%d"
+host: "127.0.0.1"
+ports: [%d]
+store: %q
+advice: ""
+processors: 1
+memoryMiB: 200
+heartbeat: 1s
+grace: 6s
+maxLease: 10s
+retention: 10m
+checkpointInterval: 1s
+`
+
+func (c *Cell) newNode(program, directory, name string) (*Node, error) {
+	store, err := NewProxy(c.Site.Store())
+	if err != nil {
+		return nil, err
+	}
+	var ports [3]int
+	for i := range ports {
+		if ports[i], err = freePort(); err != nil {
+			return nil, err
+		}
+	}
+	n := &Node{
+		Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Store: store, program: program,
+		settings: filepath.Join(directory, name+".yaml"), log: filepath.Join(directory, name+".log"),
+	}
+	text := fmt.Sprintf(settingsText, name, ports[0], ports[1], ports[2], store.Address())
+	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "write settings")
+}
+
+// freePort returns a port that was free a moment ago.
+func freePort() (int, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, errors.Wrap(err, "listen")
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// running reports whether the process has not ended.
+func (n *Node) running() bool {
+	if n.command == nil {
+		return false
+	}
+	select {
+	case <-n.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Start starts the process unless it runs; its log is appended to.
+func (n *Node) Start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.running() {
+		return nil
+	}
+	log, err := os.OpenFile(n.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer log.Close()
+	command := exec.Command(n.program, "node", "--config", n.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	exited := make(chan struct{})
+	n.command, n.exited = command, exited
+	go func() {
+		// How a process ended is told by its log and its signals.
+		_ = command.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process if it still runs.
+func (n *Node) Signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.running() {
+		_ = n.command.Process.Signal(s)
+	}
+}
+
+// Wait waits until the process has ended.
+func (n *Node) Wait() {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	<-exited
+}
+
+// stopWithin is longer than the grace that the settings give.
+const stopWithin = 8 * time.Second
+
+// restart has the process end, if a signal has told it to, and starts it again.
+// One that is frozen is woken first.
+func (n *Node) restart() error {
+	n.Signal(syscall.SIGCONT)
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(stopWithin):
+		n.Signal(syscall.SIGKILL)
+		<-exited
+	}
+	return n.Start()
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Mode is what a proxy does to the bytes it carries.
+type Mode int
+
+// The modes of a proxy.
+const (
+	// Pass carries everything.
+	Pass Mode = iota
+	// Delay carries everything later.
+	Delay
+	// Silence carries nothing; connections stay open.
+	Silence
+	// Deaf carries nothing towards the server, and its answers to what came
+	// before.
+	Deaf
+	// Mute carries nothing from the server.
+	Mute
+)
+
+// delay is how much later bytes come in mode Delay.
+const delay = 150 * time.Millisecond
+
+// Proxy carries connections to a target. It is safe for concurrent use.
+type Proxy struct {
+	target   string
+	listener net.Listener
+
+	mu    sync.Mutex
+	mode  Mode
+	again chan struct{}
+	conns map[net.Conn]bool
+}
+
+// NewProxy listens on a free loopback port for connections to a target.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	p := &Proxy{target: target, listener: l, again: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode, also of open connections.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.again)
+	p.again = make(chan struct{})
+}
+
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Close stops listening and resets all connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Reset()
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.carry(c)
+	}
+}
+
+func (p *Proxy) carry(client net.Conn) {
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	p.track(client, server)
+	go p.copy(server, client, Deaf)
+	p.copy(client, server, Mute)
+}
+
+func (p *Proxy) track(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+}
+
+// copy carries one direction, which the mode blocked stops.
+func (p *Proxy) copy(to, from net.Conn, blocked Mode) {
+	defer p.end(to, from)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.await(blocked)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// await holds bytes back for as long as the mode says so.
+func (p *Proxy) await(blocked Mode) {
+	for {
+		p.mu.Lock()
+		mode, again := p.mode, p.again
+		p.mu.Unlock()
+		switch mode {
+		case Silence, blocked:
+			<-again
+		case Delay:
+			time.Sleep(delay)
+			return
+		default:
+			return
+		}
+	}
+}
+
+func (p *Proxy) end(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+		_ = c.Close()
+	}
+}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -40,6 +41,7 @@
 	late    []func()
 	// done are the tasks of which a run has ended done, by name.
 	done       map[string]bool
+	started    map[string]bool
 	running    map[string]int
 	starts     int
 	violations []string
@@ -73,7 +75,7 @@
 func New(needs func(lovagestand.Order) lovagestand.Resources, work func(lovagestand.Order) (time.Duration, lovagestand.RunEnding)) *Fleet {
 	return &Fleet{
 		workers: map[lovagestand.WorkerName]*worker{}, needs: needs, work: work,
-		done: map[string]bool{}, running: map[string]int{},
+		done: map[string]bool{}, started: map[string]bool{}, running: map[string]int{},
 	}
 }
 
@@ -153,6 +155,13 @@
 	return f.starts
 }
 
+// Started returns the names of all tasks that have ever begun, sorted.
+func (f *Fleet) Started() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.started))
+}
+
 // Running returns how many runs there are now.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
@@ -248,6 +257,7 @@
 	w.runs[o.Task] = r
 	w.highest[o.Task] = o.Run
 	f.running[o.Task]++
+	f.started[o.Task] = true
 	f.starts++
 	return nil
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -28,6 +28,17 @@
 	mu      sync.Mutex
 	store   string
 	servers []*http.Server
+	workers []lovagestand.FleetWorker
+	through func(address string) (string, error)
+}
+
+// Option changes how a site is opened.
+type Option func(*Site)
+
+// WithWorkersThrough has workers register the address that through returns for
+// their own, such as that of a proxy.
+func WithWorkersThrough(through func(address string) (string, error)) Option {
+	return func(s *Site) { s.through = through }
 }
 
 // capacity is what each worker has.
@@ -85,8 +96,11 @@
 
 // Open starts a site with a number of workers. Its store listens at an address,
 // such as "127.0.0.1:0"; the workers listen on free ports of the same host.
-func Open(address string, workers int) (*Site, error) {
-	s := &Site{Keys: keyspace.New(), Fleet: runner.New(needs, work)}
+func Open(address string, workers int, options ...Option) (*Site, error) {
+	s := &Site{Keys: keyspace.New(), Fleet: runner.New(needs, work), through: func(a string) (string, error) { return a, nil }}
+	for _, o := range options {
+		o(s)
+	}
 	store, err := s.serve(address, platform.NewKeyspaceHandler(s.Keys))
 	if err != nil {
 		return nil, err
@@ -130,7 +144,14 @@
 	if err != nil {
 		return err
 	}
-	w.Address = at
+	if w.Address, err = s.through(at); err != nil {
+		return err
+	}
+	s.workers = append(s.workers, w)
+	return s.register(w)
+}
+
+func (s *Site) register(w lovagestand.FleetWorker) error {
 	value, err := platform.EncodeWorker(w)
 	if err != nil {
 		return err
@@ -139,6 +160,15 @@
 	return nil
 }
 
+// Rebear ends a worker and starts it again under its name, with nothing left of
+// before.
+func (s *Site) Rebear(i int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers[i].Born = s.Fleet.Add(s.workers[i].Name, capacity).Born
+	return s.register(s.workers[i])
+}
+
 // Configure puts a version of the operator's configuration in force, with one
 // route at a host and prefix.
 func (s *Site) Configure(version int, host, prefix string) error {
