--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,7 +24,7 @@
 		c.Nodes[i].Signal(syscall.SIGKILL)
 		return fmt.Sprint("kill node ", i), func() error { return c.Nodes[i].restart() }
 	},
-	func(r *rand.Rand, c *Cell) (string, func() error) {
+	func(_ *rand.Rand, c *Cell) (string, func() error) {
 		for _, n := range c.Nodes {
 			n.Signal(syscall.SIGKILL)
 		}
@@ -64,7 +64,7 @@
 			return nil
 		}
 	},
-	func(r *rand.Rand, c *Cell) (string, func() error) {
+	func(_ *rand.Rand, c *Cell) (string, func() error) {
 		for _, n := range c.Nodes {
 			n.Store.Reset()
 		}
