An owner that the store turns away has its ownership ended by another instance

Cause (incident on ppr, logs): the store rejected the owner with 503 and served others; the shard stood still for the owner's lease, 1.2 s, and 80 of 145 quotes of those windows were late. Ruled out: taking over (0.03 s) and the workers (contacted within 0.2 s). Change: while its writes fail the owner asks two others to remove its key under its epoch; in an outage for all nothing changes.

--- a/election/candidate.go
+++ b/election/candidate.go
@@ -34,6 +34,8 @@
 	// instance must have for the owner to yield to it, after yieldAfter.
 	yieldFactor = 2
 	yieldAfter  = time.Second
+	// deposeInterval spaces attempts to remove the key of one owner.
+	deposeInterval = 300 * time.Millisecond
 )
 
 // Candidate contends for one shard and holds it while it can.
@@ -50,6 +52,7 @@
 	mu        sync.Mutex
 	confirmed time.Time
 	deposed   lovagestand.Epoch
+	deposedAt time.Time
 }
 
 // Run contends until ctx ends. It then gives the shard up at once.
@@ -71,15 +74,16 @@
 }
 
 // Depose has an owner's key removed because no process listens at the owner's
-// address; then all instances contend as usual. A live owner that is deposed by
+// address, or because the store turns the owner away; then all instances
+// contend as usual. A live owner that is deposed by
 // mistake is locked out by the epoch of the next one.
 func (c *Candidate) Depose(epoch lovagestand.Epoch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.deposed >= epoch {
+	if c.deposed == epoch && time.Since(c.deposedAt) < deposeInterval {
 		return
 	}
-	c.deposed = epoch
+	c.deposed, c.deposedAt = epoch, time.Now()
 	go c.remove(epoch)
 }
 
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -21,6 +21,10 @@
 	attemptTimeout = 800 * time.Millisecond
 	// retryDelay spaces attempts at a store that rejects calls.
 	retryDelay = 50 * time.Millisecond
+	// troubleAfter is how long a write may fail before that is reported, and
+	// troubleInterval spaces the reports.
+	troubleAfter    = 200 * time.Millisecond
+	troubleInterval = 500 * time.Millisecond
 )
 
 // SequenceKey returns the key whose revision each write requires and changes.
@@ -57,15 +61,39 @@
 // Store reads and writes the jobs of one shard in one term. Only one write may
 // be under way.
 type Store struct {
-	keys     lovagestand.Keyspace
-	term     Term
-	sequence lovagestand.Revision
-	writes   int64
+	keys      lovagestand.Keyspace
+	term      Term
+	sequence  lovagestand.Revision
+	writes    int64
+	troubled  func()
+	complaint time.Time
+}
+
+// Option changes a store.
+type Option func(*Store)
+
+// WithTrouble has f called now and then while writes fail; f must not block.
+func WithTrouble(f func()) Option {
+	return func(s *Store) { s.troubled = f }
 }
 
 // New returns a store for a term.
-func New(keys lovagestand.Keyspace, term Term) *Store {
-	return &Store{keys: keys, term: term, sequence: term.Sequence}
+func New(keys lovagestand.Keyspace, term Term, options ...Option) *Store {
+	s := &Store{keys: keys, term: term, sequence: term.Sequence, troubled: func() {}}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// complain reports a write that has failed since begun.
+func (s *Store) complain(begun time.Time) {
+	now := time.Now()
+	if now.Sub(begun) < troubleAfter || now.Sub(s.complaint) < troubleInterval {
+		return
+	}
+	s.complaint = now
+	s.troubled()
 }
 
 // Entry is the kept value of one job, or of the roster; an empty value forgets
@@ -96,6 +124,7 @@
 	s.writes++
 	token := fmt.Sprintf("%d/%d", s.term.Epoch, s.writes)
 	t := s.transaction(token, entries)
+	begun := time.Now()
 	for {
 		revision, err := s.attempt(ctx, t)
 		if err == nil {
@@ -109,6 +138,7 @@
 		if ctx.Err() != nil {
 			return errors.Wrap(ctx.Err(), "write jobs")
 		}
+		s.complain(begun)
 		var rejected *lovagestand.RejectedError
 		if errors.As(err, &rejected) && !pause.For(ctx, retryDelay) {
 			return errors.Wrap(ctx.Err(), "write jobs")
--- a/jobstore/store_test.go
+++ b/jobstore/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -100,6 +101,22 @@
 	})
 }
 
+func TestTroubleIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys := keyspace.New()
+		reports := 0
+		s := jobstore.New(keys, begin(c, keys, "a"), jobstore.WithTrouble(func() { reports++ }))
+		c.Assert(s.Write(t.Context(), entry("x", "1")), qt.IsNil)
+		c.Assert(reports, qt.Equals, 0)
+		keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultRejected })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		c.Assert(s.Write(ctx, entry("x", "2")), qt.Not(qt.IsNil))
+		c.Assert(reports, qt.Equals, 2)
+	})
+}
+
 func TestForget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/node/cell.go
+++ b/node/cell.go
@@ -16,6 +16,8 @@
 // cellServer serves the other instances; it implements cellpb.Cell.
 type cellServer struct {
 	adviser lovagestand.Adviser
+	// depose ends an ownership in the store.
+	depose func(lovagestand.Epoch)
 
 	mu    sync.Mutex
 	shard *shard.Shard
@@ -117,3 +119,9 @@
 	}
 	return reply, nil
 }
+
+// Depose implements cellpb.Cell.
+func (c *cellServer) Depose(_ context.Context, r *cellpb.DeposeRequest) (*cellpb.DeposeReply, error) {
+	c.depose(lovagestand.Epoch(r.GetEpoch()))
+	return &cellpb.DeposeReply{}, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -91,6 +92,7 @@
 	n.candidate = &election.Candidate{
 		Shard: shardName, Self: self, Keys: deps.Keys, Directory: n.directory, Log: deps.Log, Serve: n.serveShard,
 	}
+	n.cell.depose = n.candidate.Depose
 	n.owner = &ownerClient{
 		shard: shardName, self: self, directory: n.directory, peers: n.peers, local: n.cell, depose: n.candidate.Depose, log: deps.Log,
 	}
@@ -208,7 +210,8 @@
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention,
 		Silence: silentBeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
 	}, shard.Deps{
-		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term), Lines: n.lines, Confirmed: confirmed, Log: n.deps.Log,
+		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithTrouble(func() { go n.askToDepose(ctx, term) })),
+		Lines: n.lines, Confirmed: confirmed, Log: n.deps.Log,
 		Recorder: n.deps.Recorder,
 	})
 	for {
@@ -234,6 +237,33 @@
 	running.Wait()
 }
 
+const (
+	// deposers is how many instances are asked to end an ownership.
+	deposers = 2
+	// deposeTimeout bounds one such call.
+	deposeTimeout = 400 * time.Millisecond
+)
+
+// askToDepose asks other instances to end this instance's own ownership: the
+// store turns this one away, and may serve others. Where it serves nobody,
+// nothing changes.
+func (n *Node) askToDepose(ctx context.Context, term jobstore.Term) {
+	members := n.directory.Members()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	asked := 0
+	for _, m := range members {
+		if m.ID == n.self.ID || asked == deposers {
+			continue
+		}
+		asked++
+		limited, cancel := context.WithTimeout(ctx, deposeTimeout)
+		_, err := n.peers.at(m.Address).Depose(limited, &cellpb.DeposeRequest{Shard: term.Shard, Epoch: uint64(term.Epoch)})
+		cancel()
+		n.deps.Log.Warn().Err(err).Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Str("by", string(m.ID)).
+			Msg("store turns this owner away: another instance is asked to end the ownership")
+	}
+}
+
 // followWorkers reads the list of workers for as long as the shard is owned.
 func (n *Node) followWorkers(ctx context.Context, s *shard.Shard) {
 	healthy := true
