--- a/election/candidate.go
+++ b/election/candidate.go
@@ -1,8 +1,10 @@
 package election
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -18,6 +20,9 @@
 	// ownerTTL is how long an owner that does not answer keeps its shard: the
 	// shortest that outlives a store that answers in half a second.
 	ownerTTL = 1200 * time.Millisecond
+	// winTimeout bounds one call on the way to an ownership: a store that
+	// answers in half a second is still served.
+	winTimeout = 600 * time.Millisecond
 	// memberTTL is how long a crashed instance stays listed.
 	memberTTL = 4 * time.Second
 	// renewals is how many renewals fit into the time to live of a lease.
@@ -157,25 +162,24 @@
 
 // win takes the shard if its ownership key still has the former revision.
 func (c *Candidate) win(ctx context.Context, former lovagestand.Revision) (jobstore.Term, lovagestand.LeaseID, error) {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	begun := time.Now()
-	lease, _, err := c.Keys.Grant(limited, ownerTTL)
-	if err != nil {
-		return jobstore.Term{}, 0, errors.Wrap(err, "grant lease")
-	}
 	value, err := json.Marshal(c.Self)
 	if err != nil {
 		return jobstore.Term{}, 0, errors.Wrap(err, "encode owner")
 	}
+	begun := time.Now()
+	lease, err := c.grant(ctx)
+	if err != nil {
+		return jobstore.Term{}, 0, errors.Wrap(err, "grant lease")
+	}
 	key := OwnerKey(c.Shard)
-	revision, err := c.Keys.Commit(limited, lovagestand.Transaction{
+	token := fmt.Appendf(nil, "begin %s %d", c.Self.ID, lease)
+	revision, err := c.commit(ctx, lovagestand.Transaction{
 		If: []lovagestand.Condition{{Key: key, Revision: former}},
 		Set: []lovagestand.Write{
 			{Key: key, Value: value, Lease: lease},
-			{Key: jobstore.SequenceKey(c.Shard), Value: []byte("begin " + string(c.Self.ID))},
+			{Key: jobstore.SequenceKey(c.Shard), Value: token},
 		},
-	})
+	}, token)
 	if err != nil {
 		c.release(lease)
 		return jobstore.Term{}, 0, err
@@ -184,6 +188,33 @@
 	return jobstore.Term{Shard: c.Shard, Key: key, Epoch: lovagestand.Epoch(revision), Sequence: revision}, lease, nil
 }
 
+func (c *Candidate) grant(ctx context.Context) (lovagestand.LeaseID, error) {
+	limited, cancel := context.WithTimeout(ctx, winTimeout)
+	defer cancel()
+	lease, _, err := c.Keys.Grant(limited, ownerTTL)
+	return lease, err
+}
+
+// commit applies the transaction that takes the shard. Where its reply is lost,
+// the token tells whether it was applied.
+func (c *Candidate) commit(ctx context.Context, t lovagestand.Transaction, token []byte) (lovagestand.Revision, error) {
+	limited, cancel := context.WithTimeout(ctx, winTimeout)
+	revision, err := c.Keys.Commit(limited, t)
+	cancel()
+	var unavailable *lovagestand.UnavailableError
+	if !errors.As(err, &unavailable) {
+		return revision, err
+	}
+	limited, cancel = context.WithTimeout(ctx, winTimeout)
+	defer cancel()
+	sequence, readErr := c.Keys.Item(limited, jobstore.SequenceKey(c.Shard))
+	if readErr != nil || !bytes.Equal(sequence.Value, token) {
+		return 0, err
+	}
+	c.Log.Info().Str("shard", c.Shard).Uint64("epoch", uint64(sequence.Revision)).Msg("the reply that the shard was won was lost")
+	return sequence.Revision, nil
+}
+
 // release ends a lease so that whatever it may hold does not linger.
 func (c *Candidate) release(lease lovagestand.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -191,6 +191,27 @@
 	})
 }
 
+func TestLostReplyOfTheWinIsFoundOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		commits := 0
+		keys.SetFault(func(call string) keyspace.Fault {
+			if call != "commit" || commits >= 2 {
+				return keyspace.FaultNone
+			}
+			// The instance registers and takes the shard: both replies are lost.
+			commits++
+			return keyspace.FaultLostReply
+		})
+		stop := k.stand(keys, "a")
+		defer stop()
+		time.Sleep(3 * time.Second)
+		_, terms := k.owner()
+		c.Assert(terms, qt.Equals, 1)
+	})
+}
+
 func TestDirectorySurvivesLostHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -16,9 +16,17 @@
 	// MaxJobs is how many jobs one write takes; two conditions and the
 	// sequence key take the other entries of a transaction.
 	MaxJobs = lovagestand.MaxTransactionEntries - 3
-	// attemptTimeout bounds one attempt at a write: several times the
-	// slowest answer of a store that still serves.
-	attemptTimeout = 800 * time.Millisecond
+	// minAttempt and maxAttempt bound the time of one attempt at a write; in
+	// between it is attemptFactor times what answers usually take, so that a
+	// lost reply is found out soon.
+	minAttempt    = 200 * time.Millisecond
+	maxAttempt    = 1500 * time.Millisecond
+	attemptFactor = 6
+	// usualWeight is the weight of the newest answer in what is usual.
+	usualWeight = 0.2
+	// timeoutGrowth is how much longer answers are taken to need after none
+	// came in time.
+	timeoutGrowth = 1.5
 	// retryDelay spaces attempts at a store that rejects calls.
 	retryDelay = 50 * time.Millisecond
 	// troubleAfter is how long a write may fail before that is reported, and
@@ -61,10 +69,12 @@
 // Store reads and writes the jobs of one shard in one term. Only one write may
 // be under way.
 type Store struct {
-	keys      lovagestand.Keyspace
-	term      Term
-	sequence  lovagestand.Revision
-	writes    int64
+	keys     lovagestand.Keyspace
+	term     Term
+	sequence lovagestand.Revision
+	writes   int64
+	// usual is how long an answer of the store usually takes.
+	usual     time.Duration
 	troubled  func()
 	complaint time.Time
 }
@@ -151,9 +161,17 @@
 }
 
 func (s *Store) attempt(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	timeout := min(maxAttempt, max(minAttempt, attemptFactor*s.usual))
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return s.keys.Commit(ctx, t)
+	begun := time.Now()
+	revision, err := s.keys.Commit(limited, t)
+	if limited.Err() != nil {
+		s.usual = min(maxAttempt/attemptFactor, max(minAttempt/attemptFactor, time.Duration(timeoutGrowth*float64(s.usual))))
+	} else {
+		s.usual += time.Duration(usualWeight * float64(time.Since(begun)-s.usual))
+	}
+	return revision, err
 }
 
 func (s *Store) transaction(token string, entries []Entry) lovagestand.Transaction {
--- a/jobstore/store_test.go
+++ b/jobstore/store_test.go
@@ -101,6 +101,18 @@
 	})
 }
 
+func TestLostReplyIsFoundOutSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys := keyspace.New()
+		s := jobstore.New(keys, begin(c, keys, "a"))
+		faultOnce(keys, "commit", keyspace.FaultLostReply)
+		begun := time.Now()
+		c.Assert(s.Write(t.Context(), entry("x", "1")), qt.IsNil)
+		c.Assert(time.Since(begun) < 300*time.Millisecond, qt.IsTrue)
+	})
+}
+
 func TestTroubleIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
