--- a/shard/order.go
+++ b/shard/order.go
@@ -51,15 +51,15 @@
 	}
 	s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
 		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Msg("task placed")
-	go s.start(p, order)
+	go s.start(p, w.info, order)
 }
 
 // start sends the order and notes what became of it.
-func (s *Shard) start(p *placement, order lovagestand.Order) {
+func (s *Shard) start(p *placement, target lovagestand.FleetWorker, order lovagestand.Order) {
 	limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	begun := time.Now()
-	clock, err := s.deps.Fleet.Start(limited, p.worker.info, order)
+	clock, err := s.deps.Fleet.Start(limited, target, order)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
@@ -144,21 +144,28 @@
 	go s.sendStop(p)
 }
 
+// target returns where and to which life of a worker orders go.
+func (s *Shard) target(w *worker) lovagestand.FleetWorker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.info
+}
+
 func (s *Shard) sendStop(p *placement) {
 	for {
+		target := s.target(p.worker)
 		limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
-		_, err := s.deps.Fleet.Stop(limited, p.worker.info, p.name, p.run, s.term.Epoch)
+		_, err := s.deps.Fleet.Stop(limited, target, p.name, p.run, s.term.Epoch)
 		cancel()
 		s.mu.Lock()
 		done := s.ctx.Err() != nil || p.worker.placements[p.name] != p
 		var refused *lovagestand.OrderRefusedError
 		if err == nil || errors.As(err, &refused) && refused.Reason != lovagestand.RefusalUnhealthy {
-			p.stopped = true
 			p.settled = time.Now()
 			done = true
 		}
 		s.mu.Unlock()
-		if p.stopped {
+		if err == nil {
 			s.look(p.worker)
 		}
 		if done || !pause.For(s.ctx, stopRetry) {
@@ -169,8 +176,9 @@
 
 func (s *Shard) stopStray(ctx context.Context, w *worker, r lovagestand.RunningTask) {
 	for {
+		target := s.target(w)
 		limited, cancel := context.WithTimeout(ctx, orderTimeout)
-		_, err := s.deps.Fleet.Stop(limited, w.info, r.Task, r.Run, s.term.Epoch)
+		_, err := s.deps.Fleet.Stop(limited, target, r.Task, r.Run, s.term.Epoch)
 		cancel()
 		if err == nil || !pause.For(ctx, stopRetry) {
 			return
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,7 @@
 	c       *qt.C
 	keys    *keyspace.Store
 	fleet   *runner.Fleet
+	mu      sync.Mutex
 	workers []lovagestand.FleetWorker
 	log     zerolog.Logger
 	advice  func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
@@ -79,7 +82,7 @@
 	}()
 	go func() {
 		for ctx.Err() == nil {
-			s.SetWorkers(k.workers)
+			s.SetWorkers(k.list())
 			select {
 			case <-time.After(500 * time.Millisecond):
 			case <-ctx.Done():
@@ -89,6 +92,34 @@
 	return &owner{Shard: s, stop: func() { cancel(); <-done }}
 }
 
+// list returns the workers as the platform lists them now.
+func (k *cell) list() []lovagestand.FleetWorker {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.workers)
+}
+
+// change changes the list of workers.
+func (k *cell) change(f func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.workers = f(k.workers)
+}
+
+// bear starts a worker again under its name.
+func (k *cell) bear(n int) {
+	k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+		workers[n] = k.fleet.Add(workers[n].Name, workers[n].Capacity)
+		return workers
+	})
+}
+
+// crash ends the first worker for good.
+func (k *cell) crash() {
+	k.fleet.Crash("w0")
+	k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+}
+
 // ownReady begins a term and waits until all workers take tasks.
 func (k *cell) ownReady(name string) *owner {
 	o := k.own(name)
@@ -373,7 +404,7 @@
 			defer o.stop()
 			o.submit(c, id(1), job.Step{Count: 2})
 			time.Sleep(time.Second)
-			k.workers[0] = k.fleet.Add("w0", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
+			k.bear(0)
 			time.Sleep(10 * time.Second)
 			assertPhase(c, o, id(1), "completed")
 			k.assertSound()
@@ -386,7 +417,10 @@
 			o := k.own("a")
 			defer o.stop()
 			time.Sleep(time.Second)
-			k.workers[0].Ready = false
+			k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+				workers[0].Ready = false
+				return workers
+			})
 			time.Sleep(time.Second)
 			o.submit(c, id(1), job.Step{Count: 1})
 			time.Sleep(5 * time.Second)
@@ -402,11 +436,13 @@
 			o.submit(c, id(1), job.Step{Count: 4})
 			for beat := range 4 {
 				time.Sleep(500 * time.Millisecond)
-				k.workers[0].Ready, k.workers[0].Heartbeat = false, int64(beat+1)
-				k.workers[1].Heartbeat = int64(beat + 1)
+				k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+					workers[0].Ready, workers[0].Heartbeat = false, int64(beat+1)
+					workers[1].Heartbeat = int64(beat + 1)
+					return workers
+				})
 			}
-			k.fleet.Crash("w0")
-			k.workers = k.workers[1:]
+			k.crash()
 			time.Sleep(4 * time.Second)
 			assertPhase(c, o, id(1), "completed")
 			k.assertSound()
@@ -422,8 +458,7 @@
 			former.submit(c, id(1), job.Step{Count: 1}, job.Step{Count: 1, After: []int{0}})
 			time.Sleep(500 * time.Millisecond)
 			former.stop()
-			k.fleet.Crash("w0")
-			k.workers = k.workers[1:]
+			k.crash()
 			later := k.own("b")
 			defer later.stop()
 			time.Sleep(15 * time.Second)
@@ -467,9 +502,21 @@
 	}
 }
 
+// dice is a source of random numbers that goroutines share.
+type dice struct {
+	mu     sync.Mutex
+	source *rand.Rand
+}
+
+func (d *dice) IntN(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.source.IntN(n)
+}
+
 func explore(t *testing.T, seed uint64) {
 	c := qt.New(t)
-	r := rand.New(rand.NewPCG(seed, 1))
+	r := &dice{source: rand.New(rand.NewPCG(seed, 1))}
 	k := newCell(c, 4, func(lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
 		return time.Duration(200+r.IntN(2000)) * time.Millisecond, lovagestand.EndingDone
 	})
@@ -503,8 +550,7 @@
 			k.fleet.Settle()
 			k.keys.Settle()
 		case 2:
-			n := r.IntN(len(k.workers))
-			k.workers[n] = k.fleet.Add(k.workers[n].Name, k.workers[n].Capacity)
+			k.bear(r.IntN(len(k.workers)))
 		}
 	}
 	k.fleet.SetFault(nil)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -94,7 +94,6 @@
 	saved   string
 	savedAt time.Time
 	stop    bool // an order to stop is to be sent or was sent
-	stopped bool // the worker has answered the order to stop
 	sending bool
 }
 
@@ -229,13 +228,14 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		request, unacked := s.holdRequest(w)
+		target := w.info
 		s.mu.Unlock()
 		if unacked && !s.awaitAck(ctx, w) {
 			continue
 		}
 		begun := time.Now()
 		limited, cancel := context.WithTimeout(ctx, request.Wait+holdTimeout)
-		holding, err := s.deps.Fleet.Hold(limited, w.info, request)
+		holding, err := s.deps.Fleet.Hold(limited, target, request)
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -257,10 +257,11 @@
 func (s *Shard) look(w *worker) {
 	s.mu.Lock()
 	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
+	target := w.info
 	s.mu.Unlock()
 	begun := time.Now()
 	limited, cancel := context.WithTimeout(s.ctx, holdTimeout)
-	holding, err := s.deps.Fleet.Hold(limited, w.info, request)
+	holding, err := s.deps.Fleet.Hold(limited, target, request)
 	cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
