--- /dev/null
+++ b/dispatch/reserve.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// releasesOf returns the expected ends on a worker.
+func (p *planner) releasesOf(worker int) []Release {
+	if p.releases[worker] == nil && p.Releases != nil {
+		p.releases[worker] = p.Releases(worker)
+	}
+	return p.releases[worker]
+}
+
+// reserve marks the workers on which a gang that does not fit now fits first,
+// and returns them with the expected start; none if it reserves nothing.
+func (p *planner) reserve(s *Step) ([]int, time.Time) {
+	if !s.Gang || p.reservations <= 0 {
+		return nil, time.Time{}
+	}
+	type slot struct {
+		worker int
+		at     time.Time
+	}
+	var slots []slot
+	for _, i := range p.eligible(s, false) {
+		for _, at := range p.slots(s, i, s.Tasks) {
+			slots = append(slots, slot{worker: i, at: at})
+		}
+	}
+	if len(slots) < s.Tasks {
+		return nil, time.Time{}
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
+	start := slots[s.Tasks-1].at
+	if start.Sub(p.Now) > reservationHorizon {
+		return nil, time.Time{}
+	}
+	p.reservations--
+	var workers []int
+	for _, slot := range slots[:s.Tasks] {
+		p.reserveOn(slot.worker, s.Needs, start)
+		workers = append(workers, slot.worker)
+	}
+	return workers, start
+}
+
+// reserveOn keeps room for one task on a worker from a time on.
+func (p *planner) reserveOn(worker int, needs lovagestand.Resources, start time.Time) {
+	w := &p.Workers[worker]
+	if w.reservedUntil.IsZero() {
+		w.spare = w.Free
+	}
+	for _, r := range p.releasesOf(worker) {
+		if r.At.After(w.reservedUntil) && !r.At.After(start) {
+			w.spare = w.spare.Add(r.Frees)
+		}
+	}
+	if start.After(w.reservedUntil) {
+		w.reservedUntil = start
+	}
+	w.spare = w.spare.Sub(needs)
+}
--- /dev/null
+++ b/dispatch/room.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
+
+// choose takes room for the tasks of a step and returns their workers; fewer
+// than all where there is not enough room.
+func (p *planner) choose(s *Step, permitted bool) []int {
+	eligible := p.eligible(s, permitted)
+	if s.Gang && s.SameRack {
+		for _, rack := range p.racks(eligible) {
+			chosen := p.take(s, rack)
+			if len(chosen) == s.Tasks {
+				return chosen
+			}
+			p.giveBack(s, chosen)
+		}
+	}
+	return p.take(s, eligible)
+}
+
+func (p *planner) eligible(s *Step, permitted bool) []int {
+	var eligible []int
+	if s.Advised {
+		for _, c := range s.Candidates {
+			if (c.Permitted || !permitted) && p.allowed(s, c.Worker) {
+				eligible = append(eligible, c.Worker)
+			}
+		}
+		return eligible
+	}
+	for i := range p.Workers {
+		if p.allowed(s, i) {
+			eligible = append(eligible, i)
+		}
+	}
+	return eligible
+}
+
+// allowed reports whether a task of the step may start on a worker now, room
+// aside.
+func (p *planner) allowed(s *Step, worker int) bool {
+	w := &p.Workers[worker]
+	if !w.Open || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+		return false
+	}
+	return !p.delays(s, w) || s.Needs.Fits(w.spare)
+}
+
+// delays reports whether a task of the step would run past a reserved start.
+func (p *planner) delays(s *Step, w *Worker) bool {
+	return !w.reservedUntil.IsZero() && p.Now.Add(scale(s.RunTime, w.Slowness)).After(w.reservedUntil)
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * max(factor, 1))
+}
+
+// racks splits workers by rack, those with more workers first.
+func (p *planner) racks(eligible []int) [][]int {
+	byRack := map[lovagestand.RackName][]int{}
+	for _, i := range eligible {
+		byRack[p.Workers[i].Rack] = append(byRack[p.Workers[i].Rack], i)
+	}
+	racks := make([][]int, 0, len(byRack))
+	for _, rack := range byRack {
+		racks = append(racks, rack)
+	}
+	slices.SortFunc(racks, func(a, b []int) int {
+		return cmp.Or(cmp.Compare(len(b), len(a)), cmp.Compare(a[0], b[0]))
+	})
+	return racks
+}
+
+func (p *planner) take(s *Step, eligible []int) []int {
+	var chosen []int
+	count := map[int]int{}
+	for len(chosen) < s.Tasks {
+		best, bestCost := -1, 0.0
+		for _, i := range eligible {
+			if w := &p.Workers[i]; p.delays(s, w) && !s.Needs.Fits(w.spare) {
+				continue
+			}
+			if !s.Needs.Fits(p.Workers[i].Free) || s.MaxPerWorker > 0 && s.Placed[i]+count[i] >= s.MaxPerWorker {
+				continue
+			}
+			if cost := p.cost(s, i); best < 0 || cost < bestCost {
+				best, bestCost = i, cost
+			}
+		}
+		if best < 0 {
+			return chosen
+		}
+		chosen = append(chosen, best)
+		count[best]++
+		w := &p.Workers[best]
+		w.Free = w.Free.Sub(s.Needs)
+		if p.delays(s, w) {
+			w.spare = w.spare.Sub(s.Needs)
+		}
+	}
+	return chosen
+}
+
+// cost ranks workers with room: fullest first, fast ones before slow ones.
+func (p *planner) cost(s *Step, worker int) float64 {
+	w := &p.Workers[worker]
+	left := w.Free.Sub(s.Needs)
+	cost := float64(left.MilliCPU)/float64(max(1, w.Capacity.MilliCPU)) + slownessCost*(max(w.Slowness, 1)-1)
+	if s.Affinity != "" && w.Rack == s.Affinity {
+		cost -= affinityGain
+	}
+	if s.Avoid[worker] {
+		cost += avoidCost
+	}
+	return cost
+}
+
+func (p *planner) giveBack(s *Step, chosen []int) {
+	for _, i := range chosen {
+		w := &p.Workers[i]
+		w.Free = w.Free.Add(s.Needs)
+		if p.delays(s, w) {
+			w.spare = w.spare.Add(s.Needs)
+		}
+	}
+}
+
+func (p *planner) fits(s *Step, worker int) bool {
+	return p.allowed(s, worker) && s.Needs.Fits(p.Workers[worker].Free)
+}
--- /dev/null
+++ b/shard/hold.go
@@ -0,0 +1,190 @@
+package shard
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
+)
+
+// holdLoop keeps a worker's lease and follows what it runs.
+func (s *Shard) holdLoop(ctx context.Context, w *worker) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		request, unacked := s.holdRequest(w)
+		target := w.info
+		s.mu.Unlock()
+		if unacked && !s.awaitAck(ctx, w) {
+			continue
+		}
+		begun := time.Now()
+		limited, cancel := context.WithTimeout(ctx, request.Wait+holdTimeout)
+		holding, err := s.deps.Fleet.Hold(limited, target, request)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		s.mu.Lock()
+		if err != nil {
+			s.holdFailed(w, err)
+		} else {
+			s.held(w, begun, holding)
+		}
+		s.mu.Unlock()
+		if err != nil {
+			pause.For(ctx, holdRetry)
+		}
+	}
+}
+
+// look asks a worker at once what it holds, because a start was left in doubt.
+func (s *Shard) look(w *worker) {
+	s.mu.Lock()
+	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
+	target := w.info
+	s.mu.Unlock()
+	begun := time.Now()
+	limited, cancel := context.WithTimeout(s.ctx, holdTimeout)
+	holding, err := s.deps.Fleet.Hold(limited, target, request)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && s.ctx.Err() == nil {
+		s.held(w, begun, holding)
+	}
+}
+
+// holdRequest returns the next hold, and whether ends are seen that may not be
+// acknowledged yet.
+func (s *Shard) holdRequest(w *worker) (lovagestand.HoldRequest, bool) {
+	now := time.Now()
+	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
+	if !w.contacted {
+		return request, false
+	}
+	unacked := w.acked < w.seen
+	if now.Sub(w.lastAnswer) < extendFor {
+		lease := w.lease(s.limits)
+		request.Until = w.workerTime(now) + lease.Milliseconds()
+		request.Wait = holdWait
+		w.leaseEnd = laterOf(w.leaseEnd, now.Add(time.Duration(float64(lease)*clockRate)+leaseSlack))
+	}
+	if unacked {
+		request.Wait = 0
+	}
+	return request, unacked
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// awaitAck waits until the store has kept the ends seen; true when a hold
+// should be sent although it has not.
+func (s *Shard) awaitAck(ctx context.Context, w *worker) bool {
+	timer := time.NewTimer(ackWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-w.acks:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// acknowledge lets workers forget the ends that are kept now.
+func (s *Shard) acknowledge() {
+	for _, w := range s.workers {
+		s.acknowledgeWorker(w)
+	}
+}
+
+func (s *Shard) acknowledgeWorker(w *worker) {
+	n := 0
+	for n < len(w.pending) && w.pending[n].at <= s.written {
+		w.acked = w.pending[n].number
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	w.pending = slices.Delete(w.pending, 0, n)
+	select {
+	case w.acks <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Shard) holdFailed(w *worker, err error) {
+	var refused *lovagestand.OrderRefusedError
+	if errors.As(err, &refused) {
+		switch refused.Reason {
+		case lovagestand.RefusalFenced:
+			s.lose("worker " + string(w.info.Name) + " has seen a higher epoch")
+			return
+		case lovagestand.RefusalReborn:
+			s.expire(w, "another life answers")
+			return
+		}
+	}
+	now := time.Now()
+	var unavailable *lovagestand.UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready {
+		s.dismiss(w, "it was leaving, and no process listens there any more")
+		return
+	}
+	if !w.silent {
+		w.silent = true
+		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
+	}
+	if w.contacted && now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
+		s.expire(w, "its lease has expired")
+	}
+	if !w.contacted && now.Sub(s.began) > s.formerLease() {
+		s.resolve(w.info.Name)
+	}
+}
+
+// dismiss takes a worker as gone for good.
+func (s *Shard) dismiss(w *worker, reason string) {
+	s.expire(w, reason)
+	w.leaseEnd, w.lastAnswer, w.lastSee = time.Time{}, time.Time{}, time.Time{}
+}
+
+// expire takes everything on a worker as ended without a verdict.
+func (s *Shard) expire(w *worker, reason string) {
+	if len(w.placements)+len(w.strays) > 0 {
+		s.log.Warn().Str("worker", string(w.info.Name)).Int("tasks", len(w.placements)).Str("reason", reason).Msg("tasks lost")
+	}
+	for _, p := range w.placements {
+		s.vanish(p)
+	}
+	clear(w.strays)
+	s.resolve(w.info.Name)
+	s.wake()
+}
+
+// reborn takes note that a worker has begun a new life under its name.
+func (s *Shard) reborn(w *worker, born int64) {
+	s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", born).Msg("worker has a new life")
+	w.info.Born = born
+	w.acked, w.seen, w.pending = 0, 0, nil
+	w.health = health{}
+	for _, p := range w.placements {
+		if p.sending || p.born == born {
+			// The new life may get this start, or has answered it.
+			continue
+		}
+		s.vanish(p)
+	}
+	clear(w.strays)
+}
