--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -36,7 +36,7 @@
 		}
 	}
 	if w.seen > w.acked && (len(w.pending) == 0 || w.pending[len(w.pending)-1].number < w.seen) {
-		w.pending = append(w.pending, pendingAck{at: s.queued, number: w.seen})
+		w.pending = append(w.pending, unacknowledged{at: s.queued, number: w.seen})
 		s.acknowledgeWorker(w)
 	}
 	s.reconcile(w, begun, now, h.Running)
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -18,7 +18,7 @@
 		request, unacked := s.holdRequest(w)
 		target := w.info
 		s.mu.Unlock()
-		if unacked && !s.awaitAck(ctx, w) {
+		if unacked && !s.awaitAcknowledgement(ctx, w) {
 			continue
 		}
 		begun := time.Now()
@@ -86,15 +86,15 @@
 	return b
 }
 
-// awaitAck waits until the store has kept the ends seen; true when a hold
+// awaitAcknowledgement waits until the store has kept the ends seen; true when a hold
 // should be sent although it has not.
-func (s *Shard) awaitAck(ctx context.Context, w *worker) bool {
-	timer := time.NewTimer(ackWait)
+func (s *Shard) awaitAcknowledgement(ctx context.Context, w *worker) bool {
+	timer := time.NewTimer(acknowledgeWait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-w.acks:
+	case <-w.acknowledged:
 		return false
 	case <-timer.C:
 		return true
@@ -119,7 +119,7 @@
 	}
 	w.pending = slices.Delete(w.pending, 0, n)
 	select {
-	case w.acks <- struct{}{}:
+	case w.acknowledged <- struct{}{}:
 	default:
 	}
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -31,8 +31,8 @@
 	missingFor = 4 * time.Second
 	// leftMargin covers how late a heartbeat and its absence are seen here.
 	leftMargin = 1200 * time.Millisecond
-	// ackWait is how long a hold waits for the store to keep the ends seen.
-	ackWait = 150 * time.Millisecond
+	// acknowledgeWait is how long a hold waits for the store to keep the ends seen.
+	acknowledgeWait = 150 * time.Millisecond
 )
 
 // worker is one life of a worker.
@@ -43,16 +43,16 @@
 	lastSee time.Time // when it was last listed
 	beatAt  time.Time // when its heartbeat was last seen to change
 
-	contacted   bool
-	silent      bool
-	lastAnswer  time.Time
-	askedAt     time.Time // when the last hold that was answered was sent
-	clock       int64
-	clockAt     time.Time
-	leaseEnd    time.Time
-	acked, seen int64
-	pending     []pendingAck
-	acks        chan struct{}
+	contacted    bool
+	silent       bool
+	lastAnswer   time.Time
+	askedAt      time.Time // when the last hold that was answered was sent
+	clock        int64
+	clockAt      time.Time
+	leaseEnd     time.Time
+	acked, seen  int64
+	pending      []unacknowledged
+	acknowledged chan struct{}
 
 	placements map[string]*placement
 	// free is the capacity less what placements need.
@@ -67,9 +67,9 @@
 	health
 }
 
-// pendingAck is a number of ends that may be acknowledged once the write
+// unacknowledged is a number of ends that may be acknowledged once the write
 // queue's entry at is written.
-type pendingAck struct {
+type unacknowledged struct {
 	at, number int64
 }
 
@@ -202,7 +202,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{
 		info: info, free: info.Capacity, cancel: cancel, listed: !now.IsZero(), lastSee: now,
-		placements: map[string]*placement{}, strays: map[string]int64{}, acks: make(chan struct{}, 1),
+		placements: map[string]*placement{}, strays: map[string]int64{}, acknowledged: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
 	s.log.Info().Str("worker", string(info.Name)).Str("address", info.Address).Str("rack", string(info.Rack)).Msg("worker added")
