--- a/node/owner.go
+++ b/node/owner.go
@@ -37,7 +37,9 @@
 	attemptTimeout = 800 * time.Millisecond
 	// callTimeout bounds all calls for one request. All are idempotent, so a
 	// call without an answer is made again, at the next owner if there is one.
-	callTimeout = 2500 * time.Millisecond
+	// It is less than half of the three seconds that callers usually wait, so
+	// that there is time left to ask elsewhere.
+	callTimeout = 1400 * time.Millisecond
 	// peerConnections bounds idle connections to one instance.
 	peerConnections = 16
 )
