shard: one piece of code for leases, for holding room and for waking the writer

Read-through of the change. The length of a lease was worked out in three places, the counting of held runs stood beside take instead of in it, the mark of a run as active stood twice, as did the wake-up of the write loop; two fields were never read. node: the line that the owner is reached again was lost where only calls had failed, since the mark was cleared before it was looked at.

--- a/node/owner.go
+++ b/node/owner.go
@@ -97,10 +97,11 @@
 func (c *ownerClient) note(served, unreachable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	wasIsolated := c.isolatedAt(time.Now())
 	c.unreachable = !served && (c.unreachable || unreachable)
 	switch {
 	case served:
-		if c.isolatedAt(time.Now()) {
+		if wasIsolated {
 			c.log.Info().Msg("owner reached again")
 		}
 		c.failing = time.Time{}
--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -71,7 +71,6 @@
 		s.adopt(w, now, r)
 		return
 	}
-	p.seen = true
 	if p.settled.IsZero() && !p.sending {
 		p.settled = now
 	}
@@ -99,19 +98,17 @@
 	step := j.Steps[task.Step]
 	p := &placement{
 		entry: e, task: task, name: r.Task, run: r.Run, needs: step.Needs, worker: w,
-		begun: now, settled: now, seen: true, saved: r.Checkpoint, savedAt: now, expect: s.runTime(e, step),
+		begun: now, settled: now, saved: r.Checkpoint, savedAt: now, expect: s.runTime(e, step),
 	}
 	wanted := e.active[r.Task] == nil && e.progress.Adopt(task, r.Run)
 	s.take(p)
-	e.held[r.Task]++
 	if !wanted {
 		s.log.Info().Str("task", r.Task).Int64("run", r.Run).Str("worker", string(w.info.Name)).Msg("unwanted run is stopped")
 		s.stop(p)
 		return
 	}
 	s.log.Info().Str("task", r.Task).Int64("run", r.Run).Str("worker", string(w.info.Name)).Msg("task adopted")
-	e.active[r.Task] = p
-	e.step(job.StepRef{Occurrence: task.Occurrence, Step: task.Step}).placed[w.info.Name]++
+	s.activate(p)
 	e.progress.Saved(task, r.Run, r.Checkpoint)
 }
 
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -11,6 +11,13 @@
 func (s *Shard) take(p *placement) {
 	p.worker.placements[p.name] = p
 	p.worker.free = p.worker.free.Sub(p.needs)
+	p.entry.held[p.name]++
+}
+
+// activate makes a placement the run that its task waits for.
+func (s *Shard) activate(p *placement) {
+	p.entry.active[p.name] = p
+	p.entry.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step}).placed[p.worker.info.Name]++
 }
 
 // release gives the room of a placement back.
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -68,10 +68,8 @@
 	}
 	unacked := w.acked < w.seen
 	if now.Sub(w.lastAnswer) < extendFor {
-		lease := w.lease(s.limits)
-		request.Until = w.workerTime(now) + lease.Milliseconds()
+		request.Until = s.extend(w, now)
 		request.Wait = holdWait
-		w.leaseEnd = laterOf(w.leaseEnd, now.Add(time.Duration(float64(lease)*clockRate)+leaseSlack))
 	}
 	if unacked {
 		request.Wait = 0
@@ -149,7 +147,7 @@
 	if w.contacted && now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
 		s.expire(w, "its lease has expired")
 	}
-	if !w.contacted && now.Sub(s.began) > s.formerLease() {
+	if !w.contacted && now.Sub(s.began) > s.fullLease() {
 		s.resolve(w.info.Name)
 	}
 }
--- a/shard/order.go
+++ b/shard/order.go
@@ -36,13 +36,9 @@
 		begun: now, expect: expect, sending: true, saved: e.progress.Checkpoint(task), savedAt: now,
 	}
 	s.take(p)
-	e.held[name]++
-	e.active[name] = p
-	e.step(job.StepRef{Occurrence: task.Occurrence, Step: task.Step}).placed[w.info.Name]++
-	lease := w.lease(s.limits)
-	w.leaseEnd = laterOf(w.leaseEnd, now.Add(time.Duration(float64(lease)*clockRate)+leaseSlack))
+	s.activate(p)
 	order := lovagestand.Order{
-		Task: name, Run: run, Spec: j.Spec, Until: w.workerTime(now) + lease.Milliseconds(),
+		Task: name, Run: run, Spec: j.Spec, Until: s.extend(w, now),
 		Epoch: s.term.Epoch, Checkpoint: p.saved, Ticket: t.value,
 	}
 	if !e.begun {
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -21,12 +21,6 @@
 	runInterval = 200 * time.Millisecond
 )
 
-// formerLease is how long a worker may still run what a former term started.
-func (s *Shard) formerLease() time.Duration {
-	lease := min(wantedLease, s.limits.MaxLease)
-	return time.Duration(float64(lease)*clockRate) + leaseSlack
-}
-
 // Load reads what the terms before have kept. It must return before Run.
 func (s *Shard) Load(ctx context.Context) error {
 	begun := time.Now()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -124,7 +124,6 @@
 	// begun says that this term has placed a task of the job.
 	begun     bool
 	steps     map[job.StepRef]*stepState
-	nextDue   time.Time
 	objective time.Duration
 	total     time.Duration
 	// core and chain are the work left in one occurrence; they are worked out
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -86,15 +86,27 @@
 	expect  time.Duration
 	settled time.Time // when the worker's answer to the start arrived
 	born    int64     // the life that answered the start; 0 where not known
-	seen    bool      // listed as running
 	saved   string
 	savedAt time.Time
 	stop    bool // an order to stop is to be sent or was sent
 	sending bool
 }
 
-func (w *worker) lease(limits Limits) time.Duration {
-	return min(wantedLease, limits.MaxLease)
+// lease returns the lease that workers are given.
+func (s *Shard) lease() time.Duration {
+	return min(wantedLease, s.limits.MaxLease)
+}
+
+// fullLease is how long a lease may last here, by the slowest clock.
+func (s *Shard) fullLease() time.Duration {
+	return time.Duration(float64(s.lease())*clockRate) + leaseSlack
+}
+
+// extend prolongs a worker's lease from now on and returns its end on the
+// worker's clock, for the order that carries it.
+func (s *Shard) extend(w *worker, now time.Time) int64 {
+	w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.fullLease()))
+	return w.workerTime(now) + s.lease().Milliseconds()
 }
 
 // workerTime returns the worker's clock at t, as far as known.
@@ -213,8 +225,5 @@
 // enrol has the roster written.
 func (s *Shard) enrol() {
 	s.rosterAt++
-	select {
-	case s.dirtied <- struct{}{}:
-	default:
-	}
+	s.writeSoon()
 }
--- a/shard/write.go
+++ b/shard/write.go
@@ -31,6 +31,11 @@
 		e.queuedAt = s.queued
 		s.queue = append(s.queue, e)
 	}
+	s.writeSoon()
+}
+
+// writeSoon has the write loop look for what is to be written.
+func (s *Shard) writeSoon() {
 	select {
 	case s.dirtied <- struct{}{}:
 	default:
