--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -71,6 +71,7 @@
 		s.adopt(w, now, r)
 		return
 	}
+	p.entry.started = true
 	if p.settled.IsZero() && !p.sending {
 		p.settled = now
 	}
@@ -100,6 +101,7 @@
 		entry: e, task: task, name: r.Task, run: r.Run, needs: step.Needs, worker: w,
 		begun: now, settled: now, saved: r.Checkpoint, savedAt: now, expect: s.runTime(e, step),
 	}
+	e.started = true
 	wanted := e.active[r.Task] == nil && e.progress.Adopt(task, r.Run)
 	s.take(p)
 	if !wanted {
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -78,7 +78,7 @@
 	delete(w.strays, end.Task)
 	e := s.jobs[id]
 	if e != nil {
-		e.stale = true
+		e.stale, e.started = true, true
 	}
 	s.log.Info().Str("task", end.Task).Int64("run", end.Run).Str("worker", string(w.info.Name)).Str("how", string(end.Ending)).Int64("number", end.Number).Msg("task ended")
 	if !ok || e == nil || e.progress == nil {
--- a/shard/order.go
+++ b/shard/order.go
@@ -65,6 +65,7 @@
 	s.deps.Recorder.Count("starts", startOutcome(err))
 	s.deps.Recorder.Observe("orderTimes", "start", time.Since(begun))
 	if err == nil {
+		p.entry.started = true
 		p.settled = time.Now()
 		p.born = clock.Born
 		if p.stop {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -121,8 +121,10 @@
 
 	// recovered jobs may have tasks running that this term has not seen.
 	recovered bool
-	// begun says that this term has placed a task of the job.
+	// begun says that this term has ordered a task of the job, started that a
+	// worker has told of a run: an order alone may never be carried out.
 	begun     bool
+	started   bool
 	steps     map[job.StepRef]*stepState
 	objective time.Duration
 	total     time.Duration
@@ -188,7 +190,7 @@
 
 func newEntry(p *job.Progress, body []byte) *entry {
 	return &entry{
-		id: p.Job().ID, route: p.Job().Policy.Route, progress: p, body: body,
+		id: p.Job().ID, route: p.Job().Policy.Route, progress: p, body: body, started: p.Started(),
 		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, held: map[string]int{},
 	}
 }
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -309,12 +309,49 @@
 			o.submit(c, id(i), job.Step{Count: 1})
 		}
 		time.Sleep(time.Second)
-		n, err := o.Pending("quote")
-		c.Assert(err, qt.IsNil)
-		c.Assert(n, qt.Equals, 2)
+		assertPending(c, o, 2)
 	})
 }
 
+// TestPendingCountsJobsWhoseStartsFail replays workers that turn orders away
+// or do not hear them: the jobs have not begun, whatever was ordered.
+func TestPendingCountsJobsWhoseStartsFail(t *testing.T) {
+	for name, fault := range map[string]runner.Fault{"refused": runner.FaultRefused, "request lost": runner.FaultLostRequest} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 2, always(time.Second, lovagestand.EndingDone))
+				o := k.ownReady("a")
+				defer o.stop()
+				k.fleet.SetFault(func(_ lovagestand.WorkerName, order string) runner.Fault {
+					if order == "start" {
+						return fault
+					}
+					return runner.FaultNone
+				})
+				for i := range 5 {
+					o.submit(c, id(i), job.Step{Count: 1})
+				}
+				time.Sleep(2 * time.Second)
+				c.Assert(k.fleet.Starts(), qt.Equals, 0)
+				assertPending(c, o, 5)
+				assertPhase(c, o, id(0), "queued")
+				k.fleet.SetFault(nil)
+				time.Sleep(10 * time.Second)
+				assertPending(c, o, 0)
+				assertPhase(c, o, id(0), "completed")
+			})
+		})
+	}
+}
+
+func assertPending(c *qt.C, o *owner, jobs int) {
+	c.Helper()
+	n, err := o.Pending("quote")
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, jobs)
+}
+
 func TestStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/chart"
 	"lovagestand.example/lovagestand/job"
 )
 
@@ -46,6 +47,13 @@
 // Error implements error.
 func (e *IsolatedError) Error() string { return "this instance does not reach the owner of the shard" }
 
+// The phases that callers are told although the job's own is ahead of what is
+// certain.
+var (
+	phaseQueued  = chart.Job().StateName(chart.Job().MustState("queued"))
+	phaseRunning = chart.Job().StateName(chart.Job().MustState("running"))
+)
+
 // retryDelay is when callers may come back after an outage of the store.
 const retryDelay = time.Second
 
@@ -115,14 +123,16 @@
 	return "", &UnknownJobError{}
 }
 
-// shownPhase is the phase that callers may be told: an end only once it is
-// kept.
+// shownPhase is the phase that callers may be told: a start only once a worker
+// has told of it, an end only once it is kept.
 func (e *entry) shownPhase() string {
-	phase := e.currentPhase()
-	if e.final() && !e.kept {
-		return "running"
+	switch {
+	case !e.final() && !e.started:
+		return phaseQueued
+	case e.final() && !e.kept:
+		return phaseRunning
 	}
-	return phase
+	return e.currentPhase()
 }
 
 // Cancel ends a job and returns once that is durable.
@@ -173,7 +183,7 @@
 	}
 	n := 0
 	for _, e := range s.live {
-		if e.route == route && e.durable && !e.progress.Started() {
+		if e.route == route && e.durable && !e.started {
 			n++
 		}
 	}
