dispatch: tasks run only on workers of their route's service

Not seen on the users' sites, each of which has one service; found by reading. The new test fails without the check: tasks went to all three workers, now to the one of the service; advice is asked about that one only.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -147,7 +147,7 @@
 	var ranking []ranked
 	for i := range p.Workers {
 		w := &p.Workers[i]
-		if !w.Open || s.Asked != nil && s.Asked(i) || s.Label != "" && !slices.Contains(w.Labels, s.Label) || !s.Needs.Fits(w.Capacity) {
+		if !w.Open || s.Asked != nil && s.Asked(i) || !s.suits(w) || !s.Needs.Fits(w.Capacity) {
 			continue
 		}
 		times := p.slots(s, i, 1)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -10,6 +10,7 @@
 
 // Worker is a worker as the plan sees it.
 type Worker struct {
+	Service  string
 	Rack     lovagestand.RackName
 	Labels   []string
 	Capacity lovagestand.Resources
@@ -40,10 +41,12 @@
 
 // Step is a step with tasks that wait for a worker.
 type Step struct {
-	Tasks        int
-	Needs        lovagestand.Resources
-	Gang         bool
-	SameRack     bool
+	Tasks    int
+	Needs    lovagestand.Resources
+	Gang     bool
+	SameRack bool
+	// Service is the one whose workers may run the step; empty for any.
+	Service      string
 	Label        string
 	Affinity     lovagestand.RackName
 	MaxPerWorker int
@@ -70,6 +73,11 @@
 	Score   float64
 }
 
+// suits reports whether a worker may run the step, now or later.
+func (s *Step) suits(w *Worker) bool {
+	return (s.Service == "" || w.Service == s.Service) && (s.Label == "" || slices.Contains(w.Labels, s.Label))
+}
+
 // Decision is what becomes of one step in this pass.
 type Decision struct {
 	// Step is the index of the step.
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -72,6 +72,21 @@
 	c.Assert(placed(plan(workers, steps), 0), qt.HasLen, 6)
 }
 
+func TestTasksStayWithTheServiceOfTheirRoute(t *testing.T) {
+	c := qt.New(t)
+	workers := func() []dispatch.Worker {
+		workers := empty(3)
+		for i, service := range []string{"glazedesk", "ledger", "glazedesk"} {
+			workers[i].Service = service
+		}
+		return workers
+	}
+	step := dispatch.Step{Tasks: 9, Needs: cores(10), Service: "ledger", RunTime: time.Second}
+	c.Assert(placed(plan(workers(), []dispatch.Step{step}), 0), qt.DeepEquals, []int{1, 1, 1})
+	step.Advised = true
+	c.Assert(asked(plan(workers(), []dispatch.Step{step}), 0), qt.DeepEquals, []int{1})
+}
+
 func TestHigherScoreGoesFirst(t *testing.T) {
 	c := qt.New(t)
 	steps := []dispatch.Step{
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -46,7 +46,7 @@
 // aside.
 func (p *planner) allowed(s *Step, worker int) bool {
 	w := &p.Workers[worker]
-	if !w.Open || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+	if !w.Open || !s.suits(w) {
 		return false
 	}
 	return !p.delays(s, w) || s.Needs.Fits(w.spare)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -116,7 +116,7 @@
 	for i, w := range p.workers {
 		w.index = i
 		p.planned[i] = dispatch.Worker{
-			Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
+			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
 			Open: w.open(p.now), Slowness: w.slowness,
 		}
 	}
@@ -164,7 +164,7 @@
 	j := e.progress.Job()
 	step := j.Steps[w.ref.Step]
 	out := dispatch.Step{
-		Tasks: w.tasks, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Label: step.Label,
+		Tasks: w.tasks, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, Advised: j.Policy.Advice.Needed(), Asking: st.asking,
 		AskAhead: j.Policy.Advice.Cost(askAheadWorkers) + askAheadMargin,
 		RunTime:  s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
