layout, node, election: several shards for large fleets

Ruled out: load (18 jobs a second at all sizes) and processor time (18.7% of a core at the busiest).

Change: the cell has 1 to 64 shards, decided on once by the owner of shard 0 from the workers registered at the first start (512 for each). Workers go by rack, jobs by the rack of their data or by their ID; instances contend in an order that differs by shard; members are followed apart from owners, and all instances together read them 100 times a second at most.

--- a/election/candidate.go
+++ b/election/candidate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -35,6 +36,14 @@
 	// weakHandicap is how much longer an instance waits that has fewer
 	// processors than another.
 	weakHandicap = 300 * time.Millisecond
+	// staggerStep times its rank, at most maxStagger, is how long an instance
+	// waits where several shards or a crowd of instances contend: about as
+	// long as taking a shard needs near the store.
+	staggerStep = 10 * time.Millisecond
+	maxStagger  = 600 * time.Millisecond
+	// crowd is how many instances are enough to overload the store when all
+	// contend at once.
+	crowd = 64
 	// yieldFactor is how many times the processors of a weak owner another
 	// instance must have for the owner to yield to it, after yieldAfter.
 	yieldFactor = 2
@@ -142,6 +151,7 @@
 	if c.outranked(1) {
 		wait = weakHandicap
 	}
+	wait += min(maxStagger, time.Duration(c.rank())*staggerStep)
 	begun := time.Now()
 	if _, err := c.Keys.Item(limited, OwnerKey(c.Shard)); err != nil {
 		return wait + maxHandicap
@@ -150,16 +160,36 @@
 }
 
 // outranked reports whether another instance has more than factor times the
-// processors of this one.
+// processors of this one for the shard, next to those that each owns already.
 func (c *Candidate) outranked(factor float64) bool {
+	load := c.Directory.Load(c.Shard)
+	own := c.Self.Processors / float64(1+load[c.Self.ID])
 	for _, m := range c.Directory.Members() {
-		if m.Processors > factor*c.Self.Processors {
+		if m.Processors/float64(1+load[m.ID]) > factor*own {
 			return true
 		}
 	}
 	return false
 }
 
+// rank is this instance's place in the order in which instances contend for
+// the shard. The order differs by shard, so that no instance wins several and
+// few instances contend at a time; a small cell with one shard needs none.
+func (c *Candidate) rank() int {
+	members := c.Directory.Members()
+	if l, _ := c.Directory.Layout(); l.Shards <= 1 && len(members) < crowd {
+		return 0
+	}
+	place := func(id lovagestand.InstanceID) uint64 { return xxhash.Sum64String(c.Shard + "/" + string(id)) }
+	own, rank := place(c.Self.ID), 0
+	for _, m := range members {
+		if place(m.ID) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // win takes the shard if its ownership key still has the former revision.
 func (c *Candidate) win(ctx context.Context, former lovagestand.Revision) (jobstore.Term, lovagestand.LeaseID, error) {
 	value, err := json.Marshal(c.Self)
@@ -291,9 +321,11 @@
 		return
 	}
 	var lease lovagestand.LeaseID
+	var registered time.Time
 	for {
-		if lease == 0 || d.Loaded() && !d.Member(self.ID) {
+		if lease == 0 || time.Since(registered) > memberTTL && d.missing(self.ID) {
 			lease = register(ctx, keys, self.ID, value, log)
+			registered = time.Now()
 		}
 		if !pause.For(ctx, memberTTL/renewals) {
 			break
--- a/election/directory.go
+++ b/election/directory.go
@@ -14,13 +14,22 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/common/pause"
+	"lovagestand.example/lovagestand/layout"
 )
 
 const (
-	// Prefix holds all keys of the directory.
-	Prefix       = "cell/"
-	ownerPrefix  = Prefix + "owner/"
-	memberPrefix = Prefix + "member/"
+	// cellPrefix holds the owners and the layout, which all instances must
+	// learn of at once; members change more often and may be known later.
+	cellPrefix   = "cell/"
+	ownerPrefix  = cellPrefix + "owner/"
+	memberPrefix = "member/"
+	// LayoutKey holds the layout of the cell.
+	LayoutKey = cellPrefix + "layout"
+	// memberWait bounds one watch of the members.
+	memberWait = 5 * time.Second
+	// memberSpacing for each member is the least time between two readings of
+	// the members, so that all instances together make 100 a second at most.
+	memberSpacing = 10 * time.Millisecond
 	// followWait bounds one watch, so that a connection that has gone silent
 	// hides changes for no longer.
 	followWait = 2 * time.Second
@@ -50,9 +59,11 @@
 
 	mu       sync.Mutex
 	owners   map[string]Owner
-	members  map[lovagestand.InstanceID]lovagestand.Instance
+	layout   layout.Layout
 	revision lovagestand.Revision
 	loaded   bool
+	// members is nil until it has been read.
+	members map[lovagestand.InstanceID]lovagestand.Instance
 	// heard is when the store last answered.
 	heard   time.Time
 	changed chan struct{}
@@ -62,7 +73,7 @@
 // NewDirectory returns a directory that knows nothing until it runs.
 func NewDirectory(keys lovagestand.Keyspace, log zerolog.Logger) *Directory {
 	return &Directory{
-		keys: keys, log: log, owners: map[string]Owner{}, members: map[lovagestand.InstanceID]lovagestand.Instance{},
+		keys: keys, log: log, owners: map[string]Owner{},
 		changed: make(chan struct{}), refresh: make(chan struct{}, 1),
 	}
 }
@@ -75,6 +86,33 @@
 	return o, ok
 }
 
+// Owners returns the owners of all shards.
+func (d *Directory) Owners() map[string]Owner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.owners)
+}
+
+// Layout returns the layout of the cell; false while it is not known.
+func (d *Directory) Layout() (layout.Layout, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.layout, d.layout.Valid()
+}
+
+// Load returns how many shards each instance owns, one shard left out.
+func (d *Directory) Load(except string) map[lovagestand.InstanceID]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	load := map[lovagestand.InstanceID]int{}
+	for shard, o := range d.owners {
+		if shard != except {
+			load[o.ID]++
+		}
+	}
+	return load
+}
+
 // Members returns the live instances, sorted by ID.
 func (d *Directory) Members() []lovagestand.Instance {
 	d.mu.Lock()
@@ -95,6 +133,15 @@
 	return ok
 }
 
+// missing reports whether the members are known and an instance is not among
+// them.
+func (d *Directory) missing(id lovagestand.InstanceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.members[id]
+	return d.members != nil && !ok
+}
+
 // Loaded reports whether the directory has ever been read.
 func (d *Directory) Loaded() bool {
 	d.mu.Lock()
@@ -149,11 +196,45 @@
 
 // Run follows the store until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
-	follower := Follower{
-		Keys: d.keys, Prefix: Prefix, Wait: followWait, Refresh: d.refresh, Log: d.log,
+	cell := Follower{
+		Keys: d.keys, Prefix: cellPrefix, Wait: followWait, Refresh: d.refresh, Log: d.log,
 		Reset: d.reset, Apply: d.apply, Heard: d.hear,
 	}
-	follower.Run(ctx)
+	members := Follower{
+		Keys: d.keys, Prefix: memberPrefix, Wait: memberWait, Log: d.log, Reset: d.resetMembers, Apply: d.applyMembers, Spacing: d.spacing,
+	}
+	var following sync.WaitGroup
+	following.Go(func() { cell.Run(ctx) })
+	following.Go(func() { members.Run(ctx) })
+	following.Wait()
+}
+
+func (d *Directory) spacing() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(len(d.members)) * memberSpacing
+}
+
+func (d *Directory) resetMembers(items []lovagestand.Item, revision lovagestand.Revision) {
+	d.mu.Lock()
+	d.members = map[lovagestand.InstanceID]lovagestand.Instance{}
+	d.mu.Unlock()
+	d.applyMembers(items, revision)
+}
+
+func (d *Directory) applyMembers(items []lovagestand.Item, _ lovagestand.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, i := range items {
+		id := lovagestand.InstanceID(strings.TrimPrefix(i.Key, memberPrefix))
+		if i.Deleted {
+			delete(d.members, id)
+			continue
+		}
+		if instance, ok := d.decode(i); ok {
+			d.members[id] = instance
+		}
+	}
 }
 
 func (d *Directory) reset(items []lovagestand.Item, revision lovagestand.Revision) {
@@ -163,7 +244,6 @@
 		return
 	}
 	clear(d.owners)
-	clear(d.members)
 	d.loaded = true
 	d.take(items, revision)
 }
@@ -184,29 +264,44 @@
 }
 
 func (d *Directory) set(i lovagestand.Item) {
+	if i.Key == LayoutKey {
+		d.setLayout(i)
+		return
+	}
+	shard, ok := strings.CutPrefix(i.Key, ownerPrefix)
+	if !ok {
+		return
+	}
 	var instance lovagestand.Instance
-	if !i.Deleted {
-		if err := json.Unmarshal(i.Value, &instance); err != nil {
-			d.log.Warn().Err(err).Str("key", i.Key).Msg("directory entry not understood")
+	if i.Deleted {
+		delete(d.owners, shard)
+	} else {
+		if instance, ok = d.decode(i); !ok {
 			return
 		}
+		d.owners[shard] = Owner{Instance: instance, Epoch: lovagestand.Epoch(i.Revision)}
 	}
-	if shard, ok := strings.CutPrefix(i.Key, ownerPrefix); ok {
-		if i.Deleted {
-			delete(d.owners, shard)
-		} else {
-			d.owners[shard] = Owner{Instance: instance, Epoch: lovagestand.Epoch(i.Revision)}
-		}
-		d.log.Info().Str("shard", shard).Str("owner", string(instance.ID)).Uint64("epoch", uint64(i.Revision)).Bool("vacant", i.Deleted).Msg("owner changed")
+	d.log.Info().Str("shard", shard).Str("owner", string(instance.ID)).Uint64("epoch", uint64(i.Revision)).Bool("vacant", i.Deleted).Msg("owner changed")
+}
+
+// setLayout takes the layout, which never changes again.
+func (d *Directory) setLayout(i lovagestand.Item) {
+	var l layout.Layout
+	if err := json.Unmarshal(i.Value, &l); err != nil || !l.Valid() || d.layout.Valid() {
+		d.log.Debug().Err(err).Str("key", i.Key).Int("shards", l.Shards).Msg("layout left as it is")
 		return
 	}
-	if id, ok := strings.CutPrefix(i.Key, memberPrefix); ok {
-		if i.Deleted {
-			delete(d.members, lovagestand.InstanceID(id))
-			return
-		}
-		d.members[lovagestand.InstanceID(id)] = instance
+	d.layout = l
+	d.log.Info().Int("shards", l.Shards).Uint64("revision", uint64(i.Revision)).Msg("layout of the cell")
+}
+
+func (d *Directory) decode(i lovagestand.Item) (lovagestand.Instance, bool) {
+	var instance lovagestand.Instance
+	if err := json.Unmarshal(i.Value, &instance); err != nil {
+		d.log.Warn().Err(err).Str("key", i.Key).Msg("directory entry not understood")
+		return instance, false
 	}
+	return instance, true
 }
 
 // Follower keeps a copy of a prefix of the store up to date.
@@ -222,6 +317,9 @@
 	Apply func(items []lovagestand.Item, revision lovagestand.Revision)
 	// Heard is called whenever the store has answered; nil calls nothing.
 	Heard func()
+	// Spacing returns how long to wait after a change for more of them; nil
+	// does not wait.
+	Spacing func() time.Duration
 }
 
 // Run follows until ctx ends.
@@ -260,6 +358,9 @@
 		f.hear()
 		if len(changes) > 0 {
 			f.Apply(changes, next)
+			if f.Spacing != nil && !pause.For(ctx, f.Spacing()) {
+				return ctx.Err()
+			}
 		}
 		revision = next
 	}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -103,6 +103,39 @@
 	})
 }
 
+func TestShardsSpreadOverInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const instances, shards = 12, 4
+		keys := keyspace.New()
+		keys.Put(election.LayoutKey, []byte(`{"shards":4}`))
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		var watcher *election.Directory
+		for i := range instances {
+			self := lovagestand.Instance{ID: lovagestand.InstanceID(fmt.Sprint("i", i)), Processors: 0.4}
+			watcher = election.NewDirectory(keys, zerolog.Nop())
+			directory := watcher
+			running.Go(func() { directory.Run(ctx) })
+			running.Go(func() { election.Register(ctx, keys, directory, self, zerolog.Nop()) })
+			for shard := range shards {
+				candidate := &election.Candidate{
+					Shard: fmt.Sprint(shard), Self: self, Keys: keys, Directory: directory, Log: zerolog.Nop(),
+					Serve: func(ctx context.Context, _ jobstore.Term, _ func() bool) { <-ctx.Done() },
+				}
+				running.Go(func() { candidate.Run(ctx) })
+			}
+		}
+		time.Sleep(10 * time.Second)
+		c.Assert(watcher.Owners(), qt.HasLen, shards)
+		for id, n := range watcher.Load("") {
+			c.Assert(n <= 2, qt.IsTrue, qt.Commentf("%s owns %d", id, n))
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 func TestPlannedStopHandsOverAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/node/cell.go
+++ b/node/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -17,23 +18,43 @@
 type cellServer struct {
 	adviser lovagestand.Adviser
 	// depose ends an ownership in the store.
-	depose func(lovagestand.Epoch)
+	depose func(shard string, epoch lovagestand.Epoch)
 
-	mu    sync.Mutex
-	shard *shard.Shard
+	mu     sync.Mutex
+	shards map[string]*shard.Shard
 }
 
-// own sets the shard that this instance owns; nil for none.
-func (c *cellServer) own(s *shard.Shard) {
+// own sets a shard that this instance owns.
+func (c *cellServer) own(name string, s *shard.Shard) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.shard = s
+	c.shards[name] = s
 }
 
-func (c *cellServer) owned() *shard.Shard {
+// disown notes that a shard is no longer owned here.
+func (c *cellServer) disown(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.shard
+	delete(c.shards, name)
+}
+
+// owned returns a shard that this instance owns; nil if it does not.
+func (c *cellServer) owned(name string) *shard.Shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shards[name]
+}
+
+// status returns a summary of each shard that this instance owns.
+func (c *cellServer) status() map[string]shard.Status {
+	c.mu.Lock()
+	owned := maps.Clone(c.shards)
+	c.mu.Unlock()
+	status := make(map[string]shard.Status, len(owned))
+	for name, s := range owned {
+		status[name] = s.Status()
+	}
+	return status
 }
 
 // verdict returns the verdict that stands for an error.
@@ -56,7 +77,7 @@
 
 // Submit implements cellpb.Cell.
 func (c *cellServer) Submit(ctx context.Context, r *cellpb.SubmitRequest) (*cellpb.SubmitReply, error) {
-	s := c.owned()
+	s := c.owned(r.GetShard())
 	if s == nil {
 		return &cellpb.SubmitReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
 	}
@@ -76,7 +97,7 @@
 
 // State implements cellpb.Cell.
 func (c *cellServer) State(_ context.Context, r *cellpb.JobRequest) (*cellpb.StateReply, error) {
-	s := c.owned()
+	s := c.owned(r.GetShard())
 	if s == nil {
 		return &cellpb.StateReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
 	}
@@ -86,7 +107,7 @@
 
 // Cancel implements cellpb.Cell.
 func (c *cellServer) Cancel(ctx context.Context, r *cellpb.JobRequest) (*cellpb.CancelReply, error) {
-	s := c.owned()
+	s := c.owned(r.GetShard())
 	if s == nil {
 		return &cellpb.CancelReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
 	}
@@ -95,7 +116,7 @@
 
 // Pending implements cellpb.Cell.
 func (c *cellServer) Pending(_ context.Context, r *cellpb.PendingRequest) (*cellpb.PendingReply, error) {
-	s := c.owned()
+	s := c.owned(r.GetShard())
 	if s == nil {
 		return &cellpb.PendingReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
 	}
@@ -122,6 +143,6 @@
 
 // Depose implements cellpb.Cell.
 func (c *cellServer) Depose(_ context.Context, r *cellpb.DeposeRequest) (*cellpb.DeposeReply, error) {
-	c.depose(lovagestand.Epoch(r.GetEpoch()))
+	c.depose(r.GetShard(), lovagestand.Epoch(r.GetEpoch()))
 	return &cellpb.DeposeReply{}, nil
 }
--- a/node/lines.go
+++ b/node/lines.go
@@ -9,14 +9,19 @@
 	"lovagestand.example/lovagestand/shard"
 )
 
-// lines returns the instances that can ask for advice, this one included.
-func (n *Node) lines() []shard.Line {
+// lines returns the instances that ask for advice for a shard, this one
+// included. Each serves one shard, so that owners do not wait for each other.
+func (n *Node) lines(shardName string) []shard.Line {
 	if n.deps.Adviser == nil {
 		return nil
 	}
+	shards := []string{shardName}
+	if l, ok := n.directory.Layout(); ok {
+		shards = l.Names()
+	}
 	lines := []shard.Line{{Instance: n.self.ID, Near: true, Ask: n.deps.Adviser.Advise}}
-	for _, m := range n.directory.Members() {
-		if m.ID == n.self.ID {
+	for i, m := range n.directory.Members() {
+		if m.ID == n.self.ID || shards[i%len(shards)] != shardName {
 			continue
 		}
 		lines = append(lines, shard.Line{Instance: m.ID, Near: m.Region == n.self.Region, Ask: n.askThrough(m.Address)})
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,15 +21,17 @@
 	"lovagestand.example/lovagestand/election"
 	"lovagestand.example/lovagestand/gateway"
 	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/layout"
 	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/shard"
 )
 
 const (
-	// shardName is the one shard of a cell of today's size.
-	shardName = "0"
-	// listInterval spaces readings of the list of workers by the owner.
-	listInterval = 500 * time.Millisecond
+	// listInterval spaces readings of the list of workers by an owner; as all
+	// owners read all of it, it is that many times longer for several shards,
+	// up to maxListFactor times, which still notices leaving workers in time.
+	listInterval  = 500 * time.Millisecond
+	maxListFactor = 3
 	// listTimeout bounds one reading.
 	listTimeout = 1500 * time.Millisecond
 	// lameDuck is how long a stopping instance still serves callers, so that
@@ -70,13 +73,15 @@
 	deps      Deps
 	self      lovagestand.Instance
 	directory *election.Directory
-	candidate *election.Candidate
-	owner     *ownerClient
+	owners    *owners
 	routes    *gateway.Routes
 	gateway   *gateway.Gateway
 	cell      *cellServer
 	peers     *peers
 	servers   []*http.Server
+
+	mu         sync.Mutex
+	candidates map[string]*election.Candidate
 }
 
 // New returns a node that does nothing until it runs.
@@ -87,17 +92,51 @@
 	}
 	n := &Node{
 		settings: s, deps: deps, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
-		routes: gateway.NewRoutes(deps.Keys, deps.Log), cell: &cellServer{adviser: deps.Adviser}, peers: newPeers(),
+		routes: gateway.NewRoutes(deps.Keys, deps.Log), peers: newPeers(), candidates: map[string]*election.Candidate{},
 	}
-	n.candidate = &election.Candidate{
-		Shard: shardName, Self: self, Keys: deps.Keys, Directory: n.directory, Log: deps.Log, Serve: n.serveShard,
+	n.cell = &cellServer{adviser: deps.Adviser, depose: n.depose, shards: map[string]*shard.Shard{}}
+	n.owners = newOwners(n.directory, func(name string) *ownerClient {
+		return &ownerClient{
+			shard: name, self: self, directory: n.directory, peers: n.peers, local: n.cell, log: deps.Log,
+			depose: func(epoch lovagestand.Epoch) { n.depose(name, epoch) },
+		}
+	})
+	n.gateway = gateway.New(n.routes, n.owners, deps.Log, deps.Recorder)
+	return n
+}
+
+// candidate returns this instance's candidate for a shard.
+func (n *Node) candidate(name string) *election.Candidate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.candidates[name]
+	if c == nil {
+		c = &election.Candidate{
+			Shard: name, Self: n.self, Keys: n.deps.Keys, Directory: n.directory, Log: n.deps.Log, Serve: n.serveShard,
+		}
+		n.candidates[name] = c
 	}
-	n.cell.depose = n.candidate.Depose
-	n.owner = &ownerClient{
-		shard: shardName, self: self, directory: n.directory, peers: n.peers, local: n.cell, depose: n.candidate.Depose, log: deps.Log,
+	return c
+}
+
+// depose has an ownership ended in the store.
+func (n *Node) depose(name string, epoch lovagestand.Epoch) {
+	n.candidate(name).Depose(epoch)
+}
+
+// contend stands for all shards until ctx ends. The layout may only be decided
+// on once the first shard has an owner.
+func (n *Node) contend(ctx context.Context) {
+	var contending sync.WaitGroup
+	contending.Go(func() { n.candidate(layout.FirstShard).Run(ctx) })
+	if l, ok := n.awaitLayout(ctx); ok {
+		for _, name := range l.Names() {
+			if name != layout.FirstShard {
+				contending.Go(func() { n.candidate(name).Run(ctx) })
+			}
+		}
 	}
-	n.gateway = gateway.New(n.routes, n.owner, deps.Log, deps.Recorder)
-	return n
+	contending.Wait()
 }
 
 // Run works until ctx ends, then stops as planned.
@@ -114,9 +153,9 @@
 	var running, owning sync.WaitGroup
 	running.Go(func() { n.directory.Run(working) })
 	running.Go(func() { n.routes.Run(working) })
-	running.Go(func() { n.owner.probe(working) })
+	running.Go(func() { n.owners.probe(working) })
 	running.Go(func() { election.Register(contending, n.deps.Keys, n.directory, n.self, n.deps.Log) })
-	owning.Go(func() { n.candidate.Run(contending) })
+	owning.Go(func() { n.contend(contending) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -150,7 +189,7 @@
 func (n *Node) listen(failed chan<- error) error {
 	ready := chi.NewRouter()
 	ready.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.gateway.Ready() || n.owner.isolated() {
+		if _, known := n.directory.Layout(); !known || !n.gateway.Ready() || n.owners.isolated() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -186,18 +225,11 @@
 // dump tells what the process believes, for operators.
 func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
 	state := struct {
-		Instance lovagestand.Instance   `json:"instance"`
-		Members  []lovagestand.Instance `json:"members"`
-		Owner    *election.Owner        `json:"owner,omitempty"`
-		Shard    *shard.Status          `json:"shard,omitempty"`
-	}{Instance: n.self, Members: n.directory.Members()}
-	if owner, owned := n.directory.Owner(shardName); owned {
-		state.Owner = &owner
-	}
-	if s := n.cell.owned(); s != nil {
-		status := s.Status()
-		state.Shard = &status
-	}
+		Instance lovagestand.Instance      `json:"instance"`
+		Members  []lovagestand.Instance    `json:"members"`
+		Owners   map[string]election.Owner `json:"owners"`
+		Shards   map[string]shard.Status   `json:"shards,omitempty"`
+	}{Instance: n.self, Members: n.directory.Members(), Owners: n.directory.Owners(), Shards: n.cell.status()}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
 		n.deps.Log.Debug().Err(err).Msg("reader of the state left")
@@ -206,12 +238,17 @@
 
 // serveShard runs the shard for one term.
 func (n *Node) serveShard(ctx context.Context, term jobstore.Term, confirmed func() bool) {
+	l, ok := n.settleLayout(ctx, term)
+	if !ok {
+		return
+	}
+	interval := listInterval * time.Duration(min(maxListFactor, l.Shards))
 	s := shard.New(term, shard.Limits{
-		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention,
+		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, ListInterval: interval,
 		Silence: silentBeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithTrouble(func() { go n.askToDepose(ctx, term) })),
-		Lines: n.lines, Confirmed: confirmed, Log: n.deps.Log,
+		Lines: func() []shard.Line { return n.lines(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
 		Recorder: n.deps.Recorder,
 	})
 	for {
@@ -229,10 +266,12 @@
 	serving, stop := context.WithCancel(ctx)
 	defer stop()
 	var running sync.WaitGroup
-	running.Go(func() { n.followWorkers(serving, s) })
-	n.cell.own(s)
+	running.Go(func() {
+		n.followWorkers(serving, s, interval, func(w lovagestand.FleetWorker) bool { return l.Worker(w) == term.Shard })
+	})
+	n.cell.own(term.Shard, s)
 	s.Run(ctx)
-	n.cell.own(nil)
+	n.cell.disown(term.Shard)
 	stop()
 	running.Wait()
 }
@@ -264,27 +303,33 @@
 	}
 }
 
-// followWorkers reads the list of workers for as long as the shard is owned.
-func (n *Node) followWorkers(ctx context.Context, s *shard.Shard) {
+// followWorkers reads the list of workers for as long as the shard is owned,
+// and gives the shard those of its own.
+func (n *Node) followWorkers(ctx context.Context, s *shard.Shard, interval time.Duration, own func(lovagestand.FleetWorker) bool) {
 	healthy := true
 	for {
-		limited, cancel := context.WithTimeout(ctx, listTimeout)
-		items, revision, err := n.deps.Keys.Range(limited, n.deps.WorkerPrefix)
-		cancel()
+		workers, err := n.listWorkers(ctx)
 		if (err == nil) != healthy && ctx.Err() == nil {
 			healthy = err == nil
 			n.deps.Log.Warn().Bool("healthy", healthy).Err(err).Msg("list of workers")
 		}
 		if err == nil {
-			s.SetWorkers(n.decode(items, revision))
+			s.SetWorkers(slices.DeleteFunc(workers, func(w lovagestand.FleetWorker) bool { return !own(w) }))
 		}
-		if !pause.For(ctx, listInterval) {
+		if !pause.For(ctx, interval) {
 			return
 		}
 	}
 }
 
-func (n *Node) decode(items []lovagestand.Item, revision lovagestand.Revision) []lovagestand.FleetWorker {
+// listWorkers reads the list of registered workers.
+func (n *Node) listWorkers(ctx context.Context) ([]lovagestand.FleetWorker, error) {
+	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	items, revision, err := n.deps.Keys.Range(limited, n.deps.WorkerPrefix)
+	if err != nil {
+		return nil, err
+	}
 	var workers []lovagestand.FleetWorker
 	for _, i := range items {
 		w, ok := n.deps.DecodeWorker(i)
@@ -294,5 +339,5 @@
 		}
 		workers = append(workers, w)
 	}
-	return workers
+	return workers, nil
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
 	"lovagestand.example/lovagestand/metrics"
 	"lovagestand.example/lovagestand/node"
 	"lovagestand.example/lovagestand/platform"
@@ -85,21 +86,33 @@
 // TestCell runs three instances against a stand-in platform: jobs go in at any
 // of them, the owner is stopped in between, and each job is done once.
 func TestCell(t *testing.T) {
+	t.Run("one shard", func(t *testing.T) { playCell(t, 1, 4) })
+	t.Run("four shards", func(t *testing.T) { playCell(t, 4, 32) })
+}
+
+// playCell plays the day; with several shards the layout is there already, and
+// each shard has one rack of workers.
+func playCell(t *testing.T, shards, workers int) {
 	c := qt.New(t)
-	s, err := site.Open("127.0.0.1:0", 4)
+	s, err := site.Open("127.0.0.1:0", workers)
 	c.Assert(err, qt.IsNil)
 	defer s.Close()
+	if shards > 1 {
+		s.Keys.Put(election.LayoutKey, fmt.Appendf(nil, `{"shards":%d}`, shards))
+	}
 	c.Assert(s.Configure(3, "a.example", "/x/"), qt.IsNil)
 	var cell []*instance
 	for i := range 3 {
 		cell = append(cell, start(c, s, fmt.Sprint("node-", i)))
 	}
-	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":2,"cpu":1000,"estimate_ms":50},{"count":1,"cpu":1000,"after":[0]}]}`,
-		site.Spec{MilliCPU: 1000, Work: 50 * time.Millisecond}.String())
+	body := func(n int) string {
+		return fmt.Sprintf(`{"spec":%q,"steps":[{"count":2,"cpu":1000,"estimate_ms":50,"affinity":"r1-%d"},{"count":1,"cpu":1000,"after":[0]}]}`,
+			site.Spec{MilliCPU: 1000, Work: 50 * time.Millisecond}.String(), n%shards)
+	}
 	path := func(n int) string { return fmt.Sprintf("/x/%016x", n) }
 	submit := func(i *instance, n int) {
 		eventually(t, "job is taken", func() bool {
-			status, _ := i.call(c, http.MethodPost, path(n), body)
+			status, _ := i.call(c, http.MethodPost, path(n), body(n))
 			return status == http.StatusOK
 		})
 	}
--- a/node/owner.go
+++ b/node/owner.go
@@ -74,8 +74,7 @@
 	return c
 }
 
-// ownerClient passes calls to the owner of the shard; it implements
-// gateway.Owner.
+// ownerClient passes calls to the owner of one shard.
 type ownerClient struct {
 	shard     string
 	self      lovagestand.Instance
@@ -121,18 +120,13 @@
 	return c.isolatedAt(time.Now())
 }
 
-// probe calls the owner now and then while it is not reached.
+// probe finds out whether the owner is reached again.
 func (c *ownerClient) probe(ctx context.Context) {
-	for pause.For(ctx, probeInterval) {
-		if !c.isolated() {
-			continue
-		}
-		_, err := c.once(ctx, func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
-			reply, err := to.Pending(ctx, &cellpb.PendingRequest{Shard: c.shard})
-			return reply.GetVerdict(), err
-		})
-		c.log.Debug().Err(err).Msg("owner probed")
-	}
+	_, err := c.once(ctx, func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+		reply, err := to.Pending(ctx, &cellpb.PendingRequest{Shard: c.shard})
+		return reply.GetVerdict(), err
+	})
+	c.log.Debug().Err(err).Str("shard", c.shard).Msg("owner probed")
 }
 
 // notSent reports whether err says that nothing was sent.
@@ -211,7 +205,7 @@
 	return &shard.UnknownError{}
 }
 
-// Submit implements gateway.Owner.
+// Submit is [owners.Submit] for this shard.
 func (c *ownerClient) Submit(ctx context.Context, j job.Job) error {
 	body, err := job.EncodeJob(j)
 	if err != nil {
@@ -229,7 +223,7 @@
 	return err
 }
 
-// State implements gateway.Owner.
+// State is [owners.State] for this shard.
 func (c *ownerClient) State(ctx context.Context, id job.ID) (string, error) {
 	phase := ""
 	err := c.call(ctx, "state", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
@@ -240,7 +234,7 @@
 	return phase, err
 }
 
-// Cancel implements gateway.Owner.
+// Cancel is [owners.Cancel] for this shard.
 func (c *ownerClient) Cancel(ctx context.Context, id job.ID) error {
 	return c.call(ctx, "cancel", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
 		reply, err := to.Cancel(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id)})
@@ -248,7 +242,7 @@
 	})
 }
 
-// Pending implements gateway.Owner.
+// Pending is [owners.Pending] for this shard.
 func (c *ownerClient) Pending(ctx context.Context, route lovagestand.RouteName) (int, error) {
 	n := 0
 	err := c.call(ctx, "pending", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -42,6 +42,8 @@
 	// Silence is how long a worker's heartbeat must be missing before the
 	// platform takes its entry away.
 	Silence time.Duration
+	// ListInterval is the time between two readings of the list of workers.
+	ListInterval time.Duration
 	// CheckpointInterval is how often a task that saves its progress does so.
 	CheckpointInterval time.Duration
 }
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -70,7 +70,7 @@
 	})
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
-	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, CheckpointInterval: time.Second}, shard.Deps{
+	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second}, shard.Deps{
 		Fleet: k.fleet, Store: jobstore.New(k.keys, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	})
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -29,8 +29,9 @@
 	holdRetry = 200 * time.Millisecond
 	// missingFor is how long a worker that answers may be missing in the list.
 	missingFor = 4 * time.Second
-	// leftMargin covers how late a heartbeat and its absence are seen here.
-	leftMargin = 1200 * time.Millisecond
+	// leftMargin covers how late a heartbeat and its absence are seen here,
+	// beside the time between two readings of the list.
+	leftMargin = 700 * time.Millisecond
 	// acknowledgeWait is how long a hold waits for the store to keep the ends seen.
 	acknowledgeWait = 150 * time.Millisecond
 )
@@ -160,7 +161,7 @@
 // left reports whether a worker that was about to leave has done so: its entry
 // is gone although its heartbeat was not silent for long enough to lapse.
 func (s *Shard) left(w *worker, now time.Time) bool {
-	return !w.listed && !w.info.Ready && !w.beatAt.IsZero() && now.Sub(w.beatAt) < s.limits.Silence-leftMargin
+	return !w.listed && !w.info.Ready && !w.beatAt.IsZero() && now.Sub(w.beatAt) < s.limits.Silence-s.limits.ListInterval-leftMargin
 }
 
 // gone reports whether a worker has left and cannot run anything of ours.
