--- a/cellpb/cell.twirp.go
+++ b/cellpb/cell.twirp.go
@@ -54,6 +54,12 @@
 	// Depose asks for an ownership to be ended in the store, because the owner
 	// itself is turned away there.
 	Depose(context.Context, *DeposeRequest) (*DeposeReply, error)
+
+	// Ping is a sign of life, which watchers of an owner ask for.
+	Ping(context.Context, *PingRequest) (*PingReply, error)
+
+	// Missed asks a watcher whether it misses the owner of a shard too.
+	Missed(context.Context, *MissedRequest) (*MissedReply, error)
 }
 
 // ====================
@@ -62,7 +68,7 @@
 
 type cellProtobufClient struct {
 	client      HTTPClient
-	urls        [6]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -90,13 +96,15 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "lovagestand.cell", "Cell")
-	urls := [6]string{
+	urls := [8]string{
 		serviceURL + "Submit",
 		serviceURL + "State",
 		serviceURL + "Cancel",
 		serviceURL + "Pending",
 		serviceURL + "Advise",
 		serviceURL + "Depose",
+		serviceURL + "Ping",
+		serviceURL + "Missed",
 	}
 
 	return &cellProtobufClient{
@@ -383,13 +391,105 @@
 	return out, nil
 }
 
+func (c *cellProtobufClient) Ping(ctx context.Context, in *PingRequest) (*PingReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagestand.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	caller := c.callPing
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+					}
+					return c.callPing(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PingReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callPing(ctx context.Context, in *PingRequest) (*PingReply, error) {
+	out := new(PingReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellProtobufClient) Missed(ctx context.Context, in *MissedRequest) (*MissedReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagestand.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Missed")
+	caller := c.callMissed
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *MissedRequest) (*MissedReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*MissedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*MissedRequest) when calling interceptor")
+					}
+					return c.callMissed(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MissedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MissedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callMissed(ctx context.Context, in *MissedRequest) (*MissedReply, error) {
+	out := new(MissedReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Cell JSON Client
 // ================
 
 type cellJSONClient struct {
 	client      HTTPClient
-	urls        [6]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -417,13 +517,15 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "lovagestand.cell", "Cell")
-	urls := [6]string{
+	urls := [8]string{
 		serviceURL + "Submit",
 		serviceURL + "State",
 		serviceURL + "Cancel",
 		serviceURL + "Pending",
 		serviceURL + "Advise",
 		serviceURL + "Depose",
+		serviceURL + "Ping",
+		serviceURL + "Missed",
 	}
 
 	return &cellJSONClient{
@@ -710,6 +812,98 @@
 	return out, nil
 }
 
+func (c *cellJSONClient) Ping(ctx context.Context, in *PingRequest) (*PingReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagestand.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	caller := c.callPing
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+					}
+					return c.callPing(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PingReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callPing(ctx context.Context, in *PingRequest) (*PingReply, error) {
+	out := new(PingReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellJSONClient) Missed(ctx context.Context, in *MissedRequest) (*MissedReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovagestand.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Missed")
+	caller := c.callMissed
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *MissedRequest) (*MissedReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*MissedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*MissedRequest) when calling interceptor")
+					}
+					return c.callMissed(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MissedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MissedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callMissed(ctx context.Context, in *MissedRequest) (*MissedReply, error) {
+	out := new(MissedReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Cell Server Handler
 // ===================
@@ -825,6 +1019,12 @@
 	case "Depose":
 		s.serveDepose(ctx, resp, req)
 		return
+	case "Ping":
+		s.servePing(ctx, resp, req)
+		return
+	case "Missed":
+		s.serveMissed(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1912,6 +2112,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *cellServer) servePing(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePingJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePingProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) servePingJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PingRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Ping
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+					}
+					return s.Cell.Ping(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PingReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PingReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PingReply and nil error while calling Ping. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) servePingProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Ping")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PingRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Ping
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PingRequest) (*PingReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PingRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PingRequest) when calling interceptor")
+					}
+					return s.Cell.Ping(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PingReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PingReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PingReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PingReply and nil error while calling Ping. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveMissed(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveMissedJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveMissedProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveMissedJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Missed")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(MissedRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Missed
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *MissedRequest) (*MissedReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*MissedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*MissedRequest) when calling interceptor")
+					}
+					return s.Cell.Missed(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MissedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MissedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *MissedReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *MissedReply and nil error while calling Missed. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveMissedProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Missed")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(MissedRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Missed
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *MissedRequest) (*MissedReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*MissedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*MissedRequest) when calling interceptor")
+					}
+					return s.Cell.Missed(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*MissedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*MissedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *MissedReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *MissedReply and nil error while calling Missed. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *cellServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2493,45 +3053,49 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 640 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x55, 0xcd, 0x6e, 0xda, 0x4c,
-	0x14, 0xfd, 0x8c, 0xc1, 0x28, 0x97, 0x40, 0x9c, 0x09, 0x5f, 0xeb, 0x46, 0xfd, 0x41, 0x5e, 0xb4,
-	0xa8, 0xaa, 0x88, 0x44, 0xa4, 0x6e, 0xda, 0x2e, 0x12, 0xe3, 0x96, 0x24, 0x2a, 0x44, 0x03, 0x09,
-	0x52, 0x37, 0x96, 0x8d, 0xa7, 0x89, 0x93, 0x09, 0x76, 0xed, 0x81, 0x96, 0x37, 0xe8, 0xa6, 0x8f,
-	0xd4, 0x77, 0xab, 0x3c, 0x63, 0x83, 0x29, 0x4e, 0xaa, 0xa6, 0xab, 0xcc, 0xb9, 0x3f, 0x67, 0xce,
-	0xdc, 0x9c, 0x6b, 0x60, 0x7b, 0x4c, 0x28, 0x0d, 0x9c, 0xbd, 0xf8, 0x4f, 0x2b, 0x08, 0x7d, 0xe6,
-	0x23, 0x95, 0xfa, 0x33, 0xfb, 0x82, 0x44, 0xcc, 0x9e, 0xb8, 0xad, 0x38, 0xae, 0x7f, 0x80, 0xea,
-	0x60, 0xea, 0xdc, 0x78, 0x0c, 0x93, 0x2f, 0x53, 0x12, 0x31, 0x54, 0x87, 0x52, 0x74, 0x69, 0x87,
-	0xae, 0x26, 0x35, 0xa4, 0xe6, 0x06, 0x16, 0x00, 0xd5, 0xa0, 0xe0, 0xb9, 0x5a, 0x81, 0x87, 0x0a,
-	0x9e, 0x8b, 0x54, 0x90, 0xaf, 0x7c, 0x47, 0x93, 0x1b, 0x52, 0x73, 0x13, 0xc7, 0x47, 0xfd, 0xbb,
-	0x04, 0x95, 0x94, 0x29, 0xa0, 0x73, 0xb4, 0x0f, 0xe5, 0x19, 0x09, 0x5d, 0x6f, 0xcc, 0x38, 0x53,
-	0xad, 0xfd, 0xa8, 0xf5, 0xfb, 0xe5, 0xad, 0x73, 0x51, 0x80, 0xd3, 0x4a, 0xf4, 0x00, 0x94, 0x90,
-	0xd8, 0x91, 0x3f, 0x49, 0xae, 0x4a, 0x10, 0x7a, 0x05, 0x28, 0x24, 0x2c, 0x9c, 0x5b, 0xf6, 0x67,
-	0x46, 0x42, 0xeb, 0xc6, 0xa3, 0xd4, 0x8b, 0xf8, 0xed, 0x32, 0x56, 0x79, 0xe6, 0x20, 0x4e, 0x7c,
-	0xe4, 0x71, 0xbd, 0x0d, 0x70, 0xec, 0x3b, 0x7f, 0xf5, 0x20, 0x7d, 0x04, 0x30, 0x60, 0x36, 0x23,
-	0xff, 0x20, 0xbe, 0x0e, 0xa5, 0xe0, 0xd2, 0x8e, 0x48, 0xc2, 0x2a, 0x80, 0x7e, 0x08, 0x15, 0xc3,
-	0x9e, 0x8c, 0x09, 0xbd, 0x3f, 0xb3, 0xfe, 0x16, 0x6a, 0xa7, 0x64, 0xe2, 0x7a, 0x93, 0x8b, 0xbb,
-	0x1f, 0x55, 0x87, 0x52, 0xe8, 0x4f, 0xd9, 0x42, 0x01, 0x07, 0xfa, 0x08, 0x36, 0x17, 0xdd, 0xf7,
-	0x7e, 0x1c, 0x82, 0xe2, 0x95, 0xef, 0x44, 0x9c, 0x59, 0xc6, 0xfc, 0xac, 0xbf, 0x83, 0xea, 0x81,
-	0x3b, 0xf3, 0x22, 0x92, 0xaa, 0x42, 0x50, 0x8c, 0x18, 0x09, 0x12, 0x51, 0xfc, 0x8c, 0x34, 0x28,
-	0x7f, 0xf5, 0xc3, 0x6b, 0x12, 0xc6, 0xbd, 0x72, 0x73, 0x03, 0xa7, 0x50, 0xbf, 0x82, 0x4a, 0xda,
-	0x1e, 0xcb, 0x6a, 0x43, 0x99, 0x79, 0xe3, 0x6b, 0xc2, 0x22, 0x4d, 0x6a, 0xc8, 0xcd, 0x4a, 0x5b,
-	0x5b, 0x97, 0x35, 0xe4, 0x05, 0x38, 0x2d, 0x44, 0x2f, 0x60, 0x6b, 0x66, 0x53, 0xcf, 0xf5, 0xd8,
-	0x3c, 0x35, 0x85, 0x10, 0x58, 0x4b, 0xc3, 0x89, 0x25, 0x5e, 0x83, 0x22, 0x7a, 0x63, 0x8b, 0x09,
-	0x01, 0x89, 0xca, 0x04, 0xc5, 0xb3, 0x9b, 0xd9, 0x74, 0xba, 0x98, 0x1d, 0x07, 0xfa, 0x1b, 0xa8,
-	0x76, 0x48, 0xe0, 0x2f, 0x9f, 0x78, 0xeb, 0xe0, 0x49, 0xe0, 0x8f, 0x2f, 0x79, 0x73, 0x11, 0x0b,
-	0xa0, 0x57, 0xa1, 0x92, 0x36, 0x07, 0x74, 0xfe, 0xf2, 0x87, 0x04, 0xe5, 0x64, 0xae, 0xe8, 0x21,
-	0xec, 0x9c, 0x9b, 0xb8, 0x73, 0x64, 0x0c, 0xad, 0xb3, 0xde, 0xe0, 0xd4, 0x34, 0x8e, 0xde, 0x1f,
-	0x99, 0x1d, 0xf5, 0x3f, 0x54, 0x03, 0x48, 0x13, 0xfd, 0x13, 0x55, 0x42, 0x75, 0x50, 0x53, 0x8c,
-	0xcd, 0x63, 0xd3, 0x18, 0x9a, 0x1d, 0xb5, 0x80, 0x76, 0x60, 0x6b, 0xd9, 0x7e, 0xd2, 0xeb, 0x8f,
-	0x7a, 0xaa, 0x9c, 0xe5, 0xec, 0xf5, 0xad, 0xc1, 0x99, 0xd1, 0xb5, 0x8e, 0xfb, 0x87, 0x6a, 0x11,
-	0xfd, 0x0f, 0xdb, 0xcb, 0xc4, 0xd0, 0xea, 0x8f, 0x7a, 0x26, 0x56, 0x4b, 0xed, 0x9f, 0x32, 0x14,
-	0x0d, 0x42, 0x29, 0xea, 0x82, 0x22, 0x36, 0x17, 0x3d, 0x5b, 0x1f, 0xf9, 0xca, 0xd7, 0x61, 0xf7,
-	0xc9, 0xed, 0x05, 0xf1, 0xff, 0xd0, 0x80, 0x12, 0xdf, 0x22, 0xf4, 0x78, 0xbd, 0x6e, 0xb9, 0x92,
-	0xbb, 0x39, 0xd9, 0xcc, 0xf2, 0x99, 0xa0, 0x88, 0x8d, 0xf9, 0x03, 0x4b, 0x8e, 0x96, 0xec, 0xa6,
-	0x9d, 0x40, 0x39, 0xb1, 0x3d, 0x6a, 0xac, 0x57, 0xae, 0xee, 0xd3, 0xee, 0xd3, 0x3b, 0x2a, 0x62,
-	0xb2, 0x2e, 0x28, 0xc2, 0xab, 0x79, 0x23, 0x5a, 0x59, 0x82, 0x3c, 0x59, 0x59, 0x9b, 0x77, 0x41,
-	0x11, 0xa6, 0xc8, 0x63, 0x5a, 0xf1, 0x5a, 0x1e, 0x53, 0xc6, 0x4f, 0x87, 0xcd, 0x4f, 0xcf, 0xb3,
-	0x79, 0xf2, 0xcd, 0xbe, 0x09, 0x28, 0xd9, 0xcb, 0xc4, 0xf6, 0xc4, 0x2f, 0x80, 0xa3, 0xf0, 0xaf,
-	0xff, 0xfe, 0xaf, 0x00, 0x00, 0x00, 0xff, 0xff, 0x83, 0x06, 0x0f, 0xa0, 0x12, 0x06, 0x00, 0x00,
+	// 702 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x55, 0x6f, 0x6f, 0xd2, 0x40,
+	0x1c, 0xb6, 0xb4, 0x14, 0xf7, 0xeb, 0x60, 0xdd, 0x0d, 0x27, 0xe2, 0x3f, 0xd2, 0x44, 0x25, 0xc6,
+	0xb0, 0x84, 0x25, 0xbe, 0x51, 0x5f, 0x8c, 0x52, 0x65, 0x5b, 0x06, 0xa4, 0xb0, 0x91, 0xf8, 0x86,
+	0x14, 0x7a, 0x6e, 0xdd, 0x0a, 0xad, 0xed, 0x81, 0xf2, 0x0d, 0x7c, 0xe3, 0x27, 0xf3, 0x4b, 0x99,
+	0xbb, 0xf6, 0x46, 0x91, 0x6e, 0xc6, 0xf9, 0xaa, 0xf7, 0xdc, 0xef, 0xcf, 0x3d, 0x77, 0xf7, 0x3c,
+	0x57, 0xd8, 0x1e, 0x63, 0xd7, 0xf5, 0x47, 0x7b, 0xf4, 0x53, 0xf3, 0x03, 0x8f, 0x78, 0x48, 0x75,
+	0xbd, 0xb9, 0x75, 0x8e, 0x43, 0x62, 0x4d, 0xed, 0x1a, 0x9d, 0xd7, 0x3e, 0x41, 0xbe, 0x37, 0x1b,
+	0x4d, 0x1c, 0x62, 0xe2, 0xaf, 0x33, 0x1c, 0x12, 0x54, 0x84, 0x6c, 0x78, 0x61, 0x05, 0x76, 0x49,
+	0xa8, 0x08, 0xd5, 0x0d, 0x33, 0x02, 0xa8, 0x00, 0x19, 0xc7, 0x2e, 0x65, 0xd8, 0x54, 0xc6, 0xb1,
+	0x91, 0x0a, 0xe2, 0xa5, 0x37, 0x2a, 0x89, 0x15, 0xa1, 0xba, 0x69, 0xd2, 0xa1, 0xf6, 0x43, 0x00,
+	0x85, 0x77, 0xf2, 0xdd, 0x05, 0xda, 0x87, 0xdc, 0x1c, 0x07, 0xb6, 0x33, 0x26, 0xac, 0x53, 0xa1,
+	0xfe, 0xa8, 0xf6, 0xe7, 0xe2, 0xb5, 0xb3, 0x28, 0xc1, 0xe4, 0x99, 0x68, 0x17, 0xe4, 0x00, 0x5b,
+	0xa1, 0x37, 0x8d, 0x97, 0x8a, 0x11, 0x7a, 0x03, 0x28, 0xc0, 0x24, 0x58, 0x0c, 0xad, 0x2f, 0x04,
+	0x07, 0xc3, 0x89, 0xe3, 0xba, 0x4e, 0xc8, 0x56, 0x17, 0x4d, 0x95, 0x45, 0x0e, 0x68, 0xe0, 0x84,
+	0xcd, 0x6b, 0x75, 0x80, 0x23, 0x6f, 0xf4, 0x4f, 0x1b, 0xd2, 0x06, 0x00, 0x3d, 0x62, 0x11, 0xfc,
+	0x1f, 0xe4, 0x8b, 0x90, 0xf5, 0x2f, 0xac, 0x10, 0xc7, 0x5d, 0x23, 0xa0, 0x35, 0x40, 0xd1, 0xad,
+	0xe9, 0x18, 0xbb, 0x77, 0xef, 0xac, 0xbd, 0x87, 0x42, 0x17, 0x4f, 0x6d, 0x67, 0x7a, 0x7e, 0xfb,
+	0xa6, 0x8a, 0x90, 0x0d, 0xbc, 0x19, 0xb9, 0x66, 0xc0, 0x80, 0x36, 0x80, 0xcd, 0xeb, 0xea, 0x3b,
+	0x6f, 0x0e, 0x81, 0x74, 0xe9, 0x8d, 0x42, 0xd6, 0x59, 0x34, 0xd9, 0x58, 0xfb, 0x00, 0xf9, 0x03,
+	0x7b, 0xee, 0x84, 0x98, 0xb3, 0x42, 0x20, 0x85, 0x04, 0xfb, 0x31, 0x29, 0x36, 0x46, 0x25, 0xc8,
+	0x7d, 0xf3, 0x82, 0x2b, 0x1c, 0xd0, 0x5a, 0xb1, 0xba, 0x61, 0x72, 0xa8, 0x5d, 0x82, 0xc2, 0xcb,
+	0x29, 0xad, 0x3a, 0xe4, 0x88, 0x33, 0xbe, 0xc2, 0x24, 0x2c, 0x09, 0x15, 0xb1, 0xaa, 0xd4, 0x4b,
+	0xeb, 0xb4, 0xfa, 0x2c, 0xc1, 0xe4, 0x89, 0xe8, 0x15, 0x6c, 0xcd, 0x2d, 0xd7, 0xb1, 0x1d, 0xb2,
+	0xe0, 0xa2, 0x88, 0x08, 0x16, 0xf8, 0x74, 0x2c, 0x89, 0xb7, 0x20, 0x47, 0xb5, 0x54, 0x62, 0x11,
+	0x81, 0x98, 0x65, 0x8c, 0xe8, 0xd9, 0xcd, 0x2d, 0x77, 0x76, 0x7d, 0x76, 0x0c, 0x68, 0xef, 0x20,
+	0xdf, 0xc4, 0xbe, 0xb7, 0xdc, 0xe2, 0x8d, 0x07, 0x8f, 0x7d, 0x6f, 0x7c, 0xc1, 0x8a, 0x25, 0x33,
+	0x02, 0x5a, 0x1e, 0x14, 0x5e, 0xec, 0xbb, 0x0b, 0x0a, 0xbb, 0xcb, 0x2b, 0xd4, 0x14, 0xd8, 0xe8,
+	0xf2, 0x3b, 0xa1, 0xeb, 0x9c, 0x38, 0x61, 0x88, 0xed, 0xbb, 0xac, 0xf3, 0x02, 0x14, 0x5e, 0x4c,
+	0x0f, 0x72, 0x17, 0xe4, 0x09, 0x83, 0xac, 0xf6, 0xbe, 0x19, 0xa3, 0xd7, 0x3f, 0x05, 0xc8, 0xc5,
+	0xf7, 0x8a, 0x1e, 0xc2, 0xce, 0x99, 0x61, 0x36, 0x0f, 0xf5, 0xfe, 0xf0, 0xb4, 0xdd, 0xeb, 0x1a,
+	0xfa, 0xe1, 0xc7, 0x43, 0xa3, 0xa9, 0xde, 0x43, 0x05, 0x00, 0x1e, 0xe8, 0x1c, 0xab, 0x02, 0x2a,
+	0x82, 0xca, 0xb1, 0x69, 0x1c, 0x19, 0x7a, 0xdf, 0x68, 0xaa, 0x19, 0xb4, 0x03, 0x5b, 0xcb, 0xf2,
+	0xe3, 0x76, 0x67, 0xd0, 0x56, 0xc5, 0x64, 0xcf, 0x76, 0x67, 0xd8, 0x3b, 0xd5, 0x5b, 0xc3, 0xa3,
+	0x4e, 0x43, 0x95, 0xd0, 0x03, 0xd8, 0x5e, 0x06, 0xfa, 0xc3, 0xce, 0xa0, 0x6d, 0x98, 0x6a, 0xb6,
+	0xfe, 0x4b, 0x02, 0x49, 0xc7, 0xae, 0x8b, 0x5a, 0x20, 0x47, 0x2f, 0x07, 0x7a, 0xbe, 0x7e, 0xe5,
+	0x2b, 0xaf, 0x53, 0xf9, 0xe9, 0xcd, 0x09, 0x74, 0xeb, 0x3a, 0x64, 0x99, 0x8b, 0xd1, 0x93, 0xf5,
+	0xbc, 0xe5, 0x93, 0x50, 0x4e, 0x89, 0x26, 0xcc, 0x6f, 0x80, 0x1c, 0x39, 0xf6, 0x2f, 0x5d, 0x52,
+	0xb8, 0x24, 0x9d, 0x7e, 0x0c, 0xb9, 0xd8, 0x76, 0xa8, 0xb2, 0x9e, 0xb9, 0xea, 0xe7, 0xf2, 0xb3,
+	0x5b, 0x32, 0x68, 0xb3, 0x16, 0xc8, 0x91, 0x57, 0xd2, 0x8e, 0x68, 0xc5, 0x84, 0x69, 0xb4, 0x92,
+	0x36, 0x6b, 0x81, 0x1c, 0x89, 0x32, 0xad, 0xd3, 0x8a, 0xd6, 0xd3, 0x3a, 0x25, 0xf4, 0x8c, 0x1a,
+	0x20, 0x51, 0x01, 0xa3, 0x94, 0xb4, 0x84, 0xce, 0xcb, 0x8f, 0x6f, 0x0a, 0xc7, 0x6c, 0x22, 0xe9,
+	0xa6, 0xb1, 0x59, 0x71, 0x44, 0x1a, 0x9b, 0x84, 0xea, 0x1b, 0xd5, 0xcf, 0x2f, 0x93, 0x71, 0xfc,
+	0xdd, 0x9a, 0xf8, 0x2e, 0xde, 0x4b, 0xcc, 0xed, 0x45, 0xff, 0xc3, 0x91, 0xcc, 0xfe, 0x85, 0xfb,
+	0xbf, 0x03, 0x00, 0x00, 0xff, 0xff, 0xa1, 0x4c, 0x99, 0x1f, 0x20, 0x07, 0x00, 0x00,
 }
--- a/election/candidate.go
+++ b/election/candidate.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
@@ -180,10 +179,9 @@
 	if l, _ := c.Directory.Layout(); l.Shards <= 1 && len(members) < crowd {
 		return 0
 	}
-	place := func(id lovagestand.InstanceID) uint64 { return xxhash.Sum64String(c.Shard + "/" + string(id)) }
-	own, rank := place(c.Self.ID), 0
+	own, rank := place(c.Shard, c.Self.ID), 0
 	for _, m := range members {
-		if place(m.ID) < own {
+		if place(c.Shard, m.ID) < own {
 			rank++
 		}
 	}
--- /dev/null
+++ b/election/detector.go
@@ -0,0 +1,162 @@
+package election
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
+)
+
+const (
+	// pingInterval spaces a watcher's pings of an owner, which do not wait for
+	// each other.
+	pingInterval = 120 * time.Millisecond
+	// pingTimeout bounds one ping: a round trip to another region and a pause
+	// of a machine whose processor time is given out in tenths of a second.
+	pingTimeout = 250 * time.Millisecond
+	// silentAfter is how long, and silentPings how many pings, an owner must
+	// be silent to be missed by a watcher: a pause of the watcher itself costs
+	// those that are under way, at most three.
+	silentAfter = 400 * time.Millisecond
+	silentPings = 2
+	// agreeTimeout bounds the question whether another watcher misses it too.
+	agreeTimeout = 200 * time.Millisecond
+	// watchers is how many instances watch one owner: one may be lost with it.
+	watchers = 3
+	// graceTime is how long a new owner is left alone.
+	graceTime = 2 * time.Second
+	// idleWatch spaces looks at whether to watch.
+	idleWatch = time.Second
+)
+
+// Detector notices that the owner of a shard has fallen silent, sooner than
+// its lease ends. An owner that two of its watchers miss is deposed; if it
+// lives after all, the epoch of the next one locks it out.
+type Detector struct {
+	Shard     string
+	Self      lovagestand.Instance
+	Directory *Directory
+	Log       zerolog.Logger
+	// Ping returns nil if the owner's process answers.
+	Ping func(ctx context.Context, owner Owner) error
+	// Agrees asks another watcher whether it misses the owner too.
+	Agrees func(ctx context.Context, watcher lovagestand.Instance, epoch lovagestand.Epoch) (bool, error)
+	Depose func(epoch lovagestand.Epoch)
+
+	mu sync.Mutex
+	// epoch is the ownership that is watched since began; heard is when the
+	// owner last answered, missed how many pings it has not answered since.
+	epoch        lovagestand.Epoch
+	began, heard time.Time
+	missed       int
+}
+
+// place orders instances for a shard; the order differs by shard.
+func place(shard string, id lovagestand.InstanceID) uint64 {
+	return xxhash.Sum64String(shard + "/" + string(id))
+}
+
+// Run watches until ctx ends.
+func (d *Detector) Run(ctx context.Context) {
+	interval := idleWatch
+	for pause.For(ctx, interval) {
+		owner, others, watching := d.assignment()
+		if !watching {
+			interval = idleWatch
+			continue
+		}
+		interval = pingInterval
+		d.begin(owner.Epoch)
+		go d.ping(ctx, owner)
+		if d.Misses(owner.Epoch) && d.agreed(ctx, others, owner.Epoch) {
+			d.Log.Warn().Str("shard", d.Shard).Str("owner", string(owner.ID)).Uint64("epoch", uint64(owner.Epoch)).Msg("owner is silent to two watchers")
+			d.Depose(owner.Epoch)
+		}
+	}
+}
+
+// assignment returns the owner and its other watchers, if this instance is one
+// of them. Watchers are of the owner's region where it has two others: a region
+// that is cut off from the rest keeps its owner.
+func (d *Detector) assignment() (Owner, []lovagestand.Instance, bool) {
+	owner, owned := d.Directory.Owner(d.Shard)
+	if !owned || owner.ID == d.Self.ID {
+		return owner, nil, false
+	}
+	others := slices.DeleteFunc(d.Directory.Members(), func(m lovagestand.Instance) bool { return m.ID == owner.ID })
+	near := slices.DeleteFunc(slices.Clone(others), func(m lovagestand.Instance) bool { return m.Region != owner.Region })
+	if len(near) >= 2 {
+		others = near
+	}
+	slices.SortFunc(others, func(a, b lovagestand.Instance) int {
+		return cmp.Compare(place(d.Shard, a.ID), place(d.Shard, b.ID))
+	})
+	others = others[:min(watchers, len(others))]
+	self := slices.IndexFunc(others, func(m lovagestand.Instance) bool { return m.ID == d.Self.ID })
+	if self < 0 {
+		return owner, nil, false
+	}
+	return owner, slices.Delete(others, self, self+1), true
+}
+
+// begin starts to watch an ownership unless that is so already.
+func (d *Detector) begin(epoch lovagestand.Epoch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.epoch != epoch {
+		now := time.Now()
+		d.epoch, d.began, d.heard, d.missed = epoch, now, now, 0
+	}
+}
+
+func (d *Detector) ping(ctx context.Context, owner Owner) {
+	sent := time.Now()
+	limited, cancel := context.WithTimeout(ctx, pingTimeout)
+	err := d.Ping(limited, owner)
+	cancel()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.epoch != owner.Epoch || sent.Before(d.heard):
+		// Another ownership, or a later ping was answered first.
+	case err == nil:
+		d.heard, d.missed = sent, 0
+	default:
+		d.missed++
+	}
+}
+
+// Misses reports whether this instance watches the owner with an epoch and has
+// not heard of it for too long.
+func (d *Detector) Misses(epoch lovagestand.Epoch) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	return d.epoch == epoch && now.Sub(d.began) > graceTime && now.Sub(d.heard) > silentAfter && d.missed >= silentPings
+}
+
+// agreed reports whether another watcher misses the owner too.
+func (d *Detector) agreed(ctx context.Context, others []lovagestand.Instance, epoch lovagestand.Epoch) bool {
+	limited, cancel := context.WithTimeout(ctx, agreeTimeout)
+	defer cancel()
+	answers := make(chan bool, len(others))
+	for _, m := range others {
+		go func() {
+			missed, err := d.Agrees(limited, m, epoch)
+			answers <- err == nil && missed
+		}()
+	}
+	for range others {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/election/detector_test.go
@@ -0,0 +1,134 @@
+package election_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/standin/keyspace"
+)
+
+// watched is a cell whose instances watch each other over links that can be cut.
+type watched struct {
+	*cell
+	keys *keyspace.Store
+
+	mu        sync.Mutex
+	cut       map[lovagestand.InstanceID]bool
+	dark      map[lovagestand.InstanceID]bool
+	detectors map[lovagestand.InstanceID]*election.Detector
+	stop      func()
+}
+
+// lost says whether two instances cannot reach each other.
+func (w *watched) lost(a, b lovagestand.InstanceID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dark[a] || w.dark[b] || w.cut[a] || w.cut[b]
+}
+
+// darken takes the power of an instance; cutOff only its links to the others.
+func (w *watched) darken(id lovagestand.InstanceID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dark[id] = true
+}
+
+func (w *watched) cutOff(id lovagestand.InstanceID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[id] = true
+}
+
+func newWatched(instances int) *watched {
+	w := &watched{
+		cell: newCell(), keys: keyspace.New(), cut: map[lovagestand.InstanceID]bool{}, dark: map[lovagestand.InstanceID]bool{},
+		detectors: map[lovagestand.InstanceID]*election.Detector{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range instances {
+		self := lovagestand.Instance{ID: lovagestand.InstanceID(fmt.Sprint("i", i)), Region: "r", Processors: 1}
+		keys := link{Keyspace: w.keys, cut: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.dark[self.ID] }}
+		directory := election.NewDirectory(keys, zerolog.Nop())
+		candidate := &election.Candidate{
+			Shard: "0", Self: self, Keys: keys, Directory: directory, Log: zerolog.Nop(),
+			Serve: func(ctx context.Context, term jobstore.Term, _ func() bool) {
+				w.cell.mu.Lock()
+				w.cell.owners[term.Epoch], w.cell.now = self.ID, self.ID
+				w.cell.mu.Unlock()
+				<-ctx.Done()
+			},
+		}
+		detector := &election.Detector{
+			Shard: "0", Self: self, Directory: directory, Log: zerolog.Nop(), Depose: candidate.Depose,
+			Ping: func(ctx context.Context, owner election.Owner) error {
+				if w.lost(self.ID, owner.ID) {
+					<-ctx.Done()
+				}
+				return ctx.Err()
+			},
+			Agrees: func(ctx context.Context, other lovagestand.Instance, epoch lovagestand.Epoch) (bool, error) {
+				if w.lost(self.ID, other.ID) {
+					<-ctx.Done()
+					return false, ctx.Err()
+				}
+				return w.detectors[other.ID].Misses(epoch), nil
+			},
+		}
+		w.detectors[self.ID] = detector
+		running.Go(func() { directory.Run(ctx) })
+		running.Go(func() { election.Register(ctx, keys, directory, self, zerolog.Nop()) })
+		running.Go(func() { candidate.Run(ctx) })
+		running.Go(func() { detector.Run(ctx) })
+	}
+	w.stop = func() { cancel(); running.Wait() }
+	return w
+}
+
+// TestSilentOwnerIsReplacedBeforeItsLeaseEnds replays an owner that loses
+// power: its connections hang, and its lease has more than a second to go.
+func TestSilentOwnerIsReplacedBeforeItsLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWatched(5)
+		defer w.stop()
+		time.Sleep(10 * time.Second)
+		former, _ := w.owner()
+		w.darken(former)
+		time.Sleep(900 * time.Millisecond)
+		owner, terms := w.owner()
+		c.Assert(owner, qt.Not(qt.Equals), former)
+		c.Assert(terms, qt.Equals, 2)
+	})
+}
+
+// TestWatcherThatIsCutOffDeposesNobody replays an instance without a way to
+// the others: it misses the owner, and nobody agrees.
+func TestWatcherThatIsCutOffDeposesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWatched(5)
+		defer w.stop()
+		time.Sleep(10 * time.Second)
+		owner, _ := w.owner()
+		for id := range w.detectors {
+			if id != owner {
+				w.cutOff(id)
+				break
+			}
+		}
+		time.Sleep(5 * time.Second)
+		_, terms := w.owner()
+		c.Assert(terms, qt.Equals, 1)
+	})
+}
--- a/node/cell.go
+++ b/node/cell.go
@@ -19,6 +19,8 @@
 	adviser lovagestand.Adviser
 	// depose ends an ownership in the store.
 	depose func(shard string, epoch lovagestand.Epoch)
+	// missed reports whether this instance misses an owner that it watches.
+	missed func(shard string, epoch lovagestand.Epoch) bool
 
 	mu     sync.Mutex
 	shards map[string]*shard.Shard
@@ -146,3 +148,13 @@
 	c.depose(r.GetShard(), lovagestand.Epoch(r.GetEpoch()))
 	return &cellpb.DeposeReply{}, nil
 }
+
+// Ping implements cellpb.Cell.
+func (c *cellServer) Ping(context.Context, *cellpb.PingRequest) (*cellpb.PingReply, error) {
+	return &cellpb.PingReply{}, nil
+}
+
+// Missed implements cellpb.Cell.
+func (c *cellServer) Missed(_ context.Context, r *cellpb.MissedRequest) (*cellpb.MissedReply, error) {
+	return &cellpb.MissedReply{Missed: c.missed(r.GetShard(), lovagestand.Epoch(r.GetEpoch()))}, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 
 	mu         sync.Mutex
 	candidates map[string]*election.Candidate
+	detectors  map[string]*election.Detector
 }
 
 // New returns a node that does nothing until it runs.
@@ -93,8 +94,12 @@
 	n := &Node{
 		settings: s, deps: deps, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
 		routes: gateway.NewRoutes(deps.Keys, deps.Log), peers: newPeers(), candidates: map[string]*election.Candidate{},
+		detectors: map[string]*election.Detector{},
+	}
+	n.cell = &cellServer{
+		adviser: deps.Adviser, depose: n.depose, shards: map[string]*shard.Shard{},
+		missed: func(name string, epoch lovagestand.Epoch) bool { return n.detector(name).Misses(epoch) },
 	}
-	n.cell = &cellServer{adviser: deps.Adviser, depose: n.depose, shards: map[string]*shard.Shard{}}
 	n.owners = newOwners(n.directory, func(name string) *ownerClient {
 		return &ownerClient{
 			shard: name, self: self, directory: n.directory, peers: n.peers, local: n.cell, log: deps.Log,
@@ -128,17 +133,44 @@
 // on once the first shard has an owner.
 func (n *Node) contend(ctx context.Context) {
 	var contending sync.WaitGroup
-	contending.Go(func() { n.candidate(layout.FirstShard).Run(ctx) })
+	stand := func(name string) {
+		contending.Go(func() { n.candidate(name).Run(ctx) })
+		contending.Go(func() { n.detector(name).Run(ctx) })
+	}
+	stand(layout.FirstShard)
 	if l, ok := n.awaitLayout(ctx); ok {
 		for _, name := range l.Names() {
 			if name != layout.FirstShard {
-				contending.Go(func() { n.candidate(name).Run(ctx) })
+				stand(name)
 			}
 		}
 	}
 	contending.Wait()
 }
 
+// detector returns this instance's detector of silent owners of a shard.
+func (n *Node) detector(name string) *election.Detector {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := n.detectors[name]
+	if d == nil {
+		d = &election.Detector{
+			Shard: name, Self: n.self, Directory: n.directory, Log: n.deps.Log,
+			Depose: func(epoch lovagestand.Epoch) { n.depose(name, epoch) },
+			Ping: func(ctx context.Context, owner election.Owner) error {
+				_, err := n.peers.at(owner.Address).Ping(ctx, &cellpb.PingRequest{})
+				return err
+			},
+			Agrees: func(ctx context.Context, watcher lovagestand.Instance, epoch lovagestand.Epoch) (bool, error) {
+				reply, err := n.peers.at(watcher.Address).Missed(ctx, &cellpb.MissedRequest{Shard: name, Epoch: uint64(epoch)})
+				return reply.GetMissed(), err
+			},
+		}
+		n.detectors[name] = d
+	}
+	return d
+}
+
 // Run works until ctx ends, then stops as planned.
 func (n *Node) Run(ctx context.Context) error {
 	failed := make(chan error, 3)
--- a/node/owner.go
+++ b/node/owner.go
@@ -181,8 +181,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	go c.abandon(ctx, cancel, owner.Epoch)
 	verdict, err := send(ctx, c.peers.at(owner.Address))
-	c.note(err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER, err != nil)
+	c.note(err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER, err != nil && !c.replaced(owner.Epoch))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.log.Warn().Str("owner", string(owner.ID)).Uint64("epoch", uint64(owner.Epoch)).Msg("owner's process is gone")
 		c.depose(owner.Epoch)
@@ -193,6 +194,29 @@
 	return verdict, err
 }
 
+// abandon cancels a call to an owner once there is another one: all calls are
+// idempotent.
+func (c *ownerClient) abandon(ctx context.Context, cancel context.CancelFunc, epoch lovagestand.Epoch) {
+	for {
+		changed := c.directory.Changed()
+		if c.replaced(epoch) {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// replaced reports whether another owner has followed the one with an epoch.
+func (c *ownerClient) replaced(epoch lovagestand.Epoch) bool {
+	owner, owned := c.directory.Owner(c.shard)
+	return owned && owner.Epoch > epoch
+}
+
 func verdictError(v cellpb.Verdict) error {
 	switch v {
 	case cellpb.Verdict_VERDICT_OK:
