dispatch: gangs ask about enough workers, and keep the room they asked for

A trace of the waiting gangs shows: policy's answer was known for few workers (24 to 50 allowed of 350), more were asked about only if the unknown alone had room for the whole gang; renewals named only the workers with room at that moment, and the room was lost while the call was under way. Ruled out: memory (half in use) and the lines for advice (mostly free).

Change: a gang asks first about as many workers as are likely to have 1.5 times its room, in up to three calls side by side, by the route's learnt share of allowed workers; it asks about more when those allowed and the likely part of the rest have room; renewals name all allowed workers; while calls are under way room is kept on the workers they name. Replay tests for each.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -8,18 +8,21 @@
 	"lovagestand.example/lovagestand"
 )
 
-// ask decides on a call for advice, if one is left in this pass.
+// ask decides on calls for advice about workers, as far as calls are left in
+// this pass.
 func (p *planner) ask(index int, workers []int) {
-	if p.Asks <= 0 || len(workers) == 0 {
-		return
+	for call := range slices.Chunk(workers, maxAsk) {
+		if p.Asks <= 0 {
+			return
+		}
+		p.Asks--
+		p.decisions = append(p.decisions, Decision{Step: index, Ask: call})
 	}
-	p.Asks--
-	p.decisions = append(p.decisions, Decision{Step: index, Ask: workers})
 }
 
 // askAhead renews the tickets for workers on which a gang is about to start.
 func (p *planner) askAhead(index int, s *Step, workers []int, start time.Time) {
-	if s.Asking || len(workers) == 0 || start.Sub(p.Now) > s.AskAhead {
+	if len(s.Asking) > 0 || len(workers) == 0 || start.Sub(p.Now) > s.AskAhead {
 		return
 	}
 	for _, c := range s.Candidates {
@@ -27,18 +30,7 @@
 			return
 		}
 	}
-	p.ask(index, p.allCandidates(s))
-}
-
-// allCandidates returns the open workers that are known to be allowed.
-func (p *planner) allCandidates(s *Step) []int {
-	var workers []int
-	for _, c := range s.Candidates {
-		if p.Workers[c.Worker].Open && len(workers) < maxAsk {
-			workers = append(workers, c.Worker)
-		}
-	}
-	return workers
+	p.ask(index, p.renewal(s, nil))
 }
 
 // askAgain renews tickets for workers that have room but no valid ticket, and
@@ -48,7 +40,7 @@
 	if !s.Gang {
 		rest.Tasks -= placed
 	}
-	wanted := p.choose(&rest, false)
+	wanted := p.choose(&rest, p.renewable(s))
 	if s.Gang && len(wanted) < s.Tasks || len(wanted) == 0 {
 		p.giveBack(s, wanted)
 		if p.askMore(index, s) {
@@ -58,40 +50,62 @@
 		p.askAhead(index, s, workers, start)
 		return
 	}
-	if !s.Asking {
+	if len(s.Asking) == 0 {
 		slices.Sort(wanted)
-		p.ask(index, p.withRoom(s, slices.Compact(wanted)))
+		p.ask(index, p.renewal(s, slices.Compact(wanted)))
 	}
 }
 
-// askMore asks about workers of which the policy's answer is not known, where
-// those allowed cannot hold the step or others could hold it now.
-func (p *planner) askMore(index int, s *Step) bool {
-	if s.Asking || p.Asks <= 0 {
-		return false
+// renewable returns the workers on which the step may soon start: while calls
+// are under way those with a ticket and those named, so that the room kept is
+// the room asked for.
+func (p *planner) renewable(s *Step) []int {
+	if len(s.Asking) == 0 {
+		return p.eligible(s, false)
 	}
-	more := p.toAsk(s)
-	if len(more) == 0 || !p.hopeless(s) && !p.roomAmong(s, more) {
-		return false
+	var workers []int
+	for _, c := range s.Candidates {
+		if (c.Permitted || s.Asking[c.Worker]) && p.allowed(s, c.Worker) {
+			workers = append(workers, c.Worker)
+		}
 	}
-	p.ask(index, more)
-	return true
+	return workers
 }
 
-// withRoom adds to the workers asked about the others that have room, since
-// one more costs little next to the call.
-func (p *planner) withRoom(s *Step, wanted []int) []int {
-	for _, c := range s.Candidates {
-		if len(wanted) >= maxAsk {
-			break
-		}
-		if !slices.Contains(wanted, c.Worker) && p.fits(s, c.Worker) {
-			wanted = append(wanted, c.Worker)
+// renewal adds to the workers wanted others known to be allowed, since one
+// more costs little next to the call: those with room, and for a gang, whose
+// room may be gone when the answer arrives, those without.
+func (p *planner) renewal(s *Step, wanted []int) []int {
+	most := max(maxAsk, len(wanted))
+	add := func(suits func(worker int) bool) {
+		for _, c := range s.Candidates {
+			if len(wanted) < most && suits(c.Worker) && !slices.Contains(wanted, c.Worker) {
+				wanted = append(wanted, c.Worker)
+			}
 		}
 	}
+	add(func(worker int) bool { return p.fits(s, worker) })
+	if s.Gang {
+		add(func(worker int) bool { return p.Workers[worker].Open })
+	}
 	return wanted
 }
 
+// askMore asks about workers of which the policy's answer is not known, where
+// those allowed cannot hold the step, or could together with those of the
+// others that policy is likely to allow.
+func (p *planner) askMore(index int, s *Step) bool {
+	if len(s.Asking) > 0 || p.Asks <= 0 {
+		return false
+	}
+	more := p.unasked(s)
+	if len(more) == 0 || !p.hopeless(s) && !p.roomWith(s, more) {
+		return false
+	}
+	p.ask(index, s.firstOf(more))
+	return true
+}
+
 // hopeless reports whether the workers known to be allowed could not hold the
 // step even if they were empty.
 func (p *planner) hopeless(s *Step) bool {
@@ -107,18 +121,25 @@
 	return room == 0
 }
 
-// roomAmong reports whether workers not asked about have room now.
-func (p *planner) roomAmong(s *Step, workers []int) bool {
-	room := 0
-	for _, i := range workers {
+// roomWith reports whether the workers known to be allowed have room for the
+// step now, together with the part of others that policy is likely to allow.
+func (p *planner) roomWith(s *Step, others []int) bool {
+	known := 0
+	for _, c := range s.Candidates {
+		if p.allowed(s, c.Worker) {
+			known += slotsIn(p.Workers[c.Worker].Free, s)
+		}
+	}
+	unknown := 0
+	for _, i := range others {
 		if p.allowed(s, i) {
-			room += slotsIn(p.Workers[i].Free, s)
+			unknown += slotsIn(p.Workers[i].Free, s)
 		}
 	}
 	if s.Gang {
-		return room >= s.Tasks
+		return float64(known)+s.AllowedShare*float64(unknown) >= float64(s.Tasks)
 	}
-	return room > 0
+	return unknown > 0
 }
 
 // slotsIn returns how many tasks of a step fit into an amount of resources.
@@ -137,8 +158,32 @@
 	return n
 }
 
-// toAsk names the workers that are likely to have room soonest.
+// toAsk names the workers to ask about first: for a gang as many as are likely
+// to allow it room enough.
 func (p *planner) toAsk(s *Step) []int {
+	workers := p.unasked(s)
+	n := len(s.firstOf(workers))
+	if !s.Gang {
+		return workers[:n]
+	}
+	needed := spareRoom * float64(s.Tasks)
+	for i, w := range workers {
+		if i >= n && needed <= 0 || i == firstCalls*maxAsk {
+			return workers[:i]
+		}
+		needed -= s.AllowedShare * float64(slotsIn(p.Workers[w].Free, s))
+	}
+	return workers
+}
+
+// firstOf returns as many workers as one call for advice should name.
+func (s *Step) firstOf(workers []int) []int {
+	return workers[:min(len(workers), max(minAsk, min(maxAsk, askPerTask*s.Tasks)))]
+}
+
+// unasked returns the workers of which the policy's answer is not known, those
+// that are likely to have room soonest first.
+func (p *planner) unasked(s *Step) []int {
 	type ranked struct {
 		worker int
 		at     time.Time
@@ -147,7 +192,7 @@
 	var ranking []ranked
 	for i := range p.Workers {
 		w := &p.Workers[i]
-		if !w.Open || s.Asked != nil && s.Asked(i) || !s.suits(w) || !s.Needs.Fits(w.Capacity) {
+		if !w.Open || s.Asking[i] || s.Asked != nil && s.Asked(i) || !s.suits(w) || !s.Needs.Fits(w.Capacity) {
 			continue
 		}
 		times := p.slots(s, i, 1)
@@ -159,8 +204,7 @@
 	slices.SortFunc(ranking, func(a, b ranked) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spread, b.spread))
 	})
-	n := min(len(ranking), max(minAsk, min(maxAsk, askPerTask*s.Tasks)))
-	workers := make([]int, n)
+	workers := make([]int, len(ranking))
 	for i := range workers {
 		workers[i] = ranking[i].worker
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -63,8 +63,11 @@
 	Asked func(worker int) bool
 	// Seed spreads the workers that different steps ask about.
 	Seed uint64
-	// Asking says that a call for advice is under way.
-	Asking bool
+	// Asking are the workers that calls for advice under way name.
+	Asking map[int]bool
+	// AllowedShare is the part of the workers that policy usually allows for
+	// steps of this kind.
+	AllowedShare float64
 	// AskAhead is how long before a reserved start tickets are renewed, so
 	// that the room is not idle while the call is under way.
 	AskAhead time.Duration
@@ -103,6 +106,11 @@
 	spreadFactor = 0x9e3779b97f4a7c15
 	// askPerTask is how many workers are named for each task.
 	askPerTask = 5
+	// firstCalls bounds the calls with which a gang's first workers are asked
+	// about side by side, and spareRoom is how much room, times what the gang
+	// needs, they should have: some of it is gone when the answers arrive.
+	firstCalls = 3
+	spareRoom  = 1.5
 	// slownessCost is how much packing a slow worker must save.
 	slownessCost = 0.4
 	// affinityGain prefers workers next to the data.
@@ -149,12 +157,12 @@
 
 func (p *planner) decide(index int, s *Step) {
 	if s.Advised && s.Candidates == nil {
-		if !s.Asking && p.Asks > 0 {
+		if len(s.Asking) == 0 {
 			p.ask(index, p.toAsk(s))
 		}
 		return
 	}
-	chosen := p.choose(s, true)
+	chosen := p.choose(s, p.eligible(s, true))
 	if len(chosen) == s.Tasks || !s.Advised && len(chosen) > 0 && !s.Gang {
 		p.decisions = append(p.decisions, Decision{Step: index, Workers: chosen})
 		return
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -133,7 +133,7 @@
 		c.Assert(placed(decisions, 0), qt.HasLen, 0)
 	})
 	c.Run("is not asked for twice at once", func(c *qt.C) {
-		decisions := plan(empty(4), []dispatch.Step{{Tasks: 1, Needs: cores(1), Advised: true, Asking: true}})
+		decisions := plan(empty(4), []dispatch.Step{{Tasks: 1, Needs: cores(1), Advised: true, Asking: map[int]bool{0: true}}})
 		c.Assert(decisions, qt.HasLen, 0)
 	})
 	c.Run("limits where tasks start", func(c *qt.C) {
@@ -159,6 +159,67 @@
 	})
 }
 
+// TestGangAsksAboutMoreWorkersWhenItNearlyFits replays a high load of gangs:
+// each worker has room for one task, and the workers allowed of those asked
+// about are fewer than the gang's tasks.
+func TestGangAsksAboutMoreWorkersWhenItNearlyFits(t *testing.T) {
+	gang := func(tasks int) []int {
+		workers := empty(30)
+		for i := range workers {
+			workers[i].Free = cores(6)
+		}
+		step := dispatch.Step{
+			Tasks: tasks, Needs: cores(5), Gang: true, Advised: true, RunTime: time.Second, AllowedShare: 1.0 / 3,
+			Candidates: permitted(0, 3, 6, 9), Asked: func(worker int) bool { return worker < 12 },
+		}
+		return asked(plan(workers, []dispatch.Step{step}), 0)
+	}
+	c := qt.New(t)
+	c.Assert(gang(4), qt.HasLen, 0, qt.Commentf("it fits"))
+	c.Assert(gang(10), qt.HasLen, 18, qt.Commentf("4 allowed and a third of 18 more"))
+	c.Assert(gang(11), qt.HasLen, 0, qt.Commentf("the others would not do"))
+}
+
+// TestGangAsksAboutAsManyWorkersAsItMayNeed replays a high load: room for one
+// task on each worker, of which policy allows a third.
+func TestGangAsksAboutAsManyWorkersAsItMayNeed(t *testing.T) {
+	c := qt.New(t)
+	workers := empty(350)
+	for i := range workers {
+		workers[i].Free = cores(6)
+	}
+	calls := func(tasks int, gang bool) []int {
+		step := dispatch.Step{Tasks: tasks, Needs: cores(5), Gang: gang, Advised: true, AllowedShare: 1.0 / 3}
+		var sizes []int
+		for _, d := range plan(slices.Clone(workers), []dispatch.Step{step}) {
+			sizes = append(sizes, len(d.Ask))
+		}
+		return sizes
+	}
+	c.Assert(calls(30, true), qt.DeepEquals, []int{96, 39}, qt.Commentf("one and a half times 30, times three"))
+	c.Assert(calls(200, true), qt.DeepEquals, []int{96, 96, 96})
+	c.Assert(calls(4, true), qt.DeepEquals, []int{48})
+	c.Assert(calls(200, false), qt.DeepEquals, []int{96})
+}
+
+// TestRoomIsKeptWhereAnswersAreOnTheirWay replays a gang whose tickets have
+// expired: while it asks again, the room it asked about is not given away.
+func TestRoomIsKeptWhereAnswersAreOnTheirWay(t *testing.T) {
+	c := qt.New(t)
+	workers := empty(3)
+	for i, free := range []int64{20, 10, 10} {
+		workers[i].Free = cores(free)
+	}
+	steps := []dispatch.Step{
+		{
+			Tasks: 2, Needs: cores(10), Gang: true, Score: 2, Advised: true, RunTime: time.Second,
+			Candidates: []dispatch.Candidate{{Worker: 0}, {Worker: 1}, {Worker: 2}}, Asking: map[int]bool{0: true},
+		},
+		{Tasks: 4, Needs: cores(10), Score: 1, RunTime: time.Second},
+	}
+	c.Assert(placed(plan(workers, steps), 1), qt.DeepEquals, []int{1, 2})
+}
+
 func TestMaxPerWorker(t *testing.T) {
 	c := qt.New(t)
 	steps := []dispatch.Step{{Tasks: 5, Needs: cores(1), MaxPerWorker: 2, Placed: map[int]int{0: 1}}}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -8,10 +8,9 @@
 	"lovagestand.example/lovagestand"
 )
 
-// choose takes room for the tasks of a step and returns their workers; fewer
-// than all where there is not enough room.
-func (p *planner) choose(s *Step, permitted bool) []int {
-	eligible := p.eligible(s, permitted)
+// choose takes room for the tasks of a step on eligible workers and returns
+// theirs; fewer than all where there is not enough room.
+func (p *planner) choose(s *Step, eligible []int) []int {
 	if s.Gang && s.SameRack {
 		for _, rack := range p.racks(eligible) {
 			chosen := p.take(s, rack)
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -43,16 +43,18 @@
 	}
 	begin := laterOf(state.busyUntil, p.now)
 	state.busyUntil = begin.Add(cost)
+	st := r.entry.step(r.ref)
 	names := make([]lovagestand.WorkerName, len(indexes))
+	named := make([]*worker, len(indexes))
 	for i, index := range indexes {
-		names[i] = p.workers[index].info.Name
+		named[i] = p.workers[index]
+		names[i] = named[i].info.Name
+		st.asking[named[i]]++
 	}
-	st := r.entry.step(r.ref)
-	st.asking = true
 	step := r.entry.progress.Job().StepName(r.ref.Occurrence, r.ref.Step)
 	timeout := begin.Sub(p.now) + cost + adviceTimeout
 	s.log.Debug().Str("step", step).Str("by", string(chosen.Instance)).Int("workers", len(names)).Msg("advice asked for")
-	go s.advise(chosen, state, r, step, names, timeout)
+	go s.advise(chosen, state, r, step, names, named, timeout)
 }
 
 // freeAsks returns how many calls the lines can take now.
@@ -117,7 +119,7 @@
 	return sorted
 }
 
-func (s *Shard) advise(l Line, state *line, r waitingStep, step string, names []lovagestand.WorkerName, timeout time.Duration) {
+func (s *Shard) advise(l Line, state *line, r waitingStep, step string, names []lovagestand.WorkerName, named []*worker, timeout time.Duration) {
 	limited, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	begun := time.Now()
@@ -130,7 +132,11 @@
 	}
 	now := time.Now()
 	st := r.entry.step(r.ref)
-	st.asking = false
+	for _, w := range named {
+		if st.asking[w]--; st.asking[w] <= 0 {
+			delete(st.asking, w)
+		}
+	}
 	if err != nil {
 		state.closedUntil = now.Add(lineClosedFor)
 		s.log.Warn().Err(err).Str("step", step).Str("by", string(l.Instance)).Msg("no advice")
@@ -138,6 +144,7 @@
 		return
 	}
 	st.advised = true
+	s.stats(r.entry.route).learnAdvice(len(names), len(advice.Tickets))
 	for _, name := range names {
 		if w := s.workers[name]; w != nil {
 			st.asked[w] = true
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -29,6 +29,28 @@
 	core time.Duration
 	// run is the usual run time of a task.
 	run time.Duration
+	// asked and allowed count the workers in answers of the policy service.
+	asked, allowed float64
+}
+
+// adviceMemory is how many workers asked about are remembered: some answers'
+// worth, so that the share follows the policy.
+const adviceMemory = 2000
+
+// learnAdvice takes how many of the workers asked about are allowed.
+func (r *routeStats) learnAdvice(asked, allowed int) {
+	r.asked += float64(asked)
+	r.allowed += float64(allowed)
+	if r.asked > adviceMemory {
+		r.allowed *= adviceMemory / r.asked
+		r.asked = adviceMemory
+	}
+}
+
+// allowedShare returns the part of the workers that policy usually allows: one
+// half before anything is known.
+func (r *routeStats) allowedShare() float64 {
+	return (r.allowed + 1) / (r.asked + 2)
 }
 
 func (s *Shard) stats(route lovagestand.RouteName) *routeStats {
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -165,7 +165,7 @@
 	step := j.Steps[w.ref.Step]
 	out := dispatch.Step{
 		Tasks: w.tasks, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
-		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, Advised: j.Policy.Advice.Needed(), Asking: st.asking,
+		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, Advised: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		AskAhead: j.Policy.Advice.Cost(askAheadWorkers) + askAheadMargin,
 		RunTime:  s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
 	}
@@ -185,6 +185,15 @@
 			out.Avoid[w.index] = true
 		}
 	}
+	for w := range st.asking {
+		if s.workers[w.info.Name] != w {
+			continue
+		}
+		if out.Asking == nil {
+			out.Asking = map[int]bool{}
+		}
+		out.Asking[w.index] = true
+	}
 	if out.Advised && st.advised {
 		out.Candidates = s.candidates(p, st)
 		out.Asked = func(i int) bool { return st.asked[p.workers[i]] }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -166,7 +166,8 @@
 
 // stepState is what placing knows of one step.
 type stepState struct {
-	asking  bool
+	// asking counts the calls for advice under way that name a worker.
+	asking  map[*worker]int
 	advised bool
 	// asked are the workers of which the policy's answer is known; it does not
 	// change during a step.
@@ -184,7 +185,7 @@
 func (e *entry) step(ref job.StepRef) *stepState {
 	s := e.steps[ref]
 	if s == nil {
-		s = &stepState{asked: map[*worker]bool{}, tickets: map[*worker]ticket{}, placed: map[lovagestand.WorkerName]int{}, avoid: map[lovagestand.WorkerName]int{}}
+		s = &stepState{asking: map[*worker]int{}, asked: map[*worker]bool{}, tickets: map[*worker]ticket{}, placed: map[lovagestand.WorkerName]int{}, avoid: map[lovagestand.WorkerName]int{}}
 		e.steps[ref] = s
 	}
 	return s
