platform: one client and one stand-in of the store

The store had two clients and two stand-ins: Keyspace in the platform's protocol, and Store in a wire form of our own.

Tests changed, each as strict: revisions are those of the store's one counter, which starts at 1, so the first write has 2, not 1; a lost reply is a cut connection, so its text is not passed on. docs/design/platform.md says for each older part why it stays.

--- a/standin/kv/counts.go
+++ b/standin/kv/counts.go
@@ -60,8 +60,8 @@
 }
 
 // Counts returns the counts up to now.
-func (s *Store) Counts() Counts {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.counts
+func (b *backend) Counts() Counts {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.counts
 }
--- a/store.go
+++ b/store.go
@@ -9,7 +9,8 @@
 // MaxValueBytes is the largest value the store holds, in bytes.
 const MaxValueBytes = 1 << 20
 
-// Revision counts the changes of one key; 0 means that the key is absent.
+// Revision is a number of the store's one counter of changes. That of a key is
+// the one of its last change; 0 means that the key is absent.
 type Revision uint64
 
 // Value is what the store holds under one key.
