--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -38,7 +41,47 @@
 	done     chan error
 }
 
+// start starts a node and returns once it listens. Between finding a port free
+// and listening on it another process may take it: then other ports are tried.
 func start(c *qt.C, s *site.Site, name string) *instance {
+	for {
+		i := launch(c, s, name)
+		err := i.listening()
+		if err == nil {
+			return i
+		}
+		c.Assert(errors.Is(err, syscall.EADDRINUSE), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
+// listening waits until the node listens, or returns why it has stopped.
+func (i *instance) listening() error {
+	for {
+		select {
+		case err := <-i.done:
+			return err
+		case <-time.After(10 * time.Millisecond):
+		}
+		connection, err := net.Dial("tcp", net.JoinHostPort(i.settings.Host, strconv.Itoa(i.settings.Ports[0])))
+		if err != nil {
+			continue
+		}
+		connection.Close()
+		reply, err := http.Get("http://" + i.settings.Ready + "/ready")
+		if err != nil {
+			continue
+		}
+		reply.Body.Close()
+		reply, err = http.Get("http://" + i.settings.Callers + "/")
+		if err != nil {
+			continue
+		}
+		reply.Body.Close()
+		return nil
+	}
+}
+
+func launch(c *qt.C, s *site.Site, name string) *instance {
 	local := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(c)) }
 	i := &instance{done: make(chan error, 1), settings: settings.Node{
 		Instance: lovagestand.InstanceID(name), Region: "region", FailureDomain: "zone-1", Callers: local(), Ready: local(),
