election: refreshes of the directory are spaced; unchanged owners are not logged again

Refreshes are 0.1 s apart now; the watch tells of changes anyway. The test counts readings: 100 before, 10 at most now.

--- a/election/directory.go
+++ b/election/directory.go
@@ -33,6 +33,9 @@
 	// followWait bounds one watch, so that a connection that has gone silent
 	// hides changes for no longer.
 	followWait = 2 * time.Second
+	// refreshInterval is the least time between two refreshes: during a
+	// takeover every call of every caller asks for one.
+	refreshInterval = 100 * time.Millisecond
 	// callTimeout bounds one call to the store beyond the time it may wait.
 	callTimeout = time.Second
 	// retryDelay spaces calls to a store that fails.
@@ -68,6 +71,8 @@
 	heard   time.Time
 	changed chan struct{}
 	refresh chan struct{}
+	// refreshed is when a refresh was last asked for.
+	refreshed time.Time
 }
 
 // NewDirectory returns a directory that knows nothing until it runs.
@@ -186,8 +191,17 @@
 }
 
 // Refresh asks for the directory to be read anew, because a caller has seen
-// that it is out of date.
+// that it may be out of date. Callers ask again while that is so.
 func (d *Directory) Refresh() {
+	d.mu.Lock()
+	recent := time.Since(d.refreshed) < refreshInterval
+	if !recent {
+		d.refreshed = time.Now()
+	}
+	d.mu.Unlock()
+	if recent {
+		return
+	}
 	select {
 	case d.refresh <- struct{}{}:
 	default:
@@ -243,27 +257,29 @@
 	if revision < d.revision {
 		return
 	}
-	clear(d.owners)
+	former := d.owners
+	d.owners = map[string]Owner{}
 	d.loaded = true
-	d.take(items, revision)
+	d.take(items, revision, former)
 }
 
 func (d *Directory) apply(items []lovagestand.Item, revision lovagestand.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.take(items, revision)
+	d.take(items, revision, nil)
 }
 
-func (d *Directory) take(items []lovagestand.Item, revision lovagestand.Revision) {
+// take takes items; former are the owners known before a reading of all.
+func (d *Directory) take(items []lovagestand.Item, revision lovagestand.Revision, former map[string]Owner) {
 	d.revision = revision
 	for _, i := range items {
-		d.set(i)
+		d.set(i, former)
 	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
-func (d *Directory) set(i lovagestand.Item) {
+func (d *Directory) set(i lovagestand.Item, former map[string]Owner) {
 	if i.Key == LayoutKey {
 		d.setLayout(i)
 		return
@@ -281,14 +297,20 @@
 		}
 		d.owners[shard] = Owner{Instance: instance, Epoch: lovagestand.Epoch(i.Revision)}
 	}
+	if !i.Deleted && former[shard].Epoch == lovagestand.Epoch(i.Revision) {
+		return
+	}
 	d.log.Info().Str("shard", shard).Str("owner", string(instance.ID)).Uint64("epoch", uint64(i.Revision)).Bool("vacant", i.Deleted).Msg("owner changed")
 }
 
 // setLayout takes the layout, which never changes again.
 func (d *Directory) setLayout(i lovagestand.Item) {
 	var l layout.Layout
-	if err := json.Unmarshal(i.Value, &l); err != nil || !l.Valid() || d.layout.Valid() {
-		d.log.Debug().Err(err).Str("key", i.Key).Int("shards", l.Shards).Msg("layout left as it is")
+	if d.layout.Valid() {
+		return
+	}
+	if err := json.Unmarshal(i.Value, &l); err != nil || !l.Valid() {
+		d.log.Error().Err(err).Str("key", i.Key).Int("shards", l.Shards).Msg("layout not understood")
 		return
 	}
 	d.layout = l
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -245,6 +245,29 @@
 	})
 }
 
+// TestRefreshesAreSpaced replays a takeover: each call of each caller finds no
+// owner and asks for a refresh.
+func TestRefreshesAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys := keyspace.New()
+		d := election.NewDirectory(keys, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		time.Sleep(time.Second)
+		before := keys.Calls("range")
+		for range 100 {
+			d.Refresh()
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(keys.Calls("range")-before <= 10, qt.IsTrue, qt.Commentf("%d readings", keys.Calls("range")-before))
+		c.Assert(keys.Calls("range") > before, qt.IsTrue)
+		cancel()
+		running.Wait()
+	})
+}
+
 func TestDirectorySurvivesLostHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
