shard: a job cancelled again while that is being kept is not forgotten

Cause, found by reading: a second cancellation queues the job again while the write of its end is under way; when that write is done the job's progress is dropped, and the queued write of a job without progress removes it from the store, so callers are told that there is no such job (rule LOST). A job is now settled only when no write of it is queued or under way; the new test fails without that.

--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -299,6 +299,36 @@
 	})
 }
 
+// TestCancelledTwiceWhileItIsKept replays a caller that asks again because the
+// store was slow to keep the first cancellation: the job stays known.
+func TestCancelledTwiceWhileItIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(time.Minute, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 1})
+		lost := false
+		k.keys.SetFault(func(call string) keyspace.Fault {
+			if call != "commit" || lost {
+				return keyspace.FaultNone
+			}
+			lost = true
+			return keyspace.FaultLostReply
+		})
+		var cancelling sync.WaitGroup
+		for i := range 3 {
+			cancelling.Go(func() {
+				time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+				c.Check(o.Cancel(t.Context(), job.ID(id(1))), qt.IsNil)
+			})
+		}
+		cancelling.Wait()
+		time.Sleep(5 * time.Second)
+		assertPhase(c, o, id(1), "cancelled")
+	})
+}
+
 func TestPending(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/shard/write.go
+++ b/shard/write.go
@@ -213,7 +213,8 @@
 		delete(s.jobs, e.id)
 		return
 	}
-	if len(e.active) > 0 {
+	if len(e.active) > 0 || e.queuedAt != 0 || e.writing {
+		// A write without progress would forget the job.
 		return
 	}
 	e.phase = e.progress.Phase()
