shard, jobstore: several writes at once while the store is slow

Ruled out: the owner's processor and the store's rate of calls.

A write that takes over 70 ms, after one that did, is helped by the next of six lanes. Each lane is a chain of its own under the owner's key; a job is in one write at a time; workers may forget ends up to the first write under way. A store that was not slow before gets no help, so an outage leaves no more jobs in doubt than it did.

--- a/election/candidate.go
+++ b/election/candidate.go
@@ -213,7 +213,7 @@
 		return jobstore.Term{}, 0, err
 	}
 	c.confirm(begun)
-	return jobstore.Term{Shard: c.Shard, Key: key, Epoch: lovagestand.Epoch(revision), Sequence: revision}, lease, nil
+	return jobstore.Term{Shard: c.Shard, Key: key, Epoch: lovagestand.Epoch(revision), Sequence: revision, Lease: lease}, lease, nil
 }
 
 func (c *Candidate) grant(ctx context.Context) (lovagestand.LeaseID, error) {
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,8 @@
 	Epoch lovagestand.Epoch
 	// Sequence is the revision of the sequence key when the term began.
 	Sequence lovagestand.Revision
+	// Lease is that of the ownership; what a term alone needs goes with it.
+	Lease lovagestand.LeaseID
 }
 
 // LostError says that another term has begun; nothing more may be written.
@@ -66,17 +69,30 @@
 	return fmt.Sprintf("shard %s: epoch %d is over", e.Shard, e.Epoch)
 }
 
-// Store reads and writes the jobs of one shard in one term. Only one write may
-// be under way.
+// Lanes is how many writes may be under way at once, one in each lane. More
+// than one is of use when the store is slow.
+const Lanes = 6
+
+// Store reads and writes the jobs of one shard in one term. An entry may be in
+// one write at a time.
 type Store struct {
 	keys     lovagestand.Keyspace
 	term     Term
+	lanes    [Lanes]lane
+	troubled func()
+
+	mu        sync.Mutex
+	complaint time.Time
+}
+
+// lane is a chain of writes: each one requires the one before.
+type lane struct {
+	key      string
+	lease    lovagestand.LeaseID
 	sequence lovagestand.Revision
 	writes   int64
 	// usual is how long an answer of the store usually takes.
-	usual     time.Duration
-	troubled  func()
-	complaint time.Time
+	usual time.Duration
 }
 
 // Option changes a store.
@@ -89,7 +105,11 @@
 
 // New returns a store for a term.
 func New(keys lovagestand.Keyspace, term Term, options ...Option) *Store {
-	s := &Store{keys: keys, term: term, sequence: term.Sequence, troubled: func() {}}
+	s := &Store{keys: keys, term: term, troubled: func() {}}
+	s.lanes[0] = lane{key: SequenceKey(term.Shard), sequence: term.Sequence}
+	for i := 1; i < Lanes; i++ {
+		s.lanes[i] = lane{key: fmt.Sprintf("%s/%d/%d", SequenceKey(term.Shard), term.Epoch, i), lease: term.Lease}
+	}
 	for _, o := range options {
 		o(s)
 	}
@@ -99,6 +119,8 @@
 // complain reports a write that has failed since begun.
 func (s *Store) complain(begun time.Time) {
 	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if now.Sub(begun) < troubleAfter || now.Sub(s.complaint) < troubleInterval {
 		return
 	}
@@ -127,23 +149,33 @@
 	return entries, nil
 }
 
-// Write makes at most [MaxJobs] entries durable. It tries until it knows the
-// outcome and fails with a [LostError] when the term is over, or with the
-// context's error.
+// Write is [Store.WriteIn] for the first lane.
 func (s *Store) Write(ctx context.Context, entries []Entry) error {
-	s.writes++
-	token := fmt.Sprintf("%d/%d", s.term.Epoch, s.writes)
-	t := s.transaction(token, entries)
+	return s.WriteIn(ctx, 0, entries)
+}
+
+// WriteIn makes at most [MaxJobs] entries durable in a lane that has no write
+// under way. It tries until it knows the outcome and fails with a [LostError]
+// when the term is over, or with the context's error.
+func (s *Store) WriteIn(ctx context.Context, number int, entries []Entry) error {
+	l := &s.lanes[number]
+	l.writes++
+	token := fmt.Sprintf("%d/%d", s.term.Epoch, l.writes)
+	t := s.transaction(l, token, entries)
 	begun := time.Now()
 	for {
-		revision, err := s.attempt(ctx, t)
+		revision, err := s.attempt(ctx, l, t)
 		if err == nil {
-			s.sequence = revision
+			l.sequence = revision
 			return nil
 		}
 		var condition *lovagestand.ConditionError
 		if errors.As(err, &condition) {
-			return s.settle(condition, token)
+			return s.settle(l, condition, token)
+		}
+		var ended *lovagestand.LeaseEndedError
+		if errors.As(err, &ended) {
+			return &LostError{Shard: s.term.Shard, Epoch: s.term.Epoch}
 		}
 		if ctx.Err() != nil {
 			return errors.Wrap(ctx.Err(), "write jobs")
@@ -160,27 +192,27 @@
 	}
 }
 
-func (s *Store) attempt(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
-	timeout := min(maxAttempt, max(minAttempt, attemptFactor*s.usual))
+func (s *Store) attempt(ctx context.Context, l *lane, t lovagestand.Transaction) (lovagestand.Revision, error) {
+	timeout := min(maxAttempt, max(minAttempt, attemptFactor*l.usual))
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	begun := time.Now()
 	revision, err := s.keys.Commit(limited, t)
 	if limited.Err() != nil {
-		s.usual = min(maxAttempt/attemptFactor, max(minAttempt/attemptFactor, time.Duration(timeoutGrowth*float64(s.usual))))
+		l.usual = min(maxAttempt/attemptFactor, max(minAttempt/attemptFactor, time.Duration(timeoutGrowth*float64(l.usual))))
 	} else {
-		s.usual += time.Duration(usualWeight * float64(time.Since(begun)-s.usual))
+		l.usual += time.Duration(usualWeight * float64(time.Since(begun)-l.usual))
 	}
 	return revision, err
 }
 
-func (s *Store) transaction(token string, entries []Entry) lovagestand.Transaction {
+func (s *Store) transaction(l *lane, token string, entries []Entry) lovagestand.Transaction {
 	t := lovagestand.Transaction{
 		If: []lovagestand.Condition{
 			{Key: s.term.Key, Revision: lovagestand.Revision(s.term.Epoch)},
-			{Key: SequenceKey(s.term.Shard), Revision: s.sequence},
+			{Key: l.key, Revision: l.sequence},
 		},
-		Set: []lovagestand.Write{{Key: SequenceKey(s.term.Shard), Value: []byte(token)}},
+		Set: []lovagestand.Write{{Key: l.key, Value: []byte(token), Lease: l.lease}},
 	}
 	for _, e := range entries {
 		key := entryPrefix(s.term.Shard) + e.ID
@@ -195,10 +227,10 @@
 
 // settle decides whether a write whose conditions no longer hold was applied
 // by an earlier attempt with a lost reply.
-func (s *Store) settle(e *lovagestand.ConditionError, token string) error {
-	sequence := e.Item(SequenceKey(s.term.Shard))
+func (s *Store) settle(l *lane, e *lovagestand.ConditionError, token string) error {
+	sequence := e.Item(l.key)
 	if string(sequence.Value) == token {
-		s.sequence = sequence.Revision
+		l.sequence = sequence.Revision
 		return nil
 	}
 	return &LostError{Shard: s.term.Shard, Epoch: s.term.Epoch}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -66,11 +66,18 @@
 	// closing says that the term ends: no new jobs are taken.
 	closing bool
 
-	queue    []*entry
-	queued   int64
-	written  int64
-	dirtied  chan struct{}
-	stalled  bool
+	queue   []*entry
+	queued  int64
+	written int64
+	dirtied chan struct{}
+	stalled bool
+	// underWay are the batches that are being written, by lane; laneBusy are
+	// the lanes that help the first one, helping their work.
+	underWay [jobstore.Lanes][]batchEntry
+	laneBusy [jobstore.Lanes]bool
+	// slow says that the last write took long.
+	slow     bool
+	helping  sync.WaitGroup
 	rosterAt int64
 
 	// began is when the term began; unresolved are the workers that may still
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +34,20 @@
 	mu      sync.Mutex
 	workers []lovagestand.FleetWorker
 	log     zerolog.Logger
-	advice  func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
+	// delay is how long the store takes to change something, in nanoseconds.
+	delay  atomic.Int64
+	advice func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
+}
+
+// paced is a store that takes its time to change something.
+type paced struct {
+	*keyspace.Store
+	delay *atomic.Int64
+}
+
+func (p paced) Commit(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
+	time.Sleep(time.Duration(p.delay.Load()))
+	return p.Store.Commit(ctx, t)
 }
 
 // owner is one term.
@@ -71,7 +85,7 @@
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
 	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second}, shard.Deps{
-		Fleet: k.fleet, Store: jobstore.New(k.keys, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
+		Fleet: k.fleet, Store: jobstore.New(paced{k.keys, &k.delay}, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	})
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -411,6 +425,39 @@
 	})
 }
 
+// TestSlowStoreKeepsUp replays a burst while the store takes 390 ms for each
+// write: one write at a time would keep 74 jobs a second.
+func TestSlowStoreKeepsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 4, always(500*time.Millisecond, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		defer o.stop()
+		k.delay.Store(int64(390 * time.Millisecond))
+		var callers sync.WaitGroup
+		var slowest atomic.Int64
+		for i := range 400 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				begun := time.Now()
+				c.Check(o.try(id(i), job.Step{Count: 1}), qt.IsNil)
+				if took := int64(time.Since(begun)); took > slowest.Load() {
+					slowest.Store(took)
+				}
+			})
+		}
+		callers.Wait()
+		c.Assert(time.Duration(slowest.Load()) < 1400*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Duration(slowest.Load())))
+		k.delay.Store(0)
+		time.Sleep(time.Minute)
+		for i := range 400 {
+			assertPhase(c, o, id(i), "completed")
+		}
+		c.Assert(k.fleet.Starts(), qt.Equals, 400)
+		k.assertSound()
+	})
+}
+
 func TestLostStartIsSettledBeforeAnotherBegins(t *testing.T) {
 	for name, fault := range map[string]runner.Fault{
 		"request lost": runner.FaultLostRequest, "reply lost": runner.FaultLostReply, "carried out late": runner.FaultLate,
@@ -618,10 +665,13 @@
 			k.keys.Settle()
 		case 2:
 			k.bear(r.IntN(len(k.workers)))
+		case 3, 4:
+			k.delay.Store(int64(r.IntN(300)) * int64(time.Millisecond))
 		}
 	}
 	k.fleet.SetFault(nil)
 	k.keys.SetFault(nil)
+	k.delay.Store(0)
 	time.Sleep(40 * time.Second)
 	for name, ok := range taken {
 		if ok {
--- a/shard/write.go
+++ b/shard/write.go
@@ -20,6 +20,9 @@
 	// stallAfter is how long a write may take before new jobs are rejected
 	// rather than queued behind it.
 	stallAfter = 600 * time.Millisecond
+	// helpAfter is how long a write may take before the next one begins beside
+	// it: far more than a store in another region needs.
+	helpAfter = 70 * time.Millisecond
 	// sweepInterval spaces the search for finished jobs to forget.
 	sweepInterval = 2 * time.Second
 )
@@ -58,6 +61,8 @@
 		case <-ctx.Done():
 			timer.Stop()
 			s.writeAll(writing)
+			s.helping.Wait()
+			s.writeAll(writing)
 			return
 		case <-s.dirtied:
 		case <-timer.C:
@@ -80,28 +85,72 @@
 func (s *Shard) writeAll(ctx context.Context) bool {
 	for {
 		begun := time.Now()
-		batch, values, roster := s.nextBatch()
-		if len(values) == 0 {
-			return true
-		}
-		stall := time.AfterFunc(stallAfter, s.stall)
-		err := s.deps.Store.Write(ctx, values)
-		stall.Stop()
-		if err != nil {
-			var lost *jobstore.LostError
-			if errors.As(err, &lost) {
-				s.lose("a write found another owner")
-			}
-			for _, b := range batch {
-				answer(b.waiters, &UnknownError{})
-			}
-			return false
+		wrote, err := s.writeOne(ctx, 0)
+		if !wrote || err != nil {
+			return err == nil
 		}
-		s.writtenBatch(batch, roster, time.Since(begun))
 		pause.For(ctx, groupWindow-time.Since(begun))
 	}
 }
 
+// writeOne writes one batch in a lane; false if nothing is to be written. While
+// it takes long another lane helps.
+func (s *Shard) writeOne(ctx context.Context, lane int) (bool, error) {
+	begun := time.Now()
+	batch, values, roster := s.nextBatch(lane)
+	if len(values) == 0 {
+		return false, nil
+	}
+	stall := time.AfterFunc(stallAfter, s.stall)
+	defer stall.Stop()
+	defer time.AfterFunc(helpAfter, func() { s.help(ctx) }).Stop()
+	err := s.deps.Store.WriteIn(ctx, lane, values)
+	if err != nil {
+		var lost *jobstore.LostError
+		if errors.As(err, &lost) {
+			s.lose("a write found another owner")
+		}
+		for _, b := range batch {
+			answer(b.waiters, &UnknownError{})
+		}
+		return true, err
+	}
+	s.writtenBatch(lane, batch, roster, time.Since(begun))
+	return true, nil
+}
+
+// help has a lane that is free write what is queued behind a slow write. A store
+// that has not been slow before may be away: then what is queued is better
+// rejected than left in doubt.
+func (s *Shard) help(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.slow || s.stalled || s.closing || len(s.queue) == 0 {
+		return
+	}
+	for lane := 1; lane < jobstore.Lanes; lane++ {
+		if !s.laneBusy[lane] {
+			s.laneBusy[lane] = true
+			s.helping.Go(func() { s.helpIn(ctx, lane) })
+			return
+		}
+	}
+}
+
+// helpIn writes in a lane for as long as writes are slow and more are queued.
+func (s *Shard) helpIn(ctx context.Context, lane int) {
+	for {
+		begun := time.Now()
+		wrote, err := s.writeOne(ctx, lane)
+		if !wrote || err != nil || time.Since(begun) < helpAfter {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.laneBusy[lane] = false
+}
+
 // stall rejects the queued new jobs: none of them is in the write under way.
 func (s *Shard) stall() {
 	s.mu.Lock()
@@ -135,21 +184,25 @@
 
 func jobKey(id job.ID) string { return jobPrefix + string(id) }
 
-func (s *Shard) nextBatch() ([]batchEntry, []jobstore.Entry, int64) {
+// nextBatch takes what is to be written next in a lane, but for jobs that are
+// in a write under way. The roster is written in the first lane.
+func (s *Shard) nextBatch(lane int) ([]batchEntry, []jobstore.Entry, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var batch []batchEntry
 	var values []jobstore.Entry
 	roster := int64(0)
-	if s.rosterAt > 0 {
+	if lane == 0 && s.rosterAt > 0 {
 		roster = s.rosterAt
 		s.rosterAt = 0
 		values = append(values, s.encodeRoster())
 	}
-	taken := 0
-	for taken < len(s.queue) && len(values) < jobstore.MaxJobs {
-		e := s.queue[taken]
-		taken++
+	left := s.queue[:0]
+	for _, e := range s.queue {
+		if e.writing || len(values) >= jobstore.MaxJobs {
+			left = append(left, e)
+			continue
+		}
 		value, err := s.encode(e)
 		if err != nil {
 			s.log.Error().Err(err).Str("job", string(e.id)).Msg("job cannot be kept")
@@ -159,7 +212,9 @@
 		batch = append(batch, batchEntry{entry: e, at: e.queuedAt, final: e.final(), waiters: e.waiters})
 		e.queuedAt, e.waiters, e.writing = 0, nil, true
 	}
-	s.queue = append(s.queue[:0], s.queue[taken:]...)
+	clear(s.queue[len(left):])
+	s.queue = left
+	s.underWay[lane] = batch
 	return batch, values, roster
 }
 
@@ -181,7 +236,7 @@
 }
 
 // writtenBatch notes that a batch is durable.
-func (s *Shard) writtenBatch(batch []batchEntry, roster int64, took time.Duration) {
+func (s *Shard) writtenBatch(lane int, batch []batchEntry, roster int64, took time.Duration) {
 	s.deps.Recorder.Observe("writeTimes", "jobs", took)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,7 +246,6 @@
 	}
 	for _, b := range batch {
 		e := b.entry
-		s.written = max(s.written, b.at)
 		e.writing = false
 		e.durable = true
 		if b.final {
@@ -203,10 +257,31 @@
 	if roster > 0 {
 		s.rosterWritten()
 	}
+	s.slow = took > helpAfter
+	s.underWay[lane] = nil
+	s.written = s.allWritten()
+	if len(s.queue) > 0 {
+		// Jobs that were in this write may be queued again.
+		s.writeSoon()
+	}
 	s.acknowledge()
 	s.wake()
 }
 
+// allWritten returns the place in the queue up to which all is written.
+func (s *Shard) allWritten() int64 {
+	first := s.queued + 1
+	for _, e := range s.queue {
+		first = min(first, e.queuedAt)
+	}
+	for _, batch := range s.underWay {
+		for _, b := range batch {
+			first = min(first, b.at)
+		}
+	}
+	return first - 1
+}
+
 // settleFinal drops what a finished, kept job no longer needs.
 func (s *Shard) settleFinal(e *entry) {
 	if e.progress == nil {
