--- /dev/null
+++ b/node/contend.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/cellpb"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/layout"
+)
+
+// candidate returns this instance's candidate for a shard.
+func (n *Node) candidate(name string) *election.Candidate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.candidates[name]
+	if c == nil {
+		c = &election.Candidate{
+			Shard: name, Self: n.self, Keys: n.deps.Keys, Directory: n.directory, Log: n.deps.Log, Serve: n.serveShard,
+		}
+		n.candidates[name] = c
+	}
+	return c
+}
+
+// depose has an ownership ended in the store.
+func (n *Node) depose(name string, epoch lovagestand.Epoch) {
+	n.candidate(name).Depose(epoch)
+}
+
+// contend stands for all shards until ctx ends. The layout may only be decided
+// on once the first shard has an owner.
+func (n *Node) contend(ctx context.Context) {
+	var contending sync.WaitGroup
+	stand := func(name string) {
+		contending.Go(func() { n.candidate(name).Run(ctx) })
+		contending.Go(func() { n.detector(name).Run(ctx) })
+	}
+	stand(layout.FirstShard)
+	if l, ok := n.awaitLayout(ctx); ok {
+		for _, name := range l.Names() {
+			if name != layout.FirstShard {
+				stand(name)
+			}
+		}
+	}
+	contending.Wait()
+}
+
+// detector returns this instance's detector of silent owners of a shard.
+func (n *Node) detector(name string) *election.Detector {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := n.detectors[name]
+	if d == nil {
+		d = &election.Detector{
+			Shard: name, Self: n.self, Directory: n.directory, Log: n.deps.Log,
+			Depose: func(epoch lovagestand.Epoch) { n.depose(name, epoch) },
+			Ping: func(ctx context.Context, owner election.Owner) error {
+				_, err := n.peers.at(owner.Address).Ping(ctx, &cellpb.PingRequest{})
+				return err
+			},
+			Agrees: func(ctx context.Context, watcher lovagestand.Instance, epoch lovagestand.Epoch) (bool, error) {
+				reply, err := n.peers.at(watcher.Address).Missed(ctx, &cellpb.MissedRequest{Shard: name, Epoch: uint64(epoch)})
+				return reply.GetMissed(), err
+			},
+		}
+		n.detectors[name] = d
+	}
+	return d
+}
