--- a/shard/advice.go
+++ b/shard/advice.go
@@ -37,7 +37,7 @@
 func (s *Shard) ask(p *pass, r waitingStep, indexes []int) {
 	policy := r.entry.progress.Job().Policy.Advice
 	cost := policy.Cost(len(indexes)) + adviceCallCost
-	chosen, state := s.pickLine(p.now, cost)
+	chosen, state := s.pickLine(p.lines, p.now, cost)
 	if state == nil {
 		return
 	}
@@ -58,9 +58,9 @@
 }
 
 // freeAsks returns how many calls the lines can take now.
-func (s *Shard) freeAsks(now time.Time) int {
+func (s *Shard) freeAsks(lines []Line, now time.Time) int {
 	n := 0
-	for _, l := range s.deps.Lines() {
+	for _, l := range lines {
 		state := s.lines[l.Instance]
 		if state == nil || !state.closedUntil.After(now) && state.busyUntil.Sub(now) < maxLineBacklog {
 			n += asksPerLine
@@ -71,8 +71,7 @@
 
 // pickLine returns the line that answers a call of a cost first; nil when all
 // are booked.
-func (s *Shard) pickLine(now time.Time, cost time.Duration) (Line, *line) {
-	lines := s.deps.Lines()
+func (s *Shard) pickLine(lines []Line, now time.Time, cost time.Duration) (Line, *line) {
 	if cost > longCall {
 		lines = farFirst(lines)[:longLines(len(lines))]
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -61,6 +61,8 @@
 	planned []dispatch.Worker
 	waiting []waitingStep
 	steps   []dispatch.Step
+	// lines are the instances that can ask for advice.
+	lines []Line
 }
 
 // waitingStep is a step with tasks that may start.
@@ -92,7 +94,8 @@
 	for _, w := range p.waiting {
 		p.steps = append(p.steps, s.plannedStep(p, w))
 	}
-	load := dispatch.Load{Now: p.now, Workers: p.planned, Steps: p.steps, Asks: s.freeAsks(p.now), Releases: func(i int) []dispatch.Release {
+	p.lines = s.deps.Lines()
+	load := dispatch.Load{Now: p.now, Workers: p.planned, Steps: p.steps, Asks: s.freeAsks(p.lines, p.now), Releases: func(i int) []dispatch.Release {
 		return p.workers[i].releases(p.now)
 	}}
 	for _, d := range dispatch.Plan(load) {
