shard: logs tell copies of known jobs, what was known when a cancellation came, and forgotten jobs

The hypotheses of the incident on real machines could not be told apart: nothing said that a job was removed, or what an owner knew when a cancellation or a copy of a submission came.

--- a/shard/submit.go
+++ b/shard/submit.go
@@ -63,6 +63,7 @@
 	s.mu.Lock()
 	e, known := s.jobs[j.ID]
 	if known && e.durable {
+		s.log.Info().Str("job", string(j.ID)).Str("phase", e.currentPhase()).Msg("copy of a known job")
 		s.mu.Unlock()
 		return nil
 	}
@@ -139,6 +140,7 @@
 func (s *Shard) Cancel(ctx context.Context, id job.ID) error {
 	s.mu.Lock()
 	e, known := s.jobs[id]
+	s.logCancel(id, e)
 	if !known {
 		s.mu.Unlock()
 		if !s.deps.Confirmed() {
@@ -164,6 +166,15 @@
 	return s.wait(ctx, e, done)
 }
 
+// logCancel says what was known of a job when its cancellation came.
+func (s *Shard) logCancel(id job.ID, e *entry) {
+	line := s.log.Info().Str("job", string(id)).Bool("known", e != nil)
+	if e != nil {
+		line = line.Str("phase", e.currentPhase()).Bool("durable", e.durable).Bool("kept", e.kept).Bool("writing", e.writing)
+	}
+	line.Msg("job to be cancelled")
+}
+
 // finish stops all that still runs of a job that has ended.
 func (s *Shard) finish(e *entry) {
 	delete(s.live, e.id)
--- a/shard/write.go
+++ b/shard/write.go
@@ -285,6 +285,7 @@
 // settleFinal drops what a finished, kept job no longer needs.
 func (s *Shard) settleFinal(e *entry) {
 	if e.progress == nil {
+		s.log.Info().Str("job", string(e.id)).Str("phase", e.phase).Dur("finishedFor", time.Since(e.finished)).Msg("job forgotten")
 		delete(s.jobs, e.id)
 		return
 	}
