soak, shard: a job that was cancelled before its submission arrived runs (red)

Real processes: a frozen instance holds a submission, another answers the cancellation with 410, then the first goes on: the job is taken and completes.

--- /dev/null
+++ b/shard/forgotten_test.go
@@ -0,0 +1,91 @@
+package shard_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/shard"
+)
+
+// TestFinishedJobIsNotTakenAgain replays cancellations that come while the end
+// of a job is being kept, and a late copy of its submission.
+func TestFinishedJobIsNotTakenAgain(t *testing.T) {
+	for name, r := range map[string]struct {
+		// cancelAt is when the cancellations begin, after the submission.
+		cancelAt, gap time.Duration
+		phase         string
+	}{
+		"cancelled twice":             {cancelAt: 700 * time.Millisecond, phase: "cancelled"},
+		"cancelled again later":       {cancelAt: 700 * time.Millisecond, gap: 60 * time.Millisecond, phase: "cancelled"},
+		"cancelled as it is complete": {cancelAt: 1100 * time.Millisecond, phase: "completed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+				k.delay.Store(int64(100 * time.Millisecond))
+				o := k.ownReady("a")
+				defer func() { o.stop() }()
+				steps := []job.Step{{Count: 1}, {Count: 1, After: []int{0}}}
+				o.submit(c, id(1), steps...)
+				time.Sleep(r.cancelAt)
+				var cancelling sync.WaitGroup
+				for i := range 3 {
+					cancelling.Go(func() {
+						time.Sleep(time.Duration(i) * r.gap)
+						c.Check(o.Cancel(t.Context(), job.ID(id(1))), qt.IsNil)
+					})
+				}
+				cancelling.Wait()
+				time.Sleep(3 * time.Second)
+				assertCopyIsNotRun(c, k, o, r.phase, steps)
+				o.stop()
+				o = k.ownReady("b")
+				assertCopyIsNotRun(c, k, o, r.phase, steps)
+			})
+		})
+	}
+}
+
+// TestCancelledBeforeItsSubmissionArrives replays a submission that a frozen
+// instance passes on only after its caller was told that the job is cancelled.
+func TestCancelledBeforeItsSubmissionArrives(t *testing.T) {
+	for name, takeover := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+				o := k.ownReady("a")
+				defer func() { o.stop() }()
+				var absent *shard.UnknownJobError
+				for range 2 {
+					c.Assert(o.Cancel(t.Context(), job.ID(id(1))), qt.ErrorAs, &absent)
+				}
+				_, err := o.State(job.ID(id(1)))
+				c.Assert(err, qt.ErrorAs, &absent)
+				if takeover {
+					o.stop()
+					o = k.ownReady("b")
+				}
+				assertCopyIsNotRun(c, k, o, "cancelled", []job.Step{{Count: 2}})
+			})
+		})
+	}
+}
+
+// assertCopyIsNotRun hands job 1 in again: it is the same job, which has ended.
+func assertCopyIsNotRun(c *qt.C, k *cell, o *owner, phase string, steps []job.Step) {
+	c.Helper()
+	starts := k.fleet.Starts()
+	c.Assert(o.try(id(1), steps...), qt.IsNil)
+	time.Sleep(5 * time.Second)
+	assertPhase(c, o, id(1), phase)
+	c.Assert(k.fleet.Starts(), qt.Equals, starts)
+	k.assertSound()
+}
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/standin/site"
 )
 
@@ -24,6 +25,7 @@
 
 // Node is one process of the program with its own way to the store.
 type Node struct {
+	Name    lovagestand.InstanceID
 	Callers string
 	Store   *Proxy
 
@@ -110,7 +112,7 @@
 		}
 	}
 	n := &Node{
-		Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Store: store, program: program,
+		Name: lovagestand.InstanceID(name), Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Store: store, program: program,
 		settings: filepath.Join(directory, name+".yaml"), log: filepath.Join(directory, name+".log"),
 	}
 	text := fmt.Sprintf(settingsText, name, ports[0], ports[1], ports[2], store.Address())
--- /dev/null
+++ b/soak/late_test.go
@@ -0,0 +1,102 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/layout"
+	"lovagestand.example/lovagestand/soak"
+	"lovagestand.example/lovagestand/standin/site"
+)
+
+// TestSubmissionArrivesAfterItsCancellation has a frozen process pass a job on
+// after another one has told the caller that there is no such job to cancel.
+func TestSubmissionArrivesAfterItsCancellation(t *testing.T) {
+	c := qt.New(t)
+	cell, err := soak.Open(build(c), t.TempDir(), nodes, workers)
+	c.Assert(err, qt.IsNil)
+	defer cell.Close()
+	const path = "/x/00000000000000aa"
+	frozen, other := gateways(t, c, cell)
+	frozen.Signal(syscall.SIGSTOP)
+	answered := make(chan int, 1)
+	spec := site.Spec{MilliCPU: 500, Work: 50 * time.Millisecond}
+	go func() {
+		status, _ := call(frozen, http.MethodPost, path, `{"spec":"`+spec.String()+`","steps":[{"count":2,"cpu":500}]}`)
+		answered <- status
+	}()
+	await(t, func() bool {
+		status, _ := call(other, http.MethodDelete, path, "")
+		return status == http.StatusGone
+	})
+	frozen.Signal(syscall.SIGCONT)
+	c.Assert(<-answered, qt.Equals, http.StatusOK)
+	state := ""
+	await(t, func() bool {
+		_, state = call(other, http.MethodGet, path, "")
+		return state == `{"state":"cancelled"}` || state == `{"state":"completed"}`
+	})
+	c.Assert(state, qt.Equals, `{"state":"cancelled"}`)
+	c.Assert(cell.Site.Fleet.Starts(), qt.Equals, 0)
+}
+
+// gateways waits until the cell serves callers and returns two nodes that do
+// not own the shard.
+func gateways(t *testing.T, c *qt.C, cell *soak.Cell) (a, b *soak.Node) {
+	for _, n := range cell.Nodes {
+		await(t, func() bool {
+			status, _ := call(n, http.MethodGet, "/x/", "")
+			return status == http.StatusOK
+		})
+	}
+	item, err := cell.Site.Keys.Item(t.Context(), election.OwnerKey(layout.FirstShard))
+	c.Assert(err, qt.IsNil)
+	var owner lovagestand.Instance
+	c.Assert(json.Unmarshal(item.Value, &owner), qt.IsNil)
+	var others []*soak.Node
+	for _, n := range cell.Nodes {
+		if n.Name != owner.ID {
+			others = append(others, n)
+		}
+	}
+	return others[0], others[1]
+}
+
+// await tries until ok, as long as the test may run.
+func await(t *testing.T, ok func() bool) {
+	t.Helper()
+	for !ok() {
+		if t.Context().Err() != nil {
+			t.Fatal("the test has ended")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// call returns status and body of a call; 0 where there is no answer.
+func call(n *soak.Node, method, path, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+n.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	r.Host = "a.example"
+	reply, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return reply.StatusCode, string(text)
+}
