shard: what is known of a job outlives every copy of its requests

Cause: an owner could lose what it knew of an ID while requests for that ID were still on their way; the next copy of the submission was then a new job.

Change: removal is a decision of its own (expired), taken only by forget() after the retention; a finished job is written from its phase, however often. Unknown jobs that are cancelled are kept as cancelled and not submitted, durably, before the 410. The retention allows for clocks that differ, since the time of an end comes from another instance after a takeover.

--- a/job/record.go
+++ b/job/record.go
@@ -19,6 +19,8 @@
 	Accepted int64                 `json:"acceptedMillis"`
 	// Finished is when the job ended; 0 while it may still run.
 	Finished int64 `json:"finishedMillis,omitempty"`
+	// Unsubmitted says that the job was cancelled before it was submitted.
+	Unsubmitted bool `json:"unsubmitted,omitempty"`
 	// Generation is that of the owner that accepted the job.
 	Generation int64        `json:"generation,omitempty"`
 	Tasks      []TaskRecord `json:"tasks,omitempty"`
--- a/shard/forgotten_test.go
+++ b/shard/forgotten_test.go
@@ -89,3 +89,25 @@
 	c.Assert(k.fleet.Starts(), qt.Equals, starts)
 	k.assertSound()
 }
+
+// TestFinishedJobIsKnownForItsRetention has a copy come at the end of the
+// retention, after a takeover.
+func TestFinishedJobIsKnownForItsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		defer func() { o.stop() }()
+		steps := []job.Step{{Count: 1}}
+		o.submit(c, id(1), steps...)
+		time.Sleep(time.Minute)
+		o.stop()
+		o = k.ownReady("b")
+		time.Sleep(time.Minute)
+		assertCopyIsNotRun(c, k, o, "completed", steps)
+		time.Sleep(30 * time.Second)
+		var absent *shard.UnknownJobError
+		_, err := o.State(job.ID(id(1)))
+		c.Assert(err, qt.ErrorAs, &absent)
+	})
+}
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -63,10 +63,9 @@
 	}
 	id := job.ID(strings.TrimPrefix(k.ID, jobPrefix))
 	if r.Finished > 0 {
-		s.jobs[id] = &entry{
-			id: id, route: r.Route, phase: r.Phase, finished: time.UnixMilli(r.Finished), durable: true, kept: true,
-			active: map[string]*placement{}, held: map[string]int{},
-		}
+		e := finishedEntry(id, r.Route, r.Phase, time.UnixMilli(r.Finished))
+		e.durable, e.kept, e.unsubmitted = true, true, r.Unsubmitted
+		s.jobs[id] = e
 		return nil
 	}
 	j, err := job.DecodeJob(body)
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -119,6 +119,9 @@
 	// phase and finished stand for progress once a finished job is durable.
 	phase    string
 	finished time.Time
+	// unsubmitted says that the job was cancelled before it was submitted, and
+	// expired that its retention is over: the next write removes it.
+	unsubmitted, expired bool
 
 	// durable says that the job is kept, kept that its end is, and writing
 	// that a write of it is under way.
@@ -205,6 +208,11 @@
 	}
 }
 
+// finishedEntry returns a job of which only its end is known.
+func finishedEntry(id job.ID, route lovagestand.RouteName, phase string, at time.Time) *entry {
+	return &entry{id: id, route: route, phase: phase, finished: at, active: map[string]*placement{}, held: map[string]int{}}
+}
+
 // currentPhase returns the state that callers see.
 func (e *entry) currentPhase() string {
 	if e.progress != nil {
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -52,6 +52,8 @@
 var (
 	phaseQueued  = chart.Job().StateName(chart.Job().MustState("queued"))
 	phaseRunning = chart.Job().StateName(chart.Job().MustState("running"))
+	// phaseCancelled is that of a job cancelled before it was submitted.
+	phaseCancelled = chart.Job().StateName(chart.Job().MustState("cancelled"))
 )
 
 // retryDelay is when callers may come back after an outage of the store.
@@ -62,7 +64,7 @@
 func (s *Shard) Submit(ctx context.Context, j job.Job, body []byte) error {
 	s.mu.Lock()
 	e, known := s.jobs[j.ID]
-	if known && e.durable {
+	if known && e.durable && !e.unsubmitted {
 		s.log.Info().Str("job", string(j.ID)).Str("phase", e.currentPhase()).Msg("copy of a known job")
 		s.mu.Unlock()
 		return nil
@@ -82,6 +84,10 @@
 		s.live[j.ID] = e
 		s.log.Info().Str("job", string(j.ID)).Str("route", string(e.route)).Int("steps", len(j.Steps)).Int("live", len(s.live)).Msg("job taken")
 	}
+	if e.unsubmitted {
+		s.log.Info().Str("job", string(j.ID)).Msg("job was cancelled before it was submitted")
+		e.unsubmitted, e.route = false, j.Policy.Route
+	}
 	s.enqueue(e)
 	done := s.await(e)
 	s.mu.Unlock()
@@ -115,6 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, known := s.jobs[id]
+	known = known && !e.unsubmitted
 	if known && e.durable {
 		return e.shownPhase(), nil
 	}
@@ -136,34 +143,47 @@
 	return e.currentPhase()
 }
 
-// Cancel ends a job and returns once that is durable.
+// Cancel ends a job and returns once that is durable. A job that is not known
+// is kept as cancelled too, since its submission may still be on its way; then
+// Cancel fails with an [UnknownJobError].
 func (s *Shard) Cancel(ctx context.Context, id job.ID) error {
 	s.mu.Lock()
 	e, known := s.jobs[id]
 	s.logCancel(id, e)
-	if !known {
+	if known && e.kept {
+		unsubmitted := e.unsubmitted
 		s.mu.Unlock()
-		if !s.deps.Confirmed() {
-			return &NotOwnerError{}
-		}
-		return &UnknownJobError{}
-	}
-	if e.kept {
-		s.mu.Unlock()
-		return nil
+		return cancelled(unsubmitted)
 	}
 	if s.closing {
 		s.mu.Unlock()
 		return &NotOwnerError{}
 	}
-	if e.progress.Cancel() {
+	if !known {
+		e = finishedEntry(id, "", phaseCancelled, time.Now())
+		e.unsubmitted = true
+		s.jobs[id] = e
+	}
+	if e.progress != nil && e.progress.Cancel() {
 		s.log.Info().Str("job", string(id)).Int("running", len(e.active)).Msg("job cancelled")
 		s.finish(e)
 	}
+	unsubmitted := e.unsubmitted
 	s.enqueue(e)
 	done := s.await(e)
 	s.mu.Unlock()
-	return s.wait(ctx, e, done)
+	if err := s.wait(ctx, e, done); err != nil {
+		return err
+	}
+	return cancelled(unsubmitted)
+}
+
+// cancelled is what Cancel returns once a cancellation is durable.
+func cancelled(unsubmitted bool) error {
+	if unsubmitted {
+		return &UnknownJobError{}
+	}
+	return nil
 }
 
 // logCancel says what was known of a job when its cancellation came.
--- a/shard/write.go
+++ b/shard/write.go
@@ -25,6 +25,9 @@
 	helpAfter = 70 * time.Millisecond
 	// sweepInterval spaces the search for finished jobs to forget.
 	sweepInterval = 2 * time.Second
+	// clockDifference is added to the retention of finished jobs, because the
+	// time of an end is that of the clock of the instance that noted it.
+	clockDifference = 10 * time.Second
 )
 
 // enqueue puts an entry into the write queue.
@@ -159,7 +162,7 @@
 	kept := s.queue[:0]
 	rejected := 0
 	for _, e := range s.queue {
-		if e.durable || e.writing || e.progress == nil {
+		if e.durable || e.writing || e.unsubmitted {
 			kept = append(kept, e)
 			continue
 		}
@@ -220,19 +223,14 @@
 
 // encode returns the kept value of an entry.
 func (s *Shard) encode(e *entry) ([]byte, error) {
-	if e.progress == nil {
-		// The job has been over for its retention.
+	if e.expired {
 		return nil, nil
 	}
-	if e.final() && e.finished.IsZero() {
-		e.finished = time.Now()
-	}
-	r := e.progress.Record()
 	if e.final() {
-		r.Finished = e.finished.UnixMilli()
-		r.Tasks, r.Gangs = nil, nil
+		r := job.Record{Phase: e.currentPhase(), Route: e.route, Finished: e.finished.UnixMilli(), Unsubmitted: e.unsubmitted}
+		return r.Encode(nil)
 	}
-	return r.Encode(e.body)
+	return e.progress.Record().Encode(e.body)
 }
 
 // writtenBatch notes that a batch is durable.
@@ -246,12 +244,13 @@
 	}
 	for _, b := range batch {
 		e := b.entry
+		if e.expired {
+			s.forgotten(e)
+		}
 		e.writing = false
 		e.durable = true
-		if b.final {
-			e.kept = true
-			s.settleFinal(e)
-		}
+		e.kept = e.kept || b.final
+		s.settleFinal(e)
 		answer(b.waiters, nil)
 	}
 	if roster > 0 {
@@ -284,20 +283,15 @@
 
 // settleFinal drops what a finished, kept job no longer needs.
 func (s *Shard) settleFinal(e *entry) {
-	if e.progress == nil {
-		s.log.Info().Str("job", string(e.id)).Str("phase", e.phase).Dur("finishedFor", time.Since(e.finished)).Msg("job forgotten")
-		delete(s.jobs, e.id)
-		return
-	}
-	if len(e.active) > 0 || e.queuedAt != 0 || e.writing {
-		// A write without progress would forget the job.
+	if !e.kept || e.progress == nil || len(e.active) > 0 {
 		return
 	}
 	e.phase = e.progress.Phase()
 	e.progress, e.body, e.steps = nil, nil, nil
 }
 
-// forget removes jobs that have been finished for the retention.
+// forget has jobs removed that have been finished for the retention. Nothing
+// else removes a job: a late copy of its submission would run it again.
 func (s *Shard) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -305,15 +299,19 @@
 		if !e.kept || e.queuedAt != 0 || e.writing || len(e.active) > 0 {
 			continue
 		}
-		if e.progress != nil {
-			s.settleFinal(e)
-		}
-		if time.Since(e.finished) > s.limits.Retention {
+		if time.Since(e.finished) > s.limits.Retention+clockDifference {
+			e.expired = true
 			s.enqueue(e)
 		}
 	}
 }
 
+// forgotten notes that an expired job has been removed from the store.
+func (s *Shard) forgotten(e *entry) {
+	s.log.Info().Str("job", string(e.id)).Str("phase", e.phase).Dur("finishedFor", time.Since(e.finished)).Msg("job forgotten")
+	delete(s.jobs, e.id)
+}
+
 // rosterEntry is a kept worker that may hold tasks.
 type rosterEntry struct {
 	Address string `json:"address"`
