shard: a job is called unknown only once the store shows that no later owner can have taken it

Callers would have seen 410 for a job that the next owner had accepted: an owner that had been replaced went by its lease, confirmed within 1.2 s. Deposing removes its key and not its lease, and a suspended machine's steady clock does not count, so that may be wrong.

Now the answer "no such job" alone takes a reading of the owner's key after the job was looked up: if the key has the term's revision then, no later owner can have taken the job before. Without an answer of the store the caller is told that this is not the owner for sure.

State takes the caller's context; the tests' owner hides that.

--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -149,6 +149,19 @@
 	return entries, nil
 }
 
+// Owned returns nil if the store shows that the term is not over, a [LostError]
+// if it is, or the error of the call.
+func (s *Store) Owned(ctx context.Context) error {
+	item, err := s.keys.Item(ctx, s.term.Key)
+	if err != nil {
+		return errors.Wrap(err, "read ownership")
+	}
+	if item.Revision != lovagestand.Revision(s.term.Epoch) {
+		return &LostError{Shard: s.term.Shard, Epoch: s.term.Epoch}
+	}
+	return nil
+}
+
 // Write is [Store.WriteIn] for the first lane.
 func (s *Store) Write(ctx context.Context, entries []Entry) error {
 	return s.WriteIn(ctx, 0, entries)
--- a/node/cell.go
+++ b/node/cell.go
@@ -98,12 +98,12 @@
 }
 
 // State implements cellpb.Cell.
-func (c *cellServer) State(_ context.Context, r *cellpb.JobRequest) (*cellpb.StateReply, error) {
+func (c *cellServer) State(ctx context.Context, r *cellpb.JobRequest) (*cellpb.StateReply, error) {
 	s := c.owned(r.GetShard())
 	if s == nil {
 		return &cellpb.StateReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
 	}
-	phase, err := s.State(job.ID(r.GetId()))
+	phase, err := s.State(ctx, job.ID(r.GetId()))
 	return &cellpb.StateReply{Verdict: verdict(err), Phase: phase}, nil
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -65,6 +65,9 @@
 	listed  bool
 	// closing says that the term ends: no new jobs are taken.
 	closing bool
+	// reading is the next look at the ownership in the store; nil when no
+	// caller waits for one.
+	reading *reading
 
 	queue   []*entry
 	queued  int64
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -180,6 +180,11 @@
 	return o.Submit(ctx, j, body)
 }
 
+// State is [shard.Shard.State] for a caller without a time limit.
+func (o *owner) State(id job.ID) (string, error) {
+	return o.Shard.State(context.Background(), id)
+}
+
 func assertPhase(c *qt.C, o *owner, id, phase string) {
 	c.Helper()
 	got, err := o.State(job.ID(id))
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -109,15 +109,17 @@
 	return &UnknownError{}
 }
 
-// State returns what callers see of a job.
-func (s *Shard) State(id job.ID) (string, error) {
+// State returns what callers see of a job. That there is none is only said once
+// the store shows that no later owner can have taken it.
+func (s *Shard) State(ctx context.Context, id job.ID) (string, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	e, known := s.jobs[id]
 	if known && e.durable {
+		defer s.mu.Unlock()
 		return e.shownPhase(), nil
 	}
-	if known || !s.deps.Confirmed() {
+	s.mu.Unlock()
+	if known || !s.owned(ctx) {
 		return "", &NotOwnerError{}
 	}
 	return "", &UnknownJobError{}
