election: deposing an owner ends its lease, so that it learns so from its next renewal

Callers would have been answered by an owner that had been deposed for as long as its watch of the store was silent (3 s at the least, without end where the readings that follow are lost too): deposing removed its key, and its lease was renewed on, so that it stayed sure of its ownership, gave old counts of pending jobs and went on ordering workers that had not seen the next epoch.

The lease is that of one ownership, so its end needs no condition; it removes the key and the keys of the lanes. The directory knows it, or else it is read with the key.

Before, TestDeposedOwnerLearnsItFromItsLease (both ways): value is not false: the deposed owner is still sure of its ownership unexpected length: the deposed owner still serves, got 0, want 1

--- a/election/candidate.go
+++ b/election/candidate.go
@@ -86,10 +86,10 @@
 	}
 }
 
-// Depose has an owner's key removed because no process listens at the owner's
+// Depose has an owner's lease ended because no process listens at the owner's
 // address, or because the store turns the owner away; then all instances
-// contend as usual. A live owner that is deposed by
-// mistake is locked out by the epoch of the next one.
+// contend as usual. A live owner that is deposed by mistake learns it from its
+// next renewal, and is locked out by the epoch of the next one.
 func (c *Candidate) Depose(epoch lovagestand.Epoch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,15 +103,31 @@
 func (c *Candidate) remove(epoch lovagestand.Epoch) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	key := OwnerKey(c.Shard)
-	_, err := c.Keys.Commit(ctx, lovagestand.Transaction{
-		If:     []lovagestand.Condition{{Key: key, Revision: lovagestand.Revision(epoch)}},
-		Remove: []string{key},
-	})
+	err := c.end(ctx, epoch)
 	c.Log.Info().Err(err).Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("owner deposed")
 	c.Directory.Refresh()
 }
 
+// end ends the lease of an ownership, which has it for itself. A key without a
+// lease is removed.
+func (c *Candidate) end(ctx context.Context, epoch lovagestand.Epoch) error {
+	if owner, _ := c.Directory.Owner(c.Shard); owner.Epoch == epoch && owner.Lease != 0 {
+		return c.Keys.End(ctx, owner.Lease)
+	}
+	key, revision := OwnerKey(c.Shard), lovagestand.Revision(epoch)
+	item, err := c.Keys.Item(ctx, key)
+	if err != nil || item.Revision != revision {
+		return err
+	}
+	if item.Lease != 0 {
+		return c.Keys.End(ctx, item.Lease)
+	}
+	_, err = c.Keys.Commit(ctx, lovagestand.Transaction{
+		If: []lovagestand.Condition{{Key: key, Revision: revision}}, Remove: []string{key},
+	})
+	return err
+}
+
 // open reports whether the shard may be contended for, and the revision of the
 // ownership key that must not have changed.
 func (c *Candidate) open() (lovagestand.Revision, bool) {
--- /dev/null
+++ b/election/depose_test.go
@@ -0,0 +1,114 @@
+package election_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/standin/keyspace"
+)
+
+// deaf is a way to the store on which readings of ranges and watches get no
+// answer once cut; all other calls do.
+type deaf struct {
+	lovagestand.Keyspace
+	cut context.Context
+}
+
+func (d deaf) Range(ctx context.Context, prefix string) ([]lovagestand.Item, lovagestand.Revision, error) {
+	if d.cut.Err() != nil {
+		<-ctx.Done()
+		return nil, 0, &lovagestand.UnavailableError{System: "store"}
+	}
+	return d.Keyspace.Range(ctx, prefix)
+}
+
+func (d deaf) Follow(ctx context.Context, prefix string, after lovagestand.Revision, wait time.Duration) ([]lovagestand.Item, lovagestand.Revision, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.cut, cancel)()
+	items, revision, err := d.Keyspace.Follow(ctx, prefix, after, wait)
+	if d.cut.Err() != nil {
+		return nil, after, &lovagestand.UnavailableError{System: "store"}
+	}
+	return items, revision, err
+}
+
+// TestDeposedOwnerLearnsItFromItsLease replays an owner whose watch of the
+// store is silent: it must not stay sure of an ownership that was ended.
+func TestDeposedOwnerLearnsItFromItsLease(t *testing.T) {
+	for name, informed := range map[string]bool{"by an instance that follows the store": true, "by one that reads it": false} {
+		t.Run(name, func(t *testing.T) { playDeposition(t, informed) })
+	}
+}
+
+func playDeposition(t *testing.T, informed bool) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys := keyspace.New()
+		ctx, cancel := context.WithCancel(context.Background())
+		silence, silent := context.WithCancel(context.Background())
+		way := deaf{Keyspace: keys, cut: silence}
+		directory := election.NewDirectory(way, zerolog.Nop())
+		var running sync.WaitGroup
+		running.Go(func() { directory.Run(ctx) })
+		terms := make(chan jobstore.Term, 10)
+		ended := make(chan struct{}, 10)
+		var sure func() bool
+		candidate := &election.Candidate{
+			Shard: "0", Self: lovagestand.Instance{ID: "a", Processors: 1}, Keys: way, Directory: directory, Log: zerolog.Nop(),
+			Serve: func(ctx context.Context, term jobstore.Term, confirmed func() bool) {
+				sure = confirmed
+				terms <- term
+				<-ctx.Done()
+				ended <- struct{}{}
+			},
+		}
+		running.Go(func() { candidate.Run(ctx) })
+		term := <-terms
+		time.Sleep(3 * time.Second)
+		silent()
+		follower := election.NewDirectory(keys, zerolog.Nop())
+		if informed {
+			running.Go(func() { follower.Run(ctx) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		other := &election.Candidate{Shard: "0", Keys: keys, Directory: follower, Log: zerolog.Nop()}
+		other.Depose(term.Epoch)
+		time.Sleep(2 * time.Second)
+		item, err := keys.Item(t.Context(), election.OwnerKey("0"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(item.Revision, qt.Equals, lovagestand.Revision(0))
+		c.Check(sure(), qt.IsFalse, qt.Commentf("the deposed owner is still sure of its ownership"))
+		c.Check(ended, qt.HasLen, 1, qt.Commentf("the deposed owner still serves"))
+		cancel()
+		running.Wait()
+	})
+}
+
+// TestDeposingAFormerEpochDoesNothing replays a call to depose that comes after
+// the next owner has won.
+func TestDeposingAFormerEpochDoesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys, k := keyspace.New(), newCell()
+		stop := k.stand(keys, "a")
+		defer stop()
+		time.Sleep(time.Second)
+		item, err := keys.Item(t.Context(), election.OwnerKey("0"))
+		c.Assert(err, qt.IsNil)
+		candidate := &election.Candidate{Shard: "0", Keys: keys, Directory: election.NewDirectory(keys, zerolog.Nop()), Log: zerolog.Nop()}
+		candidate.Depose(lovagestand.Epoch(item.Revision) - 1)
+		time.Sleep(time.Second)
+		_, terms := k.owner()
+		c.Assert(terms, qt.Equals, 1)
+	})
+}
--- a/election/directory.go
+++ b/election/directory.go
@@ -50,6 +50,8 @@
 type Owner struct {
 	lovagestand.Instance
 	Epoch lovagestand.Epoch
+	// Lease is that of the ownership; 0 where it has none.
+	Lease lovagestand.LeaseID
 }
 
 // Directory follows owners and members in the store. It is safe for
@@ -293,7 +295,7 @@
 		if instance, ok = d.decode(i); !ok {
 			return
 		}
-		d.owners[shard] = Owner{Instance: instance, Epoch: lovagestand.Epoch(i.Revision)}
+		d.owners[shard] = Owner{Instance: instance, Epoch: lovagestand.Epoch(i.Revision), Lease: i.Lease}
 	}
 	if !i.Deleted && former[shard].Epoch == lovagestand.Epoch(i.Revision) {
 		return
--- a/keyspace.go
+++ b/keyspace.go
@@ -13,6 +13,8 @@
 	// Revision is that of the last change, Created that of the key's creation;
 	// both are 0 for a key that does not exist.
 	Revision, Created Revision
+	// Lease is the lease whose end removes the key; 0 for none.
+	Lease LeaseID
 	// Deleted marks an item of a watch that tells of a removal.
 	Deleted bool
 }
--- a/standin/keyspace/store.go
+++ b/standin/keyspace/store.go
@@ -175,7 +175,7 @@
 }
 
 func (s *Store) write(w lovagestand.Write) {
-	item := lovagestand.Item{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision, Created: s.revision}
+	item := lovagestand.Item{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision, Created: s.revision, Lease: w.Lease}
 	if former, ok := s.items[w.Key]; ok {
 		item.Created = former.Created
 	}
