election, shard: an owner that is cut off with workers lets them go

Callers' tasks ran twice at the same time, for as long as a cut lasted beyond about 9 s, when a region was cut off with the owner in it: the next owner takes workers that it does not reach as empty once the longest lease is over, counted from the beginning of its term, but the former one went on extending the leases of those workers. It also started the tasks of the workers that it no longer reached anew on its own side, while the next owner had adopted them.

Now an owner that is not assured starts nothing and extends no lease. It is assured while the store has confirmed the ownership within its lease (1.2 s) or, so that work goes on in an outage of the store for all, while a majority of the members, asked as of 0.6 s without a confirmation, knows of no end of it. A member that knows of the end ends the term. The owner that has won knows before its watch does.

The last confirmation by the store is from before the next ownership began, so a former owner that is cut off has let go 1.2 s after that at the latest, whichever way it was deposed. Where it reaches a majority whose own watches are late, it lets go as soon as one of them, or the next owner, knows.

--- /dev/null
+++ b/election/assurance.go
@@ -0,0 +1,102 @@
+package election
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
+)
+
+const (
+	// Overlap is how long after the next ownership of a shard has begun an
+	// owner that is cut off may still be assured of its own.
+	Overlap = ownerTTL
+	// consultInterval spaces looks at whether to ask the members, which happens
+	// once neither they nor the store have confirmed an ownership for
+	// consultAfter.
+	consultInterval = 100 * time.Millisecond
+	consultAfter    = ownerTTL / 2
+	// consultTimeout bounds one question to all members.
+	consultTimeout = 300 * time.Millisecond
+)
+
+// age returns the time since at. The steady clock may not count while a machine
+// is suspended, the other one may be set back.
+func age(at time.Time) time.Duration {
+	return max(time.Since(at), time.Since(at.Round(0)))
+}
+
+// Assured reports whether no other owner is expected to order workers: the
+// store has confirmed the ownership a moment ago or, where it does not answer,
+// a majority of the members knows of no other. An owner that is not assured
+// lets the leases of workers end, since the next one may not reach them.
+func (c *Candidate) Assured() bool {
+	return c.doubt() < ownerTTL
+}
+
+// doubt returns how long nobody has confirmed the ownership.
+func (c *Candidate) doubt() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(age(c.confirmed), age(c.seconded))
+}
+
+// Over reports whether the ownership with an epoch is known to have ended.
+func (c *Candidate) Over(epoch lovagestand.Epoch) bool {
+	c.mu.Lock()
+	won := c.won
+	c.mu.Unlock()
+	return won > epoch || c.Directory.Over(c.Shard, epoch)
+}
+
+// consult asks the members while the store does not confirm an ownership; it
+// returns when one of them knows of its end, or ctx ends.
+func (c *Candidate) consult(ctx context.Context, epoch lovagestand.Epoch) {
+	for pause.For(ctx, consultInterval) {
+		if c.doubt() < consultAfter {
+			continue
+		}
+		begun := time.Now()
+		seconded, over := c.poll(ctx, epoch)
+		if over {
+			c.Log.Warn().Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("ownership lost: another instance knows of its end")
+			return
+		}
+		if seconded {
+			c.mu.Lock()
+			c.seconded = begun
+			c.mu.Unlock()
+		}
+	}
+}
+
+// poll asks all members whether an ownership is over. It is seconded if a
+// majority, this instance included, does not know that it is.
+func (c *Candidate) poll(ctx context.Context, epoch lovagestand.Epoch) (seconded, over bool) {
+	members := c.Directory.Members()
+	others := slices.DeleteFunc(slices.Clone(members), func(m lovagestand.Instance) bool { return m.ID == c.Self.ID })
+	if len(others) == len(members) || c.AskOver == nil {
+		return false, false
+	}
+	limited, cancel := context.WithTimeout(ctx, consultTimeout)
+	defer cancel()
+	type answer struct{ heard, over bool }
+	answers := make(chan answer, len(others))
+	for _, m := range others {
+		go func() {
+			over, err := c.AskOver(limited, m, epoch)
+			answers <- answer{heard: err == nil, over: err == nil && over}
+		}()
+	}
+	agreed := 1
+	for range others {
+		a := <-answers
+		over = over || a.over
+		if a.heard && !a.over {
+			agreed++
+		}
+	}
+	return 2*agreed > len(members), over
+}
--- /dev/null
+++ b/election/assurance_test.go
@@ -0,0 +1,119 @@
+package election_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/standin/keyspace"
+)
+
+// TestOwnerIsAssuredByTheStoreOrByMostMembers replays an outage of the store
+// for all, in which the owner works on, and cuts beside which another one may
+// have been elected.
+func TestOwnerIsAssuredByTheStoreOrByMostMembers(t *testing.T) {
+	const members = 5
+	for _, test := range []struct {
+		name string
+		// heard is how many of the other members answer, over how many of
+		// them know of the end of the ownership.
+		heard, over     int
+		assured, serves bool
+	}{
+		{name: "the store is away for all", heard: 4, assured: true, serves: true},
+		{name: "a minority is away as well", heard: 2, assured: true, serves: true},
+		{name: "most are away", heard: 1, assured: false, serves: true},
+		{name: "all are away", assured: false, serves: true},
+		{name: "one knows of the end", heard: 4, over: 1, assured: false, serves: false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				keys := keyspace.New()
+				for i := range members {
+					id := fmt.Sprint("i", i)
+					keys.Put(election.MemberKey(lovagestand.InstanceID(id)), fmt.Appendf(nil, `{"id":%q}`, id))
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				silence, silent := context.WithCancel(context.Background())
+				directory := election.NewDirectory(deaf{Keyspace: keys, cut: silence}, zerolog.Nop())
+				var running sync.WaitGroup
+				running.Go(func() { directory.Run(ctx) })
+				ended := make(chan struct{}, 10)
+				candidate := &election.Candidate{
+					Shard: "0", Self: lovagestand.Instance{ID: "i0", Processors: 1}, Keys: keys, Directory: directory, Log: zerolog.Nop(),
+					AskOver: func(ctx context.Context, member lovagestand.Instance, _ lovagestand.Epoch) (bool, error) {
+						var i int
+						if _, err := fmt.Sscanf(string(member.ID), "i%d", &i); err != nil || i > test.heard {
+							<-ctx.Done()
+							return false, ctx.Err()
+						}
+						return i <= test.over, nil
+					},
+					Serve: func(ctx context.Context, _ jobstore.Term, _ func() bool) {
+						<-ctx.Done()
+						ended <- struct{}{}
+					},
+				}
+				running.Go(func() { candidate.Run(ctx) })
+				time.Sleep(3 * time.Second)
+				c.Assert(candidate.Assured(), qt.IsTrue)
+				silent()
+				keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultLostRequest })
+				time.Sleep(2 * time.Second)
+				for range 100 {
+					time.Sleep(70 * time.Millisecond)
+					c.Assert(candidate.Assured(), qt.Equals, test.assured)
+				}
+				c.Assert(len(ended) == 0, qt.Equals, test.serves)
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
+
+// TestWinnerKnowsOfTheEndOfTheTermBefore replays a former owner that asks the
+// next one before that one's own watch has shown anything.
+func TestWinnerKnowsOfTheEndOfTheTermBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		keys := keyspace.New()
+		ctx, cancel := context.WithCancel(context.Background())
+		silence, silent := context.WithCancel(context.Background())
+		directory := election.NewDirectory(deaf{Keyspace: keys, cut: silence}, zerolog.Nop())
+		var running sync.WaitGroup
+		running.Go(func() { directory.Run(ctx) })
+		terms := make(chan jobstore.Term, 10)
+		candidate := &election.Candidate{
+			Shard: "0", Self: lovagestand.Instance{ID: "a", Processors: 1}, Keys: keys, Directory: directory, Log: zerolog.Nop(),
+			Serve: func(ctx context.Context, term jobstore.Term, _ func() bool) {
+				terms <- term
+				<-ctx.Done()
+			},
+		}
+		keys.Put(election.OwnerKey("0"), []byte(`{"id":"a"}`))
+		item, err := keys.Item(t.Context(), election.OwnerKey("0"))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		silent()
+		time.Sleep(100 * time.Millisecond)
+		former := lovagestand.Epoch(item.Revision)
+		c.Assert(candidate.Over(former), qt.IsFalse)
+		running.Go(func() { candidate.Run(ctx) })
+		term := <-terms
+		c.Assert(candidate.Over(former), qt.IsTrue)
+		c.Assert(candidate.Over(term.Epoch), qt.IsFalse)
+		cancel()
+		running.Wait()
+	})
+}
--- a/election/candidate.go
+++ b/election/candidate.go
@@ -58,12 +58,20 @@
 	Keys      lovagestand.Keyspace
 	Directory *Directory
 	Log       zerolog.Logger
+	// AskOver asks another instance whether it knows that an ownership has ended;
+	// nil asks nobody.
+	AskOver func(ctx context.Context, member lovagestand.Instance, epoch lovagestand.Epoch) (bool, error)
 	// Serve runs the shard for a term; it returns when ctx ends or the term
 	// is seen to be over.
 	Serve func(ctx context.Context, term jobstore.Term, confirmed func() bool)
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// won is the newest epoch of this instance.
+	won lovagestand.Epoch
+	// confirmed and seconded are when the store, and a majority of the members,
+	// were last asked with success whether the ownership holds.
 	confirmed time.Time
+	seconded  time.Time
 	deposed   lovagestand.Epoch
 	deposedAt time.Time
 }
@@ -228,7 +236,7 @@
 		c.release(lease)
 		return jobstore.Term{}, 0, err
 	}
-	c.confirm(begun)
+	c.begin(lovagestand.Epoch(revision), begun)
 	return jobstore.Term{Shard: c.Shard, Key: key, Epoch: lovagestand.Epoch(revision), Sequence: revision, Lease: lease}, lease, nil
 }
 
@@ -268,6 +276,12 @@
 	}
 }
 
+func (c *Candidate) begin(epoch lovagestand.Epoch, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.won, c.confirmed, c.seconded = epoch, at, at
+}
+
 func (c *Candidate) confirm(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -278,7 +292,7 @@
 func (c *Candidate) current() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.confirmed) < ownerTTL
+	return age(c.confirmed) < ownerTTL
 }
 
 func (c *Candidate) serve(ctx context.Context, term jobstore.Term, lease lovagestand.LeaseID) {
@@ -291,6 +305,10 @@
 		c.renew(serving, lease, term)
 		stop()
 	})
+	renewing.Go(func() {
+		c.consult(serving, term.Epoch)
+		stop()
+	})
 	c.Serve(serving, term, c.current)
 	stop()
 	renewing.Wait()
--- a/node/cell.go
+++ b/node/cell.go
@@ -21,6 +21,8 @@
 	depose func(shard string, epoch lovagestand.Epoch)
 	// missed reports whether this instance misses an owner that it watches.
 	missed func(shard string, epoch lovagestand.Epoch) bool
+	// over reports whether this instance knows that an ownership has ended.
+	over func(shard string, epoch lovagestand.Epoch) bool
 
 	mu     sync.Mutex
 	shards map[string]*shard.Shard
@@ -158,3 +160,8 @@
 func (c *cellServer) Missed(_ context.Context, r *cellpb.MissedRequest) (*cellpb.MissedReply, error) {
 	return &cellpb.MissedReply{Missed: c.missed(r.GetShard(), lovagestand.Epoch(r.GetEpoch()))}, nil
 }
+
+// Over implements cellpb.Cell.
+func (c *cellServer) Over(_ context.Context, r *cellpb.OverRequest) (*cellpb.OverReply, error) {
+	return &cellpb.OverReply{Over: c.over(r.GetShard(), lovagestand.Epoch(r.GetEpoch()))}, nil
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -10,6 +10,7 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/cellpb"
 	"lovagestand.example/lovagestand/common/pause"
+	"lovagestand.example/lovagestand/election"
 	"lovagestand.example/lovagestand/jobstore"
 	"lovagestand.example/lovagestand/shard"
 )
@@ -41,10 +42,11 @@
 	s := shard.New(term, shard.Limits{
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, ListInterval: interval,
 		Silence: silentBeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
+		Overlap: election.Overlap,
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithTrouble(func() { go n.askToDepose(ctx, term) })),
 		Lines: func() []shard.Line { return n.lines(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
-		Recorder: n.deps.Recorder,
+		Assured: n.candidate(term.Shard).Assured, Recorder: n.deps.Recorder,
 	})
 	for {
 		limited, cancel := context.WithTimeout(ctx, loadTimeout)
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -68,8 +68,10 @@
 	}
 	unacked := w.acked < w.seen
 	if now.Sub(w.lastAnswer) < extendFor {
-		request.Until = s.extend(w, now)
 		request.Wait = holdWait
+		if s.deps.Assured() {
+			request.Until = s.extend(w, now)
+		}
 	}
 	if unacked {
 		request.Wait = 0
@@ -147,7 +149,7 @@
 	if w.contacted && now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
 		s.expire(w, "its lease has expired")
 	}
-	if !w.contacted && now.Sub(s.began) > s.fullLease() {
+	if !w.contacted && now.Sub(s.began) > s.fullLease()+s.limits.Overlap {
 		s.resolve(w.info.Name)
 	}
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -84,7 +84,7 @@
 	}
 	s.addWorkers(p)
 	s.summarize(p)
-	if len(p.waiting) == 0 {
+	if len(p.waiting) == 0 || !s.deps.Assured() {
 		return
 	}
 	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -29,8 +29,10 @@
 	Lines func() []Line
 	// Confirmed reports whether the ownership was confirmed a moment ago.
 	Confirmed func() bool
-	Log       zerolog.Logger
-	Recorder  lovagestand.Recorder
+	// Assured reports whether no other owner is expected to order workers.
+	Assured  func() bool
+	Log      zerolog.Logger
+	Recorder lovagestand.Recorder
 }
 
 // Limits are the bounds that the platform sets.
@@ -46,6 +48,9 @@
 	ListInterval time.Duration
 	// CheckpointInterval is how often a task that saves its progress does so.
 	CheckpointInterval time.Duration
+	// Overlap is how long after this term has begun a former owner may still
+	// extend the lease of a worker that this one does not reach.
+	Overlap time.Duration
 }
 
 // Shard is the state of a shard in one term. It is safe for concurrent use.
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -24,7 +24,11 @@
 	"lovagestand.example/lovagestand/standin/runner"
 )
 
-const ownerKey = "cell/owner/0"
+const (
+	ownerKey = "cell/owner/0"
+	// overlap is how long an owner that is cut off stays assured.
+	overlap = 1200 * time.Millisecond
+)
 
 // cell is a store and workers, with at most one owner that works.
 type cell struct {
@@ -72,8 +76,9 @@
 	return func(lovagestand.Order) (time.Duration, lovagestand.RunEnding) { return d, ending }
 }
 
-// own begins a term and runs the shard in it.
-func (k *cell) own(name string) *owner {
+// own begins a term and runs the shard in it, with changes to what it works
+// with.
+func (k *cell) own(name string, changes ...func(*shard.Deps)) *owner {
 	item, err := k.keys.Item(context.Background(), ownerKey)
 	k.c.Assert(err, qt.IsNil)
 	revision, err := k.keys.Commit(context.Background(), lovagestand.Transaction{
@@ -84,9 +89,13 @@
 	})
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
-	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second}, shard.Deps{
-		Fleet: k.fleet, Store: jobstore.New(paced{k.keys, &k.delay}, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
-	})
+	deps := shard.Deps{
+		Fleet: k.fleet, Store: jobstore.New(paced{k.keys, &k.delay}, term), Lines: k.lines, Confirmed: func() bool { return true }, Assured: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
+	}
+	for _, change := range changes {
+		change(&deps)
+	}
+	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second, Overlap: overlap}, deps)
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/shard/term_test.go
+++ b/shard/term_test.go
@@ -1,6 +1,9 @@
 package shard_test
 
 import (
+	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +14,7 @@
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/shard"
 	"lovagestand.example/lovagestand/standin/keyspace"
+	"lovagestand.example/lovagestand/standin/runner"
 )
 
 // TestFormerOwnerDoesNotDenyAJobOfTheNext replays an owner that was replaced
@@ -52,3 +56,103 @@
 		})
 	}
 }
+
+// side is the way to the workers of one side of a cut: orders to the others
+// get no answer once it is cut.
+type side struct {
+	*runner.Fleet
+	workers []lovagestand.WorkerName
+	cut     *atomic.Bool
+}
+
+func (f side) lost(ctx context.Context, w lovagestand.FleetWorker) error {
+	if !f.cut.Load() || slices.Contains(f.workers, w.Name) {
+		return nil
+	}
+	<-ctx.Done()
+	return &lovagestand.UnavailableError{System: "worker", Reason: ctx.Err().Error()}
+}
+
+func (f side) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.Clock, error) {
+	if err := f.lost(ctx, w); err != nil {
+		return lovagestand.Clock{}, err
+	}
+	return f.Fleet.Start(ctx, w, o)
+}
+
+func (f side) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.Clock, error) {
+	if err := f.lost(ctx, w); err != nil {
+		return lovagestand.Clock{}, err
+	}
+	return f.Fleet.Stop(ctx, w, task, run, epoch)
+}
+
+func (f side) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
+	if err := f.lost(ctx, w); err != nil {
+		return lovagestand.Holding{}, err
+	}
+	return f.Fleet.Hold(ctx, w, r)
+}
+
+// TestOwnerCutOffWithWorkersLetsThemGo replays a region that is cut off with the
+// owner in it: the next owner does not reach its workers, and starts their
+// tasks anew; so must not the former one those of the workers outside.
+func TestOwnerCutOffWithWorkersLetsThemGo(t *testing.T) {
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) { playCutOff(t, phase) })
+	}
+}
+
+// playCutOff has the cut come at a phase of the former owner's holds.
+func playCutOff(t *testing.T, phase time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 4, always(time.Minute, lovagestand.EndingDone))
+		var cut atomic.Bool
+		var cutAt time.Time
+		former := k.own("a", func(d *shard.Deps) {
+			d.Fleet = side{Fleet: k.fleet, workers: []lovagestand.WorkerName{"w0", "w1"}, cut: &cut}
+			d.Assured = func() bool { return !cut.Load() || time.Since(cutAt) < overlap }
+		})
+		defer former.stop()
+		time.Sleep(time.Second)
+		for i := range 8 {
+			former.submit(c, id(i), job.Step{Count: 1})
+		}
+		time.Sleep(500*time.Millisecond + phase)
+		c.Assert(k.fleet.Running(), qt.Equals, 8)
+		cutAt = time.Now()
+		cut.Store(true)
+		later := k.own("b", func(d *shard.Deps) {
+			d.Fleet = side{Fleet: k.fleet, workers: []lovagestand.WorkerName{"w2", "w3"}, cut: &cut}
+		})
+		defer later.stop()
+		time.Sleep(25 * time.Second)
+		k.assertSound()
+		c.Assert(k.fleet.Running(), qt.Equals, 8)
+	})
+}
+
+// TestWorkerMetOnceKeepsTheLeaseOfTheFormerOwner replays a next owner that loses
+// a worker before it has extended its lease: the former owner's goes on.
+func TestWorkerMetOnceKeepsTheLeaseOfTheFormerOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 3, always(time.Minute, lovagestand.EndingDone))
+		former := k.ownReady("a")
+		defer former.stop()
+		for i := range 6 {
+			former.submit(c, id(i), job.Step{Count: 1})
+		}
+		time.Sleep(500 * time.Millisecond)
+		var assured atomic.Bool
+		later := k.own("b", func(d *shard.Deps) { d.Assured = assured.Load })
+		defer later.stop()
+		time.Sleep(500 * time.Millisecond)
+		k.fleet.Cut("w0", true)
+		assured.Store(true)
+		time.Sleep(20 * time.Second)
+		k.assertSound()
+		c.Assert(k.fleet.Running(), qt.Equals, 6)
+	})
+}
