shard: a new life of a worker is held before it starts anything, and its lease taken as the longest

Callers' tasks ran twice at the same time, for 1.7 s, when a worker started again, got tasks and was cut off within two seconds: ends of leases are told on the worker's clock, which begins anew with a life. An end on the former clock is far ahead of the new one, so that the worker shortens it to its maximum of 10 s, while the owner counted on 8.3 s. Besides, starts went to a life that no hold of this owner had reached and that so had seen no epoch.

Now a worker with a new life counts as not contacted until a hold of it is answered, and its lease as the longest one from then, which covers what was sent by the former clock. The same goes for the first contact of a term.

--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -25,7 +25,7 @@
 	if !w.contacted {
 		s.log.Info().Str("worker", string(w.info.Name)).Int("running", len(h.Running)).Int("ended", len(h.Ended)).Msg("worker contacted")
 		// A former owner may have extended its lease until now.
-		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.fullLease()))
+		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.longestLease()))
 	}
 	w.contacted = true
 	w.silent = false
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -146,7 +146,7 @@
 		w.silent = true
 		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
 	}
-	if w.contacted && now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
+	if now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
 		s.expire(w, "its lease has expired")
 	}
 	if !w.contacted && now.Sub(s.began) > s.fullLease()+s.limits.Overlap {
@@ -177,6 +177,8 @@
 func (s *Shard) reborn(w *worker, born int64) {
 	s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", born).Msg("worker has a new life")
 	w.info.Born = born
+	w.contacted = false
+	w.leaseEnd = laterOf(w.leaseEnd, time.Now().Add(s.longestLease()))
 	w.acked, w.seen, w.pending = 0, 0, nil
 	w.health = health{}
 	for _, p := range w.placements {
--- a/shard/term_test.go
+++ b/shard/term_test.go
@@ -156,3 +156,59 @@
 		c.Assert(k.fleet.Running(), qt.Equals, 6)
 	})
 }
+
+// TestLeaseOfANewLifeIsTakenAsTheLongest replays a worker that starts again and
+// is cut off soon: an end of a lease on its former clock, far ahead of the new
+// one, gave it the longest lease there is.
+func TestLeaseOfANewLifeIsTakenAsTheLongest(t *testing.T) {
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) { playNewLife(t, phase) })
+	}
+}
+
+// playNewLife has the worker start again at a phase of the holds and of the
+// readings of the list.
+func playNewLife(t *testing.T, phase time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 3, always(time.Minute, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		defer o.stop()
+		time.Sleep(time.Minute + phase)
+		k.bear(0)
+		time.Sleep(300 * time.Millisecond)
+		for i := range 6 {
+			o.submit(c, id(i), job.Step{Count: 1})
+		}
+		time.Sleep(100 * time.Millisecond)
+		k.fleet.Cut("w0", true)
+		time.Sleep(20 * time.Second)
+		k.assertSound()
+	})
+}
+
+// TestNewLifeStartsNothingBeforeItIsHeld replays a worker that starts again: it
+// has seen no epoch, and its clock is not known.
+func TestNewLifeStartsNothingBeforeItIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(time.Second, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		defer o.stop()
+		k.fleet.SetFault(func(_ lovagestand.WorkerName, order string) runner.Fault {
+			if order == "hold" {
+				return runner.FaultLostRequest
+			}
+			return runner.FaultNone
+		})
+		k.bear(0)
+		time.Sleep(600 * time.Millisecond)
+		o.submit(c, id(1), job.Step{Count: 1})
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(k.fleet.Starts(), qt.Equals, 0)
+		k.fleet.SetFault(nil)
+		time.Sleep(5 * time.Second)
+		assertPhase(c, o, id(1), "completed")
+		k.assertSound()
+	})
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -100,7 +100,18 @@
 
 // fullLease is how long a lease may last here, by the slowest clock.
 func (s *Shard) fullLease() time.Duration {
-	return time.Duration(float64(s.lease())*clockRate) + leaseSlack
+	return slowest(s.lease())
+}
+
+// longestLease is how long a lease may last that was given by the clock of
+// another life of the worker.
+func (s *Shard) longestLease() time.Duration {
+	return slowest(s.limits.MaxLease)
+}
+
+// slowest returns how long a time on a worker's clock may last here.
+func slowest(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*clockRate) + leaseSlack
 }
 
 // extend prolongs a worker's lease from now on and returns its end on the
