shard: an owner that stood still sends no start that it decided on before

Workers were sent starts by an owner that had been replaced while it was frozen between placing a task and sending the order: the order then had its full time limit. Workers that the next owner has reached refuse it by its epoch; one that was born again has seen none until the next hold of that owner (200 ms at the longest where the connection breaks with the crash, 1.9 s where it goes silent) and would run a task that runs elsewhere.

Now the order is not sent when the ownership is not assured at that moment. What had been handed to the network before is out of reach, as are orders that a worker carries out late.

Before, TestThawedOwnerSendsNoStartOfBefore: got int(1) starts, want int(0).

--- a/shard/order.go
+++ b/shard/order.go
@@ -55,7 +55,7 @@
 	limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	begun := time.Now()
-	clock, err := s.deps.Fleet.Start(limited, target, order)
+	clock, err := s.send(limited, target, order)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
@@ -90,6 +90,15 @@
 	s.breakGang(p)
 }
 
+// send sends an order to start unless the process has stood still since it was
+// decided on, and another owner may have followed.
+func (s *Shard) send(ctx context.Context, target lovagestand.FleetWorker, order lovagestand.Order) (lovagestand.Clock, error) {
+	if !s.deps.Assured() {
+		return lovagestand.Clock{}, &lovagestand.OrderRefusedError{Worker: target.Name, Reason: lovagestand.RefusalUnhealthy}
+	}
+	return s.deps.Fleet.Start(ctx, target, order)
+}
+
 // startOutcome names what became of an order, for metrics.
 func startOutcome(err error) string {
 	var refused *lovagestand.OrderRefusedError
--- a/shard/term_test.go
+++ b/shard/term_test.go
@@ -212,3 +212,42 @@
 		k.assertSound()
 	})
 }
+
+// freezer has an owner stand still between deciding on a start and sending it.
+type freezer struct {
+	lovagestand.NoRecorder
+	assured *atomic.Bool
+}
+
+func (f freezer) Observe(name, _ string, _ time.Duration) {
+	if name == "waits" {
+		f.assured.Store(false)
+	}
+}
+
+// TestThawedOwnerSendsNoStartOfBefore replays an owner that is replaced while it
+// stands still with starts to be sent: a worker that is born again would take
+// them.
+func TestThawedOwnerSendsNoStartOfBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(2*time.Second, lovagestand.EndingDone))
+		var assured atomic.Bool
+		assured.Store(true)
+		former := k.own("a", func(d *shard.Deps) {
+			d.Assured = assured.Load
+			d.Recorder = freezer{assured: &assured}
+		})
+		defer former.stop()
+		time.Sleep(time.Second)
+		former.submit(c, id(1), job.Step{Count: 1})
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(k.fleet.Starts(), qt.Equals, 0)
+		later := k.own("b")
+		defer later.stop()
+		time.Sleep(10 * time.Second)
+		assertPhase(c, later, id(1), "completed")
+		c.Assert(k.fleet.Starts(), qt.Equals, 1)
+		k.assertSound()
+	})
+}
