jobstore: test that a late write of a lane is nothing after the lease

Suspected: the lane's key goes with the lease of the ownership, so the condition of its first write, that the key does not exist, holds again. Not shown: the owner's key goes with the same lease, and its revision never comes back.

--- a/jobstore/store_test.go
+++ b/jobstore/store_test.go
@@ -139,3 +139,42 @@
 		c.Assert(kept(c, s), qt.HasLen, 0)
 	})
 }
+
+// TestLateWriteOfALaneIsNothingAfterTheLease replays a write that the store
+// carries out once the lane's key, which it requires not to exist, has gone with
+// the lease of the ownership.
+func TestLateWriteOfALaneIsNothingAfterTheLease(t *testing.T) {
+	for name, next := range map[string]bool{"no owner has followed": false, "the next one has written": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				keys := keyspace.New()
+				lease, _, err := keys.Grant(t.Context(), time.Minute)
+				c.Assert(err, qt.IsNil)
+				revision, err := keys.Commit(t.Context(), lovagestand.Transaction{Set: []lovagestand.Write{
+					{Key: ownerKey, Value: []byte("a"), Lease: lease}, {Key: jobstore.SequenceKey("0"), Value: []byte("begin a")},
+				}})
+				c.Assert(err, qt.IsNil)
+				s := jobstore.New(keys, jobstore.Term{
+					Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision, Lease: lease,
+				})
+				faultOnce(keys, "commit", keyspace.FaultLate)
+				c.Assert(s.WriteIn(t.Context(), 1, entry("x", "1")), qt.IsNil)
+				c.Assert(s.WriteIn(t.Context(), 1, entry("x", "2")), qt.IsNil)
+				c.Assert(keys.End(t.Context(), lease), qt.IsNil)
+				value := "2"
+				if next {
+					later := jobstore.New(keys, begin(c, keys, "b"))
+					c.Assert(later.Write(t.Context(), entry("x", "3")), qt.IsNil)
+					value = "3"
+				}
+				keys.Settle()
+				c.Assert(kept(c, s), qt.DeepEquals, map[string]string{"x": value})
+				var lost *jobstore.LostError
+				c.Assert(s.WriteIn(t.Context(), 1, entry("x", "4")), qt.ErrorAs, &lost)
+				c.Assert(s.WriteIn(t.Context(), 2, entry("x", "4")), qt.ErrorAs, &lost)
+				c.Assert(s.Owned(t.Context()), qt.ErrorAs, &lost)
+			})
+		})
+	}
+}
