--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -95,6 +95,11 @@
 	for _, change := range changes {
 		change(&deps)
 	}
+	return k.begin(term, deps)
+}
+
+// begin runs the shard in a term.
+func (k *cell) begin(term jobstore.Term, deps shard.Deps) *owner {
 	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second, Overlap: overlap}, deps)
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
