--- a/election/candidate.go
+++ b/election/candidate.go
@@ -58,12 +58,20 @@
 	Keys      lovagestand.Keyspace
 	Directory *Directory
 	Log       zerolog.Logger
+	// AskOver asks another instance whether it knows that an ownership has ended;
+	// nil asks nobody.
+	AskOver func(ctx context.Context, member lovagestand.Instance, epoch lovagestand.Epoch) (bool, error)
 	// Serve runs the shard for a term; it returns when ctx ends or the term
 	// is seen to be over.
 	Serve func(ctx context.Context, term jobstore.Term, confirmed func() bool)
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// won is the newest epoch of this instance.
+	won lovagestand.Epoch
+	// confirmed and seconded are when the store, and a majority of the members,
+	// were last asked with success whether the ownership holds.
 	confirmed time.Time
+	seconded  time.Time
 	deposed   lovagestand.Epoch
 	deposedAt time.Time
 }
@@ -86,10 +94,10 @@
 	}
 }
 
-// Depose has an owner's key removed because no process listens at the owner's
+// Depose has an owner's lease ended because no process listens at the owner's
 // address, or because the store turns the owner away; then all instances
-// contend as usual. A live owner that is deposed by
-// mistake is locked out by the epoch of the next one.
+// contend as usual. A live owner that is deposed by mistake learns it from its
+// next renewal, and is locked out by the epoch of the next one.
 func (c *Candidate) Depose(epoch lovagestand.Epoch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,15 +111,31 @@
 func (c *Candidate) remove(epoch lovagestand.Epoch) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	key := OwnerKey(c.Shard)
-	_, err := c.Keys.Commit(ctx, lovagestand.Transaction{
-		If:     []lovagestand.Condition{{Key: key, Revision: lovagestand.Revision(epoch)}},
-		Remove: []string{key},
-	})
+	err := c.end(ctx, epoch)
 	c.Log.Info().Err(err).Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("owner deposed")
 	c.Directory.Refresh()
 }
 
+// end ends the lease of an ownership, which has it for itself. A key without a
+// lease is removed.
+func (c *Candidate) end(ctx context.Context, epoch lovagestand.Epoch) error {
+	if owner, _ := c.Directory.Owner(c.Shard); owner.Epoch == epoch && owner.Lease != 0 {
+		return c.Keys.End(ctx, owner.Lease)
+	}
+	key, revision := OwnerKey(c.Shard), lovagestand.Revision(epoch)
+	item, err := c.Keys.Item(ctx, key)
+	if err != nil || item.Revision != revision {
+		return err
+	}
+	if item.Lease != 0 {
+		return c.Keys.End(ctx, item.Lease)
+	}
+	_, err = c.Keys.Commit(ctx, lovagestand.Transaction{
+		If: []lovagestand.Condition{{Key: key, Revision: revision}}, Remove: []string{key},
+	})
+	return err
+}
+
 // open reports whether the shard may be contended for, and the revision of the
 // ownership key that must not have changed.
 func (c *Candidate) open() (lovagestand.Revision, bool) {
@@ -212,7 +236,7 @@
 		c.release(lease)
 		return jobstore.Term{}, 0, err
 	}
-	c.confirm(begun)
+	c.begin(lovagestand.Epoch(revision), begun)
 	return jobstore.Term{Shard: c.Shard, Key: key, Epoch: lovagestand.Epoch(revision), Sequence: revision, Lease: lease}, lease, nil
 }
 
@@ -252,6 +276,12 @@
 	}
 }
 
+func (c *Candidate) begin(epoch lovagestand.Epoch, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.won, c.confirmed, c.seconded = epoch, at, at
+}
+
 func (c *Candidate) confirm(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -262,7 +292,7 @@
 func (c *Candidate) current() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.confirmed) < ownerTTL
+	return age(c.confirmed) < ownerTTL
 }
 
 func (c *Candidate) serve(ctx context.Context, term jobstore.Term, lease lovagestand.LeaseID) {
@@ -275,6 +305,10 @@
 		c.renew(serving, lease, term)
 		stop()
 	})
+	renewing.Go(func() {
+		c.consult(serving, term.Epoch)
+		stop()
+	})
 	c.Serve(serving, term, c.current)
 	stop()
 	renewing.Wait()
