shard: no end is acknowledged to a life that has not answered

A worker that starts again under its name counts its ends from 1 again. After a hold had failed, the next one still carried the number up to which the former life's ends were kept, and so did every look. The new life dropped its ends up to that number unread: its runs were neither running nor ended, were taken for lost and started again. Callers would see tasks run twice.

A hold after one that failed, and a look, now acknowledge nothing and prolong nothing; the worker gets no new tasks until a hold has been answered. A hold that waited for the store is made anew afterwards, since a look may have met another life in the meantime.

What remains after this: a worker that is born again between an answer and the next hold (up to 150 ms while the store keeps the ends).

--- a/shard/hold.go
+++ b/shard/hold.go
@@ -18,8 +18,15 @@
 		request, unacked := s.holdRequest(w)
 		target := w.info
 		s.mu.Unlock()
-		if unacked && !s.awaitAcknowledgement(ctx, w) {
-			continue
+		if unacked {
+			if !s.awaitAcknowledgement(ctx, w) {
+				continue
+			}
+			// Another life may have answered in the meantime.
+			s.mu.Lock()
+			request, _ = s.holdRequest(w)
+			target = w.info
+			s.mu.Unlock()
 		}
 		begun := time.Now()
 		limited, cancel := context.WithTimeout(ctx, request.Wait+holdTimeout)
@@ -44,7 +51,7 @@
 // look asks a worker at once what it holds, because a start was left in doubt.
 func (s *Shard) look(w *worker) {
 	s.mu.Lock()
-	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
+	request := lovagestand.HoldRequest{Epoch: s.term.Epoch}
 	target := w.info
 	s.mu.Unlock()
 	begun := time.Now()
@@ -59,13 +66,15 @@
 }
 
 // holdRequest returns the next hold, and whether ends are seen that may not be
-// acknowledged yet.
+// acknowledged yet. A hold after one that failed only looks: the life that gets
+// it may be another, with ends of the same numbers and another clock.
 func (s *Shard) holdRequest(w *worker) (lovagestand.HoldRequest, bool) {
 	now := time.Now()
-	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
-	if !w.contacted {
+	request := lovagestand.HoldRequest{Epoch: s.term.Epoch}
+	if !w.contacted || w.silent {
 		return request, false
 	}
+	request.Seen = w.acked
 	unacked := w.acked < w.seen
 	if now.Sub(w.lastAnswer) < extendFor {
 		request.Until = s.extend(w, now)
@@ -135,13 +144,14 @@
 		}
 	}
 	now := time.Now()
+	silent := w.silent
+	w.silent = true
 	var unavailable *lovagestand.UnavailableError
 	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready {
 		s.dismiss(w, "it was leaving, and no process listens there any more")
 		return
 	}
-	if !w.silent {
-		w.silent = true
+	if !silent {
 		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
 	}
 	if w.contacted && now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -35,8 +36,10 @@
 	workers []lovagestand.FleetWorker
 	log     zerolog.Logger
 	// delay is how long the store takes to change something, in nanoseconds.
-	delay  atomic.Int64
-	advice func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
+	delay atomic.Int64
+	// between stands between the owner and the fleet where it is set.
+	between lovagestand.Fleet
+	advice  func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
 }
 
 // paced is a store that takes its time to change something.
@@ -85,7 +88,7 @@
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
 	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, Silence: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second}, shard.Deps{
-		Fleet: k.fleet, Store: jobstore.New(paced{k.keys, &k.delay}, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
+		Fleet: cmp.Or(k.between, lovagestand.Fleet(k.fleet)), Store: jobstore.New(paced{k.keys, &k.delay}, term), Lines: k.lines, Confirmed: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	})
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -23,7 +23,7 @@
 	// openFor is how long after its last answer a worker gets new tasks.
 	openFor = holdWait + holdTimeout
 	// extendFor is how long after its last answer a worker's lease is still
-	// prolonged; later holds only look, so that the lease comes to an end.
+	// prolonged, by an owner that stood still; later holds only look.
 	extendFor = 2500 * time.Millisecond
 	// holdRetry spaces holds of a worker that does not answer.
 	holdRetry = 200 * time.Millisecond
@@ -45,7 +45,7 @@
 	beatAt  time.Time // when its heartbeat was last seen to change
 
 	contacted    bool
-	silent       bool
+	silent       bool // the last hold has failed
 	lastAnswer   time.Time
 	askedAt      time.Time // when the last hold that was answered was sent
 	clock        int64
@@ -117,7 +117,7 @@
 
 // open reports whether the worker may get new tasks.
 func (w *worker) open(now time.Time) bool {
-	if !w.contacted || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
+	if !w.contacted || w.silent || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
 		return false
 	}
 	if !w.listed && now.Sub(w.lastSee) > missingFor {
