shard: only an answer shows that a worker has a new life

The list of workers can be older than an answer: the new life of a worker answers holds while the store still has the former one, for seconds after an outage. Each reading of the list then took the worker for born again, and the next answer once more. All that the new life ran was taken for lost each time and started again. Callers would see tasks run twice; the log says "worker has a new life" over and over for one life.

A worker's life is now what answers. A life that has been replaced is never believed again, neither from the list nor from a late answer. An entry of any other life changes nothing while the known life answers; while it does not, the entry only tells where to ask. What is heard at an address of another life (that another worker is there, that nobody is, that its entry is gone) says nothing of the runs.

--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -7,19 +7,24 @@
 	"lovagestand.example/lovagestand/job"
 )
 
-// held takes what a worker answered to a hold that was sent at begun.
-func (s *Shard) held(w *worker, begun time.Time, h lovagestand.Holding) {
+// held takes what a worker answered to a hold that was sent at begun; false if a
+// life that has been replaced has answered.
+func (s *Shard) held(w *worker, begun time.Time, h lovagestand.Holding) bool {
+	if w.replaced[h.Born] {
+		s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", h.Born).Msg("a former life answers")
+		return false
+	}
 	if begun.Before(w.askedAt) {
 		// A later hold was answered first; what this one tells may be outdated.
 		w.lastAnswer = laterOf(w.lastAnswer, begun)
-		return
+		return true
 	}
 	w.askedAt = begun
-	if h.Born != 0 && w.info.Born != 0 && h.Born != w.info.Born {
+	if !w.isLife(h.Born) {
 		s.reborn(w, h.Born)
 	}
 	if h.Born != 0 {
-		w.info.Born = h.Born
+		w.born = h.Born
 	}
 	now := time.Now()
 	if !w.contacted {
@@ -42,6 +47,7 @@
 	s.reconcile(w, begun, now, h.Running)
 	s.resolve(w.info.Name)
 	s.wake()
+	return true
 }
 
 // reconcile compares what a worker runs with what this term believes.
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -36,13 +36,12 @@
 			return
 		}
 		s.mu.Lock()
+		answered := err == nil && s.held(w, begun, holding)
 		if err != nil {
 			s.holdFailed(w, err)
-		} else {
-			s.held(w, begun, holding)
 		}
 		s.mu.Unlock()
-		if err != nil {
+		if !answered {
 			pause.For(ctx, holdRetry)
 		}
 	}
@@ -139,15 +138,17 @@
 			s.lose("worker " + string(w.info.Name) + " has seen a higher epoch")
 			return
 		case lovagestand.RefusalReborn:
-			s.expire(w, "another life answers")
-			return
+			if w.described() {
+				s.expire(w, "another worker answers at its address")
+				return
+			}
 		}
 	}
 	now := time.Now()
 	silent := w.silent
 	w.silent = true
 	var unavailable *lovagestand.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready {
+	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready && w.described() {
 		s.dismiss(w, "it was leaving, and no process listens there any more")
 		return
 	}
@@ -184,7 +185,9 @@
 // reborn takes note that a worker has begun a new life under its name.
 func (s *Shard) reborn(w *worker, born int64) {
 	s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", born).Msg("worker has a new life")
-	w.info.Born = born
+	w.replaced[w.born] = true
+	w.born = born
+	w.beatAt = time.Time{}
 	w.acked, w.seen, w.pending = 0, 0, nil
 	w.health = health{}
 	for _, p := range w.placements {
--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,21 @@
 	return h.Fleet.Start(ctx, w, o)
 }
 
+// bearUnlisted starts a worker again under its name, while the list still has
+// the former life, and returns what the new life will register.
+func (k *cell) bearUnlisted(n int) lovagestand.FleetWorker {
+	w := k.list()[n]
+	return k.fleet.Add(w.Name, w.Capacity)
+}
+
+// enlist changes a worker's entry in the list.
+func (k *cell) enlist(n int, entry lovagestand.FleetWorker) {
+	k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+		workers[n] = entry
+		return workers
+	})
+}
+
 // assertCompletedOnce waits until a job is completed, with that many starts
 // in all.
 func (k *cell) assertCompletedOnce(o *owner, id string, starts int) {
@@ -63,3 +79,136 @@
 		})
 	}
 }
+
+// TestListOfAFormerLife guards against a list that has the life before the one
+// that answers: runs of the new life were taken for lost.
+func TestListOfAFormerLife(t *testing.T) {
+	c := qt.New(t)
+	c.Run("the new life is not registered yet", func(c *qt.C) {
+		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+			o := k.ownReady("a")
+			defer o.stop()
+			entry := k.bearUnlisted(0)
+			time.Sleep(600 * time.Millisecond)
+			o.submit(c, id(1), job.Step{Count: 2})
+			time.Sleep(time.Second)
+			k.enlist(0, entry)
+			k.assertCompletedOnce(o, id(1), 2)
+		})
+	})
+	c.Run("a reading of the list is old", func(c *qt.C) {
+		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+			o := k.ownReady("a")
+			defer o.stop()
+			former := k.list()[0]
+			k.bear(0)
+			time.Sleep(time.Second)
+			o.submit(c, id(1), job.Step{Count: 2})
+			entry := k.list()[0]
+			k.enlist(0, former)
+			time.Sleep(time.Second)
+			k.enlist(0, entry)
+			k.assertCompletedOnce(o, id(1), 2)
+		})
+	})
+	c.Run("it is read at a takeover", func(c *qt.C) {
+		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+			before := k.ownReady("a")
+			defer before.stop()
+			former := k.list()[0]
+			k.bear(0)
+			time.Sleep(time.Second)
+			before.submit(c, id(1), job.Step{Count: 2})
+			time.Sleep(200 * time.Millisecond)
+			before.stop()
+			entry := k.list()[0]
+			k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker { return nil })
+			o := k.own("b")
+			defer o.stop()
+			time.Sleep(300 * time.Millisecond)
+			k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker { return []lovagestand.FleetWorker{former} })
+			time.Sleep(time.Second)
+			k.enlist(0, entry)
+			k.assertCompletedOnce(o, id(1), 2)
+		})
+	})
+}
+
+// replayHook is a fleet that answers one hold with a former answer when told to.
+type replayHook struct {
+	lovagestand.Fleet
+	replay atomic.Pointer[lovagestand.Holding]
+}
+
+func (h *replayHook) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
+	holding, err := h.Fleet.Hold(ctx, w, r)
+	if former := h.replay.Swap(nil); former != nil {
+		return *former, nil
+	}
+	return holding, err
+}
+
+// TestAnswerOfAFormerLife guards against an answer of the life before the one
+// that has answered: runs of the new life were taken for lost.
+func TestAnswerOfAFormerLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+		hook := &replayHook{Fleet: k.fleet}
+		k.between = hook
+		o := k.ownReady("a")
+		defer o.stop()
+		former := k.list()[0].Born
+		k.bear(0)
+		time.Sleep(time.Second)
+		o.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(200 * time.Millisecond)
+		hook.replay.Store(&lovagestand.Holding{Clock: 2500, Born: former})
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
+
+// elsewhereHook is a fleet with another worker at one address.
+type elsewhereHook struct {
+	lovagestand.Fleet
+	address string
+}
+
+func (h *elsewhereHook) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
+	if w.Address == h.address {
+		return lovagestand.Holding{}, &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalReborn}
+	}
+	return h.Fleet.Hold(ctx, w, r)
+}
+
+// TestListOfAnUnknownLife guards against an entry of a life that never answered,
+// at an address where another worker is, while the life that did is cut off.
+func TestListOfAnUnknownLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(6*time.Second, lovagestand.EndingDone))
+		k.between = &elsewhereHook{Fleet: k.fleet, address: "elsewhere"}
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 4})
+		time.Sleep(200 * time.Millisecond)
+		entry := k.list()[0]
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", entry.Capacity))
+		})
+		unknown := entry
+		unknown.Born, unknown.Address = entry.Born-1000, "elsewhere"
+		k.fleet.Cut("w0", true)
+		k.enlist(0, unknown)
+		time.Sleep(4500 * time.Millisecond)
+		k.fleet.Cut("w0", false)
+		k.enlist(0, entry)
+		k.assertCompletedOnce(o, id(1), 4)
+	})
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -36,9 +36,14 @@
 	acknowledgeWait = 150 * time.Millisecond
 )
 
-// worker is one life of a worker.
+// worker is a worker under one name, through all its lives.
 type worker struct {
-	info    lovagestand.FleetWorker
+	info lovagestand.FleetWorker // as last listed
+	// born is the life that answers, 0 while none has told; replaced are the
+	// lives before it, which are never believed again.
+	born     int64
+	replaced map[int64]bool
+
 	cancel  context.CancelFunc
 	listed  bool
 	lastSee time.Time // when it was last listed
@@ -161,7 +166,7 @@
 // left reports whether a worker that was about to leave has done so: its entry
 // is gone although its heartbeat was not silent for long enough to lapse.
 func (s *Shard) left(w *worker, now time.Time) bool {
-	return !w.listed && !w.info.Ready && !w.beatAt.IsZero() && now.Sub(w.beatAt) < s.limits.Silence-s.limits.ListInterval-leftMargin
+	return !w.listed && w.described() && !w.info.Ready && !w.beatAt.IsZero() && now.Sub(w.beatAt) < s.limits.Silence-s.limits.ListInterval-leftMargin
 }
 
 // gone reports whether a worker has left and cannot run anything of ours.
@@ -181,8 +186,9 @@
 		s.addWorker(info, now)
 		return
 	}
-	if info.Born != 0 && w.info.Born != 0 && info.Born != w.info.Born {
-		s.reborn(w, info.Born)
+	w.listed, w.lastSee = true, now
+	if w.outdated(info) {
+		return
 	}
 	if w.info.Ready != info.Ready {
 		s.log.Info().Str("worker", string(info.Name)).Bool("ready", info.Ready).Msg("worker changed state")
@@ -191,13 +197,24 @@
 	if info.Heartbeat != w.info.Heartbeat {
 		w.beatAt = now
 	}
-	born := w.info.Born
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	w.info = info
-	if info.Born == 0 {
-		w.info.Born = born
-	}
-	w.listed, w.lastSee = true, now
+}
+
+// outdated reports whether an entry of the list is to be passed over: a list may
+// be older than an answer, so another life than the one that answers is not
+// believed, and only followed to its address while nothing answers.
+func (w *worker) outdated(info lovagestand.FleetWorker) bool {
+	return w.replaced[info.Born] || !w.silent && !w.isLife(info.Born)
+}
+
+// described reports whether the list tells of the life that answers, as far as
+// known.
+func (w *worker) described() bool { return w.isLife(w.info.Born) }
+
+// isLife reports whether a life may be the one that answers.
+func (w *worker) isLife(born int64) bool {
+	return born == 0 || w.born == 0 || born == w.born
 }
 
 // startUnlisted begins to hold the workers that a former term may have given
@@ -215,7 +232,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{
 		info: info, free: info.Capacity, cancel: cancel, listed: !now.IsZero(), lastSee: now,
-		placements: map[string]*placement{}, strays: map[string]int64{}, acknowledged: make(chan struct{}, 1),
+		placements: map[string]*placement{}, strays: map[string]int64{}, replaced: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
 	s.log.Info().Str("worker", string(info.Name)).Str("address", info.Address).Str("rack", string(info.Rack)).Msg("worker added")
