platform, shard: a hold acknowledges only over a connection to its life

What was left: a worker that is born again between an answer and the next hold, which is up to 150 ms while the store keeps the ends, or as long as this process stands still, got the former life's acknowledgement and lease. The transport makes such a call on a new connection, and repeats it there by itself when nothing was written on the old one. A worker that is strict about last_seen then drops every end up to that number unread, also later ones: tasks start over and over after they were done.

A hold now says which life it is for. Ends that were not acknowledged are listed again.

--- a/fleet.go
+++ b/fleet.go
@@ -118,6 +118,9 @@
 // HoldRequest prolongs a worker's lease and asks for what it holds.
 type HoldRequest struct {
 	Epoch Epoch
+	// Born is the life that Seen and Until are for, 0 where it is not known. A
+	// fleet that cannot be sure to reach that life only looks.
+	Born int64
 	// Seen is the number up to which ends may be forgotten.
 	Seen int64
 	// Until is the end of the lease on the worker's clock; 0 leaves it.
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -73,7 +73,7 @@
 	if !w.contacted || w.silent {
 		return request, false
 	}
-	request.Seen = w.acked
+	request.Born, request.Seen = w.born, w.acked
 	unacked := w.acked < w.seen
 	if now.Sub(w.lastAnswer) < extendFor {
 		request.Until = s.extend(w, now)
--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// TestAcknowledgementWhileTheStoreIsSlow guards against a hold that was put off
+// until the store has kept the ends, and then acknowledges to the next life.
+func TestAcknowledgementWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(50*time.Millisecond, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 4})
+		time.Sleep(700 * time.Millisecond)
+		k.delay.Store(int64(300 * time.Millisecond))
+		o.submit(c, id(2), job.Step{Count: 1})
+		time.Sleep(150 * time.Millisecond)
+		k.bear(0)
+		k.delay.Store(0)
+		o.submit(c, id(3), job.Step{Count: 1})
+		k.assertCompletedOnce(o, id(3), 6)
+		assertPhase(c, o, id(2), "completed")
+	})
+}
+
 // TestListOfAFormerLife guards against a list that has the life before the one
 // that answers: runs of the new life were taken for lost.
 func TestListOfAFormerLife(t *testing.T) {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -57,11 +57,13 @@
 	runs     map[string]*run
 	ended    []lovagestand.EndedTask
 	number   int64
-	highest  map[string]int64
-	changed  chan struct{}
-	cut      bool
-	life     context.Context
-	kill     context.CancelFunc
+	// seen is the highest number acknowledged: ends up to it are dropped.
+	seen    int64
+	highest map[string]int64
+	changed chan struct{}
+	cut     bool
+	life    context.Context
+	kill    context.CancelFunc
 }
 
 type run struct {
@@ -240,16 +242,19 @@
 		return refuse(lovagestand.RefusalFenced)
 	}
 	w.epoch = o.Epoch
+	late := o.Until <= w.clock()
+	if !late {
+		f.extend(w, o.Until)
+	}
 	if r := w.runs[o.Task]; r != nil && r.number == o.Run {
 		return nil
 	}
 	if o.Run <= w.highest[o.Task] {
 		return refuse(lovagestand.RefusalStaleRun)
 	}
-	if o.Until <= w.clock() {
+	if late {
 		return refuse(lovagestand.RefusalLate)
 	}
-	f.extend(w, o.Until)
 	f.check(w, o)
 	duration, ending := f.work(o)
 	r := &run{number: o.Run, needs: f.needs(o)}
@@ -322,6 +327,7 @@
 	w.ended = append(w.ended, lovagestand.EndedTask{Number: w.number, Task: task, Run: number, Ending: ending})
 	close(w.changed)
 	w.changed = make(chan struct{})
+	f.acknowledge(w, w.seen)
 }
 
 // Stop implements [lovagestand.Fleet].
@@ -352,14 +358,18 @@
 func (f *Fleet) Hold(ctx context.Context, target lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
 	f.mu.Lock()
 	w, fault, err := f.admit(target, "hold", r.Epoch)
-	if err != nil || fault != FaultNone {
+	if err != nil || fault != FaultNone && fault != FaultLostReply {
 		f.mu.Unlock()
 		if err != nil {
 			return lovagestand.Holding{}, err
 		}
 		return lovagestand.Holding{}, noAnswer(ctx)
 	}
-	w.epoch = r.Epoch
+	w.epoch = max(w.epoch, r.Epoch)
+	if r.Born != 0 && r.Born != w.born {
+		// No connection to the former life leads here.
+		r.Seen, r.Until, r.Wait = 0, 0, 0
+	}
 	if r.Until > 0 {
 		f.extend(w, r.Until)
 	}
@@ -369,6 +379,9 @@
 		r.Wait = 0
 	}
 	f.mu.Unlock()
+	if fault == FaultLostReply {
+		return lovagestand.Holding{}, noAnswer(ctx)
+	}
 	timer := time.NewTimer(r.Wait)
 	defer timer.Stop()
 	select {
@@ -386,9 +399,10 @@
 }
 
 func (f *Fleet) acknowledge(w *worker, seen int64) {
+	w.seen = max(w.seen, seen)
 	kept := w.ended[:0]
 	for _, e := range w.ended {
-		if e.Number > seen {
+		if e.Number > w.seen {
 			kept = append(kept, e)
 			continue
 		}
@@ -399,8 +413,11 @@
 	w.ended = kept
 }
 
+// endsPerAnswer is how many ends one answer lists.
+const endsPerAnswer = 500
+
 func (w *worker) holding() lovagestand.Holding {
-	h := lovagestand.Holding{Clock: w.clock(), Born: w.born, Ended: slices.Clone(w.ended)}
+	h := lovagestand.Holding{Clock: w.clock(), Born: w.born, Ended: slices.Clone(w.ended[:min(len(w.ended), endsPerAnswer)])}
 	for task, r := range w.runs {
 		h.Running = append(h.Running, lovagestand.RunningTask{Task: task, Run: r.number, Percent: 100})
 	}
