shard: the bound of a lease holds for a life that began meanwhile

The end of a lease is sent on the worker's own clock. A life that began before the order arrived has a clock that starts anew, so the end lies far in its future and is shortened only to the longest lease of the platform (10 s), while the owner took the lease it meant (8 s). A worker that was cut off after such an order ran on for up to 2 s after its tasks were started elsewhere; a next owner, which waits the same time for workers that do not answer, did so too.

The bound now covers the longest lease of the platform, by the slowest clock, from the latest time at which an order can arrive. Every place that takes a lease as over uses it.

Before, TestLeaseByAFormerClock, with one owner and over a takeover:

--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -233,3 +233,36 @@
 		k.assertCompletedOnce(o, id(1), 4)
 	})
 }
+
+// TestLeaseByAFormerClock guards against a lease that a new life has by the clock
+// of the former one: it is far in its future, and ends later than it was meant to.
+func TestLeaseByAFormerClock(t *testing.T) {
+	c := qt.New(t)
+	for name, takeover := range map[string]bool{"with one owner": false, "over a takeover": true} {
+		c.Run(name, func(c *qt.C) {
+			synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(30*time.Second, lovagestand.EndingDone))
+				hook := &startHook{Fleet: k.fleet}
+				k.between = hook
+				o := k.ownReady("a")
+				time.Sleep(30 * time.Second)
+				hook.before = func() { k.bear(0) }
+				o.submit(c, id(1), job.Step{Count: 1})
+				time.Sleep(100 * time.Millisecond)
+				k.fleet.Cut("w0", true)
+				if takeover {
+					o.stop()
+					o = k.own("b")
+				}
+				defer o.stop()
+				k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+					return append(workers, k.fleet.Add("w1", workers[0].Capacity))
+				})
+				time.Sleep(50 * time.Second)
+				assertPhase(c, o, id(1), "completed")
+				k.assertSound()
+			})
+		})
+	}
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -103,9 +103,12 @@
 	return min(wantedLease, s.limits.MaxLease)
 }
 
-// fullLease is how long a lease may last here, by the slowest clock.
+// fullLease is how long a lease may last here after an order was sent, by the
+// slowest clock. The end that the order carries may be far in the future of a life
+// that began meanwhile: that one shortens it only to the longest lease that the
+// platform allows, from when the order arrives.
 func (s *Shard) fullLease() time.Duration {
-	return time.Duration(float64(s.lease())*clockRate) + leaseSlack
+	return orderTimeout + time.Duration(float64(s.limits.MaxLease)*clockRate) + leaseSlack
 }
 
 // extend prolongs a worker's lease from now on and returns its end on the
