shard: no run is taken for lost while a worker has more ends to list

A worker lists 500 ends at a time and goes on once they are acknowledged. The owner took the first answer for all that there is: a run neither running nor among those ends was taken for lost and started again, and a next owner took the worker as known and let the tasks of earlier jobs start. So after an outage of the store, in which ends are not acknowledged, tasks that were done ran again.

An answer with 500 ends now proves nothing about what it does not list.

--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -7,6 +7,10 @@
 	"lovagestand.example/lovagestand/job"
 )
 
+// endsPerAnswer is how many ends a worker lists at most; more follow once these
+// are acknowledged.
+const endsPerAnswer = 500
+
 // held takes what a worker answered to a hold that was sent at begun; false if a
 // life that has been replaced has answered.
 func (s *Shard) held(w *worker, begun time.Time, h lovagestand.Holding) bool {
@@ -44,21 +48,25 @@
 		w.pending = append(w.pending, unacknowledged{at: s.queued, number: w.seen})
 		s.acknowledgeWorker(w)
 	}
-	s.reconcile(w, begun, now, h.Running)
-	s.resolve(w.info.Name)
+	whole := len(h.Ended) < endsPerAnswer
+	s.reconcile(w, begun, now, h.Running, whole)
+	if whole {
+		s.resolve(w.info.Name)
+	}
 	s.wake()
 	return true
 }
 
-// reconcile compares what a worker runs with what this term believes.
-func (s *Shard) reconcile(w *worker, begun, now time.Time, running []lovagestand.RunningTask) {
+// reconcile compares what a worker runs with what this term believes; whole says
+// that no ends are left to be listed.
+func (s *Shard) reconcile(w *worker, begun, now time.Time, running []lovagestand.RunningTask, whole bool) {
 	listed := make(map[string]int64, len(running))
 	for _, r := range running {
 		listed[r.Task] = max(listed[r.Task], r.Run)
 		s.seenRunning(w, now, r)
 	}
 	for name, p := range w.placements {
-		if _, ok := listed[name]; ok || p.sending || p.settled.IsZero() || !p.settled.Before(begun) {
+		if _, ok := listed[name]; ok || !whole || p.sending || p.settled.IsZero() || !p.settled.Before(begun) {
 			continue
 		}
 		s.log.Warn().Str("task", name).Int64("run", p.run).Str("worker", string(w.info.Name)).Msg("task is not where it was started")
--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -11,6 +11,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/standin/keyspace"
 )
 
 // startHook is a fleet that calls before ahead of the next start, once.
@@ -266,3 +267,35 @@
 		})
 	}
 }
+
+// TestMoreEndsThanOneAnswerLists guards against a worker of which the list of
+// ends was cut short: runs beyond it were taken for lost.
+func TestMoreEndsThanOneAnswerLists(t *testing.T) {
+	const tasks = 700
+	c := qt.New(t)
+	for name, takeover := range map[string]bool{"by the owner that started them": false, "by the next owner": true} {
+		c.Run(name, func(c *qt.C) {
+			synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(100*time.Millisecond, lovagestand.EndingDone))
+				k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker {
+					capacity := lovagestand.Resources{MilliCPU: 1000 * tasks, MemoryMiB: 100 * tasks}
+					return []lovagestand.FleetWorker{k.fleet.Add("w0", capacity)}
+				})
+				o := k.ownReady("a")
+				o.submit(c, id(1), job.Step{Count: tasks})
+				k.keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultRejected })
+				time.Sleep(2 * time.Second)
+				if takeover {
+					o.stop()
+				}
+				k.keys.SetFault(nil)
+				if takeover {
+					o = k.own("b")
+				}
+				defer o.stop()
+				k.assertCompletedOnce(o, id(1), tasks)
+			})
+		})
+	}
+}
