shard: a new life's list tells which runs are over, not its birth

Answers to starts do not tell the worker's life on the platform. A start that reached the new life of a worker, and was answered while the first hold of that life was still on its way, was taken for one of the former life when the hold arrived, and the task was started again beside its run.

A new life now ends nothing by itself. Its list does, as any other: a run whose start was answered before the hold was sent, and which is neither running nor listed as ended there, is over.

Before, TestStartAnsweredBeforeTheHoldThatTells:

--- a/shard/hold.go
+++ b/shard/hold.go
@@ -182,7 +182,8 @@
 	s.wake()
 }
 
-// reborn takes note that a worker has begun a new life under its name.
+// reborn takes note that a worker has begun a new life under its name. Its list
+// tells which runs were the former life's: a start may have reached either.
 func (s *Shard) reborn(w *worker, born int64) {
 	s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", born).Msg("worker has a new life")
 	w.replaced[w.born] = true
@@ -190,12 +191,4 @@
 	w.beatAt = time.Time{}
 	w.acked, w.seen, w.pending = 0, 0, nil
 	w.health = health{}
-	for _, p := range w.placements {
-		if p.sending || p.born == born {
-			// The new life may get this start, or has answered it.
-			continue
-		}
-		s.vanish(p)
-	}
-	clear(w.strays)
 }
--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -299,3 +299,51 @@
 		})
 	}
 }
+
+// lagHook is a fleet of which starts do not tell the life, as on the platform;
+// it calls before ahead of the next hold, once, and delays that answer.
+type lagHook struct {
+	lovagestand.Fleet
+	before atomic.Pointer[func()]
+	lag    time.Duration
+}
+
+func (h *lagHook) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.Clock, error) {
+	clock, err := h.Fleet.Start(ctx, w, o)
+	clock.Born = 0
+	return clock, err
+}
+
+func (h *lagHook) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
+	before := h.before.Swap(nil)
+	if before == nil {
+		return h.Fleet.Hold(ctx, w, r)
+	}
+	(*before)()
+	holding, err := h.Fleet.Hold(ctx, w, r)
+	time.Sleep(h.lag)
+	return holding, err
+}
+
+// TestStartAnsweredBeforeTheHoldThatTells guards against a start that a new life
+// answered before its first answer to a hold arrived: the run was taken for one
+// of the former life.
+func TestStartAnsweredBeforeTheHoldThatTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+		hook := &lagHook{Fleet: k.fleet, lag: 300 * time.Millisecond}
+		k.between = hook
+		o := k.ownReady("a")
+		defer o.stop()
+		begun := make(chan struct{})
+		before := func() {
+			k.bear(0)
+			close(begun)
+		}
+		hook.before.Store(&before)
+		<-begun
+		o.submit(c, id(1), job.Step{Count: 1})
+		k.assertCompletedOnce(o, id(1), 1)
+	})
+}
--- a/shard/order.go
+++ b/shard/order.go
@@ -55,7 +55,7 @@
 	limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	begun := time.Now()
-	clock, err := s.deps.Fleet.Start(limited, target, order)
+	_, err := s.deps.Fleet.Start(limited, target, order)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
@@ -67,7 +67,6 @@
 	if err == nil {
 		p.entry.started = true
 		p.settled = time.Now()
-		p.born = clock.Born
 		if p.stop {
 			p.stop = false
 			s.stop(p)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -91,7 +91,6 @@
 	begun   time.Time
 	expect  time.Duration
 	settled time.Time // when the worker's answer to the start arrived
-	born    int64     // the life that answered the start; 0 where not known
 	saved   string
 	savedAt time.Time
 	stop    bool // an order to stop is to be sent or was sent
