shard: a gang that was done in a former run has the next run stopped

The end of a run can be listed after the next run was started: its worker was cut off until its lease was over, and answers again. For a gang the owner then forgot all placements of the step, also those of the later run: its members were stopped by nobody and worked on, a minute in the test, beside what follows the step.

Only the members of the run that is done are forgotten; those of any other run are stopped.

Before, TestGangDoneInAFormerRun: 2 tasks running 3 s after the end was listed, where 0 are wanted.

--- a/shard/ending.go
+++ b/shard/ending.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if e.progress.Job().Steps[task.Step].Gang {
-		s.gangDone(e, task)
+		s.gangDone(e, task, end.Run)
 	}
 	s.enqueue(e)
 	if e.progress.Final() {
@@ -117,12 +117,17 @@
 	}
 }
 
-// gangDone forgets which member was where: one end stands for all, and the
-// others give their room back when their own ends are listed.
-func (s *Shard) gangDone(e *entry, task job.Task) {
+// gangDone forgets which member was where: one end stands for all of its run, and
+// the others give their room back when their own ends are listed. Members of any
+// other run are stopped.
+func (s *Shard) gangDone(e *entry, task job.Task, run int64) {
 	for name, p := range e.active {
-		if p.task.Step == task.Step && p.task.Occurrence == task.Occurrence {
+		switch {
+		case p.task.Step != task.Step || p.task.Occurrence != task.Occurrence:
+		case p.run == run:
 			delete(e.active, name)
+		default:
+			s.stop(p)
 		}
 	}
 }
--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -347,3 +347,31 @@
 		k.assertCompletedOnce(o, id(1), 1)
 	})
 }
+
+// TestGangDoneInAFormerRun guards against the end of a former run of a gang that
+// is listed late: the members of the next run worked on unnoticed.
+func TestGangDoneInAFormerRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if o.Run == 1 {
+				return time.Second, lovagestand.EndingDone
+			}
+			return time.Minute, lovagestand.EndingDone
+		})
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 2, Gang: true})
+		time.Sleep(500 * time.Millisecond)
+		k.fleet.Cut("w0", true)
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", workers[0].Capacity))
+		})
+		time.Sleep(15 * time.Second)
+		c.Assert(k.fleet.Running(), qt.Equals, 2, qt.Commentf("the next run"))
+		k.fleet.Cut("w0", false)
+		time.Sleep(3 * time.Second)
+		assertPhase(c, o, id(1), "completed")
+		c.Assert(k.fleet.Running(), qt.Equals, 0)
+	})
+}
