shard: a failed gang stops only its own occurrence

When a member of a gang failed, the owner stopped all runs of that step that had the same number, also those of other occurrences of a repeated job. Callers would see healthy runs stopped and done again.

Before, TestGangFailsInOneOccurrence: 8 starts where 6 are wanted (two occurrences of two tasks, one run that fails).

--- a/shard/ending.go
+++ b/shard/ending.go
@@ -147,7 +147,7 @@
 		return
 	}
 	for _, p := range e.active {
-		if p.task.Step == task.Step && p.run == end.Run && e.progress.Job().Steps[task.Step].Gang {
+		if p.task.Step == task.Step && p.task.Occurrence == task.Occurrence && p.run == end.Run && e.progress.Job().Steps[task.Step].Gang {
 			s.stop(p)
 		}
 	}
--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -375,3 +375,26 @@
 		c.Assert(k.fleet.Running(), qt.Equals, 0)
 	})
 }
+
+// TestGangFailsInOneOccurrence guards against the failure of a gang that stopped
+// the same step of another occurrence, whose run has the same number.
+func TestGangFailsInOneOccurrence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			_, task, _ := job.ParseTaskName(o.Task)
+			if task.Occurrence == 0 && o.Run == 1 {
+				return 2 * time.Second, lovagestand.EndingFailed
+			}
+			return 4 * time.Second, lovagestand.EndingDone
+		})
+		o := k.ownReady("a")
+		defer o.stop()
+		c.Assert(o.submitJob(job.Job{
+			ID: job.ID(id(1)), Policy: job.Policy{Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second},
+			Steps:    []job.Step{{Count: 2, Gang: true}},
+			Schedule: job.Schedule{Repeat: 2, Start: time.Now().UnixMilli(), Interval: time.Second},
+		}), qt.IsNil)
+		k.assertCompletedOnce(o, id(1), 6)
+	})
+}
