shard: exploration also has stale lists and workers that are cut off

TestExploration started workers again rarely, and always with the list up to date at once. It now does so three times as often, half of the time with the former life listed for up to 3.5 s more, cuts workers off for up to 14 s, and plays 60 seeds instead of 25.

--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -612,7 +612,7 @@
 // TestExploration plays seeded days of faults and takeovers: whatever happens,
 // no task runs twice, no worker is overfilled, and all jobs end.
 func TestExploration(t *testing.T) {
-	for seed := range uint64(25) {
+	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { explore(t, seed) })
 		})
@@ -666,8 +666,25 @@
 		case 1:
 			k.fleet.Settle()
 			k.keys.Settle()
-		case 2:
-			k.bear(r.IntN(len(k.workers)))
+		case 2, 5, 6:
+			n := r.IntN(len(k.list()))
+			if r.IntN(2) == 0 {
+				k.bear(n)
+				break
+			}
+			entry := k.bearUnlisted(n)
+			go func() {
+				time.Sleep(time.Duration(500+r.IntN(3000)) * time.Millisecond)
+				k.enlist(n, entry)
+			}()
+		case 7, 8:
+			workers := k.list()
+			name := workers[r.IntN(len(workers))].Name
+			k.fleet.Cut(name, true)
+			go func() {
+				time.Sleep(time.Duration(r.IntN(14000)) * time.Millisecond)
+				k.fleet.Cut(name, false)
+			}()
 		case 3, 4:
 			k.delay.Store(int64(r.IntN(300)) * int64(time.Millisecond))
 		}
