--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -398,3 +398,28 @@
 		k.assertCompletedOnce(o, id(1), 6)
 	})
 }
+
+// TestLastingGangLosesAMember guards against a gang that lasts and never starts
+// again: an end of one member made the owner forget the others.
+func TestLastingGangLosesAMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 3, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if o.Run == 1 {
+				return time.Second, lovagestand.EndingDone
+			}
+			return time.Hour, lovagestand.EndingDone
+		})
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 3, Gang: true, Lasting: true, MaxPerWorker: 1})
+		time.Sleep(500 * time.Millisecond)
+		c.Assert(k.fleet.Running(), qt.Equals, 3)
+		k.crash()
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w3", workers[0].Capacity))
+		})
+		time.Sleep(20 * time.Second)
+		c.Assert(k.fleet.Running(), qt.Equals, 3)
+	})
+}
