shard: a stop that another worker turned away settles nothing

An order to stop a start in doubt went to the address that the list told, where another worker answered that it is not meant (421). The owner took that for an answer of the worker that may still carry the start out, and the next list without the run for its end; the task was started elsewhere, and then the late start came.

Such an answer is now as none: the order is sent again until the worker itself has it, or its tasks are known to be over.

Before, TestStopAnsweredElsewhere:

--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -12,6 +12,7 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/standin/keyspace"
+	"lovagestand.example/lovagestand/standin/runner"
 )
 
 // startHook is a fleet that calls before ahead of the next start, once.
@@ -209,6 +210,13 @@
 	return h.Fleet.Hold(ctx, w, r)
 }
 
+func (h *elsewhereHook) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.Clock, error) {
+	if w.Address == h.address {
+		return lovagestand.Clock{}, &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalReborn}
+	}
+	return h.Fleet.Stop(ctx, w, task, run, epoch)
+}
+
 // TestListOfAnUnknownLife guards against an entry of a life that never answered,
 // at an address where another worker is, while the life that did is cut off.
 func TestListOfAnUnknownLife(t *testing.T) {
@@ -423,3 +431,39 @@
 		c.Assert(k.fleet.Running(), qt.Equals, 3)
 	})
 }
+
+// TestStopAnsweredElsewhere guards against a start in doubt that was taken for
+// stopped because another worker turned the order to stop it away.
+func TestStopAnsweredElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(10*time.Second, lovagestand.EndingDone))
+		k.between = &elsewhereHook{Fleet: k.fleet, address: "elsewhere"}
+		o := k.ownReady("a")
+		defer o.stop()
+		k.fleet.SetFault(func(_ lovagestand.WorkerName, order string) runner.Fault {
+			if order == "start" {
+				return runner.FaultLate
+			}
+			return runner.FaultNone
+		})
+		o.submit(c, id(1), job.Step{Count: 1})
+		time.Sleep(100 * time.Millisecond)
+		k.fleet.SetFault(nil)
+		k.fleet.Cut("w0", true)
+		entry := k.list()[0]
+		unknown := entry
+		unknown.Born, unknown.Address = entry.Born-1000, "elsewhere"
+		k.enlist(0, unknown)
+		time.Sleep(4500 * time.Millisecond)
+		k.fleet.Cut("w0", false)
+		entry.Ready = false
+		k.enlist(0, entry)
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", entry.Capacity))
+		})
+		time.Sleep(1500 * time.Millisecond)
+		k.fleet.Settle()
+		k.assertCompletedOnce(o, id(1), 1)
+	})
+}
--- a/shard/order.go
+++ b/shard/order.go
@@ -156,7 +156,7 @@
 		s.mu.Lock()
 		done := s.ctx.Err() != nil || p.worker.placements[p.name] != p
 		var refused *lovagestand.OrderRefusedError
-		if err == nil || errors.As(err, &refused) && refused.Reason != lovagestand.RefusalUnhealthy {
+		if err == nil || errors.As(err, &refused) && settles(refused.Reason) {
 			p.settled = time.Now()
 			done = true
 		}
@@ -170,6 +170,12 @@
 	}
 }
 
+// settles reports whether a worker that refused an order to stop has met it: an
+// unhealthy one has not, and one at another address is not the one that may run it.
+func settles(reason lovagestand.RefusalReason) bool {
+	return reason != lovagestand.RefusalUnhealthy && reason != lovagestand.RefusalReborn
+}
+
 func (s *Shard) stopStray(ctx context.Context, w *worker, r lovagestand.RunningTask) {
 	for {
 		target := s.target(w)
