shard: the next owner asks a worker where it is now

The kept list of workers that may hold tasks had the address under which a worker was first met. A worker that started again under its name at another address kept the old one there. Where its entry was missing when the shard changed hands, the next owner asked at the old address, found another worker or nobody, and started tasks that still ran.

A change of address is kept like a new worker, and nothing is placed there before.

Before, TestWorkerMovedBeforeATakeover:

--- a/shard/lives_test.go
+++ b/shard/lives_test.go
@@ -467,3 +467,28 @@
 		k.assertCompletedOnce(o, id(1), 1)
 	})
 }
+
+// TestWorkerMovedBeforeATakeover guards against a next owner that asks at the
+// address of a former life, and takes the worker's runs for over.
+func TestWorkerMovedBeforeATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(5*time.Second, lovagestand.EndingDone))
+		former := k.ownReady("a")
+		defer former.stop()
+		k.between = &elsewhereHook{Fleet: k.fleet, address: "w0"}
+		entry := k.bearUnlisted(0)
+		entry.Address = "moved"
+		k.enlist(0, entry)
+		time.Sleep(time.Second)
+		former.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(200 * time.Millisecond)
+		former.stop()
+		k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return []lovagestand.FleetWorker{k.fleet.Add("w1", entry.Capacity)}
+		})
+		o := k.own("b")
+		defer o.stop()
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -196,6 +196,11 @@
 		s.log.Info().Str("worker", string(info.Name)).Bool("ready", info.Ready).Msg("worker changed state")
 		s.enrol()
 	}
+	if w.info.Address != info.Address {
+		// Nothing is placed here until the next owner would find it.
+		w.rosterSent, w.enrolled = false, false
+		s.enrol()
+	}
 	if info.Heartbeat != w.info.Heartbeat {
 		w.beatAt = now
 	}
