--- a/shard/ending.go
+++ b/shard/ending.go
@@ -103,8 +103,8 @@
 	if !e.progress.Finish(task, end.Run) {
 		return
 	}
-	if e.progress.Job().Steps[task.Step].Gang {
-		s.gangDone(e, task)
+	if step := e.progress.Job().Steps[task.Step]; step.Gang && !step.Lasting {
+		s.gangDone(e, task, end.Run)
 	}
 	s.enqueue(e)
 	if e.progress.Final() {
@@ -117,12 +117,17 @@
 	}
 }
 
-// gangDone forgets which member was where: one end stands for all, and the
-// others give their room back when their own ends are listed.
-func (s *Shard) gangDone(e *entry, task job.Task) {
+// gangDone forgets which member was where: one end stands for all of its run, and
+// the others give their room back when their own ends are listed. Members of any
+// other run are stopped.
+func (s *Shard) gangDone(e *entry, task job.Task, run int64) {
 	for name, p := range e.active {
-		if p.task.Step == task.Step && p.task.Occurrence == task.Occurrence {
+		switch {
+		case p.task.Step != task.Step || p.task.Occurrence != task.Occurrence:
+		case p.run == run:
 			delete(e.active, name)
+		default:
+			s.stop(p)
 		}
 	}
 }
@@ -142,7 +147,7 @@
 		return
 	}
 	for _, p := range e.active {
-		if p.task.Step == task.Step && p.run == end.Run && e.progress.Job().Steps[task.Step].Gang {
+		if p.task.Step == task.Step && p.task.Occurrence == task.Occurrence && p.run == end.Run && e.progress.Job().Steps[task.Step].Gang {
 			s.stop(p)
 		}
 	}
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -18,8 +18,15 @@
 		request, unacked := s.holdRequest(w)
 		target := w.info
 		s.mu.Unlock()
-		if unacked && !s.awaitAcknowledgement(ctx, w) {
-			continue
+		if unacked {
+			if !s.awaitAcknowledgement(ctx, w) {
+				continue
+			}
+			// Another life may have answered in the meantime.
+			s.mu.Lock()
+			request, _ = s.holdRequest(w)
+			target = w.info
+			s.mu.Unlock()
 		}
 		begun := time.Now()
 		limited, cancel := context.WithTimeout(ctx, request.Wait+holdTimeout)
@@ -29,13 +36,12 @@
 			return
 		}
 		s.mu.Lock()
+		answered := err == nil && s.held(w, begun, holding)
 		if err != nil {
 			s.holdFailed(w, err)
-		} else {
-			s.held(w, begun, holding)
 		}
 		s.mu.Unlock()
-		if err != nil {
+		if !answered {
 			pause.For(ctx, holdRetry)
 		}
 	}
@@ -44,7 +50,7 @@
 // look asks a worker at once what it holds, because a start was left in doubt.
 func (s *Shard) look(w *worker) {
 	s.mu.Lock()
-	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
+	request := lovagestand.HoldRequest{Epoch: s.term.Epoch}
 	target := w.info
 	s.mu.Unlock()
 	begun := time.Now()
@@ -59,13 +65,15 @@
 }
 
 // holdRequest returns the next hold, and whether ends are seen that may not be
-// acknowledged yet.
+// acknowledged yet. A hold after one that failed only looks: the life that gets
+// it may be another, with ends of the same numbers and another clock.
 func (s *Shard) holdRequest(w *worker) (lovagestand.HoldRequest, bool) {
 	now := time.Now()
-	request := lovagestand.HoldRequest{Epoch: s.term.Epoch, Seen: w.acked}
-	if !w.contacted {
+	request := lovagestand.HoldRequest{Epoch: s.term.Epoch}
+	if !w.contacted || w.silent {
 		return request, false
 	}
+	request.Born, request.Seen = w.born, w.acked
 	unacked := w.acked < w.seen
 	if now.Sub(w.lastAnswer) < extendFor {
 		request.Wait = holdWait
@@ -132,24 +140,27 @@
 			s.lose("worker " + string(w.info.Name) + " has seen a higher epoch")
 			return
 		case lovagestand.RefusalReborn:
-			s.expire(w, "another life answers")
-			return
+			if w.described() {
+				s.expire(w, "another worker answers at its address")
+				return
+			}
 		}
 	}
 	now := time.Now()
+	silent := w.silent
+	w.silent = true
 	var unavailable *lovagestand.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready {
+	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready && w.described() {
 		s.dismiss(w, "it was leaving, and no process listens there any more")
 		return
 	}
-	if !w.silent {
-		w.silent = true
+	if !silent {
 		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
 	}
 	if now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
 		s.expire(w, "its lease has expired")
 	}
-	if !w.contacted && now.Sub(s.began) > s.fullLease()+s.limits.Overlap {
+	if !w.contacted && now.Sub(s.began) > s.longestLease()+s.limits.Overlap {
 		s.resolve(w.info.Name)
 	}
 }
@@ -173,20 +184,14 @@
 	s.wake()
 }
 
-// reborn takes note that a worker has begun a new life under its name.
+// reborn takes note that a worker has begun a new life under its name. Its list
+// tells which runs were the former life's: a start may have reached either.
 func (s *Shard) reborn(w *worker, born int64) {
 	s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", born).Msg("worker has a new life")
-	w.info.Born = born
+	w.replaced[w.born] = true
+	w.born = born
+	w.beatAt = time.Time{}
 	w.contacted = false
-	w.leaseEnd = laterOf(w.leaseEnd, time.Now().Add(s.longestLease()))
 	w.acked, w.seen, w.pending = 0, 0, nil
 	w.health = health{}
-	for _, p := range w.placements {
-		if p.sending || p.born == born {
-			// The new life may get this start, or has answered it.
-			continue
-		}
-		s.vanish(p)
-	}
-	clear(w.strays)
 }
--- /dev/null
+++ b/shard/lives_test.go
@@ -0,0 +1,494 @@
+package shard_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/standin/keyspace"
+	"lovagestand.example/lovagestand/standin/runner"
+)
+
+// startHook is a fleet that calls before ahead of the next start, once.
+type startHook struct {
+	lovagestand.Fleet
+	before func()
+}
+
+func (h *startHook) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.Clock, error) {
+	if before := h.before; before != nil {
+		h.before = nil
+		before()
+	}
+	return h.Fleet.Start(ctx, w, o)
+}
+
+// bearUnlisted starts a worker again under its name, while the list still has
+// the former life, and returns what the new life will register.
+func (k *cell) bearUnlisted(n int) lovagestand.FleetWorker {
+	w := k.list()[n]
+	return k.fleet.Add(w.Name, w.Capacity)
+}
+
+// enlist changes a worker's entry in the list.
+func (k *cell) enlist(n int, entry lovagestand.FleetWorker) {
+	k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+		workers[n] = entry
+		return workers
+	})
+}
+
+// assertCompletedOnce waits until a job is completed, with that many starts
+// in all.
+func (k *cell) assertCompletedOnce(o *owner, id string, starts int) {
+	k.c.Helper()
+	time.Sleep(30 * time.Second)
+	assertPhase(k.c, o, id, "completed")
+	k.assertSound()
+	k.c.Assert(k.fleet.Starts(), qt.Equals, starts)
+}
+
+// TestAcknowledgementForAFormerLife guards against a hold that acknowledges the
+// ends of a former life to the next one, which drops its own unread.
+func TestAcknowledgementForAFormerLife(t *testing.T) {
+	c := qt.New(t)
+	for name, during := range map[string]bool{"born before a start": false, "born during a start": true} {
+		c.Run(name, func(c *qt.C) {
+			synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(50*time.Millisecond, lovagestand.EndingDone))
+				hook := &startHook{Fleet: k.fleet}
+				k.between = hook
+				o := k.ownReady("a")
+				defer o.stop()
+				o.submit(c, id(1), job.Step{Count: 4})
+				time.Sleep(700 * time.Millisecond)
+				assertPhase(c, o, id(1), "completed")
+				if during {
+					hook.before = func() { k.bear(0) }
+				} else {
+					k.bear(0)
+				}
+				o.submit(c, id(2), job.Step{Count: 1})
+				k.assertCompletedOnce(o, id(2), 5)
+			})
+		})
+	}
+}
+
+// TestAcknowledgementWhileTheStoreIsSlow guards against a hold that was put off
+// until the store has kept the ends, and then acknowledges to the next life.
+func TestAcknowledgementWhileTheStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(50*time.Millisecond, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 4})
+		time.Sleep(700 * time.Millisecond)
+		k.delay.Store(int64(300 * time.Millisecond))
+		o.submit(c, id(2), job.Step{Count: 1})
+		time.Sleep(150 * time.Millisecond)
+		k.bear(0)
+		k.delay.Store(0)
+		o.submit(c, id(3), job.Step{Count: 1})
+		k.assertCompletedOnce(o, id(3), 6)
+		assertPhase(c, o, id(2), "completed")
+	})
+}
+
+// TestListOfAFormerLife guards against a list that has the life before the one
+// that answers: runs of the new life were taken for lost.
+func TestListOfAFormerLife(t *testing.T) {
+	c := qt.New(t)
+	c.Run("the new life is not registered yet", func(c *qt.C) {
+		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+			o := k.ownReady("a")
+			defer o.stop()
+			entry := k.bearUnlisted(0)
+			time.Sleep(600 * time.Millisecond)
+			o.submit(c, id(1), job.Step{Count: 2})
+			time.Sleep(time.Second)
+			k.enlist(0, entry)
+			k.assertCompletedOnce(o, id(1), 2)
+		})
+	})
+	c.Run("a reading of the list is old", func(c *qt.C) {
+		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+			o := k.ownReady("a")
+			defer o.stop()
+			former := k.list()[0]
+			k.bear(0)
+			time.Sleep(time.Second)
+			o.submit(c, id(1), job.Step{Count: 2})
+			entry := k.list()[0]
+			k.enlist(0, former)
+			time.Sleep(time.Second)
+			k.enlist(0, entry)
+			k.assertCompletedOnce(o, id(1), 2)
+		})
+	})
+	c.Run("it is read at a takeover", func(c *qt.C) {
+		synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+			before := k.ownReady("a")
+			defer before.stop()
+			former := k.list()[0]
+			k.bear(0)
+			time.Sleep(time.Second)
+			before.submit(c, id(1), job.Step{Count: 2})
+			time.Sleep(200 * time.Millisecond)
+			before.stop()
+			entry := k.list()[0]
+			k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker { return nil })
+			o := k.own("b")
+			defer o.stop()
+			time.Sleep(300 * time.Millisecond)
+			k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker { return []lovagestand.FleetWorker{former} })
+			time.Sleep(time.Second)
+			k.enlist(0, entry)
+			k.assertCompletedOnce(o, id(1), 2)
+		})
+	})
+}
+
+// replayHook is a fleet that answers one hold with a former answer when told to.
+type replayHook struct {
+	lovagestand.Fleet
+	replay atomic.Pointer[lovagestand.Holding]
+}
+
+func (h *replayHook) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
+	holding, err := h.Fleet.Hold(ctx, w, r)
+	if former := h.replay.Swap(nil); former != nil {
+		return *former, nil
+	}
+	return holding, err
+}
+
+// TestAnswerOfAFormerLife guards against an answer of the life before the one
+// that has answered: runs of the new life were taken for lost.
+func TestAnswerOfAFormerLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+		hook := &replayHook{Fleet: k.fleet}
+		k.between = hook
+		o := k.ownReady("a")
+		defer o.stop()
+		former := k.list()[0].Born
+		k.bear(0)
+		time.Sleep(time.Second)
+		o.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(200 * time.Millisecond)
+		hook.replay.Store(&lovagestand.Holding{Clock: 2500, Born: former})
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
+
+// elsewhereHook is a fleet with another worker at one address.
+type elsewhereHook struct {
+	lovagestand.Fleet
+	address string
+}
+
+func (h *elsewhereHook) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
+	if w.Address == h.address {
+		return lovagestand.Holding{}, &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalReborn}
+	}
+	return h.Fleet.Hold(ctx, w, r)
+}
+
+func (h *elsewhereHook) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.Clock, error) {
+	if w.Address == h.address {
+		return lovagestand.Clock{}, &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalReborn}
+	}
+	return h.Fleet.Stop(ctx, w, task, run, epoch)
+}
+
+// TestListOfAnUnknownLife guards against an entry of a life that never answered,
+// at an address where another worker is, while the life that did is cut off.
+func TestListOfAnUnknownLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(6*time.Second, lovagestand.EndingDone))
+		k.between = &elsewhereHook{Fleet: k.fleet, address: "elsewhere"}
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 4})
+		time.Sleep(200 * time.Millisecond)
+		entry := k.list()[0]
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", entry.Capacity))
+		})
+		unknown := entry
+		unknown.Born, unknown.Address = entry.Born-1000, "elsewhere"
+		k.fleet.Cut("w0", true)
+		k.enlist(0, unknown)
+		time.Sleep(4500 * time.Millisecond)
+		k.fleet.Cut("w0", false)
+		k.enlist(0, entry)
+		k.assertCompletedOnce(o, id(1), 4)
+	})
+}
+
+// TestLeaseByAFormerClock guards against a lease that a new life has by the clock
+// of the former one: it is far in its future, and ends later than it was meant to.
+func TestLeaseByAFormerClock(t *testing.T) {
+	c := qt.New(t)
+	for name, takeover := range map[string]bool{"with one owner": false, "over a takeover": true} {
+		c.Run(name, func(c *qt.C) {
+			synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(30*time.Second, lovagestand.EndingDone))
+				hook := &startHook{Fleet: k.fleet}
+				k.between = hook
+				o := k.ownReady("a")
+				time.Sleep(30 * time.Second)
+				hook.before = func() { k.bear(0) }
+				o.submit(c, id(1), job.Step{Count: 1})
+				time.Sleep(100 * time.Millisecond)
+				k.fleet.Cut("w0", true)
+				if takeover {
+					o.stop()
+					o = k.own("b")
+				}
+				defer o.stop()
+				k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+					return append(workers, k.fleet.Add("w1", workers[0].Capacity))
+				})
+				time.Sleep(50 * time.Second)
+				assertPhase(c, o, id(1), "completed")
+				k.assertSound()
+			})
+		})
+	}
+}
+
+// TestMoreEndsThanOneAnswerLists guards against a worker of which the list of
+// ends was cut short: runs beyond it were taken for lost.
+func TestMoreEndsThanOneAnswerLists(t *testing.T) {
+	const tasks = 700
+	c := qt.New(t)
+	for name, takeover := range map[string]bool{"by the owner that started them": false, "by the next owner": true} {
+		c.Run(name, func(c *qt.C) {
+			synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(100*time.Millisecond, lovagestand.EndingDone))
+				k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker {
+					capacity := lovagestand.Resources{MilliCPU: 1000 * tasks, MemoryMiB: 100 * tasks}
+					return []lovagestand.FleetWorker{k.fleet.Add("w0", capacity)}
+				})
+				o := k.ownReady("a")
+				o.submit(c, id(1), job.Step{Count: tasks})
+				k.keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultRejected })
+				time.Sleep(2 * time.Second)
+				if takeover {
+					o.stop()
+				}
+				k.keys.SetFault(nil)
+				if takeover {
+					o = k.own("b")
+				}
+				defer o.stop()
+				k.assertCompletedOnce(o, id(1), tasks)
+			})
+		})
+	}
+}
+
+// lagHook is a fleet of which starts do not tell the life, as on the platform;
+// it calls before ahead of the next hold, once, and delays that answer.
+type lagHook struct {
+	lovagestand.Fleet
+	before atomic.Pointer[func()]
+	lag    time.Duration
+}
+
+func (h *lagHook) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.Clock, error) {
+	clock, err := h.Fleet.Start(ctx, w, o)
+	clock.Born = 0
+	return clock, err
+}
+
+func (h *lagHook) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.Holding, error) {
+	before := h.before.Swap(nil)
+	if before == nil {
+		return h.Fleet.Hold(ctx, w, r)
+	}
+	(*before)()
+	holding, err := h.Fleet.Hold(ctx, w, r)
+	time.Sleep(h.lag)
+	return holding, err
+}
+
+// TestStartAnsweredBeforeTheHoldThatTells guards against a start that a new life
+// answered before its first answer to a hold arrived: the run was taken for one
+// of the former life.
+func TestStartAnsweredBeforeTheHoldThatTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+		hook := &lagHook{Fleet: k.fleet, lag: 300 * time.Millisecond}
+		k.between = hook
+		o := k.ownReady("a")
+		defer o.stop()
+		begun := make(chan struct{})
+		before := func() {
+			k.bear(0)
+			close(begun)
+		}
+		hook.before.Store(&before)
+		<-begun
+		o.submit(c, id(1), job.Step{Count: 1})
+		k.assertCompletedOnce(o, id(1), 1)
+	})
+}
+
+// TestGangDoneInAFormerRun guards against the end of a former run of a gang that
+// is listed late: the members of the next run worked on unnoticed.
+func TestGangDoneInAFormerRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if o.Run == 1 {
+				return time.Second, lovagestand.EndingDone
+			}
+			return time.Minute, lovagestand.EndingDone
+		})
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 2, Gang: true})
+		time.Sleep(500 * time.Millisecond)
+		k.fleet.Cut("w0", true)
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", workers[0].Capacity))
+		})
+		time.Sleep(15 * time.Second)
+		c.Assert(k.fleet.Running(), qt.Equals, 2, qt.Commentf("the next run"))
+		k.fleet.Cut("w0", false)
+		time.Sleep(3 * time.Second)
+		assertPhase(c, o, id(1), "completed")
+		c.Assert(k.fleet.Running(), qt.Equals, 0)
+	})
+}
+
+// TestGangFailsInOneOccurrence guards against the failure of a gang that stopped
+// the same step of another occurrence, whose run has the same number.
+func TestGangFailsInOneOccurrence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			_, task, _ := job.ParseTaskName(o.Task)
+			if task.Occurrence == 0 && o.Run == 1 {
+				return 2 * time.Second, lovagestand.EndingFailed
+			}
+			return 4 * time.Second, lovagestand.EndingDone
+		})
+		o := k.ownReady("a")
+		defer o.stop()
+		c.Assert(o.submitJob(job.Job{
+			ID: job.ID(id(1)), Policy: job.Policy{Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second},
+			Steps:    []job.Step{{Count: 2, Gang: true}},
+			Schedule: job.Schedule{Repeat: 2, Start: time.Now().UnixMilli(), Interval: time.Second},
+		}), qt.IsNil)
+		k.assertCompletedOnce(o, id(1), 6)
+	})
+}
+
+// TestLastingGangLosesAMember guards against a gang that lasts and never starts
+// again: an end of one member made the owner forget the others.
+func TestLastingGangLosesAMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 3, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if o.Run == 1 {
+				return time.Second, lovagestand.EndingDone
+			}
+			return time.Hour, lovagestand.EndingDone
+		})
+		o := k.ownReady("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 3, Gang: true, Lasting: true, MaxPerWorker: 1})
+		time.Sleep(500 * time.Millisecond)
+		c.Assert(k.fleet.Running(), qt.Equals, 3)
+		k.crash()
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w3", workers[0].Capacity))
+		})
+		time.Sleep(20 * time.Second)
+		c.Assert(k.fleet.Running(), qt.Equals, 3)
+	})
+}
+
+// TestStopAnsweredElsewhere guards against a start in doubt that was taken for
+// stopped because another worker turned the order to stop it away.
+func TestStopAnsweredElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(10*time.Second, lovagestand.EndingDone))
+		k.between = &elsewhereHook{Fleet: k.fleet, address: "elsewhere"}
+		o := k.ownReady("a")
+		defer o.stop()
+		k.fleet.SetFault(func(_ lovagestand.WorkerName, order string) runner.Fault {
+			if order == "start" {
+				return runner.FaultLate
+			}
+			return runner.FaultNone
+		})
+		o.submit(c, id(1), job.Step{Count: 1})
+		time.Sleep(100 * time.Millisecond)
+		k.fleet.SetFault(nil)
+		k.fleet.Cut("w0", true)
+		entry := k.list()[0]
+		unknown := entry
+		unknown.Born, unknown.Address = entry.Born-1000, "elsewhere"
+		k.enlist(0, unknown)
+		time.Sleep(4500 * time.Millisecond)
+		k.fleet.Cut("w0", false)
+		entry.Ready = false
+		k.enlist(0, entry)
+		k.change(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", entry.Capacity))
+		})
+		time.Sleep(1500 * time.Millisecond)
+		k.fleet.Settle()
+		k.assertCompletedOnce(o, id(1), 1)
+	})
+}
+
+// TestWorkerMovedBeforeATakeover guards against a next owner that asks at the
+// address of a former life, and takes the worker's runs for over.
+func TestWorkerMovedBeforeATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(5*time.Second, lovagestand.EndingDone))
+		former := k.ownReady("a")
+		defer former.stop()
+		k.between = &elsewhereHook{Fleet: k.fleet, address: "w0"}
+		entry := k.bearUnlisted(0)
+		entry.Address = "moved"
+		k.enlist(0, entry)
+		time.Sleep(time.Second)
+		former.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(200 * time.Millisecond)
+		former.stop()
+		k.change(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return []lovagestand.FleetWorker{k.fleet.Add("w1", entry.Capacity)}
+		})
+		o := k.own("b")
+		defer o.stop()
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
--- a/shard/order.go
+++ b/shard/order.go
@@ -62,20 +62,22 @@
 		return
 	}
 	p.sending = false
+	var refused *lovagestand.OrderRefusedError
+	if !errors.As(err, &refused) || clock.Millis > 0 {
+		s.leased(p.worker, order, clock.Millis)
+	}
 	s.deps.Recorder.Count("starts", startOutcome(err))
 	s.deps.Recorder.Observe("orderTimes", "start", time.Since(begun))
 	if err == nil {
 		p.entry.started = true
 		p.settled = time.Now()
-		p.born = clock.Born
 		if p.stop {
 			p.stop = false
 			s.stop(p)
 		}
 		return
 	}
-	var refused *lovagestand.OrderRefusedError
-	if errors.As(err, &refused) {
+	if refused != nil {
 		s.refused(p, refused.Reason)
 		return
 	}
@@ -166,7 +168,7 @@
 		s.mu.Lock()
 		done := s.ctx.Err() != nil || p.worker.placements[p.name] != p
 		var refused *lovagestand.OrderRefusedError
-		if err == nil || errors.As(err, &refused) && refused.Reason != lovagestand.RefusalUnhealthy {
+		if err == nil || errors.As(err, &refused) && settles(refused.Reason) {
 			p.settled = time.Now()
 			done = true
 		}
@@ -180,6 +182,12 @@
 	}
 }
 
+// settles reports whether a worker that refused an order to stop has met it: an
+// unhealthy one has not, and one at another address is not the one that may run it.
+func settles(reason lovagestand.RefusalReason) bool {
+	return reason != lovagestand.RefusalUnhealthy && reason != lovagestand.RefusalReborn
+}
+
 func (s *Shard) stopStray(ctx context.Context, w *worker, r lovagestand.RunningTask) {
 	for {
 		target := s.target(w)
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -39,8 +40,10 @@
 	workers []lovagestand.FleetWorker
 	log     zerolog.Logger
 	// delay is how long the store takes to change something, in nanoseconds.
-	delay  atomic.Int64
-	advice func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
+	delay atomic.Int64
+	// between stands between the owner and the fleet where it is set.
+	between lovagestand.Fleet
+	advice  func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
 }
 
 // paced is a store that takes its time to change something.
@@ -90,7 +93,7 @@
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
 	deps := shard.Deps{
-		Fleet: k.fleet, Store: jobstore.New(paced{k.keys, &k.delay}, term), Lines: k.lines, Confirmed: func() bool { return true }, Assured: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
+		Fleet: cmp.Or(k.between, lovagestand.Fleet(k.fleet)), Store: jobstore.New(paced{k.keys, &k.delay}, term), Lines: k.lines, Confirmed: func() bool { return true }, Assured: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	}
 	for _, change := range changes {
 		change(&deps)
@@ -628,7 +631,7 @@
 // TestExploration plays seeded days of faults and takeovers: whatever happens,
 // no task runs twice, no worker is overfilled, and all jobs end.
 func TestExploration(t *testing.T) {
-	for seed := range uint64(25) {
+	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { explore(t, seed) })
 		})
@@ -682,8 +685,25 @@
 		case 1:
 			k.fleet.Settle()
 			k.keys.Settle()
-		case 2:
-			k.bear(r.IntN(len(k.workers)))
+		case 2, 5, 6:
+			n := r.IntN(len(k.list()))
+			if r.IntN(2) == 0 {
+				k.bear(n)
+				break
+			}
+			entry := k.bearUnlisted(n)
+			go func() {
+				time.Sleep(time.Duration(500+r.IntN(3000)) * time.Millisecond)
+				k.enlist(n, entry)
+			}()
+		case 7, 8:
+			workers := k.list()
+			name := workers[r.IntN(len(workers))].Name
+			k.fleet.Cut(name, true)
+			go func() {
+				time.Sleep(time.Duration(r.IntN(14000)) * time.Millisecond)
+				k.fleet.Cut(name, false)
+			}()
 		case 3, 4:
 			k.delay.Store(int64(r.IntN(300)) * int64(time.Millisecond))
 		}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -23,7 +23,7 @@
 	// openFor is how long after its last answer a worker gets new tasks.
 	openFor = holdWait + holdTimeout
 	// extendFor is how long after its last answer a worker's lease is still
-	// prolonged; later holds only look, so that the lease comes to an end.
+	// prolonged, by an owner that stood still; later holds only look.
 	extendFor = 2500 * time.Millisecond
 	// holdRetry spaces holds of a worker that does not answer.
 	holdRetry = 200 * time.Millisecond
@@ -36,16 +36,25 @@
 	acknowledgeWait = 150 * time.Millisecond
 )
 
-// worker is one life of a worker.
+// worker is a worker under one name, through all its lives.
 type worker struct {
-	info    lovagestand.FleetWorker
+	info lovagestand.FleetWorker // as last listed
+	// born is the life that answers, 0 while none has told; replaced are the
+	// lives before it, which are never believed again.
+	born     int64
+	replaced map[int64]bool
+	// unmet is another life that the list told of at unmetAt, 0 for none: until
+	// the next answer it is open which of the two is the later one.
+	unmet   int64
+	unmetAt time.Time
+
 	cancel  context.CancelFunc
 	listed  bool
 	lastSee time.Time // when it was last listed
 	beatAt  time.Time // when its heartbeat was last seen to change
 
 	contacted    bool
-	silent       bool
+	silent       bool // the last hold has failed
 	lastAnswer   time.Time
 	askedAt      time.Time // when the last hold that was answered was sent
 	clock        int64
@@ -86,7 +95,6 @@
 	begun   time.Time
 	expect  time.Duration
 	settled time.Time // when the worker's answer to the start arrived
-	born    int64     // the life that answered the start; 0 where not known
 	saved   string
 	savedAt time.Time
 	stop    bool // an order to stop is to be sent or was sent
@@ -103,10 +111,12 @@
 	return slowest(s.lease())
 }
 
-// longestLease is how long a lease may last that was given by the clock of
-// another life of the worker.
+// longestLease is how long a lease may last here that an order without an answer
+// may have given: a life that began meanwhile takes its end, told by the clock of
+// the former one, for far away and shortens it only to the longest lease that the
+// platform allows, from when the order arrives.
 func (s *Shard) longestLease() time.Duration {
-	return slowest(s.limits.MaxLease)
+	return orderTimeout + slowest(s.limits.MaxLease)
 }
 
 // slowest returns how long a time on a worker's clock may last here.
@@ -121,6 +131,16 @@
 	return w.workerTime(now) + s.lease().Milliseconds()
 }
 
+// leased notes the lease that a start has given, by the worker's clock in its
+// answer; an answer without a clock leaves the longest one possible.
+func (s *Shard) leased(w *worker, order lovagestand.Order, clock int64) {
+	lease := s.longestLease()
+	if clock > 0 {
+		lease = slowest(min(s.limits.MaxLease, time.Duration(order.Until-clock)*time.Millisecond))
+	}
+	w.leaseEnd = laterOf(w.leaseEnd, time.Now().Add(lease))
+}
+
 // workerTime returns the worker's clock at t, as far as known.
 func (w *worker) workerTime(t time.Time) int64 {
 	return w.clock + t.Sub(w.clockAt).Milliseconds()
@@ -128,7 +148,7 @@
 
 // open reports whether the worker may get new tasks.
 func (w *worker) open(now time.Time) bool {
-	if !w.contacted || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
+	if !w.contacted || w.silent || w.unmet != 0 || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
 		return false
 	}
 	if !w.listed && now.Sub(w.lastSee) > missingFor {
@@ -172,7 +192,7 @@
 // left reports whether a worker that was about to leave has done so: its entry
 // is gone although its heartbeat was not silent for long enough to lapse.
 func (s *Shard) left(w *worker, now time.Time) bool {
-	return !w.listed && !w.info.Ready && !w.beatAt.IsZero() && now.Sub(w.beatAt) < s.limits.Silence-s.limits.ListInterval-leftMargin
+	return !w.listed && w.described() && !w.info.Ready && !w.beatAt.IsZero() && now.Sub(w.beatAt) < s.limits.Silence-s.limits.ListInterval-leftMargin
 }
 
 // gone reports whether a worker has left and cannot run anything of ours.
@@ -192,23 +212,60 @@
 		s.addWorker(info, now)
 		return
 	}
-	if info.Born != 0 && w.info.Born != 0 && info.Born != w.info.Born {
-		s.reborn(w, info.Born)
+	w.listed, w.lastSee = true, now
+	if w.outdated(info) {
+		w.doubt(info.Born, now)
+		return
 	}
 	if w.info.Ready != info.Ready {
 		s.log.Info().Str("worker", string(info.Name)).Bool("ready", info.Ready).Msg("worker changed state")
 		s.enrol()
 	}
+	if w.info.Address != info.Address {
+		// Nothing is placed here until the next owner would find it.
+		w.rosterSent, w.enrolled = false, false
+		s.enrol()
+	}
 	if info.Heartbeat != w.info.Heartbeat {
 		w.beatAt = now
 	}
-	born := w.info.Born
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	w.info = info
-	if info.Born == 0 {
-		w.info.Born = born
+}
+
+// outdated reports whether an entry of the list is to be passed over: a list may
+// be older than an answer, so another life than the one that answers is not
+// believed, and only followed to its address while nothing answers.
+func (w *worker) outdated(info lovagestand.FleetWorker) bool {
+	return w.replaced[info.Born] || !w.silent && !w.isLife(info.Born)
+}
+
+// doubt notes a life that the list tells of and that has not answered.
+func (w *worker) doubt(born int64, now time.Time) {
+	if !w.replaced[born] && w.unmet == 0 {
+		w.unmet, w.unmetAt = born, now
 	}
-	w.listed, w.lastSee = true, now
+}
+
+// met notes that a life has answered a hold that was sent at begun. A life that
+// was listed before and does not answer is a former one.
+func (w *worker) met(born int64, begun time.Time) {
+	if w.unmet == 0 || !begun.After(w.unmetAt) {
+		return
+	}
+	if born != 0 && born != w.unmet {
+		w.replaced[w.unmet] = true
+	}
+	w.unmet = 0
+}
+
+// described reports whether the list tells of the life that answers, as far as
+// known.
+func (w *worker) described() bool { return w.isLife(w.info.Born) }
+
+// isLife reports whether a life may be the one that answers.
+func (w *worker) isLife(born int64) bool {
+	return born == 0 || w.born == 0 || born == w.born
 }
 
 // startUnlisted begins to hold the workers that a former term may have given
@@ -226,7 +283,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{
 		info: info, free: info.Capacity, cancel: cancel, listed: !now.IsZero(), lastSee: now,
-		placements: map[string]*placement{}, strays: map[string]int64{}, acknowledged: make(chan struct{}, 1),
+		placements: map[string]*placement{}, strays: map[string]int64{}, replaced: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
 	s.log.Info().Str("worker", string(info.Name)).Str("address", info.Address).Str("rack", string(info.Rack)).Msg("worker added")
