--- a/node/owner.go
+++ b/node/owner.go
@@ -138,7 +138,7 @@
 // call sends a call to the owner, and again while it is not answered or the
 // instance is not the owner. A call that was never sent is given up early, so
 // that the caller comes back.
-func (c *ownerClient) call(ctx context.Context, name string, send func(context.Context, cellpb.Cell) (cellpb.Verdict, error)) error {
+func (c *ownerClient) call(ctx context.Context, name string, id job.ID, send func(context.Context, cellpb.Cell) (cellpb.Verdict, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if c.isolated() {
@@ -152,7 +152,7 @@
 			return verdictError(verdict)
 		}
 		if err != nil && !notSent(err) || verdict == cellpb.Verdict_VERDICT_UNKNOWN {
-			c.log.Warn().Err(err).Str("call", name).Bool("first", !sent).Msg("owner did not answer")
+			c.log.Warn().Err(err).Str("call", name).Str("job", string(id)).Bool("first", !sent).Msg("owner did not answer")
 			sent = true
 		}
 		if !sent && time.Since(begun) > handoverWait {
@@ -236,7 +236,7 @@
 		return err
 	}
 	var reply *cellpb.SubmitReply
-	err = c.call(ctx, "submit", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+	err = c.call(ctx, "submit", j.ID, func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
 		var err error
 		reply, err = to.Submit(ctx, &cellpb.SubmitRequest{Shard: c.shard, Id: string(j.ID), Job: body})
 		return reply.GetVerdict(), err
@@ -250,7 +250,7 @@
 // State is [owners.State] for this shard.
 func (c *ownerClient) State(ctx context.Context, id job.ID) (string, error) {
 	phase := ""
-	err := c.call(ctx, "state", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+	err := c.call(ctx, "state", id, func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
 		reply, err := to.State(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id)})
 		phase = reply.GetPhase()
 		return reply.GetVerdict(), err
@@ -260,7 +260,7 @@
 
 // Cancel is [owners.Cancel] for this shard.
 func (c *ownerClient) Cancel(ctx context.Context, id job.ID) error {
-	return c.call(ctx, "cancel", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+	return c.call(ctx, "cancel", id, func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
 		reply, err := to.Cancel(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id)})
 		return reply.GetVerdict(), err
 	})
@@ -269,7 +269,7 @@
 // Pending is [owners.Pending] for this shard.
 func (c *ownerClient) Pending(ctx context.Context, route lovagestand.RouteName) (int, error) {
 	n := 0
-	err := c.call(ctx, "pending", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
+	err := c.call(ctx, "pending", "", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
 		reply, err := to.Pending(ctx, &cellpb.PendingRequest{Shard: c.shard, Route: string(route)})
 		n = int(reply.GetJobs())
 		return reply.GetVerdict(), err
