node: a job is rejected only if no earlier call for it is in doubt

Callers were told 503, which promises that the job never runs, although a first call to the owner had not been answered and could still arrive: an owner whose store does not answer rejects the second call, and takes the job from the first one once the store is back.

Such a rejection is now answered 504, as other calls of unknown outcome, and the caller comes back with the same ID.

--- a/node/owner.go
+++ b/node/owner.go
@@ -135,6 +135,11 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// inDoubt reports whether a call may have taken effect, or may yet do so.
+func inDoubt(verdict cellpb.Verdict, err error) bool {
+	return err != nil && !notSent(err) || verdict == cellpb.Verdict_VERDICT_UNKNOWN
+}
+
 // call sends a call to the owner, and again while it is not answered or the
 // instance is not the owner. A call that was never sent is given up early, so
 // that the caller comes back.
@@ -151,7 +156,7 @@
 		if err == nil && verdict != cellpb.Verdict_VERDICT_NOT_OWNER && verdict != cellpb.Verdict_VERDICT_UNKNOWN {
 			return verdictError(verdict)
 		}
-		if err != nil && !notSent(err) || verdict == cellpb.Verdict_VERDICT_UNKNOWN {
+		if inDoubt(verdict, err) {
 			c.log.Warn().Err(err).Str("call", name).Bool("first", !sent).Msg("owner did not answer")
 			sent = true
 		}
@@ -229,19 +234,22 @@
 	return &shard.UnknownError{}
 }
 
-// Submit is [owners.Submit] for this shard.
+// Submit is [owners.Submit] for this shard. A job is rejected only if no earlier
+// call is in doubt: that one may arrive late.
 func (c *ownerClient) Submit(ctx context.Context, j job.Job) error {
 	body, err := job.EncodeJob(j)
 	if err != nil {
 		return err
 	}
 	var reply *cellpb.SubmitReply
+	doubt := false
 	err = c.call(ctx, "submit", func(ctx context.Context, to cellpb.Cell) (cellpb.Verdict, error) {
 		var err error
 		reply, err = to.Submit(ctx, &cellpb.SubmitRequest{Shard: c.shard, Id: string(j.ID), Job: body})
+		doubt = doubt || inDoubt(reply.GetVerdict(), err)
 		return reply.GetVerdict(), err
 	})
-	if reply.GetVerdict() == cellpb.Verdict_VERDICT_REJECTED {
+	if reply.GetVerdict() == cellpb.Verdict_VERDICT_REJECTED && !doubt {
 		return &shard.RejectedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond}
 	}
 	return err
