shard: a write that was answered rejects no new jobs

Callers were told 503 for every new job, for as long as nothing else was written: when a write was answered after nearly 600 ms, while the shard was busy, the timer that takes a write for stalled could get the lock after the answer. Nothing then said that the store answers, since new jobs are not written any more. In a cell without other work that has no end.

The timer now passes over a write that has been answered.

Before, TestStoreThatHasAnsweredIsNotStalled, five times of five: got non-nil error: e"job rejected: the store does not answer"

--- a/shard/shard.go
+++ b/shard/shard.go
@@ -83,6 +83,8 @@
 	// the lanes that help the first one, helping their work.
 	underWay [jobstore.Lanes][]batchEntry
 	laneBusy [jobstore.Lanes]bool
+	// answered counts the writes of each lane that were answered.
+	answered [jobstore.Lanes]int
 	// slow says that the last write took long.
 	slow     bool
 	helping  sync.WaitGroup
--- /dev/null
+++ b/shard/stalled_test.go
@@ -0,0 +1,34 @@
+package shard_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/shard"
+)
+
+// TestStoreThatHasAnsweredIsNotStalled has a write answered just before it
+// counts as stalled, while the shard is busy: nothing else is written after it.
+func TestStoreThatHasAnsweredIsNotStalled(t *testing.T) {
+	c := qt.New(t)
+	k := newCell(c, 0, always(time.Second, lovagestand.EndingDone))
+	o := k.own("a", func(d *shard.Deps) {
+		// Pending asks under the lock.
+		d.Confirmed = func() bool { time.Sleep(500 * time.Millisecond); return true }
+	})
+	defer o.stop()
+	k.delay.Store(int64(550 * time.Millisecond))
+	var calling sync.WaitGroup
+	calling.Go(func() { o.submit(c, id(1), job.Step{Count: 1}) })
+	time.Sleep(300 * time.Millisecond)
+	calling.Go(func() { _, _ = o.Pending("quote") })
+	calling.Wait()
+	k.delay.Store(0)
+	time.Sleep(500 * time.Millisecond)
+	o.submit(c, id(2), job.Step{Count: 1})
+}
--- a/shard/write.go
+++ b/shard/write.go
@@ -104,8 +104,8 @@
 	if len(values) == 0 {
 		return false, nil
 	}
-	stall := time.AfterFunc(stallAfter, s.stall)
-	defer stall.Stop()
+	number := s.answered[lane]
+	defer time.AfterFunc(stallAfter, func() { s.stall(lane, number) }).Stop()
 	defer time.AfterFunc(helpAfter, func() { s.help(ctx) }).Stop()
 	err := s.deps.Store.WriteIn(ctx, lane, values)
 	if err != nil {
@@ -154,10 +154,14 @@
 	s.laneBusy[lane] = false
 }
 
-// stall rejects the queued new jobs: none of them is in the write under way.
-func (s *Shard) stall() {
+// stall rejects the queued new jobs, unless the write with a number in a lane has
+// been answered: none of them is in a write under way.
+func (s *Shard) stall(lane, number int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.answered[lane] != number {
+		return
+	}
 	s.stalled = true
 	kept := s.queue[:0]
 	rejected := 0
@@ -258,6 +262,7 @@
 	}
 	s.slow = took > helpAfter
 	s.underWay[lane] = nil
+	s.answered[lane]++
 	s.written = s.allWritten()
 	if len(s.queue) > 0 {
 		// Jobs that were in this write may be queued again.
