shard: a copy of a cancelled submission is acknowledged once that is kept

Callers could be told 410 for a submission that had been acknowledged: the first copy of one that came after its cancellation waits until the store knows that it was submitted, but a second copy was answered at once. After a takeover before that write the job was one that nobody had submitted.

The entry now counts as durable again only with a write that knows of the submission.

--- a/shard/forgotten_test.go
+++ b/shard/forgotten_test.go
@@ -111,3 +111,27 @@
 		c.Assert(err, qt.ErrorAs, &absent)
 	})
 }
+
+// TestCopyOfACancelledSubmissionIsAcknowledgedOnceKept replays a takeover right
+// after a copy of a submission that came after its cancellation was acknowledged.
+func TestCopyOfACancelledSubmissionIsAcknowledgedOnceKept(t *testing.T) {
+	for name, after := range map[string]time.Duration{"cancellation kept": 300 * time.Millisecond, "cancellation being written": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+				o := k.ownReady("a")
+				defer o.stop()
+				k.delay.Store(int64(100 * time.Millisecond))
+				go func() { _ = o.Cancel(t.Context(), job.ID(id(1))) }()
+				time.Sleep(after)
+				go func() { _ = o.try(id(1), job.Step{Count: 1}) }()
+				time.Sleep(60 * time.Millisecond)
+				o.submit(c, id(1), job.Step{Count: 1})
+				later := k.own("b")
+				defer later.stop()
+				assertPhase(c, later, id(1), "cancelled")
+			})
+		})
+	}
+}
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -86,7 +86,7 @@
 	}
 	if e.unsubmitted {
 		s.log.Info().Str("job", string(j.ID)).Msg("job was cancelled before it was submitted")
-		e.unsubmitted, e.route = false, j.Policy.Route
+		e.unsubmitted, e.durable, e.route = false, false, j.Policy.Route
 	}
 	s.enqueue(e)
 	done := s.await(e)
--- a/shard/write.go
+++ b/shard/write.go
@@ -166,7 +166,7 @@
 	kept := s.queue[:0]
 	rejected := 0
 	for _, e := range s.queue {
-		if e.durable || e.writing || e.unsubmitted {
+		if e.durable || e.kept || e.writing || e.unsubmitted {
 			kept = append(kept, e)
 			continue
 		}
@@ -181,10 +181,12 @@
 
 // batchEntry is an entry in a write with what it was when it was encoded.
 type batchEntry struct {
-	entry   *entry
-	at      int64
-	final   bool
-	waiters []chan error
+	entry *entry
+	at    int64
+	final bool
+	// unsubmitted says that the job is written as not submitted.
+	unsubmitted bool
+	waiters     []chan error
 }
 
 const jobPrefix = "jobs/"
@@ -216,7 +218,7 @@
 			continue
 		}
 		values = append(values, jobstore.Entry{ID: jobKey(e.id), Value: value})
-		batch = append(batch, batchEntry{entry: e, at: e.queuedAt, final: e.final(), waiters: e.waiters})
+		batch = append(batch, batchEntry{entry: e, at: e.queuedAt, final: e.final(), unsubmitted: e.unsubmitted, waiters: e.waiters})
 		e.queuedAt, e.waiters, e.writing = 0, nil, true
 	}
 	clear(s.queue[len(left):])
@@ -252,7 +254,7 @@
 			s.forgotten(e)
 		}
 		e.writing = false
-		e.durable = true
+		e.durable = e.durable || b.unsubmitted == e.unsubmitted
 		e.kept = e.kept || b.final
 		s.settleFinal(e)
 		answer(b.waiters, nil)
