shard: a kept job that is not understood is not taken again

Callers' jobs would run again after they were done, or after their cancellation was acknowledged: a kept job that could not be decoded, as one written by another version during an upgrade, was logged and then unknown. A cancellation was answered 410, and the next copy of the submission was a new job.

The IDs of such jobs are remembered: their submission and cancellation are in doubt, their state is not told, and nothing overwrites them.

--- a/shard/forgotten_test.go
+++ b/shard/forgotten_test.go
@@ -135,3 +135,27 @@
 		})
 	}
 }
+
+// TestJobThatIsNotUnderstoodIsNotTakenAgain has a later version keep a job in a
+// form that this one does not know.
+func TestJobThatIsNotUnderstoodIsNotTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		o.submit(c, id(1), job.Step{Count: 1})
+		time.Sleep(3 * time.Second)
+		o.stop()
+		k.keys.Put("shards/0/jobs/"+id(1), []byte(`{"phase":"archived","finishedMillis":1}`))
+		later := k.ownReady("b")
+		defer later.stop()
+		var unknown *shard.UnknownError
+		c.Check(later.try(id(1), job.Step{Count: 1}), qt.ErrorAs, &unknown)
+		c.Check(later.Cancel(t.Context(), job.ID(id(1))), qt.ErrorAs, &unknown)
+		var notOwner *shard.NotOwnerError
+		_, err := later.State(job.ID(id(1)))
+		c.Check(err, qt.ErrorAs, &notOwner)
+		time.Sleep(3 * time.Second)
+		k.assertSound()
+	})
+}
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -38,6 +38,7 @@
 		}
 		if err := s.loadJob(k, begun); err != nil {
 			s.log.Error().Err(err).Str("entry", k.ID).Msg("kept job not understood")
+			s.unreadable[job.ID(strings.TrimPrefix(k.ID, jobPrefix))] = true
 		}
 	}
 	s.resolved = len(s.unresolved) == 0
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -62,12 +62,14 @@
 
 	mu sync.Mutex
 	// ctx ends with the term.
-	ctx     context.Context
-	end     context.CancelFunc
-	jobs    map[job.ID]*entry
-	live    map[job.ID]*entry
-	workers map[lovagestand.WorkerName]*worker
-	listed  bool
+	ctx  context.Context
+	end  context.CancelFunc
+	jobs map[job.ID]*entry
+	live map[job.ID]*entry
+	// unreadable are kept jobs that this version does not understand.
+	unreadable map[job.ID]bool
+	workers    map[lovagestand.WorkerName]*worker
+	listed     bool
 	// closing says that the term ends: no new jobs are taken.
 	closing bool
 	// reading is the next look at the ownership in the store; nil when no
@@ -112,7 +114,7 @@
 	return &Shard{
 		ctx: ctx, end: end, deps: deps, term: term, limits: limits,
 		log:  deps.Log.With().Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Logger(),
-		jobs: map[job.ID]*entry{}, live: map[job.ID]*entry{}, workers: map[lovagestand.WorkerName]*worker{},
+		jobs: map[job.ID]*entry{}, live: map[job.ID]*entry{}, unreadable: map[job.ID]bool{}, workers: map[lovagestand.WorkerName]*worker{},
 		dirtied: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{},
 		lines:      map[lovagestand.InstanceID]*line{}, learned: map[lovagestand.RouteName]*routeStats{},
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -73,6 +73,10 @@
 		s.mu.Unlock()
 		return &NotOwnerError{}
 	}
+	if s.unreadable[j.ID] {
+		s.mu.Unlock()
+		return &UnknownError{}
+	}
 	if !known {
 		if s.stalled {
 			s.mu.Unlock()
@@ -126,6 +130,7 @@
 		defer s.mu.Unlock()
 		return e.shownPhase(), nil
 	}
+	known = known || s.unreadable[id]
 	s.mu.Unlock()
 	if known || !s.owned(ctx) {
 		return "", &NotOwnerError{}
@@ -161,6 +166,10 @@
 		s.mu.Unlock()
 		return &NotOwnerError{}
 	}
+	if s.unreadable[id] {
+		s.mu.Unlock()
+		return &UnknownError{}
+	}
 	if !known {
 		e = finishedEntry(id, "", phaseCancelled, time.Now())
 		e.unsubmitted = true
