shard: cancellations of unknown jobs do not pile up while the store is away

Each cancellation of an ID that is not known was kept in memory and queued for the store, also during an outage, in which it cannot be answered. Callers that cancel at random, or come back with their cancellations, could fill the memory of the owner.

--- a/shard/forgotten_test.go
+++ b/shard/forgotten_test.go
@@ -11,6 +11,7 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/shard"
+	"lovagestand.example/lovagestand/standin/keyspace"
 )
 
 // TestFinishedJobIsNotTakenAgain replays cancellations that come while the end
@@ -159,3 +160,26 @@
 		k.assertSound()
 	})
 }
+
+// TestUnknownCancellationsDoNotPileUp has many unknown jobs cancelled while the
+// store is away.
+func TestUnknownCancellationsDoNotPileUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 0, always(time.Second, lovagestand.EndingDone))
+		o := k.own("a")
+		defer o.stop()
+		k.keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultLostRequest })
+		var rejected *shard.RejectedError
+		for i := range 1000 {
+			go func() { _ = o.Cancel(t.Context(), job.ID(id(i))) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(o.Status().Jobs < 100, qt.IsTrue, qt.Commentf("%d jobs", o.Status().Jobs))
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1000))), qt.ErrorAs, &rejected)
+		k.keys.SetFault(nil)
+		time.Sleep(5 * time.Second)
+		var absent *shard.UnknownJobError
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1000))), qt.ErrorAs, &absent)
+	})
+}
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -171,6 +171,10 @@
 		return &UnknownError{}
 	}
 	if !known {
+		if s.stalled {
+			s.mu.Unlock()
+			return &RejectedError{Reason: "the store does not answer", RetryAfter: retryDelay}
+		}
 		e = finishedEntry(id, "", phaseCancelled, time.Now())
 		e.unsubmitted = true
 		s.jobs[id] = e
