shard: a kept roster that is not understood holds tasks back

Callers' tasks would run twice at the same time after a takeover by an instance of another version: a list of workers that could not be decoded was taken for an empty one, so nothing was waited for, and tasks of earlier jobs started at once beside their runs.

Now they wait until no lease of a former term can hold a run any more, as for a worker that does not answer.

--- a/shard/forgotten_test.go
+++ b/shard/forgotten_test.go
@@ -183,3 +183,23 @@
 		c.Assert(o.Cancel(t.Context(), job.ID(id(1000))), qt.ErrorAs, &absent)
 	})
 }
+
+// TestRosterThatIsNotUnderstoodHoldsTasksBack has a later version keep the list of
+// workers that may hold tasks in a form that this one does not know.
+func TestRosterThatIsNotUnderstoodHoldsTasksBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(20*time.Second, lovagestand.EndingDone))
+		former := k.ownReady("a")
+		former.submit(c, id(1), job.Step{Count: 6})
+		time.Sleep(time.Second)
+		former.stop()
+		k.keys.Put("shards/0/roster", []byte(`["w0","w1"]`))
+		k.fleet.Cut("w0", true)
+		later := k.own("b")
+		defer later.stop()
+		time.Sleep(50 * time.Second)
+		assertPhase(c, later, id(1), "completed")
+		k.assertSound()
+	})
+}
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -41,7 +41,7 @@
 			s.unreadable[job.ID(strings.TrimPrefix(k.ID, jobPrefix))] = true
 		}
 	}
-	s.resolved = len(s.unresolved) == 0
+	s.resolved = len(s.unresolved) == 0 && !s.blind
 	s.log.Info().Int("jobs", len(s.jobs)).Int("live", len(s.live)).Int("workers", len(s.unresolved)).Dur("took", time.Since(begun)).Msg("shard loaded")
 	return nil
 }
@@ -50,6 +50,7 @@
 	var roster map[lovagestand.WorkerName]rosterEntry
 	if err := json.Unmarshal(value, &roster); err != nil {
 		s.log.Error().Err(err).Msg("kept roster not understood")
+		s.outwaitLeases()
 		return
 	}
 	for name, former := range roster {
@@ -57,6 +58,18 @@
 	}
 }
 
+// outwaitLeases leaves what former terms started unresolved until no lease can
+// hold it any more.
+func (s *Shard) outwaitLeases() {
+	s.blind = true
+	time.AfterFunc(s.longestLease()+s.limits.Overlap, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.blind = false
+		s.resolve("")
+	})
+}
+
 func (s *Shard) loadJob(k jobstore.Entry, now time.Time) error {
 	r, body, err := job.DecodeRecord(k.Value)
 	if err != nil {
@@ -92,7 +105,7 @@
 		return
 	}
 	delete(s.unresolved, name)
-	if len(s.unresolved) > 0 {
+	if len(s.unresolved) > 0 || s.blind {
 		return
 	}
 	s.resolved = true
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -93,9 +93,10 @@
 	rosterAt int64
 
 	// began is when the term began; unresolved are the workers that may still
-	// hold tasks of the term before.
+	// hold tasks of the term before, and blind says that there may be others.
 	began      time.Time
 	unresolved map[lovagestand.WorkerName]rosterEntry
+	blind      bool
 	resolved   bool
 
 	summarized time.Time
