--- a/shard/forgotten_test.go
+++ b/shard/forgotten_test.go
@@ -11,6 +11,7 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/shard"
+	"lovagestand.example/lovagestand/standin/keyspace"
 )
 
 // TestFinishedJobIsNotTakenAgain replays cancellations that come while the end
@@ -111,3 +112,94 @@
 		c.Assert(err, qt.ErrorAs, &absent)
 	})
 }
+
+// TestCopyOfACancelledSubmissionIsAcknowledgedOnceKept replays a takeover right
+// after a copy of a submission that came after its cancellation was acknowledged.
+func TestCopyOfACancelledSubmissionIsAcknowledgedOnceKept(t *testing.T) {
+	for name, after := range map[string]time.Duration{"cancellation kept": 300 * time.Millisecond, "cancellation being written": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+				o := k.ownReady("a")
+				defer o.stop()
+				k.delay.Store(int64(100 * time.Millisecond))
+				go func() { _ = o.Cancel(t.Context(), job.ID(id(1))) }()
+				time.Sleep(after)
+				go func() { _ = o.try(id(1), job.Step{Count: 1}) }()
+				time.Sleep(60 * time.Millisecond)
+				o.submit(c, id(1), job.Step{Count: 1})
+				later := k.own("b")
+				defer later.stop()
+				assertPhase(c, later, id(1), "cancelled")
+			})
+		})
+	}
+}
+
+// TestJobThatIsNotUnderstoodIsNotTakenAgain has a later version keep a job in a
+// form that this one does not know.
+func TestJobThatIsNotUnderstoodIsNotTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		o.submit(c, id(1), job.Step{Count: 1})
+		time.Sleep(3 * time.Second)
+		o.stop()
+		k.keys.Put("shards/0/jobs/"+id(1), []byte(`{"phase":"archived","finishedMillis":1}`))
+		later := k.ownReady("b")
+		defer later.stop()
+		var unknown *shard.UnknownError
+		c.Check(later.try(id(1), job.Step{Count: 1}), qt.ErrorAs, &unknown)
+		c.Check(later.Cancel(t.Context(), job.ID(id(1))), qt.ErrorAs, &unknown)
+		var notOwner *shard.NotOwnerError
+		_, err := later.State(job.ID(id(1)))
+		c.Check(err, qt.ErrorAs, &notOwner)
+		time.Sleep(3 * time.Second)
+		k.assertSound()
+	})
+}
+
+// TestUnknownCancellationsDoNotPileUp has many unknown jobs cancelled while the
+// store is away.
+func TestUnknownCancellationsDoNotPileUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 0, always(time.Second, lovagestand.EndingDone))
+		o := k.own("a")
+		defer o.stop()
+		k.keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultLostRequest })
+		var rejected *shard.RejectedError
+		for i := range 1000 {
+			go func() { _ = o.Cancel(t.Context(), job.ID(id(i))) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(o.Status().Jobs < 100, qt.IsTrue, qt.Commentf("%d jobs", o.Status().Jobs))
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1000))), qt.ErrorAs, &rejected)
+		k.keys.SetFault(nil)
+		time.Sleep(5 * time.Second)
+		var absent *shard.UnknownJobError
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1000))), qt.ErrorAs, &absent)
+	})
+}
+
+// TestRosterThatIsNotUnderstoodHoldsTasksBack has a later version keep the list of
+// workers that may hold tasks in a form that this one does not know.
+func TestRosterThatIsNotUnderstoodHoldsTasksBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(20*time.Second, lovagestand.EndingDone))
+		former := k.ownReady("a")
+		former.submit(c, id(1), job.Step{Count: 6})
+		time.Sleep(time.Second)
+		former.stop()
+		k.keys.Put("shards/0/roster", []byte(`["w0","w1"]`))
+		k.fleet.Cut("w0", true)
+		later := k.own("b")
+		defer later.stop()
+		time.Sleep(50 * time.Second)
+		assertPhase(c, later, id(1), "completed")
+		k.assertSound()
+	})
+}
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -73,6 +73,10 @@
 		s.mu.Unlock()
 		return &NotOwnerError{}
 	}
+	if s.unreadable[j.ID] {
+		s.mu.Unlock()
+		return &UnknownError{}
+	}
 	if !known {
 		if s.stalled {
 			s.mu.Unlock()
@@ -86,7 +90,7 @@
 	}
 	if e.unsubmitted {
 		s.log.Info().Str("job", string(j.ID)).Msg("job was cancelled before it was submitted")
-		e.unsubmitted, e.route = false, j.Policy.Route
+		e.unsubmitted, e.durable, e.route = false, false, j.Policy.Route
 	}
 	s.enqueue(e)
 	done := s.await(e)
@@ -126,6 +130,7 @@
 		defer s.mu.Unlock()
 		return e.shownPhase(), nil
 	}
+	known = known || s.unreadable[id]
 	s.mu.Unlock()
 	if known || !s.owned(ctx) {
 		return "", &NotOwnerError{}
@@ -161,7 +166,15 @@
 		s.mu.Unlock()
 		return &NotOwnerError{}
 	}
+	if s.unreadable[id] {
+		s.mu.Unlock()
+		return &UnknownError{}
+	}
 	if !known {
+		if s.stalled {
+			s.mu.Unlock()
+			return &RejectedError{Reason: "the store does not answer", RetryAfter: retryDelay}
+		}
 		e = finishedEntry(id, "", phaseCancelled, time.Now())
 		e.unsubmitted = true
 		s.jobs[id] = e
--- a/shard/write.go
+++ b/shard/write.go
@@ -104,8 +104,8 @@
 	if len(values) == 0 {
 		return false, nil
 	}
-	stall := time.AfterFunc(stallAfter, s.stall)
-	defer stall.Stop()
+	number := s.answered[lane]
+	defer time.AfterFunc(stallAfter, func() { s.stall(lane, number) }).Stop()
 	defer time.AfterFunc(helpAfter, func() { s.help(ctx) }).Stop()
 	err := s.deps.Store.WriteIn(ctx, lane, values)
 	if err != nil {
@@ -154,15 +154,19 @@
 	s.laneBusy[lane] = false
 }
 
-// stall rejects the queued new jobs: none of them is in the write under way.
-func (s *Shard) stall() {
+// stall rejects the queued new jobs, unless the write with a number in a lane has
+// been answered: none of them is in a write under way.
+func (s *Shard) stall(lane, number int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.answered[lane] != number {
+		return
+	}
 	s.stalled = true
 	kept := s.queue[:0]
 	rejected := 0
 	for _, e := range s.queue {
-		if e.durable || e.writing || e.unsubmitted {
+		if e.durable || e.kept || e.writing || e.unsubmitted {
 			kept = append(kept, e)
 			continue
 		}
@@ -177,10 +181,12 @@
 
 // batchEntry is an entry in a write with what it was when it was encoded.
 type batchEntry struct {
-	entry   *entry
-	at      int64
-	final   bool
-	waiters []chan error
+	entry *entry
+	at    int64
+	final bool
+	// unsubmitted says that the job is written as not submitted.
+	unsubmitted bool
+	waiters     []chan error
 }
 
 const jobPrefix = "jobs/"
@@ -212,7 +218,7 @@
 			continue
 		}
 		values = append(values, jobstore.Entry{ID: jobKey(e.id), Value: value})
-		batch = append(batch, batchEntry{entry: e, at: e.queuedAt, final: e.final(), waiters: e.waiters})
+		batch = append(batch, batchEntry{entry: e, at: e.queuedAt, final: e.final(), unsubmitted: e.unsubmitted, waiters: e.waiters})
 		e.queuedAt, e.waiters, e.writing = 0, nil, true
 	}
 	clear(s.queue[len(left):])
@@ -248,7 +254,7 @@
 			s.forgotten(e)
 		}
 		e.writing = false
-		e.durable = true
+		e.durable = e.durable || b.unsubmitted == e.unsubmitted
 		e.kept = e.kept || b.final
 		s.settleFinal(e)
 		answer(b.waiters, nil)
@@ -258,6 +264,7 @@
 	}
 	s.slow = took > helpAfter
 	s.underWay[lane] = nil
+	s.answered[lane]++
 	s.written = s.allWritten()
 	if len(s.queue) > 0 {
 		// Jobs that were in this write may be queued again.
