--- a/standin/runner/run.go
+++ b/standin/runner/run.go
@@ -8,8 +8,9 @@
 	"lovagestand.example/lovagestand"
 )
 
-// EndingCrashed is how a run ends whose worker crashes; it is never listed.
-const EndingCrashed lovagestand.RunEnding = "crashed"
+// EndingUnlisted is how a run ends that its worker never lists as ended: the
+// worker crashed, or was told to start a later run of the task beside it.
+const EndingUnlisted lovagestand.RunEnding = "unlisted"
 
 // Run is one run of a task as its worker saw it.
 type Run struct {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -143,7 +143,7 @@
 	w.kill()
 	for task, r := range w.runs {
 		delete(w.runs, task)
-		f.over(r, EndingCrashed)
+		f.over(r, EndingUnlisted)
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -278,6 +278,9 @@
 	f.extend(w, o.Until)
 	record := &Run{Task: o.Task, Number: o.Run, Worker: w.name, Epoch: o.Epoch, Late: late, Begun: time.Now()}
 	f.check(w, o, record)
+	if former := w.runs[o.Task]; former != nil {
+		f.over(former, EndingUnlisted)
+	}
 	r := &run{needs: f.needs(o), worker: w, record: record}
 	w.runs[o.Task] = r
 	w.highest[o.Task] = o.Run
--- /dev/null
+++ b/standin/runner/runner_test.go
@@ -0,0 +1,156 @@
+package runner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/standin/runner"
+)
+
+const (
+	task  = "5c0e7a21d94b36f8.0.0.0"
+	other = "5c0e7a21d94b36f8.0.0.1"
+	// work is how long each run takes.
+	work = time.Second
+)
+
+// play is a fleet of two workers with the orders that tests give.
+type play struct {
+	c       *qt.C
+	fleet   *runner.Fleet
+	workers [2]lovagestand.FleetWorker
+}
+
+func newPlay(t *testing.T, options ...runner.Option) *play {
+	needs := func(lovagestand.Order) lovagestand.Resources { return lovagestand.Resources{MilliCPU: 1000} }
+	done := func(lovagestand.Order) (time.Duration, lovagestand.RunEnding) { return work, lovagestand.EndingDone }
+	p := &play{c: qt.New(t), fleet: runner.New(needs, done, options...)}
+	for i, name := range []lovagestand.WorkerName{"w0", "w1"} {
+		p.workers[i] = p.fleet.Add(name, lovagestand.Resources{MilliCPU: 4000})
+	}
+	return p
+}
+
+func (p *play) start(worker int, task string, run int64) {
+	o := lovagestand.Order{Task: task, Run: run, Epoch: 1, Until: time.Minute.Milliseconds()}
+	_, err := p.fleet.Start(p.c.Context(), p.workers[worker], o)
+	p.c.Assert(err, qt.IsNil)
+}
+
+func (p *play) hold(worker int, seen int64) lovagestand.Holding {
+	h, err := p.fleet.Hold(p.c.Context(), p.workers[worker], lovagestand.HoldRequest{Epoch: 1, Seen: seen})
+	p.c.Assert(err, qt.IsNil)
+	return h
+}
+
+// TestTwice has each case start a task on the first worker and then break the
+// rule, or not.
+func TestTwice(t *testing.T) {
+	for name, test := range map[string]struct {
+		play  func(p *play)
+		found string
+	}{
+		"another run at the same time": {func(p *play) { p.start(1, task, 2) }, "TWICE: .* starts while .*"},
+		"a start after a noted end": {func(p *play) {
+			time.Sleep(2 * work)
+			p.hold(0, 1)
+			p.start(1, task, 2)
+		}, "TWICE: .* starts after .*"},
+		"a start after an end that is noted later": {func(p *play) {
+			time.Sleep(2 * work)
+			p.start(1, task, 2)
+			p.hold(0, 1)
+		}, "TWICE: .* began after .*"},
+		"the lease ran out before the end was noted": {func(p *play) {
+			time.Sleep(runner.MaxLease + work)
+			p.start(1, task, 2)
+			p.hold(0, 1)
+		}, ""},
+		"the worker crashed before the end was noted": {func(p *play) {
+			time.Sleep(2 * work)
+			p.fleet.Add("w0", lovagestand.Resources{MilliCPU: 4000})
+			p.start(1, task, 2)
+			p.hold(0, 1)
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlay(t)
+				p.start(0, task, 1)
+				test.play(p)
+				if test.found == "" {
+					p.c.Assert(p.fleet.Violations(), qt.HasLen, 0)
+					return
+				}
+				p.c.Assert(p.fleet.Violations(), qt.HasLen, 1)
+				p.c.Assert(p.fleet.Violations()[0], qt.Matches, test.found)
+			})
+		})
+	}
+}
+
+func TestStrictEnds(t *testing.T) {
+	for name, test := range map[string]struct {
+		options []runner.Option
+		listed  int
+	}{
+		"ends still to come are listed":      {nil, 1},
+		"ends still to come are dropped too": {[]runner.Option{runner.WithStrictEnds()}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlay(t, test.options...)
+				p.hold(0, 1)
+				p.start(0, task, 1)
+				time.Sleep(2 * work)
+				p.c.Assert(p.hold(0, 0).Ended, qt.HasLen, test.listed)
+			})
+		})
+	}
+}
+
+func TestGang(t *testing.T) {
+	gang := runner.WithGangs(func(lovagestand.Order) int { return 2 })
+	endings := func(p *play) (how [2]lovagestand.RunEnding) {
+		for i, r := range p.fleet.Runs() {
+			how[i] = r.Ending
+		}
+		return how
+	}
+	t.Run("members end together", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(t, gang)
+			p.start(0, task, 1)
+			time.Sleep(work)
+			p.start(1, other, 1)
+			time.Sleep(2 * work)
+			p.c.Assert(endings(p), qt.Equals, [2]lovagestand.RunEnding{lovagestand.EndingDone, lovagestand.EndingDone})
+			// The end of one stands for the other.
+			p.hold(0, 1)
+			p.start(0, other, 2)
+			p.c.Assert(p.fleet.Violations(), qt.HasLen, 1)
+		})
+	})
+	t.Run("a stop breaks the others", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(t, gang)
+			p.start(0, task, 1)
+			p.start(1, other, 1)
+			_, err := p.fleet.Stop(p.c.Context(), p.workers[0], task, 1, 1)
+			p.c.Assert(err, qt.IsNil)
+			p.c.Assert(endings(p), qt.Equals, [2]lovagestand.RunEnding{lovagestand.EndingStopped, lovagestand.EndingBroken})
+		})
+	})
+	t.Run("a member waits alone", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlay(t, gang)
+			p.start(0, task, 1)
+			time.Sleep(5 * work)
+			p.c.Assert(endings(p)[0], qt.Equals, lovagestand.EndingAlone)
+		})
+	})
+}
