--- /dev/null
+++ b/soak/checks_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/standin/runner"
+	"lovagestand.example/lovagestand/standin/site"
+)
+
+// TestCheck judges a run that begins at an offset from the cancellation of its
+// job, a minute ago, and ends half a second later unless the case says otherwise.
+func TestCheck(t *testing.T) {
+	const node, worker = "node-0", "i-0000"
+	at := time.Now().Add(-time.Minute)
+	cancelled := record{accepted: at, cancelled: at, acknowledged: at}
+	for name, test := range map[string]struct {
+		known record
+		begun time.Duration
+		run   runner.Run
+		// disturbed is disturbed from one second before the run until it begins.
+		disturbed          string
+		violation, excused string
+	}{
+		"within the bound":    {known: cancelled, begun: cancelWithin},
+		"later":               {known: cancelled, begun: cancelWithin + 1, violation: "UNASKED: .* by node-0, cancelled at .*"},
+		"starter disturbed":   {known: cancelled, begun: cancelWithin + 1, disturbed: node, excused: "UNASKED: .*"},
+		"order held back":     {known: cancelled, begun: cancelWithin + 1, disturbed: worker, excused: "UNASKED: .*"},
+		"order carried later": {known: cancelled, begun: cancelWithin + 1, run: runner.Run{Late: true}, excused: "UNASKED: .*"},
+		"another disturbed":   {known: cancelled, begun: cancelWithin + 1, disturbed: "node-1", violation: "UNASKED: .*"},
+		"runs on":             {known: cancelled, run: runner.Run{Ended: at.Add(time.Hour)}, violation: "UNASKED: .* runs on at .*"},
+		"runs on, trouble near": {
+			known: cancelled, run: runner.Run{Ended: at.Add(stopWithinAck + time.Second)}, disturbed: "node-1",
+		},
+		"rejected":           {known: record{rejected: true}, violation: "REFUSED: .*"},
+		"shown as completed": {known: record{accepted: at, completed: at}, begun: 2 * time.Second, violation: "TWICE: .*"},
+		"not cancelled":      {known: record{accepted: at}, begun: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			cell := &Cell{Site: &site.Site{Fleet: runner.New(nil, nil)}, owners: map[lovagestand.Epoch]string{7: node}}
+			r := test.run
+			r.Worker, r.Epoch, r.Begun = worker, 7, at.Add(test.begun)
+			if r.Ended.IsZero() {
+				r.Ended = r.Begun.Add(time.Second / 2)
+			}
+			if test.disturbed != "" {
+				cell.troubles = []trouble{{target: test.disturbed, from: r.Begun.Add(-time.Second), to: r.Begun}}
+			}
+			k := NewCallers(cell)
+			k.check(&test.known, r)
+			assertFound(c, k.violations, test.violation)
+			assertFound(c, k.excused, test.excused)
+		})
+	}
+}
+
+// assertFound asserts that one text was found, or none where the pattern is empty.
+func assertFound(c *qt.C, found []string, pattern string) {
+	c.Helper()
+	if pattern == "" {
+		c.Assert(found, qt.HasLen, 0)
+		return
+	}
+	c.Assert(found, qt.HasLen, 1)
+	c.Assert(found[0], qt.Matches, pattern)
+}
