--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,6 +78,8 @@
 func rebirth(r *rand.Rand, c *Cell) injected {
 	i, later := r.IntN(len(c.Workers)), time.Duration(r.IntN(2000))*time.Millisecond
 	c.Site.Rebear(i)
+	// What was on the way to the former process reaches none.
+	c.Workers[i].Reset()
 	name := string(c.Site.Worker(i))
 	go func() {
 		time.Sleep(later)
