--- a/soak/cell.go
+++ b/soak/cell.go
@@ -40,8 +40,10 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	// ending says that a signal has told the process to end.
+	// ending says that a signal has told the process to end; ends counts the
+	// processes that ended untold.
 	ending bool
+	ends   int
 }
 
 // Open starts a cell of the program's processes; logs and settings go to a
@@ -174,6 +176,11 @@
 	go func() {
 		// How a process ended is told by its log and its signals.
 		_ = command.Wait()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if !n.ending {
+			n.ends++
+		}
 		close(exited)
 	}()
 	return nil
@@ -189,6 +196,13 @@
 	}
 }
 
+// Ends returns how many processes ended although no signal had told them to.
+func (n *Node) Ends() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ends
+}
+
 // Wait waits until the process has ended.
 func (n *Node) Wait() {
 	n.mu.Lock()
@@ -208,7 +222,7 @@
 	exited, ending := n.exited, n.ending
 	n.mu.Unlock()
 	if !ending {
-		return nil
+		return n.Start()
 	}
 	select {
 	case <-exited:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,6 +99,9 @@
 		for _, e := range excused {
 			t.Log("not in touch, or late: ", e)
 		}
+		for _, n := range cell.Nodes {
+			c.Check(n.Ends(), qt.Equals, 0, qt.Commentf("%s ended by itself", n.Name))
+		}
 		c.Check(violations, qt.HasLen, 0, qt.Commentf("%s", strings.Join(violations, "\n")))
 	})
 }
