--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,15 +73,18 @@
 // storePoll spaces a worker's tries to register while the store is away.
 const storePoll = 10 * time.Millisecond
 
-// rebirth has a worker begin a new life. It registers up to two seconds later,
-// and not before the store is back.
+// rebirth has a worker crash and begin a new life, which answers at once. It
+// registers up to two seconds later, and not before the store is back.
 func rebirth(r *rand.Rand, c *Cell) injected {
-	i, later := r.IntN(len(c.Workers)), time.Duration(r.IntN(2000))*time.Millisecond
-	c.Site.Rebear(i)
-	// What was on the way to the former process reaches none.
+	i := r.IntN(len(c.Workers))
+	down, later := upTo(r, 50*time.Millisecond, 400*time.Millisecond), upTo(r, 0, 2*time.Second)
+	c.Site.Crash(i)
+	// What is on the way to the former process reaches none.
 	c.Workers[i].Reset()
-	name := string(c.Site.Worker(i))
 	go func() {
+		time.Sleep(down)
+		c.Workers[i].Reset()
+		c.Site.Rebear(i)
 		time.Sleep(later)
 		for c.disturbed(time.Now(), 0, storeTarget) {
 			time.Sleep(storePoll)
@@ -89,7 +92,8 @@
 		// The value of a worker can always be encoded.
 		_ = c.Site.Register(i)
 	}()
-	return injected{fmt.Sprint(name, " is born again, registers after ", later), []string{name}, nothing}
+	name := string(c.Site.Worker(i))
+	return injected{fmt.Sprint(name, " is down for ", down, " and registers ", later, " later"), []string{name}, nothing}
 }
 
 // faults are all kinds, each as likely as the others.
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -135,8 +135,10 @@
 func (f *Fleet) Crash(name lovagestand.WorkerName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crash(f.workers[name])
-	delete(f.workers, name)
+	if w := f.workers[name]; w != nil {
+		f.crash(w)
+		delete(f.workers, name)
+	}
 }
 
 func (f *Fleet) crash(w *worker) {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -184,8 +184,11 @@
 	return nil
 }
 
-// Rebear ends a worker and starts it again under its name, with nothing left of
-// before. The store lists the former life until the worker is registered anew.
+// Crash ends a worker. The store still lists it.
+func (s *Site) Crash(i int) { s.Fleet.Crash(s.Worker(i)) }
+
+// Rebear starts a worker again under its name, with nothing left of before. The
+// store lists the former life until the worker is registered anew.
 func (s *Site) Rebear(i int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
