--- a/soak/cell.go
+++ b/soak/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -131,14 +132,25 @@
 	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "write settings")
 }
 
-// freePort returns a port that was free a moment ago.
+const (
+	// firstPort and ports are below those that the system gives to connections,
+	// so that none takes the port of a node that is down.
+	firstPort, ports = 20000, 12000
+	portTries        = 20
+)
+
+// freePort returns a port that was free a moment ago. It is drawn without a
+// seed, because runs beside this one draw too.
 func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, errors.Wrap(err, "listen")
+	var err error
+	for range portTries {
+		var l net.Listener
+		port := firstPort + rand.IntN(ports)
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port, errors.Wrap(l.Close(), "close")
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.Wrap(err, "listen")
 }
 
 // running reports whether the process has not ended.
