--- a/soak/cell.go
+++ b/soak/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -21,11 +22,17 @@
 	Site    *site.Site
 	Nodes   []*Node
 	Workers []*Proxy
+
+	mu       sync.Mutex
+	troubles []trouble
+	// owners are the nodes that have owned the shard, by epoch.
+	owners map[lovagestand.Epoch]string
+	closed chan struct{}
 }
 
 // Node is one process of the program with its own way to the store.
 type Node struct {
-	Name    lovagestand.InstanceID
+	Name    string
 	Callers string
 	Store   *Proxy
 
@@ -34,12 +41,16 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	// ending says that a signal has told the process to end; ends counts the
+	// processes that ended untold.
+	ending bool
+	ends   int
 }
 
 // Open starts a cell of the program's processes; logs and settings go to a
 // directory.
-func Open(program, directory string, nodes, workers int) (*Cell, error) {
-	c := &Cell{}
+func Open(program, directory string, nodes, workers int, options ...site.Option) (*Cell, error) {
+	c := &Cell{owners: map[lovagestand.Epoch]string{}, closed: make(chan struct{})}
 	through := func(address string) (string, error) {
 		p, err := NewProxy(address)
 		if err != nil {
@@ -49,12 +60,13 @@
 		return p.Address(), nil
 	}
 	var err error
-	if c.Site, err = site.Open("127.0.0.1:0", workers, site.WithWorkersThrough(through)); err != nil {
+	if c.Site, err = site.Open("127.0.0.1:0", workers, append(options, site.WithWorkersThrough(through))...); err != nil {
 		return nil, err
 	}
 	if err := c.Site.Configure(1, "a.example", "/x/"); err != nil {
 		return nil, err
 	}
+	go c.followOwner()
 	for i := range nodes {
 		n, err := c.newNode(program, directory, fmt.Sprintf("node-%d", i))
 		if err != nil {
@@ -70,6 +82,7 @@
 
 // Close kills all processes and stops listening.
 func (c *Cell) Close() {
+	close(c.closed)
 	for _, n := range c.Nodes {
 		n.Signal(syscall.SIGKILL)
 		n.Wait()
@@ -112,21 +125,32 @@
 		}
 	}
 	n := &Node{
-		Name: lovagestand.InstanceID(name), Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Store: store, program: program,
+		Name: name, Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Store: store, program: program,
 		settings: filepath.Join(directory, name+".yaml"), log: filepath.Join(directory, name+".log"),
 	}
 	text := fmt.Sprintf(settingsText, name, ports[0], ports[1], ports[2], store.Address())
 	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "write settings")
 }
 
-// freePort returns a port that was free a moment ago.
+const (
+	// firstPort and ports are below those that the system gives to connections,
+	// so that none takes the port of a node that is down.
+	firstPort, ports = 20000, 12000
+	portTries        = 20
+)
+
+// freePort returns a port that was free a moment ago. It is drawn without a
+// seed, because runs beside this one draw too.
 func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, errors.Wrap(err, "listen")
+	var err error
+	for range portTries {
+		var l net.Listener
+		port := firstPort + rand.IntN(ports)
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port, errors.Wrap(l.Close(), "close")
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.Wrap(err, "listen")
 }
 
 // running reports whether the process has not ended.
@@ -160,10 +184,15 @@
 		return errors.Wrap(err, "start")
 	}
 	exited := make(chan struct{})
-	n.command, n.exited = command, exited
+	n.command, n.exited, n.ending = command, exited, false
 	go func() {
 		// How a process ended is told by its log and its signals.
 		_ = command.Wait()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if !n.ending {
+			n.ends++
+		}
 		close(exited)
 	}()
 	return nil
@@ -174,10 +203,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.running() {
+		n.ending = n.ending || s == syscall.SIGKILL || s == syscall.SIGTERM
 		_ = n.command.Process.Signal(s)
 	}
 }
 
+// Ends returns how many processes ended although no signal had told them to.
+func (n *Node) Ends() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ends
+}
+
 // Wait waits until the process has ended.
 func (n *Node) Wait() {
 	n.mu.Lock()
@@ -189,13 +226,16 @@
 // stopWithin is longer than the grace that the settings give.
 const stopWithin = 8 * time.Second
 
-// restart has the process end, if a signal has told it to, and starts it again.
-// One that is frozen is woken first.
+// restart starts the process again once it has ended, if a signal has told it
+// to. One that is frozen is woken first.
 func (n *Node) restart() error {
 	n.Signal(syscall.SIGCONT)
 	n.mu.Lock()
-	exited := n.exited
+	exited, ending := n.exited, n.ending
 	n.mu.Unlock()
+	if !ending {
+		return n.Start()
+	}
 	select {
 	case <-exited:
 	case <-time.After(stopWithin):
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -64,7 +64,7 @@
 	c.Assert(json.Unmarshal(item.Value, &owner), qt.IsNil)
 	var others []*soak.Node
 	for _, n := range cell.Nodes {
-		if n.Name != owner.ID {
+		if n.Name != string(owner.ID) {
 			others = append(others, n)
 		}
 	}
