shard: a stopping owner does not deny a job that its last write may keep

Callers could be told 503, which says that a job never runs, for a copy of a job whose first submission was in the last write of a planned stop: the job completes at the next owner. The copy is now in doubt (504).

Before, TestStoppingOwnerDoesNotRejectACopyOfAJobItMayKeep: wanted type is not found in error chain, got: e"this instance does not own the shard"

--- a/election/assurance.go
+++ b/election/assurance.go
@@ -40,7 +40,7 @@
 func (c *Candidate) doubt() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return min(age(c.confirmed), age(c.seconded))
+	return min(age(c.confirmed), age(c.peersConfirmed))
 }
 
 // Over reports whether the ownership with an epoch is known to have ended.
@@ -59,22 +59,22 @@
 			continue
 		}
 		begun := time.Now()
-		seconded, over := c.poll(ctx, epoch)
+		confirmed, over := c.poll(ctx, epoch)
 		if over {
 			c.Log.Warn().Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("ownership lost: another instance knows of its end")
 			return
 		}
-		if seconded {
+		if confirmed {
 			c.mu.Lock()
-			c.seconded = begun
+			c.peersConfirmed = begun
 			c.mu.Unlock()
 		}
 	}
 }
 
-// poll asks all members whether an ownership is over. It is seconded if a
+// poll asks all members whether an ownership is over. It is confirmed if a
 // majority, this instance included, does not know that it is.
-func (c *Candidate) poll(ctx context.Context, epoch lovagestand.Epoch) (seconded, over bool) {
+func (c *Candidate) poll(ctx context.Context, epoch lovagestand.Epoch) (confirmed, over bool) {
 	members := c.Directory.Members()
 	others := slices.DeleteFunc(slices.Clone(members), func(m lovagestand.Instance) bool { return m.ID == c.Self.ID })
 	if len(others) == len(members) || c.AskOver == nil {
--- a/election/candidate.go
+++ b/election/candidate.go
@@ -68,12 +68,12 @@
 	mu sync.Mutex
 	// won is the newest epoch of this instance.
 	won lovagestand.Epoch
-	// confirmed and seconded are when the store, and a majority of the members,
+	// confirmed and peersConfirmed are when the store, and a majority of the members,
 	// were last asked with success whether the ownership holds.
-	confirmed time.Time
-	seconded  time.Time
-	deposed   lovagestand.Epoch
-	deposedAt time.Time
+	confirmed      time.Time
+	peersConfirmed time.Time
+	deposed        lovagestand.Epoch
+	deposedAt      time.Time
 }
 
 // Run contends until ctx ends. It then gives the shard up at once.
@@ -279,7 +279,7 @@
 func (c *Candidate) begin(epoch lovagestand.Epoch, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.won, c.confirmed, c.seconded = epoch, at, at
+	c.won, c.confirmed, c.peersConfirmed = epoch, at, at
 }
 
 func (c *Candidate) confirm(at time.Time) {
--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -30,7 +30,7 @@
 	if h.Born != 0 {
 		w.born = h.Born
 	}
-	w.met(h.Born, begun)
+	w.settleLife(h.Born, begun)
 	now := time.Now()
 	if !w.contacted {
 		s.log.Info().Str("worker", string(w.info.Name)).Int("running", len(h.Running)).Int("ended", len(h.Ended)).Msg("worker contacted")
--- a/shard/forgotten_test.go
+++ b/shard/forgotten_test.go
@@ -33,7 +33,7 @@
 				k.delay.Store(int64(100 * time.Millisecond))
 				o := k.ownReady("a")
 				defer func() { o.stop() }()
-				steps := []job.Step{{Count: 1}, {Count: 1, After: []int{0}}}
+				steps := []job.Step{{Count: 2, Gang: true}, {Count: 2, Gang: true, After: []int{0}}}
 				o.submit(c, id(1), steps...)
 				time.Sleep(r.cancelAt)
 				var cancelling sync.WaitGroup
@@ -203,3 +203,27 @@
 		k.assertSound()
 	})
 }
+
+// TestStoppingOwnerDoesNotRejectACopyOfAJobItMayKeep has a copy come while the
+// last write of a planned stop keeps the job: it may run, so the copy is in doubt.
+func TestStoppingOwnerDoesNotRejectACopyOfAJobItMayKeep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(500*time.Millisecond, lovagestand.EndingDone))
+		o := k.ownReady("a")
+		k.delay.Store(int64(400 * time.Millisecond))
+		var submitting sync.WaitGroup
+		submitting.Go(func() { c.Check(o.try(id(1), job.Step{Count: 1}), qt.IsNil) })
+		time.Sleep(100 * time.Millisecond)
+		submitting.Go(o.stop)
+		time.Sleep(100 * time.Millisecond)
+		var unknown *shard.UnknownError
+		c.Check(o.try(id(1), job.Step{Count: 1}), qt.ErrorAs, &unknown)
+		submitting.Wait()
+		k.delay.Store(0)
+		later := k.ownReady("b")
+		defer later.stop()
+		time.Sleep(5 * time.Second)
+		assertPhase(c, later, id(1), "completed")
+	})
+}
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -197,7 +197,7 @@
 	return o.Submit(ctx, j, body)
 }
 
-// State is [shard.Shard.State] for a caller without a time limit.
+// State is [shard.Shard.State] for a caller without a deadline.
 func (o *owner) State(id job.ID) (string, error) {
 	return o.Shard.State(context.Background(), id)
 }
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -69,13 +69,14 @@
 		s.mu.Unlock()
 		return nil
 	}
-	if s.closing {
+	if s.unreadable[j.ID] || s.closing && known {
+		// An earlier copy may be kept by the write under way.
 		s.mu.Unlock()
-		return &NotOwnerError{}
+		return &UnknownError{}
 	}
-	if s.unreadable[j.ID] {
+	if s.closing {
 		s.mu.Unlock()
-		return &UnknownError{}
+		return &NotOwnerError{}
 	}
 	if !known {
 		if s.stalled {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -43,10 +43,10 @@
 	// lives before it, which are never believed again.
 	born     int64
 	replaced map[int64]bool
-	// unmet is another life that the list told of at unmetAt, 0 for none: until
+	// otherLife is another life that the list told of at otherLifeAt, 0 for none: until
 	// the next answer it is open which of the two is the later one.
-	unmet   int64
-	unmetAt time.Time
+	otherLife   int64
+	otherLifeAt time.Time
 
 	cancel  context.CancelFunc
 	listed  bool
@@ -148,7 +148,7 @@
 
 // open reports whether the worker may get new tasks.
 func (w *worker) open(now time.Time) bool {
-	if !w.contacted || w.silent || w.unmet != 0 || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
+	if !w.contacted || w.silent || w.otherLife != 0 || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
 		return false
 	}
 	if !w.listed && now.Sub(w.lastSee) > missingFor {
@@ -214,7 +214,7 @@
 	}
 	w.listed, w.lastSee = true, now
 	if w.outdated(info) {
-		w.doubt(info.Born, now)
+		w.noteOtherLife(info.Born, now)
 		return
 	}
 	if w.info.Ready != info.Ready {
@@ -240,23 +240,23 @@
 	return w.replaced[info.Born] || !w.silent && !w.isLife(info.Born)
 }
 
-// doubt notes a life that the list tells of and that has not answered.
-func (w *worker) doubt(born int64, now time.Time) {
-	if !w.replaced[born] && w.unmet == 0 {
-		w.unmet, w.unmetAt = born, now
+// noteOtherLife notes a life that the list tells of and that has not answered.
+func (w *worker) noteOtherLife(born int64, now time.Time) {
+	if !w.replaced[born] && w.otherLife == 0 {
+		w.otherLife, w.otherLifeAt = born, now
 	}
 }
 
-// met notes that a life has answered a hold that was sent at begun. A life that
+// settleLife notes that a life has answered a hold that was sent at begun. A life that
 // was listed before and does not answer is a former one.
-func (w *worker) met(born int64, begun time.Time) {
-	if w.unmet == 0 || !begun.After(w.unmetAt) {
+func (w *worker) settleLife(born int64, begun time.Time) {
+	if w.otherLife == 0 || !begun.After(w.otherLifeAt) {
 		return
 	}
-	if born != 0 && born != w.unmet {
-		w.replaced[w.unmet] = true
+	if born != 0 && born != w.otherLife {
+		w.replaced[w.otherLife] = true
 	}
-	w.unmet = 0
+	w.otherLife = 0
 }
 
 // described reports whether the list tells of the life that answers, as far as
