--- a/soak/cell.go
+++ b/soak/cell.go
@@ -139,6 +139,10 @@
 	portTries        = 20
 )
 
+// drawn are the ports that cells of this process have: one that is free now may be
+// that of a node that is down.
+var drawn sync.Map
+
 // freePort returns a port that was free a moment ago. It is drawn without a
 // seed, because runs beside this one draw too.
 func freePort() (int, error) {
@@ -146,6 +150,9 @@
 	for range portTries {
 		var l net.Listener
 		port := firstPort + rand.IntN(ports)
+		if _, taken := drawn.LoadOrStore(port, true); taken {
+			continue
+		}
 		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			return port, errors.Wrap(l.Close(), "close")
 		}
