shard: a refusal at a worker's former address is not taken for one at the present

Callers' tasks would run twice: a hold to an address that the list no longer shows was answered by another process, and as the list had changed back meanwhile, the answer counted as one from the worker's own address, so its runs were given up.

The answer is now judged by the entry that the hold was sent to. 400 runs of the three tests of that kind under the race detector pass.

--- a/shard/hold.go
+++ b/shard/hold.go
@@ -38,7 +38,7 @@
 		s.mu.Lock()
 		answered := err == nil && s.held(w, begun, holding)
 		if err != nil {
-			s.holdFailed(w, err)
+			s.holdFailed(w, target, err)
 		}
 		s.mu.Unlock()
 		if !answered {
@@ -132,7 +132,11 @@
 	}
 }
 
-func (s *Shard) holdFailed(w *worker, err error) {
+// holdFailed takes that a hold sent to target failed. What another process there
+// answers tells of the worker only if the life that answers is listed at target; the
+// list may have changed since.
+func (s *Shard) holdFailed(w *worker, target lovagestand.FleetWorker, err error) {
+	described := w.isLife(target.Born)
 	var refused *lovagestand.OrderRefusedError
 	if errors.As(err, &refused) {
 		switch refused.Reason {
@@ -140,7 +144,7 @@
 			s.lose("worker " + string(w.info.Name) + " has seen a higher epoch")
 			return
 		case lovagestand.RefusalReborn:
-			if w.described() {
+			if described {
 				s.expire(w, "another worker answers at its address")
 				return
 			}
@@ -150,7 +154,7 @@
 	silent := w.silent
 	w.silent = true
 	var unavailable *lovagestand.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Refused && !w.info.Ready && w.described() {
+	if errors.As(err, &unavailable) && unavailable.Refused && !target.Ready && described {
 		s.dismiss(w, "it was leaving, and no process listens there any more")
 		return
 	}
