shard: the log of a placed task names the life that answers

docs/OPERATIONS.md has on-call engineers read `born` of `task placed` as the worker's life. It was that of the list, which may be a former one since lives are taken from answers only. Found by reading the change once more; behaviour is unchanged.

--- a/shard/order.go
+++ b/shard/order.go
@@ -46,7 +46,7 @@
 		s.deps.Recorder.Observe("waits", string(e.route), now.Sub(e.progress.Accepted()))
 	}
 	s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
-		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Int64("born", w.info.Born).Msg("task placed")
+		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Int64("born", w.born).Msg("task placed")
 	go s.start(p, w.info, order)
 }
 
