claim: delete a dropped archive only once a head without it is stored

Cause: flush drops an expired archive from the list of the next head, and returns if no claim waits. The next flush deleted the archive before it wrote that head.

Change: dropped archives become orphans with the write of a head that does not list them.

Measured: TestDroppedArchiveStaysUntilAHeadIsStored fails before ("decode claims/0/archive-1-1: unexpected end of JSON input") and passes after; package green, archive tests green under the race detector.

Ruled out: opening a partition whose head lists a missing archive, as claims that were carried over to the unwritten head would be lost.

--- a/claim/fake_test.go
+++ b/claim/fake_test.go
@@ -128,6 +128,19 @@
 	return nil
 }
 
+// archives returns the keys of the archives of partition 0, in order.
+func (s *fakeStore) archives() (keys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.values {
+		if strings.HasPrefix(key, string(PartitionName(0))+"/archive-") {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // ownershipPeriod is a period in which one instance owns partition 0.
 type ownershipPeriod struct {
 	owner       lovagestand.InstanceID
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -79,10 +79,12 @@
 	notRunUntil map[lovagestand.RequestKey]time.Time
 
 	// The following fields belong to the goroutine that opens and runs the
-	// partition. archives are those that the next head lists; orphans are no
-	// longer listed and have yet to be deleted.
+	// partition. archives are those that the next head lists. dropped are those
+	// that the next head no longer lists, but the stored one does. orphans are
+	// not listed by the stored head and have yet to be deleted.
 	revision lovagestand.Revision
 	archives []archive
+	dropped  []archive
 	orphans  []archive
 	// headEntries are the entries whose claims the head contains, in order.
 	headEntries []*entry
--- a/claim/partition_test.go
+++ b/claim/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -191,6 +192,55 @@
 	})
 }
 
+// TestDroppedArchiveStaysUntilAHeadIsStored makes archives expire. The partition
+// drops one of them together with the last claim of its queue, and the store loses
+// all later writes, so the stored head still lists the archive. The next owner must
+// find it, and delete it once a head without it is stored.
+func TestDroppedArchiveStaysUntilAHeadIsStored(t *testing.T) {
+	withPartition(t, func(c *qt.C, s *fakeStore, p *Partition) {
+		claimAndSettle(c, p, "old", 2*archiveThreshold+2)
+		time.Sleep(2 * DefaultRetention)
+		expired := s.archives()[0]
+		claimUntilArchived(c, s, p, "new")
+		s.setFault(fault{dropCall: true})
+		go func() { _, _ = p.Claim(context.Background(), request("1", "lost")) }()
+		time.Sleep(5 * time.Second)
+		s.setFault(fault{})
+		next, stop := openPartition(c, s, 2)
+		defer stop()
+		c.Assert(mustClaim(c, next, request("2", "new0")).Attempt, qt.Equals, 1)
+		time.Sleep(time.Second)
+		mustClaim(c, next, request("2", "second"))
+		time.Sleep(time.Second)
+		var listed []string
+		for _, a := range next.archives {
+			listed = append(listed, a.Key)
+		}
+		c.Assert(s.archives(), qt.DeepEquals, listed)
+		c.Assert(listed, qt.Not(qt.Contains), expired)
+	})
+}
+
+// claimAndSettle claims count keys with a prefix and settles them as done.
+func claimAndSettle(c *qt.C, p *Partition, prefix string, count int) {
+	c.Helper()
+	for i := range count {
+		claim := mustClaim(c, p, request("1", lovagestand.RequestKey(fmt.Sprint(prefix, i))))
+		mustSettle(c, p, claim, "", lovagestand.OutcomeDone)
+	}
+}
+
+// claimUntilArchived claims keys with a prefix, each once the partition is idle,
+// until another archive is in the store.
+func claimUntilArchived(c *qt.C, s *fakeStore, p *Partition, prefix string) {
+	c.Helper()
+	before := s.archives()
+	for i := 0; slices.Equal(s.archives(), before); i++ {
+		mustClaim(c, p, request("1", lovagestand.RequestKey(fmt.Sprint(prefix, i))))
+		time.Sleep(time.Second)
+	}
+}
+
 // TestPausedOwnerGrantsNothing delays a write of an owner until another owner has
 // taken over. The claim of the first owner must fail.
 func TestPausedOwnerGrantsNothing(t *testing.T) {
--- a/claim/write.go
+++ b/claim/write.go
@@ -102,6 +102,8 @@
 			return err
 		}
 		p.markStored(write)
+		p.orphans = append(p.orphans, p.dropped...)
+		p.dropped = nil
 	}
 }
 
@@ -296,13 +298,11 @@
 	for _, e := range unexpired {
 		p.addToHead(e)
 	}
-	p.orphans = append(p.orphans, p.archives[i])
+	p.dropped = append(p.dropped, p.archives[i])
 	p.archives = slices.Delete(p.archives, i, i+1)
 }
 
-// deleteOrphans deletes the archives that are no longer listed. An archive must not
-// be deleted before a head that does not list it has been written. Therefore flush
-// calls deleteOrphans before archiveHead changes the list again.
+// deleteOrphans deletes the archives that the stored head does not list.
 func (p *Partition) deleteOrphans(ctx context.Context) error {
 	for _, a := range p.orphans {
 		err := p.awaitBudget(ctx)
