soak: a paused process stands still before the test goes on

Cause: TestSubmissionArrivesAfterItsCancellation sent SIGSTOP and went on at once.

Change: Node.Pause waits by waitid(WSTOPPED|WNOWAIT), which reports a stop after the last thread has stopped.

Ruled out: polling /proc/PID/stat, which shows the main thread only.

--- a/soak/cell.go
+++ b/soak/cell.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/standin/site"
@@ -221,6 +222,27 @@
 	}
 }
 
+// Pause stops the process with SIGSTOP, if it is running, and returns once all of
+// its threads stand still. The signal alone takes effect later on a busy machine.
+func (n *Node) Pause() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.running() {
+		return nil
+	}
+	if err := n.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		return errors.Wrap(err, "pause process")
+	}
+	for {
+		// The kernel reports a stopped child only after its last thread has
+		// stopped. WNOWAIT leaves the state of the child to command.Wait.
+		err := unix.Waitid(unix.P_PID, n.command.Process.Pid, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return errors.Wrap(err, "await the pause")
+		}
+	}
+}
+
 // UnexpectedExits returns how many processes exited without having been sent a
 // signal to exit.
 func (n *Node) UnexpectedExits() int {
--- a/soak/late_submission_test.go
+++ b/soak/late_submission_test.go
@@ -28,7 +28,7 @@
 	defer cell.Close()
 	const id = "00000000000000aa"
 	frozen, other := nonOwners(t, c, cell)
-	frozen.Signal(syscall.SIGSTOP)
+	c.Assert(frozen.Pause(), qt.IsNil)
 	answered := make(chan int, 1)
 	spec := site.Spec{MilliCPU: 500, Work: 50 * time.Millisecond}
 	go func() {
