shard: long-running tasks are neither overdue nor late

Cause: a long-running task counted as overdue after 2.5 times its estimate (about a second). Passes also expected the room of these tasks to come free at any moment. And after three times its objective, some seconds, such a job counted as late: a task of it that failed waited behind all other work.

Change: long-running placements are left out of the overdue runs, have a nominal run time beyond every planned start, keep their rank while they wait, and count neither in the mean core time of the route nor in the speed of a worker. As before they do not wait for reserved starts.

Ruled out: starving for advice (adviceBacklog was 0 to 600 ms of seven clients).

--- a/job/job.go
+++ b/job/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -102,6 +103,11 @@
 	Schedule Schedule `json:"schedule"`
 }
 
+// LongRunning reports whether the job has tasks that run until it is cancelled.
+func (j Job) LongRunning() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
+}
+
 // The limits of a job.
 const (
 	// MaxSpecBytes is the longest spec that workers accept, in bytes.
--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -122,7 +122,7 @@
 	step := j.Steps[task.Step]
 	p := &placement{
 		entry: e, task: task, name: running.Task, run: running.Run, needs: step.Needs, worker: w,
-		placedAt: now, settledAt: now, checkpoint: running.Checkpoint, checkpointAt: now, expectedRunTime: s.runTime(e, step),
+		placedAt: now, settledAt: now, checkpoint: running.Checkpoint, checkpointAt: now, expectedRunTime: s.runTime(e, step), longRunning: step.LongRunning,
 	}
 	e.started = true
 	wanted := e.active[running.Task] == nil && e.progress.Adopt(task, running.Run)
--- a/shard/health.go
+++ b/shard/health.go
@@ -30,15 +30,20 @@
 	return now.Before(h.quarantinedUntil)
 }
 
-// stuck reports whether too many of the worker's runs are overdue.
+// stuck reports whether too many of the worker's runs are overdue. Long-running tasks
+// have no time by which they should end.
 func (w *worker) stuck(now time.Time) bool {
-	overdue := 0
+	overdue, runs := 0, 0
 	for _, p := range w.placements {
+		if p.longRunning {
+			continue
+		}
+		runs++
 		if !p.stopRequested && now.Sub(p.placedAt) > time.Duration(overdueFactor*float64(p.expectedRunTime))+overdueSlack {
 			overdue++
 		}
 	}
-	return overdue >= minOverdue && 2*overdue >= len(w.placements)
+	return overdue >= minOverdue && 2*overdue >= runs
 }
 
 func (h *health) recordSuccess() {
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -13,6 +13,9 @@
 	averageWeight = 0.05
 	// defaultRunTime is the estimate for tasks for which the caller gave none.
 	defaultRunTime = time.Second
+	// longRunningTime is the expected run time of a task that runs until its job is
+	// cancelled. It is beyond every start that a pass plans ahead.
+	longRunningTime = 24 * time.Hour
 	// minRunTime is the minimum expected run time. It keeps absurd estimates from
 	// causing a division by zero.
 	minRunTime = 20 * time.Millisecond
@@ -27,7 +30,7 @@
 type routeStats struct {
 	// estimateRatio is the ratio of the run times of tasks to the callers' estimates.
 	estimateRatio float64
-	// jobCoreTime is the average core time of a job.
+	// jobCoreTime is the average core time of a job that ends by itself.
 	jobCoreTime time.Duration
 	// taskRunTime is the average run time of a task.
 	taskRunTime time.Duration
@@ -68,6 +71,9 @@
 
 // runTime returns how long a task of a step is expected to run.
 func (s *Shard) runTime(e *jobEntry, step job.Step) time.Duration {
+	if step.LongRunning {
+		return longRunningTime
+	}
 	estimate := step.Estimate
 	if estimate <= 0 {
 		estimate = defaultRunTime
@@ -89,6 +95,9 @@
 	core, criticalPath := e.progress.RemainingWork(0, runTime)
 	e.totalCoreTime = core
 	e.objective = time.Duration(j.Policy.Stretch*float64(criticalPath)) + j.Policy.Target
+	if j.LongRunning() {
+		return
+	}
 	r := s.stats(e.route)
 	if r.jobCoreTime == 0 {
 		r.jobCoreTime = core
@@ -96,6 +105,15 @@
 	r.jobCoreTime += time.Duration(averageWeight * float64(core-r.jobCoreTime))
 }
 
+// meanCoreTime returns the average core time of the jobs on the route of a job. The
+// core time of a long-running job is nominal and is compared with itself only.
+func (s *Shard) meanCoreTime(e *jobEntry) time.Duration {
+	if e.progress.Job().LongRunning() {
+		return e.totalCoreTime
+	}
+	return s.stats(e.route).jobCoreTime
+}
+
 // recordRunTime adds the run time of a completed task to the averages of its route and
 // its worker.
 func (s *Shard) recordRunTime(w *worker, p *placement, now time.Time) {
@@ -103,7 +121,7 @@
 		return
 	}
 	step := p.entry.progress.Job().Steps[p.task.Step]
-	if step.Estimate <= 0 || p.settledAt.IsZero() {
+	if step.Estimate <= 0 || step.LongRunning || p.settledAt.IsZero() {
 		return
 	}
 	took := now.Sub(p.placedAt)
--- a/shard/order.go
+++ b/shard/order.go
@@ -33,9 +33,10 @@
 		return
 	}
 	now := time.Now()
+	step := j.Steps[task.Step]
 	p := &placement{
-		entry: e, task: task, name: name, run: run, needs: j.Steps[task.Step].Needs, worker: w,
-		placedAt: now, expectedRunTime: expectedRunTime, startPending: true, checkpoint: e.progress.Checkpoint(task), checkpointAt: now,
+		entry: e, task: task, name: name, run: run, needs: step.Needs, worker: w,
+		placedAt: now, expectedRunTime: expectedRunTime, longRunning: step.LongRunning, startPending: true, checkpoint: e.progress.Checkpoint(task), checkpointAt: now,
 	}
 	s.reserveRoom(p)
 	s.activate(p)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -182,6 +182,11 @@
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
 		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
 	}
+	if step.LongRunning {
+		// Every second without the task counts, so it does not wait for the start of
+		// a gang.
+		out.RunTime = 0
+	}
 	if step.MaxPerWorker > 0 {
 		out.Placed = map[int]int{}
 		for name, n := range st.placed {
@@ -240,7 +245,7 @@
 	}
 	return dispatch.Score(dispatch.Work{
 		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, CriticalPath: e.criticalPath,
-		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.stats(e.route).jobCoreTime,
+		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
 	})
 }
 
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -108,6 +108,7 @@
 	worker          *worker
 	placedAt        time.Time // when the run was ordered, or adopted
 	expectedRunTime time.Duration
+	longRunning     bool      // whether the task runs until its job is cancelled
 	settledAt       time.Time // when the worker confirmed the last order or first listed the run
 	checkpoint      string
 	checkpointAt    time.Time
