jobstore, election: a store that becomes slow costs one slow reply, not the ownership

An attempt at a write was given up after 200 ms and made again, with new timeouts of 300 and 450 ms, so the first write took 712 ms instead of one reply; after 600 ms new jobs were rejected. After 200 ms the owner also asked two instances to end its ownership, which is meant for a store that refuses the owner alone: they did, although the store was as slow for them, and nothing was placed for 1.5 to 3.2 s until the next owner had loaded the shard.

Change: up to three attempts at a write wait for their replies at a time, so a slow reply still counts after the next attempt was sent. An instance that is asked to end an ownership does so only if the store answers it within 100 ms.

Both new tests fail before: a reply of 230 ms made a write of 650 ms; there was no check of the store before.

Ruled out: a longer first timeout, as a lost reply would be noticed later.

--- a/election/candidate.go
+++ b/election/candidate.go
@@ -55,6 +55,11 @@
 	// deposeInterval is the least time between two attempts to end the same
 	// ownership.
 	deposeInterval = 300 * time.Millisecond
+	// quickReplyTimeout is how quickly the store must answer an instance that is
+	// asked to end the ownership of another one. It is half of the time after which
+	// an owner reports that its writes fail, so that an owner is not replaced
+	// because the store is slow for all instances.
+	quickReplyTimeout = 100 * time.Millisecond
 )
 
 // Candidate contends for the ownership of one shard and keeps it for as long as
@@ -106,10 +111,10 @@
 }
 
 // Depose ends the ownership with the given epoch because no process listens at
-// the owner's address, because the owner's writes to the store fail, or because
-// two watchers suspect that the owner has failed. All instances then contend as
-// usual. A live owner that is deposed by mistake finds that its lease has ended
-// when it next renews it, and the epoch of the next owner fences it.
+// the owner's address or because two watchers suspect that the owner has failed.
+// All instances then contend as usual. A live owner that is deposed by mistake
+// finds that its lease has ended when it next renews it, and the epoch of the next
+// owner fences it.
 func (c *Candidate) Depose(epoch lovagestand.Epoch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,6 +125,19 @@
 	go c.removeOwner(epoch)
 }
 
+// DeposeIfStoreAnswers calls [Candidate.Depose] for an owner whose own writes to the
+// store fail, unless the store does not answer this instance quickly either. It
+// returns once the store has answered or the time for that has passed.
+func (c *Candidate) DeposeIfStoreAnswers(ctx context.Context, epoch lovagestand.Epoch) {
+	ctx, cancel := context.WithTimeout(ctx, quickReplyTimeout)
+	defer cancel()
+	if _, err := c.Keys.Item(ctx, OwnerKey(c.Shard)); err != nil {
+		c.Log.Info().Err(err).Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("owner not deposed: the store does not answer this instance quickly either")
+		return
+	}
+	c.Depose(epoch)
+}
+
 func (c *Candidate) removeOwner(epoch lovagestand.Epoch) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
--- a/election/depose_test.go
+++ b/election/depose_test.go
@@ -95,6 +95,47 @@
 	})
 }
 
+// slowReads is an instance's connection to a store that answers reads late.
+type slowReads struct {
+	lovagestand.Keyspace
+	latency time.Duration
+}
+
+func (s slowReads) Item(ctx context.Context, key string) (lovagestand.Item, error) {
+	select {
+	case <-time.After(s.latency):
+		return s.Keyspace.Item(ctx, key)
+	case <-ctx.Done():
+		return lovagestand.Item{}, &lovagestand.UnavailableError{System: "store"}
+	}
+}
+
+// TestOwnerInSlowStoreIsNotDeposed has an owner whose writes are slow ask another
+// instance to end its ownership. It must not be replaced if the store is as slow for
+// the other instance, because the next owner would be no better off.
+func TestOwnerInSlowStoreIsNotDeposed(t *testing.T) {
+	for latency, terms := range map[time.Duration]int{0: 2, 60 * time.Millisecond: 2, 220 * time.Millisecond: 1, time.Hour: 1} {
+		t.Run(latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				keys, k := keyspace.New(), newCell()
+				stop := k.startCandidate(keys, "a")
+				defer stop()
+				time.Sleep(time.Second)
+				item, err := keys.Item(t.Context(), election.OwnerKey("0"))
+				c.Assert(err, qt.IsNil)
+				other := &election.Candidate{
+					Shard: "0", Keys: slowReads{keys, latency}, Directory: election.NewDirectory(keys, zerolog.Nop()), Log: zerolog.Nop(),
+				}
+				other.DeposeIfStoreAnswers(t.Context(), lovagestand.Epoch(item.Revision))
+				time.Sleep(2 * time.Second)
+				_, got := k.owner()
+				c.Assert(got, qt.Equals, terms)
+			})
+		})
+	}
+}
+
 // TestDeposingAFormerEpochDoesNothing deposes an owner after the next owner has
 // won, as a late call does.
 func TestDeposingAFormerEpochDoesNothing(t *testing.T) {
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -185,20 +185,26 @@
 	l := &s.lanes[index]
 	l.writes++
 	token := fmt.Sprintf("%d/%d", s.term.Epoch, l.writes)
-	t := s.transaction(l, token, entries)
+	attempts := newAttempts(s.keys, s.transaction(l, token, entries))
+	defer attempts.cancelAll()
 	start := time.Now()
 	for {
-		revision, err := s.attempt(ctx, l, t)
-		if err == nil {
-			l.sequence = revision
+		reply, ok := attempts.try(ctx, l.timeout())
+		if ok {
+			l.recordReply(reply.took)
+		} else {
+			l.recordTimeout()
+		}
+		if ok && reply.err == nil {
+			l.sequence = reply.revision
 			return nil
 		}
 		var condition *lovagestand.ConditionError
-		if errors.As(err, &condition) {
+		if errors.As(reply.err, &condition) {
 			return s.resolveConflict(l, condition, token)
 		}
 		var leaseEnded *lovagestand.LeaseEndedError
-		if errors.As(err, &leaseEnded) {
+		if errors.As(reply.err, &leaseEnded) {
 			return &TermEndedError{Shard: s.term.Shard, Epoch: s.term.Epoch}
 		}
 		if ctx.Err() != nil {
@@ -206,30 +212,29 @@
 		}
 		s.reportFailure(start)
 		var rejected *lovagestand.RejectedError
-		if errors.As(err, &rejected) && !pause.For(ctx, retryDelay) {
+		if errors.As(reply.err, &rejected) && !pause.For(ctx, retryDelay) {
 			return errors.Wrap(ctx.Err(), "write jobs")
 		}
 		var unavailable *lovagestand.UnavailableError
-		if errors.As(err, &unavailable) && !pause.For(ctx, retryDelay/5) {
+		if errors.As(reply.err, &unavailable) && !pause.For(ctx, retryDelay/5) {
 			return errors.Wrap(ctx.Err(), "write jobs")
 		}
 	}
 }
 
-// attempt commits a transaction once, with a timeout, and updates the usual latency of
-// the lane.
-func (s *Store) attempt(ctx context.Context, l *lane, t lovagestand.Transaction) (lovagestand.Revision, error) {
-	timeout := min(maxAttemptTimeout, max(minAttemptTimeout, attemptTimeoutFactor*l.latency))
-	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	start := time.Now()
-	revision, err := s.keys.Commit(attemptCtx, t)
-	if attemptCtx.Err() != nil {
-		l.latency = min(maxAttemptTimeout/attemptTimeoutFactor, max(minAttemptTimeout/attemptTimeoutFactor, time.Duration(latencyGrowth*float64(l.latency))))
-	} else {
-		l.latency += time.Duration(latencyWeight * float64(time.Since(start)-l.latency))
-	}
-	return revision, err
+// timeout returns how long to wait for a reply before the next attempt at a write.
+func (l *lane) timeout() time.Duration {
+	return min(maxAttemptTimeout, max(minAttemptTimeout, attemptTimeoutFactor*l.latency))
+}
+
+// recordReply adds the time of a reply to the usual latency.
+func (l *lane) recordReply(took time.Duration) {
+	l.latency += time.Duration(latencyWeight * float64(took-l.latency))
+}
+
+// recordTimeout raises the usual latency because no reply came in time.
+func (l *lane) recordTimeout() {
+	l.latency = min(maxAttemptTimeout/attemptTimeoutFactor, max(minAttemptTimeout/attemptTimeoutFactor, time.Duration(latencyGrowth*float64(l.latency))))
 }
 
 // transaction returns the transaction that writes entries in a lane. The token becomes
--- a/jobstore/store_test.go
+++ b/jobstore/store_test.go
@@ -113,6 +113,40 @@
 	})
 }
 
+// slowKeyspace is a store that answers commits late.
+type slowKeyspace struct {
+	*keyspace.Store
+	latency time.Duration
+}
+
+func (k slowKeyspace) Commit(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
+	select {
+	case <-time.After(k.latency):
+		return k.Store.Commit(ctx, t)
+	case <-ctx.Done():
+		return 0, &lovagestand.UnavailableError{System: "store"}
+	}
+}
+
+// TestSlowReplyIsNotGivenUp has a store become slow: the first write in that time must
+// take no longer than one reply, although the store is expected to answer earlier.
+func TestSlowReplyIsNotGivenUp(t *testing.T) {
+	for _, latency := range []time.Duration{230 * time.Millisecond, 310 * time.Millisecond, 450 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				keys := keyspace.New()
+				s := jobstore.New(slowKeyspace{keys, latency}, beginTerm(c, keys, "a"))
+				start := time.Now()
+				c.Assert(s.Write(t.Context(), entry("x", "1")), qt.IsNil)
+				c.Assert(time.Since(start), qt.Equals, latency)
+				c.Assert(s.Write(t.Context(), entry("x", "2")), qt.IsNil)
+				c.Assert(stored(c, s), qt.DeepEquals, map[string]string{"x": "2"})
+			})
+		})
+	}
+}
+
 func TestWriteFailuresAreReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/node/cell.go
+++ b/node/cell.go
@@ -17,8 +17,9 @@
 // cellServer serves calls from the other instances. It implements cellpb.Cell.
 type cellServer struct {
 	adviser lovagestand.Adviser
-	// depose ends the ownership with the given epoch in the store.
-	depose func(shard string, epoch lovagestand.Epoch)
+	// depose ends the ownership with the given epoch for an owner whose writes to
+	// the store fail.
+	depose func(ctx context.Context, shard string, epoch lovagestand.Epoch)
 	// suspects reports whether this instance watches the owner with the given
 	// epoch and suspects that it has failed.
 	suspects func(shard string, epoch lovagestand.Epoch) bool
@@ -148,8 +149,8 @@
 }
 
 // Depose implements cellpb.Cell.
-func (c *cellServer) Depose(_ context.Context, r *cellpb.DeposeRequest) (*cellpb.DeposeReply, error) {
-	c.depose(r.GetShard(), lovagestand.Epoch(r.GetEpoch()))
+func (c *cellServer) Depose(ctx context.Context, r *cellpb.DeposeRequest) (*cellpb.DeposeReply, error) {
+	c.depose(ctx, r.GetShard(), lovagestand.Epoch(r.GetEpoch()))
 	return &cellpb.DeposeReply{}, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -80,7 +80,10 @@
 		detectors: map[string]*election.Detector{},
 	}
 	n.cell = &cellServer{
-		adviser: deps.Adviser, depose: n.depose, shards: map[string]*shard.Shard{},
+		adviser: deps.Adviser, shards: map[string]*shard.Shard{},
+		depose: func(ctx context.Context, name string, epoch lovagestand.Epoch) {
+			n.candidate(name).DeposeIfStoreAnswers(ctx, epoch)
+		},
 		suspects:       func(name string, epoch lovagestand.Epoch) bool { return n.detector(name).Suspects(epoch) },
 		ownershipEnded: func(name string, epoch lovagestand.Epoch) bool { return n.candidate(name).OwnershipEnded(epoch) },
 	}
