dispatch: idle advice clients ask about more workers for steps that wait

Cause: a step asked about more workers only if those known to be allowed could not hold it even when empty, or if the others made it fit now.

Change: at the end of a pass, each client that has no call to make asks about further workers for a step that was given nothing, highest score first, through idle clients only.

Ruled out: counting all calls of a pass, as long calls are not made through the clients that are kept for short ones and would have queued behind others.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -111,6 +111,35 @@
 	return true
 }
 
+// requestIdleAdvice requests advice on further workers for the steps, in this order,
+// that were given nothing in this pass, one call for each client that is still idle.
+// It answers the load of a fleet whose allowed workers are kept full by steps of
+// higher score: a gang of low score hardly ever finds room on all of them at once.
+func (p *planner) requestIdleAdvice(order []int) {
+	idle := p.IdleAdviceClients
+	served := make(map[int]bool)
+	for _, d := range p.decisions {
+		served[d.Step] = true
+		if len(d.AdviceFor) > 0 {
+			idle--
+		}
+	}
+	for _, i := range order {
+		s := &p.Steps[i]
+		if idle <= 0 || p.AdviceCalls <= 0 {
+			return
+		}
+		if served[i] || !s.NeedsTickets || s.Candidates == nil || len(s.AdvicePending) > 0 {
+			continue
+		}
+		if more := p.withoutAdvice(s); len(more) > 0 {
+			p.AdviceCalls--
+			idle--
+			p.decisions = append(p.decisions, Decision{Step: i, AdviceFor: s.limitToCall(more), IfIdle: true})
+		}
+	}
+}
+
 // infeasible reports whether the workers known to be allowed could not hold the
 // step even if they were empty.
 func (p *planner) infeasible(s *Step) bool {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -93,6 +93,8 @@
 	Workers []int
 	// AdviceFor contains the indexes of the workers to name in one advice call.
 	AdviceFor []int
+	// IfIdle indicates that the call is to be made only through an idle client.
+	IfIdle bool
 }
 
 const (
@@ -142,6 +144,9 @@
 	// AdviceCalls is the largest number of advice calls that the pass may decide
 	// on.
 	AdviceCalls int
+	// IdleAdviceClients is how many clients have no call to make. They are used to
+	// request advice on further workers for steps that wait.
+	IdleAdviceClients int
 }
 
 // planner holds the state of one pass.
@@ -168,6 +173,7 @@
 	for _, i := range order {
 		p.decide(i, &l.Steps[i])
 	}
+	p.requestIdleAdvice(order)
 	return p.decisions
 }
 
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -184,6 +184,51 @@
 
 // TestGangRequestsAdviceForAsManyWorkersAsItMayNeed covers a high load: each worker
 // has room for one task, and policy allows a third of the workers.
+// TestWaitingStepAsksAboutMoreWorkersWhileClientsAreIdle guards against a step that
+// waits for good on the workers it is allowed on, which others keep full, while policy
+// has not been asked about other workers.
+func TestWaitingStepAsksAboutMoreWorkersWhileClientsAreIdle(t *testing.T) {
+	c := qt.New(t)
+	load := func(idle int, steps ...dispatch.Step) dispatch.Load {
+		workers := emptyWorkers(8)
+		for i := range 4 {
+			workers[i].Free = cores(1)
+		}
+		return dispatch.Load{Now: now, Workers: workers, Steps: steps, AdviceCalls: 100, IdleAdviceClients: idle}
+	}
+	known := func(worker int) bool { return worker < 4 }
+	gang := dispatch.Step{
+		Tasks: 6, Needs: cores(10), Gang: true, NeedsTickets: true, AllowedShare: 0.1, RunTime: time.Second,
+		Candidates: withTickets(0, 1, 2, 3), AdviceKnown: known,
+	}
+	c.Run("not while all clients are busy", func(c *qt.C) {
+		c.Assert(adviceFor(dispatch.Plan(load(0, gang)), 0), qt.HasLen, 0)
+	})
+	c.Run("about the workers that policy was not asked about", func(c *qt.C) {
+		asked := adviceFor(dispatch.Plan(load(1, gang)), 0)
+		slices.Sort(asked)
+		c.Assert(asked, qt.DeepEquals, []int{4, 5, 6, 7})
+	})
+	c.Run("not while a call is pending", func(c *qt.C) {
+		pending := gang
+		pending.AdvicePending = map[int]bool{7: true}
+		c.Assert(adviceFor(dispatch.Plan(load(1, pending)), 0), qt.HasLen, 0)
+	})
+	c.Run("the higher score first", func(c *qt.C) {
+		other := gang
+		other.Score = 1
+		decisions := dispatch.Plan(load(1, gang, other))
+		c.Assert(adviceFor(decisions, 0), qt.HasLen, 0)
+		c.Assert(adviceFor(decisions, 1), qt.HasLen, 4)
+	})
+	c.Run("after the calls that must be made", func(c *qt.C) {
+		first := dispatch.Step{Tasks: 1, Needs: cores(1), NeedsTickets: true}
+		decisions := dispatch.Plan(load(1, gang, first))
+		c.Assert(adviceFor(decisions, 0), qt.HasLen, 0)
+		c.Assert(adviceFor(decisions, 1), qt.HasLen, 8)
+	})
+}
+
 func TestGangRequestsAdviceForAsManyWorkersAsItMayNeed(t *testing.T) {
 	c := qt.New(t)
 	workers := emptyWorkers(350)
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/dispatch"
 )
 
 const (
@@ -38,13 +39,14 @@
 	pausedUntil time.Time
 }
 
-// requestAdvice requests advice about workers for a step, unless every client has too
-// long a backlog.
-func (s *Shard) requestAdvice(p *pass, waiting waitingStep, indexes []int) {
+// requestAdvice requests the advice of a decision for a step, unless every client has
+// too long a backlog.
+func (s *Shard) requestAdvice(p *pass, waiting waitingStep, d dispatch.Decision) {
+	indexes := d.AdviceFor
 	policy := waiting.entry.progress.Job().Policy.Advice
 	cost := policy.Cost(len(indexes)) + adviceCallOverhead
 	chosen, slot := s.pickAdviceClient(p.adviceClients, p.now, cost)
-	if slot == nil {
+	if slot == nil || d.IfIdle && slot.busyUntil.After(p.now) {
 		return
 	}
 	begin := later(slot.busyUntil, p.now)
@@ -75,6 +77,18 @@
 	return n
 }
 
+// idleAdviceClients returns how many clients have no call to make.
+func (s *Shard) idleAdviceClients(clients []AdviceClient, now time.Time) int {
+	n := 0
+	for _, c := range clients {
+		slot := s.adviceSlots[c.Instance]
+		if slot == nil || !slot.pausedUntil.After(now) && !slot.busyUntil.After(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // pickAdviceClient returns the client that is expected to answer a call of the given
 // cost first, and its slot. The slot is nil if no client is available.
 func (s *Shard) pickAdviceClient(clients []AdviceClient, now time.Time, cost time.Duration) (AdviceClient, *adviceSlot) {
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -102,7 +102,7 @@
 		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, w))
 	}
 	p.adviceClients = s.deps.AdviceClients()
-	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
+	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
 		return p.workers[i].releases(p.now)
 	}}
 	for _, d := range dispatch.Plan(load) {
@@ -111,7 +111,7 @@
 			s.placeTasks(p, w, d.Workers)
 		}
 		if len(d.AdviceFor) > 0 {
-			s.requestAdvice(p, w, d.AdviceFor)
+			s.requestAdvice(p, w, d)
 		}
 	}
 }
