platform, gateway, shard: teams of the configuration reach the owner of a shard

Deployments with teams (tenants on the wire) were served as if they had none: calls without a known key ran, and no part of the owner knew which team a job belongs to.

A gateway resolves the key of a call to a team and answers 401 if it is not known. A job carries its team, also in its record, and the owner counts what the runs of each team hold. Without tenants in the configuration nothing changes.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -86,13 +86,24 @@
 	RenewAhead time.Duration
 	// RunTime is the expected run time of one task.
 	RunTime time.Duration
-	// Score orders the steps of a pass, highest first; see [Score].
+	// Tier and Score order the steps of a pass: the lowest tier first, and within a tier
+	// the highest score; see [Score].
+	Tier  int
 	Score float64
+	// Team is the team of the step's job; nil if it has none.
+	Team *Team
 
 	// number identifies the step in the pass; it starts at 1.
 	number int
 }
 
+// Team is what a pass needs of a team of callers. All steps of the team share it.
+type Team struct {
+	// Headroom is what the team's quota leaves beside the tasks that run or may run; nil
+	// if the team has no quota.
+	Headroom *lovagestand.Resources
+}
+
 // matches reports whether a worker has the service and the label that the step
 // requires.
 func (s *Step) matches(w *Worker) bool {
@@ -189,7 +200,9 @@
 		order[i] = i
 		l.Steps[i].number = i + 1
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(l.Steps[b].Score, l.Steps[a].Score) })
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(l.Steps[a].Tier, l.Steps[b].Tier), cmp.Compare(l.Steps[b].Score, l.Steps[a].Score))
+	})
 	for _, i := range order {
 		p.decide(i, &l.Steps[i])
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,8 +20,9 @@
 // OwnerClient forwards calls to the instance that owns the shard concerned.
 type OwnerClient interface {
 	Submit(ctx context.Context, j job.Job) error
-	State(ctx context.Context, id job.ID) (string, error)
-	Cancel(ctx context.Context, id job.ID) error
+	// State and Cancel treat a job of another team as unknown.
+	State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error)
+	Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error
 	Pending(ctx context.Context, route lovagestand.RouteName) (int, error)
 }
 
@@ -97,6 +98,11 @@
 		http.Error(w, "no such route", http.StatusNotFound)
 		return
 	}
+	team, ok := current.authenticate(route, r.Header.Get("Authorization"))
+	if !ok {
+		http.Error(w, "the key is not known", http.StatusUnauthorized)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	switch {
@@ -105,11 +111,11 @@
 	case !job.ValidID(rest):
 		http.Error(w, "a job's ID has 16 hexadecimal digits", http.StatusBadRequest)
 	case r.Method == http.MethodPost:
-		g.submit(ctx, w, r, current, route, job.ID(rest))
+		g.submit(ctx, w, r, current, route, job.ID(rest), team)
 	case r.Method == http.MethodGet:
-		g.state(ctx, w, job.ID(rest))
+		g.state(ctx, w, job.ID(rest), team)
 	case r.Method == http.MethodDelete:
-		g.cancel(ctx, w, job.ID(rest))
+		g.cancel(ctx, w, job.ID(rest), team)
 	default:
 		http.Error(w, "use POST, GET or DELETE", http.StatusMethodNotAllowed)
 	}
@@ -133,7 +139,7 @@
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
-func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, current *routing, route platform.Route, id job.ID) {
+func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
 	limit := current.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -154,8 +160,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	j.Team = team
 	err = g.owner.Submit(ctx, j)
-	g.log.Info().Str("job", string(id)).Str("route", string(route.Policy.Route)).Int64("version", current.Version).Str("outcome", outcome(err)).Msg("job submitted")
+	g.log.Info().Str("job", string(id)).Str("team", string(team)).Str("route", string(route.Policy.Route)).Int64("version", current.Version).Str("outcome", outcome(err)).Msg("job submitted")
 	if err != nil {
 		g.writeError(w, err)
 		return
@@ -193,8 +200,8 @@
 	}
 }
 
-func (g *Gateway) state(ctx context.Context, w http.ResponseWriter, id job.ID) {
-	phase, err := g.owner.State(ctx, id)
+func (g *Gateway) state(ctx context.Context, w http.ResponseWriter, id job.ID, team lovagestand.TeamName) {
+	phase, err := g.owner.State(ctx, id, team)
 	if err != nil {
 		g.log.Info().Str("job", string(id)).Str("outcome", outcome(err)).Msg("job state request failed")
 		g.writeError(w, err)
@@ -217,8 +224,8 @@
 	}
 }
 
-func (g *Gateway) cancel(ctx context.Context, w http.ResponseWriter, id job.ID) {
-	err := g.owner.Cancel(ctx, id)
+func (g *Gateway) cancel(ctx context.Context, w http.ResponseWriter, id job.ID, team lovagestand.TeamName) {
+	err := g.owner.Cancel(ctx, id, team)
 	g.log.Info().Str("job", string(id)).Str("outcome", outcome(err)).Msg("job cancellation requested")
 	if err != nil {
 		g.writeError(w, err)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,8 +37,10 @@
 	return o.err
 }
 
-func (o *owner) State(context.Context, job.ID) (string, error)               { return "running", o.err }
-func (o *owner) Cancel(context.Context, job.ID) error                        { return o.err }
+func (o *owner) State(context.Context, job.ID, lovagestand.TeamName) (string, error) {
+	return "running", o.err
+}
+func (o *owner) Cancel(context.Context, job.ID, lovagestand.TeamName) error  { return o.err }
 func (o *owner) Pending(context.Context, lovagestand.RouteName) (int, error) { return 12, o.err }
 
 // serve returns a gateway and the store in which it follows the configuration.
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -10,8 +10,10 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/credential"
 	"lovagestand.example/lovagestand/election"
 	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/shard"
 )
 
 // watchWait is how long one watch of the configuration waits for a change. It is
@@ -32,6 +34,8 @@
 type routing struct {
 	platform.Configuration
 	byHost map[string][]platform.Route
+	keys   map[credential.Digest]lovagestand.TeamName
+	teams  shard.Teams
 }
 
 // NewRoutes returns routes without a configuration. [Routes.Run] loads it.
@@ -69,7 +73,16 @@
 }
 
 func newRouting(c platform.Configuration) *routing {
-	n := &routing{Configuration: c, byHost: map[string][]platform.Route{}}
+	n := &routing{
+		Configuration: c, byHost: map[string][]platform.Route{}, keys: map[credential.Digest]lovagestand.TeamName{},
+		teams: shard.Teams{Enabled: c.Teams != nil, Policies: map[lovagestand.TeamName]lovagestand.TeamPolicy{}},
+	}
+	for _, t := range c.Teams {
+		n.teams.Policies[t.Policy.Team] = t.Policy
+		for _, k := range t.Keys {
+			n.keys[k] = t.Policy.Team
+		}
+	}
 	for _, route := range c.Routes {
 		n.byHost[route.Host] = append(n.byHost[route.Host], route)
 	}
@@ -84,6 +97,30 @@
 	return r.current.Load() != nil
 }
 
+// Teams returns the policies of the teams in force. It returns false if no version is
+// in force.
+func (r *Routes) Teams() (shard.Teams, bool) {
+	current := r.current.Load()
+	if current == nil {
+		return shard.Teams{}, false
+	}
+	return current.teams, true
+}
+
+// authenticate returns the team of a caller by the value of the Authorization header. It
+// returns false if the route requires a key and the key is not known.
+func (n *routing) authenticate(route platform.Route, header string) (lovagestand.TeamName, bool) {
+	if !n.teams.Enabled || route.Public {
+		return "", true
+	}
+	key, ok := strings.CutPrefix(header, platform.KeyScheme+" ")
+	if !ok {
+		return "", false
+	}
+	team, ok := n.keys[credential.DigestOf(key)]
+	return team, ok
+}
+
 // find returns the route that matches a host and path, and the rest of the path after
 // its prefix.
 func (n *routing) find(host, path string) (platform.Route, string, bool) {
--- a/job/job.go
+++ b/job/job.go
@@ -96,11 +96,14 @@
 
 // Job is a job as submitted, with the policy of its route.
 type Job struct {
-	ID       ID       `json:"id"`
-	Policy   Policy   `json:"policy"`
-	Spec     string   `json:"spec"`
-	Steps    []Step   `json:"steps"`
-	Schedule Schedule `json:"schedule"`
+	ID ID `json:"id"`
+	// Team is the team whose key the job was submitted with; empty on a public route and
+	// in a deployment without teams.
+	Team     lovagestand.TeamName `json:"team,omitempty"`
+	Policy   Policy               `json:"policy"`
+	Spec     string               `json:"spec"`
+	Steps    []Step               `json:"steps"`
+	Schedule Schedule             `json:"schedule"`
 }
 
 // LongRunning reports whether the job has tasks that run until it is cancelled.
--- a/job/record.go
+++ b/job/record.go
@@ -16,6 +16,7 @@
 type Record struct {
 	Phase    string                `json:"phase"`
 	Route    lovagestand.RouteName `json:"route"`
+	Team     lovagestand.TeamName  `json:"team,omitempty"`
 	Accepted int64                 `json:"acceptedMillis"`
 	// Finished is when the job ended, in milliseconds, or 0 if it may still run.
 	Finished int64 `json:"finishedMillis,omitempty"`
@@ -63,7 +64,7 @@
 
 // Record returns the state of p that must be stored.
 func (p *Progress) Record() Record {
-	r := Record{Phase: p.Phase(), Route: p.job.Policy.Route, Accepted: p.accepted.UnixMilli()}
+	r := Record{Phase: p.Phase(), Route: p.job.Policy.Route, Team: p.job.Team, Accepted: p.accepted.UnixMilli()}
 	for k := range p.occurrences {
 		for i := range p.occurrences[k].steps {
 			r = r.withStep(k, i, &p.occurrences[k].steps[i])
--- a/node/cell.go
+++ b/node/cell.go
@@ -108,7 +108,7 @@
 	if s == nil {
 		return &cellpb.StateReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
 	}
-	phase, err := s.State(ctx, job.ID(r.GetId()))
+	phase, err := s.State(ctx, job.ID(r.GetId()), lovagestand.TeamName(r.GetTeam()))
 	return &cellpb.StateReply{Verdict: verdictOf(err), Phase: phase}, nil
 }
 
@@ -118,7 +118,7 @@
 	if s == nil {
 		return &cellpb.CancelReply{Verdict: cellpb.Verdict_VERDICT_NOT_OWNER}, nil
 	}
-	return &cellpb.CancelReply{Verdict: verdictOf(s.Cancel(ctx, job.ID(r.GetId())))}, nil
+	return &cellpb.CancelReply{Verdict: verdictOf(s.Cancel(ctx, job.ID(r.GetId()), lovagestand.TeamName(r.GetTeam())))}, nil
 }
 
 // Pending implements cellpb.Cell.
--- a/node/owner.go
+++ b/node/owner.go
@@ -271,10 +271,10 @@
 }
 
 // State is [ownerClients.State] for this shard.
-func (c *ownerClient) State(ctx context.Context, id job.ID) (string, error) {
+func (c *ownerClient) State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error) {
 	phase := ""
 	err := c.call(ctx, "state", id, func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
-		reply, err := owner.State(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id)})
+		reply, err := owner.State(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id), Team: string(team)})
 		phase = reply.GetPhase()
 		return reply.GetVerdict(), err
 	})
@@ -282,9 +282,9 @@
 }
 
 // Cancel is [ownerClients.Cancel] for this shard.
-func (c *ownerClient) Cancel(ctx context.Context, id job.ID) error {
+func (c *ownerClient) Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error {
 	return c.call(ctx, "cancel", id, func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
-		reply, err := owner.Cancel(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id)})
+		reply, err := owner.Cancel(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id), Team: string(team)})
 		return reply.GetVerdict(), err
 	})
 }
--- a/node/owners.go
+++ b/node/owners.go
@@ -84,19 +84,19 @@
 }
 
 // State implements gateway.OwnerClient.
-func (o *ownerClients) State(ctx context.Context, id job.ID) (string, error) {
+func (o *ownerClients) State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error) {
 	phase := ""
 	err := o.findJob(id, func(c *ownerClient) error {
 		var err error
-		phase, err = c.State(ctx, id)
+		phase, err = c.State(ctx, id, team)
 		return err
 	})
 	return phase, err
 }
 
 // Cancel implements gateway.OwnerClient.
-func (o *ownerClients) Cancel(ctx context.Context, id job.ID) error {
-	return o.findJob(id, func(c *ownerClient) error { return c.Cancel(ctx, id) })
+func (o *ownerClients) Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error {
+	return o.findJob(id, func(c *ownerClient) error { return c.Cancel(ctx, id, team) })
 }
 
 // findJob calls the owner of the shard that a job's ID maps to and, while the job
--- a/node/serve.go
+++ b/node/serve.go
@@ -48,7 +48,7 @@
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithWriteFailureHandler(func() { go n.requestDepose(ctx, term) })),
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
-		Assured: n.candidate(term.Shard).Assured, Recorder: n.deps.Recorder,
+		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Recorder: n.deps.Recorder,
 	})
 	for {
 		limited, cancel := context.WithTimeout(ctx, loadTimeout)
--- a/shard/duplicates_test.go
+++ b/shard/duplicates_test.go
@@ -105,7 +105,7 @@
 	s.mu.Lock()
 	s.views[id].cancelling = true
 	s.mu.Unlock()
-	err := s.randomOwner().Cancel(ctx, job.ID(id))
+	err := s.randomOwner().Cancel(ctx, job.ID(id), "")
 	var unknownJob *shard.UnknownJobError
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -11,6 +11,7 @@
 func (s *Shard) reserveRoom(p *placement) {
 	p.worker.placements[p.name] = p
 	p.worker.free = p.worker.free.Sub(p.needs)
+	s.addUsage(p.entry.team, p.needs)
 	p.worker.lastPlacedAt = p.placedAt
 	p.entry.heldRuns[p.name]++
 }
@@ -27,6 +28,7 @@
 	if p.worker.placements[p.name] == p {
 		delete(p.worker.placements, p.name)
 		p.worker.free = p.worker.free.Add(p.needs)
+		s.addUsage(e.team, lovagestand.Resources{}.Sub(p.needs))
 		e.releaseHeldRun(p.name)
 		if !p.trialUntil.IsZero() {
 			p.worker.trialUntil = time.Time{}
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -85,7 +85,7 @@
 	}
 	id := job.ID(strings.TrimPrefix(stored.ID, jobPrefix))
 	if r.Finished > 0 {
-		e := newFinishedJobEntry(id, r.Route, r.Phase, time.UnixMilli(r.Finished))
+		e := newFinishedJobEntry(id, r.Route, r.Team, r.Phase, time.UnixMilli(r.Finished))
 		e.durable, e.endDurable, e.unsubmitted = true, true, r.Unsubmitted
 		s.jobs[id] = e
 		return nil
--- a/shard/retention_test.go
+++ b/shard/retention_test.go
@@ -40,7 +40,7 @@
 				for i := range 3 {
 					cancelling.Go(func() {
 						time.Sleep(time.Duration(i) * r.gap)
-						c.Check(o.Cancel(t.Context(), job.ID(id(1))), qt.IsNil)
+						c.Check(o.Cancel(t.Context(), job.ID(id(1)), ""), qt.IsNil)
 					})
 				}
 				cancelling.Wait()
@@ -66,7 +66,7 @@
 				defer func() { o.stop() }()
 				var unknownJob *shard.UnknownJobError
 				for range 2 {
-					c.Assert(o.Cancel(t.Context(), job.ID(id(1))), qt.ErrorAs, &unknownJob)
+					c.Assert(o.Cancel(t.Context(), job.ID(id(1)), ""), qt.ErrorAs, &unknownJob)
 				}
 				_, err := o.State(job.ID(id(1)))
 				c.Assert(err, qt.ErrorAs, &unknownJob)
@@ -126,7 +126,7 @@
 				o := k.beginReadyTerm("a")
 				defer o.stop()
 				k.delay.Store(int64(100 * time.Millisecond))
-				go func() { _ = o.Cancel(t.Context(), job.ID(id(1))) }()
+				go func() { _ = o.Cancel(t.Context(), job.ID(id(1)), "") }()
 				time.Sleep(after)
 				go func() { _ = o.trySubmit(id(1), job.Step{Count: 1}) }()
 				time.Sleep(60 * time.Millisecond)
@@ -154,7 +154,7 @@
 		defer later.stop()
 		var unknown *shard.UnknownError
 		c.Check(later.trySubmit(id(1), job.Step{Count: 1}), qt.ErrorAs, &unknown)
-		c.Check(later.Cancel(t.Context(), job.ID(id(1))), qt.ErrorAs, &unknown)
+		c.Check(later.Cancel(t.Context(), job.ID(id(1)), ""), qt.ErrorAs, &unknown)
 		var notOwner *shard.NotOwnerError
 		_, err := later.State(job.ID(id(1)))
 		c.Check(err, qt.ErrorAs, &notOwner)
@@ -174,15 +174,15 @@
 		k.keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultLostRequest })
 		var rejected *shard.RejectedError
 		for i := range 1000 {
-			go func() { _ = o.Cancel(t.Context(), job.ID(id(i))) }()
+			go func() { _ = o.Cancel(t.Context(), job.ID(id(i)), "") }()
 			time.Sleep(10 * time.Millisecond)
 		}
 		c.Assert(o.Status().Jobs < 100, qt.IsTrue, qt.Commentf("%d jobs", o.Status().Jobs))
-		c.Assert(o.Cancel(t.Context(), job.ID(id(1000))), qt.ErrorAs, &rejected)
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1000)), ""), qt.ErrorAs, &rejected)
 		k.keys.SetFault(nil)
 		time.Sleep(5 * time.Second)
 		var unknownJob *shard.UnknownJobError
-		c.Assert(o.Cancel(t.Context(), job.ID(id(1000))), qt.ErrorAs, &unknownJob)
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1000)), ""), qt.ErrorAs, &unknownJob)
 	})
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -32,7 +32,11 @@
 	// Confirmed reports whether the ownership has been confirmed recently.
 	Confirmed func() bool
 	// Assured reports whether no other owner is expected to send orders to workers.
-	Assured  func() bool
+	Assured func() bool
+	// Teams returns the policies of the teams in the configuration in force. It returns
+	// false before any configuration has been read; no job of a team is started then. A
+	// nil function means that there are no teams.
+	Teams    func() (Teams, bool)
 	Log      zerolog.Logger
 	Recorder lovagestand.Recorder
 }
@@ -119,6 +123,9 @@
 	// resolved reports whether everything that former terms started is known.
 	resolved bool
 
+	// teamUsage is what the runs of each team hold on the workers.
+	teamUsage map[lovagestand.TeamName]lovagestand.Resources
+
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
 
@@ -141,6 +148,7 @@
 		jobs: map[job.ID]*jobEntry{}, live: map[job.ID]*jobEntry{}, unreadable: map[job.ID]bool{}, workers: map[lovagestand.WorkerName]*worker{},
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
+		teamUsage:   map[lovagestand.TeamName]lovagestand.Resources{},
 		adviceSlots: map[lovagestand.InstanceID]*adviceSlot{}, statsByRoute: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), lost: make(chan struct{}),
 	}
@@ -150,6 +158,7 @@
 type jobEntry struct {
 	id       job.ID
 	route    lovagestand.RouteName
+	team     lovagestand.TeamName
 	progress *job.Progress
 	body     []byte
 	// phase replaces progress, which is nil once the end of the job is durable and
@@ -259,15 +268,15 @@
 
 func newJobEntry(p *job.Progress, body []byte) *jobEntry {
 	return &jobEntry{
-		id: p.Job().ID, route: p.Job().Policy.Route, progress: p, body: body, started: p.Started(),
+		id: p.Job().ID, route: p.Job().Policy.Route, team: p.Job().Team, progress: p, body: body, started: p.Started(),
 		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, heldRuns: map[string]int{},
 		trialTimes: map[string]time.Duration{},
 	}
 }
 
 // newFinishedJobEntry returns an entry for a job of which only the end is known.
-func newFinishedJobEntry(id job.ID, route lovagestand.RouteName, phase string, finishedAt time.Time) *jobEntry {
-	return &jobEntry{id: id, route: route, phase: phase, finishedAt: finishedAt, active: map[string]*placement{}, heldRuns: map[string]int{}}
+func newFinishedJobEntry(id job.ID, route lovagestand.RouteName, team lovagestand.TeamName, phase string, finishedAt time.Time) *jobEntry {
+	return &jobEntry{id: id, route: route, team: team, phase: phase, finishedAt: finishedAt, active: map[string]*placement{}, heldRuns: map[string]int{}}
 }
 
 // currentPhase returns the job's own phase, which may be ahead of the phase that is
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -233,7 +233,7 @@
 
 // State calls [shard.Shard.State] without a deadline.
 func (o *owner) State(id job.ID) (string, error) {
-	return o.Shard.State(context.Background(), id)
+	return o.Shard.State(context.Background(), id, "")
 }
 
 func assertPhase(c *qt.C, o *owner, id, phase string) {
@@ -358,14 +358,14 @@
 		o.submit(c, id(1), job.Step{Count: 6})
 		time.Sleep(time.Second)
 		c.Assert(k.fleet.Running(), qt.Equals, 4)
-		c.Assert(o.Cancel(t.Context(), job.ID(id(1))), qt.IsNil)
-		c.Assert(o.Cancel(t.Context(), job.ID(id(1))), qt.IsNil)
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1)), ""), qt.IsNil)
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1)), ""), qt.IsNil)
 		time.Sleep(time.Second)
 		c.Assert(k.fleet.Running(), qt.Equals, 0)
 		c.Assert(k.fleet.Starts(), qt.Equals, 4)
 		assertPhase(c, o, id(1), "cancelled")
 		var unknownJob *shard.UnknownJobError
-		c.Assert(o.Cancel(t.Context(), job.ID(id(2))), qt.ErrorAs, &unknownJob)
+		c.Assert(o.Cancel(t.Context(), job.ID(id(2)), ""), qt.ErrorAs, &unknownJob)
 	})
 }
 
@@ -390,7 +390,7 @@
 		for i := range 3 {
 			cancelling.Go(func() {
 				time.Sleep(time.Duration(i) * 40 * time.Millisecond)
-				c.Check(o.Cancel(t.Context(), job.ID(id(1))), qt.IsNil)
+				c.Check(o.Cancel(t.Context(), job.ID(id(1)), ""), qt.IsNil)
 			})
 		}
 		cancelling.Wait()
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -127,10 +127,10 @@
 // State returns the phase of a job as reported to callers. It returns an
 // [UnknownJobError] only once the store shows that no later owner can have accepted
 // the job.
-func (s *Shard) State(ctx context.Context, id job.ID) (string, error) {
+func (s *Shard) State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error) {
 	s.mu.Lock()
 	e, known := s.jobs[id]
-	known = known && !e.unsubmitted
+	known = known && !e.unsubmitted && e.team == team
 	if known && e.durable {
 		defer s.mu.Unlock()
 		return e.reportedPhase(), nil
@@ -158,7 +158,7 @@
 // Cancel ends a job and returns once that is durable. An unknown job is stored as
 // cancelled too, because its submission may still arrive; Cancel then returns an
 // [UnknownJobError].
-func (s *Shard) Cancel(ctx context.Context, id job.ID) error {
+func (s *Shard) Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error {
 	s.mu.Lock()
 	e, known := s.jobs[id]
 	s.logCancel(id, e)
@@ -180,7 +180,7 @@
 			s.mu.Unlock()
 			return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
 		}
-		e = newFinishedJobEntry(id, "", phaseCancelled, time.Now())
+		e = newFinishedJobEntry(id, "", team, phaseCancelled, time.Now())
 		e.unsubmitted = true
 		s.jobs[id] = e
 	}
--- /dev/null
+++ b/shard/teams.go
@@ -0,0 +1,47 @@
+package shard
+
+import "lovagestand.example/lovagestand"
+
+// Teams holds the policies of the teams in one version of the configuration.
+type Teams struct {
+	// Enabled is false in a deployment without teams.
+	Enabled  bool
+	Policies map[lovagestand.TeamName]lovagestand.TeamPolicy
+}
+
+// Policy returns the policy of a team. A team that the configuration does not contain
+// has weight 1 and no quota.
+func (t Teams) Policy(team lovagestand.TeamName) lovagestand.TeamPolicy {
+	if p, ok := t.Policies[team]; ok {
+		return p
+	}
+	return lovagestand.TeamPolicy{Team: team, Weight: 1}
+}
+
+// addUsage adds an amount, which may be negative, to the usage of a team.
+func (s *Shard) addUsage(team lovagestand.TeamName, amount lovagestand.Resources) {
+	if team == "" {
+		return
+	}
+	used := s.teamUsage[team].Add(amount)
+	if used.IsZero() {
+		delete(s.teamUsage, team)
+		return
+	}
+	s.teamUsage[team] = used
+}
+
+// usage returns what the runs of a team hold on the workers of this shard, including
+// runs that are being stopped and runs whose start is not confirmed.
+func (s *Shard) usage(team lovagestand.TeamName) lovagestand.Resources {
+	return s.teamUsage[team]
+}
+
+// teams returns the policies in force. It returns false while no configuration has
+// been read.
+func (s *Shard) teams() (Teams, bool) {
+	if s.deps.Teams == nil {
+		return Teams{}, true
+	}
+	return s.deps.Teams()
+}
--- a/shard/write.go
+++ b/shard/write.go
@@ -242,7 +242,7 @@
 		return nil, nil
 	}
 	if e.final() {
-		r := job.Record{Phase: e.currentPhase(), Route: e.route, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted}
+		r := job.Record{Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted}
 		return r.Encode(nil)
 	}
 	return e.progress.Record().Encode(e.body)
