dispatch: rank workers for advice without sorting all of them for each step

Three quarters of a pass went into sorting all workers for each step without advice, also when no call was left.

The first slot of a worker is found without a list of slots, the workers that a call names are selected before they are sorted, and nothing is ranked once the calls of the pass are used up.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -107,7 +107,7 @@
 	if len(more) == 0 || !p.infeasible(s) && !p.likelyFits(s, more) {
 		return false
 	}
-	p.requestAdvice(index, s.limitToCall(more))
+	p.requestAdvice(index, firstWorkers(more, s.callSize()))
 	return true
 }
 
@@ -135,7 +135,7 @@
 		if more := p.withoutAdvice(s); len(more) > 0 {
 			p.AdviceCalls--
 			idle--
-			p.decisions = append(p.decisions, Decision{Step: i, AdviceFor: s.limitToCall(more), IfIdle: true})
+			p.decisions = append(p.decisions, Decision{Step: i, AdviceFor: firstWorkers(more, s.callSize()), IfIdle: true})
 		}
 	}
 }
@@ -158,7 +158,7 @@
 // likelyFits reports whether a gang is likely to fit now on the workers known to be
 // allowed together with the share of others that policy usually allows. For a step
 // that is not a gang it reports whether the others have room for one task.
-func (p *planner) likelyFits(s *Step, others []int) bool {
+func (p *planner) likelyFits(s *Step, others []ranked) bool {
 	allowedSlots := 0
 	for _, c := range s.Candidates {
 		if p.mayStart(s, c.Worker) {
@@ -166,9 +166,9 @@
 		}
 	}
 	otherSlots := 0
-	for _, i := range others {
-		if p.mayStart(s, i) {
-			otherSlots += slotsIn(p.Workers[i].Free, s)
+	for _, o := range others {
+		if p.mayStart(s, o.worker) {
+			otherSlots += slotsIn(p.Workers[o.worker].Free, s)
 		}
 	}
 	if s.Gang {
@@ -196,14 +196,15 @@
 // initialAdvice returns the workers named in the first calls of a step: one call's
 // worth, and for a gang enough that the share usually allowed has room for it.
 func (p *planner) initialAdvice(s *Step) []int {
-	workers := p.withoutAdvice(s)
-	n := len(s.limitToCall(workers))
+	ranking := p.withoutAdvice(s)
+	n := min(s.callSize(), len(ranking))
 	if !s.Gang {
-		return workers[:n]
+		return firstWorkers(ranking, n)
 	}
+	workers := firstWorkers(ranking, maxInitialCalls*maxWorkersPerCall)
 	missing := initialRoomFactor * float64(s.Tasks)
 	for i, w := range workers {
-		if i >= n && missing <= 0 || i == maxInitialCalls*maxWorkersPerCall {
+		if i >= n && missing <= 0 {
 			return workers[:i]
 		}
 		missing -= s.AllowedShare * float64(slotsIn(p.Workers[w].Free, s))
@@ -211,41 +212,108 @@
 	return workers
 }
 
-// limitToCall returns the first workers, as many as one advice call should name.
-func (s *Step) limitToCall(workers []int) []int {
-	return workers[:min(len(workers), max(minWorkersPerCall, min(maxWorkersPerCall, workersPerTask*s.Tasks)))]
+// callSize returns how many workers one advice call should name.
+func (s *Step) callSize() int {
+	return max(minWorkersPerCall, min(maxWorkersPerCall, workersPerTask*s.Tasks))
 }
 
-// withoutAdvice returns the workers on which there is no advice yet, ordered by
-// when they are expected to have room for a task.
-func (p *planner) withoutAdvice(s *Step) []int {
-	type ranked struct {
-		worker int
-		at     time.Time
-		spread uint64
-	}
-	var ranking []ranked
+// withoutAdvice returns the workers on which there is no advice yet and that are
+// expected to have room for a task, in no particular order.
+func (p *planner) withoutAdvice(s *Step) []ranked {
+	ranking := make([]ranked, 0, len(p.Workers))
 	for i := range p.Workers {
 		w := &p.Workers[i]
 		if !w.Open || s.AdvicePending[i] || s.AdviceKnown != nil && s.AdviceKnown(i) || !s.matches(w) || !s.Needs.Fits(w.Capacity) {
 			continue
 		}
-		times := p.slotTimes(s, i, 1)
-		if len(times) == 0 {
-			continue
+		if at, ok := p.firstSlot(s, i); ok {
+			ranking = append(ranking, ranked{worker: i, wait: at.Sub(p.Now), spread: (s.Seed + uint64(i)) * hashMultiplier})
 		}
-		ranking = append(ranking, ranked{worker: i, at: times[0], spread: (s.Seed + uint64(i)) * hashMultiplier})
 	}
-	slices.SortFunc(ranking, func(a, b ranked) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spread, b.spread))
-	})
-	workers := make([]int, len(ranking))
+	return ranking
+}
+
+// ranked is a worker on which there is no advice yet.
+type ranked struct {
+	worker int
+	// wait is the expected time until the worker has room for a task. Workers with equal
+	// waits are ordered by spread.
+	wait   time.Duration
+	spread uint64
+}
+
+func compareRanked(a, b ranked) int {
+	if a.wait != b.wait {
+		return cmp.Compare(a.wait, b.wait)
+	}
+	return cmp.Compare(a.spread, b.spread)
+}
+
+// firstWorkers returns the first n workers of a ranking in order, or all if there are
+// fewer. It reorders the ranking.
+func firstWorkers(ranking []ranked, n int) []int {
+	n = min(n, len(ranking))
+	selectFirst(ranking, n)
+	slices.SortFunc(ranking[:n], compareRanked)
+	workers := make([]int, n)
 	for i := range workers {
 		workers[i] = ranking[i].worker
 	}
 	return workers
 }
 
+// selectFirst moves the first n entries to the front, in no particular order
+// (quickselect). Sorting the whole ranking for every step took most of a pass.
+func selectFirst(ranking []ranked, n int) {
+	for low, high := 0, len(ranking)-1; low < high; {
+		pivot := ranking[(low+high)/2]
+		i, j := low, high
+		for i <= j {
+			for compareRanked(ranking[i], pivot) < 0 {
+				i++
+			}
+			for compareRanked(pivot, ranking[j]) < 0 {
+				j--
+			}
+			if i <= j {
+				ranking[i], ranking[j] = ranking[j], ranking[i]
+				i++
+				j--
+			}
+		}
+		switch {
+		case n <= j:
+			high = j
+		case n > i:
+			low = i
+		default:
+			return
+		}
+	}
+}
+
+// firstSlot returns when a worker is expected to have room for one task of a step. It
+// returns false if it is not expected to have any.
+func (p *planner) firstSlot(s *Step, worker int) (time.Time, bool) {
+	if s.MaxPerWorker > 0 && s.Placed[worker] >= s.MaxPerWorker {
+		return time.Time{}, false
+	}
+	free, at := p.Workers[worker].Free, p.Now
+	if s.Needs.Fits(free) {
+		return at, true
+	}
+	for _, r := range p.releasesOf(worker) {
+		free = free.Add(r.Frees)
+		if r.At.After(at) {
+			at = r.At
+		}
+		if s.Needs.Fits(free) {
+			return at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // slotTimes returns when a worker is expected to have room for one, two and more
 // tasks of a step, up to limit.
 func (p *planner) slotTimes(s *Step, worker, limit int) []time.Time {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -212,7 +212,7 @@
 
 func (p *planner) decide(index int, s *Step) {
 	if s.NeedsTickets && s.Candidates == nil {
-		if len(s.AdvicePending) == 0 {
+		if len(s.AdvicePending) == 0 && p.AdviceCalls > 0 {
 			p.requestAdvice(index, p.initialAdvice(s))
 		}
 		return
