credential, platform, gateway: the keys of a version, checked as a whole

Two teams could share a key, names and keys could be empty, and weights and caps negative; the last team listed got the key.

A call without a key in force is counted and logged with its reason, never with the key.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/credential"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/platform"
 	"lovagestand.example/lovagestand/shard"
@@ -98,9 +99,9 @@
 		http.Error(w, "no such route", http.StatusNotFound)
 		return
 	}
-	team, ok := current.authenticate(route, r.Header.Get("Authorization"))
-	if !ok {
-		http.Error(w, "the key is not known", http.StatusUnauthorized)
+	team, rejection := current.authenticate(route, r.Header)
+	if rejection != credential.NotRejected {
+		g.rejectKey(w, r, route, rejection)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
@@ -121,6 +122,14 @@
 	}
 }
 
+// rejectKey replies to a call whose key is not accepted.
+func (g *Gateway) rejectKey(w http.ResponseWriter, r *http.Request, route platform.Route, rejection credential.Rejection) {
+	g.recorder.Count("rejectedKeys", string(rejection))
+	g.log.Info().Str("route", string(route.Policy.Route)).Str("method", r.Method).Str("caller", r.RemoteAddr).Str("reason", string(rejection)).Msg("key of a call rejected")
+	w.Header().Set("WWW-Authenticate", platform.KeyScheme)
+	http.Error(w, "the key is "+string(rejection), http.StatusUnauthorized)
+}
+
 // deadline returns the timeout of a call: the deadline that the caller sets less
 // deadlineMargin, but at least half of it.
 func deadline(r *http.Request) time.Duration {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,8 +54,11 @@
 	return gateway.New(routes, o, zerolog.Nop(), lovagestand.NoRecorder{}), keys
 }
 
-func request(g *gateway.Gateway, method, path, body string) *httptest.ResponseRecorder {
+func request(g *gateway.Gateway, method, path, body string, authorization ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
+	for _, value := range authorization {
+		r.Header.Add(platform.HeaderAuthorization, value)
+	}
 	w := httptest.NewRecorder()
 	g.ServeHTTP(w, r)
 	return w
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -34,7 +35,6 @@
 type routing struct {
 	platform.Configuration
 	byHost map[string][]platform.Route
-	keys   map[credential.Digest]lovagestand.TeamName
 	teams  shard.Teams
 }
 
@@ -61,7 +61,7 @@
 	}
 	c, err := platform.DecodeConfiguration(i.Value)
 	if err != nil {
-		r.log.Error().Err(err).Uint64("revision", uint64(i.Revision)).Msg("configuration cannot be decoded; the previous version stays in force")
+		r.log.Error().Err(err).Uint64("revision", uint64(i.Revision)).Msg("configuration is invalid; the previous version stays in force")
 		return
 	}
 	previous := r.current.Load()
@@ -74,14 +74,11 @@
 
 func newRouting(c platform.Configuration) *routing {
 	n := &routing{
-		Configuration: c, byHost: map[string][]platform.Route{}, keys: map[credential.Digest]lovagestand.TeamName{},
+		Configuration: c, byHost: map[string][]platform.Route{},
 		teams: shard.Teams{Enabled: c.Teams != nil, Policies: map[lovagestand.TeamName]lovagestand.TeamPolicy{}},
 	}
 	for _, t := range c.Teams {
 		n.teams.Policies[t.Policy.Team] = t.Policy
-		for _, k := range t.Keys {
-			n.keys[k] = t.Policy.Team
-		}
 	}
 	for _, route := range c.Routes {
 		n.byHost[route.Host] = append(n.byHost[route.Host], route)
@@ -107,18 +104,21 @@
 	return current.teams, true
 }
 
-// authenticate returns the team of a caller by the value of the Authorization header. It
-// returns false if the route requires a key and the key is not known.
-func (n *routing) authenticate(route platform.Route, header string) (lovagestand.TeamName, bool) {
+// authenticate returns the team whose key a call contains. The team is empty if the call
+// needs no key.
+func (n *routing) authenticate(route platform.Route, header http.Header) (lovagestand.TeamName, credential.Rejection) {
 	if !n.teams.Enabled || route.Public {
-		return "", true
+		return "", credential.NotRejected
+	}
+	key, rejection := platform.KeyFrom(header)
+	if rejection != credential.NotRejected {
+		return "", rejection
 	}
-	key, ok := strings.CutPrefix(header, platform.KeyScheme+" ")
+	team, ok := n.Keys.Team(key)
 	if !ok {
-		return "", false
+		return "", credential.RejectionUnknown
 	}
-	team, ok := n.keys[credential.DigestOf(key)]
-	return team, ok
+	return team, credential.NotRejected
 }
 
 // find returns the route that matches a host and path, and the rest of the path after
