shard, node, gateway: the ID of another team's job, and cancellations by team

A submission with the ID of another team's job was answered 200 although it did not run. A cancellation of an unknown ID cancelled the submission of whichever team came first, and a second team's cancellation of that ID was not stored. A gateway with an older version of the configuration had jobs of a removed team accepted.

The owner answers such a submission with OtherTeamError, VERDICT_OTHER_TEAM and 409. The record of an unsubmitted job lists the teams that cancelled it; a submission of a further team takes the place of the record, in the same entry, so that the writes of both stay in order. A write in flight from before such a change makes nothing durable. The gateway sends the version of its configuration with a submission, and the owner rejects a job whose team a newer version no longer contains. Records without teams are stored as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,8 @@
 
 // OwnerClient forwards calls to the instance that owns the shard concerned.
 type OwnerClient interface {
-	Submit(ctx context.Context, j job.Job) error
+	// Submit submits a job that was admitted with a version of the configuration.
+	Submit(ctx context.Context, j job.Job, version int64) error
 	// State and Cancel treat a job of another team as unknown.
 	State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error)
 	Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error
@@ -170,7 +171,7 @@
 		return
 	}
 	j.Team = team
-	err = g.owner.Submit(ctx, j)
+	err = g.owner.Submit(ctx, j, current.Version)
 	g.log.Info().Str("job", string(id)).Str("team", string(team)).Str("route", string(route.Policy.Route)).Int64("version", current.Version).Str("outcome", outcome(err)).Msg("job submitted")
 	if err != nil {
 		g.writeError(w, err)
@@ -191,6 +192,7 @@
 func (g *Gateway) writeError(w http.ResponseWriter, err error) {
 	var rejected *shard.RejectedError
 	var unknownJob *shard.UnknownJobError
+	var otherTeam *shard.OtherTeamError
 	var notOwner *shard.NotOwnerError
 	var isolated *shard.IsolatedError
 	switch {
@@ -202,6 +204,8 @@
 		reject(w, rejected.RetryAfter, rejected.Reason)
 	case errors.As(err, &unknownJob):
 		http.Error(w, "no such job", http.StatusGone)
+	case errors.As(err, &otherTeam):
+		http.Error(w, err.Error(), http.StatusConflict)
 	case errors.As(err, &notOwner):
 		reject(w, noOwnerRetryAfter, "no instance owns the shard at the moment")
 	default:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -30,9 +30,12 @@
 type owner struct {
 	err  error
 	jobs []job.Job
+	// versions are those with which the jobs were admitted.
+	versions []int64
 }
 
-func (o *owner) Submit(_ context.Context, j job.Job) error {
+func (o *owner) Submit(_ context.Context, j job.Job, version int64) error {
+	o.versions = append(o.versions, version)
 	o.jobs = append(o.jobs, j)
 	return o.err
 }
@@ -112,6 +115,7 @@
 		c.Assert(o.jobs, qt.HasLen, 0, qt.Commentf("invalid requests submit no job"))
 		assertStatus(c, g, http.MethodPost, jobPath, valid, http.StatusOK)
 		c.Assert(o.jobs[0].Policy.MaxAttempts, qt.Equals, 2)
+		c.Assert(o.versions, qt.DeepEquals, []int64{3})
 	})
 }
 
@@ -126,6 +130,7 @@
 			http.StatusServiceUnavailable: &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second},
 			http.StatusGatewayTimeout:     &shard.UnknownError{},
 			http.StatusGone:               &shard.UnknownJobError{},
+			http.StatusConflict:           &shard.OtherTeamError{},
 		} {
 			o.err = err
 			assertStatus(c, g, http.MethodPost, jobPath, valid, status)
--- a/job/record.go
+++ b/job/record.go
@@ -20,8 +20,10 @@
 	Accepted int64                 `json:"acceptedMillis"`
 	// Finished is when the job ended, in milliseconds, or 0 if it may still run.
 	Finished int64 `json:"finishedMillis,omitempty"`
-	// Unsubmitted indicates that the job was cancelled before it was submitted.
-	Unsubmitted bool `json:"unsubmitted,omitempty"`
+	// Unsubmitted indicates that the job was cancelled before it was submitted, by Team
+	// and the teams in CancelledAlsoBy.
+	Unsubmitted     bool                   `json:"unsubmitted,omitempty"`
+	CancelledAlsoBy []lovagestand.TeamName `json:"cancelledAlsoBy,omitempty"`
 	// Generation is the generation of the owner that accepted the job. It is not set or
 	// used at present.
 	Generation int64        `json:"generation,omitempty"`
--- a/node/cell.go
+++ b/node/cell.go
@@ -68,6 +68,7 @@
 func verdictOf(err error) cellpb.Verdict {
 	var rejected *shard.RejectedError
 	var unknownJob *shard.UnknownJobError
+	var otherTeam *shard.OtherTeamError
 	var notOwner *shard.NotOwnerError
 	switch {
 	case err == nil:
@@ -76,6 +77,8 @@
 		return cellpb.Verdict_VERDICT_REJECTED
 	case errors.As(err, &unknownJob):
 		return cellpb.Verdict_VERDICT_NO_SUCH_JOB
+	case errors.As(err, &otherTeam):
+		return cellpb.Verdict_VERDICT_OTHER_TEAM
 	case errors.As(err, &notOwner):
 		return cellpb.Verdict_VERDICT_NOT_OWNER
 	}
@@ -92,7 +95,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("job", err.Error())
 	}
-	err = s.Submit(ctx, j, r.GetJob())
+	err = s.Submit(ctx, j, r.GetJob(), r.GetVersion())
 	reply := &cellpb.SubmitReply{Verdict: verdictOf(err)}
 	var rejected *shard.RejectedError
 	if errors.As(err, &rejected) {
--- a/node/owner.go
+++ b/node/owner.go
@@ -242,16 +242,18 @@
 		return nil
 	case cellpb.Verdict_VERDICT_NO_SUCH_JOB:
 		return &shard.UnknownJobError{}
+	case cellpb.Verdict_VERDICT_OTHER_TEAM:
+		return &shard.OtherTeamError{}
 	case cellpb.Verdict_VERDICT_NOT_OWNER:
 		return &shard.NotOwnerError{}
 	}
 	return &shard.UnknownError{}
 }
 
-// Submit is [ownerClients.Submit] for this shard. It returns a rejection only if
-// there is no earlier attempt whose outcome is unknown, since the owner may still
-// accept the job when that attempt arrives late.
-func (c *ownerClient) Submit(ctx context.Context, j job.Job) error {
+// Submit is [ownerClients.Submit] for this shard. It returns that the job was not
+// accepted only if there is no earlier attempt whose outcome is unknown, since the owner
+// may still accept the job when that attempt arrives late.
+func (c *ownerClient) Submit(ctx context.Context, j job.Job, version int64) error {
 	body, err := job.EncodeJob(j)
 	if err != nil {
 		return err
@@ -260,10 +262,14 @@
 	anyUnknown := false
 	err = c.call(ctx, "submit", j.ID, func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
 		var err error
-		reply, err = owner.Submit(ctx, &cellpb.SubmitRequest{Shard: c.shard, Id: string(j.ID), Job: body})
+		reply, err = owner.Submit(ctx, &cellpb.SubmitRequest{Shard: c.shard, Id: string(j.ID), Job: body, Version: version})
 		anyUnknown = anyUnknown || outcomeUnknown(reply.GetVerdict(), err)
 		return reply.GetVerdict(), err
 	})
+	var otherTeam *shard.OtherTeamError
+	if anyUnknown && errors.As(err, &otherTeam) {
+		return &shard.UnknownError{}
+	}
 	if reply.GetVerdict() == cellpb.Verdict_VERDICT_REJECTED && !anyUnknown {
 		return &shard.RejectedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond}
 	}
--- a/node/owners.go
+++ b/node/owners.go
@@ -75,12 +75,12 @@
 }
 
 // Submit implements gateway.OwnerClient.
-func (o *ownerClients) Submit(ctx context.Context, j job.Job) error {
+func (o *ownerClients) Submit(ctx context.Context, j job.Job, version int64) error {
 	l, ok := o.directory.Layout()
 	if !ok {
 		return &shard.NotOwnerError{}
 	}
-	return o.client(l.ShardOfJob(j)).Submit(ctx, j)
+	return o.client(l.ShardOfJob(j)).Submit(ctx, j, version)
 }
 
 // State implements gateway.OwnerClient.
@@ -101,7 +101,8 @@
 
 // findJob calls the owner of the shard that a job's ID maps to and, while the job
 // is unknown there, the owners of the other shards: a job belongs to the shard of
-// the rack that holds its data, which does not follow from the ID.
+// the rack that holds its data, which does not follow from the ID. A job of another
+// team counts as unknown, so that a job with the same ID in another shard is found.
 func (o *ownerClients) findJob(id job.ID, call func(*ownerClient) error) error {
 	l, ok := o.directory.Layout()
 	if !ok {
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -87,6 +87,9 @@
 	if r.Finished > 0 {
 		e := newFinishedJobEntry(id, r.Route, r.Team, r.Phase, time.UnixMilli(r.Finished))
 		e.durable, e.endDurable, e.unsubmitted = true, true, r.Unsubmitted
+		if r.Unsubmitted {
+			e.team, e.cancelledBy = "", append([]lovagestand.TeamName{r.Team}, r.CancelledAlsoBy...)
+		}
 		s.jobs[id] = e
 		return nil
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -170,6 +170,12 @@
 	// expired reports whether its retention has passed, so that the next write
 	// removes it.
 	unsubmitted, expired bool
+	// cancelledBy holds the teams whose cancellations of an unsubmitted job are
+	// recorded. It is empty for any other job.
+	cancelledBy []lovagestand.TeamName
+	// generation counts the changes after which a write in flight no longer describes
+	// the entry: it makes neither the job nor its end durable.
+	generation int
 
 	// durable reports whether the job is stored, endDurable whether its end is
 	// stored, and writing whether a write of it is in flight.
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -217,7 +217,11 @@
 	return o.submitJob(j)
 }
 
-func (o *owner) submitJob(j job.Job) error {
+func (o *owner) submitJob(j job.Job) error { return o.submitAdmitted(j, 0) }
+
+// submitAdmitted submits a job that a gateway admitted with a version of the
+// configuration.
+func (o *owner) submitAdmitted(j job.Job, version int64) error {
 	for i := range j.Steps {
 		j.Steps[i].Needs = needs(lovagestand.Order{})
 		j.Steps[i].Estimate = time.Second
@@ -228,7 +232,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	return o.Submit(ctx, j, body)
+	return o.Submit(ctx, j, body, version)
 }
 
 // State calls [shard.Shard.State] without a deadline.
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -34,6 +34,13 @@
 // Error implements error.
 func (e *UnknownJobError) Error() string { return "no such job" }
 
+// OtherTeamError reports that the ID of a submission belongs to a job of another team.
+// The submitted job was not accepted and is guaranteed not to run.
+type OtherTeamError struct{}
+
+// Error implements error.
+func (e *OtherTeamError) Error() string { return "the ID belongs to a job of another caller" }
+
 // NotOwnerError reports that this instance does not own the shard, or cannot
 // confirm that it does.
 type NotOwnerError struct{}
@@ -57,15 +64,27 @@
 	phaseCancelled = chart.Job().StateName(chart.Job().MustState("cancelled"))
 )
 
-// outageRetryDelay is how long callers should wait before they try again during an
-// outage of the store.
-const outageRetryDelay = time.Second
+const (
+	// outageRetryDelay is how long callers should wait before they try again during an
+	// outage of the store.
+	outageRetryDelay = time.Second
+	// withdrawnRetryDelay is how long callers of a team that was removed should wait
+	// before they try again. By then the gateway usually has the newer version too and
+	// rejects the key.
+	withdrawnRetryDelay = time.Second
+)
 
 // Submit accepts a job and returns once it is durable. A duplicate submission of a
-// job that is already durable changes nothing and succeeds.
-func (s *Shard) Submit(ctx context.Context, j job.Job, body []byte) error {
+// job that is already durable changes nothing and succeeds. The version is that of the
+// configuration with which the gateway admitted the job.
+func (s *Shard) Submit(ctx context.Context, j job.Job, body []byte, version int64) error {
 	s.mu.Lock()
 	e, known := s.jobs[j.ID]
+	if known && !e.visibleTo(j.Team) && !e.unsubmitted {
+		s.log.Info().Str("job", string(j.ID)).Str("team", string(j.Team)).Msg("submission with the ID of another team's job rejected")
+		s.mu.Unlock()
+		return &OtherTeamError{}
+	}
 	if known && e.durable && !e.unsubmitted {
 		s.log.Info().Str("job", string(j.ID)).Str("phase", e.currentPhase()).Msg("duplicate submission of a known job")
 		s.mu.Unlock()
@@ -80,20 +99,17 @@
 		s.mu.Unlock()
 		return &NotOwnerError{}
 	}
-	if !known {
-		if s.stalled {
+	if !known || e.unsubmitted && !e.cancelled(j.Team) {
+		if err := s.rejection(j, version); err != nil {
 			s.mu.Unlock()
-			return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
+			return err
 		}
-		e = newJobEntry(job.New(j, time.Now()), body)
-		s.estimateWork(e)
-		s.jobs[j.ID] = e
-		s.live[j.ID] = e
-		s.log.Info().Str("job", string(j.ID)).Str("route", string(e.route)).Int("steps", len(j.Steps)).Int("live", len(s.live)).Msg("job accepted")
+		e = s.accept(e, j, body)
 	}
 	if e.unsubmitted {
 		s.log.Info().Str("job", string(j.ID)).Msg("job was cancelled before it was submitted")
 		e.unsubmitted, e.durable, e.route = false, false, j.Policy.Route
+		e.team, e.cancelledBy = j.Team, nil
 	}
 	s.enqueue(e)
 	done := s.addWaiter(e)
@@ -101,6 +117,32 @@
 	return s.awaitWrite(ctx, e, done)
 }
 
+// rejection returns the error with which a new job is rejected, or nil.
+func (s *Shard) rejection(j job.Job, version int64) error {
+	if s.stalled {
+		return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
+	}
+	if s.withdrawn(j.Team, version) {
+		s.log.Info().Str("job", string(j.ID)).Str("team", string(j.Team)).Int64("version", version).Msg("job of a team that is no longer in the configuration rejected")
+		return &RejectedError{Reason: "the team is no longer in the configuration", RetryAfter: withdrawnRetryDelay}
+	}
+	return nil
+}
+
+// accept returns the entry of a new job. It takes the place of the entry of an
+// unsubmitted job with that ID that other teams have cancelled, if there is one.
+func (s *Shard) accept(cancellation *jobEntry, j job.Job, body []byte) *jobEntry {
+	e := newJobEntry(job.New(j, time.Now()), body)
+	if cancellation != nil {
+		e = cancellation.replacedBy(e)
+	}
+	s.estimateWork(e)
+	s.jobs[j.ID] = e
+	s.live[j.ID] = e
+	s.log.Info().Str("job", string(j.ID)).Str("team", string(e.team)).Str("route", string(e.route)).Int("steps", len(j.Steps)).Int("live", len(s.live)).Msg("job accepted")
+	return e
+}
+
 // addWaiter returns a channel that receives the outcome of the next write of an entry.
 func (s *Shard) addWaiter(e *jobEntry) chan error {
 	done := make(chan error, 1)
@@ -130,7 +172,7 @@
 func (s *Shard) State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error) {
 	s.mu.Lock()
 	e, known := s.jobs[id]
-	known = known && !e.unsubmitted && e.team == team
+	known = known && !e.unsubmitted && e.visibleTo(team)
 	if known && e.durable {
 		defer s.mu.Unlock()
 		return e.reportedPhase(), nil
@@ -156,16 +198,18 @@
 }
 
 // Cancel ends a job and returns once that is durable. An unknown job is stored as
-// cancelled too, because its submission may still arrive; Cancel then returns an
-// [UnknownJobError].
+// cancelled by the team too, because its submission may still arrive; Cancel then
+// returns an [UnknownJobError]. So it does for a job of another team, which it leaves as
+// it is, once that job is durable: from then on the team's own submission is rejected.
 func (s *Shard) Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error {
 	s.mu.Lock()
 	e, known := s.jobs[id]
 	s.logCancel(id, e)
-	if known && e.endDurable {
-		unsubmitted := e.unsubmitted
+	otherTeams := known && !e.unsubmitted && !e.visibleTo(team)
+	if known && e.cancellationStored(team) {
+		unknown := e.unsubmitted || otherTeams
 		s.mu.Unlock()
-		return cancelResult(unsubmitted)
+		return cancelResult(unknown)
 	}
 	if s.closing {
 		s.mu.Unlock()
@@ -175,32 +219,35 @@
 		s.mu.Unlock()
 		return &UnknownError{}
 	}
-	if !known {
-		if s.stalled {
-			s.mu.Unlock()
-			return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
-		}
-		e = newFinishedJobEntry(id, "", team, phaseCancelled, time.Now())
+	if !known && s.stalled {
+		s.mu.Unlock()
+		return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
+	}
+	switch {
+	case !known:
+		e = newFinishedJobEntry(id, "", "", phaseCancelled, time.Now())
 		e.unsubmitted = true
+		e.cancelledBy = []lovagestand.TeamName{team}
 		s.jobs[id] = e
-	}
-	if e.progress != nil && e.progress.Cancel() {
+	case e.unsubmitted && !e.cancelled(team):
+		e.addCancellation(team)
+	case !otherTeams && e.progress != nil && e.progress.Cancel():
 		s.log.Info().Str("job", string(id)).Int("running", len(e.active)).Msg("job cancelled")
 		s.finishJob(e)
 	}
-	unsubmitted := e.unsubmitted
+	unknown := e.unsubmitted || otherTeams
 	s.enqueue(e)
 	done := s.addWaiter(e)
 	s.mu.Unlock()
 	if err := s.awaitWrite(ctx, e, done); err != nil {
 		return err
 	}
-	return cancelResult(unsubmitted)
+	return cancelResult(unknown)
 }
 
 // cancelResult returns the result of Cancel for a cancellation that is durable.
-func cancelResult(unsubmitted bool) error {
-	if unsubmitted {
+func cancelResult(unknown bool) error {
+	if unknown {
 		return &UnknownJobError{}
 	}
 	return nil
--- a/shard/teams.go
+++ b/shard/teams.go
@@ -1,9 +1,16 @@
 package shard
 
-import "lovagestand.example/lovagestand"
+import (
+	"slices"
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
 
 // Teams holds the policies of the teams in one version of the configuration.
 type Teams struct {
+	// Version is the version of the configuration.
+	Version int64
 	// Enabled is false in a deployment without teams.
 	Enabled  bool
 	Policies map[lovagestand.TeamName]lovagestand.TeamPolicy
@@ -45,3 +52,58 @@
 	}
 	return s.deps.Teams()
 }
+
+// withdrawn reports whether a newer version of the configuration than the given one no
+// longer contains a team.
+func (s *Shard) withdrawn(team lovagestand.TeamName, version int64) bool {
+	teams, ok := s.teams()
+	if !ok || team == "" || !teams.Enabled || teams.Version <= version {
+		return false
+	}
+	_, exists := teams.Policies[team]
+	return !exists
+}
+
+// visibleTo reports whether callers of a team may see and cancel a job: it is their own,
+// or it has no team because its route was public when it was submitted.
+func (e *jobEntry) visibleTo(team lovagestand.TeamName) bool {
+	return e.team == "" || e.team == team
+}
+
+// cancelled reports whether a team has cancelled an unsubmitted job.
+func (e *jobEntry) cancelled(team lovagestand.TeamName) bool {
+	return slices.Contains(e.cancelledBy, team)
+}
+
+// cancellationStored reports whether everything is stored that a cancellation by a team
+// has to store. For a job of another team that is the job itself.
+func (e *jobEntry) cancellationStored(team lovagestand.TeamName) bool {
+	switch {
+	case e.unsubmitted:
+		return e.endDurable && e.cancelled(team)
+	case !e.visibleTo(team):
+		return e.durable
+	}
+	return e.endDurable
+}
+
+// addCancellation records that one more team has cancelled an unsubmitted job, which is
+// then kept for its retention from now on.
+func (e *jobEntry) addCancellation(team lovagestand.TeamName) {
+	e.cancelledBy = append(e.cancelledBy, team)
+	e.finishedAt = time.Now()
+	e.expired, e.endDurable = false, false
+	e.generation++
+}
+
+// replacedBy turns the entry of an unsubmitted job into that of a new job with the same
+// ID. It remains the same entry, so that the writes of both cannot overtake each other.
+func (e *jobEntry) replacedBy(n *jobEntry) *jobEntry {
+	e.team, e.route, e.progress, e.body, e.started = n.team, n.route, n.progress, n.body, n.started
+	e.steps, e.trialTimes = n.steps, n.trialTimes
+	e.phase, e.finishedAt = "", time.Time{}
+	e.unsubmitted, e.expired, e.cancelledBy = false, false, nil
+	e.durable, e.endDurable = false, false
+	e.generation++
+	return e
+}
--- a/shard/write.go
+++ b/shard/write.go
@@ -173,7 +173,9 @@
 	remaining := s.queue[:0]
 	rejected := 0
 	for _, e := range s.queue {
-		if e.durable || e.endDurable || e.writing || e.unsubmitted {
+		// An entry of a later generation may replace a stored cancellation, which must
+		// not be forgotten.
+		if e.durable || e.endDurable || e.writing || e.unsubmitted || e.generation > 0 {
 			remaining = append(remaining, e)
 			continue
 		}
@@ -193,6 +195,7 @@
 	final         bool
 	// unsubmitted reports whether the job is written as not submitted.
 	unsubmitted bool
+	generation  int
 	waiters     []chan error
 }
 
@@ -226,7 +229,7 @@
 			continue
 		}
 		values = append(values, jobstore.Entry{ID: jobKey(e.id), Value: value})
-		batch = append(batch, batchEntry{entry: e, queuePosition: e.queuePosition, final: e.final(), unsubmitted: e.unsubmitted, waiters: e.waiters})
+		batch = append(batch, batchEntry{entry: e, queuePosition: e.queuePosition, final: e.final(), unsubmitted: e.unsubmitted, generation: e.generation, waiters: e.waiters})
 		e.queuePosition, e.waiters, e.writing = 0, nil, true
 	}
 	clear(s.queue[len(remaining):])
@@ -243,6 +246,9 @@
 	}
 	if e.final() {
 		r := job.Record{Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted}
+		if e.unsubmitted {
+			r.Team, r.CancelledAlsoBy = e.cancelledBy[0], e.cancelledBy[1:]
+		}
 		return r.Encode(nil)
 	}
 	return e.progress.Record().Encode(e.body)
@@ -265,8 +271,9 @@
 		e.writing = false
 		// A cancellation that was written before the job was submitted does not make
 		// the submission durable.
-		e.durable = e.durable || b.unsubmitted == e.unsubmitted
-		e.endDurable = e.endDurable || b.final
+		current := b.generation == e.generation
+		e.durable = e.durable || current && b.unsubmitted == e.unsubmitted
+		e.endDurable = e.endDurable || current && b.final
 		s.dropFinishedState(e)
 		notifyWaiters(b.waiters, nil)
 	}
