gateway, settings: strict revocation while the store is unavailable

An instance without contact to the store accepts the keys of its last version for good. A deployment that ranks revocation above availability had no way to change that.

With strictRevocation the gateway answers 503 to calls with a key once the store has not confirmed its version for revocationTimeout, counted from the time at which the answered call was sent. Public routes are served.

--- a/election/follower.go
+++ b/election/follower.go
@@ -26,6 +26,9 @@
 	Apply func(items []lovagestand.Item, revision lovagestand.Revision)
 	// OnAnswer, if not nil, is called whenever the store has answered.
 	OnAnswer func()
+	// OnConfirmed, if not nil, is called when everything that the store held at a time
+	// has been received. That is the time at which the answered call was sent.
+	OnConfirmed func(at time.Time)
 	// Spacing, if not nil, returns how long to wait after a change, so that the
 	// next watch returns several changes at once.
 	Spacing func() time.Duration
@@ -51,6 +54,7 @@
 // readAndWatch reads all items under the prefix and watches them until a call
 // fails or a refresh is requested.
 func (f Follower) readAndWatch(ctx context.Context) error {
+	sentAt := time.Now()
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	items, revision, err := f.Keys.Range(limited, f.Prefix)
 	cancel()
@@ -59,7 +63,9 @@
 	}
 	f.Reset(items, revision)
 	f.notifyHeard()
+	f.notifyConfirmed(sentAt)
 	for {
+		sentAt = time.Now()
 		changes, next, refresh, err := f.watchOnce(ctx, revision)
 		if err != nil || refresh {
 			return err
@@ -67,9 +73,10 @@
 		f.notifyHeard()
 		if len(changes) > 0 {
 			f.Apply(changes, next)
-			if f.Spacing != nil && !pause.For(ctx, f.Spacing()) {
-				return ctx.Err()
-			}
+		}
+		f.notifyConfirmed(sentAt)
+		if len(changes) > 0 && f.Spacing != nil && !pause.For(ctx, f.Spacing()) {
+			return ctx.Err()
 		}
 		revision = next
 	}
@@ -81,6 +88,12 @@
 	}
 }
 
+func (f Follower) notifyConfirmed(at time.Time) {
+	if f.OnConfirmed != nil {
+		f.OnConfirmed(at)
+	}
+}
+
 // watchOnce waits for changes after a revision and returns them with the revision
 // from which to continue. It returns early and reports true if a refresh is
 // requested.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,9 @@
 	// noOwnerRetryAfter is the Retry-After value while no instance owns the shard or
 	// no configuration is loaded. A takeover takes about that long.
 	noOwnerRetryAfter = time.Second
+	// unconfirmedRetryAfter is the Retry-After value while the store does not confirm
+	// the configuration. Another instance may accept the call at once.
+	unconfirmedRetryAfter = time.Second
 )
 
 // Gateway is the HTTP handler for the requests of callers.
@@ -100,7 +103,7 @@
 		http.Error(w, "no such route", http.StatusNotFound)
 		return
 	}
-	team, rejection := current.authenticate(route, r.Header)
+	team, rejection := g.routes.authenticate(current, route, r.Header)
 	if rejection != credential.NotRejected {
 		g.rejectKey(w, r, route, rejection)
 		return
@@ -127,6 +130,13 @@
 func (g *Gateway) rejectKey(w http.ResponseWriter, r *http.Request, route platform.Route, rejection credential.Rejection) {
 	g.recorder.Count("rejectedKeys", string(rejection))
 	g.log.Info().Str("route", string(route.Policy.Route)).Str("method", r.Method).Str("caller", r.RemoteAddr).Str("reason", string(rejection)).Msg("key of a call rejected")
+	if rejection == credential.RejectionUnconfirmed {
+		// Another instance may be in contact with the store, and a new connection
+		// reaches one.
+		w.Header().Set("Connection", "close")
+		reject(w, unconfirmedRetryAfter, "the key cannot be checked at the moment")
+		return
+	}
 	w.Header().Set("WWW-Authenticate", platform.KeyScheme)
 	http.Error(w, "the key is "+string(rejection), http.StatusUnauthorized)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,9 +47,9 @@
 func (o *owner) Pending(context.Context, lovagestand.RouteName) (int, error) { return 12, o.err }
 
 // serve returns a gateway and the store in which it follows the configuration.
-func serve(t *testing.T, o *owner) (*gateway.Gateway, *keyspace.Store) {
+func serve(t *testing.T, o *owner, options ...gateway.RoutesOption) (*gateway.Gateway, *keyspace.Store) {
 	keys := keyspace.New()
-	routes := gateway.NewRoutes(keys, zerolog.Nop())
+	routes := gateway.NewRoutes(keys, zerolog.Nop(), options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); routes.Run(ctx) }()
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -11,7 +11,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/gateway"
 	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/standin/keyspace"
 )
 
 // configurationWith returns a version with a private and a public route and with teams.
@@ -91,3 +93,45 @@
 		}
 	})
 }
+
+// TestUnconfirmedConfiguration guards against a withdrawn key that is accepted for as long
+// as the store cannot be reached although strict revocation is set, and against calls that
+// are rejected for that reason without it.
+func TestUnconfirmedConfiguration(t *testing.T) {
+	const timeout = 2 * time.Second
+	for name, strict := range map[string]bool{"strict": true, "lenient": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var options []gateway.RoutesOption
+				if strict {
+					options = append(options, gateway.WithRevocationTimeout(timeout))
+				}
+				g, keys := serve(t, &owner{}, options...)
+				keys.Put(platform.ConfigurationKey, configurationWith("1", twoTeams))
+				time.Sleep(time.Second)
+				post := func(path, key string) int {
+					return request(g, http.MethodPost, path, valid, "Token "+key).Code
+				}
+				for range 40 {
+					time.Sleep(100 * time.Millisecond)
+					c.Assert(post(jobPath, "key-a"), qt.Equals, http.StatusOK, qt.Commentf("the store answers"))
+				}
+				keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultLostRequest })
+				time.Sleep(timeout + time.Millisecond)
+				want := http.StatusOK
+				if strict {
+					want = http.StatusServiceUnavailable
+					w := request(g, http.MethodPost, jobPath, valid, "Token key-a")
+					c.Assert(w.Header().Get("Retry-After"), qt.Equals, "1")
+					c.Assert(w.Header().Get("Connection"), qt.Equals, "close")
+				}
+				c.Assert(post(jobPath, "key-a"), qt.Equals, want)
+				c.Assert(post(publicPath, "key-a"), qt.Equals, http.StatusOK, qt.Commentf("a public route needs no key"))
+				keys.SetFault(nil)
+				time.Sleep(3 * time.Second)
+				c.Assert(post(jobPath, "key-a"), qt.Equals, http.StatusOK, qt.Commentf("the store answers again"))
+			})
+		})
+	}
+}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -22,12 +22,35 @@
 // out, and a new version must be in force within seconds.
 const watchWait = 900 * time.Millisecond
 
+// watchesPerRevocationTimeout is how many watches of the configuration end within the
+// revocation timeout while the store answers, so that one slow answer is no reason to
+// reject keys.
+const watchesPerRevocationTimeout = 4
+
 // Routes follows the operator's configuration and holds the version that is in force,
 // which is never replaced by an older one. It is safe for concurrent use.
 type Routes struct {
 	keys    lovagestand.Keyspace
 	log     zerolog.Logger
 	current atomic.Pointer[routing]
+	// revocationTimeout is how long keys are accepted without a confirmation of the
+	// version in force; 0 means for good.
+	revocationTimeout time.Duration
+	// confirmedAt is the last time at which the store held no newer version.
+	confirmedAt atomic.Pointer[time.Time]
+	// unconfirmed reports whether the last call with a key found the version not
+	// confirmed. It is used to log the changes.
+	unconfirmed atomic.Bool
+}
+
+// RoutesOption configures new [Routes].
+type RoutesOption func(*Routes)
+
+// WithRevocationTimeout makes the routes accept no key once the store has not confirmed
+// the version in force for the given duration. Without this option the last version
+// stays in force while the store is unavailable.
+func WithRevocationTimeout(d time.Duration) RoutesOption {
+	return func(r *Routes) { r.revocationTimeout = d }
 }
 
 // routing is one version of the configuration, with its routes by host, longest prefix
@@ -39,8 +62,12 @@
 }
 
 // NewRoutes returns routes without a configuration. [Routes.Run] loads it.
-func NewRoutes(keys lovagestand.Keyspace, log zerolog.Logger) *Routes {
-	return &Routes{keys: keys, log: log}
+func NewRoutes(keys lovagestand.Keyspace, log zerolog.Logger, options ...RoutesOption) *Routes {
+	r := &Routes{keys: keys, log: log}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Run follows the configuration until ctx ends.
@@ -50,7 +77,30 @@
 			r.apply(i)
 		}
 	}
-	election.Follower{Keys: r.keys, Prefix: platform.ConfigurationKey, Wait: watchWait, Log: r.log, Reset: apply, Apply: apply}.Run(ctx)
+	wait := watchWait
+	if r.revocationTimeout > 0 {
+		wait = min(wait, r.revocationTimeout/watchesPerRevocationTimeout)
+	}
+	election.Follower{
+		Keys: r.keys, Prefix: platform.ConfigurationKey, Wait: wait, Log: r.log, Reset: apply, Apply: apply,
+		OnConfirmed: func(at time.Time) { r.confirmedAt.Store(&at) },
+	}.Run(ctx)
+}
+
+// confirmed reports whether keys of the version in force may still be accepted.
+func (r *Routes) confirmed() bool {
+	if r.revocationTimeout == 0 {
+		return true
+	}
+	at := r.confirmedAt.Load()
+	ok := at != nil && time.Since(*at) <= r.revocationTimeout
+	switch changed := r.unconfirmed.Swap(!ok) == ok; {
+	case changed && ok:
+		r.log.Info().Msg("store confirms the configuration again; keys are accepted")
+	case changed:
+		r.log.Warn().Dur("timeout", r.revocationTimeout).Msg("store has not confirmed the configuration for too long; keys are rejected")
+	}
+	return ok
 }
 
 // apply puts a version in force unless it cannot be decoded or is not newer than the
@@ -106,7 +156,7 @@
 
 // authenticate returns the team whose key a call contains. The team is empty if the call
 // needs no key.
-func (n *routing) authenticate(route platform.Route, header http.Header) (lovagestand.TeamName, credential.Rejection) {
+func (r *Routes) authenticate(n *routing, route platform.Route, header http.Header) (lovagestand.TeamName, credential.Rejection) {
 	if !n.teams.Enabled || route.Public {
 		return "", credential.NotRejected
 	}
@@ -114,6 +164,9 @@
 	if rejection != credential.NotRejected {
 		return "", rejection
 	}
+	if !r.confirmed() {
+		return "", credential.RejectionUnconfirmed
+	}
 	team, ok := n.Keys.Team(key)
 	if !ok {
 		return "", credential.RejectionUnknown
--- a/node/node.go
+++ b/node/node.go
@@ -76,7 +76,7 @@
 	}
 	n := &Node{
 		settings: s, deps: deps, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
-		routes: gateway.NewRoutes(deps.Keys, deps.Log), peers: newPeers(), candidates: map[string]*election.Candidate{},
+		routes: gateway.NewRoutes(deps.Keys, deps.Log, routesOptions(s)...), peers: newPeers(), candidates: map[string]*election.Candidate{},
 		detectors: map[string]*election.Detector{},
 	}
 	n.cell = &cellServer{
@@ -97,6 +97,14 @@
 	return n
 }
 
+// routesOptions returns the options that the settings give for the routes.
+func routesOptions(s settings.Node) []gateway.RoutesOption {
+	if !s.StrictRevocation {
+		return nil
+	}
+	return []gateway.RoutesOption{gateway.WithRevocationTimeout(s.RevocationTimeout)}
+}
+
 // Run runs the node until ctx ends or one of its servers fails. It then releases
 // the shards and shuts the servers down.
 func (n *Node) Run(ctx context.Context) error {
--- a/settings/node.go
+++ b/settings/node.go
@@ -43,6 +43,11 @@
 	// CheckpointInterval is the time between two checkpoints of a task that makes
 	// checkpoints.
 	CheckpointInterval time.Duration `yaml:"checkpointInterval"`
+	// StrictRevocation makes the instance reject calls with a key once the store has
+	// not confirmed the operator's configuration for RevocationTimeout, because the key
+	// may have been withdrawn. Otherwise the last configuration stays in force.
+	StrictRevocation  bool          `yaml:"strictRevocation"`
+	RevocationTimeout time.Duration `yaml:"revocationTimeout"`
 }
 
 // ReadNode reads and checks a file of settings. If settings are invalid, it fails
@@ -104,4 +109,7 @@
 			add(key, "must be more than 0", `write it with a unit, such as "6s"`)
 		}
 	}
+	if n.RevocationTimeout < 0 || n.StrictRevocation && n.RevocationTimeout == 0 {
+		add("revocationTimeout", "must be more than 0", `strictRevocation needs it; write it with a unit, such as "6s"`)
+	}
 }
