node, standin: a cell with teams, and a search for keys in all that it writes

No test ran a cell with teams over the wire, and nothing would have shown a key that is logged, counted, dumped or stored.

The stand-in platform configures teams.

Tests of node and standin pass.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -44,8 +44,13 @@
 // start starts a node and returns once it listens. If another process takes one of
 // the ports after it was found free, start tries again with other ports.
 func start(c *qt.C, s *site.Site, name string) *instance {
+	return startLogging(c, s, name, zerolog.Nop())
+}
+
+// startLogging is start for a node that logs.
+func startLogging(c *qt.C, s *site.Site, name string, log zerolog.Logger) *instance {
 	for {
-		i := launch(c, s, name)
+		i := launch(c, s, name, log)
 		err := i.awaitListening()
 		if err == nil {
 			return i
@@ -82,7 +87,7 @@
 	}
 }
 
-func launch(c *qt.C, s *site.Site, name string) *instance {
+func launch(c *qt.C, s *site.Site, name string, log zerolog.Logger) *instance {
 	local := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(c)) }
 	i := &instance{done: make(chan error, 1), settings: settings.Node{
 		Instance: lovagestand.InstanceID(name), Region: "region", FailureDomain: "zone-1", CallerAddress: local(), ReadyAddress: local(),
@@ -92,7 +97,7 @@
 	recorder := metrics.NewRecorder()
 	n := node.New(i.settings, node.Deps{
 		Keys: platform.NewKeyspace(s.StoreAddress(), platform.NewHTTPClient(), nil), Fleet: platform.NewFleet(platform.NewHTTPClient()),
-		DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix(), Log: zerolog.Nop(), Recorder: recorder, Metrics: recorder,
+		DecodeWorker: platform.DecodeWorker, WorkerPrefix: platform.WorkerPrefix(), Log: log, Recorder: recorder, Metrics: recorder,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
@@ -102,10 +107,13 @@
 
 // call sends a request of a caller and returns the status and the body of the
 // reply. The status is 0 if there is no reply.
-func (i *instance) call(c *qt.C, method, path, body string) (int, string) {
+func (i *instance) call(c *qt.C, method, path, body string, authorization ...string) (int, string) {
 	r, err := http.NewRequest(method, "http://"+i.settings.CallerAddress+path, strings.NewReader(body))
 	c.Assert(err, qt.IsNil)
 	r.Host = "a.example"
+	for _, value := range authorization {
+		r.Header.Add(platform.HeaderAuthorization, value)
+	}
 	reply, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, ""
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -203,17 +203,28 @@
 // WorkerName returns the name of the worker with an index.
 func (s *Site) WorkerName(i int) lovagestand.WorkerName { return s.workers[i].Name }
 
-// Configure stores a version of the operator's configuration with a single route,
-// which is for a host and a path prefix.
-func (s *Site) Configure(version int, host, prefix string) error {
-	value, err := json.Marshal(map[string]any{
+// Team is a team in the operator's configuration.
+type Team struct {
+	Name   string   `json:"name"`
+	Keys   []string `json:"api_keys"`
+	Weight float64  `json:"weight"`
+}
+
+// Configure stores a version of the operator's configuration with a single route, which
+// is for a host and a path prefix. Without teams the route needs no key.
+func (s *Site) Configure(version int, host, prefix string, teams ...Team) error {
+	configuration := map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
 			"name": "quote", "host": host, "prefix": prefix, "service": service, "max_attempts": 2, "stretch": 2,
 			"target_duration_ms": 1000,
 		}},
 		"limits": map[string]int{"max_body_bytes": 1 << 18},
-	})
+	}
+	if len(teams) > 0 {
+		configuration["tenants"] = teams
+	}
+	value, err := json.Marshal(configuration)
 	if err != nil {
 		return errors.Wrap(err, "encode configuration")
 	}
