soak: cells with teams, whose keys change during the run

The soak ran without teams, so a key that works too long, too short or never issued at all could not be noticed under faults.

Early in the run one key is withdrawn and one issued. Violations: a job with a key that was never issued runs, a withdrawn key is accepted or an issued one refused more than 4 s after the change by a node in contact with the store for 5 s, a key of every version is refused, or a job is shown to the other team. At the end each node is checked once more.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -24,6 +24,9 @@
 	// jobs are the records of all jobs by ID. The map is complete when Submit
 	// returns.
 	jobs map[string]*jobRecord
+	// probes are the records of the jobs that ProbeKeys submits. The map is complete
+	// when it returns.
+	probes map[string]*jobRecord
 
 	mu sync.Mutex
 	// violations and excused are the answers and runs that break a rule. Those
@@ -40,6 +43,10 @@
 	// rejected reports whether all attempts to submit the job were rejected, so
 	// that it is guaranteed not to run.
 	rejected bool
+	// key is the key of the job's team; empty in a cell without teams.
+	key string
+	// forbidden reports whether the job was submitted with a key that was never issued.
+	forbidden bool
 }
 
 // NewCallers returns the callers of a cell.
@@ -47,7 +54,7 @@
 	// There is no idle timeout: connections stay open until the process at the
 	// other end exits.
 	transport := &http.Transport{MaxIdleConnsPerHost: 64}
-	return &Callers{cell: c, http: &http.Client{Transport: transport}, jobs: map[string]*jobRecord{}}
+	return &Callers{cell: c, http: &http.Client{Transport: transport}, jobs: map[string]*jobRecord{}, probes: map[string]*jobRecord{}}
 }
 
 const (
@@ -84,6 +91,7 @@
 	var calls sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		p := newPlan(r, n, len(c.cell.Nodes))
+		p.record.key = c.cell.keyOf(n)
 		c.jobs[p.id] = p.record
 		calls.Go(func() { c.execute(p) })
 		time.Sleep(time.Duration(r.Int64N(int64(2 * interval))))
@@ -143,6 +151,7 @@
 			c.query(p.id, p.record, p.firstNode+i)
 		})
 	}
+	calls.Go(func() { c.queryByOtherTeam(p) })
 	if p.cancel {
 		time.Sleep(p.cancelAfter)
 		for i := range p.cancelCalls {
@@ -174,7 +183,7 @@
 }
 
 func (c *Callers) submit(p plan, node int) int {
-	status, _ := c.call(http.MethodPost, node, p.id, p.body, p.deadline)
+	status, _ := c.call(http.MethodPost, node, p.id, p.body, p.record.key, p.deadline)
 	if status == http.StatusOK {
 		c.setOnce(&p.record.accepted)
 	}
@@ -195,7 +204,7 @@
 func (c *Callers) cancel(p plan, node int) {
 	c.setOnce(&p.record.cancelled)
 	for ; ; node++ {
-		status, _ := c.call(http.MethodDelete, node, p.id, "", p.deadline)
+		status, _ := c.call(http.MethodDelete, node, p.id, "", p.record.key, p.deadline)
 		if status == http.StatusOK || status == http.StatusGone {
 			c.setOnce(&p.record.acknowledged)
 			return
@@ -204,23 +213,31 @@
 	}
 }
 
-// call sends a request with a deadline by [Node.Call], to the node at an index
-// modulo the number of nodes.
-func (c *Callers) call(method string, node int, id, body string, deadline time.Duration) (int, string) {
+// call sends a request with a key and a deadline by [Node.Call], to the node at an index
+// modulo the number of nodes. A key that is in every version must never be refused.
+func (c *Callers) call(method string, node int, id, body, key string, deadline time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	return c.cell.Nodes[node%len(c.cell.Nodes)].Call(ctx, c.http, method, id, body)
+	n := c.cell.Nodes[node%len(c.cell.Nodes)]
+	status, text := n.Call(ctx, c.http, method, id, body, key)
+	if status == http.StatusUnauthorized && c.cell.permanent(key) {
+		c.recordViolation(false, "CONFIG: %s refuses a key in force for %s of job %s at %.3f", n.Name, method, id, c.seconds(time.Now()))
+	}
+	return status, text
 }
 
 // Call sends a request about a job, or about the route if the ID is empty, and
 // returns the status and the body of the reply. The status is 0 if there is no
-// complete reply.
-func (n *Node) Call(ctx context.Context, client *http.Client, method, id, body string) (int, string) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.Callers+"/x/"+id, strings.NewReader(body))
+// complete reply. An empty key is not sent.
+func (n *Node) Call(ctx context.Context, client *http.Client, method, id, body, key string) (int, string) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.Callers+callerPrefix+id, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
-	r.Host = "a.example"
+	r.Host = callerHost
+	if key != "" {
+		r.Header.Set(platform.HeaderAuthorization, platform.KeyScheme+" "+key)
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		r.Header.Set(platform.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -30,6 +30,10 @@
 	// owners are the nodes that have owned the shard, by epoch.
 	owners map[lovagestand.Epoch]string
 	closed chan struct{}
+	// teams reports whether the cell has teams. changedAt is when the store acknowledged
+	// the version that withdraws a key; zero before.
+	teams     bool
+	changedAt time.Time
 }
 
 // Node is one process of the program, which reaches the store through a proxy of
@@ -53,7 +57,16 @@
 // Open starts a cell with a number of nodes and workers. The nodes' settings and
 // logs are written to the directory.
 func Open(program, directory string, nodes, workers int, options ...site.Option) (*Cell, error) {
-	c := &Cell{owners: map[lovagestand.Epoch]string{}, closed: make(chan struct{})}
+	return open(program, directory, nodes, workers, false, options...)
+}
+
+// OpenWithTeams is Open for a cell whose callers need the keys of teams.
+func OpenWithTeams(program, directory string, nodes, workers int, options ...site.Option) (*Cell, error) {
+	return open(program, directory, nodes, workers, true, options...)
+}
+
+func open(program, directory string, nodes, workers int, teams bool, options ...site.Option) (*Cell, error) {
+	c := &Cell{owners: map[lovagestand.Epoch]string{}, closed: make(chan struct{}), teams: teams}
 	addProxy := func(address string) (string, error) {
 		p, err := NewProxy(address)
 		if err != nil {
@@ -66,7 +79,7 @@
 	if c.Site, err = site.Open("127.0.0.1:0", workers, append(options, site.WithAdvertisedAddresses(addProxy))...); err != nil {
 		return nil, err
 	}
-	if err := c.Site.Configure(1, "a.example", "/x/"); err != nil {
+	if err := c.configure(1); err != nil {
 		return nil, err
 	}
 	go c.recordOwners()
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -38,7 +38,7 @@
 	c.mu.Lock()
 	accepted := !record.accepted.IsZero()
 	c.mu.Unlock()
-	status, text := c.call(http.MethodGet, node, id, "", queryDeadline)
+	status, text := c.call(http.MethodGet, node, id, "", record.key, queryDeadline)
 	now := time.Now()
 	c.mu.Lock()
 	cancelled := !record.cancelled.IsZero()
@@ -89,7 +89,11 @@
 func (c *Callers) Violations() (violations, excused []string) {
 	for _, r := range c.cell.Site.Fleet.Runs() {
 		id, _, _ := strings.Cut(r.Task, ".")
-		c.checkRun(c.jobs[id], r)
+		record := c.jobs[id]
+		if record == nil {
+			record = c.probes[id]
+		}
+		c.checkRun(record, r)
 	}
 	return append(c.violations, c.cell.Site.Fleet.Violations()...), c.excused
 }
@@ -104,6 +108,9 @@
 		c.recordViolation(false, "UNASKED: %s, of a job that was never submitted", text)
 		return
 	}
+	if record.forbidden {
+		c.recordViolation(false, "ROUTE: %s, submitted with a key that was never issued", text)
+	}
 	if record.rejected {
 		c.recordViolation(false, "REFUSED: %s", text)
 	}
--- a/soak/late_submission_test.go
+++ b/soak/late_submission_test.go
@@ -32,18 +32,18 @@
 	answered := make(chan int, 1)
 	spec := site.Spec{MilliCPU: 500, Work: 50 * time.Millisecond}
 	go func() {
-		status, _ := frozen.Call(t.Context(), http.DefaultClient, http.MethodPost, id, `{"spec":"`+spec.String()+`","steps":[{"count":2,"cpu":500}]}`)
+		status, _ := frozen.Call(t.Context(), http.DefaultClient, http.MethodPost, id, `{"spec":"`+spec.String()+`","steps":[{"count":2,"cpu":500}]}`, "")
 		answered <- status
 	}()
 	await(t, func() bool {
-		status, _ := other.Call(t.Context(), http.DefaultClient, http.MethodDelete, id, "")
+		status, _ := other.Call(t.Context(), http.DefaultClient, http.MethodDelete, id, "", "")
 		return status == http.StatusGone
 	})
 	frozen.Signal(syscall.SIGCONT)
 	c.Assert(<-answered, qt.Equals, http.StatusOK)
 	state := ""
 	await(t, func() bool {
-		_, state = other.Call(t.Context(), http.DefaultClient, http.MethodGet, id, "")
+		_, state = other.Call(t.Context(), http.DefaultClient, http.MethodGet, id, "", "")
 		return state == `{"state":"cancelled"}` || state == `{"state":"completed"}`
 	})
 	c.Assert(state, qt.Equals, `{"state":"cancelled"}`)
@@ -55,7 +55,7 @@
 func nonOwners(t *testing.T, c *qt.C, cell *soak.Cell) (a, b *soak.Node) {
 	for _, n := range cell.Nodes {
 		await(t, func() bool {
-			status, _ := n.Call(t.Context(), http.DefaultClient, http.MethodGet, "", "")
+			status, _ := n.Call(t.Context(), http.DefaultClient, http.MethodGet, "", "", "")
 			return status == http.StatusOK
 		})
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 	// completionTimeout bounds how long accepted jobs may take after the last
 	// fault. It is far longer than leases and takeovers take.
 	completionTimeout = 2 * time.Minute
+	// changeKeysAfter is when the keys of a cell with teams change, so early that they
+	// must be in force in all nodes before the end of a short run.
+	changeKeysAfter = time.Second
 )
 
 // regressionSeeds are seeds that once failed, each with the cause of the failure.
@@ -56,14 +60,26 @@
 func TestSoak(t *testing.T) {
 	binary := build(qt.New(t))
 	for i := range *seeds {
-		run(t, binary, *firstSeed+uint64(i))
+		seed := *firstSeed + uint64(i)
+		run(t, binary, seed, hasTeams(seed))
 	}
 	for _, seed := range regressionSeeds {
-		run(t, binary, seed)
+		run(t, binary, seed, false)
 	}
 }
 
-func run(t *testing.T, binary string, seed uint64) {
+// hasTeams reports whether the cell of a seed has teams: those of odd seeds have.
+func hasTeams(seed uint64) bool { return seed%2 == 1 }
+
+// open opens the cell of a run.
+func open(binary, directory string, teams bool) (*soak.Cell, error) {
+	if teams {
+		return soak.OpenWithTeams(binary, directory, nodes, workers)
+	}
+	return soak.Open(binary, directory, nodes, workers)
+}
+
+func run(t *testing.T, binary string, seed uint64, teams bool) {
 	t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 		t.Parallel()
 		c := qt.New(t)
@@ -72,25 +88,25 @@
 			directory = filepath.Join(*logDirectory, fmt.Sprint(seed))
 			c.Assert(os.MkdirAll(directory, 0o700), qt.IsNil)
 		}
-		cell, err := soak.Open(binary, directory, nodes, workers)
+		cell, err := open(binary, directory, teams)
 		c.Assert(err, qt.IsNil)
 		defer cell.Close()
 		callers := soak.NewCallers(cell)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			callers.Submit(ctx, rand.New(rand.NewPCG(seed, 1)), interval)
-		}()
+		var calling sync.WaitGroup
+		calling.Go(func() { callers.Submit(ctx, rand.New(rand.NewPCG(seed, 1)), interval) })
+		calling.Go(func() { callers.ProbeKeys(ctx) })
+		time.AfterFunc(changeKeysAfter, func() { c.Check(cell.ChangeKeys(), qt.IsNil) })
 		t.Logf("second 0 is %s", time.Now().Add(-time.Duration(cell.Site.Fleet.Seconds(time.Now())*float64(time.Second))).UTC().Format(time.RFC3339Nano))
 		err = cell.InjectFaults(rand.New(rand.NewPCG(seed, 2)), *length, func(description string) {
 			t.Logf("%6.2f s %s", cell.Site.Fleet.Seconds(time.Now()), description)
 		})
 		c.Assert(err, qt.IsNil)
 		cancel()
-		<-done
+		calling.Wait()
 		callers.AwaitCompletion(completionTimeout)
+		c.Check(callers.CheckKeys(), qt.Equals, 0, qt.Commentf("nodes that are not in contact with the store in the end"))
 		accepted, rejected, cancelled := callers.Counts()
 		t.Logf("accepted %d, rejected %d, cancelled %d, runs %d", accepted, rejected, cancelled, cell.Site.Fleet.Starts())
 		violations, excused := callers.Violations()
