--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,7 +105,7 @@
 	}
 	team, rejection := g.routes.authenticate(current, route, r.Header)
 	if rejection != credential.NotRejected {
-		g.rejectKey(w, r, route, rejection)
+		g.rejectKey(w, r, current.Version, route, rejection)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
@@ -127,9 +127,9 @@
 }
 
 // rejectKey replies to a call whose key is not accepted.
-func (g *Gateway) rejectKey(w http.ResponseWriter, r *http.Request, route platform.Route, rejection credential.Rejection) {
+func (g *Gateway) rejectKey(w http.ResponseWriter, r *http.Request, version int64, route platform.Route, rejection credential.Rejection) {
 	g.recorder.Count("rejectedKeys", string(rejection))
-	g.log.Info().Str("route", string(route.Policy.Route)).Str("method", r.Method).Str("caller", r.RemoteAddr).Str("reason", string(rejection)).Msg("key of a call rejected")
+	g.log.Info().Str("route", string(route.Policy.Route)).Str("method", r.Method).Str("caller", r.RemoteAddr).Int64("version", version).Str("reason", string(rejection)).Msg("key of a call rejected")
 	if rejection == credential.RejectionUnconfirmed {
 		// Another instance may be in contact with the store, and a new connection
 		// reaches one.
