--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/credential"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/platform"
 	"lovagestand.example/lovagestand/shard"
@@ -19,7 +20,8 @@
 
 // OwnerClient forwards calls to the instance that owns the shard concerned.
 type OwnerClient interface {
-	Submit(ctx context.Context, j job.Job) error
+	// Submit submits a job that was admitted with a version of the configuration.
+	Submit(ctx context.Context, j job.Job, version int64) error
 	// State and Cancel treat a job of another team as unknown.
 	State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error)
 	Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error
@@ -37,6 +39,9 @@
 	// noOwnerRetryAfter is the Retry-After value while no instance owns the shard or
 	// no configuration is loaded. A takeover takes about that long.
 	noOwnerRetryAfter = time.Second
+	// unconfirmedRetryAfter is the Retry-After value while the store does not confirm
+	// the configuration. Another instance may accept the call at once.
+	unconfirmedRetryAfter = time.Second
 )
 
 // Gateway is the HTTP handler for the requests of callers.
@@ -98,9 +103,9 @@
 		http.Error(w, "no such route", http.StatusNotFound)
 		return
 	}
-	team, ok := current.authenticate(route, r.Header.Get("Authorization"))
-	if !ok {
-		http.Error(w, "the key is not known", http.StatusUnauthorized)
+	team, rejection := g.routes.authenticate(current, route, r.Header)
+	if rejection != credential.NotRejected {
+		g.rejectKey(w, r, current.Version, route, rejection)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
@@ -121,6 +126,21 @@
 	}
 }
 
+// rejectKey replies to a call whose key is not accepted.
+func (g *Gateway) rejectKey(w http.ResponseWriter, r *http.Request, version int64, route platform.Route, rejection credential.Rejection) {
+	g.recorder.Count("rejectedKeys", string(rejection))
+	g.log.Info().Str("route", string(route.Policy.Route)).Str("method", r.Method).Str("caller", r.RemoteAddr).Int64("version", version).Str("reason", string(rejection)).Msg("key of a call rejected")
+	if rejection == credential.RejectionUnconfirmed {
+		// Another instance may be in contact with the store, and a new connection
+		// reaches one.
+		w.Header().Set("Connection", "close")
+		reject(w, unconfirmedRetryAfter, "the key cannot be checked at the moment")
+		return
+	}
+	w.Header().Set("WWW-Authenticate", platform.KeyScheme)
+	http.Error(w, "the key is "+string(rejection), http.StatusUnauthorized)
+}
+
 // deadline returns the timeout of a call: the deadline that the caller sets less
 // deadlineMargin, but at least half of it.
 func deadline(r *http.Request) time.Duration {
@@ -161,7 +181,7 @@
 		return
 	}
 	j.Team = team
-	err = g.owner.Submit(ctx, j)
+	err = g.owner.Submit(ctx, j, current.Version)
 	g.log.Info().Str("job", string(id)).Str("team", string(team)).Str("route", string(route.Policy.Route)).Int64("version", current.Version).Str("outcome", outcome(err)).Msg("job submitted")
 	if err != nil {
 		g.writeError(w, err)
@@ -182,6 +202,7 @@
 func (g *Gateway) writeError(w http.ResponseWriter, err error) {
 	var rejected *shard.RejectedError
 	var unknownJob *shard.UnknownJobError
+	var otherTeam *shard.OtherTeamError
 	var notOwner *shard.NotOwnerError
 	var isolated *shard.IsolatedError
 	switch {
@@ -193,6 +214,8 @@
 		reject(w, rejected.RetryAfter, rejected.Reason)
 	case errors.As(err, &unknownJob):
 		http.Error(w, "no such job", http.StatusGone)
+	case errors.As(err, &otherTeam):
+		http.Error(w, err.Error(), http.StatusConflict)
 	case errors.As(err, &notOwner):
 		reject(w, noOwnerRetryAfter, "no instance owns the shard at the moment")
 	default:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -30,9 +30,12 @@
 type owner struct {
 	err  error
 	jobs []job.Job
+	// versions are those with which the jobs were admitted.
+	versions []int64
 }
 
-func (o *owner) Submit(_ context.Context, j job.Job) error {
+func (o *owner) Submit(_ context.Context, j job.Job, version int64) error {
+	o.versions = append(o.versions, version)
 	o.jobs = append(o.jobs, j)
 	return o.err
 }
@@ -44,9 +47,9 @@
 func (o *owner) Pending(context.Context, lovagestand.RouteName) (int, error) { return 12, o.err }
 
 // serve returns a gateway and the store in which it follows the configuration.
-func serve(t *testing.T, o *owner) (*gateway.Gateway, *keyspace.Store) {
+func serve(t *testing.T, o *owner, options ...gateway.RoutesOption) (*gateway.Gateway, *keyspace.Store) {
 	keys := keyspace.New()
-	routes := gateway.NewRoutes(keys, zerolog.Nop())
+	routes := gateway.NewRoutes(keys, zerolog.Nop(), options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); routes.Run(ctx) }()
@@ -54,8 +57,11 @@
 	return gateway.New(routes, o, zerolog.Nop(), lovagestand.NoRecorder{}), keys
 }
 
-func request(g *gateway.Gateway, method, path, body string) *httptest.ResponseRecorder {
+func request(g *gateway.Gateway, method, path, body string, authorization ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
+	for _, value := range authorization {
+		r.Header.Add(platform.HeaderAuthorization, value)
+	}
 	w := httptest.NewRecorder()
 	g.ServeHTTP(w, r)
 	return w
@@ -109,6 +115,7 @@
 		c.Assert(o.jobs, qt.HasLen, 0, qt.Commentf("invalid requests submit no job"))
 		assertStatus(c, g, http.MethodPost, jobPath, valid, http.StatusOK)
 		c.Assert(o.jobs[0].Policy.MaxAttempts, qt.Equals, 2)
+		c.Assert(o.versions, qt.DeepEquals, []int64{3})
 	})
 }
 
@@ -123,6 +130,7 @@
 			http.StatusServiceUnavailable: &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second},
 			http.StatusGatewayTimeout:     &shard.UnknownError{},
 			http.StatusGone:               &shard.UnknownJobError{},
+			http.StatusConflict:           &shard.OtherTeamError{},
 		} {
 			o.err = err
 			assertStatus(c, g, http.MethodPost, jobPath, valid, status)
