--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -132,6 +132,9 @@
 		if served[i] || !s.NeedsTickets || s.Candidates == nil || len(s.AdvicePending) > 0 {
 			continue
 		}
+		if s, _ = s.withinQuota(); s == nil {
+			continue
+		}
 		if more := p.withoutAdvice(s); len(more) > 0 {
 			p.AdviceCalls--
 			idle--
@@ -179,17 +182,24 @@
 
 // slotsIn returns how many tasks of a step fit into an amount of resources.
 func slotsIn(r lovagestand.Resources, s *Step) int {
-	n := s.Tasks
+	n := tasksIn(r, s.Needs, s.Tasks)
+	if s.MaxPerWorker > 0 {
+		n = min(n, s.MaxPerWorker)
+	}
+	return n
+}
+
+// tasksIn returns how many of a number of tasks together need no more than an amount of
+// resources.
+func tasksIn(r, needs lovagestand.Resources, tasks int) int {
+	n := tasks
 	for _, amount := range [][2]int64{
-		{r.MilliCPU, s.Needs.MilliCPU}, {r.MemoryMiB, s.Needs.MemoryMiB}, {r.Accelerators, s.Needs.Accelerators},
+		{r.MilliCPU, needs.MilliCPU}, {r.MemoryMiB, needs.MemoryMiB}, {r.Accelerators, needs.Accelerators},
 	} {
 		if amount[1] > 0 {
-			n = min(n, int(max(0, amount[0])/amount[1]))
+			n = min(n, int(min(max(0, amount[0])/amount[1], int64(n))))
 		}
 	}
-	if s.MaxPerWorker > 0 {
-		n = min(n, s.MaxPerWorker)
-	}
 	return n
 }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -87,7 +87,7 @@
 func (p *planner) allocateOn(s *Step, eligible []int) []int {
 	var chosen []int
 	count := map[int]int{}
-	for len(chosen) < s.Tasks {
+	for len(chosen) < s.Tasks && s.Team.fits(s.Needs) {
 		var worker int
 		var ok bool
 		if len(chosen) < s.Suspects {
@@ -136,6 +136,7 @@
 		w.spare = w.spare.Sub(s.Needs)
 	}
 	w.starts++
+	s.Team.take(s.Needs)
 }
 
 // cost ranks workers with room for a task; the lowest cost is best. It prefers full
@@ -168,6 +169,7 @@
 	for n, i := range workers {
 		w := &p.Workers[i]
 		w.starts--
+		s.Team.release(s.Needs)
 		if n < s.Suspects && w.keptFor != 0 && !p.held {
 			w.keptFor = 0
 			p.trials++
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -97,13 +97,6 @@
 	number int
 }
 
-// Team is what a pass needs of a team of callers. All steps of the team share it.
-type Team struct {
-	// Headroom is what the team's quota leaves beside the tasks that run or may run; nil
-	// if the team has no quota.
-	Headroom *lovagestand.Resources
-}
-
 // matches reports whether a worker has the service and the label that the step
 // requires.
 func (s *Step) matches(w *Worker) bool {
@@ -189,8 +182,9 @@
 }
 
 // Plan decides which tasks start now and which advice to request, highest score
-// first. It reduces the free resources of l.Workers by what it places and by the
-// room that it keeps for steps whose tickets are being renewed.
+// first. It reduces the free resources of l.Workers and the headroom of the teams by
+// what it places and by the room that it keeps for steps whose tickets are being
+// renewed and for gangs that have reserved workers.
 func Plan(l Load) []Decision {
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
@@ -211,8 +205,15 @@
 }
 
 func (p *planner) decide(index int, s *Step) {
+	s, held := s.withinQuota()
+	if held > 0 {
+		p.Steps[index].Team.HeldTasks += held
+	}
+	if s == nil {
+		return
+	}
 	if s.NeedsTickets && s.Candidates == nil {
-		if len(s.AdvicePending) == 0 {
+		if s.Team.admitAdvice(s) && len(s.AdvicePending) == 0 {
 			p.requestAdvice(index, p.initialAdvice(s))
 		}
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,9 +134,14 @@
 // reject replies that the service is unavailable and when to retry, rounded up to
 // seconds.
 func reject(w http.ResponseWriter, retryAfter time.Duration, reason string) {
+	rejectWith(w, http.StatusServiceUnavailable, retryAfter, reason)
+}
+
+// rejectWith answers a call that was not accepted with a status.
+func rejectWith(w http.ResponseWriter, status int, retryAfter time.Duration, reason string) {
 	seconds := int64((retryAfter + time.Second - 1) / time.Second)
 	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
-	http.Error(w, reason, http.StatusServiceUnavailable)
+	http.Error(w, reason, status)
 }
 
 func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
@@ -190,7 +195,11 @@
 		w.Header().Set("Connection", "close")
 		reject(w, 0, err.Error())
 	case errors.As(err, &rejected):
-		reject(w, rejected.RetryAfter, rejected.Reason)
+		status := http.StatusServiceUnavailable
+		if rejected.OverLimit {
+			status = http.StatusTooManyRequests
+		}
+		rejectWith(w, status, rejected.RetryAfter, rejected.Reason)
 	case errors.As(err, &unknownJob):
 		http.Error(w, "no such job", http.StatusGone)
 	case errors.As(err, &notOwner):
--- a/job/progress.go
+++ b/job/progress.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/chart"
 )
 
@@ -184,15 +185,15 @@
 	p.reservedRuns = max(p.reservedRuns, n)
 }
 
-// valid reports whether t is a task of the job.
-func (p *Progress) valid(t Task) bool {
+// Valid reports whether the job has a task.
+func (p *Progress) Valid(t Task) bool {
 	return t.Occurrence >= 0 && t.Step >= 0 && t.Index >= 0 &&
 		t.Occurrence < len(p.occurrences) && t.Step < len(p.job.Steps) && t.Index < p.job.Steps[t.Step].Count
 }
 
 // task returns the state of a task, nil if the job has no such task.
 func (p *Progress) task(t Task) *task {
-	if !p.valid(t) {
+	if !p.Valid(t) {
 		return nil
 	}
 	return &p.stepsOf(t.Occurrence)[t.Step].tasks[t.Index]
@@ -201,7 +202,7 @@
 // Start records that a run of a task is being started. It reports false and changes
 // nothing if the task may not run now or a higher run has been seen.
 func (p *Progress) Start(t Task, run int64) bool {
-	if p.Final() || !p.valid(t) || p.stepsOf(t.Occurrence)[t.Step].blockers > 0 {
+	if p.Final() || !p.Valid(t) || p.stepsOf(t.Occurrence)[t.Step].blockers > 0 {
 		return false
 	}
 	return p.Adopt(t, run)
@@ -212,7 +213,7 @@
 // have seen ends that have not reached this one yet. Adopt reports false and changes
 // nothing if the task must no longer run or a higher run has been seen.
 func (p *Progress) Adopt(t Task, run int64) bool {
-	if p.Final() || !p.valid(t) {
+	if p.Final() || !p.Valid(t) {
 		return false
 	}
 	s := &p.stepsOf(t.Occurrence)[t.Step]
@@ -281,7 +282,7 @@
 // its attempts are used up. Fail reports whether the job must be persisted again. A
 // failed run of a long-running task is not counted but requeued, see [Progress.Requeue].
 func (p *Progress) Fail(t Task, run int64, checkpoint string) bool {
-	if p.Final() || !p.valid(t) {
+	if p.Final() || !p.Valid(t) {
 		return false
 	}
 	s := &p.stepsOf(t.Occurrence)[t.Step]
@@ -325,7 +326,7 @@
 // persisted again. The end of one member ends the whole gang. A long-running task
 // is requeued instead, see [Progress.Requeue].
 func (p *Progress) Finish(t Task, run int64) bool {
-	if p.Final() || !p.valid(t) {
+	if p.Final() || !p.Valid(t) {
 		return false
 	}
 	if p.job.Steps[t.Step].LongRunning {
@@ -402,7 +403,7 @@
 
 // Failures returns how many runs of a task, or of its gang, have failed.
 func (p *Progress) Failures(t Task) int {
-	if !p.valid(t) {
+	if !p.Valid(t) {
 		return 0
 	}
 	s := &p.stepsOf(t.Occurrence)[t.Step]
@@ -412,6 +413,41 @@
 	return len(s.tasks[t.Index].failures)
 }
 
+// Unfinished returns the sum of what the tasks need that are not done, in the occurrences
+// that are due before a time.
+func (p *Progress) Unfinished(before time.Time) lovagestand.Resources {
+	var sum lovagestand.Resources
+	for k := range p.occurrences {
+		o := &p.occurrences[k]
+		if o.unfinished == 0 || !p.job.Schedule.Due(k).Before(before) {
+			continue
+		}
+		for i, s := range p.job.Steps {
+			tasks := s.Count
+			if o.steps != nil {
+				tasks = o.steps[i].unfinished
+			}
+			sum = sum.Add(s.Needs.Times(int64(tasks)))
+		}
+	}
+	return sum
+}
+
+// Done returns the tasks that are done.
+func (p *Progress) Done() []Task {
+	var done []Task
+	for k := range p.occurrences {
+		for i, s := range p.occurrences[k].steps {
+			for n := range s.tasks {
+				if s.tasks[n].phase == taskDone {
+					done = append(done, Task{Occurrence: k, Step: i, Index: n})
+				}
+			}
+		}
+	}
+	return done
+}
+
 // RemainingWork returns the core time and the critical path of the tasks of an
 // occurrence that are not done, with runTime giving the expected run time of a
 // step's tasks. The critical path is the longest chain of dependent run times.
--- a/job/record.go
+++ b/job/record.go
@@ -20,6 +20,9 @@
 	Accepted int64                 `json:"acceptedMillis"`
 	// Finished is when the job ended, in milliseconds, or 0 if it may still run.
 	Finished int64 `json:"finishedMillis,omitempty"`
+	// Held is what the runs of an ended job of a team held when the job ended, including
+	// runs that were being stopped; nil if that is nothing.
+	Held *lovagestand.Resources `json:"held,omitempty"`
 	// Unsubmitted indicates that the job was cancelled before it was submitted.
 	Unsubmitted bool `json:"unsubmitted,omitempty"`
 	// Generation is the generation of the owner that accepted the job. It is not set or
@@ -180,7 +183,7 @@
 }
 
 func (p *Progress) restoreGang(g GangRecord) error {
-	if len(g) < gangRecordFields || !p.valid(Task{Occurrence: int(g[0]), Step: int(g[1])}) {
+	if len(g) < gangRecordFields || !p.Valid(Task{Occurrence: int(g[0]), Step: int(g[1])}) {
 		return &RecordError{ID: p.job.ID}
 	}
 	s := &p.stepsOf(int(g[0]))[g[1]]
@@ -196,7 +199,7 @@
 		return &RecordError{ID: p.job.ID}
 	}
 	t := Task{Occurrence: int(r[0]), Step: int(r[1]), Index: int(r[2])}
-	if !p.valid(t) {
+	if !p.Valid(t) {
 		return &RecordError{ID: p.job.ID}
 	}
 	s := &p.stepsOf(t.Occurrence)[t.Step]
--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -132,6 +132,7 @@
 		placedAt: now, settledAt: now, born: w.born, started: true, checkpoint: running.Checkpoint, checkpointAt: now, expectedRunTime: s.runTime(e, step), longRunning: step.LongRunning,
 	}
 	e.started = true
+	s.former.account(e, task)
 	wanted := e.active[running.Task] == nil && e.progress.Adopt(task, running.Run)
 	s.reserveRoom(p)
 	if !wanted {
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -85,6 +85,9 @@
 	}
 	delete(w.strays, end.Task)
 	e := s.jobs[id]
+	if ok && e != nil && end.Ending == lovagestand.EndingDone {
+		s.former.account(e, task)
+	}
 	if e != nil {
 		e.workStale, e.started = true, true
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
@@ -67,6 +68,13 @@
 	waiting         []waitingStep
 	dispatchSteps   []dispatch.Step
 	adviceClients   []AdviceClient
+	// policies are the policies of the teams in force, configured is false if none have
+	// been read yet. teams holds the teams with waiting steps.
+	policies   Teams
+	configured bool
+	teams      map[lovagestand.TeamName]*passTeam
+	// unknown is what unknown runs may hold; it is computed on first use.
+	unknown unknownUsage
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -85,10 +93,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := &pass{now: time.Now()}
+	p.policies, p.configured = s.teams()
+	defer s.recordTeams(p)
 	for _, e := range s.live {
 		// Tasks of a recovered job may still be running on workers, so none is placed
-		// until all runs of former terms are known.
-		if e.durable && (!e.recovered || s.resolved) {
+		// until all runs of former terms are known. The quota of a team is not known
+		// without a configuration.
+		if e.durable && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
 			s.collectWaitingSteps(p, e)
 		}
 	}
@@ -100,6 +111,7 @@
 	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
 	})
+	s.selectWithinQuotas(p)
 	// Only some workers are on trial at a time; further suspects would keep other steps
 	// out of the pass.
 	suspectSteps := 0
@@ -223,7 +235,7 @@
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
+		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -46,6 +46,7 @@
 	}
 	s.resolved = len(s.unresolved) == 0 && !s.rosterUnreadable
 	if s.resolved {
+		s.former = newFormerRuns()
 		s.settleSuspicions()
 	}
 	s.log.Info().Int("jobs", len(s.jobs)).Int("live", len(s.live)).Int("workers", len(s.unresolved)).Dur("took", time.Since(begun)).Msg("shard loaded")
@@ -88,6 +89,7 @@
 		e := newFinishedJobEntry(id, r.Route, r.Team, r.Phase, time.UnixMilli(r.Finished))
 		e.durable, e.endDurable, e.unsubmitted = true, true, r.Unsubmitted
 		s.jobs[id] = e
+		s.former.addEnded(e, r.Held, e.finishedAt.Add(s.endedRunDuration()), now)
 		return nil
 	}
 	j, err := job.DecodeJob(body)
@@ -101,6 +103,7 @@
 	progress.ReserveRuns(minRecoveredRun + max(0, int64(now.Sub(progress.Accepted())/minRunInterval)))
 	e := newJobEntry(progress, body)
 	e.durable, e.recovered = true, true
+	s.former.addLive(e, now)
 	s.estimateWork(e)
 	s.jobs[id] = e
 	s.live[id] = e
@@ -118,6 +121,7 @@
 		return
 	}
 	s.resolved = true
+	s.former = newFormerRuns()
 	s.settleSuspicions()
 	s.log.Info().Dur("took", time.Since(s.loadedAt)).Msg("all runs started by former terms are known")
 	s.wake()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -125,6 +125,12 @@
 
 	// teamUsage is what the runs of each team hold on the workers.
 	teamUsage map[lovagestand.TeamName]lovagestand.Resources
+	// former is what runs of former terms may hold that are not known yet.
+	former formerRuns
+	// held describes the teams that are held back by their quotas, or were until recently.
+	held map[lovagestand.TeamName]*heldTeam
+	// teamStatus is the status of the teams as of the last pass.
+	teamStatus []TeamStatus
 
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
@@ -148,7 +154,7 @@
 		jobs: map[job.ID]*jobEntry{}, live: map[job.ID]*jobEntry{}, unreadable: map[job.ID]bool{}, workers: map[lovagestand.WorkerName]*worker{},
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
-		teamUsage:   map[lovagestand.TeamName]lovagestand.Resources{},
+		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
 		adviceSlots: map[lovagestand.InstanceID]*adviceSlot{}, statsByRoute: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), lost: make(chan struct{}),
 	}
@@ -203,6 +209,12 @@
 	// heldRuns counts the runs that workers may hold of each task, including runs
 	// that are being stopped. A task does not start elsewhere before they have ended.
 	heldRuns map[string]int
+	// former is what runs of former terms may hold of the tasks of a recovered job of a
+	// team, without the tasks in accounted: each is stored as done, or its run or its end
+	// was listed in this term. Of a job that had ended before this term, it is what the
+	// stored record states.
+	former    lovagestand.Resources
+	accounted map[job.Task]bool
 	// trialTimes is how long the next run of a suspect is on trial, by task name.
 	trialTimes map[string]time.Duration
 	// crashPosition is the position in the write queue of the last recorded crash.
@@ -356,6 +368,8 @@
 	UnsavedJobs        int    `json:"unsavedJobs"`
 	StoreStalled       bool   `json:"storeStalled"`
 	FormerTermResolved bool   `json:"formerTermResolved"`
+	// Teams holds the teams with work in the shard, as of the last pass.
+	Teams []TeamStatus `json:"teams,omitempty"`
 }
 
 // Status returns a summary of the shard.
@@ -364,7 +378,7 @@
 	defer s.mu.Unlock()
 	out := Status{
 		Epoch: uint64(s.term.Epoch), Jobs: len(s.jobs), LiveJobs: len(s.live), Workers: len(s.workers),
-		UnsavedJobs: len(s.queue), StoreStalled: s.stalled, FormerTermResolved: s.resolved,
+		UnsavedJobs: len(s.queue), StoreStalled: s.stalled, FormerTermResolved: s.resolved, Teams: s.teamStatus,
 	}
 	now := time.Now()
 	for _, w := range s.workers {
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -15,6 +15,9 @@
 	Reason string
 	// RetryAfter is how long the caller should wait before it tries again.
 	RetryAfter time.Duration
+	// OverLimit reports whether the job is beyond a limit of the caller's team, rather
+	// than rejected because of a failure.
+	OverLimit bool
 }
 
 // Error implements error.
@@ -85,6 +88,10 @@
 			s.mu.Unlock()
 			return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
 		}
+		if err := s.checkQuota(j); err != nil {
+			s.mu.Unlock()
+			return err
+		}
 		e = newJobEntry(job.New(j, time.Now()), body)
 		s.estimateWork(e)
 		s.jobs[j.ID] = e
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -88,6 +88,9 @@
 	placements map[string]*placement
 	// free is the capacity minus the needs of the placements.
 	free lovagestand.Resources
+	// maxCapacity is the largest capacity that the worker has had since it was added to
+	// the roster.
+	maxCapacity lovagestand.Resources
 	// lastPlacedAt is when a run was last placed here. trialUntil is the end of a trial
 	// that goes on here, see [placement.trialUntil]; zero if there is none.
 	lastPlacedAt, trialUntil time.Time
@@ -274,6 +277,20 @@
 	}
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	w.info = info
+	if !info.Capacity.Fits(w.maxCapacity) {
+		w.maxCapacity = w.maxCapacity.Max(info.Capacity)
+		s.capacityGrown(w)
+	}
+}
+
+// capacityGrown has the roster stored if a worker has more capacity than the stored one
+// states. In a deployment with teams the next owner counts on that amount, so no task is
+// placed here before.
+func (s *Shard) capacityGrown(w *worker) {
+	if s.rosterCapacity(w) != nil {
+		w.inRosterWrite, w.enrolled = false, false
+		s.requestRosterWrite()
+	}
 }
 
 // outdated reports whether an entry of the list must be ignored. The list may be older
@@ -329,7 +346,7 @@
 func (s *Shard) addWorker(info lovagestand.FleetWorker, now time.Time) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{
-		info: info, free: info.Capacity, cancel: cancel, listed: !now.IsZero(), lastListed: now,
+		info: info, free: info.Capacity, maxCapacity: s.formerCapacity(info), cancel: cancel, listed: !now.IsZero(), lastListed: now,
 		placements: map[string]*placement{}, strays: map[string]int64{}, replacedIncarnations: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
--- a/shard/write.go
+++ b/shard/write.go
@@ -242,7 +242,7 @@
 		return nil, nil
 	}
 	if e.final() {
-		r := job.Record{Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted}
+		r := job.Record{Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted, Held: s.heldBy(e)}
 		return r.Encode(nil)
 	}
 	return e.progress.Record().Encode(e.body)
@@ -336,6 +336,9 @@
 type rosterEntry struct {
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Capacity is the largest capacity that the worker has had since it was added; nil in
+	// a deployment without teams.
+	Capacity *lovagestand.Resources `json:"capacity,omitempty"`
 }
 
 // encodeRoster returns the roster, which lists the workers that may hold or be given
@@ -346,7 +349,7 @@
 		roster[name] = former
 	}
 	for name, w := range s.workers {
-		roster[name] = rosterEntry{Address: w.info.Address, Leaving: !w.info.Ready}
+		roster[name] = rosterEntry{Address: w.info.Address, Leaving: !w.info.Ready, Capacity: s.rosterCapacity(w)}
 		w.inRosterWrite = true
 	}
 	value, err := json.Marshal(roster)
