--- a/shard/submit.go
+++ b/shard/submit.go
@@ -15,6 +15,9 @@
 	Reason string
 	// RetryAfter is how long the caller should wait before it tries again.
 	RetryAfter time.Duration
+	// OverLimit reports whether the job is beyond a limit of the caller's team, rather
+	// than rejected because of a failure.
+	OverLimit bool
 }
 
 // Error implements error.
@@ -126,7 +129,7 @@
 		s.log.Info().Str("job", string(j.ID)).Str("team", string(j.Team)).Int64("version", version).Msg("job of a team that is no longer in the configuration rejected")
 		return &RejectedError{Reason: "the team is no longer in the configuration", RetryAfter: withdrawnRetryDelay}
 	}
-	return nil
+	return s.checkQuota(j)
 }
 
 // accept returns the entry of a new job. It takes the place of the entry of an
