--- a/shard/plan.go
+++ b/shard/plan.go
@@ -23,8 +23,8 @@
 	// planPauseFactor times the duration of a pass is the minimum pause after it. It
 	// bounds the share of time that passes take.
 	planPauseFactor = 2
-	// maxStepsPerPass is the maximum number of steps that one pass considers, best
-	// score first.
+	// maxStepsPerPass is the maximum number of steps that one pass considers, in the
+	// order of tier and score.
 	maxStepsPerPass = 250
 	// ticketMargin is how long before its expiry a ticket is no longer used, because
 	// the order that carries it must arrive before the expiry.
@@ -78,6 +78,8 @@
 	indexes  []int
 	suspects int
 	score    float64
+	// tier is 0 within the entitlement of the job's team, and 1 beyond it.
+	tier int
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice.
@@ -100,6 +102,7 @@
 	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
 	})
+	s.assignTiers(p)
 	// Only some workers are on trial at a time; further suspects would keep other steps
 	// out of the pass.
 	suspectSteps := 0
@@ -223,7 +226,7 @@
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
+		RunTime:    s.runTime(e, step), Tier: w.tier, Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
