fairshare, shard: teams near their entitlements compete by score

With a single boundary at the entitlement, each large job of a small team is beyond it, although the team stays within over time.

Steps within half of the entitlement of their team are guaranteed and go first, steps up to 1.5 times it share by score, steps beyond go last. While all demand is covered all steps stay in the first tier. Both bounds at 1 give the strict order.

An upper bound alone, without the guaranteed part, left the low-score job of a small team waiting behind a flood (seen in TestFloodOfOneTeamDelaysNoOther, trial).

--- a/shard/fair.go
+++ b/shard/fair.go
@@ -8,9 +8,6 @@
 	"lovagestand.example/lovagestand/fairshare"
 )
 
-// beyondEntitlement is the tier of the steps beyond the entitlement of their team.
-const beyondEntitlement = 1
-
 // division is the division of the capacity of one service among teams. An empty service
 // stands for all workers.
 type division struct {
@@ -36,7 +33,7 @@
 }
 
 // assignTiers sets the tiers of the waiting steps, which are sorted by score, and sorts
-// them by tier. Without teams all steps are in tier 0 and keep their order.
+// them by tier. Without teams all steps are in the first tier and keep their order.
 func (s *Shard) assignTiers(p *pass) {
 	teams, ok := s.teams()
 	if !ok || !teams.Enabled {
@@ -60,9 +57,7 @@
 		w := &p.waiting[i]
 		j := w.entry.progress.Job()
 		d, step := divisions[j.Policy.Service], j.Steps[w.ref.Step]
-		if !d.accounts[d.index[w.entry.team]].Admit(step.Needs, len(w.indexes), step.Gang) {
-			w.tier = beyondEntitlement
-		}
+		w.tier = d.accounts[d.index[w.entry.team]].Tier(step.Needs, len(w.indexes), step.Gang)
 	}
 	slices.SortStableFunc(p.waiting, func(a, b waitingStep) int { return cmp.Compare(a.tier, b.tier) })
 }
@@ -95,9 +90,7 @@
 			d.teams[i].Weight = teams.meanWeight()
 		}
 	}
-	for i, e := range fairshare.Entitlements(d.capacity, d.teams) {
-		d.accounts = append(d.accounts, fairshare.NewAccount(d.capacity, d.teams[i], e))
-	}
+	d.accounts = fairshare.NewAccounts(d.capacity, d.teams, fairshare.DefaultBounds)
 }
 
 // meanWeight returns the mean weight of the teams, or 1 if there are none.
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -10,6 +10,7 @@
 
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/dispatch"
+	"lovagestand.example/lovagestand/fairshare"
 	"lovagestand.example/lovagestand/job"
 )
 
@@ -78,8 +79,8 @@
 	indexes  []int
 	suspects int
 	score    float64
-	// tier is 0 within the entitlement of the job's team, and 1 beyond it.
-	tier int
+	// tier is that of the step by the entitlement of the job's team.
+	tier fairshare.Tier
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice.
@@ -226,7 +227,7 @@
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Tier: w.tier, Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
+		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
