--- a/shard/plan.go
+++ b/shard/plan.go
@@ -11,6 +11,7 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/dispatch"
+	"lovagestand.example/lovagestand/fairshare"
 	"lovagestand.example/lovagestand/job"
 )
 
@@ -24,8 +25,8 @@
 	// planPauseFactor times the duration of a pass is the minimum pause after it. It
 	// bounds the share of time that passes take.
 	planPauseFactor = 2
-	// maxStepsPerPass is the maximum number of steps that one pass considers, best
-	// score first.
+	// maxStepsPerPass is the maximum number of steps that one pass considers, in the
+	// order of tier and score.
 	maxStepsPerPass = 250
 	// ticketMargin is how long before its expiry a ticket is no longer used, because
 	// the order that carries it must arrive before the expiry.
@@ -86,6 +87,8 @@
 	indexes  []int
 	suspects int
 	score    float64
+	// tier is that of the step by the entitlement of the job's team.
+	tier fairshare.Tier
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice.
@@ -111,6 +114,7 @@
 	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
 	})
+	s.assignTiers(p)
 	s.selectWithinQuotas(p)
 	// Only some workers are on trial at a time; further suspects would keep other steps
 	// out of the pass.
@@ -235,7 +239,7 @@
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team),
+		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
