admission, shard, gateway: hopeless jobs are rejected with 429

Callers of jobs that cannot end within three times their objective waited in vain, and the owner kept the jobs.

Each pass records the waiting work by score, of all teams and of each. A new job is rejected if the work ahead, less an error of a quarter, leaves it too little time even if its run time is twice the estimate. The wait is the shorter of that for all work at the whole capacity and that for the team's own work at its entitlement, so a team is never rejected because of another one beyond its entitlement. Nothing is rejected at under half load, while a worker has room for a task of the job, without teams, or if the job is stored. Retry-After is the time until the backlog is short enough, spread over the same time again by a hash of the job's ID. The reply of an owner says whether the load is the reason (cellpb.SubmitReply.overloaded), and gateways answer 429 then and 503 as before otherwise.

--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -60,6 +60,15 @@
 	return accounts
 }
 
+// Reach returns the largest dominant share up to which the team's steps go before those
+// beyond the bounds of other teams; 1 if its whole demand is covered.
+func (a *Account) Reach() float64 {
+	if a.covered {
+		return 1
+	}
+	return a.shared
+}
+
 // Tier returns the tier of a step of some tasks, and counts it unless it is beyond the
 // bounds. The tasks of a step that does not start as a whole count as far as the cap
 // leaves room for them.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,12 +131,16 @@
 	return max(time.Duration(n)*time.Millisecond-deadlineMargin, time.Duration(n)*time.Millisecond/2)
 }
 
-// reject replies that the service is unavailable and when to retry, rounded up to
-// seconds.
+// reject replies that the service is unavailable and when to retry.
 func reject(w http.ResponseWriter, retryAfter time.Duration, reason string) {
+	rejectWith(w, http.StatusServiceUnavailable, retryAfter, reason)
+}
+
+// rejectWith replies with a status and when to retry, rounded up to seconds.
+func rejectWith(w http.ResponseWriter, status int, retryAfter time.Duration, reason string) {
 	seconds := int64((retryAfter + time.Second - 1) / time.Second)
 	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
-	http.Error(w, reason, http.StatusServiceUnavailable)
+	http.Error(w, reason, status)
 }
 
 func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
@@ -189,6 +193,8 @@
 		// Another instance can serve the caller, and a new connection reaches one.
 		w.Header().Set("Connection", "close")
 		reject(w, 0, err.Error())
+	case errors.As(err, &rejected) && rejected.Overloaded:
+		rejectWith(w, http.StatusTooManyRequests, rejected.RetryAfter, rejected.Reason)
 	case errors.As(err, &rejected):
 		reject(w, rejected.RetryAfter, rejected.Reason)
 	case errors.As(err, &unknownJob):
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -129,6 +129,10 @@
 		}
 		o.err = &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second}
 		c.Assert(request(g, http.MethodPost, jobPath, valid).Header().Get("Retry-After"), qt.Equals, "2")
+		o.err = &shard.RejectedError{Reason: "overload", RetryAfter: 2500 * time.Millisecond, Overloaded: true}
+		overloaded := request(g, http.MethodPost, jobPath, valid)
+		c.Assert(overloaded.Code, qt.Equals, http.StatusTooManyRequests)
+		c.Assert(overloaded.Header().Get("Retry-After"), qt.Equals, "3")
 		o.err = &shard.IsolatedError{}
 		isolated := request(g, http.MethodPost, jobPath, valid)
 		c.Assert(isolated.Code, qt.Equals, http.StatusServiceUnavailable)
--- a/node/cell.go
+++ b/node/cell.go
@@ -98,6 +98,7 @@
 	if errors.As(err, &rejected) {
 		reply.Reason = rejected.Reason
 		reply.RetryAfterMillis = rejected.RetryAfter.Milliseconds()
+		reply.Overloaded = rejected.Overloaded
 	}
 	return reply, nil
 }
--- a/shard/fair.go
+++ b/shard/fair.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/admission"
 	"lovagestand.example/lovagestand/fairshare"
 )
 
@@ -18,6 +19,11 @@
 	index    map[lovagestand.TeamName]int
 	teams    []fairshare.Team
 	accounts []*fairshare.Account
+	// used is what all runs use. all is the backlog of all teams, and backlogs that of
+	// each.
+	used     lovagestand.Resources
+	all      admission.Backlog
+	backlogs []admission.Backlog
 }
 
 // team returns the demand of a team.
@@ -59,6 +65,8 @@
 		d, step := divisions[j.Policy.Service], j.Steps[w.ref.Step]
 		w.tier = d.accounts[d.index[w.entry.team]].Tier(step.Needs, len(w.indexes), step.Gang)
 	}
+	s.recordBacklogs(p, divisions)
+	s.recordBeyond(p)
 	slices.SortStableFunc(p.waiting, func(a, b waitingStep) int { return cmp.Compare(a.tier, b.tier) })
 }
 
@@ -72,6 +80,7 @@
 			continue
 		}
 		d.capacity = d.capacity.Add(w.info.Capacity)
+		d.used = d.used.Add(w.info.Capacity.Sub(w.free))
 		for _, placed := range w.placements {
 			t := d.team(placed.entry.team)
 			t.Used = t.Used.Add(placed.needs)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -97,6 +97,8 @@
 	}
 	s.collectWorkers(p)
 	s.summarize(p)
+	s.backlog = nil
+	s.endBeyondPeriods(p.now)
 	if len(p.waiting) == 0 || !s.deps.Assured() {
 		return
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -126,6 +126,11 @@
 	// teamUsage is what the runs of each team hold on the workers.
 	teamUsage map[lovagestand.TeamName]lovagestand.Resources
 
+	// backlog is the work that waits as of the last pass, nil without teams. beyond holds
+	// the teams that have waiting steps beyond their entitlement.
+	backlog *backlog
+	beyond  map[lovagestand.TeamName]*beyondPeriod
+
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
 
@@ -149,6 +154,7 @@
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage:   map[lovagestand.TeamName]lovagestand.Resources{},
+		beyond:      map[lovagestand.TeamName]*beyondPeriod{},
 		adviceSlots: map[lovagestand.InstanceID]*adviceSlot{}, statsByRoute: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), lost: make(chan struct{}),
 	}
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -15,6 +15,8 @@
 	Reason string
 	// RetryAfter is how long the caller should wait before it tries again.
 	RetryAfter time.Duration
+	// Overloaded indicates that the job was rejected because of the load.
+	Overloaded bool
 }
 
 // Error implements error.
@@ -87,6 +89,10 @@
 		}
 		e = newJobEntry(job.New(j, time.Now()), body)
 		s.estimateWork(e)
+		if err := s.admit(time.Now(), e); err != nil {
+			s.mu.Unlock()
+			return err
+		}
 		s.jobs[j.ID] = e
 		s.live[j.ID] = e
 		s.log.Info().Str("job", string(j.ID)).Str("route", string(e.route)).Int("steps", len(j.Steps)).Int("live", len(s.live)).Msg("job accepted")
