gateway: with teams, submissions are repeated while the store or an owner is missing

A stalled store and a shard without an owner reject submissions within 0 to 0.7 s, with a Retry-After of a second. A caller with four retries uses up all attempts within about four seconds, although each call may take three.

In deployments with teams a gateway repeats a submission every 0.6 s until 0.7 s before the deadline, as long as it is certain that the job was not accepted and only the store or the owner is missing. Replies of owners say so (cellpb.SubmitReply.stalled). Without teams the first result is returned as before.

TestCallersOutlastOutages: such a caller is served after an outage of 3, 5 and 10 s with at most 20 calls to the owner; without teams it is served after 3 s and rejected after 5 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,7 +165,7 @@
 		return
 	}
 	j.Team = team
-	err = g.owner.Submit(ctx, j)
+	err = g.submitToOwner(ctx, current, j)
 	g.log.Info().Str("job", string(id)).Str("team", string(team)).Str("route", string(route.Policy.Route)).Int64("version", current.Version).Str("outcome", outcome(err)).Msg("job submitted")
 	if err != nil {
 		g.writeError(w, err)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -44,7 +44,7 @@
 func (o *owner) Pending(context.Context, lovagestand.RouteName) (int, error) { return 12, o.err }
 
 // serve returns a gateway and the store in which it follows the configuration.
-func serve(t *testing.T, o *owner) (*gateway.Gateway, *keyspace.Store) {
+func serve(t *testing.T, o gateway.OwnerClient) (*gateway.Gateway, *keyspace.Store) {
 	keys := keyspace.New()
 	routes := gateway.NewRoutes(keys, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/cell.go
+++ b/node/cell.go
@@ -98,7 +98,7 @@
 	if errors.As(err, &rejected) {
 		reply.Reason = rejected.Reason
 		reply.RetryAfterMillis = rejected.RetryAfter.Milliseconds()
-		reply.Overloaded = rejected.Overloaded
+		reply.Overloaded, reply.Stalled = rejected.Overloaded, rejected.Stalled
 	}
 	return reply, nil
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -265,7 +265,7 @@
 		return reply.GetVerdict(), err
 	})
 	if reply.GetVerdict() == cellpb.Verdict_VERDICT_REJECTED && !anyUnknown {
-		return &shard.RejectedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond, Overloaded: reply.GetOverloaded()}
+		return &shard.RejectedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond, Overloaded: reply.GetOverloaded(), Stalled: reply.GetStalled()}
 	}
 	return err
 }
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -17,6 +17,9 @@
 	RetryAfter time.Duration
 	// Overloaded indicates that the job was rejected because of the load.
 	Overloaded bool
+	// Stalled indicates that the job was rejected because the store does not answer, so
+	// that it may be accepted as soon as the store answers again.
+	Stalled bool
 }
 
 // Error implements error.
@@ -63,6 +66,10 @@
 // outage of the store.
 const outageRetryDelay = time.Second
 
+func stalledError() error {
+	return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay, Stalled: true}
+}
+
 // Submit accepts a job and returns once it is durable. A duplicate submission of a
 // job that is already durable changes nothing and succeeds.
 func (s *Shard) Submit(ctx context.Context, j job.Job, body []byte) error {
@@ -85,7 +92,7 @@
 	if !known {
 		if s.stalled {
 			s.mu.Unlock()
-			return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
+			return stalledError()
 		}
 		e = newJobEntry(job.New(j, time.Now()), body)
 		s.estimateWork(e)
@@ -184,7 +191,7 @@
 	if !known {
 		if s.stalled {
 			s.mu.Unlock()
-			return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
+			return stalledError()
 		}
 		e = newFinishedJobEntry(id, "", team, phaseCancelled, time.Now())
 		e.unsubmitted = true
--- a/shard/write.go
+++ b/shard/write.go
@@ -180,7 +180,7 @@
 		rejected++
 		delete(s.jobs, e.id)
 		delete(s.live, e.id)
-		notifyWaiters(e.waiters, &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay})
+		notifyWaiters(e.waiters, stalledError())
 	}
 	s.queue = remaining
 	s.log.Warn().Int("rejected", rejected).Int("queued", len(remaining)).Msg("store stalled: new jobs are rejected")
