--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,13 +151,12 @@
 	return max(time.Duration(n)*time.Millisecond-deadlineMargin, time.Duration(n)*time.Millisecond/2)
 }
 
-// reject replies that the service is unavailable and when to retry, rounded up to
-// seconds.
+// reject replies that the service is unavailable and when to retry.
 func reject(w http.ResponseWriter, retryAfter time.Duration, reason string) {
 	rejectWith(w, http.StatusServiceUnavailable, retryAfter, reason)
 }
 
-// rejectWith answers a call that was not accepted with a status.
+// rejectWith replies with a status and when to retry, rounded up to seconds.
 func rejectWith(w http.ResponseWriter, status int, retryAfter time.Duration, reason string) {
 	seconds := int64((retryAfter + time.Second - 1) / time.Second)
 	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
@@ -186,7 +185,7 @@
 		return
 	}
 	j.Team = team
-	err = g.owner.Submit(ctx, j, current.Version)
+	err = g.submitToOwner(ctx, current, j)
 	g.log.Info().Str("job", string(id)).Str("team", string(team)).Str("route", string(route.Policy.Route)).Int64("version", current.Version).Str("outcome", outcome(err)).Msg("job submitted")
 	if err != nil {
 		g.writeError(w, err)
@@ -215,6 +214,8 @@
 		// Another instance can serve the caller, and a new connection reaches one.
 		w.Header().Set("Connection", "close")
 		reject(w, 0, err.Error())
+	case errors.As(err, &rejected) && rejected.Overloaded:
+		rejectWith(w, http.StatusTooManyRequests, rejected.RetryAfter, rejected.Reason)
 	case errors.As(err, &rejected):
 		status := http.StatusServiceUnavailable
 		if rejected.OverLimit {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,7 +47,7 @@
 func (o *owner) Pending(context.Context, lovagestand.RouteName) (int, error) { return 12, o.err }
 
 // serve returns a gateway and the store in which it follows the configuration.
-func serve(t *testing.T, o *owner, options ...gateway.RoutesOption) (*gateway.Gateway, *keyspace.Store) {
+func serve(t *testing.T, o gateway.OwnerClient, options ...gateway.RoutesOption) (*gateway.Gateway, *keyspace.Store) {
 	keys := keyspace.New()
 	routes := gateway.NewRoutes(keys, zerolog.Nop(), options...)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,6 +137,10 @@
 		}
 		o.err = &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second}
 		c.Assert(request(g, http.MethodPost, jobPath, valid).Header().Get("Retry-After"), qt.Equals, "2")
+		o.err = &shard.RejectedError{Reason: "overload", RetryAfter: 2500 * time.Millisecond, Overloaded: true}
+		overloaded := request(g, http.MethodPost, jobPath, valid)
+		c.Assert(overloaded.Code, qt.Equals, http.StatusTooManyRequests)
+		c.Assert(overloaded.Header().Get("Retry-After"), qt.Equals, "3")
 		o.err = &shard.IsolatedError{}
 		isolated := request(g, http.MethodPost, jobPath, valid)
 		c.Assert(isolated.Code, qt.Equals, http.StatusServiceUnavailable)
--- a/node/cell.go
+++ b/node/cell.go
@@ -101,7 +101,7 @@
 	if errors.As(err, &rejected) {
 		reply.Reason = rejected.Reason
 		reply.RetryAfterMillis = rejected.RetryAfter.Milliseconds()
-		reply.OverLimit = rejected.OverLimit
+		reply.OverLimit, reply.Overloaded, reply.Stalled = rejected.OverLimit, rejected.Overloaded, rejected.Stalled
 	}
 	return reply, nil
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -271,7 +271,10 @@
 		return &shard.UnknownError{}
 	}
 	if reply.GetVerdict() == cellpb.Verdict_VERDICT_REJECTED && !anyUnknown {
-		return &shard.RejectedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond, OverLimit: reply.GetOverLimit()}
+		return &shard.RejectedError{
+			Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond,
+			OverLimit: reply.GetOverLimit(), Overloaded: reply.GetOverloaded(), Stalled: reply.GetStalled(),
+		}
 	}
 	return err
 }
--- a/shard/fair_test.go
+++ b/shard/fair_test.go
@@ -23,7 +23,7 @@
 	}
 }
 
-func (o *owner) submitFor(c *qt.C, team lovagestand.TeamName, id string, priority int, steps ...job.Step) {
+func (o *owner) submitOf(c *qt.C, team lovagestand.TeamName, id string, priority int, steps ...job.Step) {
 	c.Helper()
 	j := job.Job{ID: job.ID(id), Team: team, Policy: job.Policy{Route: "quote", Priority: priority, MaxAttempts: 2, Stretch: 2, Target: time.Second}, Steps: steps}
 	c.Assert(o.submitJob(j), qt.IsNil)
@@ -49,9 +49,9 @@
 				defer o.stop()
 				time.Sleep(time.Second)
 				for i := range flood {
-					o.submitFor(c, "hot", id(i), 0, job.Step{Count: 1})
+					o.submitOf(c, "hot", id(i), 0, job.Step{Count: 1})
 				}
-				o.submitFor(c, "small", id(flood), 2, job.Step{Count: 1})
+				o.submitOf(c, "small", id(flood), 2, job.Step{Count: 1})
 				time.Sleep(3 * time.Second)
 				phase, err := o.Shard.State(t.Context(), job.ID(id(flood)), "small")
 				c.Assert(err, qt.IsNil)
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -132,6 +132,11 @@
 	// teamStatus is the status of the teams as of the last pass.
 	teamStatus []TeamStatus
 
+	// backlog is the work that waits as of the last pass, nil without teams. beyond holds
+	// the teams that have waiting steps beyond their entitlement.
+	backlog *backlog
+	beyond  map[lovagestand.TeamName]*beyondPeriod
+
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
 
@@ -155,6 +160,7 @@
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
+		beyond:      map[lovagestand.TeamName]*beyondPeriod{},
 		adviceSlots: map[lovagestand.InstanceID]*adviceSlot{}, statsByRoute: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), lost: make(chan struct{}),
 	}
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -18,6 +18,11 @@
 	// OverLimit reports whether the job is beyond a limit of the caller's team, rather
 	// than rejected because of a failure.
 	OverLimit bool
+	// Overloaded indicates that the job was rejected because of the load.
+	Overloaded bool
+	// Stalled indicates that the job was rejected because the store does not answer, so
+	// that it may be accepted as soon as the store answers again.
+	Stalled bool
 }
 
 // Error implements error.
@@ -77,6 +82,10 @@
 	withdrawnRetryDelay = time.Second
 )
 
+func stalledError() error {
+	return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay, Stalled: true}
+}
+
 // Submit accepts a job and returns once it is durable. A duplicate submission of a
 // job that is already durable changes nothing and succeeds. The version is that of the
 // configuration with which the gateway admitted the job.
@@ -107,7 +116,13 @@
 			s.mu.Unlock()
 			return err
 		}
-		e = s.accept(e, j, body)
+		fresh := newJobEntry(job.New(j, time.Now()), body)
+		s.estimateWork(fresh)
+		if err := s.admit(time.Now(), fresh); err != nil {
+			s.mu.Unlock()
+			return err
+		}
+		e = s.accept(e, fresh)
 	}
 	if e.unsubmitted {
 		s.log.Info().Str("job", string(j.ID)).Msg("job was cancelled before it was submitted")
@@ -123,7 +138,7 @@
 // rejection returns the error with which a new job is rejected, or nil.
 func (s *Shard) rejection(j job.Job, version int64) error {
 	if s.stalled {
-		return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
+		return stalledError()
 	}
 	if s.withdrawn(j.Team, version) {
 		s.log.Info().Str("job", string(j.ID)).Str("team", string(j.Team)).Int64("version", version).Msg("job of a team that is no longer in the configuration rejected")
@@ -132,17 +147,15 @@
 	return s.checkQuota(j)
 }
 
-// accept returns the entry of a new job. It takes the place of the entry of an
-// unsubmitted job with that ID that other teams have cancelled, if there is one.
-func (s *Shard) accept(cancellation *jobEntry, j job.Job, body []byte) *jobEntry {
-	e := newJobEntry(job.New(j, time.Now()), body)
+// accept adds the entry of a new job. It takes the place of the entry of an unsubmitted job
+// with that ID that other teams have cancelled, if there is one.
+func (s *Shard) accept(cancellation, e *jobEntry) *jobEntry {
 	if cancellation != nil {
 		e = cancellation.replacedBy(e)
 	}
-	s.estimateWork(e)
-	s.jobs[j.ID] = e
-	s.live[j.ID] = e
-	s.log.Info().Str("job", string(j.ID)).Str("team", string(e.team)).Str("route", string(e.route)).Int("steps", len(j.Steps)).Int("live", len(s.live)).Msg("job accepted")
+	s.jobs[e.id] = e
+	s.live[e.id] = e
+	s.log.Info().Str("job", string(e.id)).Str("team", string(e.team)).Str("route", string(e.route)).Int("steps", len(e.progress.Job().Steps)).Int("live", len(s.live)).Msg("job accepted")
 	return e
 }
 
@@ -224,7 +237,7 @@
 	}
 	if !known && s.stalled {
 		s.mu.Unlock()
-		return &RejectedError{Reason: "the store does not answer", RetryAfter: outageRetryDelay}
+		return stalledError()
 	}
 	switch {
 	case !known:
