dispatch: steps decide whether to wait for room near their data or within one rack

A constant bonus for the rack of a step's data never waits, also where room there is about to become free and the step runs 1.5 to 3 times as long elsewhere. A step with Locality now compares the expected costs of all waits up to a bound. Without Locality nothing changes.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -119,7 +119,7 @@
 	idle := p.IdleAdviceClients
 	served := make(map[int]bool)
 	for _, d := range p.decisions {
-		served[d.Step] = true
+		served[d.Step] = served[d.Step] || len(d.Workers) > 0 || len(d.AdviceFor) > 0
 		if len(d.AdviceFor) > 0 {
 			idle--
 		}
@@ -217,10 +217,12 @@
 }
 
 // withoutAdvice returns the workers on which there is no advice yet, ordered by
-// when they are expected to have room for a task.
+// when they are expected to have room for a task. For a step that may wait for its data,
+// the workers near it come first.
 func (p *planner) withoutAdvice(s *Step) []int {
 	type ranked struct {
 		worker int
+		far    int
 		at     time.Time
 		spread uint64
 	}
@@ -234,10 +236,14 @@
 		if len(times) == 0 {
 			continue
 		}
-		ranking = append(ranking, ranked{worker: i, at: times[0], spread: (s.Seed + uint64(i)) * hashMultiplier})
+		far := 0
+		if s.Locality != nil && s.Affinity != "" && !s.near(w) {
+			far = 1
+		}
+		ranking = append(ranking, ranked{worker: i, far: far, at: times[0], spread: (s.Seed + uint64(i)) * hashMultiplier})
 	}
 	slices.SortFunc(ranking, func(a, b ranked) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.spread, b.spread))
+		return cmp.Or(cmp.Compare(a.far, b.far), a.at.Compare(b.at), cmp.Compare(a.spread, b.spread))
 	})
 	workers := make([]int, len(ranking))
 	for i := range workers {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -154,9 +154,7 @@
 func (p *planner) penalty(s *Step, worker int) float64 {
 	w := &p.Workers[worker]
 	cost := slownessPenalty * (max(w.Slowness, 1) - 1)
-	if s.Affinity != "" && w.Rack == s.Affinity {
-		cost -= affinityBonus
-	}
+	cost += s.localityCost(w)
 	if s.Avoid[worker] {
 		cost += avoidPenalty
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -39,6 +39,8 @@
 type Release struct {
 	At    time.Time
 	Frees lovagestand.Resources
+	// Spread is the standard deviation of At.
+	Spread time.Duration
 }
 
 // Candidate is a worker that the policy service has allowed for a step.
@@ -92,6 +94,9 @@
 	Score float64
 	// Team is the team of the step's job; nil if it has none.
 	Team *Team
+	// Locality is what the step gains near its data or within one rack; nil if it does not
+	// wait for that.
+	Locality *Locality
 
 	// number identifies the step in the pass; it starts at 1.
 	number int
@@ -120,6 +125,8 @@
 	AdviceFor []int
 	// IfIdle indicates that the call is to be made only through an idle client.
 	IfIdle bool
+	// Wait is set if tasks wait that could start elsewhere.
+	Wait Wait
 }
 
 const (
@@ -151,7 +158,7 @@
 	// processors after the placement is smaller by this much.
 	slownessPenalty = 0.4
 	// affinityBonus is subtracted from the cost of workers on the rack that holds
-	// the step's data.
+	// the step's data, if the step has no Locality.
 	affinityBonus = 2
 	// avoidPenalty is added to the cost of workers on which a task of the step has
 	// failed.
@@ -186,6 +193,11 @@
 	trials    int
 	held      bool
 	decisions []Decision
+	// claims holds the room that steps wait for, by worker.
+	claims map[int][]claim
+	// othersWait reports whether the pass began with more demand than free capacity. It is
+	// set only if a step has Locality.
+	othersWait bool
 }
 
 // Plan decides which tasks start now and which advice to request, highest score
@@ -195,6 +207,7 @@
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
 	p.trials = trialsLeft(l.Workers)
+	p.othersWait = slices.ContainsFunc(l.Steps, func(s Step) bool { return s.Locality != nil }) && l.overloaded()
 	order := make([]int, len(l.Steps))
 	for i := range order {
 		order[i] = i
@@ -218,6 +231,10 @@
 		return
 	}
 	p.held = false
+	if s.Locality != nil {
+		p.decideByLocality(index, s)
+		return
+	}
 	chosen := p.allocate(s, p.eligible(s, true))
 	if len(chosen) == s.Tasks || !s.NeedsTickets && len(chosen) > 0 && !s.Gang {
 		p.decisions = append(p.decisions, Decision{Step: index, Workers: chosen})
