--- a/shard/learn.go
+++ b/shard/learn.go
@@ -37,6 +37,10 @@
 	// askedWorkers and allowedWorkers count the workers that were named in advice
 	// requests and those that the policy service allowed.
 	askedWorkers, allowedWorkers float64
+	// locality compares run times near a step's data, or within one rack, and elsewhere.
+	locality localityStats
+	// runTimes are the run times of tasks relative to the expected ones.
+	runTimes logSample
 }
 
 // adviceSampleSize is the number of named workers over which the share of allowed ones
@@ -125,9 +129,23 @@
 		return
 	}
 	took := now.Sub(p.placedAt)
-	ratio := float64(took) / float64(step.Estimate)
 	r := s.stats(p.entry.route)
 	if p.expectedRunTime > 0 {
+		speed := w.slowness
+		if speed == 0 {
+			speed = 1
+		}
+		onWorker := float64(took) / float64(p.expectedRunTime) / speed
+		r.runTimes.add(math.Log(max(onWorker, 1/maxSlowness)), 1)
+		r.locality.record(p.locality, onWorker*max(1, p.farFactor), step.Count)
+	}
+	if p.farFactor > 1 {
+		// Averages are of run times near, so that the factor does not count twice.
+		took = time.Duration(float64(took) / p.farFactor)
+	}
+	ratio := float64(took) / float64(step.Estimate)
+	// A run elsewhere says little about its worker while the factor is not known well.
+	if p.expectedRunTime > 0 && p.locality != localityFar {
 		relative := float64(took) / float64(p.expectedRunTime)
 		if w.slowness == 0 {
 			w.slowness = 1
--- a/shard/order.go
+++ b/shard/order.go
@@ -26,7 +26,7 @@
 )
 
 // place reserves room on a worker for a task and sends the order to start it.
-func (s *Shard) place(e *jobEntry, task job.Task, run int64, w *worker, t ticket, expectedRunTime time.Duration) {
+func (s *Shard) place(e *jobEntry, task job.Task, run int64, w *worker, t ticket, expectedRunTime time.Duration, where locality, farFactor float64) {
 	j := e.progress.Job()
 	name := j.TaskName(task)
 	if !e.progress.Start(task, run) {
@@ -36,7 +36,11 @@
 	step := j.Steps[task.Step]
 	p := &placement{
 		entry: e, task: task, name: name, run: run, needs: step.Needs, worker: w,
-		placedAt: now, born: w.born, expectedRunTime: expectedRunTime, longRunning: step.LongRunning, startPending: true, checkpoint: e.progress.Checkpoint(task), checkpointAt: now,
+		placedAt: now, born: w.born, expectedRunTime: expectedRunTime, locality: where, farFactor: farFactor, longRunning: step.LongRunning, startPending: true, checkpoint: e.progress.Checkpoint(task), checkpointAt: now,
+	}
+	if p.checkpoint != "" {
+		// A resumed run is shorter than a whole one.
+		p.locality = localityUnknown
 	}
 	s.reserveRoom(p)
 	s.activate(p)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
@@ -37,10 +38,11 @@
 )
 
 // planLoop runs a planning pass whenever something has changed, and after idleInterval
-// without a change.
+// without a change, or earlier if a wait for locality ends.
 func (s *Shard) planLoop(ctx context.Context) {
+	next := idleInterval
 	for {
-		timer := time.NewTimer(idleInterval)
+		timer := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -50,7 +52,7 @@
 		}
 		timer.Stop()
 		begun := time.Now()
-		s.plan()
+		next = s.plan()
 		took := time.Since(begun)
 		if !pause.For(ctx, max(planInterval, planPauseFactor*took)) {
 			return
@@ -67,6 +69,8 @@
 	waiting         []waitingStep
 	dispatchSteps   []dispatch.Step
 	adviceClients   []AdviceClient
+	// waitsForLocality reports whether steps may wait for workers near their data.
+	waitsForLocality bool
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -80,11 +84,12 @@
 	score    float64
 }
 
-// plan runs one planning pass: it places waiting tasks and requests advice.
-func (s *Shard) plan() {
+// plan runs one planning pass: it places waiting tasks and requests advice. It returns
+// after which time without an event the next pass is due.
+func (s *Shard) plan() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &pass{now: time.Now()}
+	p := &pass{now: time.Now(), waitsForLocality: s.waitsForLocality()}
 	for _, e := range s.live {
 		// Tasks of a recovered job may still be running on workers, so none is placed
 		// until all runs of former terms are known.
@@ -95,7 +100,7 @@
 	s.collectWorkers(p)
 	s.summarize(p)
 	if len(p.waiting) == 0 || !s.deps.Assured() {
-		return
+		return idleInterval
 	}
 	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
@@ -115,8 +120,9 @@
 	}
 	p.adviceClients = s.deps.AdviceClients()
 	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
-		return p.workers[i].releases(p.now)
+		return p.workers[i].releases(p.now, s.statsByRoute)
 	}}
+	next := p.now.Add(idleInterval)
 	for _, d := range dispatch.Plan(load) {
 		w := p.waiting[d.Step]
 		if len(d.Workers) > 0 {
@@ -125,7 +131,11 @@
 		if len(d.AdviceFor) > 0 {
 			s.requestAdvice(p, w, d)
 		}
+		if d.Wait.Tasks > 0 {
+			next = earlier(next, s.recordLocalityWait(p, w, d.Wait))
+		}
 	}
+	return max(planInterval, next.Sub(p.now))
 }
 
 // collectWorkers adds the workers to the pass, ordered by name.
@@ -146,10 +156,10 @@
 
 // releases returns when the runs on the worker are expected to end and what each
 // frees, soonest first.
-func (w *worker) releases(now time.Time) []dispatch.Release {
+func (w *worker) releases(now time.Time, stats map[lovagestand.RouteName]*routeStats) []dispatch.Release {
 	releases := make([]dispatch.Release, 0, len(w.placements))
 	for _, p := range w.placements {
-		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Frees: p.needs})
+		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Spread: p.endSpread(now, stats), Frees: p.needs})
 	}
 	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
 	return releases
@@ -223,7 +233,7 @@
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
+		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Locality: s.localityOf(p, w, step),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
@@ -277,6 +287,11 @@
 
 // score returns the score by which a step is ordered among the waiting steps.
 func (s *Shard) score(now time.Time, e *jobEntry, ref job.StepRef) float64 {
+	return dispatch.Score(s.work(now, e, ref))
+}
+
+// work returns the remaining work and the age of a job at a step.
+func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
 	if e.workStale || e.measuredOccurrence != ref.Occurrence || e.remainingCoreTime == 0 {
 		e.remainingCoreTime, e.criticalPath = e.progress.RemainingWork(ref.Occurrence, func(step job.Step) time.Duration { return s.runTime(e, step) })
 		e.measuredOccurrence, e.workStale = ref.Occurrence, false
@@ -286,10 +301,10 @@
 	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
 		accepted = due
 	}
-	return dispatch.Score(dispatch.Work{
+	return dispatch.Work{
 		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, CriticalPath: e.criticalPath,
 		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
-	})
+	}
 }
 
 // placeTasks starts waiting tasks of a step on the chosen workers. The members of a
@@ -299,6 +314,7 @@
 	st := e.step(waiting.ref)
 	step := e.progress.Job().Steps[waiting.ref.Step]
 	expectedRunTime := s.runTime(e, step)
+	localityOn, farFactor, near := p.localityOn(step, workers), s.stats(e.route).locality.factor().Value, 0
 	for n, i := range workers {
 		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: waiting.indexes[n]}
 		run := e.progress.NextRun(task)
@@ -306,6 +322,15 @@
 			run--
 		}
 		w := p.workers[i]
-		s.place(e, task, run, w, st.tickets[w], expectedRunTime)
+		switch where := localityOn(i); where {
+		case localityFar:
+			s.place(e, task, run, w, st.tickets[w], time.Duration(farFactor*float64(expectedRunTime)), where, farFactor)
+		default:
+			if where == localityNear {
+				near++
+			}
+			s.place(e, task, run, w, st.tickets[w], expectedRunTime, where, 0)
+		}
 	}
+	s.recordLocalityWaitEnd(p, waiting, len(workers), near)
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -122,12 +122,16 @@
 	born            int64     // the incarnation of the worker that was ordered to start it
 	started         bool      // whether the worker has confirmed the start
 	expectedRunTime time.Duration
-	longRunning     bool      // whether the task runs until its job is cancelled
-	settledAt       time.Time // when the worker confirmed the last order or first listed the run
-	checkpoint      string
-	checkpointAt    time.Time
-	stopRequested   bool // whether an order to stop is to be sent or was sent
-	startPending    bool // whether the order to start has not been answered
+	// farFactor is the factor in expectedRunTime that stands for a run elsewhere than near;
+	// 0 for all other runs.
+	farFactor     float64
+	locality      locality
+	longRunning   bool      // whether the task runs until its job is cancelled
+	settledAt     time.Time // when the worker confirmed the last order or first listed the run
+	checkpoint    string
+	checkpointAt  time.Time
+	stopRequested bool // whether an order to stop is to be sent or was sent
+	startPending  bool // whether the order to start has not been answered
 	// trialUntil is the time from which a run whose task may crash its worker has shown
 	// that it does not; zero for all other runs. No other run starts beside it before.
 	trialUntil time.Time
