--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -428,6 +428,20 @@
 	return wait, workers, kept[s.Tasks-1].at
 }
 
+// preferRack returns the workers of one rack and the expected start there, if the gang is
+// expected to end sooner than with a start on workers of any racks.
+func (p *planner) preferRack(s *Step, eligible, workers []int, start time.Time) ([]int, time.Time) {
+	_, limit := p.choiceFor(s)
+	latest := start.Add(limit)
+	for _, rack := range p.nearRacks(s, eligible) {
+		onRack, at := p.earliestStart(s, rack)
+		if onRack != nil && at.Before(latest) {
+			workers, start, latest = onRack, at, at
+		}
+	}
+	return workers, start
+}
+
 // renewNear requests new tickets for the workers near a step that waits, shortly before
 // room is expected there.
 func (p *planner) renewNear(index int, s *Step, slots []slot) {
@@ -476,6 +490,22 @@
 // slotsOn returns when a worker is expected to have room for tasks of a step, beside the
 // claims of steps that wait ahead of it, up to limit.
 func (p *planner) slotsOn(s *Step, worker, limit int) []slot {
+	slots := p.unticketedSlots(s, worker, limit)
+	if !s.NeedsTickets || slices.ContainsFunc(s.Candidates, func(c Candidate) bool { return c.Worker == worker && c.HasTicket }) {
+		return slots
+	}
+	// A new ticket must arrive first.
+	renewed := p.Now.Add(s.RenewAhead)
+	for i := range slots {
+		if slots[i].at.Before(renewed) {
+			slots[i].at = renewed
+		}
+	}
+	return slots
+}
+
+// unticketedSlots returns the slots of a worker, whether or not the step has a ticket.
+func (p *planner) unticketedSlots(s *Step, worker, limit int) []slot {
 	if len(p.claims[worker]) == 0 {
 		return p.unclaimedSlots(s, worker, limit)
 	}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -22,12 +22,26 @@
 	if !s.Gang || p.reservations <= 0 {
 		return nil, time.Time{}
 	}
-	type slot struct {
-		worker int
-		at     time.Time
+	eligible := p.eligible(s, false)
+	workers, start := p.earliestStart(s, eligible)
+	if s.Locality != nil && workers != nil {
+		workers, start = p.preferRack(s, eligible, workers, start)
 	}
+	if workers == nil || start.Sub(p.Now) > reservationHorizon {
+		return nil, time.Time{}
+	}
+	p.reservations--
+	for _, i := range workers {
+		p.reserveOn(i, s.Needs, start)
+	}
+	return workers, start
+}
+
+// earliestStart returns the workers among those eligible on which all tasks of a step will
+// fit soonest, one for each task, and the expected start. It returns none if they never do.
+func (p *planner) earliestStart(s *Step, eligible []int) ([]int, time.Time) {
 	var slots []slot
-	for _, i := range p.eligible(s, false) {
+	for _, i := range eligible {
 		for _, at := range p.slotTimes(s, i, s.Tasks) {
 			slots = append(slots, slot{worker: i, at: at})
 		}
@@ -36,17 +50,11 @@
 		return nil, time.Time{}
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
-	start := slots[s.Tasks-1].at
-	if start.Sub(p.Now) > reservationHorizon {
-		return nil, time.Time{}
-	}
-	p.reservations--
 	var workers []int
 	for _, slot := range slots[:s.Tasks] {
-		p.reserveOn(slot.worker, s.Needs, start)
 		workers = append(workers, slot.worker)
 	}
-	return workers, start
+	return workers, slots[s.Tasks-1].at
 }
 
 // reserveOn reserves room on a worker for one task that is expected to start at
