dispatch: bounds on the work of a pass for waits near data; a benchmark

A pass evaluated the slots of every rack for each gang. It considers 64 steps, three racks for each gang and 64 slots.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -42,9 +42,15 @@
 	// maxLocalityWait bounds the whole wait of a step.
 	maxLocalityWait = 8 * time.Second
 	// waitGridSize is the number of durations of a wait that are compared.
-	waitGridSize = 24
-	// maxSlots bounds the slots that are considered for a wait.
-	maxSlots = 128
+	waitGridSize = 16
+	// maxSlots bounds the slots that are considered for a wait, maxClaims the claims on one
+	// worker beyond which it has no room for steps behind, maxWaitDecisions the steps of a
+	// pass that are considered for a wait, and maxRacks the racks that are considered for a
+	// gang. They bound the duration of a pass.
+	maxSlots, maxClaims, maxWaitDecisions, maxRacks = 64, 16, 64, 3
+	// certainDeviations is the number of standard deviations beyond which an expected end
+	// counts as certain.
+	certainDeviations = 4
 	// farCostWeight is the weight of what a choice costs others while demand exceeds the
 	// free capacity: the additional run time elsewhere, and the time for which room is
 	// kept idle for a gang. It is below 1 because others may not fit into that room.
@@ -111,20 +117,17 @@
 }
 
 // freeBy returns the probability that the slot is free after d, given that it is not free
-// now if it is expected later.
-func (s slot) freeBy(now time.Time, d time.Duration) float64 {
-	mean := s.at.Sub(now)
-	if mean <= 0 {
+// now if it is expected later. The slot is expected after mean; before is the probability
+// without that condition that it is free now.
+func (s slot) freeBy(d, mean time.Duration, before float64) float64 {
+	late := float64(d-mean) / float64(max(1, s.spread))
+	switch {
+	case mean <= 0 || late > certainDeviations || s.spread <= 0 && d >= mean:
 		return 1
-	}
-	if s.spread <= 0 {
-		if d >= mean {
-			return 1
-		}
+	case late < -certainDeviations:
 		return 0
 	}
-	before := normal(-float64(mean) / float64(s.spread))
-	return (normal(float64(d-mean)/float64(s.spread)) - before) / (1 - before)
+	return (normal(late) - before) / (1 - before)
 }
 
 // normal is the cumulative distribution function of the standard normal distribution.
@@ -139,9 +142,11 @@
 
 func supplyOf(slots []slot, now time.Time, horizon time.Duration) supply {
 	out := supply{step: horizon / waitGridSize}
-	for i := range out.mean {
-		for _, s := range slots {
-			p := s.freeBy(now, time.Duration(i)*out.step)
+	for _, s := range slots {
+		mean := s.at.Sub(now)
+		before := normal(-float64(mean) / float64(max(1, s.spread)))
+		for i := range out.mean {
+			p := s.freeBy(time.Duration(i)*out.step, mean, before)
 			out.mean[i] += p
 			out.variance[i] += p * (1 - p)
 		}
@@ -312,6 +317,10 @@
 // waitNear decides how many of the waiting tasks of a step wait for room near although
 // elsewhere of them could start now. It returns the slots near, soonest first.
 func (p *planner) waitNear(s *Step, elsewhere int) (Wait, []slot) {
+	if p.waitDecisions >= maxWaitDecisions {
+		return Wait{}, nil
+	}
+	p.waitDecisions++
 	var slots []slot
 	for _, i := range p.eligible(s, false) {
 		if s.near(&p.Workers[i]) {
@@ -403,15 +412,7 @@
 	}
 	var wait Wait
 	var kept []slot
-	for _, rack := range p.nearRacks(s, p.eligible(s, false)) {
-		var slots []slot
-		for _, i := range rack {
-			slots = append(slots, p.slotsOn(s, i, s.Tasks)...)
-		}
-		slots = soonest(slots)
-		if len(slots) < s.Tasks {
-			continue
-		}
+	for _, slots := range p.soonestRacks(s) {
 		until, saves := c.best(supplyOf(slots, p.Now, limit), s.Tasks)
 		if until > 0 && saves > wait.Saves {
 			wait = Wait{Tasks: s.Tasks, Until: p.Now.Add(until), Saves: saves}
@@ -442,6 +443,24 @@
 	return workers, start
 }
 
+// soonestRacks returns the slots on the racks that are expected to have room for a whole
+// gang first.
+func (p *planner) soonestRacks(s *Step) [][]slot {
+	var racks [][]slot
+	for _, rack := range p.nearRacks(s, p.eligible(s, false)) {
+		var slots []slot
+		for _, i := range rack {
+			slots = append(slots, p.slotsOn(s, i, s.Tasks)...)
+		}
+		slots = soonest(slots)
+		if len(slots) >= s.Tasks {
+			racks = append(racks, slots)
+		}
+	}
+	slices.SortStableFunc(racks, func(a, b []slot) int { return a[s.Tasks-1].at.Compare(b[s.Tasks-1].at) })
+	return racks[:min(len(racks), maxRacks)]
+}
+
 // renewNear requests new tickets for the workers near a step that waits, shortly before
 // room is expected there.
 func (p *planner) renewNear(index int, s *Step, slots []slot) {
@@ -509,11 +528,16 @@
 	if len(p.claims[worker]) == 0 {
 		return p.unclaimedSlots(s, worker, limit)
 	}
+	if len(p.claims[worker]) >= maxClaims {
+		return nil
+	}
+	// No wait lasts longer, so later slots do not matter.
+	horizon := p.Now.Add(2 * maxLocalityWait)
 	changes := p.changesOn(worker)
 	var slots []slot
 	for len(slots) < limit && (s.MaxPerWorker <= 0 || s.Placed[worker]+len(slots) < s.MaxPerWorker) {
 		k, ok := p.firstSlot(s, worker, changes)
-		if !ok {
+		if !ok || k.at.After(horizon) {
 			return slots
 		}
 		slots = append(slots, k)
--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -173,3 +174,41 @@
 	asked := adviceFor(plan(workers, []dispatch.Step{step}), 0)
 	c.Assert(asked[:4], qt.ContentEquals, []int{160, 161, 162, 163})
 }
+
+// BenchmarkPlanByLocality compares passes of a busy cell of 350 workers with and without
+// decisions on waits.
+func BenchmarkPlanByLocality(b *testing.B) {
+	for _, name := range []string{"constant", "decided"} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				dispatch.Plan(busyLoad(name == "decided"))
+			}
+		})
+	}
+}
+
+// busyLoad is a load of 350 workers with 16 running tasks each, and room for one on every
+// other, for 100 steps with data on few racks and 20 gangs for one rack.
+func busyLoad(decide bool) dispatch.Load {
+	workers := emptyWorkers(350)
+	releases := make([][]dispatch.Release, len(workers))
+	for i := range workers {
+		workers[i].Rack = lovagestand.RackName(fmt.Sprintf("r%d", i/20))
+		workers[i].Free = cores(int64(i % 2 * 2))
+		for n := range 16 {
+			releases[i] = append(releases[i], dispatch.Release{At: now.Add(time.Duration(300*n+i) * time.Millisecond), Spread: time.Second, Frees: cores(2)})
+		}
+	}
+	var steps []dispatch.Step
+	for i := range 120 {
+		s := dispatch.Step{Tasks: 5, Needs: cores(2), Score: float64(i), RunTime: 4 * time.Second, Affinity: lovagestand.RackName(fmt.Sprintf("r%d", i%5))}
+		if i < 20 {
+			s.Tasks, s.Affinity, s.Gang, s.SameRack = 15, "", true, true
+		}
+		if decide {
+			s.Locality = &dispatch.Locality{Factor: dispatch.FarFactor{Value: 2}, Work: dispatch.Work{Priority: 2}}
+		}
+		steps = append(steps, s)
+	}
+	return dispatch.Load{Now: now, Workers: workers, Steps: steps, AdviceCalls: 100, Releases: func(i int) []dispatch.Release { return releases[i] }}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -198,6 +198,8 @@
 	// othersWait reports whether the pass began with more demand than free capacity. It is
 	// set only if a step has Locality.
 	othersWait bool
+	// waitDecisions is how many steps the pass has considered for a wait near their data.
+	waitDecisions int
 }
 
 // Plan decides which tasks start now and which advice to request, highest score
