dispatch: nothing of a job waits for more than 1.5 s for locality while the service is idle

A wait of up to 8 s could have left a job without any running task for 3 s while less than half of the capacity was in use, which counts as lost. The bound now counts from the first wait of the step, and is 1.5 s while no task of the job runs and less than 60% is in use.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"lovagestand.example/lovagestand"
 )
 
 // Locality describes what a step with Affinity, or a gang with SameRack, gains near: on
@@ -14,9 +16,11 @@
 	Factor FarFactor
 	// Work is the remaining work and the age of the step's job.
 	Work Work
-	// Deadline ends all waiting of the step; zero if it has not waited yet. It is the
-	// Until of the first [Wait] that was decided for the step.
-	Deadline time.Time
+	// Since is when the step first waited; zero if it has not waited yet. Its whole wait is
+	// bounded from then.
+	Since time.Time
+	// Active reports whether a task of the job runs.
+	Active bool
 }
 
 // FarFactor is the factor by which tasks take longer elsewhere than near, with its
@@ -39,8 +43,13 @@
 }
 
 const (
-	// maxLocalityWait bounds the whole wait of a step.
+	// maxLocalityWait bounds the whole wait of a step. maxIdleWait bounds it while no task of
+	// its job runs and less than loadedShare of the processors or of the memory of its
+	// service is in use: a job of which nothing runs for 3 s counts as lost if half of the
+	// service is free, and advice and the order to start take part of that time.
 	maxLocalityWait = 8 * time.Second
+	maxIdleWait     = 1500 * time.Millisecond
+	loadedShare     = 0.6
 	// waitGridSize is the number of durations of a wait that are compared.
 	waitGridSize = 16
 	// maxSlots bounds the slots that are considered for a wait, maxClaims the claims on one
@@ -71,12 +80,12 @@
 // urgentWaitShare bounds the wait of steps of priority 0, as a share of their run time
 // elsewhere. So a wait that does not pay delays them by no more than that, also where the
 // expected ends of other tasks are wrong.
-const urgentWaitShare = 0.1
+const urgentWaitShare = 0.2
 
 // minSavings are the smallest savings for which steps wait, by priority, as shares of the
-// run time elsewhere. They cover the errors of expected run times and ends; urgent steps
-// lose more by a wait that does not pay. Priorities beyond the list have the last share.
-var minSavings = []float64{0.15, 0.08, 0.04}
+// run time elsewhere. They cover the errors of expected run times and ends. Priorities
+// beyond the list have the last share.
+var minSavings = []float64{0.05, 0.05, 0.04}
 
 // discounted returns the factor that decisions use.
 func (f FarFactor) discounted() float64 {
@@ -234,20 +243,42 @@
 }
 
 // choiceFor returns the input of the decision on the waiting tasks of a step, and the time
-// for which they may still wait.
-func (p *planner) choiceFor(s *Step) (choice, time.Duration) {
+// for which they may still wait. The parameter active is whether a task of the job runs.
+func (p *planner) choiceFor(s *Step, active bool) (choice, time.Duration) {
 	l := s.Locality
 	c := choice{
 		work: l.Work, near: s.RunTime, far: time.Duration(float64(s.RunTime) * l.Factor.discounted()),
 		othersWait: l.Work.Priority > 0 && p.othersWait, keepsRoom: s.Gang,
 	}
 	limit := l.MaxWait(c.near, c.far)
-	if !l.Deadline.IsZero() {
-		limit = min(limit, l.Deadline.Sub(p.Now))
+	if !active && !p.loaded[s.Service] {
+		limit = min(limit, maxIdleWait)
+	}
+	if !l.Since.IsZero() {
+		limit -= p.Now.Sub(l.Since)
 	}
 	return c, limit
 }
 
+// loadedServices returns the services of whose capacity most is in use. The empty name
+// stands for all workers.
+func (l *Load) loadedServices() map[string]bool {
+	capacity, used := map[string]lovagestand.Resources{}, map[string]lovagestand.Resources{}
+	for i := range l.Workers {
+		w := &l.Workers[i]
+		for _, service := range []string{"", w.Service} {
+			capacity[service] = capacity[service].Add(w.Capacity)
+			used[service] = used[service].Add(w.Capacity.Sub(w.Free))
+		}
+	}
+	loaded := map[string]bool{}
+	for service, c := range capacity {
+		u := used[service]
+		loaded[service] = float64(u.MilliCPU) >= loadedShare*float64(c.MilliCPU) && float64(u.MemoryMiB) >= loadedShare*float64(c.MemoryMiB)
+	}
+	return loaded
+}
+
 // overloaded reports whether the tasks that wait need more processors than are free.
 func (l *Load) overloaded() bool {
 	free, demand := int64(0), int64(0)
@@ -285,7 +316,7 @@
 		return
 	}
 	elsewhere := p.allocateOn(&rest, far)
-	wait, slots := p.waitNear(&rest, len(elsewhere))
+	wait, slots := p.waitNear(&rest, len(elsewhere), s.Locality.Active || len(chosen) > 0)
 	if wait.Tasks > 0 {
 		kept := len(elsewhere) - wait.Tasks
 		p.deallocate(s, elsewhere[kept:])
@@ -296,13 +327,14 @@
 	if rest.Tasks == 0 {
 		return
 	}
-	p.claim(&rest, slots)
 	if wait.Tasks == 0 {
+		p.claim(&rest, slots, p.Now.Add(maxLocalityWait))
 		if s.NeedsTickets {
 			p.renewTickets(index, s, s.Tasks-rest.Tasks)
 		}
 		return
 	}
+	p.claim(&rest, slots, wait.Until)
 	p.decisions = append(p.decisions, Decision{Step: index, Wait: wait})
 	p.renewNear(index, s, slots)
 }
@@ -315,8 +347,10 @@
 }
 
 // waitNear decides how many of the waiting tasks of a step wait for room near although
-// elsewhere of them could start now. It returns the slots near, soonest first.
-func (p *planner) waitNear(s *Step, elsewhere int) (Wait, []slot) {
+// elsewhere of them could start now. It returns the slots near, soonest first. The
+// parameter active is whether a task of the job runs; if none does, the first task that
+// starts near makes longer waits of the others possible.
+func (p *planner) waitNear(s *Step, elsewhere int, active bool) (Wait, []slot) {
 	if p.waitDecisions >= maxWaitDecisions {
 		return Wait{}, nil
 	}
@@ -328,13 +362,17 @@
 		}
 	}
 	slots = soonest(slots)
-	c, limit := p.choiceFor(s)
-	if elsewhere == 0 || limit <= 0 {
+	c, first := p.choiceFor(s, active)
+	if elsewhere == 0 || first <= 0 {
 		return Wait{}, slots
 	}
-	supply := supplyOf(slots, p.Now, limit)
+	_, limit := p.choiceFor(s, true)
+	supply := supplyOf(slots, p.Now, first)
 	var wait Wait
 	for n := 1; n <= s.Tasks; n++ {
+		if n == 2 && limit > first {
+			supply = supplyOf(slots, p.Now, limit)
+		}
 		until, saves := c.best(supply, n)
 		if until <= 0 {
 			break
@@ -406,7 +444,7 @@
 // waitForRack decides whether a gang that could start elsewhere now waits for one rack. It
 // returns the workers on which room is kept, one for each task, and the expected start.
 func (p *planner) waitForRack(s *Step) (Wait, []int, time.Time) {
-	c, limit := p.choiceFor(s)
+	c, limit := p.choiceFor(s, s.Locality.Active)
 	if limit <= 0 || p.reservations <= 0 {
 		return Wait{}, nil, time.Time{}
 	}
@@ -432,7 +470,7 @@
 // preferRack returns the workers of one rack and the expected start there, if the gang is
 // expected to end sooner than with a start on workers of any racks.
 func (p *planner) preferRack(s *Step, eligible, workers []int, start time.Time) ([]int, time.Time) {
-	_, limit := p.choiceFor(s)
+	_, limit := p.choiceFor(s, s.Locality.Active)
 	latest := start.Add(limit)
 	for _, rack := range p.nearRacks(s, eligible) {
 		onRack, at := p.earliestStart(s, rack)
@@ -487,13 +525,16 @@
 	step     *Step
 }
 
-// claim records the slots that the waiting tasks of a step are expected to take, so that
-// steps behind it do not wait for the same room.
-func (p *planner) claim(s *Step, slots []slot) {
+// claim records the slots until a time that the waiting tasks of a step are expected to
+// take, so that steps behind it do not wait for the same room.
+func (p *planner) claim(s *Step, slots []slot, until time.Time) {
 	if p.claims == nil {
 		p.claims = map[int][]claim{}
 	}
 	for _, k := range slots[:min(len(slots), s.Tasks)] {
+		if k.at.After(until) {
+			return
+		}
 		p.claims[k.worker] = append(p.claims[k.worker], claim{from: k.at, to: k.at.Add(s.RunTime), step: s})
 	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -195,9 +195,11 @@
 	decisions []Decision
 	// claims holds the room that steps wait for, by worker.
 	claims map[int][]claim
-	// othersWait reports whether the pass began with more demand than free capacity. It is
-	// set only if a step has Locality.
+	// othersWait reports whether the pass began with more demand than free capacity, and
+	// loaded with most of the capacity of a service in use. They are set only if a step has
+	// Locality.
 	othersWait bool
+	loaded     map[string]bool
 	// waitDecisions is how many steps the pass has considered for a wait near their data.
 	waitDecisions int
 }
@@ -209,7 +211,9 @@
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
 	p.trials = trialsLeft(l.Workers)
-	p.othersWait = slices.ContainsFunc(l.Steps, func(s Step) bool { return s.Locality != nil }) && l.overloaded()
+	if slices.ContainsFunc(l.Steps, func(s Step) bool { return s.Locality != nil }) {
+		p.othersWait, p.loaded = l.overloaded(), l.loadedServices()
+	}
 	order := make([]int, len(l.Steps))
 	for i := range order {
 		order[i] = i
--- a/shard/locality.go
+++ b/shard/locality.go
@@ -125,7 +125,7 @@
 		return nil
 	}
 	return &dispatch.Locality{
-		Factor: s.stats(w.entry.route).locality.factor(), Work: s.work(p.now, w.entry, w.ref), Deadline: w.entry.step(w.ref).localityDeadline,
+		Factor: s.stats(w.entry.route).locality.factor(), Work: s.work(p.now, w.entry, w.ref), Since: w.entry.step(w.ref).localitySince, Active: len(w.entry.active) > 0,
 	}
 }
 
@@ -159,19 +159,17 @@
 	saving time.Duration
 }
 
-// recordLocalityWait records the decision that tasks of a step wait, and returns when the
-// wait ends at the latest.
-func (s *Shard) recordLocalityWait(p *pass, w waitingStep, wait dispatch.Wait) time.Time {
+// recordLocalityWait records the decision that tasks of a step wait.
+func (s *Shard) recordLocalityWait(p *pass, w waitingStep) {
 	st := w.entry.step(w.ref)
-	if st.localityDeadline.IsZero() {
-		st.localityDeadline = wait.Until
+	if st.localitySince.IsZero() {
+		st.localitySince = p.now
 	}
 	if st.localityWait.since.IsZero() {
 		runTime := s.runTime(w.entry, w.entry.progress.Job().Steps[w.ref.Step])
 		factor := s.stats(w.entry.route).locality.factor().Value
 		st.localityWait = localityWait{since: p.now, saving: time.Duration((factor - 1) * float64(runTime))}
 	}
-	return earlier(wait.Until, st.localityDeadline)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -220,14 +218,14 @@
 	return min(max(math.Sqrt(r.runTimes.variance), minRunSpread), maxRunSpread)
 }
 
-// endSpread returns the standard deviation of the expected end of a run. The end of an
-// overdue run is as uncertain as the run has been long.
+// endSpread returns the standard deviation of the expected end of a run. That of an overdue
+// run is twice its expected remainder, since nothing but its age is known of it.
 func (p *placement) endSpread(now time.Time, stats map[lovagestand.RouteName]*routeStats) time.Duration {
 	if p.stopRequested {
 		return 0
 	}
 	if !p.placedAt.Add(p.expectedRunTime).After(now) {
-		return now.Sub(p.placedAt)
+		return now.Sub(p.placedAt) / 2
 	}
 	spread := defaultRunSpread
 	if r := stats[p.entry.route]; r != nil {
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -132,7 +132,8 @@
 			s.requestAdvice(p, w, d)
 		}
 		if d.Wait.Tasks > 0 {
-			next = earlier(next, s.recordLocalityWait(p, w, d.Wait))
+			s.recordLocalityWait(p, w)
+			next = earlier(next, d.Wait.Until)
 		}
 	}
 	return max(planInterval, next.Sub(p.now))
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -248,10 +248,10 @@
 	placed map[lovagestand.WorkerName]int
 	// avoid counts the failures of the step's tasks on each worker.
 	avoid map[lovagestand.WorkerName]int
-	// localityDeadline ends all waiting of the step for workers near its data or for one
-	// rack; zero if it has not waited. localityWait is the wait that goes on.
-	localityDeadline time.Time
-	localityWait     localityWait
+	// localitySince is when the step first waited for workers near its data or for one rack;
+	// zero if it has not. localityWait is the wait that goes on.
+	localitySince time.Time
+	localityWait  localityWait
 }
 
 // ticket is the policy's permission to run tasks of a step on a worker until a time.
