--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -119,7 +119,7 @@
 	idle := p.IdleAdviceClients
 	served := make(map[int]bool)
 	for _, d := range p.decisions {
-		served[d.Step] = true
+		served[d.Step] = served[d.Step] || len(d.Workers) > 0 || len(d.AdviceFor) > 0
 		if len(d.AdviceFor) > 0 {
 			idle--
 		}
@@ -237,7 +237,10 @@
 			continue
 		}
 		if at, ok := p.firstSlot(s, i); ok {
-			ranking = append(ranking, ranked{worker: i, wait: at.Sub(p.Now), spread: (s.Seed + uint64(i)) * hashMultiplier})
+			ranking = append(ranking, ranked{
+				worker: i, far: s.Locality != nil && s.Affinity != "" && !s.near(w),
+				wait: at.Sub(p.Now), spread: (s.Seed + uint64(i)) * hashMultiplier,
+			})
 		}
 	}
 	return ranking
@@ -246,6 +249,9 @@
 // ranked is a worker on which there is no advice yet.
 type ranked struct {
 	worker int
+	// far reports whether the worker is not near the data of a step that may wait for it.
+	// Near workers come first.
+	far bool
 	// wait is the expected time until the worker has room for a task. Workers with equal
 	// waits are ordered by spread.
 	wait   time.Duration
@@ -253,6 +259,12 @@
 }
 
 func compareRanked(a, b ranked) int {
+	if a.far != b.far {
+		if b.far {
+			return -1
+		}
+		return 1
+	}
 	if a.wait != b.wait {
 		return cmp.Compare(a.wait, b.wait)
 	}
--- a/dispatch/team_test.go
+++ b/dispatch/team_test.go
@@ -206,8 +206,8 @@
 	})
 }
 
-// replayedStep is a step of the replayed load.
-type replayedStep struct {
+// quotaStep is a step of the replayed load.
+type quotaStep struct {
 	dispatch.Step
 	team      string
 	arrivedAt time.Time
@@ -248,12 +248,12 @@
 	const step = 50 * time.Millisecond
 	var result replayResult
 	workers := emptyWorkers(20)
-	var waiting []*replayedStep
+	var waiting []*quotaStep
 	var running []replayedRun
 	used := lovagestand.Resources{}
 	quota := cores(160)
 	add := func(at time.Time, s dispatch.Step, team string) {
-		waiting = append(waiting, &replayedStep{Step: s, team: team, arrivedAt: at, waiting: s.Tasks})
+		waiting = append(waiting, &quotaStep{Step: s, team: team, arrivedAt: at, waiting: s.Tasks})
 	}
 	for tick := range int(60 * time.Second / step) {
 		at := now.Add(time.Duration(tick) * step)
@@ -317,7 +317,7 @@
 				result.waits = append(result.waits, at.Sub(w.arrivedAt).Milliseconds())
 			}
 		}
-		waiting = slices.DeleteFunc(waiting, func(w *replayedStep) bool { return w.waiting == 0 })
+		waiting = slices.DeleteFunc(waiting, func(w *quotaStep) bool { return w.waiting == 0 })
 		result.peak = max(result.peak, used.MilliCPU)
 	}
 	for _, w := range waiting {
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -39,10 +39,11 @@
 )
 
 // planLoop runs a planning pass whenever something has changed, and after idleInterval
-// without a change.
+// without a change, or earlier if a wait for locality ends.
 func (s *Shard) planLoop(ctx context.Context) {
+	next := idleInterval
 	for {
-		timer := time.NewTimer(idleInterval)
+		timer := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -52,7 +53,7 @@
 		}
 		timer.Stop()
 		begun := time.Now()
-		s.plan()
+		next = s.plan()
 		took := time.Since(begun)
 		if !pause.For(ctx, max(planInterval, planPauseFactor*took)) {
 			return
@@ -76,6 +77,8 @@
 	teams      map[lovagestand.TeamName]*passTeam
 	// unknown is what unknown runs may hold; it is computed on first use.
 	unknown unknownUsage
+	// waitsForLocality reports whether steps may wait for workers near their data.
+	waitsForLocality bool
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -91,11 +94,12 @@
 	tier fairshare.Tier
 }
 
-// plan runs one planning pass: it places waiting tasks and requests advice.
-func (s *Shard) plan() {
+// plan runs one planning pass: it places waiting tasks and requests advice. It returns
+// after which time without an event the next pass is due.
+func (s *Shard) plan() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &pass{now: time.Now()}
+	p := &pass{now: time.Now(), waitsForLocality: s.waitsForLocality()}
 	p.policies, p.configured = s.teams()
 	defer s.recordTeams(p)
 	for _, e := range s.live {
@@ -111,7 +115,7 @@
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
 	if len(p.waiting) == 0 || !s.deps.Assured() {
-		return
+		return idleInterval
 	}
 	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
@@ -133,8 +137,9 @@
 	}
 	p.adviceClients = s.deps.AdviceClients()
 	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
-		return p.workers[i].releases(p.now)
+		return p.workers[i].releases(p.now, s.statsByRoute)
 	}}
+	next := p.now.Add(idleInterval)
 	for _, d := range dispatch.Plan(load) {
 		w := p.waiting[d.Step]
 		if len(d.Workers) > 0 {
@@ -143,7 +148,12 @@
 		if len(d.AdviceFor) > 0 {
 			s.requestAdvice(p, w, d)
 		}
+		if d.Wait.Tasks > 0 {
+			s.recordLocalityWait(p, w)
+			next = earlier(next, d.Wait.Until)
+		}
 	}
+	return max(planInterval, next.Sub(p.now))
 }
 
 // collectWorkers adds the workers to the pass, ordered by name.
@@ -164,10 +174,10 @@
 
 // releases returns when the runs on the worker are expected to end and what each
 // frees, soonest first.
-func (w *worker) releases(now time.Time) []dispatch.Release {
+func (w *worker) releases(now time.Time, stats map[lovagestand.RouteName]*routeStats) []dispatch.Release {
 	releases := make([]dispatch.Release, 0, len(w.placements))
 	for _, p := range w.placements {
-		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Frees: p.needs})
+		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Spread: p.endSpread(now, stats), Frees: p.needs})
 	}
 	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
 	return releases
@@ -241,7 +251,7 @@
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team),
+		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
@@ -295,6 +305,11 @@
 
 // score returns the score by which a step is ordered among the waiting steps.
 func (s *Shard) score(now time.Time, e *jobEntry, ref job.StepRef) float64 {
+	return dispatch.Score(s.work(now, e, ref))
+}
+
+// work returns the remaining work and the age of a job at a step.
+func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
 	if e.workStale || e.measuredOccurrence != ref.Occurrence || e.remainingCoreTime == 0 {
 		e.remainingCoreTime, e.criticalPath = e.progress.RemainingWork(ref.Occurrence, func(step job.Step) time.Duration { return s.runTime(e, step) })
 		e.measuredOccurrence, e.workStale = ref.Occurrence, false
@@ -304,10 +319,10 @@
 	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
 		accepted = due
 	}
-	return dispatch.Score(dispatch.Work{
+	return dispatch.Work{
 		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, CriticalPath: e.criticalPath,
 		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
-	})
+	}
 }
 
 // placeTasks starts waiting tasks of a step on the chosen workers. The members of a
@@ -317,6 +332,7 @@
 	st := e.step(waiting.ref)
 	step := e.progress.Job().Steps[waiting.ref.Step]
 	expectedRunTime := s.runTime(e, step)
+	localityOn, farFactor, near := p.localityOn(step, workers), s.stats(e.route).locality.factor().Value, 0
 	for n, i := range workers {
 		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: waiting.indexes[n]}
 		run := e.progress.NextRun(task)
@@ -324,6 +340,15 @@
 			run--
 		}
 		w := p.workers[i]
-		s.place(e, task, run, w, st.tickets[w], expectedRunTime)
+		switch where := localityOn(i); where {
+		case localityFar:
+			s.place(e, task, run, w, st.tickets[w], time.Duration(farFactor*float64(expectedRunTime)), where, farFactor)
+		default:
+			if where == localityNear {
+				near++
+			}
+			s.place(e, task, run, w, st.tickets[w], expectedRunTime, where, 0)
+		}
 	}
+	s.recordLocalityWaitEnd(p, waiting, len(workers), near)
 }
