--- a/dispatch/team_test.go
+++ b/dispatch/team_test.go
@@ -214,8 +214,8 @@
 	waiting   int
 }
 
-// replayedRun is a task that runs.
-type replayedRun struct {
+// quotaRun is a task that runs.
+type quotaRun struct {
 	team   string
 	worker int
 	needs  lovagestand.Resources
@@ -249,7 +249,7 @@
 	var result replayResult
 	workers := emptyWorkers(20)
 	var waiting []*quotaStep
-	var running []replayedRun
+	var running []quotaRun
 	used := lovagestand.Resources{}
 	quota := cores(160)
 	add := func(at time.Time, s dispatch.Step, team string) {
@@ -257,7 +257,7 @@
 	}
 	for tick := range int(60 * time.Second / step) {
 		at := now.Add(time.Duration(tick) * step)
-		running = slices.DeleteFunc(running, func(r replayedRun) bool {
+		running = slices.DeleteFunc(running, func(r quotaRun) bool {
 			if r.endsAt.After(at) {
 				return false
 			}
@@ -307,7 +307,7 @@
 			}
 			for _, i := range d.Workers {
 				workers[i].Free = workers[i].Free.Sub(w.Needs)
-				running = append(running, replayedRun{team: w.team, worker: i, needs: w.Needs, endsAt: at.Add(w.RunTime)})
+				running = append(running, quotaRun{team: w.team, worker: i, needs: w.Needs, endsAt: at.Add(w.RunTime)})
 				if w.team == "p" {
 					used = used.Add(w.Needs)
 				}
