--- a/shard/fair_test.go
+++ b/shard/fair_test.go
@@ -29,6 +29,30 @@
 	c.Assert(o.submitJob(j), qt.IsNil)
 }
 
+// TestTakeoverKeepsShares guards against shares that a next owner does not know: a job of
+// a small team that arrives after the takeover does not wait behind the flood before it.
+func TestTakeoverKeepsShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(time.Second, lovagestand.EndingDone))
+		former := k.beginTerm("a", withTeams("hot", "small"))
+		time.Sleep(time.Second)
+		for i := range 300 {
+			former.submitFor(c, "hot", id(i), 0, job.Step{Count: 1})
+		}
+		former.stop()
+		o := k.beginTerm("b", withTeams("hot", "small"))
+		defer o.stop()
+		time.Sleep(time.Second)
+		o.submitFor(c, "small", id(300), 2, job.Step{Count: 1})
+		time.Sleep(3 * time.Second)
+		phase, err := o.Shard.State(t.Context(), job.ID(id(300)), "small")
+		c.Assert(err, qt.IsNil)
+		c.Assert(phase, qt.Equals, "completed")
+		k.assertNoViolations()
+	})
+}
+
 // TestFloodOfOneTeamDelaysNoOther guards against a team that keeps others out of the
 // workers, and out of the passes, by many urgent jobs. Without teams the order is that
 // of the scores alone.
