dispatch, shard, job, settings: preemption for urgent steps, stage 1

Cause: a short urgent step that finds its workers full of long batch tasks is late, although half of those tasks could be resumed from a checkpoint.

Change: dispatch.Preempt decides after a pass which runs are stopped and where the room is kept; the shard stops them, keeps the room for a bounded time and stores the checkpoint of a stopped run with its job, so that a takeover does not lose it.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -46,6 +46,8 @@
 	Worker int
 	// HasTicket indicates that a valid ticket for the worker is available.
 	HasTicket bool
+	// TicketUntil is until when the ticket can be used. Only [Preempt] uses it.
+	TicketUntil time.Time
 }
 
 // Step is a step with tasks that wait for a worker.
@@ -92,6 +94,11 @@
 	Score float64
 	// Team is the team of the step's job; nil if it has none.
 	Team *Team
+	// Work describes the remaining work of the step's job. Only [Preempt] uses it.
+	Work Work
+	// Kept is for how many tasks of the step room is kept on each worker after a
+	// preemption. No other step is given that room.
+	Kept map[int]int
 
 	// number identifies the step in the pass; it starts at 1.
 	number int
@@ -195,21 +202,65 @@
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
 	p.trials = trialsLeft(l.Workers)
-	order := make([]int, len(l.Steps))
-	for i := range order {
-		order[i] = i
+	for i := range l.Steps {
 		l.Steps[i].number = i + 1
+		p.withholdKept(&l.Steps[i], l.Steps[i].Kept)
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(l.Steps[a].Tier, l.Steps[b].Tier), cmp.Compare(l.Steps[b].Score, l.Steps[a].Score))
-	})
+	order := stepOrder(l.Steps)
 	for _, i := range order {
-		p.decide(i, &l.Steps[i])
+		p.decideWithKept(i, &l.Steps[i])
 	}
 	p.requestIdleAdvice(order)
 	return p.decisions
 }
 
+// stepOrder returns the indexes of the steps in the order in which a pass decides.
+func stepOrder(steps []Step) []int {
+	order := make([]int, len(steps))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[b].Score, steps[a].Score))
+	})
+	return order
+}
+
+// withholdKept withholds the room that is kept for a step from all steps. The free
+// resources of a worker become negative while the preempted runs are being stopped.
+func (p *planner) withholdKept(s *Step, kept map[int]int) {
+	for worker, tasks := range kept {
+		w := &p.Workers[worker]
+		w.Free = w.Free.Sub(s.Needs.Times(int64(tasks)))
+	}
+}
+
+// decideWithKept decides for a step that may use the room that is kept for it. It leaves
+// in s.Kept what the step has not used.
+func (p *planner) decideWithKept(index int, s *Step) {
+	if len(s.Kept) == 0 {
+		p.decide(index, s)
+		return
+	}
+	rest := make(map[int]int, len(s.Kept))
+	for worker, tasks := range s.Kept {
+		w := &p.Workers[worker]
+		w.Free = w.Free.Add(s.Needs.Times(int64(tasks)))
+		rest[worker] = tasks
+	}
+	decided := len(p.decisions)
+	p.decide(index, s)
+	for _, d := range p.decisions[decided:] {
+		for _, worker := range d.Workers {
+			if rest[worker] > 0 {
+				rest[worker]--
+			}
+		}
+	}
+	s.Kept = rest
+	p.withholdKept(s, rest)
+}
+
 func (p *planner) decide(index int, s *Step) {
 	if s.NeedsTickets && s.Candidates == nil {
 		if len(s.AdvicePending) == 0 {
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -41,13 +41,30 @@
 // Score returns the value that a job still yields for each core second of its
 // remaining work.
 func Score(w Work) float64 {
+	return w.value() * timeliness(w) / max(w.Remaining, minCoreTime).Seconds()
+}
+
+// value returns the value of a job that ends within its objective, in core seconds of
+// work of the least urgent priority.
+func (w Work) value() float64 {
 	mean := max(w.Mean, minCoreTime)
 	size := min(float64(w.Total)/float64(mean), maxSizeRatio)
 	value := (fixedShare + (1-fixedShare)*size) * mean.Seconds()
+	return value * w.weight()
+}
+
+// weight returns the factor by which the priority scales a job's value.
+func (w Work) weight() float64 {
 	if w.Priority >= 0 && w.Priority < len(priorityWeights) {
-		value *= priorityWeights[w.Priority]
+		return priorityWeights[w.Priority]
 	}
-	return value * timeliness(w) / max(w.Remaining, minCoreTime).Seconds()
+	return 1
+}
+
+// delayedBy returns w as it would be after a further delay.
+func (w Work) delayedBy(d time.Duration) Work {
+	w.Age += d
+	return w
 }
 
 // timeliness returns the fraction of its value that a job keeps if it runs without
--- a/job/progress.go
+++ b/job/progress.go
@@ -61,8 +61,10 @@
 	failures   failures
 	run        int64
 	checkpoint string
-	crashes    Crashes
-	suspicion  suspicion
+	// checkpointStored indicates that the checkpoint is part of the record.
+	checkpointStored bool
+	crashes          Crashes
+	suspicion        suspicion
 }
 
 // New returns the progress of a job that has not started.
@@ -265,6 +267,25 @@
 	s.tasks[t.Index].checkpoint = checkpoint
 }
 
+// ResumeFrom records that a waiting task, or its gang, continues from the checkpoint that
+// the stop of a run has stored, also if a former owner has started the run. The checkpoint
+// becomes part of the record. ResumeFrom reports whether the job must be persisted again.
+func (p *Progress) ResumeFrom(t Task, run int64, checkpoint string) bool {
+	k := p.task(t)
+	if p.Final() || k == nil || k.phase != taskWaiting || run < k.run || checkpoint == "" {
+		return false
+	}
+	k.run = run
+	s := &p.occurrences[t.Occurrence].steps[t.Step]
+	s.run = max(s.run, run)
+	p.setCheckpoint(t, checkpoint)
+	if p.job.Steps[t.Step].Gang {
+		k = &s.tasks[0]
+	}
+	k.checkpointStored = true
+	return true
+}
+
 // current returns the task if it has not ended and run is its current run, else nil.
 func (p *Progress) current(t Task, run int64) *task {
 	if p.Final() {
--- a/job/record.go
+++ b/job/record.go
@@ -29,6 +29,8 @@
 	Gangs      []GangRecord `json:"gangs,omitempty"`
 	// Crashes holds the tasks under which workers have crashed.
 	Crashes []CrashRecord `json:"crashes,omitempty"`
+	// Checkpoints holds the checkpoints of tasks of which a run was stopped.
+	Checkpoints []CheckpointRecord `json:"checkpoints,omitempty"`
 	// Suspicions holds the runs that may have crashed their workers.
 	Suspicions []SuspicionRecord `json:"suspicions,omitempty"`
 }
@@ -45,6 +47,15 @@
 // and index, then the confirmed and the suspected crashes.
 type CrashRecord [5]int
 
+// CheckpointRecord is the stored checkpoint of a task, or of a gang under its first task.
+type CheckpointRecord struct {
+	Occurrence int    `json:"occurrence,omitempty"`
+	Step       int    `json:"step,omitempty"`
+	Index      int    `json:"index,omitempty"`
+	Run        int64  `json:"run"`
+	Checkpoint string `json:"checkpoint"`
+}
+
 // SuspicionRecord is a stored run that may have crashed its worker.
 type SuspicionRecord struct {
 	Occurrence int                    `json:"occurrence,omitempty"`
@@ -86,6 +97,9 @@
 		if k.crashes != (Crashes{}) {
 			r.Crashes = append(r.Crashes, CrashRecord{occurrence, index, i, k.crashes.Confirmed, k.crashes.Suspected})
 		}
+		if k.checkpointStored && k.checkpoint != "" {
+			r.Checkpoints = append(r.Checkpoints, CheckpointRecord{Occurrence: occurrence, Step: index, Index: i, Run: k.run, Checkpoint: k.checkpoint})
+		}
 		if k.suspicion.run > 0 {
 			r.Suspicions = append(r.Suspicions, SuspicionRecord{
 				Occurrence: occurrence, Step: index, Index: i, Run: k.suspicion.run,
@@ -154,6 +168,13 @@
 		}
 		k.crashes = Crashes{Confirmed: c[3], Suspected: c[4]}
 	}
+	for _, c := range r.Checkpoints {
+		t := Task{Occurrence: c.Occurrence, Step: c.Step, Index: c.Index}
+		if p.task(t) == nil {
+			return nil, &RecordError{ID: p.job.ID}
+		}
+		p.ResumeFrom(t, c.Run, c.Checkpoint)
+	}
 	for _, c := range r.Suspicions {
 		k := p.task(Task{Occurrence: c.Occurrence, Step: c.Step, Index: c.Index})
 		if k == nil {
--- a/settings/node.go
+++ b/settings/node.go
@@ -43,6 +43,11 @@
 	// CheckpointInterval is the time between two checkpoints of a task that makes
 	// checkpoints.
 	CheckpointInterval time.Duration `yaml:"checkpointInterval"`
+	// StopTimeout is the maximum duration of a stop of a task; 0 if it is not known.
+	StopTimeout time.Duration `yaml:"stopTimeout"`
+	// RestoreDelay is how long a task that resumes from a checkpoint waits before it
+	// continues.
+	RestoreDelay time.Duration `yaml:"restoreDelay"`
 }
 
 // ReadNode reads and checks a file of settings. If settings are invalid, it fails
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -36,6 +36,11 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(n.Ports, qt.DeepEquals, []int{7720, 7735})
 	c.Assert(n.CheckpointInterval, qt.Equals, 500*time.Millisecond)
+	c.Assert(n.StopTimeout, qt.Equals, time.Duration(0), qt.Commentf("settings of earlier deployments have none"))
+	n, err = settings.ParseNode("node.yaml", []byte(nodeFile+"stopTimeout: 900ms\nrestoreDelay: 100ms\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(n.StopTimeout, qt.Equals, 900*time.Millisecond)
+	c.Assert(n.RestoreDelay, qt.Equals, 100*time.Millisecond)
 	for name, change := range map[string][2]string{
 		"a missing store":    {`store: "10.200.1.7:8169"`, ``},
 		"no port":            {`[7720, 7735]`, `[]`},
--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -130,6 +130,7 @@
 	p := &placement{
 		entry: e, task: task, name: running.Task, run: running.Run, needs: step.Needs, worker: w,
 		placedAt: now, settledAt: now, born: w.born, started: true, checkpoint: running.Checkpoint, checkpointAt: now, expectedRunTime: s.runTime(e, step), longRunning: step.LongRunning,
+		adopted: true,
 	}
 	e.started = true
 	wanted := e.active[running.Task] == nil && e.progress.Adopt(task, running.Run)
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -101,7 +101,9 @@
 	case lovagestand.EndingFailed:
 		s.taskFailed(w, e, task, end, now)
 	default:
+		s.recordPreemption(p, end, now)
 		e.progress.Requeue(task, end.Run, end.Checkpoint)
+		s.storeCheckpoint(e, task, end)
 		if p != nil {
 			s.stopGang(p)
 		}
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -117,7 +117,7 @@
 // recordRunTime adds the run time of a completed task to the averages of its route and
 // its worker.
 func (s *Shard) recordRunTime(w *worker, p *placement, now time.Time) {
-	if p == nil || p.entry.progress == nil || p.checkpoint != "" && p.placedAt.Equal(p.checkpointAt) {
+	if p == nil || p.resumed || p.entry.progress == nil || p.checkpoint != "" && p.placedAt.Equal(p.checkpointAt) {
 		return
 	}
 	step := p.entry.progress.Job().Steps[p.task.Step]
--- a/shard/order.go
+++ b/shard/order.go
@@ -38,6 +38,7 @@
 		entry: e, task: task, name: name, run: run, needs: step.Needs, worker: w,
 		placedAt: now, born: w.born, expectedRunTime: expectedRunTime, longRunning: step.LongRunning, startPending: true, checkpoint: e.progress.Checkpoint(task), checkpointAt: now,
 	}
+	s.resumePreempted(p)
 	s.reserveRoom(p)
 	s.activate(p)
 	s.beginTrial(p)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -67,6 +67,10 @@
 	waiting         []waitingStep
 	dispatchSteps   []dispatch.Step
 	adviceClients   []AdviceClient
+	// runs holds the runs that the pass may preempt; their IDs are the indexes. gangs
+	// holds the gangs among them.
+	runs  []*placement
+	gangs map[gangKey]*dispatch.GangRun
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -93,6 +97,7 @@
 		}
 	}
 	s.collectWorkers(p)
+	s.dropKeptRoom(p)
 	s.summarize(p)
 	if len(p.waiting) == 0 || !s.deps.Assured() {
 		return
@@ -113,11 +118,13 @@
 	for _, w := range p.waiting {
 		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, w))
 	}
+	s.withholdKeptRoom(p)
 	p.adviceClients = s.deps.AdviceClients()
 	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
 		return p.workers[i].releases(p.now)
 	}}
-	for _, d := range dispatch.Plan(load) {
+	decisions := dispatch.Plan(load)
+	for _, d := range decisions {
 		w := p.waiting[d.Step]
 		if len(d.Workers) > 0 {
 			s.placeTasks(p, w, d.Workers)
@@ -126,6 +133,7 @@
 			s.requestAdvice(p, w, d)
 		}
 	}
+	s.preempt(p, load, decisions)
 }
 
 // collectWorkers adds the workers to the pass, ordered by name.
@@ -224,6 +232,7 @@
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
 		RunTime:    s.runTime(e, step), Score: w.score, Seed: xxhash.Sum64String(string(e.id)),
+		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
@@ -268,7 +277,7 @@
 	candidates := make([]dispatch.Candidate, 0, len(st.tickets))
 	for w, t := range st.tickets {
 		if s.workers[w.info.Name] == w {
-			candidates = append(candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: t.until.After(p.now.Add(ticketMargin))})
+			candidates = append(candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: t.until.After(p.now.Add(ticketMargin)), TicketUntil: t.until.Add(-ticketMargin)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
@@ -277,19 +286,29 @@
 
 // score returns the score by which a step is ordered among the waiting steps.
 func (s *Shard) score(now time.Time, e *jobEntry, ref job.StepRef) float64 {
+	s.measureWork(e, ref)
+	return dispatch.Score(s.work(now, e, ref))
+}
+
+// measureWork measures the remaining work of a job if it may have changed.
+func (s *Shard) measureWork(e *jobEntry, ref job.StepRef) {
 	if e.workStale || e.measuredOccurrence != ref.Occurrence || e.remainingCoreTime == 0 {
 		e.remainingCoreTime, e.criticalPath = e.progress.RemainingWork(ref.Occurrence, func(step job.Step) time.Duration { return s.runTime(e, step) })
 		e.measuredOccurrence, e.workStale = ref.Occurrence, false
 	}
+}
+
+// work describes the remaining work of a job as last measured.
+func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
 	j := e.progress.Job()
 	accepted := e.progress.Accepted()
 	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
 		accepted = due
 	}
-	return dispatch.Score(dispatch.Work{
+	return dispatch.Work{
 		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, CriticalPath: e.criticalPath,
 		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
-	})
+	}
 }
 
 // placeTasks starts waiting tasks of a step on the chosen workers. The members of a
@@ -307,5 +326,6 @@
 		}
 		w := p.workers[i]
 		s.place(e, task, run, w, st.tickets[w], expectedRunTime)
+		s.useKeptRoom(p.now, waiting, w)
 	}
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -55,6 +55,9 @@
 	// CheckpointInterval is the time between two checkpoints of a task that makes
 	// checkpoints.
 	CheckpointInterval time.Duration
+	// StopTimeout is the maximum duration of a stop, RestoreDelay how long a task that
+	// resumes from a checkpoint waits before it continues.
+	StopTimeout, RestoreDelay time.Duration
 	// Overlap is how long after the start of this term a former owner may still
 	// extend the lease of a worker that this owner cannot reach.
 	Overlap time.Duration
@@ -126,6 +129,12 @@
 	// teamUsage is what the runs of each team hold on the workers.
 	teamUsage map[lovagestand.TeamName]lovagestand.Resources
 
+	// kept is the room that is kept for tasks of steps after preemptions.
+	kept []*keptRoom
+	// averageStopTime is the average duration of the stops of preempted runs; 0 before
+	// the first one.
+	averageStopTime time.Duration
+
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
 
@@ -205,6 +214,8 @@
 	heldRuns map[string]int
 	// trialTimes is how long the next run of a suspect is on trial, by task name.
 	trialTimes map[string]time.Duration
+	// preempted holds the tasks of which a run was preempted, by task name.
+	preempted map[string]preemptedTask
 	// crashPosition is the position in the write queue of the last recorded crash.
 	crashPosition int64
 }
@@ -248,6 +259,8 @@
 	placed map[lovagestand.WorkerName]int
 	// avoid counts the failures of the step's tasks on each worker.
 	avoid map[lovagestand.WorkerName]int
+	// preemptions counts the tasks of the step for which runs were preempted.
+	preemptions int
 }
 
 // ticket is the policy's permission to run tasks of a step on a worker until a time.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -128,6 +128,14 @@
 	checkpointAt    time.Time
 	stopRequested   bool // whether an order to stop is to be sent or was sent
 	startPending    bool // whether the order to start has not been answered
+	adopted         bool // whether a former owner has started the run
+	// preemptedAt is when the run was preempted; zero if it was not. resumedWork is the
+	// work of earlier, preempted runs of the task; resumed reports whether there was one.
+	preemptedAt time.Time
+	resumedWork time.Duration
+	resumed     bool
+	// passID is the index of the run in the runs of the last pass that considered it.
+	passID int
 	// trialUntil is the time from which a run whose task may crash its worker has shown
 	// that it does not; zero for all other runs. No other run starts beside it before.
 	trialUntil time.Time
