--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -88,6 +88,9 @@
 	// Stops contains the IDs of the runs to stop. It is empty if the room becomes free by
 	// itself as soon as a stop would provide it.
 	Stops []int
+	// AdviceFor contains the workers to name in an advice call. It is set alone, if runs
+	// would be stopped for the step but its tickets expire before they have ended.
+	AdviceFor []int
 }
 
 // preemptor holds the state of one call of [Preempt].
@@ -104,7 +107,9 @@
 	placed  map[int]int
 	// headroom is what the quotas of teams leave.
 	headroom map[*Team]lovagestand.Resources
-	result   []Preemption
+	// adviceCalls is how many advice calls the pass may still make.
+	adviceCalls int
+	result      []Preemption
 }
 
 // Preempt decides for which steps that found no room runs of less urgent jobs are
@@ -117,6 +122,7 @@
 	p := &preemptor{
 		PreemptionLoad: l, readyAt: l.Now.Add(l.StopTime), runs: map[int][]Run{}, expected: map[int]lovagestand.Resources{},
 		stopped: map[int]bool{}, placed: map[int]int{}, headroom: map[*Team]lovagestand.Resources{},
+		adviceCalls: l.AdviceCalls,
 	}
 	for i := range l.Steps {
 		if t := l.Steps[i].Team; t != nil && t.Headroom != nil {
@@ -125,6 +131,9 @@
 	}
 	for _, d := range l.Decisions {
 		p.placed[d.Step] += len(d.Workers)
+		if len(d.AdviceFor) > 0 {
+			p.adviceCalls--
+		}
 	}
 	for i := range l.Steps {
 		s := &l.Steps[i]
@@ -228,34 +237,54 @@
 	loss float64
 }
 
-// decide decides what is preempted for the missing tasks of a step.
+// decide decides what is preempted for the missing tasks of a step. If that fails only
+// because tickets expire too early, it requests new ones.
 func (p *preemptor) decide(index int, s *Step, missing int) {
-	workers := p.usable(s)
-	if !p.anyLessUrgent(s, workers) {
+	if t := p.search(s, missing, p.usable(s, true)); t != nil {
+		t.commit(index)
+		return
+	}
+	if !s.NeedsTickets || len(s.AdvicePending) > 0 || p.adviceCalls <= 0 {
 		return
 	}
+	t := p.search(s, missing, p.usable(s, false))
+	if t == nil {
+		return
+	}
+	var workers []int
+	for _, r := range t.rooms {
+		workers = append(workers, r.worker)
+	}
+	slices.Sort(workers)
+	p.adviceCalls--
+	p.result = append(p.result, Preemption{Step: index, AdviceFor: slices.Compact(workers)})
+}
+
+// search searches room for the missing tasks of a step on workers. It returns nil if
+// nothing is to be kept or stopped for the step.
+func (p *preemptor) search(s *Step, missing int, workers []int) *search {
+	if !p.anyLessUrgent(s, workers) {
+		return nil
+	}
 	t := &search{preemptor: p, step: s, workers: workers, expected: map[int]lovagestand.Resources{}, stopped: map[int]bool{}, count: map[int]int{}}
 	for worker, tasks := range s.Kept {
 		t.count[worker] = tasks
 	}
-	natural := p.naturalStart(s, workers, missing)
-	gain := p.gain(s, natural)
+	gain := p.gain(s, p.naturalStart(s, workers, missing))
 	t.find(missing, gain/float64(missing))
 	if len(t.rooms) < missing && gain > 0 {
 		t.findGang(missing, gain/float64(missing))
 	}
-	if s.Gang && len(t.rooms) < missing {
-		return
-	}
-	if len(p.stopped)+len(t.stopped) > p.MaxStops {
-		return
+	if len(t.rooms) == 0 || s.Gang && len(t.rooms) < missing || len(p.stopped)+len(t.stopped) > p.MaxStops {
+		return nil
 	}
-	t.commit(index)
+	return t
 }
 
 // usable returns the workers on which a task of the step may start when a stop has
-// provided room.
-func (p *preemptor) usable(s *Step) []int {
+// provided room. If ticketed is set, only workers with a ticket that is valid then are
+// usable.
+func (p *preemptor) usable(s *Step, ticketed bool) []int {
 	var usable []int
 	add := func(worker int) {
 		w := &p.Workers[worker]
@@ -270,7 +299,7 @@
 		return usable
 	}
 	for _, c := range s.Candidates {
-		if c.HasTicket && c.TicketUntil.After(p.readyAt) {
+		if !ticketed || c.HasTicket && c.TicketUntil.After(p.readyAt) {
 			add(c.Worker)
 		}
 	}
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -102,7 +102,7 @@
 		s.taskFailed(w, e, task, end, now)
 	default:
 		s.recordPreemption(p, end, now)
-		e.progress.Requeue(task, end.Run, end.Checkpoint)
+		e.progress.Requeue(task, end.Run, endCheckpoint(p, end))
 		s.storeCheckpoint(e, task, end)
 		if p != nil {
 			s.stopGang(p)
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -95,45 +95,66 @@
 		return
 	}
 	p.gangs = map[gangKey]*dispatch.GangRun{}
+	var dropped []*keptRoom
 	for _, r := range dispatch.Preempt(dispatch.PreemptionLoad{
 		Load: load, Decisions: decisions, Runs: func(worker int) []dispatch.Run { return s.preemptibleRuns(p, worker) },
 		StopTime: s.expectedStopTime(), RestoreDelay: s.limits.RestoreDelay, CheckpointInterval: s.checkpointInterval(), MaxStops: maxStopsPerPass,
 	}) {
+		waiting, w := p.waiting[r.Step], p.workers[r.Worker]
+		if len(r.AdviceFor) > 0 {
+			s.requestAdvice(p, waiting, dispatch.Decision{Step: r.Step, AdviceFor: r.AdviceFor})
+			continue
+		}
 		if r.Drop {
-			s.dropShortRoom(p, r)
+			if k := takeRoom(&s.kept, waiting, w); k != nil {
+				dropped = append(dropped, k)
+			}
 			continue
 		}
-		s.keepRoom(p, r)
+		s.keepRoom(p, r, takeRoom(&dropped, waiting, w))
+	}
+	for _, k := range dropped {
+		s.recordUnusedRoom(k)
 	}
 }
 
-// dropShortRoom drops room that is kept for a task of a step on a worker where it will not
-// be free in time.
-func (s *Shard) dropShortRoom(p *pass, r dispatch.Preemption) {
-	waiting := p.waiting[r.Step]
-	i := slices.IndexFunc(s.kept, func(k *keptRoom) bool {
-		return k.entry == waiting.entry && k.ref == waiting.ref && k.worker == p.workers[r.Worker]
+// takeRoom removes room that is kept for a task of a step on a worker from a list and
+// returns it; nil if there is none.
+func takeRoom(list *[]*keptRoom, waiting waitingStep, w *worker) *keptRoom {
+	i := slices.IndexFunc(*list, func(k *keptRoom) bool {
+		return k.entry == waiting.entry && k.ref == waiting.ref && k.worker == w
 	})
-	if i >= 0 {
-		s.recordUnusedRoom(s.kept[i])
-		s.kept = slices.Delete(s.kept, i, i+1)
+	if i < 0 {
+		return nil
 	}
+	k := (*list)[i]
+	*list = slices.Delete(*list, i, i+1)
+	return k
 }
 
-// keepRoom keeps room for one task of a step and stops the runs that it needs.
-func (s *Shard) keepRoom(p *pass, r dispatch.Preemption) {
+// keepRoom keeps room for one task of a step and stops the runs that it needs. The
+// parameter former is room there that was dropped in this pass because it was too short;
+// nil if there was none.
+func (s *Shard) keepRoom(p *pass, r dispatch.Preemption, former *keptRoom) {
 	waiting := p.waiting[r.Step]
 	e, st := waiting.entry, waiting.entry.step(waiting.ref)
 	if len(r.Stops) > 0 {
 		if st.preemptions >= keptRoomsPerTask*e.progress.Job().Steps[waiting.ref.Step].Count {
+			if former != nil {
+				s.recordUnusedRoom(former)
+			}
 			return
 		}
 		st.preemptions++
 	}
 	w := p.workers[r.Worker]
-	s.kept = append(s.kept, &keptRoom{
+	k := &keptRoom{
 		entry: e, ref: waiting.ref, worker: w, since: p.now, until: p.now.Add(s.stopTimeout() + orderTimeout + keptRoomSlack), stops: len(r.Stops),
-	})
+	}
+	if former != nil && former.stops > 0 {
+		k.since, k.stops = former.since, k.stops+former.stops
+	}
+	s.kept = append(s.kept, k)
 	for _, id := range r.Stops {
 		victim := p.runs[id]
 		victim.preemptedAt = p.now
@@ -172,8 +193,11 @@
 	s.measureWork(o.entry, ref)
 	o.passID = s.addRun(p, o)
 	worked := o.worked(p.now, s.limits.RestoreDelay)
+	work := s.work(p.now, o.entry, ref)
+	// The critical path counts tasks that run from their beginning.
+	work.CriticalPath = max(0, work.CriticalPath-o.resumedWork-worked)
 	return dispatch.Run{
-		ID: o.passID, Needs: o.needs, Work: s.work(p.now, o.entry, ref), Checkpoints: step.Checkpoints, LongRunning: step.LongRunning,
+		ID: o.passID, Needs: o.needs, Work: work, Checkpoints: step.Checkpoints, LongRunning: step.LongRunning,
 		Starting: !o.started || o.startPending, Stopping: o.stopRequested, Resumed: o.resumed || o.adopted,
 		Worked: worked, SinceCheckpoint: min(worked, p.now.Sub(o.checkpointAt)), End: o.expectedEnd(p.now),
 	}
@@ -255,6 +279,16 @@
 	s.log.Info().Str("task", p.name).Int64("run", p.run).Dur("took", took).Dur("worked", worked).Dur("lost", lost).Msg("preempted task waits again")
 }
 
+// endCheckpoint returns the checkpoint with which a run has ended. The members of a
+// preempted gang that the worker ends because another member was stopped store no new one,
+// so theirs may be older than that of the gang.
+func endCheckpoint(p *placement, end lovagestand.EndedTask) string {
+	if p != nil && !p.preemptedAt.IsZero() && end.Ending == lovagestand.EndingBroken {
+		return ""
+	}
+	return end.Checkpoint
+}
+
 // storeCheckpoint has the checkpoint of a stopped run stored, so that the task is not
 // started from the beginning if the owner changes while it waits. The worker lists the end
 // until the checkpoint is stored. Without teams nothing is preempted and nothing is stored.
@@ -335,13 +369,10 @@
 // useKeptRoom records that a task of a step was placed on a worker where room was kept
 // for it.
 func (s *Shard) useKeptRoom(now time.Time, waiting waitingStep, w *worker) {
-	for i, k := range s.kept {
-		if k.entry == waiting.entry && k.ref == waiting.ref && k.worker == w && waiting.suspects == 0 {
-			s.kept = slices.Delete(s.kept, i, i+1)
-			if k.stops > 0 {
-				s.deps.Recorder.Observe("preemptionWaits", string(k.entry.route), now.Sub(k.since))
-			}
-			return
-		}
+	if waiting.suspects > 0 {
+		return
+	}
+	if k := takeRoom(&s.kept, waiting, w); k != nil && k.stops > 0 {
+		s.deps.Recorder.Observe("preemptionWaits", string(k.entry.route), now.Sub(k.since))
 	}
 }
