shard: test of preemption on a route with advice

Cause: no test showed that stops go only to workers that policy allows, with a ticket that outlasts the stop.

Change: TestPreemptionWithAdvice. It fails if tickets are not checked before the stop or not renewed (two mutations).

--- a/shard/preempt_test.go
+++ b/shard/preempt_test.go
@@ -359,3 +359,44 @@
 		k.assertNoViolations()
 	})
 }
+
+// TestPreemptionWithAdvice guards against stops on workers on which the urgent step may not
+// start, and against room that comes free after its ticket has expired: the urgent job
+// arrives while its first tickets are too short for a stop.
+func TestPreemptionWithAdvice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newPreemptionCell(c, 3)
+		calls := 0
+		k.advice = func(_ string, workers []lovagestand.WorkerName) (lovagestand.Advice, error) {
+			calls++
+			advice := lovagestand.Advice{Validity: 2500 * time.Millisecond}
+			if calls == 1 {
+				advice.Validity = 200 * time.Millisecond
+			}
+			for _, w := range workers {
+				if w == "w1" {
+					advice.Tickets = append(advice.Tickets, lovagestand.Ticket{Worker: w, Value: "allowed"})
+				}
+			}
+			return advice, nil
+		}
+		o := k.begin("a")
+		defer o.stop()
+		k.submitBatch(o, job.Step{Count: 12, Checkpoints: true})
+		time.Sleep(2 * time.Second)
+		k.c.Assert(o.submitJob(job.Job{ID: job.ID(id(2)), Policy: job.Policy{
+			Route: "check", MaxAttempts: 2, Stretch: 1.5, Target: 500 * time.Millisecond,
+			Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
+		}, Steps: []job.Step{{Count: 2}}}), qt.IsNil)
+		time.Sleep(1500 * time.Millisecond)
+		assertPhase(c, o, id(2), "completed")
+		c.Assert(k.stopped(), qt.HasLen, 2)
+		for _, r := range k.fleet.Runs() {
+			if r.Ending == lovagestand.EndingStopped || r.Task[:16] == id(2) {
+				c.Assert(r.Worker, qt.Equals, lovagestand.WorkerName("w1"))
+			}
+		}
+		k.assertNothingLost()
+	})
+}
