--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -69,6 +69,12 @@
 	return a.shared
 }
 
+// RunningTier returns the tier that the running tasks of the team reach together with the
+// waiting ones that [Account.Tier] has accepted so far.
+func (a *Account) RunningTier() Tier {
+	return a.tierUpTo(a.used)
+}
+
 // Tier returns the tier of a step of some tasks, and counts it unless it is beyond the
 // bounds. The tasks of a step that does not start as a whole count as far as the cap
 // leaves room for them.
--- a/settings/node.go
+++ b/settings/node.go
@@ -48,6 +48,11 @@
 	// may have been withdrawn. Otherwise the last configuration stays in force.
 	StrictRevocation  bool          `yaml:"strictRevocation"`
 	RevocationTimeout time.Duration `yaml:"revocationTimeout"`
+	// StopTimeout is the maximum duration of a stop of a task; 0 if it is not known.
+	StopTimeout time.Duration `yaml:"stopTimeout"`
+	// RestoreDelay is how long a task that resumes from a checkpoint waits before it
+	// continues.
+	RestoreDelay time.Duration `yaml:"restoreDelay"`
 }
 
 // ReadNode reads and checks a file of settings. If settings are invalid, it fails
--- a/shard/fair.go
+++ b/shard/fair.go
@@ -19,6 +19,8 @@
 	index    map[lovagestand.TeamName]int
 	teams    []fairshare.Team
 	accounts []*fairshare.Account
+	// running holds the tier that the running tasks of each team reach.
+	running []fairshare.Tier
 	// used is what all runs use. all is the backlog of all teams, and backlogs that of
 	// each.
 	used     lovagestand.Resources
@@ -65,6 +67,7 @@
 		d, step := divisions[j.Policy.Service], j.Steps[w.ref.Step]
 		w.tier = d.accounts[d.index[w.entry.team]].Tier(step.Needs, len(w.indexes), step.Gang)
 	}
+	p.divisions = divisions
 	s.recordBacklogs(p, divisions)
 	s.recordBeyond(p)
 	slices.SortStableFunc(p.waiting, func(a, b waitingStep) int { return cmp.Compare(a.tier, b.tier) })
@@ -100,6 +103,10 @@
 		}
 	}
 	d.accounts = fairshare.NewAccounts(d.capacity, d.teams, fairshare.DefaultBounds)
+	d.running = make([]fairshare.Tier, len(d.accounts))
+	for i, a := range d.accounts {
+		d.running[i] = a.RunningTier()
+	}
 }
 
 // meanWeight returns the mean weight of the teams, or 1 if there are none.
@@ -117,3 +124,17 @@
 	}
 	return sum / float64(len(t.Policies))
 }
+
+// runningTier returns the tier that the running tasks of a team reach on the workers of a
+// service.
+func (p *pass) runningTier(service string, team lovagestand.TeamName) fairshare.Tier {
+	d := p.divisions[service]
+	if d == nil {
+		return 0
+	}
+	i, ok := d.index[team]
+	if !ok {
+		return 0
+	}
+	return d.running[i]
+}
--- a/shard/order.go
+++ b/shard/order.go
@@ -42,6 +42,7 @@
 		// A resumed run is shorter than a whole one.
 		p.locality = localityUnknown
 	}
+	s.resumePreempted(p)
 	s.reserveRoom(p)
 	s.activate(p)
 	s.beginTrial(p)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -79,6 +79,12 @@
 	unknown unknownUsage
 	// waitsForLocality reports whether steps may wait for workers near their data.
 	waitsForLocality bool
+	// divisions holds the division of each service with waiting steps among the teams.
+	divisions map[string]*division
+	// runs holds the runs that the pass may preempt; their IDs are the indexes. gangs
+	// holds the gangs among them.
+	runs  []*placement
+	gangs map[gangKey]*dispatch.GangRun
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -111,6 +117,7 @@
 		}
 	}
 	s.collectWorkers(p)
+	s.dropKeptRoom(p)
 	s.summarize(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
@@ -135,12 +142,14 @@
 	for _, w := range p.waiting {
 		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, w))
 	}
+	s.withholdKeptRoom(p)
 	p.adviceClients = s.deps.AdviceClients()
 	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
 		return p.workers[i].releases(p.now, s.statsByRoute)
 	}}
 	next := p.now.Add(idleInterval)
-	for _, d := range dispatch.Plan(load) {
+	decisions := dispatch.Plan(load)
+	for _, d := range decisions {
 		w := p.waiting[d.Step]
 		if len(d.Workers) > 0 {
 			s.placeTasks(p, w, d.Workers)
@@ -153,6 +162,7 @@
 			next = earlier(next, d.Wait.Until)
 		}
 	}
+	s.preempt(p, load, decisions)
 	return max(planInterval, next.Sub(p.now))
 }
 
@@ -252,6 +262,7 @@
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
 		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
+		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
 		// Every second without the task counts, so it does not wait for the start of
@@ -296,7 +307,7 @@
 	candidates := make([]dispatch.Candidate, 0, len(st.tickets))
 	for w, t := range st.tickets {
 		if s.workers[w.info.Name] == w {
-			candidates = append(candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: t.until.After(p.now.Add(ticketMargin))})
+			candidates = append(candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: t.until.After(p.now.Add(ticketMargin)), TicketUntil: t.until.Add(-ticketMargin)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
@@ -305,15 +316,20 @@
 
 // score returns the score by which a step is ordered among the waiting steps.
 func (s *Shard) score(now time.Time, e *jobEntry, ref job.StepRef) float64 {
+	s.measureWork(e, ref)
 	return dispatch.Score(s.work(now, e, ref))
 }
 
-// work returns the remaining work and the age of a job at a step.
-func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
+// measureWork measures the remaining work of a job if it may have changed.
+func (s *Shard) measureWork(e *jobEntry, ref job.StepRef) {
 	if e.workStale || e.measuredOccurrence != ref.Occurrence || e.remainingCoreTime == 0 {
 		e.remainingCoreTime, e.criticalPath = e.progress.RemainingWork(ref.Occurrence, func(step job.Step) time.Duration { return s.runTime(e, step) })
 		e.measuredOccurrence, e.workStale = ref.Occurrence, false
 	}
+}
+
+// work describes the remaining work of a job as last measured.
+func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
 	j := e.progress.Job()
 	accepted := e.progress.Accepted()
 	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
@@ -349,6 +365,7 @@
 			}
 			s.place(e, task, run, w, st.tickets[w], expectedRunTime, where, 0)
 		}
+		s.useKeptRoom(p.now, waiting, w)
 	}
 	s.recordLocalityWaitEnd(p, waiting, len(workers), near)
 }
