--- a/shard/preempt_test.go
+++ b/shard/preempt_test.go
@@ -168,7 +168,7 @@
 	}{
 		"without teams":                      {change: func(*shard.Deps) {}, step: job.Step{Count: 8, Checkpoints: true}},
 		"without teams in the configuration": {change: func(d *shard.Deps) { d.Teams = func() (shard.Teams, bool) { return shard.Teams{}, true } }, step: job.Step{Count: 8, Checkpoints: true}},
-		"without checkpoints":                {change: withTeams, step: job.Step{Count: 8}},
+		"without checkpoints":                {change: withTeams(), step: job.Step{Count: 8}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
