--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -315,6 +316,7 @@
 		p.place(index, chosen)
 		return
 	}
+	rest.Placed = s.placedWith(chosen)
 	elsewhere := p.allocateOn(&rest, far)
 	wait, slots := p.waitNear(&rest, len(elsewhere), s.Locality.Active || len(chosen) > 0)
 	if wait.Tasks > 0 {
@@ -339,6 +341,21 @@
 	p.renewNear(index, s, slots)
 }
 
+// placedWith returns the number of the step's tasks by worker, with those that start now.
+func (s *Step) placedWith(workers []int) map[int]int {
+	if s.MaxPerWorker <= 0 || len(workers) == 0 {
+		return s.Placed
+	}
+	placed := maps.Clone(s.Placed)
+	if placed == nil {
+		placed = map[int]int{}
+	}
+	for _, i := range workers {
+		placed[i]++
+	}
+	return placed
+}
+
 // place adds the decision to start tasks of a step on workers.
 func (p *planner) place(index int, workers []int) {
 	if len(workers) > 0 {
--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -97,6 +97,17 @@
 	c.Assert(placed(dispatch.Plan(load), 0), qt.HasLen, 2)
 }
 
+// TestWaitCountsTasksPerWorker guards against a wait for more tasks on the workers near than
+// the step may have on each of them.
+func TestWaitCountsTasksPerWorker(t *testing.T) {
+	c := qt.New(t)
+	load := localityLoad(time.Second, nearStep(7, func(s *dispatch.Step) { s.MaxPerWorker = 1 }))
+	load.Workers[0].Free = cores(16)
+	decisions := dispatch.Plan(load)
+	c.Assert(placed(decisions, 0), qt.HasLen, 4, qt.Commentf("one near and three elsewhere"))
+	c.Assert(waits(decisions, 0), qt.Equals, 1, qt.Commentf("three slots are near, two of which go to the tasks that fit nowhere now"))
+}
+
 // TestWaitCountsStepsAhead guards against several steps that wait for the same room.
 func TestWaitCountsStepsAhead(t *testing.T) {
 	c := qt.New(t)
--- a/shard/locality_test.go
+++ b/shard/locality_test.go
@@ -45,6 +45,19 @@
 	return ""
 }
 
+// count returns how many tasks of a job started on a rack.
+func (f *rackFleet) count(id string, rack lovagestand.RackName) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for task, on := range f.racks {
+		if strings.HasPrefix(task, id) && on == rack {
+			n++
+		}
+	}
+	return n
+}
+
 // countingRecorder counts events.
 type countingRecorder struct {
 	lovagestand.NoRecorder
@@ -100,7 +113,12 @@
 // submit submits a job of priority 2 with tasks near rack near.
 func (k *localityCell) submit(n, tasks int) {
 	k.c.Helper()
-	j := job.Job{ID: job.ID(id(n)), Policy: job.Policy{Route: "plan", Priority: 2, MaxAttempts: 2, Stretch: 20, Target: time.Second}, Steps: []job.Step{{Count: tasks, Affinity: "near"}}}
+	k.submitStep(n, job.Step{Count: tasks, Affinity: "near"})
+}
+
+func (k *localityCell) submitStep(n int, step job.Step) {
+	k.c.Helper()
+	j := job.Job{ID: job.ID(id(n)), Policy: job.Policy{Route: "plan", Priority: 2, MaxAttempts: 2, Stretch: 20, Target: time.Second}, Steps: []job.Step{step}}
 	k.c.Assert(k.owner.submitJob(j), qt.IsNil)
 }
 
@@ -131,6 +149,26 @@
 	})
 }
 
+// TestGangWaitsForOneRack guards against a gang that is split over two racks, where it takes
+// three times as long, half a second before one rack has room for all of it.
+func TestGangWaitsForOneRack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newLocalityCell(c, true)
+		defer k.owner.stop()
+		k.learn()
+		k.submit(1, 2)
+		k.submitStep(2, job.Step{Count: 2, Affinity: "far"})
+		time.Sleep(500 * time.Millisecond)
+		k.submitStep(3, job.Step{Count: 4, Gang: true, SameRack: true})
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(k.fleet.rackOf(id(3)), qt.Equals, lovagestand.RackName(""))
+		time.Sleep(600 * time.Millisecond)
+		c.Assert(k.fleet.count(id(3), "near"), qt.Equals, 4)
+		k.assertNoViolations()
+	})
+}
+
 // TestNoWaitWithoutTeams guards against a change of decisions in a deployment whose
 // configuration has no teams.
 func TestNoWaitWithoutTeams(t *testing.T) {
