dispatch: random loads of the capacity test have steps that may wait for locality

The test guarded placements only of steps without Locality. A step with suspects is placed apart from others and does not wait.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -237,7 +237,7 @@
 		return
 	}
 	p.held = false
-	if s.Locality != nil {
+	if s.Locality != nil && s.Suspects == 0 {
 		p.decideByLocality(index, s)
 		return
 	}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -297,12 +297,13 @@
 			steps = append(steps, randomStep(t, len(workers)))
 		}
 		used := make([]lovagestand.Resources, len(workers))
-		starts := make([]int, len(steps))
+		starts, waiting := make([]int, len(steps)), make([]int, len(steps))
 		load := dispatch.Load{Now: now, Workers: workers, Steps: steps, AdviceCalls: 100, Releases: func(i int) []dispatch.Release {
 			return []dispatch.Release{{At: now.Add(time.Second), Frees: cores(32).Sub(before[i].Free)}}
 		}}
 		for _, d := range dispatch.Plan(load) {
 			starts[d.Step] += len(d.Workers)
+			waiting[d.Step] += d.Wait.Tasks
 			for _, w := range d.Workers {
 				used[w] = used[w].Add(steps[d.Step].Needs)
 				if !before[w].Open {
@@ -322,6 +323,9 @@
 			if n > steps[i].Tasks || steps[i].Gang && n != 0 && n != steps[i].Tasks {
 				t.Fatalf("step %d starts %d of %d tasks", i, n, steps[i].Tasks)
 			}
+			if n+waiting[i] > steps[i].Tasks || waiting[i] > 0 && steps[i].Locality == nil {
+				t.Fatalf("step %d of %d tasks starts %d and lets %d wait", i, steps[i].Tasks, n, waiting[i])
+			}
 		}
 	})
 }
@@ -341,6 +345,15 @@
 		Gang: rapid.Bool().Draw(t, "gang"), SameRack: rapid.Bool().Draw(t, "rack"), NeedsTickets: rapid.Bool().Draw(t, "advised"),
 		Score: rapid.Float64Range(0, 9).Draw(t, "score"), RunTime: time.Duration(rapid.IntRange(1, 3000).Draw(t, "time")) * time.Millisecond,
 	}
+	if rapid.Bool().Draw(t, "locality") {
+		s.Affinity = lovagestand.RackName(rapid.SampledFrom([]string{"", "r1-0", "r1-1", "absent"}).Draw(t, "affinity"))
+		s.Locality = &dispatch.Locality{
+			Factor: dispatch.FarFactor{Value: rapid.Float64Range(1, 4).Draw(t, "factor")},
+			Work:   dispatch.Work{Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Objective: time.Second},
+			Active: rapid.Bool().Draw(t, "active"),
+		}
+		s.MaxPerWorker = rapid.IntRange(0, 2).Draw(t, "limit")
+	}
 	for i := range workers {
 		if s.NeedsTickets && rapid.Bool().Draw(t, "allowed") {
 			s.Candidates = append(s.Candidates, dispatch.Candidate{Worker: i, HasTicket: rapid.Bool().Draw(t, "permitted")})
