--- a/shard/locality_test.go
+++ b/shard/locality_test.go
@@ -18,6 +18,9 @@
 // farRunTime is how many times as long tasks take away from their data in these tests.
 const farRunTime = 3
 
+// stalledJob is the number of a job whose tasks run for a minute.
+const stalledJob = 9
+
 // rackFleet records where each task starts.
 type rackFleet struct {
 	lovagestand.Fleet
@@ -45,6 +48,19 @@
 	return ""
 }
 
+// count returns how many tasks of a job started on a rack.
+func (f *rackFleet) count(id string, rack lovagestand.RackName) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for task, on := range f.racks {
+		if strings.HasPrefix(task, id) && on == rack {
+			n++
+		}
+	}
+	return n
+}
+
 // countingRecorder counts events.
 type countingRecorder struct {
 	lovagestand.NoRecorder
@@ -80,6 +96,9 @@
 	k := newCell(c, 2, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if strings.HasPrefix(o.Task, id(stalledJob)) {
+			return time.Minute, lovagestand.EndingDone
+		}
 		if f.racks[o.Task] == "near" {
 			return time.Second, lovagestand.EndingDone
 		}
@@ -100,7 +119,12 @@
 // submit submits a job of priority 2 with tasks near rack near.
 func (k *localityCell) submit(n, tasks int) {
 	k.c.Helper()
-	j := job.Job{ID: job.ID(id(n)), Policy: job.Policy{Route: "plan", Priority: 2, MaxAttempts: 2, Stretch: 20, Target: time.Second}, Steps: []job.Step{{Count: tasks, Affinity: "near"}}}
+	k.submitStep(n, job.Step{Count: tasks, Affinity: "near"})
+}
+
+func (k *localityCell) submitStep(n int, step job.Step) {
+	k.c.Helper()
+	j := job.Job{ID: job.ID(id(n)), Policy: job.Policy{Route: "plan", Priority: 2, MaxAttempts: 2, Stretch: 20, Target: time.Second}, Steps: []job.Step{step}}
 	k.c.Assert(k.owner.submitJob(j), qt.IsNil)
 }
 
@@ -131,6 +155,26 @@
 	})
 }
 
+// TestGangWaitsForOneRack guards against a gang that is split over two racks, where it takes
+// three times as long, half a second before one rack has room for all of it.
+func TestGangWaitsForOneRack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newLocalityCell(c, true)
+		defer k.owner.stop()
+		k.learn()
+		k.submit(1, 2)
+		k.submitStep(2, job.Step{Count: 2, Affinity: "far"})
+		time.Sleep(500 * time.Millisecond)
+		k.submitStep(3, job.Step{Count: 4, Gang: true, SameRack: true})
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(k.fleet.rackOf(id(3)), qt.Equals, lovagestand.RackName(""))
+		time.Sleep(600 * time.Millisecond)
+		c.Assert(k.fleet.count(id(3), "near"), qt.Equals, 4)
+		k.assertNoViolations()
+	})
+}
+
 // TestNoWaitWithoutTeams guards against a change of decisions in a deployment whose
 // configuration has no teams.
 func TestNoWaitWithoutTeams(t *testing.T) {
@@ -149,21 +193,22 @@
 }
 
 // TestWaitEndsWhenRoomDoesNotCome guards against a step that waits for good for workers
-// near its data that run longer than expected.
+// near its data on which tasks run far longer than expected.
 func TestWaitEndsWhenRoomDoesNotCome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newLocalityCell(c, true)
 		defer k.owner.stop()
 		k.learn()
-		k.submit(1, 4)
+		k.submit(stalledJob, 4)
 		time.Sleep(800 * time.Millisecond)
-		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
-			workers[0].Ready = false
-			return workers
-		})
+		lost := k.recorder.count("localityWaits plan.lost")
 		k.submit(2, 1)
-		time.Sleep(time.Duration(farRunTime-1)*time.Second + 600*time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(k.fleet.rackOf(id(2)), qt.Equals, lovagestand.RackName(""))
+		// Nothing of a job waits for longer than 1.5 s.
+		time.Sleep(1400 * time.Millisecond)
 		c.Assert(k.fleet.rackOf(id(2)), qt.Equals, lovagestand.RackName("far"))
+		c.Assert(k.recorder.count("localityWaits plan.lost"), qt.Equals, lost+1)
 	})
 }
