--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -271,6 +271,10 @@
 	if fault == FaultNone && epoch < w.epoch {
 		return nil, fault, &lovagestand.OrderRefusedError{Worker: w.name, Reason: lovagestand.RefusalFenced}
 	}
+	if fault == FaultLostReply && epoch < w.epoch {
+		// The order is refused, so it has no effect either.
+		return w, FaultLostRequest, nil
+	}
 	return w, fault, nil
 }
 
