dispatch, shard: gangs are not starved within the cap of their team

Small steps of a team at its cap took each bit of room that its runs left, so that a gang of higher score never had room for all of it.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -132,7 +132,7 @@
 		if served[i] || !s.NeedsTickets || s.Candidates == nil || len(s.AdvicePending) > 0 {
 			continue
 		}
-		if s, _ = s.withinQuota(); s == nil {
+		if s, _ = p.withinQuota(s); s == nil {
 			continue
 		}
 		if more := p.withoutAdvice(s); len(more) > 0 {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -87,7 +87,7 @@
 func (p *planner) allocateOn(s *Step, eligible []int) []int {
 	var chosen []int
 	count := map[int]int{}
-	for len(chosen) < s.Tasks && s.Team.fits(s.Needs) {
+	for len(chosen) < s.Tasks && p.fitsQuota(s) {
 		var worker int
 		var ok bool
 		if len(chosen) < s.Suspects {
@@ -136,7 +136,7 @@
 		w.spare = w.spare.Sub(s.Needs)
 	}
 	w.starts++
-	s.Team.take(s.Needs)
+	p.takeQuota(s, 1)
 }
 
 // cost ranks workers with room for a task; the lowest cost is best. It prefers full
@@ -169,7 +169,7 @@
 	for n, i := range workers {
 		w := &p.Workers[i]
 		w.starts--
-		s.Team.release(s.Needs)
+		p.takeQuota(s, -1)
 		if n < s.Suspects && w.keptFor != 0 && !p.held {
 			w.keptFor = 0
 			p.trials++
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -205,11 +205,12 @@
 }
 
 func (p *planner) decide(index int, s *Step) {
-	s, held := s.withinQuota()
+	s, held := p.withinQuota(s)
 	if held > 0 {
 		p.Steps[index].Team.HeldTasks += held
 	}
 	if s == nil {
+		p.reserveQuota(&p.Steps[index])
 		return
 	}
 	if s.NeedsTickets && s.Candidates == nil {
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -43,7 +43,7 @@
 	p.reservations--
 	var workers []int
 	for _, slot := range slots[:s.Tasks] {
-		s.Team.take(s.Needs)
+		p.takeQuota(s, 1)
 		p.reserveOn(slot.worker, s.Needs, start)
 		workers = append(workers, slot.worker)
 	}
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "lovagestand.example/lovagestand"
+import (
+	"time"
+
+	"lovagestand.example/lovagestand"
+)
 
 // Team is what a pass needs of a team of callers. All steps of the team share it. The
 // methods accept nil, for a step without a team.
@@ -9,6 +13,9 @@
 	// if the team has no quota. A resource is negative if the team uses more than its
 	// quota, which may have been lowered. [Plan] reduces it.
 	Headroom *lovagestand.Resources
+	// Releases returns the expected ends of the team's runs, soonest first. If the function
+	// is nil, no run is expected to end.
+	Releases func() []Release
 	// HeldTasks is the number of tasks that the quota alone kept from being considered.
 	// [Plan] sets it.
 	HeldTasks int
@@ -16,11 +23,18 @@
 	// advised is what the steps need for which the pass has requested, or awaits, the
 	// first advice.
 	advised lovagestand.Resources
+	// reservedFrom is when a gang of the team is expected to have room in the quota; zero
+	// if none is held back. Tasks that end before then may use all of the headroom, longer
+	// ones only spare, what remains beside the gang.
+	reservedFrom time.Time
+	spare        lovagestand.Resources
 	// selectable is the part of the headroom that the selected steps leave in the round
 	// selectionRound; it is set once selecting is. See [Team.Selects].
 	selectable     lovagestand.Resources
 	selectionRound int
 	selecting      bool
+	// gangSelected reports whether a gang was selected for which there is no room yet.
+	gangSelected bool
 }
 
 // fits reports whether the headroom has room for an amount.
@@ -28,17 +42,56 @@
 	return t == nil || t.Headroom == nil || t.Headroom.Valid() && amount.Fits(*t.Headroom)
 }
 
-// take takes an amount from the headroom.
-func (t *Team) take(amount lovagestand.Resources) {
-	if t != nil && t.Headroom != nil {
-		*t.Headroom = t.Headroom.Sub(amount)
+// limited reports whether the team has a quota.
+func (t *Team) limited() bool { return t != nil && t.Headroom != nil }
+
+// delaysGang reports whether a task of the step is expected to run beyond the start for
+// which room in the quota of its team is reserved.
+func (p *planner) delaysGang(s *Step) bool {
+	return s.Team.limited() && !s.Team.reservedFrom.IsZero() && p.Now.Add(s.RunTime).After(s.Team.reservedFrom)
+}
+
+// fitsQuota reports whether the quota of the team has room for a task of the step, beside
+// what is reserved for a gang.
+func (p *planner) fitsQuota(s *Step) bool {
+	return s.Team.fits(s.Needs) && (!p.delaysGang(s) || s.Needs.Fits(s.Team.spare))
+}
+
+// takeQuota takes room for a number of tasks of a step, which may be negative, from the
+// headroom of its team.
+func (p *planner) takeQuota(s *Step, tasks int) {
+	if !s.Team.limited() {
+		return
+	}
+	amount := s.Needs.Times(int64(tasks))
+	*s.Team.Headroom = s.Team.Headroom.Sub(amount)
+	if p.delaysGang(s) {
+		s.Team.spare = s.Team.spare.Sub(amount)
 	}
 }
 
-// release returns an amount to the headroom.
-func (t *Team) release(amount lovagestand.Resources) {
-	if t != nil && t.Headroom != nil {
-		*t.Headroom = t.Headroom.Add(amount)
+// reserveQuota reserves room in the quota of a team for the first gang that is held back
+// by it alone, from the time at which the runs of the team are expected to leave the room.
+// It answers the load of a team whose small steps use the quota up again and again, so
+// that it never has room for the gang. Until then, tasks that end earlier may use the room.
+func (p *planner) reserveQuota(s *Step) {
+	t := s.Team
+	if !s.Gang || !t.reservedFrom.IsZero() || t.Releases == nil {
+		return
+	}
+	total := s.Needs.Times(int64(s.Tasks))
+	room, start := *t.Headroom, p.Now
+	for _, r := range t.Releases() {
+		if total.Fits(room) {
+			break
+		}
+		room = room.Add(r.Frees)
+		if r.At.After(start) {
+			start = r.At
+		}
+	}
+	if total.Fits(room) && start.Sub(p.Now) <= reservationHorizon {
+		t.reservedFrom, t.spare = start, room.Sub(total)
 	}
 }
 
@@ -46,7 +99,7 @@
 // have room for it beside the other steps that do: otherwise each step of a long backlog
 // would request advice in turn although only the first ones can start.
 func (t *Team) admitAdvice(s *Step) bool {
-	if t == nil || t.Headroom == nil {
+	if !t.limited() {
 		return true
 	}
 	least := s.Needs
@@ -64,14 +117,16 @@
 // withinQuota returns the step with as many of its tasks as the quota of its team leaves
 // room for, or nil if there is no room: a gang needs room for all of its tasks. It also
 // returns how many tasks the quota holds back.
-func (s *Step) withinQuota() (*Step, int) {
-	t := s.Team
-	if t == nil || t.Headroom == nil {
+func (p *planner) withinQuota(s *Step) (*Step, int) {
+	if !s.Team.limited() {
 		return s, 0
 	}
 	tasks := 0
-	if t.Headroom.Valid() {
-		tasks = tasksIn(*t.Headroom, s.Needs, s.Tasks)
+	if s.Team.Headroom.Valid() {
+		tasks = tasksIn(*s.Team.Headroom, s.Needs, s.Tasks)
+	}
+	if p.delaysGang(s) {
+		tasks = min(tasks, tasksIn(s.Team.spare, s.Needs, s.Tasks))
 	}
 	if s.Gang && tasks < s.Tasks {
 		tasks = 0
@@ -96,7 +151,7 @@
 // the headroom may have room for. Otherwise they would take the place of other teams'
 // steps in the pass.
 func (t *Team) Selects(needs lovagestand.Resources, tasks int, gang bool) bool {
-	if t == nil || t.Headroom == nil {
+	if !t.limited() {
 		return true
 	}
 	if !t.selecting {
@@ -115,6 +170,11 @@
 			return true
 		}
 	}
+	if gang && !t.gangSelected {
+		// Room in the quota may be reserved for the first gang.
+		t.gangSelected = true
+		return true
+	}
 	t.HeldTasks += tasks
 	return false
 }
--- a/dispatch/team_test.go
+++ b/dispatch/team_test.go
@@ -50,6 +50,40 @@
 	c.Assert(t1.HeldTasks, qt.Equals, 4)
 }
 
+// TestGangIsNotStarvedWithinItsQuota guards against small steps of a team that use its
+// quota up again and again, so that a gang of higher score never has room in it, and
+// against room that is left idle although tasks would end before the gang can start.
+func TestGangIsNotStarvedWithinItsQuota(t *testing.T) {
+	c := qt.New(t)
+	releases := func() []dispatch.Release {
+		return []dispatch.Release{{At: now.Add(time.Second), Frees: cores(4)}, {At: now.Add(3 * time.Second), Frees: cores(20)}}
+	}
+	gang := dispatch.Step{Tasks: 4, Needs: cores(3), Gang: true, Score: 2, RunTime: time.Second}
+	small := dispatch.Step{Tasks: 30, Needs: cores(1), Score: 1, RunTime: 2 * time.Second}
+	for _, r := range []struct {
+		name     string
+		headroom int64
+		runTime  time.Duration
+		want     int
+	}{
+		{name: "long tasks leave the room to the gang", headroom: 8, runTime: 2 * time.Second, want: 0},
+		{name: "what the gang does not need is used", headroom: 11, runTime: 2 * time.Second, want: 3},
+		{name: "short tasks use the room", headroom: 8, runTime: time.Second, want: 8},
+		{name: "the gang waits for more", headroom: 7, runTime: 2 * time.Second, want: 7},
+	} {
+		c.Run(r.name, func(c *qt.C) {
+			t1 := team(cores(r.headroom))
+			t1.Releases = releases
+			steps := []dispatch.Step{gang, small}
+			steps[1].RunTime = r.runTime
+			steps[0].Team, steps[1].Team = t1, t1
+			decisions := plan(emptyWorkers(4), steps)
+			c.Assert(placed(decisions, 0), qt.HasLen, 0)
+			c.Assert(placed(decisions, 1), qt.HasLen, r.want)
+		})
+	}
+}
+
 // TestFirstAdviceStaysWithinTheQuota guards against a backlog of which each step requests
 // advice although the quota has room for only some of them.
 func TestFirstAdviceStaysWithinTheQuota(t *testing.T) {
@@ -79,7 +113,9 @@
 	}
 	c.Assert(selected, qt.Equals, 6)
 	c.Assert(t1.HeldTasks, qt.Equals, 994)
-	c.Assert(team(cores(10)).Selects(cores(3), 4, true), qt.IsFalse)
+	gangs := team(cores(10))
+	c.Assert(gangs.Selects(cores(3), 4, true), qt.IsTrue)
+	c.Assert(gangs.Selects(cores(3), 4, true), qt.IsFalse)
 	c.Assert(team(cores(10)).Selects(cores(3), 4, false), qt.IsTrue)
 	c.Assert(team(cores(-1)).Selects(lovagestand.Resources{}, 1, false), qt.IsFalse)
 	unlimited := team(lovagestand.Resources{MilliCPU: 1000, MemoryMiB: math.MaxInt64, Accelerators: math.MaxInt64})
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -127,6 +127,7 @@
 			if quota != nil {
 				headroom := quota.Sub(s.usage(w.entry.team)).Sub(p.unknown.of(w.entry.team))
 				t.Headroom = &headroom
+				t.Releases = func() []dispatch.Release { return s.teamReleases(p, w.entry.team) }
 			}
 			p.teams[w.entry.team] = t
 		}
@@ -140,6 +141,21 @@
 	})
 }
 
+// teamReleases returns when the runs of a team are expected to end and what each frees,
+// soonest first.
+func (s *Shard) teamReleases(p *pass, team lovagestand.TeamName) []dispatch.Release {
+	var releases []dispatch.Release
+	for _, w := range p.workers {
+		for _, r := range w.placements {
+			if r.entry.team == team && !r.longRunning {
+				releases = append(releases, dispatch.Release{At: r.expectedEnd(p.now), Frees: r.needs})
+			}
+		}
+	}
+	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
+	return releases
+}
+
 // heldTeam describes a team that is held back by its quota.
 type heldTeam struct {
 	since, last time.Time
