--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -75,7 +75,7 @@
 func newRouting(c platform.Configuration) *routing {
 	n := &routing{
 		Configuration: c, byHost: map[string][]platform.Route{}, keys: map[credential.Digest]lovagestand.TeamName{},
-		teams: shard.Teams{Enabled: c.Teams != nil, Policies: map[lovagestand.TeamName]lovagestand.TeamPolicy{}},
+		teams: shard.Teams{Version: c.Version, Enabled: c.Teams != nil, Policies: map[lovagestand.TeamName]lovagestand.TeamPolicy{}},
 	}
 	for _, t := range c.Teams {
 		n.teams.Policies[t.Policy.Team] = t.Policy
--- a/node/serve.go
+++ b/node/serve.go
@@ -12,7 +12,10 @@
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/election"
 	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/layout"
+	"lovagestand.example/lovagestand/platform"
 	"lovagestand.example/lovagestand/shard"
+	"lovagestand.example/lovagestand/shares"
 )
 
 const (
@@ -48,7 +51,7 @@
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithWriteFailureHandler(func() { go n.requestDepose(ctx, term) })),
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
-		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Recorder: n.deps.Recorder,
+		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, DividedCaps: l.Shards > 1, Recorder: n.deps.Recorder,
 	})
 	for {
 		limited, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -68,6 +71,9 @@
 	running.Go(func() {
 		n.pollWorkers(serveCtx, s, interval, func(w lovagestand.FleetWorker) bool { return l.ShardOfWorker(w) == term.Shard })
 	})
+	if l.Shards > 1 {
+		running.Go(func() { n.holdShares(serveCtx, s, term, l) })
+	}
 	n.cell.addShard(term.Shard, s)
 	s.Run(ctx)
 	n.cell.removeShard(term.Shard)
@@ -75,6 +81,22 @@
 	running.Wait()
 }
 
+// holdShares keeps the teams within their caps over all shards of the cell, until ctx
+// ends.
+func (n *Node) holdShares(ctx context.Context, s *shard.Shard, term jobstore.Term, l layout.Layout) {
+	var names []lovagestand.ShardName
+	for _, name := range l.ShardNames() {
+		names = append(names, lovagestand.ShardName(name))
+	}
+	shares.New(shares.Deps{
+		Store: platform.NewKeyspaceStore(n.deps.Keys), Shards: names, Shard: s, Name: lovagestand.ShardName(term.Shard), Epoch: term.Epoch, Log: n.deps.Log,
+		Caps: func() (shares.Caps, bool) {
+			teams, ok := n.routes.Teams()
+			return teams.Caps(), ok
+		},
+	}).Run(ctx)
+}
+
 const (
 	// deposeRequests is how many instances are asked to end an ownership.
 	deposeRequests = 2
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -129,6 +129,17 @@
 	return t.Shares[index].Resources()
 }
 
+// Share returns the share of a team's quota that the ledger records for a shard. It
+// returns false if no owner of the shard has counted the team's tasks since the team has
+// had its quota. Otherwise all tasks of the team in the shard are within the share.
+func (l *Ledger) Share(team lovagestand.TeamName, shard lovagestand.ShardName) (lovagestand.Resources, bool) {
+	index, t := l.shardIndex(shard), l.Teams[team]
+	if index < 0 || t == nil || l.Shards[index].Tables < t.Since {
+		return lovagestand.Resources{}, false
+	}
+	return l.shareOf(team, index), true
+}
+
 // totalShares returns the sum of the shares of all shards.
 func (t *TeamEntry) totalShares() lovagestand.Resources {
 	var sum lovagestand.Resources
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -10,6 +10,8 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/quota"
+	"lovagestand.example/lovagestand/shares"
 )
 
 const (
@@ -54,17 +56,17 @@
 	if !ok || !teams.Enabled || j.Team == "" {
 		return nil
 	}
-	quota := teams.Policy(j.Team).Quota
-	if quota == nil {
+	limit := teams.Policy(j.Team).Quota
+	if limit == nil {
 		return nil
 	}
 	for i, step := range j.Steps {
 		needs := leastNeeds(step)
-		if needs.Fits(*quota) {
+		if needs.Fits(*limit) {
 			continue
 		}
 		s.deps.Recorder.Count("jobsBeyondQuota", string(j.Team))
-		err := &QuotaError{Team: j.Team, Step: i, Gang: step.Gang, Needs: needs, Quota: limited(*quota)}
+		err := &QuotaError{Team: j.Team, Step: i, Gang: step.Gang, Needs: needs, Quota: limited(*limit)}
 		s.log.Warn().Err(err).Str("job", string(j.ID)).Str("team", string(j.Team)).Msg("job rejected")
 		return err
 	}
@@ -96,6 +98,8 @@
 	// waitingTasks is the number of tasks that wait, and waiting what they need.
 	waitingTasks int
 	waiting      lovagestand.Resources
+	// next is the least that must be free for one of them to start.
+	next lovagestand.Resources
 	// tooLarge is the number of tasks that can never start within the quota.
 	tooLarge int
 }
@@ -121,11 +125,11 @@
 			return false
 		}
 		t := p.teams[w.entry.team]
-		quota := p.policies.Policy(w.entry.team).Quota
+		limit := p.policies.Policy(w.entry.team).Quota
 		if t == nil {
 			t = &passTeam{}
-			if quota != nil {
-				headroom := quota.Sub(s.usage(w.entry.team)).Sub(p.unknown.of(w.entry.team))
+			if limit != nil {
+				headroom := s.limit(p.policies, w.entry.team, *limit).Sub(s.usage(w.entry.team)).Sub(p.unknown.of(w.entry.team))
 				t.Headroom = &headroom
 				t.Releases = func() []dispatch.Release { return s.teamReleases(p, w.entry.team) }
 			}
@@ -133,8 +137,11 @@
 		}
 		step := w.entry.progress.Job().Steps[w.ref.Step]
 		t.waitingTasks += len(w.indexes)
+		if least := leastNeeds(step); t.waiting.IsZero() || least.Fits(t.next) {
+			t.next = least
+		}
 		t.waiting = t.waiting.Add(step.Needs.Times(int64(len(w.indexes))))
-		if quota != nil && !leastNeeds(step).Fits(*quota) {
+		if limit != nil && !leastNeeds(step).Fits(*limit) {
 			t.tooLarge += len(w.indexes)
 		}
 		return !t.Selects(step.Needs, len(w.indexes), step.Gang)
@@ -167,6 +174,8 @@
 	waitsForConfiguration = "no configuration has been read"
 	// waitsForQuota means that the quota leaves no room beside the runs of the team.
 	waitsForQuota = "the cap leaves no room"
+	// waitsForShare means that other shards hold the rest of the cap.
+	waitsForShare = "the shard's share of the cap leaves no room"
 	// waitsForFormerRuns means that the quota leaves room, but runs of former terms are
 	// not all known.
 	waitsForFormerRuns = "runs of former owners are not all known"
@@ -182,7 +191,10 @@
 	Weight float64              `json:"weight"`
 	// Cap is the quota, in which 0 means that a resource is not limited; nil if the team
 	// has no quota.
-	Cap     *lovagestand.Resources `json:"cap,omitempty"`
+	Cap *lovagestand.Resources `json:"cap,omitempty"`
+	// Share is the part of the cap that the team may use in this shard, if the cap is
+	// divided among several shards.
+	Share   *lovagestand.Resources `json:"share,omitempty"`
 	Running lovagestand.Resources  `json:"running"`
 	// Unknown is what is charged to the team for runs that are not known yet.
 	Unknown      lovagestand.Resources `json:"unknown"`
@@ -216,6 +228,10 @@
 		names[team] = true
 	}
 	s.teamStatus = nil
+	s.teamUsages = map[lovagestand.TeamName]quota.Usage{}
+	for team, t := range p.teams {
+		s.teamUsages[team] = quota.Usage{Waiting: t.waiting, Next: t.next}
+	}
 	if len(names) == 0 {
 		return
 	}
@@ -230,8 +246,12 @@
 			WaitingTasks: t.waitingTasks, Waiting: t.waiting, HeldTasks: t.HeldTasks, TooLargeTasks: t.tooLarge,
 		}
 		if policy.Quota != nil {
-			quota := limited(*policy.Quota)
-			status.Cap = &quota
+			limit := limited(*policy.Quota)
+			status.Cap = &limit
+			if s.deps.DividedCaps {
+				share := s.limit(p.policies, name, *policy.Quota)
+				status.Share = &share
+			}
 		}
 		status.Reason = waitReason(status, unconfigured[name])
 		status.HeldSince = s.recordHeld(status, p.now)
@@ -266,6 +286,8 @@
 		return neverFits
 	case status.HeldTasks > 0 && !status.Unknown.IsZero():
 		return waitsForFormerRuns
+	case status.HeldTasks > 0 && status.Share != nil:
+		return waitsForShare
 	case status.HeldTasks > 0:
 		return waitsForQuota
 	}
@@ -300,3 +322,37 @@
 	}
 	return h.since.UnixMilli()
 }
+
+// limit returns what a team may use in the shard, given its quota in the cell.
+func (s *Shard) limit(teams Teams, team lovagestand.TeamName, cellQuota lovagestand.Resources) lovagestand.Resources {
+	if !s.deps.DividedCaps {
+		return cellQuota
+	}
+	return s.shares.Limit(team, cellQuota, teams.Version)
+}
+
+// SetShares implements [shares.Shard].
+func (s *Shard) SetShares(grant shares.Grant) shares.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shares = grant
+	report := shares.Report{Usage: map[lovagestand.TeamName]quota.Usage{}, Unknown: map[lovagestand.TeamName]lovagestand.Resources{}}
+	for team, usage := range s.teamUsages {
+		report.Usage[team] = usage
+	}
+	for team, running := range s.teamUsage {
+		usage := report.Usage[team]
+		usage.Running = running
+		report.Usage[team] = usage
+	}
+	unknown := s.unknownUsage(time.Now())
+	for team := range grant.Limits {
+		if amount := unknown.of(team); !amount.IsZero() {
+			report.Unknown[team] = amount
+		}
+	}
+	s.wake()
+	return report
+}
+
+var _ shares.Shard = (*Shard)(nil)
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -11,6 +11,8 @@
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/jobstore"
+	"lovagestand.example/lovagestand/quota"
+	"lovagestand.example/lovagestand/shares"
 )
 
 // AdviceClient is an instance that can request advice from the policy service. It
@@ -36,9 +38,12 @@
 	// Teams returns the policies of the teams in the configuration in force. It returns
 	// false before any configuration has been read; no job of a team is started then. A
 	// nil function means that there are no teams.
-	Teams    func() (Teams, bool)
-	Log      zerolog.Logger
-	Recorder lovagestand.Recorder
+	Teams func() (Teams, bool)
+	// DividedCaps indicates that the caps are divided among several shards. The shard then
+	// starts tasks of a team with a cap only within [Shard.SetShares].
+	DividedCaps bool
+	Log         zerolog.Logger
+	Recorder    lovagestand.Recorder
 }
 
 // Limits are the limits and intervals that the platform sets.
@@ -129,6 +134,10 @@
 	former formerRuns
 	// held describes the teams that are held back by their quotas, or were until recently.
 	held map[lovagestand.TeamName]*heldTeam
+	// shares is what each team may use in the shard if the caps are divided.
+	shares shares.Grant
+	// teamUsages is what waits of each team as of the last pass.
+	teamUsages map[lovagestand.TeamName]quota.Usage
 	// teamStatus is the status of the teams as of the last pass.
 	teamStatus []TeamStatus
 
--- a/shard/teams.go
+++ b/shard/teams.go
@@ -1,9 +1,14 @@
 package shard
 
-import "lovagestand.example/lovagestand"
+import (
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/shares"
+)
 
 // Teams holds the policies of the teams in one version of the configuration.
 type Teams struct {
+	// Version is the version of the configuration.
+	Version int64
 	// Enabled is false in a deployment without teams.
 	Enabled  bool
 	Policies map[lovagestand.TeamName]lovagestand.TeamPolicy
@@ -18,6 +23,17 @@
 	return lovagestand.TeamPolicy{Team: team, Weight: 1}
 }
 
+// Caps returns the caps of the teams that have one.
+func (t Teams) Caps() shares.Caps {
+	caps := shares.Caps{Version: t.Version, Enabled: t.Enabled, ByTeam: map[lovagestand.TeamName]lovagestand.Resources{}}
+	for team, policy := range t.Policies {
+		if policy.Quota != nil {
+			caps.ByTeam[team] = *policy.Quota
+		}
+	}
+	return caps
+}
+
 // addUsage adds an amount, which may be negative, to the usage of a team.
 func (s *Shard) addUsage(team lovagestand.TeamName, amount lovagestand.Resources) {
 	if team == "" {
