--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -121,6 +121,7 @@
 		time.Sleep(time.Second)
 		for status, err := range map[int]error{
 			http.StatusServiceUnavailable: &shard.RejectedError{Reason: "full", RetryAfter: 2 * time.Second},
+			http.StatusTooManyRequests:    &shard.QuotaError{Team: "p"},
 			http.StatusGatewayTimeout:     &shard.UnknownError{},
 			http.StatusGone:               &shard.UnknownJobError{},
 		} {
