dispatch, shard: a gang's room in a cap does not hold back a team for 3 s

The room is reserved from the expected start, so that shorter tasks use it, and at most 2 s ahead while the team uses less than half of its cap.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -184,7 +184,7 @@
 // Plan decides which tasks start now and which advice to request, highest score
 // first. It reduces the free resources of l.Workers and the headroom of the teams by
 // what it places and by the room that it keeps for steps whose tickets are being
-// renewed and for gangs that have reserved workers.
+// renewed.
 func Plan(l Load) []Decision {
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
@@ -210,7 +210,7 @@
 		p.Steps[index].Team.HeldTasks += held
 	}
 	if s == nil {
-		p.reserveQuota(&p.Steps[index])
+		p.reserveQuota(&p.Steps[index], p.Now)
 		return
 	}
 	if s.NeedsTickets && s.Candidates == nil {
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -43,10 +43,10 @@
 	p.reservations--
 	var workers []int
 	for _, slot := range slots[:s.Tasks] {
-		p.takeQuota(s, 1)
 		p.reserveOn(slot.worker, s.Needs, start)
 		workers = append(workers, slot.worker)
 	}
+	p.reserveQuota(s, start)
 	return workers, start
 }
 
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -70,31 +70,48 @@
 	}
 }
 
-// reserveQuota reserves room in the quota of a team for the first gang that is held back
-// by it alone, from the time at which the runs of the team are expected to leave the room.
-// It answers the load of a team whose small steps use the quota up again and again, so
-// that it never has room for the gang. Until then, tasks that end earlier may use the room.
-func (p *planner) reserveQuota(s *Step) {
+// idleQuotaHorizon replaces [reservationHorizon] for a team that uses less than half of its
+// quota: its other steps must not wait 3 s for a gang while there is room for them.
+const idleQuotaHorizon = 2 * time.Second
+
+// reserveQuota reserves room in the quota of a team for the first gang that has to wait,
+// from the time earliest or, if the quota holds it back, the time at which the runs of the
+// team are expected to leave the room. It answers the load of a team whose small steps use
+// the quota up again and again, so that it never has room for the gang. Until then, tasks
+// that end earlier may use the room.
+func (p *planner) reserveQuota(s *Step, earliest time.Time) {
 	t := s.Team
-	if !s.Gang || !t.reservedFrom.IsZero() || t.Releases == nil {
+	if !s.Gang || !t.limited() || !t.reservedFrom.IsZero() || t.Releases == nil {
 		return
 	}
 	total := s.Needs.Times(int64(s.Tasks))
-	room, start := *t.Headroom, p.Now
+	room, start := *t.Headroom, earliest
+	var used lovagestand.Resources
 	for _, r := range t.Releases() {
-		if total.Fits(room) {
-			break
+		used = used.Add(r.Frees)
+		if total.Fits(room) && r.At.After(earliest) {
+			continue
 		}
 		room = room.Add(r.Frees)
-		if r.At.After(start) {
-			start = r.At
-		}
+		start = later(start, r.At)
+	}
+	horizon := reservationHorizon
+	if used.Fits(*t.Headroom) {
+		horizon = idleQuotaHorizon
 	}
-	if total.Fits(room) && start.Sub(p.Now) <= reservationHorizon {
+	if total.Fits(room) && start.Sub(p.Now) <= horizon {
 		t.reservedFrom, t.spare = start, room.Sub(total)
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // admitAdvice reports whether a step may wait for its first advice. The headroom must
 // have room for it beside the other steps that do: otherwise each step of a long backlog
 // would request advice in turn although only the first ones can start.
--- a/dispatch/team_test.go
+++ b/dispatch/team_test.go
@@ -65,7 +65,10 @@
 		headroom int64
 		runTime  time.Duration
 		want     int
+		// gangTasks is the size of the gang if it is not 4.
+		gangTasks int
 	}{
+		{name: "no wait of 3 s while half of the quota is free", headroom: 25, runTime: 4 * time.Second, gangTasks: 12, want: 25},
 		{name: "long tasks leave the room to the gang", headroom: 8, runTime: 2 * time.Second, want: 0},
 		{name: "what the gang does not need is used", headroom: 11, runTime: 2 * time.Second, want: 3},
 		{name: "short tasks use the room", headroom: 8, runTime: time.Second, want: 8},
@@ -75,6 +78,7 @@
 			t1 := team(cores(r.headroom))
 			t1.Releases = releases
 			steps := []dispatch.Step{gang, small}
+			steps[0].Tasks = max(steps[0].Tasks, r.gangTasks)
 			steps[1].RunTime = r.runTime
 			steps[0].Team, steps[1].Team = t1, t1
 			decisions := plan(emptyWorkers(4), steps)
