root, shard, shares, quota: one minimum of resources

The smaller amount of each resource was computed in three places. Resources.Min is the one place now. Tests of root, shares, quota, shard and dispatch pass.

--- a/quota/target.go
+++ b/quota/target.go
@@ -118,12 +118,12 @@
 
 // minResources returns the smaller amount of each resource.
 func minResources(a, b lovagestand.Resources) lovagestand.Resources {
-	return perResource(func(r resource) int64 { return min(r.of(a), r.of(b)) })
+	return a.Min(b)
 }
 
 // maxResources returns the larger amount of each resource.
 func maxResources(a, b lovagestand.Resources) lovagestand.Resources {
-	return perResource(func(r resource) int64 { return max(r.of(a), r.of(b)) })
+	return a.Max(b)
 }
 
 // minByTeam returns a copy of a in which the resources of each team are no
--- a/resources.go
+++ b/resources.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// Min returns the smaller amount of each resource.
+func (r Resources) Min(s Resources) Resources {
+	return Resources{
+		MilliCPU:     min(r.MilliCPU, s.MilliCPU),
+		MemoryMiB:    min(r.MemoryMiB, s.MemoryMiB),
+		Accelerators: min(r.Accelerators, s.Accelerators),
+	}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int64) Resources {
 	return Resources{
--- a/shard/former.go
+++ b/shard/former.go
@@ -114,7 +114,7 @@
 			u.any = limit
 		}
 		for team, amount := range u.byTeam {
-			u.byTeam[team] = least(amount, limit)
+			u.byTeam[team] = amount.Min(limit)
 		}
 	}
 	s.addStrayUsage(&u)
@@ -168,7 +168,7 @@
 	}
 	for e, amount := range ended {
 		if !e.former.IsZero() {
-			amount = least(amount, e.former)
+			amount = amount.Min(e.former)
 		}
 		u.byTeam[e.team] = u.byTeam[e.team].Add(amount)
 	}
@@ -208,8 +208,3 @@
 	capacity := w.maxCapacity
 	return &capacity
 }
-
-// least returns the smaller amount of each resource.
-func least(a, b lovagestand.Resources) lovagestand.Resources {
-	return lovagestand.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMiB: min(a.MemoryMiB, b.MemoryMiB), Accelerators: min(a.Accelerators, b.Accelerators)}
-}
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -73,7 +73,7 @@
 	if !ok || !granted.Fits(limit) || version > g.Caps.Version+1 {
 		return lovagestand.Resources{}
 	}
-	return least(limit, g.Limits[team])
+	return limit.Min(g.Limits[team])
 }
 
 // Report is what the teams use in a shard.
@@ -254,7 +254,7 @@
 	for team, unknown := range d.report.Unknown {
 		u := usage[team]
 		if share, ok := ledger.Share(team, d.deps.Name); ok {
-			unknown = least(unknown, share.Sub(u.Running).Max(lovagestand.Resources{}))
+			unknown = unknown.Min(share.Sub(u.Running).Max(lovagestand.Resources{}))
 		}
 		u.Running = u.Running.Add(unknown)
 		usage[team] = u
@@ -272,7 +272,7 @@
 	revision := revisionOf(caps.Version)
 	quotas := quota.TeamQuotas{}
 	for team, limit := range caps.ByTeam {
-		q := quota.TeamQuota{Quota: least(limit, unlimited), Since: revision}
+		q := quota.TeamQuota{Quota: limit.Min(unlimited), Since: revision}
 		former, had := d.quotas[team]
 		entry := ledger.Teams[team]
 		switch {
@@ -294,11 +294,6 @@
 // configuration. It is never 0, which a holder ignores.
 func revisionOf(version int64) table.Revision { return table.Revision(version) + 1 }
 
-// least returns the smaller amount of each resource.
-func least(a, b lovagestand.Resources) lovagestand.Resources {
-	return lovagestand.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMiB: min(a.MemoryMiB, b.MemoryMiB), Accelerators: min(a.Accelerators, b.Accelerators)}
-}
-
 // storeFailed records that a call to the store has failed. The shares stay as they are.
 func (d *Driver) storeFailed(ctx context.Context, err error) {
 	if d.healthy && ctx.Err() == nil {
