--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -32,9 +32,9 @@
 	}
 	p.reservations--
 	for _, i := range workers {
-		s.Team.take(s.Needs)
 		p.reserveOn(i, s.Needs, start)
 	}
+	p.reserveQuota(s, start)
 	return workers, start
 }
 
