dispatch, shard: advice is planned as a scarce resource where the configuration has teams

Calls waited up to 1.5 s in the order of arrival at a client, and long calls for which no client was free used up the calls of a pass. Jobs too late to be of use filled each trough of the load.

The room of a gang is held while its tickets are renewed, except for tasks that end before the reply, and the call names little more than the workers held. Clients have at most 200 ms of calls ahead, so that calls wait in the order of the steps. Long calls are counted apart. Steps of expired jobs request advice only through idle clients and leave a fifth of the processors free until half of them is. The log line load gives passes and the slowest one.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -12,11 +12,11 @@
 // calls of this pass are used up.
 func (p *planner) requestAdvice(index int, workers []int) {
 	for call := range slices.Chunk(workers, maxWorkersPerCall) {
-		if p.AdviceCalls <= 0 {
+		if !p.mayRequestAdvice(&p.Steps[index]) {
 			return
 		}
-		p.AdviceCalls--
-		p.decisions = append(p.decisions, Decision{Step: index, AdviceFor: call})
+		p.countAdviceCall(&p.Steps[index])
+		p.decisions = append(p.decisions, Decision{Step: index, AdviceFor: call, IfIdle: p.HoldRenewals && p.Steps[index].Expired})
 	}
 }
 
@@ -32,7 +32,13 @@
 			return
 		}
 	}
-	p.requestAdvice(index, p.extendRenewal(s, nil))
+	var reserved []int
+	if p.HoldRenewals {
+		reserved = slices.Clone(workers)
+		slices.Sort(reserved)
+		reserved = slices.Compact(reserved)
+	}
+	p.requestRenewal(index, s, reserved, workers)
 }
 
 // renewTickets requests new tickets for the tasks that were not placed, and keeps
@@ -54,9 +60,20 @@
 		p.renewAhead(index, s, workers, start)
 		return
 	}
-	if len(s.AdvicePending) == 0 {
-		slices.Sort(wanted)
-		p.requestAdvice(index, p.extendRenewal(s, slices.Compact(wanted)))
+	if len(s.AdvicePending) > 0 {
+		return
+	}
+	hold := slices.Clone(wanted)
+	slices.Sort(wanted)
+	p.requestRenewal(index, s, slices.Compact(wanted), hold)
+}
+
+// requestRenewal requests new tickets for the workers wanted and others. The parameter
+// hold contains a worker for each task of a gang, where its room is to be held.
+func (p *planner) requestRenewal(index int, s *Step, wanted, hold []int) {
+	p.requestAdvice(index, p.extendRenewal(s, wanted))
+	if last := len(p.decisions) - 1; p.HoldRenewals && s.Gang && !s.Expired && last >= 0 && p.decisions[last].Step == index {
+		p.decisions[last].Hold = hold
 	}
 }
 
@@ -82,6 +99,9 @@
 // also names workers without room.
 func (p *planner) extendRenewal(s *Step, wanted []int) []int {
 	limit := max(maxWorkersPerCall, len(wanted))
+	if p.HoldRenewals && s.Gang && !s.Expired && len(wanted) > 0 {
+		limit = len(wanted) + len(wanted)/heldMarginShare + 1
+	}
 	add := func(matches func(worker int) bool) {
 		for _, c := range s.Candidates {
 			if len(wanted) < limit && matches(c.Worker) && !slices.Contains(wanted, c.Worker) {
@@ -100,7 +120,7 @@
 // It does so if the step is infeasible on the workers known to be allowed, or if
 // the further workers that policy is likely to allow make it fit now.
 func (p *planner) requestMoreAdvice(index int, s *Step) bool {
-	if len(s.AdvicePending) > 0 || p.AdviceCalls <= 0 {
+	if len(s.AdvicePending) > 0 || !p.mayRequestAdvice(s) {
 		return false
 	}
 	more := p.withoutAdvice(s)
@@ -129,14 +149,14 @@
 		if idle <= 0 || p.AdviceCalls <= 0 {
 			return
 		}
-		if served[i] || !s.NeedsTickets || s.Candidates == nil || len(s.AdvicePending) > 0 {
+		if !p.mayRequestAdvice(s) || served[i] || !s.NeedsTickets || s.Candidates == nil || len(s.AdvicePending) > 0 {
 			continue
 		}
 		if s, _ = p.withinQuota(s); s == nil {
 			continue
 		}
 		if more := p.withoutAdvice(s); len(more) > 0 {
-			p.AdviceCalls--
+			p.countAdviceCall(s)
 			idle--
 			p.decisions = append(p.decisions, Decision{Step: i, AdviceFor: firstWorkers(more, s.callSize()), IfIdle: true})
 		}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -132,6 +132,7 @@
 func (p *planner) take(s *Step, worker int) {
 	w := &p.Workers[worker]
 	w.Free = w.Free.Sub(s.Needs)
+	p.free -= s.Needs.MilliCPU
 	if p.delaysReservation(s, w) {
 		w.spare = w.spare.Sub(s.Needs)
 	}
@@ -173,6 +174,7 @@
 			p.trials++
 		}
 		w.Free = w.Free.Add(s.Needs)
+		p.free += s.Needs.MilliCPU
 		if p.delaysReservation(s, w) {
 			w.spare = w.spare.Add(s.Needs)
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -94,6 +94,15 @@
 	// the highest score; see [Score].
 	Tier  int
 	Score float64
+	// Held contains a worker for each task of a gang whose tickets were requested when
+	// there was room for it. The room is held until HeldUntil; see [Load.HoldRenewals].
+	Held      []int
+	HeldUntil time.Time
+	// LongAdvice indicates that advice calls of the step occupy a client for so long that
+	// only some of the clients serve them.
+	LongAdvice bool
+	// Expired indicates that the job is too late to be of use.
+	Expired bool
 	// Team is the team of the step's job; nil if it has none.
 	Team *Team
 	// Locality is what the step gains near its data or within one rack; nil if it does not
@@ -125,6 +134,9 @@
 	AdviceFor []int
 	// IfIdle indicates that the call is to be made only through an idle client.
 	IfIdle bool
+	// Hold contains a worker for each task of a gang whose tickets AdviceFor renews. The
+	// room there is to be held until the reply; see [Load.HoldRenewals].
+	Hold []int
 	// Wait is set if tasks wait that could start elsewhere.
 	Wait Wait
 }
@@ -176,6 +188,18 @@
 	// AdviceCalls is the largest number of advice calls that the pass may decide
 	// on.
 	AdviceCalls int
+	// LongAdviceCalls is how many of these calls may be for steps with LongAdvice, if
+	// HoldRenewals is set.
+	LongAdviceCalls int
+	// HoldRenewals plans advice as a scarce resource. It answers the load of gangs whose
+	// advice calls take as long as the tasks of other steps run: without it, other steps
+	// take the room while the tickets are being renewed, and the tickets expire unused.
+	HoldRenewals bool
+	// ExpiredHeadroom is the fraction of the processors of open workers that steps of
+	// expired jobs leave free. It answers the load of a backlog of jobs that are too late
+	// to be of use: without it, they fill each trough of the load and the next burst finds
+	// no room.
+	ExpiredHeadroom float64
 	// IdleAdviceClients is how many clients have no call to make. They are used to
 	// request advice on further workers for steps that wait.
 	IdleAdviceClients int
@@ -193,6 +217,8 @@
 	trials    int
 	held      bool
 	decisions []Decision
+	// free and capacity are the processors of the open workers.
+	free, capacity int64
 	// claims holds the room that steps wait for, by worker.
 	claims map[int][]claim
 	// othersWait reports whether the pass began with more demand than free capacity, and
@@ -212,6 +238,12 @@
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
 	p.trials = trialsLeft(l.Workers)
+	for i := range l.Workers {
+		if w := &l.Workers[i]; w.Open {
+			p.free += w.Free.MilliCPU
+			p.capacity += w.Capacity.MilliCPU
+		}
+	}
 	if slices.ContainsFunc(l.Steps, func(s Step) bool { return s.Locality != nil }) {
 		p.othersWait, p.loaded = l.overloaded(), l.loadedServices()
 	}
@@ -220,6 +252,7 @@
 		p.withholdKept(&l.Steps[i], l.Steps[i].Kept)
 	}
 	order := stepOrder(l.Steps)
+	p.holdForRenewals()
 	for _, i := range order {
 		p.decideWithKept(i, &l.Steps[i])
 	}
@@ -234,7 +267,7 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[b].Score, steps[a].Score))
+		return cmp.Or(cmp.Compare(steps[a].turn(), steps[b].turn()), cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[b].Score, steps[a].Score))
 	})
 	return order
 }
@@ -275,6 +308,9 @@
 }
 
 func (p *planner) decide(index int, s *Step) {
+	if s.awaitsRenewal() || p.leavesNoHeadroom(s) {
+		return
+	}
 	s, held := p.withinQuota(s)
 	if held > 0 {
 		p.Steps[index].Team.HeldTasks += held
@@ -284,7 +320,7 @@
 		return
 	}
 	if s.NeedsTickets && s.Candidates == nil {
-		if len(s.AdvicePending) == 0 && p.AdviceCalls > 0 && s.Team.admitAdvice(s) {
+		if len(s.AdvicePending) == 0 && p.mayRequestAdvice(s) && s.Team.admitAdvice(s) {
 			p.requestAdvice(index, p.initialAdvice(s))
 		}
 		return
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -185,7 +185,7 @@
 // its team allows it to use; 0 if nothing is preempted for the step.
 func (p *preemptor) missing(index int) int {
 	s := &p.Steps[index]
-	if s.Suspects > 0 || s.NeedsTickets && len(s.Candidates) == 0 {
+	if s.Suspects > 0 || s.NeedsTickets && len(s.Candidates) == 0 || s.awaitsRenewal() {
 		return 0
 	}
 	missing := s.Tasks - p.placed[index]
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -9,6 +9,9 @@
 	Age time.Duration
 	// Objective is the age at which the job should be done.
 	Objective time.Duration
+	// LatestObjective is the objective if the run times are as much longer than estimated
+	// as they often are on the job's route.
+	LatestObjective time.Duration
 	// CriticalPath is the longest chain of dependent run times not done yet.
 	CriticalPath time.Duration
 	// Total and Remaining are the core time of the whole job and of its remaining
@@ -67,6 +70,12 @@
 	return w
 }
 
+// Expired reports whether the job is too late to be of use even if it runs without
+// further delay, and even if its run times are underestimated.
+func (w Work) Expired() bool {
+	return w.Age+w.CriticalPath > lateLimit*w.LatestObjective
+}
+
 // timeliness returns the fraction of its value that a job keeps if it runs without
 // further delay.
 func timeliness(w Work) float64 {
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -13,10 +13,19 @@
 	// free client.
 	callsPerClient = 3
 	// maxAdviceBacklog is how far ahead calls may be scheduled on a client.
-	maxAdviceBacklog = 1500 * time.Millisecond
+	// maxHeldAdviceBacklog is the same where advice is planned as a scarce resource; see
+	// [dispatch.Load.HoldRenewals]. It is longer than a round trip to the farthest region,
+	// so that no client is idle between two calls, and otherwise as short as possible:
+	// calls wait in the order of the steps' scores rather than in a client's queue.
+	maxAdviceBacklog     = 1500 * time.Millisecond
+	maxHeldAdviceBacklog = 200 * time.Millisecond
+	// renewalMargin is how long after the expected reply the room of a gang is held.
+	renewalMargin = 150 * time.Millisecond
 	// longCallThreshold is the duration above which a call counts as long. Long calls
 	// must not delay short ones.
 	longCallThreshold = 100 * time.Millisecond
+	// minLongCallWorkers is the number of workers by whose call a step is judged.
+	minLongCallWorkers = 48
 	// longCallClientShare is the share of the clients that serve long calls.
 	longCallClientShare = 0.7
 	// remoteCallDelay is how much longer a call takes through an instance in another
@@ -45,13 +54,19 @@
 	indexes := d.AdviceFor
 	policy := waiting.entry.progress.Job().Policy.Advice
 	cost := policy.Cost(len(indexes)) + adviceCallOverhead
-	chosen, slot := s.pickAdviceClient(p.adviceClients, p.now, cost)
+	chosen, slot := s.pickAdviceClient(p.adviceClients, p.now, cost, p.adviceBacklog())
 	if slot == nil || d.IfIdle && slot.busyUntil.After(p.now) {
 		return
 	}
 	begin := later(slot.busyUntil, p.now)
 	slot.busyUntil = begin.Add(cost)
 	st := waiting.entry.step(waiting.ref)
+	if len(d.Hold) > 0 {
+		st.held, st.heldUntil = nil, slot.busyUntil.Add(renewalMargin)
+		for _, index := range d.Hold {
+			st.held = append(st.held, p.workers[index])
+		}
+	}
 	names := make([]lovagestand.WorkerName, len(indexes))
 	requested := make([]*worker, len(indexes))
 	for i, index := range indexes {
@@ -65,18 +80,33 @@
 	go s.fetchAdvice(chosen, slot, waiting, step, names, requested, timeout)
 }
 
+// adviceBacklog returns how far ahead the pass may schedule calls on a client.
+func (p *pass) adviceBacklog() time.Duration {
+	if p.holdRenewals {
+		return maxHeldAdviceBacklog
+	}
+	return maxAdviceBacklog
+}
+
 // freeAdviceCalls returns how many calls can be scheduled on the clients now.
-func (s *Shard) freeAdviceCalls(clients []AdviceClient, now time.Time) int {
+func (s *Shard) freeAdviceCalls(clients []AdviceClient, now time.Time, backlog time.Duration) int {
 	n := 0
 	for _, c := range clients {
 		slot := s.adviceSlots[c.Instance]
-		if slot == nil || !slot.pausedUntil.After(now) && slot.busyUntil.Sub(now) < maxAdviceBacklog {
+		if slot == nil || !slot.pausedUntil.After(now) && slot.busyUntil.Sub(now) < backlog {
 			n += callsPerClient
 		}
 	}
 	return n
 }
 
+// freeLongAdviceCalls returns how many long calls can be made now: one for each client
+// that serves them and has no backlog.
+func (s *Shard) freeLongAdviceCalls(p *pass) int {
+	clients := remoteFirst(p.adviceClients)[:min(len(p.adviceClients), longCallClients(len(p.adviceClients)))]
+	return s.freeAdviceCalls(clients, p.now, p.adviceBacklog()) / callsPerClient
+}
+
 // idleAdviceClients returns how many clients have no call to make.
 func (s *Shard) idleAdviceClients(clients []AdviceClient, now time.Time) int {
 	n := 0
@@ -91,7 +121,7 @@
 
 // pickAdviceClient returns the client that is expected to answer a call of the given
 // cost first, and its slot. The slot is nil if no client is available.
-func (s *Shard) pickAdviceClient(clients []AdviceClient, now time.Time, cost time.Duration) (AdviceClient, *adviceSlot) {
+func (s *Shard) pickAdviceClient(clients []AdviceClient, now time.Time, cost, backlog time.Duration) (AdviceClient, *adviceSlot) {
 	if cost > longCallThreshold {
 		clients = remoteFirst(clients)[:longCallClients(len(clients))]
 	}
@@ -104,7 +134,7 @@
 			slot = &adviceSlot{}
 			s.adviceSlots[c.Instance] = slot
 		}
-		if slot.pausedUntil.After(now) || slot.busyUntil.Sub(now) > maxAdviceBacklog {
+		if slot.pausedUntil.After(now) || slot.busyUntil.Sub(now) > backlog {
 			continue
 		}
 		at := later(slot.busyUntil, now).Add(cost)
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -21,6 +21,9 @@
 	minRunTime = 20 * time.Millisecond
 	// slownessWeight is the weight of the newest run in the slowness of a worker.
 	slownessWeight = 0.15
+	// runTimeErrors is the multiple of the average error of run times that is allowed for
+	// before a job counts as too late to be of use.
+	runTimeErrors = 2
 	// maxSlowness bounds the effect of one run on the averages, and so how much a
 	// worker's speed can count in packing.
 	maxSlowness = 10
@@ -34,6 +37,9 @@
 	jobCoreTime time.Duration
 	// taskRunTime is the average run time of a task.
 	taskRunTime time.Duration
+	// runTimeError is the average relative difference between the run times of tasks and
+	// what was expected.
+	runTimeError float64
 	// askedWorkers and allowedWorkers count the workers that were named in advice
 	// requests and those that the policy service allowed.
 	askedWorkers, allowedWorkers float64
@@ -109,6 +115,13 @@
 	r.jobCoreTime += time.Duration(averageWeight * float64(core-r.jobCoreTime))
 }
 
+// latestObjective returns the objective of a job if its run times are longer than expected
+// by runTimeErrors times the average error of its route.
+func (s *Shard) latestObjective(e *jobEntry) time.Duration {
+	target := e.progress.Job().Policy.Target
+	return target + time.Duration(float64(e.objective-target)*(1+runTimeErrors*s.stats(e.route).runTimeError))
+}
+
 // meanCoreTime returns the average core time of the jobs on the route of a job. The
 // core time of a long-running job is nominal and is compared with itself only.
 func (s *Shard) meanCoreTime(e *jobEntry) time.Duration {
@@ -147,6 +160,7 @@
 	// A run elsewhere says little about its worker while the factor is not known well.
 	if p.expectedRunTime > 0 && p.locality != localityFar {
 		relative := float64(took) / float64(p.expectedRunTime)
+		r.runTimeError += averageWeight * (min(math.Abs(relative-1), maxSlowness) - r.runTimeError)
 		if w.slowness == 0 {
 			w.slowness = 1
 		}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -28,6 +28,9 @@
 	// maxStepsPerPass is the maximum number of steps that one pass considers, in the
 	// order of tier and score.
 	maxStepsPerPass = 250
+	// expiredHeadroom is the fraction of the processors that jobs too late to be of use
+	// leave free.
+	expiredHeadroom = 0.2
 	// ticketMargin is how long before its expiry a ticket is no longer used, because
 	// the order that carries it must arrive before the expiry.
 	ticketMargin = 150 * time.Millisecond
@@ -55,6 +58,7 @@
 		begun := time.Now()
 		next = s.plan()
 		took := time.Since(begun)
+		s.recordPass(took)
 		if !pause.For(ctx, max(planInterval, planPauseFactor*took)) {
 			return
 		}
@@ -70,6 +74,8 @@
 	waiting         []waitingStep
 	dispatchSteps   []dispatch.Step
 	adviceClients   []AdviceClient
+	// holdRenewals is [dispatch.Load.HoldRenewals].
+	holdRenewals bool
 	// policies are the policies of the teams in force, configured is false if none have
 	// been read yet. teams holds the teams with waiting steps.
 	policies   Teams
@@ -96,6 +102,8 @@
 	indexes  []int
 	suspects int
 	score    float64
+	// expired is [dispatch.Work.Expired].
+	expired bool
 	// tier is that of the step by the entitlement of the job's team.
 	tier fairshare.Tier
 }
@@ -144,7 +152,8 @@
 	}
 	s.withholdKeptRoom(p)
 	p.adviceClients = s.deps.AdviceClients()
-	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
+	p.holdRenewals = p.policies.Enabled
+	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()), LongAdviceCalls: s.freeLongAdviceCalls(p), HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
 		return p.workers[i].releases(p.now, s.statsByRoute)
 	}}
 	next := p.now.Add(idleInterval)
@@ -166,6 +175,14 @@
 	return max(planInterval, next.Sub(p.now))
 }
 
+// expiredHeadroom is [dispatch.Load.ExpiredHeadroom] for the pass.
+func (p *pass) expiredHeadroom() float64 {
+	if p.holdRenewals {
+		return expiredHeadroom
+	}
+	return 0
+}
+
 // collectWorkers adds the workers to the pass, ordered by name.
 func (s *Shard) collectWorkers(p *pass) {
 	for _, w := range s.workers {
@@ -223,7 +240,9 @@
 		if step.Gang && suspects > 0 && !mayStart {
 			continue
 		}
-		w := waitingStep{entry: e, ref: ref, indexes: indexes, suspects: suspects, score: s.score(p.now, e, ref)}
+		s.measureWork(e, ref)
+		work := s.work(p.now, e, ref)
+		w := waitingStep{entry: e, ref: ref, indexes: indexes, suspects: suspects, score: dispatch.Score(work), expired: work.Expired()}
 		if !step.Gang && suspects > 0 {
 			trials := w
 			trials.indexes = indexes[:suspects]
@@ -261,7 +280,7 @@
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
+		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: j.Policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
@@ -269,6 +288,14 @@
 		// a gang.
 		out.RunTime = 0
 	}
+	if p.now.Before(st.heldUntil) {
+		out.HeldUntil = st.heldUntil
+		for _, held := range st.held {
+			if s.workers[held.info.Name] == held {
+				out.Held = append(out.Held, held.passIndex)
+			}
+		}
+	}
 	if step.MaxPerWorker > 0 {
 		out.Placed = map[int]int{}
 		for name, n := range st.placed {
@@ -336,7 +363,7 @@
 		accepted = due
 	}
 	return dispatch.Work{
-		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, CriticalPath: e.criticalPath,
+		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, LatestObjective: s.latestObjective(e), CriticalPath: e.criticalPath,
 		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
 	}
 }
@@ -348,6 +375,7 @@
 	st := e.step(waiting.ref)
 	step := e.progress.Job().Steps[waiting.ref.Step]
 	expectedRunTime := s.runTime(e, step)
+	st.held, st.heldUntil = nil, time.Time{}
 	localityOn, farFactor, near := p.localityOn(step, workers), s.stats(e.route).locality.factor().Value, 0
 	for n, i := range workers {
 		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: waiting.indexes[n]}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -157,6 +157,9 @@
 
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
+	// passes and slowestPass describe the planning passes since then.
+	passes      int
+	slowestPass time.Duration
 
 	// wakeup starts a planning pass.
 	wakeup       chan struct{}
@@ -288,6 +291,10 @@
 	// does not change during a step.
 	decided map[*worker]bool
 	tickets map[*worker]ticket
+	// held holds a worker for each task of a gang, where room is held until heldUntil
+	// while the gang's tickets are being renewed.
+	held      []*worker
+	heldUntil time.Time
 	// placed counts the active placements of the step on each worker.
 	placed map[lovagestand.WorkerName]int
 	// avoid counts the failures of the step's tasks on each worker.
--- a/shard/summary.go
+++ b/shard/summary.go
@@ -9,6 +9,15 @@
 // summaryInterval is the minimum time between two summaries of the load in the log.
 const summaryInterval = time.Second
 
+// recordPass records how long a planning pass took.
+func (s *Shard) recordPass(took time.Duration) {
+	s.deps.Recorder.Observe("planTimes", "pass", took)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.passes++
+	s.slowestPass = max(s.slowestPass, took)
+}
+
 // summarize logs how much of the workers' capacity is in use and how much work waits.
 func (s *Shard) summarize(p *pass) {
 	if p.now.Sub(s.summarizedAt) < summaryInterval {
@@ -45,5 +54,7 @@
 	s.log.Info().Int("live", len(s.live)).Int64("milliCPU", capacity.MilliCPU).Int64("openMilliCPU", open.MilliCPU).
 		Int64("usedMilliCPU", used.MilliCPU).Int64("usedMemoryMiB", used.MemoryMiB).Int64("memoryMiB", capacity.MemoryMiB).
 		Int("gangsWaiting", gangs).Int64("gangMilliCPU", gangMilliCPU).Int("stepsWaiting", otherSteps).Int64("stepMilliCPU", otherMilliCPU).
-		Int("unadvised", unadvised).Dur("adviceBacklog", backlog).Msg("load")
+		Int("unadvised", unadvised).Dur("adviceBacklog", backlog).
+		Int("passes", s.passes).Dur("slowestPass", s.slowestPass).Msg("load")
+	s.passes, s.slowestPass = 0, 0
 }
