--- a/node/serve.go
+++ b/node/serve.go
@@ -47,7 +47,7 @@
 	s := shard.New(term, shard.Limits{
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, ListInterval: interval,
 		HeartbeatTimeout: missedHeartbeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
-		StopTimeout: n.settings.StopTimeout, RestoreDelay: n.settings.RestoreDelay, Overlap: election.Overlap,
+		StopTimeout: n.settings.StopTimeout, RestoreDelay: n.settings.RestoreDelay, Overlap: election.Overlap, Preemption: n.settings.Preemption,
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithWriteFailureHandler(func() { go n.requestDepose(ctx, term) })),
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
--- a/settings/node.go
+++ b/settings/node.go
@@ -48,6 +48,10 @@
 	// may have been withdrawn. Otherwise the last configuration stays in force.
 	StrictRevocation  bool          `yaml:"strictRevocation"`
 	RevocationTimeout time.Duration `yaml:"revocationTimeout"`
+	// Preemption allows the owner of a shard to stop tasks of less urgent jobs for more
+	// urgent ones where the configuration has teams. A stopped task needs new advice
+	// before it resumes, so it pays only where advice calls are short or not needed.
+	Preemption bool `yaml:"preemption"`
 	// StopTimeout is the maximum duration of a stop of a task; 0 if it is not known.
 	StopTimeout time.Duration `yaml:"stopTimeout"`
 	// RestoreDelay is how long a task that resumes from a checkpoint waits before it
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -39,6 +39,7 @@
 	c.Assert(n.Ports, qt.DeepEquals, []int{7720, 7735})
 	c.Assert(n.CheckpointInterval, qt.Equals, 500*time.Millisecond)
 	c.Assert(n.StrictRevocation, qt.IsFalse)
+	c.Assert(n.Preemption, qt.IsFalse)
 	c.Assert(n.StopTimeout, qt.Equals, time.Duration(0), qt.Commentf("settings of earlier deployments have none"))
 	n, err = settings.ParseNode("node.yaml", []byte(nodeFile+"stopTimeout: 900ms\nrestoreDelay: 100ms\n"))
 	c.Assert(err, qt.IsNil)
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -56,11 +56,11 @@
 	run   int64
 }
 
-// preempts reports whether runs may be preempted: only where the configuration has teams,
-// and only once all runs of former owners are known.
+// preempts reports whether runs may be preempted: only where the settings allow it and the
+// configuration has teams, and only once all runs of former owners are known.
 func (s *Shard) preempts() bool {
 	t, ok := s.teams()
-	return ok && t.Enabled && s.resolved
+	return s.limits.Preemption && ok && t.Enabled && s.resolved
 }
 
 // stopTimeout returns the maximum duration of a stop.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -63,6 +63,8 @@
 	// StopTimeout is the maximum duration of a stop, RestoreDelay how long a task that
 	// resumes from a checkpoint waits before it continues.
 	StopTimeout, RestoreDelay time.Duration
+	// Preemption allows runs of less urgent jobs to be stopped for more urgent ones.
+	Preemption bool
 	// Overlap is how long after the start of this term a former owner may still
 	// extend the lease of a worker that this owner cannot reach.
 	Overlap time.Duration
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -123,7 +123,7 @@
 
 // runTerm runs the shard in a term.
 func (k *cell) runTerm(term jobstore.Term, deps shard.Deps) *owner {
-	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, HeartbeatTimeout: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second, StopTimeout: 200 * time.Millisecond, RestoreDelay: 100 * time.Millisecond, Overlap: overlap}, deps)
+	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, HeartbeatTimeout: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second, Preemption: true, StopTimeout: 200 * time.Millisecond, RestoreDelay: 100 * time.Millisecond, Overlap: overlap}, deps)
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
