--- a/shard/plan.go
+++ b/shard/plan.go
@@ -153,9 +153,7 @@
 	s.withholdKeptRoom(p)
 	p.adviceClients = s.deps.AdviceClients()
 	p.holdRenewals = p.policies.Enabled
-	load := dispatch.Load{Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps, AdviceCalls: s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()), LongAdviceCalls: s.freeLongAdviceCalls(p), HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now), Releases: func(i int) []dispatch.Release {
-		return p.workers[i].releases(p.now, s.statsByRoute)
-	}}
+	load := s.load(p)
 	next := p.now.Add(idleInterval)
 	decisions := dispatch.Plan(load)
 	for _, d := range decisions {
@@ -175,6 +173,17 @@
 	return max(planInterval, next.Sub(p.now))
 }
 
+// load returns the load of the pass for the dispatcher.
+func (s *Shard) load(p *pass) dispatch.Load {
+	return dispatch.Load{
+		Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps,
+		Releases:        func(i int) []dispatch.Release { return p.workers[i].releases(p.now, s.statsByRoute) },
+		AdviceCalls:     s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()),
+		LongAdviceCalls: s.freeLongAdviceCalls(p), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now),
+		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(),
+	}
+}
+
 // expiredHeadroom is [dispatch.Load.ExpiredHeadroom] for the pass.
 func (p *pass) expiredHeadroom() float64 {
 	if p.holdRenewals {
--- a/shard/teams_test.go
+++ b/shard/teams_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,13 +186,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 1, always(time.Second, lovagestand.EndingDone))
-		teams := shard.Teams{Version: 7, Enabled: true, Policies: map[lovagestand.TeamName]lovagestand.TeamPolicy{"a": {Team: "a"}}}
-		loaded := false
-		o := k.beginTerm("1", func(d *shard.Deps) { d.Teams = func() (shard.Teams, bool) { return teams, loaded } })
+		// Passes read the teams while the test replaces them.
+		var teams atomic.Pointer[shard.Teams]
+		o := k.beginTerm("1", func(d *shard.Deps) {
+			d.Teams = func() (shard.Teams, bool) {
+				if t := teams.Load(); t != nil {
+					return *t, true
+				}
+				return shard.Teams{}, false
+			}
+		})
 		defer o.stop()
 		time.Sleep(time.Second)
 		c.Assert(o.submitAdmitted(teamJob(1, "gone"), 6), qt.IsNil, qt.Commentf("the owner has no configuration yet"))
-		loaded = true
+		teams.Store(&shard.Teams{Version: 7, Enabled: true, Policies: map[lovagestand.TeamName]lovagestand.TeamPolicy{"a": {Team: "a"}}})
 		var rejected *shard.RejectedError
 		c.Assert(o.submitAdmitted(teamJob(2, "gone"), 6), qt.ErrorAs, &rejected)
 		c.Assert(o.submitAdmitted(teamJob(1, "gone"), 6), qt.IsNil, qt.Commentf("an accepted job is not rejected later"))
@@ -199,7 +207,7 @@
 		c.Assert(o.submitAdmitted(teamJob(4, "gone"), 7), qt.IsNil)
 		c.Assert(o.submitAdmitted(teamJob(5, "a"), 6), qt.IsNil)
 		c.Assert(o.submitAdmitted(teamJob(6, ""), 6), qt.IsNil)
-		teams = shard.Teams{Version: 9}
+		teams.Store(&shard.Teams{Version: 9})
 		c.Assert(o.submitAdmitted(teamJob(7, "gone"), 6), qt.IsNil, qt.Commentf("the newer version has no teams"))
 	})
 }
