shard, node: tests of jobs with one ID in two shards, and of records without teams

Two cases had no test: each team reaches its own job past the other team's job with the same ID in another shard, and a cancellation without teams is stored byte for byte as before.

--- a/node/keys_test.go
+++ b/node/keys_test.go
@@ -104,6 +104,24 @@
 		})
 		await(n, http.MethodGet, "a", http.StatusGone)
 	}
+	if shards > 1 {
+		// Jobs of both teams with one ID in two shards: each team reaches its own job,
+		// past the other one's.
+		for rack, key := range []string{"a", "b"} {
+			body := fmt.Sprintf(`{"spec":"milliCPU=500 millis=600000","steps":[{"count":1,"cpu":500,"affinity":"r1-%d"}]}`, rack)
+			eventually(t, "job 30 of team "+key+" was not accepted", func() bool {
+				status, _ := cell[0].call(c, http.MethodPost, fmt.Sprintf("/x/%016x", 30), body, "Token "+keys[key])
+				return status == http.StatusOK
+			})
+		}
+		await(30, http.MethodDelete, "b", http.StatusOK)
+		for key, state := range map[string]string{"a": "running", "b": "cancelled"} {
+			eventually(t, "job 30 of team "+key+" is not "+state, func() bool {
+				_, text := cell[1].call(c, http.MethodGet, fmt.Sprintf("/x/%016x", 30), "", "Token "+keys[key])
+				return text == fmt.Sprintf(`{"state":%q}`, state)
+			})
+		}
+	}
 	await(20, http.MethodPost, "withdrawn", http.StatusOK)
 	teams[0].Keys = teams[0].Keys[:1]
 	c.Assert(s.Configure(2, "a.example", "/x/", append(teams, teams[0])...), qt.IsNil)
--- a/shard/teams_test.go
+++ b/shard/teams_test.go
@@ -179,6 +179,23 @@
 	}
 }
 
+// TestCancellationWithoutTeams guards against a stored record that differs from that of
+// earlier versions in a deployment without teams.
+func TestCancellationWithoutTeams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(time.Second, lovagestand.EndingDone))
+		o := k.beginReadyTerm("1")
+		defer o.stop()
+		var unknownJob *shard.UnknownJobError
+		c.Assert(o.Cancel(t.Context(), job.ID(id(1)), ""), qt.ErrorAs, &unknownJob)
+		items, _, err := k.keys.Range(t.Context(), "shards/0/jobs/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(items, qt.HasLen, 1)
+		c.Assert(string(items[0].Value), qt.Matches, `\{"phase":"cancelled","route":"","acceptedMillis":-?\d+,"finishedMillis":\d+,"unsubmitted":true\}`)
+	})
+}
+
 // TestWithdrawnTeam guards against a job that is accepted because its gateway has not yet
 // seen that the team was removed, and against rejections by an owner that is behind.
 func TestWithdrawnTeam(t *testing.T) {
