jobstore: attempt writes every 300 ms on new connections during an outage

Cause: the timeout of an attempt grew to 1.5 s and each attempt used a connection of the pool. After an outage of 4.2 s the owner's write was answered 1.5 s after the store answered others, and the next one used a dead connection again.

Change: after the timeout of the first attempt one attempt follows every 300 ms over all lanes, or 50 ms after the last one once the store has answered another call (Store.StoreAnswered). All but the first use a new connection (lovagestand.WithNewConnection), and the client of the store then closes its idle ones. At most three attempts of a write wait; the oldest waits for 4.5 s, so that a slow store still serves it. A store that rejects calls or resets connections is called as rarely after 200 ms.

First attempts with replies after 0.23 to 4 s are not cut off.

--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -10,28 +10,22 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
-	"lovagestand.example/lovagestand/common/pause"
 )
 
 const (
 	// MaxEntries is the largest number of entries in one write. The other entries
 	// of a transaction are its two conditions and the sequence key.
 	MaxEntries = lovagestand.MaxTransactionEntries - 3
-	// minAttemptTimeout and maxAttemptTimeout bound the timeout of one attempt at a
+	// minAttemptTimeout and maxAttemptTimeout bound the timeout of the first attempt at a
 	// write. Between them the timeout is attemptTimeoutFactor times the usual
-	// latency of the store, so that a lost reply is detected quickly.
+	// latency of the store, so that a lost reply is detected quickly. The usual latency
+	// depends on replies only: most writes take no longer than usual while the store
+	// loses some of the replies.
 	minAttemptTimeout    = 200 * time.Millisecond
 	maxAttemptTimeout    = 1500 * time.Millisecond
 	attemptTimeoutFactor = 6
 	// latencyWeight is the weight of the newest reply in the usual latency.
 	latencyWeight = 0.2
-	// timeoutGrowth is the factor by which the timeout grows with each attempt at the
-	// same write. The usual latency depends on replies only: most writes take no longer
-	// than usual while the store loses some of the replies.
-	timeoutGrowth = 1.5
-	// retryDelay is the pause between attempts while the store rejects calls. While
-	// it is unavailable the pause is a fifth of that.
-	retryDelay = 50 * time.Millisecond
 	// failureReportAfter is how long a write may fail before that is reported, and
 	// failureReportInterval is the least time between two reports.
 	failureReportAfter    = 200 * time.Millisecond
@@ -91,8 +85,11 @@
 	onWriteFailure func()
 	begunAt        time.Time
 
-	// mu guards lastReport.
+	// mu guards the following fields.
 	mu sync.Mutex
+	// answered is closed and replaced whenever the store answers a call.
+	answered chan struct{}
+	pacer    pacer
 	// lastReport is when onWriteFailure was last called.
 	lastReport time.Time
 }
@@ -120,7 +117,7 @@
 
 // New returns a store for a term.
 func New(keys lovagestand.Keyspace, term Term, options ...Option) *Store {
-	s := &Store{keys: keys, term: term, onWriteFailure: func() {}, begunAt: time.Now()}
+	s := &Store{keys: keys, term: term, onWriteFailure: func() {}, begunAt: time.Now(), answered: make(chan struct{})}
 	s.lanes[0] = lane{key: SequenceKey(term.Shard), sequence: term.Sequence}
 	for i := 1; i < Lanes; i++ {
 		s.lanes[i] = lane{key: fmt.Sprintf("%s/%d/%d", SequenceKey(term.Shard), term.Epoch, i), lease: term.Lease}
@@ -197,20 +194,20 @@
 	token := fmt.Sprintf("%d/%d", s.term.Epoch, l.writes)
 	attempts := newAttempts(s.keys, s.transaction(l, token, entries))
 	defer attempts.cancelAll()
-	start, timeout := time.Now(), l.timeout()
+	plan := newSchedule(time.Now(), l.timeout(), l.latency)
 	for {
-		reply, ok := attempts.try(ctx, timeout)
+		reply, ok := s.attempt(ctx, attempts, plan)
 		if ok {
 			l.recordReply(reply.took)
-		} else {
-			timeout = min(maxAttemptTimeout, time.Duration(timeoutGrowth*float64(timeout)))
 		}
 		if ok && reply.err == nil {
 			l.sequence = reply.revision
+			s.StoreAnswered()
 			return nil
 		}
 		var condition *lovagestand.ConditionError
 		if errors.As(reply.err, &condition) {
+			s.StoreAnswered()
 			return s.resolveConflict(l, condition, token)
 		}
 		var leaseEnded *lovagestand.LeaseEndedError
@@ -222,17 +219,78 @@
 		}
 		var rejected *lovagestand.RejectedError
 		wasRejected := errors.As(reply.err, &rejected)
-		s.reportFailure(start, wasRejected)
-		if wasRejected && !pause.For(ctx, retryDelay) {
-			return errors.Wrap(ctx.Err(), "write jobs")
+		s.reportFailure(plan.begunAt, wasRejected)
+		switch {
+		case wasRejected:
+			plan.attemptFailed(time.Now(), rejectedDelay)
+		case ok:
+			plan.attemptFailed(time.Now(), unavailableDelay)
 		}
-		var unavailable *lovagestand.UnavailableError
-		if errors.As(reply.err, &unavailable) && !pause.For(ctx, retryDelay/5) {
-			return errors.Wrap(ctx.Err(), "write jobs")
+	}
+}
+
+// attempt sends the next attempt at a write when it is due, and waits for a reply to any
+// attempt. It returns false if there is none before the attempt after it is due, or
+// before ctx ends.
+func (s *Store) attempt(ctx context.Context, attempts *attempts, plan *schedule) (attemptReply, bool) {
+	sent := false
+	for {
+		timer := time.NewTimer(time.Until(plan.next))
+		select {
+		case r := <-attempts.replies:
+			timer.Stop()
+			attempts.received(r)
+			return r, true
+		case <-s.answeredSignal():
+			plan.storeAnswered(time.Now())
+		case <-ctx.Done():
+			timer.Stop()
+			return attemptReply{}, false
+		case <-timer.C:
+			if sent {
+				return attemptReply{}, false
+			}
+			sent = s.sendAttempt(ctx, attempts, plan)
 		}
+		timer.Stop()
 	}
 }
 
+// sendAttempt sends an attempt unless one in another lane has just been sent to a store
+// that may be down.
+func (s *Store) sendAttempt(ctx context.Context, attempts *attempts, plan *schedule) bool {
+	now := time.Now()
+	if plan.paced(now) {
+		s.mu.Lock()
+		wait := s.pacer.claim(now)
+		s.mu.Unlock()
+		if wait > 0 {
+			plan.postpone(now, wait)
+			return false
+		}
+	}
+	attempts.send(ctx)
+	plan.attemptSent(now)
+	return true
+}
+
+// StoreAnswered is called when another call of this instance to the store has succeeded.
+// Writes that have waited for too long are then attempted again at once.
+func (s *Store) StoreAnswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pacer.storeAnswered()
+	close(s.answered)
+	s.answered = make(chan struct{})
+}
+
+// answeredSignal returns a channel that is closed when the store answers a call.
+func (s *Store) answeredSignal() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answered
+}
+
 // timeout returns how long to wait for a reply before the second attempt at a write.
 func (l *lane) timeout() time.Duration {
 	return min(maxAttemptTimeout, max(minAttemptTimeout, attemptTimeoutFactor*l.latency))
--- a/jobstore/store_test.go
+++ b/jobstore/store_test.go
@@ -133,7 +133,7 @@
 // TestSlowReplyIsNotGivenUp has a store become slow: the first write in that time must
 // take no longer than one reply, although the store is expected to answer earlier.
 func TestSlowReplyIsNotGivenUp(t *testing.T) {
-	for _, latency := range []time.Duration{230 * time.Millisecond, 310 * time.Millisecond, 450 * time.Millisecond} {
+	for _, latency := range []time.Duration{230 * time.Millisecond, 310 * time.Millisecond, 450 * time.Millisecond, 1200 * time.Millisecond, 4 * time.Second} {
 		t.Run(latency.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
