node: do not replace the owner because of an outage for all instances

Cause: the write after an outage of 4.2 s took over 200 ms on a connection from before its end. The owner then asked two instances to end its ownership. The store served them again, so they did. Watches and reads that were sent before the end of the outage waited for their timeouts.

Change: package outage records from the outcomes of calls when the store last served an instance. An owner does not report missing replies within 2 s after an outage, and an instance that had the outage too does not depose the owner in that time. Rejections are still reported.

--- a/election/candidate.go
+++ b/election/candidate.go
@@ -73,6 +73,9 @@
 	// AskOwnershipEnded asks another instance whether it has seen the ownership
 	// with the given epoch end. If it is nil, no instance is asked.
 	AskOwnershipEnded func(ctx context.Context, member lovagestand.Instance, epoch lovagestand.Epoch) (bool, error)
+	// RecentOutage reports whether the store does not serve this instance, or did not until
+	// recently. If it is nil, there was no outage.
+	RecentOutage func() bool
 	// Serve runs the shard for one term. It returns when ctx ends or when it
 	// finds that the term is over. The function confirmed reports whether the
 	// store has confirmed the ownership within ownerTTL.
@@ -126,16 +129,21 @@
 }
 
 // DeposeIfStoreAnswers calls [Candidate.Depose] for an owner whose own writes to the
-// store fail, unless the store does not answer this instance quickly either. It
-// returns once the store has answered or the time for that has passed.
+// store fail, unless the store does not answer this instance quickly either or did not
+// until recently: the writes then fail because of an outage for all instances. It returns
+// once the store has answered or the time for that has passed.
 func (c *Candidate) DeposeIfStoreAnswers(ctx context.Context, epoch lovagestand.Epoch) {
 	ctx, cancel := context.WithTimeout(ctx, quickReplyTimeout)
 	defer cancel()
-	if _, err := c.Keys.Item(ctx, OwnerKey(c.Shard)); err != nil {
+	_, err := c.Keys.Item(ctx, OwnerKey(c.Shard))
+	switch {
+	case err != nil:
 		c.Log.Info().Err(err).Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("owner not deposed: the store does not answer this instance quickly either")
-		return
+	case c.RecentOutage != nil && c.RecentOutage():
+		c.Log.Info().Str("shard", c.Shard).Uint64("epoch", uint64(epoch)).Msg("owner not deposed: the store did not answer this instance until recently either")
+	default:
+		c.Depose(epoch)
 	}
-	c.Depose(epoch)
 }
 
 func (c *Candidate) removeOwner(epoch lovagestand.Epoch) {
--- a/jobstore/store.go
+++ b/jobstore/store.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/outage"
 )
 
 const (
@@ -26,14 +27,6 @@
 	attemptTimeoutFactor = 6
 	// latencyWeight is the weight of the newest reply in the usual latency.
 	latencyWeight = 0.2
-	// failureReportAfter is how long a write may fail before that is reported, and
-	// failureReportInterval is the least time between two reports.
-	failureReportAfter    = 200 * time.Millisecond
-	failureReportInterval = 500 * time.Millisecond
-	// minTermForReport is how long a term must have lasted before missing replies are
-	// reported. If they have ended the term before, the next owner misses them too: the
-	// store loses the replies of all instances.
-	minTermForReport = 10 * time.Second
 )
 
 // SequenceKey returns the key whose revision each write of the first lane requires
@@ -90,6 +83,8 @@
 	// answered is closed and replaced whenever the store answers a call.
 	answered chan struct{}
 	pacer    pacer
+	// outages records the outages of the store as seen by this owner.
+	outages outage.Tracker
 	// lastReport is when onWriteFailure was last called.
 	lastReport time.Time
 }
@@ -129,20 +124,20 @@
 }
 
 // reportFailure calls the write failure handler for a write that has failed since
-// start, unless it is too early for a report. The parameter rejected indicates that the
-// store has rejected the last attempt.
+// start, if that is to be reported now. The parameter rejected indicates that the store
+// has rejected the last attempt.
 func (s *Store) reportFailure(start time.Time, rejected bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !rejected && now.Sub(s.begunAt) < minTermForReport {
-		return
+	failure := writeFailure{
+		failingFor: now.Sub(start), termLasted: now.Sub(s.begunAt), sinceReport: now.Sub(s.lastReport),
+		rejected: rejected, afterOutage: s.outages.EndedRecently(now),
 	}
-	if now.Sub(start) < failureReportAfter || now.Sub(s.lastReport) < failureReportInterval {
-		return
+	if failure.reportable() {
+		s.lastReport = now
+		s.onWriteFailure()
 	}
-	s.lastReport = now
-	s.onWriteFailure()
 }
 
 // Entry is the stored value of a job or of the roster. Writing an empty value removes
@@ -219,6 +214,7 @@
 		}
 		var rejected *lovagestand.RejectedError
 		wasRejected := errors.As(reply.err, &rejected)
+		s.outages.RecordFailure(plan.lastSent)
 		s.reportFailure(plan.begunAt, wasRejected)
 		switch {
 		case wasRejected:
@@ -279,6 +275,7 @@
 func (s *Store) StoreAnswered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.outages.RecordServed(time.Now())
 	s.pacer.storeAnswered()
 	close(s.answered)
 	s.answered = make(chan struct{})
--- a/node/contend.go
+++ b/node/contend.go
@@ -19,6 +19,7 @@
 	if c == nil {
 		c = &election.Candidate{
 			Shard: name, Self: n.self, Keys: n.deps.Keys, Directory: n.directory, Log: n.deps.Log, Serve: n.serveShard,
+			RecentOutage: n.storeCalls.recentOutage,
 			AskOwnershipEnded: func(ctx context.Context, member lovagestand.Instance, epoch lovagestand.Epoch) (bool, error) {
 				reply, err := n.peers.client(member.Address).Over(ctx, &cellpb.OverRequest{Shard: name, Epoch: uint64(epoch)})
 				return reply.GetOver(), err
--- a/node/node.go
+++ b/node/node.go
@@ -52,16 +52,18 @@
 
 // Node is one instance of the scheduler.
 type Node struct {
-	settings  settings.Node
-	deps      Deps
-	self      lovagestand.Instance
-	directory *election.Directory
-	owners    *ownerClients
-	routes    *gateway.Routes
-	gateway   *gateway.Gateway
-	cell      *cellServer
-	peers     *peers
-	servers   []*http.Server
+	settings settings.Node
+	deps     Deps
+	// storeCalls makes the calls of all parts of this instance to the store.
+	storeCalls *storeCalls
+	self       lovagestand.Instance
+	directory  *election.Directory
+	owners     *ownerClients
+	routes     *gateway.Routes
+	gateway    *gateway.Gateway
+	cell       *cellServer
+	peers      *peers
+	servers    []*http.Server
 
 	mu         sync.Mutex
 	candidates map[string]*election.Candidate
@@ -74,8 +76,10 @@
 		ID: s.Instance, Address: net.JoinHostPort(s.Host, strconv.Itoa(s.Ports[0])), Region: s.Region, FailureDomain: s.FailureDomain,
 		Processors: s.Processors,
 	}
+	calls := newStoreCalls(deps.Keys)
+	deps.Keys = calls
 	n := &Node{
-		settings: s, deps: deps, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
+		settings: s, deps: deps, storeCalls: calls, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
 		routes: gateway.NewRoutes(deps.Keys, deps.Log, routesOptions(s)...), peers: newPeers(), candidates: map[string]*election.Candidate{},
 		detectors: map[string]*election.Detector{},
 	}
@@ -118,6 +122,7 @@
 	contendCtx, stopContending := context.WithCancel(runCtx)
 	defer stopContending()
 	var running, owning sync.WaitGroup
+	running.Go(func() { n.storeCalls.run(runCtx) })
 	running.Go(func() { n.directory.Run(runCtx) })
 	running.Go(func() { n.routes.Run(runCtx) })
 	running.Go(func() { n.owners.probe(runCtx) })
--- a/node/serve.go
+++ b/node/serve.go
@@ -44,12 +44,14 @@
 		return
 	}
 	interval := listInterval * time.Duration(min(maxListFactor, l.Shards))
+	store := jobstore.New(n.deps.Keys, term, jobstore.WithWriteFailureHandler(func() { go n.requestDepose(ctx, term) }))
+	defer n.storeCalls.onServed(store.StoreAnswered)()
 	s := shard.New(term, shard.Limits{
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, ListInterval: interval,
 		HeartbeatTimeout: missedHeartbeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
 		StopTimeout: n.settings.StopTimeout, RestoreDelay: n.settings.RestoreDelay, Overlap: election.Overlap, Preemption: n.settings.Preemption,
 	}, shard.Deps{
-		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithWriteFailureHandler(func() { go n.requestDepose(ctx, term) })),
+		Fleet: n.deps.Fleet, Store: store,
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
 		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, DividedCaps: l.Shards > 1, Recorder: n.deps.Recorder,
 	})
