dispatch: allocate and reserve without repeated sorts and garbage

A pass scanned all eligible workers with their costs for each task, built and sorted all slots of each gang, and allocated its slices anew for each step.

The cost of a worker is now computed again only after a start on it; a gang keeps only its soonest slots, in order; slices are used again for each step. TestRecordedDecisions compares decisions on 400 random loads, with and without teams, with those of the former code.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -46,11 +46,13 @@
 // Where the room does not suffice it requests advice on more workers, or reserves
 // workers for a gang. The parameter placed is how many tasks this pass has placed.
 func (p *planner) renewTickets(index int, s *Step, placed int) {
-	rest := *s
-	if !s.Gang {
-		rest.Tasks -= placed
+	rest := s
+	if !s.Gang && placed > 0 {
+		remaining := *s
+		remaining.Tasks -= placed
+		rest = &remaining
 	}
-	wanted := p.allocate(&rest, p.renewable(s))
+	wanted := p.allocate(rest, p.renewable(s))
 	if s.Gang && len(wanted) < s.Tasks || len(wanted) == 0 {
 		p.deallocate(s, wanted)
 		if p.requestMoreAdvice(index, s) {
@@ -84,12 +86,13 @@
 	if len(s.AdvicePending) == 0 {
 		return p.eligible(s, false)
 	}
-	var workers []int
+	workers := p.scratch.eligible[:0]
 	for _, c := range s.Candidates {
 		if (c.HasTicket || s.AdvicePending[c.Worker]) && p.mayStart(s, c.Worker) {
 			workers = append(workers, c.Worker)
 		}
 	}
+	p.scratch.eligible = workers
 	return workers
 }
 
@@ -102,9 +105,17 @@
 	if p.HoldRenewals && s.Gang && !s.Expired && len(wanted) > 0 {
 		limit = len(wanted) + len(wanted)/heldMarginShare + 1
 	}
+	named := p.scratch.workers(len(p.Workers))
+	for _, worker := range wanted {
+		named[worker] = true
+	}
 	add := func(matches func(worker int) bool) {
 		for _, c := range s.Candidates {
-			if len(wanted) < limit && matches(c.Worker) && !slices.Contains(wanted, c.Worker) {
+			if len(wanted) == limit {
+				return
+			}
+			if !named[c.Worker] && matches(c.Worker) {
+				named[c.Worker] = true
 				wanted = append(wanted, c.Worker)
 			}
 		}
@@ -248,9 +259,10 @@
 }
 
 // withoutAdvice returns the workers on which there is no advice yet and that are
-// expected to have room for a task, in no particular order.
+// expected to have room for a task, in no particular order. The result is valid until the
+// next call.
 func (p *planner) withoutAdvice(s *Step) []ranked {
-	ranking := make([]ranked, 0, len(p.Workers))
+	ranking := slices.Grow(p.scratch.ranking[:0], len(p.Workers))
 	for i := range p.Workers {
 		w := &p.Workers[i]
 		if !w.Open || s.AdvicePending[i] || s.AdviceKnown != nil && s.AdviceKnown(i) || !s.matches(w) || !s.Needs.Fits(w.Capacity) {
@@ -263,6 +275,7 @@
 			})
 		}
 	}
+	p.scratch.ranking = ranking
 	return ranking
 }
 
@@ -359,19 +372,30 @@
 // slotTimes returns when a worker is expected to have room for one, two and more
 // tasks of a step, up to limit.
 func (p *planner) slotTimes(s *Step, worker, limit int) []time.Time {
-	w := &p.Workers[worker]
-	free := w.Free
 	var times []time.Time
+	p.eachSlot(s, worker, limit, func(at time.Time) bool {
+		times = append(times, at)
+		return true
+	})
+	return times
+}
+
+// eachSlot calls a function with the times at which a worker is expected to have room for
+// one, two and more tasks of a step, up to limit or until the function returns false.
+func (p *planner) eachSlot(s *Step, worker, limit int, slot func(at time.Time) bool) {
+	free := p.Workers[worker].Free
 	at := p.Now
-	next := 0
-	for len(times) < limit {
-		if s.MaxPerWorker > 0 && s.Placed[worker]+len(times) >= s.MaxPerWorker {
-			return times
+	var releases []Release
+	for n, next := 0, 0; n < limit; n++ {
+		if s.MaxPerWorker > 0 && s.Placed[worker]+n >= s.MaxPerWorker {
+			return
 		}
 		for !s.Needs.Fits(free) {
-			releases := p.releasesOf(worker)
+			if next == 0 {
+				releases = p.releasesOf(worker)
+			}
 			if next == len(releases) {
-				return times
+				return
 			}
 			free = free.Add(releases[next].Frees)
 			if releases[next].At.After(at) {
@@ -380,7 +404,8 @@
 			next++
 		}
 		free = free.Sub(s.Needs)
-		times = append(times, at)
+		if !slot(at) {
+			return
+		}
 	}
-	return times
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -26,9 +26,10 @@
 
 // eligible returns the workers on which a task of the step may start now, whether
 // or not they have room for it. If the step needs tickets and ticketed is set, only
-// workers with a valid ticket are eligible.
+// workers with a valid ticket are eligible. The result is valid until the next call.
 func (p *planner) eligible(s *Step, ticketed bool) []int {
-	var eligible []int
+	eligible := p.scratch.eligible[:0]
+	defer func() { p.scratch.eligible = eligible }()
 	if s.NeedsTickets {
 		for _, c := range s.Candidates {
 			if (c.HasTicket || !ticketed) && p.mayStart(s, c.Worker) {
@@ -87,14 +88,8 @@
 func (p *planner) allocateOn(s *Step, eligible []int) []int {
 	var chosen []int
 	count := map[int]int{}
-	for len(chosen) < s.Tasks && p.fitsQuota(s) {
-		var worker int
-		var ok bool
-		if len(chosen) < s.Suspects {
-			worker, ok = p.trialWorker(s, eligible, count)
-		} else {
-			worker, ok = p.cheapest(s, eligible, count, func(i int) (float64, bool) { return p.cost(s, i), true })
-		}
+	for len(chosen) < min(s.Suspects, s.Tasks) && p.fitsQuota(s) {
+		worker, ok := p.trialWorker(s, eligible, count)
 		if !ok {
 			return chosen
 		}
@@ -102,9 +97,53 @@
 		chosen = append(chosen, worker)
 		count[worker]++
 	}
+	if len(chosen) == s.Tasks || !p.fitsQuota(s) {
+		return chosen
+	}
+	options := p.scratch.options[:0]
+	for _, i := range eligible {
+		if cost, ok := p.costWithRoom(s, i, count[i]); ok {
+			options = append(options, option{worker: i, placed: count[i], cost: cost})
+		}
+	}
+	p.scratch.options = options
+	for len(chosen) < s.Tasks && len(options) > 0 && p.fitsQuota(s) {
+		best := 0
+		for n := range options {
+			if options[n].cost < options[best].cost {
+				best = n
+			}
+		}
+		o := &options[best]
+		p.take(s, o.worker)
+		chosen = append(chosen, o.worker)
+		// A start changes the cost of no other worker.
+		var ok bool
+		o.placed++
+		if o.cost, ok = p.costWithRoom(s, o.worker, o.placed); !ok {
+			options = slices.Delete(options, best, best+1)
+		}
+	}
 	return chosen
 }
 
+// option is a worker with room for a further task of the step that is being allocated.
+type option struct {
+	worker int
+	// placed is the number of tasks of the step that the pass has allocated there.
+	placed int
+	cost   float64
+}
+
+// costWithRoom returns the cost of a worker for a further task of a step, of which the pass
+// has allocated some there. It returns false if the worker has no room or may be given none.
+func (p *planner) costWithRoom(s *Step, worker, allocated int) (float64, bool) {
+	if !p.hasRoom(s, &p.Workers[worker]) || s.MaxPerWorker > 0 && s.Placed[worker]+allocated >= s.MaxPerWorker {
+		return 0, false
+	}
+	return p.cost(s, worker), true
+}
+
 // cheapest returns the eligible worker of the lowest cost that has room for a task of the
 // step and may be given one more. The function cost returns false for a worker that is out
 // of the question. The parameter count is how many tasks of the step the pass has allocated
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -230,6 +230,24 @@
 	loaded     map[string]bool
 	// waitDecisions is how many steps the pass has considered for a wait near their data.
 	waitDecisions int
+	scratch       scratch
+}
+
+// scratch holds slices that are used again for each step, because the garbage of a pass with
+// hundreds of waiting steps took as long as its decisions.
+type scratch struct {
+	eligible []int
+	options  []option
+	slots    []slot
+	ranking  []ranked
+	marks    []bool
+}
+
+// workers returns a false for each of a number of workers. It is valid until the next call.
+func (s *scratch) workers(count int) []bool {
+	s.marks = slices.Grow(s.marks[:0], count)[:count]
+	clear(s.marks)
+	return s.marks
 }
 
 // Plan decides which tasks start now and which advice to request, highest score
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -41,19 +41,32 @@
 // earliestStart returns the workers among those eligible on which all tasks of a step will
 // fit soonest, one for each task, and the expected start. It returns none if they never do.
 func (p *planner) earliestStart(s *Step, eligible []int) ([]int, time.Time) {
-	var slots []slot
+	// The soonest slots so far are kept in order, those found first before others of the
+	// same time.
+	slots := p.scratch.slots[:0]
 	for _, i := range eligible {
-		for _, at := range p.slotTimes(s, i, s.Tasks) {
-			slots = append(slots, slot{worker: i, at: at})
-		}
+		p.eachSlot(s, i, s.Tasks, func(at time.Time) bool {
+			if len(slots) == s.Tasks {
+				if !at.Before(slots[len(slots)-1].at) {
+					return false
+				}
+				slots = slots[:len(slots)-1]
+			}
+			n := len(slots)
+			for n > 0 && at.Before(slots[n-1].at) {
+				n--
+			}
+			slots = slices.Insert(slots, n, slot{worker: i, at: at})
+			return true
+		})
 	}
+	p.scratch.slots = slots
 	if len(slots) < s.Tasks {
 		return nil, time.Time{}
 	}
-	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
-	var workers []int
-	for _, slot := range slots[:s.Tasks] {
-		workers = append(workers, slot.worker)
+	workers := make([]int, s.Tasks)
+	for n, slot := range slots {
+		workers[n] = slot.worker
 	}
 	return workers, slots[s.Tasks-1].at
 }
