shard: reuse the slices of passes, and keep workers and tickets in order

Each pass sorted all workers by name, looked up and sorted the tickets of each considered step, moved the waiting steps while sorting them, and allocated all its slices anew.

Workers by name are kept until one is added or removed, the workers with tickets of a step until another one gets a ticket. Waiting steps are sorted by keys and divided by tier. The slices of a pass are used again by the next one.

--- a/job/progress.go
+++ b/job/progress.go
@@ -122,10 +122,14 @@
 // Startable returns the steps with tasks that may start now, and when the next
 // occurrence is due, which is the zero time if there is none.
 func (p *Progress) Startable(now time.Time) ([]StepRef, time.Time) {
+	return p.AppendStartable(nil, now)
+}
+
+// AppendStartable appends the steps of [Progress.Startable] to a slice.
+func (p *Progress) AppendStartable(refs []StepRef, now time.Time) ([]StepRef, time.Time) {
 	if p.Final() {
-		return nil, time.Time{}
+		return refs, time.Time{}
 	}
-	var refs []StepRef
 	for k := range p.occurrences {
 		if p.occurrences[k].unfinished == 0 {
 			continue
@@ -133,8 +137,9 @@
 		if due := p.job.Schedule.Due(k); due.After(now) {
 			return refs, due
 		}
-		for i, s := range p.stepsOf(k) {
-			if s.blockers == 0 && s.waiting > 0 {
+		steps := p.stepsOf(k)
+		for i := range steps {
+			if steps[i].blockers == 0 && steps[i].waiting > 0 {
 				refs = append(refs, StepRef{Occurrence: k, Step: i})
 			}
 		}
@@ -144,8 +149,13 @@
 
 // Waiting returns the indexes of the tasks of a step that wait to start.
 func (p *Progress) Waiting(ref StepRef) []int {
+	return p.AppendWaiting(nil, ref)
+}
+
+// AppendWaiting appends the indexes of [Progress.Waiting] to a slice.
+func (p *Progress) AppendWaiting(indexes []int, ref StepRef) []int {
 	s := &p.stepsOf(ref.Occurrence)[ref.Step]
-	indexes := make([]int, 0, s.waiting)
+	indexes = slices.Grow(indexes, s.waiting)
 	for i := range s.tasks {
 		if s.tasks[i].phase == taskWaiting {
 			indexes = append(indexes, i)
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -77,7 +77,7 @@
 	step := waiting.entry.progress.Job().StepName(waiting.ref.Occurrence, waiting.ref.Step)
 	timeout := begin.Sub(p.now) + cost + adviceTimeout
 	s.log.Debug().Str("step", step).Str("by", string(chosen.Instance)).Int("workers", len(names)).Msg("advice requested")
-	go s.fetchAdvice(chosen, slot, waiting, step, names, requested, timeout)
+	go s.fetchAdvice(chosen, slot, waitingStep{entry: waiting.entry, ref: waiting.ref}, step, names, requested, timeout)
 }
 
 // adviceBacklog returns how far ahead the pass may schedule calls on a client.
@@ -208,7 +208,7 @@
 	}
 	for _, t := range advice.Tickets {
 		if w := s.workers[t.Worker]; w != nil {
-			st.tickets[w] = ticket{value: t.Value, until: now.Add(validity)}
+			st.setTicket(w, ticket{value: t.Value, until: now.Add(validity)})
 		}
 	}
 	s.log.Info().Str("step", step).Str("by", string(client.Instance)).Int("asked", len(names)).Int("allowed", len(advice.Tickets)).Msg("advice received")
--- a/shard/fair.go
+++ b/shard/fair.go
@@ -1,9 +1,6 @@
 package shard
 
 import (
-	"cmp"
-	"slices"
-
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/admission"
 	"lovagestand.example/lovagestand/fairshare"
@@ -70,7 +67,7 @@
 	p.divisions = divisions
 	s.recordBacklogs(p, divisions)
 	s.recordBeyond(p)
-	slices.SortStableFunc(p.waiting, func(a, b waitingStep) int { return cmp.Compare(a.tier, b.tier) })
+	p.sortByTier()
 }
 
 // newDivision returns the capacity of the open workers of a service and what each team
--- a/shard/order.go
+++ b/shard/order.go
@@ -145,7 +145,7 @@
 	case lovagestand.RefusalTicket:
 		if p.entry.steps != nil {
 			st := p.entry.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step})
-			st.tickets[p.worker] = ticket{}
+			st.setTicket(p.worker, ticket{})
 		}
 	default:
 		p.worker.quarantinedUntil = later(p.worker.quarantinedUntil, now.Add(refusalPause))
--- a/shard/overload_bench_test.go
+++ b/shard/overload_bench_test.go
@@ -112,7 +112,7 @@
 					if random.IntN(16) == 0 {
 						until = now.Add(time.Hour)
 					}
-					st.tickets[workers[i]] = ticket{value: "t", until: until}
+					st.setTicket(workers[i], ticket{value: "t", until: until})
 				}
 			}
 		}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -91,6 +92,28 @@
 	// holds the gangs among them.
 	runs  []*placement
 	gangs map[gangKey]*dispatch.GangRun
+	// refs, indexes and candidates hold the slices of all steps, one after the other, and
+	// ordered is where the waiting steps are put in order. They are used again in each pass.
+	refs       []job.StepRef
+	indexes    []int
+	candidates []dispatch.Candidate
+	ordered    []waitingStep
+	keys       []sortKey
+}
+
+// newPass returns a pass that uses the slices of the former one again.
+func (s *Shard) newPass() *pass {
+	p := &s.reused
+	clear(p.waiting[:cap(p.waiting)])
+	clear(p.ordered[:cap(p.ordered)])
+	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
+	clear(p.runs[:cap(p.runs)])
+	*p = pass{
+		now: time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
+		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], candidates: p.candidates[:0], keys: p.keys[:0],
+	}
+	p.policies, p.configured = s.teams()
+	return p
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -113,8 +136,7 @@
 func (s *Shard) plan() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &pass{now: time.Now(), waitsForLocality: s.waitsForLocality()}
-	p.policies, p.configured = s.teams()
+	p := s.newPass()
 	defer s.recordTeams(p)
 	for _, e := range s.live {
 		// Tasks of a recovered job may still be running on workers, so none is placed
@@ -132,9 +154,7 @@
 	if len(p.waiting) == 0 || !s.deps.Assured() {
 		return idleInterval
 	}
-	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
-	})
+	p.sortByScore()
 	s.assignTiers(p)
 	s.selectWithinQuotas(p)
 	// Only some workers are on trial at a time; further suspects would keep other steps
@@ -173,6 +193,48 @@
 	return max(planInterval, next.Sub(p.now))
 }
 
+// sortByScore sorts the waiting steps by score, highest first, and then by job.
+func (p *pass) sortByScore() {
+	p.keys = p.keys[:0]
+	for i := range p.waiting {
+		p.keys = append(p.keys, sortKey{score: p.waiting[i].score, id: p.waiting[i].entry.id, index: i})
+	}
+	slices.SortFunc(p.keys, func(a, b sortKey) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.index, b.index))
+	})
+	p.ordered = p.ordered[:0]
+	for _, k := range p.keys {
+		p.ordered = append(p.ordered, p.waiting[k.index])
+	}
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
+// sortByTier sorts the waiting steps by tier. Steps of one tier keep their order.
+func (p *pass) sortByTier() {
+	p.ordered = p.ordered[:0]
+	for tier := fairshare.Guaranteed; tier <= fairshare.Beyond; tier++ {
+		for i := range p.waiting {
+			if p.waiting[i].tier == tier {
+				p.ordered = append(p.ordered, p.waiting[i])
+			}
+		}
+	}
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
+// sortKey is what a waiting step is sorted by. Sorting keys is cheaper than to move steps.
+type sortKey struct {
+	score float64
+	id    job.ID
+	index int
+}
+
 // load returns the load of the pass for the dispatcher.
 func (s *Shard) load(p *pass) dispatch.Load {
 	return dispatch.Load{
@@ -194,17 +256,16 @@
 
 // collectWorkers adds the workers to the pass, ordered by name.
 func (s *Shard) collectWorkers(p *pass) {
-	for _, w := range s.workers {
-		p.workers = append(p.workers, w)
+	if s.workersByName == nil {
+		s.workersByName = slices.SortedFunc(maps.Values(s.workers), compareWorkers)
 	}
-	slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.info.Name, b.info.Name) })
-	p.dispatchWorkers = make([]dispatch.Worker, len(p.workers))
+	p.workers = s.workersByName
 	for i, w := range p.workers {
 		w.passIndex = i
-		p.dispatchWorkers[i] = dispatch.Worker{
+		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
 			Open: w.open(p.now), Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
-		}
+		})
 	}
 }
 
@@ -235,11 +296,16 @@
 // collectWaitingSteps adds the steps of a job that have tasks to start to the pass. A
 // gang is added only if all of its tasks can start.
 func (s *Shard) collectWaitingSteps(p *pass, e *jobEntry) {
-	refs, _ := e.progress.Startable(p.now)
+	p.refs, _ = e.progress.AppendStartable(p.refs[:0], p.now)
+	if len(p.refs) == 0 {
+		return
+	}
 	j := e.progress.Job()
-	for _, ref := range refs {
-		step := j.Steps[ref.Step]
-		indexes := e.startable(ref)
+	for _, ref := range p.refs {
+		step := &j.Steps[ref.Step]
+		first := len(p.indexes)
+		p.indexes = e.startable(p.indexes, ref)
+		indexes := p.indexes[first:len(p.indexes):len(p.indexes)]
 		if len(indexes) == 0 || step.Gang && len(indexes) < step.Count {
 			continue
 		}
@@ -337,17 +403,19 @@
 	return out
 }
 
-// candidates returns the workers that the policy allows for a step, and whether a
-// usable ticket is available for each.
+// candidates returns the workers that the policy allows for a step, by name, and whether a
+// usable ticket is available for each. The result is not nil.
 func (s *Shard) candidates(p *pass, st *stepState) []dispatch.Candidate {
-	candidates := make([]dispatch.Candidate, 0, len(st.tickets))
-	for w, t := range st.tickets {
-		if s.workers[w.info.Name] == w {
-			candidates = append(candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: t.until.After(p.now.Add(ticketMargin)), TicketUntil: t.until.Add(-ticketMargin)})
+	first := len(p.candidates)
+	p.candidates = slices.Grow(p.candidates, max(1, len(st.tickets)))
+	usable := p.now.Add(ticketMargin)
+	for _, w := range st.ticketWorkers() {
+		if !w.removed {
+			until := st.tickets[w].until
+			p.candidates = append(p.candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: until.After(usable), TicketUntil: until.Add(-ticketMargin)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
-	return candidates
+	return p.candidates[first:len(p.candidates):len(p.candidates)]
 }
 
 // score returns the score by which a step is ordered among the waiting steps.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -1,8 +1,11 @@
 package shard
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,6 +90,8 @@
 	// unreadable holds the stored jobs that this version cannot decode.
 	unreadable map[job.ID]bool
 	workers    map[lovagestand.WorkerName]*worker
+	// workersByName holds the workers by name; nil after one was added or removed.
+	workersByName []*worker
 	// workersListed reports whether the list of workers has been received.
 	workersListed bool
 	// listReadAt is when the list was last received, listReadSince the begin of the time
@@ -162,6 +167,8 @@
 	// passes and slowestPass describe the planning passes since then.
 	passes      int
 	slowestPass time.Duration
+	// reused is the state of the last pass, whose slices the next one uses again.
+	reused pass
 
 	// wakeup starts a planning pass.
 	wakeup       chan struct{}
@@ -268,14 +275,15 @@
 
 // startable returns the indexes of the waiting tasks of a step of which no worker
 // may hold a run.
-func (e *jobEntry) startable(ref job.StepRef) []int {
-	waiting := e.progress.Waiting(ref)
+// It appends them to a slice.
+func (e *jobEntry) startable(to []int, ref job.StepRef) []int {
+	waiting := e.progress.AppendWaiting(to, ref)
 	if len(e.heldRuns) == len(e.active) {
 		return waiting
 	}
 	j := e.progress.Job()
-	free := waiting[:0]
-	for _, i := range waiting {
+	free := waiting[:len(to)]
+	for _, i := range waiting[len(to):] {
 		if e.heldRuns[j.TaskName(job.Task{Occurrence: ref.Occurrence, Step: ref.Step, Index: i})] == 0 {
 			free = append(free, i)
 		}
@@ -293,6 +301,8 @@
 	// does not change during a step.
 	decided map[*worker]bool
 	tickets map[*worker]ticket
+	// byName holds the workers in tickets by name; nil when it must be built again.
+	byName []*worker
 	// held holds a worker for each task of a gang, where room is held until heldUntil
 	// while the gang's tickets are being renewed.
 	held      []*worker
@@ -309,6 +319,24 @@
 	preemptions int
 }
 
+// setTicket sets the ticket of a step for a worker.
+func (st *stepState) setTicket(w *worker, t ticket) {
+	if _, known := st.tickets[w]; !known {
+		st.byName = nil
+	}
+	st.tickets[w] = t
+}
+
+// ticketWorkers returns the workers that have, or had, a ticket of the step by name.
+func (st *stepState) ticketWorkers() []*worker {
+	if st.byName == nil {
+		st.byName = slices.SortedFunc(maps.Keys(st.tickets), compareWorkers)
+	}
+	return st.byName
+}
+
+func compareWorkers(a, b *worker) int { return cmp.Compare(a.info.Name, b.info.Name) }
+
 // ticket is the policy's permission to run tasks of a step on a worker until a time.
 type ticket struct {
 	value string
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -94,8 +94,10 @@
 	// lastPlacedAt is when a run was last placed here. trialUntil is the end of a trial
 	// that goes on here, see [placement.trialUntil]; zero if there is none.
 	lastPlacedAt, trialUntil time.Time
-	// passIndex is the index of the worker in the current planning pass.
+	// passIndex is the index of the worker in the current planning pass. It is not valid if
+	// the worker was removed.
 	passIndex int
+	removed   bool
 	// strays holds the run numbers of runs that belong to no job known in this term.
 	// Their needs are unknown, so no new task is placed beside them.
 	strays map[string]int64
@@ -239,6 +241,7 @@
 			s.log.Info().Str("worker", string(name)).Msg("worker removed")
 			w.cancel()
 			delete(s.workers, name)
+			w.removed, s.workersByName = true, nil
 			s.requestRosterWrite()
 		}
 	}
@@ -362,6 +365,7 @@
 		placements: map[string]*placement{}, strays: map[string]int64{}, replacedIncarnations: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
+	s.workersByName = nil
 	s.log.Info().Str("worker", string(info.Name)).Str("address", info.Address).Str("rack", string(info.Rack)).Msg("worker added")
 	s.requestRosterWrite()
 	go s.holdLoop(ctx, w)
