shard, dispatch: keep candidates between passes, and look at runs without copies

The candidates of a step were built again in each pass, runs were copied for each search for room, and the averages of a route were looked up by name for each run. Workers without advice were ranked before it was known whether advice on them is of use.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -134,8 +134,11 @@
 	if len(s.AdvicePending) > 0 || !p.mayRequestAdvice(s) {
 		return false
 	}
+	if !p.infeasible(s) && !p.likelyFits(s) {
+		return false
+	}
 	more := p.withoutAdvice(s)
-	if len(more) == 0 || !p.infeasible(s) && !p.likelyFits(s, more) {
+	if len(more) == 0 {
 		return false
 	}
 	p.requestAdvice(index, firstWorkers(more, s.callSize()))
@@ -190,25 +193,39 @@
 }
 
 // likelyFits reports whether a gang is likely to fit now on the workers known to be
-// allowed together with the share of others that policy usually allows. For a step
-// that is not a gang it reports whether the others have room for one task.
-func (p *planner) likelyFits(s *Step, others []ranked) bool {
+// allowed together with the share of those without advice that policy usually allows. For
+// a step that is not a gang it reports whether the latter have room for one task.
+func (p *planner) likelyFits(s *Step) bool {
+	otherSlots := 0
+	for i := range p.Workers {
+		slots := slotsIn(p.Workers[i].Free, s)
+		if slots == 0 || !p.mayStart(s, i) || !p.mayBeNamed(s, i) {
+			continue
+		}
+		if _, ok := p.firstSlot(s, i); !ok {
+			continue
+		}
+		otherSlots += slots
+		if !s.Gang {
+			return true
+		}
+	}
+	if !s.Gang {
+		return false
+	}
 	allowedSlots := 0
 	for _, c := range s.Candidates {
 		if p.mayStart(s, c.Worker) {
 			allowedSlots += slotsIn(p.Workers[c.Worker].Free, s)
 		}
 	}
-	otherSlots := 0
-	for _, o := range others {
-		if p.mayStart(s, o.worker) {
-			otherSlots += slotsIn(p.Workers[o.worker].Free, s)
-		}
-	}
-	if s.Gang {
-		return float64(allowedSlots)+s.AllowedShare*float64(otherSlots) >= float64(s.Tasks)
-	}
-	return otherSlots > 0
+	return float64(allowedSlots)+s.AllowedShare*float64(otherSlots) >= float64(s.Tasks)
+}
+
+// mayBeNamed reports whether an advice call of a step may name a worker.
+func (p *planner) mayBeNamed(s *Step, worker int) bool {
+	w := &p.Workers[worker]
+	return w.Open && !s.AdvicePending[worker] && (s.AdviceKnown == nil || !s.AdviceKnown(worker)) && s.matches(w) && s.Needs.Fits(w.Capacity)
 }
 
 // slotsIn returns how many tasks of a step fit into an amount of resources.
@@ -224,11 +241,15 @@
 // resources.
 func tasksIn(r, needs lovagestand.Resources, tasks int) int {
 	n := tasks
-	for _, amount := range [][2]int64{
+	for _, amount := range [...][2]int64{
 		{r.MilliCPU, needs.MilliCPU}, {r.MemoryMiB, needs.MemoryMiB}, {r.Accelerators, needs.Accelerators},
 	} {
-		if amount[1] > 0 {
-			n = min(n, int(min(max(0, amount[0])/amount[1], int64(n))))
+		switch {
+		case amount[1] <= 0:
+		case amount[0] < amount[1]:
+			return min(n, 0)
+		default:
+			n = min(n, int(min(amount[0]/amount[1], int64(n))))
 		}
 	}
 	return n
@@ -264,13 +285,12 @@
 func (p *planner) withoutAdvice(s *Step) []ranked {
 	ranking := slices.Grow(p.scratch.ranking[:0], len(p.Workers))
 	for i := range p.Workers {
-		w := &p.Workers[i]
-		if !w.Open || s.AdvicePending[i] || s.AdviceKnown != nil && s.AdviceKnown(i) || !s.matches(w) || !s.Needs.Fits(w.Capacity) {
+		if !p.mayBeNamed(s, i) {
 			continue
 		}
 		if at, ok := p.firstSlot(s, i); ok {
 			ranking = append(ranking, ranked{
-				worker: i, far: s.Locality != nil && s.Affinity != "" && !s.near(w),
+				worker: i, far: s.Locality != nil && s.Affinity != "" && !s.near(&p.Workers[i]),
 				wait: at.Sub(p.Now), spread: (s.Seed + uint64(i)) * hashMultiplier,
 			})
 		}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -110,6 +110,9 @@
 	// adviceCalls is how many advice calls the pass may still make.
 	adviceCalls int
 	result      []Preemption
+	// times and later are used again by each search.
+	times []time.Time
+	later []*Run
 }
 
 // Preempt decides for which steps that found no room runs of less urgent jobs are
@@ -308,8 +311,9 @@
 // anyLessUrgent reports whether a run of a less urgent job is on one of the workers.
 func (p *preemptor) anyLessUrgent(s *Step, workers []int) bool {
 	for _, worker := range workers {
-		for _, r := range p.runsOn(worker) {
-			if r.Work.Priority > s.Work.Priority && r.Tier >= s.Tier {
+		runs := p.runsOn(worker)
+		for i := range runs {
+			if runs[i].Work.Priority > s.Work.Priority && runs[i].Tier >= s.Tier {
 				return true
 			}
 		}
@@ -328,7 +332,7 @@
 }
 
 // endsInTime reports whether a run frees its resources as soon as a stop would.
-func (p *preemptor) endsInTime(r Run) bool {
+func (p *preemptor) endsInTime(r *Run) bool {
 	return r.Stopping || !r.LongRunning && !r.End.After(p.readyAt)
 }
 
@@ -339,9 +343,10 @@
 		return expected
 	}
 	expected = p.Workers[worker].Free
-	for _, r := range p.runsOn(worker) {
-		if p.endsInTime(r) {
-			expected = expected.Add(r.Needs)
+	runs := p.runsOn(worker)
+	for i := range runs {
+		if p.endsInTime(&runs[i]) {
+			expected = expected.Add(runs[i].Needs)
 		}
 	}
 	p.expected[worker] = expected
@@ -351,17 +356,19 @@
 // naturalStart returns when the workers are expected to have room for a number of tasks
 // if nothing is stopped, and false if they will not.
 func (p *preemptor) naturalStart(s *Step, workers []int, tasks int) time.Time {
-	var times []time.Time
+	times := p.times[:0]
 	for _, worker := range workers {
 		free := p.expectedOn(worker)
 		at := p.readyAt
-		var later []Run
-		for _, r := range p.runsOn(worker) {
-			if !p.endsInTime(r) && !r.LongRunning && !p.stopped[r.ID] {
+		later := p.later[:0]
+		runs := p.runsOn(worker)
+		for i := range runs {
+			if r := &runs[i]; !p.endsInTime(r) && !r.LongRunning && !p.stopped[r.ID] {
 				later = append(later, r)
 			}
 		}
-		slices.SortFunc(later, func(a, b Run) int { return a.End.Compare(b.End) })
+		p.later = later
+		slices.SortFunc(later, func(a, b *Run) int { return a.End.Compare(b.End) })
 		for n := range tasks {
 			if s.MaxPerWorker > 0 && s.Placed[worker]+s.Kept[worker]+n >= s.MaxPerWorker {
 				break
@@ -377,6 +384,7 @@
 			times = append(times, at)
 		}
 	}
+	p.times = times
 	if len(times) < tasks {
 		return time.Time{}
 	}
@@ -396,7 +404,7 @@
 }
 
 // mayStop reports whether a run may be stopped for the step, apart from its gang.
-func (t *search) mayStop(r Run) bool {
+func (t *search) mayStop(r *Run) bool {
 	if r.Work.Priority <= t.step.Work.Priority || r.Tier < t.step.Tier || !r.Checkpoints || r.LongRunning {
 		return false
 	}
@@ -407,13 +415,13 @@
 }
 
 // ownLoss returns what stopping a run loses: the work of the stop and the restoration.
-func (t *search) ownLoss(r Run) float64 {
+func (t *search) ownLoss(r *Run) float64 {
 	lost := t.StopTime + t.RestoreDelay + time.Duration(checkpointRisk*float64(r.SinceCheckpoint))
 	return lost.Seconds() * float64(r.Needs.MilliCPU) / 1000 * r.Work.weight()
 }
 
 // lateLoss returns the value that the job of a run loses by waiting while the step runs.
-func (t *search) lateLoss(r Run) float64 {
+func (t *search) lateLoss(r *Run) float64 {
 	delay := t.StopTime + t.step.RunTime + t.RestoreDelay
 	return r.Work.value() * (timeliness(r.Work) - timeliness(r.Work.delayedBy(delay)))
 }
@@ -489,11 +497,13 @@
 		return room{worker: worker}, true
 	}
 	type victim struct {
-		Run
+		*Run
 		loss float64
 	}
 	var beyond, within []victim
-	for _, r := range t.runsOn(worker) {
+	runs := t.runsOn(worker)
+	for i := range runs {
+		r := &runs[i]
 		if r.Gang != nil || !t.mayStop(r) {
 			continue
 		}
@@ -543,7 +553,9 @@
 	bestLoss, bestSlots := 0.0, 0
 	seen := map[*GangRun]bool{}
 	for _, worker := range t.workers {
-		for _, r := range t.runsOn(worker) {
+		runs := t.runsOn(worker)
+		for i := range runs {
+			r := &runs[i]
 			if r.Gang == nil || seen[r.Gang] {
 				continue
 			}
@@ -581,11 +593,12 @@
 		return 0, 0, false
 	}
 	freed := map[int]lovagestand.Resources{}
-	for _, m := range g.Members {
-		if !t.mayStop(m.Run) {
+	for i := range g.Members {
+		m := &g.Members[i]
+		if !t.mayStop(&m.Run) {
 			return 0, 0, false
 		}
-		loss += t.ownLoss(m.Run)
+		loss += t.ownLoss(&m.Run)
 		freed[m.Worker] = freed[m.Worker].Add(m.Run.Needs)
 	}
 	limited := *t.step
@@ -595,7 +608,7 @@
 			slots += slotsIn(t.freeOn(worker).Add(amount), &limited)
 		}
 	}
-	return loss + t.lateLoss(g.Members[0].Run), min(slots, limit), true
+	return loss + t.lateLoss(&g.Members[0].Run), min(slots, limit), true
 }
 
 // commit makes the result of the search part of the pass.
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -31,6 +31,7 @@
 
 // routeStats are averages over the jobs of a route.
 type routeStats struct {
+	route lovagestand.RouteName
 	// estimateRatio is the ratio of the run times of tasks to the callers' estimates.
 	estimateRatio float64
 	// jobCoreTime is the average core time of a job that ends by itself.
@@ -73,12 +74,20 @@
 func (s *Shard) stats(route lovagestand.RouteName) *routeStats {
 	r := s.statsByRoute[route]
 	if r == nil {
-		r = &routeStats{estimateRatio: 1}
+		r = &routeStats{route: route, estimateRatio: 1}
 		s.statsByRoute[route] = r
 	}
 	return r
 }
 
+// statsOf returns the averages of the route of a job, which the job keeps.
+func (s *Shard) statsOf(e *jobEntry) *routeStats {
+	if e.stats == nil || e.stats.route != e.route {
+		e.stats = s.stats(e.route)
+	}
+	return e.stats
+}
+
 // runTime returns how long a task of a step is expected to run.
 func (s *Shard) runTime(e *jobEntry, step job.Step) time.Duration {
 	if step.LongRunning {
@@ -88,7 +97,7 @@
 	if estimate <= 0 {
 		estimate = defaultRunTime
 	}
-	r := s.stats(e.route)
+	r := s.statsOf(e)
 	expected := float64(estimate) * r.estimateRatio
 	if r.taskRunTime > 0 {
 		// Estimates are far off in both directions, so the average of the route gets
@@ -119,7 +128,7 @@
 // by runTimeErrors times the average error of its route.
 func (s *Shard) latestObjective(e *jobEntry) time.Duration {
 	target := e.progress.Job().Policy.Target
-	return target + time.Duration(float64(e.objective-target)*(1+runTimeErrors*s.stats(e.route).runTimeError))
+	return target + time.Duration(float64(e.objective-target)*(1+runTimeErrors*s.statsOf(e).runTimeError))
 }
 
 // meanCoreTime returns the average core time of the jobs on the route of a job. The
@@ -128,7 +137,7 @@
 	if e.progress.Job().LongRunning() {
 		return e.totalCoreTime
 	}
-	return s.stats(e.route).jobCoreTime
+	return s.statsOf(e).jobCoreTime
 }
 
 // recordRunTime adds the run time of a completed task to the averages of its route and
--- a/shard/locality.go
+++ b/shard/locality.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
 )
@@ -219,17 +218,14 @@
 }
 
 // endSpread returns the standard deviation of the expected end of a run. That of an overdue
-// run is twice its expected remainder, since nothing but its age is known of it.
-func (p *placement) endSpread(now time.Time, stats map[lovagestand.RouteName]*routeStats) time.Duration {
+// run is twice its expected remainder, since nothing but its age is known of it. The
+// parameter stats holds the averages of its route.
+func (p *placement) endSpread(now time.Time, stats *routeStats) time.Duration {
 	if p.stopRequested {
 		return 0
 	}
 	if !p.placedAt.Add(p.expectedRunTime).After(now) {
 		return now.Sub(p.placedAt) / 2
 	}
-	spread := defaultRunSpread
-	if r := stats[p.entry.route]; r != nil {
-		spread = r.runSpread()
-	}
-	return time.Duration(spread * float64(p.expectedRunTime))
+	return time.Duration(stats.runSpread() * float64(p.expectedRunTime))
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -94,11 +94,11 @@
 	gangs map[gangKey]*dispatch.GangRun
 	// refs, indexes and candidates hold the slices of all steps, one after the other, and
 	// ordered is where the waiting steps are put in order. They are used again in each pass.
-	refs       []job.StepRef
-	indexes    []int
-	candidates []dispatch.Candidate
-	ordered    []waitingStep
-	keys       []sortKey
+	refs     []job.StepRef
+	indexes  []int
+	releases []dispatch.Release
+	ordered  []waitingStep
+	keys     []sortKey
 }
 
 // newPass returns a pass that uses the slices of the former one again.
@@ -110,7 +110,7 @@
 	clear(p.runs[:cap(p.runs)])
 	*p = pass{
 		now: time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
-		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], candidates: p.candidates[:0], keys: p.keys[:0],
+		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0],
 	}
 	p.policies, p.configured = s.teams()
 	return p
@@ -239,7 +239,7 @@
 func (s *Shard) load(p *pass) dispatch.Load {
 	return dispatch.Load{
 		Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps,
-		Releases:        func(i int) []dispatch.Release { return p.workers[i].releases(p.now, s.statsByRoute) },
+		Releases:        func(i int) []dispatch.Release { return s.releases(p, p.workers[i]) },
 		AdviceCalls:     s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()),
 		LongAdviceCalls: s.freeLongAdviceCalls(p), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now),
 		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(),
@@ -258,6 +258,7 @@
 func (s *Shard) collectWorkers(p *pass) {
 	if s.workersByName == nil {
 		s.workersByName = slices.SortedFunc(maps.Values(s.workers), compareWorkers)
+		s.fleetVersion++
 	}
 	p.workers = s.workersByName
 	for i, w := range p.workers {
@@ -270,12 +271,14 @@
 }
 
 // releases returns when the runs on the worker are expected to end and what each
-// frees, soonest first.
-func (w *worker) releases(now time.Time, stats map[lovagestand.RouteName]*routeStats) []dispatch.Release {
-	releases := make([]dispatch.Release, 0, len(w.placements))
-	for _, p := range w.placements {
-		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Spread: p.endSpread(now, stats), Frees: p.needs})
+// frees, soonest first. The result is not nil.
+func (s *Shard) releases(p *pass, w *worker) []dispatch.Release {
+	first := len(p.releases)
+	p.releases = slices.Grow(p.releases, max(1, len(w.placements)))
+	for _, r := range w.placements {
+		p.releases = append(p.releases, dispatch.Release{At: r.expectedEnd(p.now), Spread: r.endSpread(p.now, s.statsOf(r.entry)), Frees: r.needs})
 	}
+	releases := p.releases[first:len(p.releases):len(p.releases)]
 	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
 	return releases
 }
@@ -353,7 +356,7 @@
 	step := j.Steps[w.ref.Step]
 	out := dispatch.Step{
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
-		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
+		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
 		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: j.Policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
@@ -403,19 +406,37 @@
 	return out
 }
 
+// candidates are the workers that the policy allows for a step. They are valid for a version
+// of the fleet, until the first usable ticket expires and until a new one arrives.
+type candidates struct {
+	list         []dispatch.Candidate
+	fleetVersion int64
+	until        time.Time
+}
+
 // candidates returns the workers that the policy allows for a step, by name, and whether a
 // usable ticket is available for each. The result is not nil.
 func (s *Shard) candidates(p *pass, st *stepState) []dispatch.Candidate {
-	first := len(p.candidates)
-	p.candidates = slices.Grow(p.candidates, max(1, len(st.tickets)))
 	usable := p.now.Add(ticketMargin)
-	for _, w := range st.ticketWorkers() {
-		if !w.removed {
-			until := st.tickets[w].until
-			p.candidates = append(p.candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: until.After(usable), TicketUntil: until.Add(-ticketMargin)})
+	c := &st.candidates
+	if c.list != nil && c.fleetVersion == s.fleetVersion && (c.until.IsZero() || c.until.After(usable)) {
+		return c.list
+	}
+	*c = candidates{list: c.list[:0], fleetVersion: s.fleetVersion}
+	if c.list == nil {
+		c.list = make([]dispatch.Candidate, 0, len(st.tickets))
+	}
+	for _, t := range st.ticketsByName() {
+		if t.removed {
+			continue
+		}
+		hasTicket := t.until.After(usable)
+		if hasTicket && (c.until.IsZero() || t.until.Before(c.until)) {
+			c.until = t.until
 		}
+		c.list = append(c.list, dispatch.Candidate{Worker: t.passIndex, HasTicket: hasTicket, TicketUntil: t.until.Add(-ticketMargin)})
 	}
-	return p.candidates[first:len(p.candidates):len(p.candidates)]
+	return c.list
 }
 
 // score returns the score by which a step is ordered among the waiting steps.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -92,6 +91,8 @@
 	workers    map[lovagestand.WorkerName]*worker
 	// workersByName holds the workers by name; nil after one was added or removed.
 	workersByName []*worker
+	// fleetVersion counts how often workersByName was built.
+	fleetVersion int64
 	// workersListed reports whether the list of workers has been received.
 	workersListed bool
 	// listReadAt is when the list was last received, listReadSince the begin of the time
@@ -237,6 +238,8 @@
 	// order alone may never be carried out.
 	started bool
 	steps   map[job.StepRef]*stepState
+	// stats are the averages of the route; see [Shard.statsOf].
+	stats *routeStats
 	// objective is the time in which the job should complete.
 	objective time.Duration
 	// totalCoreTime is the estimated core time of one occurrence.
@@ -301,8 +304,10 @@
 	// does not change during a step.
 	decided map[*worker]bool
 	tickets map[*worker]ticket
-	// byName holds the workers in tickets by name; nil when it must be built again.
-	byName []*worker
+	// byName holds the tickets by the names of their workers; nil when it must be built
+	// again.
+	byName []workerTicket
+	candidates
 	// held holds a worker for each task of a gang, where room is held until heldUntil
 	// while the gang's tickets are being renewed.
 	held      []*worker
@@ -321,16 +326,24 @@
 
 // setTicket sets the ticket of a step for a worker.
 func (st *stepState) setTicket(w *worker, t ticket) {
-	if _, known := st.tickets[w]; !known {
-		st.byName = nil
-	}
+	st.byName, st.candidates = nil, candidates{}
 	st.tickets[w] = t
 }
 
-// ticketWorkers returns the workers that have, or had, a ticket of the step by name.
-func (st *stepState) ticketWorkers() []*worker {
+// workerTicket is the ticket of a step for a worker.
+type workerTicket struct {
+	*worker
+	until time.Time
+}
+
+// ticketsByName returns the tickets of the step, also the expired ones, by the names of
+// their workers.
+func (st *stepState) ticketsByName() []workerTicket {
 	if st.byName == nil {
-		st.byName = slices.SortedFunc(maps.Keys(st.tickets), compareWorkers)
+		for w, t := range st.tickets {
+			st.byName = append(st.byName, workerTicket{worker: w, until: t.until})
+		}
+		slices.SortFunc(st.byName, func(a, b workerTicket) int { return compareWorkers(a.worker, b.worker) })
 	}
 	return st.byName
 }
