--- a/shard/plan.go
+++ b/shard/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -91,6 +92,28 @@
 	// holds the gangs among them.
 	runs  []*placement
 	gangs map[gangKey]*dispatch.GangRun
+	// refs, indexes and candidates hold the slices of all steps, one after the other, and
+	// ordered is where the waiting steps are put in order. They are used again in each pass.
+	refs     []job.StepRef
+	indexes  []int
+	releases []dispatch.Release
+	ordered  []waitingStep
+	keys     []sortKey
+}
+
+// newPass returns a pass that uses the slices of the former one again.
+func (s *Shard) newPass() *pass {
+	p := &s.reused
+	clear(p.waiting[:cap(p.waiting)])
+	clear(p.ordered[:cap(p.ordered)])
+	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
+	clear(p.runs[:cap(p.runs)])
+	*p = pass{
+		now: time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
+		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0],
+	}
+	p.policies, p.configured = s.teams()
+	return p
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -113,8 +136,7 @@
 func (s *Shard) plan() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &pass{now: time.Now(), waitsForLocality: s.waitsForLocality()}
-	p.policies, p.configured = s.teams()
+	p := s.newPass()
 	defer s.recordTeams(p)
 	for _, e := range s.live {
 		// Tasks of a recovered job may still be running on workers, so none is placed
@@ -132,9 +154,7 @@
 	if len(p.waiting) == 0 || !s.deps.Assured() {
 		return idleInterval
 	}
-	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
-	})
+	p.sortByScore()
 	s.assignTiers(p)
 	s.selectWithinQuotas(p)
 	// Only some workers are on trial at a time; further suspects would keep other steps
@@ -173,11 +193,53 @@
 	return max(planInterval, next.Sub(p.now))
 }
 
+// sortByScore sorts the waiting steps by score, highest first, and then by job.
+func (p *pass) sortByScore() {
+	p.keys = p.keys[:0]
+	for i := range p.waiting {
+		p.keys = append(p.keys, sortKey{score: p.waiting[i].score, id: p.waiting[i].entry.id, index: i})
+	}
+	slices.SortFunc(p.keys, func(a, b sortKey) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.index, b.index))
+	})
+	p.ordered = p.ordered[:0]
+	for _, k := range p.keys {
+		p.ordered = append(p.ordered, p.waiting[k.index])
+	}
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
+// sortByTier sorts the waiting steps by tier. Steps of one tier keep their order.
+func (p *pass) sortByTier() {
+	p.ordered = p.ordered[:0]
+	for tier := fairshare.Guaranteed; tier <= fairshare.Beyond; tier++ {
+		for i := range p.waiting {
+			if p.waiting[i].tier == tier {
+				p.ordered = append(p.ordered, p.waiting[i])
+			}
+		}
+	}
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
+// sortKey is what a waiting step is sorted by. Sorting keys is cheaper than to move steps.
+type sortKey struct {
+	score float64
+	id    job.ID
+	index int
+}
+
 // load returns the load of the pass for the dispatcher.
 func (s *Shard) load(p *pass) dispatch.Load {
 	return dispatch.Load{
 		Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps,
-		Releases:        func(i int) []dispatch.Release { return p.workers[i].releases(p.now, s.statsByRoute) },
+		Releases:        func(i int) []dispatch.Release { return s.releases(p, p.workers[i]) },
 		AdviceCalls:     s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()),
 		LongAdviceCalls: s.freeLongAdviceCalls(p), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now),
 		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(),
@@ -194,27 +256,29 @@
 
 // collectWorkers adds the workers to the pass, ordered by name.
 func (s *Shard) collectWorkers(p *pass) {
-	for _, w := range s.workers {
-		p.workers = append(p.workers, w)
+	if s.workersByName == nil {
+		s.workersByName = slices.SortedFunc(maps.Values(s.workers), compareWorkers)
+		s.fleetVersion++
 	}
-	slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.info.Name, b.info.Name) })
-	p.dispatchWorkers = make([]dispatch.Worker, len(p.workers))
+	p.workers = s.workersByName
 	for i, w := range p.workers {
 		w.passIndex = i
-		p.dispatchWorkers[i] = dispatch.Worker{
+		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
 			Open: w.open(p.now), Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
-		}
+		})
 	}
 }
 
 // releases returns when the runs on the worker are expected to end and what each
-// frees, soonest first.
-func (w *worker) releases(now time.Time, stats map[lovagestand.RouteName]*routeStats) []dispatch.Release {
-	releases := make([]dispatch.Release, 0, len(w.placements))
-	for _, p := range w.placements {
-		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Spread: p.endSpread(now, stats), Frees: p.needs})
+// frees, soonest first. The result is not nil.
+func (s *Shard) releases(p *pass, w *worker) []dispatch.Release {
+	first := len(p.releases)
+	p.releases = slices.Grow(p.releases, max(1, len(w.placements)))
+	for _, r := range w.placements {
+		p.releases = append(p.releases, dispatch.Release{At: r.expectedEnd(p.now), Spread: r.endSpread(p.now, s.statsOf(r.entry)), Frees: r.needs})
 	}
+	releases := p.releases[first:len(p.releases):len(p.releases)]
 	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
 	return releases
 }
@@ -235,11 +299,16 @@
 // collectWaitingSteps adds the steps of a job that have tasks to start to the pass. A
 // gang is added only if all of its tasks can start.
 func (s *Shard) collectWaitingSteps(p *pass, e *jobEntry) {
-	refs, _ := e.progress.Startable(p.now)
+	p.refs, _ = e.progress.AppendStartable(p.refs[:0], p.now)
+	if len(p.refs) == 0 {
+		return
+	}
 	j := e.progress.Job()
-	for _, ref := range refs {
-		step := j.Steps[ref.Step]
-		indexes := e.startable(ref)
+	for _, ref := range p.refs {
+		step := &j.Steps[ref.Step]
+		first := len(p.indexes)
+		p.indexes = e.startable(p.indexes, ref)
+		indexes := p.indexes[first:len(p.indexes):len(p.indexes)]
 		if len(indexes) == 0 || step.Gang && len(indexes) < step.Count {
 			continue
 		}
@@ -287,7 +356,7 @@
 	step := j.Steps[w.ref.Step]
 	out := dispatch.Step{
 		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
-		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
+		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
 		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
 		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: j.Policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
@@ -337,17 +406,37 @@
 	return out
 }
 
-// candidates returns the workers that the policy allows for a step, and whether a
-// usable ticket is available for each.
+// candidates are the workers that the policy allows for a step. They are valid for a version
+// of the fleet, until the first usable ticket expires and until a new one arrives.
+type candidates struct {
+	list         []dispatch.Candidate
+	fleetVersion int64
+	until        time.Time
+}
+
+// candidates returns the workers that the policy allows for a step, by name, and whether a
+// usable ticket is available for each. The result is not nil.
 func (s *Shard) candidates(p *pass, st *stepState) []dispatch.Candidate {
-	candidates := make([]dispatch.Candidate, 0, len(st.tickets))
-	for w, t := range st.tickets {
-		if s.workers[w.info.Name] == w {
-			candidates = append(candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: t.until.After(p.now.Add(ticketMargin)), TicketUntil: t.until.Add(-ticketMargin)})
+	usable := p.now.Add(ticketMargin)
+	c := &st.candidates
+	if c.list != nil && c.fleetVersion == s.fleetVersion && (c.until.IsZero() || c.until.After(usable)) {
+		return c.list
+	}
+	*c = candidates{list: c.list[:0], fleetVersion: s.fleetVersion}
+	if c.list == nil {
+		c.list = make([]dispatch.Candidate, 0, len(st.tickets))
+	}
+	for _, t := range st.ticketsByName() {
+		if t.removed {
+			continue
+		}
+		hasTicket := t.until.After(usable)
+		if hasTicket && (c.until.IsZero() || t.until.Before(c.until)) {
+			c.until = t.until
 		}
+		c.list = append(c.list, dispatch.Candidate{Worker: t.passIndex, HasTicket: hasTicket, TicketUntil: t.until.Add(-ticketMargin)})
 	}
-	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
-	return candidates
+	return c.list
 }
 
 // score returns the score by which a step is ordered among the waiting steps.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -1,8 +1,10 @@
 package shard
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,6 +89,10 @@
 	// unreadable holds the stored jobs that this version cannot decode.
 	unreadable map[job.ID]bool
 	workers    map[lovagestand.WorkerName]*worker
+	// workersByName holds the workers by name; nil after one was added or removed.
+	workersByName []*worker
+	// fleetVersion counts how often workersByName was built.
+	fleetVersion int64
 	// workersListed reports whether the list of workers has been received.
 	workersListed bool
 	// listReadAt is when the list was last received, listReadSince the begin of the time
@@ -165,6 +171,8 @@
 	// passes and slowestPass describe the planning passes since then.
 	passes      int
 	slowestPass time.Duration
+	// reused is the state of the last pass, whose slices the next one uses again.
+	reused pass
 
 	// wakeup starts a planning pass.
 	wakeup       chan struct{}
@@ -233,6 +241,8 @@
 	// order alone may never be carried out.
 	started bool
 	steps   map[job.StepRef]*stepState
+	// stats are the averages of the route; see [Shard.statsOf].
+	stats *routeStats
 	// objective is the time in which the job should complete.
 	objective time.Duration
 	// totalCoreTime is the estimated core time of one occurrence.
@@ -271,14 +281,15 @@
 
 // startable returns the indexes of the waiting tasks of a step of which no worker
 // may hold a run.
-func (e *jobEntry) startable(ref job.StepRef) []int {
-	waiting := e.progress.Waiting(ref)
+// It appends them to a slice.
+func (e *jobEntry) startable(to []int, ref job.StepRef) []int {
+	waiting := e.progress.AppendWaiting(to, ref)
 	if len(e.heldRuns) == len(e.active) {
 		return waiting
 	}
 	j := e.progress.Job()
-	free := waiting[:0]
-	for _, i := range waiting {
+	free := waiting[:len(to)]
+	for _, i := range waiting[len(to):] {
 		if e.heldRuns[j.TaskName(job.Task{Occurrence: ref.Occurrence, Step: ref.Step, Index: i})] == 0 {
 			free = append(free, i)
 		}
@@ -296,6 +307,10 @@
 	// does not change during a step.
 	decided map[*worker]bool
 	tickets map[*worker]ticket
+	// byName holds the tickets by the names of their workers; nil when it must be built
+	// again.
+	byName []workerTicket
+	candidates
 	// held holds a worker for each task of a gang, where room is held until heldUntil
 	// while the gang's tickets are being renewed.
 	held      []*worker
@@ -312,6 +327,32 @@
 	preemptions int
 }
 
+// setTicket sets the ticket of a step for a worker.
+func (st *stepState) setTicket(w *worker, t ticket) {
+	st.byName, st.candidates = nil, candidates{}
+	st.tickets[w] = t
+}
+
+// workerTicket is the ticket of a step for a worker.
+type workerTicket struct {
+	*worker
+	until time.Time
+}
+
+// ticketsByName returns the tickets of the step, also the expired ones, by the names of
+// their workers.
+func (st *stepState) ticketsByName() []workerTicket {
+	if st.byName == nil {
+		for w, t := range st.tickets {
+			st.byName = append(st.byName, workerTicket{worker: w, until: t.until})
+		}
+		slices.SortFunc(st.byName, func(a, b workerTicket) int { return compareWorkers(a.worker, b.worker) })
+	}
+	return st.byName
+}
+
+func compareWorkers(a, b *worker) int { return cmp.Compare(a.info.Name, b.info.Name) }
+
 // ticket is the policy's permission to run tasks of a step on a worker until a time.
 type ticket struct {
 	value string
