logfmt: convert events without decoding them into maps

Cause: each log line was decoded from JSON into a map, sorted and formatted value by value. In a profile of an owner under load (1,000 tasks and 90 jobs per second) that was 7.5% of its processor time and 16% of the bytes that it allocated.

Change: the writer splits the JSON into fields and copies keys and values as they are. Values with escapes, non-ASCII text, arrays and objects are decoded as before. The buffer of lines reuses its memory between writes.

The tests of values and of malformed events pass with the former code too, so lines are unchanged.

--- a/common/logbuffer/logbuffer.go
+++ b/common/logbuffer/logbuffer.go
@@ -20,6 +20,10 @@
 	// maxWrite is the maximum size of one write in bytes. Writes to a pipe are
 	// atomic up to this size.
 	maxWrite = 4 << 10
+	// minReused is the size in bytes up to which memory is always reused. Larger memory
+	// is released if the lines filled less than one part in maxUnusedFactor of it.
+	minReused       = 16 << 10
+	maxUnusedFactor = 8
 )
 
 // Buffer buffers log lines and writes them to an output. It is safe for
@@ -31,6 +35,8 @@
 
 	mu      sync.Mutex
 	pending []byte
+	// spare is the memory of the lines that were written last, for later lines.
+	spare   []byte
 	dropped int
 }
 
@@ -72,8 +78,9 @@
 func (b *Buffer) flush() {
 	b.mu.Lock()
 	lines, dropped := b.pending, b.dropped
-	b.pending, b.dropped = nil, 0
+	b.pending, b.spare, b.dropped = b.spare, nil, 0
 	b.mu.Unlock()
+	defer b.reuse(lines)
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, "level=warn message=\"log lines dropped\" lines=%d\n", dropped)
 	}
@@ -92,6 +99,16 @@
 	}
 }
 
+// reuse keeps the memory of lines that have been written, unless much of it stayed unused.
+func (b *Buffer) reuse(lines []byte) {
+	if cap(lines) > minReused && cap(lines) > maxUnusedFactor*len(lines) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spare = lines[:0]
+}
+
 // chunkLength returns the number of bytes for the next write: as many whole
 // lines as fit into maxWrite, or maxWrite bytes if the first line is longer.
 func chunkLength(lines []byte) int {
--- a/common/logfmt/logfmt.go
+++ b/common/logfmt/logfmt.go
@@ -4,12 +4,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,56 +21,74 @@
 	return zerolog.New(&writer{out: w}).With().Timestamp().Logger()
 }
 
-// writer converts the JSON of each event to a line of key=value pairs.
+// writer converts the JSON of each event to a line of key=value pairs. It does so
+// without decoding the JSON into a map, because an owner writes thousands of lines per
+// second.
 type writer struct {
 	out io.Writer
 }
 
-// leadingKeys are the keys that are written first, in this order. The others
-// follow in alphabetical order.
-var leadingKeys = []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName}
+// conversion is the memory for one conversion.
+type conversion struct {
+	fields []field
+	line   []byte
+}
+
+var conversions = sync.Pool{New: func() any { return new(conversion) }}
 
 // Write implements [io.Writer]; p is the JSON of one event.
 func (w *writer) Write(p []byte) (int, error) {
-	decoder := json.NewDecoder(bytes.NewReader(p))
-	decoder.UseNumber()
-	var event map[string]any
-	if err := decoder.Decode(&event); err != nil {
+	c := conversions.Get().(*conversion)
+	defer conversions.Put(c)
+	var err error
+	if c.fields, err = appendFields(c.fields[:0], p); err != nil {
 		return 0, err
 	}
-	var line strings.Builder
-	for _, k := range orderedKeys(event) {
-		if line.Len() > 0 {
-			line.WriteByte(' ')
+	slices.SortStableFunc(c.fields, compareFields)
+	c.line = c.line[:0]
+	for i, f := range c.fields {
+		if i+1 < len(c.fields) && bytes.Equal(f.key, c.fields[i+1].key) {
+			// The last of several values of a key counts.
+			continue
+		}
+		if len(c.line) > 0 {
+			c.line = append(c.line, ' ')
+		}
+		c.line = append(append(c.line, f.key...), '=')
+		if c.line, err = f.value.appendTo(c.line); err != nil {
+			return 0, err
 		}
-		line.WriteString(k)
-		line.WriteByte('=')
-		line.WriteString(formatValue(event[k]))
 	}
-	line.WriteByte('\n')
-	if _, err := io.WriteString(w.out, line.String()); err != nil {
+	c.line = append(c.line, '\n')
+	if _, err := w.out.Write(c.line); err != nil {
 		return 0, err
 	}
 	return len(p), nil
 }
 
-func orderedKeys(event map[string]any) []string {
-	keys := make([]string, 0, len(event))
-	for _, k := range leadingKeys {
-		if _, ok := event[k]; ok {
-			keys = append(keys, k)
+// leadingKeys are the keys that are written first, in this order. The others
+// follow in alphabetical order.
+var leadingKeys = []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName}
+
+// rank returns the index of a key among the leading keys, or their number for any other
+// key.
+func rank(key []byte) int {
+	for i, k := range leadingKeys {
+		if string(key) == k {
+			return i
 		}
 	}
-	leadingCount := len(keys)
-	for k := range event {
-		if !slices.Contains(leadingKeys, k) {
-			keys = append(keys, k)
-		}
+	return len(leadingKeys)
+}
+
+func compareFields(a, b field) int {
+	if a.rank != b.rank {
+		return a.rank - b.rank
 	}
-	slices.Sort(keys[leadingCount:])
-	return keys
+	return bytes.Compare(a.key, b.key)
 }
 
+// formatValue returns the text of a decoded JSON value in a line.
 func formatValue(v any) string {
 	s, ok := v.(string)
 	if !ok {
