shard: plan advice as a scarce resource on uneven fleets

Cause: gangs on uneven fleets lose their room during advice calls, because Load.HoldRenewals is on only where the configuration has teams.

Change: the setting unevenWorkers (off, auto; auto in the deployment template) lets the owner learn the speeds of its workers. Where the fleet counts as uneven, HoldRenewals and what goes with it are on, and expected run times of placements contain the speed of the worker. A change of the decision is logged and counted (unevenWorkers), and /debug/state shows the speeds.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -17,8 +17,12 @@
 	Free     lovagestand.Resources
 	// Open indicates that the worker accepts new tasks.
 	Open bool
-	// Slowness is the factor by which tasks take longer here than usual.
+	// Slowness is the factor by which tasks take longer here than usual, or than expected
+	// at Speed where that is set.
 	Slowness float64
+	// Speed is how much faster than usual the machine of the worker is; 0 where it is not
+	// known. It is set only if [Load.Uneven] is.
+	Speed float64
 	// Quiet indicates that no task has started here recently, so that the crash of the
 	// worker after the start of a suspect shows that the suspect has caused it.
 	Quiet bool
@@ -200,6 +204,10 @@
 	// to be of use: without it, they fill each trough of the load and the next burst finds
 	// no room.
 	ExpiredHeadroom float64
+	// Uneven indicates that the speeds of the workers differ much. It answers the load of
+	// gangs with members on slow workers: without it, the fast ones are idle for most of the
+	// gang's run time.
+	Uneven bool
 	// IdleAdviceClients is how many clients have no call to make. They are used to
 	// request advice on further workers for steps that wait.
 	IdleAdviceClients int
--- a/node/serve.go
+++ b/node/serve.go
@@ -14,6 +14,7 @@
 	"lovagestand.example/lovagestand/jobstore"
 	"lovagestand.example/lovagestand/layout"
 	"lovagestand.example/lovagestand/platform"
+	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/shard"
 	"lovagestand.example/lovagestand/shares"
 )
@@ -48,6 +49,7 @@
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, ListInterval: interval,
 		HeartbeatTimeout: missedHeartbeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
 		StopTimeout: n.settings.StopTimeout, RestoreDelay: n.settings.RestoreDelay, Overlap: election.Overlap, Preemption: n.settings.Preemption,
+		UnevenWorkers: n.settings.UnevenWorkers == settings.UnevenAuto,
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: jobstore.New(n.deps.Keys, term, jobstore.WithWriteFailureHandler(func() { go n.requestDepose(ctx, term) })),
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
--- a/settings/node.go
+++ b/settings/node.go
@@ -10,6 +10,12 @@
 	"lovagestand.example/lovagestand/common/document"
 )
 
+// Values of Node.UnevenWorkers.
+const (
+	UnevenOff  = "off"
+	UnevenAuto = "auto"
+)
+
 // Node holds the settings of an instance that the command "node" runs on the users'
 // platform.
 type Node struct {
@@ -52,6 +58,10 @@
 	// urgent ones where the configuration has teams. A stopped task needs new advice
 	// before it resumes, so it pays only where advice calls are short or not needed.
 	Preemption bool `yaml:"preemption"`
+	// UnevenWorkers is whether the owner of a shard may place tasks by the learned speeds of
+	// the workers: [UnevenAuto] where the fleet shows that its machines differ much, and
+	// [UnevenOff] or empty never.
+	UnevenWorkers string `yaml:"unevenWorkers"`
 	// StopTimeout is the maximum duration of a stop of a task; 0 if it is not known.
 	StopTimeout time.Duration `yaml:"stopTimeout"`
 	// RestoreDelay is how long a task that resumes from a checkpoint waits before it
@@ -118,6 +128,9 @@
 			add(key, "must be more than 0", `write it with a unit, such as "6s"`)
 		}
 	}
+	if n.UnevenWorkers != "" && n.UnevenWorkers != UnevenOff && n.UnevenWorkers != UnevenAuto {
+		add("unevenWorkers", "is not a known value", `give "auto" or "off"`)
+	}
 	if n.RevocationTimeout < 0 || n.StrictRevocation && n.RevocationTimeout == 0 {
 		add("revocationTimeout", "must be more than 0", `strictRevocation needs it; write it with a unit, such as "6s"`)
 	}
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -41,6 +41,10 @@
 	c.Assert(n.StrictRevocation, qt.IsFalse)
 	c.Assert(n.Preemption, qt.IsFalse)
 	c.Assert(n.StopTimeout, qt.Equals, time.Duration(0), qt.Commentf("settings of earlier deployments have none"))
+	c.Assert(n.UnevenWorkers, qt.Equals, "", qt.Commentf("settings of earlier deployments have none"))
+	n, err = settings.ParseNode("node.yaml", []byte(nodeFile+"unevenWorkers: off\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(n.UnevenWorkers, qt.Equals, settings.UnevenOff)
 	n, err = settings.ParseNode("node.yaml", []byte(nodeFile+"stopTimeout: 900ms\nrestoreDelay: 100ms\n"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(n.StopTimeout, qt.Equals, 900*time.Millisecond)
@@ -56,6 +60,7 @@
 		"a missing instance":                  {`"edge-1"`, `""`},
 		"strict revocation without a timeout": {`grace`, "strictRevocation: true\ngrace"},
 		"a negative revocation timeout":       {`grace`, "revocationTimeout: -1s\ngrace"},
+		"an unknown value of unevenWorkers":   {`grace`, "unevenWorkers: always\ngrace"},
 	} {
 		c.Run(name, func(c *qt.C) {
 			_, err := settings.ParseNode("node.yaml", []byte(strings.Replace(nodeFile, change[0], change[1], 1)))
@@ -105,5 +110,6 @@
 		c.Check(n.StrictRevocation, qt.Equals, r.want.StrictRevocation)
 		c.Check(n.RevocationTimeout, qt.Equals, r.want.RevocationTimeout)
 		c.Check(n.CheckpointInterval, qt.Equals, 500*time.Millisecond)
+		c.Check(n.UnevenWorkers, qt.Equals, settings.UnevenAuto)
 	}
 }
--- a/shard/health.go
+++ b/shard/health.go
@@ -24,6 +24,8 @@
 	// slowness is the ratio of run times on this worker to expected run times; 0 while
 	// it is unknown.
 	slowness float64
+	// speed is the learned speed of the worker; 0 while it is unknown.
+	speed float64
 }
 
 func (h *health) quarantined(now time.Time) bool {
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -142,13 +142,14 @@
 		return
 	}
 	took := now.Sub(p.placedAt)
+	s.recordSpeed(p, took, now)
 	r := s.stats(p.entry.route)
 	if p.expectedRunTime > 0 {
-		speed := w.slowness
-		if speed == 0 {
-			speed = 1
+		slowness := w.slowness
+		if slowness == 0 {
+			slowness = 1
 		}
-		onWorker := float64(took) / float64(p.expectedRunTime) / speed
+		onWorker := float64(took) / float64(p.expectedRunTime) / slowness
 		r.runTimes.add(math.Log(max(onWorker, 1/maxSlowness)), 1)
 		r.locality.record(p.locality, onWorker*max(1, p.farFactor), step.Count)
 	}
@@ -156,7 +157,7 @@
 		// Averages are of run times near, so that the factor does not count twice.
 		took = time.Duration(float64(took) / p.farFactor)
 	}
-	ratio := float64(took) / float64(step.Estimate)
+	ratio := float64(p.atUsualSpeed(took)) / float64(step.Estimate)
 	// A run elsewhere says little about its worker while the factor is not known well.
 	if p.expectedRunTime > 0 && p.locality != localityFar {
 		relative := float64(took) / float64(p.expectedRunTime)
@@ -167,6 +168,7 @@
 		w.slowness += slownessWeight * (min(relative, maxSlowness) - w.slowness)
 	}
 	r.estimateRatio += averageWeight * (min(ratio, maxSlowness) - r.estimateRatio)
+	took = p.atUsualSpeed(took)
 	if r.taskRunTime == 0 {
 		r.taskRunTime = took
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -76,6 +76,8 @@
 	adviceClients   []AdviceClient
 	// holdRenewals is [dispatch.Load.HoldRenewals].
 	holdRenewals bool
+	// uneven is [dispatch.Load.Uneven].
+	uneven bool
 	// policies are the policies of the teams in force, configured is false if none have
 	// been read yet. teams holds the teams with waiting steps.
 	policies   Teams
@@ -125,6 +127,7 @@
 		}
 	}
 	s.collectWorkers(p)
+	s.setSpeeds(p)
 	s.dropKeptRoom(p)
 	s.summarize(p)
 	s.backlog = nil
@@ -152,7 +155,7 @@
 	}
 	s.withholdKeptRoom(p)
 	p.adviceClients = s.deps.AdviceClients()
-	p.holdRenewals = p.policies.Enabled
+	p.holdRenewals = p.plansAdvice()
 	load := s.load(p)
 	next := p.now.Add(idleInterval)
 	decisions := dispatch.Plan(load)
@@ -180,7 +183,7 @@
 		Releases:        func(i int) []dispatch.Release { return p.workers[i].releases(p.now, s.statsByRoute) },
 		AdviceCalls:     s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()),
 		LongAdviceCalls: s.freeLongAdviceCalls(p), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now),
-		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(),
+		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(), Uneven: p.uneven,
 	}
 }
 
@@ -383,7 +386,7 @@
 	e := waiting.entry
 	st := e.step(waiting.ref)
 	step := e.progress.Job().Steps[waiting.ref.Step]
-	expectedRunTime := s.runTime(e, step)
+	usualRunTime, speedOn := s.runTime(e, step), p.speedOn(step, workers)
 	st.held, st.heldUntil = nil, time.Time{}
 	localityOn, farFactor, near := p.localityOn(step, workers), s.stats(e.route).locality.factor().Value, 0
 	for n, i := range workers {
@@ -393,6 +396,7 @@
 			run--
 		}
 		w := p.workers[i]
+		expectedRunTime := atSpeed(usualRunTime, speedOn(i))
 		switch where := localityOn(i); where {
 		case localityFar:
 			s.place(e, task, run, w, st.tickets[w], time.Duration(farFactor*float64(expectedRunTime)), where, farFactor)
@@ -402,6 +406,7 @@
 			}
 			s.place(e, task, run, w, st.tickets[w], expectedRunTime, where, 0)
 		}
+		e.setSpeed(task, speedOn(i))
 		s.useKeptRoom(p.now, waiting, w)
 	}
 	s.recordLocalityWaitEnd(p, waiting, len(workers), near)
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -13,6 +13,7 @@
 	"lovagestand.example/lovagestand/jobstore"
 	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/shares"
+	"lovagestand.example/lovagestand/speed"
 )
 
 // AdviceClient is an instance that can request advice from the policy service. It
@@ -65,6 +66,9 @@
 	StopTimeout, RestoreDelay time.Duration
 	// Preemption allows runs of less urgent jobs to be stopped for more urgent ones.
 	Preemption bool
+	// UnevenWorkers allows tasks to be placed by the learned speeds of the workers where the
+	// fleet shows that its machines differ much.
+	UnevenWorkers bool
 	// Overlap is how long after the start of this term a former owner may still
 	// extend the lease of a worker that this owner cannot reach.
 	Overlap time.Duration
@@ -157,6 +161,11 @@
 	// the first one.
 	averageStopTime time.Duration
 
+	// speeds learns the speeds of the workers if Limits.UnevenWorkers is set.
+	speeds *speed.Fleet
+	// unevenness describes the fleet as of the last update of the speeds.
+	unevenness speed.Summary
+
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
 	// passes and slowestPass describe the planning passes since then.
@@ -183,7 +192,7 @@
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
-		beyond:      map[lovagestand.TeamName]*beyondPeriod{},
+		beyond: map[lovagestand.TeamName]*beyondPeriod{}, speeds: speed.New(),
 		adviceSlots: map[lovagestand.InstanceID]*adviceSlot{}, statsByRoute: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), lost: make(chan struct{}),
 	}
@@ -417,6 +426,8 @@
 	FormerTermResolved bool   `json:"formerTermResolved"`
 	// Teams holds the teams with work in the shard, as of the last pass.
 	Teams []TeamStatus `json:"teams,omitempty"`
+	// Speeds describes the learned speeds of the workers; nil if they are not learned.
+	Speeds *SpeedStatus `json:"speeds,omitempty"`
 }
 
 // Status returns a summary of the shard.
@@ -426,6 +437,7 @@
 	out := Status{
 		Epoch: uint64(s.term.Epoch), Jobs: len(s.jobs), LiveJobs: len(s.live), Workers: len(s.workers),
 		UnsavedJobs: len(s.queue), StoreStalled: s.stalled, FormerTermResolved: s.resolved, Teams: s.teamStatus,
+		Speeds: s.speedStatus(),
 	}
 	now := time.Now()
 	for _, w := range s.workers {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -127,7 +127,10 @@
 	expectedRunTime time.Duration
 	// farFactor is the factor in expectedRunTime that stands for a run elsewhere than near;
 	// 0 for all other runs.
-	farFactor     float64
+	farFactor float64
+	// speed is the speed of the worker in expectedRunTime, or of the slowest one of a gang;
+	// 0 if it is not taken into account.
+	speed         float64
 	locality      locality
 	longRunning   bool      // whether the task runs until its job is cancelled
 	settledAt     time.Time // when the worker confirmed the last order or first listed the run
--- a/speed/decision.go
+++ b/speed/decision.go
@@ -52,11 +52,16 @@
 	Fast, Usual float64
 }
 
+// Due reports whether an update is due.
+func (f *Fleet) Due(now time.Time) bool {
+	return now.Sub(f.updatedAt) >= updateInterval
+}
+
 // Update estimates the speeds of the workers of the fleet again and decides whether it
-// counts as uneven, at most once in a second. It reports whether it has done so.
-func (f *Fleet) Update(now time.Time, names []lovagestand.WorkerName) (Summary, bool) {
-	if now.Sub(f.updatedAt) < updateInterval {
-		return f.summary, false
+// counts as uneven. It does nothing while no update is due.
+func (f *Fleet) Update(now time.Time, names []lovagestand.WorkerName) Summary {
+	if !f.Due(now) {
+		return f.summary
 	}
 	f.updatedAt = now
 	for id, s := range f.steps {
@@ -73,7 +78,7 @@
 		}
 	}
 	f.summarize(f.shrink(names), len(names))
-	return f.summary, true
+	return f.summary
 }
 
 // shrink moves the estimate of each worker towards the mean of the fleet according to its
--- a/speed/fleet_test.go
+++ b/speed/fleet_test.go
@@ -72,7 +72,7 @@
 			Step: fmt.Sprint(step), Tasks: tasks, Worker: m.names[i],
 			Took: time.Duration(took * float64(time.Second)), Expected: time.Duration(estimate * float64(time.Second)),
 		})
-		if s, _ := f.Update(now, m.names); s.Uneven && !uneven {
+		if s := f.Update(now, m.names); s.Uneven && !uneven {
 			first, uneven = at, true
 		}
 	}
@@ -104,7 +104,7 @@
 				wrong++
 			}
 		}
-		s, _ := f.Update(now, m.names)
+		s := f.Update(now, m.names)
 		c.Logf("seed %d: uneven after %v, %+v, %d of %d in the wrong class", seed, first, s, wrong, len(m.names))
 		c.Check(wrong*10 < len(m.names), qt.IsTrue, qt.Commentf("seed %d: %d workers in the wrong class", seed, wrong))
 	}
@@ -132,7 +132,7 @@
 		m, f := newMachines(seed, 0.7, 0.7, 1.7), speed.New()
 		m.replay(f, 27*time.Second, quarterFrom(20*time.Second))
 		now := begin.Add(27 * time.Second)
-		s, _ := f.Update(now, m.names)
+		s := f.Update(now, m.names)
 		c.Check(s.Uneven, qt.IsTrue, qt.Commentf("seed %d", seed))
 		wrong := 0
 		for i := 0; i < len(m.names); i += 4 {
