shard: collect waiting steps without looking at their tasks

A pass listed the waiting tasks of each step to count them, copied jobs to read a field of them, summed up all runs for the division among teams, and built divisions and backlogs anew.

Waiting steps carry what the pass needs of them; the indexes of tasks are looked up only where tasks start, unless some may crash their workers. What the runs on a worker hold by team is kept until a run is added or removed. Divisions and backlogs use their memory again. Recording the backlogs is separate from assigning tiers, which changes nothing but the pass.

--- a/admission/backlog.go
+++ b/admission/backlog.go
@@ -16,6 +16,11 @@
 	b.work = append(b.work, b.Total()+work)
 }
 
+// Reset removes all work. The memory is used again.
+func (b *Backlog) Reset() {
+	b.scores, b.work = b.scores[:0], b.work[:0]
+}
+
 // Total returns all work, in seconds of the whole capacity.
 func (b *Backlog) Total() float64 {
 	if len(b.work) == 0 {
--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -51,8 +51,10 @@
 	entitlements := Entitlements(capacity, teams)
 	ample := !slices.ContainsFunc(entitlements, func(e Entitlement) bool { return !e.Satisfied })
 	accounts := make([]*Account, len(teams))
+	backing := make([]Account, len(teams))
 	for i, e := range entitlements {
-		accounts[i] = &Account{
+		accounts[i] = &backing[i]
+		backing[i] = Account{
 			capacity: capacity, guaranteed: b.Guaranteed * e.Share, shared: b.Shared * e.Share, covered: e.Satisfied, ample: ample,
 			used: teams[i].Used, limit: teams[i].Cap,
 		}
--- a/job/crashes.go
+++ b/job/crashes.go
@@ -34,6 +34,9 @@
 	return Crashes{Confirmed: c.Confirmed + d.Confirmed, Suspected: c.Suspected + d.Suspected}
 }
 
+// Crashed reports whether there may be a task with crashes.
+func (p *Progress) Crashed() bool { return p.crashed }
+
 // Crashes returns the crashes under a task.
 func (p *Progress) Crashes(t Task) Crashes {
 	k := p.task(t)
@@ -54,6 +57,7 @@
 		return
 	}
 	k.crashes = k.crashes.Add(crashes)
+	p.crashed = true
 	if conclusive && k.crashes.Confirmed >= minConfirmedCrashes || k.crashes.Suspected >= maxSuspectedCrashes {
 		k.phase = taskExhausted
 		p.phase = jobFailed
--- a/job/progress.go
+++ b/job/progress.go
@@ -19,6 +19,8 @@
 	occurrences  []occurrence
 	// unfinished is the number of occurrences that are not done.
 	unfinished int
+	// crashed is set with the first crash under a task.
+	crashed bool
 }
 
 // occurrence is one execution of all steps.
@@ -82,6 +84,26 @@
 // Job returns the submitted job.
 func (p *Progress) Job() Job { return p.job }
 
+// JobStep returns a step of the submitted job, which must not be changed. Copies of jobs took
+// a large part of a planning pass.
+func (p *Progress) JobStep(index int) *Step { return &p.job.Steps[index] }
+
+// Policy returns the policy of the job, which must not be changed.
+func (p *Progress) Policy() *Policy { return &p.job.Policy }
+
+// LongRunning is [Job.LongRunning].
+func (p *Progress) LongRunning() bool {
+	for i := range p.job.Steps {
+		if p.job.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// Due returns when an occurrence of the job may start; see [Schedule.Due].
+func (p *Progress) Due(occurrence int) time.Time { return p.job.Schedule.Due(occurrence) }
+
 // Accepted returns when the job was accepted.
 func (p *Progress) Accepted() time.Time { return p.accepted }
 
--- a/job/record.go
+++ b/job/record.go
@@ -172,6 +172,7 @@
 			return nil, &RecordError{ID: p.job.ID}
 		}
 		k.crashes = Crashes{Confirmed: c[3], Suspected: c[4]}
+		p.crashed = true
 	}
 	for _, c := range r.Checkpoints {
 		t := Task{Occurrence: c.Occurrence, Step: c.Step, Index: c.Index}
--- a/shard/admission.go
+++ b/shard/admission.go
@@ -34,21 +34,25 @@
 
 // recordBacklogs records the waiting steps, in order, as the work ahead of new jobs.
 // Tasks that run until they are cancelled have no run time and do not count.
-func (s *Shard) recordBacklogs(p *pass, divisions map[string]*division) {
-	for _, d := range divisions {
-		d.backlogs = make([]admission.Backlog, len(d.teams))
+func (s *Shard) recordBacklogs(p *pass) {
+	for _, d := range p.divisions {
+		d.all.Reset()
+		d.backlogs = slices.Grow(d.backlogs[:0], len(d.teams))[:len(d.teams)]
+		for i := range d.backlogs {
+			d.backlogs[i].Reset()
+		}
 	}
-	for _, w := range p.waiting {
-		j := w.entry.progress.Job()
-		step, d := j.Steps[w.ref.Step], divisions[j.Policy.Service]
-		if step.LongRunning {
+	for i := range p.waiting {
+		w := &p.waiting[i]
+		if w.longRunning {
 			continue
 		}
-		work := step.Needs.Times(int64(len(w.indexes))).DominantShare(d.capacity) * s.runTime(w.entry, step).Seconds()
+		d := w.division
+		work := w.needs.Times(int64(w.tasks)).DominantShare(d.capacity) * w.runTime.Seconds()
 		d.all.Add(w.score, work)
-		d.backlogs[d.index[w.entry.team]].Add(w.score, work)
+		d.backlogs[w.team].Add(w.score, work)
 	}
-	s.backlog = &backlog{at: p.now, divisions: divisions}
+	s.backlog = &backlog{at: p.now, divisions: p.divisions}
 }
 
 // admit returns a [RejectedError] if a new job is certain to end too late to be of use
@@ -97,7 +101,8 @@
 // recordBeyond logs and measures the periods in which teams have waiting steps beyond
 // their entitlements.
 func (s *Shard) recordBeyond(p *pass) {
-	for _, w := range p.waiting {
+	for i := range p.waiting {
+		w := &p.waiting[i]
 		if w.tier != fairshare.Beyond {
 			continue
 		}
@@ -129,7 +134,7 @@
 	for _, w := range p.waiting {
 		if w.entry.team == team && w.tier == fairshare.Beyond {
 			steps++
-			beyond = beyond.Add(w.entry.progress.Job().Steps[w.ref.Step].Needs.Times(int64(len(w.indexes))))
+			beyond = beyond.Add(w.needs.Times(int64(w.tasks)))
 		}
 	}
 	s.log.Info().Str("team", string(team)).Stringer("used", s.usage(team)).Int("stepsBeyond", steps).Stringer("beyond", beyond).Msg("team has waiting steps beyond its entitlement")
--- a/shard/fair.go
+++ b/shard/fair.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"slices"
+
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/admission"
 	"lovagestand.example/lovagestand/fairshare"
@@ -25,8 +27,8 @@
 	backlogs []admission.Backlog
 }
 
-// team returns the demand of a team.
-func (d *division) team(name lovagestand.TeamName) *fairshare.Team {
+// indexOf returns the position of a team and adds the team if it is missing.
+func (d *division) indexOf(name lovagestand.TeamName) int {
 	i, ok := d.index[name]
 	if !ok {
 		i = len(d.teams)
@@ -34,61 +36,91 @@
 		d.names = append(d.names, name)
 		d.teams = append(d.teams, fairshare.Team{})
 	}
-	return &d.teams[i]
+	return i
 }
 
-// assignTiers sets the tiers of the waiting steps, which are sorted by score, and sorts
-// them by tier. Without teams all steps are in the first tier and keep their order.
+// assignTiers sets the tiers of the waiting steps, which are sorted by score. Without teams
+// all steps are in the first tier.
 func (s *Shard) assignTiers(p *pass) {
 	teams, ok := s.teams()
 	if !ok || !teams.Enabled {
 		return
 	}
-	divisions := map[string]*division{}
-	for _, w := range p.waiting {
-		j := w.entry.progress.Job()
-		d := divisions[j.Policy.Service]
+	p.divisions = map[string]*division{}
+	for i := range p.waiting {
+		w := &p.waiting[i]
+		service := w.entry.progress.Policy().Service
+		d := p.divisions[service]
 		if d == nil {
-			d = newDivision(p, j.Policy.Service)
-			divisions[j.Policy.Service] = d
+			d = newDivision(p, service)
+			p.divisions[service] = d
 		}
-		t := d.team(w.entry.team)
-		t.Waiting = t.Waiting.Add(j.Steps[w.ref.Step].Needs.Times(int64(len(w.indexes))))
+		w.division, w.team = d, d.indexOf(w.entry.team)
+		t := &d.teams[w.team]
+		t.Waiting = t.Waiting.Add(w.needs.Times(int64(w.tasks)))
 	}
-	for _, d := range divisions {
+	for _, d := range p.divisions {
 		d.divide(teams)
 	}
 	for i := range p.waiting {
 		w := &p.waiting[i]
-		j := w.entry.progress.Job()
-		d, step := divisions[j.Policy.Service], j.Steps[w.ref.Step]
-		w.tier = d.accounts[d.index[w.entry.team]].Tier(step.Needs, len(w.indexes), step.Gang)
+		w.tier = w.division.accounts[w.team].Tier(w.needs, w.tasks, w.gang)
 	}
-	p.divisions = divisions
-	s.recordBacklogs(p, divisions)
-	s.recordBeyond(p)
-	p.sortByTier()
 }
 
 // newDivision returns the capacity of the open workers of a service and what each team
 // has running there. Workers that are not open are left out of both, because what runs
 // there takes nothing from other teams.
 func newDivision(p *pass, service string) *division {
-	d := &division{index: map[lovagestand.TeamName]int{}}
+	d := p.spareDivisions[service]
+	if d == nil {
+		d = &division{index: map[lovagestand.TeamName]int{}}
+	}
+	d.reset()
 	for i, w := range p.workers {
 		if !p.dispatchWorkers[i].Open || service != "" && w.info.Service != service {
 			continue
 		}
 		d.capacity = d.capacity.Add(w.info.Capacity)
 		d.used = d.used.Add(w.info.Capacity.Sub(w.free))
-		for _, placed := range w.placements {
-			t := d.team(placed.entry.team)
-			t.Used = t.Used.Add(placed.needs)
+		for _, u := range w.usageByTeam() {
+			t := &d.teams[d.indexOf(u.team)]
+			t.Used = t.Used.Add(u.used)
 		}
 	}
 	return d
 }
 
+// reset removes everything from a division. Its memory is used again.
+func (d *division) reset() {
+	clear(d.index)
+	*d = division{index: d.index, names: d.names[:0], teams: d.teams[:0], running: d.running[:0], all: d.all, backlogs: d.backlogs[:0]}
+}
+
+// teamUsage is what the runs of a team hold on a worker.
+type teamUsage struct {
+	team lovagestand.TeamName
+	used lovagestand.Resources
+}
+
+// usageByTeam returns what the runs of each team hold on the worker. It is kept until a run
+// is added or removed.
+func (w *worker) usageByTeam() []teamUsage {
+	if w.teamUsages != nil {
+		return w.teamUsages
+	}
+	w.teamUsages = make([]teamUsage, 0, len(w.placements))
+	for _, p := range w.placements {
+		i := slices.IndexFunc(w.teamUsages, func(u teamUsage) bool { return u.team == p.entry.team })
+		if i < 0 {
+			i = len(w.teamUsages)
+			w.teamUsages = append(w.teamUsages, teamUsage{team: p.entry.team})
+		}
+		w.teamUsages[i].used = w.teamUsages[i].used.Add(p.needs)
+	}
+	return w.teamUsages
+}
+
 // divide opens an account for each team with its entitlement. The jobs of public routes
 // have no team; together they count as a team of the mean weight.
 func (d *division) divide(teams Teams) {
@@ -100,9 +132,8 @@
 		}
 	}
 	d.accounts = fairshare.NewAccounts(d.capacity, d.teams, fairshare.DefaultBounds)
-	d.running = make([]fairshare.Tier, len(d.accounts))
-	for i, a := range d.accounts {
-		d.running[i] = a.RunningTier()
+	for _, a := range d.accounts {
+		d.running = append(d.running, a.RunningTier())
 	}
 }
 
--- a/shard/former.go
+++ b/shard/former.go
@@ -152,6 +152,9 @@
 func (s *Shard) addStrayUsage(u *unknownUsage) {
 	ended := map[*jobEntry]lovagestand.Resources{}
 	for _, w := range s.workers {
+		if len(w.strays) == 0 {
+			continue
+		}
 		for name := range w.strays {
 			id, task, ok := job.ParseTaskName(name)
 			e := s.jobs[id]
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -127,14 +127,14 @@
 // latestObjective returns the objective of a job if its run times are longer than expected
 // by runTimeErrors times the average error of its route.
 func (s *Shard) latestObjective(e *jobEntry) time.Duration {
-	target := e.progress.Job().Policy.Target
+	target := e.progress.Policy().Target
 	return target + time.Duration(float64(e.objective-target)*(1+runTimeErrors*s.statsOf(e).runTimeError))
 }
 
 // meanCoreTime returns the average core time of the jobs on the route of a job. The
 // core time of a long-running job is nominal and is compared with itself only.
 func (s *Shard) meanCoreTime(e *jobEntry) time.Duration {
-	if e.progress.Job().LongRunning() {
+	if e.progress.LongRunning() {
 		return e.totalCoreTime
 	}
 	return s.statsOf(e).jobCoreTime
--- a/shard/locality.go
+++ b/shard/locality.go
@@ -113,13 +113,13 @@
 }
 
 // hasLocality reports whether it matters to a step where its tasks run.
-func hasLocality(step job.Step) bool {
+func hasLocality(step *job.Step) bool {
 	return !step.LongRunning && (step.Affinity != "" || step.Gang && step.SameRack)
 }
 
 // localityOf returns what a waiting step gains near; nil if it does not wait for that. The
 // tasks of suspects are placed apart from others instead.
-func (s *Shard) localityOf(p *pass, w waitingStep, step job.Step) *dispatch.Locality {
+func (s *Shard) localityOf(p *pass, w waitingStep, step *job.Step) *dispatch.Locality {
 	if !p.waitsForLocality || w.suspects > 0 || !hasLocality(step) {
 		return nil
 	}
@@ -129,7 +129,7 @@
 }
 
 // localityOn returns the locality of tasks of a step that start on workers.
-func (p *pass) localityOn(step job.Step, workers []int) func(worker int) locality {
+func (p *pass) localityOn(step *job.Step, workers []int) func(worker int) locality {
 	if !p.waitsForLocality || !hasLocality(step) {
 		return func(int) locality { return localityUnknown }
 	}
@@ -165,7 +165,7 @@
 		st.localitySince = p.now
 	}
 	if st.localityWait.since.IsZero() {
-		runTime := s.runTime(w.entry, w.entry.progress.Job().Steps[w.ref.Step])
+		runTime := w.runTime
 		factor := s.stats(w.entry.route).locality.factor().Value
 		st.localityWait = localityWait{since: p.now, saving: time.Duration((factor - 1) * float64(runTime))}
 	}
@@ -203,7 +203,7 @@
 	factor := s.stats(e.route).locality.factor()
 	s.log.Info().Str("job", string(e.id)).Str("route", string(e.route)).Int("step", w.ref.Step).Int("tasks", tasks).Int("near", near).Int("worthwhile", worthwhile).
 		Dur("waited", waited).Dur("saving", st.localityWait.saving).Float64("farFactor", factor.Value).Int("nearTasks", factor.Near).Int("farTasks", factor.Far).Msg("tasks waited for locality")
-	if tasks == len(w.indexes) {
+	if tasks == w.tasks {
 		st.localityWait = localityWait{}
 	}
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -88,6 +88,8 @@
 	waitsForLocality bool
 	// divisions holds the division of each service with waiting steps among the teams.
 	divisions map[string]*division
+	// spareDivisions holds those of the former pass, whose memory is used again.
+	spareDivisions map[string]*division
 	// runs holds the runs that the pass may preempt; their IDs are the indexes. gangs
 	// holds the gangs among them.
 	runs  []*placement
@@ -109,7 +111,8 @@
 	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
 	clear(p.runs[:cap(p.runs)])
 	*p = pass{
-		now: time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
+		spareDivisions: p.divisions,
+		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
 		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0],
 	}
 	p.policies, p.configured = s.teams()
@@ -121,14 +124,24 @@
 type waitingStep struct {
 	entry *jobEntry
 	ref   job.StepRef
-	// indexes are those of the tasks, the suspects first.
+	step  *job.Step
+	// tasks is the number of tasks. indexes are those of the tasks, the suspects first; nil
+	// for all startable tasks of the step.
+	tasks    int
 	indexes  []int
 	suspects int
-	score    float64
+	runTime  time.Duration
+	needs    lovagestand.Resources
+	// gang and longRunning are those of step.
+	gang, longRunning bool
+	score             float64
 	// expired is [dispatch.Work.Expired].
 	expired bool
 	// tier is that of the step by the entitlement of the job's team.
 	tier fairshare.Tier
+	// division is that of the service, team the index of the job's team there.
+	division *division
+	team     int
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice. It returns
@@ -156,6 +169,11 @@
 	}
 	p.sortByScore()
 	s.assignTiers(p)
+	if p.divisions != nil {
+		s.recordBacklogs(p)
+		s.recordBeyond(p)
+		p.sortByTier()
+	}
 	s.selectWithinQuotas(p)
 	// Only some workers are on trial at a time; further suspects would keep other steps
 	// out of the pass.
@@ -303,38 +321,50 @@
 	if len(p.refs) == 0 {
 		return
 	}
-	j := e.progress.Job()
 	for _, ref := range p.refs {
-		step := &j.Steps[ref.Step]
-		first := len(p.indexes)
-		p.indexes = e.startable(p.indexes, ref)
-		indexes := p.indexes[first:len(p.indexes):len(p.indexes)]
-		if len(indexes) == 0 || step.Gang && len(indexes) < step.Count {
+		w := waitingStep{entry: e, ref: ref, step: e.progress.JobStep(ref.Step)}
+		s.collectTasks(p, &w)
+		if w.tasks == 0 || w.step.Gang && w.tasks < w.step.Count {
 			continue
 		}
-		suspects := e.moveSuspectsFirst(ref, indexes)
 		// A next owner must know of the crash before the task crashes another worker.
 		mayStart := e.crashPosition <= s.writtenPosition
-		if step.Gang && suspects > 0 && !mayStart {
+		if w.step.Gang && w.suspects > 0 && !mayStart {
 			continue
 		}
 		s.measureWork(e, ref)
 		work := s.work(p.now, e, ref)
-		w := waitingStep{entry: e, ref: ref, indexes: indexes, suspects: suspects, score: dispatch.Score(work), expired: work.Expired()}
-		if !step.Gang && suspects > 0 {
+		w.score, w.expired = dispatch.Score(work), work.Expired()
+		w.runTime, w.needs, w.gang, w.longRunning = s.runTime(e, *w.step), w.step.Needs, w.step.Gang, w.step.LongRunning
+		if !w.step.Gang && w.suspects > 0 {
 			trials := w
-			trials.indexes = indexes[:suspects]
+			trials.indexes, trials.tasks = w.indexes[:w.suspects], w.suspects
 			if mayStart {
 				p.waiting = append(p.waiting, trials)
 			}
-			w.indexes, w.suspects = indexes[suspects:], 0
+			w.indexes, w.tasks, w.suspects = w.indexes[w.suspects:], w.tasks-w.suspects, 0
 		}
-		if len(w.indexes) > 0 {
+		if w.tasks > 0 {
 			p.waiting = append(p.waiting, w)
 		}
 	}
 }
 
+// collectTasks sets the tasks of a waiting step that can start. Their indexes are not needed
+// yet unless some are suspects.
+func (s *Shard) collectTasks(p *pass, w *waitingStep) {
+	e := w.entry
+	if !e.progress.Crashed() && len(e.heldRuns) == len(e.active) {
+		w.tasks = e.progress.WaitingCount(w.ref)
+		return
+	}
+	first := len(p.indexes)
+	p.indexes = e.startable(p.indexes, w.ref)
+	w.indexes = p.indexes[first:len(p.indexes):len(p.indexes)]
+	w.tasks = len(w.indexes)
+	w.suspects = e.moveSuspectsFirst(w.ref, w.indexes)
+}
+
 // moveSuspectsFirst moves the tasks of a step that may crash their workers before the
 // others, and returns how many they are.
 func (e *jobEntry) moveSuspectsFirst(ref job.StepRef, indexes []int) int {
@@ -351,14 +381,13 @@
 
 // dispatchStep describes a waiting step for the dispatcher.
 func (s *Shard) dispatchStep(p *pass, w waitingStep) dispatch.Step {
-	e, st := w.entry, w.entry.step(w.ref)
-	j := e.progress.Job()
-	step := j.Steps[w.ref.Step]
+	e, st, step := w.entry, w.entry.step(w.ref), w.step
+	policy := e.progress.Policy()
 	out := dispatch.Step{
-		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
-		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
-		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: j.Policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
+		Tasks: w.tasks, Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: policy.Service, Label: step.Label,
+		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
+		RenewAhead: policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
+		RunTime:    w.runTime, Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
@@ -455,13 +484,12 @@
 
 // work describes the remaining work of a job as last measured.
 func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
-	j := e.progress.Job()
 	accepted := e.progress.Accepted()
-	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
+	if due := e.progress.Due(ref.Occurrence); !due.IsZero() {
 		accepted = due
 	}
 	return dispatch.Work{
-		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, LatestObjective: s.latestObjective(e), CriticalPath: e.criticalPath,
+		Priority: e.progress.Policy().Priority, Age: now.Sub(accepted), Objective: e.objective, LatestObjective: s.latestObjective(e), CriticalPath: e.criticalPath,
 		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
 	}
 }
@@ -471,12 +499,16 @@
 func (s *Shard) placeTasks(p *pass, waiting waitingStep, workers []int) {
 	e := waiting.entry
 	st := e.step(waiting.ref)
-	step := e.progress.Job().Steps[waiting.ref.Step]
-	expectedRunTime := s.runTime(e, step)
+	step := waiting.step
+	expectedRunTime := waiting.runTime
+	indexes := waiting.indexes
+	if indexes == nil {
+		indexes = e.startable(nil, waiting.ref)
+	}
 	st.held, st.heldUntil = nil, time.Time{}
 	localityOn, farFactor, near := p.localityOn(step, workers), s.stats(e.route).locality.factor().Value, 0
 	for n, i := range workers {
-		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: waiting.indexes[n]}
+		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: indexes[n]}
 		run := e.progress.NextRun(task)
 		if step.Gang && n > 0 {
 			run--
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -333,7 +333,7 @@
 	tasks := map[stepKey]int{}
 	for _, w := range p.waiting {
 		if w.suspects == 0 {
-			tasks[stepKey{w.entry, w.ref}] = len(w.indexes)
+			tasks[stepKey{w.entry, w.ref}] = w.tasks
 		}
 	}
 	s.kept = slices.DeleteFunc(s.kept, func(k *keptRoom) bool {
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -135,16 +135,19 @@
 			}
 			p.teams[w.entry.team] = t
 		}
-		step := w.entry.progress.Job().Steps[w.ref.Step]
-		t.waitingTasks += len(w.indexes)
-		if least := leastNeeds(step); t.waiting.IsZero() || least.Fits(t.next) {
+		t.waitingTasks += w.tasks
+		least := w.needs
+		if w.gang {
+			least = w.needs.Times(int64(w.step.Count))
+		}
+		if t.waiting.IsZero() || least.Fits(t.next) {
 			t.next = least
 		}
-		t.waiting = t.waiting.Add(step.Needs.Times(int64(len(w.indexes))))
-		if limit != nil && !leastNeeds(step).Fits(*limit) {
-			t.tooLarge += len(w.indexes)
+		t.waiting = t.waiting.Add(w.needs.Times(int64(w.tasks)))
+		if limit != nil && !least.Fits(*limit) {
+			t.tooLarge += w.tasks
 		}
-		return !t.Selects(step.Needs, len(w.indexes), step.Gang)
+		return !t.Selects(w.needs, w.tasks, w.gang)
 	})
 }
 
--- a/shard/summary.go
+++ b/shard/summary.go
@@ -38,10 +38,10 @@
 		step := j.Steps[w.ref.Step]
 		if step.Gang {
 			gangs++
-			gangMilliCPU += step.Needs.MilliCPU * int64(len(w.indexes))
+			gangMilliCPU += step.Needs.MilliCPU * int64(w.tasks)
 		} else {
 			otherSteps++
-			otherMilliCPU += step.Needs.MilliCPU * int64(len(w.indexes))
+			otherMilliCPU += step.Needs.MilliCPU * int64(w.tasks)
 		}
 		if j.Policy.Advice.Needed() && !w.entry.step(w.ref).advised {
 			unadvised++
