shard: keep what passes need of the runs on each worker

Each pass went through the maps of all runs to see which workers are stuck, what each team uses and when runs end, and looked up teams by name for each run and step.

The times of the runs on a worker are kept until a run is added, removed or ordered to stop. Teams have numbers.

--- a/shard/admission.go
+++ b/shard/admission.go
@@ -66,7 +66,7 @@
 	if d == nil {
 		return nil
 	}
-	i, ok := d.index[e.team]
+	i, ok := d.find(s.teamNumber(e))
 	if !ok {
 		return nil
 	}
@@ -87,8 +87,9 @@
 
 // hasIdleWorker reports whether a task of a job fits on a worker now.
 func (s *Shard) hasIdleWorker(now time.Time, j job.Job) bool {
-	for _, w := range s.workers {
-		for _, step := range j.Steps {
+	for _, w := range s.sortedWorkers() {
+		for i := range j.Steps {
+			step := &j.Steps[i]
 			matches := (j.Policy.Service == "" || w.info.Service == j.Policy.Service) && (step.Label == "" || slices.Contains(w.info.Labels, step.Label))
 			if matches && step.Needs.Fits(w.free) && w.open(now) {
 				return true
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -10,7 +10,7 @@
 // reserveRoom reserves the room of a placement on its worker.
 func (s *Shard) reserveRoom(p *placement) {
 	p.worker.placements[p.name] = p
-	p.worker.teamUsages = nil
+	p.worker.runs = nil
 	p.worker.free = p.worker.free.Sub(p.needs)
 	s.addUsage(p.entry.team, p.needs)
 	p.worker.lastPlacedAt = p.placedAt
@@ -28,7 +28,7 @@
 	e := p.entry
 	if p.worker.placements[p.name] == p {
 		delete(p.worker.placements, p.name)
-		p.worker.teamUsages = nil
+		p.worker.runs = nil
 		p.worker.free = p.worker.free.Add(p.needs)
 		s.addUsage(e.team, lovagestand.Resources{}.Sub(p.needs))
 		e.releaseHeldRun(p.name)
--- a/shard/fair.go
+++ b/shard/fair.go
@@ -1,8 +1,6 @@
 package shard
 
 import (
-	"slices"
-
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/admission"
 	"lovagestand.example/lovagestand/fairshare"
@@ -12,10 +10,10 @@
 // stands for all workers.
 type division struct {
 	capacity lovagestand.Resources
-	// names holds the teams with demand, and index the position of each in teams and
-	// accounts.
+	// names holds the teams with demand. By number of a team, index holds 1 more than its
+	// position in names, teams and accounts; 0 for a team without demand.
 	names    []lovagestand.TeamName
-	index    map[lovagestand.TeamName]int
+	index    []int
 	teams    []fairshare.Team
 	accounts []*fairshare.Account
 	// running holds the tier that the running tasks of each team reach.
@@ -27,16 +25,39 @@
 	backlogs []admission.Backlog
 }
 
-// indexOf returns the position of a team and adds the team if it is missing.
-func (d *division) indexOf(name lovagestand.TeamName) int {
-	i, ok := d.index[name]
-	if !ok {
-		i = len(d.teams)
-		d.index[name] = i
+// add returns the position of a team and adds the team if it is missing.
+func (d *division) add(number int, name lovagestand.TeamName) int {
+	for len(d.index) <= number {
+		d.index = append(d.index, 0)
+	}
+	if d.index[number] == 0 {
 		d.names = append(d.names, name)
 		d.teams = append(d.teams, fairshare.Team{})
+		d.index[number] = len(d.teams)
+	}
+	return d.index[number] - 1
+}
+
+// find returns the position of a team, and false for a team without demand.
+func (d *division) find(number int) (int, bool) {
+	if number >= len(d.index) || d.index[number] == 0 {
+		return 0, false
+	}
+	return d.index[number] - 1, true
+}
+
+// teamNumber returns the number of the team of a job, which the job keeps. Numbers count from
+// 1 and include that of the jobs without a team.
+func (s *Shard) teamNumber(e *jobEntry) int {
+	if e.teamNumber == 0 || e.numberedTeam != e.team {
+		number, ok := s.teamNumbers[e.team]
+		if !ok {
+			number = len(s.teamNumbers) + 1
+			s.teamNumbers[e.team] = number
+		}
+		e.teamNumber, e.numberedTeam = number, e.team
 	}
-	return i
+	return e.teamNumber
 }
 
 // assignTiers sets the tiers of the waiting steps, which are sorted by score. Without teams
@@ -52,10 +73,10 @@
 		service := w.entry.progress.Policy().Service
 		d := p.divisions[service]
 		if d == nil {
-			d = newDivision(p, service)
+			d = s.newDivision(p, service)
 			p.divisions[service] = d
 		}
-		w.division, w.team = d, d.indexOf(w.entry.team)
+		w.division, w.team = d, d.add(s.teamNumber(w.entry), w.entry.team)
 		t := &d.teams[w.team]
 		t.Waiting = t.Waiting.Add(w.needs.Times(int64(w.tasks)))
 	}
@@ -71,21 +92,22 @@
 // newDivision returns the capacity of the open workers of a service and what each team
 // has running there. Workers that are not open are left out of both, because what runs
 // there takes nothing from other teams.
-func newDivision(p *pass, service string) *division {
+func (s *Shard) newDivision(p *pass, service string) *division {
 	d := p.spareDivisions[service]
 	if d == nil {
-		d = &division{index: map[lovagestand.TeamName]int{}}
+		d = &division{}
 	}
 	d.reset()
-	for i, w := range p.workers {
-		if !p.dispatchWorkers[i].Open || service != "" && w.info.Service != service {
+	for i := range p.dispatchWorkers {
+		w := &p.dispatchWorkers[i]
+		if !w.Open || service != "" && w.Service != service {
 			continue
 		}
-		d.capacity = d.capacity.Add(w.info.Capacity)
-		d.used = d.used.Add(w.info.Capacity.Sub(w.free))
-		for _, u := range w.usageByTeam() {
-			t := &d.teams[d.indexOf(u.team)]
-			t.Used = t.Used.Add(u.used)
+		d.capacity = d.capacity.Add(w.Capacity)
+		d.used = d.used.Add(w.Capacity.Sub(w.Free))
+		for _, r := range s.runsOn(p.workers[i]) {
+			t := &d.teams[d.add(r.teamNumber, r.team)]
+			t.Used = t.Used.Add(r.needs)
 		}
 	}
 	return d
@@ -97,30 +119,6 @@
 	*d = division{index: d.index, names: d.names[:0], teams: d.teams[:0], running: d.running[:0], all: d.all, backlogs: d.backlogs[:0]}
 }
 
-// teamUsage is what the runs of a team hold on a worker.
-type teamUsage struct {
-	team lovagestand.TeamName
-	used lovagestand.Resources
-}
-
-// usageByTeam returns what the runs of each team hold on the worker. It is kept until a run
-// is added or removed.
-func (w *worker) usageByTeam() []teamUsage {
-	if w.teamUsages != nil {
-		return w.teamUsages
-	}
-	w.teamUsages = make([]teamUsage, 0, len(w.placements))
-	for _, p := range w.placements {
-		i := slices.IndexFunc(w.teamUsages, func(u teamUsage) bool { return u.team == p.entry.team })
-		if i < 0 {
-			i = len(w.teamUsages)
-			w.teamUsages = append(w.teamUsages, teamUsage{team: p.entry.team})
-		}
-		w.teamUsages[i].used = w.teamUsages[i].used.Add(p.needs)
-	}
-	return w.teamUsages
-}
-
 // divide opens an account for each team with its entitlement. The jobs of public routes
 // have no team; together they count as a team of the mean weight.
 func (d *division) divide(teams Teams) {
@@ -153,14 +151,14 @@
 	return sum / float64(len(t.Policies))
 }
 
-// runningTier returns the tier that the running tasks of a team reach on the workers of a
-// service.
-func (p *pass) runningTier(service string, team lovagestand.TeamName) fairshare.Tier {
+// runningTier returns the tier that the running tasks of a team, given by its number, reach
+// on the workers of a service.
+func (p *pass) runningTier(service string, team int) fairshare.Tier {
 	d := p.divisions[service]
 	if d == nil {
 		return 0
 	}
-	i, ok := d.index[team]
+	i, ok := d.find(team)
 	if !ok {
 		return 0
 	}
--- a/shard/former.go
+++ b/shard/former.go
@@ -151,7 +151,7 @@
 // job that is not known counts against every team.
 func (s *Shard) addStrayUsage(u *unknownUsage) {
 	ended := map[*jobEntry]lovagestand.Resources{}
-	for _, w := range s.workers {
+	for _, w := range s.sortedWorkers() {
 		if len(w.strays) == 0 {
 			continue
 		}
--- a/shard/locality.go
+++ b/shard/locality.go
@@ -220,12 +220,12 @@
 // endSpread returns the standard deviation of the expected end of a run. That of an overdue
 // run is twice its expected remainder, since nothing but its age is known of it. The
 // parameter stats holds the averages of its route.
-func (p *placement) endSpread(now time.Time, stats *routeStats) time.Duration {
-	if p.stopRequested {
+func (r runTimes) endSpread(now time.Time, stats *routeStats) time.Duration {
+	if r.stopRequested {
 		return 0
 	}
-	if !p.placedAt.Add(p.expectedRunTime).After(now) {
-		return now.Sub(p.placedAt) / 2
+	if !r.placedAt.Add(r.expected).After(now) {
+		return now.Sub(r.placedAt) / 2
 	}
-	return time.Duration(stats.runSpread() * float64(p.expectedRunTime))
+	return time.Duration(stats.runSpread() * float64(r.expected))
 }
--- a/shard/order.go
+++ b/shard/order.go
@@ -160,6 +160,7 @@
 		return
 	}
 	p.stopRequested = true
+	p.worker.runs = nil
 	if p.startPending {
 		return
 	}
--- a/shard/overload_bench_test.go
+++ b/shard/overload_bench_test.go
@@ -202,7 +202,9 @@
 			st.preemptions = 0
 		}
 		for _, p := range e.active {
-			p.stopRequested, p.preemptedAt = false, time.Time{}
+			if p.stopRequested {
+				p.stopRequested, p.preemptedAt, p.worker.runs = false, time.Time{}, nil
+			}
 			if !p.placedAt.Before(begun) {
 				starts++
 				p.stopRequested = true
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -272,13 +272,18 @@
 	return 0
 }
 
-// collectWorkers adds the workers to the pass, ordered by name.
-func (s *Shard) collectWorkers(p *pass) {
+// sortedWorkers returns the workers, ordered by name.
+func (s *Shard) sortedWorkers() []*worker {
 	if s.workersByName == nil {
 		s.workersByName = slices.SortedFunc(maps.Values(s.workers), compareWorkers)
 		s.fleetVersion++
 	}
-	p.workers = s.workersByName
+	return s.workersByName
+}
+
+// collectWorkers adds the workers to the pass, ordered by name.
+func (s *Shard) collectWorkers(p *pass) {
+	p.workers = s.sortedWorkers()
 	for i, w := range p.workers {
 		w.passIndex = i
 		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
@@ -292,26 +297,66 @@
 // frees, soonest first. The result is not nil.
 func (s *Shard) releases(p *pass, w *worker) []dispatch.Release {
 	first := len(p.releases)
-	p.releases = slices.Grow(p.releases, max(1, len(w.placements)))
-	for _, r := range w.placements {
-		p.releases = append(p.releases, dispatch.Release{At: r.expectedEnd(p.now), Spread: r.endSpread(p.now, s.statsOf(r.entry)), Frees: r.needs})
+	runs := s.runsOn(w)
+	p.releases = slices.Grow(p.releases, max(1, len(runs)))
+	for i := range runs {
+		r := &runs[i]
+		p.releases = append(p.releases, dispatch.Release{At: r.expectedEnd(p.now), Spread: r.endSpread(p.now, r.stats), Frees: r.needs})
 	}
 	releases := p.releases[first:len(p.releases):len(p.releases)]
 	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
 	return releases
 }
 
+// workerRun is what a pass needs of each run on a worker.
+type workerRun struct {
+	runTimes
+	needs       lovagestand.Resources
+	longRunning bool
+	stats       *routeStats
+	team        lovagestand.TeamName
+	teamNumber  int
+}
+
+// runsOn returns the runs on a worker by their expected ends. They are kept until worker.runs
+// is reset.
+func (s *Shard) runsOn(w *worker) []workerRun {
+	if w.runs != nil {
+		return w.runs
+	}
+	w.runs = make([]workerRun, 0, len(w.placements))
+	for _, p := range w.placements {
+		w.runs = append(w.runs, workerRun{
+			runTimes: p.times(), needs: p.needs, longRunning: p.longRunning, stats: s.statsOf(p.entry), team: p.entry.team, teamNumber: s.teamNumber(p.entry),
+		})
+	}
+	slices.SortFunc(w.runs, func(a, b workerRun) int { return a.placedAt.Add(a.expected).Compare(b.placedAt.Add(b.expected)) })
+	return w.runs
+}
+
+// runTimes are the times of a run by which its end is expected.
+type runTimes struct {
+	placedAt      time.Time
+	expected      time.Duration
+	stopRequested bool
+}
+
+// times returns the times by which the end of the run is expected.
+func (p *placement) times() runTimes {
+	return runTimes{placedAt: p.placedAt, expected: p.expectedRunTime, stopRequested: p.stopRequested}
+}
+
 // expectedEnd estimates when a run ends. An overdue run is estimated to need another
 // quarter of the time that it has run so far.
-func (p *placement) expectedEnd(now time.Time) time.Time {
-	if p.stopRequested {
+func (r runTimes) expectedEnd(now time.Time) time.Time {
+	if r.stopRequested {
 		return now
 	}
-	end := p.placedAt.Add(p.expectedRunTime)
+	end := r.placedAt.Add(r.expected)
 	if end.After(now) {
 		return end
 	}
-	return now.Add(now.Sub(p.placedAt) / 4)
+	return now.Add(now.Sub(r.placedAt) / 4)
 }
 
 // collectWaitingSteps adds the steps of a job that have tasks to start to the pass. A
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -177,7 +177,7 @@
 	runs := make([]dispatch.Run, 0, len(placements))
 	for _, o := range placements {
 		r := s.dispatchRun(p, o)
-		if step := o.entry.progress.Job().Steps[o.task.Step]; step.Gang {
+		if step := o.entry.progress.JobStep(o.task.Step); step.Gang {
 			r.Gang = s.gangRun(p, o, step.Count)
 		}
 		runs = append(runs, r)
@@ -188,7 +188,7 @@
 // dispatchRun describes a run for the dispatcher. Its ID is its index in the runs of the
 // pass.
 func (s *Shard) dispatchRun(p *pass, o *placement) dispatch.Run {
-	step := o.entry.progress.Job().Steps[o.task.Step]
+	step := o.entry.progress.JobStep(o.task.Step)
 	ref := job.StepRef{Occurrence: o.task.Occurrence, Step: o.task.Step}
 	s.measureWork(o.entry, ref)
 	o.passID = s.addRun(p, o)
@@ -197,9 +197,9 @@
 	// The critical path counts tasks that run from their beginning.
 	work.CriticalPath = max(0, work.CriticalPath-o.resumedWork-worked)
 	return dispatch.Run{
-		ID: o.passID, Needs: o.needs, Work: work, Tier: int(p.runningTier(o.entry.progress.Job().Policy.Service, o.entry.team)), Checkpoints: step.Checkpoints, LongRunning: step.LongRunning,
+		ID: o.passID, Needs: o.needs, Work: work, Tier: int(p.runningTier(o.entry.progress.Policy().Service, s.teamNumber(o.entry))), Checkpoints: step.Checkpoints, LongRunning: step.LongRunning,
 		Starting: !o.started || o.startPending, Stopping: o.stopRequested, Resumed: o.resumed || o.adopted,
-		Worked: worked, SinceCheckpoint: min(worked, p.now.Sub(o.checkpointAt)), End: o.expectedEnd(p.now),
+		Worked: worked, SinceCheckpoint: min(worked, p.now.Sub(o.checkpointAt)), End: o.times().expectedEnd(p.now),
 	}
 }
 
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -158,7 +158,7 @@
 	for _, w := range p.workers {
 		for _, r := range w.placements {
 			if r.entry.team == team && !r.longRunning {
-				releases = append(releases, dispatch.Release{At: r.expectedEnd(p.now), Frees: r.needs})
+				releases = append(releases, dispatch.Release{At: r.times().expectedEnd(p.now), Frees: r.needs})
 			}
 		}
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -91,6 +91,8 @@
 	workers    map[lovagestand.WorkerName]*worker
 	// workersByName holds the workers by name; nil after one was added or removed.
 	workersByName []*worker
+	// teamNumbers holds the numbers of the teams that have had jobs.
+	teamNumbers map[lovagestand.TeamName]int
 	// fleetVersion counts how often workersByName was built.
 	fleetVersion int64
 	// workersListed reports whether the list of workers has been received.
@@ -191,6 +193,7 @@
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
+		teamNumbers: map[lovagestand.TeamName]int{},
 		beyond:      map[lovagestand.TeamName]*beyondPeriod{},
 		adviceSlots: map[lovagestand.InstanceID]*adviceSlot{}, statsByRoute: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), lost: make(chan struct{}),
@@ -238,6 +241,9 @@
 	// order alone may never be carried out.
 	started bool
 	steps   map[job.StepRef]*stepState
+	// teamNumber is the number of the team numberedTeam; see [Shard.teamNumber].
+	teamNumber   int
+	numberedTeam lovagestand.TeamName
 	// stats are the averages of the route; see [Shard.statsOf].
 	stats *routeStats
 	// objective is the time in which the job should complete.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -86,8 +86,9 @@
 
 	// placements holds the runs that occupy room on the worker, by task name.
 	placements map[string]*placement
-	// teamUsages is what they hold by team; nil when it must be computed again.
-	teamUsages []teamUsage
+	// runs describes them for passes; see [Shard.runsOn]. It is nil after a run was added,
+	// removed or ordered to stop.
+	runs []workerRun
 	// free is the capacity minus the needs of the placements.
 	free lovagestand.Resources
 	// maxCapacity is the largest capacity that the worker has had since it was added to
