shard: build the load of a pass apart from acting on its decisions

The load was built between the records that a pass makes, so nothing else could build it.

collect, sortByScore, assignTiers, sortByTier and load change nothing but the pass (and the measured remaining work that jobs keep); plan records and acts. Steps are selected within the quotas in place, without copies.

--- a/shard/locality.go
+++ b/shard/locality.go
@@ -119,7 +119,7 @@
 
 // localityOf returns what a waiting step gains near; nil if it does not wait for that. The
 // tasks of suspects are placed apart from others instead.
-func (s *Shard) localityOf(p *pass, w waitingStep, step *job.Step) *dispatch.Locality {
+func (s *Shard) localityOf(p *pass, w *waitingStep, step *job.Step) *dispatch.Locality {
 	if !p.waitsForLocality || w.suspects > 0 || !hasLocality(step) {
 		return nil
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -151,15 +151,7 @@
 	defer s.mu.Unlock()
 	p := s.newPass()
 	defer s.recordTeams(p)
-	for _, e := range s.live {
-		// Tasks of a recovered job may still be running on workers, so none is placed
-		// until all runs of former terms are known. The quota of a team is not known
-		// without a configuration.
-		if e.durable && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
-			s.collectWaitingSteps(p, e)
-		}
-	}
-	s.collectWorkers(p)
+	s.collect(p)
 	s.dropKeptRoom(p)
 	s.summarize(p)
 	s.backlog = nil
@@ -174,36 +166,20 @@
 		s.recordBeyond(p)
 		p.sortByTier()
 	}
-	s.selectWithinQuotas(p)
-	// Only some workers are on trial at a time; further suspects would keep other steps
-	// out of the pass.
-	suspectSteps := 0
-	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
-		if w.suspects > 0 {
-			suspectSteps++
-		}
-		return w.suspects > 0 && suspectSteps > min(len(s.workers), maxStepsPerPass/2)
-	})
-	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
-	for _, w := range p.waiting {
-		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, w))
-	}
-	s.withholdKeptRoom(p)
-	p.adviceClients = s.deps.AdviceClients()
-	p.holdRenewals = p.policies.Enabled
 	load := s.load(p)
 	next := p.now.Add(idleInterval)
 	decisions := dispatch.Plan(load)
-	for _, d := range decisions {
-		w := p.waiting[d.Step]
+	for i := range decisions {
+		d := &decisions[i]
+		w := &p.waiting[d.Step]
 		if len(d.Workers) > 0 {
-			s.placeTasks(p, w, d.Workers)
+			s.placeTasks(p, *w, d.Workers)
 		}
 		if len(d.AdviceFor) > 0 {
-			s.requestAdvice(p, w, d)
+			s.requestAdvice(p, *w, *d)
 		}
 		if d.Wait.Tasks > 0 {
-			s.recordLocalityWait(p, w)
+			s.recordLocalityWait(p, *w)
 			next = earlier(next, d.Wait.Until)
 		}
 	}
@@ -211,6 +187,19 @@
 	return max(planInterval, next.Sub(p.now))
 }
 
+// collect adds the waiting steps and the workers to the pass.
+func (s *Shard) collect(p *pass) {
+	for _, e := range s.live {
+		// Tasks of a recovered job may still be running on workers, so none is placed
+		// until all runs of former terms are known. The quota of a team is not known
+		// without a configuration.
+		if e.durable && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
+			s.collectWaitingSteps(p, e)
+		}
+	}
+	s.collectWorkers(p)
+}
+
 // sortByScore sorts the waiting steps by score, highest first, and then by job.
 func (p *pass) sortByScore() {
 	p.keys = p.keys[:0]
@@ -253,8 +242,18 @@
 	index int
 }
 
-// load returns the load of the pass for the dispatcher.
+// load returns the load of the pass for the dispatcher: the first of the waiting steps,
+// which are in order, for which the quotas leave room. It changes nothing but the pass.
 func (s *Shard) load(p *pass) dispatch.Load {
+	s.selectWithinQuotas(p)
+	s.limitSuspects(p)
+	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
+	for i := range p.waiting {
+		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, &p.waiting[i]))
+	}
+	s.withholdKeptRoom(p)
+	p.adviceClients = s.deps.AdviceClients()
+	p.holdRenewals = p.policies.Enabled
 	return dispatch.Load{
 		Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps,
 		Releases:        func(i int) []dispatch.Release { return s.releases(p, p.workers[i]) },
@@ -264,6 +263,27 @@
 	}
 }
 
+// limitSuspects removes waiting suspects beyond those for which there may be room: only some
+// workers are on trial at a time, and further suspects would keep other steps out of the pass.
+func (s *Shard) limitSuspects(p *pass) {
+	suspectSteps, limit := 0, min(len(s.workers), maxStepsPerPass/2)
+	for i := range p.waiting {
+		if p.waiting[i].suspects > 0 {
+			suspectSteps++
+		}
+	}
+	if suspectSteps <= limit {
+		return
+	}
+	suspectSteps = 0
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
+		if w.suspects > 0 {
+			suspectSteps++
+		}
+		return w.suspects > 0 && suspectSteps > limit
+	})
+}
+
 // expiredHeadroom is [dispatch.Load.ExpiredHeadroom] for the pass.
 func (p *pass) expiredHeadroom() float64 {
 	if p.holdRenewals {
@@ -425,7 +445,7 @@
 }
 
 // dispatchStep describes a waiting step for the dispatcher.
-func (s *Shard) dispatchStep(p *pass, w waitingStep) dispatch.Step {
+func (s *Shard) dispatchStep(p *pass, w *waitingStep) dispatch.Step {
 	e, st, step := w.entry, w.entry.step(w.ref), w.step
 	policy := e.progress.Policy()
 	out := dispatch.Step{
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -304,7 +304,7 @@
 
 // keptFor returns for how many tasks of a step room is kept on each worker of the pass.
 // Suspects get none, since they start on workers of their own.
-func (s *Shard) keptFor(w waitingStep) map[int]int {
+func (s *Shard) keptFor(w *waitingStep) map[int]int {
 	if w.suspects > 0 {
 		return nil
 	}
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -120,20 +120,20 @@
 	}
 	p.teams = map[lovagestand.TeamName]*passTeam{}
 	p.unknown = s.unknownUsage(p.now)
-	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
+	p.ordered = p.ordered[:0]
+	var t *passTeam
+	var limit *lovagestand.Resources
+	team := lovagestand.TeamName("")
+	for i := range p.waiting {
+		w := &p.waiting[i]
 		if w.entry.team == "" {
-			return false
+			p.ordered = append(p.ordered, *w)
+			continue
 		}
-		t := p.teams[w.entry.team]
-		limit := p.policies.Policy(w.entry.team).Quota
-		if t == nil {
-			t = &passTeam{}
-			if limit != nil {
-				headroom := s.limit(p.policies, w.entry.team, *limit).Sub(s.usage(w.entry.team)).Sub(p.unknown.of(w.entry.team))
-				t.Headroom = &headroom
-				t.Releases = func() []dispatch.Release { return s.teamReleases(p, w.entry.team) }
-			}
-			p.teams[w.entry.team] = t
+		if t == nil || team != w.entry.team {
+			team = w.entry.team
+			limit = p.policies.Policy(team).Quota
+			t = s.teamOf(p, team, limit)
 		}
 		t.waitingTasks += w.tasks
 		least := w.needs
@@ -147,8 +147,28 @@
 		if limit != nil && !least.Fits(*limit) {
 			t.tooLarge += w.tasks
 		}
-		return !t.Selects(w.needs, w.tasks, w.gang)
-	})
+		if t.Selects(w.needs, w.tasks, w.gang) {
+			p.ordered = append(p.ordered, *w)
+		}
+	}
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
+// teamOf returns a team of the pass, and adds it with its headroom below a limit if it is
+// missing. A nil limit stands for no quota.
+func (s *Shard) teamOf(p *pass, team lovagestand.TeamName, limit *lovagestand.Resources) *passTeam {
+	t := p.teams[team]
+	if t != nil {
+		return t
+	}
+	t = &passTeam{}
+	if limit != nil {
+		headroom := s.limit(p.policies, team, *limit).Sub(s.usage(team)).Sub(p.unknown.of(team))
+		t.Headroom = &headroom
+		t.Releases = func() []dispatch.Release { return s.teamReleases(p, team) }
+	}
+	p.teams[team] = t
+	return t
 }
 
 // teamReleases returns when the runs of a team are expected to end and what each frees,
@@ -156,9 +176,10 @@
 func (s *Shard) teamReleases(p *pass, team lovagestand.TeamName) []dispatch.Release {
 	var releases []dispatch.Release
 	for _, w := range p.workers {
-		for _, r := range w.placements {
-			if r.entry.team == team && !r.longRunning {
-				releases = append(releases, dispatch.Release{At: r.times().expectedEnd(p.now), Frees: r.needs})
+		runs := s.runsOn(w)
+		for i := range runs {
+			if r := &runs[i]; r.team == team && !r.longRunning {
+				releases = append(releases, dispatch.Release{At: r.expectedEnd(p.now), Frees: r.needs})
 			}
 		}
 	}
