--- a/shard/plan.go
+++ b/shard/plan.go
@@ -90,6 +90,8 @@
 	waitsForLocality bool
 	// divisions holds the division of each service with waiting steps among the teams.
 	divisions map[string]*division
+	// spareDivisions holds those of the former pass, whose memory is used again.
+	spareDivisions map[string]*division
 	// runs holds the runs that the pass may preempt; their IDs are the indexes. gangs
 	// holds the gangs among them.
 	runs  []*placement
@@ -111,7 +113,8 @@
 	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
 	clear(p.runs[:cap(p.runs)])
 	*p = pass{
-		now: time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
+		spareDivisions: p.divisions,
+		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
 		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0],
 	}
 	p.policies, p.configured = s.teams()
@@ -123,14 +126,24 @@
 type waitingStep struct {
 	entry *jobEntry
 	ref   job.StepRef
-	// indexes are those of the tasks, the suspects first.
+	step  *job.Step
+	// tasks is the number of tasks. indexes are those of the tasks, the suspects first; nil
+	// for all startable tasks of the step.
+	tasks    int
 	indexes  []int
 	suspects int
-	score    float64
+	runTime  time.Duration
+	needs    lovagestand.Resources
+	// gang and longRunning are those of step.
+	gang, longRunning bool
+	score             float64
 	// expired is [dispatch.Work.Expired].
 	expired bool
 	// tier is that of the step by the entitlement of the job's team.
 	tier fairshare.Tier
+	// division is that of the service, team the index of the job's team there.
+	division *division
+	team     int
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice. It returns
@@ -140,15 +153,7 @@
 	defer s.mu.Unlock()
 	p := s.newPass()
 	defer s.recordTeams(p)
-	for _, e := range s.live {
-		// Tasks of a recovered job may still be running on workers, so none is placed
-		// until all runs of former terms are known. The quota of a team is not known
-		// without a configuration.
-		if e.durable && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
-			s.collectWaitingSteps(p, e)
-		}
-	}
-	s.collectWorkers(p)
+	s.collect(p)
 	s.setSpeeds(p)
 	s.dropKeptRoom(p)
 	s.summarize(p)
@@ -159,36 +164,25 @@
 	}
 	p.sortByScore()
 	s.assignTiers(p)
-	s.selectWithinQuotas(p)
-	// Only some workers are on trial at a time; further suspects would keep other steps
-	// out of the pass.
-	suspectSteps := 0
-	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
-		if w.suspects > 0 {
-			suspectSteps++
-		}
-		return w.suspects > 0 && suspectSteps > min(len(s.workers), maxStepsPerPass/2)
-	})
-	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
-	for _, w := range p.waiting {
-		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, w))
+	if p.divisions != nil {
+		s.recordBacklogs(p)
+		s.recordBeyond(p)
+		p.sortByTier()
 	}
-	s.withholdKeptRoom(p)
-	p.adviceClients = s.deps.AdviceClients()
-	p.holdRenewals = p.plansAdvice()
 	load := s.load(p)
 	next := p.now.Add(idleInterval)
 	decisions := dispatch.Plan(load)
-	for _, d := range decisions {
-		w := p.waiting[d.Step]
+	for i := range decisions {
+		d := &decisions[i]
+		w := &p.waiting[d.Step]
 		if len(d.Workers) > 0 {
-			s.placeTasks(p, w, d.Workers)
+			s.placeTasks(p, *w, d.Workers)
 		}
 		if len(d.AdviceFor) > 0 {
-			s.requestAdvice(p, w, d)
+			s.requestAdvice(p, *w, *d)
 		}
 		if d.Wait.Tasks > 0 {
-			s.recordLocalityWait(p, w)
+			s.recordLocalityWait(p, *w)
 			next = earlier(next, d.Wait.Until)
 		}
 	}
@@ -196,6 +190,19 @@
 	return max(planInterval, next.Sub(p.now))
 }
 
+// collect adds the waiting steps and the workers to the pass.
+func (s *Shard) collect(p *pass) {
+	for _, e := range s.live {
+		// Tasks of a recovered job may still be running on workers, so none is placed
+		// until all runs of former terms are known. The quota of a team is not known
+		// without a configuration.
+		if e.durable && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
+			s.collectWaitingSteps(p, e)
+		}
+	}
+	s.collectWorkers(p)
+}
+
 // sortByScore sorts the waiting steps by score, highest first, and then by job.
 func (p *pass) sortByScore() {
 	p.keys = p.keys[:0]
@@ -238,8 +245,18 @@
 	index int
 }
 
-// load returns the load of the pass for the dispatcher.
+// load returns the load of the pass for the dispatcher: the first of the waiting steps,
+// which are in order, for which the quotas leave room. It changes nothing but the pass.
 func (s *Shard) load(p *pass) dispatch.Load {
+	s.selectWithinQuotas(p)
+	s.limitSuspects(p)
+	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
+	for i := range p.waiting {
+		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, &p.waiting[i]))
+	}
+	s.withholdKeptRoom(p)
+	p.adviceClients = s.deps.AdviceClients()
+	p.holdRenewals = p.plansAdvice()
 	return dispatch.Load{
 		Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps,
 		Releases:        func(i int) []dispatch.Release { return s.releases(p, p.workers[i]) },
@@ -249,6 +266,27 @@
 	}
 }
 
+// limitSuspects removes waiting suspects beyond those for which there may be room: only some
+// workers are on trial at a time, and further suspects would keep other steps out of the pass.
+func (s *Shard) limitSuspects(p *pass) {
+	suspectSteps, limit := 0, min(len(s.workers), maxStepsPerPass/2)
+	for i := range p.waiting {
+		if p.waiting[i].suspects > 0 {
+			suspectSteps++
+		}
+	}
+	if suspectSteps <= limit {
+		return
+	}
+	suspectSteps = 0
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
+		if w.suspects > 0 {
+			suspectSteps++
+		}
+		return w.suspects > 0 && suspectSteps > limit
+	})
+}
+
 // expiredHeadroom is [dispatch.Load.ExpiredHeadroom] for the pass.
 func (p *pass) expiredHeadroom() float64 {
 	if p.holdRenewals {
@@ -257,13 +295,18 @@
 	return 0
 }
 
-// collectWorkers adds the workers to the pass, ordered by name.
-func (s *Shard) collectWorkers(p *pass) {
+// sortedWorkers returns the workers, ordered by name.
+func (s *Shard) sortedWorkers() []*worker {
 	if s.workersByName == nil {
 		s.workersByName = slices.SortedFunc(maps.Values(s.workers), compareWorkers)
 		s.fleetVersion++
 	}
-	p.workers = s.workersByName
+	return s.workersByName
+}
+
+// collectWorkers adds the workers to the pass, ordered by name.
+func (s *Shard) collectWorkers(p *pass) {
+	p.workers = s.sortedWorkers()
 	for i, w := range p.workers {
 		w.passIndex = i
 		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
@@ -277,26 +320,66 @@
 // frees, soonest first. The result is not nil.
 func (s *Shard) releases(p *pass, w *worker) []dispatch.Release {
 	first := len(p.releases)
-	p.releases = slices.Grow(p.releases, max(1, len(w.placements)))
-	for _, r := range w.placements {
-		p.releases = append(p.releases, dispatch.Release{At: r.expectedEnd(p.now), Spread: r.endSpread(p.now, s.statsOf(r.entry)), Frees: r.needs})
+	runs := s.runsOn(w)
+	p.releases = slices.Grow(p.releases, max(1, len(runs)))
+	for i := range runs {
+		r := &runs[i]
+		p.releases = append(p.releases, dispatch.Release{At: r.expectedEnd(p.now), Spread: r.endSpread(p.now, r.stats), Frees: r.needs})
 	}
 	releases := p.releases[first:len(p.releases):len(p.releases)]
 	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
 	return releases
 }
 
+// workerRun is what a pass needs of each run on a worker.
+type workerRun struct {
+	runTimes
+	needs       lovagestand.Resources
+	longRunning bool
+	stats       *routeStats
+	team        lovagestand.TeamName
+	teamNumber  int
+}
+
+// runsOn returns the runs on a worker by their expected ends. They are kept until worker.runs
+// is reset.
+func (s *Shard) runsOn(w *worker) []workerRun {
+	if w.runs != nil {
+		return w.runs
+	}
+	w.runs = make([]workerRun, 0, len(w.placements))
+	for _, p := range w.placements {
+		w.runs = append(w.runs, workerRun{
+			runTimes: p.times(), needs: p.needs, longRunning: p.longRunning, stats: s.statsOf(p.entry), team: p.entry.team, teamNumber: s.teamNumber(p.entry),
+		})
+	}
+	slices.SortFunc(w.runs, func(a, b workerRun) int { return a.placedAt.Add(a.expected).Compare(b.placedAt.Add(b.expected)) })
+	return w.runs
+}
+
+// runTimes are the times of a run by which its end is expected.
+type runTimes struct {
+	placedAt      time.Time
+	expected      time.Duration
+	stopRequested bool
+}
+
+// times returns the times by which the end of the run is expected.
+func (p *placement) times() runTimes {
+	return runTimes{placedAt: p.placedAt, expected: p.expectedRunTime, stopRequested: p.stopRequested}
+}
+
 // expectedEnd estimates when a run ends. An overdue run is estimated to need another
 // quarter of the time that it has run so far.
-func (p *placement) expectedEnd(now time.Time) time.Time {
-	if p.stopRequested {
+func (r runTimes) expectedEnd(now time.Time) time.Time {
+	if r.stopRequested {
 		return now
 	}
-	end := p.placedAt.Add(p.expectedRunTime)
+	end := r.placedAt.Add(r.expected)
 	if end.After(now) {
 		return end
 	}
-	return now.Add(now.Sub(p.placedAt) / 4)
+	return now.Add(now.Sub(r.placedAt) / 4)
 }
 
 // collectWaitingSteps adds the steps of a job that have tasks to start to the pass. A
@@ -306,38 +389,50 @@
 	if len(p.refs) == 0 {
 		return
 	}
-	j := e.progress.Job()
 	for _, ref := range p.refs {
-		step := &j.Steps[ref.Step]
-		first := len(p.indexes)
-		p.indexes = e.startable(p.indexes, ref)
-		indexes := p.indexes[first:len(p.indexes):len(p.indexes)]
-		if len(indexes) == 0 || step.Gang && len(indexes) < step.Count {
+		w := waitingStep{entry: e, ref: ref, step: e.progress.JobStep(ref.Step)}
+		s.collectTasks(p, &w)
+		if w.tasks == 0 || w.step.Gang && w.tasks < w.step.Count {
 			continue
 		}
-		suspects := e.moveSuspectsFirst(ref, indexes)
 		// A next owner must know of the crash before the task crashes another worker.
 		mayStart := e.crashPosition <= s.writtenPosition
-		if step.Gang && suspects > 0 && !mayStart {
+		if w.step.Gang && w.suspects > 0 && !mayStart {
 			continue
 		}
 		s.measureWork(e, ref)
 		work := s.work(p.now, e, ref)
-		w := waitingStep{entry: e, ref: ref, indexes: indexes, suspects: suspects, score: dispatch.Score(work), expired: work.Expired()}
-		if !step.Gang && suspects > 0 {
+		w.score, w.expired = dispatch.Score(work), work.Expired()
+		w.runTime, w.needs, w.gang, w.longRunning = s.runTime(e, *w.step), w.step.Needs, w.step.Gang, w.step.LongRunning
+		if !w.step.Gang && w.suspects > 0 {
 			trials := w
-			trials.indexes = indexes[:suspects]
+			trials.indexes, trials.tasks = w.indexes[:w.suspects], w.suspects
 			if mayStart {
 				p.waiting = append(p.waiting, trials)
 			}
-			w.indexes, w.suspects = indexes[suspects:], 0
+			w.indexes, w.tasks, w.suspects = w.indexes[w.suspects:], w.tasks-w.suspects, 0
 		}
-		if len(w.indexes) > 0 {
+		if w.tasks > 0 {
 			p.waiting = append(p.waiting, w)
 		}
 	}
 }
 
+// collectTasks sets the tasks of a waiting step that can start. Their indexes are not needed
+// yet unless some are suspects.
+func (s *Shard) collectTasks(p *pass, w *waitingStep) {
+	e := w.entry
+	if !e.progress.Crashed() && len(e.heldRuns) == len(e.active) {
+		w.tasks = e.progress.WaitingCount(w.ref)
+		return
+	}
+	first := len(p.indexes)
+	p.indexes = e.startable(p.indexes, w.ref)
+	w.indexes = p.indexes[first:len(p.indexes):len(p.indexes)]
+	w.tasks = len(w.indexes)
+	w.suspects = e.moveSuspectsFirst(w.ref, w.indexes)
+}
+
 // moveSuspectsFirst moves the tasks of a step that may crash their workers before the
 // others, and returns how many they are.
 func (e *jobEntry) moveSuspectsFirst(ref job.StepRef, indexes []int) int {
@@ -353,15 +448,14 @@
 }
 
 // dispatchStep describes a waiting step for the dispatcher.
-func (s *Shard) dispatchStep(p *pass, w waitingStep) dispatch.Step {
-	e, st := w.entry, w.entry.step(w.ref)
-	j := e.progress.Job()
-	step := j.Steps[w.ref.Step]
+func (s *Shard) dispatchStep(p *pass, w *waitingStep) dispatch.Step {
+	e, st, step := w.entry, w.entry.step(w.ref), w.step
+	policy := e.progress.Policy()
 	out := dispatch.Step{
-		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
-		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
-		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: j.Policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
+		Tasks: w.tasks, Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: policy.Service, Label: step.Label,
+		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
+		RenewAhead: policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
+		RunTime:    w.runTime, Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
@@ -458,13 +552,12 @@
 
 // work describes the remaining work of a job as last measured.
 func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
-	j := e.progress.Job()
 	accepted := e.progress.Accepted()
-	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
+	if due := e.progress.Due(ref.Occurrence); !due.IsZero() {
 		accepted = due
 	}
 	return dispatch.Work{
-		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, LatestObjective: s.latestObjective(e), CriticalPath: e.criticalPath,
+		Priority: e.progress.Policy().Priority, Age: now.Sub(accepted), Objective: e.objective, LatestObjective: s.latestObjective(e), CriticalPath: e.criticalPath,
 		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
 	}
 }
@@ -474,12 +567,16 @@
 func (s *Shard) placeTasks(p *pass, waiting waitingStep, workers []int) {
 	e := waiting.entry
 	st := e.step(waiting.ref)
-	step := e.progress.Job().Steps[waiting.ref.Step]
-	usualRunTime, speedOn := s.runTime(e, step), p.speedOn(step, workers)
+	step := waiting.step
+	usualRunTime, speedOn := waiting.runTime, p.speedOn(*step, workers)
+	indexes := waiting.indexes
+	if indexes == nil {
+		indexes = e.startable(nil, waiting.ref)
+	}
 	st.held, st.heldUntil = nil, time.Time{}
 	localityOn, farFactor, near := p.localityOn(step, workers), s.stats(e.route).locality.factor().Value, 0
 	for n, i := range workers {
-		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: waiting.indexes[n]}
+		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: indexes[n]}
 		run := e.progress.NextRun(task)
 		if step.Gang && n > 0 {
 			run--
