platform: make calls to workers without goroutines and buffers per connection

Cause: the transport of net/http keeps two goroutines and two buffers of 4 KiB for each connection. An owner of 350 workers has about 2,000 connections, since it keeps one for each start order that was once in flight beside others. They were 21 of 35 MB of the live heap, and 4,100 of 4,500 goroutines. Each message is also handed between three goroutines.

Change: calls to workers use a transport in which the calling goroutine writes the request and reads the reply itself, with the codecs of net/http. Buffers belong to calls in progress. As before, up to eight idle connections per worker are kept for 90 s, a closed one is replaced before anything is written, and a call of which bytes were written is not repeated. Before a connection is used again, its socket is checked for its end. Dials end with their call; in net/http they continue without it.

--- a/commands/node.go
+++ b/commands/node.go
@@ -64,7 +64,7 @@
 	countCall := func(call string) { recorder.Count("storeCalls", call) }
 	deps := node.Deps{
 		Keys:         platform.NewKeyspace(s.StoreAddress, platform.NewHTTPClient(), countCall),
-		Fleet:        platform.NewFleet(platform.NewHTTPClient()),
+		Fleet:        platform.NewFleet(platform.NewOrderClient()),
 		DecodeWorker: platform.DecodeWorker,
 		WorkerPrefix: platform.WorkerPrefix(),
 		Log:          log,
