dispatch: place gangs and urgent steps by speed on uneven fleets

Cause: a gang is as slow as its slowest member, and passes did not know which workers are fast.

Change: where Load.Uneven is set, a pass divides the workers into fast and slow ones, chooses for each gang the class on which it ends first (or both, if that pays for the time for which fast members wait), and requests advice about that class only. Gangs and urgent steps prefer fast workers, others slow ones; steps that are in time also if they start later on a slow worker go last. Expected run times contain the speed. Without Load.Uneven no decision changes. Also: adopted runs, gangs for one rack and runs away from their data are not used to learn speeds.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -111,7 +111,7 @@
 	}
 	add(func(worker int) bool { return p.fits(s, worker) })
 	if s.Gang {
-		add(func(worker int) bool { return p.Workers[worker].Open })
+		add(func(worker int) bool { return p.Workers[worker].Open && s.runsOn(&p.Workers[worker]) })
 	}
 	return wanted
 }
@@ -168,7 +168,7 @@
 func (p *planner) infeasible(s *Step) bool {
 	room := 0
 	for _, c := range s.Candidates {
-		if w := &p.Workers[c.Worker]; w.Open {
+		if w := &p.Workers[c.Worker]; w.Open && s.runsOn(w) {
 			room += slotsIn(w.Capacity, s)
 		}
 	}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -59,7 +59,7 @@
 // delaysReservation reports whether a task of the step is expected to run beyond
 // the start for which the worker is reserved.
 func (p *planner) delaysReservation(s *Step, w *Worker) bool {
-	return !w.reservedFrom.IsZero() && p.Now.Add(scale(s.RunTime, w.Slowness)).After(w.reservedFrom)
+	return !w.reservedFrom.IsZero() && p.Now.Add(s.runTimeOn(w)).After(w.reservedFrom)
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
@@ -157,6 +157,7 @@
 	w := &p.Workers[worker]
 	cost := slownessPenalty * (max(w.Slowness, 1) - 1)
 	cost += s.localityCost(w)
+	cost += p.speedCost(s, w)
 	if s.Avoid[worker] {
 		cost += avoidPenalty
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -37,6 +37,8 @@
 	// starts is the number of tasks that the pass starts here. keptFor is the number of
 	// the step whose suspects the worker is kept for; 0 for none.
 	starts, keptFor int
+	// class is the worker's class by speed, set only if [Load.Uneven] is.
+	class speedClass
 }
 
 // Release is the expected release of a task's resources when the task ends.
@@ -120,12 +122,17 @@
 
 	// number identifies the step in the pass; it starts at 1.
 	number int
+	// class is the class of workers on which a gang runs.
+	class speedClass
+	// deferral is 1 for a step that can wait for those that cannot, set only if
+	// [Load.Uneven] is.
+	deferral int
 }
 
 // matches reports whether a worker has the service and the label that the step
 // requires.
 func (s *Step) matches(w *Worker) bool {
-	return (s.Service == "" || w.Service == s.Service) && (s.Label == "" || slices.Contains(w.Labels, s.Label))
+	return s.runsOn(w) && (s.Service == "" || w.Service == s.Service) && (s.Label == "" || slices.Contains(w.Labels, s.Label))
 }
 
 // Decision is what one pass decides for a step. A step may have several.
@@ -238,6 +245,10 @@
 	loaded     map[string]bool
 	// waitDecisions is how many steps the pass has considered for a wait near their data.
 	waitDecisions int
+	// classChoices is for how many more gangs the pass chooses a class of workers.
+	classChoices int
+	// classRooms is reused by the choices; it is indexed by interval and class.
+	classRooms []classRoom
 }
 
 // Plan decides which tasks start now and which advice to request, highest score
@@ -247,6 +258,7 @@
 func Plan(l Load) []Decision {
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
+	p.classify()
 	p.trials = trialsLeft(l.Workers)
 	used, total := int64(0), int64(0)
 	for i := range l.Workers {
@@ -282,7 +294,7 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(steps[a].turn(), steps[b].turn()), cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[b].Score, steps[a].Score))
+		return cmp.Or(cmp.Compare(steps[a].turn(), steps[b].turn()), cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[a].deferral, steps[b].deferral), cmp.Compare(steps[b].Score, steps[a].Score))
 	})
 	return order
 }
@@ -326,6 +338,7 @@
 	if s.awaitsRenewal() || p.leavesNoHeadroom(s) {
 		return
 	}
+	p.chooseClass(s)
 	s, held := p.withinQuota(s)
 	if held > 0 {
 		p.Steps[index].Team.HeldTasks += held
--- a/shard/uneven.go
+++ b/shard/uneven.go
@@ -30,13 +30,18 @@
 	return &SpeedStatus{Uneven: u.Uneven, Known: u.Known, Ratio: u.Ratio, Fast: u.Fast, Usual: u.Usual}
 }
 
-// recordSpeed records the run time of a completed task for the speed of its worker.
+// recordSpeed records the run time of a completed task for the speed of its worker. Runs
+// elsewhere than near their data take longer on any worker, and of adopted runs it is not
+// known when they began.
 func (s *Shard) recordSpeed(p *placement, took time.Duration, now time.Time) {
-	if !s.limits.UnevenWorkers || p.expectedRunTime <= 0 || p.locality == localityFar {
+	if !s.limits.UnevenWorkers || p.expectedRunTime <= 0 || p.adopted {
 		return
 	}
 	e, j := p.entry, p.entry.progress.Job()
 	step, expected := j.Steps[p.task.Step], p.atUsualSpeed(p.expectedRunTime)
+	if step.Affinity != "" && p.worker.info.Rack != step.Affinity || step.Gang && step.SameRack {
+		return
+	}
 	if !step.Gang {
 		s.speeds.Add(now, speed.Run{Step: j.StepName(p.task.Occurrence, p.task.Step), Tasks: step.Count, Worker: p.worker.info.Name, Took: took, Expected: expected})
 		return
