--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -49,6 +49,7 @@
 	}
 	if w.seenEnds > w.ackedEnds && (len(w.pendingAcks) == 0 || w.pendingAcks[len(w.pendingAcks)-1].number < w.seenEnds) {
 		w.pendingAcks = append(w.pendingAcks, pendingAck{queuePosition: s.lastQueuePosition, number: w.seenEnds})
+		s.unacknowledged[w] = true
 		s.acknowledgeWorker(w)
 	}
 	complete := len(holding.Ended) < maxEndsPerAnswer
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -119,8 +119,11 @@
 // acknowledge marks the ends that are now stored, so that the next holds allow the
 // workers to drop them.
 func (s *Shard) acknowledge() {
-	for _, w := range s.workers {
+	for w := range s.unacknowledged {
 		s.acknowledgeWorker(w)
+		if len(w.pendingAcks) == 0 {
+			delete(s.unacknowledged, w)
+		}
 	}
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -87,6 +87,9 @@
 	// unreadable holds the stored jobs that this version cannot decode.
 	unreadable map[job.ID]bool
 	workers    map[lovagestand.WorkerName]*worker
+	// unacknowledged holds the workers that may have listed ends which are not
+	// acknowledged, because they are not stored.
+	unacknowledged map[*worker]bool
 	// workersListed reports whether the list of workers has been received.
 	workersListed bool
 	// listReadAt is when the list was last received, listReadSince the begin of the time
@@ -180,6 +183,7 @@
 		ctx: ctx, cancel: cancel, deps: deps, term: term, limits: limits,
 		log:  deps.Log.With().Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Logger(),
 		jobs: map[job.ID]*jobEntry{}, live: map[job.ID]*jobEntry{}, unreadable: map[job.ID]bool{}, workers: map[lovagestand.WorkerName]*worker{},
+		unacknowledged: map[*worker]bool{},
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
