dispatch: rank no workers with room later if enough have room now

An advice call names the workers with room soonest, but a pass computed for each of its calls when each worker of the fleet has room.

Workers without room now are left out once as many as the call can name have some, unless workers near data go first. Whether a worker is stuck is computed from the kept runs.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -137,7 +137,7 @@
 	if !p.infeasible(s) && !p.likelyFits(s) {
 		return false
 	}
-	more := p.withoutAdvice(s)
+	more := p.withoutAdvice(s, s.callSize())
 	if len(more) == 0 {
 		return false
 	}
@@ -169,7 +169,7 @@
 		if s, _ = p.withinQuota(s); s == nil {
 			continue
 		}
-		if more := p.withoutAdvice(s); len(more) > 0 {
+		if more := p.withoutAdvice(s, s.callSize()); len(more) > 0 {
 			p.countAdviceCall(s)
 			idle--
 			p.decisions = append(p.decisions, Decision{Step: i, AdviceFor: firstWorkers(more, s.callSize()), IfIdle: true})
@@ -258,12 +258,12 @@
 // initialAdvice returns the workers named in the first calls of a step: one call's
 // worth, and for a gang enough that the share usually allowed has room for it.
 func (p *planner) initialAdvice(s *Step) []int {
-	ranking := p.withoutAdvice(s)
-	n := min(s.callSize(), len(ranking))
 	if !s.Gang {
-		return firstWorkers(ranking, n)
+		return firstWorkers(p.withoutAdvice(s, s.callSize()), s.callSize())
 	}
-	workers := firstWorkers(ranking, maxInitialCalls*maxWorkersPerCall)
+	const limit = maxInitialCalls * maxWorkersPerCall
+	workers := firstWorkers(p.withoutAdvice(s, limit), limit)
+	n := min(s.callSize(), len(workers))
 	missing := initialRoomFactor * float64(s.Tasks)
 	for i, w := range workers {
 		if i >= n && missing <= 0 {
@@ -280,18 +280,28 @@
 }
 
 // withoutAdvice returns the workers on which there is no advice yet and that are
-// expected to have room for a task, in no particular order. The result is valid until the
+// expected to have room for a task, in no particular order. Workers that have room later may
+// be missing if there are limit workers that have room now. The result is valid until the
 // next call.
-func (p *planner) withoutAdvice(s *Step) []ranked {
+func (p *planner) withoutAdvice(s *Step, limit int) []ranked {
 	ranking := slices.Grow(p.scratch.ranking[:0], len(p.Workers))
+	nearFirst := s.Locality != nil && s.Affinity != ""
+	now := 0
 	for i := range p.Workers {
 		if !p.mayBeNamed(s, i) {
 			continue
 		}
+		if now >= limit && !nearFirst && !p.mayFitNow(s, i) {
+			continue
+		}
 		if at, ok := p.firstSlot(s, i); ok {
+			wait := at.Sub(p.Now)
+			if wait <= 0 {
+				now++
+			}
 			ranking = append(ranking, ranked{
-				worker: i, far: s.Locality != nil && s.Affinity != "" && !s.near(&p.Workers[i]),
-				wait: at.Sub(p.Now), spread: (s.Seed + uint64(i)) * hashMultiplier,
+				worker: i, far: nearFirst && !s.near(&p.Workers[i]),
+				wait: wait, spread: (s.Seed + uint64(i)) * hashMultiplier,
 			})
 		}
 	}
@@ -299,6 +309,16 @@
 	return ranking
 }
 
+// mayFitNow reports whether a worker may have room for a task of a step now, counting runs
+// that are expected to have ended.
+func (p *planner) mayFitNow(s *Step, worker int) bool {
+	if s.Needs.Fits(p.Workers[worker].Free) {
+		return true
+	}
+	releases := p.releasesOf(worker)
+	return len(releases) > 0 && !releases[0].At.After(p.Now)
+}
+
 // ranked is a worker on which there is no advice yet.
 type ranked struct {
 	worker int
--- a/shard/health.go
+++ b/shard/health.go
@@ -34,15 +34,24 @@
 // have no time by which they should end.
 func (w *worker) stuck(now time.Time) bool {
 	overdue, runs := 0, 0
-	for _, p := range w.placements {
-		if p.longRunning {
-			continue
+	count := func(r runTimes, longRunning bool) {
+		if longRunning {
+			return
 		}
 		runs++
-		if !p.stopRequested && now.Sub(p.placedAt) > time.Duration(overdueFactor*float64(p.expectedRunTime))+overdueSlack {
+		if !r.stopRequested && now.Sub(r.placedAt) > time.Duration(overdueFactor*float64(r.expected))+overdueSlack {
 			overdue++
 		}
 	}
+	if w.runs != nil {
+		for i := range w.runs {
+			count(w.runs[i].runTimes, w.runs[i].longRunning)
+		}
+	} else {
+		for _, p := range w.placements {
+			count(p.times(), p.longRunning)
+		}
+	}
 	return overdue >= minOverdue && 2*overdue >= runs
 }
 
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -306,6 +306,7 @@
 	p.workers = s.sortedWorkers()
 	for i, w := range p.workers {
 		w.passIndex = i
+		s.runsOn(w)
 		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
 			Open: w.open(p.now), Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
