shard: reuse the slices of runs that may be preempted

Each pass allocated the descriptions of the runs on the workers that it searched, and went through all steps of a job to see whether it is long-running.

--- a/job/progress.go
+++ b/job/progress.go
@@ -91,16 +91,6 @@
 // Policy returns the policy of the job, which must not be changed.
 func (p *Progress) Policy() *Policy { return &p.job.Policy }
 
-// LongRunning is [Job.LongRunning].
-func (p *Progress) LongRunning() bool {
-	for i := range p.job.Steps {
-		if p.job.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // Due returns when an occurrence of the job may start; see [Schedule.Due].
 func (p *Progress) Due(occurrence int) time.Time { return p.job.Schedule.Due(occurrence) }
 
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -134,7 +134,7 @@
 // meanCoreTime returns the average core time of the jobs on the route of a job. The
 // core time of a long-running job is nominal and is compared with itself only.
 func (s *Shard) meanCoreTime(e *jobEntry) time.Duration {
-	if e.progress.LongRunning() {
+	if e.longRunning {
 		return e.totalCoreTime
 	}
 	return s.statsOf(e).jobCoreTime
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -96,11 +96,14 @@
 	gangs map[gangKey]*dispatch.GangRun
 	// refs, indexes and candidates hold the slices of all steps, one after the other, and
 	// ordered is where the waiting steps are put in order. They are used again in each pass.
-	refs     []job.StepRef
-	indexes  []int
-	releases []dispatch.Release
-	ordered  []waitingStep
-	keys     []sortKey
+	refs       []job.StepRef
+	indexes    []int
+	releases   []dispatch.Release
+	placements []*placement
+	// dispatchRuns holds the runs of the workers that the pass may preempt.
+	dispatchRuns []dispatch.Run
+	ordered      []waitingStep
+	keys         []sortKey
 }
 
 // newPass returns a pass that uses the slices of the former one again.
@@ -110,10 +113,12 @@
 	clear(p.ordered[:cap(p.ordered)])
 	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
 	clear(p.runs[:cap(p.runs)])
+	clear(p.placements[:cap(p.placements)])
+	clear(p.dispatchRuns)
 	*p = pass{
 		spareDivisions: p.divisions,
 		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
-		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0],
+		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0], placements: p.placements[:0], dispatchRuns: p.dispatchRuns[:0],
 	}
 	p.policies, p.configured = s.teams()
 	return p
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -167,22 +167,24 @@
 
 // preemptibleRuns returns the runs on a worker of the pass, by task name.
 func (s *Shard) preemptibleRuns(p *pass, worker int) []dispatch.Run {
-	placements := make([]*placement, 0, len(p.workers[worker].placements))
+	placements := p.placements[:0]
 	for _, o := range p.workers[worker].placements {
 		if o.entry.progress != nil {
 			placements = append(placements, o)
 		}
 	}
+	p.placements = placements
 	slices.SortFunc(placements, func(a, b *placement) int { return strings.Compare(a.name, b.name) })
-	runs := make([]dispatch.Run, 0, len(placements))
+	first := len(p.dispatchRuns)
+	p.dispatchRuns = slices.Grow(p.dispatchRuns, len(placements))
 	for _, o := range placements {
 		r := s.dispatchRun(p, o)
 		if step := o.entry.progress.JobStep(o.task.Step); step.Gang {
 			r.Gang = s.gangRun(p, o, step.Count)
 		}
-		runs = append(runs, r)
+		p.dispatchRuns = append(p.dispatchRuns, r)
 	}
-	return runs
+	return p.dispatchRuns[first:len(p.dispatchRuns):len(p.dispatchRuns)]
 }
 
 // dispatchRun describes a run for the dispatcher. Its ID is its index in the runs of the
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -248,6 +248,8 @@
 	stats *routeStats
 	// objective is the time in which the job should complete.
 	objective time.Duration
+	// longRunning is [job.Job.LongRunning].
+	longRunning bool
 	// totalCoreTime is the estimated core time of one occurrence.
 	totalCoreTime time.Duration
 	// remainingCoreTime and criticalPath are the work left in the occurrence
@@ -376,7 +378,7 @@
 	return &jobEntry{
 		id: p.Job().ID, route: p.Job().Policy.Route, team: p.Job().Team, progress: p, body: body, started: p.Started(),
 		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, heldRuns: map[string]int{},
-		trialTimes: map[string]time.Duration{},
+		trialTimes: map[string]time.Duration{}, longRunning: p.Job().LongRunning(),
 	}
 }
 
--- a/shard/teams.go
+++ b/shard/teams.go
@@ -113,7 +113,7 @@
 func (e *jobEntry) replacedBy(n *jobEntry) *jobEntry {
 	e.team, e.route, e.progress, e.body, e.started = n.team, n.route, n.progress, n.body, n.started
 	e.steps, e.trialTimes = n.steps, n.trialTimes
-	e.objective, e.totalCoreTime, e.workStale = n.objective, n.totalCoreTime, true
+	e.objective, e.totalCoreTime, e.longRunning, e.workStale = n.objective, n.totalCoreTime, n.longRunning, true
 	e.phase, e.finishedAt = "", time.Time{}
 	e.unsubmitted, e.expired, e.cancelledBy = false, false, nil
 	e.durable, e.endDurable = false, false
