dispatch, speed: late steps wait on uneven fleets; equal inputs give equal speeds

Long-running tasks of urgent jobs would have kept fast workers for good.

Change: steps of late jobs can wait as well; long-running tasks never count as steps that can wait and do not prefer fast workers. Updates go through the steps in order. Comparing the ends of a step takes one sort instead of one per end.

--- a/dispatch/uneven.go
+++ b/dispatch/uneven.go
@@ -27,10 +27,10 @@
 	// workersPerUnevenReservation replaces workersPerReservation: gangs compete for the room
 	// of a part of the workers only, which other steps fill as soon as it is free.
 	workersPerUnevenReservation = 20
-	// A step can wait if its job ends within its objective although it starts deferralTime
-	// later on a slow worker and its run times are deferralMargin times as long as expected.
-	// It waits for steps that would lose value: gangs need room at one time, which steps of
-	// single tasks take before them as it becomes free.
+	// A step that is not late can wait if its job ends within its objective although it
+	// starts deferralTime later on a slow worker and its run times are deferralMargin times
+	// as long as expected. It waits for steps that would lose value: gangs need room at one
+	// time, which steps of single tasks take before them as it becomes free.
 	deferralTime   = 3 * time.Second
 	deferralMargin = 1.5
 	// Expected room is counted by intervals of roomInterval up to reservationHorizon.
@@ -69,12 +69,22 @@
 	}
 	slowSpeed := sum / float64(max(1, slow))
 	for i := range p.Steps {
-		if s := &p.Steps[i]; !s.Gang && s.Work.Priority > 0 && s.inTimeAt(slowSpeed/deferralMargin, deferralTime) {
+		if s := &p.Steps[i]; s.canWait(slowSpeed) {
 			s.deferral = 1
 		}
 	}
 }
 
+// canWait reports whether a step loses no value if it waits for those that would: its job is
+// in time all the same, or late already. Every second without a long-running task counts.
+func (s *Step) canWait(slowSpeed float64) bool {
+	if s.RunTime == 0 {
+		return false
+	}
+	patient := !s.Gang && s.Work.Priority > 0
+	return patient && s.inTimeAt(slowSpeed/deferralMargin, deferralTime) || timeliness(s.Work) < 1
+}
+
 // inTimeAt reports whether the job of a step ends within its objective if it runs at a speed
 // after a delay.
 func (s *Step) inTimeAt(speed float64, delay time.Duration) bool {
@@ -138,9 +148,10 @@
 
 // prefersFast reports whether the tasks of a step start on fast workers where both classes
 // have room: those of urgent jobs and gangs. The others take what these leave, also on fast
-// workers, so that nothing waits for a slow worker.
+// workers, so that nothing waits for a slow worker. Long-running tasks would keep fast
+// workers for good.
 func (s *Step) prefersFast() bool {
-	return s.Work.Priority == 0 || s.Gang
+	return s.RunTime > 0 && (s.Work.Priority == 0 || s.Gang)
 }
 
 // classRoom is the room for tasks of a gang on the workers of a class that is expected to
--- a/speed/decision.go
+++ b/speed/decision.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -64,7 +65,9 @@
 		return f.summary
 	}
 	f.updatedAt = now
-	for id, s := range f.steps {
+	// The order has an effect on the averages, and equal inputs must give equal estimates.
+	for _, id := range slices.Sorted(maps.Keys(f.steps)) {
+		s := f.steps[id]
 		if !s.settled && now.Sub(s.firstAt) >= settleAfter {
 			f.settle(now, s)
 		}
--- a/speed/fleet.go
+++ b/speed/fleet.go
@@ -107,7 +107,7 @@
 	s := f.steps[r.Step]
 	if s == nil {
 		if r.Tasks <= 1 || len(f.steps) >= maxSteps {
-			f.observe(now, e, nil)
+			f.observe(now, e, 0, 0)
 			return
 		}
 		s = &step{firstAt: now}
@@ -116,7 +116,8 @@
 	s.ends = append(s.ends, e)
 	switch {
 	case s.settled:
-		f.observe(now, e, f.others(s.ends, len(s.ends)-1))
+		ratios, sum := f.comparable(s.ends)
+		f.observe(now, e, len(ratios)-1, sum-ratios[len(ratios)-1])
 	case len(s.ends) >= r.Tasks:
 		f.settle(now, s)
 	}
@@ -138,7 +139,7 @@
 		}
 	}
 	if slowest != "" {
-		f.observe(now, end{worker: slowest, ratio: logRatio(took, expected)}, nil)
+		f.observe(now, end{worker: slowest, ratio: logRatio(took, expected)}, 0, 0)
 	}
 }
 
@@ -149,29 +150,26 @@
 // settle compares the ends of a step with each other.
 func (f *Fleet) settle(now time.Time, s *step) {
 	s.settled = true
+	ratios, sum := f.comparable(s.ends)
 	for i, e := range s.ends {
-		f.observe(now, e, f.others(s.ends, i))
+		f.observe(now, e, len(ratios)-1, sum-ratios[i])
 	}
 }
 
-// others returns the ends of a step but one, each relative to the slowness of its worker
-// and limited to a distance from their median.
-func (f *Fleet) others(ends []end, without int) []float64 {
-	ratios := make([]float64, 0, len(ends))
+// comparable returns the ends of a step relative to the slowness of their workers, each
+// limited to a distance from their median, and their sum.
+func (f *Fleet) comparable(ends []end) ([]float64, float64) {
+	ratios := make([]float64, len(ends))
 	for i, e := range ends {
-		if i != without {
-			ratios = append(ratios, e.ratio-f.slowness(e.worker))
-		}
-	}
-	if len(ratios) == 0 {
-		return nil
+		ratios[i] = e.ratio - f.slowness(e.worker)
 	}
-	slices.Sort(ratios)
-	median := ratios[(len(ratios)-1)/2]
+	ascending := slices.Sorted(slices.Values(ratios))
+	median, sum := ascending[(len(ascending)-1)/2], 0.0
 	for i := range ratios {
 		ratios[i] = limited(ratios[i], median)
+		sum += ratios[i]
 	}
-	return ratios
+	return ratios, sum
 }
 
 func (f *Fleet) slowness(name lovagestand.WorkerName) float64 {
@@ -186,16 +184,11 @@
 }
 
 // observe adds an end to the observations of its worker. The error of the step's estimate
-// is inferred from the other ends of the step; the fewer they are, the less weight the
-// observation has.
-func (f *Fleet) observe(now time.Time, e end, others []float64) {
-	precision := 1 / estimateVariance
-	sum := 0.0
-	for _, o := range others {
-		precision += 1 / f.runVariance
-		sum += o / f.runVariance
-	}
-	x := e.ratio - sum/precision
+// is inferred from the number and the sum of the other ends of the step; the fewer they
+// are, the less weight the observation has.
+func (f *Fleet) observe(now time.Time, e end, others int, sum float64) {
+	precision := 1/estimateVariance + float64(others)/f.runVariance
+	x := e.ratio - sum/f.runVariance/precision
 	weight := f.runVariance / (f.runVariance + 1/precision)
 	w := f.workers[e.worker]
 	if w == nil {
@@ -207,7 +200,7 @@
 	if x > limit {
 		weight *= degradedWeight
 	}
-	if w.evidence >= minEvidence && len(others) > 0 {
+	if w.evidence >= minEvidence && others > 0 {
 		difference := limit - w.mean
 		f.runVariance += (difference*difference - f.runVariance) * weight / runVarianceSample
 		f.runVariance = max(f.runVariance, minRunVariance)
