shard: keep room until a late stop has freed it

Cause: room that is kept for an urgent task expires after the stop timeout, the order timeout and 250 ms. A pass drops it and keeps it again while the run is still stopping. If the stop ends after the expiry and before the next pass (up to 200 ms later), that pass drops the room and sees the preempted task among the waiting ones. The task has the higher score, so it takes the room back, and the urgent task waits for the end of another run.

Change: the end of a preempted run extends the room that is kept on its worker to at least 250 ms from then. Each stop extends it once, so no room is kept for good.

--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -262,6 +262,7 @@
 	if p == nil || p.preemptedAt.IsZero() {
 		return
 	}
+	s.extendKeptRoom(p.worker, now)
 	took := now.Sub(p.preemptedAt)
 	if s.averageStopTime == 0 {
 		s.averageStopTime = took
@@ -349,6 +350,17 @@
 	})
 }
 
+// extendKeptRoom keeps the room on a worker on which a preempted run has ended for at
+// least keptRoomSlack from now. Otherwise the room could expire between the last pass and
+// the end of a late stop, and the next pass would give it back to the preempted task.
+func (s *Shard) extendKeptRoom(w *worker, now time.Time) {
+	for _, k := range s.kept {
+		if k.worker == w {
+			k.until = later(k.until, now.Add(keptRoomSlack))
+		}
+	}
+}
+
 // recordUnusedRoom records that room was kept for a task that did not start there.
 func (s *Shard) recordUnusedRoom(k *keptRoom) {
 	if k.stops == 0 {
