dispatch: let gangs behind many others start if the fast workers cannot hold them

A pass chooses a class of workers for at most 16 gangs; those behind them were confined to the fast workers. A gang whose service, label or size the fast workers cannot hold waited for as long as 16 gangs were ahead of it, even beside idle slow workers. It now runs on any worker. A test with 20 waiting gangs of another service failed before and passes. Fleets that are not uneven are not affected.

--- a/dispatch/uneven.go
+++ b/dispatch/uneven.go
@@ -37,7 +37,7 @@
 	roomInterval  = 50 * time.Millisecond
 	roomIntervals = int(reservationHorizon / roomInterval)
 	// maxClassChoices is the number of gangs for which one pass chooses a class by expected
-	// ends. The gangs behind them start only if they fit on the fast workers.
+	// ends. The gangs behind them start only on the fast workers, if these can hold them.
 	maxClassChoices = 16
 )
 
@@ -176,7 +176,9 @@
 		return
 	}
 	if p.classChoices <= 0 {
-		s.class = fastWorkers
+		if p.canHold(s, fastWorkers) {
+			s.class = fastWorkers
+		}
 		return
 	}
 	if s.NeedsTickets && s.Candidates == nil && (len(s.AdvicePending) > 0 || !p.mayRequestAdvice(s)) {
@@ -194,6 +196,31 @@
 	s.class = best
 }
 
+// canHold reports whether a gang would fit on the workers of a class if these were empty. A
+// worker counts unless it is known that policy does not allow it.
+func (p *planner) canHold(s *Step, class speedClass) bool {
+	room := 0
+	add := func(worker int) {
+		if w := &p.Workers[worker]; w.Open && w.class == class && s.matches(w) {
+			room += slotsIn(w.Capacity, s)
+		}
+	}
+	if s.NeedsTickets {
+		for _, c := range s.Candidates {
+			add(c.Worker)
+		}
+	}
+	for i := range p.Workers {
+		if room >= s.Tasks {
+			return true
+		}
+		if !s.NeedsTickets || s.AdviceKnown == nil || !s.AdviceKnown(i) {
+			add(i)
+		}
+	}
+	return room >= s.Tasks
+}
+
 // classCost returns the expected time until a gang ends on workers of a class, plus what
 // others lose. It returns false if it is not expected to fit there.
 func (p *planner) classCost(s *Step, class speedClass) (time.Duration, bool) {
--- a/dispatch/uneven_test.go
+++ b/dispatch/uneven_test.go
@@ -101,3 +101,20 @@
 		c.Check(dispatch.Plan(l)[0].Step, qt.Equals, first, qt.Commentf("age %v", age))
 	}
 }
+
+// TestGangsBehindManyStartOnSlowWorkers guards against gangs that are confined to the fast
+// workers, on which they can never fit, because many gangs are ahead of them.
+func TestGangsBehindManyStartOnSlowWorkers(t *testing.T) {
+	gang := dispatch.Step{Tasks: 2, Needs: cores(4), Gang: true, RunTime: time.Second, Service: "a"}
+	l := unevenLoad(gang, 0, 0, 8, 0)
+	l.Workers[0].Service, l.Workers[1].Service, l.Workers[2].Service, l.Workers[3].Service = "a", "a", "b", "a"
+	l.Steps = slices.Repeat(l.Steps, 20)
+	for i := range l.Steps {
+		l.Steps[i].Score = 2
+	}
+	gang.Service, gang.Score = "b", 1
+	l.Steps = append(l.Steps, gang)
+	decisions := dispatch.Plan(l)
+	qt.Assert(t, decisions, qt.HasLen, 1)
+	qt.Check(t, decisions[0].Workers, qt.DeepEquals, []int{2, 2})
+}
