shard: rebase slowness when a speed becomes known or unknown

On an uneven fleet, the slowness of a worker is relative to its own speed where that is known. It was converted only when the fleet began or ceased to count as uneven: a worker whose speed became known later counted as slow twice (1.37 at speed 0.73 in the test) until its average followed, and the end of the uneven state divided by a newer speed than the one in force. The test failed before and passes.

--- a/shard/uneven.go
+++ b/shard/uneven.go
@@ -86,10 +86,9 @@
 	before := s.unevenness.Uneven
 	s.unevenness = s.speeds.Update(p.now, names)
 	for _, w := range p.workers {
+		former := w.speed
 		w.speed = s.speeds.Estimate(p.now, w.info.Name).Speed
-		if before != s.unevenness.Uneven && w.speed > 0 {
-			w.rebaseSlowness(s.unevenness.Uneven)
-		}
+		w.rebaseSlowness(before, former, s.unevenness.Uneven)
 	}
 	if before == s.unevenness.Uneven {
 		return
@@ -103,13 +102,16 @@
 }
 
 // rebaseSlowness converts the slowness of a worker from the run time expected at the usual
-// speed to that expected at its own speed, or back.
-func (w *worker) rebaseSlowness(ownSpeed bool) {
-	if ownSpeed {
+// speed to that expected at its own speed, or back, if the one in force has changed: the
+// fleet began or ceased to count as uneven, or the speed became known or unknown.
+func (w *worker) rebaseSlowness(wasUneven bool, formerSpeed float64, uneven bool) {
+	before, after := wasUneven && formerSpeed > 0, uneven && w.speed > 0
+	switch {
+	case after && !before:
 		w.slowness *= w.speed
-		return
+	case before && !after:
+		w.slowness /= formerSpeed
 	}
-	w.slowness /= w.speed
 }
 
 // speedOn returns the speed at which tasks of a step run on workers: that of the worker, or
--- a/shard/uneven_internal_test.go
+++ b/shard/uneven_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -90,3 +91,19 @@
 	next.workers = s.workers
 	c.Check(passOf(next, now.Add(time.Second)).uneven, qt.IsFalse)
 }
+
+// TestSlownessFollowsKnownSpeed guards against a slowness that counts the speed of a worker
+// twice, or not at all, after the speed became known or unknown on an uneven fleet.
+func TestSlownessFollowsKnownSpeed(t *testing.T) {
+	c := qt.New(t)
+	s, now := newUnevenShard(true)
+	w := s.workers["w01"]
+	speed := s.speeds.Estimate(now, "w01").Speed
+	w.speed, w.slowness = 0, 1/speed
+	c.Assert(passOf(s, now).uneven, qt.IsTrue)
+	c.Check(math.Abs(w.slowness-1) < 1e-9, qt.IsTrue, qt.Commentf("slowness %v at speed %v after it became known", w.slowness, w.speed))
+	before, known := w.slowness, w.speed
+	w.info.Name = "forgotten"
+	c.Assert(passOf(s, now.Add(time.Second)).uneven, qt.IsTrue)
+	c.Check(math.Abs(w.slowness-before/known) < 1e-9, qt.IsTrue, qt.Commentf("slowness %v after speed %v became unknown", w.slowness, known))
+}
