shard: where a job would be placed now, and why it would wait

Operators cannot see why a job waits, or where one would start, without submitting it.

Shard.Where adds a job to a copy of what a pass reads and runs the parts of the pass that decide. The copy has no store, fleet, log or recorder. dispatch.Explain decides like Plan and names one reason for each step. plan is divided into functions; its decisions and their order are unchanged.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -203,6 +203,9 @@
 	// IdleAdviceClients is how many clients have no call to make. They are used to
 	// request advice on further workers for steps that wait.
 	IdleAdviceClients int
+	// beforeDecision, if set, is called before the decision on each step. It changes
+	// nothing; see [Explain].
+	beforeDecision func(p *planner, step int)
 }
 
 // planner holds the state of one pass.
@@ -261,6 +264,9 @@
 	order := stepOrder(l.Steps)
 	p.holdForRenewals()
 	for _, i := range order {
+		if p.beforeDecision != nil {
+			p.beforeDecision(p, i)
+		}
 		p.decideWithKept(i, &l.Steps[i])
 	}
 	p.requestIdleAdvice(order)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -113,9 +113,23 @@
 func (s *Shard) plan() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p := s.newPass()
+	defer s.recordTeams(p)
+	s.summarize(p)
+	s.backlog = nil
+	s.endBeyondPeriods(p.now)
+	if len(p.waiting) == 0 || !s.deps.Assured() {
+		return idleInterval
+	}
+	s.orderWaiting(p)
+	s.selectWithinQuotas(p)
+	return s.decide(p, s.considerSteps(p))
+}
+
+// newPass returns a pass with the workers and all steps that wait.
+func (s *Shard) newPass() *pass {
 	p := &pass{now: time.Now(), waitsForLocality: s.waitsForLocality()}
 	p.policies, p.configured = s.teams()
-	defer s.recordTeams(p)
 	for _, e := range s.live {
 		// Tasks of a recovered job may still be running on workers, so none is placed
 		// until all runs of former terms are known. The quota of a team is not known
@@ -126,17 +140,20 @@
 	}
 	s.collectWorkers(p)
 	s.dropKeptRoom(p)
-	s.summarize(p)
-	s.backlog = nil
-	s.endBeyondPeriods(p.now)
-	if len(p.waiting) == 0 || !s.deps.Assured() {
-		return idleInterval
-	}
+	return p
+}
+
+// orderWaiting sorts the steps that wait by tier and score.
+func (s *Shard) orderWaiting(p *pass) {
 	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
 	})
 	s.assignTiers(p)
-	s.selectWithinQuotas(p)
+}
+
+// considerSteps limits the waiting steps to those that the pass considers, and returns the
+// load of the pass.
+func (s *Shard) considerSteps(p *pass) dispatch.Load {
 	// Only some workers are on trial at a time; further suspects would keep other steps
 	// out of the pass.
 	suspectSteps := 0
@@ -153,7 +170,12 @@
 	s.withholdKeptRoom(p)
 	p.adviceClients = s.deps.AdviceClients()
 	p.holdRenewals = p.policies.Enabled
-	load := s.load(p)
+	return s.load(p)
+}
+
+// decide places tasks and requests advice for a load, and returns after which time without
+// an event the next pass is due.
+func (s *Shard) decide(p *pass, load dispatch.Load) time.Duration {
 	next := p.now.Add(idleInterval)
 	decisions := dispatch.Plan(load)
 	for _, d := range decisions {
--- /dev/null
+++ b/shard/where.go
@@ -0,0 +1,269 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/dispatch"
+	"lovagestand.example/lovagestand/fairshare"
+	"lovagestand.example/lovagestand/job"
+)
+
+// Placement is where a job would be placed now, or why it would wait or be rejected.
+type Placement struct {
+	Shard string                `json:"shard"`
+	Route lovagestand.RouteName `json:"route"`
+	Team  lovagestand.TeamName  `json:"team,omitempty"`
+	// Rejection is set if the job would not be accepted; there are no steps then.
+	Rejection *Rejection      `json:"rejection,omitempty"`
+	Steps     []StepPlacement `json:"steps,omitempty"`
+}
+
+// Rejection is why a job would be rejected.
+type Rejection struct {
+	Reason  RejectionReason `json:"reason"`
+	Message string          `json:"message"`
+	// RetryAfter is how long the caller would be told to wait, in milliseconds; 0 if
+	// another attempt with the same ID is of no use.
+	RetryAfter int64 `json:"retryAfterMillis,omitempty"`
+}
+
+// StepPlacement is where the tasks of a step would start.
+type StepPlacement struct {
+	Step  int  `json:"step"`
+	Tasks int  `json:"tasks"`
+	Gang  bool `json:"gang,omitempty"`
+	// Position is the place of the step among those that wait, from 1; 0 if it is not
+	// among them.
+	Position int               `json:"position,omitempty"`
+	Workers  []WorkerPlacement `json:"workers,omitempty"`
+	// Waiting is the number of tasks that would wait, for Reason; Message describes it.
+	Waiting int                 `json:"waiting,omitempty"`
+	Reason  dispatch.WaitReason `json:"reason,omitempty"`
+	Message string              `json:"message,omitempty"`
+	// Until is when a wait for locality or for the start time ends, in milliseconds; 0 for
+	// other reasons.
+	Until int64 `json:"untilMillis,omitempty"`
+	// AdviceWorkers is on how many workers advice would be requested.
+	AdviceWorkers int `json:"adviceWorkers,omitempty"`
+}
+
+// WorkerPlacement is a worker on which tasks of a step would start.
+type WorkerPlacement struct {
+	Worker lovagestand.WorkerName `json:"worker"`
+	Rack   lovagestand.RackName   `json:"rack,omitempty"`
+	Tasks  int                    `json:"tasks"`
+	// Free is what is free there before the pass.
+	Free lovagestand.Resources `json:"free"`
+}
+
+// Where returns where a job would be placed if it were accepted now. It runs the parts of
+// a pass that decide on a copy of the shard, and changes nothing. The version is that of
+// the configuration with which the gateway would admit the job. It returns a
+// [NotOwnerError] if the ownership is not confirmed.
+func (s *Shard) Where(j job.Job, version int64) (Placement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing || !s.deps.Confirmed() {
+		return Placement{}, &NotOwnerError{}
+	}
+	return s.copyForTrial().placementOf(j, version), nil
+}
+
+// copyForTrial returns a copy of what a pass reads. The copy has no store, fleet, log or
+// recorder, so that nothing that is done with it has an effect outside. It shares the
+// workers and the progress of the jobs, which the parts of a pass that decide do not
+// change. The caller holds mu while the copy is in use.
+func (s *Shard) copyForTrial() *Shard {
+	deps := s.deps
+	deps.Fleet, deps.Store, deps.Log, deps.Recorder = nil, nil, zerolog.Nop(), lovagestand.NoRecorder{}
+	c := New(s.term, s.limits, deps)
+	c.cancel()
+	c.jobs, c.unreadable, c.workers = s.jobs, s.unreadable, s.workers
+	c.stalled, c.writtenPosition = s.stalled, s.writtenPosition
+	c.unresolved, c.rosterUnreadable, c.resolved = s.unresolved, s.rosterUnreadable, s.resolved
+	c.teamUsage, c.former, c.shares = s.teamUsage, s.former, s.shares
+	c.backlog, c.adviceSlots = s.backlog, s.adviceSlots
+	for route, stats := range s.statsByRoute {
+		copied := *stats
+		c.statsByRoute[route] = &copied
+	}
+	for id, e := range s.live {
+		copied := *e
+		copied.steps = maps.Clone(e.steps)
+		c.live[id] = &copied
+	}
+	for _, k := range s.kept {
+		copied := *k
+		if e := c.live[k.entry.id]; e != nil {
+			copied.entry = e
+		}
+		c.kept = append(c.kept, &copied)
+	}
+	return c
+}
+
+// placementOf adds a job to the shard and returns how a pass decides on it.
+func (s *Shard) placementOf(j job.Job, version int64) Placement {
+	e := newJobEntry(job.New(j, time.Now()), nil)
+	out := Placement{Shard: s.term.Shard, Route: e.route, Team: e.team}
+	if out.Rejection = s.rejectionOfNew(e, version); out.Rejection != nil {
+		return out
+	}
+	e.durable = true
+	s.live[e.id] = e
+	t := newTrial(s, e)
+	for i := range j.Steps {
+		out.Steps = append(out.Steps, t.step(i))
+	}
+	return out
+}
+
+// rejectionOfNew returns why a new job would be rejected, nil if it would be accepted. It
+// checks in the order of [Shard.Submit].
+func (s *Shard) rejectionOfNew(e *jobEntry, version int64) *Rejection {
+	known := s.jobs[e.id]
+	switch {
+	case s.unreadable[e.id]:
+		return &Rejection{Reason: RejectsKnownID, Message: "the ID belongs to a stored job"}
+	case known == nil:
+	case known.unsubmitted && known.cancelled(e.team):
+		return &Rejection{Reason: RejectsCancelledID, Message: "the job was cancelled before it was submitted"}
+	case known.unsubmitted:
+	case !known.visibleTo(e.team):
+		return &Rejection{Reason: RejectsOtherTeamsID, Message: (&OtherTeamError{}).Error()}
+	default:
+		return &Rejection{Reason: RejectsKnownID, Message: "the ID belongs to a job that was submitted before; another submission changes nothing"}
+	}
+	if err := s.rejection(e.progress.Job(), version); err != nil {
+		return rejectionOf(err)
+	}
+	s.estimateWork(e)
+	if err := s.admit(time.Now(), e); err != nil {
+		return rejectionOf(err)
+	}
+	return nil
+}
+
+// trial is a pass whose decisions are explained for one job and not acted on.
+type trial struct {
+	shard *Shard
+	entry *jobEntry
+	pass  *pass
+	// assured reports whether the pass may start anything.
+	assured bool
+	// positions and tiers are those of the waiting steps of the job, by step. selected
+	// holds the steps within the cap, and explained those that the pass considers.
+	positions map[int]int
+	tiers     map[int]fairshare.Tier
+	selected  map[int]bool
+	explained map[int]dispatch.Explanation
+}
+
+// newTrial runs a pass for a job that has been added to the shard.
+func newTrial(s *Shard, e *jobEntry) *trial {
+	t := &trial{
+		shard: s, entry: e, pass: s.newPass(), assured: s.deps.Assured(),
+		positions: map[int]int{}, tiers: map[int]fairshare.Tier{}, selected: map[int]bool{}, explained: map[int]dispatch.Explanation{},
+	}
+	s.orderWaiting(t.pass)
+	t.ownSteps(func(position int, w waitingStep) { t.positions[w.ref.Step], t.tiers[w.ref.Step] = position, w.tier })
+	if !t.assured {
+		return t
+	}
+	s.selectWithinQuotas(t.pass)
+	t.ownSteps(func(_ int, w waitingStep) { t.selected[w.ref.Step] = true })
+	load := s.considerSteps(t.pass)
+	var steps, indexes []int
+	t.ownSteps(func(position int, w waitingStep) {
+		steps, indexes = append(steps, w.ref.Step), append(indexes, position-1)
+	})
+	for n, explanation := range dispatch.Explain(load, indexes) {
+		t.explained[steps[n]] = explanation
+	}
+	return t
+}
+
+// ownSteps calls f for each waiting step of the first occurrence of the job, with its
+// position in the pass, from 1.
+func (t *trial) ownSteps(f func(position int, w waitingStep)) {
+	for i, w := range t.pass.waiting {
+		if w.entry == t.entry && w.ref.Occurrence == 0 {
+			f(i+1, w)
+		}
+	}
+}
+
+// step returns where the tasks of a step would start.
+func (t *trial) step(index int) StepPlacement {
+	step := t.entry.progress.Job().Steps[index]
+	out := StepPlacement{Step: index, Tasks: step.Count, Gang: step.Gang, Position: t.positions[index], Waiting: step.Count}
+	explanation, considered := t.explained[index]
+	switch {
+	case considered:
+		out.Workers, out.Waiting, out.AdviceWorkers = t.workers(explanation.Workers), explanation.Waiting, len(explanation.AdviceFor)
+		out.Reason, out.Until = t.refine(index, explanation.Reason), millisOf(explanation.Until)
+	case out.Position == 0:
+		out.Reason, out.Until = t.notWaiting()
+	case !t.assured:
+		out.Reason = WaitsForAssurance
+	case !t.selected[index]:
+		out.Reason = t.refine(index, dispatch.WaitsForCap)
+	default:
+		out.Reason = WaitsForQueue
+	}
+	out.Message = waitMessages[out.Reason]
+	return out
+}
+
+// notWaiting returns why a step is not among those that wait, and until when.
+func (t *trial) notWaiting() (dispatch.WaitReason, int64) {
+	due := t.entry.progress.Job().Schedule.Due(0)
+	switch {
+	case !t.pass.configured && t.entry.team != "":
+		return WaitsForConfiguration, 0
+	case due.After(t.pass.now):
+		return WaitsForStartTime, millisOf(due)
+	}
+	return WaitsForSteps, 0
+}
+
+// refine returns the reason for operators where the dispatcher does not distinguish.
+func (t *trial) refine(step int, reason dispatch.WaitReason) dispatch.WaitReason {
+	switch {
+	case reason == dispatch.WaitsForCap && !t.pass.unknown.of(t.entry.team).IsZero():
+		return WaitsForFormerRuns
+	case reason == dispatch.WaitsForCap && t.shard.deps.DividedCaps:
+		return WaitsForCapShare
+	case reason == dispatch.WaitsForRoom && t.tiers[step] == fairshare.Beyond:
+		return WaitsForFairShare
+	}
+	return reason
+}
+
+// workers groups the workers of tasks by name.
+func (t *trial) workers(indexes []int) []WorkerPlacement {
+	var out []WorkerPlacement
+	slices.Sort(indexes)
+	for n, i := range indexes {
+		if n > 0 && indexes[n-1] == i {
+			out[len(out)-1].Tasks++
+			continue
+		}
+		w := t.pass.workers[i]
+		out = append(out, WorkerPlacement{Worker: w.info.Name, Rack: w.info.Rack, Tasks: 1, Free: w.free})
+	}
+	return out
+}
+
+// millisOf returns a time in milliseconds, or 0 for the zero time.
+func millisOf(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
