node, commands: lovagestand where

Any instance answers POST /debug/where: it admits the job as its gateway would, with the key of the team, and passes it on to the owner of the shard as JSON over HTTP on the instance port, like other queries of operators. The call is sent once and is no evidence about the owner. The command shows the placement as text or JSON, with the exit status 0 (would start or wait), 1 (would be rejected) or 2 (no answer).

An owner that is silent, of an earlier version or no longer the owner gives exit status 2 with that text.

--- a/commands/operate/operate.go
+++ b/commands/operate/operate.go
@@ -38,9 +38,9 @@
 	asJSON   bool
 }
 
-// Commands returns the commands "status", "explain" and "dump".
+// Commands returns the commands "status", "explain", "dump" and "where".
 func Commands(client *http.Client) []*cobra.Command {
-	return []*cobra.Command{newStatus(client), newExplain(client), newDump(client)}
+	return []*cobra.Command{newStatus(client), newExplain(client), newDump(client), newWhere(client)}
 }
 
 // addFlags adds the flags that select the instance and the timeout.
@@ -74,6 +74,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "--instance")
 	}
+	return i.do(request)
+}
+
+// do sends a request to the instance and returns the response body.
+func (i *instanceClient) do(request *http.Request) ([]byte, error) {
 	response, err := i.client.Do(request)
 	if err != nil {
 		return nil, errors.Wrapf(err, "instance %s", i.instance)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,11 +164,7 @@
 }
 
 func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
-	limit := current.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, current.bodyLimit()))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
--- a/node/node.go
+++ b/node/node.go
@@ -167,6 +167,8 @@
 	internal.Mount(cellpb.CellPathPrefix, cellpb.NewCellServer(n.cell))
 	internal.Get("/debug/vars", n.deps.Metrics.ServeHTTP)
 	internal.Get("/debug/state", n.serveState)
+	internal.Post(shard.PathWhere, n.serveWhere)
+	internal.Post(pathOwnerWhere+"/{shard}", n.serveOwnerWhere)
 	for address, handler := range map[string]http.Handler{
 		n.settings.CallerAddress: n.gateway, n.settings.ReadyAddress: ready, n.self.Address: internal,
 	} {
--- a/shard/where.go
+++ b/shard/where.go
@@ -13,6 +13,16 @@
 	"lovagestand.example/lovagestand/job"
 )
 
+const (
+	// PathWhere is the path under which any instance answers operators where a job would
+	// be placed. The body of the POST is the job in the form in which callers send it.
+	PathWhere = "/debug/where"
+	// QueryHost and QueryPath are the parameters with the host and the path of the route.
+	// The path may end with the ID of the job.
+	QueryHost = "host"
+	QueryPath = "path"
+)
+
 // Placement is where a job would be placed now, or why it would wait or be rejected.
 type Placement struct {
 	Shard string                `json:"shard"`
