--- a/shard/where.go
+++ b/shard/where.go
@@ -13,13 +13,15 @@
 	"lovagestand.example/lovagestand/job"
 )
 
+// The query of operators, and its parameters.
 const (
 	// PathWhere is the path under which any instance answers operators where a job would
 	// be placed. The body of the POST is the job in the form in which callers send it.
 	PathWhere = "/debug/where"
-	// QueryHost and QueryPath are the parameters with the host and the path of the route.
-	// The path may end with the ID of the job.
+	// QueryHost is the parameter with the host of the route.
 	QueryHost = "host"
+	// QueryPath is the parameter with the path of the route: its prefix, or the prefix and
+	// the ID of the job.
 	QueryPath = "path"
 )
 
@@ -74,11 +76,11 @@
 // Where returns where a job would be placed if it were accepted now. It runs the parts of
 // a pass that decide on a copy of the shard, and changes nothing. The version is that of
 // the configuration with which the gateway would admit the job. It returns a
-// [NotOwnerError] if the ownership is not confirmed.
+// [NotOwnerError] if the term is ending.
 func (s *Shard) Where(j job.Job, version int64) (Placement, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || !s.deps.Confirmed() {
+	if s.closing {
 		return Placement{}, &NotOwnerError{}
 	}
 	return s.copyForTrial().placementOf(j, version), nil
