--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -46,11 +46,13 @@
 // Where the room does not suffice it requests advice on more workers, or reserves
 // workers for a gang. The parameter placed is how many tasks this pass has placed.
 func (p *planner) renewTickets(index int, s *Step, placed int) {
-	rest := *s
-	if !s.Gang {
-		rest.Tasks -= placed
+	rest := s
+	if !s.Gang && placed > 0 {
+		remaining := *s
+		remaining.Tasks -= placed
+		rest = &remaining
 	}
-	wanted := p.allocate(&rest, p.renewable(s))
+	wanted := p.allocate(rest, p.renewable(s))
 	if s.Gang && len(wanted) < s.Tasks || len(wanted) == 0 {
 		p.deallocate(s, wanted)
 		if p.requestMoreAdvice(index, s) {
@@ -84,12 +86,13 @@
 	if len(s.AdvicePending) == 0 {
 		return p.eligible(s, false)
 	}
-	var workers []int
+	workers := p.scratch.eligible[:0]
 	for _, c := range s.Candidates {
 		if (c.HasTicket || s.AdvicePending[c.Worker]) && p.mayStart(s, c.Worker) {
 			workers = append(workers, c.Worker)
 		}
 	}
+	p.scratch.eligible = workers
 	return workers
 }
 
@@ -102,16 +105,24 @@
 	if p.HoldRenewals && s.Gang && !s.Expired && len(wanted) > 0 {
 		limit = len(wanted) + len(wanted)/heldMarginShare + 1
 	}
+	named := p.scratch.workers(len(p.Workers))
+	for _, worker := range wanted {
+		named[worker] = true
+	}
 	add := func(matches func(worker int) bool) {
 		for _, c := range s.Candidates {
-			if len(wanted) < limit && matches(c.Worker) && !slices.Contains(wanted, c.Worker) {
+			if len(wanted) == limit {
+				return
+			}
+			if !named[c.Worker] && matches(c.Worker) {
+				named[c.Worker] = true
 				wanted = append(wanted, c.Worker)
 			}
 		}
 	}
 	add(func(worker int) bool { return p.fits(s, worker) })
 	if s.Gang {
-		add(func(worker int) bool { return p.Workers[worker].Open })
+		add(func(worker int) bool { return p.Workers[worker].Open && s.runsOn(&p.Workers[worker]) })
 	}
 	return wanted
 }
@@ -123,8 +134,11 @@
 	if len(s.AdvicePending) > 0 || !p.mayRequestAdvice(s) {
 		return false
 	}
-	more := p.withoutAdvice(s)
-	if len(more) == 0 || !p.infeasible(s) && !p.likelyFits(s, more) {
+	if !p.infeasible(s) && !p.likelyFits(s) {
+		return false
+	}
+	more := p.withoutAdvice(s, s.callSize())
+	if len(more) == 0 {
 		return false
 	}
 	p.requestAdvice(index, firstWorkers(more, s.callSize()))
@@ -155,7 +169,7 @@
 		if s, _ = p.withinQuota(s); s == nil {
 			continue
 		}
-		if more := p.withoutAdvice(s); len(more) > 0 {
+		if more := p.withoutAdvice(s, s.callSize()); len(more) > 0 {
 			p.countAdviceCall(s)
 			idle--
 			p.decisions = append(p.decisions, Decision{Step: i, AdviceFor: firstWorkers(more, s.callSize()), IfIdle: true})
@@ -168,7 +182,7 @@
 func (p *planner) infeasible(s *Step) bool {
 	room := 0
 	for _, c := range s.Candidates {
-		if w := &p.Workers[c.Worker]; w.Open {
+		if w := &p.Workers[c.Worker]; w.Open && s.runsOn(w) {
 			room += slotsIn(w.Capacity, s)
 		}
 	}
@@ -179,25 +193,39 @@
 }
 
 // likelyFits reports whether a gang is likely to fit now on the workers known to be
-// allowed together with the share of others that policy usually allows. For a step
-// that is not a gang it reports whether the others have room for one task.
-func (p *planner) likelyFits(s *Step, others []ranked) bool {
+// allowed together with the share of those without advice that policy usually allows. For
+// a step that is not a gang it reports whether the latter have room for one task.
+func (p *planner) likelyFits(s *Step) bool {
+	otherSlots := 0
+	for i := range p.Workers {
+		slots := slotsIn(p.Workers[i].Free, s)
+		if slots == 0 || !p.mayStart(s, i) || !p.mayBeNamed(s, i) {
+			continue
+		}
+		if _, ok := p.firstSlot(s, i); !ok {
+			continue
+		}
+		otherSlots += slots
+		if !s.Gang {
+			return true
+		}
+	}
+	if !s.Gang {
+		return false
+	}
 	allowedSlots := 0
 	for _, c := range s.Candidates {
 		if p.mayStart(s, c.Worker) {
 			allowedSlots += slotsIn(p.Workers[c.Worker].Free, s)
 		}
 	}
-	otherSlots := 0
-	for _, o := range others {
-		if p.mayStart(s, o.worker) {
-			otherSlots += slotsIn(p.Workers[o.worker].Free, s)
-		}
-	}
-	if s.Gang {
-		return float64(allowedSlots)+s.AllowedShare*float64(otherSlots) >= float64(s.Tasks)
-	}
-	return otherSlots > 0
+	return float64(allowedSlots)+s.AllowedShare*float64(otherSlots) >= float64(s.Tasks)
+}
+
+// mayBeNamed reports whether an advice call of a step may name a worker.
+func (p *planner) mayBeNamed(s *Step, worker int) bool {
+	w := &p.Workers[worker]
+	return w.Open && !s.AdvicePending[worker] && (s.AdviceKnown == nil || !s.AdviceKnown(worker)) && s.matches(w) && s.Needs.Fits(w.Capacity)
 }
 
 // slotsIn returns how many tasks of a step fit into an amount of resources.
@@ -213,11 +241,15 @@
 // resources.
 func tasksIn(r, needs lovagestand.Resources, tasks int) int {
 	n := tasks
-	for _, amount := range [][2]int64{
+	for _, amount := range [...][2]int64{
 		{r.MilliCPU, needs.MilliCPU}, {r.MemoryMiB, needs.MemoryMiB}, {r.Accelerators, needs.Accelerators},
 	} {
-		if amount[1] > 0 {
-			n = min(n, int(min(max(0, amount[0])/amount[1], int64(n))))
+		switch {
+		case amount[1] <= 0:
+		case amount[0] < amount[1]:
+			return min(n, 0)
+		default:
+			n = min(n, int(min(amount[0]/amount[1], int64(n))))
 		}
 	}
 	return n
@@ -226,12 +258,12 @@
 // initialAdvice returns the workers named in the first calls of a step: one call's
 // worth, and for a gang enough that the share usually allowed has room for it.
 func (p *planner) initialAdvice(s *Step) []int {
-	ranking := p.withoutAdvice(s)
-	n := min(s.callSize(), len(ranking))
 	if !s.Gang {
-		return firstWorkers(ranking, n)
+		return firstWorkers(p.withoutAdvice(s, s.callSize()), s.callSize())
 	}
-	workers := firstWorkers(ranking, maxInitialCalls*maxWorkersPerCall)
+	const limit = maxInitialCalls * maxWorkersPerCall
+	workers := firstWorkers(p.withoutAdvice(s, limit), limit)
+	n := min(s.callSize(), len(workers))
 	missing := initialRoomFactor * float64(s.Tasks)
 	for i, w := range workers {
 		if i >= n && missing <= 0 {
@@ -248,24 +280,45 @@
 }
 
 // withoutAdvice returns the workers on which there is no advice yet and that are
-// expected to have room for a task, in no particular order.
-func (p *planner) withoutAdvice(s *Step) []ranked {
-	ranking := make([]ranked, 0, len(p.Workers))
+// expected to have room for a task, in no particular order. Workers that have room later may
+// be missing if there are limit workers that have room now. The result is valid until the
+// next call.
+func (p *planner) withoutAdvice(s *Step, limit int) []ranked {
+	ranking := slices.Grow(p.scratch.ranking[:0], len(p.Workers))
+	nearFirst := s.Locality != nil && s.Affinity != ""
+	now := 0
 	for i := range p.Workers {
-		w := &p.Workers[i]
-		if !w.Open || s.AdvicePending[i] || s.AdviceKnown != nil && s.AdviceKnown(i) || !s.matches(w) || !s.Needs.Fits(w.Capacity) {
+		if !p.mayBeNamed(s, i) {
+			continue
+		}
+		if now >= limit && !nearFirst && !p.mayFitNow(s, i) {
 			continue
 		}
 		if at, ok := p.firstSlot(s, i); ok {
+			wait := at.Sub(p.Now)
+			if wait <= 0 {
+				now++
+			}
 			ranking = append(ranking, ranked{
-				worker: i, far: s.Locality != nil && s.Affinity != "" && !s.near(w),
-				wait: at.Sub(p.Now), spread: (s.Seed + uint64(i)) * hashMultiplier,
+				worker: i, far: nearFirst && !s.near(&p.Workers[i]),
+				wait: wait, spread: (s.Seed + uint64(i)) * hashMultiplier,
 			})
 		}
 	}
+	p.scratch.ranking = ranking
 	return ranking
 }
 
+// mayFitNow reports whether a worker may have room for a task of a step now, counting runs
+// that are expected to have ended.
+func (p *planner) mayFitNow(s *Step, worker int) bool {
+	if s.Needs.Fits(p.Workers[worker].Free) {
+		return true
+	}
+	releases := p.releasesOf(worker)
+	return len(releases) > 0 && !releases[0].At.After(p.Now)
+}
+
 // ranked is a worker on which there is no advice yet.
 type ranked struct {
 	worker int
@@ -359,19 +412,30 @@
 // slotTimes returns when a worker is expected to have room for one, two and more
 // tasks of a step, up to limit.
 func (p *planner) slotTimes(s *Step, worker, limit int) []time.Time {
-	w := &p.Workers[worker]
-	free := w.Free
 	var times []time.Time
+	p.eachSlot(s, worker, limit, func(at time.Time) bool {
+		times = append(times, at)
+		return true
+	})
+	return times
+}
+
+// eachSlot calls a function with the times at which a worker is expected to have room for
+// one, two and more tasks of a step, up to limit or until the function returns false.
+func (p *planner) eachSlot(s *Step, worker, limit int, slot func(at time.Time) bool) {
+	free := p.Workers[worker].Free
 	at := p.Now
-	next := 0
-	for len(times) < limit {
-		if s.MaxPerWorker > 0 && s.Placed[worker]+len(times) >= s.MaxPerWorker {
-			return times
+	var releases []Release
+	for n, next := 0, 0; n < limit; n++ {
+		if s.MaxPerWorker > 0 && s.Placed[worker]+n >= s.MaxPerWorker {
+			return
 		}
 		for !s.Needs.Fits(free) {
-			releases := p.releasesOf(worker)
+			if next == 0 {
+				releases = p.releasesOf(worker)
+			}
 			if next == len(releases) {
-				return times
+				return
 			}
 			free = free.Add(releases[next].Frees)
 			if releases[next].At.After(at) {
@@ -380,7 +444,8 @@
 			next++
 		}
 		free = free.Sub(s.Needs)
-		times = append(times, at)
+		if !slot(at) {
+			return
+		}
 	}
-	return times
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -17,8 +17,12 @@
 	Free     lovagestand.Resources
 	// Open indicates that the worker accepts new tasks.
 	Open bool
-	// Slowness is the factor by which tasks take longer here than usual.
+	// Slowness is the factor by which tasks take longer here than usual, or than expected
+	// at Speed where that is set.
 	Slowness float64
+	// Speed is how much faster than usual the machine of the worker is; 0 where it is not
+	// known. It is set only if [Load.Uneven] is.
+	Speed float64
 	// Quiet indicates that no task has started here recently, so that the crash of the
 	// worker after the start of a suspect shows that the suspect has caused it.
 	Quiet bool
@@ -33,6 +37,8 @@
 	// starts is the number of tasks that the pass starts here. keptFor is the number of
 	// the step whose suspects the worker is kept for; 0 for none.
 	starts, keptFor int
+	// class is the worker's class by speed, set only if [Load.Uneven] is.
+	class speedClass
 }
 
 // Release is the expected release of a task's resources when the task ends.
@@ -116,12 +122,17 @@
 
 	// number identifies the step in the pass; it starts at 1.
 	number int
+	// class is the class of workers on which a gang runs.
+	class speedClass
+	// deferral is 1 for a step that can wait for those that cannot, set only if
+	// [Load.Uneven] is.
+	deferral int
 }
 
 // matches reports whether a worker has the service and the label that the step
 // requires.
 func (s *Step) matches(w *Worker) bool {
-	return (s.Service == "" || w.Service == s.Service) && (s.Label == "" || slices.Contains(w.Labels, s.Label))
+	return s.runsOn(w) && (s.Service == "" || w.Service == s.Service) && (s.Label == "" || slices.Contains(w.Labels, s.Label))
 }
 
 // Decision is what one pass decides for a step. A step may have several.
@@ -200,6 +211,10 @@
 	// to be of use: without it, they fill each trough of the load and the next burst finds
 	// no room.
 	ExpiredHeadroom float64
+	// Uneven indicates that the speeds of the workers differ much. It answers the load of
+	// gangs with members on slow workers: without it, the fast ones are idle for most of the
+	// gang's run time.
+	Uneven bool
 	// IdleAdviceClients is how many clients have no call to make. They are used to
 	// request advice on further workers for steps that wait.
 	IdleAdviceClients int
@@ -233,6 +248,28 @@
 	loaded     map[string]bool
 	// waitDecisions is how many steps the pass has considered for a wait near their data.
 	waitDecisions int
+	// classChoices is for how many more gangs the pass chooses a class of workers.
+	classChoices int
+	// classRooms is reused by the choices; it is indexed by interval and class.
+	classRooms []classRoom
+	scratch    scratch
+}
+
+// scratch holds slices that are used again for each step, because the garbage of a pass with
+// hundreds of waiting steps took as long as its decisions.
+type scratch struct {
+	eligible []int
+	options  []option
+	slots    []slot
+	ranking  []ranked
+	marks    []bool
+}
+
+// workers returns a false for each of a number of workers. It is valid until the next call.
+func (s *scratch) workers(count int) []bool {
+	s.marks = slices.Grow(s.marks[:0], count)[:count]
+	clear(s.marks)
+	return s.marks
 }
 
 // Plan decides which tasks start now and which advice to request, highest score
@@ -242,6 +279,7 @@
 func Plan(l Load) []Decision {
 	p := &planner{Load: l, releases: make([][]Release, len(l.Workers))}
 	p.reservations = max(minReservations, len(l.Workers)/workersPerReservation)
+	p.classify()
 	p.trials = trialsLeft(l.Workers)
 	used, total := int64(0), int64(0)
 	for i := range l.Workers {
@@ -280,7 +318,7 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(steps[a].turn(), steps[b].turn()), cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[b].Score, steps[a].Score))
+		return cmp.Or(cmp.Compare(steps[a].turn(), steps[b].turn()), cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[a].deferral, steps[b].deferral), cmp.Compare(steps[b].Score, steps[a].Score))
 	})
 	return order
 }
@@ -324,6 +362,7 @@
 	if s.awaitsRenewal() || p.leavesNoHeadroom(s) {
 		return
 	}
+	p.chooseClass(s)
 	s, held := p.withinQuota(s)
 	if held > 0 {
 		p.Steps[index].Team.HeldTasks += held
--- a/job/progress.go
+++ b/job/progress.go
@@ -19,6 +19,8 @@
 	occurrences  []occurrence
 	// unfinished is the number of occurrences that are not done.
 	unfinished int
+	// crashed is set with the first crash under a task.
+	crashed bool
 }
 
 // occurrence is one execution of all steps.
@@ -82,6 +84,16 @@
 // Job returns the submitted job.
 func (p *Progress) Job() Job { return p.job }
 
+// JobStep returns a step of the submitted job, which must not be changed. Copies of jobs took
+// a large part of a planning pass.
+func (p *Progress) JobStep(index int) *Step { return &p.job.Steps[index] }
+
+// Policy returns the policy of the job, which must not be changed.
+func (p *Progress) Policy() *Policy { return &p.job.Policy }
+
+// Due returns when an occurrence of the job may start; see [Schedule.Due].
+func (p *Progress) Due(occurrence int) time.Time { return p.job.Schedule.Due(occurrence) }
+
 // Accepted returns when the job was accepted.
 func (p *Progress) Accepted() time.Time { return p.accepted }
 
@@ -122,10 +134,14 @@
 // Startable returns the steps with tasks that may start now, and when the next
 // occurrence is due, which is the zero time if there is none.
 func (p *Progress) Startable(now time.Time) ([]StepRef, time.Time) {
+	return p.AppendStartable(nil, now)
+}
+
+// AppendStartable appends the steps of [Progress.Startable] to a slice.
+func (p *Progress) AppendStartable(refs []StepRef, now time.Time) ([]StepRef, time.Time) {
 	if p.Final() {
-		return nil, time.Time{}
+		return refs, time.Time{}
 	}
-	var refs []StepRef
 	for k := range p.occurrences {
 		if p.occurrences[k].unfinished == 0 {
 			continue
@@ -133,8 +149,9 @@
 		if due := p.job.Schedule.Due(k); due.After(now) {
 			return refs, due
 		}
-		for i, s := range p.stepsOf(k) {
-			if s.blockers == 0 && s.waiting > 0 {
+		steps := p.stepsOf(k)
+		for i := range steps {
+			if steps[i].blockers == 0 && steps[i].waiting > 0 {
 				refs = append(refs, StepRef{Occurrence: k, Step: i})
 			}
 		}
@@ -144,8 +161,13 @@
 
 // Waiting returns the indexes of the tasks of a step that wait to start.
 func (p *Progress) Waiting(ref StepRef) []int {
+	return p.AppendWaiting(nil, ref)
+}
+
+// AppendWaiting appends the indexes of [Progress.Waiting] to a slice.
+func (p *Progress) AppendWaiting(indexes []int, ref StepRef) []int {
 	s := &p.stepsOf(ref.Occurrence)[ref.Step]
-	indexes := make([]int, 0, s.waiting)
+	indexes = slices.Grow(indexes, s.waiting)
 	for i := range s.tasks {
 		if s.tasks[i].phase == taskWaiting {
 			indexes = append(indexes, i)
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -31,6 +31,7 @@
 
 // routeStats are averages over the jobs of a route.
 type routeStats struct {
+	route lovagestand.RouteName
 	// estimateRatio is the ratio of the run times of tasks to the callers' estimates.
 	estimateRatio float64
 	// jobCoreTime is the average core time of a job that ends by itself.
@@ -73,12 +74,20 @@
 func (s *Shard) stats(route lovagestand.RouteName) *routeStats {
 	r := s.statsByRoute[route]
 	if r == nil {
-		r = &routeStats{estimateRatio: 1}
+		r = &routeStats{route: route, estimateRatio: 1}
 		s.statsByRoute[route] = r
 	}
 	return r
 }
 
+// statsOf returns the averages of the route of a job, which the job keeps.
+func (s *Shard) statsOf(e *jobEntry) *routeStats {
+	if e.stats == nil || e.stats.route != e.route {
+		e.stats = s.stats(e.route)
+	}
+	return e.stats
+}
+
 // runTime returns how long a task of a step is expected to run.
 func (s *Shard) runTime(e *jobEntry, step job.Step) time.Duration {
 	if step.LongRunning {
@@ -88,7 +97,7 @@
 	if estimate <= 0 {
 		estimate = defaultRunTime
 	}
-	r := s.stats(e.route)
+	r := s.statsOf(e)
 	expected := float64(estimate) * r.estimateRatio
 	if r.taskRunTime > 0 {
 		// Estimates are far off in both directions, so the average of the route gets
@@ -118,17 +127,17 @@
 // latestObjective returns the objective of a job if its run times are longer than expected
 // by runTimeErrors times the average error of its route.
 func (s *Shard) latestObjective(e *jobEntry) time.Duration {
-	target := e.progress.Job().Policy.Target
-	return target + time.Duration(float64(e.objective-target)*(1+runTimeErrors*s.stats(e.route).runTimeError))
+	target := e.progress.Policy().Target
+	return target + time.Duration(float64(e.objective-target)*(1+runTimeErrors*s.statsOf(e).runTimeError))
 }
 
 // meanCoreTime returns the average core time of the jobs on the route of a job. The
 // core time of a long-running job is nominal and is compared with itself only.
 func (s *Shard) meanCoreTime(e *jobEntry) time.Duration {
-	if e.progress.Job().LongRunning() {
+	if e.longRunning {
 		return e.totalCoreTime
 	}
-	return s.stats(e.route).jobCoreTime
+	return s.statsOf(e).jobCoreTime
 }
 
 // recordRunTime adds the run time of a completed task to the averages of its route and
@@ -142,13 +151,14 @@
 		return
 	}
 	took := now.Sub(p.placedAt)
+	s.recordSpeed(p, took, now)
 	r := s.stats(p.entry.route)
 	if p.expectedRunTime > 0 {
-		speed := w.slowness
-		if speed == 0 {
-			speed = 1
+		slowness := w.slowness
+		if slowness == 0 {
+			slowness = 1
 		}
-		onWorker := float64(took) / float64(p.expectedRunTime) / speed
+		onWorker := float64(took) / float64(p.expectedRunTime) / slowness
 		r.runTimes.add(math.Log(max(onWorker, 1/maxSlowness)), 1)
 		r.locality.record(p.locality, onWorker*max(1, p.farFactor), step.Count)
 	}
@@ -156,7 +166,7 @@
 		// Averages are of run times near, so that the factor does not count twice.
 		took = time.Duration(float64(took) / p.farFactor)
 	}
-	ratio := float64(took) / float64(step.Estimate)
+	ratio := float64(p.atUsualSpeed(took)) / float64(step.Estimate)
 	// A run elsewhere says little about its worker while the factor is not known well.
 	if p.expectedRunTime > 0 && p.locality != localityFar {
 		relative := float64(took) / float64(p.expectedRunTime)
@@ -167,6 +177,7 @@
 		w.slowness += slownessWeight * (min(relative, maxSlowness) - w.slowness)
 	}
 	r.estimateRatio += averageWeight * (min(ratio, maxSlowness) - r.estimateRatio)
+	took = p.atUsualSpeed(took)
 	if r.taskRunTime == 0 {
 		r.taskRunTime = took
 	}
--- a/shard/locality.go
+++ b/shard/locality.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
 )
@@ -114,13 +113,13 @@
 }
 
 // hasLocality reports whether it matters to a step where its tasks run.
-func hasLocality(step job.Step) bool {
+func hasLocality(step *job.Step) bool {
 	return !step.LongRunning && (step.Affinity != "" || step.Gang && step.SameRack)
 }
 
 // localityOf returns what a waiting step gains near; nil if it does not wait for that. The
 // tasks of suspects are placed apart from others instead.
-func (s *Shard) localityOf(p *pass, w waitingStep, step job.Step) *dispatch.Locality {
+func (s *Shard) localityOf(p *pass, w *waitingStep, step *job.Step) *dispatch.Locality {
 	if !p.waitsForLocality || w.suspects > 0 || !hasLocality(step) {
 		return nil
 	}
@@ -130,7 +129,7 @@
 }
 
 // localityOn returns the locality of tasks of a step that start on workers.
-func (p *pass) localityOn(step job.Step, workers []int) func(worker int) locality {
+func (p *pass) localityOn(step *job.Step, workers []int) func(worker int) locality {
 	if !p.waitsForLocality || !hasLocality(step) {
 		return func(int) locality { return localityUnknown }
 	}
@@ -166,7 +165,7 @@
 		st.localitySince = p.now
 	}
 	if st.localityWait.since.IsZero() {
-		runTime := s.runTime(w.entry, w.entry.progress.Job().Steps[w.ref.Step])
+		runTime := w.runTime
 		factor := s.stats(w.entry.route).locality.factor().Value
 		st.localityWait = localityWait{since: p.now, saving: time.Duration((factor - 1) * float64(runTime))}
 	}
@@ -204,7 +203,7 @@
 	factor := s.stats(e.route).locality.factor()
 	s.log.Info().Str("job", string(e.id)).Str("route", string(e.route)).Int("step", w.ref.Step).Int("tasks", tasks).Int("near", near).Int("worthwhile", worthwhile).
 		Dur("waited", waited).Dur("saving", st.localityWait.saving).Float64("farFactor", factor.Value).Int("nearTasks", factor.Near).Int("farTasks", factor.Far).Msg("tasks waited for locality")
-	if tasks == len(w.indexes) {
+	if tasks == w.tasks {
 		st.localityWait = localityWait{}
 	}
 }
@@ -219,17 +218,14 @@
 }
 
 // endSpread returns the standard deviation of the expected end of a run. That of an overdue
-// run is twice its expected remainder, since nothing but its age is known of it.
-func (p *placement) endSpread(now time.Time, stats map[lovagestand.RouteName]*routeStats) time.Duration {
-	if p.stopRequested {
+// run is twice its expected remainder, since nothing but its age is known of it. The
+// parameter stats holds the averages of its route.
+func (r runTimes) endSpread(now time.Time, stats *routeStats) time.Duration {
+	if r.stopRequested {
 		return 0
 	}
-	if !p.placedAt.Add(p.expectedRunTime).After(now) {
-		return now.Sub(p.placedAt) / 2
+	if !r.placedAt.Add(r.expected).After(now) {
+		return now.Sub(r.placedAt) / 2
 	}
-	spread := defaultRunSpread
-	if r := stats[p.entry.route]; r != nil {
-		spread = r.runSpread()
-	}
-	return time.Duration(spread * float64(p.expectedRunTime))
+	return time.Duration(stats.runSpread() * float64(r.expected))
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -76,6 +77,8 @@
 	adviceClients   []AdviceClient
 	// holdRenewals is [dispatch.Load.HoldRenewals].
 	holdRenewals bool
+	// uneven is [dispatch.Load.Uneven].
+	uneven bool
 	// policies are the policies of the teams in force, configured is false if none have
 	// been read yet. teams holds the teams with waiting steps.
 	policies   Teams
@@ -87,10 +90,40 @@
 	waitsForLocality bool
 	// divisions holds the division of each service with waiting steps among the teams.
 	divisions map[string]*division
+	// spareDivisions holds those of the former pass, whose memory is used again.
+	spareDivisions map[string]*division
 	// runs holds the runs that the pass may preempt; their IDs are the indexes. gangs
 	// holds the gangs among them.
 	runs  []*placement
 	gangs map[gangKey]*dispatch.GangRun
+	// refs, indexes and candidates hold the slices of all steps, one after the other, and
+	// ordered is where the waiting steps are put in order. They are used again in each pass.
+	refs       []job.StepRef
+	indexes    []int
+	releases   []dispatch.Release
+	placements []*placement
+	// dispatchRuns holds the runs of the workers that the pass may preempt.
+	dispatchRuns []dispatch.Run
+	ordered      []waitingStep
+	keys         []sortKey
+}
+
+// newPass returns a pass that uses the slices of the former one again.
+func (s *Shard) newPass() *pass {
+	p := &s.reused
+	clear(p.waiting[:cap(p.waiting)])
+	clear(p.ordered[:cap(p.ordered)])
+	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
+	clear(p.runs[:cap(p.runs)])
+	clear(p.placements[:cap(p.placements)])
+	clear(p.dispatchRuns)
+	*p = pass{
+		spareDivisions: p.divisions,
+		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
+		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0], placements: p.placements[:0], dispatchRuns: p.dispatchRuns[:0],
+	}
+	p.policies, p.configured = s.teams()
+	return p
 }
 
 // waitingStep is a step with tasks that can start. The suspects of a step that is not a
@@ -98,14 +131,24 @@
 type waitingStep struct {
 	entry *jobEntry
 	ref   job.StepRef
-	// indexes are those of the tasks, the suspects first.
+	step  *job.Step
+	// tasks is the number of tasks. indexes are those of the tasks, the suspects first; nil
+	// for all startable tasks of the step.
+	tasks    int
 	indexes  []int
 	suspects int
-	score    float64
+	runTime  time.Duration
+	needs    lovagestand.Resources
+	// gang and longRunning are those of step.
+	gang, longRunning bool
+	score             float64
 	// expired is [dispatch.Work.Expired].
 	expired bool
 	// tier is that of the step by the entitlement of the job's team.
 	tier fairshare.Tier
+	// division is that of the service, team the index of the job's team there.
+	division *division
+	team     int
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice. It returns
@@ -115,21 +158,46 @@
 	defer s.mu.Unlock()
 	p := s.newPass()
 	defer s.recordTeams(p)
+	s.collect(p)
+	s.setSpeeds(p)
+	s.dropKeptRoom(p)
 	s.summarize(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
 	if len(p.waiting) == 0 || !s.deps.Assured() {
 		return idleInterval
 	}
-	s.orderWaiting(p)
+	p.sortByScore()
+	s.assignTiers(p)
+	if p.divisions != nil {
+		s.recordBacklogs(p)
+		s.recordBeyond(p)
+		p.sortByTier()
+	}
 	s.selectWithinQuotas(p)
-	return s.decide(p, s.considerSteps(p))
+	load := s.load(p)
+	next := p.now.Add(idleInterval)
+	decisions := dispatch.Plan(load)
+	for i := range decisions {
+		d := &decisions[i]
+		w := &p.waiting[d.Step]
+		if len(d.Workers) > 0 {
+			s.placeTasks(p, *w, d.Workers)
+		}
+		if len(d.AdviceFor) > 0 {
+			s.requestAdvice(p, *w, *d)
+		}
+		if d.Wait.Tasks > 0 {
+			s.recordLocalityWait(p, *w)
+			next = earlier(next, d.Wait.Until)
+		}
+	}
+	s.preempt(p, load, decisions)
+	return max(planInterval, next.Sub(p.now))
 }
 
-// newPass returns a pass with the workers and all steps that wait.
-func (s *Shard) newPass() *pass {
-	p := &pass{now: time.Now(), waitsForLocality: s.waitsForLocality()}
-	p.policies, p.configured = s.teams()
+// collect adds the waiting steps and the workers to the pass.
+func (s *Shard) collect(p *pass) {
 	for _, e := range s.live {
 		// Tasks of a recovered job may still be running on workers, so none is placed
 		// until all runs of former terms are known. The quota of a team is not known
@@ -139,73 +207,91 @@
 		}
 	}
 	s.collectWorkers(p)
-	s.dropKeptRoom(p)
-	return p
-}
-
-// orderWaiting sorts the steps that wait by tier and score.
-func (s *Shard) orderWaiting(p *pass) {
-	slices.SortFunc(p.waiting, func(a, b waitingStep) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.entry.id, b.entry.id))
-	})
-	s.assignTiers(p)
 }
 
-// considerSteps limits the waiting steps to those that the pass considers, and returns the
-// load of the pass.
-func (s *Shard) considerSteps(p *pass) dispatch.Load {
-	// Only some workers are on trial at a time; further suspects would keep other steps
-	// out of the pass.
-	suspectSteps := 0
-	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
-		if w.suspects > 0 {
-			suspectSteps++
+// sortByScore sorts the waiting steps by score, highest first, and then by job.
+func (p *pass) sortByScore() {
+	p.keys = p.keys[:0]
+	for i := range p.waiting {
+		p.keys = append(p.keys, sortKey{score: p.waiting[i].score, id: p.waiting[i].entry.id, index: i})
+	}
+	slices.SortFunc(p.keys, func(a, b sortKey) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
 		}
-		return w.suspects > 0 && suspectSteps > min(len(s.workers), maxStepsPerPass/2)
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.index, b.index))
 	})
-	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
-	for _, w := range p.waiting {
-		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, w))
+	p.ordered = p.ordered[:0]
+	for _, k := range p.keys {
+		p.ordered = append(p.ordered, p.waiting[k.index])
 	}
-	s.withholdKeptRoom(p)
-	p.adviceClients = s.deps.AdviceClients()
-	p.holdRenewals = p.policies.Enabled
-	return s.load(p)
+	p.waiting, p.ordered = p.ordered, p.waiting
 }
 
-// decide places tasks and requests advice for a load, and returns after which time without
-// an event the next pass is due.
-func (s *Shard) decide(p *pass, load dispatch.Load) time.Duration {
-	next := p.now.Add(idleInterval)
-	decisions := dispatch.Plan(load)
-	for _, d := range decisions {
-		w := p.waiting[d.Step]
-		if len(d.Workers) > 0 {
-			s.placeTasks(p, w, d.Workers)
-		}
-		if len(d.AdviceFor) > 0 {
-			s.requestAdvice(p, w, d)
-		}
-		if d.Wait.Tasks > 0 {
-			s.recordLocalityWait(p, w)
-			next = earlier(next, d.Wait.Until)
+// sortByTier sorts the waiting steps by tier. Steps of one tier keep their order.
+func (p *pass) sortByTier() {
+	p.ordered = p.ordered[:0]
+	for tier := fairshare.Guaranteed; tier <= fairshare.Beyond; tier++ {
+		for i := range p.waiting {
+			if p.waiting[i].tier == tier {
+				p.ordered = append(p.ordered, p.waiting[i])
+			}
 		}
 	}
-	s.preempt(p, load, decisions)
-	return max(planInterval, next.Sub(p.now))
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
+// sortKey is what a waiting step is sorted by. Sorting keys is cheaper than to move steps.
+type sortKey struct {
+	score float64
+	id    job.ID
+	index int
 }
 
-// load returns the load of the pass for the dispatcher.
+// load returns the load of the pass for the dispatcher: the first of the waiting steps,
+// which are in order and for which the quotas leave room. It changes nothing but the pass.
 func (s *Shard) load(p *pass) dispatch.Load {
+	s.limitSuspects(p)
+	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
+	for i := range p.waiting {
+		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, &p.waiting[i]))
+	}
+	s.withholdKeptRoom(p)
+	p.adviceClients = s.deps.AdviceClients()
+	p.holdRenewals = p.plansAdvice()
 	return dispatch.Load{
 		Now: p.now, Workers: p.dispatchWorkers, Steps: p.dispatchSteps,
-		Releases:        func(i int) []dispatch.Release { return p.workers[i].releases(p.now, s.statsByRoute) },
+		Releases:        func(i int) []dispatch.Release { return s.releases(p, p.workers[i]) },
 		AdviceCalls:     s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()),
 		LongAdviceCalls: s.freeLongAdviceCalls(p), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now),
-		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(),
+		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(), Uneven: p.uneven,
 	}
 }
 
+// limitSuspects removes waiting suspects beyond those for which there may be room: only some
+// workers are on trial at a time, and further suspects would keep other steps out of the pass.
+func (s *Shard) limitSuspects(p *pass) {
+	suspectSteps, limit := 0, min(len(s.workers), maxStepsPerPass/2)
+	for i := range p.waiting {
+		if p.waiting[i].suspects > 0 {
+			suspectSteps++
+		}
+	}
+	if suspectSteps <= limit {
+		return
+	}
+	suspectSteps = 0
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
+		if w.suspects > 0 {
+			suspectSteps++
+		}
+		return w.suspects > 0 && suspectSteps > limit
+	})
+}
+
 // expiredHeadroom is [dispatch.Load.ExpiredHeadroom] for the pass.
 func (p *pass) expiredHeadroom() float64 {
 	if p.holdRenewals {
@@ -214,80 +300,145 @@
 	return 0
 }
 
+// sortedWorkers returns the workers, ordered by name.
+func (s *Shard) sortedWorkers() []*worker {
+	if s.workersByName == nil {
+		s.workersByName = slices.SortedFunc(maps.Values(s.workers), compareWorkers)
+		s.fleetVersion++
+	}
+	return s.workersByName
+}
+
 // collectWorkers adds the workers to the pass, ordered by name.
 func (s *Shard) collectWorkers(p *pass) {
-	for _, w := range s.workers {
-		p.workers = append(p.workers, w)
-	}
-	slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.info.Name, b.info.Name) })
-	p.dispatchWorkers = make([]dispatch.Worker, len(p.workers))
+	p.workers = s.sortedWorkers()
 	for i, w := range p.workers {
 		w.passIndex = i
-		p.dispatchWorkers[i] = dispatch.Worker{
+		s.runsOn(w)
+		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
 			Open: w.open(p.now), Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
-		}
+		})
 	}
 }
 
 // releases returns when the runs on the worker are expected to end and what each
-// frees, soonest first.
-func (w *worker) releases(now time.Time, stats map[lovagestand.RouteName]*routeStats) []dispatch.Release {
-	releases := make([]dispatch.Release, 0, len(w.placements))
-	for _, p := range w.placements {
-		releases = append(releases, dispatch.Release{At: p.expectedEnd(now), Spread: p.endSpread(now, stats), Frees: p.needs})
+// frees, soonest first. The result is not nil.
+func (s *Shard) releases(p *pass, w *worker) []dispatch.Release {
+	first := len(p.releases)
+	runs := s.runsOn(w)
+	p.releases = slices.Grow(p.releases, max(1, len(runs)))
+	for i := range runs {
+		r := &runs[i]
+		p.releases = append(p.releases, dispatch.Release{At: r.expectedEnd(p.now), Spread: r.endSpread(p.now, r.stats), Frees: r.needs})
 	}
+	releases := p.releases[first:len(p.releases):len(p.releases)]
 	slices.SortFunc(releases, func(a, b dispatch.Release) int { return a.At.Compare(b.At) })
 	return releases
 }
 
+// workerRun is what a pass needs of each run on a worker.
+type workerRun struct {
+	runTimes
+	needs       lovagestand.Resources
+	longRunning bool
+	stats       *routeStats
+	team        lovagestand.TeamName
+	teamNumber  int
+}
+
+// runsOn returns the runs on a worker by their expected ends. They are kept until worker.runs
+// is reset.
+func (s *Shard) runsOn(w *worker) []workerRun {
+	if w.runs != nil {
+		return w.runs
+	}
+	w.runs = make([]workerRun, 0, len(w.placements))
+	for _, p := range w.placements {
+		w.runs = append(w.runs, workerRun{
+			runTimes: p.times(), needs: p.needs, longRunning: p.longRunning, stats: s.statsOf(p.entry), team: p.entry.team, teamNumber: s.teamNumber(p.entry),
+		})
+	}
+	slices.SortFunc(w.runs, func(a, b workerRun) int { return a.placedAt.Add(a.expected).Compare(b.placedAt.Add(b.expected)) })
+	return w.runs
+}
+
+// runTimes are the times of a run by which its end is expected.
+type runTimes struct {
+	placedAt      time.Time
+	expected      time.Duration
+	stopRequested bool
+}
+
+// times returns the times by which the end of the run is expected.
+func (p *placement) times() runTimes {
+	return runTimes{placedAt: p.placedAt, expected: p.expectedRunTime, stopRequested: p.stopRequested}
+}
+
 // expectedEnd estimates when a run ends. An overdue run is estimated to need another
 // quarter of the time that it has run so far.
-func (p *placement) expectedEnd(now time.Time) time.Time {
-	if p.stopRequested {
+func (r runTimes) expectedEnd(now time.Time) time.Time {
+	if r.stopRequested {
 		return now
 	}
-	end := p.placedAt.Add(p.expectedRunTime)
+	end := r.placedAt.Add(r.expected)
 	if end.After(now) {
 		return end
 	}
-	return now.Add(now.Sub(p.placedAt) / 4)
+	return now.Add(now.Sub(r.placedAt) / 4)
 }
 
 // collectWaitingSteps adds the steps of a job that have tasks to start to the pass. A
 // gang is added only if all of its tasks can start.
 func (s *Shard) collectWaitingSteps(p *pass, e *jobEntry) {
-	refs, _ := e.progress.Startable(p.now)
-	j := e.progress.Job()
-	for _, ref := range refs {
-		step := j.Steps[ref.Step]
-		indexes := e.startable(ref)
-		if len(indexes) == 0 || step.Gang && len(indexes) < step.Count {
+	p.refs, _ = e.progress.AppendStartable(p.refs[:0], p.now)
+	if len(p.refs) == 0 {
+		return
+	}
+	for _, ref := range p.refs {
+		w := waitingStep{entry: e, ref: ref, step: e.progress.JobStep(ref.Step)}
+		s.collectTasks(p, &w)
+		if w.tasks == 0 || w.step.Gang && w.tasks < w.step.Count {
 			continue
 		}
-		suspects := e.moveSuspectsFirst(ref, indexes)
 		// A next owner must know of the crash before the task crashes another worker.
 		mayStart := e.crashPosition <= s.writtenPosition
-		if step.Gang && suspects > 0 && !mayStart {
+		if w.step.Gang && w.suspects > 0 && !mayStart {
 			continue
 		}
 		s.measureWork(e, ref)
 		work := s.work(p.now, e, ref)
-		w := waitingStep{entry: e, ref: ref, indexes: indexes, suspects: suspects, score: dispatch.Score(work), expired: work.Expired()}
-		if !step.Gang && suspects > 0 {
+		w.score, w.expired = dispatch.Score(work), work.Expired()
+		w.runTime, w.needs, w.gang, w.longRunning = s.runTime(e, *w.step), w.step.Needs, w.step.Gang, w.step.LongRunning
+		if !w.step.Gang && w.suspects > 0 {
 			trials := w
-			trials.indexes = indexes[:suspects]
+			trials.indexes, trials.tasks = w.indexes[:w.suspects], w.suspects
 			if mayStart {
 				p.waiting = append(p.waiting, trials)
 			}
-			w.indexes, w.suspects = indexes[suspects:], 0
+			w.indexes, w.tasks, w.suspects = w.indexes[w.suspects:], w.tasks-w.suspects, 0
 		}
-		if len(w.indexes) > 0 {
+		if w.tasks > 0 {
 			p.waiting = append(p.waiting, w)
 		}
 	}
 }
 
+// collectTasks sets the tasks of a waiting step that can start. Their indexes are not needed
+// yet unless some are suspects.
+func (s *Shard) collectTasks(p *pass, w *waitingStep) {
+	e := w.entry
+	if !e.progress.Crashed() && len(e.heldRuns) == len(e.active) {
+		w.tasks = e.progress.WaitingCount(w.ref)
+		return
+	}
+	first := len(p.indexes)
+	p.indexes = e.startable(p.indexes, w.ref)
+	w.indexes = p.indexes[first:len(p.indexes):len(p.indexes)]
+	w.tasks = len(w.indexes)
+	w.suspects = e.moveSuspectsFirst(w.ref, w.indexes)
+}
+
 // moveSuspectsFirst moves the tasks of a step that may crash their workers before the
 // others, and returns how many they are.
 func (e *jobEntry) moveSuspectsFirst(ref job.StepRef, indexes []int) int {
@@ -303,15 +454,14 @@
 }
 
 // dispatchStep describes a waiting step for the dispatcher.
-func (s *Shard) dispatchStep(p *pass, w waitingStep) dispatch.Step {
-	e, st := w.entry, w.entry.step(w.ref)
-	j := e.progress.Job()
-	step := j.Steps[w.ref.Step]
+func (s *Shard) dispatchStep(p *pass, w *waitingStep) dispatch.Step {
+	e, st, step := w.entry, w.entry.step(w.ref), w.step
+	policy := e.progress.Policy()
 	out := dispatch.Step{
-		Tasks: len(w.indexes), Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: j.Policy.Service, Label: step.Label,
-		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: j.Policy.Advice.Needed(), AllowedShare: s.stats(e.route).allowedShare(),
-		RenewAhead: j.Policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    s.runTime(e, step), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: j.Policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
+		Tasks: w.tasks, Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: policy.Service, Label: step.Label,
+		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
+		RenewAhead: policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
+		RunTime:    w.runTime, Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
@@ -359,17 +509,37 @@
 	return out
 }
 
-// candidates returns the workers that the policy allows for a step, and whether a
-// usable ticket is available for each.
+// candidates are the workers that the policy allows for a step. They are valid for a version
+// of the fleet, until the first usable ticket expires and until a new one arrives.
+type candidates struct {
+	list         []dispatch.Candidate
+	fleetVersion int64
+	until        time.Time
+}
+
+// candidates returns the workers that the policy allows for a step, by name, and whether a
+// usable ticket is available for each. The result is not nil.
 func (s *Shard) candidates(p *pass, st *stepState) []dispatch.Candidate {
-	candidates := make([]dispatch.Candidate, 0, len(st.tickets))
-	for w, t := range st.tickets {
-		if s.workers[w.info.Name] == w {
-			candidates = append(candidates, dispatch.Candidate{Worker: w.passIndex, HasTicket: t.until.After(p.now.Add(ticketMargin)), TicketUntil: t.until.Add(-ticketMargin)})
+	usable := p.now.Add(ticketMargin)
+	c := &st.candidates
+	if c.list != nil && c.fleetVersion == s.fleetVersion && (c.until.IsZero() || c.until.After(usable)) {
+		return c.list
+	}
+	*c = candidates{list: c.list[:0], fleetVersion: s.fleetVersion}
+	if c.list == nil {
+		c.list = make([]dispatch.Candidate, 0, len(st.tickets))
+	}
+	for _, t := range st.ticketsByName() {
+		if t.removed {
+			continue
 		}
+		hasTicket := t.until.After(usable)
+		if hasTicket && (c.until.IsZero() || t.until.Before(c.until)) {
+			c.until = t.until
+		}
+		c.list = append(c.list, dispatch.Candidate{Worker: t.passIndex, HasTicket: hasTicket, TicketUntil: t.until.Add(-ticketMargin)})
 	}
-	slices.SortFunc(candidates, func(a, b dispatch.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
-	return candidates
+	return c.list
 }
 
 // score returns the score by which a step is ordered among the waiting steps.
@@ -388,13 +558,12 @@
 
 // work describes the remaining work of a job as last measured.
 func (s *Shard) work(now time.Time, e *jobEntry, ref job.StepRef) dispatch.Work {
-	j := e.progress.Job()
 	accepted := e.progress.Accepted()
-	if due := j.Schedule.Due(ref.Occurrence); !due.IsZero() {
+	if due := e.progress.Due(ref.Occurrence); !due.IsZero() {
 		accepted = due
 	}
 	return dispatch.Work{
-		Priority: j.Policy.Priority, Age: now.Sub(accepted), Objective: e.objective, LatestObjective: s.latestObjective(e), CriticalPath: e.criticalPath,
+		Priority: e.progress.Policy().Priority, Age: now.Sub(accepted), Objective: e.objective, LatestObjective: s.latestObjective(e), CriticalPath: e.criticalPath,
 		Total: e.totalCoreTime, Remaining: e.remainingCoreTime, Mean: s.meanCoreTime(e),
 	}
 }
@@ -404,17 +573,22 @@
 func (s *Shard) placeTasks(p *pass, waiting waitingStep, workers []int) {
 	e := waiting.entry
 	st := e.step(waiting.ref)
-	step := e.progress.Job().Steps[waiting.ref.Step]
-	expectedRunTime := s.runTime(e, step)
+	step := waiting.step
+	usualRunTime, speedOn := waiting.runTime, p.speedOn(*step, workers)
+	indexes := waiting.indexes
+	if indexes == nil {
+		indexes = e.startable(nil, waiting.ref)
+	}
 	st.held, st.heldUntil = nil, time.Time{}
 	localityOn, farFactor, near := p.localityOn(step, workers), s.stats(e.route).locality.factor().Value, 0
 	for n, i := range workers {
-		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: waiting.indexes[n]}
+		task := job.Task{Occurrence: waiting.ref.Occurrence, Step: waiting.ref.Step, Index: indexes[n]}
 		run := e.progress.NextRun(task)
 		if step.Gang && n > 0 {
 			run--
 		}
 		w := p.workers[i]
+		expectedRunTime := atSpeed(usualRunTime, speedOn(i))
 		switch where := localityOn(i); where {
 		case localityFar:
 			s.place(e, task, run, w, st.tickets[w], time.Duration(farFactor*float64(expectedRunTime)), where, farFactor)
@@ -424,6 +598,7 @@
 			}
 			s.place(e, task, run, w, st.tickets[w], expectedRunTime, where, 0)
 		}
+		e.setSpeed(task, speedOn(i))
 		s.useKeptRoom(p.now, waiting, w)
 	}
 	s.recordLocalityWaitEnd(p, waiting, len(workers), near)
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -1,8 +1,10 @@
 package shard
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"lovagestand.example/lovagestand/jobstore"
 	"lovagestand.example/lovagestand/quota"
 	"lovagestand.example/lovagestand/shares"
+	"lovagestand.example/lovagestand/speed"
 )
 
 // AdviceClient is an instance that can request advice from the policy service. It
@@ -65,6 +68,9 @@
 	StopTimeout, RestoreDelay time.Duration
 	// Preemption allows runs of less urgent jobs to be stopped for more urgent ones.
 	Preemption bool
+	// UnevenWorkers allows tasks to be placed by the learned speeds of the workers where the
+	// fleet shows that its machines differ much.
+	UnevenWorkers bool
 	// Overlap is how long after the start of this term a former owner may still
 	// extend the lease of a worker that this owner cannot reach.
 	Overlap time.Duration
@@ -87,6 +93,15 @@
 	// unreadable holds the stored jobs that this version cannot decode.
 	unreadable map[job.ID]bool
 	workers    map[lovagestand.WorkerName]*worker
+	// workersByName holds the workers by name; nil after one was added or removed.
+	workersByName []*worker
+	// teamNumbers holds the numbers of the teams that have had jobs.
+	teamNumbers map[lovagestand.TeamName]int
+	// fleetVersion counts how often workersByName was built.
+	fleetVersion int64
+	// unacknowledged holds the workers that may have listed ends which are not
+	// acknowledged, because they are not stored.
+	unacknowledged map[*worker]bool
 	// workersListed reports whether the list of workers has been received.
 	workersListed bool
 	// listReadAt is when the list was last received, listReadSince the begin of the time
@@ -106,6 +121,9 @@
 	writeRequested    chan struct{}
 	// stalled reports whether a write takes so long that new jobs are rejected.
 	stalled bool
+	// afterOutage reports whether what was queued during an outage of the store is being
+	// written.
+	afterOutage bool
 	// inFlight holds the batches that are being written, by lane. laneBusy marks the
 	// lanes after the first in which an extra writer runs; extraWriters waits for
 	// those writers.
@@ -157,11 +175,18 @@
 	// the first one.
 	averageStopTime time.Duration
 
+	// speeds learns the speeds of the workers if Limits.UnevenWorkers is set.
+	speeds *speed.Fleet
+	// unevenness describes the fleet as of the last update of the speeds.
+	unevenness speed.Summary
+
 	// summarizedAt is when the load was last logged.
 	summarizedAt time.Time
 	// passes and slowestPass describe the planning passes since then.
 	passes      int
 	slowestPass time.Duration
+	// reused is the state of the last pass, whose slices the next one uses again.
+	reused pass
 
 	// wakeup starts a planning pass.
 	wakeup       chan struct{}
@@ -180,9 +205,11 @@
 		ctx: ctx, cancel: cancel, deps: deps, term: term, limits: limits,
 		log:  deps.Log.With().Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Logger(),
 		jobs: map[job.ID]*jobEntry{}, live: map[job.ID]*jobEntry{}, unreadable: map[job.ID]bool{}, workers: map[lovagestand.WorkerName]*worker{},
+		unacknowledged: map[*worker]bool{},
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
+		teamNumbers: map[lovagestand.TeamName]int{}, speeds: speed.New(),
 		beyond:      map[lovagestand.TeamName]*beyondPeriod{},
 		adviceSlots: map[lovagestand.InstanceID]*adviceSlot{}, statsByRoute: map[lovagestand.RouteName]*routeStats{},
 		random: rand.New(rand.NewPCG(uint64(term.Epoch), 1)), lost: make(chan struct{}),
@@ -230,8 +257,15 @@
 	// order alone may never be carried out.
 	started bool
 	steps   map[job.StepRef]*stepState
+	// teamNumber is the number of the team numberedTeam; see [Shard.teamNumber].
+	teamNumber   int
+	numberedTeam lovagestand.TeamName
+	// stats are the averages of the route; see [Shard.statsOf].
+	stats *routeStats
 	// objective is the time in which the job should complete.
 	objective time.Duration
+	// longRunning is [job.Job.LongRunning].
+	longRunning bool
 	// totalCoreTime is the estimated core time of one occurrence.
 	totalCoreTime time.Duration
 	// remainingCoreTime and criticalPath are the work left in the occurrence
@@ -268,14 +302,15 @@
 
 // startable returns the indexes of the waiting tasks of a step of which no worker
 // may hold a run.
-func (e *jobEntry) startable(ref job.StepRef) []int {
-	waiting := e.progress.Waiting(ref)
+// It appends them to a slice.
+func (e *jobEntry) startable(to []int, ref job.StepRef) []int {
+	waiting := e.progress.AppendWaiting(to, ref)
 	if len(e.heldRuns) == len(e.active) {
 		return waiting
 	}
 	j := e.progress.Job()
-	free := waiting[:0]
-	for _, i := range waiting {
+	free := waiting[:len(to)]
+	for _, i := range waiting[len(to):] {
 		if e.heldRuns[j.TaskName(job.Task{Occurrence: ref.Occurrence, Step: ref.Step, Index: i})] == 0 {
 			free = append(free, i)
 		}
@@ -293,6 +328,10 @@
 	// does not change during a step.
 	decided map[*worker]bool
 	tickets map[*worker]ticket
+	// byName holds the tickets by the names of their workers; nil when it must be built
+	// again.
+	byName []workerTicket
+	candidates
 	// held holds a worker for each task of a gang, where room is held until heldUntil
 	// while the gang's tickets are being renewed.
 	held      []*worker
@@ -309,6 +348,32 @@
 	preemptions int
 }
 
+// setTicket sets the ticket of a step for a worker.
+func (st *stepState) setTicket(w *worker, t ticket) {
+	st.byName, st.candidates = nil, candidates{}
+	st.tickets[w] = t
+}
+
+// workerTicket is the ticket of a step for a worker.
+type workerTicket struct {
+	*worker
+	until time.Time
+}
+
+// ticketsByName returns the tickets of the step, also the expired ones, by the names of
+// their workers.
+func (st *stepState) ticketsByName() []workerTicket {
+	if st.byName == nil {
+		for w, t := range st.tickets {
+			st.byName = append(st.byName, workerTicket{worker: w, until: t.until})
+		}
+		slices.SortFunc(st.byName, func(a, b workerTicket) int { return compareWorkers(a.worker, b.worker) })
+	}
+	return st.byName
+}
+
+func compareWorkers(a, b *worker) int { return cmp.Compare(a.info.Name, b.info.Name) }
+
 // ticket is the policy's permission to run tasks of a step on a worker until a time.
 type ticket struct {
 	value string
@@ -329,7 +394,7 @@
 	return &jobEntry{
 		id: p.Job().ID, route: p.Job().Policy.Route, team: p.Job().Team, progress: p, body: body, started: p.Started(),
 		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, heldRuns: map[string]int{},
-		trialTimes: map[string]time.Duration{},
+		trialTimes: map[string]time.Duration{}, longRunning: p.Job().LongRunning(),
 	}
 }
 
@@ -380,11 +445,15 @@
 }
 
 // abortWaiters answers the callers that still wait with an [UnknownError], because
-// their changes may have been written.
+// their changes may have been written, or with a [NotOwnerError] if their job was in no
+// write.
 func (s *Shard) abortWaiters() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.jobs {
+		if s.withdraw(e, &NotOwnerError{}) {
+			continue
+		}
 		notifyWaiters(e.waiters, &UnknownError{})
 		e.waiters = nil
 	}
@@ -417,6 +486,8 @@
 	FormerTermResolved bool   `json:"formerTermResolved"`
 	// Teams holds the teams with work in the shard, as of the last pass.
 	Teams []TeamStatus `json:"teams,omitempty"`
+	// Speeds describes the learned speeds of the workers; nil if they are not learned.
+	Speeds *SpeedStatus `json:"speeds,omitempty"`
 }
 
 // Status returns a summary of the shard.
@@ -426,6 +497,7 @@
 	out := Status{
 		Epoch: uint64(s.term.Epoch), Jobs: len(s.jobs), LiveJobs: len(s.live), Workers: len(s.workers),
 		UnsavedJobs: len(s.queue), StoreStalled: s.stalled, FormerTermResolved: s.resolved, Teams: s.teamStatus,
+		Speeds: s.speedStatus(),
 	}
 	now := time.Now()
 	for _, w := range s.workers {
--- a/shard/where.go
+++ b/shard/where.go
@@ -88,9 +88,14 @@
 
 // copyForTrial returns a copy of what a pass reads. The copy has no store, fleet, log or
 // recorder, so that nothing that is done with it has an effect outside. It shares the
-// workers and the progress of the jobs, which the parts of a pass that decide do not
-// change. The caller holds mu while the copy is in use.
+// workers, the progress of the jobs and the states of their steps, of which the parts of a
+// pass that decide change only caches. The caller holds mu while the copy is in use.
 func (s *Shard) copyForTrial() *Shard {
+	// These caches are filled here rather than by the copy: otherwise jobs with runs would
+	// keep averages of the copy, and candidates would be cached for its version of the fleet.
+	for _, w := range s.sortedWorkers() {
+		s.runsOn(w)
+	}
 	deps := s.deps
 	deps.Fleet, deps.Store, deps.Log, deps.Recorder = nil, nil, zerolog.Nop(), lovagestand.NoRecorder{}
 	c := New(s.term, s.limits, deps)
@@ -100,13 +105,15 @@
 	c.unresolved, c.rosterUnreadable, c.resolved = s.unresolved, s.rosterUnreadable, s.resolved
 	c.teamUsage, c.former, c.shares = s.teamUsage, s.former, s.shares
 	c.backlog, c.adviceSlots = s.backlog, s.adviceSlots
+	c.workersByName, c.fleetVersion = s.workersByName, s.fleetVersion
+	c.unevenness, c.teamNumbers = s.unevenness, maps.Clone(s.teamNumbers)
 	for route, stats := range s.statsByRoute {
 		copied := *stats
 		c.statsByRoute[route] = &copied
 	}
 	for id, e := range s.live {
 		copied := *e
-		copied.steps = maps.Clone(e.steps)
+		copied.steps, copied.stats = maps.Clone(e.steps), nil
 		c.live[id] = &copied
 	}
 	for _, k := range s.kept {
@@ -182,14 +189,21 @@
 		shard: s, entry: e, pass: s.newPass(), assured: s.deps.Assured(),
 		positions: map[int]int{}, tiers: map[int]fairshare.Tier{}, selected: map[int]bool{}, explained: map[int]dispatch.Explanation{},
 	}
-	s.orderWaiting(t.pass)
+	s.collect(t.pass)
+	s.applySpeeds(t.pass)
+	s.dropKeptRoom(t.pass)
+	t.pass.sortByScore()
+	s.assignTiers(t.pass)
+	if t.pass.divisions != nil {
+		t.pass.sortByTier()
+	}
 	t.ownSteps(func(position int, w waitingStep) { t.positions[w.ref.Step], t.tiers[w.ref.Step] = position, w.tier })
 	if !t.assured {
 		return t
 	}
 	s.selectWithinQuotas(t.pass)
 	t.ownSteps(func(_ int, w waitingStep) { t.selected[w.ref.Step] = true })
-	load := s.considerSteps(t.pass)
+	load := s.load(t.pass)
 	var steps, indexes []int
 	t.ownSteps(func(position int, w waitingStep) {
 		steps, indexes = append(steps, w.ref.Step), append(indexes, position-1)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -86,6 +86,9 @@
 
 	// placements holds the runs that occupy room on the worker, by task name.
 	placements map[string]*placement
+	// runs describes them for passes; see [Shard.runsOn]. It is nil after a run was added,
+	// removed or ordered to stop.
+	runs []workerRun
 	// free is the capacity minus the needs of the placements.
 	free lovagestand.Resources
 	// maxCapacity is the largest capacity that the worker has had since it was added to
@@ -94,8 +97,10 @@
 	// lastPlacedAt is when a run was last placed here. trialUntil is the end of a trial
 	// that goes on here, see [placement.trialUntil]; zero if there is none.
 	lastPlacedAt, trialUntil time.Time
-	// passIndex is the index of the worker in the current planning pass.
+	// passIndex is the index of the worker in the current planning pass. It is not valid if
+	// the worker was removed.
 	passIndex int
+	removed   bool
 	// strays holds the run numbers of runs that belong to no job known in this term.
 	// Their needs are unknown, so no new task is placed beside them.
 	strays map[string]int64
@@ -127,7 +132,10 @@
 	expectedRunTime time.Duration
 	// farFactor is the factor in expectedRunTime that stands for a run elsewhere than near;
 	// 0 for all other runs.
-	farFactor     float64
+	farFactor float64
+	// speed is the speed of the worker in expectedRunTime, or of the slowest one of a gang;
+	// 0 if it is not taken into account.
+	speed         float64
 	locality      locality
 	longRunning   bool      // whether the task runs until its job is cancelled
 	settledAt     time.Time // when the worker confirmed the last order or first listed the run
@@ -239,6 +247,7 @@
 			s.log.Info().Str("worker", string(name)).Msg("worker removed")
 			w.cancel()
 			delete(s.workers, name)
+			w.removed, s.workersByName = true, nil
 			s.requestRosterWrite()
 		}
 	}
@@ -362,6 +371,7 @@
 		placements: map[string]*placement{}, strays: map[string]int64{}, replacedIncarnations: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
+	s.workersByName = nil
 	s.log.Info().Str("worker", string(info.Name)).Str("address", info.Address).Str("rack", string(info.Rack)).Msg("worker added")
 	s.requestRosterWrite()
 	go s.holdLoop(ctx, w)
