--- a/shard/plan.go
+++ b/shard/plan.go
@@ -174,6 +174,7 @@
 		s.recordBeyond(p)
 		p.sortByTier()
 	}
+	s.selectWithinQuotas(p)
 	load := s.load(p)
 	next := p.now.Add(idleInterval)
 	decisions := dispatch.Plan(load)
@@ -251,9 +252,8 @@
 }
 
 // load returns the load of the pass for the dispatcher: the first of the waiting steps,
-// which are in order, for which the quotas leave room. It changes nothing but the pass.
+// which are in order and for which the quotas leave room. It changes nothing but the pass.
 func (s *Shard) load(p *pass) dispatch.Load {
-	s.selectWithinQuotas(p)
 	s.limitSuspects(p)
 	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
 	for i := range p.waiting {
--- a/shard/uneven.go
+++ b/shard/uneven.go
@@ -67,6 +67,12 @@
 	if s.speeds.Due(p.now) {
 		s.updateSpeeds(p)
 	}
+	s.applySpeeds(p)
+}
+
+// applySpeeds sets the speeds as of their last update in the pass if the fleet counts as
+// uneven.
+func (s *Shard) applySpeeds(p *pass) {
 	p.uneven = s.unevenness.Uneven
 	if !p.uneven {
 		return
