--- a/gateway/repeat.go
+++ b/gateway/repeat.go
@@ -13,16 +13,15 @@
 )
 
 const (
-	// repeatInterval is the pause before a submission is repeated, and so how much later
-	// than others a waiting caller is served after an outage. At 100 submissions a second
-	// 200 callers wait, who cause 670 calls a second that are rejected at once.
+	// repeatInterval is the pause before a job is passed to the owner again, and so how much
+	// later than others a waiting caller is served after an outage. At 100 jobs a second 200
+	// callers wait, who cause 670 calls a second that are rejected at once.
 	repeatInterval = 300 * time.Millisecond
-	// longRepeatInterval is that pause once no submission has been accepted for longOutage:
-	// few callers still have time to be served, and the owner needs its processor for what
-	// runs.
+	// longRepeatInterval is that pause once no job has been accepted for longOutage: few
+	// callers still have time to be served, and the owner needs its processor for what runs.
 	longRepeatInterval = 600 * time.Millisecond
 	longOutage         = 3 * time.Second
-	// outageGap is the time without a failed submission after which an outage is a new one.
+	// outageGap is the time without a rejected job after which an outage is a new one.
 	outageGap = 2 * time.Second
 	// minRepeatTime is the time that must remain for a repeated submission. It covers the
 	// wait for a next owner and a write; a call that ends before has an unknown outcome.
@@ -60,14 +59,14 @@
 	return ok && time.Until(deadline) >= interval+minRepeatTime
 }
 
-// repeatPacer decides how soon submissions that have failed are repeated.
+// repeatPacer decides how soon jobs that were not accepted are passed to the owner again.
 type repeatPacer struct {
 	mu sync.Mutex
-	// failingSince is when the outage began in which a submission failed last, at lastFailure.
+	// failingSince is when the outage began in which a job was last rejected, at lastFailure.
 	failingSince, lastFailure time.Time
 }
 
-// interval records a failed submission and returns the pause before it is repeated.
+// interval records a rejected job and returns the pause before the next attempt.
 func (r *repeatPacer) interval(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/shard/withdraw.go
+++ b/shard/withdraw.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxQueueWait is how long a submission may wait without being part of a write. The
+	// maxQueueWait is how long a new job may wait without being part of a write. The
 	// instance that passed it on waits for 800 ms, and its outcome is not known to the
 	// caller afterwards.
 	maxQueueWait = 600 * time.Millisecond
@@ -15,7 +15,7 @@
 	answerReserve = 100 * time.Millisecond
 )
 
-// queueWait returns how long a submission may wait in the queue, given the time until the
+// queueWait returns how long a new job may wait in the queue, given the time until the
 // caller's deadline if there is one.
 func queueWait(untilDeadline time.Duration, hasDeadline bool) time.Duration {
 	if !hasDeadline {
