dispatch: the long replays of tests run in parallel

Change: the four tests with the longest replays are parallel; checks, bounds and seeds are as before.

--- a/dispatch/locality_replay_test.go
+++ b/dispatch/locality_replay_test.go
@@ -380,6 +380,7 @@
 // capacity becomes free soon, late or never, and all of them together. It guards against
 // waits that do not pay, and against starts elsewhere where a short wait pays.
 func TestWaitingForDataAgainstNaivePolicies(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, factor := range []float64{1.5, 3} {
 		for name, kinds := range map[string][]nearCapacity{
@@ -455,6 +456,7 @@
 // It guards against gangs that keep racks idle for longer than they gain, and against
 // gangs that are split although a rack is about to have room.
 func TestWaitingForOneRackAgainstNaivePolicies(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, factor := range []float64{1.5, 3} {
 		for name, kinds := range map[string][]nearCapacity{
--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -374,6 +374,7 @@
 // steps keep full, half of which save checkpoints, with the bounds of two platforms. It guards against urgent steps that are
 // late beside work that could be resumed later, and against stops that gain nothing.
 func TestBurstsOfUrgentSteps(t *testing.T) {
+	t.Parallel()
 	for name, bounds := range map[string]burstBounds{"P": boundsP, "S": boundsS} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%s_seed_%d", name, seed), func(t *testing.T) {
--- a/dispatch/uneven_replay_test.go
+++ b/dispatch/uneven_replay_test.go
@@ -327,6 +327,7 @@
 // TestUnevenWorkersAgainstUnknownAndTrueSpeeds guards against gangs whose fast members wait
 // for slow ones, and against urgent steps on slow workers.
 func TestUnevenWorkersAgainstUnknownAndTrueSpeeds(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	const seeds = 3
 	mean := map[speedPolicy]map[string]float64{}
