--- /dev/null
+++ b/review/stand/cases.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// steps returns the body of a submission.
+func body(spec string, steps ...string) string {
+	return fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, spec, strings.Join(steps, ","))
+}
+
+// step returns a step without dependencies.
+func step(count, cpu, memory, estimate int, more string) string {
+	return fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":%d,"estimate_ms":%d%s}`, count, cpu, memory, estimate, more)
+}
+
+// load submits the three kinds of request of the sheet, each at a rate, until it is stopped.
+type load struct {
+	client  *client
+	sending sync.WaitGroup
+	stopped chan struct{}
+}
+
+func startLoad(k *client, stock, reorder, bulk float64) *load {
+	l := &load{client: k, stopped: make(chan struct{})}
+	send := func(rate float64, queue, text string) {
+		if rate <= 0 {
+			return
+		}
+		l.sending.Go(func() {
+			ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+			defer ticker.Stop()
+			for {
+				select {
+				case <-l.stopped:
+					return
+				case <-ticker.C:
+					l.sending.Go(func() { k.submit(&submission{queue: queue, body: text}) })
+				}
+			}
+		})
+	}
+	send(stock, "stock", body("ms=640", step(2, 1400, 1000, 640, "")))
+	send(reorder, "reorder", body("ms=3400", step(10, 980, 1000, 3400, "")))
+	send(bulk, "bulk", body("ms=4000", step(8, 4500, 4000, 4000, "")))
+	return l
+}
+
+func (l *load) stop() {
+	close(l.stopped)
+	l.sending.Wait()
+}
+
+// crashWaves kills two of 14 runners at a time and starts them again after a second.
+func crashWaves(c *cell, trouble bool) ([]string, error) {
+	k := newClient(c)
+	for range 2 {
+		k.submit(&submission{queue: "bulk", body: body("lasts=1", step(8, 500, 500, 0, `,"persistent":true`))})
+	}
+	l := startLoad(k, 10, 1, 0.4)
+	time.Sleep(8 * time.Second)
+	random := rand.New(rand.NewSource(time.Now().UnixNano()))
+	for range 14 {
+		if trouble {
+			for _, i := range random.Perm(len(c.runners))[:2] {
+				go c.crash(c.runners[i], time.Second)
+			}
+		}
+		time.Sleep(2600 * time.Millisecond)
+		k.askAll()
+	}
+	l.stop()
+	for range 7 {
+		time.Sleep(2 * time.Second)
+		k.askAll()
+	}
+	return k.failedWithoutCause(), nil
+}
+
+// drainCut empties one of twelve runners, of which the link is cut meanwhile.
+func drainCut(c *cell, trouble bool) ([]string, error) {
+	k := newClient(c)
+	for range 6 {
+		if !k.submit(&submission{queue: "bulk", body: body("ms=6500", step(8, 1500, 1000, 6500, ""))}) {
+			return nil, fmt.Errorf("a submission was not accepted")
+		}
+	}
+	time.Sleep(2 * time.Second)
+	r := c.busiest()
+	c.note("DISRUPTION (planned work): runner %s is emptied", r.id)
+	_ = r.command.Process.Signal(syscall.SIGTERM)
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		c.note("DISRUPTION: the link of runner %s is cut for 4 s; connections are refused", r.id)
+		r.proxy.cut(4 * time.Second)
+		c.note("the link of runner %s is back", r.id)
+	} else {
+		time.Sleep(4 * time.Second)
+	}
+	time.Sleep(6 * time.Second)
+	k.askAll()
+	return c.twice(), nil
+}
+
+// busiest returns the runner with the most runs that have not ended.
+func (c *cell) busiest() *runnerProcess {
+	running := map[string]int{}
+	for _, h := range histories(c.snapshot(), time.Now()) {
+		if h.how == "" {
+			running[h.runner]++
+		}
+	}
+	best := c.runners[0]
+	for _, r := range c.runners {
+		if running[r.id] > running[best.id] {
+			best = r
+		}
+	}
+	return best
+}
+
+// hopeless hands in ten submissions among some hundred that no runner can run: all their
+// tasks require a label that none has.
+func hopeless(c *cell, trouble bool) ([]string, error) {
+	k := newClient(c)
+	l := startLoad(k, 10, 0.5, 0.3)
+	time.Sleep(5 * time.Second)
+	if trouble {
+		for range 10 {
+			one := step(1, 100, 100, 100, `,"requires":"c"`)
+			text := fmt.Sprintf(`{"spec":"ms=100","steps":[%s],"repeat_count":8,"start_time_ms":%d,"interval_ms":4500}`,
+				strings.Join([]string{one, one, one, one}, ","), time.Now().UnixMilli())
+			c.note("DISRUPTION: a submission that can never be done")
+			k.submit(&submission{queue: "bulk", body: text, hopeless: true})
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	time.Sleep(40 * time.Second)
+	l.stop()
+	return k.stalled(), nil
+}
+
+// longTasks hands in a submission whose tasks run six times as long as estimated, at most two
+// on a runner.
+func longTasks(c *cell, trouble bool) ([]string, error) {
+	k := newClient(c)
+	l := startLoad(k, 10, 0, 0)
+	time.Sleep(8 * time.Second)
+	spec := "ms=3400"
+	if trouble {
+		spec = "ms=20400"
+		c.note("DISRUPTION: a submission whose tasks take six times as long")
+	}
+	k.submit(&submission{queue: "reorder", body: body(spec, step(24, 980, 1000, 3400, `,"max_per_server":2`))})
+	for range 3 {
+		k.submit(&submission{queue: "bulk", body: body("ms0=11000 ms1=1000", step(1, 1000, 1000, 11000, ""), step(1, 1000, 1000, 1000, `,"after":[0]`))})
+	}
+	l.stop()
+	return k.stalled(), nil
+}
+
+// crashLoop hands in one submission whose tasks last and fail as soon as they have started.
+func crashLoop(c *cell, trouble bool) ([]string, error) {
+	k := newClient(c)
+	l := startLoad(k, 10, 0.5, 0.3)
+	time.Sleep(8 * time.Second)
+	spec := "lasts=1"
+	if trouble {
+		spec = "ms=50 end=failed"
+		c.note("DISRUPTION: a submission whose tasks fail whenever they start")
+	}
+	k.submit(&submission{queue: "bulk", hopeless: true, body: body(spec, step(12, 100, 100, 0, `,"persistent":true,"max_per_server":1`))})
+	time.Sleep(4 * time.Second)
+	var steps []string
+	for i := range 16 {
+		after := ""
+		if i > 0 {
+			after = fmt.Sprintf(`,"after":[%d]`, i-1)
+		}
+		steps = append(steps, step(1, 1000, 1000, 400, after))
+	}
+	for range 3 {
+		k.submit(&submission{queue: "bulk", body: body("ms=400", steps...)})
+	}
+	l.stop()
+	return k.stalled(), nil
+}
+
+const (
+	// finish is how long after the end of the traffic submissions are asked for, stallTime
+	// how long one may have nothing running then, and observed how long they are observed.
+	finish    = 14 * time.Second
+	stallTime = 3 * time.Second
+	observed  = 8 * time.Second
+)
+
+// stalled waits until finish_s after the end of the traffic and returns a line for each
+// accepted submission that has nothing running for three seconds then, though the turn of a
+// task has come and under half of the service's capacity is in use.
+func (k *client) stalled() []string {
+	c := k.cell
+	c.note("the traffic has ended")
+	time.Sleep(finish)
+	from := time.Now()
+	k.askAll()
+	time.Sleep(observed)
+	to := time.Now()
+	k.askAll()
+	cpu := map[string]int64{}
+	for _, s := range k.accepted() {
+		var m struct {
+			Steps []struct {
+				CPU int64 `json:"cpu"`
+			} `json:"steps"`
+		}
+		_ = json.Unmarshal([]byte(s.body), &m)
+		for i, step := range m.Steps {
+			cpu[fmt.Sprintf("%s.%d", s.id, i)] = step.CPU
+		}
+	}
+	all := histories(c.snapshot(), to)
+	cpuOf := func(task string) int64 {
+		id, _, _ := strings.Cut(task, ".")
+		return cpu[fmt.Sprintf("%s.%d", id, stepOf(task))]
+	}
+	var broken []string
+	for _, s := range k.accepted() {
+		if s.hopeless {
+			continue
+		}
+		runs, until := spans(all, s.id), to.UnixNano()
+		if s.state == "completed" {
+			// Its last task has started then; before that a task's turn had come.
+			until = runs[len(runs)-1].begun
+		}
+		if until <= from.UnixNano() {
+			continue
+		}
+		idle, since := idleFor(runs, from.UnixNano(), until)
+		used := usedShare(all, since, since+int64(idle), cpuOf, int64(len(c.runners))*16000)
+		if idle >= stallTime && used < 0.5 {
+			broken = append(broken, fmt.Sprintf("LOST: %s (queue %s, accepted at %.3f, state %s) has nothing running for %.1f s from %.3f, at most %.2f of the capacity in use; its runs so far: %d",
+				s.id, s.queue, s.accepted.Sub(c.begun).Seconds(), s.state, idle.Seconds(), c.seconds(since), used, len(runs)))
+		}
+	}
+	return broken
+}
