--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -66,7 +66,7 @@
 	l := startLoad(k, 10, 1, 0.4)
 	time.Sleep(8 * time.Second)
 	random := rand.New(rand.NewSource(time.Now().UnixNano()))
-	for range 14 {
+	for range 20 {
 		if trouble {
 			for _, i := range random.Perm(len(c.runners))[:2] {
 				go c.crash(c.runners[i], time.Second)
@@ -165,31 +165,62 @@
 	return k.stalled(), nil
 }
 
-// crashLoop hands in one submission whose tasks last and fail as soon as they have started.
-func crashLoop(c *cell, trouble bool) ([]string, error) {
-	k := newClient(c)
-	l := startLoad(k, 10, 0.5, 0.3)
-	time.Sleep(8 * time.Second)
-	spec := "lasts=1"
+// foreignEntry restarts the nodes one after the other while the store holds an entry that
+// another writer has left among those of the runners.
+func foreignEntry(c *cell, trouble bool) ([]string, error) {
 	if trouble {
-		spec = "ms=50 end=failed"
-		c.note("DISRUPTION: a submission whose tasks fail whenever they start")
+		c.note("DISRUPTION: another writer leaves an entry in the store; it lacks the fields capacity, labels, born and seq")
+		c.store.put("servers/printer-7", []byte(fmt.Sprintf(`{"service":"printing","addr":%q,"state":"ready"}`, freeAddr())))
 	}
-	k.submit(&submission{queue: "bulk", hopeless: true, body: body(spec, step(12, 100, 100, 0, `,"persistent":true,"max_per_server":1`))})
-	time.Sleep(4 * time.Second)
-	var steps []string
-	for i := range 16 {
-		after := ""
-		if i > 0 {
-			after = fmt.Sprintf(`,"after":[%d]`, i-1)
+	k := newClient(c)
+	var lasting []*submission
+	for range 4 {
+		s := &submission{queue: "bulk", body: body("ms=4000 end=failed", step(8, 400, 400, 0, `,"persistent":true`))}
+		if !k.submit(s) {
+			return nil, fmt.Errorf("a submission was not accepted")
 		}
-		steps = append(steps, step(1, 1000, 1000, 400, after))
+		lasting = append(lasting, s)
 	}
-	for range 3 {
-		k.submit(&submission{queue: "bulk", body: body("ms=400", steps...)})
+	l := startLoad(k, 10, 0.5, 0.2)
+	time.Sleep(8 * time.Second)
+	for _, n := range c.nodes {
+		if err := c.restartNode(n); err != nil {
+			return nil, err
+		}
+		time.Sleep(12 * time.Second)
 	}
 	l.stop()
-	return k.stalled(), nil
+	return c.restedTooLong(lasting), nil
+}
+
+// lastingRest is how long a task that lasts may be without a run: 6 s after its last run, for
+// 3 s.
+const lastingRest = 9 * time.Second
+
+// restedTooLong returns a line for each time in which a task that lasts had no run for longer
+// than that.
+func (c *cell) restedTooLong(lasting []*submission) []string {
+	var broken []string
+	now := time.Now().UnixNano()
+	all := histories(c.snapshot(), time.Unix(0, now))
+	for _, s := range lasting {
+		runs := map[string][]*history{}
+		for _, h := range spans(all, s.id) {
+			runs[h.task] = append(runs[h.task], h)
+		}
+		for task, of := range runs {
+			for i, h := range of {
+				next := now
+				if i+1 < len(of) {
+					next = of[i+1].begun
+				}
+				if rest := time.Duration(next - h.ended); h.ended < next && rest >= lastingRest {
+					broken = append(broken, fmt.Sprintf("LOST: %s, which is to last, has no run for %.1f s from %.3f; its last run ended: %s", task, rest.Seconds(), c.seconds(h.ended), h.how))
+				}
+			}
+		}
+	}
+	return broken
 }
 
 const (
--- a/review/stand/cell.go
+++ b/review/stand/cell.go
@@ -41,6 +41,8 @@
 
 type nodeProcess struct {
 	name, front, ready string
+	settings           string
+	words              []string
 	command            *exec.Cmd
 	done               chan struct{}
 }
@@ -163,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	n := &nodeProcess{name: name, front: freeAddr(), ready: freeAddr(), done: make(chan struct{})}
+	n := &nodeProcess{name: name, front: freeAddr(), ready: freeAddr()}
 	_, port, _ := net.SplitHostPort(freeAddr())
 	values := map[string]string{
 		"node": name, "zone": zone, "region": strings.TrimSuffix(zone, "-a"), "listen.front": n.front, "listen.ready": n.ready, "ip": "127.0.0.1",
@@ -176,26 +178,43 @@
 	if err := os.WriteFile(settings, []byte(fillTemplate(string(template), values)), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(c.dir, name+".log"))
+	n.words, n.settings = strings.Fields(deployLine(string(deploy), "run")), settings
+	c.nodes = append(c.nodes, n)
+	return c.runNode(n)
+}
+
+// runNode starts the process of a node.
+func (c *cell) runNode(n *nodeProcess) error {
+	log, err := os.OpenFile(filepath.Join(c.dir, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	words := strings.Fields(deployLine(string(deploy), "run"))
-	n.command = exec.Command(filepath.Join(c.root, words[0]), words[1:]...)
-	n.command.Dir, n.command.Stdout, n.command.Stderr = c.root, log, log
-	n.command.Env = []string{"LOVAGESTAND_SETTINGS=" + settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-	if err := n.command.Start(); err != nil {
+	command, done := exec.Command(filepath.Join(c.root, n.words[0]), n.words[1:]...), make(chan struct{})
+	command.Dir, command.Stdout, command.Stderr = c.root, log, log
+	command.Env = []string{"LOVAGESTAND_SETTINGS=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	n.command, n.done = command, done
+	if err := command.Start(); err != nil {
 		return err
 	}
 	go func() {
-		_ = n.command.Wait()
-		close(n.done)
+		_ = command.Wait()
+		close(done)
 	}()
-	c.nodes = append(c.nodes, n)
 	return nil
 }
 
+// restartNode stops a node as planned work does, and starts it again once it has exited.
+func (c *cell) restartNode(n *nodeProcess) error {
+	c.note("PLANNED: machine %s is stopped and started again", n.name)
+	_ = n.command.Process.Signal(syscall.SIGTERM)
+	grace := time.AfterFunc(6*time.Second, func() { _ = n.command.Process.Kill() })
+	<-n.done
+	grace.Stop()
+	c.note("machine %s has exited and starts again", n.name)
+	return c.runNode(n)
+}
+
 // startRunner starts a life of a runner.
 func (c *cell) startRunner(r *runnerProcess) error {
 	r.command = exec.Command(os.Args[0], "runner", "-id", r.id, "-addr", r.proxy.addr, "-listen", r.listen, "-store", c.storeAddr,
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,15 +19,15 @@
 )
 
 var cases = map[string]func(c *cell, trouble bool) ([]string, error){
-	"crash-waves": crashWaves,
-	"drain-cut":   drainCut,
-	"hopeless":    hopeless,
-	"long-tasks":  longTasks,
-	"crash-loop":  crashLoop,
+	"crash-waves":   crashWaves,
+	"drain-cut":     drainCut,
+	"hopeless":      hopeless,
+	"long-tasks":    longTasks,
+	"foreign-entry": foreignEntry,
 }
 
 // sizes are the numbers of nodes and runners of the cases.
-var sizes = map[string][2]int{"crash-waves": {3, 14}, "drain-cut": {3, 12}, "hopeless": {3, 12}, "long-tasks": {3, 12}, "crash-loop": {3, 12}}
+var sizes = map[string][2]int{"crash-waves": {3, 14}, "drain-cut": {3, 12}, "hopeless": {3, 12}, "long-tasks": {3, 12}, "foreign-entry": {3, 12}}
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
