--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -57,32 +57,6 @@
 	l.sending.Wait()
 }
 
-// crashWaves kills two of 14 runners at a time and starts them again after a second.
-func crashWaves(c *cell, trouble bool) ([]string, error) {
-	k := newClient(c)
-	for range 2 {
-		k.submit(&submission{queue: "bulk", body: body("lasts=1", step(8, 500, 500, 0, `,"persistent":true`))})
-	}
-	l := startLoad(k, 10, 1, 0.4)
-	time.Sleep(8 * time.Second)
-	random := rand.New(rand.NewSource(time.Now().UnixNano()))
-	for range 20 {
-		if trouble {
-			for _, i := range random.Perm(len(c.runners))[:2] {
-				go c.crash(c.runners[i], time.Second)
-			}
-		}
-		time.Sleep(2600 * time.Millisecond)
-		k.askAll()
-	}
-	l.stop()
-	for range 7 {
-		time.Sleep(2 * time.Second)
-		k.askAll()
-	}
-	return k.failedWithoutCause(), nil
-}
-
 // drainCut empties one of twelve runners, of which the link is cut meanwhile.
 func drainCut(c *cell, trouble bool) ([]string, error) {
 	k := newClient(c)
@@ -170,12 +144,18 @@
 func foreignEntry(c *cell, trouble bool) ([]string, error) {
 	if trouble {
 		c.note("DISRUPTION: another writer leaves an entry in the store; it lacks the fields capacity, labels, born and seq")
-		c.store.put("servers/printer-7", []byte(fmt.Sprintf(`{"service":"printing","addr":%q,"state":"ready"}`, freeAddr())))
+		// Nothing accepts the connections to this listener, so the address does not answer.
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer silent.Close()
+		c.store.put("servers/printer-7", []byte(fmt.Sprintf(`{"service":"printing","addr":%q,"state":"ready"}`, silent.Addr())))
 	}
 	k := newClient(c)
 	var lasting []*submission
-	for range 4 {
-		s := &submission{queue: "bulk", body: body("ms=4000 end=failed", step(8, 400, 400, 0, `,"persistent":true`))}
+	for _, spec := range []string{"ms=2500 end=failed", "ms=3100 end=failed", "ms=3700 end=failed", "ms=4300 end=failed"} {
+		s := &submission{queue: "bulk", body: body(spec, step(8, 400, 400, 0, `,"persistent":true`))}
 		if !k.submit(s) {
 			return nil, fmt.Errorf("a submission was not accepted")
 		}
@@ -223,6 +203,46 @@
 	return broken
 }
 
+// slowLink hands in 1,200 submissions that are due later, and then restarts the nodes one after
+// the other. Each node has a link of 10 Mbit/s to the store.
+func slowLink(c *cell, trouble bool) ([]string, error) {
+	k := newClient(c)
+	due := time.Now().Add(10 * time.Minute).UnixMilli()
+	text := fmt.Sprintf(`{"spec":%q,"steps":[%s],"repeat_count":1,"start_time_ms":%d,"interval_ms":1000}`,
+		"ms=100 "+strings.Repeat("x", 3900), step(1, 100, 100, 100, ""), due)
+	var sending sync.WaitGroup
+	for range 1200 {
+		sending.Go(func() { k.submit(&submission{queue: "reorder", body: text}) })
+		time.Sleep(25 * time.Millisecond)
+	}
+	sending.Wait()
+	accepted := k.accepted()
+	c.note("%d submissions are accepted", len(accepted))
+	if trouble {
+		for _, n := range c.nodes {
+			if err := c.restartNode(n); err != nil {
+				return nil, err
+			}
+		}
+	}
+	c.note("the traffic has ended")
+	time.Sleep(finish)
+	var broken []string
+	for _, s := range accepted[:3] {
+		status, state := 0, ""
+		for range 3 {
+			if status, state = k.ask(s); state != "" {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		if state == "" {
+			broken = append(broken, fmt.Sprintf("LOST: %s, accepted at %.3f, gets no answer with its state from any node; the last status is %d", s.id, s.accepted.Sub(c.begun).Seconds(), status))
+		}
+	}
+	return broken, nil
+}
+
 const (
 	// finish is how long after the end of the traffic submissions are asked for, stallTime
 	// how long one may have nothing running then, and observed how long they are observed.
--- a/review/stand/cell.go
+++ b/review/stand/cell.go
@@ -35,8 +35,11 @@
 
 	store     *store
 	storeAddr string
-	nodes     []*nodeProcess
-	runners   []*runnerProcess
+	// linkRate is the bandwidth between a node and the store in bytes per second; 0 is without
+	// limit.
+	linkRate float64
+	nodes    []*nodeProcess
+	runners  []*runnerProcess
 }
 
 type nodeProcess struct {
@@ -90,8 +93,8 @@
 }
 
 // newCell starts the store, the runners and the nodes of a small deployment.
-func newCell(root, dir string, record io.Writer, nodes, runners int) (*cell, error) {
-	c := &cell{root: root, dir: dir, begun: time.Now(), record: record, store: newStore()}
+func newCell(root, dir string, record io.Writer, nodes, runners int, linkRate float64) (*cell, error) {
+	c := &cell{root: root, dir: dir, begun: time.Now(), record: record, store: newStore(), linkRate: linkRate}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -127,9 +130,6 @@
 	`"services":[{"name":"huvo11a","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"enforces_capacity":false,"standby":false}],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`)
 
-// maxAttempts are the attempts of the queues of config.
-var maxAttempts = map[string]int{"bulk": 2, "reorder": 3, "stock": 2}
-
 var (
 	section     = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
 	placeholder = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
@@ -167,9 +167,18 @@
 	}
 	n := &nodeProcess{name: name, front: freeAddr(), ready: freeAddr()}
 	_, port, _ := net.SplitHostPort(freeAddr())
+	storeAddr := c.storeAddr
+	if c.linkRate > 0 {
+		link, err := newProxy(c.storeAddr)
+		if err != nil {
+			return err
+		}
+		link.rate = c.linkRate
+		storeAddr = link.addr
+	}
 	values := map[string]string{
 		"node": name, "zone": zone, "region": strings.TrimSuffix(zone, "-a"), "listen.front": n.front, "listen.ready": n.ready, "ip": "127.0.0.1",
-		"port_range": port, "platform.addr": c.storeAddr,
+		"port_range": port, "platform.addr": storeAddr,
 	}
 	for key, value := range bounds {
 		values[key] = value
@@ -259,17 +268,6 @@
 	c.line(time.Unix(0, e.At), strings.TrimSpace(text))
 }
 
-// crash kills a runner and starts it again under its id after a time.
-func (c *cell) crash(r *runnerProcess, down time.Duration) {
-	c.note("DISRUPTION: runner %s is killed for %v", r.id, down)
-	_ = r.command.Process.Kill()
-	<-r.done
-	time.Sleep(down)
-	if err := c.startRunner(r); err != nil {
-		c.note("runner %s cannot start again: %v", r.id, err)
-	}
-}
-
 // snapshot returns the events so far.
 func (c *cell) snapshot() []event {
 	c.mu.Lock()
--- a/review/stand/checks.go
+++ b/review/stand/checks.go
@@ -61,43 +61,7 @@
 	return broken
 }
 
-// failedWithoutCause returns a line for each submission that is shown as failed though no
-// task of it has as many ends "failed" as its queue allows attempts.
-func (k *client) failedWithoutCause() []string {
-	failures, lost := map[string]map[string]int{}, map[string]map[string]int{}
-	count := func(in map[string]map[string]int, task string) {
-		id, _, _ := strings.Cut(task, ".")
-		if in[id] == nil {
-			in[id] = map[string]int{}
-		}
-		in[id][task]++
-	}
-	for _, h := range histories(k.cell.snapshot(), time.Now()) {
-		switch h.how {
-		case "failed":
-			count(failures, h.task)
-		case "lost with the runner":
-			count(lost, h.task)
-		}
-	}
-	most := func(of map[string]int) int {
-		n := 0
-		for _, v := range of {
-			n = max(n, v)
-		}
-		return n
-	}
-	var broken []string
-	for _, s := range k.accepted() {
-		if s.state == "failed" && most(failures[s.id]) < maxAttempts[s.queue] {
-			broken = append(broken, fmt.Sprintf("LOST: %s (queue %s, max_attempts %d) is shown as failed at %.3f; most ends \"failed\" of one task: %d, runs of one task lost with their runners: %d",
-				s.id, s.queue, maxAttempts[s.queue], s.shownAt.Sub(k.cell.begun).Seconds(), most(failures[s.id]), most(lost[s.id])))
-		}
-	}
-	return broken
-}
-
-// runningIn returns the events of the tasks of a submission as spans, for stalls.
+// spans returns the runs of the tasks of a submission.
 func spans(all []*history, id string) []*history {
 	var out []*history
 	for _, h := range all {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,15 +19,19 @@
 )
 
 var cases = map[string]func(c *cell, trouble bool) ([]string, error){
-	"crash-waves":   crashWaves,
 	"drain-cut":     drainCut,
 	"hopeless":      hopeless,
 	"long-tasks":    longTasks,
 	"foreign-entry": foreignEntry,
+	"slow-link":     slowLink,
 }
 
 // sizes are the numbers of nodes and runners of the cases.
-var sizes = map[string][2]int{"crash-waves": {3, 14}, "drain-cut": {3, 12}, "hopeless": {3, 12}, "long-tasks": {3, 12}, "foreign-entry": {3, 12}}
+var sizes = map[string][2]int{"drain-cut": {3, 12}, "hopeless": {3, 12}, "long-tasks": {3, 12}, "foreign-entry": {3, 12}, "slow-link": {3, 12}}
+
+// linkRates are the bandwidths between a node and the store of the cases that limit them, in
+// bytes per second.
+var linkRates = map[string]float64{"slow-link": 10e6 / 8}
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
@@ -64,7 +68,7 @@
 	defer record.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	fmt.Fprintf(record, "case %s, disruption: %t; times in seconds since the start\n", name, trouble)
-	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1])
+	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1], linkRates[name])
 	if c != nil {
 		defer c.close()
 	}
--- a/review/stand/proxy.go
+++ b/review/stand/proxy.go
@@ -12,11 +12,39 @@
 type proxy struct {
 	addr, target string
 
+	// rate is the bandwidth of the link in bytes per second and direction; 0 is without limit.
+	rate float64
+
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	// up and down are when the link is free again in each direction.
+	up, down time.Time
 }
 
+// link returns a writer that passes on what is written at the rate of the link.
+func (p *proxy) link(to io.Writer, free *time.Time) io.Writer {
+	if p.rate == 0 {
+		return to
+	}
+	return writerFunc(func(b []byte) (int, error) {
+		p.mu.Lock()
+		if now := time.Now(); free.Before(now) {
+			*free = now
+		}
+		*free = free.Add(time.Duration(float64(len(b)) / p.rate * float64(time.Second)))
+		wait := time.Until(*free)
+		p.mu.Unlock()
+		time.Sleep(wait)
+		return to.Write(b)
+	})
+}
+
+type writerFunc func(b []byte) (int, error)
+
+// Write implements io.Writer.
+func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
+
 func newProxy(target string) (*proxy, error) {
 	p := &proxy{target: target, conns: map[net.Conn]bool{}}
 	l, err := net.Listen("tcp", freeAddr())
@@ -55,13 +83,14 @@
 	p.conns[conn], p.conns[up] = true, true
 	p.mu.Unlock()
 	var copying sync.WaitGroup
-	pipe := func(to, from net.Conn) {
-		_, _ = io.Copy(to, from)
+	pipe := func(to, from net.Conn, free *time.Time) {
+		// The wrapper keeps io.Copy from moving the bytes past the limit of the link.
+		_, _ = io.Copy(p.link(to, free), struct{ io.Reader }{from})
 		reset(to)
 		reset(from)
 	}
-	copying.Go(func() { pipe(up, conn) })
-	copying.Go(func() { pipe(conn, up) })
+	copying.Go(func() { pipe(up, conn, &p.up) })
+	copying.Go(func() { pipe(conn, up, &p.down) })
 	copying.Wait()
 	p.mu.Lock()
 	delete(p.conns, conn)
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -16,8 +16,10 @@
 	// heartbeat is the time between two reports of a runner. The store removes an entry
 	// after three intervals of silence.
 	heartbeat = 1500 * time.Millisecond
-	// pageItems is the largest number of items on one page of a range.
+	// pageItems and pageBytes are the largest numbers of items and of bytes of values on one
+	// page of a range.
 	pageItems = 500
+	pageBytes = 1 << 20
 )
 
 type item struct {
@@ -212,8 +214,12 @@
 	asOf := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
-	more := len(items) > pageItems
-	reply(w, http.StatusOK, map[string]any{"items": items[:min(len(items), pageItems)], "has_more": more, "as_of": asOf})
+	page, size := 0, 0
+	for page < len(items) && page < pageItems && size < pageBytes {
+		size += len(items[page].Value)
+		page++
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items[:page], "has_more": page < len(items), "as_of": asOf})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
