--- a/review/cases.go
+++ b/review/cases.go
@@ -29,29 +29,31 @@
 
 func startLoad(k *client, stock, reorder, bulk float64) *load {
 	l := &load{client: k, stopped: make(chan struct{})}
-	send := func(rate float64, queue, text string) {
-		if rate <= 0 {
-			return
-		}
-		l.sending.Go(func() {
-			ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
-			defer ticker.Stop()
-			for {
-				select {
-				case <-l.stopped:
-					return
-				case <-ticker.C:
-					l.sending.Go(func() { k.submit(&submission{queue: queue, body: text}) })
-				}
-			}
-		})
-	}
-	send(stock, "stock", body("ms=640", step(2, 1400, 1000, 640, "")))
-	send(reorder, "reorder", body("ms=3400", step(10, 980, 1000, 3400, "")))
-	send(bulk, "bulk", body("ms=4000", step(8, 4500, 4000, 4000, "")))
+	l.add(stock, "stock", body("ms=640", step(2, 1400, 1000, 640, "")))
+	l.add(reorder, "reorder", body("ms=3400", step(10, 980, 1000, 3400, "")))
+	l.add(bulk, "bulk", body("ms=4000", step(8, 4500, 4000, 4000, "")))
 	return l
 }
 
+// add submits one more kind of request at a rate.
+func (l *load) add(rate float64, queue, text string) {
+	if rate <= 0 {
+		return
+	}
+	l.sending.Go(func() {
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-l.stopped:
+				return
+			case <-ticker.C:
+				l.sending.Go(func() { l.client.submit(&submission{queue: queue, body: text}) })
+			}
+		}
+	})
+}
+
 func (l *load) stop() {
 	close(l.stopped)
 	l.sending.Wait()
@@ -120,25 +122,6 @@
 	return k.stalled(), nil
 }
 
-// longTasks hands in a submission whose tasks run six times as long as estimated, at most two
-// on a runner.
-func longTasks(c *cell, trouble bool) ([]string, error) {
-	k := newClient(c)
-	l := startLoad(k, 10, 0, 0)
-	time.Sleep(8 * time.Second)
-	spec := "ms=3400"
-	if trouble {
-		spec = "ms=20400"
-		c.note("DISRUPTION: a submission whose tasks take six times as long")
-	}
-	k.submit(&submission{queue: "reorder", body: body(spec, step(24, 980, 1000, 3400, `,"max_per_server":2`))})
-	for range 3 {
-		k.submit(&submission{queue: "bulk", body: body("ms0=11000 ms1=1000", step(1, 1000, 1000, 11000, ""), step(1, 1000, 1000, 1000, `,"after":[0]`))})
-	}
-	l.stop()
-	return k.stalled(), nil
-}
-
 // foreignEntry restarts the nodes one after the other while the store holds an entry that
 // another writer has left among those of the runners.
 func foreignEntry(c *cell, trouble bool) ([]string, error) {
--- a/review/cell.go
+++ b/review/cell.go
@@ -93,7 +93,7 @@
 }
 
 // newCell starts the store, the runners and the nodes of a small deployment.
-func newCell(root, dir string, record io.Writer, nodes, runners int, linkRate float64) (*cell, error) {
+func newCell(root, dir string, record io.Writer, nodes, runners int, linkRate float64, specialKind string) (*cell, error) {
 	c := &cell{root: root, dir: dir, begun: time.Now(), record: record, store: newStore(), linkRate: linkRate}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -104,6 +104,9 @@
 	c.store.put("op/config", config)
 	for i := range runners {
 		kind := []string{"a", "a", "b"}[i%3]
+		if i == runners-1 && specialKind != "" {
+			kind = specialKind
+		}
 		r := &runnerProcess{id: fmt.Sprintf("i-%08x", 0x5a0+i), labels: fmt.Sprintf("%s,r1-%d", kind, i/8), listen: freeAddr(), linger: 4 * time.Second}
 		if r.proxy, err = newProxy(r.listen); err != nil {
 			return nil, err
@@ -311,3 +314,17 @@
 		<-r.done
 	}
 }
+
+// losePower ends the process of a node. The runners are not told that its connections have
+// ended.
+func (c *cell) losePower(n *nodeProcess) {
+	for _, r := range c.runners {
+		r.proxy.setSilent(true)
+	}
+	_ = n.command.Process.Signal(syscall.SIGKILL)
+	<-n.done
+	time.Sleep(50 * time.Millisecond)
+	for _, r := range c.runners {
+		r.proxy.setSilent(false)
+	}
+}
--- a/review/main.go
+++ b/review/main.go
@@ -21,18 +21,23 @@
 var cases = map[string]func(c *cell, trouble bool) ([]string, error){
 	"drain-cut":     drainCut,
 	"hopeless":      hopeless,
-	"long-tasks":    longTasks,
 	"foreign-entry": foreignEntry,
 	"slow-link":     slowLink,
+	"crashes":       crashes,
+	"lost-machines": lostMachines,
 }
 
 // sizes are the numbers of nodes and runners of the cases.
-var sizes = map[string][2]int{"drain-cut": {3, 12}, "hopeless": {3, 12}, "long-tasks": {3, 12}, "foreign-entry": {3, 12}, "slow-link": {3, 12}}
+var sizes = map[string][2]int{"drain-cut": {3, 12}, "hopeless": {3, 12}, "foreign-entry": {3, 12}, "slow-link": {3, 12}, "crashes": {3, 12}, "lost-machines": {3, 12}}
 
 // linkRates are the bandwidths between a node and the store of the cases that limit them, in
 // bytes per second.
 var linkRates = map[string]float64{"slow-link": 10e6 / 8}
 
+// specialKinds are the kinds of which the last runner of a case is the only one; in the other
+// cases it has one of the usual kinds.
+var specialKinds = map[string]string{"crashes": "c"}
+
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
 		os.Exit(runRunner(os.Args[2:]))
@@ -68,7 +73,7 @@
 	defer record.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	fmt.Fprintf(record, "case %s, disruption: %t; times in seconds since the start\n", name, trouble)
-	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1], linkRates[name])
+	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1], linkRates[name], specialKinds[name])
 	if c != nil {
 		defer c.close()
 	}
--- a/review/proxy.go
+++ b/review/proxy.go
@@ -8,7 +8,8 @@
 )
 
 // proxy forwards connections to a runner. While it is cut it resets open connections and
-// refuses new ones.
+// refuses new ones. While silent, it hides the end of a connection from the runner, as if the
+// machine at the other end had lost power.
 type proxy struct {
 	addr, target string
 
@@ -16,6 +17,7 @@
 	rate float64
 
 	mu       sync.Mutex
+	silent   bool
 	listener net.Listener
 	conns    map[net.Conn]bool
 	// up and down are when the link is free again in each direction.
@@ -83,9 +85,13 @@
 	p.conns[conn], p.conns[up] = true, true
 	p.mu.Unlock()
 	var copying sync.WaitGroup
+	// The wrappers keep io.Copy from moving the bytes past the limit of the link.
 	pipe := func(to, from net.Conn, free *time.Time) {
-		// The wrapper keeps io.Copy from moving the bytes past the limit of the link.
 		_, _ = io.Copy(p.link(to, free), struct{ io.Reader }{from})
+		if p.isSilent() {
+			// Neither end is closed: the runner does not learn that the machine is gone.
+			select {}
+		}
 		reset(to)
 		reset(from)
 	}
@@ -119,3 +125,16 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// setSilent starts or ends the time in which ends of connections are hidden.
+func (p *proxy) setSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = silent
+}
+
+func (p *proxy) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
--- a/review/runner.go
+++ b/review/runner.go
@@ -22,6 +22,8 @@
 	drainTime   = 2500 * time.Millisecond
 	stopTime    = 150 * time.Millisecond
 	endsPerPage = 500
+	// maxChannels is how many channels a runner serves at a time, from the sheet.
+	maxChannels = 64
 )
 
 // event is a line that a runner writes to its output: what it has done, and when.
@@ -102,7 +104,7 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM)
 	r.log(event{Kind: "born"})
-	go func() { _ = http.Serve(l, r) }()
+	go func() { _ = http.Serve(&limitedListener{Listener: l, free: make(chan bool, maxChannels)}, r) }()
 	go r.reportLoop()
 	go r.leaseLoop()
 	<-stop
@@ -333,3 +335,38 @@
 	}
 	reply(w, http.StatusOK, map[string]any{"clock_ms": r.clock(), "born": r.born, "running": running, "ended": ended})
 }
+
+// limitedListener resets connections beyond maxChannels.
+type limitedListener struct {
+	net.Listener
+	// free holds an entry for each open connection.
+	free chan bool
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.free <- true:
+			return &limitedConn{Conn: conn, free: l.free}, nil
+		default:
+			reset(conn)
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	free   chan bool
+	closed sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.closed.Do(func() { <-c.free })
+	return c.Conn.Close()
+}
--- a/review/store.go
+++ b/review/store.go
@@ -342,3 +342,15 @@
 	s.endLease(id)
 	reply(w, http.StatusOK, map[string]any{})
 }
+
+// leader returns the machine that holds the ownership of the only shard. The scripts need it
+// only to choose the machine that they disturb.
+func (s *store) leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var owner struct {
+		ID string `json:"id"`
+	}
+	_ = json.Unmarshal(s.items["cell/owner/0"].Value, &owner)
+	return owner.ID
+}
