--- a/review/cases.go
+++ b/review/cases.go
@@ -208,10 +208,17 @@
 			}
 		}
 	}
+	return k.unanswered(accepted[:3]), nil
+}
+
+// unanswered waits until finish_s after the end of the traffic and returns a line for each of the
+// submissions that gets no answer with its state then.
+func (k *client) unanswered(submissions []*submission) []string {
+	c := k.cell
 	c.note("the traffic has ended")
 	time.Sleep(finish)
 	var broken []string
-	for _, s := range accepted[:3] {
+	for _, s := range submissions {
 		status, state := 0, ""
 		for range 3 {
 			if status, state = k.ask(s); state != "" {
@@ -223,7 +230,7 @@
 			broken = append(broken, fmt.Sprintf("LOST: %s, accepted at %.3f, gets no answer with its state from any node; the last status is %d", s.id, s.accepted.Sub(c.begun).Seconds(), status))
 		}
 	}
-	return broken, nil
+	return broken
 }
 
 const (
--- a/review/cell.go
+++ b/review/cell.go
@@ -53,6 +53,7 @@
 // runnerProcess is a stand-in runner, through all of its lives, behind a proxy.
 type runnerProcess struct {
 	id, labels, listen string
+	service            string
 	linger             time.Duration
 	proxy              *proxy
 	command            *exec.Cmd
@@ -93,7 +94,7 @@
 }
 
 // newCell starts the store, the runners and the nodes of a small deployment.
-func newCell(root, dir string, record io.Writer, nodes, runners int, linkRate float64, specialKind string) (*cell, error) {
+func newCell(root, dir string, record io.Writer, nodes, runners int, linkRate float64, specialKind string, movesQueue bool) (*cell, error) {
 	c := &cell{root: root, dir: dir, begun: time.Now(), record: record, store: newStore(), linkRate: linkRate}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -102,12 +103,18 @@
 	c.storeAddr = l.Addr().String()
 	go func() { _ = http.Serve(l, c.store) }()
 	c.store.put("op/config", config)
+	if movesQueue {
+		c.store.put("op/config", configMoved(7, oldService))
+	}
 	for i := range runners {
 		kind := []string{"a", "a", "b"}[i%3]
 		if i == runners-1 && specialKind != "" {
 			kind = specialKind
 		}
-		r := &runnerProcess{id: fmt.Sprintf("i-%08x", 0x5a0+i), labels: fmt.Sprintf("%s,r1-%d", kind, i/8), listen: freeAddr(), linger: 4 * time.Second}
+		r := &runnerProcess{id: fmt.Sprintf("i-%08x", 0x5a0+i), labels: fmt.Sprintf("%s,r1-%d", kind, i/8), listen: freeAddr(), linger: 4 * time.Second, service: "huvo11a"}
+		if i == runners-1 && movesQueue {
+			r.service = oldService
+		}
 		if r.proxy, err = newProxy(r.listen); err != nil {
 			return nil, err
 		}
@@ -230,7 +237,7 @@
 // startRunner starts a life of a runner.
 func (c *cell) startRunner(r *runnerProcess) error {
 	r.command = exec.Command(os.Args[0], "runner", "-id", r.id, "-addr", r.proxy.addr, "-listen", r.listen, "-store", c.storeAddr,
-		"-service", "huvo11a", "-labels", r.labels, "-linger", r.linger.String())
+		"-service", r.service, "-labels", r.labels, "-linger", r.linger.String())
 	r.command.Stderr = os.Stderr
 	out, err := r.command.StdoutPipe()
 	if err != nil {
--- a/review/main.go
+++ b/review/main.go
@@ -25,14 +25,16 @@
 	"slow-link":     slowLink,
 	"crashes":       crashes,
 	"lost-machines": lostMachines,
+	"moved-queue":   movedQueue,
+	"grown-config":  grownConfig,
 }
 
 // sizes are the numbers of nodes and runners of the cases.
-var sizes = map[string][2]int{"drain-cut": {3, 12}, "hopeless": {3, 12}, "foreign-entry": {3, 12}, "slow-link": {3, 12}, "crashes": {3, 12}, "lost-machines": {3, 12}}
+var sizes = map[string][2]int{"drain-cut": {3, 12}, "hopeless": {3, 12}, "foreign-entry": {3, 12}, "slow-link": {3, 12}, "crashes": {3, 12}, "lost-machines": {3, 12}, "moved-queue": {3, 12}, "grown-config": {3, 12}}
 
 // linkRates are the bandwidths between a node and the store of the cases that limit them, in
 // bytes per second.
-var linkRates = map[string]float64{"slow-link": 10e6 / 8}
+var linkRates = map[string]float64{"slow-link": 10e6 / 8, "grown-config": 10e6 / 8}
 
 // specialKinds are the kinds of which the last runner of a case is the only one; in the other
 // cases it has one of the usual kinds.
@@ -73,7 +75,7 @@
 	defer record.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	fmt.Fprintf(record, "case %s, disruption: %t; times in seconds since the start\n", name, trouble)
-	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1], linkRates[name], specialKinds[name])
+	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1], linkRates[name], specialKinds[name], name == "moved-queue")
 	if c != nil {
 		defer c.close()
 	}
