--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -284,7 +284,7 @@
 			continue
 		}
 		idle, since := idleFor(runs, from.UnixNano(), until)
-		used := usedShare(all, since, since+int64(idle), cpuOf, int64(len(c.runners))*16000)
+		used := usedShare(all, since, since+int64(idle), cpuOf, int64(len(c.runners)+len(c.hosted))*16000)
 		if idle >= stallTime && used < 0.5 {
 			broken = append(broken, fmt.Sprintf("LOST: %s (queue %s, accepted at %.3f, state %s) has nothing running for %.1f s from %.3f, at most %.2f of the capacity in use; its runs so far: %d",
 				s.id, s.queue, s.accepted.Sub(c.begun).Seconds(), s.state, idle.Seconds(), c.seconds(since), used, len(runs)))
--- a/review/stand/cell.go
+++ b/review/stand/cell.go
@@ -40,6 +40,8 @@
 	linkRate float64
 	nodes    []*nodeProcess
 	runners  []*runnerProcess
+	// hosted are the runners within this process.
+	hosted []*runner
 }
 
 type nodeProcess struct {
@@ -94,7 +96,7 @@
 }
 
 // newCell starts the store, the runners and the nodes of a small deployment.
-func newCell(root, dir string, record io.Writer, nodes, runners int, linkRate float64, specialKind string, movesQueue bool) (*cell, error) {
+func newCell(root, dir string, record io.Writer, nodes, runners int, linkRate float64, specialKind string, movesQueue bool, hosted int) (*cell, error) {
 	c := &cell{root: root, dir: dir, begun: time.Now(), record: record, store: newStore(), linkRate: linkRate}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -123,6 +125,13 @@
 		}
 		c.runners = append(c.runners, r)
 	}
+	for i := range hosted {
+		r, err := c.host(i)
+		if err != nil {
+			return nil, err
+		}
+		c.hosted = append(c.hosted, r)
+	}
 	zones := []string{"northbank-a", "riverside-a", "southmoor-a"}
 	for i := range nodes {
 		if err := c.startNode(fmt.Sprintf("edge-%s-%d", zones[i%3], 1+i/3), zones[i%3]); err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,10 +27,14 @@
 	"lost-machines": lostMachines,
 	"moved-queue":   movedQueue,
 	"grown-config":  grownConfig,
+	"shards":        severalShards,
 }
 
 // sizes are the numbers of nodes and runners of the cases.
-var sizes = map[string][2]int{"drain-cut": {3, 12}, "hopeless": {3, 12}, "foreign-entry": {3, 12}, "slow-link": {3, 12}, "crashes": {3, 12}, "lost-machines": {3, 12}, "moved-queue": {3, 12}, "grown-config": {3, 12}}
+var sizes = map[string][2]int{"drain-cut": {3, 12}, "hopeless": {3, 12}, "foreign-entry": {3, 12}, "slow-link": {3, 12}, "crashes": {3, 12}, "lost-machines": {3, 12}, "moved-queue": {3, 12}, "grown-config": {3, 12}, "shards": {3, 0}}
+
+// hosted are the numbers of runners within the process of the case.
+var hosted = map[string]int{"shards": hostedRunners}
 
 // linkRates are the bandwidths between a node and the store of the cases that limit them, in
 // bytes per second.
@@ -75,7 +79,7 @@
 	defer record.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	fmt.Fprintf(record, "case %s, disruption: %t; times in seconds since the start\n", name, trouble)
-	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1], linkRates[name], specialKinds[name], name == "moved-queue")
+	c, err := newCell(root, dir, record, sizes[name][0], sizes[name][1], linkRates[name], specialKinds[name], name == "moved-queue", hosted[name])
 	if c != nil {
 		defer c.close()
 	}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -62,9 +62,13 @@
 	born                      int64
 	started                   time.Time
 	http                      http.Client
+	// out receives the events, and close ends the server of a runner within this process.
+	out   func(e event)
+	close func()
 
 	mu       sync.Mutex
 	draining bool
+	gone     bool
 	seq      int64
 	fence    uint64
 	// lease is the end of the lease on the runner's clock.
@@ -108,6 +112,12 @@
 	go r.reportLoop()
 	go r.leaseLoop()
 	<-stop
+	r.leave()
+	return 0
+}
+
+// leave reports that the runner drains, serves on for a while and leaves.
+func (r *runner) leave() {
 	r.mu.Lock()
 	r.draining = true
 	r.mu.Unlock()
@@ -117,15 +127,24 @@
 	r.log(event{Kind: "draining"})
 	time.Sleep(drainTime + r.linger)
 	r.mu.Lock()
+	r.gone = true
 	r.log(event{Kind: "left"})
 	q, _ := http.NewRequest(http.MethodDelete, "http://"+r.report+"/runners/"+r.id, nil)
 	_, _ = r.http.Do(q)
-	return 0
+	if r.close != nil {
+		r.close()
+		clear(r.running)
+		r.mu.Unlock()
+	}
 }
 
 // log writes an event at once, so that none is lost if the process is killed.
 func (r *runner) log(e event) {
 	e.At, e.Runner = time.Now().UnixNano(), r.id
+	if r.out != nil {
+		r.out(e)
+		return
+	}
 	line, _ := json.Marshal(e)
 	_, _ = os.Stdout.Write(append(line, '\n'))
 }
@@ -139,6 +158,10 @@
 
 func (r *runner) sendReport() bool {
 	r.mu.Lock()
+	if r.gone {
+		r.mu.Unlock()
+		return true
+	}
 	r.seq++
 	state, left := "ready", int64(0)
 	if r.draining {
