--- a/review/stand/grown.go
+++ b/review/stand/grown.go
@@ -18,7 +18,7 @@
 func configGrown(version, routes int) []byte {
 	var more strings.Builder
 	for i := range routes {
-		fmt.Fprintf(&more, `,{"name":"r-%05dqkzt-reorder-run","host":"nony24.example","prefix":"/gono%05d/reorder-run/","kind":"non_idempotent","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"huvo11a","max_attempts":3,"stretch":4.0}`, i, i)
+		fmt.Fprintf(&more, `,{"name":"r-%05dqkzt-standing-reorder-run","host":"nony24.example","prefix":"/gono%05d/standing/reorder-run/","kind":"non_idempotent","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"huvo11a","max_attempts":3,"stretch":4.0}`, i, i)
 	}
 	text := strings.Replace(string(config), `"version":7`, fmt.Sprintf(`"version":%d`, version), 1)
 	return []byte(strings.Replace(text, `"stretch":1.5}]`, `"stretch":1.5}`+more.String()+`]`, 1))
