--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-go build -o ../target/review/stand ./stand
+go build -o ../target/review/stand ./1/stand
