--- a/commands/node.go
+++ b/commands/node.go
@@ -62,14 +62,16 @@
 	go checkReloads(ctx, path, log)
 	recorder := metrics.NewRecorder()
 	countCall := func(call string) { recorder.Count("storeCalls", call) }
+	orders := platform.NewOrderClient()
 	deps := node.Deps{
-		Keys:         platform.NewKeyspace(s.StoreAddress, platform.NewHTTPClient(), countCall),
-		Fleet:        platform.NewFleet(platform.NewOrderClient()),
-		DecodeWorker: platform.DecodeWorker,
-		WorkerPrefix: platform.WorkerPrefix(),
-		Log:          log,
-		Recorder:     recorder,
-		Metrics:      recorder,
+		Keys:                 platform.NewKeyspace(s.StoreAddress, platform.NewHTTPClient(), countCall),
+		Fleet:                platform.NewFleet(orders),
+		CloseIdleConnections: orders.CloseIdleConnections,
+		DecodeWorker:         platform.DecodeWorker,
+		WorkerPrefix:         platform.WorkerPrefix(),
+		Log:                  log,
+		Recorder:             recorder,
+		Metrics:              recorder,
 	}
 	if s.AdviceAddress != "" {
 		deps.Adviser = platform.NewAdviser(s.AdviceAddress, platform.NewHTTPClient())
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,9 @@
 type Deps struct {
 	Keys  lovagestand.Keyspace
 	Fleet lovagestand.Fleet
+	// CloseIdleConnections, if not nil, closes the idle connections of Fleet. Workers accept
+	// a limited number of connections, so an instance that owns no shard keeps none.
+	CloseIdleConnections func()
 	// Adviser is nil if no route needs advice.
 	Adviser lovagestand.Adviser
 	// DecodeWorker decodes the entry of a worker from an item of the store under
--- a/node/serve.go
+++ b/node/serve.go
@@ -83,6 +83,9 @@
 	n.cell.removeShard(term.Shard)
 	stop()
 	running.Wait()
+	if n.deps.CloseIdleConnections != nil {
+		n.deps.CloseIdleConnections()
+	}
 }
 
 // holdShares keeps the teams within their caps over all shards of the cell, until ctx
--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -53,7 +53,7 @@
 		s.acknowledgeWorker(w)
 	}
 	complete := len(holding.Ended) < maxEndsPerAnswer
-	s.reconcile(w, begun, now, holding.Running, complete)
+	s.reconcile(w, begun, now, holding, complete)
 	if complete {
 		s.resolveWorker(w.info.Name)
 	}
@@ -64,19 +64,20 @@
 // reconcile compares the runs that a worker lists with the placements recorded for it.
 // Only if complete, that is if the worker has no more ends to list, does a missing run
 // count as lost.
-func (s *Shard) reconcile(w *worker, begun, now time.Time, running []lovagestand.RunningTask, complete bool) {
+func (s *Shard) reconcile(w *worker, begun, now time.Time, holding lovagestand.HoldReply, complete bool) {
 	var crashed []*placement
-	listed := make(map[string]int64, len(running))
-	for _, r := range running {
+	listed := make(map[string]int64, len(holding.Running))
+	for _, r := range holding.Running {
 		listed[r.Task] = max(listed[r.Task], r.Run)
 		s.recordRunning(w, now, r)
 	}
 	for name, p := range w.placements {
-		// The answer may be older than an order that was confirmed after the hold was
-		// sent.
-		if _, ok := listed[name]; ok || !complete || p.startPending || p.settledAt.IsZero() || !p.settledAt.Before(begun) {
+		if _, ok := listed[name]; ok || !complete || !p.unlistedIsOver(begun, holding.Clock) {
 			continue
 		}
+		if p.settledAt.IsZero() {
+			w.quarantinedUntil = later(w.quarantinedUntil, now.Add(quarantineFor))
+		}
 		s.logLostRun(p, lossUnlisted)
 		s.requeue(p)
 		if w.born != 0 && p.born != 0 && p.born != w.born {
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -40,11 +40,12 @@
 		}
 		s.mu.Lock()
 		answered := err == nil && s.recordHolding(w, begun, holding)
+		paced := time.Now().Before(w.fewConnectionsUntil)
 		if err != nil {
 			s.holdFailed(w, target, err, timedOut)
 		}
 		s.mu.Unlock()
-		if !answered {
+		if !answered || paced {
 			pause.For(ctx, holdRetryDelay)
 		}
 	}
@@ -86,7 +87,7 @@
 			request.Until = s.extendLease(w, now)
 		}
 	}
-	if unacked {
+	if unacked || now.Before(w.fewConnectionsUntil) {
 		request.Wait = 0
 	}
 	return request, unacked
--- a/shard/order.go
+++ b/shard/order.go
@@ -23,6 +23,9 @@
 	// refusalPause is how long a worker gets no new tasks after it has refused an
 	// order that it was expected to accept.
 	refusalPause = time.Second
+	// maxFailedStops is how many orders in a row to stop a run a worker may leave
+	// unanswered before it gets no new tasks.
+	maxFailedStops = 3
 )
 
 // place reserves room on a worker for a task and sends the order to start it.
@@ -56,6 +59,7 @@
 	}
 	s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
 		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Int64("born", w.born).Msg("task placed")
+	p.startUntil = order.Until
 	go s.sendStart(p, w.info, order)
 }
 
@@ -65,15 +69,15 @@
 	limited, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	begun := time.Now()
-	clock, err := s.startIfAssured(limited, target, order)
+	clock, err := s.startRepeatedly(limited, p.worker, target, order)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
 		return
 	}
 	p.startPending = false
-	var refused *lovagestand.OrderRefusedError
-	if !errors.As(err, &refused) || clock.Millis > 0 {
+	refused := refusalOf(err)
+	if refused == nil || clock.Millis > 0 {
 		s.recordLease(p.worker, order, clock.Millis)
 	}
 	s.deps.Recorder.Count("starts", startOutcome(err))
@@ -94,8 +98,7 @@
 		s.startRefused(p, refused.Reason)
 		return
 	}
-	var unavailable *lovagestand.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Refused {
+	if neverSent(err) {
 		s.startRefused(p, lovagestand.RefusalUnhealthy)
 		return
 	}
@@ -105,6 +108,37 @@
 	s.stopGang(p)
 }
 
+// startRepeatedly sends an order to start, and sends it once more if the connection was
+// reset: the worker may accept no further connection while calls on open ones succeed. The
+// first order may still be executed later, so only a confirmation of the second one or a
+// higher epoch decides.
+func (s *Shard) startRepeatedly(ctx context.Context, w *worker, target lovagestand.FleetWorker, order lovagestand.Order) (lovagestand.WorkerClock, error) {
+	clock, err := s.startIfAssured(ctx, target, order)
+	if !connectionReset(err) {
+		return clock, err
+	}
+	s.recordReset(w)
+	repeatedClock, repeatedErr := s.startIfAssured(ctx, target, order)
+	refused := refusalOf(repeatedErr)
+	if repeatedErr == nil || neverSent(err) || refused != nil && refused.Reason == lovagestand.RefusalFenced {
+		return repeatedClock, repeatedErr
+	}
+	return clock, err
+}
+
+// recordReset records that a worker has reset the connection of an order. While it accepts
+// no further connections, orders use the one on which it answers holds.
+func (s *Shard) recordReset(w *worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deps.Recorder.Count("orderResets", string(w.info.Service))
+	now := time.Now()
+	if !now.Before(w.fewConnectionsUntil) {
+		s.log.Warn().Str("worker", string(w.info.Name)).Int("tasks", len(w.placements)).Msg("worker resets connections; holds do not wait")
+	}
+	w.fewConnectionsUntil = now.Add(fewConnectionsFor)
+}
+
 // startIfAssured sends an order to start. It refuses if the ownership is no longer
 // assured: the process may have been suspended since the order was decided, and
 // another owner may have followed.
@@ -185,12 +219,17 @@
 		cancel()
 		s.mu.Lock()
 		done := s.ctx.Err() != nil || p.worker.placements[p.name] != p
-		var refused *lovagestand.OrderRefusedError
-		if err == nil || errors.As(err, &refused) && refusalConfirmsStop(refused.Reason) {
-			p.settledAt = time.Now()
+		refused := refusalOf(err)
+		if err == nil || refused != nil && refusalConfirmsStop(refused.Reason) {
+			p.settledAt, p.failedStops = time.Now(), 0
 			done = true
+		} else {
+			s.stopFailed(p)
 		}
 		s.mu.Unlock()
+		if connectionReset(err) {
+			s.recordReset(p.worker)
+		}
 		if err == nil {
 			s.queryWorker(p.worker)
 		}
@@ -200,11 +239,13 @@
 	}
 }
 
-// refusalConfirmsStop reports whether the refusal of an order to stop confirms that the
-// task no longer runs there. An unhealthy worker may still run it, and
-// [lovagestand.RefusalRestarted] comes from another worker than the one that may run it.
-func refusalConfirmsStop(reason lovagestand.RefusalReason) bool {
-	return reason != lovagestand.RefusalUnhealthy && reason != lovagestand.RefusalRestarted
+// stopFailed records that a worker has left an order to stop unanswered. A worker that
+// does so repeatedly gets no new tasks for a time, although it may answer holds.
+func (s *Shard) stopFailed(p *placement) {
+	p.failedStops++
+	if p.failedStops >= maxFailedStops {
+		p.worker.quarantinedUntil = later(p.worker.quarantinedUntil, time.Now().Add(refusalPause))
+	}
 }
 
 // sendStrayStop sends an order to stop a stray run until it is confirmed, the worker
--- a/shard/overload_bench_test.go
+++ b/shard/overload_bench_test.go
@@ -45,7 +45,7 @@
 
 func (g *gate) Start(_ context.Context, _ lovagestand.FleetWorker, _ lovagestand.Order) (lovagestand.WorkerClock, error) {
 	<-g.opened
-	return lovagestand.WorkerClock{}, &lovagestand.UnavailableError{Refused: true}
+	return lovagestand.WorkerClock{}, &lovagestand.UnavailableError{Unsent: true}
 }
 
 func (g *gate) Stop(context.Context, lovagestand.FleetWorker, string, int64, lovagestand.Epoch) (lovagestand.WorkerClock, error) {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -28,8 +28,11 @@
 	// extended. After a longer gap, such as a suspension of the owner's process, a hold
 	// only reads.
 	extendFor = 2500 * time.Millisecond
-	// holdRetryDelay is the pause after a failed hold.
+	// holdRetryDelay is the pause after a failed hold, and between holds that do not wait.
 	holdRetryDelay = 200 * time.Millisecond
+	// fewConnectionsFor is how long holds do not wait after the worker has reset the
+	// connection of an order.
+	fewConnectionsFor = 5 * time.Second
 	// unlistedGrace is how long a worker may be missing from the list after an outage of
 	// the store before it gets no new tasks, or is removed if it does not answer either.
 	unlistedGrace = 4 * time.Second
@@ -94,6 +97,9 @@
 	// maxCapacity is the largest capacity that the worker has had since it was added to
 	// the roster.
 	maxCapacity lovagestand.Resources
+	// fewConnectionsUntil is the end of the time in which holds do not wait at the worker,
+	// because orders may need their connection.
+	fewConnectionsUntil time.Time
 	// lastPlacedAt is when a run was last placed here. trialUntil is the end of a trial
 	// that goes on here, see [placement.trialUntil]; zero if there is none.
 	lastPlacedAt, trialUntil time.Time
@@ -135,15 +141,20 @@
 	farFactor float64
 	// speed is the speed of the worker in expectedRunTime, or of the slowest one of a gang;
 	// 0 if it is not taken into account.
-	speed         float64
-	locality      locality
-	longRunning   bool      // whether the task runs until its job is cancelled
-	settledAt     time.Time // when the worker confirmed the last order or first listed the run
+	speed       float64
+	locality    locality
+	longRunning bool      // whether the task runs until its job is cancelled
+	settledAt   time.Time // when the worker confirmed the last order or first listed the run
+	// startUntil is the end of the lease that the order to start carried, on the worker's
+	// clock.
+	startUntil    int64
 	checkpoint    string
 	checkpointAt  time.Time
 	stopRequested bool // whether an order to stop is to be sent or was sent
 	startPending  bool // whether the order to start has not been answered
-	adopted       bool // whether a former owner has started the run
+	// failedStops counts the orders to stop in a row that were not answered.
+	failedStops int
+	adopted     bool // whether a former owner has started the run
 	// preemptedAt is when the run was preempted; zero if it was not. resumedWork is the
 	// work of earlier, preempted runs of the task; resumed reports whether there was one.
 	preemptedAt time.Time
@@ -254,12 +265,6 @@
 	s.wake()
 }
 
-// hasLeft reports whether a worker that was about to leave has left: its entry is gone
-// although its heartbeat was not missing for long enough to let the entry expire.
-func (s *Shard) hasLeft(w *worker, now time.Time) bool {
-	return !w.listed && w.listMatches() && !w.info.Ready && !w.lastHeartbeat.IsZero() && now.Sub(w.lastHeartbeat) < s.limits.HeartbeatTimeout-s.limits.ListInterval-heartbeatMargin
-}
-
 // removable reports whether a worker is gone and cannot run any task of this shard.
 func (s *Shard) removable(w *worker, now time.Time) bool {
 	if _, unresolved := s.unresolved[w.info.Name]; unresolved || w.listed {
--- a/store.go
+++ b/store.go
@@ -72,6 +72,12 @@
 	// Refused is set if no process listens at the address. In that case the
 	// call has had no effect.
 	Refused bool
+	// Unsent is set if nothing of the call was sent. In that case the call has had
+	// no effect.
+	Unsent bool
+	// Reset is set if the other end closed the connection before it replied. Unless
+	// Unsent is set, the call may or may not have taken effect.
+	Reset bool
 }
 
 // Error implements error.
