--- a/election/assurance.go
+++ b/election/assurance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/clock"
 	"lovagestand.example/lovagestand/common/pause"
 )
 
@@ -23,13 +24,6 @@
 	memberPollTimeout = 300 * time.Millisecond
 )
 
-// age returns the time since at, by the monotonic or the wall clock, whichever
-// shows more: the monotonic clock may stop while a machine is suspended, and the
-// wall clock may be set back.
-func age(at time.Time) time.Duration {
-	return max(time.Since(at), time.Since(at.Round(0)))
-}
-
 // Assured reports whether this instance may assume that no other owner gives
 // orders to workers: within ownerTTL the store has confirmed the ownership or,
 // if the store does not answer, a majority of the members has reported that they
@@ -44,7 +38,7 @@
 func (c *Candidate) unconfirmedFor() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return min(age(c.storeConfirmedAt), age(c.majorityConfirmedAt))
+	return min(clock.Elapsed(c.storeConfirmedAt), clock.Elapsed(c.majorityConfirmedAt))
 }
 
 // OwnershipEnded reports whether the ownership with the given epoch is known to
--- a/election/candidate.go
+++ b/election/candidate.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/clock"
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/jobstore"
 )
@@ -349,7 +350,7 @@
 func (c *Candidate) confirmedByStore() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return age(c.storeConfirmedAt) < ownerTTL
+	return clock.Elapsed(c.storeConfirmedAt) < ownerTTL
 }
 
 func (c *Candidate) serve(ctx context.Context, term jobstore.Term, lease lovagestand.LeaseID) {
--- a/node/layout.go
+++ b/node/layout.go
@@ -54,8 +54,8 @@
 			return l, true
 		}
 		if list, err := n.listWorkers(ctx); err == nil && term.Shard == layout.FirstShard {
-			if now := time.Now(); len(list) != workerCount {
-				workerCount, unchangedSince = len(list), now
+			if now := time.Now(); len(list.Workers) != workerCount {
+				workerCount, unchangedSince = len(list.Workers), now
 			} else if now.Sub(unchangedSince) > stableFleetTime && (workerCount > 0 || now.Sub(begun) > emptyFleetTimeout) {
 				n.writeLayout(ctx, term, layout.Plan(workerCount, len(n.directory.Members())), workerCount)
 			}
--- a/node/serve.go
+++ b/node/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -136,13 +137,14 @@
 func (n *Node) pollWorkers(ctx context.Context, s *shard.Shard, interval time.Duration, belongs func(lovagestand.FleetWorker) bool) {
 	healthy := true
 	for {
-		workers, err := n.listWorkers(ctx)
+		list, err := n.listWorkers(ctx)
 		if (err == nil) != healthy && ctx.Err() == nil {
 			healthy = err == nil
 			n.deps.Log.Warn().Bool("healthy", healthy).Err(err).Msg("reads of the list of workers failed or recovered")
 		}
 		if err == nil {
-			s.SetWorkers(slices.DeleteFunc(workers, func(w lovagestand.FleetWorker) bool { return !belongs(w) }))
+			list.Workers = slices.DeleteFunc(list.Workers, func(w lovagestand.FleetWorker) bool { return !belongs(w) })
+			s.SetWorkers(list)
 		}
 		if !pause.For(ctx, interval) {
 			return
@@ -151,21 +153,22 @@
 }
 
 // listWorkers reads the list of registered workers.
-func (n *Node) listWorkers(ctx context.Context) ([]lovagestand.FleetWorker, error) {
+func (n *Node) listWorkers(ctx context.Context) (shard.WorkerList, error) {
+	list := shard.WorkerList{SentAt: time.Now()}
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	items, revision, err := n.deps.Keys.Range(limited, n.deps.WorkerPrefix)
 	if err != nil {
-		return nil, err
+		return list, err
 	}
-	var workers []lovagestand.FleetWorker
 	for _, i := range items {
 		w, ok := n.deps.DecodeWorker(i)
 		if !ok {
 			n.deps.Log.Warn().Str("key", i.Key).Uint64("revision", uint64(revision)).Msg("entry does not describe a usable worker; ignored")
+			list.Undecodable = append(list.Undecodable, lovagestand.WorkerName(strings.TrimPrefix(i.Key, n.deps.WorkerPrefix)))
 			continue
 		}
-		workers = append(workers, w)
+		list.Workers = append(list.Workers, w)
 	}
-	return workers, nil
+	return list, nil
 }
--- a/shard/evidence.go
+++ b/shard/evidence.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/clock"
 )
 
 // The functions in this file decide what an owner concludes from replies, from missing
@@ -59,7 +60,10 @@
 }
 
 // hasLeft reports whether a worker that was about to leave has left: its entry is gone
-// although its heartbeat was not missing for long enough to let the entry expire.
-func (s *Shard) hasLeft(w *worker, now time.Time) bool {
-	return !w.listed && w.listMatches() && !w.info.Ready && !w.lastHeartbeat.IsZero() && now.Sub(w.lastHeartbeat) < s.limits.HeartbeatTimeout-s.limits.ListInterval-heartbeatMargin
+// although its heartbeat cannot have been missing for long enough to let the entry expire.
+func (s *Shard) hasLeft(w *worker) bool {
+	if w.listed || w.entryLost || w.info.Ready || !w.listMatches() || w.heartbeatAfter.IsZero() {
+		return false
+	}
+	return clock.Elapsed(w.heartbeatAfter) < s.limits.HeartbeatTimeout-heartbeatMargin
 }
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -146,9 +146,9 @@
 }
 
 // holdFailed handles a failed hold that was sent to target. A refusal by another
-// process at that address, or a refused connection, shows that the incarnation that last
-// answered is gone only if target may be its entry; the list may have changed since the
-// hold was sent. If the hold did not time out, the worker was alive until just before.
+// process at that address shows that the incarnation that last answered is gone only if
+// target may be its entry; the list may have changed since the hold was sent. If the hold
+// did not time out, the worker was alive until just before.
 func (s *Shard) holdFailed(w *worker, target lovagestand.FleetWorker, err error, timedOut bool) {
 	targetMatches := w.mayBeIncarnation(target.Born)
 	var refused *lovagestand.OrderRefusedError
@@ -172,11 +172,6 @@
 	wasUnresponsive := w.unresponsive
 	w.loseContact(now, timedOut)
 	w.unresponsive = true
-	var unavailable *lovagestand.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Refused && !target.Ready && targetMatches {
-		s.markGone(w, lossNotListening)
-		return
-	}
 	if !wasUnresponsive {
 		if !timedOut && refused == nil {
 			s.suspectRuns(w)
@@ -223,7 +218,7 @@
 	w.loseContact(time.Now(), false)
 	w.replacedIncarnations[w.born] = true
 	w.born = born
-	w.lastHeartbeat = time.Time{}
+	w.lastHeartbeat, w.heartbeatAfter = time.Time{}, time.Time{}
 	w.contacted = false
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
--- /dev/null
+++ b/shard/leaving_test.go
@@ -0,0 +1,129 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/standin/runner"
+)
+
+// refusingFleet is a fleet in which all connections to a worker are refused while cut is
+// set. The worker itself runs on.
+type refusingFleet struct {
+	*runner.Fleet
+	worker lovagestand.WorkerName
+	cut    atomic.Bool
+}
+
+func (f *refusingFleet) refuse(w lovagestand.FleetWorker) error {
+	if f.cut.Load() && w.Name == f.worker {
+		return &lovagestand.UnavailableError{System: "worker", Reason: "connection refused", Unsent: true}
+	}
+	return nil
+}
+
+func (f *refusingFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.WorkerClock{}, err
+	}
+	return f.Fleet.Start(ctx, w, o)
+}
+
+func (f *refusingFleet) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.WorkerClock, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.WorkerClock{}, err
+	}
+	return f.Fleet.Stop(ctx, w, task, run, epoch)
+}
+
+func (f *refusingFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.HoldReply{}, err
+	}
+	return f.Fleet.Hold(ctx, w, r)
+}
+
+// setLeaving marks the first worker of the list as about to leave.
+func (k *cell) setLeaving() {
+	k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+		workers[0].Ready = false
+		return workers
+	})
+}
+
+// startOnBoth starts a job with a task on each of two workers, the first of which then
+// begins to leave.
+func (k *cell) startOnBoth(c *qt.C) *owner {
+	o := k.beginReadyTerm("a")
+	o.submit(c, id(1), job.Step{Count: 2, Needs: lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 100}, Estimate: 6 * time.Second})
+	time.Sleep(time.Second)
+	c.Assert(k.fleet.Running(), qt.Equals, 2)
+	k.setLeaving()
+	return o
+}
+
+// TestLeavingWorkerWhoseLinkRefusesConnections guards against tasks that run twice because
+// a refused connection counted as the exit of a worker that is about to leave.
+func TestLeavingWorkerWhoseLinkRefusesConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		k.fleetWrapper = fleet
+		o := k.startOnBoth(c)
+		defer o.stop()
+		time.Sleep(time.Second)
+		fleet.cut.Store(true)
+		time.Sleep(4 * time.Second)
+		fleet.cut.Store(false)
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
+
+// TestLeavingWorkerWhoseEntryExpires guards against tasks that run twice because slow reads
+// of the list made the heartbeat of a leaving worker seem younger than it was: the entry
+// that had expired then counted as removed by the worker.
+func TestLeavingWorkerWhoseEntryExpires(t *testing.T) {
+	for phase := time.Duration(0); phase < heartbeatInterval; phase += 100 * time.Millisecond {
+		t.Run(fmt.Sprint("phase=", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 2, always(12*time.Second, lovagestand.EndingDone))
+				o := k.startOnBoth(c)
+				defer o.stop()
+				k.listDelay.Store(int64(1100 * time.Millisecond))
+				time.Sleep(3*time.Second + phase)
+				k.setSilent("w0", true)
+				expiry := time.Now().Truncate(heartbeatInterval).Add(3 * heartbeatInterval)
+				time.Sleep(time.Until(expiry))
+				k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+				k.assertCompletedOnce(o, id(1), 2)
+			})
+		})
+	}
+}
+
+// TestLeavingWorkerWhoseEntryIsUnreadable guards against tasks that run twice because the
+// entry of a leaving worker that another writer had overwritten counted as removed.
+func TestLeavingWorkerWhoseEntryIsUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		o := k.startOnBoth(c)
+		defer o.stop()
+		time.Sleep(time.Second)
+		k.mu.Lock()
+		k.undecodable = []lovagestand.WorkerName{"w0"}
+		k.mu.Unlock()
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -21,9 +21,6 @@
 	lossUnlisted lossCause = "unlisted"
 	// lossLeaseExpired means that the worker does not answer and its lease has expired.
 	lossLeaseExpired lossCause = "leaseExpired"
-	// lossNotListening means that the worker was leaving and no process listens at its
-	// address.
-	lossNotListening lossCause = "notListening"
 	// lossLeft means that the worker was leaving and its entry is gone from the list.
 	lossLeft lossCause = "left"
 )
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -107,6 +107,8 @@
 	// listReadAt is when the list was last received, listReadSince the begin of the time
 	// in which it has been received without gaps.
 	listReadAt, listReadSince time.Time
+	// listSentAt is when the read of the list that was received last was sent.
+	listSentAt time.Time
 	// closing reports whether the term is ending; no new jobs are accepted then.
 	closing bool
 	// ownershipCheck is the next read of the ownership from the store; nil when no
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -19,6 +19,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/common/logfmt"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/jobstore"
 	"lovagestand.example/lovagestand/shard"
@@ -45,8 +46,11 @@
 	silentSince     map[lovagestand.WorkerName]time.Time
 	capacityChanges map[lovagestand.WorkerName][]capacityChange
 	log             zerolog.Logger
-	// delay is how long the store takes for a commit, in nanoseconds.
-	delay atomic.Int64
+	// delay is how long the store takes for a commit, listDelay for a read of the list of
+	// workers, in nanoseconds.
+	delay, listDelay atomic.Int64
+	// undecodable holds the workers whose entries cannot be decoded.
+	undecodable []lovagestand.WorkerName
 	// fleetWrapper, if set, is the fleet that owners use in place of fleet.
 	fleetWrapper lovagestand.Fleet
 	advice       func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
@@ -133,7 +137,9 @@
 	}()
 	go func() {
 		for ctx.Err() == nil {
-			s.SetWorkers(k.list())
+			list := shard.WorkerList{SentAt: time.Now(), Workers: k.list(), Undecodable: k.undecodableEntries()}
+			pause.For(ctx, time.Duration(k.listDelay.Load()))
+			s.SetWorkers(list)
 			select {
 			case <-time.After(500 * time.Millisecond):
 			case <-ctx.Done():
@@ -164,6 +170,13 @@
 	return list
 }
 
+// undecodableEntries returns the workers whose entries cannot be decoded.
+func (k *cell) undecodableEntries() []lovagestand.WorkerName {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.undecodable
+}
+
 // changeList changes the list of workers.
 func (k *cell) changeList(f func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker) {
 	k.mu.Lock()
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -39,9 +39,9 @@
 	// listGap is the time beyond ListInterval after which the next read of the list
 	// counts as the first one: workers may have been unable to keep their entries.
 	listGap = time.Second
-	// heartbeatMargin covers the delay with which a heartbeat and its absence are seen
-	// here, in addition to the time between two reads of the list.
-	heartbeatMargin = 700 * time.Millisecond
+	// heartbeatMargin allows for a store whose clock runs faster than that of this
+	// instance.
+	heartbeatMargin = 100 * time.Millisecond
 	// acknowledgeWait is how long a hold is delayed until the listed ends are stored.
 	acknowledgeWait = 150 * time.Millisecond
 )
@@ -64,6 +64,11 @@
 	listed        bool
 	lastListed    time.Time // when it was last listed
 	lastHeartbeat time.Time // when its heartbeat was last seen to change
+	// heartbeatAfter is a time before that heartbeat: a read of the list that was sent then
+	// still showed the heartbeat before. It is zero if there was no such read.
+	heartbeatAfter time.Time
+	// entryLost reports whether the entry of the worker became undecodable.
+	entryLost bool
 	// expired indicates that the entry was removed from the list while the list was read
 	// without gaps. The worker's capacity may have changed since its last heartbeat.
 	expired bool
@@ -227,8 +232,18 @@
 	return !w.quarantined(now) && !w.stuck(now) && !now.Before(w.trialUntil)
 }
 
+// WorkerList is one read of the list of registered workers.
+type WorkerList struct {
+	Workers []lovagestand.FleetWorker
+	// Undecodable holds the names of the entries that describe no worker. Another writer
+	// may have overwritten the entry of a worker that runs on.
+	Undecodable []lovagestand.WorkerName
+	// SentAt is when the read was sent.
+	SentAt time.Time
+}
+
 // SetWorkers applies the list of registered workers.
-func (s *Shard) SetWorkers(list []lovagestand.FleetWorker) {
+func (s *Shard) SetWorkers(list WorkerList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
@@ -242,16 +257,22 @@
 	for _, w := range s.workers {
 		w.listed = false
 	}
-	for _, info := range list {
+	for _, info := range list.Workers {
 		s.updateWorker(info, now)
 	}
+	for _, name := range list.Undecodable {
+		if w := s.workers[name]; w != nil && !w.listed {
+			w.entryLost = true
+		}
+	}
+	s.listSentAt = list.SentAt
 	if !s.workersListed {
 		s.workersListed = true
 		s.addFormerWorkers()
 	}
 	for name, w := range s.workers {
 		w.expired = !w.listed && !w.lastListed.Before(s.listReadSince)
-		if s.hasLeft(w, now) {
+		if s.hasLeft(w) {
 			s.markGone(w, lossLeft)
 		}
 		if s.removable(w, now) {
@@ -298,8 +319,9 @@
 		w.inRosterWrite, w.enrolled = false, false
 		s.requestRosterWrite()
 	}
+	w.entryLost = false
 	if info.Heartbeat != w.info.Heartbeat {
-		w.lastHeartbeat = now
+		w.lastHeartbeat, w.heartbeatAfter = now, s.listSentAt
 	}
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	w.info = info
--- a/store.go
+++ b/store.go
@@ -69,9 +69,6 @@
 type UnavailableError struct {
 	System string
 	Reason string
-	// Refused is set if no process listens at the address. In that case the
-	// call has had no effect.
-	Refused bool
 	// Unsent is set if nothing of the call was sent. In that case the call has had
 	// no effect.
 	Unsent bool
