--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -132,7 +132,7 @@
 // matches reports whether a worker has the service and the label that the step
 // requires.
 func (s *Step) matches(w *Worker) bool {
-	return s.runsOn(w) && (s.Service == "" || w.Service == s.Service) && (s.Label == "" || slices.Contains(w.Labels, s.Label))
+	return s.runsOn(w) && Shape{Service: s.Service, Label: s.Label}.matches(w)
 }
 
 // Decision is what one pass decides for a step. A step may have several.
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -26,9 +26,13 @@
 	// planPauseFactor times the duration of a pass is the minimum pause after it. It
 	// bounds the share of time that passes take.
 	planPauseFactor = 2
-	// maxStepsPerPass is the maximum number of steps that one pass considers, in the
-	// order of tier and score.
+	// maxStepsPerPass is the maximum number of steps that one pass considers; see
+	// [dispatch.Window].
 	maxStepsPerPass = 250
+	// wholeQueueInterval is after how many passes at most one considers steps of the whole
+	// queue if there are more than maxStepsPerPass. A pass that has started nothing is
+	// followed by such a pass at once.
+	wholeQueueInterval = 8
 	// expiredHeadroom is the fraction of the processors that jobs too late to be of use
 	// leave free.
 	expiredHeadroom = 0.2
@@ -73,8 +77,10 @@
 	workers         []*worker
 	dispatchWorkers []dispatch.Worker
 	waiting         []waitingStep
-	dispatchSteps   []dispatch.Step
-	adviceClients   []AdviceClient
+	// unplaceable holds the waiting steps that no worker can hold.
+	unplaceable   []waitingStep
+	dispatchSteps []dispatch.Step
+	adviceClients []AdviceClient
 	// holdRenewals is [dispatch.Load.HoldRenewals].
 	holdRenewals bool
 	// uneven is [dispatch.Load.Uneven].
@@ -113,13 +119,14 @@
 	p := &s.reused
 	clear(p.waiting[:cap(p.waiting)])
 	clear(p.ordered[:cap(p.ordered)])
+	clear(p.unplaceable[:cap(p.unplaceable)])
 	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
 	clear(p.runs[:cap(p.runs)])
 	clear(p.placements[:cap(p.placements)])
 	clear(p.dispatchRuns)
 	*p = pass{
 		spareDivisions: p.divisions,
-		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0],
+		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0], unplaceable: p.unplaceable[:0],
 		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0], placements: p.placements[:0], dispatchRuns: p.dispatchRuns[:0],
 	}
 	p.policies, p.configured = s.teams()
@@ -162,6 +169,7 @@
 	s.setSpeeds(p)
 	s.dropKeptRoom(p)
 	s.summarize(p)
+	s.dropUnplaceable(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
 	if len(p.waiting) == 0 || !s.deps.Assured() {
@@ -176,6 +184,8 @@
 	}
 	s.selectWithinQuotas(p)
 	load := s.load(p)
+	s.passNumber++
+	s.wholeQueue = s.passNumber%wholeQueueInterval == 0
 	next := p.now.Add(idleInterval)
 	decisions := dispatch.Plan(load)
 	for i := range decisions {
@@ -192,6 +202,7 @@
 			next = earlier(next, d.Wait.Until)
 		}
 	}
+	s.wholeQueue = s.wholeQueue || !slices.ContainsFunc(decisions, func(d dispatch.Decision) bool { return len(d.Workers) > 0 })
 	s.preempt(p, load, decisions)
 	return max(planInterval, next.Sub(p.now))
 }
@@ -251,11 +262,11 @@
 	index int
 }
 
-// load returns the load of the pass for the dispatcher: the first of the waiting steps,
-// which are in order and for which the quotas leave room. It changes nothing but the pass.
+// load returns the load of the pass for the dispatcher: some of the waiting steps, which
+// are in order and for which the quotas leave room. It changes nothing but the pass.
 func (s *Shard) load(p *pass) dispatch.Load {
 	s.limitSuspects(p)
-	p.waiting = p.waiting[:min(len(p.waiting), maxStepsPerPass)]
+	s.limitSteps(p)
 	for i := range p.waiting {
 		p.dispatchSteps = append(p.dispatchSteps, s.dispatchStep(p, &p.waiting[i]))
 	}
@@ -292,6 +303,97 @@
 	})
 }
 
+// shape returns the shape of the tasks of a waiting step.
+func (w *waitingStep) shape() dispatch.Shape {
+	return dispatch.Shape{Service: w.entry.progress.Policy().Service, Label: w.step.Label, Needs: w.needs, MaxPerWorker: w.step.MaxPerWorker}
+}
+
+// dropUnplaceable removes the waiting steps that no worker of the shard can hold, even if it
+// were empty, and the gangs that all workers together cannot hold. They wait until other
+// workers join. Until then they count neither as demand nor against the steps of a pass.
+func (s *Shard) dropUnplaceable(p *pass) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
+		if s.placeable(p, &w) {
+			return false
+		}
+		p.unplaceable = append(p.unplaceable, w)
+		return true
+	})
+}
+
+// placeable reports whether the workers of the shard can hold a waiting step. The answer is
+// kept for a version of the fleet.
+func (s *Shard) placeable(p *pass, w *waitingStep) bool {
+	// Most waiting steps have no state yet.
+	st := w.entry.steps[w.ref]
+	switch {
+	case st == nil:
+		return s.computePlaceable(p, w)
+	case st.placeableVersion != s.fleetVersion:
+		st.placeable, st.placeableVersion = s.computePlaceable(p, w), s.fleetVersion
+	}
+	return st.placeable
+}
+
+// computePlaceable is [Shard.placeable] without the state of the step.
+func (s *Shard) computePlaceable(p *pass, w *waitingStep) bool {
+	if s.slotsVersion != s.fleetVersion {
+		s.slotsVersion, s.slots = s.fleetVersion, map[slotsKey]bool{}
+	}
+	key := slotsKey{shape: w.shape(), tasks: 1}
+	if w.gang {
+		key.tasks = w.step.Count
+	}
+	fits, known := s.slots[key]
+	if !known {
+		fits = key.shape.Slots(p.dispatchWorkers, key.tasks) == key.tasks
+		s.slots[key] = fits
+	}
+	return fits
+}
+
+// slotsKey is a number of tasks of a shape.
+type slotsKey struct {
+	shape dispatch.Shape
+	tasks int
+}
+
+// limitSteps leaves in the pass the waiting steps that it considers: the first ones, or
+// those of [dispatch.Window].
+func (s *Shard) limitSteps(p *pass) {
+	if len(p.waiting) <= maxStepsPerPass {
+		return
+	}
+	if !s.wholeQueue {
+		p.waiting = p.waiting[:maxStepsPerPass]
+		return
+	}
+	rooms := map[dispatch.Shape]bool{}
+	hasRoom := func(i int) bool {
+		shape := p.waiting[i].shape()
+		room, known := rooms[shape]
+		if !known {
+			room = shape.HasRoom(p.dispatchWorkers)
+			rooms[shape] = room
+		}
+		return room
+	}
+	lastConsidered := func(i int) int64 {
+		if st := p.waiting[i].entry.steps[p.waiting[i].ref]; st != nil {
+			return st.lastConsidered
+		}
+		return 0
+	}
+	window := dispatch.Window(len(p.waiting), maxStepsPerPass, hasRoom, lastConsidered)
+	p.ordered = p.ordered[:0]
+	for _, i := range window {
+		w := &p.waiting[i]
+		w.entry.step(w.ref).lastConsidered = s.passNumber
+		p.ordered = append(p.ordered, *w)
+	}
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
 // expiredHeadroom is [dispatch.Load.ExpiredHeadroom] for the pass.
 func (p *pass) expiredHeadroom() float64 {
 	if p.holdRenewals {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -99,6 +99,14 @@
 	teamNumbers map[lovagestand.TeamName]int
 	// fleetVersion counts how often workersByName was built.
 	fleetVersion int64
+	// slots holds which numbers of tasks the workers can hold, as of slotsVersion of the
+	// fleet.
+	slots        map[slotsKey]bool
+	slotsVersion int64
+	// passNumber counts the passes that have considered steps. wholeQueue reports whether
+	// the next one considers steps of the whole queue.
+	passNumber int64
+	wholeQueue bool
 	// unacknowledged holds the workers that may have listed ends which are not
 	// acknowledged, because they are not stored.
 	unacknowledged map[*worker]bool
@@ -348,6 +356,13 @@
 	localityWait  localityWait
 	// preemptions counts the tasks of the step for which runs were preempted.
 	preemptions int
+	// lastConsidered is the number of the last pass over the whole queue that has
+	// considered the step.
+	lastConsidered int64
+	// placeable reports whether the workers can hold the step, as of placeableVersion of
+	// the fleet.
+	placeable        bool
+	placeableVersion int64
 }
 
 // setTicket sets the ticket of a step for a worker.
--- a/shard/where.go
+++ b/shard/where.go
@@ -180,18 +180,26 @@
 	positions map[int]int
 	tiers     map[int]fairshare.Tier
 	selected  map[int]bool
-	explained map[int]dispatch.Explanation
+	// unplaceable holds the steps that no worker can hold.
+	unplaceable map[int]bool
+	explained   map[int]dispatch.Explanation
 }
 
 // newTrial runs a pass for a job that has been added to the shard.
 func newTrial(s *Shard, e *jobEntry) *trial {
 	t := &trial{
 		shard: s, entry: e, pass: s.newPass(), assured: s.deps.Assured(),
-		positions: map[int]int{}, tiers: map[int]fairshare.Tier{}, selected: map[int]bool{}, explained: map[int]dispatch.Explanation{},
+		positions: map[int]int{}, tiers: map[int]fairshare.Tier{}, selected: map[int]bool{}, unplaceable: map[int]bool{}, explained: map[int]dispatch.Explanation{},
 	}
 	s.collect(t.pass)
 	s.applySpeeds(t.pass)
 	s.dropKeptRoom(t.pass)
+	s.dropUnplaceable(t.pass)
+	for _, w := range t.pass.unplaceable {
+		if w.entry == e && w.ref.Occurrence == 0 {
+			t.unplaceable[w.ref.Step] = true
+		}
+	}
 	t.pass.sortByScore()
 	s.assignTiers(t.pass)
 	if t.pass.divisions != nil {
@@ -233,6 +241,8 @@
 	case considered:
 		out.Workers, out.Waiting, out.AdviceWorkers = t.workers(explanation.Workers), explanation.Waiting, len(explanation.AdviceFor)
 		out.Reason, out.Until = t.refine(index, explanation.Reason), millisOf(explanation.Until)
+	case t.unplaceable[index]:
+		out.Reason = dispatch.WaitsForWorker
 	case out.Position == 0:
 		out.Reason, out.Until = t.notWaiting()
 	case !t.assured:
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lovagestand.example/lovagestand"
@@ -323,6 +324,9 @@
 	if info.Heartbeat != w.info.Heartbeat {
 		w.lastHeartbeat, w.heartbeatAfter = now, s.listSentAt
 	}
+	if info.Capacity != w.info.Capacity || info.Service != w.info.Service || !slices.Equal(info.Labels, w.info.Labels) {
+		s.workersByName = nil
+	}
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	w.info = info
 	if !info.Capacity.Fits(w.maxCapacity) {
