--- a/job/record.go
+++ b/job/record.go
@@ -27,6 +27,10 @@
 	// and the teams in CancelledAlsoBy.
 	Unsubmitted     bool                   `json:"unsubmitted,omitempty"`
 	CancelledAlsoBy []lovagestand.TeamName `json:"cancelledAlsoBy,omitempty"`
+	// Moves is how often the job was moved to another shard. MovedTo is the shard that it
+	// is being moved to or, if Finished is set, was moved to; empty otherwise.
+	Moves   int    `json:"moves,omitempty"`
+	MovedTo string `json:"movedTo,omitempty"`
 	// Generation is the generation of the owner that accepted the job. It is not set or
 	// used at present.
 	Generation int64        `json:"generation,omitempty"`
--- a/layout/layout.go
+++ b/layout/layout.go
@@ -20,8 +20,8 @@
 	maxShards = 64
 )
 
-// Layout is the number of shards of a cell. It is decided once, since jobs and
-// workers must not move between shards.
+// Layout is the number of shards of a cell. It is decided once, since workers must not
+// move between shards. A job moves only from one owner to the next, see package shard.
 type Layout struct {
 	// Shards is a power of two.
 	Shards int `json:"shards"`
--- a/node/node.go
+++ b/node/node.go
@@ -177,6 +177,7 @@
 	internal.Get("/debug/state", n.serveState)
 	internal.Post(shard.PathWhere, n.serveWhere)
 	internal.Post(pathOwnerWhere+"/{shard}", n.serveOwnerWhere)
+	internal.Post(pathMove+"/{shard}/{job}", n.serveMove)
 	for address, handler := range map[string]http.Handler{
 		n.settings.CallerAddress: n.gateway, n.settings.ReadyAddress: ready, n.self.Address: internal,
 	} {
--- a/node/owners.go
+++ b/node/owners.go
@@ -102,22 +102,31 @@
 // findJob calls the owner of the shard that a job's ID maps to and, while the job
 // is unknown there, the owners of the other shards: a job belongs to the shard of
 // the rack that holds its data, which does not follow from the ID. A job of another
-// team counts as unknown, so that a job with the same ID in another shard is found.
+// team counts as unknown, so that a job with the same ID in another shard is found. If
+// no owner knows the job, all are called once more: it may have been moved from a shard
+// that was called later to one that was called before.
 func (o *ownerClients) findJob(id job.ID, call func(*ownerClient) error) error {
 	l, ok := o.directory.Layout()
 	if !ok {
 		return &shard.NotOwnerError{}
 	}
 	idShard := l.ShardOfID(id)
-	err := call(o.client(idShard))
+	names := []string{idShard}
 	for _, name := range l.ShardNames() {
+		if name != idShard {
+			names = append(names, name)
+		}
+	}
+	if len(names) > 1 {
+		names = append(names, names...)
+	}
+	var err error
+	for _, name := range names {
+		err = call(o.client(name))
 		var unknownJob *shard.UnknownJobError
 		if !errors.As(err, &unknownJob) {
 			return err
 		}
-		if name != idShard {
-			err = call(o.client(name))
-		}
 	}
 	return err
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -56,7 +55,7 @@
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: store,
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
-		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, DividedCaps: l.Shards > 1, Recorder: n.deps.Recorder,
+		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, DividedCaps: l.Shards > 1, Move: n.mover(l), Recorder: n.deps.Recorder,
 	})
 	for {
 		limited, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -74,7 +73,7 @@
 	defer stop()
 	var running sync.WaitGroup
 	running.Go(func() {
-		n.pollWorkers(serveCtx, s, interval, func(w lovagestand.FleetWorker) bool { return l.ShardOfWorker(w) == term.Shard })
+		n.pollWorkers(serveCtx, s, interval, l, term.Shard)
 	})
 	if l.Shards > 1 {
 		running.Go(func() { n.holdShares(serveCtx, s, term, l) })
@@ -132,9 +131,9 @@
 	}
 }
 
-// pollWorkers reads the list of workers until ctx ends, and passes the workers
-// that belong to the shard on to it.
-func (n *Node) pollWorkers(ctx context.Context, s *shard.Shard, interval time.Duration, belongs func(lovagestand.FleetWorker) bool) {
+// pollWorkers reads the list of workers until ctx ends, and passes it on to a shard,
+// divided by the layout.
+func (n *Node) pollWorkers(ctx context.Context, s *shard.Shard, interval time.Duration, l layout.Layout, name string) {
 	healthy := true
 	for {
 		list, err := n.listWorkers(ctx)
@@ -143,8 +142,7 @@
 			n.deps.Log.Warn().Bool("healthy", healthy).Err(err).Msg("reads of the list of workers failed or recovered")
 		}
 		if err == nil {
-			list.Workers = slices.DeleteFunc(list.Workers, func(w lovagestand.FleetWorker) bool { return !belongs(w) })
-			s.SetWorkers(list)
+			s.SetWorkers(divide(list, l, name))
 		}
 		if !pause.For(ctx, interval) {
 			return
@@ -152,6 +150,21 @@
 	}
 }
 
+// divide returns a list in which the workers of the shards other than the named one are
+// listed by shard.
+func divide(list shard.WorkerList, l layout.Layout, name string) shard.WorkerList {
+	workers := list.Workers
+	list.Workers, list.OtherShards = nil, map[string][]lovagestand.FleetWorker{}
+	for _, w := range workers {
+		if other := l.ShardOfWorker(w); other != name {
+			list.OtherShards[other] = append(list.OtherShards[other], w)
+			continue
+		}
+		list.Workers = append(list.Workers, w)
+	}
+	return list
+}
+
 // listWorkers reads the list of registered workers.
 func (n *Node) listWorkers(ctx context.Context) (shard.WorkerList, error) {
 	list := shard.WorkerList{SentAt: time.Now()}
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -115,6 +115,9 @@
 // settleSuspicions counts the crashes of which a former owner did not learn the outcome.
 func (s *Shard) settleSuspicions() {
 	for _, e := range s.live {
+		if e.move.leaving() {
+			continue
+		}
 		for _, t := range e.progress.SettleSuspicions(s.hasCrashed) {
 			s.crashRecorded(e, t)
 		}
--- /dev/null
+++ b/shard/move.go
@@ -0,0 +1,282 @@
+package shard
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/dispatch"
+	"lovagestand.example/lovagestand/job"
+)
+
+const (
+	// moveAfter is how long no worker of the shard must have been able to hold the steps
+	// of a job before the job is moved to another shard. A worker that restarts is missing
+	// for a shorter time.
+	moveAfter = time.Second
+	// moveTimeout bounds one call to the owner of the other shard, and moveRetryDelay is the
+	// pause after a failed one.
+	moveTimeout    = time.Second
+	moveRetryDelay = 200 * time.Millisecond
+	// maxMovesInFlight bounds the jobs that are passed on at the same time.
+	maxMovesInFlight = 16
+)
+
+// moveState describes the move of a job to another shard. docs/design/platform.md describes
+// the protocol.
+type moveState struct {
+	// count is how often the job has been moved, including the move that goes on.
+	count int
+	// target is the shard that the job is being moved to or was moved to; empty otherwise.
+	target string
+	// moved reports whether the owner of that shard has stored the job.
+	moved bool
+	// position is the position in the write queue of the record of the move.
+	position int64
+	// calling reports whether a call is in flight. The next call, or the next search for a
+	// shard, is due at retryAt.
+	calling bool
+	retryAt time.Time
+	// blockedSince is since when all waiting steps of the job fit no worker of the shard,
+	// as of the pass with the number blockedPass. placeablePass is the number of the last
+	// pass in which a worker could hold one of them.
+	blockedSince               time.Time
+	blockedPass, placeablePass int64
+	// refusedBy holds the shards in which the ID belongs to a job of another team.
+	refusedBy []string
+}
+
+// leaving reports whether the job is being moved or was moved to another shard.
+func (m *moveState) leaving() bool { return m.target != "" }
+
+// moveUnplaceable starts to move the jobs of which no step can run in this shard to shards
+// with workers that can hold them, and goes on with the moves that were started.
+func (s *Shard) moveUnplaceable(p *pass) {
+	if s.deps.Move == nil || !s.resolved {
+		return
+	}
+	s.blockedPasses++
+	for i := range p.waiting {
+		p.waiting[i].entry.move.placeablePass = s.blockedPasses
+	}
+	for i := range p.unplaceable {
+		s.considerMove(p, p.unplaceable[i].entry)
+	}
+	for _, e := range s.moving {
+		s.callMove(e, p.now)
+	}
+}
+
+// considerMove starts to move a job once it has been blocked for moveAfter.
+func (s *Shard) considerMove(p *pass, e *jobEntry) {
+	m := &e.move
+	if m.blockedPass == s.blockedPasses {
+		return
+	}
+	if m.blockedPass != s.blockedPasses-1 {
+		m.blockedSince = p.now
+	}
+	m.blockedPass = s.blockedPasses
+	blocked := m.placeablePass != s.blockedPasses && len(e.heldRuns) == 0 && len(e.active) == 0
+	if !blocked || p.now.Sub(m.blockedSince) < moveAfter || p.now.Before(m.retryAt) {
+		return
+	}
+	target, ok := s.moveTarget(p, e)
+	if !ok {
+		m.retryAt = p.now.Add(moveAfter)
+		return
+	}
+	m.target, m.count = target, m.count+1
+	s.moving[e.id] = e
+	s.enqueue(e)
+	m.position = e.queuePosition
+	s.deps.Recorder.Count("moves", target)
+	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Msg("job is being moved: no worker of the shard can hold it")
+}
+
+// moveTarget returns a shard whose workers can hold the waiting steps of a job. It prefers
+// the shards that can hold all of its steps.
+func (s *Shard) moveTarget(p *pass, e *jobEntry) (string, bool) {
+	var waiting, whole []string
+	for name, workers := range s.otherShards {
+		if slices.Contains(e.move.refusedBy, name) {
+			continue
+		}
+		if holdsAll(workers, e, p.unplaceableSteps(e)) {
+			waiting = append(waiting, name)
+		}
+		if holdsAll(workers, e, e.progress.Job().Steps) {
+			whole = append(whole, name)
+		}
+	}
+	if len(whole) == 0 {
+		whole = waiting
+	}
+	if len(whole) == 0 {
+		return "", false
+	}
+	slices.Sort(whole)
+	return whole[xxhash.Sum64String(string(e.id))%uint64(len(whole))], true
+}
+
+// unplaceableSteps returns the waiting steps of a job that no worker of the shard can hold.
+func (p *pass) unplaceableSteps(e *jobEntry) []job.Step {
+	var steps []job.Step
+	for i := range p.unplaceable {
+		if p.unplaceable[i].entry == e {
+			steps = append(steps, *p.unplaceable[i].step)
+		}
+	}
+	return steps
+}
+
+// holdsAll reports whether workers can hold each of the steps of a job.
+func holdsAll(workers []dispatch.Worker, e *jobEntry, steps []job.Step) bool {
+	for i := range steps {
+		shape, tasks := shapeOf(e, &steps[i]), 1
+		if steps[i].Gang {
+			tasks = steps[i].Count
+		}
+		if shape.Slots(workers, tasks) < tasks {
+			return false
+		}
+	}
+	return true
+}
+
+// holders returns the workers of a list that can be given tasks, for [dispatch.Shape.Slots].
+func holders(list []lovagestand.FleetWorker) []dispatch.Worker {
+	var workers []dispatch.Worker
+	for _, w := range list {
+		if w.Ready {
+			workers = append(workers, dispatch.Worker{Service: w.Service, Labels: w.Labels, Capacity: w.Capacity})
+		}
+	}
+	return workers
+}
+
+// callMove passes a job on to the owner of the other shard if its move is stored: from then
+// on no owner of this shard starts a task of it.
+func (s *Shard) callMove(e *jobEntry, now time.Time) {
+	m := &e.move
+	if e.final() {
+		// The end of a run that was listed late has ended the job.
+		delete(s.moving, e.id)
+		m.target = ""
+		return
+	}
+	if m.calling || m.position > s.writtenPosition || now.Before(m.retryAt) || s.movesInFlight >= maxMovesInFlight {
+		return
+	}
+	value, err := s.encode(e)
+	if err != nil {
+		s.log.Error().Err(err).Str("job", string(e.id)).Msg("cannot encode a job for another shard")
+		return
+	}
+	m.calling = true
+	s.movesInFlight++
+	go s.sendMove(e, m.target, value)
+}
+
+// sendMove passes a job on and records the outcome.
+func (s *Shard) sendMove(e *jobEntry, target string, value []byte) {
+	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
+	err := s.deps.Move(ctx, target, e.id, value)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := &e.move
+	m.calling = false
+	s.movesInFlight--
+	if s.ctx.Err() != nil {
+		return
+	}
+	var otherTeam *OtherTeamError
+	switch {
+	case e.progress == nil || !m.leaving():
+	case err == nil:
+		s.finishMove(e)
+	case errors.As(err, &otherTeam):
+		s.log.Warn().Str("job", string(e.id)).Str("to", target).Msg("job not moved: its ID belongs to a job of another team there")
+		delete(s.moving, e.id)
+		m.refusedBy, m.target, m.blockedSince = append(m.refusedBy, target), "", time.Now()
+		s.enqueue(e)
+	default:
+		m.retryAt = time.Now().Add(moveRetryDelay)
+		s.log.Warn().Err(err).Str("job", string(e.id)).Str("to", target).Msg("job not moved yet; trying again")
+	}
+	s.wake()
+}
+
+// finishMove records that the other shard has stored a job. What remains of it here answers
+// late duplicates of its submission, for as long as a finished job does.
+func (s *Shard) finishMove(e *jobEntry) {
+	s.log.Info().Str("job", string(e.id)).Str("to", e.move.target).Msg("job moved")
+	delete(s.moving, e.id)
+	delete(s.live, e.id)
+	e.move.moved, e.finishedAt, e.phase = true, time.Now(), e.progress.Phase()
+	e.progress, e.body, e.steps = nil, nil, nil
+	s.enqueue(e)
+}
+
+// Receive accepts a job that the owner of another shard passes on, and returns once it is
+// durable. The value is the record of the job as the other shard has stored it. A call for
+// a move that is known changes nothing.
+func (s *Shard) Receive(ctx context.Context, id job.ID, value []byte) error {
+	r, body, err := job.DecodeRecord(value)
+	if err != nil {
+		return err
+	}
+	j, err := job.DecodeJob(body)
+	if err != nil {
+		return err
+	}
+	progress, err := job.Restore(j, r)
+	if err != nil {
+		return err
+	}
+	if j.ID != id {
+		return &job.RecordError{ID: id}
+	}
+	s.mu.Lock()
+	e, known := s.jobs[id]
+	switch {
+	case known && !e.unsubmitted && !e.visibleTo(j.Team):
+		s.mu.Unlock()
+		return &OtherTeamError{}
+	case known && !e.unsubmitted && e.move.count >= r.Moves && e.durable:
+		s.mu.Unlock()
+		return nil
+	case s.unreadable[id]:
+		s.mu.Unlock()
+		return &UnknownError{}
+	case s.closing:
+		s.mu.Unlock()
+		return &NotOwnerError{}
+	case known && e.unsubmitted && e.cancelled(j.Team):
+		s.log.Info().Str("job", string(id)).Msg("job was cancelled before it was moved here")
+		e.unsubmitted, e.durable, e.route, e.team, e.cancelledBy = false, false, j.Policy.Route, j.Team, nil
+		e.move.count = r.Moves
+	case !known || e.unsubmitted || e.move.count < r.Moves:
+		e = s.acceptMoved(e, progress, body, r.Moves)
+	}
+	s.enqueue(e)
+	done := s.addWaiter(e)
+	s.mu.Unlock()
+	return s.awaitWrite(ctx, e, done)
+}
+
+// acceptMoved adds a job that comes from another shard, where none of its tasks runs any
+// more. It takes the place of what remains of it here from an earlier move.
+func (s *Shard) acceptMoved(former *jobEntry, progress *job.Progress, body []byte, moves int) *jobEntry {
+	progress.ReserveRuns(firstRunAfter(progress, time.Now()))
+	e := newJobEntry(progress, body)
+	s.estimateWork(e)
+	e = s.accept(former, e)
+	e.move = moveState{count: moves}
+	return e
+}
--- /dev/null
+++ b/shard/move_test.go
@@ -0,0 +1,218 @@
+package shard_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/shard"
+)
+
+// movingShard is a shard whose jobs can be moved to another one.
+type movingShard struct {
+	*cell
+	mu    sync.Mutex
+	owner *owner
+	// lost, if set, returns whether a call for a job from the other shard is lost, and
+	// whether only its reply is.
+	lost  func() (call, reply bool)
+	other *movingShard
+}
+
+// newMovingShards returns two shards. Only the workers of the second one have the label c.
+func newMovingShards(c *qt.C) (first, second *movingShard) {
+	work := always(time.Second, lovagestand.EndingDone)
+	first, second = &movingShard{cell: newCell(c, 2, work)}, &movingShard{cell: newCell(c, 2, work)}
+	first.other, second.other = second, first
+	first.otherShard, second.otherShard = second.cell, first.cell
+	second.setLabels("c")
+	first.begin()
+	second.begin()
+	time.Sleep(time.Second)
+	return first, second
+}
+
+// setLabels gives all workers the same labels.
+func (m *movingShard) setLabels(labels ...string) {
+	m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+		for i := range workers {
+			workers[i].Labels = labels
+		}
+		return workers
+	})
+}
+
+// begin begins a term.
+func (m *movingShard) begin() {
+	o := m.beginTerm("owner", func(d *shard.Deps) {
+		d.Move = func(ctx context.Context, _ string, id job.ID, value []byte) error {
+			return m.other.receive(ctx, id, value)
+		}
+	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.owner = o
+}
+
+// replaceOwner ends the term and begins another one.
+func (m *movingShard) replaceOwner() {
+	m.current().stop()
+	m.begin()
+}
+
+func (m *movingShard) current() *owner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owner
+}
+
+// setLost sets which calls are lost; see movingShard.lost.
+func (m *movingShard) setLost(lost func() (call, reply bool)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lost = lost
+}
+
+func (m *movingShard) receive(ctx context.Context, id job.ID, value []byte) error {
+	call, reply := false, false
+	m.mu.Lock()
+	if m.lost != nil {
+		call, reply = m.lost()
+	}
+	m.mu.Unlock()
+	if call {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	err := m.current().Receive(ctx, id, value)
+	if reply {
+		return &lovagestand.UnavailableError{System: "owner"}
+	}
+	return err
+}
+
+func (m *movingShard) assertUnknown(c *qt.C, text string) {
+	c.Helper()
+	_, err := m.current().State(job.ID(text))
+	var unknown *shard.UnknownJobError
+	c.Assert(err, qt.ErrorAs, &unknown)
+}
+
+// TestJobMovesToTheShardThatCanRunIt guards against jobs that are lost, run twice or wait
+// for good when they are moved to another shard, also while owners change and calls are
+// lost.
+func TestJobMovesToTheShardThatCanRunIt(t *testing.T) {
+	step := job.Step{Count: 2, Label: "c", Needs: lovagestand.Resources{MilliCPU: 1000}, Estimate: time.Second}
+	for name, disturb := range map[string]func(first, second *movingShard){
+		"undisturbed": func(_, _ *movingShard) {},
+		"replies are lost": func(_, second *movingShard) {
+			count := 0
+			second.setLost(func() (bool, bool) { count++; return false, count < 4 })
+		},
+		"calls are lost": func(_, second *movingShard) {
+			count := 0
+			second.setLost(func() (bool, bool) { count++; return count < 4, false })
+		},
+		"the first owner changes before the job has arrived": func(first, second *movingShard) {
+			second.setLost(func() (bool, bool) { return true, false })
+			time.AfterFunc(3*time.Second, func() {
+				second.setLost(nil)
+				first.replaceOwner()
+			})
+		},
+		"the first owner changes after the job has arrived": func(first, second *movingShard) {
+			second.setLost(func() (bool, bool) { return false, true })
+			time.AfterFunc(3*time.Second, func() {
+				second.setLost(nil)
+				first.replaceOwner()
+			})
+		},
+		"the second owner changes": func(_, second *movingShard) {
+			time.AfterFunc(1500*time.Millisecond, second.replaceOwner)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				first, second := newMovingShards(c)
+				defer func() { first.current().stop(); second.current().stop() }()
+				first.current().submit(c, id(1), step)
+				disturb(first, second)
+				time.Sleep(30 * time.Second)
+				first.assertUnknown(c, id(1))
+				assertPhase(c, second.current(), id(1), "completed")
+				c.Assert(second.fleet.Starts(), qt.Equals, 2)
+				c.Assert(first.fleet.Starts(), qt.Equals, 0)
+				c.Assert(first.current().trySubmit(id(1), step), qt.IsNil)
+				time.Sleep(10 * time.Second)
+				c.Assert(second.fleet.Starts(), qt.Equals, 2)
+				second.assertNoViolations()
+			})
+		})
+	}
+}
+
+// TestJobIsCancelledBeforeItMoves guards against a job that runs although its cancellation
+// has reached the other shard before the job.
+func TestJobIsCancelledBeforeItMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		var unknown *shard.UnknownJobError
+		c.Assert(second.current().Cancel(c.Context(), job.ID(id(1)), ""), qt.ErrorAs, &unknown)
+		first.current().submit(c, id(1), job.Step{Count: 2, Label: "c"})
+		time.Sleep(5 * time.Second)
+		c.Assert(first.current().Cancel(c.Context(), job.ID(id(1)), ""), qt.ErrorAs, &unknown)
+		c.Assert(second.current().Cancel(c.Context(), job.ID(id(1)), ""), qt.IsNil)
+		assertPhase(c, second.current(), id(1), "cancelled")
+		c.Assert(second.fleet.Starts(), qt.Equals, 0)
+	})
+}
+
+// TestJobMovesBack guards against a job that is taken for the one that had left the shard
+// when it comes back, and against steps that run again after a move.
+func TestJobMovesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		first.setLabels("d")
+		first.current().submit(c, id(1), job.Step{Count: 1, Label: "c"}, job.Step{Count: 1, Label: "d", After: []int{0}})
+		time.Sleep(20 * time.Second)
+		assertPhase(c, first.current(), id(1), "completed")
+		second.assertUnknown(c, id(1))
+		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 2)
+		first.replaceOwner()
+		second.replaceOwner()
+		time.Sleep(20 * time.Second)
+		assertPhase(c, first.current(), id(1), "completed")
+		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 2)
+	})
+}
+
+// TestJobStaysWhereItCanRun guards against jobs that move although a worker of their shard
+// can hold them, or although no other shard can.
+func TestJobStaysWhereItCanRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		first.current().submit(c, id(1), job.Step{Count: 1, Label: "nowhere"})
+		for i := range 20 {
+			first.current().submit(c, id(2+i), job.Step{Count: 2, Needs: lovagestand.Resources{MilliCPU: 1000}})
+		}
+		time.Sleep(10 * time.Second)
+		assertPhase(c, first.current(), id(1), "queued")
+		for i := range 20 {
+			assertPhase(c, first.current(), id(2+i), "completed")
+		}
+		c.Assert(second.fleet.Starts(), qt.Equals, 0)
+	})
+}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -170,6 +170,7 @@
 	s.dropKeptRoom(p)
 	s.summarize(p)
 	s.dropUnplaceable(p)
+	s.moveUnplaceable(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
 	if len(p.waiting) == 0 || !s.deps.Assured() {
@@ -213,7 +214,7 @@
 		// Tasks of a recovered job may still be running on workers, so none is placed
 		// until all runs of former terms are known. The quota of a team is not known
 		// without a configuration.
-		if e.durable && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
+		if e.durable && !e.move.leaving() && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
 			s.collectWaitingSteps(p, e)
 		}
 	}
@@ -303,9 +304,9 @@
 	})
 }
 
-// shape returns the shape of the tasks of a waiting step.
-func (w *waitingStep) shape() dispatch.Shape {
-	return dispatch.Shape{Service: w.entry.progress.Policy().Service, Label: w.step.Label, Needs: w.needs, MaxPerWorker: w.step.MaxPerWorker}
+// shapeOf returns the shape of the tasks of a step.
+func shapeOf(e *jobEntry, step *job.Step) dispatch.Shape {
+	return dispatch.Shape{Service: e.progress.Policy().Service, Label: step.Label, Needs: step.Needs, MaxPerWorker: step.MaxPerWorker}
 }
 
 // dropUnplaceable removes the waiting steps that no worker of the shard can hold, even if it
@@ -338,20 +339,32 @@
 // computePlaceable is [Shard.placeable] without the state of the step.
 func (s *Shard) computePlaceable(p *pass, w *waitingStep) bool {
 	if s.slotsVersion != s.fleetVersion {
-		s.slotsVersion, s.slots = s.fleetVersion, map[slotsKey]bool{}
+		s.slotsVersion, s.slots, s.ready = s.fleetVersion, map[slotsKey]bool{}, nil
 	}
-	key := slotsKey{shape: w.shape(), tasks: 1}
+	key := slotsKey{shape: shapeOf(w.entry, w.step), tasks: 1}
 	if w.gang {
 		key.tasks = w.step.Count
 	}
 	fits, known := s.slots[key]
 	if !known {
-		fits = key.shape.Slots(p.dispatchWorkers, key.tasks) == key.tasks
+		fits = key.shape.Slots(s.holders(p), key.tasks) == key.tasks
 		s.slots[key] = fits
 	}
 	return fits
 }
 
+// holders returns the workers of the shard that are not about to leave.
+func (s *Shard) holders(p *pass) []dispatch.Worker {
+	if s.ready == nil {
+		list := make([]lovagestand.FleetWorker, 0, len(p.workers))
+		for _, w := range p.workers {
+			list = append(list, w.info)
+		}
+		s.ready = holders(list)
+	}
+	return s.ready
+}
+
 // slotsKey is a number of tasks of a shape.
 type slotsKey struct {
 	shape dispatch.Shape
@@ -370,7 +383,7 @@
 	}
 	rooms := map[dispatch.Shape]bool{}
 	hasRoom := func(i int) bool {
-		shape := p.waiting[i].shape()
+		shape := shapeOf(p.waiting[i].entry, p.waiting[i].step)
 		room, known := rooms[shape]
 		if !known {
 			room = shape.HasRoom(p.dispatchWorkers)
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -88,6 +88,7 @@
 	if r.Finished > 0 {
 		e := newFinishedJobEntry(id, r.Route, r.Team, r.Phase, time.UnixMilli(r.Finished))
 		e.durable, e.endDurable, e.unsubmitted = true, true, r.Unsubmitted
+		e.move = moveState{count: r.Moves, target: r.MovedTo, moved: r.MovedTo != ""}
 		if r.Unsubmitted {
 			e.team, e.cancelledBy = "", append([]lovagestand.TeamName{r.Team}, r.CancelledAlsoBy...)
 		}
@@ -103,9 +104,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "job %s", id)
 	}
-	progress.ReserveRuns(minRecoveredRun + max(0, int64(now.Sub(progress.Accepted())/minRunInterval)))
+	progress.ReserveRuns(firstRunAfter(progress, now))
 	e := newJobEntry(progress, body)
 	e.durable, e.recovered = true, true
+	if e.move = (moveState{count: r.Moves, target: r.MovedTo}); e.move.leaving() {
+		s.moving[id] = e
+	}
 	s.former.addLive(e, now)
 	s.estimateWork(e)
 	s.jobs[id] = e
@@ -113,6 +117,12 @@
 	return nil
 }
 
+// firstRunAfter returns a run number that is higher than any that a former owner can have
+// used for a task of the job.
+func firstRunAfter(p *job.Progress, now time.Time) int64 {
+	return minRecoveredRun + max(0, int64(now.Sub(p.Accepted())/minRunInterval))
+}
+
 // resolveWorker records that the runs that a former term gave a worker are known or
 // have ended.
 func (s *Shard) resolveWorker(name lovagestand.WorkerName) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/jobstore"
 	"lovagestand.example/lovagestand/quota"
@@ -42,6 +43,9 @@
 	// false before any configuration has been read; no job of a team is started then. A
 	// nil function means that there are no teams.
 	Teams func() (Teams, bool)
+	// Move passes a job on to the owner of another shard, which must return once it has
+	// stored the job; see [Shard.Receive]. It is nil in a cell with one shard.
+	Move func(ctx context.Context, shard string, id job.ID, value []byte) error
 	// DividedCaps indicates that the caps are divided among several shards. The shard then
 	// starts tasks of a team with a cap only within [Shard.SetShares].
 	DividedCaps bool
@@ -103,6 +107,16 @@
 	// fleet.
 	slots        map[slotsKey]bool
 	slotsVersion int64
+	// ready holds the workers that are not about to leave, as of slotsVersion; nil when it
+	// must be built again.
+	ready []dispatch.Worker
+	// otherShards holds the workers of the other shards that can be given tasks.
+	otherShards map[string][]dispatch.Worker
+	// moving holds the jobs that are being moved to other shards, and movesInFlight counts
+	// the calls for that. blockedPasses counts the passes that looked for jobs to move.
+	moving        map[job.ID]*jobEntry
+	movesInFlight int
+	blockedPasses int64
 	// passNumber counts the passes that have considered steps. wholeQueue reports whether
 	// the next one considers steps of the whole queue.
 	passNumber int64
@@ -215,7 +229,7 @@
 		ctx: ctx, cancel: cancel, deps: deps, term: term, limits: limits,
 		log:  deps.Log.With().Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Logger(),
 		jobs: map[job.ID]*jobEntry{}, live: map[job.ID]*jobEntry{}, unreadable: map[job.ID]bool{}, workers: map[lovagestand.WorkerName]*worker{},
-		unacknowledged: map[*worker]bool{},
+		unacknowledged: map[*worker]bool{}, moving: map[job.ID]*jobEntry{},
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
@@ -298,6 +312,8 @@
 	trialTimes map[string]time.Duration
 	// preempted holds the tasks of which a run was preempted, by task name.
 	preempted map[string]preemptedTask
+	// move describes the move of the job to another shard.
+	move moveState
 	// crashPosition is the position in the write queue of the last recorded crash.
 	crashPosition int64
 }
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -49,6 +49,8 @@
 	// delay is how long the store takes for a commit, listDelay for a read of the list of
 	// workers, in nanoseconds.
 	delay, listDelay atomic.Int64
+	// otherShard, if set, is the cell of another shard, named "1" here.
+	otherShard *cell
 	// undecodable holds the workers whose entries cannot be decoded.
 	undecodable []lovagestand.WorkerName
 	// fleetWrapper, if set, is the fleet that owners use in place of fleet.
@@ -138,6 +140,9 @@
 	go func() {
 		for ctx.Err() == nil {
 			list := shard.WorkerList{SentAt: time.Now(), Workers: k.list(), Undecodable: k.undecodableEntries()}
+			if k.otherShard != nil {
+				list.OtherShards = map[string][]lovagestand.FleetWorker{"1": k.otherShard.list()}
+			}
 			pause.For(ctx, time.Duration(k.listDelay.Load()))
 			s.SetWorkers(list)
 			select {
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -188,7 +188,7 @@
 func (s *Shard) State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error) {
 	s.mu.Lock()
 	e, known := s.jobs[id]
-	known = known && !e.unsubmitted && e.visibleTo(team)
+	known = known && !e.unsubmitted && !e.move.moved && e.visibleTo(team)
 	if known && e.durable {
 		defer s.mu.Unlock()
 		return e.reportedPhase(), nil
@@ -222,6 +222,15 @@
 	e, known := s.jobs[id]
 	s.logCancel(id, e)
 	otherTeams := known && !e.unsubmitted && !e.visibleTo(team)
+	if known && e.move.leaving() && !otherTeams {
+		moved := e.move.moved
+		s.mu.Unlock()
+		if moved {
+			return &UnknownJobError{}
+		}
+		// The owner of the other shard decides once it has the job.
+		return &NotOwnerError{}
+	}
 	if known && e.cancellationStored(team) {
 		unknown := e.unsubmitted || otherTeams
 		s.mu.Unlock()
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
 )
 
@@ -239,6 +240,8 @@
 	// Undecodable holds the names of the entries that describe no worker. Another writer
 	// may have overwritten the entry of a worker that runs on.
 	Undecodable []lovagestand.WorkerName
+	// OtherShards holds the workers of the other shards, by shard.
+	OtherShards map[string][]lovagestand.FleetWorker
 	// SentAt is when the read was sent.
 	SentAt time.Time
 }
@@ -267,6 +270,10 @@
 		}
 	}
 	s.listSentAt = list.SentAt
+	s.otherShards = map[string][]dispatch.Worker{}
+	for name, workers := range list.OtherShards {
+		s.otherShards[name] = holders(workers)
+	}
 	if !s.workersListed {
 		s.workersListed = true
 		s.addFormerWorkers()
@@ -324,7 +331,7 @@
 	if info.Heartbeat != w.info.Heartbeat {
 		w.lastHeartbeat, w.heartbeatAfter = now, s.listSentAt
 	}
-	if info.Capacity != w.info.Capacity || info.Service != w.info.Service || !slices.Equal(info.Labels, w.info.Labels) {
+	if info.Ready != w.info.Ready || info.Capacity != w.info.Capacity || info.Service != w.info.Service || !slices.Equal(info.Labels, w.info.Labels) {
 		s.workersByName = nil
 	}
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
--- a/shard/write.go
+++ b/shard/write.go
@@ -250,13 +250,15 @@
 		return nil, nil
 	}
 	if e.final() {
-		r := job.Record{Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted, Held: s.heldBy(e)}
+		r := job.Record{Moves: e.move.count, MovedTo: e.move.target, Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted, Held: s.heldBy(e)}
 		if e.unsubmitted {
 			r.Team, r.CancelledAlsoBy = e.cancelledBy[0], e.cancelledBy[1:]
 		}
 		return r.Encode(nil)
 	}
-	return e.progress.Record().Encode(e.body)
+	r := e.progress.Record()
+	r.Moves, r.MovedTo = e.move.count, e.move.target
+	return r.Encode(e.body)
 }
 
 // batchWritten records that a batch is durable.
