--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -127,3 +127,25 @@
 		k.assertCompletedOnce(o, id(1), 2)
 	})
 }
+
+// TestLeavingWorkerThatRefusesTheNextOwner guards against tasks that a next owner starts
+// again, after they are done, because it took the refused connection to a leaving worker for
+// the proof that nothing of the former owner runs there.
+func TestLeavingWorkerThatRefusesTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		k.fleetWrapper = fleet
+		former := k.startOnBoth(c)
+		defer former.stop()
+		time.Sleep(time.Second)
+		fleet.cut.Store(true)
+		former.stop()
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(4 * time.Second)
+		fleet.cut.Store(false)
+		k.assertCompletedOnce(next, id(1), 2)
+	})
+}
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -30,6 +30,8 @@
 	// owners are the nodes that have owned the shard, by epoch.
 	owners map[lovagestand.Epoch]string
 	closed chan struct{}
+	// leaving holds the indexes of the workers that are leaving as planned.
+	leaving map[int]bool
 	// teams reports whether the cell has teams. changedAt is when the store acknowledged
 	// the version that withdraws a key; zero before.
 	teams     bool
@@ -66,7 +68,7 @@
 }
 
 func open(program, directory string, nodes, workers int, teams bool, options ...site.Option) (*Cell, error) {
-	c := &Cell{owners: map[lovagestand.Epoch]string{}, closed: make(chan struct{}), teams: teams}
+	c := &Cell{owners: map[lovagestand.Epoch]string{}, leaving: map[int]bool{}, closed: make(chan struct{}), teams: teams}
 	addProxy := func(address string) (string, error) {
 		p, err := NewProxy(address)
 		if err != nil {
@@ -83,6 +85,7 @@
 		return nil, err
 	}
 	go c.recordOwners()
+	go c.sendHeartbeats()
 	for i := range nodes {
 		n, err := c.newNode(program, directory, fmt.Sprintf("node-%d", i))
 		if err != nil {
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -43,7 +43,8 @@
 	c.mu.Lock()
 	cancelled := !record.cancelled.IsZero()
 	c.mu.Unlock()
-	lost := status == http.StatusGone || strings.Contains(text, "failed") || strings.Contains(text, "cancelled")
+	failed := strings.Contains(text, "failed") && !c.mayGiveUp(id)
+	lost := status == http.StatusGone || failed || strings.Contains(text, "cancelled")
 	if accepted && !cancelled && lost {
 		name := c.cell.Nodes[node%len(c.cell.Nodes)].Name
 		c.recordViolation(c.cell.disturbed(now, recoveryTime, name), "LOST: %s replies about job %s at %.3f: %d %s", name, id, c.seconds(now), status, text)
@@ -54,6 +55,21 @@
 	return fmt.Sprint(status, " ", text)
 }
 
+// crashesToGiveUp is how many workers must have crashed under a task of a job before the
+// job may fail.
+const crashesToGiveUp = 2
+
+// mayGiveUp reports whether a job may fail although none of its runs has failed: workers
+// have crashed again and again under one of its tasks.
+func (c *Callers) mayGiveUp(id string) bool {
+	for _, r := range c.cell.Site.Fleet.Runs() {
+		if strings.HasPrefix(r.Task, id+".") && c.cell.Site.Fleet.CrashesUnder(r.Task) >= crashesToGiveUp {
+			return true
+		}
+	}
+	return false
+}
+
 // seconds returns a time in seconds since the start of the fleet, the unit used in
 // the texts about runs.
 func (c *Callers) seconds(t time.Time) float64 { return c.cell.Site.Fleet.Seconds(t) }
@@ -70,6 +86,9 @@
 		}
 		for n := 0; record.completed.IsZero(); n++ {
 			last := c.query(id, record, n)
+			if strings.Contains(last, "failed") && c.mayGiveUp(id) {
+				break
+			}
 			if time.Now().After(deadline) {
 				c.recordViolation(false, "LOST: job %s did not complete: %s", id, last)
 				break
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -99,7 +100,111 @@
 	return injectedFault{fmt.Sprint(name, " is down for ", downtime, " and registers ", registerDelay, " later"), []string{name}, noHeal}
 }
 
-// faults are all kinds of fault, each equally likely.
+// heartbeatInterval is the time between two heartbeats of a worker, as in
+// settingsTemplate.
+const heartbeatInterval = time.Second
+
+// sendHeartbeats lets the workers register again and again until the cell is closed, unless
+// the store is disturbed.
+func (c *Cell) sendHeartbeats() {
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+		for i := range c.Workers {
+			if !c.disturbed(time.Now(), 0, storeTarget) {
+				// Heartbeat fails only if the worker can't be encoded, which doesn't happen.
+				_ = c.Site.Heartbeat(i)
+			}
+		}
+	}
+}
+
+const (
+	// drainTime is how long a worker that leaves continues at least.
+	drainTime = 2500 * time.Millisecond
+	// maxLinger is how much longer it continues at most.
+	maxLinger = 4 * time.Second
+)
+
+// drainWorker lets a worker leave as planned, and a new incarnation join. Meanwhile its
+// link is cut for a time in one of the modes of a proxy, in half of the cases so that
+// connections are refused. The cut begins while tasks are running that began before.
+func drainWorker(r *rand.Rand, c *Cell) injectedFault {
+	i := r.IntN(len(c.Workers))
+	for n := 0; !c.beginLeave(i); n++ {
+		if n == len(c.Workers) {
+			return injectedFault{"no worker leaves: all are leaving", nil, noHeal}
+		}
+		i = (i + 1) % len(c.Workers)
+	}
+	lasting, mode := drainTime+randomBetween(r, 0, maxLinger), Mode(r.IntN(2*int(modeCount)))
+	cutAfter, cutFor := randomBetween(r, 0, 400*time.Millisecond), randomBetween(r, 200*time.Millisecond, drainTime)
+	if mode >= modeCount {
+		mode = Refuse
+	}
+	name := string(c.Site.WorkerName(i))
+	left := make(chan error, 1)
+	go func() {
+		err := c.Site.SetReady(i, false)
+		time.Sleep(lasting)
+		c.Site.Leave(i)
+		c.Workers[i].SetMode(Pass)
+		c.Workers[i].Reset()
+		time.Sleep(heartbeatInterval)
+		c.Site.Restart(i)
+		if ready := c.Site.SetReady(i, true); err == nil {
+			err = ready
+		}
+		c.endLeave(i)
+		left <- err
+	}()
+	time.AfterFunc(cutAfter, func() { c.Workers[i].SetMode(mode) })
+	time.AfterFunc(cutAfter+cutFor, func() { c.Workers[i].SetMode(Pass) })
+	return injectedFault{fmt.Sprint(name, " leaves after ", lasting, ", its link in mode ", mode), []string{name}, func() error { return <-left }}
+}
+
+// beginLeave marks a worker as leaving. It returns false if it is leaving already: a worker
+// that joins again and is ended by the former departure would leave unannounced.
+func (c *Cell) beginLeave(i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving[i] {
+		return false
+	}
+	c.leaving[i] = true
+	return true
+}
+
+func (c *Cell) endLeave(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.leaving, i)
+}
+
+// losePower kills a node of which the workers do not learn that its connections have ended.
+func losePower(r *rand.Rand, c *Cell) injectedFault {
+	n := c.pickNode(r)
+	for _, w := range c.Workers {
+		w.HideEnds(true)
+	}
+	n.Signal(syscall.SIGKILL)
+	n.Wait()
+	time.Sleep(closeDelay)
+	for _, w := range c.Workers {
+		w.HideEnds(false)
+	}
+	return injectedFault{"power loss of " + n.Name, []string{n.Name}, n.restart}
+}
+
+// closeDelay is how long after the end of a process its connections are closed at the
+// latest.
+const closeDelay = 50 * time.Millisecond
+
+// faults are the kinds of fault that the regression seeds were found with, each equally
+// likely.
 var faults = []fault{
 	signalFault("kill", syscall.SIGKILL, (*Node).restart),
 	signalFault("stop", syscall.SIGTERM, (*Node).restart),
@@ -170,6 +275,16 @@
 	},
 }
 
+// allFaults are all kinds of fault, each equally likely.
+var allFaults = append(slices.Clip(faults), drainWorker, losePower,
+	func(r *rand.Rand, c *Cell) injectedFault {
+		i := r.IntN(len(c.Workers))
+		c.Workers[i].SetMode(Refuse)
+		name := string(c.Site.WorkerName(i))
+		return injectedFault{name + " refuses connections", []string{name}, func() error { c.Workers[i].SetMode(Pass); return nil }}
+	},
+)
+
 // oneInThree returns a function that chooses the fault of each call: f for one
 // call in three at random, none for the others. The faults of the store and of
 // the workers have the same numbers, so that one can be converted to the other.
@@ -189,6 +304,16 @@
 // so that a fault also hits the next owner of the shard. log is called when a
 // fault begins and when it is over.
 func (c *Cell) InjectFaults(r *rand.Rand, length time.Duration, log func(string)) error {
+	return c.inject(allFaults, r, length, log)
+}
+
+// InjectEarlierFaults is InjectFaults without the kinds of fault that were added after the
+// regression seeds had been found.
+func (c *Cell) InjectEarlierFaults(r *rand.Rand, length time.Duration, log func(string)) error {
+	return c.inject(faults, r, length, log)
+}
+
+func (c *Cell) inject(faults []fault, r *rand.Rand, length time.Duration, log func(string)) error {
 	var active sync.WaitGroup
 	failed := make(chan error, 1)
 	kind := 0
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -163,16 +163,34 @@
 	}
 }
 
+// Leave ends a worker that was about to leave. It no longer replies, and what still runs
+// there ends without counting as crashed.
+func (f *Fleet) Leave(name lovagestand.WorkerName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[name]; w != nil {
+		f.endRuns(w)
+		delete(f.workers, name)
+	}
+}
+
 func (f *Fleet) crash(w *worker) {
-	w.endLifetime()
-	for task, r := range w.runs {
-		delete(w.runs, task)
+	for _, r := range w.runs {
 		r.record.WorkerCrashed = true
-		f.recordEnd(r, EndingUnlisted)
 	}
 	for _, e := range w.ended {
 		e.run.record.WorkerCrashed = true
 	}
+	f.endRuns(w)
+}
+
+// endRuns ends a worker and all that runs there.
+func (f *Fleet) endRuns(w *worker) {
+	w.endLifetime()
+	for task, r := range w.runs {
+		delete(w.runs, task)
+		f.recordEnd(r, EndingUnlisted)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -193,6 +193,36 @@
 	s.workers[i].Born = s.Fleet.Add(s.workers[i].Name, capacity).Born
 }
 
+// SetReady sets whether a worker is about to leave, and registers that.
+func (s *Site) SetReady(i int, ready bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers[i].Ready = ready
+	return s.register(s.workers[i])
+}
+
+// Leave ends a worker that leaves as planned, and removes its entry.
+func (s *Site) Leave(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Fleet.Leave(s.workers[i].Name)
+	s.Keys.Remove(platform.WorkerPrefix() + string(s.workers[i].Name))
+}
+
+// Heartbeat makes a worker register again with its next heartbeat, unless its entry was
+// removed or is that of an earlier incarnation.
+func (s *Site) Heartbeat(i int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := &s.workers[i]
+	entry, ok := platform.DecodeWorker(s.Keys.Peek(platform.WorkerPrefix() + string(w.Name)))
+	if !ok || entry.Born != w.Born || s.Fleet.Born(w.Name) != w.Born {
+		return nil
+	}
+	w.Heartbeat++
+	return s.register(*w)
+}
+
 // Register registers a worker in the store as it is now.
 func (s *Site) Register(i int) error {
 	s.mu.Lock()
