--- a/node/node.go
+++ b/node/node.go
@@ -68,9 +68,11 @@
 	peers      *peers
 	servers    []*http.Server
 
-	mu         sync.Mutex
-	candidates map[string]*election.Candidate
-	detectors  map[string]*election.Detector
+	mu sync.Mutex
+	// ignoredEntries holds the entries of the list of workers that were logged as unusable.
+	ignoredEntries map[string]lovagestand.Revision
+	candidates     map[string]*election.Candidate
+	detectors      map[string]*election.Detector
 }
 
 // New returns a node that is inactive until it runs.
@@ -83,7 +85,7 @@
 	deps.Keys = calls
 	n := &Node{
 		settings: s, deps: deps, storeCalls: calls, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
-		routes: gateway.NewRoutes(deps.Keys, deps.Log, routesOptions(s)...), peers: newPeers(), candidates: map[string]*election.Candidate{},
+		routes: gateway.NewRoutes(deps.Keys, deps.Log, routesOptions(s)...), peers: newPeers(), ignoredEntries: map[string]lovagestand.Revision{}, candidates: map[string]*election.Candidate{},
 		detectors: map[string]*election.Detector{},
 	}
 	n.cell = &cellServer{
--- a/node/serve.go
+++ b/node/serve.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// maxIgnoredEntries bounds the entries of which it is remembered that they were logged.
+const maxIgnoredEntries = 1000
+
+// logIgnoredEntry logs an entry of the list of workers that is not used, once for each of
+// its changes.
+func (n *Node) logIgnoredEntry(i lovagestand.Item) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ignoredEntries[i.Key] == i.Revision {
+		return
+	}
+	if len(n.ignoredEntries) >= maxIgnoredEntries {
+		clear(n.ignoredEntries)
+	}
+	n.ignoredEntries[i.Key] = i.Revision
+	n.deps.Log.Warn().Str("key", i.Key).Uint64("revision", uint64(i.Revision)).Msg("entry does not describe a usable worker; ignored")
+}
+
 // divide returns a list in which the workers of the shards other than the named one are
 // listed by shard.
 func divide(list shard.WorkerList, l layout.Layout, name string) shard.WorkerList {
@@ -170,14 +188,14 @@
 	list := shard.WorkerList{SentAt: time.Now()}
 	limited, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, revision, err := n.deps.Keys.Range(limited, n.deps.WorkerPrefix)
+	items, _, err := n.deps.Keys.Range(limited, n.deps.WorkerPrefix)
 	if err != nil {
 		return list, err
 	}
 	for _, i := range items {
 		w, ok := n.deps.DecodeWorker(i)
 		if !ok {
-			n.deps.Log.Warn().Str("key", i.Key).Uint64("revision", uint64(revision)).Msg("entry does not describe a usable worker; ignored")
+			n.logIgnoredEntry(i)
 			list.Undecodable = append(list.Undecodable, lovagestand.WorkerName(strings.TrimPrefix(i.Key, n.deps.WorkerPrefix)))
 			continue
 		}
