--- a/election/directory.go
+++ b/election/directory.go
@@ -37,8 +37,9 @@
 	// refreshInterval is the least time between two refreshes: during a
 	// takeover, every call of every caller requests one.
 	refreshInterval = 100 * time.Millisecond
-	// callTimeout bounds one call to the store; a watch may take this much
-	// longer than it waits for a change.
+	// callTimeout bounds one call to the store. A read or a watch, whose reply may be
+	// large, ends if nothing arrives for so long, or for so much longer than the watch
+	// waits for a change.
 	callTimeout = time.Second
 	// retryDelay is the pause after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
--- a/election/follower.go
+++ b/election/follower.go
@@ -55,7 +55,7 @@
 // fails or a refresh is requested.
 func (f Follower) readAndWatch(ctx context.Context) error {
 	sentAt := time.Now()
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := lovagestand.WithStallTimeout(ctx, callTimeout)
 	items, revision, err := f.Keys.Range(limited, f.Prefix)
 	cancel()
 	if err != nil {
@@ -98,7 +98,7 @@
 // from which to continue. It returns early and reports true if a refresh is
 // requested.
 func (f Follower) watchOnce(ctx context.Context, after lovagestand.Revision) ([]lovagestand.Item, lovagestand.Revision, bool, error) {
-	limited, cancel := context.WithTimeout(ctx, f.Wait+callTimeout)
+	limited, cancel := lovagestand.WithStallTimeout(ctx, f.Wait+callTimeout)
 	defer cancel()
 	done := make(chan struct{})
 	refreshed := make(chan bool, 1)
--- a/node/serve.go
+++ b/node/serve.go
@@ -26,7 +26,7 @@
 	// maxListFactor, with which leaving workers are still noticed in time.
 	listInterval  = 500 * time.Millisecond
 	maxListFactor = 3
-	// listTimeout bounds one read of the list.
+	// listTimeout is how long a read of the list may make no progress.
 	listTimeout = 1500 * time.Millisecond
 	// missedHeartbeats is how many heartbeats a worker must miss before the
 	// platform removes its entry.
@@ -34,7 +34,7 @@
 	// loadRetryDelay is the pause after a failed attempt to load a shard that was
 	// won.
 	loadRetryDelay = 100 * time.Millisecond
-	// loadTimeout bounds one attempt.
+	// loadTimeout is how long such an attempt may make no progress.
 	loadTimeout = 3 * time.Second
 )
 
@@ -58,7 +58,7 @@
 		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, DividedCaps: l.Shards > 1, Move: n.mover(l), Recorder: n.deps.Recorder,
 	})
 	for {
-		limited, cancel := context.WithTimeout(ctx, loadTimeout)
+		limited, cancel := lovagestand.WithStallTimeout(ctx, loadTimeout)
 		err := s.Load(limited)
 		cancel()
 		if err == nil {
@@ -186,7 +186,7 @@
 // listWorkers reads the list of registered workers.
 func (n *Node) listWorkers(ctx context.Context) (shard.WorkerList, error) {
 	list := shard.WorkerList{SentAt: time.Now()}
-	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	limited, cancel := lovagestand.WithStallTimeout(ctx, listTimeout)
 	defer cancel()
 	items, _, err := n.deps.Keys.Range(limited, n.deps.WorkerPrefix)
 	if err != nil {
--- a/node/storecalls.go
+++ b/node/storecalls.go
@@ -52,6 +52,8 @@
 type storeCall struct {
 	sentAt time.Time
 	cancel context.CancelFunc
+	// progressing reports whether a part of the reply has arrived.
+	progressing bool
 	// stale reports whether the call was cancelled because it was sent before the end of
 	// an outage.
 	stale bool
@@ -112,6 +114,7 @@
 	ctx, cancel := context.WithCancel(callerCtx)
 	defer cancel()
 	call := &storeCall{sentAt: time.Now(), cancel: cancel}
+	ctx = lovagestand.WithProgressHandler(ctx, func() { s.recordProgress(call) })
 	s.begin(call, kind, lovagestand.NewConnectionRequired(ctx))
 	if !kind.waits {
 		defer time.AfterFunc(unansweredAfter, func() { s.recordSilence(call) }).Stop()
@@ -124,12 +127,20 @@
 	switch {
 	case outage.Served(err):
 		s.recordServed(call)
-	case !kind.waits && !stale && !errors.Is(callerCtx.Err(), context.Canceled):
+	case !kind.waits && !stale && !errors.Is(context.Cause(callerCtx), context.Canceled):
 		s.outages.RecordFailure(call.sentAt)
 	}
 	return call, err
 }
 
+// recordProgress records that a part of the reply to a call has arrived. A large reply takes
+// long over a slow link, and the call is not sent again because of that.
+func (s *storeCalls) recordProgress(call *storeCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call.progressing = true
+}
+
 func (s *storeCalls) begin(call *storeCall, kind callKind, newConnection bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,7 +161,7 @@
 	if lasted >= staleAfterOutage {
 		s.log.Info().Dur("lasted", lasted).Msg("store serves this instance again")
 		for call := range s.pending {
-			if call.sentAt.Before(served.sentAt) {
+			if call.sentAt.Before(served.sentAt) && !call.progressing {
 				call.stale = true
 				call.cancel()
 			}
