--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -37,7 +37,11 @@
 		// A former owner may have extended the lease of the worker until now.
 		w.leaseEnd = later(w.leaseEnd, now.Add(s.longestLease()))
 	}
-	w.contacted = true
+	if w.silent {
+		w.silent = false
+		s.requestRosterWrite()
+	}
+	w.answered, w.contacted = true, true
 	w.unresponsive = false
 	w.lastAnswer = now
 	w.clock, w.clockAt = holding.Clock, now
--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -149,3 +149,29 @@
 		k.assertCompletedOnce(next, id(1), 2)
 	})
 }
+
+// TestEntryThatNamesNoWorker guards against a next owner that waits for an answer from an
+// entry of another writer, at whose address no worker has ever answered.
+func TestEntryThatNamesNoWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			printer := lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: "printer"}, Address: "printer", Service: "printing", Ready: true}
+			return append(workers, printer)
+		})
+		former := k.beginTerm("a")
+		defer former.stop()
+		time.Sleep(5 * time.Second)
+		former.submit(c, id(1), job.Step{Count: 1}, job.Step{Count: 1, After: []int{0}})
+		time.Sleep(time.Second)
+		former.stop()
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(time.Second)
+		c.Assert(next.Status().FormerTermResolved, qt.IsTrue)
+		time.Sleep(6 * time.Second)
+		assertPhase(c, next, id(1), "completed")
+		k.assertNoViolations()
+	})
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -41,6 +41,9 @@
 	// listGap is the time beyond ListInterval after which the next read of the list
 	// counts as the first one: workers may have been unable to keep their entries.
 	listGap = time.Second
+	// silentAfter is how long a worker may be listed without an answer before it is taken
+	// off the roster.
+	silentAfter = 3 * time.Second
 	// heartbeatMargin allows for a store whose clock runs faster than that of this
 	// instance.
 	heartbeatMargin = 100 * time.Millisecond
@@ -75,9 +78,14 @@
 	// without gaps. The worker's capacity may have changed since its last heartbeat.
 	expired bool
 
-	contacted    bool // whether the current incarnation has answered a hold
-	unresponsive bool // whether the last hold failed
-	lastAnswer   time.Time
+	addedAt time.Time
+	// answered reports whether any incarnation has answered a hold in this term, silent
+	// whether none has for so long that the entry may be that of another writer. A silent
+	// worker has been given no task.
+	answered, silent bool
+	contacted        bool // whether the current incarnation has answered a hold
+	unresponsive     bool // whether the last hold failed
+	lastAnswer       time.Time
 	// aliveUntil is when the worker is known to have been alive last, once it does not
 	// answer or was found to have restarted.
 	aliveUntil time.Time
@@ -279,6 +287,7 @@
 		s.addFormerWorkers()
 	}
 	for name, w := range s.workers {
+		s.checkSilence(w, now)
 		w.expired = !w.listed && !w.lastListed.Before(s.listReadSince)
 		if s.hasLeft(w) {
 			s.markGone(w, lossLeft)
@@ -294,6 +303,16 @@
 	s.wake()
 }
 
+// checkSilence takes a worker that has not answered since it was added off the roster.
+func (s *Shard) checkSilence(w *worker, now time.Time) {
+	if w.answered || w.silent || now.Sub(w.addedAt) <= silentAfter {
+		return
+	}
+	w.silent, w.inRosterWrite, w.enrolled = true, false, false
+	s.log.Warn().Str("worker", string(w.info.Name)).Str("address", w.info.Address).Str("service", w.info.Service).Msg("worker has never answered; it is taken off the roster")
+	s.requestRosterWrite()
+}
+
 // removable reports whether a worker is gone and cannot run any task of this shard.
 func (s *Shard) removable(w *worker, now time.Time) bool {
 	if _, unresolved := s.unresolved[w.info.Name]; unresolved || w.listed {
@@ -405,7 +424,7 @@
 func (s *Shard) addWorker(info lovagestand.FleetWorker, now time.Time) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	w := &worker{
-		info: info, free: info.Capacity, maxCapacity: s.formerCapacity(info), cancel: cancel, listed: !now.IsZero(), lastListed: now,
+		addedAt: time.Now(), info: info, free: info.Capacity, maxCapacity: s.formerCapacity(info), cancel: cancel, listed: !now.IsZero(), lastListed: now,
 		placements: map[string]*placement{}, strays: map[string]int64{}, replacedIncarnations: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
 	}
 	s.workers[info.Name] = w
--- a/shard/write.go
+++ b/shard/write.go
@@ -361,13 +361,16 @@
 }
 
 // encodeRoster returns the roster, which lists the workers that may hold or be given
-// tasks.
+// tasks, without the silent ones: the next owner would wait for them.
 func (s *Shard) encodeRoster() jobstore.Entry {
 	roster := map[lovagestand.WorkerName]rosterEntry{}
 	for name, former := range s.unresolved {
 		roster[name] = former
 	}
 	for name, w := range s.workers {
+		if w.silent {
+			continue
+		}
 		roster[name] = rosterEntry{Address: w.info.Address, Leaving: !w.info.Ready, Capacity: s.rosterCapacity(w)}
 		w.inRosterWrite = true
 	}
