--- a/soak/cell.go
+++ b/soak/cell.go
@@ -51,9 +51,11 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	// terminating reports whether the process has been sent a signal to exit.
-	// unexpectedExits counts the processes that exited without one.
+	// unexpectedExits counts the processes that exited without one, and exitReport tells how
+	// the last of them ended.
 	terminating     bool
 	unexpectedExits int
+	exitReport      string
 }
 
 // Open starts a cell with a number of nodes and workers. The nodes' settings and
@@ -215,13 +217,12 @@
 	exited := make(chan struct{})
 	n.command, n.exited, n.terminating = command, exited, false
 	go func() {
-		// The exit status is not needed: the log and the signals sent show how the
-		// process ended.
-		_ = command.Wait()
+		status := command.Wait()
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if !n.terminating {
 			n.unexpectedExits++
+			n.exitReport = fmt.Sprintf("%v\n%s", status, n.logTail())
 		}
 		close(exited)
 	}()
@@ -267,6 +268,26 @@
 	return n.unexpectedExits
 }
 
+// ExitReport returns the exit status of the last process that exited unexpectedly, and the
+// end of its log.
+func (n *Node) ExitReport() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.exitReport
+}
+
+// logTailBytes is how much of a log is reported.
+const logTailBytes = 4 << 10
+
+// logTail returns the end of the log.
+func (n *Node) logTail() string {
+	text, err := os.ReadFile(n.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-logTailBytes):])
+}
+
 // Wait waits until the process has exited.
 func (n *Node) Wait() {
 	n.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -117,7 +117,7 @@
 			t.Log("excused: ", e)
 		}
 		for _, n := range cell.Nodes {
-			c.Check(n.UnexpectedExits(), qt.Equals, 0, qt.Commentf("%s exited without a signal to exit", n.Name))
+			c.Check(n.UnexpectedExits(), qt.Equals, 0, qt.Commentf("%s exited without a signal to exit: %s", n.Name, n.ExitReport()))
 		}
 		c.Check(violations, qt.HasLen, 0, qt.Commentf("%s", strings.Join(violations, "\n")))
 	})
