--- a/shard/outage_test.go
+++ b/shard/outage_test.go
@@ -106,3 +106,31 @@
 		})
 	}
 }
+
+// TestCallersOfAQueuedJobLearnThatItIsNotAccepted guards against answers that leave the
+// outcome of a job unknown because the term ended at the time at which it was withdrawn.
+func TestCallersOfAQueuedJobLearnThatItIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const callers = 100
+		k := newCell(c, 1, always(time.Second, lovagestand.EndingDone))
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		k.delay.Store(int64(500 * time.Millisecond))
+		var calls sync.WaitGroup
+		calls.Go(func() { o.trySubmit(id(1)) })
+		time.Sleep(10 * time.Millisecond)
+		outcomes := make([]error, callers)
+		for i := range callers {
+			calls.Go(func() { outcomes[i] = o.trySubmit(id(2)) })
+		}
+		time.Sleep(40 * time.Millisecond)
+		k.keys.Put(ownerKey, []byte("b"))
+		calls.Wait()
+		time.Sleep(5 * time.Second)
+		for _, err := range outcomes {
+			var notOwner *shard.NotOwnerError
+			c.Check(err, qt.ErrorAs, &notOwner)
+		}
+	})
+}
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -167,18 +167,24 @@
 }
 
 // awaitWrite waits for the outcome of a write. It returns an [UnknownError] if ctx or
-// the term ends first.
+// the term ends before the outcome is known.
 func (s *Shard) awaitWrite(ctx context.Context, e *jobEntry, done chan error) error {
 	select {
 	case err := <-done:
 		return err
 	case <-s.lost:
-		return &UnknownError{}
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.log.Info().Str("job", string(e.id)).Bool("inQueue", e.queuePosition > 0).Msg("caller stopped waiting before the job was stored")
+	select {
+	case err := <-done:
+		return err
+	default:
+	}
+	if ctx.Err() != nil {
+		s.log.Info().Str("job", string(e.id)).Bool("inQueue", e.queuePosition > 0).Msg("caller stopped waiting before the job was stored")
+	}
 	return &UnknownError{}
 }
 
