--- a/shard/ending.go
+++ b/shard/ending.go
@@ -32,6 +32,9 @@
 		p.worker.free = p.worker.free.Add(p.needs)
 		s.addUsage(e.team, lovagestand.Resources{}.Sub(p.needs))
 		e.releaseHeldRun(p.name)
+		if !p.worker.info.Ready {
+			s.requestRosterWrite()
+		}
 		if !p.trialUntil.IsZero() {
 			p.worker.trialUntil = time.Time{}
 		}
--- a/shard/evidence.go
+++ b/shard/evidence.go
@@ -1,12 +1,15 @@
 package shard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/common/clock"
+	"lovagestand.example/lovagestand/job"
 )
 
 // The functions in this file decide what an owner concludes from replies, from missing
@@ -59,6 +62,63 @@
 	return p.startUntil > 0 && p.worker.born == p.born && clock > p.startUntil
 }
 
+// anyTaskMayRun reports whether a worker that has not answered may run any task of the
+// recovered jobs, so that none of them may be started.
+func (s *Shard) anyTaskMayRun() bool {
+	if s.rosterUnreadable {
+		return true
+	}
+	for _, former := range s.unresolved {
+		if former.Tasks == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// tasksOnLeaving returns the tasks that may run on a worker that is about to leave. It is
+// given no more, so their number only decreases. The result is nil if the worker is not
+// about to leave or may run tasks of former terms that are not known.
+func (s *Shard) tasksOnLeaving(w *worker) *[]string {
+	former, unresolved := s.unresolved[w.info.Name]
+	switch {
+	case w.info.Ready || s.rosterUnreadable:
+		return nil
+	case unresolved:
+		return former.Tasks
+	}
+	tasks := slices.AppendSeq(slices.AppendSeq([]string{}, maps.Keys(w.placements)), maps.Keys(w.strays))
+	slices.Sort(tasks)
+	tasks = slices.Compact(tasks)
+	return &tasks
+}
+
+// holdFormerRuns keeps the tasks from being started that may run on workers that have not
+// answered, where the roster tells them; see [Shard.anyTaskMayRun].
+func (s *Shard) holdFormerRuns() {
+	for _, former := range s.unresolved {
+		s.forEachTask(former, func(e *jobEntry, name string) { e.heldRuns[name]++ })
+	}
+}
+
+// releaseFormerRuns undoes holdFormerRuns for a worker that has answered or is gone.
+func (s *Shard) releaseFormerRuns(former rosterEntry) {
+	s.forEachTask(former, (*jobEntry).releaseHeldRun)
+}
+
+// forEachTask calls f for each of the listed tasks of recovered jobs.
+func (s *Shard) forEachTask(former rosterEntry, f func(e *jobEntry, name string)) {
+	if former.Tasks == nil {
+		return
+	}
+	for _, name := range *former.Tasks {
+		id, _, ok := job.ParseTaskName(name)
+		if e := s.jobs[id]; ok && e != nil && e.recovered {
+			f(e, name)
+		}
+	}
+}
+
 // hasLeft reports whether a worker that was about to leave has left: its entry is gone
 // although its heartbeat cannot have been missing for long enough to let the entry expire.
 func (s *Shard) hasLeft(w *worker) bool {
--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -12,6 +12,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/standin/keyspace"
 	"lovagestand.example/lovagestand/standin/runner"
 )
 
@@ -52,9 +53,12 @@
 }
 
 // setLeaving marks the first worker of the list as about to leave.
-func (k *cell) setLeaving() {
+func (k *cell) setLeaving() { k.setReady(false) }
+
+// setReady sets whether the first worker of the list is ready.
+func (k *cell) setReady(ready bool) {
 	k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
-		workers[0].Ready = false
+		workers[0].Ready = ready
 		return workers
 	})
 }
@@ -175,3 +179,71 @@
 		k.assertNoViolations()
 	})
 }
+
+// TestJobsBesideAWorkerThatHasLeft guards against jobs that a next owner does not go on with
+// until the lease of a worker is over that was about to leave and on which none of their
+// tasks ran.
+func TestJobsBesideAWorkerThatHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		k.fleetWrapper = fleet
+		former := k.startOnBoth(c)
+		defer former.stop()
+		time.Sleep(600 * time.Millisecond)
+		former.submit(c, id(2), job.Step{Count: 1}, job.Step{Count: 1, After: []int{0}})
+		time.Sleep(400 * time.Millisecond)
+		former.stop()
+		fleet.cut.Store(true)
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(6500 * time.Millisecond)
+		assertPhase(c, next, id(2), "completed")
+		assertPhase(c, next, id(1), "queued")
+		time.Sleep(14 * time.Second)
+		assertPhase(c, next, id(1), "completed")
+		k.assertNoViolations()
+	})
+}
+
+// TestIdleWorkerThatHasLeft guards against a next owner that waits for the answer of a worker
+// that has left and on which nothing ran.
+func TestIdleWorkerThatHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(time.Second, lovagestand.EndingDone))
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		k.setLeaving()
+		time.Sleep(time.Second)
+		former.stop()
+		k.fleet.Leave("w0")
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(time.Second)
+		c.Assert(next.Status().FormerTermResolved, qt.IsTrue)
+	})
+}
+
+// TestWorkerThatStaysAfterAll guards against tasks on a worker of which the stored roster
+// says that it is about to leave and runs nothing: a next owner would start them again.
+func TestWorkerThatStaysAfterAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(4*time.Second, lovagestand.EndingDone))
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		k.setLeaving()
+		time.Sleep(time.Second)
+		o.submit(c, id(1), job.Step{Count: 1})
+		end := k.outage(keyspace.FaultLostRequest, 3*time.Second)
+		k.setReady(true)
+		time.Sleep(time.Until(end) - 100*time.Millisecond)
+		c.Check(k.fleet.Running(), qt.Equals, 0)
+		time.Sleep(6 * time.Second)
+		assertPhase(c, o, id(1), "completed")
+	})
+}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -210,11 +210,11 @@
 
 // collect adds the waiting steps and the workers to the pass.
 func (s *Shard) collect(p *pass) {
+	anyTaskMayRun := s.anyTaskMayRun()
 	for _, e := range s.live {
-		// Tasks of a recovered job may still be running on workers, so none is placed
-		// until all runs of former terms are known. The quota of a team is not known
-		// without a configuration.
-		if e.durable && !e.move.leaving() && (!e.recovered || s.resolved) && (p.configured || e.team == "") {
+		// Tasks of a recovered job may still be running on workers. The quota of a team is
+		// not known without a configuration.
+		if e.durable && !e.move.leaving() && (!e.recovered || !anyTaskMayRun) && (p.configured || e.team == "") {
 			s.collectWaitingSteps(p, e)
 		}
 	}
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -44,6 +44,7 @@
 			s.unreadable[job.ID(strings.TrimPrefix(entry.ID, jobPrefix))] = true
 		}
 	}
+	s.holdFormerRuns()
 	s.resolved = len(s.unresolved) == 0 && !s.rosterUnreadable
 	if s.resolved {
 		s.former = newFormerRuns()
@@ -62,7 +63,9 @@
 		return
 	}
 	for name, former := range roster {
-		s.unresolved[name] = former
+		if former.Tasks == nil || len(*former.Tasks) > 0 {
+			s.unresolved[name] = former
+		}
 	}
 }
 
@@ -129,6 +132,7 @@
 	if s.resolved {
 		return
 	}
+	s.releaseFormerRuns(s.unresolved[name])
 	delete(s.unresolved, name)
 	if len(s.unresolved) > 0 || s.rosterUnreadable {
 		return
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -337,6 +337,10 @@
 		return
 	}
 	if w.info.Ready != info.Ready {
+		if info.Ready {
+			// No task is placed here while the stored roster says that none is.
+			w.inRosterWrite, w.enrolled = false, false
+		}
 		s.log.Info().Str("worker", string(info.Name)).Bool("ready", info.Ready).Msg("worker changed state")
 		s.requestRosterWrite()
 	}
--- a/shard/write.go
+++ b/shard/write.go
@@ -355,6 +355,9 @@
 type rosterEntry struct {
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Tasks holds the tasks that may run on a worker that is about to leave, which is given
+	// no more; nil if any task may run there.
+	Tasks *[]string `json:"tasks,omitempty"`
 	// Capacity is the largest capacity that the worker has had since it was added; nil in
 	// a deployment without teams.
 	Capacity *lovagestand.Resources `json:"capacity,omitempty"`
@@ -371,7 +374,7 @@
 		if w.silent {
 			continue
 		}
-		roster[name] = rosterEntry{Address: w.info.Address, Leaving: !w.info.Ready, Capacity: s.rosterCapacity(w)}
+		roster[name] = rosterEntry{Address: w.info.Address, Leaving: !w.info.Ready, Tasks: s.tasksOnLeaving(w), Capacity: s.rosterCapacity(w)}
 		w.inRosterWrite = true
 	}
 	value, err := json.Marshal(roster)
