--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -247,3 +247,26 @@
 		assertPhase(c, o, id(1), "completed")
 	})
 }
+
+// TestLongRunningTasksOnALeavingWorker guards against long-running tasks that no owner starts
+// again until a lease is over, because their worker left just before the owner changed.
+func TestLongRunningTasksOnALeavingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(time.Hour, lovagestand.EndingDone))
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		former.submit(c, id(1), job.Step{Count: 2, LongRunning: true})
+		time.Sleep(time.Second)
+		k.setLeaving()
+		time.Sleep(2500 * time.Millisecond)
+		former.stop()
+		k.fleet.Leave("w0")
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(2 * time.Second)
+		c.Check(k.fleet.Running(), qt.Equals, 2)
+		k.assertNoViolations()
+	})
+}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -173,6 +173,14 @@
 	s.moveUnplaceable(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
+	next := s.placeWaiting(p)
+	s.evacuate(p)
+	return next
+}
+
+// placeWaiting places tasks of the waiting steps of a pass. It returns the time until the
+// next pass unless something changes.
+func (s *Shard) placeWaiting(p *pass) time.Duration {
 	if len(p.waiting) == 0 || !s.deps.Assured() {
 		return idleInterval
 	}
@@ -593,12 +601,7 @@
 		}
 	}
 	if step.MaxPerWorker > 0 {
-		out.Placed = map[int]int{}
-		for name, n := range st.placed {
-			if w := s.workers[name]; w != nil {
-				out.Placed[w.passIndex] = n
-			}
-		}
+		out.Placed = s.placedByIndex(st)
 	}
 	for name := range st.avoid {
 		if w := s.workers[name]; w != nil {
