--- a/shard/admission.go
+++ b/shard/admission.go
@@ -91,7 +91,7 @@
 		for i := range j.Steps {
 			step := &j.Steps[i]
 			matches := (j.Policy.Service == "" || w.info.Service == j.Policy.Service) && (step.Label == "" || slices.Contains(w.info.Labels, step.Label))
-			if matches && step.Needs.Fits(w.free) && w.open(now) {
+			if matches && step.Needs.Fits(w.free) && s.open(w, now) {
 				return true
 			}
 		}
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -20,7 +20,7 @@
 // activate makes a placement the current run of its task.
 func (s *Shard) activate(p *placement) {
 	p.entry.active[p.name] = p
-	p.entry.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step}).placed[p.worker.info.Name]++
+	p.entry.step(p.ref()).placed[p.worker.info.Name]++
 }
 
 // releaseRoom removes a placement from its worker and its job, and frees its room.
@@ -42,7 +42,7 @@
 	if e.active[p.name] == p {
 		delete(e.active, p.name)
 		if e.steps != nil {
-			st := e.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step})
+			st := e.step(p.ref())
 			st.placed[p.worker.info.Name]--
 		}
 	}
@@ -104,6 +104,7 @@
 	switch end.Ending {
 	case lovagestand.EndingDone:
 		w.recordSuccess()
+		e.recordTaskTime(p, now)
 		s.recordRunTime(w, p, now)
 		s.taskDone(e, task, end, p)
 	case lovagestand.EndingFailed:
@@ -118,6 +119,17 @@
 	}
 }
 
+// recordTaskTime records how long a task of a step has taken.
+func (e *jobEntry) recordTaskTime(p *placement, now time.Time) {
+	if p == nil {
+		return
+	}
+	st, took := e.step(p.ref()), max(now.Sub(p.placedAt), 1)
+	if st.shortestRun == 0 || took < st.shortestRun {
+		st.shortestRun = took
+	}
+}
+
 // taskDone records that a task has completed. It finishes the job if that was its last
 // task, and stops any other run of the task.
 func (s *Shard) taskDone(e *jobEntry, task job.Task, end lovagestand.EndedTask, p *placement) {
--- a/shard/evacuate.go
+++ b/shard/evacuate.go
@@ -28,7 +28,7 @@
 	var mayStop []int
 	runs := make([]dispatch.LeavingRun, 0, len(victims))
 	for _, v := range victims {
-		key := stepKey{v.entry, job.StepRef{Occurrence: v.task.Occurrence, Step: v.task.Step}}
+		key := stepKey{v.entry, v.ref()}
 		number, known := steps[key]
 		if !known {
 			number = len(mayStop)
--- a/shard/health.go
+++ b/shard/health.go
@@ -1,6 +1,11 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"lovagestand.example/lovagestand/dispatch"
+	"lovagestand.example/lovagestand/job"
+)
 
 const (
 	// quarantineAfter is the number of consecutive failures after which a worker is
@@ -9,11 +14,9 @@
 	quarantineAfter = 3
 	quarantineFor   = 4 * time.Second
 	// A run is overdue when it has run for overdueFactor times its expected run time
-	// plus overdueSlack. A worker on which at least minOverdue runs and half of all
-	// runs are overdue gets no new tasks until runs end there again.
+	// plus overdueSlack; see [dispatch.Stuck].
 	overdueFactor = 2.5
 	overdueSlack  = 300 * time.Millisecond
-	minOverdue    = 2
 )
 
 // health is the health of a worker, derived from the results of its runs and its
@@ -32,29 +35,62 @@
 	return now.Before(h.quarantinedUntil)
 }
 
-// stuck reports whether too many of the worker's runs are overdue. Long-running tasks
-// have no time by which they should end.
-func (w *worker) stuck(now time.Time) bool {
-	overdue, runs := 0, 0
-	count := func(r runTimes, longRunning bool) {
-		if longRunning {
-			return
-		}
-		runs++
-		if !r.stopRequested && now.Sub(r.placedAt) > time.Duration(overdueFactor*float64(r.expected))+overdueSlack {
-			overdue++
-		}
+// overdue reports whether a run takes much longer than a time.
+func (r runTimes) overdue(now time.Time, expected time.Duration) bool {
+	return !r.stopRequested && now.Sub(r.placedAt) > time.Duration(overdueFactor*float64(expected))+overdueSlack
+}
+
+// overdue reports whether a run takes much longer than expected, and than a task of its step
+// has taken that ended.
+func (p *placement) overdue(now time.Time) bool {
+	return p.times().overdue(now, max(p.expectedRunTime, p.entry.step(p.ref()).shortestRun))
+}
+
+// ref returns the step of the run.
+func (p *placement) ref() job.StepRef {
+	return job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step}
+}
+
+// findStuck determines the workers of a pass on which tasks stand still.
+func (s *Shard) findStuck(p *pass) {
+	mayBeStuck := false
+	s.stuck = nil
+	for _, w := range p.workers {
+		mayBeStuck = s.hasOverdueRuns(w, p.now) || mayBeStuck
 	}
-	if w.runs != nil {
-		for i := range w.runs {
-			count(w.runs[i].runTimes, w.runs[i].longRunning)
+	if !mayBeStuck {
+		return
+	}
+	var runs []dispatch.RunAge
+	steps := map[stepKey]int{}
+	for i, w := range p.workers {
+		for _, r := range w.placements {
+			if r.longRunning || r.entry.progress == nil {
+				continue
+			}
+			key := stepKey{r.entry, r.ref()}
+			if _, known := steps[key]; !known {
+				steps[key] = len(steps)
+			}
+			runs = append(runs, dispatch.RunAge{Worker: i, Step: steps[key], Overdue: r.overdue(p.now), Known: r.entry.step(key.ref).shortestRun > 0})
 		}
-	} else {
-		for _, p := range w.placements {
-			count(p.times(), p.longRunning)
+	}
+	for _, i := range dispatch.Stuck(len(p.workers), runs) {
+		s.stuck = append(s.stuck, p.workers[i])
+	}
+}
+
+// hasOverdueRuns reports whether several runs on a worker are overdue by their expected run
+// times alone.
+func (s *Shard) hasOverdueRuns(w *worker, now time.Time) bool {
+	overdue := 0
+	runs := s.runsOn(w)
+	for i := range runs {
+		if !runs[i].longRunning && runs[i].overdue(now, runs[i].expected) {
+			overdue++
 		}
 	}
-	return overdue >= minOverdue && 2*overdue >= runs
+	return overdue >= dispatch.MinOverdue
 }
 
 func (h *health) recordSuccess() {
--- a/shard/order.go
+++ b/shard/order.go
@@ -178,7 +178,7 @@
 		}
 	case lovagestand.RefusalTicket:
 		if p.entry.steps != nil {
-			st := p.entry.step(job.StepRef{Occurrence: p.task.Occurrence, Step: p.task.Step})
+			st := p.entry.step(p.ref())
 			st.setTicket(p.worker, ticket{})
 		}
 	default:
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -435,12 +435,12 @@
 // collectWorkers adds the workers to the pass, ordered by name.
 func (s *Shard) collectWorkers(p *pass) {
 	p.workers = s.sortedWorkers()
+	s.findStuck(p)
 	for i, w := range p.workers {
 		w.passIndex = i
-		s.runsOn(w)
 		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
-			Open: w.open(p.now), Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
+			Open: s.open(w, p.now), Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
 		})
 	}
 }
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -191,7 +191,7 @@
 // pass.
 func (s *Shard) dispatchRun(p *pass, o *placement) dispatch.Run {
 	step := o.entry.progress.JobStep(o.task.Step)
-	ref := job.StepRef{Occurrence: o.task.Occurrence, Step: o.task.Step}
+	ref := o.ref()
 	s.measureWork(o.entry, ref)
 	o.passID = s.addRun(p, o)
 	worked := o.worked(p.now, s.limits.RestoreDelay)
@@ -218,7 +218,7 @@
 // gangRun describes the run of the gang that a run belongs to. Members whose run is not
 // the current one of their task are missing, so that the gang is not preempted.
 func (s *Shard) gangRun(p *pass, o *placement, size int) *dispatch.GangRun {
-	key := gangKey{entry: o.entry, ref: job.StepRef{Occurrence: o.task.Occurrence, Step: o.task.Step}, run: o.run}
+	key := gangKey{entry: o.entry, ref: o.ref(), run: o.run}
 	if g := p.gangs[key]; g != nil {
 		return g
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -97,6 +97,8 @@
 	// unreadable holds the stored jobs that this version cannot decode.
 	unreadable map[job.ID]bool
 	workers    map[lovagestand.WorkerName]*worker
+	// stuck holds the workers on which tasks stand still, as of the last pass.
+	stuck []*worker
 	// workersByName holds the workers by name; nil after one was added or removed.
 	workersByName []*worker
 	// teamNumbers holds the numbers of the teams that have had jobs.
@@ -372,6 +374,9 @@
 	localityWait  localityWait
 	// preemptions counts the tasks of the step for which runs were preempted.
 	preemptions int
+	// shortestRun is the shortest time that a task of the step has taken; 0 if none has
+	// ended.
+	shortestRun time.Duration
 	// lastConsidered is the number of the last pass over the whole queue that has
 	// considered the step.
 	lastConsidered int64
@@ -535,7 +540,7 @@
 	now := time.Now()
 	for _, w := range s.workers {
 		out.RunningTasks += len(w.placements)
-		if w.open(now) {
+		if s.open(w, now) {
 			out.OpenWorkers++
 		}
 	}
--- a/shard/where.go
+++ b/shard/where.go
@@ -100,7 +100,7 @@
 	deps.Fleet, deps.Store, deps.Log, deps.Recorder = nil, nil, zerolog.Nop(), lovagestand.NoRecorder{}
 	c := New(s.term, s.limits, deps)
 	c.cancel()
-	c.jobs, c.unreadable, c.workers = s.jobs, s.unreadable, s.workers
+	c.jobs, c.unreadable, c.workers, c.stuck = s.jobs, s.unreadable, s.workers, s.stuck
 	c.stalled, c.writtenPosition = s.stalled, s.writtenPosition
 	c.unresolved, c.rosterUnreadable, c.resolved = s.unresolved, s.rosterUnreadable, s.resolved
 	c.teamUsage, c.former, c.shares = s.teamUsage, s.former, s.shares
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -231,15 +231,20 @@
 	return w.clock + t.Sub(w.clockAt).Milliseconds()
 }
 
-// open reports whether the worker can be given new tasks.
-func (w *worker) open(now time.Time) bool {
+// open reports whether a worker can be given new tasks.
+func (s *Shard) open(w *worker, now time.Time) bool {
+	return w.usable(now) && !slices.Contains(s.stuck, w)
+}
+
+// usable reports whether the worker can be given new tasks by what it has answered.
+func (w *worker) usable(now time.Time) bool {
 	if !w.contacted || w.unresponsive || w.otherIncarnation != 0 || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
 		return false
 	}
 	if !w.listMatches() || w.expired || !w.listed && now.Sub(w.lastListed) > unlistedGrace {
 		return false
 	}
-	return !w.quarantined(now) && !w.stuck(now) && !now.Before(w.trialUntil)
+	return !w.quarantined(now) && !now.Before(w.trialUntil)
 }
 
 // WorkerList is one read of the list of registered workers.
