--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -59,6 +59,8 @@
 	platform.Configuration
 	byHost map[string][]platform.Route
 	teams  shard.Teams
+	// services holds the services of the routes.
+	services shard.Services
 }
 
 // NewRoutes returns routes without a configuration. [Routes.Run] loads it.
@@ -130,7 +132,9 @@
 	for _, t := range c.Teams {
 		n.teams.Policies[t.Policy.Team] = t.Policy
 	}
+	n.services = shard.Services{Version: c.Version, ByRoute: map[lovagestand.RouteName]string{}}
 	for _, route := range c.Routes {
+		n.services.ByRoute[route.Policy.Route] = route.Policy.Service
 		n.byHost[route.Host] = append(n.byHost[route.Host], route)
 	}
 	for _, routes := range n.byHost {
@@ -154,6 +158,16 @@
 	return current.teams, true
 }
 
+// Services returns the services of the routes in force. It returns false if no version is in
+// force.
+func (r *Routes) Services() (shard.Services, bool) {
+	current := r.current.Load()
+	if current == nil {
+		return shard.Services{}, false
+	}
+	return current.services, true
+}
+
 // authenticate returns the team whose key a call contains. The team is empty if the call
 // needs no key.
 func (r *Routes) authenticate(n *routing, route platform.Route, header http.Header) (lovagestand.TeamName, credential.Rejection) {
--- a/job/job.go
+++ b/job/job.go
@@ -13,6 +13,8 @@
 
 // Policy is the configuration of a job's route at the time the job is accepted.
 type Policy struct {
+	// Version is the version of the configuration; 0 in records of earlier program versions.
+	Version int64                 `json:"version,omitempty"`
 	Route   lovagestand.RouteName `json:"route"`
 	Service string                `json:"service"`
 	// Priority is the priority of the job; 0 is the highest.
--- a/node/serve.go
+++ b/node/serve.go
@@ -55,7 +55,7 @@
 	}, shard.Deps{
 		Fleet: n.deps.Fleet, Store: store,
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
-		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, DividedCaps: l.Shards > 1, Move: n.mover(l), Recorder: n.deps.Recorder,
+		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Services: n.routes.Services, DividedCaps: l.Shards > 1, Move: n.mover(l), Recorder: n.deps.Recorder,
 	})
 	for {
 		limited, cancel := lovagestand.WithStallTimeout(ctx, loadTimeout)
--- a/shard/fair.go
+++ b/shard/fair.go
@@ -70,7 +70,7 @@
 	p.divisions = map[string]*division{}
 	for i := range p.waiting {
 		w := &p.waiting[i]
-		service := w.entry.progress.Policy().Service
+		service := w.entry.service
 		d := p.divisions[service]
 		if d == nil {
 			d = s.newDivision(p, service)
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -314,7 +314,7 @@
 
 // shapeOf returns the shape of the tasks of a step.
 func shapeOf(e *jobEntry, step *job.Step) dispatch.Shape {
-	return dispatch.Shape{Service: e.progress.Policy().Service, Label: step.Label, Needs: step.Needs, MaxPerWorker: step.MaxPerWorker}
+	return dispatch.Shape{Service: e.service, Label: step.Label, Needs: step.Needs, MaxPerWorker: step.MaxPerWorker}
 }
 
 // dropUnplaceable removes the waiting steps that no worker of the shard can hold, even if it
@@ -518,6 +518,7 @@
 	if len(p.refs) == 0 {
 		return
 	}
+	s.updateService(e)
 	for _, ref := range p.refs {
 		w := waitingStep{entry: e, ref: ref, step: e.progress.JobStep(ref.Step)}
 		s.collectTasks(p, &w)
@@ -581,7 +582,7 @@
 	e, st, step := w.entry, w.entry.step(w.ref), w.step
 	policy := e.progress.Policy()
 	out := dispatch.Step{
-		Tasks: w.tasks, Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: policy.Service, Label: step.Label,
+		Tasks: w.tasks, Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: e.service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
 		RenewAhead: policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
 		RunTime:    w.runTime, Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -199,7 +199,7 @@
 	// The critical path counts tasks that run from their beginning.
 	work.CriticalPath = max(0, work.CriticalPath-o.resumedWork-worked)
 	return dispatch.Run{
-		ID: o.passID, Needs: o.needs, Work: work, Tier: int(p.runningTier(o.entry.progress.Policy().Service, s.teamNumber(o.entry))), Checkpoints: step.Checkpoints, LongRunning: step.LongRunning,
+		ID: o.passID, Needs: o.needs, Work: work, Tier: int(p.runningTier(o.entry.service, s.teamNumber(o.entry))), Checkpoints: step.Checkpoints, LongRunning: step.LongRunning,
 		Starting: !o.started || o.startPending, Stopping: o.stopRequested, Resumed: o.resumed || o.adopted,
 		Worked: worked, SinceCheckpoint: min(worked, p.now.Sub(o.checkpointAt)), End: o.times().expectedEnd(p.now),
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -43,6 +43,10 @@
 	// false before any configuration has been read; no job of a team is started then. A
 	// nil function means that there are no teams.
 	Teams func() (Teams, bool)
+	// Services returns the services of the routes in the configuration in force. It returns
+	// false before any configuration has been read. A nil function means that jobs keep the
+	// services with which they were accepted.
+	Services func() (Services, bool)
 	// Move passes a job on to the owner of another shard, which must return once it has
 	// stored the job; see [Shard.Receive]. It is nil in a cell with one shard.
 	Move func(ctx context.Context, shard string, id job.ID, value []byte) error
@@ -105,6 +109,9 @@
 	teamNumbers map[lovagestand.TeamName]int
 	// fleetVersion counts how often workersByName was built.
 	fleetVersion int64
+	// staffed holds the services with workers, as of servicesVersion of the fleet.
+	staffed         map[string]bool
+	servicesVersion int64
 	// slots holds which numbers of tasks the workers can hold, as of slotsVersion of the
 	// fleet.
 	slots        map[slotsKey]bool
@@ -301,6 +308,8 @@
 	workStale                       bool
 	// active holds the current run of each task, by task name.
 	active map[string]*placement
+	// service is the service whose workers run the tasks that start now.
+	service string
 	// heldRuns counts the runs that workers may hold of each task, including runs
 	// that are being stopped. A task does not start elsewhere before they have ended.
 	heldRuns map[string]int
@@ -430,7 +439,7 @@
 
 func newJobEntry(p *job.Progress, body []byte) *jobEntry {
 	return &jobEntry{
-		id: p.Job().ID, route: p.Job().Policy.Route, team: p.Job().Team, progress: p, body: body, started: p.Started(),
+		id: p.Job().ID, route: p.Job().Policy.Route, service: p.Job().Policy.Service, team: p.Job().Team, progress: p, body: body, started: p.Started(),
 		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, heldRuns: map[string]int{},
 		trialTimes: map[string]time.Duration{}, longRunning: p.Job().LongRunning(),
 	}
--- a/shard/teams.go
+++ b/shard/teams.go
@@ -111,7 +111,7 @@
 // replacedBy turns the entry of an unsubmitted job into that of a new job with the same
 // ID. It remains the same entry, so that the writes of both cannot overtake each other.
 func (e *jobEntry) replacedBy(n *jobEntry) *jobEntry {
-	e.team, e.route, e.progress, e.body, e.started = n.team, n.route, n.progress, n.body, n.started
+	e.team, e.route, e.service, e.progress, e.body, e.started = n.team, n.route, n.service, n.progress, n.body, n.started
 	e.steps, e.trialTimes = n.steps, n.trialTimes
 	e.objective, e.totalCoreTime, e.longRunning, e.workStale = n.objective, n.totalCoreTime, n.longRunning, true
 	e.phase, e.finishedAt = "", time.Time{}
