--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -151,6 +151,42 @@
 	s.activate(p)
 	s.clearSuspicion(e, task, running.Run)
 	e.progress.RecordCheckpoint(task, running.Run, running.Checkpoint)
+	if s.resolved {
+		// A start of a former owner that was executed late.
+		s.stopPartialGangsOf(e)
+	}
+}
+
+// stopPartialGangs stops the members of gangs that former owners have started in part. They
+// would wait for the others until the worker ends them, since only the owner that starts a
+// gang completes it.
+func (s *Shard) stopPartialGangs() {
+	for _, e := range s.live {
+		if e.recovered {
+			s.stopPartialGangsOf(e)
+		}
+	}
+}
+
+// stopPartialGangsOf is [Shard.stopPartialGangs] for one job.
+func (s *Shard) stopPartialGangsOf(e *jobEntry) {
+	members := map[gangKey]int{}
+	for _, p := range e.active {
+		members[p.gangKey()]++
+	}
+	for _, p := range e.active {
+		step := e.progress.JobStep(p.task.Step)
+		if !step.Gang || members[p.gangKey()] == step.Count || p.stopRequested {
+			continue
+		}
+		s.log.Info().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Int("members", members[p.gangKey()]).Msg("stopping a member of a gang that was started in part")
+		s.stopRun(p)
+	}
+}
+
+// gangKey identifies the run of the gang that the run belongs to.
+func (p *placement) gangKey() gangKey {
+	return gangKey{entry: p.entry, ref: p.ref(), run: p.run}
 }
 
 // addStray records and stops a run that belongs to no job known in this term.
--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -497,3 +497,37 @@
 		k.assertCompletedOnce(o, id(1), 2)
 	})
 }
+
+// TestGangStartedInPartByAFormerOwner guards against members of a gang that wait in vain for
+// the others because the owner changed before it had stopped them.
+func TestGangStartedInPartByAFormerOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 0, nil)
+		k.fleet = runner.New(needs, always(time.Second, lovagestand.EndingDone), runner.WithGangs(func(lovagestand.Order) int { return 3 }))
+		k.addWorkers(3)
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		starts := 0
+		k.fleet.SetFault(func(_ lovagestand.WorkerName, order string) runner.Fault {
+			if order == "start" {
+				starts++
+			}
+			if order == "stop" || order == "start" && starts > 2 {
+				return runner.FaultLostRequest
+			}
+			return runner.FaultNone
+		})
+		former.submit(c, id(1), job.Step{Count: 3, Gang: true, MaxPerWorker: 1})
+		time.Sleep(500 * time.Millisecond)
+		former.stop()
+		k.fleet.SetFault(nil)
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(6 * time.Second)
+		assertPhase(c, next, id(1), "completed")
+		for _, r := range k.fleet.Runs() {
+			c.Check(r.Ending, qt.Not(qt.Equals), lovagestand.EndingAlone, qt.Commentf("%s", k.fleet.Describe(r)))
+		}
+	})
+}
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -218,7 +218,7 @@
 // gangRun describes the run of the gang that a run belongs to. Members whose run is not
 // the current one of their task are missing, so that the gang is not preempted.
 func (s *Shard) gangRun(p *pass, o *placement, size int) *dispatch.GangRun {
-	key := gangKey{entry: o.entry, ref: o.ref(), run: o.run}
+	key := o.gangKey()
 	if g := p.gangs[key]; g != nil {
 		return g
 	}
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -140,6 +140,7 @@
 	s.resolved = true
 	s.former = newFormerRuns()
 	s.settleSuspicions()
+	s.stopPartialGangs()
 	s.log.Info().Dur("took", time.Since(s.loadedAt)).Msg("all runs started by former terms are known")
 	s.wake()
 }
