--- a/node/move_test.go
+++ b/node/move_test.go
@@ -51,6 +51,8 @@
 	}
 	time.Sleep(time.Second)
 	c.Assert(s.Fleet.Starts(), qt.Equals, 3*jobs)
+	assertKnown(c, cell, fmt.Sprintf("%016x", 0), true)
+	assertKnown(c, cell, fmt.Sprintf("%016x", jobs), false)
 	for _, i := range cell {
 		i.cancel()
 	}
@@ -58,3 +60,20 @@
 		<-i.done
 	}
 }
+
+// assertKnown checks what the owners of the four shards of a cell answer to each other about
+// a job: that one of them knows it, or that none does.
+func assertKnown(c *qt.C, cell []*instance, id string, known bool) {
+	c.Helper()
+	answers := map[int]int{}
+	for _, i := range cell {
+		for n := range 4 {
+			reply, err := http.Get(fmt.Sprintf("http://%s:%d/cell/move/%d/%s", i.settings.Host, i.settings.Ports[0], n, id))
+			c.Assert(err, qt.IsNil)
+			c.Assert(reply.Body.Close(), qt.IsNil)
+			answers[reply.StatusCode]++
+		}
+	}
+	c.Check(answers[http.StatusOK] > 0, qt.Equals, known, qt.Commentf("answers by status: %v", answers))
+	c.Check(answers[http.StatusOK]+answers[http.StatusNotFound], qt.Equals, 4, qt.Commentf("answers by status: %v", answers))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -180,6 +180,7 @@
 	internal.Post(shard.PathWhere, n.serveWhere)
 	internal.Post(pathOwnerWhere+"/{shard}", n.serveOwnerWhere)
 	internal.Post(pathMove+"/{shard}/{job}", n.serveMove)
+	internal.Get(pathMove+"/{shard}/{job}", n.serveKnows)
 	for address, handler := range map[string]http.Handler{
 		n.settings.CallerAddress: n.gateway, n.settings.ReadyAddress: ready, n.self.Address: internal,
 	} {
--- a/node/serve.go
+++ b/node/serve.go
@@ -47,16 +47,20 @@
 	interval := listInterval * time.Duration(min(maxListFactor, l.Shards))
 	store := jobstore.New(n.deps.Keys, term, jobstore.WithWriteFailureHandler(func() { go n.requestDepose(ctx, term) }))
 	defer n.storeCalls.onServed(store.StoreAnswered)()
+	deps := shard.Deps{
+		Fleet: n.deps.Fleet, Store: store,
+		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
+		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Services: n.routes.Services, Recorder: n.deps.Recorder,
+	}
+	if l.Shards > 1 {
+		deps.DividedCaps, deps.Move, deps.Knows = true, n.moveJob, n.knowsJob
+	}
 	s := shard.New(term, shard.Limits{
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, ListInterval: interval,
 		HeartbeatTimeout: missedHeartbeats * n.settings.Heartbeat, CheckpointInterval: n.settings.CheckpointInterval,
 		StopTimeout: n.settings.StopTimeout, RestoreDelay: n.settings.RestoreDelay, Overlap: election.Overlap, Preemption: n.settings.Preemption,
 		UnevenWorkers: n.settings.UnevenWorkers == settings.UnevenAuto,
-	}, shard.Deps{
-		Fleet: n.deps.Fleet, Store: store,
-		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
-		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Services: n.routes.Services, DividedCaps: l.Shards > 1, Move: n.mover(l), Recorder: n.deps.Recorder,
-	})
+	}, deps)
 	for {
 		limited, cancel := lovagestand.WithStallTimeout(ctx, loadTimeout)
 		err := s.Load(limited)
--- a/shard/move.go
+++ b/shard/move.go
@@ -223,6 +223,47 @@
 	s.enqueue(e)
 }
 
+// checkMoved removes what remains of a job that was moved to another shard, unless the owner
+// of that shard still knows the job. It is then kept for another retention, so that a late
+// duplicate of the submission does not run the job here.
+func (s *Shard) checkMoved(e *jobEntry) {
+	if e.move.calling || s.movesInFlight >= maxMovesInFlight {
+		return
+	}
+	e.move.calling = true
+	s.movesInFlight++
+	go func(target string) {
+		ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
+		known, err := s.deps.Knows(ctx, target, e.id)
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		e.move.calling = false
+		s.movesInFlight--
+		switch {
+		case err != nil || !e.move.moved:
+		case known:
+			e.finishedAt = time.Now()
+		default:
+			e.expired = true
+			s.enqueue(e)
+		}
+	}(e.move.target)
+}
+
+// Knows reports whether a job is known in the shard, including one that has ended or was
+// moved on. It fails if the ownership cannot be confirmed.
+func (s *Shard) Knows(ctx context.Context, id job.ID) (bool, error) {
+	s.mu.Lock()
+	e, known := s.jobs[id]
+	known = known && !e.unsubmitted || s.unreadable[id]
+	s.mu.Unlock()
+	if !known && !s.confirmOwnership(ctx) {
+		return false, &NotOwnerError{}
+	}
+	return known, nil
+}
+
 // Receive accepts a job that the owner of another shard passes on, and returns once it is
 // durable. The value is the record of the job as the other shard has stored it. A call for
 // a move that is known changes nothing.
--- a/shard/move_test.go
+++ b/shard/move_test.go
@@ -54,6 +54,9 @@
 		d.Move = func(ctx context.Context, _ string, id job.ID, value []byte) error {
 			return m.other.receive(ctx, id, value)
 		}
+		d.Knows = func(ctx context.Context, _ string, id job.ID) (bool, error) {
+			return m.other.current().Knows(ctx, id)
+		}
 	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -216,3 +219,24 @@
 		c.Assert(second.fleet.Starts(), qt.Equals, 0)
 	})
 }
+
+// TestDuplicateOfAJobThatMovedLongAgo guards against a job that runs twice because the shard
+// from which it was moved forgot it while it was still running.
+func TestDuplicateOfAJobThatMovedLongAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		step := job.Step{Count: 1, Label: "c", LongRunning: true}
+		first.current().submit(c, id(1), step)
+		time.Sleep(10 * time.Minute)
+		first.setLabels("c")
+		time.Sleep(time.Second)
+		c.Assert(first.current().trySubmit(id(1), step), qt.IsNil)
+		time.Sleep(10 * time.Second)
+		c.Check(first.fleet.Starts(), qt.Equals, 0)
+		c.Assert(second.current().Cancel(context.Background(), job.ID(id(1)), ""), qt.IsNil)
+		time.Sleep(10 * time.Minute)
+		c.Check(first.current().Status().Jobs, qt.Equals, 0)
+	})
+}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -50,6 +50,9 @@
 	// Move passes a job on to the owner of another shard, which must return once it has
 	// stored the job; see [Shard.Receive]. It is nil in a cell with one shard.
 	Move func(ctx context.Context, shard string, id job.ID, value []byte) error
+	// Knows reports whether the owner of another shard knows a job that was moved there. It
+	// is nil in a cell with one shard.
+	Knows func(ctx context.Context, shard string, id job.ID) (bool, error)
 	// DividedCaps indicates that the caps are divided among several shards. The shard then
 	// starts tasks of a team with a cap only within [Shard.SetShares].
 	DividedCaps bool
--- a/shard/write.go
+++ b/shard/write.go
@@ -338,10 +338,15 @@
 		if !e.endDurable || e.queuePosition != 0 || e.writing || len(e.active) > 0 {
 			continue
 		}
-		if time.Since(e.finishedAt) > s.limits.Retention+maxClockSkew {
-			e.expired = true
-			s.enqueue(e)
+		if time.Since(e.finishedAt) <= s.limits.Retention+maxClockSkew {
+			continue
+		}
+		if e.move.moved && s.deps.Knows != nil {
+			s.checkMoved(e)
+			continue
 		}
+		e.expired = true
+		s.enqueue(e)
 	}
 }
 
