--- a/job/job.go
+++ b/job/job.go
@@ -75,6 +75,15 @@
 	TailTarget time.Duration `json:"tailTarget,omitempty"`
 }
 
+// MinStart returns how many of the step's tasks must be able to start at the same time: all
+// of a gang.
+func (s *Step) MinStart() int {
+	if s.Gang {
+		return s.Count
+	}
+	return 1
+}
+
 // Schedule repeats the steps of a job. The zero value runs them once, immediately.
 type Schedule struct {
 	Repeat   int           `json:"repeat,omitempty"`
--- a/shard/move.go
+++ b/shard/move.go
@@ -137,11 +137,8 @@
 // holdsAll reports whether workers can hold each of the steps of a job.
 func holdsAll(workers []dispatch.Worker, e *jobEntry, steps []job.Step) bool {
 	for i := range steps {
-		shape, tasks := shapeOf(e, &steps[i]), 1
-		if steps[i].Gang {
-			tasks = steps[i].Count
-		}
-		if shape.Slots(workers, tasks) < tasks {
+		tasks := steps[i].MinStart()
+		if shapeOf(e, &steps[i]).Slots(workers, tasks) < tasks {
 			return false
 		}
 	}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -349,10 +349,7 @@
 	if s.slotsVersion != s.fleetVersion {
 		s.slotsVersion, s.slots, s.ready = s.fleetVersion, map[slotsKey]bool{}, nil
 	}
-	key := slotsKey{shape: shapeOf(w.entry, w.step), tasks: 1}
-	if w.gang {
-		key.tasks = w.step.Count
-	}
+	key := slotsKey{shape: shapeOf(w.entry, w.step), tasks: w.step.MinStart()}
 	fits, known := s.slots[key]
 	if !known {
 		fits = key.shape.Slots(s.holders(p), key.tasks) == key.tasks
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -117,16 +117,18 @@
 		p.queryDelays = append(p.queryDelays, randomBetween(r, 0, 4*time.Second))
 	}
 	spec := site.Spec{MilliCPU: 500 * int64(1+r.IntN(4)), Work: randomBetween(r, 50*time.Millisecond, time.Second)}
+	longRunning := false
 	if p.cancel && r.IntN(4) == 0 {
 		// Long enough to detect a run that continues after its cancellation.
 		spec.Work = 20 * time.Second
+		longRunning = n%2 == 0
 	}
 	count := 1 + r.IntN(4)
 	if r.IntN(3) == 0 {
 		spec.Gang = count
 	}
-	p.body = fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"gang":%t,"estimate_ms":500},{"count":1,"cpu":%d,"after":[0]}]}`,
-		spec, count, spec.MilliCPU, spec.Gang > 0, spec.MilliCPU)
+	p.body = fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"gang":%t,"persistent":%t,"estimate_ms":500},{"count":1,"cpu":%d,"after":[0]}]}`,
+		spec, count, spec.MilliCPU, spec.Gang > 0, longRunning, spec.MilliCPU)
 	return p
 }
 
