--- a/node/node_test.go
+++ b/node/node_test.go
@@ -124,11 +124,15 @@
 	return reply.StatusCode, string(text)
 }
 
-// eventually calls ok repeatedly until it returns true, for as long as the test may
-// run.
+// eventuallyTimeout is far longer than any condition takes on a busy machine. It makes a test
+// name the condition that is never met.
+const eventuallyTimeout = 3 * time.Minute
+
+// eventually calls ok repeatedly until it returns true. It fails the test after
+// eventuallyTimeout.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	for t.Context().Err() == nil {
+	for end := time.Now().Add(eventuallyTimeout); time.Now().Before(end) && t.Context().Err() == nil; {
 		if ok() {
 			return
 		}
