--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -63,6 +63,17 @@
 	})
 }
 
+// removeFirst removes the first worker from the list.
+func (k *cell) removeFirst() {
+	k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+}
+
+// leave lets the first worker, w0, leave as planned.
+func (k *cell) leave() {
+	k.fleet.Leave("w0")
+	k.removeFirst()
+}
+
 // startOnBoth starts a job with a task on each of two workers, the first of which then
 // begins to leave.
 func (k *cell) startOnBoth(c *qt.C) *owner {
@@ -108,7 +119,7 @@
 				k.setSilent("w0", true)
 				expiry := time.Now().Truncate(heartbeatInterval).Add(3 * heartbeatInterval)
 				time.Sleep(time.Until(expiry))
-				k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+				k.removeFirst()
 				k.assertCompletedOnce(o, id(1), 2)
 			})
 		})
@@ -127,7 +138,7 @@
 		k.mu.Lock()
 		k.undecodable = []lovagestand.WorkerName{"w0"}
 		k.mu.Unlock()
-		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		k.removeFirst()
 		k.assertCompletedOnce(o, id(1), 2)
 	})
 }
@@ -196,7 +207,7 @@
 		time.Sleep(400 * time.Millisecond)
 		former.stop()
 		fleet.cut.Store(true)
-		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		k.removeFirst()
 		next := k.beginTerm("b")
 		defer next.stop()
 		time.Sleep(6500 * time.Millisecond)
@@ -219,8 +230,7 @@
 		k.setLeaving()
 		time.Sleep(time.Second)
 		former.stop()
-		k.fleet.Leave("w0")
-		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		k.leave()
 		next := k.beginTerm("b")
 		defer next.stop()
 		time.Sleep(time.Second)
@@ -261,8 +271,7 @@
 		k.setLeaving()
 		time.Sleep(2500 * time.Millisecond)
 		former.stop()
-		k.fleet.Leave("w0")
-		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+		k.leave()
 		next := k.beginTerm("b")
 		defer next.stop()
 		time.Sleep(2 * time.Second)
