--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -200,7 +200,7 @@
 // crashFirst crashes the first worker and removes it from the list.
 func (k *cell) crashFirst() {
 	k.fleet.Crash("w0")
-	k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return workers[1:] })
+	k.removeFirst()
 }
 
 // beginReadyTerm begins a term and waits until all workers can be given tasks.
