--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -279,3 +279,37 @@
 		k.assertNoViolations()
 	})
 }
+
+// TestTasksOfALeavingWorkerAreNoSuspects guards against tasks that start one after the other,
+// as if they had crashed their worker, because it has left without removing its entry.
+func TestTasksOfALeavingWorkerAreNoSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(20*time.Second, lovagestand.EndingDone))
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		for i := range 3 {
+			o.submit(c, id(i), job.Step{Count: 1})
+		}
+		time.Sleep(time.Second)
+		k.setLeaving()
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", workers[0].Capacity))
+		})
+		time.Sleep(time.Second)
+		k.fleet.Crash("w0")
+		k.setSilent("w0", true)
+		time.Sleep(4500 * time.Millisecond)
+		k.removeFirst()
+		time.Sleep(8 * time.Second)
+		c.Assert(k.fleet.Running(), qt.Equals, 3)
+		var begun []time.Time
+		for _, r := range k.fleet.Runs() {
+			if r.Worker == "w1" {
+				begun = append(begun, r.Begun)
+			}
+		}
+		c.Assert(begun, qt.HasLen, 3)
+		c.Check(begun[2].Sub(begun[0]) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", begun))
+	})
+}
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -66,11 +66,15 @@
 }
 
 // mayBeCrash reports whether a loss may be the crash of the worker. Without an answer
-// from the worker's address it may be if the worker has stopped its heartbeats too.
+// from the worker's address it may be if the worker has stopped its heartbeats too. A worker
+// that was about to leave has left.
 func (s *Shard) mayBeCrash(w *worker, cause lossCause, now time.Time) bool {
+	if !w.info.Ready {
+		return false
+	}
 	switch cause {
 	case lossReplaced, lossUnlisted:
-		return w.info.Ready
+		return true
 	case lossLeaseExpired:
 		return now.Sub(s.listReadAt) < s.limits.HeartbeatTimeout && now.Sub(w.lastHeartbeat) > s.limits.HeartbeatTimeout
 	}
