shard: log and metrics tell why a task starts again

`task placed` now repeats which run was lost, where and why, and for how many workers the answer was still missing; a run or an end that a worker lists beside another run is a warning of its own and counted (doubleRuns); `roster loaded` shows what the next owner does not wait for.

--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -142,6 +142,9 @@
 	s.former.account(e, task)
 	wanted := e.active[running.Task] == nil && e.progress.Adopt(task, running.Run)
 	s.reserveRoom(p)
+	if other := e.active[running.Task]; other != nil {
+		s.recordDoubleRun(doubleConcurrent, w, running.Task, running.Run, other)
+	}
 	if !wanted {
 		s.log.Info().Str("task", running.Task).Int64("run", running.Run).Str("worker", string(w.info.Name)).Msg("stopping a run that is not needed")
 		s.stopRun(p)
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -106,7 +106,7 @@
 		w.recordSuccess()
 		e.recordTaskTime(p, now)
 		s.recordRunTime(w, p, now)
-		s.taskDone(e, task, end, p)
+		s.taskDone(w, e, task, end, p)
 	case lovagestand.EndingFailed:
 		s.taskFailed(w, e, task, end, now)
 	default:
@@ -132,7 +132,7 @@
 
 // taskDone records that a task has completed. It finishes the job if that was its last
 // task, and stops any other run of the task.
-func (s *Shard) taskDone(e *jobEntry, task job.Task, end lovagestand.EndedTask, p *placement) {
+func (s *Shard) taskDone(w *worker, e *jobEntry, task job.Task, end lovagestand.EndedTask, p *placement) {
 	if !e.progress.Finish(task, end.Run) {
 		return
 	}
@@ -146,6 +146,7 @@
 		s.finishJob(e)
 	}
 	if other := e.active[end.Task]; other != nil && other != p {
+		s.recordDoubleRun(doubleAfterDone, w, end.Task, end.Run, other)
 		s.stopRun(other)
 	}
 }
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -58,6 +58,7 @@
 // was placed, and whether the worker had confirmed its start.
 func (s *Shard) logLostRun(p *placement, cause lossCause) {
 	s.deps.Recorder.Count("lostRuns", string(cause))
+	p.recordLost(cause)
 	event := s.log.Info().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Int64("born", p.worker.born)
 	if !p.worker.aliveUntil.IsZero() {
 		event = event.Dur("placedBefore", p.worker.aliveUntil.Sub(p.placedAt))
--- a/shard/order.go
+++ b/shard/order.go
@@ -57,8 +57,12 @@
 		e.ordered = true
 		s.deps.Recorder.Observe("waits", string(e.route), now.Sub(e.progress.Accepted()))
 	}
-	s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
-		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Int64("born", w.born).Msg("task placed")
+	event := s.log.Info().Str("task", name).Int64("run", run).Str("worker", string(w.info.Name)).
+		Dur("age", now.Sub(e.progress.Accepted())).Int64("freeMilliCPU", w.free.MilliCPU).Int64("born", w.born)
+	if e.recovered && !s.resolved {
+		event = event.Int("unanswered", len(s.unresolved))
+	}
+	e.logLost(event, name).Msg("task placed")
 	p.startUntil = order.Until
 	go s.sendStart(p, w.info, order)
 }
@@ -167,6 +171,7 @@
 	if p.worker.placements[p.name] != p {
 		return
 	}
+	p.recordLost(lossRefused + lossCause(reason))
 	now := time.Now()
 	switch reason {
 	case lovagestand.RefusalFenced:
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -62,11 +62,18 @@
 		s.awaitLeaseExpiry()
 		return
 	}
+	idle, listed := 0, 0
 	for name, former := range roster {
-		if former.Tasks == nil || len(*former.Tasks) > 0 {
-			s.unresolved[name] = former
+		if former.Tasks != nil {
+			listed += len(*former.Tasks)
+			if len(*former.Tasks) == 0 {
+				idle++
+				continue
+			}
 		}
+		s.unresolved[name] = former
 	}
+	s.log.Info().Int("workers", len(roster)).Int("leavingIdle", idle).Int("tasksOnLeaving", listed).Msg("roster loaded")
 }
 
 // awaitLeaseExpiry leaves the runs of former terms unresolved until every lease under
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -324,6 +324,8 @@
 	accounted map[job.Task]bool
 	// trialTimes is how long the next run of a suspect is on trial, by task name.
 	trialTimes map[string]time.Duration
+	// lost holds the last lost run of each task, by task name.
+	lost map[string]lostRun
 	// preempted holds the tasks of which a run was preempted, by task name.
 	preempted map[string]preemptedTask
 	// move describes the move of the job to another shard.
--- a/shard/write.go
+++ b/shard/write.go
@@ -320,7 +320,7 @@
 		return
 	}
 	e.phase = e.progress.Phase()
-	e.progress, e.body, e.steps, e.active = nil, nil, nil, nil
+	e.progress, e.body, e.steps, e.active, e.lost = nil, nil, nil, nil, nil
 	if len(e.heldRuns) == 0 {
 		// Empty maps keep most of their memory, and an owner keeps thousands of finished
 		// jobs. A job without progress gets no new runs.
