shard: a test of ends on leaving workers that are not stored, failing

A task on a worker that is about to leave ends as done while the store is slow and more jobs are queued than one write holds: the roster without the task is stored, the record of its job is not. The next owner does not wait for the worker and starts the task again; then the worker lists the end, which is acknowledged.

--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -51,6 +51,9 @@
 	delay, listDelay atomic.Int64
 	// otherShard, if set, is the cell of another shard, named "1" here.
 	otherShard *cell
+	// lostJob is the ID of a job; commits that contain its record get no reply and have no
+	// effect. It is empty if none are lost.
+	lostJob atomic.Value
 	// undecodable holds the workers whose entries cannot be decoded.
 	undecodable []lovagestand.WorkerName
 	// fleetWrapper, if set, is the fleet that owners use in place of fleet.
@@ -58,14 +61,18 @@
 	advice       func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
 }
 
-// delayedStore is a store that delays commits.
+// delayedStore is a store that delays commits, and loses those of the lost job.
 type delayedStore struct {
 	*keyspace.Store
-	delay *atomic.Int64
+	cell *cell
 }
 
 func (p delayedStore) Commit(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
-	time.Sleep(time.Duration(p.delay.Load()))
+	time.Sleep(time.Duration(p.cell.delay.Load()))
+	lost, _ := p.cell.lostJob.Load().(string)
+	if lost != "" && slices.ContainsFunc(t.Set, func(w lovagestand.Write) bool { return strings.HasSuffix(w.Key, lost) }) {
+		return 0, &lovagestand.UnavailableError{System: "store", Reason: "no reply"}
+	}
 	return p.Store.Commit(ctx, t)
 }
 
@@ -119,7 +126,7 @@
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
 	deps := shard.Deps{
-		Fleet: cmp.Or(k.fleetWrapper, lovagestand.Fleet(k.fleet)), Store: jobstore.New(delayedStore{k.keys, &k.delay}, term), AdviceClients: k.adviceClients, Confirmed: func() bool { return true }, Assured: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
+		Fleet: cmp.Or(k.fleetWrapper, lovagestand.Fleet(k.fleet)), Store: jobstore.New(delayedStore{k.keys, k}, term), AdviceClients: k.adviceClients, Confirmed: func() bool { return true }, Assured: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	}
 	for _, change := range changes {
 		change(&deps)
--- /dev/null
+++ b/shard/unstoredends_test.go
@@ -0,0 +1,49 @@
+package shard_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/jobstore"
+)
+
+// TestEndOnALeavingWorkerThatIsNotStored guards against tasks that a next owner starts again
+// after they are done: the stored roster said that they no longer run on a worker that is
+// about to leave, and their end was not stored.
+func TestEndOnALeavingWorkerThatIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if strings.HasPrefix(o.Task, id(1)) {
+				return 3 * time.Second, lovagestand.EndingDone
+			}
+			return 10 * time.Millisecond, lovagestand.EndingDone
+		})
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		k.fleetWrapper = fleet
+		former := k.startOnBoth(c)
+		defer former.stop()
+		time.Sleep(1900 * time.Millisecond)
+		k.lostJob.Store(id(1))
+		k.delay.Store(int64(400 * time.Millisecond))
+		for n := range 2 * jobstore.MaxEntries {
+			go func() { _ = former.trySubmit(id(2+n), job.Step{Count: 1}) }()
+		}
+		time.Sleep(time.Second)
+		fleet.cut.Store(true)
+		former.stop()
+		k.lostJob.Store("")
+		k.delay.Store(0)
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(2 * time.Second)
+		fleet.cut.Store(false)
+		k.assertCompletedOnce(next, id(1), 2+2*jobstore.MaxEntries)
+	})
+}
