shard: run numbers of a later owner are always higher

The number of the first run after a change of the owner now rises with the epoch, by 1000 per revision of the store, besides the part that rises with time. A former owner reaches the numbers of the next one only if it starts one task again for 8 s in every pass.

--- a/shard/move.go
+++ b/shard/move.go
@@ -311,7 +311,7 @@
 // acceptMoved adds a job that comes from another shard, where none of its tasks runs any
 // more. It takes the place of what remains of it here from an earlier move.
 func (s *Shard) acceptMoved(former *jobEntry, progress *job.Progress, body []byte, moves int) *jobEntry {
-	progress.ReserveRuns(firstRunAfter(progress, time.Now()))
+	progress.ReserveRuns(s.firstRunAfter(progress, time.Now()))
 	e := newJobEntry(progress, body)
 	s.estimateWork(e)
 	e = s.accept(former, e)
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -17,10 +17,14 @@
 	// minRecoveredRun is a lower bound for the run numbers that are used after a
 	// takeover.
 	minRecoveredRun = 10
-	// minRunInterval is the minimum time between two starts of one task by one owner.
-	// After a takeover as many more run numbers are skipped as a former owner can have
-	// used at that interval since the job was accepted.
-	minRunInterval = 200 * time.Millisecond
+	// usualRunInterval is the usual time between two starts of one task by one owner. As
+	// many more run numbers are skipped as an owner uses at that interval since the job was
+	// accepted, so that a job which has moved to another shard and back gets new numbers.
+	usualRunInterval = 200 * time.Millisecond
+	// runsPerEpoch is how many more run numbers are skipped for each epoch. An owner that
+	// starts a task again in every pass, because workers refuse the starts, takes 8 s to use
+	// as many. Epochs are revisions of the store, which rises with each heartbeat of a worker.
+	runsPerEpoch = 1000
 )
 
 // Load reads the jobs and the roster that former terms have stored. It must return
@@ -114,7 +118,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "job %s", id)
 	}
-	progress.ReserveRuns(firstRunAfter(progress, now))
+	progress.ReserveRuns(s.firstRunAfter(progress, now))
 	e := newJobEntry(progress, body)
 	e.durable, e.recovered = true, true
 	if e.move = (moveState{count: r.Moves, target: r.MovedTo}); e.move.leaving() {
@@ -127,10 +131,12 @@
 	return nil
 }
 
-// firstRunAfter returns a run number that is higher than any that a former owner can have
-// used for a task of the job.
-func firstRunAfter(p *job.Progress, now time.Time) int64 {
-	return minRecoveredRun + max(0, int64(now.Sub(p.Accepted())/minRunInterval))
+// firstRunAfter returns a run number that is higher than those that former owners have used
+// for a task of the job. It does not depend on clocks alone, and not on how often starts were
+// refused: the end of a run would count as that of a later one with the same number.
+func (s *Shard) firstRunAfter(p *job.Progress, now time.Time) int64 {
+	usual := max(0, int64(now.Sub(p.Accepted())/usualRunInterval))
+	return minRecoveredRun + usual + runsPerEpoch*int64(s.term.Epoch)
 }
 
 // resolveWorker records that the runs that a former term gave a worker are known or
