shard: a test of a leaving worker whose entry moves to another shard, failing

An entry of another writer may lack fields (PROTOCOL, Service discovery). Without labels the entry of a running worker is valid and has no rack, so that a cell of several shards counts the worker among those of another shard. The owner of its shard then takes the entry for removed, and the worker, if it is about to leave, for gone.

Seen: two runs of w0 that continue are started again on w1 at once, 2 x TWICE. The commit also removes the name of an unused parameter in runnumbers_test.go.

--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -143,6 +143,27 @@
 	})
 }
 
+// TestLeavingWorkerWhoseEntryNamesAnotherRack guards against tasks that run twice because the
+// entry of a leaving worker counted as removed after another writer had overwritten it without
+// its labels: it was then listed among the workers of another shard.
+func TestLeavingWorkerWhoseEntryNamesAnotherRack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		k.otherShard = newCell(c, 0, nil)
+		o := k.startOnBoth(c)
+		defer o.stop()
+		time.Sleep(time.Second)
+		entry := k.list()[0]
+		entry.Labels, entry.Rack = nil, ""
+		k.otherShard.changeList(func([]lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return []lovagestand.FleetWorker{entry}
+		})
+		k.removeFirst()
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
+
 // TestLeavingWorkerThatRefusesTheNextOwner guards against tasks that a next owner starts
 // again, after they are done, because it took the refused connection to a leaving worker for
 // the proof that nothing of the former owner runs there.
--- a/shard/runnumbers_test.go
+++ b/shard/runnumbers_test.go
@@ -40,7 +40,7 @@
 				c := qt.New(t)
 				const firstRun = 22
 				formerWorker := lovagestand.WorkerName("")
-				k := newCell(c, 40, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+				k := newCell(c, 40, func(lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
 					if formerWorker == "" && ending == lovagestand.EndingFailed {
 						return 2 * time.Second, ending
 					}
