shard: an entry that moves to another shard is not removed

A worker under whose name another shard lists an entry counts as one with an entry that cannot be used: it has not removed it. TestLeavingWorkerWhoseEntryNamesAnotherRack failed and passes; go test ./shard passes.

--- a/shard/worker.go
+++ b/shard/worker.go
@@ -72,7 +72,8 @@
 	// heartbeatAfter is a time before that heartbeat: a read of the list that was sent then
 	// still showed the heartbeat before. It is zero if there was no such read.
 	heartbeatAfter time.Time
-	// entryLost reports whether the entry of the worker became undecodable.
+	// entryLost reports whether the entry of the worker became undecodable, or names a worker
+	// of another shard.
 	entryLost bool
 	// expired indicates that the entry was removed from the list while the list was read
 	// without gaps. The worker's capacity may have changed since its last heartbeat.
@@ -279,14 +280,15 @@
 		s.updateWorker(info, now)
 	}
 	for _, name := range list.Undecodable {
-		if w := s.workers[name]; w != nil && !w.listed {
-			w.entryLost = true
-		}
+		s.recordLostEntry(name)
 	}
 	s.listSentAt = list.SentAt
 	s.otherShards = map[string][]dispatch.Worker{}
 	for name, workers := range list.OtherShards {
 		s.otherShards[name] = holders(workers)
+		for i := range workers {
+			s.recordLostEntry(workers[i].Name)
+		}
 	}
 	if !s.workersListed {
 		s.workersListed = true
@@ -309,6 +311,14 @@
 	s.wake()
 }
 
+// recordLostEntry records that there is an entry under the name of a worker that is not
+// listed. Another writer may have written it, so it was not removed by the worker.
+func (s *Shard) recordLostEntry(name lovagestand.WorkerName) {
+	if w := s.workers[name]; w != nil && !w.listed {
+		w.entryLost = true
+	}
+}
+
 // checkSilence takes a worker that has not answered since it was added off the roster.
 func (s *Shard) checkSilence(w *worker, now time.Time) {
 	if w.answered || w.silent || now.Sub(w.addedAt) <= silentAfter {
