shard: a test of an entry with another worker's address, failing

An entry may come from another writer and lack fields; each entry of a worker itself has the field born (PROTOCOL, Service discovery). An entry without it counted as one of any incarnation, so holds went to the address in it. Another worker there refuses them, which counts as the proof that the worker is gone.

--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -531,3 +531,54 @@
 		}
 	})
 }
+
+// addressFleet is a fleet whose workers are called by address.
+type addressFleet struct{ *runner.Fleet }
+
+func (f *addressFleet) refuse(w lovagestand.FleetWorker) error {
+	if w.Address != string(w.Name) {
+		return &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalRestarted}
+	}
+	return nil
+}
+
+func (f *addressFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.WorkerClock{}, err
+	}
+	return f.Fleet.Start(ctx, w, o)
+}
+
+func (f *addressFleet) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.WorkerClock, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.WorkerClock{}, err
+	}
+	return f.Fleet.Stop(ctx, w, task, run, epoch)
+}
+
+func (f *addressFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.HoldReply{}, err
+	}
+	return f.Fleet.Hold(ctx, w, r)
+}
+
+// TestEntryWithTheAddressOfAnotherWorker guards against tasks that run twice because their
+// worker counted as replaced: another writer had overwritten its entry with one that names
+// another worker's address and no incarnation.
+func TestEntryWithTheAddressOfAnotherWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		k.fleetWrapper = &addressFleet{k.fleet}
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(time.Second)
+		entry := k.list()[0]
+		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		time.Sleep(1500 * time.Millisecond)
+		k.setListEntry(0, entry)
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
