--- a/shard/worker.go
+++ b/shard/worker.go
@@ -347,6 +347,11 @@
 		s.addWorker(info, now)
 		return
 	}
+	if info.Born == 0 && w.born != 0 {
+		// Workers state their incarnation, so the entry is that of another writer.
+		w.entryLost = true
+		return
+	}
 	w.listed, w.lastListed = true, now
 	if w.outdated(info) {
 		w.recordOtherIncarnation(info.Born, now)
