shard: a test of rosters that are written while ends are not stored

TestEndOnALeavingWorkerThatIsNotStored passes if the list of a leaving worker lacks the tasks of ends that are not stored (evidence.go, tasksOnLeaving), since the roster is not written in its time.

--- a/shard/unstoredends_test.go
+++ b/shard/unstoredends_test.go
@@ -61,3 +61,49 @@
 		c.Check(k.startsOf(id(1)), qt.Equals, 2)
 	})
 }
+
+// TestRosterWhileAnEndIsNotStored guards against tasks that a next owner starts again after
+// they are done: the roster, which was written because another worker began to leave, did not
+// list them although their end was not stored.
+func TestRosterWhileAnEndIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 3, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if strings.HasPrefix(o.Task, id(1)) {
+				return 3 * time.Second, lovagestand.EndingDone
+			}
+			return 10 * time.Millisecond, lovagestand.EndingDone
+		})
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		k.fleetWrapper = fleet
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		former.submit(c, id(1), job.Step{Count: 4})
+		time.Sleep(time.Second)
+		k.setLeaving()
+		time.Sleep(1900 * time.Millisecond)
+		k.lostJob.Store(id(1))
+		k.delay.Store(int64(400 * time.Millisecond))
+		for n := range 2 * jobstore.MaxEntries {
+			go func() { _ = former.trySubmit(id(2+n), job.Step{Count: 1}) }()
+		}
+		time.Sleep(200 * time.Millisecond)
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			workers[2].Ready = false
+			return workers
+		})
+		time.Sleep(1300 * time.Millisecond)
+		fleet.cut.Store(true)
+		former.stop()
+		k.lostJob.Store("")
+		k.delay.Store(0)
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(2 * time.Second)
+		fleet.cut.Store(false)
+		time.Sleep(30 * time.Second)
+		assertPhase(c, next, id(1), "completed")
+		k.assertNoViolations()
+		c.Check(k.startsOf(id(1)), qt.Equals, 4)
+	})
+}
