--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -186,6 +186,32 @@
 	})
 }
 
+// TestThirdOwnerThatALeavingWorkerRefuses guards against tasks that are started again because
+// an owner which has not reached a leaving worker replaced the list of its tasks by what it has
+// started there itself.
+func TestThirdOwnerThatALeavingWorkerRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(5*time.Second, lovagestand.EndingDone))
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		k.fleetWrapper = fleet
+		first := k.startOnBoth(c)
+		defer first.stop()
+		time.Sleep(time.Second)
+		fleet.cut.Store(true)
+		first.stop()
+		second := k.beginTerm("b")
+		defer second.stop()
+		time.Sleep(time.Second)
+		second.stop()
+		third := k.beginTerm("c")
+		defer third.stop()
+		time.Sleep(4 * time.Second)
+		fleet.cut.Store(false)
+		k.assertCompletedOnce(third, id(1), 2)
+	})
+}
+
 // TestEntryThatNamesNoWorker guards against a next owner that waits for an answer from an
 // entry of another writer, at whose address no worker has ever answered.
 func TestEntryThatNamesNoWorker(t *testing.T) {
