--- a/shard/resetorders_test.go
+++ b/shard/resetorders_test.go
@@ -88,3 +88,69 @@
 		k.assertNoViolations()
 	})
 }
+
+// lateFleet is a fleet in which the first start on a worker is reset and executed later, and
+// the next one is refused.
+type lateFleet struct {
+	*runner.Fleet
+	worker lovagestand.WorkerName
+	starts atomic.Int64
+}
+
+func (f *lateFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
+	if w.Name != f.worker {
+		return f.Fleet.Start(ctx, w, o)
+	}
+	switch f.starts.Add(1) {
+	case 1:
+		time.AfterFunc(800*time.Millisecond, func() { _, _ = f.Fleet.Start(context.Background(), w, o) })
+		return lovagestand.WorkerClock{}, &lovagestand.UnavailableError{System: "worker", Reason: "reset", Reset: true}
+	case 2:
+		return lovagestand.WorkerClock{}, &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalUnhealthy}
+	}
+	return f.Fleet.Start(ctx, w, o)
+}
+
+// TestStartThatIsExecutedAfterItsRepetitionIsRefused guards against tasks that run twice because
+// the refusal of a repeated start counted for the first one, too.
+func TestStartThatIsExecutedAfterItsRepetitionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
+		k.fleetWrapper = &lateFleet{Fleet: k.fleet, worker: "w0"}
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 4}, job.Step{Count: 1})
+		time.Sleep(15 * time.Second)
+		assertPhase(c, o, id(1), "completed")
+		k.assertNoViolations()
+	})
+}
+
+// TestStartThatIsExecutedWhileItsStopIsLost guards against tasks that run twice because a worker
+// that does not list a run, whose start it has not confirmed, executes the start later.
+func TestStartThatIsExecutedWhileItsStopIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
+		late := true
+		k.fleet.SetFault(func(w lovagestand.WorkerName, order string) runner.Fault {
+			switch {
+			case w == "w0" && order == "start" && late:
+				return runner.FaultLate
+			case w == "w0" && order == "stop":
+				return runner.FaultLostRequest
+			}
+			return runner.FaultNone
+		})
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 4}, job.Step{Count: 1})
+		time.Sleep(2 * time.Second)
+		late = false
+		k.fleet.ApplyLate()
+		time.Sleep(30 * time.Second)
+		assertPhase(c, o, id(1), "completed")
+		k.assertNoViolations()
+	})
+}
