--- a/shard/write.go
+++ b/shard/write.go
@@ -250,7 +250,10 @@
 		return nil, nil
 	}
 	if e.final() {
-		r := job.Record{Moves: e.move.count, MovedTo: e.move.target, Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted, Held: s.heldBy(e)}
+		r := job.Record{Moves: e.move.count, Phase: e.currentPhase(), Route: e.route, Team: e.team, Finished: e.finishedAt.UnixMilli(), Unsubmitted: e.unsubmitted, Held: s.heldBy(e)}
+		if e.move.moved {
+			r.MovedTo = e.move.target
+		}
 		if e.unsubmitted {
 			r.Team, r.CancelledAlsoBy = e.cancelledBy[0], e.cancelledBy[1:]
 		}
