shard: a test of a majority that is cut off with its owner, failing

An owner that the store does not confirm counts as assured while a majority of the members has not seen its ownership end. The next owner waits for unreachable workers for the longest lease and for Overlap, by which time the former one is to be unassured (election/assurance.go). If most members are cut off from the store together with the owner, none of them sees the end, so the former owner extends the leases of its workers for as long as the cut lasts.

TestRegionCutOffWithItsOwner has the cut off part in the minority.

No fix here: neither side can tell the cut from an outage of the store. The next owner could count the wait from when a majority of the members that it knew before the cut (members expire, so not of those listed now) has seen the end; or assurance by members could be limited in time, which TestOwnerContinuesWhileTheStoreIsUnavailable forbids.

--- a/shard/cutoff_test.go
+++ b/shard/cutoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -91,10 +92,11 @@
 }
 
 // electedCell is a cell whose instances stand for election. A network cut can isolate
-// instance a, together with its workers, from the rest.
+// instance a, together with its workers and its neighbours, from the rest.
 type electedCell struct {
 	*cell
 	isolated   atomic.Bool
+	neighbours []lovagestand.InstanceID
 	mu         sync.Mutex
 	candidates map[lovagestand.InstanceID]*election.Candidate
 	owners     map[lovagestand.InstanceID]*owner
@@ -108,6 +110,11 @@
 	}
 }
 
+// besideA reports whether an instance is on the same side of the cut as instance a.
+func (r *electedCell) besideA(id lovagestand.InstanceID) bool {
+	return id == "a" || slices.Contains(r.neighbours, id)
+}
+
 // addCandidate adds an instance that stands for election. It reaches the instances and
 // workers on its own side of the cut, and until the cut also the others.
 func (r *electedCell) addCandidate(ctx context.Context, id lovagestand.InstanceID, keys lovagestand.Keyspace, workers ...lovagestand.WorkerName) {
@@ -116,7 +123,7 @@
 	directory := election.NewDirectory(keys, zerolog.Nop())
 	candidate := &election.Candidate{Shard: "0", Self: self, Keys: keys, Directory: directory, Log: zerolog.Nop()}
 	candidate.AskOwnershipEnded = func(ctx context.Context, m lovagestand.Instance, epoch lovagestand.Epoch) (bool, error) {
-		if r.isolated.Load() && (id == "a" || m.ID == "a") {
+		if r.isolated.Load() && r.besideA(id) != r.besideA(m.ID) {
 			<-ctx.Done()
 			return false, ctx.Err()
 		}
@@ -208,6 +215,31 @@
 	r.running.Wait()
 }
 
+// TestMajorityCutOffWithItsOwner cuts off a region with most instances together with the owner
+// in it. They have not seen its ownership end, so it counts as assured and extends the leases of
+// its workers, while another instance wins the election. No task may run on both sides.
+func TestMajorityCutOffWithItsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cut, sever := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(context.Background())
+		r := newElectedCell(c)
+		r.neighbours = []lovagestand.InstanceID{"b"}
+		r.addCandidate(ctx, "a", severableStore{Store: r.keys, severed: cut}, "w0", "w1")
+		time.Sleep(2 * time.Second)
+		r.addCandidate(ctx, "b", severableStore{Store: r.keys, severed: cut}, "w0", "w1")
+		r.addCandidate(ctx, "c", r.keys, "w2", "w3")
+		time.Sleep(2 * time.Second)
+		r.fillHalf(c)
+		r.isolated.Store(true)
+		sever()
+		time.Sleep(25 * time.Second)
+		cancel()
+		r.running.Wait()
+		r.assertNoViolations()
+	})
+}
+
 // TestOwnerContinuesWhileTheStoreIsUnavailable has an outage of the store that lasts
 // longer than any lease of a worker. As no member has seen another owner, all runs
 // must continue and accepted jobs must start.
