shard: a test of the overlap of two owners with short leases

No test failed when the next owner left out the overlap in its wait for workers that it does not reach (trial): leases of 8 s of 10 s leave a reserve of 2 s.

--- a/shard/cutoff_test.go
+++ b/shard/cutoff_test.go
@@ -271,3 +271,32 @@
 		r.running.Wait()
 	})
 }
+
+// TestOverlapWithShortLeases guards against a next owner that counts the lease of a worker which
+// it does not reach from the begin of its term, although the former owner extends it for the
+// overlap. Leases as long as the longest that the platform allows leave no other reserve.
+func TestOverlapWithShortLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(30*time.Second, lovagestand.EndingDone))
+		k.maxLease = 6 * time.Second
+		var assuredUntil atomic.Pointer[time.Time]
+		former := k.beginTerm("a", func(d *shard.Deps) {
+			d.Assured = func() bool { until := assuredUntil.Load(); return until == nil || time.Now().Before(*until) }
+		})
+		defer former.stop()
+		time.Sleep(time.Second)
+		former.submit(c, id(1), job.Step{Count: 4})
+		time.Sleep(time.Second)
+		until := time.Now().Add(overlap)
+		assuredUntil.Store(&until)
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		fleet.cut.Store(true)
+		k.fleetWrapper = fleet
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(20 * time.Second)
+		c.Check(k.fleet.Starts() > 4, qt.IsTrue)
+		k.assertNoViolations()
+	})
+}
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -58,7 +58,9 @@
 	undecodable []lovagestand.WorkerName
 	// fleetWrapper, if set, is the fleet that owners use in place of fleet.
 	fleetWrapper lovagestand.Fleet
-	advice       func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
+	// maxLease, if set, is the longest lease that owners give.
+	maxLease time.Duration
+	advice   func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
 }
 
 // delayedStore is a store that delays commits, and loses those of the lost job.
@@ -136,7 +138,7 @@
 
 // runTerm runs the shard in a term.
 func (k *cell) runTerm(term jobstore.Term, deps shard.Deps) *owner {
-	s := shard.New(term, shard.Limits{MaxLease: 10 * time.Second, Retention: 2 * time.Minute, HeartbeatTimeout: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second, Preemption: true, StopTimeout: 200 * time.Millisecond, RestoreDelay: 100 * time.Millisecond, Overlap: overlap}, deps)
+	s := shard.New(term, shard.Limits{MaxLease: cmp.Or(k.maxLease, 10*time.Second), Retention: 2 * time.Minute, HeartbeatTimeout: 4500 * time.Millisecond, ListInterval: 500 * time.Millisecond, CheckpointInterval: time.Second, Preemption: true, StopTimeout: 200 * time.Millisecond, RestoreDelay: 100 * time.Millisecond, Overlap: overlap}, deps)
 	k.c.Assert(s.Load(context.Background()), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
