shard: a test of a former owner and a worker that has restarted, failing

A former owner may count as assured for the overlap after the next term has begun. It is kept from starting tasks by the epoch that the next owner has sent to the workers, and by the roster: it gives tasks only to workers that the stored roster contains. A worker that restarts forgets the epoch (PROTOCOL: "holds and knows nothing of before") and keeps its place in the roster. The next owner, which had the answer of the former incarnation, does not wait for it.

Seen: a worker restarts 0.2 s after the next term has begun, the next owner does not reach it, and a task that waits runs on it and elsewhere: TWICE, 0.6 s after the begin of the term, within the overlap of 1.2 s.

--- a/shard/term_test.go
+++ b/shard/term_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -254,3 +255,34 @@
 		k.assertNoViolations()
 	})
 }
+
+// TestFormerOwnerAndARestartedWorker guards against tasks that run twice because a worker that
+// has restarted has forgotten the epoch of the next owner: the former one, which counts as
+// assured for the overlap, starts a task there that the next one starts elsewhere.
+func TestFormerOwnerAndARestartedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if strings.HasPrefix(o.Task, id(1)) {
+				return 3 * time.Second, lovagestand.EndingDone
+			}
+			return 5 * time.Second, lovagestand.EndingDone
+		})
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		former.submit(c, id(1), job.Step{Count: 8})
+		former.submit(c, id(2), job.Step{Count: 1})
+		time.Sleep(2400 * time.Millisecond)
+		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		k.fleetWrapper = fleet
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(200 * time.Millisecond)
+		c.Assert(next.Status().FormerTermResolved, qt.IsTrue)
+		fleet.cut.Store(true)
+		k.delay.Store(int64(400 * time.Millisecond))
+		k.restart(0)
+		time.Sleep(5 * time.Second)
+		k.assertNoViolations()
+	})
+}
