--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -312,6 +312,36 @@
 	}
 }
 
+// TestWorkerThatCrashesWithManyEnds guards against tasks that no owner ever starts again: their
+// worker had answered the next owner with a first part of its ends, and crashed.
+func TestWorkerThatCrashesWithManyEnds(t *testing.T) {
+	const tasks = 700
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(100*time.Millisecond, lovagestand.EndingDone))
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			capacity := lovagestand.Resources{MilliCPU: 1000 * tasks, MemoryMiB: 100 * tasks}
+			return []lovagestand.FleetWorker{k.fleet.Add("w0", capacity), workers[1]}
+		})
+		former := k.beginReadyTerm("a")
+		former.submit(c, id(1), job.Step{Count: tasks})
+		k.keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultRejected })
+		time.Sleep(2 * time.Second)
+		former.stop()
+		k.keys.SetFault(nil)
+		k.delay.Store(int64(time.Second))
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(900 * time.Millisecond)
+		k.crashFirst()
+		k.delay.Store(0)
+		time.Sleep(time.Minute)
+		c.Check(next.Status().FormerTermResolved, qt.IsTrue)
+		assertPhase(c, next, id(1), "completed")
+		k.assertNoViolations()
+	})
+}
+
 // delayedHoldHook is a fleet whose answers to starts do not report the incarnation, as
 // on the platform. It calls the function before once, ahead of the next hold, and
 // delays the answer to that hold.
