--- a/shard/hold.go
+++ b/shard/hold.go
@@ -181,7 +181,8 @@
 		}
 		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
 	}
-	if now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
+	_, unresolved := s.unresolved[w.info.Name]
+	if now.After(w.leaseEnd) && (len(w.placements)+len(w.strays) > 0 || unresolved && w.contacted) {
 		s.requeueAll(w, lossLeaseExpired)
 	}
 	// After that time no lease given by a former owner can be in force.
