shard: a test of a job that returns before its move is confirmed, failing

A job moves to another shard, whose replies are lost, runs a step there and comes back. Its first owner goes on calling with the move that it was in, now without the name of a shard.

Seen: 125 calls without a shard in 30 s; a node answers each with "not owner", so that nothing but calls and log lines results. A reply to the first move that arrives after a third one has begun would count for that (by reading; it takes a call of more than a second).

--- a/shard/move_test.go
+++ b/shard/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,8 @@
 	// whether only its reply is.
 	lost  func() (call, reply bool)
 	other *movingShard
+	// unnamed counts the calls that name no shard.
+	unnamed atomic.Int64
 }
 
 // newMovingShards returns two shards. Only the workers of the second one have the label c.
@@ -51,7 +54,11 @@
 // begin begins a term.
 func (m *movingShard) begin() {
 	o := m.beginTerm("owner", func(d *shard.Deps) {
-		d.Move = func(ctx context.Context, _ string, id job.ID, value []byte) error {
+		d.Move = func(ctx context.Context, name string, id job.ID, value []byte) error {
+			if name == "" {
+				m.unnamed.Add(1)
+				return &shard.NotOwnerError{}
+			}
 			return m.other.receive(ctx, id, value)
 		}
 		d.Knows = func(ctx context.Context, _ string, id job.ID) (bool, error) {
@@ -272,3 +279,21 @@
 		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 1)
 	})
 }
+
+// TestJobReturnsBeforeItsMoveIsConfirmed guards against an owner that goes on moving a job after
+// the job has come back: the other shard has run a step of it, and its replies were lost.
+func TestJobReturnsBeforeItsMoveIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		second.setLost(func() (bool, bool) { return false, true })
+		second.setLabels("c")
+		first.setLabels("d")
+		first.current().submit(c, id(1), job.Step{Count: 1, Label: "d"}, job.Step{Count: 1, Label: "c", After: []int{0}}, job.Step{Count: 1, Label: "d", After: []int{1}})
+		time.Sleep(30 * time.Second)
+		assertPhase(c, first.current(), id(1), "completed")
+		c.Check(first.unnamed.Load(), qt.Equals, int64(0))
+		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 3)
+	})
+}
