--- a/shard/move.go
+++ b/shard/move.go
@@ -176,11 +176,11 @@
 	}
 	m.calling = true
 	s.movesInFlight++
-	go s.sendMove(e, m.target, value)
+	go s.sendMove(e, m.target, m.count, value)
 }
 
-// sendMove passes a job on and records the outcome.
-func (s *Shard) sendMove(e *jobEntry, target string, value []byte) {
+// sendMove passes a job on and records the outcome, unless the job has come back meanwhile.
+func (s *Shard) sendMove(e *jobEntry, target string, count int, value []byte) {
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	err := s.deps.Move(ctx, target, e.id, value)
 	cancel()
@@ -194,7 +194,7 @@
 	}
 	var otherTeam *OtherTeamError
 	switch {
-	case e.progress == nil || !m.leaving():
+	case e.progress == nil || !m.leaving() || m.count != count:
 	case err == nil:
 		s.finishMove(e)
 	case errors.As(err, &otherTeam):
@@ -315,6 +315,7 @@
 	e := newJobEntry(progress, body)
 	s.estimateWork(e)
 	e = s.accept(former, e)
+	delete(s.moving, e.id)
 	e.move = moveState{count: moves}
 	return e
 }
