shard: a test of leases on clocks that are 2% slow

No test failed when the clock of a worker counted as exact (trial), since the stand-in's clocks are.

--- a/shard/cutoff_test.go
+++ b/shard/cutoff_test.go
@@ -300,3 +300,61 @@
 		k.assertNoViolations()
 	})
 }
+
+// slowClockFleet is a refusingFleet whose workers have clocks that are 2% slow. The first hold
+// after the cut is executed, and its connection is closed after a time.
+type slowClockFleet struct {
+	*refusingFleet
+	closesAfter time.Duration
+	closed      atomic.Bool
+}
+
+const (
+	slowClock = 0.98
+	// holdRetry is the time between two holds that are refused at once.
+	holdRetry = 200 * time.Millisecond
+)
+
+func onSlowClock(millis int64) int64 { return int64(slowClock * float64(millis)) }
+
+func offSlowClock(millis int64) int64 { return int64(float64(millis) / slowClock) }
+
+func (f *slowClockFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
+	o.Until = offSlowClock(o.Until)
+	clock, err := f.refusingFleet.Start(ctx, w, o)
+	clock.Millis = onSlowClock(clock.Millis)
+	return clock, err
+}
+
+func (f *slowClockFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+	r.Until = offSlowClock(r.Until)
+	if f.refuse(w) != nil && f.closed.CompareAndSwap(false, true) {
+		r.Wait = 0
+		_, _ = f.Fleet.Hold(ctx, w, r)
+		time.Sleep(f.closesAfter)
+	}
+	reply, err := f.refusingFleet.Hold(ctx, w, r)
+	reply.Clock = onSlowClock(reply.Clock)
+	return reply, err
+}
+
+// TestLeaseOnASlowClock guards against tasks that start again before the lease of their worker is
+// over on its own clock.
+func TestLeaseOnASlowClock(t *testing.T) {
+	for phase := time.Duration(0); phase < holdRetry; phase += 4 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			k := newCell(c, 2, always(30*time.Second, lovagestand.EndingDone))
+			fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+			k.fleetWrapper = &slowClockFleet{refusingFleet: fleet, closesAfter: phase}
+			o := k.beginReadyTerm("a")
+			defer o.stop()
+			o.submit(c, id(1), job.Step{Count: 4})
+			time.Sleep(time.Second)
+			fleet.cut.Store(true)
+			time.Sleep(12 * time.Second)
+			c.Check(k.startsOf(id(1)) > 4, qt.IsTrue)
+			c.Assert(k.fleet.Violations(), qt.HasLen, 0, qt.Commentf("phase %v", phase))
+		})
+	}
+}
