shard: tests of what must be known before a job moves

No test failed when a job was passed on before its move was stored, or while a task of it ran (trials). TestJobStaysWhileItMayRun passes without the check that former runs are known: jobs of former terms do not wait before that.

--- a/shard/move_test.go
+++ b/shard/move_test.go
@@ -28,9 +28,15 @@
 	unnamed atomic.Int64
 }
 
-// newMovingShards returns two shards. Only the workers of the second one have the label c.
+// newMovingShards returns two shards whose tasks run for a second. Only the workers of the second
+// one have the label c.
 func newMovingShards(c *qt.C) (first, second *movingShard) {
-	work := always(time.Second, lovagestand.EndingDone)
+	return newMovingShardsOf(c, time.Second)
+}
+
+// newMovingShardsOf is [newMovingShards] with tasks that run for a time.
+func newMovingShardsOf(c *qt.C, runTime time.Duration) (first, second *movingShard) {
+	work := always(runTime, lovagestand.EndingDone)
 	first, second = &movingShard{cell: newCell(c, 2, work)}, &movingShard{cell: newCell(c, 2, work)}
 	first.other, second.other = second, first
 	first.otherShard, second.otherShard = second.cell, first.cell
@@ -297,3 +303,64 @@
 		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 3)
 	})
 }
+
+// TestMoveThatIsNotStored guards against a job that runs in two shards because it was passed on
+// before its move was stored.
+func TestMoveThatIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		first.current().submit(c, id(1), job.Step{Count: 1, Label: "c"})
+		first.lostJob.Store(id(1))
+		time.Sleep(3 * time.Second)
+		first.current().stop()
+		first.lostJob.Store("")
+		first.setLabels("c")
+		first.begin()
+		time.Sleep(10 * time.Second)
+		assertPhase(c, first.current(), id(1), "completed")
+		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 1)
+	})
+}
+
+// TestJobStaysWhileItRuns guards against a job that runs in two shards because it is moved while
+// a task of another step runs.
+func TestJobStaysWhileItRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShardsOf(c, 5*time.Second)
+		defer func() { first.current().stop(); second.current().stop() }()
+		first.setLabels("d")
+		time.Sleep(time.Second)
+		first.current().submit(c, id(1), job.Step{Count: 1, Label: "d"}, job.Step{Count: 1, Label: "c"})
+		time.Sleep(40 * time.Second)
+		assertPhase(c, second.current(), id(1), "completed")
+		c.Assert(first.fleet.Starts(), qt.Equals, 1)
+		c.Assert(second.fleet.Starts(), qt.Equals, 1)
+	})
+}
+
+// TestJobStaysWhileItMayRun guards against a job that runs in two shards because a next owner
+// moves it before it knows the runs of its predecessor.
+func TestJobStaysWhileItMayRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShardsOf(c, 20*time.Second)
+		defer func() { first.current().stop(); second.current().stop() }()
+		entry := first.list()[0]
+		entry.Labels = []string{"c"}
+		first.setListEntry(0, entry)
+		time.Sleep(time.Second)
+		first.current().submit(c, id(1), job.Step{Count: 1, Label: "c"})
+		time.Sleep(time.Second)
+		first.fleet.SetUnreachable("w0", true)
+		first.removeFirst()
+		first.replaceOwner()
+		time.Sleep(6 * time.Second)
+		c.Assert(first.fleet.Running(), qt.Equals, 1)
+		c.Assert(second.fleet.Starts(), qt.Equals, 0)
+		time.Sleep(40 * time.Second)
+		assertPhase(c, second.current(), id(1), "completed")
+	})
+}
