--- a/shard/hold.go
+++ b/shard/hold.go
@@ -181,7 +181,8 @@
 		}
 		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
 	}
-	if now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
+	_, unresolved := s.unresolved[w.info.Name]
+	if now.After(w.leaseEnd) && (len(w.placements)+len(w.strays) > 0 || unresolved && w.contacted) {
 		s.requeueAll(w, lossLeaseExpired)
 	}
 	// After that time no lease given by a former owner can be in force.
@@ -223,6 +224,10 @@
 	w.born = born
 	w.lastHeartbeat, w.heartbeatAfter = time.Time{}, time.Time{}
 	w.contacted = false
+	// The new incarnation has not seen the epoch of a next owner. No task is placed there until
+	// a write of the roster shows that there was none.
+	w.inRosterWrite, w.enrolled = false, false
+	s.requestRosterWrite()
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
 	// The new incarnation has seen no epoch. No task is placed there until a write has shown
