--- a/shard/hold.go
+++ b/shard/hold.go
@@ -230,8 +230,4 @@
 	s.requestRosterWrite()
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
-	// The new incarnation has seen no epoch. No task is placed there until a write has shown
-	// that no other owner had followed when it was contacted.
-	w.inRosterWrite, w.enrolled = false, false
-	s.requestRosterWrite()
 }
