--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -188,28 +188,32 @@
 
 // TestThirdOwnerThatALeavingWorkerRefuses guards against tasks that are started again because
 // an owner which has not reached a leaving worker replaced the list of its tasks by what it has
-// started there itself.
+// started there itself, or took the worker off the roster as one that has never answered.
 func TestThirdOwnerThatALeavingWorkerRefuses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		k := newCell(c, 2, always(5*time.Second, lovagestand.EndingDone))
-		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
-		k.fleetWrapper = fleet
-		first := k.startOnBoth(c)
-		defer first.stop()
-		time.Sleep(time.Second)
-		fleet.cut.Store(true)
-		first.stop()
-		second := k.beginTerm("b")
-		defer second.stop()
-		time.Sleep(time.Second)
-		second.stop()
-		third := k.beginTerm("c")
-		defer third.stop()
-		time.Sleep(4 * time.Second)
-		fleet.cut.Store(false)
-		k.assertCompletedOnce(third, id(1), 2)
-	})
+	for _, lasts := range []time.Duration{time.Second, 4 * time.Second} {
+		t.Run(fmt.Sprint("second=", lasts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 2, always(5*time.Second, lovagestand.EndingDone))
+				fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+				k.fleetWrapper = fleet
+				first := k.startOnBoth(c)
+				defer first.stop()
+				time.Sleep(time.Second)
+				fleet.cut.Store(true)
+				first.stop()
+				second := k.beginTerm("b")
+				defer second.stop()
+				time.Sleep(lasts)
+				second.stop()
+				third := k.beginTerm("c")
+				defer third.stop()
+				time.Sleep(2 * time.Second)
+				fleet.cut.Store(false)
+				k.assertCompletedOnce(third, id(1), 2)
+			})
+		})
+	}
 }
 
 // TestEntryThatNamesNoWorker guards against a next owner that waits for an answer from an
