shard: a test of a next owner and another worker's address, failing

The refusal of another worker is the proof that a worker is gone only at the address at which the worker was. A next owner takes the address from the list, where another writer may have left an entry without born, which DecodeWorker accepts; the roster states the address at which the former owner called the worker.

Seen: the two runs of w0 that continue start again on w1: 2 x TWICE.

--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -612,3 +612,26 @@
 		k.assertCompletedOnce(o, id(1), 2)
 	})
 }
+
+// TestNextOwnerAndTheAddressOfAnotherWorker guards against tasks that a next owner starts again
+// while they run, because another worker refuses orders at the address in an entry that another
+// writer has left, and not at the address that the roster states.
+func TestNextOwnerAndTheAddressOfAnotherWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		k.fleetWrapper = &addressFleet{k.fleet}
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		former.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(time.Second)
+		entry := k.list()[0]
+		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		former.stop()
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(1500 * time.Millisecond)
+		k.setListEntry(0, entry)
+		k.assertCompletedOnce(next, id(1), 2)
+	})
+}
