shard: another worker's refusal counts only at the address at which the worker was

That is the address at which it last answered or, if this owner has had no answer, the one in the roster.

Also: the merge left what a restart does to the place in the roster in the code twice.

--- a/shard/hold.go
+++ b/shard/hold.go
@@ -40,6 +40,9 @@
 		}
 		s.mu.Lock()
 		answered := err == nil && s.recordHolding(w, begun, holding)
+		if answered {
+			w.answeredAt = target.Address
+		}
 		paced := time.Now().Before(w.fewConnectionsUntil)
 		if err != nil {
 			s.holdFailed(w, target, err, timedOut)
@@ -64,8 +67,8 @@
 	cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && s.ctx.Err() == nil {
-		s.recordHolding(w, begun, holding)
+	if err == nil && s.ctx.Err() == nil && s.recordHolding(w, begun, holding) {
+		w.answeredAt = target.Address
 	}
 }
 
@@ -153,7 +156,7 @@
 // target may be its entry; the list may have changed since the hold was sent. If the hold
 // did not time out, the worker was alive until just before.
 func (s *Shard) holdFailed(w *worker, target lovagestand.FleetWorker, err error, timedOut bool) {
-	targetMatches := w.mayBeIncarnation(target.Born)
+	targetMatches := w.mayBeIncarnation(target.Born) && s.wasAt(w, target.Address)
 	var refused *lovagestand.OrderRefusedError
 	if errors.As(err, &refused) {
 		switch refused.Reason {
@@ -191,6 +194,17 @@
 	}
 }
 
+// wasAt reports whether an address is the one at which a worker has last answered or, if it has
+// not, the one at which a former owner called it. The list may state another one: another
+// writer may have left it there.
+func (s *Shard) wasAt(w *worker, address string) bool {
+	last := w.answeredAt
+	if last == "" {
+		last = s.unresolved[w.info.Name].Address
+	}
+	return last == "" || last == address
+}
+
 // markGone records that a worker has left for good, so that it can be removed at once.
 func (s *Shard) markGone(w *worker, cause lossCause) {
 	s.requeueAll(w, cause)
@@ -224,10 +238,6 @@
 	w.born = born
 	w.lastHeartbeat, w.heartbeatAfter = time.Time{}, time.Time{}
 	w.contacted = false
-	// The new incarnation has not seen the epoch of a next owner. No task is placed there until
-	// a write of the roster shows that there was none.
-	w.inRosterWrite, w.enrolled = false, false
-	s.requestRosterWrite()
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
 	// The new incarnation has seen no epoch. No task is placed there until a write has shown
