--- a/shard/evidence.go
+++ b/shard/evidence.go
@@ -123,6 +123,17 @@
 	}
 }
 
+// wasAt reports whether an address is the one at which a worker has last answered or, if it has
+// not, the one at which a former owner called it. The list may state another one: another
+// writer may have left it there.
+func (s *Shard) wasAt(w *worker, address string) bool {
+	last := w.answerAddress
+	if last == "" {
+		last = s.unresolved[w.info.Name].Address
+	}
+	return last == "" || last == address
+}
+
 // hasLeft reports whether a worker that was about to leave has left: its entry is gone
 // although its heartbeat cannot have been missing for long enough to let the entry expire.
 func (s *Shard) hasLeft(w *worker) bool {
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -41,7 +41,7 @@
 		s.mu.Lock()
 		answered := err == nil && s.recordHolding(w, begun, holding)
 		if answered {
-			w.answeredAt = target.Address
+			w.answerAddress = target.Address
 		}
 		paced := time.Now().Before(w.fewConnectionsUntil)
 		if err != nil {
@@ -68,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil && s.ctx.Err() == nil && s.recordHolding(w, begun, holding) {
-		w.answeredAt = target.Address
+		w.answerAddress = target.Address
 	}
 }
 
@@ -194,17 +194,6 @@
 	}
 }
 
-// wasAt reports whether an address is the one at which a worker has last answered or, if it has
-// not, the one at which a former owner called it. The list may state another one: another
-// writer may have left it there.
-func (s *Shard) wasAt(w *worker, address string) bool {
-	last := w.answeredAt
-	if last == "" {
-		last = s.unresolved[w.info.Name].Address
-	}
-	return last == "" || last == address
-}
-
 // markGone records that a worker has left for good, so that it can be removed at once.
 func (s *Shard) markGone(w *worker, cause lossCause) {
 	s.requeueAll(w, cause)
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -84,11 +84,11 @@
 	// whether none has for so long that the entry may be that of another writer. A silent
 	// worker has been given no task.
 	answered, silent bool
-	// answeredAt is the address at which it has last answered a hold; empty if none has.
-	answeredAt   string
-	contacted    bool // whether the current incarnation has answered a hold
-	unresponsive bool // whether the last hold failed
-	lastAnswer   time.Time
+	// answerAddress is the address at which it has last answered a hold; empty if none has.
+	answerAddress string
+	contacted     bool // whether the current incarnation has answered a hold
+	unresponsive  bool // whether the last hold failed
+	lastAnswer    time.Time
 	// aliveUntil is when the worker is known to have been alive last, once it does not
 	// answer or was found to have restarted.
 	aliveUntil time.Time
