soak: a busy cell whose workers leave while links are cut

Cause: the soak could not show what the users saw on a large deployment. Its cell has three nodes and six workers, one route and no preemption or advice, workers leave one by one, and no reply is lost after an order was carried out. The entries of its workers carried no heartbeat, so that no worker ever counted as removed by itself.

Change: soak.Shape describes a cell. TestBusySoak runs one of seven nodes and 40 workers in five failure domains, with two teams (one capped), an urgent and a batch route, checkpoints, gangs, stops that take a time, and slow advice or preemption. Workers leave one or several at once while links are cut (the cut may outlast them), flap, or lose their entries while they go on; the owner, the store and orders are disturbed meanwhile. A link can reset the connection in place of a reply. Entries carry the heartbeat.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -45,6 +45,8 @@
 	rejected bool
 	// key is the key of the job's team; empty in a cell without teams.
 	key string
+	// route is the path of the job's route below callerPrefix.
+	route string
 	// forbidden reports whether the job was submitted with a key that was never issued.
 	forbidden bool
 }
@@ -91,6 +93,9 @@
 	var calls sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		p := newPlan(r, n, len(c.cell.Nodes))
+		if c.cell.shape.Classes {
+			p = p.withClass(r)
+		}
 		p.record.key = c.cell.keyOf(n)
 		c.jobs[p.id] = p.record
 		calls.Go(func() { c.execute(p) })
@@ -132,6 +137,28 @@
 	return p
 }
 
+// withClass returns the plan for a job of a class instead. One job in three is a batch job,
+// whose tasks run for seconds, mostly with checkpoints. The others are urgent. Most jobs are
+// not cancelled.
+func (p plan) withClass(r *rand.Rand) plan {
+	batch := r.IntN(3) == 0
+	spec := site.Spec{MilliCPU: 500 * int64(1+r.IntN(4)), Work: randomBetween(r, 200*time.Millisecond, 1200*time.Millisecond)}
+	count := 1 + r.IntN(4)
+	if batch {
+		spec.Work, count = randomBetween(r, time.Second, 5*time.Second), 1+r.IntN(8)
+	} else {
+		p.record.route = urgentPath
+	}
+	if r.IntN(5) == 0 {
+		spec.Gang = count
+	}
+	spec.Checkpoints = batch && spec.Gang == 0 && r.IntN(4) > 0
+	p.cancel = p.cancel && r.IntN(2) == 0
+	p.body = fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"gang":%t,"saves_progress":%t,"estimate_ms":%d},{"count":1,"cpu":%d,"after":[0]}]}`,
+		spec, count, spec.MilliCPU, spec.Gang > 0, spec.Checkpoints, spec.Work.Milliseconds(), spec.MilliCPU)
+	return p
+}
+
 // execute makes the planned calls about a job.
 func (c *Callers) execute(p plan) {
 	if c.submitWithRetries(p) {
@@ -185,7 +212,7 @@
 }
 
 func (c *Callers) submit(p plan, node int) int {
-	status, _ := c.call(http.MethodPost, node, p.id, p.body, p.record.key, p.deadline)
+	status, _ := c.call(http.MethodPost, node, p.record.route+p.id, p.body, p.record.key, p.deadline)
 	if status == http.StatusOK {
 		c.setOnce(&p.record.accepted)
 	}
@@ -206,7 +233,7 @@
 func (c *Callers) cancel(p plan, node int) {
 	c.setOnce(&p.record.cancelled)
 	for ; ; node++ {
-		status, _ := c.call(http.MethodDelete, node, p.id, "", p.record.key, p.deadline)
+		status, _ := c.call(http.MethodDelete, node, p.record.route+p.id, "", p.record.key, p.deadline)
 		if status == http.StatusOK || status == http.StatusGone {
 			c.setOnce(&p.record.acknowledged)
 			return
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -32,12 +32,41 @@
 	closed chan struct{}
 	// leaving holds the indexes of the workers that are leaving as planned.
 	leaving map[int]bool
-	// teams reports whether the cell has teams. changedAt is when the store acknowledged
-	// the version that withdraws a key; zero before.
-	teams     bool
+	// silent holds the indexes of the workers that send no heartbeats.
+	silent map[int]bool
+	// linger is how much longer a worker that leaves continues at most.
+	linger time.Duration
+	shape  Shape
+	// changedAt is when the store acknowledged the version that withdraws a key; zero
+	// before.
 	changedAt time.Time
 }
 
+// Shape is the size and the kind of a cell.
+type Shape struct {
+	Nodes, Workers int
+	// FailureDomains is the number of failure domains of the workers; 0 counts as 1.
+	FailureDomains int
+	// Teams reports whether callers need the keys of teams.
+	Teams bool
+	// Classes reports whether the cell has an urgent route and a route for batch jobs.
+	Classes bool
+	// Preemption allows tasks to be stopped for urgent ones.
+	Preemption bool
+	// Advice describes the policy service; nil without one.
+	Advice *site.Advice
+	// StopTime is how long a stop takes.
+	StopTime time.Duration
+}
+
+func (s Shape) options() []site.Option {
+	options := []site.Option{site.WithFailureDomains(max(1, s.FailureDomains)), site.WithStopTime(s.StopTime)}
+	if s.Advice != nil {
+		options = append(options, site.WithAdvice(*s.Advice))
+	}
+	return options
+}
+
 // Node is one process of the program, which reaches the store through a proxy of
 // its own. Callers is the address at which it serves callers.
 type Node struct {
@@ -61,16 +90,13 @@
 // Open starts a cell with a number of nodes and workers. The nodes' settings and
 // logs are written to the directory.
 func Open(program, directory string, nodes, workers int, options ...site.Option) (*Cell, error) {
-	return open(program, directory, nodes, workers, false, options...)
-}
-
-// OpenWithTeams is Open for a cell whose callers need the keys of teams.
-func OpenWithTeams(program, directory string, nodes, workers int, options ...site.Option) (*Cell, error) {
-	return open(program, directory, nodes, workers, true, options...)
+	return OpenShape(program, directory, Shape{Nodes: nodes, Workers: workers}, options...)
 }
 
-func open(program, directory string, nodes, workers int, teams bool, options ...site.Option) (*Cell, error) {
-	c := &Cell{owners: map[lovagestand.Epoch]string{}, leaving: map[int]bool{}, closed: make(chan struct{}), teams: teams}
+// OpenShape starts a cell of a shape, see [Open].
+func OpenShape(program, directory string, shape Shape, options ...site.Option) (*Cell, error) {
+	c := &Cell{owners: map[lovagestand.Epoch]string{}, leaving: map[int]bool{}, silent: map[int]bool{}, closed: make(chan struct{}), shape: shape}
+	options = append(shape.options(), options...)
 	addProxy := func(address string) (string, error) {
 		p, err := NewProxy(address)
 		if err != nil {
@@ -80,7 +106,7 @@
 		return p.Address(), nil
 	}
 	var err error
-	if c.Site, err = site.Open("127.0.0.1:0", workers, append(options, site.WithAdvertisedAddresses(addProxy))...); err != nil {
+	if c.Site, err = site.Open("127.0.0.1:0", shape.Workers, append(options, site.WithAdvertisedAddresses(addProxy))...); err != nil {
 		return nil, err
 	}
 	if err := c.configure(1); err != nil {
@@ -88,7 +114,7 @@
 	}
 	go c.recordOwners()
 	go c.sendHeartbeats()
-	for i := range nodes {
+	for i := range shape.Nodes {
 		n, err := c.newNode(program, directory, fmt.Sprintf("node-%d", i))
 		if err != nil {
 			return nil, err
@@ -124,7 +150,7 @@
 host: "127.0.0.1"
 ports: [%d]
 store: %q
-advice: ""
+advice: %q
 processors: 1
 memoryMiB: 200
 heartbeat: 1s
@@ -132,6 +158,8 @@
 maxLease: 10s
 retention: 10m
 checkpointInterval: 1s
+preemption: %t
+stopTimeout: %s
 `
 
 func (c *Cell) newNode(program, directory, name string) (*Node, error) {
@@ -149,7 +177,7 @@
 		Name: name, Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Store: store, program: program,
 		settings: filepath.Join(directory, name+".yaml"), log: filepath.Join(directory, name+".log"),
 	}
-	text := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], store.Address())
+	text := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], store.Address(), c.Site.AdviceAddress(), c.shape.Preemption, c.shape.StopTime)
 	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "write settings")
 }
 
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -38,7 +38,7 @@
 	c.mu.Lock()
 	accepted := !record.accepted.IsZero()
 	c.mu.Unlock()
-	status, text := c.call(http.MethodGet, node, id, "", record.key, queryDeadline)
+	status, text := c.call(http.MethodGet, node, record.route+id, "", record.key, queryDeadline)
 	now := time.Now()
 	c.mu.Lock()
 	cancelled := !record.cancelled.IsZero()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -8,9 +8,7 @@
 	"syscall"
 	"time"
 
-	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/standin/keyspace"
-	"lovagestand.example/lovagestand/standin/runner"
 )
 
 // injectedFault is a fault that lasts until heal is called.
@@ -114,7 +112,7 @@
 		case <-time.After(heartbeatInterval):
 		}
 		for i := range c.Workers {
-			if !c.disturbed(time.Now(), 0, storeTarget) {
+			if !c.isSilent(i) && !c.disturbed(time.Now(), 0, storeTarget) {
 				// Heartbeat fails only if the worker can't be encoded, which doesn't happen.
 				_ = c.Site.Heartbeat(i)
 			}
@@ -264,15 +262,7 @@
 			return nil
 		}}
 	},
-	func(r *rand.Rand, c *Cell) injectedFault {
-		lose := oneInThree(r.Uint64(), keyspace.Fault(1+r.IntN(4)))
-		c.Site.Fleet.SetFault(func(_ lovagestand.WorkerName, order string) runner.Fault { return runner.Fault(lose(order)) })
-		return injectedFault{"workers lose orders", c.workerNames(), func() error {
-			c.Site.Fleet.SetFault(nil)
-			c.Site.Fleet.ApplyLate()
-			return nil
-		}}
-	},
+	disturbOrders,
 }
 
 // allFaults are all kinds of fault, each equally likely.
@@ -304,37 +294,49 @@
 // so that a fault also hits the next owner of the shard. log is called when a
 // fault begins and when it is over.
 func (c *Cell) InjectFaults(r *rand.Rand, length time.Duration, log func(string)) error {
-	return c.inject(allFaults, r, length, log)
+	return c.inject(alone(allFaults), r, length, log)
 }
 
 // InjectEarlierFaults is InjectFaults without the kinds of fault that were added after the
 // regression seeds had been found.
 func (c *Cell) InjectEarlierFaults(r *rand.Rand, length time.Duration, log func(string)) error {
-	return c.inject(faults, r, length, log)
+	return c.inject(alone(faults), r, length, log)
+}
+
+// alone returns the kinds of fault that consist of one fault each.
+func alone(faults []fault) [][]fault {
+	kinds := make([][]fault, len(faults))
+	for i, f := range faults {
+		kinds[i] = []fault{f}
+	}
+	return kinds
 }
 
-func (c *Cell) inject(faults []fault, r *rand.Rand, length time.Duration, log func(string)) error {
+// inject injects faults of random kinds. The faults of one kind begin together.
+func (c *Cell) inject(kinds [][]fault, r *rand.Rand, length time.Duration, log func(string)) error {
 	var active sync.WaitGroup
 	failed := make(chan error, 1)
 	kind := 0
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		repeats := r.IntN(3) == 0
 		if !repeats {
-			kind = r.IntN(len(faults))
+			kind = r.IntN(len(kinds))
+		}
+		for _, begin := range kinds[kind] {
+			f := begin(r, c)
+			log(f.description)
+			endDisturbance := c.disturb(f.targets)
+			duration := randomBetween(r, 200*time.Millisecond, 2700*time.Millisecond)
+			active.Go(func() {
+				time.Sleep(duration)
+				err := f.heal()
+				endDisturbance()
+				log("over: " + f.description)
+				if err != nil {
+					failed <- err
+				}
+			})
 		}
-		f := faults[kind](r, c)
-		log(f.description)
-		endDisturbance := c.disturb(f.targets)
-		duration := randomBetween(r, 200*time.Millisecond, 2700*time.Millisecond)
-		active.Go(func() {
-			time.Sleep(duration)
-			err := f.heal()
-			endDisturbance()
-			log("over: " + f.description)
-			if err != nil {
-				failed <- err
-			}
-		})
 		pause := randomBetween(r, 200*time.Millisecond, 1700*time.Millisecond)
 		if repeats {
 			pause /= 5
--- a/soak/keys.go
+++ b/soak/keys.go
@@ -12,6 +12,8 @@
 const (
 	// callerHost and callerPrefix are the host and the path prefix of the only route.
 	callerHost, callerPrefix = "a.example", "/x/"
+	// urgentPath is the path of the urgent route below callerPrefix, in a cell with classes.
+	urgentPath = "urgent/"
 
 	// applyTime is how long after the acknowledgement of a version all nodes must have
 	// put it in force that have been in contact with the store for contactTime.
@@ -36,21 +38,35 @@
 // configure stores a version of the configuration: the first one, or a later one that
 // differs in one key.
 func (c *Cell) configure(version int) error {
-	if !c.teams {
-		return c.Site.Configure(version, callerHost, callerPrefix)
+	routes := []site.Route{{Name: "quote", Prefix: callerPrefix}}
+	if c.shape.Classes {
+		routes[0].Priority = 1
+		routes = append(routes, site.Route{Name: "urgent", Prefix: callerPrefix + urgentPath})
+	}
+	return c.Site.ConfigureRoutes(version, callerHost, routes, c.teams(version)...)
+}
+
+// teams returns the teams in a version of the configuration. In a cell with classes, one
+// of them is capped at half of the workers.
+func (c *Cell) teams(version int) []site.Team {
+	if !c.shape.Teams {
+		return nil
 	}
 	key := withdrawnKey
 	if version > 1 {
 		key = issuedKey
 	}
-	return c.Site.Configure(version, callerHost, callerPrefix,
-		site.Team{Name: "a", Keys: []string{permanentKeys[0], key}, Weight: 1}, site.Team{Name: "b", Keys: permanentKeys[1:], Weight: 1})
+	teams := []site.Team{{Name: "a", Keys: []string{permanentKeys[0], key}, Weight: 1}, {Name: "b", Keys: permanentKeys[1:], Weight: 1}}
+	if c.shape.Classes {
+		teams[1].Cap = site.Cap{MilliCPU: site.Capacity.MilliCPU * int64(c.shape.Workers) / 2}
+	}
+	return teams
 }
 
 // ChangeKeys withdraws a key and issues another one. It does nothing in a cell without
 // teams.
 func (c *Cell) ChangeKeys() error {
-	if !c.teams {
+	if !c.shape.Teams {
 		return nil
 	}
 	if err := c.configure(2); err != nil {
@@ -64,7 +80,7 @@
 
 // keyOf returns the key of job n, which is empty in a cell without teams.
 func (c *Cell) keyOf(n int) string {
-	if !c.teams {
+	if !c.shape.Teams {
 		return ""
 	}
 	return permanentKeys[n%len(permanentKeys)]
@@ -72,7 +88,7 @@
 
 // permanent reports whether a key is in every version.
 func (c *Cell) permanent(key string) bool {
-	return !c.teams || key == permanentKeys[0] || key == permanentKeys[1]
+	return !c.shape.Teams || key == permanentKeys[0] || key == permanentKeys[1]
 }
 
 // changed reports whether a node must have the changed keys in force for a call that is
@@ -94,14 +110,14 @@
 // queryByOtherTeam asks for the state of a job with the key of the other team, which must
 // not learn that there is such a job.
 func (c *Callers) queryByOtherTeam(p plan) {
-	if !c.cell.teams {
+	if !c.cell.shape.Teams {
 		return
 	}
 	key := permanentKeys[0]
 	if p.record.key == key {
 		key = permanentKeys[1]
 	}
-	if status, text := c.call(http.MethodGet, p.firstNode, p.id, "", key, queryDeadline); status == http.StatusOK {
+	if status, text := c.call(http.MethodGet, p.firstNode, p.record.route+p.id, "", key, queryDeadline); status == http.StatusOK {
 		c.recordViolation(false, "TEAM: job %s shown to another team: %s", p.id, text)
 	}
 }
@@ -109,7 +125,7 @@
 // ProbeKeys submits jobs with keys that were never issued, that are withdrawn and that are
 // issued during the run, until ctx is done. It does nothing in a cell without teams.
 func (c *Callers) ProbeKeys(ctx context.Context) {
-	for n := 0; c.cell.teams && ctx.Err() == nil; n++ {
+	for n := 0; c.cell.shape.Teams && ctx.Err() == nil; n++ {
 		c.probeKey(n, []string{neverKey, withdrawnKey, issuedKey}[n%3], n/3)
 		time.Sleep(probeInterval)
 	}
@@ -142,7 +158,7 @@
 // nodes at which that was not so.
 func (c *Callers) CheckKeys() int {
 	unchecked := 0
-	if !c.cell.teams {
+	if !c.cell.shape.Teams {
 		return unchecked
 	}
 	for i, n := range c.cell.Nodes {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -26,8 +26,10 @@
 	BlockReplies
 	// Refuse resets open connections and refuses new ones.
 	Refuse
-	// modeCount is the number of modes.
+	// modeCount is the number of modes that the faults of all cells choose from.
 	modeCount
+	// ResetReplies forwards requests, and resets a connection when the server replies.
+	ResetReplies = modeCount
 )
 
 // maxConnections is how many connections a proxy accepts at a time. It resets others.
@@ -203,6 +205,10 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			p.awaitMode(blocking)
+			if blocking == BlockReplies && p.currentMode() == ResetReplies {
+				reset(to)
+				return
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				p.awaitShown(to, from, blocking)
 				return
@@ -231,6 +237,12 @@
 	}
 }
 
+func (p *Proxy) currentMode() Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
 // awaitMode waits while the mode is BlockAll or blocking. In mode Delay it waits
 // for the added delay.
 func (p *Proxy) awaitMode(blocking Mode) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovagestand.example/lovagestand/soak"
+	"lovagestand.example/lovagestand/standin/site"
 )
 
 var (
@@ -24,6 +25,8 @@
 	length       = flag.Duration("length", 6*time.Second, "how long faults are injected with each seed")
 	program      = flag.String("program", "", "program to run instead of one built here")
 	logDirectory = flag.String("logs", "", "directory for the logs of the processes")
+	busySeeds    = flag.Int("busy", 1, "number of seeds of a busy cell with many workers that leave")
+	busyLength   = flag.Duration("busylength", 2*time.Second, "how long faults are injected into a busy cell")
 )
 
 const (
@@ -58,31 +61,55 @@
 }
 
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	binary := build(qt.New(t))
 	for i := range *seeds {
 		seed := *firstSeed + uint64(i)
-		run(t, binary, seed, hasTeams(seed), (*soak.Cell).InjectFaults)
+		run(t, binary, seed, soak.Shape{Nodes: nodes, Workers: workers, Teams: hasTeams(seed)}, *length, (*soak.Cell).InjectFaults)
 	}
 	for _, seed := range regressionSeeds {
-		run(t, binary, seed, false, (*soak.Cell).InjectEarlierFaults)
+		run(t, binary, seed, soak.Shape{Nodes: nodes, Workers: workers}, *length, (*soak.Cell).InjectEarlierFaults)
 	}
 }
 
-// hasTeams reports whether the cell of a seed has teams: those of odd seeds have.
-func hasTeams(seed uint64) bool { return seed%2 == 1 }
+// TestBusySoak is the soak with a cell in the shape of a large deployment: its workers are
+// full, serve two routes and leave one after the other while links are cut.
+func TestBusySoak(t *testing.T) {
+	t.Parallel()
+	binary := build(qt.New(t))
+	for i := range *busySeeds {
+		seed := *firstSeed + uint64(i)
+		run(t, binary, seed, busyShape(seed), *busyLength, (*soak.Cell).InjectSeries)
+	}
+}
 
-// open opens the cell of a run.
-func open(binary, directory string, teams bool) (*soak.Cell, error) {
-	if teams {
-		return soak.OpenWithTeams(binary, directory, nodes, workers)
+// busyShape returns the shape of the busy cell of a seed: those of odd seeds need advice,
+// the others stop tasks for urgent ones.
+func busyShape(seed uint64) soak.Shape {
+	s := soak.Shape{Nodes: 7, Workers: 40, FailureDomains: 5, Teams: true, Classes: true, StopTime: 500 * time.Millisecond}
+	if seed%2 == 0 {
+		s.Preemption = true
+		return s
 	}
-	return soak.Open(binary, directory, nodes, workers)
+	s.Advice = &site.Advice{Decision: 40 * time.Millisecond, PerWorker: time.Millisecond, Validity: 5 * time.Second}
+	return s
 }
 
+// intervalOf returns the mean time between two jobs.
+func intervalOf(s soak.Shape) time.Duration {
+	if s.Classes {
+		return interval / 2
+	}
+	return interval
+}
+
+// hasTeams reports whether the cell of a seed has teams: those of odd seeds have.
+func hasTeams(seed uint64) bool { return seed%2 == 1 }
+
 // injector injects faults into a cell.
 type injector func(c *soak.Cell, r *rand.Rand, length time.Duration, log func(string)) error
 
-func run(t *testing.T, binary string, seed uint64, teams bool, inject injector) {
+func run(t *testing.T, binary string, seed uint64, shape soak.Shape, length time.Duration, inject injector) {
 	t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 		t.Parallel()
 		c := qt.New(t)
@@ -91,18 +118,18 @@
 			directory = filepath.Join(*logDirectory, fmt.Sprint(seed))
 			c.Assert(os.MkdirAll(directory, 0o700), qt.IsNil)
 		}
-		cell, err := open(binary, directory, teams)
+		cell, err := soak.OpenShape(binary, directory, shape)
 		c.Assert(err, qt.IsNil)
 		defer cell.Close()
 		callers := soak.NewCallers(cell)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var calling sync.WaitGroup
-		calling.Go(func() { callers.Submit(ctx, rand.New(rand.NewPCG(seed, 1)), interval) })
+		calling.Go(func() { callers.Submit(ctx, rand.New(rand.NewPCG(seed, 1)), intervalOf(shape)) })
 		calling.Go(func() { callers.ProbeKeys(ctx) })
 		time.AfterFunc(changeKeysAfter, func() { c.Check(cell.ChangeKeys(), qt.IsNil) })
 		t.Logf("second 0 is %s", time.Now().Add(-time.Duration(cell.Site.Fleet.Seconds(time.Now())*float64(time.Second))).UTC().Format(time.RFC3339Nano))
-		err = inject(cell, rand.New(rand.NewPCG(seed, 2)), *length, func(description string) {
+		err = inject(cell, rand.New(rand.NewPCG(seed, 2)), length, func(description string) {
 			t.Logf("%6.2f s %s", cell.Site.Fleet.Seconds(time.Now()), description)
 		})
 		c.Assert(err, qt.IsNil)
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -43,9 +43,13 @@
 	lateOrders []func()
 	// gangSize returns the number of members of a task's gang; 0 if the task
 	// has no gang.
-	gangSize  func(order lovagestand.Order) int
-	startedAt time.Time
-	runs      []*Run
+	gangSize func(order lovagestand.Order) int
+	// checkpoint returns the checkpoint of a run that has worked for a time; empty if the
+	// task saves none. stopTime is how long a stop takes.
+	checkpoint func(order lovagestand.Order, worked time.Duration) string
+	stopTime   time.Duration
+	startedAt  time.Time
+	runs       []*Run
 	// history holds all runs of each task.
 	history    map[string][]*Run
 	gangs      map[string]*gang
@@ -69,6 +73,21 @@
 	return func(f *Fleet) { f.gangSize = gangSize }
 }
 
+// WithCheckpoints makes tasks save their progress once per second and when they are
+// stopped. The function checkpoint returns the checkpoint of a run that has worked for a
+// time; empty for a task that saves none.
+func WithCheckpoints(checkpoint func(order lovagestand.Order, worked time.Duration) string) Option {
+	return func(f *Fleet) { f.checkpoint = checkpoint }
+}
+
+// WithStopTime makes a stop take a time, in which the run continues.
+func WithStopTime(d time.Duration) Option {
+	return func(f *Fleet) { f.stopTime = d }
+}
+
+// checkpointInterval is the time between two checkpoints of a run.
+const checkpointInterval = time.Second
+
 type worker struct {
 	name      lovagestand.WorkerName
 	born      int64
@@ -95,10 +114,13 @@
 
 type run struct {
 	needs  lovagestand.Resources
+	order  lovagestand.Order
 	worker *worker
 	timer  *time.Timer
 	gang   *gang
 	record *Run
+	// stopOrderedAt is when a stop was ordered that is in progress. The run does no more work.
+	stopOrderedAt time.Time
 }
 
 // endedRun is an end that the worker lists until it is acknowledged. Its lapses
@@ -116,6 +138,7 @@
 		workers: map[lovagestand.WorkerName]*worker{}, needs: needs, work: work, startedAt: time.Now(),
 		crashCounts: map[string]int{}, startsAfterCrashes: map[string]int{}, down: map[lovagestand.WorkerName]bool{}, replaced: map[lovagestand.WorkerName]bool{},
 		history: map[string][]*Run{}, gangs: map[string]*gang{}, gangSize: func(lovagestand.Order) int { return 0 },
+		checkpoint: func(lovagestand.Order, time.Duration) string { return "" },
 	}
 	for _, o := range options {
 		o(f)
@@ -355,7 +378,7 @@
 	if former := w.runs[o.Task]; former != nil {
 		f.recordEnd(former, EndingUnlisted)
 	}
-	r := &run{needs: f.needs(o), worker: w, record: record}
+	r := &run{needs: f.needs(o), order: o, worker: w, record: record}
 	w.runs[o.Task] = r
 	w.highestRun[o.Task] = o.Run
 	f.runs = append(f.runs, record)
@@ -440,7 +463,7 @@
 	f.recordEnd(r, ending)
 	w.lastEnd++
 	end := endedRun{run: r, lapses: w.lapses, EndedTask: lovagestand.EndedTask{
-		Number: w.lastEnd, Task: r.record.Task, Run: r.record.Number, Ending: ending,
+		Number: w.lastEnd, Task: r.record.Task, Run: r.record.Number, Ending: ending, Checkpoint: f.saved(r, ending),
 	}}
 	if w.lastEnd <= w.acknowledged {
 		f.acknowledgeEnd(w, end)
@@ -451,6 +474,38 @@
 	w.changed = make(chan struct{})
 }
 
+// saved returns the checkpoint of a run with an ending; the ending is empty while the run
+// continues. A run that is not stopped has the last checkpoint that it saved in time.
+func (f *Fleet) saved(r *run, ending lovagestand.RunEnding) string {
+	worked := time.Since(r.record.Begun)
+	if !r.stopOrderedAt.IsZero() {
+		worked = r.stopOrderedAt.Sub(r.record.Begun)
+	}
+	if ending != lovagestand.EndingStopped {
+		worked = worked.Truncate(checkpointInterval)
+	}
+	if worked == 0 {
+		return r.order.Checkpoint
+	}
+	return f.checkpoint(r.order, worked)
+}
+
+// stop ends a run after the time that a stop takes.
+func (f *Fleet) stop(r *run) {
+	if f.stopTime == 0 {
+		f.finish(r, lovagestand.EndingStopped)
+		return
+	}
+	if !r.stopOrderedAt.IsZero() {
+		return
+	}
+	r.stopOrderedAt = time.Now()
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	time.AfterFunc(f.stopTime, func() { f.end(r, lovagestand.EndingStopped) })
+}
+
 // Stop implements [lovagestand.Fleet].
 func (f *Fleet) Stop(ctx context.Context, target lovagestand.FleetWorker, task string, number int64, epoch lovagestand.Epoch) (lovagestand.WorkerClock, error) {
 	f.mu.Lock()
@@ -463,7 +518,7 @@
 		w.epoch = epoch
 		w.highestRun[task] = max(w.highestRun[task], number)
 		if r := w.runs[task]; r != nil && r.record.Number == number {
-			f.finish(r, lovagestand.EndingStopped)
+			f.stop(r)
 		}
 	}
 	if fault == FaultNone {
@@ -520,7 +575,7 @@
 	if w.unreachable || w.lifetime.Err() != nil {
 		return lovagestand.HoldReply{}, &lovagestand.UnavailableError{System: "worker", Reason: "reset"}
 	}
-	return w.holdReply(), nil
+	return f.holdReply(w), nil
 }
 
 // acknowledge removes the ends with numbers up to seen from the list.
@@ -540,13 +595,15 @@
 // maxEndsPerReply is the maximum number of ends that one reply lists.
 const maxEndsPerReply = 500
 
-func (w *worker) holdReply() lovagestand.HoldReply {
+func (f *Fleet) holdReply(w *worker) lovagestand.HoldReply {
 	h := lovagestand.HoldReply{Clock: w.clock(), Born: w.born}
 	for _, e := range w.ended[:min(len(w.ended), maxEndsPerReply)] {
 		h.Ended = append(h.Ended, e.EndedTask)
 	}
 	for task, r := range w.runs {
-		h.Running = append(h.Running, lovagestand.RunningTask{Task: task, Run: r.record.Number, Percent: 100})
+		h.Running = append(h.Running, lovagestand.RunningTask{
+			Task: task, Run: r.record.Number, Percent: 100, Checkpoint: f.saved(r, ""),
+		})
 	}
 	slices.SortFunc(h.Running, func(a, b lovagestand.RunningTask) int { return strings.Compare(a.Task, b.Task) })
 	return h
--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -145,3 +145,21 @@
 		})
 	})
 }
+
+func TestStopTakesTimeAndSavesTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stopTime = 300 * time.Millisecond
+		saved := func(_ lovagestand.Order, worked time.Duration) string { return worked.String() }
+		p := newFixture(t, runner.WithStopTime(stopTime), runner.WithCheckpoints(saved))
+		p.start(0, task, 1)
+		time.Sleep(work / 2)
+		_, err := p.fleet.Stop(p.c.Context(), p.workers[0], task, 1, 1)
+		p.c.Assert(err, qt.IsNil)
+		p.c.Assert(p.hold(0, 0).Running, qt.HasLen, 1)
+		time.Sleep(stopTime)
+		synctest.Wait()
+		p.c.Assert(p.hold(0, 0).Ended, qt.DeepEquals, []lovagestand.EndedTask{{
+			Number: 1, Task: task, Run: 1, Ending: lovagestand.EndingStopped, Checkpoint: (work / 2).String(),
+		}})
+	})
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -33,6 +33,11 @@
 	servers      []*http.Server
 	workers      []lovagestand.FleetWorker
 	advertise    func(address string) (string, error)
+	// failureDomains is the number of failure domains; the racks are assigned to them in turn.
+	failureDomains int
+	advice         *Advice
+	adviceAddress  string
+	stopTime       time.Duration
 }
 
 // Option configures a new [Site].
@@ -44,8 +49,18 @@
 	return func(s *Site) { s.advertise = advertise }
 }
 
-// capacity is the capacity of each worker.
-var capacity = lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 4096}
+// WithFailureDomains spreads the racks over a number of failure domains.
+func WithFailureDomains(n int) Option {
+	return func(s *Site) { s.failureDomains = n }
+}
+
+// WithStopTime makes a stop of a task take a time.
+func WithStopTime(d time.Duration) Option {
+	return func(s *Site) { s.stopTime = d }
+}
+
+// Capacity is the capacity of each worker.
+var Capacity = lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 4096}
 
 const (
 	service = "glazedesk"
@@ -64,6 +79,8 @@
 	Fails bool
 	// Gang is the number of members if the first step is a gang; 0 if it is not.
 	Gang int
+	// Checkpoints is set if the tasks of the first step save their progress.
+	Checkpoints bool
 }
 
 // String returns the text form of s, such as "milliCPU=1000 millis=300 fails=false".
@@ -72,6 +89,9 @@
 	if s.Gang > 0 {
 		text += fmt.Sprintf(" gang=%d", s.Gang)
 	}
+	if s.Checkpoints {
+		text += " checkpoints=true"
+	}
 	return text
 }
 
@@ -91,6 +111,8 @@
 			s.Fails = value == "true"
 		case "gang":
 			s.Gang = int(n)
+		case "checkpoints":
+			s.Checkpoints = value == "true"
 		}
 	}
 	return s
@@ -102,12 +124,27 @@
 
 func work(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
 	s := parseSpec(o.Spec)
+	s.Work -= workSaved(o)
 	if s.Fails {
 		return s.Work, lovagestand.EndingFailed
 	}
 	return s.Work, lovagestand.EndingDone
 }
 
+// workSaved returns the work that the checkpoint of an order contains.
+func workSaved(o lovagestand.Order) time.Duration {
+	millis, _ := strconv.ParseInt(o.Checkpoint, 16, 64)
+	return time.Duration(millis) * time.Millisecond
+}
+
+// checkpoint returns the checkpoint of a run that has worked for a time.
+func checkpoint(o lovagestand.Order, worked time.Duration) string {
+	if _, task, ok := job.ParseTaskName(o.Task); !ok || task.Step > 0 || !parseSpec(o.Spec).Checkpoints {
+		return ""
+	}
+	return fmt.Sprintf("%016x", (workSaved(o) + worked).Milliseconds())
+}
+
 func gangSize(o lovagestand.Order) int {
 	if _, task, ok := job.ParseTaskName(o.Task); !ok || task.Step > 0 {
 		return 0
@@ -118,11 +155,11 @@
 // Open starts a site with the given number of workers. Its store listens at an
 // address, such as "127.0.0.1:0", and the workers on free ports of the same host.
 func Open(address string, workers int, options ...Option) (*Site, error) {
-	s := &Site{Keys: keyspace.New(), advertise: func(a string) (string, error) { return a, nil }}
+	s := &Site{Keys: keyspace.New(), advertise: func(a string) (string, error) { return a, nil }, failureDomains: 1}
 	for _, o := range options {
 		o(s)
 	}
-	s.Fleet = runner.New(needs, work, runner.WithGangs(gangSize))
+	s.Fleet = runner.New(needs, work, runner.WithGangs(gangSize), runner.WithCheckpoints(checkpoint), runner.WithStopTime(s.stopTime))
 	store, err := s.serve(address, platform.NewKeyspaceHandler(s.Keys))
 	if err != nil {
 		return nil, err
@@ -132,6 +169,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "address of the store")
 	}
+	if s.advice != nil {
+		if s.adviceAddress, err = s.serve(net.JoinHostPort(host, "0"), s.advice); err != nil {
+			return nil, err
+		}
+	}
 	for i := range workers {
 		if err := s.addWorker(net.JoinHostPort(host, "0"), i); err != nil {
 			return nil, err
@@ -157,10 +199,10 @@
 }
 
 func (s *Site) addWorker(address string, i int) error {
-	w := s.Fleet.Add(lovagestand.WorkerName(fmt.Sprintf("i-%04d", i)), capacity)
+	w := s.Fleet.Add(lovagestand.WorkerName(fmt.Sprintf("i-%04d", i)), Capacity)
 	w.Rack = lovagestand.RackName(fmt.Sprintf("r1-%d", i/workersPerRack))
 	w.Labels = []string{"a", string(w.Rack)}
-	w.FailureDomain = "zone-1"
+	w.FailureDomain = lovagestand.FailureDomain(fmt.Sprintf("zone-%d", 1+i/workersPerRack%s.failureDomains))
 	handler := platform.NewWorkerHandler(s.Fleet, w)
 	listenAddress, err := s.serve(address, handler)
 	if err != nil {
@@ -190,7 +232,7 @@
 func (s *Site) Restart(i int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.workers[i].Born = s.Fleet.Add(s.workers[i].Name, capacity).Born
+	s.workers[i].Born = s.Fleet.Add(s.workers[i].Name, Capacity).Born
 }
 
 // SetReady sets whether a worker is about to leave, and registers that.
@@ -209,6 +251,12 @@
 	s.Keys.Remove(platform.WorkerPrefix() + string(s.workers[i].Name))
 }
 
+// Expire removes the entry of a worker, as the platform does after missed heartbeats. The
+// worker continues.
+func (s *Site) Expire(i int) {
+	s.Keys.Remove(platform.WorkerPrefix() + string(s.WorkerName(i)))
+}
+
 // Heartbeat makes a worker register again with its next heartbeat, unless its entry was
 // removed or is that of an earlier incarnation.
 func (s *Site) Heartbeat(i int) error {
@@ -238,17 +286,41 @@
 	Name   string   `json:"name"`
 	Keys   []string `json:"api_keys"`
 	Weight float64  `json:"weight"`
+	// Cap is the most that tasks of the team may use; the zero value limits nothing.
+	Cap Cap `json:"cap"`
+}
+
+// Cap is the cap of a team.
+type Cap struct {
+	MilliCPU int64 `json:"cpu,omitempty"`
+}
+
+// Route is a route in the operator's configuration.
+type Route struct {
+	Name, Prefix string
+	Priority     int
 }
 
 // Configure stores a version of the operator's configuration with a single route, which
 // is for a host and a path prefix. Without teams the route needs no key.
 func (s *Site) Configure(version int, host, prefix string, teams ...Team) error {
+	return s.ConfigureRoutes(version, host, []Route{{Name: "quote", Prefix: prefix}}, teams...)
+}
+
+// ConfigureRoutes is Configure with several routes.
+func (s *Site) ConfigureRoutes(version int, host string, routes []Route, teams ...Team) error {
+	messages := make([]map[string]any, len(routes))
+	for i, r := range routes {
+		messages[i] = map[string]any{
+			"name": r.Name, "host": host, "prefix": r.Prefix, "service": service, "max_attempts": 2, "stretch": 2,
+			"target_duration_ms": 1000, "priority": r.Priority,
+		}
+		if s.advice != nil {
+			messages[i]["advice"] = s.advice.policy()
+		}
+	}
 	configuration := map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "quote", "host": host, "prefix": prefix, "service": service, "max_attempts": 2, "stretch": 2,
-			"target_duration_ms": 1000,
-		}},
+		"version": version, "routes": messages,
 		"limits": map[string]int{"max_body_bytes": 1 << 18},
 	}
 	if len(teams) > 0 {
