soak: long departures, and the end of each cut is a disturbance

The start of a cancelled job was held back on the link of a leaving worker and arrived 60 ms after the cut ended. Such orders are excused by the end of a disturbance of their worker, but only the departure was recorded as one, not the cut, which ended 7 s earlier.

Change: a cut during a departure is a disturbance of its own, also in the cell of six workers. One departure in four, and its cut, lasts long enough for a lease to end. A node may be killed some time after a departure began, with the store away. The description of a fault names each departure.

--- a/soak/departures.go
+++ b/soak/departures.go
@@ -28,6 +28,19 @@
 	crashes bool
 }
 
+// String returns the departure as it is logged. Its times are those since its beginning.
+func (d departure) String() string {
+	text := fmt.Sprintf("notice %.1f s, on for %.1f s, mode %d from %.1f to %.1f s",
+		d.noticeAfter.Seconds(), (d.silentFor + d.lasting).Seconds(), d.mode, d.cutAfter.Seconds(), (d.cutAfter + d.cutFor).Seconds())
+	if d.silentFor > 0 {
+		text += ", entry expires"
+	}
+	if d.crashes {
+		text += ", crashes"
+	}
+	return text
+}
+
 // newDeparture returns a random departure. A worker continues for at most linger after the
 // time for which it must.
 func newDeparture(r *rand.Rand, linger time.Duration) departure {
@@ -38,6 +51,11 @@
 	if r.IntN(4) == 0 {
 		d.silentFor = randomSilence(r, linger)
 	}
+	if r.IntN(4) == 0 {
+		// Long enough for a lease to end meanwhile.
+		longer := randomBetween(r, linger, 2*linger)
+		d.lasting, d.cutFor = d.lasting+longer, d.cutFor+longer
+	}
 	return d
 }
 
@@ -52,9 +70,7 @@
 	go func() {
 		defer close(cutOver)
 		time.Sleep(d.cutAfter)
-		c.Workers[i].SetMode(d.mode)
-		time.Sleep(d.cutFor)
-		c.Workers[i].SetMode(Pass)
+		c.cutLink(i, d.mode, d.cutFor)
 	}()
 	time.Sleep(d.noticeAfter)
 	if err := c.Site.SetReady(i, false); err != nil {
@@ -116,25 +132,33 @@
 	return len(c.leaving)
 }
 
+// workerChange is what happens to one worker in a fault.
+type workerChange struct {
+	description string
+	carryOut    func(c *Cell, i int) error
+}
+
 // workersFault returns a fault that changes up to a number of workers that are not about
-// to leave. It lasts until change has returned for each of them.
-func workersFault(description string, most int, change func(r *rand.Rand, linger time.Duration) func(c *Cell, i int) error) fault {
+// to leave. It lasts until the changes of all of them are over.
+func workersFault(description string, most int, change func(r *rand.Rand, linger time.Duration) workerChange) fault {
 	return func(r *rand.Rand, c *Cell) injectedFault {
 		var names []string
+		text := description
 		count := 1 + r.IntN(most)
 		done := make(chan error, count)
 		for _, i := range r.Perm(len(c.Workers)) {
 			if len(names) == count || c.leavingWorkers() >= len(c.Workers)/leavingDivisor || !c.beginLeave(i) {
 				continue
 			}
-			carryOut := change(r, c.linger)
-			names = append(names, string(c.Site.WorkerName(i)))
+			change, name := change(r, c.linger), string(c.Site.WorkerName(i))
+			names = append(names, name)
+			text += fmt.Sprintf(" %s %s;", name, change.description)
 			go func() {
 				defer c.endLeave(i)
-				done <- carryOut(c, i)
+				done <- change.carryOut(c, i)
 			}()
 		}
-		return injectedFault{fmt.Sprint(description, names), names, func() error {
+		return injectedFault{text, names, func() error {
 			var first error
 			for range names {
 				if err := <-done; first == nil {
@@ -146,17 +170,18 @@
 	}
 }
 
-var leave = workersFault("leave: ", maxTogether, func(r *rand.Rand, linger time.Duration) func(*Cell, int) error {
-	return newDeparture(r, linger).carryOut
+var leave = workersFault("leave:", maxTogether, func(r *rand.Rand, linger time.Duration) workerChange {
+	d := newDeparture(r, linger)
+	return workerChange{d.String(), d.carryOut}
 })
 
 // flap lets workers be about to leave and ready in turn.
-var flap = workersFault("flap: ", 3, func(r *rand.Rand, _ time.Duration) func(*Cell, int) error {
+var flap = workersFault("flap:", 3, func(r *rand.Rand, _ time.Duration) workerChange {
 	var pauses []time.Duration
 	for range 2 * (1 + r.IntN(4)) {
 		pauses = append(pauses, randomBetween(r, 100*time.Millisecond, 1500*time.Millisecond))
 	}
-	return func(c *Cell, i int) error {
+	return workerChange{fmt.Sprint(pauses), func(c *Cell, i int) error {
 		for n, pause := range pauses {
 			if err := c.Site.SetReady(i, n%2 == 1); err != nil {
 				return err
@@ -164,13 +189,13 @@
 			time.Sleep(pause)
 		}
 		return nil
-	}
+	}}
 })
 
 // expire lets the entries of workers expire that go on, and are back later.
-var expire = workersFault("entries expire: ", 3, func(r *rand.Rand, linger time.Duration) func(*Cell, int) error {
+var expire = workersFault("entries expire:", 3, func(r *rand.Rand, linger time.Duration) workerChange {
 	length := randomSilence(r, linger)
-	return func(c *Cell, i int) error { return c.missHeartbeats(i, length) }
+	return workerChange{fmt.Sprint("for ", length), func(c *Cell, i int) error { return c.missHeartbeats(i, length) }}
 })
 
 // cutWorkers cuts the links of every third worker in one mode.
@@ -230,6 +255,16 @@
 	}}
 }
 
+// later returns a fault that begins later than those before it in a series.
+func later(f fault) fault {
+	return func(r *rand.Rand, c *Cell) injectedFault {
+		time.Sleep(randomBetween(r, 200*time.Millisecond, 1500*time.Millisecond))
+		return f(r, c)
+	}
+}
+
+var kill = signalFault("kill", syscall.SIGKILL, (*Node).restart)
+
 // series are kinds of fault for a cell with many workers: workers leave while another
 // fault lasts.
 var series = slices.Concat(alone(allFaults), [][]fault{
@@ -243,7 +278,10 @@
 	{leave, cutStore},
 	{cutStore, leave, disturbOrders},
 	{leave, disturbOrders},
-	{leave, signalFault("kill", syscall.SIGKILL, (*Node).restart)},
+	{leave, kill},
+	{leave, cutStore, later(kill)},
+	{leave, later(leave), later(kill)},
+	{leave, later(cutOwner)},
 	{leave, signalFault("freeze", syscall.SIGSTOP, resume)},
 	{leave, losePower},
 })
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -159,11 +159,19 @@
 		c.endLeave(i)
 		left <- err
 	}()
-	time.AfterFunc(cutAfter, func() { c.Workers[i].SetMode(mode) })
-	time.AfterFunc(cutAfter+cutFor, func() { c.Workers[i].SetMode(Pass) })
+	time.AfterFunc(cutAfter, func() { c.cutLink(i, mode, cutFor) })
 	return injectedFault{fmt.Sprint(name, " leaves after ", lasting, ", its link in mode ", mode), []string{name}, func() error { return <-left }}
 }
 
+// cutLink puts the link of a worker in a mode for a time. This is a disturbance of its own,
+// since orders that were held back arrive when it ends.
+func (c *Cell) cutLink(i int, m Mode, length time.Duration) {
+	defer c.disturb([]string{string(c.Site.WorkerName(i))})()
+	c.Workers[i].SetMode(m)
+	time.Sleep(length)
+	c.Workers[i].SetMode(Pass)
+}
+
 // beginLeave marks a worker as leaving. It returns false if it is leaving already: a worker
 // that joins again and is ended by the former departure would leave unannounced.
 func (c *Cell) beginLeave(i int) bool {
