--- a/soak/departures.go
+++ b/soak/departures.go
@@ -175,6 +175,13 @@
 	return workerChange{d.String(), d.carryOut}
 })
 
+// leaveSilently is leave with workers whose entries expire while they go on.
+var leaveSilently = workersFault("leave:", maxTogether, func(r *rand.Rand, linger time.Duration) workerChange {
+	d := newDeparture(r, linger)
+	d.silentFor = randomSilence(r, linger)
+	return workerChange{d.String(), d.carryOut}
+})
+
 // flap lets workers be about to leave and ready in turn.
 var flap = workersFault("flap:", 3, func(r *rand.Rand, _ time.Duration) workerChange {
 	var pauses []time.Duration
@@ -282,6 +289,7 @@
 	{leave, cutStore, later(kill)},
 	{leave, later(leave), later(kill)},
 	{leave, later(cutOwner)},
+	{leaveSilently, later(cutStore)},
 	{leave, signalFault("freeze", syscall.SIGSTOP, resume)},
 	{leave, losePower},
 })
