soak: short busy runs end sooner

Cause: a busy run of 2 s took 35 s, since workers left for up to 20 s and jobs were submitted all that time.

--- a/soak/departures.go
+++ b/soak/departures.go
@@ -298,6 +298,6 @@
 // several at once, while their links, the store or the owner are disturbed. They leave sooner
 // in a short run.
 func (c *Cell) InjectSeries(r *rand.Rand, length time.Duration, log func(string)) error {
-	c.linger = min(maxLinger, length)
+	c.linger = min(maxLinger, length/2)
 	return c.inject(series, r, length, log)
 }
