--- a/shard/worker.go
+++ b/shard/worker.go
@@ -59,6 +59,9 @@
 	// ignored from then on.
 	born                 int64
 	replacedIncarnations map[int64]bool
+	// leftBorn identifies the last incarnation that was about to leave when the entry of
+	// another one followed; 0 for none.
+	leftBorn int64
 	// otherIncarnation is an incarnation that appeared in the list at
 	// otherIncarnationAt and has not answered; 0 for none. Until the next answer it is
 	// unknown which of the two is the later one.
@@ -363,6 +366,9 @@
 	if info.Ready != w.info.Ready || info.Capacity != w.info.Capacity || info.Service != w.info.Service || !slices.Equal(info.Labels, w.info.Labels) {
 		s.workersByName = nil
 	}
+	if !w.info.Ready && w.info.Born != info.Born {
+		w.leftBorn = w.info.Born
+	}
 	w.free = w.free.Add(info.Capacity).Sub(w.info.Capacity)
 	w.info = info
 	if !info.Capacity.Fits(w.maxCapacity) {
