--- a/shard/overlap_test.go
+++ b/shard/overlap_test.go
@@ -18,7 +18,7 @@
 // its name after the next owner has read what runs there: the new incarnation has seen no
 // epoch.
 func TestFormerOwnerStartsNothingOnARestartedWorker(t *testing.T) {
-	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+	for phase := time.Duration(0); phase < time.Second; phase += 25 * time.Millisecond {
 		t.Run(phase.String(), func(t *testing.T) { runRestartInTheOverlap(t, phase) })
 	}
 }
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -58,6 +58,8 @@
 	undecodable []lovagestand.WorkerName
 	// fleetWrapper, if set, is the fleet that owners use in place of fleet.
 	fleetWrapper lovagestand.Fleet
+	// storeWrapper, if set, wraps the store that an owner uses.
+	storeWrapper func(lovagestand.Keyspace) lovagestand.Keyspace
 	advice       func(step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error)
 }
 
@@ -125,8 +127,12 @@
 	})
 	k.c.Assert(err, qt.IsNil)
 	term := jobstore.Term{Shard: "0", Key: ownerKey, Epoch: lovagestand.Epoch(revision), Sequence: revision}
+	keys := lovagestand.Keyspace(delayedStore{k.keys, k})
+	if k.storeWrapper != nil {
+		keys = k.storeWrapper(keys)
+	}
 	deps := shard.Deps{
-		Fleet: cmp.Or(k.fleetWrapper, lovagestand.Fleet(k.fleet)), Store: jobstore.New(delayedStore{k.keys, k}, term), AdviceClients: k.adviceClients, Confirmed: func() bool { return true }, Assured: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
+		Fleet: cmp.Or(k.fleetWrapper, lovagestand.Fleet(k.fleet)), Store: jobstore.New(keys, term), AdviceClients: k.adviceClients, Confirmed: func() bool { return true }, Assured: func() bool { return true }, Log: k.log, Recorder: lovagestand.NoRecorder{},
 	}
 	for _, change := range changes {
 		change(&deps)
