--- a/shard/hold.go
+++ b/shard/hold.go
@@ -40,6 +40,9 @@
 		}
 		s.mu.Lock()
 		answered := err == nil && s.recordHolding(w, begun, holding)
+		if answered {
+			w.answerAddress = target.Address
+		}
 		paced := time.Now().Before(w.fewConnectionsUntil)
 		if err != nil {
 			s.holdFailed(w, target, err, timedOut)
@@ -64,8 +67,8 @@
 	cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && s.ctx.Err() == nil {
-		s.recordHolding(w, begun, holding)
+	if err == nil && s.ctx.Err() == nil && s.recordHolding(w, begun, holding) {
+		w.answerAddress = target.Address
 	}
 }
 
@@ -153,7 +156,7 @@
 // target may be its entry; the list may have changed since the hold was sent. If the hold
 // did not time out, the worker was alive until just before.
 func (s *Shard) holdFailed(w *worker, target lovagestand.FleetWorker, err error, timedOut bool) {
-	targetMatches := w.mayBeIncarnation(target.Born)
+	targetMatches := w.mayBeIncarnation(target.Born) && s.wasAt(w, target.Address)
 	var refused *lovagestand.OrderRefusedError
 	if errors.As(err, &refused) {
 		switch refused.Reason {
@@ -181,7 +184,8 @@
 		}
 		s.log.Warn().Str("worker", string(w.info.Name)).Err(err).Dur("sinceAnswer", now.Sub(w.lastAnswer)).Int("tasks", len(w.placements)).Msg("worker does not answer")
 	}
-	if now.After(w.leaseEnd) && len(w.placements)+len(w.strays) > 0 {
+	_, unresolved := s.unresolved[w.info.Name]
+	if now.After(w.leaseEnd) && (len(w.placements)+len(w.strays) > 0 || unresolved && w.contacted) {
 		s.requeueAll(w, lossLeaseExpired)
 	}
 	// After that time no lease given by a former owner can be in force.
@@ -225,8 +229,4 @@
 	w.contacted = false
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
-	// The new incarnation has seen no epoch. No task is placed there until a write has shown
-	// that no other owner had followed when it was contacted.
-	w.inRosterWrite, w.enrolled = false, false
-	s.requestRosterWrite()
 }
--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -312,6 +312,36 @@
 	}
 }
 
+// TestWorkerThatCrashesWithManyEnds guards against tasks that no owner ever starts again: their
+// worker had answered the next owner with a first part of its ends, and crashed.
+func TestWorkerThatCrashesWithManyEnds(t *testing.T) {
+	const tasks = 700
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(100*time.Millisecond, lovagestand.EndingDone))
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			capacity := lovagestand.Resources{MilliCPU: 1000 * tasks, MemoryMiB: 100 * tasks}
+			return []lovagestand.FleetWorker{k.fleet.Add("w0", capacity), workers[1]}
+		})
+		former := k.beginReadyTerm("a")
+		former.submit(c, id(1), job.Step{Count: tasks})
+		k.keys.SetFault(func(string) keyspace.Fault { return keyspace.FaultRejected })
+		time.Sleep(2 * time.Second)
+		former.stop()
+		k.keys.SetFault(nil)
+		k.delay.Store(int64(time.Second))
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(900 * time.Millisecond)
+		k.crashFirst()
+		k.delay.Store(0)
+		time.Sleep(time.Minute)
+		c.Check(next.Status().FormerTermResolved, qt.IsTrue)
+		assertPhase(c, next, id(1), "completed")
+		k.assertNoViolations()
+	})
+}
+
 // delayedHoldHook is a fleet whose answers to starts do not report the incarnation, as
 // on the platform. It calls the function before once, ahead of the next hold, and
 // delays the answer to that hold.
@@ -531,3 +561,77 @@
 		}
 	})
 }
+
+// addressFleet is a fleet whose workers are called by address.
+type addressFleet struct{ *runner.Fleet }
+
+func (f *addressFleet) refuse(w lovagestand.FleetWorker) error {
+	if w.Address != string(w.Name) {
+		return &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalRestarted}
+	}
+	return nil
+}
+
+func (f *addressFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.WorkerClock{}, err
+	}
+	return f.Fleet.Start(ctx, w, o)
+}
+
+func (f *addressFleet) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.WorkerClock, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.WorkerClock{}, err
+	}
+	return f.Fleet.Stop(ctx, w, task, run, epoch)
+}
+
+func (f *addressFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+	if err := f.refuse(w); err != nil {
+		return lovagestand.HoldReply{}, err
+	}
+	return f.Fleet.Hold(ctx, w, r)
+}
+
+// TestEntryWithTheAddressOfAnotherWorker guards against tasks that run twice because their
+// worker counted as replaced: another writer had overwritten its entry with one that names
+// another worker's address and no incarnation.
+func TestEntryWithTheAddressOfAnotherWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		k.fleetWrapper = &addressFleet{k.fleet}
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(time.Second)
+		entry := k.list()[0]
+		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		time.Sleep(1500 * time.Millisecond)
+		k.setListEntry(0, entry)
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
+
+// TestNextOwnerAndTheAddressOfAnotherWorker guards against tasks that a next owner starts again
+// while they run, because another worker refuses orders at the address in an entry that another
+// writer has left, and not at the address that the roster states.
+func TestNextOwnerAndTheAddressOfAnotherWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		k.fleetWrapper = &addressFleet{k.fleet}
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		former.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(time.Second)
+		entry := k.list()[0]
+		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		former.stop()
+		next := k.beginTerm("b")
+		defer next.stop()
+		time.Sleep(1500 * time.Millisecond)
+		k.setListEntry(0, entry)
+		k.assertCompletedOnce(next, id(1), 2)
+	})
+}
--- a/shard/move.go
+++ b/shard/move.go
@@ -176,11 +176,11 @@
 	}
 	m.calling = true
 	s.movesInFlight++
-	go s.sendMove(e, m.target, value)
+	go s.sendMove(e, m.target, m.count, value)
 }
 
-// sendMove passes a job on and records the outcome.
-func (s *Shard) sendMove(e *jobEntry, target string, value []byte) {
+// sendMove passes a job on and records the outcome, unless the job has come back meanwhile.
+func (s *Shard) sendMove(e *jobEntry, target string, count int, value []byte) {
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	err := s.deps.Move(ctx, target, e.id, value)
 	cancel()
@@ -194,7 +194,7 @@
 	}
 	var otherTeam *OtherTeamError
 	switch {
-	case e.progress == nil || !m.leaving():
+	case e.progress == nil || !m.leaving() || m.count != count:
 	case err == nil:
 		s.finishMove(e)
 	case errors.As(err, &otherTeam):
@@ -311,10 +311,11 @@
 // acceptMoved adds a job that comes from another shard, where none of its tasks runs any
 // more. It takes the place of what remains of it here from an earlier move.
 func (s *Shard) acceptMoved(former *jobEntry, progress *job.Progress, body []byte, moves int) *jobEntry {
-	progress.ReserveRuns(firstRunAfter(progress, time.Now()))
+	progress.ReserveRuns(s.firstRunAfter(progress, time.Now()))
 	e := newJobEntry(progress, body)
 	s.estimateWork(e)
 	e = s.accept(former, e)
+	delete(s.moving, e.id)
 	e.move = moveState{count: moves}
 	return e
 }
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -75,7 +75,8 @@
 	// heartbeatAfter is a time before that heartbeat: a read of the list that was sent then
 	// still showed the heartbeat before. It is zero if there was no such read.
 	heartbeatAfter time.Time
-	// entryLost reports whether the entry of the worker became undecodable.
+	// entryLost reports whether the entry of the worker became undecodable, or names a worker
+	// of another shard.
 	entryLost bool
 	// expired indicates that the entry was removed from the list while the list was read
 	// without gaps. The worker's capacity may have changed since its last heartbeat.
@@ -86,9 +87,11 @@
 	// whether none has for so long that the entry may be that of another writer. A silent
 	// worker has been given no task.
 	answered, silent bool
-	contacted        bool // whether the current incarnation has answered a hold
-	unresponsive     bool // whether the last hold failed
-	lastAnswer       time.Time
+	// answerAddress is the address at which it has last answered a hold; empty if none has.
+	answerAddress string
+	contacted     bool // whether the current incarnation has answered a hold
+	unresponsive  bool // whether the last hold failed
+	lastAnswer    time.Time
 	// aliveUntil is when the worker is known to have been alive last, once it does not
 	// answer or was found to have restarted.
 	aliveUntil time.Time
@@ -282,14 +285,15 @@
 		s.updateWorker(info, now)
 	}
 	for _, name := range list.Undecodable {
-		if w := s.workers[name]; w != nil && !w.listed {
-			w.entryLost = true
-		}
+		s.recordLostEntry(name)
 	}
 	s.listSentAt = list.SentAt
 	s.otherShards = map[string][]dispatch.Worker{}
 	for name, workers := range list.OtherShards {
 		s.otherShards[name] = holders(workers)
+		for i := range workers {
+			s.recordLostEntry(workers[i].Name)
+		}
 	}
 	if !s.workersListed {
 		s.workersListed = true
@@ -312,6 +316,14 @@
 	s.wake()
 }
 
+// recordLostEntry records that there is an entry under the name of a worker that is not
+// listed. Another writer may have written it, so it was not removed by the worker.
+func (s *Shard) recordLostEntry(name lovagestand.WorkerName) {
+	if w := s.workers[name]; w != nil && !w.listed {
+		w.entryLost = true
+	}
+}
+
 // checkSilence takes a worker that has not answered since it was added off the roster.
 func (s *Shard) checkSilence(w *worker, now time.Time) {
 	if w.answered || w.silent || now.Sub(w.addedAt) <= silentAfter {
@@ -340,6 +352,11 @@
 		s.addWorker(info, now)
 		return
 	}
+	if info.Born == 0 && w.born != 0 {
+		// Workers state their incarnation, so the entry is that of another writer.
+		w.entryLost = true
+		return
+	}
 	w.listed, w.lastListed = true, now
 	if w.outdated(info) {
 		w.recordOtherIncarnation(info.Born, now)
