--- a/shard/hold.go
+++ b/shard/hold.go
@@ -227,6 +227,10 @@
 	w.born = born
 	w.lastHeartbeat, w.heartbeatAfter = time.Time{}, time.Time{}
 	w.contacted = false
+	// The new incarnation has seen no epoch. No task is placed there until a write has shown
+	// that no other owner had followed when it was contacted.
+	w.inRosterWrite, w.enrolled = false, false
+	s.requestRosterWrite()
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
 }
