shard: an answer that the worker has made before the last one is outdated

What callers saw: nothing; a task that had failed or was stopped started again up to 0.3 s late, or its worker got no tasks for that long. Cause: a hold waits for an end, and a hold that is sent later does not. The list of the second is made before the end, and if it is received after the answer of the first, it contained a run that had ended. The run was adopted once more, or stopped as one of an unknown job. Answers were ordered by when their holds were sent; they are now also ordered by the clock that the worker states in them, within one incarnation.

--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -18,8 +18,7 @@
 		s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", holding.Born).Msg("ignored an answer from a former incarnation of the worker")
 		return false
 	}
-	if begun.Before(w.holdSentAt) {
-		// A hold that was sent later was answered first; this answer may be outdated.
+	if begun.Before(w.holdSentAt) || w.madeBefore(holding) {
 		w.lastAnswer = later(w.lastAnswer, begun)
 		return true
 	}
--- a/shard/evidence.go
+++ b/shard/evidence.go
@@ -56,6 +56,13 @@
 	return p.settledAt.Before(begun)
 }
 
+// madeBefore reports whether the worker has made an answer to a hold before the one that was
+// last received. Its list may contain runs that have ended since. Answers can overtake each
+// other although the holds were sent in order, since a hold may wait for an end.
+func (w *worker) madeBefore(holding lovagestand.HoldReply) bool {
+	return w.contacted && holding.Born != 0 && holding.Born == w.born && holding.Clock < w.clock
+}
+
 // startExpired reports whether a start that was not confirmed can no longer be executed: on
 // the worker's clock the lease that it carries has ended, so the worker refuses it.
 func (p *placement) startExpired(clock int64) bool {
