--- a/shard/hold.go
+++ b/shard/hold.go
@@ -227,6 +227,10 @@
 	w.born = born
 	w.lastHeartbeat, w.heartbeatAfter = time.Time{}, time.Time{}
 	w.contacted = false
+	// The new incarnation has not seen the epoch of a next owner. No task is placed there until
+	// a write of the roster shows that there was none.
+	w.inRosterWrite, w.enrolled = false, false
+	s.requestRosterWrite()
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
 }
