shard: the roster keeps the address of a worker that has not answered

What callers would see: tasks run twice. Cause: while an entry of another writer names another worker's address, an owner that has had no answer from the worker wrote that address to the roster. A third owner then took the refusal from there for the proof that the worker is gone. The roster keeps the address of the owner before until the worker has answered. TestThirdOwnerAndTheAddressOfAnotherWorker failed (2 x TWICE) and passes.

--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -635,3 +635,29 @@
 		k.assertCompletedOnce(next, id(1), 2)
 	})
 }
+
+// TestThirdOwnerAndTheAddressOfAnotherWorker guards against a roster in which an owner that has
+// not reached a worker states the address in an entry of another writer.
+func TestThirdOwnerAndTheAddressOfAnotherWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
+		k.fleetWrapper = &addressFleet{k.fleet}
+		former := k.beginReadyTerm("a")
+		defer former.stop()
+		former.submit(c, id(1), job.Step{Count: 2})
+		time.Sleep(time.Second)
+		entry := k.list()[0]
+		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		former.stop()
+		second := k.beginTerm("b")
+		defer second.stop()
+		time.Sleep(800 * time.Millisecond)
+		second.stop()
+		third := k.beginTerm("c")
+		defer third.stop()
+		time.Sleep(1500 * time.Millisecond)
+		k.setListEntry(0, entry)
+		k.assertCompletedOnce(third, id(1), 2)
+	})
+}
--- a/shard/write.go
+++ b/shard/write.go
@@ -382,7 +382,12 @@
 		if w.silent {
 			continue
 		}
-		roster[name] = rosterEntry{Address: w.info.Address, Leaving: !w.info.Ready, Tasks: s.tasksOnLeaving(w), Capacity: s.rosterCapacity(w)}
+		address := w.info.Address
+		if former, unresolved := s.unresolved[name]; unresolved && !w.contacted {
+			// The entry in the list may be that of another writer.
+			address = former.Address
+		}
+		roster[name] = rosterEntry{Address: address, Leaving: !w.info.Ready, Tasks: s.tasksOnLeaving(w), Capacity: s.rosterCapacity(w)}
 		w.inRosterWrite = true
 	}
 	value, err := json.Marshal(roster)
