shard: entries that never state an incarnation are read

An entry without born is now ignored only if the one before stated it. TestEntriesThatStateNoIncarnation failed (the job stays queued) and passes, as do the tests of entries of another writer. Found in the review.

--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -636,6 +636,26 @@
 	})
 }
 
+// TestEntriesThatStateNoIncarnation guards against owners that ignore all entries where only
+// the answers of workers state the incarnation.
+func TestEntriesThatStateNoIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 2, always(time.Second, lovagestand.EndingDone))
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			for i := range workers {
+				workers[i].Born = 0
+			}
+			return workers
+		})
+		o := k.beginTerm("a")
+		defer o.stop()
+		time.Sleep(3 * time.Second)
+		o.submit(c, id(1), job.Step{Count: 2})
+		k.assertCompletedOnce(o, id(1), 2)
+	})
+}
+
 // TestThirdOwnerAndTheAddressOfAnotherWorker guards against a roster in which an owner that has
 // not reached a worker states the address in an entry of another writer.
 func TestThirdOwnerAndTheAddressOfAnotherWorker(t *testing.T) {
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -352,8 +352,8 @@
 		s.addWorker(info, now)
 		return
 	}
-	if info.Born == 0 && w.born != 0 {
-		// Workers state their incarnation, so the entry is that of another writer.
+	if info.Born == 0 && w.info.Born != 0 {
+		// The worker states its incarnation in its entries, so this is that of another writer.
 		w.entryLost = true
 		return
 	}
