shard, platform: a heartbeat of another writer is no heartbeat

What callers would see: tasks run twice. Cause: an entry that another writer has left under the name of a leaving worker, without seq or with any other number, counted as a heartbeat. The entry then expired sooner after it than an entry can, which counted as its removal by the worker.

--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -364,3 +364,30 @@
 		c.Check(begun[2].Sub(begun[0]) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", begun))
 	})
 }
+
+// TestLeavingWorkerWhoseHeartbeatIsOverwritten guards against tasks that run twice because an
+// entry that another writer has left counted as a heartbeat, so that its expiry counted as the
+// removal by the worker.
+func TestLeavingWorkerWhoseHeartbeatIsOverwritten(t *testing.T) {
+	for name, change := range map[string]int64{"lower": -1000000000, "higher": 1000000000} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 2, always(12*time.Second, lovagestand.EndingDone))
+				o := k.startOnBoth(c)
+				defer o.stop()
+				time.Sleep(3 * time.Second)
+				k.setSilent("w0", true)
+				expiry := time.Now().Truncate(heartbeatInterval).Add(3 * heartbeatInterval)
+				time.Sleep(time.Until(expiry) - 1200*time.Millisecond)
+				k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+					workers[0].Heartbeat += change
+					return workers
+				})
+				time.Sleep(time.Until(expiry))
+				k.removeFirst()
+				k.assertCompletedOnce(o, id(1), 2)
+			})
+		})
+	}
+}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -47,6 +47,9 @@
 	// heartbeatMargin allows for a store whose clock runs faster than that of this
 	// instance.
 	heartbeatMargin = 100 * time.Millisecond
+	// maxHeartbeatStep is by how much the number of a heartbeat may rise between two reads of
+	// the list. Any other change may be that of another writer or of another incarnation.
+	maxHeartbeatStep = 8
 	// acknowledgeWait is how long a hold is delayed until the listed ends are stored.
 	acknowledgeWait = 150 * time.Millisecond
 )
@@ -73,7 +76,8 @@
 	lastListed    time.Time // when it was last listed
 	lastHeartbeat time.Time // when its heartbeat was last seen to change
 	// heartbeatAfter is a time before that heartbeat: a read of the list that was sent then
-	// still showed the heartbeat before. It is zero if there was no such read.
+	// still showed the heartbeat before. It is zero if there was no such read, or if the
+	// heartbeat may not be that of the worker.
 	heartbeatAfter time.Time
 	// entryLost reports whether the entry of the worker became undecodable, or names a worker
 	// of another shard.
@@ -378,7 +382,10 @@
 	}
 	w.entryLost = false
 	if info.Heartbeat != w.info.Heartbeat {
-		w.lastHeartbeat, w.heartbeatAfter = now, s.listSentAt
+		w.lastHeartbeat, w.heartbeatAfter = now, time.Time{}
+		if step := info.Heartbeat - w.info.Heartbeat; step > 0 && step <= maxHeartbeatStep {
+			w.heartbeatAfter = s.listSentAt
+		}
 	}
 	if info.Ready != w.info.Ready || info.Capacity != w.info.Capacity || info.Service != w.info.Service || !slices.Equal(info.Labels, w.info.Labels) {
 		s.workersByName = nil
