--- a/shard/loss.go
+++ b/shard/loss.go
@@ -144,7 +144,7 @@
 // are suspects from then on. A job fails once only its tasks can have caused a crash, and
 // it is not the first crash under one of them.
 func (s *Shard) recordCrash(w *worker, lost []*placement, cause lossCause) {
-	// The entry may be that of the incarnation that follows one which has left.
+	// The end of a run on an incarnation that was about to leave is no crash.
 	lost = slices.DeleteFunc(slices.Clone(lost), func(p *placement) bool { return p.born != 0 && p.born == w.leftBorn })
 	if len(lost) == 0 || !s.mayBeCrash(w, cause, time.Now()) {
 		return
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -132,8 +132,8 @@
 }
 
 // firstRunAfter returns a run number that is higher than those that former owners have used
-// for a task of the job. It does not depend on clocks alone, and not on how often starts were
-// refused: the end of a run would count as that of a later one with the same number.
+// for a task of the job, however often starts were refused and whatever their clocks showed: the
+// end of a run would count as that of a later one with the same number.
 func (s *Shard) firstRunAfter(p *job.Progress, now time.Time) int64 {
 	usual := max(0, int64(now.Sub(p.Accepted())/usualRunInterval))
 	return minRecoveredRun + usual + runsPerEpoch*int64(s.term.Epoch)
