--- a/shard/doublerun.go
+++ b/shard/doublerun.go
@@ -6,8 +6,10 @@
 	"lovagestand.example/lovagestand"
 )
 
-// lossRefused is why a start counts as not executed; the reason of the refusal follows.
-const lossRefused lossCause = "refused:"
+// refusedStart returns the cause of a run that was not executed because its start was refused.
+func refusedStart(reason lovagestand.RefusalReason) lossCause {
+	return lossCause("refused:" + string(reason))
+}
 
 // lostRun is the last run of a task that ended without a result or was not executed as far
 // as this owner knows.
--- a/shard/evidence.go
+++ b/shard/evidence.go
@@ -144,7 +144,7 @@
 // hasLeft reports whether a worker that was about to leave has left: its entry is gone
 // although its heartbeat cannot have been missing for long enough to let the entry expire.
 func (s *Shard) hasLeft(w *worker) bool {
-	if w.listed || w.entryLost || w.info.Ready || !w.listMatches() || w.heartbeatAfter.IsZero() {
+	if w.listed || w.entryForeign || w.info.Ready || !w.listMatches() || w.heartbeatAfter.IsZero() {
 		return false
 	}
 	return clock.Elapsed(w.heartbeatAfter) < s.limits.HeartbeatTimeout-heartbeatMargin
--- a/shard/order.go
+++ b/shard/order.go
@@ -171,7 +171,7 @@
 	if p.worker.placements[p.name] != p {
 		return
 	}
-	p.recordLost(lossRefused + lossCause(reason))
+	p.recordLost(refusedStart(reason))
 	now := time.Now()
 	switch reason {
 	case lovagestand.RefusalFenced:
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -79,9 +79,9 @@
 	// still showed the heartbeat before. It is zero if there was no such read, or if the
 	// heartbeat may not be that of the worker.
 	heartbeatAfter time.Time
-	// entryLost reports whether the entry of the worker became undecodable, or names a worker
+	// entryForeign reports whether the entry of the worker became undecodable, or names a worker
 	// of another shard.
-	entryLost bool
+	entryForeign bool
 	// expired indicates that the entry was removed from the list while the list was read
 	// without gaps. The worker's capacity may have changed since its last heartbeat.
 	expired bool
@@ -289,14 +289,14 @@
 		s.updateWorker(info, now)
 	}
 	for _, name := range list.Undecodable {
-		s.recordLostEntry(name)
+		s.recordForeignEntry(name)
 	}
 	s.listSentAt = list.SentAt
 	s.otherShards = map[string][]dispatch.Worker{}
 	for name, workers := range list.OtherShards {
 		s.otherShards[name] = holders(workers)
 		for i := range workers {
-			s.recordLostEntry(workers[i].Name)
+			s.recordForeignEntry(workers[i].Name)
 		}
 	}
 	if !s.workersListed {
@@ -320,11 +320,11 @@
 	s.wake()
 }
 
-// recordLostEntry records that there is an entry under the name of a worker that is not
+// recordForeignEntry records that there is an entry under the name of a worker that is not
 // listed. Another writer may have written it, so it was not removed by the worker.
-func (s *Shard) recordLostEntry(name lovagestand.WorkerName) {
+func (s *Shard) recordForeignEntry(name lovagestand.WorkerName) {
 	if w := s.workers[name]; w != nil && !w.listed {
-		w.entryLost = true
+		w.entryForeign = true
 	}
 }
 
@@ -358,7 +358,7 @@
 	}
 	if info.Born == 0 && w.info.Born != 0 {
 		// The worker states its incarnation in its entries, so this is that of another writer.
-		w.entryLost = true
+		w.entryForeign = true
 		return
 	}
 	w.listed, w.lastListed = true, now
@@ -380,7 +380,7 @@
 		w.inRosterWrite, w.enrolled = false, false
 		s.requestRosterWrite()
 	}
-	w.entryLost = false
+	w.entryForeign = false
 	if info.Heartbeat != w.info.Heartbeat {
 		w.lastHeartbeat, w.heartbeatAfter = now, time.Time{}
 		if step := info.Heartbeat - w.info.Heartbeat; step > 0 && step <= maxHeartbeatStep {
