--- a/shard/resetorders_test.go
+++ b/shard/resetorders_test.go
@@ -133,10 +133,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
-		late := true
+		var late atomic.Bool
+		late.Store(true)
 		k.fleet.SetFault(func(w lovagestand.WorkerName, order string) runner.Fault {
 			switch {
-			case w == "w0" && order == "start" && late:
+			case w == "w0" && order == "start" && late.Load():
 				return runner.FaultLate
 			case w == "w0" && order == "stop":
 				return runner.FaultLostRequest
@@ -147,7 +148,7 @@
 		defer o.stop()
 		o.submit(c, id(1), job.Step{Count: 4}, job.Step{Count: 1})
 		time.Sleep(2 * time.Second)
-		late = false
+		late.Store(false)
 		k.fleet.ApplyLate()
 		time.Sleep(30 * time.Second)
 		assertPhase(c, o, id(1), "completed")
