shard: ends count in answers that others have overtaken, too

A worker that was about to leave ended a task 50 ms before it left, and its owner started the task again 0.8 s later. Cause, by reading: after a confirmed stop the owner queries the worker while a hold waits there. The query is sent later and answered first, so the answer of the hold was ignored, and with it the end that it lists. Usually the next hold lists it again; a worker that leaves meanwhile does not. Lists of such answers are still ignored, but their ends are recorded. TestEndInAnOvertakenAnswer failed (2 starts) and passes.

--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -20,6 +20,11 @@
 	}
 	if begun.Before(w.holdSentAt) || w.madeBefore(holding) {
 		w.lastAnswer = later(w.lastAnswer, begun)
+		if holding.Born != 0 && holding.Born == w.born {
+			// Its list may be outdated, but not its ends, which no later answer may list.
+			s.recordEnds(w, holding.Ended)
+			s.wake()
+		}
 		return true
 	}
 	w.holdSentAt = begun
@@ -44,26 +49,31 @@
 	w.unresponsive = false
 	w.lastAnswer = now
 	w.clock, w.clockAt = holding.Clock, now
-	var ended []string
-	for _, end := range holding.Ended {
+	s.recordEnds(w, holding.Ended)
+	complete := len(holding.Ended) < maxEndsPerAnswer
+	s.reconcile(w, begun, now, holding, complete)
+	if complete {
+		s.resolveWorker(w.info.Name)
+	}
+	s.wake()
+	return true
+}
+
+// recordEnds records the ends that a worker has listed and that are not known yet.
+func (s *Shard) recordEnds(w *worker, ends []lovagestand.EndedTask) {
+	var tasks []string
+	for _, end := range ends {
 		if end.Number > w.seenEnds {
 			w.seenEnds = end.Number
-			ended = append(ended, end.Task)
+			tasks = append(tasks, end.Task)
 			s.recordEnd(w, end)
 		}
 	}
-	if len(ended) > 0 {
-		w.pendingAcks = append(w.pendingAcks, pendingAck{queuePosition: s.lastQueuePosition, number: w.seenEnds, tasks: ended})
+	if len(tasks) > 0 {
+		w.pendingAcks = append(w.pendingAcks, pendingAck{queuePosition: s.lastQueuePosition, number: w.seenEnds, tasks: tasks})
 		s.unacknowledged[w] = true
 		s.acknowledgeWorker(w)
 	}
-	complete := len(holding.Ended) < maxEndsPerAnswer
-	s.reconcile(w, begun, now, holding, complete)
-	if complete {
-		s.resolveWorker(w.info.Name)
-	}
-	s.wake()
-	return true
 }
 
 // reconcile compares the runs that a worker lists with the placements recorded for it.
--- a/shard/holdorder_test.go
+++ b/shard/holdorder_test.go
@@ -59,3 +59,52 @@
 		}
 	})
 }
+
+// distantFleet is a fleet whose answers to holds take a while to arrive.
+type distantFleet struct{ *runner.Fleet }
+
+func (f *distantFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+	reply, err := f.Fleet.Hold(ctx, w, r)
+	time.Sleep(20 * time.Millisecond)
+	return reply, err
+}
+
+// TestEndInAnOvertakenAnswer guards against tasks that run again after they are done: the answer
+// that lists their end belongs to a hold that was sent before one whose answer was received
+// first, and was ignored, and their worker leaves before the next hold.
+func TestEndInAnOvertakenAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
+		k.fleetWrapper = &distantFleet{k.fleet}
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		o.submit(c, id(1), job.Step{Count: 1})
+		time.Sleep(2400 * time.Millisecond)
+		// A start without an answer is stopped, and the worker is then queried.
+		lost := false
+		k.fleet.SetFault(func(_ lovagestand.WorkerName, order string) runner.Fault {
+			if order != "start" || lost {
+				return runner.FaultNone
+			}
+			lost = true
+			return runner.FaultLostRequest
+		})
+		o.submit(c, id(2), job.Step{Count: 1})
+		k.setLeaving()
+		for k.fleet.Runs()[0].Ended.IsZero() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * time.Millisecond)
+		k.leave()
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return append(workers, k.fleet.Add("w1", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
+		})
+		time.Sleep(20 * time.Second)
+		assertPhase(c, o, id(1), "completed")
+		c.Check(k.startsOf(id(1)), qt.Equals, 1)
+		k.assertNoViolations()
+		o.stop()
+		time.Sleep(time.Second)
+	})
+}
