--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -11,13 +11,14 @@
 // lists more once these are acknowledged.
 const maxEndsPerAnswer = 500
 
-// recordHolding applies the answer of a worker to a hold that was sent at begun. It
-// returns false if the answer came from an incarnation that has been replaced.
-func (s *Shard) recordHolding(w *worker, begun time.Time, holding lovagestand.HoldReply) bool {
+// recordHolding applies the answer of a worker to a hold that was sent to an address at
+// begun. It returns false if the answer came from an incarnation that has been replaced.
+func (s *Shard) recordHolding(w *worker, address string, begun time.Time, holding lovagestand.HoldReply) bool {
 	if w.replacedIncarnations[holding.Born] {
 		s.log.Warn().Str("worker", string(w.info.Name)).Int64("born", holding.Born).Msg("ignored an answer from a former incarnation of the worker")
 		return false
 	}
+	w.answerAddress = address
 	if begun.Before(w.holdSentAt) || w.madeBefore(holding) {
 		w.lastAnswer = later(w.lastAnswer, begun)
 		if holding.Born != 0 && holding.Born == w.born {
@@ -151,9 +152,10 @@
 	}
 	e.started = true
 	s.former.account(e, task)
-	wanted := e.active[running.Task] == nil && e.progress.Adopt(task, running.Run)
+	other := e.active[running.Task]
+	wanted := other == nil && e.progress.Adopt(task, running.Run)
 	s.reserveRoom(p)
-	if other := e.active[running.Task]; other != nil {
+	if other != nil {
 		s.recordDoubleRun(doubleConcurrent, w, running.Task, running.Run, other)
 	}
 	if !wanted {
--- a/shard/cutoff_test.go
+++ b/shard/cutoff_test.go
@@ -290,7 +290,7 @@
 		time.Sleep(time.Second)
 		until := time.Now().Add(overlap)
 		assuredUntil.Store(&until)
-		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		fleet := newRefusingFleet(k.fleet)
 		fleet.cut.Store(true)
 		k.fleetWrapper = fleet
 		next := k.beginTerm("b")
@@ -345,7 +345,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			k := newCell(c, 2, always(30*time.Second, lovagestand.EndingDone))
-			fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+			fleet := newRefusingFleet(k.fleet)
 			k.fleetWrapper = &slowClockFleet{refusingFleet: fleet, closesAfter: phase}
 			o := k.beginReadyTerm("a")
 			defer o.stop()
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -39,10 +39,7 @@
 			return
 		}
 		s.mu.Lock()
-		answered := err == nil && s.recordHolding(w, begun, holding)
-		if answered {
-			w.answerAddress = target.Address
-		}
+		answered := err == nil && s.recordHolding(w, target.Address, begun, holding)
 		paced := time.Now().Before(w.fewConnectionsUntil)
 		if err != nil {
 			s.holdFailed(w, target, err, timedOut)
@@ -67,8 +64,8 @@
 	cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && s.ctx.Err() == nil && s.recordHolding(w, begun, holding) {
-		w.answerAddress = target.Address
+	if err == nil && s.ctx.Err() == nil {
+		s.recordHolding(w, target.Address, begun, holding)
 	}
 }
 
--- a/shard/holdorder_test.go
+++ b/shard/holdorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,17 +16,15 @@
 	"lovagestand.example/lovagestand/standin/runner"
 )
 
-// lateQueryFleet is a fleet whose answers to holds that do not wait arrive late.
-type lateQueryFleet struct {
+// slowAnswerFleet is a fleet whose answers to holds arrive late.
+type slowAnswerFleet struct {
 	*runner.Fleet
-	delay time.Duration
+	delay func(r lovagestand.HoldRequest) time.Duration
 }
 
-func (f *lateQueryFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+func (f *slowAnswerFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
 	reply, err := f.Fleet.Hold(ctx, w, r)
-	if r.Wait == 0 {
-		time.Sleep(f.delay)
-	}
+	time.Sleep(f.delay(r))
 	return reply, err
 }
 
@@ -36,12 +35,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 1, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
-			if o.Task[:len(id(1))] == id(1) && o.Run == 1 {
+			if strings.HasPrefix(o.Task, id(1)) && o.Run == 1 {
 				return 2 * time.Second, lovagestand.EndingFailed
 			}
 			return 5 * time.Second, lovagestand.EndingDone
 		})
-		k.fleetWrapper = &lateQueryFleet{Fleet: k.fleet, delay: 300 * time.Millisecond}
+		k.fleetWrapper = &slowAnswerFleet{k.fleet, func(r lovagestand.HoldRequest) time.Duration {
+			if r.Wait == 0 {
+				return 300 * time.Millisecond
+			}
+			return 0
+		}}
 		var log bytes.Buffer
 		k.log = zerolog.New(&log)
 		o := k.beginTerm("a")
@@ -60,15 +64,6 @@
 	})
 }
 
-// distantFleet is a fleet whose answers to holds take a while to arrive.
-type distantFleet struct{ *runner.Fleet }
-
-func (f *distantFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
-	reply, err := f.Fleet.Hold(ctx, w, r)
-	time.Sleep(20 * time.Millisecond)
-	return reply, err
-}
-
 // TestEndInAnOvertakenAnswer guards against tasks that run again after they are done: the answer
 // that lists their end belongs to a hold that was sent before one whose answer was received
 // first, and was ignored, and their worker leaves before the next hold.
@@ -76,7 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 1, always(3*time.Second, lovagestand.EndingDone))
-		k.fleetWrapper = &distantFleet{k.fleet}
+		k.fleetWrapper = &slowAnswerFleet{k.fleet, func(lovagestand.HoldRequest) time.Duration { return 20 * time.Millisecond }}
 		o := k.beginReadyTerm("a")
 		defer o.stop()
 		o.submit(c, id(1), job.Step{Count: 1})
--- a/shard/incarnations_test.go
+++ b/shard/incarnations_test.go
@@ -562,35 +562,23 @@
 	})
 }
 
-// addressFleet is a fleet whose workers are called by address.
-type addressFleet struct{ *runner.Fleet }
-
-func (f *addressFleet) refuse(w lovagestand.FleetWorker) error {
-	if w.Address != string(w.Name) {
-		return &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalRestarted}
-	}
-	return nil
-}
-
-func (f *addressFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
-	if err := f.refuse(w); err != nil {
-		return lovagestand.WorkerClock{}, err
-	}
-	return f.Fleet.Start(ctx, w, o)
-}
-
-func (f *addressFleet) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.WorkerClock, error) {
-	if err := f.refuse(w); err != nil {
-		return lovagestand.WorkerClock{}, err
-	}
-	return f.Fleet.Stop(ctx, w, task, run, epoch)
+// newAddressFleet returns a fleet in which orders reach the worker at their address. Another
+// worker there refuses them.
+func newAddressFleet(fleet *runner.Fleet) *guardedFleet {
+	return &guardedFleet{Fleet: fleet, refuse: func(w lovagestand.FleetWorker) error {
+		if w.Address != string(w.Name) {
+			return &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalRestarted}
+		}
+		return nil
+	}}
 }
 
-func (f *addressFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
-	if err := f.refuse(w); err != nil {
-		return lovagestand.HoldReply{}, err
-	}
-	return f.Fleet.Hold(ctx, w, r)
+// overwriteFirst replaces the entry of w0 by one of another writer that names the address of
+// w1 and no incarnation. It returns a function that restores the entry.
+func (k *cell) overwriteFirst() (restore func()) {
+	entry := k.list()[0]
+	k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+	return func() { k.setListEntry(0, entry) }
 }
 
 // TestEntryWithTheAddressOfAnotherWorker guards against tasks that run twice because their
@@ -600,15 +588,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
-		k.fleetWrapper = &addressFleet{k.fleet}
+		k.fleetWrapper = newAddressFleet(k.fleet)
 		o := k.beginReadyTerm("a")
 		defer o.stop()
 		o.submit(c, id(1), job.Step{Count: 2})
 		time.Sleep(time.Second)
-		entry := k.list()[0]
-		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		restore := k.overwriteFirst()
 		time.Sleep(1500 * time.Millisecond)
-		k.setListEntry(0, entry)
+		restore()
 		k.assertCompletedOnce(o, id(1), 2)
 	})
 }
@@ -620,18 +607,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
-		k.fleetWrapper = &addressFleet{k.fleet}
+		k.fleetWrapper = newAddressFleet(k.fleet)
 		former := k.beginReadyTerm("a")
 		defer former.stop()
 		former.submit(c, id(1), job.Step{Count: 2})
 		time.Sleep(time.Second)
-		entry := k.list()[0]
-		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		restore := k.overwriteFirst()
 		former.stop()
 		next := k.beginTerm("b")
 		defer next.stop()
 		time.Sleep(1500 * time.Millisecond)
-		k.setListEntry(0, entry)
+		restore()
 		k.assertCompletedOnce(next, id(1), 2)
 	})
 }
@@ -662,13 +648,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
-		k.fleetWrapper = &addressFleet{k.fleet}
+		k.fleetWrapper = newAddressFleet(k.fleet)
 		former := k.beginReadyTerm("a")
 		defer former.stop()
 		former.submit(c, id(1), job.Step{Count: 2})
 		time.Sleep(time.Second)
-		entry := k.list()[0]
-		k.setListEntry(0, lovagestand.FleetWorker{WorkerIncarnation: lovagestand.WorkerIncarnation{Name: entry.Name}, Service: "printing", Address: "w1", Ready: true})
+		restore := k.overwriteFirst()
 		former.stop()
 		second := k.beginTerm("b")
 		defer second.stop()
@@ -677,7 +662,7 @@
 		third := k.beginTerm("c")
 		defer third.stop()
 		time.Sleep(1500 * time.Millisecond)
-		k.setListEntry(0, entry)
+		restore()
 		k.assertCompletedOnce(third, id(1), 2)
 	})
 }
--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -16,42 +16,51 @@
 	"lovagestand.example/lovagestand/standin/runner"
 )
 
-// refusingFleet is a fleet in which all connections to a worker are refused while cut is
-// set. The worker itself runs on.
-type refusingFleet struct {
+// guardedFleet is a fleet in which all orders fail for which refuse returns an error.
+type guardedFleet struct {
 	*runner.Fleet
-	worker lovagestand.WorkerName
-	cut    atomic.Bool
+	refuse func(w lovagestand.FleetWorker) error
 }
 
-func (f *refusingFleet) refuse(w lovagestand.FleetWorker) error {
-	if f.cut.Load() && w.Name == f.worker {
-		return &lovagestand.UnavailableError{System: "worker", Reason: "connection refused", Unsent: true}
-	}
-	return nil
-}
-
-func (f *refusingFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
+func (f *guardedFleet) Start(ctx context.Context, w lovagestand.FleetWorker, o lovagestand.Order) (lovagestand.WorkerClock, error) {
 	if err := f.refuse(w); err != nil {
 		return lovagestand.WorkerClock{}, err
 	}
 	return f.Fleet.Start(ctx, w, o)
 }
 
-func (f *refusingFleet) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.WorkerClock, error) {
+func (f *guardedFleet) Stop(ctx context.Context, w lovagestand.FleetWorker, task string, run int64, epoch lovagestand.Epoch) (lovagestand.WorkerClock, error) {
 	if err := f.refuse(w); err != nil {
 		return lovagestand.WorkerClock{}, err
 	}
 	return f.Fleet.Stop(ctx, w, task, run, epoch)
 }
 
-func (f *refusingFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+func (f *guardedFleet) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
 	if err := f.refuse(w); err != nil {
 		return lovagestand.HoldReply{}, err
 	}
 	return f.Fleet.Hold(ctx, w, r)
 }
 
+// refusingFleet is a fleet in which all connections to w0 are refused while cut is set. The
+// worker itself runs on.
+type refusingFleet struct {
+	guardedFleet
+	cut atomic.Bool
+}
+
+func newRefusingFleet(fleet *runner.Fleet) *refusingFleet {
+	f := &refusingFleet{}
+	f.guardedFleet = guardedFleet{Fleet: fleet, refuse: func(w lovagestand.FleetWorker) error {
+		if f.cut.Load() && w.Name == "w0" {
+			return &lovagestand.UnavailableError{System: "worker", Reason: "connection refused", Unsent: true}
+		}
+		return nil
+	}}
+	return f
+}
+
 // setLeaving marks the first worker of the list as about to leave.
 func (k *cell) setLeaving() { k.setReady(false) }
 
@@ -91,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
-		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		fleet := newRefusingFleet(k.fleet)
 		k.fleetWrapper = fleet
 		o := k.startOnBoth(c)
 		defer o.stop()
@@ -171,7 +180,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
-		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		fleet := newRefusingFleet(k.fleet)
 		k.fleetWrapper = fleet
 		former := k.startOnBoth(c)
 		defer former.stop()
@@ -195,7 +204,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				k := newCell(c, 2, always(5*time.Second, lovagestand.EndingDone))
-				fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+				fleet := newRefusingFleet(k.fleet)
 				k.fleetWrapper = fleet
 				first := k.startOnBoth(c)
 				defer first.stop()
@@ -249,7 +258,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		k := newCell(c, 2, always(3*time.Second, lovagestand.EndingDone))
-		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		fleet := newRefusingFleet(k.fleet)
 		k.fleetWrapper = fleet
 		former := k.startOnBoth(c)
 		defer former.stop()
--- a/shard/term_test.go
+++ b/shard/term_test.go
@@ -273,7 +273,7 @@
 		former.submit(c, id(1), job.Step{Count: 8})
 		former.submit(c, id(2), job.Step{Count: 1})
 		time.Sleep(2400 * time.Millisecond)
-		fleet := &refusingFleet{Fleet: k.fleet, worker: "w0"}
+		fleet := newRefusingFleet(k.fleet)
 		k.fleetWrapper = fleet
 		next := k.beginTerm("b")
 		defer next.stop()
