shard: the log and the metrics name the step that waits longest, and why

Cause: no log line said which step has waited for long, what it needs and which of the reasons of where holds it back, so that the hypotheses on the gang that waits could not be told apart for one step.

Change: stepState.waitingSince; once a second, beside the load line, "longest wait" and "longest wait with room free" with reason and figures; the same in /debug/state, and longestWaits and longestWaitsWithRoom in /debug/vars. Reasons come from the pass itself: dispatch.PlanExplained records them for at most eight steps in a pass with a summary. The room of a step is determined in one place, Step.findRoom, for explanations and figures. The age begins anew with a new owner.

Measured: the digests of TestDecisionsUnderOverload (which compares on arm64 only) are the same before and after on this machine, for all four loads.

--- a/dispatch/shape.go
+++ b/dispatch/shape.go
@@ -47,6 +47,24 @@
 	return slots
 }
 
+// WorkersNeeded returns the smallest number of the workers that hold a number of tasks of the
+// shape if nothing else runs on them, or 0 if all of them do not hold the tasks.
+func (s Shape) WorkersNeeded(workers []Worker, tasks int) int {
+	var slots []int
+	for i := range workers {
+		if n := s.Slots(workers[i:i+1], tasks); n > 0 {
+			slots = append(slots, n)
+		}
+	}
+	slices.SortFunc(slots, func(a, b int) int { return cmp.Compare(b, a) })
+	for n, held := range slots {
+		if tasks -= held; tasks <= 0 {
+			return n + 1
+		}
+	}
+	return 0
+}
+
 // timesIn returns how often needs fit into capacity, up to most.
 func timesIn(needs, capacity lovagestand.Resources, most int) int {
 	times := int64(math.MaxInt64)
--- a/dispatch/where.go
+++ b/dispatch/where.go
@@ -52,9 +52,18 @@
 	Until time.Time
 }
 
-// Explain decides like [Plan] and returns an explanation for each of the given steps. It
-// changes the load as Plan does.
+// Explain is [PlanExplained] without the decisions.
 func Explain(l Load, steps []int) []Explanation {
+	_, explanations := PlanExplained(l, steps)
+	return explanations
+}
+
+// PlanExplained decides like [Plan] and also returns an explanation for each of the given
+// steps. It changes the load as Plan does.
+func PlanExplained(l Load, steps []int) ([]Decision, []Explanation) {
+	if len(steps) == 0 {
+		return Plan(l), nil
+	}
 	findings := make(map[int]finding, len(steps))
 	for _, i := range steps {
 		findings[i] = finding{}
@@ -69,7 +78,7 @@
 	for n, i := range steps {
 		out[n] = findings[i].explain(&l.Steps[i], decisionFor(decisions, i))
 	}
-	return out
+	return decisions, out
 }
 
 // decisionFor combines the decisions for a step.
@@ -93,13 +102,7 @@
 	awaitsRenewal, noHeadroom bool
 	// held is the number of tasks that the quota of the team holds back.
 	held int
-	// matching reports whether an open worker has the service and the label and is large
-	// enough.
-	matching bool
-	// room is how many tasks have room, whether or not it is reserved, spread how many of
-	// them within MaxPerWorker, and ticketed how many of those with a ticket. Each is at
-	// most the number of tasks for one worker.
-	room, spread, ticketed int
+	roomFound
 	// adviceAdmitted and adviceCallLeft report whether the quota, and the clients, permit a
 	// first request for advice.
 	adviceAdmitted, adviceCallLeft bool
@@ -110,29 +113,7 @@
 	f := finding{awaitsRenewal: s.awaitsRenewal(), noHeadroom: p.leavesNoHeadroom(s), adviceCallLeft: p.mayRequestAdvice(s)}
 	_, f.held = p.withinQuota(s)
 	f.adviceAdmitted = !s.Team.limited() || s.Team.fits(s.Team.advised.Add(leastNeeds(s)))
-	ticketed, allowed := map[int]bool{}, map[int]bool{}
-	for _, c := range s.Candidates {
-		allowed[c.Worker], ticketed[c.Worker] = true, c.HasTicket
-	}
-	for i := range p.Workers {
-		w := &p.Workers[i]
-		if !w.Open || !s.matches(w) || !s.Needs.Fits(w.Capacity) {
-			continue
-		}
-		f.matching = true
-		if s.NeedsTickets && s.Candidates != nil && !allowed[i] {
-			continue
-		}
-		room := tasksIn(w.Free, s.Needs, s.Tasks)
-		f.room += room
-		if s.MaxPerWorker > 0 {
-			room = max(0, min(room, s.MaxPerWorker-s.Placed[i]))
-		}
-		f.spread += room
-		if ticketed[i] {
-			f.ticketed += room
-		}
-	}
+	f.roomFound = s.findRoom(p.Workers)
 	return f
 }
 
--- a/metrics/recorder.go
+++ b/metrics/recorder.go
@@ -51,6 +51,11 @@
 	h.record(kind, duration)
 }
 
+// Set adds a variable that another part of the instance maintains.
+func (r *Recorder) Set(name string, variable expvar.Var) {
+	r.variables.Set(name, variable)
+}
+
 // ServeHTTP implements [http.Handler].
 func (r *Recorder) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"net"
 	"net/http"
 	"strconv"
@@ -50,7 +51,13 @@
 	Log          zerolog.Logger
 	Recorder     lovagestand.Recorder
 	// Metrics serves the metrics that Recorder collects.
-	Metrics http.Handler
+	Metrics Metrics
+}
+
+// Metrics serves metrics and the variables that are added to them.
+type Metrics interface {
+	http.Handler
+	Set(name string, variable expvar.Var)
 }
 
 // Node is one instance of the scheduler.
@@ -103,6 +110,7 @@
 		}
 	})
 	n.gateway = gateway.New(n.routes, n.owners, deps.Log, deps.Recorder)
+	n.publishWaits()
 	return n
 }
 
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -20,7 +20,9 @@
 // activate makes a placement the current run of its task.
 func (s *Shard) activate(p *placement) {
 	p.entry.active[p.name] = p
-	p.entry.step(p.ref()).placed[p.worker.info.Name]++
+	st := p.entry.step(p.ref())
+	st.placed[p.worker.info.Name]++
+	st.waitingSince = time.Time{}
 }
 
 // releaseRoom removes a placement from its worker and its job, and frees its room.
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -112,6 +112,14 @@
 	dispatchRuns []dispatch.Run
 	ordered      []waitingStep
 	keys         []sortKey
+	// recordsWaits reports whether the pass records since when its steps wait.
+	recordsWaits bool
+	// summarizes reports whether the pass logs a summary. watched holds the steps that it
+	// may then name.
+	summarizes bool
+	watched    []*watchedStep
+	// waitingJobs is the number of jobs with waiting steps, set where summarizes is.
+	waitingJobs int
 }
 
 // newPass returns a pass that uses the slices of the former one again.
@@ -164,6 +172,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.newPass()
+	p.recordsWaits = true
 	defer s.recordTeams(p)
 	s.collect(p)
 	s.setSpeeds(p)
@@ -171,6 +180,8 @@
 	s.summarize(p)
 	s.dropUnplaceable(p)
 	s.moveUnplaceable(p)
+	s.watch(p)
+	defer s.summarizeWaits(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
 	next := s.placeWaiting(p)
@@ -181,7 +192,11 @@
 // placeWaiting places tasks of the waiting steps of a pass. It returns the time until the
 // next pass unless something changes.
 func (s *Shard) placeWaiting(p *pass) time.Duration {
-	if len(p.waiting) == 0 || !s.deps.Assured() {
+	if len(p.waiting) == 0 {
+		return idleInterval
+	}
+	if !s.deps.Assured() {
+		p.explainAll(WaitsForAssurance)
 		return idleInterval
 	}
 	p.sortByScore()
@@ -192,11 +207,16 @@
 		p.sortByTier()
 	}
 	s.selectWithinQuotas(p)
+	s.explainHeld(p)
 	load := s.load(p)
 	s.passNumber++
 	s.wholeQueue = s.passNumber%wholeQueueInterval == 0
 	next := p.now.Add(idleInterval)
-	decisions := dispatch.Plan(load)
+	considered, indexes := p.watchedSteps()
+	decisions, explanations := dispatch.PlanExplained(load, indexes)
+	for n, w := range considered {
+		w.reason = s.refine(p, w.entry.team, p.waiting[indexes[n]].tier, explanations[n].Reason)
+	}
 	for i := range decisions {
 		d := &decisions[i]
 		w := &p.waiting[d.Step]
@@ -333,8 +353,10 @@
 // placeable reports whether the workers of the shard can hold a waiting step. The answer is
 // kept for a version of the fleet.
 func (s *Shard) placeable(p *pass, w *waitingStep) bool {
-	// Most waiting steps have no state yet.
 	st := w.entry.steps[w.ref]
+	if p.recordsWaits {
+		st = w.recordWait(st, p.now)
+	}
 	switch {
 	case st == nil:
 		return s.computePlaceable(p, w)
@@ -344,6 +366,18 @@
 	return st.placeable
 }
 
+// recordWait records since when the step waits, in its state if it has one, and returns the
+// state.
+func (w *waitingStep) recordWait(st *stepState, now time.Time) *stepState {
+	if st == nil {
+		st = w.entry.step(w.ref)
+	}
+	if st.waitingSince.IsZero() {
+		st.waitingSince = now
+	}
+	return st
+}
+
 // computePlaceable is [Shard.placeable] without the state of the step.
 func (s *Shard) computePlaceable(p *pass, w *waitingStep) bool {
 	if s.slotsVersion != s.fleetVersion {
@@ -598,9 +632,6 @@
 			}
 		}
 	}
-	if step.MaxPerWorker > 0 {
-		out.Placed = s.placedByIndex(st)
-	}
 	for name := range st.avoid {
 		if w := s.workers[name]; w != nil {
 			if out.Avoid == nil {
@@ -618,13 +649,21 @@
 		}
 		out.AdvicePending[w.passIndex] = true
 	}
-	if out.NeedsTickets && st.advised {
-		out.Candidates = s.candidates(p, st)
-		out.AdviceKnown = func(i int) bool { return st.decided[p.workers[i]] }
-	}
+	s.setAllowed(p, st, &out)
 	return out
 }
 
+// setAllowed sets what limits the workers on which tasks of a step may start.
+func (s *Shard) setAllowed(p *pass, st *stepState, to *dispatch.Step) {
+	if to.MaxPerWorker > 0 {
+		to.Placed = s.placedByIndex(st)
+	}
+	if to.NeedsTickets && st.advised {
+		to.Candidates = s.candidates(p, st)
+		to.AdviceKnown = func(i int) bool { return st.decided[p.workers[i]] }
+	}
+}
+
 // candidates are the workers that the policy allows for a step. They are valid for a version
 // of the fleet, until the first usable ticket expires and until a new one arrives.
 type candidates struct {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -221,6 +221,9 @@
 	// passes and slowestPass describe the planning passes since then.
 	passes      int
 	slowestPass time.Duration
+	// longestWait and longestWaitWithRoom are those of the last summary; nil if there are
+	// none.
+	longestWait, longestWaitWithRoom *watchedStep
 	// reused is the state of the last pass, whose slices the next one uses again.
 	reused pass
 
@@ -362,6 +365,9 @@
 
 // stepState is what the planner needs to place the tasks of one step.
 type stepState struct {
+	// waitingSince is when a pass first found tasks of the step that can start, since a task
+	// of it was last placed; zero if none has found any.
+	waitingSince time.Time
 	// pendingRequests counts the pending advice requests that name a worker.
 	pendingRequests map[*worker]int
 	// advised reports whether advice for the step has arrived.
@@ -540,6 +546,11 @@
 	Teams []TeamStatus `json:"teams,omitempty"`
 	// Speeds describes the learned speeds of the workers; nil if they are not learned.
 	Speeds *SpeedStatus `json:"speeds,omitempty"`
+	// LongestWait is the step that has waited longest, and LongestWaitWithRoom the one among
+	// those for which there is room, as of the last summary. They are zero if there are
+	// none, and once a task of the step has been placed.
+	LongestWait         StepWait `json:"longestWait,omitzero"`
+	LongestWaitWithRoom StepWait `json:"longestWaitWithRoom,omitzero"`
 }
 
 // Status returns a summary of the shard.
@@ -552,6 +563,7 @@
 		Speeds: s.speedStatus(),
 	}
 	now := time.Now()
+	out.LongestWait, out.LongestWaitWithRoom = s.longestWait.wait(now), s.longestWaitWithRoom.wait(now)
 	for _, w := range s.workers {
 		out.RunningTasks += len(w.placements)
 		if s.open(w, now) {
--- a/shard/summary.go
+++ b/shard/summary.go
@@ -23,7 +23,7 @@
 	if p.now.Sub(s.summarizedAt) < summaryInterval {
 		return
 	}
-	s.summarizedAt = p.now
+	s.summarizedAt, p.summarizes = p.now, true
 	var capacity, used, open lovagestand.Resources
 	for i, w := range p.workers {
 		capacity = capacity.Add(w.info.Capacity)
--- a/shard/where.go
+++ b/shard/where.go
@@ -240,7 +240,7 @@
 	switch {
 	case considered:
 		out.Workers, out.Waiting, out.AdviceWorkers = t.workers(explanation.Workers), explanation.Waiting, len(explanation.AdviceFor)
-		out.Reason, out.Until = t.refine(index, explanation.Reason), millisOf(explanation.Until)
+		out.Reason, out.Until = t.shard.refine(t.pass, t.entry.team, t.tiers[index], explanation.Reason), millisOf(explanation.Until)
 	case t.unplaceable[index]:
 		out.Reason = dispatch.WaitsForWorker
 	case out.Position == 0:
@@ -248,7 +248,7 @@
 	case !t.assured:
 		out.Reason = WaitsForAssurance
 	case !t.selected[index]:
-		out.Reason = t.refine(index, dispatch.WaitsForCap)
+		out.Reason = t.shard.refine(t.pass, t.entry.team, t.tiers[index], dispatch.WaitsForCap)
 	default:
 		out.Reason = WaitsForQueue
 	}
@@ -268,14 +268,15 @@
 	return WaitsForSteps, 0
 }
 
-// refine returns the reason for operators where the dispatcher does not distinguish.
-func (t *trial) refine(step int, reason dispatch.WaitReason) dispatch.WaitReason {
+// refine returns the reason for operators where the dispatcher does not distinguish, for a
+// step of a team and its tier.
+func (s *Shard) refine(p *pass, team lovagestand.TeamName, tier fairshare.Tier, reason dispatch.WaitReason) dispatch.WaitReason {
 	switch {
-	case reason == dispatch.WaitsForCap && !t.pass.unknown.of(t.entry.team).IsZero():
+	case reason == dispatch.WaitsForCap && !p.unknown.of(team).IsZero():
 		return WaitsForFormerRuns
-	case reason == dispatch.WaitsForCap && t.shard.deps.DividedCaps:
+	case reason == dispatch.WaitsForCap && s.deps.DividedCaps:
 		return WaitsForCapShare
-	case reason == dispatch.WaitsForRoom && t.tiers[step] == fairshare.Beyond:
+	case reason == dispatch.WaitsForRoom && tier == fairshare.Beyond:
 		return WaitsForFairShare
 	}
 	return reason
