where: figures of steps that wait, and the waiting steps of a known job

Cause: a query with the ID of a known job told only that the ID is known, and a step that waits was shown without what it needs and what policy has allowed.

Change: StepPlacement has the figures of the log line "longest wait"; knownID shows the steps of that job with tasks that can start, with reason and age. Only the owner's view of the first occurrence is shown. The terminal shows the figures for known jobs, JSON for all.

Measured: go test ./shard -run 'LongestWait|Where|EachReason' and go test ./node -run 'Where|LongestWaits' pass.

--- a/commands/operate/where.go
+++ b/commands/operate/where.go
@@ -177,7 +177,6 @@
 		if r.RetryAfter > 0 {
 			fmt.Fprintf(text, "try again after %v\n", time.Duration(r.RetryAfter)*time.Millisecond)
 		}
-		return
 	}
 	for _, s := range p.Steps {
 		writeStep(text, s)
@@ -207,6 +206,11 @@
 		fmt.Fprintf(text, ", until %s", time.UnixMilli(s.Until).UTC().Format("15:04:05.000"))
 	}
 	text.WriteString("\n")
+	if f := s.Figures; s.Age > 0 {
+		fmt.Fprintf(text, "  it has waited for %v\n", time.Duration(s.Age)*time.Millisecond)
+		fmt.Fprintf(text, "  workers needed: %d; asked: %d, allowed: %d, with a ticket: %d; tasks with room there: %d, with a ticket: %d\n",
+			f.WorkersNeeded, f.Asked, f.Allowed, f.Ticketed, f.Free, f.FreeTicketed)
+	}
 	if s.AdviceWorkers > 0 {
 		fmt.Fprintf(text, "  advice would be requested on %d workers\n", s.AdviceWorkers)
 	}
--- a/node/waits_test.go
+++ b/node/waits_test.go
@@ -17,8 +17,8 @@
 	"lovagestand.example/lovagestand/standin/site"
 )
 
-// TestLongestWaitsAreServed guards against a wait that the variables and the state of the
-// owner do not show, and against variables that are not documented.
+// TestLongestWaitsAreServed guards against a wait that the variables, the state of the
+// owner and queries do not show, and against variables that are not documented.
 func TestLongestWaitsAreServed(t *testing.T) {
 	c := qt.New(t)
 	s, err := site.Open("127.0.0.1:0", 1)
@@ -51,6 +51,11 @@
 	c.Assert(json.Unmarshal([]byte(read(c, internal+"/debug/state")), &state), qt.IsNil)
 	c.Check(state.Shards["0"].LongestWait.Step, qt.Equals, "0000000000000001.0.0")
 	c.Check(state.Shards["0"].LongestWait.Reason, qt.Equals, dispatch.WaitsForWorker)
+	code, out, _ := newAsker(c, body).ask(i, "", "--path", fmt.Sprintf("/x/%016x", 1))
+	c.Check(code, qt.Equals, 1)
+	c.Check(out, qt.Contains, "(knownID)")
+	c.Check(out, qt.Contains, "  1 wait: no open worker has the service and the label, and is large enough (noWorker)\n  it has waited for ")
+	c.Check(out, qt.Contains, "  workers needed: 0; asked: 0, allowed: 0, with a ticket: 0; tasks with room there: 0, with a ticket: 0\n")
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	c.Assert(err, qt.IsNil)
 	for _, name := range []string{"longestWaits", "longestWaitsWithRoom"} {
--- a/shard/waits.go
+++ b/shard/waits.go
@@ -129,12 +129,17 @@
 			roomy++
 		}
 		if n < watchedSteps || w.hasRoom {
-			w.figures.WorkersNeeded = shapeOf(w.entry, w.step).WorkersNeeded(s.holders(p), w.step.MinStart())
+			w.figures.WorkersNeeded = s.workersNeeded(p, w)
 			p.watched = append(p.watched, w)
 		}
 	}
 }
 
+// workersNeeded is [StepFigures.WorkersNeeded] of a step.
+func (s *Shard) workersNeeded(p *pass, w *watchedStep) int {
+	return shapeOf(w.entry, w.step).WorkersNeeded(s.holders(p), w.step.MinStart())
+}
+
 // newWatchedStep returns a waiting step with its figures at the begin of the pass.
 func (s *Shard) newWatchedStep(p *pass, waiting waitingStep) *watchedStep {
 	st := waiting.entry.step(waiting.ref)
--- a/shard/waits_internal_test.go
+++ b/shard/waits_internal_test.go
@@ -116,6 +116,21 @@
 			_, fits := lines[longestWithRoom]
 			c.Check(fits, qt.IsFalse)
 		},
+		"a query of a known job": func(c *qt.C, w *waitShard) {
+			w.run("w0", "b", 4, time.Hour)
+			j := whereJob(1, 2, gangOf(4), job.Step{Count: 1, Needs: cores(1), After: []int{0}})
+			w.add(j)
+			w.pass(c)
+			time.Sleep(9 * time.Second)
+			got, err := w.Where(j, 0)
+			c.Assert(err, qt.IsNil)
+			c.Check(got.Rejection.Reason, qt.Equals, RejectsKnownID)
+			c.Assert(got.Steps, qt.HasLen, 1)
+			c.Check(got.Steps[0].Age, qt.Equals, int64(9000))
+			c.Check(got.Steps[0].Reason, qt.Equals, dispatch.WaitsForRoom)
+			c.Check(got.Steps[0].Waiting, qt.Equals, 4)
+			c.Check(got.Steps[0].Figures, qt.Equals, StepFigures{WorkersNeeded: 4, Free: 3, FreeTicketed: 3})
+		},
 		"a step that no worker can hold": func(c *qt.C, w *waitShard) {
 			w.add(whereJob(1, 2, job.Step{Count: 1, Needs: cores(1), Label: "none"}))
 			lines := w.pass(c)
--- a/shard/where.go
+++ b/shard/where.go
@@ -30,7 +30,8 @@
 	Shard string                `json:"shard"`
 	Route lovagestand.RouteName `json:"route"`
 	Team  lovagestand.TeamName  `json:"team,omitempty"`
-	// Rejection is set if the job would not be accepted; there are no steps then.
+	// Rejection is set if the job would not be accepted. There are no steps then, unless a
+	// job with the ID is known: Steps holds those of that job which wait.
 	Rejection *Rejection      `json:"rejection,omitempty"`
 	Steps     []StepPlacement `json:"steps,omitempty"`
 }
@@ -46,7 +47,8 @@
 
 // StepPlacement is where the tasks of a step would start.
 type StepPlacement struct {
-	Step  int  `json:"step"`
+	Step int `json:"step"`
+	// Tasks is the number of tasks; of a known job, of those that can start.
 	Tasks int  `json:"tasks"`
 	Gang  bool `json:"gang,omitempty"`
 	// Position is the place of the step among those that wait, from 1; 0 if it is not
@@ -62,6 +64,10 @@
 	Until int64 `json:"untilMillis,omitempty"`
 	// AdviceWorkers is on how many workers advice would be requested.
 	AdviceWorkers int `json:"adviceWorkers,omitempty"`
+	// Age is how long the step of a known job has waited in this term, in milliseconds.
+	Age int64 `json:"ageMillis,omitempty"`
+	// Figures are those of a step with tasks that wait.
+	Figures StepFigures `json:"figures,omitzero"`
 }
 
 // WorkerPlacement is a worker on which tasks of a step would start.
@@ -131,6 +137,9 @@
 	e := newJobEntry(job.New(j, time.Now()), nil)
 	out := Placement{Shard: s.term.Shard, Route: e.route, Team: e.team}
 	if out.Rejection = s.rejectionOfNew(e, version); out.Rejection != nil {
+		if known := s.live[e.id]; known != nil && out.Rejection.Reason == RejectsKnownID {
+			out.Steps = newTrial(s, known).waitingSteps()
+		}
 		return out
 	}
 	e.durable = true
@@ -183,13 +192,16 @@
 	// unplaceable holds the steps that no worker can hold.
 	unplaceable map[int]bool
 	explained   map[int]dispatch.Explanation
+	// waits holds the steps of the job with tasks that can start.
+	waits map[int]*watchedStep
 }
 
-// newTrial runs a pass for a job that has been added to the shard.
+// newTrial runs a pass for a job of the shard.
 func newTrial(s *Shard, e *jobEntry) *trial {
 	t := &trial{
 		shard: s, entry: e, pass: s.newPass(), assured: s.deps.Assured(),
 		positions: map[int]int{}, tiers: map[int]fairshare.Tier{}, selected: map[int]bool{}, unplaceable: map[int]bool{}, explained: map[int]dispatch.Explanation{},
+		waits: map[int]*watchedStep{},
 	}
 	s.collect(t.pass)
 	s.applySpeeds(t.pass)
@@ -198,8 +210,10 @@
 	for _, w := range t.pass.unplaceable {
 		if w.entry == e && w.ref.Occurrence == 0 {
 			t.unplaceable[w.ref.Step] = true
+			t.addWait(w)
 		}
 	}
+	t.ownSteps(func(_ int, w waitingStep) { t.addWait(w) })
 	t.pass.sortByScore()
 	s.assignTiers(t.pass)
 	if t.pass.divisions != nil {
@@ -222,6 +236,22 @@
 	return t
 }
 
+// addWait adds a step of the job with tasks that can start.
+func (t *trial) addWait(waiting waitingStep) {
+	w := t.shard.newWatchedStep(t.pass, waiting)
+	w.figures.WorkersNeeded = t.shard.workersNeeded(t.pass, w)
+	t.waits[waiting.ref.Step] = w
+}
+
+// waitingSteps returns the steps of the job with tasks that wait.
+func (t *trial) waitingSteps() []StepPlacement {
+	var steps []StepPlacement
+	for _, index := range slices.Sorted(maps.Keys(t.waits)) {
+		steps = append(steps, t.step(index))
+	}
+	return steps
+}
+
 // ownSteps calls f for each waiting step of the first occurrence of the job, with its
 // position in the pass, from 1.
 func (t *trial) ownSteps(f func(position int, w waitingStep)) {
@@ -236,6 +266,10 @@
 func (t *trial) step(index int) StepPlacement {
 	step := t.entry.progress.Job().Steps[index]
 	out := StepPlacement{Step: index, Tasks: step.Count, Gang: step.Gang, Position: t.positions[index], Waiting: step.Count}
+	wait := t.waits[index]
+	if wait != nil {
+		out.Tasks, out.Waiting = wait.tasks, wait.tasks
+	}
 	explanation, considered := t.explained[index]
 	switch {
 	case considered:
@@ -253,6 +287,12 @@
 		out.Reason = WaitsForQueue
 	}
 	out.Message = waitMessages[out.Reason]
+	if wait != nil && out.Waiting > 0 {
+		out.Figures = wait.figures
+		if !wait.since.IsZero() {
+			out.Age = t.pass.now.Sub(wait.since).Milliseconds()
+		}
+	}
 	return out
 }
 
