shard: wide gang waits below a stream of smaller steps (failing test)

A late gang of 36 tasks of 15 cores needs 18 whole workers of 47 allowed, in a shard of 96. Steps of higher score are offered half of the processors: single tasks of 17 to 20 cores for 5 to 6 s, and gangs of 12 to 15 tasks of 20 to 22 cores for 0.5 to 1 s; 25 of these gangs come in a burst before the wide one.

Cause: a pass gives max(2, workers/60) reservations, here 2, in the order of the scores. Gangs of higher score wait in every pass and take both, so the late gang gets none, and with no reservation it neither keeps workers from others nor renews its tickets ahead: renewTickets returns without a call when reserve returns nothing. It is a candidate with its allowed workers known, feasible, and not likely to fit now, so requestMoreAdvice asks for nothing either. All that is left is room on all 18 workers at one moment, for which renewTickets would request tickets; that hardly comes.

Ruled out as the cause here: calls lost (none are), a call pending (none is), too few allowed workers (47 of 96, 18 needed), workers not open.

--- /dev/null
+++ b/shard/waits_world_test.go
@@ -0,0 +1,255 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/logfmt"
+	"lovagestand.example/lovagestand/common/pause"
+	"lovagestand.example/lovagestand/dispatch"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/shard"
+	"lovagestand.example/lovagestand/standin/runner"
+)
+
+const (
+	// ticketValidity is how long a ticket is valid.
+	ticketValidity = 2500 * time.Millisecond
+	// longestRun is the longest run time of a task, longestCall the longest advice call.
+	longestRun, longestCall = 6 * time.Second, time.Second
+	// longestLoss is the time from a call that is lost to the next: the time that it should
+	// have taken, its timeout after that and the pause of its client.
+	longestLoss = longestCall + 1200*time.Millisecond
+	// longestTurn is how long steps of higher score may go first.
+	longestTurn = 5 * time.Second
+	// waitBound is how long a step may wait while it could run. After its turn the workers
+	// that it needs are kept for it until all that runs there has ended; then one call renews
+	// its tickets, or is lost and followed by another.
+	waitBound = longestTurn + longestRun + longestLoss + 2*longestCall
+	// sampleInterval is the time between two looks at the steps that wait.
+	sampleInterval = 250 * time.Millisecond
+)
+
+// workerSize is the capacity of the workers of a [waitsWorld].
+var workerSize = lovagestand.Resources{MilliCPU: 32000, MemoryMiB: 128 << 10}
+
+// waitsWorld is a cell whose steps need tickets. It records how long steps wait that could
+// run.
+type waitsWorld struct {
+	*cell
+	seed uint64
+	// allowedShare is the share of the workers that policy allows for a step.
+	allowedShare float64
+	clients      int
+	// losesCall reports whether an advice call is lost.
+	losesCall func() bool
+	owner     *owner
+	// steps holds the steps by job; guarded by mu.
+	steps   map[string]*watchedStep
+	streams sync.WaitGroup
+	ended   chan struct{}
+}
+
+// watchedStep is the only step of a job.
+type watchedStep struct {
+	job.Step
+	id       string
+	policy   job.Policy
+	runTime  time.Duration
+	accepted time.Time
+	// started holds the tasks that have started.
+	started map[string]bool
+	// asked holds the workers that were named in calls, tickets until when each ticket is
+	// valid. calls is the number of calls that were answered.
+	asked    map[lovagestand.WorkerName]bool
+	tickets  map[lovagestand.WorkerName]time.Time
+	calls    int
+	lastCall time.Time
+}
+
+func newWaitsWorld(c *qt.C, seed uint64, workers, clients int, allowedShare float64) *waitsWorld {
+	w := &waitsWorld{
+		cell: newCell(c, 0, nil), seed: seed, allowedShare: allowedShare, clients: clients, losesCall: func() bool { return false },
+		steps: map[string]*watchedStep{}, ended: make(chan struct{}),
+	}
+	w.fleet = runner.New(
+		func(o lovagestand.Order) lovagestand.Resources { return w.stepOf(o.Task).Needs },
+		func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			s := w.stepOf(o.Task)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			s.started[o.Task] = true
+			return s.runTime, lovagestand.EndingDone
+		},
+		runner.WithGangs(func(o lovagestand.Order) int {
+			if s := w.stepOf(o.Task); s.Gang {
+				return s.Count
+			}
+			return 0
+		}))
+	for i := range workers {
+		w.workers = append(w.workers, w.fleet.Add(lovagestand.WorkerName(fmt.Sprintf("w%03d", i)), workerSize))
+	}
+	if os.Getenv("EXPLORE_LOG") != "" {
+		w.log = logfmt.New(os.Stdout)
+	}
+	return w
+}
+
+// stepOf returns the step of a task or of a step name.
+func (w *waitsWorld) stepOf(name string) *watchedStep {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id, _, _ := strings.Cut(name, ".")
+	return w.steps[id]
+}
+
+// begin begins a term with the clients of the policy service, each of which makes one call
+// at a time.
+func (w *waitsWorld) begin(name string) {
+	var clients []shard.AdviceClient
+	for i := range w.clients {
+		free := make(chan struct{}, 1)
+		clients = append(clients, shard.AdviceClient{
+			Instance: lovagestand.InstanceID(fmt.Sprint("i", i)), SameRegion: i%2 == 0,
+			Advise: func(ctx context.Context, step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error) {
+				select {
+				case free <- struct{}{}:
+				case <-ctx.Done():
+					return lovagestand.Advice{}, noReply(ctx)
+				}
+				defer func() { <-free }()
+				return w.advise(ctx, w.stepOf(step), workers)
+			},
+		})
+	}
+	w.owner = w.beginTerm(name, func(d *shard.Deps) {
+		d.AdviceClients = func() []shard.AdviceClient { return clients }
+	})
+}
+
+// advise answers a call after the time that it takes, unless it is lost.
+func (w *waitsWorld) advise(ctx context.Context, s *watchedStep, workers []lovagestand.WorkerName) (lovagestand.Advice, error) {
+	if w.losesCall() {
+		return lovagestand.Advice{}, noReply(ctx)
+	}
+	pause.For(ctx, s.policy.Advice.Cost(len(workers)))
+	if ctx.Err() != nil {
+		return lovagestand.Advice{}, noReply(ctx)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.calls++
+	s.lastCall = time.Now()
+	answer := lovagestand.Advice{Validity: ticketValidity}
+	for _, name := range workers {
+		s.asked[name] = true
+		if w.allows(s, name) {
+			s.tickets[name] = time.Now().Add(ticketValidity)
+			answer.Tickets = append(answer.Tickets, lovagestand.Ticket{Worker: name, Value: "t"})
+		}
+	}
+	return answer, nil
+}
+
+// allows reports whether policy allows a worker for a step.
+func (w *waitsWorld) allows(s *watchedStep, name lovagestand.WorkerName) bool {
+	hash := fnv.New32a()
+	_, _ = fmt.Fprint(hash, name, "/", s.id)
+	return float64(hash.Sum32()%1009) < w.allowedShare*1009
+}
+
+// submit submits a job with one step.
+func (w *waitsWorld) submit(id string, s *watchedStep) {
+	s.id = id
+	s.started, s.asked, s.tickets = map[string]bool{}, map[lovagestand.WorkerName]bool{}, map[lovagestand.WorkerName]time.Time{}
+	w.mu.Lock()
+	w.steps[s.id] = s
+	w.mu.Unlock()
+	j := job.Job{ID: job.ID(s.id), Policy: s.policy, Steps: []job.Step{s.Step}}
+	body, err := job.EncodeJob(j)
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(w.owner.Submit(context.Background(), j, body, 0), qt.IsNil)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.accepted = time.Now()
+}
+
+// stream submits steps that keep a share of the processors in use, until the end. Streams have
+// different numbers from 1.
+func (w *waitsWorld) stream(number int, share float64, draw func(*rand.Rand) *watchedStep) {
+	r := rand.New(rand.NewPCG(w.seed, uint64(number)))
+	capacity := share * float64(len(w.workers)) * float64(workerSize.MilliCPU)
+	w.streams.Go(func() {
+		for n := 0; ; n++ {
+			s := draw(r)
+			w.submit(id(number<<32+n), s)
+			work := float64(s.Count) * float64(s.Needs.MilliCPU) * float64(s.runTime)
+			select {
+			case <-w.ended:
+				return
+			case <-time.After(time.Duration(work / capacity * (0.5 + r.Float64()))):
+			}
+		}
+	})
+}
+
+// stop ends the streams and the owner.
+func (w *waitsWorld) stop() {
+	close(w.ended)
+	w.streams.Wait()
+	w.owner.stop()
+}
+
+// tasksStarted returns how many tasks of a step have started.
+func (w *waitsWorld) tasksStarted(s *watchedStep) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(s.started)
+}
+
+// free returns the free resources of the workers.
+func (w *waitsWorld) free() (byWorker map[lovagestand.WorkerName]lovagestand.Resources, share float64) {
+	byWorker = map[lovagestand.WorkerName]lovagestand.Resources{}
+	for _, worker := range w.list() {
+		byWorker[worker.Name] = worker.Capacity
+	}
+	used := int64(0)
+	for _, r := range w.fleet.Runs() {
+		if r.Ended.IsZero() {
+			needs := w.stepOf(r.Task).Needs
+			byWorker[r.Worker] = byWorker[r.Worker].Sub(needs)
+			used += needs.MilliCPU
+		}
+	}
+	return byWorker, 1 - float64(used)/float64(workerSize.MilliCPU*int64(len(byWorker)))
+}
+
+// describe returns what a step has waited for.
+func (w *waitsWorld) describe(s *watchedStep) string {
+	free, share := w.free()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	allowed, room, valid := 0, 0, 0
+	for name, f := range free {
+		if w.allows(s, name) {
+			allowed++
+			room += dispatch.Shape{Needs: s.Needs}.Slots([]dispatch.Worker{{Free: f, Capacity: f, Open: true}}, s.Count)
+		}
+		if s.tickets[name].After(time.Now()) {
+			valid++
+		}
+	}
+	perWorker := int(workerSize.MilliCPU / s.Needs.MilliCPU)
+	return fmt.Sprintf("%s: %d tasks, gang %t, needs %d workers of %d allowed; %d tasks started; asked %d, tickets valid %d, calls %d, the last %s ago; room for %d tasks, %.2f of the processors free; accepted %s ago",
+		s.id, s.Count, s.Gang, (s.Count+perWorker-1)/perWorker, allowed, len(s.started), len(s.asked), valid, s.calls, time.Since(s.lastCall), room, share, time.Since(s.accepted))
+}
