--- /dev/null
+++ b/shard/waits_internal_test.go
@@ -0,0 +1,77 @@
+package shard
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/dispatch"
+	"lovagestand.example/lovagestand/job"
+)
+
+// The tests in this file cover waits that have no end, see docs/design/waits.md.
+
+// TestHeldRoomOfAStepBehindThePassIsHeld guards against a gang of low score whose room is
+// held only in the passes that consider it: one in eight while more steps wait than a pass
+// considers. The others take the room during the call, and the tickets expire unused.
+func TestHeldRoomOfAStepBehindThePassIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWhereShard(4)
+		w.Shard.deps.Fleet = startingFleet{}
+		gang := whereJob(1, 2, job.Step{Count: 2, Needs: cores(4), Estimate: 4 * time.Second, Gang: true})
+		gang.Policy.Advice = job.AdvicePolicy{FixedDuration: 400 * time.Millisecond, PerWorker: 6 * time.Millisecond, Validity: 2500 * time.Millisecond}
+		e := w.add(gang)
+		st := e.step(job.StepRef{})
+		st.advised, st.heldUntil = true, time.Now().Add(time.Second)
+		for _, name := range []lovagestand.WorkerName{"w0", "w1"} {
+			held := w.workers[name]
+			st.held = append(st.held, held)
+			st.decided[held] = true
+			st.pendingRequests[held]++
+			st.setTicket(held, ticket{})
+		}
+		for i := range maxStepsPerPass + 1 {
+			w.add(whereJob(100+i, 0, job.Step{Count: 1, Needs: cores(3), Estimate: 3 * time.Second}))
+		}
+		for range wholeQueueInterval {
+			w.plan()
+			time.Sleep(planInterval)
+		}
+		for _, name := range []lovagestand.WorkerName{"w0", "w1"} {
+			c.Check(w.workers[name].free, qt.Equals, cores(4), qt.Commentf("%s is held for the gang", name))
+		}
+		w.cancel()
+		synctest.Wait()
+	})
+}
+
+// TestCallForAnIdleClientIsMadeThroughOne guards against calls that are to be made through an
+// idle client and are dropped in each pass, because a client with a short backlog in the
+// owner's region is expected to answer sooner than an idle one elsewhere.
+func TestCallForAnIdleClientIsMadeThroughOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWhereShard(2)
+		asked := 0
+		advise := func(context.Context, string, []lovagestand.WorkerName) (lovagestand.Advice, error) {
+			asked++
+			return lovagestand.Advice{}, nil
+		}
+		w.clients = []AdviceClient{{Instance: "near", SameRegion: true, Advise: advise}, {Instance: "far", Advise: advise}}
+		w.needAdvice()
+		e := w.add(w.job)
+		p := w.newPass()
+		w.collect(p)
+		w.load(p)
+		w.adviceSlots["near"] = &adviceSlot{busyUntil: p.now.Add(50 * time.Millisecond)}
+		c.Assert(w.idleAdviceClients(p.adviceClients, p.now), qt.Equals, 1)
+		w.requestAdvice(p, p.waiting[0], dispatch.Decision{AdviceFor: []int{0}, IfIdle: true})
+		synctest.Wait()
+		c.Assert(asked, qt.Equals, 1, qt.Commentf("%s: the far client is idle", e.id))
+	})
+}
--- /dev/null
+++ b/shard/waits_test.go
@@ -0,0 +1,106 @@
+package shard_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+)
+
+// The tests in this file cover waits that have no end, see docs/design/waits.md.
+
+// allowing returns an answer of the policy service that allows some of the workers.
+func allowing(allowed ...lovagestand.WorkerName) func(string, []lovagestand.WorkerName) (lovagestand.Advice, error) {
+	return func(_ string, workers []lovagestand.WorkerName) (lovagestand.Advice, error) {
+		a := lovagestand.Advice{Validity: 2500 * time.Millisecond}
+		for _, w := range workers {
+			for _, name := range allowed {
+				if w == name {
+					a.Tickets = append(a.Tickets, lovagestand.Ticket{Worker: w, Value: "allowed"})
+				}
+			}
+		}
+		return a, nil
+	}
+}
+
+// TestJobMovesIfPolicyAllowsItOnNoWorkerOfItsShard guards against a step that waits for good
+// because policy allows it on too few workers of its shard, while another shard is empty.
+func TestJobMovesIfPolicyAllowsItOnNoWorkerOfItsShard(t *testing.T) {
+	for name, allowed := range map[string][]lovagestand.WorkerName{"on none": nil, "on too few for the gang": {"w0"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				first, second := newMovingShards(c)
+				defer func() { first.current().stop(); second.current().stop() }()
+				first.advice, second.advice = allowing(allowed...), allowing("w0", "w1")
+				c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
+					Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
+					Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
+				}, Steps: []job.Step{{Count: 6, Gang: true}}}), qt.IsNil)
+				time.Sleep(30 * time.Second)
+				c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 6)
+			})
+		})
+	}
+}
+
+// TestJobMovesIfItsOnlyWorkerNeverAnswers guards against a step that waits for good for a
+// worker that is listed and never answers, such as an entry of another writer, while another
+// shard has workers that can hold it.
+func TestJobMovesIfItsOnlyWorkerNeverAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		silent := first.fleet.Add("w9", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
+		silent.Labels = []string{"c"}
+		first.fleet.SetUnreachable("w9", true)
+		first.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return append(workers, silent) })
+		time.Sleep(4 * time.Second)
+		first.current().submit(c, id(1), job.Step{Count: 2, Label: "c"})
+		time.Sleep(30 * time.Second)
+		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 2)
+	})
+}
+
+// movedHook is a fleet in which a worker has restarted at another address, and another
+// worker answers at its former one. The hold that was in flight is answered by the latter.
+type movedHook struct {
+	lovagestand.Fleet
+	moved atomic.Bool
+}
+
+func (h *movedHook) Hold(ctx context.Context, w lovagestand.FleetWorker, r lovagestand.HoldRequest) (lovagestand.HoldReply, error) {
+	reply, err := h.Fleet.Hold(ctx, w, r)
+	if h.moved.Load() && w.Address == "w0" {
+		return lovagestand.HoldReply{}, &lovagestand.OrderRefusedError{Worker: w.Name, Reason: lovagestand.RefusalRestarted}
+	}
+	return reply, err
+}
+
+// TestWorkerThatRestartsElsewhereIsFound guards against a worker that stays closed for good:
+// its former address refuses holds as that of another worker, and the entry with its new
+// address is ignored because the worker does not count as unresponsive.
+func TestWorkerThatRestartsElsewhereIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 1, always(time.Second, lovagestand.EndingDone))
+		hook := &movedHook{Fleet: k.fleet}
+		k.fleetWrapper = hook
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		hook.moved.Store(true)
+		entry := k.restartUnlisted(0)
+		entry.Address = "moved"
+		k.setListEntry(0, entry)
+		time.Sleep(30 * time.Second)
+		c.Assert(o.Status().OpenWorkers, qt.Equals, 1)
+	})
+}
