dispatch: a step that has waited long is decided first

Cause: steps are decided in the order of their scores, and a late job keeps 1% of its value, so that it comes last for good. The gangs ahead take the reservations of each pass (one for 60 workers), and without one a gang neither keeps workers from others nor renews its tickets. The class: a wait that nothing ends.

Change: steps that have waited for 5 s while two fifths of the processors are free are decided first, the oldest first, as many as need the free processors together; on fuller workers one after 30 s, with a pause of 1 s after each start. Such a step reserves workers beside the bound of a pass, and what fills them must end in half of the time until its start, since runs often take twice as long as expected. Only gangs and tasks that need more than two fifths of a worker get this turn: for others there is room if much is free in all. A pass always contains the eight longest waits. A wait begins with the acceptance of a job of which nothing has run, so that a change of the owner does not end it.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -59,6 +59,10 @@
 			return
 		}
 		workers, start := p.reserve(s)
+		if s.firstTurn && workers == nil {
+			p.requestFurtherAdvice(index, s)
+			return
+		}
 		p.renewAhead(index, s, workers, start)
 		return
 	}
@@ -137,6 +141,15 @@
 	if !p.infeasible(s) && !p.likelyFits(s) {
 		return false
 	}
+	return p.requestFurtherAdvice(index, s)
+}
+
+// requestFurtherAdvice requests advice on workers on which there is none yet, unless a call is
+// pending, and reports whether it did.
+func (p *planner) requestFurtherAdvice(index int, s *Step) bool {
+	if len(s.AdvicePending) > 0 || !p.mayRequestAdvice(s) {
+		return false
+	}
 	more := p.withoutAdvice(s, s.callSize())
 	if len(more) == 0 {
 		return false
--- a/dispatch/firstturn_replay_test.go
+++ b/dispatch/firstturn_replay_test.go
@@ -28,10 +28,10 @@
 	otherGangs, otherAllowed = 4, 14
 	otherRunTime             = 500 * time.Millisecond
 	wideCall                 = 600 * time.Millisecond
-	// wideBound is how long the gang may wait: 8 s below steps of higher score, for the
+	// wideBound is how long the gang may wait: until it may have the first turn, for the
 	// longest run on its workers, for two calls, since the tickets of the first one may
 	// expire, and a second for the passes.
-	wideBound = 8*time.Second + longestSmall + 2*wideCall + time.Second
+	wideBound = 5*time.Second + longestSmall + 2*wideCall + time.Second
 )
 
 type wideReplay struct {
@@ -70,7 +70,7 @@
 
 // run replays the load until the gang starts or a time is over, and returns when it started;
 // 0 if it did not. If naive is set, the dispatcher is not told how long the gang has waited.
-func (r *wideReplay) run(until time.Duration) time.Duration {
+func (r *wideReplay) run(naive bool, until time.Duration) time.Duration {
 	const warmUp = 10 * time.Second
 	interval := longestSmall / 2 / time.Duration(blockedShare*wideWorkers)
 	next := time.Duration(0)
@@ -87,7 +87,7 @@
 			r.workers[w.worker].Free = r.workers[w.worker].Free.Add(cores(w.task.cores))
 			return true
 		})
-		if r.pass(at, elapsed-warmUp) {
+		if r.pass(at, elapsed-warmUp, naive) {
 			return elapsed - warmUp
 		}
 	}
@@ -96,7 +96,7 @@
 
 // pass runs one pass and reports whether the gang has started. It is accepted once waited is
 // not negative.
-func (r *wideReplay) pass(at time.Time, waited time.Duration) bool {
+func (r *wideReplay) pass(at time.Time, waited time.Duration, naive bool) bool {
 	if r.pending != nil && !r.replyAt.After(at) {
 		for w := range r.pending {
 			r.tickets[w] = at.Add(ticketValidity)
@@ -111,7 +111,7 @@
 		l.Steps = append(l.Steps, r.otherGang(i))
 	}
 	if waited >= 0 {
-		l.Steps = append(l.Steps, r.gang(at))
+		l.Steps = append(l.Steps, r.gang(at, waited, naive))
 		for i := range r.workers {
 			r.free += float64(r.workers[i].Free.MilliCPU) / float64(32000*len(r.workers))
 		}
@@ -161,10 +161,13 @@
 	}
 }
 
-func (r *wideReplay) gang(at time.Time) dispatch.Step {
+func (r *wideReplay) gang(at time.Time, waited time.Duration, naive bool) dispatch.Step {
 	s := dispatch.Step{
 		Tasks: 44, Needs: cores(15), Gang: true, NeedsTickets: true, AllowedShare: wideAllowed, RunTime: 5 * time.Second, Score: 0.001,
-		RenewAhead: wideCall, AdvicePending: r.pending, AdviceKnown: func(int) bool { return true }, Candidates: []dispatch.Candidate{},
+		RenewAhead: wideCall, AdvicePending: r.pending, AdviceKnown: func(int) bool { return true }, Candidates: []dispatch.Candidate{}, Waited: waited,
+	}
+	if naive {
+		s.Waited = 0
 	}
 	for i := range int(wideAllowed * wideWorkers) {
 		s.Candidates = append(s.Candidates, dispatch.Candidate{Worker: 2 * i, HasTicket: r.tickets[2*i].After(at)})
@@ -202,8 +205,9 @@
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			c := qt.New(t)
+			c.Check(newWideReplay(seed).run(true, time.Minute), qt.Equals, time.Duration(0), qt.Commentf("it starts without the first turn"))
 			r := newWideReplay(seed)
-			c.Check(r.run(wideBound) > 0, qt.IsTrue, qt.Commentf("it waits"))
+			c.Check(r.run(false, wideBound) > 0, qt.IsTrue, qt.Commentf("it waits"))
 			c.Check(r.free > r.passes/2, qt.IsTrue, qt.Commentf("less than half of the processors are free"))
 			slices.Sort(r.delays)
 			c.Check(r.delays[len(r.delays)*99/100] <= 2*wideTick, qt.IsTrue, qt.Commentf("tasks of the stream wait"))
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -119,7 +119,11 @@
 	// Kept is for how many tasks of the step room is kept on each worker after a
 	// preemption. No other step is given that room.
 	Kept map[int]int
+	// Waited is for how long tasks of the step could have started and none has.
+	Waited time.Duration
 
+	// firstTurn indicates that the step is decided before others; see grantFirstTurns.
+	firstTurn bool
 	// number identifies the step in the pass; it starts at 1.
 	number int
 	// class is the class of workers on which a gang runs.
@@ -150,6 +154,9 @@
 	Hold []int
 	// Wait is set if tasks wait that could start elsewhere.
 	Wait Wait
+	// FirstTurn indicates that Workers were given to a step that was decided before others of
+	// higher rank; see [Load.FirstTurnPaused].
+	FirstTurn bool
 }
 
 const (
@@ -215,6 +222,10 @@
 	// gangs with members on slow workers: without it, the fast ones are idle for most of the
 	// gang's run time.
 	Uneven bool
+	// FirstTurnPaused indicates that no step is decided before others because it has waited
+	// long, unless much room is free. A pause after each start of such a step bounds what late
+	// steps take from others.
+	FirstTurnPaused bool
 	// IdleAdviceClients is how many clients have no call to make. They are used to
 	// request advice on further workers for steps that wait.
 	IdleAdviceClients int
@@ -299,6 +310,7 @@
 		l.Steps[i].number = i + 1
 		p.withholdKept(&l.Steps[i], l.Steps[i].Kept)
 	}
+	p.grantFirstTurns()
 	order := stepOrder(l.Steps)
 	p.holdForRenewals()
 	for _, i := range order {
@@ -308,6 +320,10 @@
 		p.decideWithKept(i, &l.Steps[i])
 	}
 	p.requestIdleAdvice(order)
+	for i := range p.decisions {
+		d := &p.decisions[i]
+		d.FirstTurn = len(d.Workers) > 0 && p.Steps[d.Step].firstTurn
+	}
 	return p.decisions
 }
 
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -15,14 +15,17 @@
 	return len(s.Held) > 0 && len(s.AdvicePending) > 0
 }
 
-// turn returns 0 for a step whose renewed tickets have arrived and whose room was held,
-// and 1 for all others. The former go first, since their tickets are valid for a short
-// time only.
+// turn returns 0 for a step whose renewed tickets have arrived and whose room was held, 1
+// for one that has the first turn, and 2 for all others. The former go first, since their
+// tickets are valid for a short time only.
 func (s *Step) turn() int {
-	if len(s.Held) > 0 && len(s.AdvicePending) == 0 {
+	switch {
+	case len(s.Held) > 0 && len(s.AdvicePending) == 0:
 		return 0
+	case s.firstTurn:
+		return 1
 	}
-	return 1
+	return 2
 }
 
 // holdForRenewals reserves the room of gangs whose tickets are being renewed. Tasks that
@@ -45,7 +48,7 @@
 // preemption may be used, since runs were stopped for it, and short tasks need not wait,
 // since they give the room back before a burst is over.
 func (p *planner) leavesNoHeadroom(s *Step) bool {
-	if !s.Expired || p.ExpiredHeadroom <= 0 || p.idle || len(s.Kept) > 0 || s.RunTime <= shortRunTime {
+	if !s.Expired || p.ExpiredHeadroom <= 0 || p.idle || s.firstTurn || len(s.Kept) > 0 || s.RunTime <= shortRunTime {
 		return false
 	}
 	needs := s.Needs.MilliCPU
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -119,11 +119,7 @@
 	if !t.limited() {
 		return true
 	}
-	least := s.Needs
-	if s.Gang {
-		least = s.Needs.Times(int64(s.Tasks))
-	}
-	if !t.fits(t.advised.Add(least)) {
+	if !t.fits(t.advised.Add(s.leastNeeds())) {
 		t.HeldTasks += s.Tasks
 		return false
 	}
--- a/dispatch/where.go
+++ b/dispatch/where.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"lovagestand.example/lovagestand"
-)
+import "time"
 
 // WaitReason names why tasks of a step do not start in a pass.
 type WaitReason string
@@ -112,19 +108,11 @@
 func (p *planner) examine(s *Step) finding {
 	f := finding{awaitsRenewal: s.awaitsRenewal(), noHeadroom: p.leavesNoHeadroom(s), adviceCallLeft: p.mayRequestAdvice(s)}
 	_, f.held = p.withinQuota(s)
-	f.adviceAdmitted = !s.Team.limited() || s.Team.fits(s.Team.advised.Add(leastNeeds(s)))
+	f.adviceAdmitted = !s.Team.limited() || s.Team.fits(s.Team.advised.Add(s.leastNeeds()))
 	f.roomFound = s.findRoom(p.Workers)
 	return f
 }
 
-// leastNeeds returns the least that must be free for the step to start.
-func leastNeeds(s *Step) lovagestand.Resources {
-	if s.Gang {
-		return s.Needs.Times(int64(s.Tasks))
-	}
-	return s.Needs
-}
-
 // explain returns the explanation for a step on which the pass has decided d.
 func (f finding) explain(s *Step, d Decision) Explanation {
 	e := Explanation{Workers: d.Workers, AdviceFor: d.AdviceFor, Waiting: s.Tasks - len(d.Workers)}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -29,10 +29,16 @@
 	// maxStepsPerPass is the maximum number of steps that one pass considers; see
 	// [dispatch.Window].
 	maxStepsPerPass = 250
+	// longestWaitsPerPass is how many of these are the steps that have waited longest, of
+	// which some get the first turn.
+	longestWaitsPerPass = 8
 	// wholeQueueInterval is after how many passes at most one considers steps of the whole
 	// queue if there are more than maxStepsPerPass. A pass that has started nothing is
 	// followed by such a pass at once.
 	wholeQueueInterval = 8
+	// firstTurnPause is the pause after a step was decided before others because it has
+	// waited long.
+	firstTurnPause = time.Second
 	// expiredHeadroom is the fraction of the processors that jobs too late to be of use
 	// leave free.
 	expiredHeadroom = 0.2
@@ -220,6 +226,11 @@
 	for i := range decisions {
 		d := &decisions[i]
 		w := &p.waiting[d.Step]
+		if d.FirstTurn {
+			s.firstTurnPausedUntil = p.now.Add(firstTurnPause)
+			s.deps.Recorder.Count("firstTurns", string(w.entry.route))
+			s.log.Info().Str("step", w.entry.progress.Job().StepName(w.ref.Occurrence, w.ref.Step)).Int("tasks", len(d.Workers)).Dur("waited", w.waited(p.now)).Msg("step starts before others because it has waited long")
+		}
 		if len(d.Workers) > 0 {
 			s.placeTasks(p, *w, d.Workers)
 		}
@@ -307,7 +318,7 @@
 		Releases:        func(i int) []dispatch.Release { return s.releases(p, p.workers[i]) },
 		AdviceCalls:     s.freeAdviceCalls(p.adviceClients, p.now, p.adviceBacklog()),
 		LongAdviceCalls: s.freeLongAdviceCalls(p), IdleAdviceClients: s.idleAdviceClients(p.adviceClients, p.now),
-		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(), Uneven: p.uneven,
+		HoldRenewals: p.holdRenewals, ExpiredHeadroom: p.expiredHeadroom(), Uneven: p.uneven, FirstTurnPaused: p.now.Before(s.firstTurnPausedUntil),
 	}
 }
 
@@ -373,11 +384,33 @@
 		st = w.entry.step(w.ref)
 	}
 	if st.waitingSince.IsZero() {
-		st.waitingSince = now
+		st.waitingSince = w.entry.waitingSince(w.ref, now)
 	}
 	return st
 }
 
+// waitingSince returns since when a step waits that is first found to do so now. That of a job
+// of which nothing has run began when the job was accepted or due, so that a change of the
+// owner does not end the wait.
+func (e *jobEntry) waitingSince(ref job.StepRef, now time.Time) time.Time {
+	if e.started || e.ordered || e.progress.Started() {
+		return now
+	}
+	since := later(e.progress.Accepted(), e.progress.Due(ref.Occurrence))
+	if since.After(now) {
+		return now
+	}
+	return since
+}
+
+// waited returns how long the step has waited; see [dispatch.Step.Waited].
+func (w *waitingStep) waited(now time.Time) time.Duration {
+	if st := w.entry.steps[w.ref]; st != nil && !st.waitingSince.IsZero() {
+		return now.Sub(st.waitingSince)
+	}
+	return 0
+}
+
 // computePlaceable is [Shard.placeable] without the state of the step.
 func (s *Shard) computePlaceable(p *pass, w *waitingStep) bool {
 	if s.slotsVersion != s.fleetVersion {
@@ -416,8 +449,9 @@
 	if len(p.waiting) <= maxStepsPerPass {
 		return
 	}
+	longest := p.longestWaits()
 	if !s.wholeQueue {
-		p.waiting = p.waiting[:maxStepsPerPass]
+		p.limitTo(firstIndexes(maxStepsPerPass), longest)
 		return
 	}
 	rooms := map[dispatch.Shape]bool{}
@@ -437,11 +471,57 @@
 		return 0
 	}
 	window := dispatch.Window(len(p.waiting), maxStepsPerPass, hasRoom, lastConsidered)
-	p.ordered = p.ordered[:0]
 	for _, i := range window {
 		w := &p.waiting[i]
 		w.entry.step(w.ref).lastConsidered = s.passNumber
-		p.ordered = append(p.ordered, *w)
+	}
+	p.limitTo(window, longest)
+}
+
+// longestWaits returns the indexes of the longestWaitsPerPass steps that have waited longest,
+// without suspects.
+func (p *pass) longestWaits() []int {
+	var longest []int
+	waits := make([]time.Duration, len(p.waiting))
+	for i := range p.waiting {
+		if p.waiting[i].suspects > 0 {
+			continue
+		}
+		waits[i] = p.waiting[i].waited(p.now)
+		at := len(longest)
+		for at > 0 && waits[longest[at-1]] < waits[i] {
+			at--
+		}
+		if at < longestWaitsPerPass {
+			longest = slices.Insert(longest, at, i)
+			longest = longest[:min(len(longest), longestWaitsPerPass)]
+		}
+	}
+	return longest
+}
+
+// firstIndexes returns the first n indexes.
+func firstIndexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// limitTo leaves as many steps in the pass as a window has, in their order: the given ones,
+// and the first ones of the window beside them.
+func (p *pass) limitTo(window, always []int) {
+	indexes := slices.Clone(always)
+	for _, i := range window {
+		if len(indexes) < len(window) && !slices.Contains(always, i) {
+			indexes = append(indexes, i)
+		}
+	}
+	slices.Sort(indexes)
+	p.ordered = p.ordered[:0]
+	for _, i := range indexes {
+		p.ordered = append(p.ordered, p.waiting[i])
 	}
 	p.waiting, p.ordered = p.ordered, p.waiting
 }
@@ -616,7 +696,7 @@
 		Tasks: w.tasks, Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: e.service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
 		RenewAhead: policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    w.runTime, Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
+		RunTime:    w.runTime, Waited: w.waited(p.now), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -133,6 +133,9 @@
 	// the next one considers steps of the whole queue.
 	passNumber int64
 	wholeQueue bool
+	// firstTurnPausedUntil is until when no step is decided before others because it has
+	// waited long.
+	firstTurnPausedUntil time.Time
 	// unacknowledged holds the workers that may have listed ends which are not
 	// acknowledged, because they are not stored.
 	unacknowledged map[*worker]bool
--- a/shard/waits.go
+++ b/shard/waits.go
@@ -27,7 +27,7 @@
 	Tasks int                   `json:"tasks"`
 	Gang  bool                  `json:"gang,omitempty"`
 	Needs lovagestand.Resources `json:"needs"`
-	// Age is how long the step has waited in this term, and JobAge the time since the job
+	// Age is how long the step has waited, and JobAge the time since the job
 	// was accepted, in milliseconds.
 	Age    int64               `json:"ageMillis"`
 	JobAge int64               `json:"jobAgeMillis"`
--- a/shard/waits_internal_test.go
+++ b/shard/waits_internal_test.go
@@ -89,12 +89,12 @@
 			lines := w.pass(c)
 			c.Check(lines, qt.HasLen, 1)
 			c.Check(lines[longest], qt.DeepEquals, waitLine{
-				Message: longest, Step: "0000000000000001.0.0", Reason: dispatch.WaitsForRoom, AgeSeconds: 10, JobAgeSeconds: 11, Tasks: 4, Gang: true,
+				Message: longest, Step: "0000000000000001.0.0", Reason: dispatch.WaitsForRoom, AgeSeconds: 11, JobAgeSeconds: 11, Tasks: 4, Gang: true,
 				MilliCPU: 3000, WorkersNeeded: 4, Free: 3, FreeTicketed: 3, JobsWaiting: 2,
 			})
-			c.Check(w.Status().LongestWait.Age, qt.Equals, int64(10_000))
+			c.Check(w.Status().LongestWait.Age, qt.Equals, int64(11_000))
 			time.Sleep(500 * time.Millisecond)
-			c.Check(w.Status().LongestWait.Age, qt.Equals, int64(10_500))
+			c.Check(w.Status().LongestWait.Age, qt.Equals, int64(11_500))
 			c.Check(w.Status().LongestWaitWithRoom, qt.Equals, StepWait{})
 		},
 		"a gang without advice for enough workers": func(c *qt.C, w *waitShard) {
@@ -126,7 +126,7 @@
 			c.Assert(err, qt.IsNil)
 			c.Check(got.Rejection.Reason, qt.Equals, RejectsKnownID)
 			c.Assert(got.Steps, qt.HasLen, 1)
-			c.Check(got.Steps[0].Age, qt.Equals, int64(9000))
+			c.Check(got.Steps[0].Age, qt.Equals, int64(10_000))
 			c.Check(got.Steps[0].Reason, qt.Equals, dispatch.WaitsForRoom)
 			c.Check(got.Steps[0].Waiting, qt.Equals, 4)
 			c.Check(got.Steps[0].Figures, qt.Equals, StepFigures{WorkersNeeded: 4, Free: 3, FreeTicketed: 3})
@@ -138,14 +138,14 @@
 			c.Check(lines[longest].Reason, qt.Equals, dispatch.WaitsForWorker)
 			c.Check(lines[longest].WorkersNeeded, qt.Equals, 0)
 		},
-		"a step that the pass does not consider": func(c *qt.C, w *waitShard) {
+		"a step behind all that a pass considers": func(c *qt.C, w *waitShard) {
 			for n := range 4 {
 				w.run(lovagestand.WorkerName(fmt.Sprint("w", n)), "b", 4, time.Hour)
 			}
 			w.add(w.job)
 			w.pass(c)
 			w.flood(maxStepsPerPass)
-			c.Check(w.pass(c)[longest].Reason, qt.Equals, WaitsForQueue)
+			c.Check(w.pass(c)[longest].Reason, qt.Equals, WaitsForFairShare)
 		},
 		"a step beyond the cap": func(c *qt.C, w *waitShard) {
 			w.setCap(2)
--- a/shard/where.go
+++ b/shard/where.go
@@ -110,7 +110,7 @@
 	c.stalled, c.writtenPosition = s.stalled, s.writtenPosition
 	c.unresolved, c.rosterUnreadable, c.resolved = s.unresolved, s.rosterUnreadable, s.resolved
 	c.teamUsage, c.former, c.shares = s.teamUsage, s.former, s.shares
-	c.backlog, c.adviceSlots = s.backlog, s.adviceSlots
+	c.backlog, c.adviceSlots, c.firstTurnPausedUntil = s.backlog, s.adviceSlots, s.firstTurnPausedUntil
 	c.workersByName, c.fleetVersion = s.workersByName, s.fleetVersion
 	c.unevenness, c.teamNumbers = s.unevenness, maps.Clone(s.teamNumbers)
 	for route, stats := range s.statsByRoute {
