shard, dispatch, node: waiting jobs move to a shard that has room

Cause: jobs are divided among the shards by their IDs, and a job moved only if no worker of its shard could ever hold it. A shard with more work than it can run kept its gangs for as long as the load lasted, beside idle shards.

Change: owners answer their load to each other (GET /cell/load/SHARD); an owner queries only while a job has waited for a second. dispatch.Balance decides which jobs move: those with long waits first, then from the end of the queue, to a shard that is less loaded by a quarter of the capacity and has room twice; at most 16 a decision and twice a job. The moves use the protocol, the record and the proofs of the other moves. Jobs with an affinity, start times, a capped team, crashes or kept room stay.

TestJobStaysWhereItCanRun checked that no job moves that its own shard can hold; by design that is no longer so after a wait of 2 s. It keeps its assertions where the load of the other shard is not known, and again with known loads for jobs whose turn comes within 2 s. The disturbances of TestJobMovesToTheShardThat CanRunIt are shared with TestJobMovesForTheLoad.

--- a/node/node.go
+++ b/node/node.go
@@ -181,6 +181,7 @@
 	internal.Post(pathOwnerWhere+"/{shard}", n.serveOwnerWhere)
 	internal.Post(pathMove+"/{shard}/{job}", n.serveMove)
 	internal.Get(pathMove+"/{shard}/{job}", n.serveKnows)
+	internal.Get(pathLoad+"/{shard}", n.serveLoad)
 	for address, handler := range map[string]http.Handler{
 		n.settings.CallerAddress: n.gateway, n.settings.ReadyAddress: ready, n.self.Address: internal,
 	} {
--- a/node/serve.go
+++ b/node/serve.go
@@ -53,7 +53,7 @@
 		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Services: n.routes.Services, Recorder: n.deps.Recorder,
 	}
 	if l.Shards > 1 {
-		deps.DividedCaps, deps.Move, deps.Knows = true, n.moveJob, n.knowsJob
+		deps.DividedCaps, deps.Move, deps.Knows, deps.Load = true, n.moveJob, n.knowsJob, n.shardLoad
 	}
 	s := shard.New(term, shard.Limits{
 		MaxLease: n.settings.MaxLease, Retention: n.settings.Retention, ListInterval: interval,
--- a/shard/move.go
+++ b/shard/move.go
@@ -24,6 +24,9 @@
 	moveRetryDelay = 200 * time.Millisecond
 	// maxMovesInFlight bounds the jobs that are passed on at the same time.
 	maxMovesInFlight = 16
+	// moveSinceUnplaceable and moveForLoad are the reasons for moves in the metrics.
+	moveSinceUnplaceable = "unplaceable"
+	moveForLoad          = "load"
 )
 
 // moveState describes the move of a job to another shard. docs/design/platform.md describes
@@ -46,6 +49,14 @@
 	// pass in which a worker could hold one of them.
 	blockedSince               time.Time
 	blockedPass, placeablePass int64
+	// waitingSince is since when the job has waited without a run, as of the pass with the
+	// number waitingPass; see [Shard.recordWaits].
+	waitingSince time.Time
+	waitingPass  int64
+	// arrivedAt is when the job was moved here; zero if it was not, or by a former owner.
+	arrivedAt time.Time
+	// tasks are those that wait for the room because of which the job moves for the load.
+	tasks []dispatch.WaitingTasks
 	// refusedBy holds the shards in which the ID belongs to a job of another team.
 	refusedBy []string
 }
@@ -90,12 +101,20 @@
 		m.retryAt = p.now.Add(moveAfter)
 		return
 	}
+	s.startMove(e, target, moveSinceUnplaceable)
+	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Msg("job is being moved: no worker of the shard can hold it")
+}
+
+// startMove starts to move a job. Its tickets and pending requests for advice are dropped,
+// as are the workers that are held for it.
+func (s *Shard) startMove(e *jobEntry, target, reason string) {
+	m := &e.move
 	m.target, m.count = target, m.count+1
+	clear(e.steps)
 	s.moving[e.id] = e
 	s.enqueue(e)
 	m.position = e.queuePosition
-	s.deps.Recorder.Count("moves", target)
-	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Msg("job is being moved: no worker of the shard can hold it")
+	s.deps.Recorder.Count("moves", target+"."+reason)
 }
 
 // moveTarget returns a shard whose workers can hold the waiting steps of a job. It prefers
@@ -200,6 +219,7 @@
 	case errors.As(err, &otherTeam):
 		s.log.Warn().Str("job", string(e.id)).Str("to", target).Msg("job not moved: its ID belongs to a job of another team there")
 		delete(s.moving, e.id)
+		m.tasks = nil
 		m.refusedBy, m.target, m.blockedSince = append(m.refusedBy, target), "", time.Now()
 		s.enqueue(e)
 	default:
@@ -215,6 +235,7 @@
 	s.log.Info().Str("job", string(e.id)).Str("to", e.move.target).Msg("job moved")
 	delete(s.moving, e.id)
 	delete(s.live, e.id)
+	s.recordArrival(e, time.Now())
 	e.move.moved, e.finishedAt, e.phase = true, time.Now(), e.progress.Phase()
 	e.progress, e.body, e.steps = nil, nil, nil
 	s.enqueue(e)
@@ -316,6 +337,6 @@
 	s.estimateWork(e)
 	e = s.accept(former, e)
 	delete(s.moving, e.id)
-	e.move = moveState{count: moves}
+	e.move = moveState{count: moves, arrivedAt: time.Now()}
 	return e
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -171,6 +171,7 @@
 	s.summarize(p)
 	s.dropUnplaceable(p)
 	s.moveUnplaceable(p)
+	s.recordWaits(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
 	next := s.placeWaiting(p)
@@ -191,6 +192,7 @@
 		s.recordBeyond(p)
 		p.sortByTier()
 	}
+	s.balance(p)
 	s.selectWithinQuotas(p)
 	load := s.load(p)
 	s.passNumber++
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -53,6 +53,9 @@
 	// Knows reports whether the owner of another shard knows a job that was moved there. It
 	// is nil in a cell with one shard.
 	Knows func(ctx context.Context, shard string, id job.ID) (bool, error)
+	// Load returns the load of another shard as its owner answers it; see
+	// [Shard.ShardLoad]. It is nil in a cell with one shard.
+	Load func(ctx context.Context, shard string) (dispatch.ShardLoad, error)
 	// DividedCaps indicates that the caps are divided among several shards. The shard then
 	// starts tasks of a team with a cap only within [Shard.SetShares].
 	DividedCaps bool
@@ -129,6 +132,7 @@
 	moving        map[job.ID]*jobEntry
 	movesInFlight int
 	blockedPasses int64
+	balancer      balancer
 	// passNumber counts the passes that have considered steps. wholeQueue reports whether
 	// the next one considers steps of the whole queue.
 	passNumber int64
@@ -242,6 +246,7 @@
 		log:  deps.Log.With().Str("shard", term.Shard).Uint64("epoch", uint64(term.Epoch)).Logger(),
 		jobs: map[job.ID]*jobEntry{}, live: map[job.ID]*jobEntry{}, unreadable: map[job.ID]bool{}, workers: map[lovagestand.WorkerName]*worker{},
 		unacknowledged: map[*worker]bool{}, moving: map[job.ID]*jobEntry{},
+		balancer:       balancer{loads: map[string]otherLoad{}, failed: map[string]bool{}},
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
 		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
