--- a/shard/plan.go
+++ b/shard/plan.go
@@ -188,6 +188,7 @@
 	s.moveUnplaceable(p)
 	s.watch(p)
 	defer s.summarizeWaits(p)
+	s.recordWaits(p)
 	s.backlog = nil
 	s.endBeyondPeriods(p.now)
 	next := s.placeWaiting(p)
@@ -212,6 +213,7 @@
 		s.recordBeyond(p)
 		p.sortByTier()
 	}
+	s.balance(p)
 	s.selectWithinQuotas(p)
 	s.explainHeld(p)
 	load := s.load(p)
