--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -37,11 +37,11 @@
 	Free     lovagestand.Resources `json:"free"`
 	Waiting  lovagestand.Resources `json:"waiting"`
 	// Rooms divides Free by worker.
-	Rooms []Room `json:"rooms,omitempty"`
+	Rooms []WorkerRoom `json:"rooms,omitempty"`
 }
 
-// Room is what is free on each of a number of workers with the same service and labels.
-type Room struct {
+// WorkerRoom is what is free on each of a number of workers with the same service and labels.
+type WorkerRoom struct {
 	Service string                `json:"service,omitempty"`
 	Labels  []string              `json:"labels,omitempty"`
 	Free    lovagestand.Resources `json:"free"`
--- a/dispatch/balance_replay_test.go
+++ b/dispatch/balance_replay_test.go
@@ -146,7 +146,7 @@
 	load := dispatch.ShardLoad{Capacity: cores(32).Times(balanceWorkers)}
 	for _, free := range r.free[shard] {
 		load.Free = load.Free.Add(free)
-		load.Rooms = append(load.Rooms, dispatch.Room{Free: free, Workers: 1})
+		load.Rooms = append(load.Rooms, dispatch.WorkerRoom{Free: free, Workers: 1})
 	}
 	for _, j := range r.waiting(shard, at) {
 		load.Waiting = load.Waiting.Add(j.step.Shape.Needs.Times(int64(j.step.Tasks)))
--- a/dispatch/balance_test.go
+++ b/dispatch/balance_test.go
@@ -14,7 +14,7 @@
 func loadOf(empty int, waiting int64) dispatch.ShardLoad {
 	return dispatch.ShardLoad{
 		Capacity: cores(320), Free: cores(32).Times(int64(empty)), Waiting: cores(waiting),
-		Rooms: []dispatch.Room{{Service: "ledger", Labels: []string{"ssd"}, Free: cores(32), Workers: empty}},
+		Rooms: []dispatch.WorkerRoom{{Service: "ledger", Labels: []string{"ssd"}, Free: cores(32), Workers: empty}},
 	}
 }
 
@@ -90,6 +90,6 @@
 	for range 100 {
 		jobs = append(jobs, gangOf(1, 3*time.Second))
 	}
-	empty := dispatch.ShardLoad{Capacity: cores(3200), Free: cores(3200), Rooms: []dispatch.Room{{Free: cores(32), Workers: 100}}}
+	empty := dispatch.ShardLoad{Capacity: cores(3200), Free: cores(3200), Rooms: []dispatch.WorkerRoom{{Free: cores(32), Workers: 100}}}
 	c.Assert(dispatch.Balance(dispatch.Balancing{Own: loadOf(0, 0), Jobs: jobs, Others: []dispatch.OtherShard{{Load: empty}}}), qt.HasLen, 16)
 }
--- a/shard/balance.go
+++ b/shard/balance.go
@@ -290,7 +290,7 @@
 
 // roomList collects rooms.
 type roomList struct {
-	list    []dispatch.Room
+	list    []dispatch.WorkerRoom
 	indexes map[roomKey]int
 }
 
@@ -313,7 +313,7 @@
 		}
 		n = len(l.list)
 		l.indexes[key] = n
-		l.list = append(l.list, dispatch.Room{Service: w.info.Service, Labels: w.info.Labels, Free: w.free})
+		l.list = append(l.list, dispatch.WorkerRoom{Service: w.info.Service, Labels: w.info.Labels, Free: w.free})
 	}
 	l.list[n].Workers++
 }
