--- a/dispatch/waits_replay_test.go
+++ b/dispatch/waits_replay_test.go
@@ -27,6 +27,8 @@
 	// to streamError off.
 	streamRunTime = 2 * time.Second
 	streamError   = 0.6
+	// streamWarmUp is how long the stream runs before the gang is accepted.
+	streamWarmUp = 8 * time.Second
 )
 
 // gangInStream replays a stream of small steps that use a share of a fleet, each with tickets
@@ -130,6 +132,7 @@
 // gangAt returns the gang with the tickets that it has.
 func (g *gangInStream) gangAt(at time.Time) dispatch.Step {
 	s := g.gang
+	s.Waited = at.Sub(now.Add(streamWarmUp))
 	s.AdvicePending = nil
 	if at.Before(g.answerAt) {
 		s.AdvicePending = map[int]bool{}
@@ -182,11 +185,11 @@
 // startsWithin reports whether the gang starts within a time beside steps that use 65% of
 // the fleet. Policy allows it about 96 workers, of which it needs 41.
 func (g *gangInStream) startsWithin(limit time.Duration, teams bool) bool {
-	const use, warmUp = 0.65, 8 * time.Second
-	for after := time.Duration(0); after < warmUp+limit; after += streamPass {
+	const use = 0.65
+	for after := time.Duration(0); after < streamWarmUp+limit; after += streamPass {
 		at := now.Add(after)
 		g.step(at, use)
-		if g.apply(at, dispatch.Plan(g.load(at, after >= warmUp, teams))) {
+		if g.apply(at, dispatch.Plan(g.load(at, after >= streamWarmUp, teams))) {
 			return true
 		}
 	}
--- a/shard/endlesswaits_test.go
+++ b/shard/endlesswaits_test.go
@@ -10,7 +10,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/shard"
 )
 
 // The tests in this file cover waits that have no end, see docs/design/waits.md.
@@ -104,3 +106,40 @@
 		c.Assert(o.Status().OpenWorkers, qt.Equals, 1)
 	})
 }
+
+// TestCallsThatTakeLongerThanStatedAreAnswered guards against a gang whose calls never return
+// in time: the policy service takes 1.8 times as long as stated, and each call that fails is
+// followed by one for as many workers with the same timeout.
+func TestCallsThatTakeLongerThanStatedAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		policy := job.AdvicePolicy{FixedDuration: 390 * time.Millisecond, PerWorker: 5600 * time.Microsecond, Validity: 2500 * time.Millisecond}
+		k := newCell(c, 100, always(time.Second, lovagestand.EndingDone))
+		// The service answers one call of an instance at a time.
+		turn := make(chan struct{}, 1)
+		o := k.beginTerm("a", func(d *shard.Deps) {
+			d.AdviceClients = func() []shard.AdviceClient {
+				return []shard.AdviceClient{{Instance: "a", SameRegion: true, Advise: func(ctx context.Context, step string, workers []lovagestand.WorkerName) (lovagestand.Advice, error) {
+					select {
+					case turn <- struct{}{}:
+						defer func() { <-turn }()
+					case <-ctx.Done():
+						return lovagestand.Advice{}, ctx.Err()
+					}
+					if !pause.For(ctx, policy.Cost(len(workers))*18/10) {
+						return lovagestand.Advice{}, ctx.Err()
+					}
+					return allowing(workers...)(step, workers)
+				}}}
+			}
+		})
+		defer o.stop()
+		time.Sleep(time.Second)
+		for n, tasks := range []int{1, 30} {
+			c.Assert(o.submitJob(job.Job{ID: job.ID(id(n)), Policy: job.Policy{Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second, Advice: policy}, Steps: []job.Step{{Count: tasks, Gang: true}}}), qt.IsNil)
+		}
+		time.Sleep(time.Minute)
+		assertPhase(c, o, id(0), "completed")
+		assertPhase(c, o, id(1), "completed")
+	})
+}
