soak: wide gangs, several shards, and a check for steps that stand while they fit

TestWideGangSoak has 7 nodes, 40 to 60 workers in two or four shards (the layout is stored before the nodes start), a policy service that allows 40% of the workers with tickets of 2.5 s, and gangs that need a quarter to four tenths of the workers of a shard beside small steps. TestSoak and TestBusySoak draw as before.

The check follows LOST: from 14 s after the end of the faults and the full load, or after its acceptance, an accepted job of which nothing runs for 3 s is a failure while its next step fits twice and less than half of the capacity is in use. It uses only the runs on the workers of the stand-in and the accepted submissions. An end whose worker crashed may have been noted or not: a job stands only if it does in both cases. A check that comes 0.5 s late, because machine or stand-in stalled, starts anew.

Ruled out on the way: gangs at every 15th ID are all in one shard; ends on crashed workers counted as lost found jobs that were completed.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -22,7 +23,7 @@
 	http *http.Client
 
 	// jobs are the records of all jobs by ID. The map is complete when Submit
-	// returns.
+	// returns; until then it is read with mu.
 	jobs map[string]*jobRecord
 	// probes are the records of the jobs that ProbeKeys submits. The map is complete
 	// when it returns.
@@ -49,6 +50,8 @@
 	route string
 	// forbidden reports whether the job was submitted with a key that was never issued.
 	forbidden bool
+	// steps are the steps of the job, each of which follows the one before.
+	steps []step
 }
 
 // NewCallers returns the callers of a cell.
@@ -87,19 +90,28 @@
 	cancelCalls int
 }
 
-// Submit submits jobs until ctx is done, on average one per interval. It returns
-// when all planned calls have been made.
-func (c *Callers) Submit(ctx context.Context, r *rand.Rand, interval time.Duration) {
+// wideGangInterval is the number of jobs of which one on average is a wide gang, in a cell
+// with such.
+const wideGangInterval = 15
+
+// Submit submits jobs until ctx is done, on average one per interval, which may change. It
+// returns when all planned calls have been made.
+func (c *Callers) Submit(ctx context.Context, r *rand.Rand, interval func() time.Duration) {
 	var calls sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
 		p := newPlan(r, n, len(c.cell.Nodes))
 		if c.cell.shape.Classes {
 			p = p.withClass(r)
 		}
+		if c.cell.shape.WideGangs && r.IntN(wideGangInterval) == 0 {
+			p = p.withWideGang(r, c.cell)
+		}
 		p.record.key = c.cell.keyOf(n)
+		c.mu.Lock()
 		c.jobs[p.id] = p.record
+		c.mu.Unlock()
 		calls.Go(func() { c.execute(p) })
-		time.Sleep(time.Duration(r.Int64N(int64(2 * interval))))
+		time.Sleep(time.Duration(r.Int64N(int64(2 * interval()))))
 	}
 	calls.Wait()
 }
@@ -134,6 +146,7 @@
 	}
 	p.body = fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"gang":%t,"persistent":%t,"estimate_ms":500},{"count":1,"cpu":%d,"after":[0]}]}`,
 		spec, count, spec.MilliCPU, spec.Gang > 0, longRunning, spec.MilliCPU)
+	p.record.steps = stepsOf(spec, count)
 	return p
 }
 
@@ -156,6 +169,28 @@
 	p.cancel = p.cancel && r.IntN(2) == 0
 	p.body = fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"gang":%t,"saves_progress":%t,"estimate_ms":%d},{"count":1,"cpu":%d,"after":[0]}]}`,
 		spec, count, spec.MilliCPU, spec.Gang > 0, spec.Checkpoints, spec.Work.Milliseconds(), spec.MilliCPU)
+	p.record.steps = stepsOf(spec, count)
+	return p
+}
+
+// wideGangMilliCPU is what a task of a wide gang needs: two of them fill a worker.
+const wideGangMilliCPU = 1950
+
+// withWideGang returns the plan for a wide gang instead. It needs a quarter to four tenths
+// of the workers of its shard, of which the policy allows one more at least. It is not
+// cancelled.
+func (p plan) withWideGang(r *rand.Rand, c *Cell) plan {
+	inShard := c.inFirstShard(p.id)
+	workers, allowed := c.room(inShard).workers, c.room(c.allowedIn(inShard, p.id, 0)).workers
+	wide := min(int(math.Ceil((0.25+0.15*r.Float64())*float64(workers))), allowed-1)
+	spec := site.Spec{MilliCPU: wideGangMilliCPU, Work: randomBetween(r, 500*time.Millisecond, 2*time.Second), Gang: 2 * max(1, wide)}
+	p.cancel, p.record.route = false, ""
+	if r.IntN(2) == 0 {
+		p.record.route = urgentPath
+	}
+	p.body = fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"gang":true,"estimate_ms":%d},{"count":1,"cpu":%d,"after":[0]}]}`,
+		spec, spec.Gang, spec.MilliCPU, spec.Work.Milliseconds(), spec.MilliCPU)
+	p.record.steps = stepsOf(spec, spec.Gang)
 	return p
 }
 
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,6 +16,8 @@
 	"golang.org/x/sys/unix"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/election"
+	"lovagestand.example/lovagestand/layout"
 	"lovagestand.example/lovagestand/standin/site"
 )
 
@@ -27,7 +30,7 @@
 
 	mu           sync.Mutex
 	disturbances []disturbance
-	// owners are the nodes that have owned the shard, by epoch.
+	// owners are the nodes that have owned a shard, by epoch.
 	owners map[lovagestand.Epoch]string
 	closed chan struct{}
 	// leaving holds the indexes of the workers that are leaving as planned.
@@ -57,6 +60,12 @@
 	Advice *site.Advice
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
+	// Shards is the number of shards; 0 leaves the layout to the nodes.
+	Shards int
+	// WideGangs reports whether some jobs are gangs that need a large part of a shard.
+	WideGangs bool
+	// WorkersPerRack is the number of workers in a rack; 0 counts as that of a site.
+	WorkersPerRack int
 }
 
 func (s Shape) options() []site.Option {
@@ -64,9 +73,15 @@
 	if s.Advice != nil {
 		options = append(options, site.WithAdvice(*s.Advice))
 	}
+	if s.WorkersPerRack > 0 {
+		options = append(options, site.WithWorkersPerRack(s.WorkersPerRack))
+	}
 	return options
 }
 
+// layout returns the layout of the cell.
+func (s Shape) layout() layout.Layout { return layout.Layout{Shards: max(1, s.Shards)} }
+
 // Node is one process of the program, which reaches the store through a proxy of
 // its own. Callers is the address at which it serves callers.
 type Node struct {
@@ -112,6 +127,13 @@
 	if err := c.configure(1); err != nil {
 		return nil, err
 	}
+	if shape.Shards > 0 {
+		value, err := json.Marshal(shape.layout())
+		if err != nil {
+			return nil, errors.Wrap(err, "encode layout")
+		}
+		c.Site.Keys.Put(election.LayoutKey, value)
+	}
 	go c.recordOwners()
 	go c.sendHeartbeats()
 	for i := range shape.Nodes {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,6 +61,73 @@
 	}
 }
 
+// TestStanding checks a job of a gang of 8 and a task after it. Its next step has room twice
+// over, and nothing has run, unless the case says otherwise.
+func TestStanding(t *testing.T) {
+	const id = "00000000000000aa"
+	calmFrom := time.Now()
+	steps := []step{{count: 8, milliCPU: 1950, gang: true}, {count: 1, milliCPU: 1950}}
+	enough := room{free: []int64{4000, 4000, 4000, 4000, 4000, 4000, 4000, 4000}, used: 10, capacity: 32000}
+	run := func(step, index int, ending lovagestand.RunEnding) runner.Run {
+		r := runner.Run{Task: fmt.Sprintf("%s.0.%d.%d", id, step, index), Ending: ending}
+		if ending != "" {
+			r.Ended = calmFrom
+		}
+		return r
+	}
+	lost := run(0, 0, lovagestand.EndingDone)
+	lost.WorkerCrashed = true
+	lastLost := run(1, 0, lovagestand.EndingDone)
+	lastLost.WorkerCrashed = true
+	for name, test := range map[string]struct {
+		accepted time.Duration
+		runs     []runner.Run
+		room     func(r room) room
+		// runAt is when a member of the gang runs for a moment, stallAt when a check is late.
+		runAt, stallAt time.Duration
+		// foundAfter is 0 if the job is not found.
+		foundAfter time.Duration
+	}{
+		"nothing has run":             {foundAfter: finishTime + maxStand},
+		"accepted later":              {accepted: 5 * time.Second, foundAfter: 5*time.Second + finishTime + maxStand},
+		"a member runs":               {runs: []runner.Run{run(0, 3, "")}},
+		"the gang was broken":         {runs: []runner.Run{run(0, 3, lovagestand.EndingBroken)}, foundAfter: finishTime + maxStand},
+		"a run just before the bound": {runAt: finishTime + 2*time.Second, foundAfter: finishTime + 2*time.Second + standInterval + maxStand},
+		"a stall before the bound":    {stallAt: finishTime + 2*time.Second, foundAfter: finishTime + 2*time.Second + maxStand},
+		"half is in use":              {room: func(r room) room { r.used = r.capacity / 2; return r }},
+		"room for one and a half":     {room: func(r room) room { r.free = r.free[:6]; return r }},
+		"room for one task a worker": {room: func(r room) room {
+			return room{free: []int64{3800, 3800, 3800, 3800, 3800, 3800, 3800, 3800}, capacity: r.capacity}
+		}},
+		"the gang is done":      {runs: []runner.Run{run(0, 0, lovagestand.EndingDone)}, room: func(r room) room { r.free = r.free[:1]; return r }, foundAfter: finishTime + maxStand},
+		"its end was lost":      {runs: []runner.Run{lost}, room: func(r room) room { r.free = r.free[:1]; return r }},
+		"its last end was lost": {runs: []runner.Run{run(0, 0, lovagestand.EndingDone), lastLost}},
+		"all is done":           {runs: []runner.Run{run(0, 0, lovagestand.EndingDone), run(1, 0, lovagestand.EndingDone)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s, r, found := newStanding(calmFrom), enough, time.Duration(0)
+			if test.room != nil {
+				r = test.room(r)
+			}
+			for at := test.accepted; at < 2*(finishTime+maxStand); at += standInterval {
+				runs := test.runs
+				if at > 0 && at == test.runAt {
+					runs = []runner.Run{run(0, 0, "")}
+				}
+				if at > 0 && at == test.stallAt {
+					s.stall(stallTime)
+				}
+				if _, late := s.observe(id, jobRecord{accepted: calmFrom.Add(test.accepted), steps: steps}, runs, r, calmFrom.Add(at)); late {
+					c.Assert(found, qt.Equals, time.Duration(0), qt.Commentf("reported once"))
+					found = at
+				}
+			}
+			c.Assert(found, qt.Equals, test.foundAfter)
+		})
+	}
+}
+
 // assertFound asserts that exactly one text was found and matches the pattern, or
 // that none was found if the pattern is empty.
 func assertFound(c *qt.C, found []string, pattern string) {
--- a/soak/departures.go
+++ b/soak/departures.go
@@ -226,7 +226,7 @@
 
 // cutOwner cuts the link of the owner to the store one way.
 func cutOwner(r *rand.Rand, c *Cell) injectedFault {
-	owner, _ := c.owner()
+	owner := c.pickOwner(r)
 	mode := BlockRequests + Mode(r.IntN(2))
 	for _, n := range c.Nodes {
 		if n.Name == owner {
--- a/soak/disturbances.go
+++ b/soak/disturbances.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -80,10 +81,21 @@
 	})
 }
 
-// owner reads the node that owns the shard, and its epoch, from the store. The
+// pickOwner returns the owner of a random shard; empty if it has none.
+func (c *Cell) pickOwner(r *rand.Rand) string {
+	shards := c.shape.layout().ShardNames()
+	shard := shards[0]
+	if len(shards) > 1 {
+		shard = shards[r.IntN(len(shards))]
+	}
+	name, _ := c.owner(shard)
+	return name
+}
+
+// owner reads the node that owns a shard, and its epoch, from the store. The
 // name is empty if there is no owner.
-func (c *Cell) owner() (string, lovagestand.Epoch) {
-	item := c.Site.Keys.Peek(election.OwnerKey("0"))
+func (c *Cell) owner(shard string) (string, lovagestand.Epoch) {
+	item := c.Site.Keys.Peek(election.OwnerKey(shard))
 	var owner lovagestand.Instance
 	if json.Unmarshal(item.Value, &owner) != nil {
 		return "", 0
@@ -91,14 +103,14 @@
 	return string(owner.ID), lovagestand.Epoch(item.Revision)
 }
 
-// ownerOf returns the node that owned the shard in an epoch.
+// ownerOf returns the node that owned a shard in an epoch.
 func (c *Cell) ownerOf(epoch lovagestand.Epoch) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.owners[epoch]
 }
 
-// recordOwners polls the owner of the shard until the cell is closed and records
+// recordOwners polls the owners of the shards until the cell is closed and records
 // the owner of each epoch.
 func (c *Cell) recordOwners() {
 	const interval = 5 * time.Millisecond
@@ -110,10 +122,12 @@
 			return
 		case <-ticker.C:
 		}
-		if name, epoch := c.owner(); name != "" {
-			c.mu.Lock()
-			c.owners[epoch] = name
-			c.mu.Unlock()
+		for _, shard := range c.shape.layout().ShardNames() {
+			if name, epoch := c.owner(shard); name != "" {
+				c.mu.Lock()
+				c.owners[epoch] = name
+				c.mu.Unlock()
+			}
 		}
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,14 +24,14 @@
 
 func noHeal() error { return nil }
 
-// pickNode returns a random node, in half of the cases the owner of the shard if
+// pickNode returns a random node, in half of the cases the owner of a shard if
 // there is one.
 func (c *Cell) pickNode(r *rand.Rand) *Node {
 	n := c.Nodes[r.IntN(len(c.Nodes))]
 	if targetsOwner := r.IntN(2) == 0; !targetsOwner {
 		return n
 	}
-	owner, _ := c.owner()
+	owner := c.pickOwner(r)
 	for _, o := range c.Nodes {
 		if o.Name == owner {
 			return o
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,9 @@
 	logDirectory = flag.String("logs", "", "directory for the logs of the processes")
 	busySeeds    = flag.Int("busy", 1, "number of seeds of a busy cell with many workers that leave")
 	busyLength   = flag.Duration("busylength", 2*time.Second, "how long faults are injected into a busy cell")
+	wideSeeds    = flag.Int("wide", 1, "number of seeds of a cell with wide gangs and several shards")
+	wideLength   = flag.Duration("widelength", 2*time.Second, "how long faults are injected into a cell with wide gangs")
+	calmLength   = flag.Duration("calmlength", 18*time.Second, "how long jobs are submitted after that, half as often")
 )
 
 const (
@@ -98,8 +102,42 @@
 	return s
 }
 
+// TestWideGangSoak is the soak with several shards and with gangs that need a large part of
+// one, beside small steps. No job may stand while its next step fits, see
+// [soak.Callers.WatchStanding].
+func TestWideGangSoak(t *testing.T) {
+	t.Parallel()
+	binary := build(qt.New(t))
+	for i := range *wideSeeds {
+		seed := *firstSeed + uint64(i)
+		run(t, binary, seed, wideGangShape(seed), *wideLength, (*soak.Cell).InjectSeries)
+	}
+}
+
+// wideGangShape returns the shape of the cell with wide gangs of a seed: those of odd seeds
+// have two shards, the others four.
+func wideGangShape(seed uint64) soak.Shape {
+	r := rand.New(rand.NewPCG(seed, 3))
+	return soak.Shape{
+		Nodes: 7, Workers: 40 + 4*r.IntN(6), WorkersPerRack: 4, FailureDomains: 5, Classes: true, StopTime: 500 * time.Millisecond,
+		Shards: 4 >> (seed % 2), WideGangs: true,
+		Advice: &site.Advice{
+			Decision:  time.Duration(40+r.IntN(61)) * time.Millisecond,
+			PerWorker: time.Duration(1000+r.IntN(1001)) * time.Microsecond,
+			Validity:  2500 * time.Millisecond, AllowedPercent: 40,
+		},
+	}
+}
+
+// wideGangInterval is the mean time between two jobs times the number of workers in a cell
+// with wide gangs. It keeps about half of the workers in use.
+const wideGangInterval = 4500 * time.Millisecond
+
 // intervalOf returns the mean time between two jobs.
 func intervalOf(s soak.Shape) time.Duration {
+	if s.WideGangs {
+		return wideGangInterval / time.Duration(s.Workers)
+	}
 	if s.Classes {
 		return interval / 2
 	}
@@ -125,10 +163,20 @@
 		c.Assert(err, qt.IsNil)
 		defer cell.Close()
 		callers := soak.NewCallers(cell)
-		ctx, cancel := context.WithTimeout(t.Context(), submitFactor*length)
+		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
+		if !shape.WideGangs {
+			time.AfterFunc(submitFactor*length, cancel)
+		}
+		var calm atomic.Bool
+		interval := func() time.Duration {
+			if calm.Load() {
+				return 2 * intervalOf(shape)
+			}
+			return intervalOf(shape)
+		}
 		var calling sync.WaitGroup
-		calling.Go(func() { callers.Submit(ctx, rand.New(rand.NewPCG(seed, 1)), intervalOf(shape)) })
+		calling.Go(func() { callers.Submit(ctx, rand.New(rand.NewPCG(seed, 1)), interval) })
 		calling.Go(func() { callers.ProbeKeys(ctx) })
 		time.AfterFunc(changeKeysAfter, func() { c.Check(cell.ChangeKeys(), qt.IsNil) })
 		t.Logf("second 0 is %s", time.Now().Add(-time.Duration(cell.Site.Fleet.Seconds(time.Now())*float64(time.Second))).UTC().Format(time.RFC3339Nano))
@@ -136,9 +184,16 @@
 			t.Logf("%6.2f s %s", cell.Site.Fleet.Seconds(time.Now()), description)
 		})
 		c.Assert(err, qt.IsNil)
+		endWatch := func() {}
+		if shape.WideGangs {
+			calm.Store(true)
+			endWatch = watch(t, callers)
+			time.Sleep(*calmLength)
+		}
 		cancel()
 		calling.Wait()
 		callers.AwaitCompletion(completionTimeout)
+		endWatch()
 		c.Check(callers.CheckKeys(), qt.Equals, 0, qt.Commentf("nodes that are not in contact with the store in the end"))
 		accepted, rejected, cancelled := callers.Counts()
 		t.Logf("accepted %d, rejected %d, cancelled %d, runs %d", accepted, rejected, cancelled, cell.Site.Fleet.Starts())
@@ -152,3 +207,14 @@
 		c.Check(violations, qt.HasLen, 0, qt.Commentf("%s", strings.Join(violations, "\n")))
 	})
 }
+
+// watch checks that no job stands until the returned function is called.
+func watch(t *testing.T, callers *soak.Callers) (end func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	summary := make(chan string, 1)
+	go func() { summary <- callers.WatchStanding(ctx) }()
+	return func() {
+		cancel()
+		t.Log(<-summary)
+	}
+}
--- a/standin/runner/capacity.go
+++ b/standin/runner/capacity.go
@@ -25,6 +25,19 @@
 	w.capacity = capacity
 }
 
+// Used returns what the runs of a worker use; zero if it is not up.
+func (f *Fleet) Used(name lovagestand.WorkerName) lovagestand.Resources {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var used lovagestand.Resources
+	if w := f.workers[name]; w != nil {
+		for _, r := range w.runs {
+			used = used.Add(r.needs)
+		}
+	}
+	return used
+}
+
 // limit returns the most that the scheduler may give to the worker at now.
 func (w *worker) limit(now time.Time) lovagestand.Resources {
 	limit := w.capacity
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -35,6 +35,7 @@
 	advertise    func(address string) (string, error)
 	// failureDomains is the number of failure domains; the racks are assigned to them in turn.
 	failureDomains int
+	workersPerRack int
 	advice         *Advice
 	adviceAddress  string
 	stopTime       time.Duration
@@ -54,6 +55,11 @@
 	return func(s *Site) { s.failureDomains = n }
 }
 
+// WithWorkersPerRack sets the number of workers in a rack, which is 8 otherwise.
+func WithWorkersPerRack(n int) Option {
+	return func(s *Site) { s.workersPerRack = n }
+}
+
 // WithStopTime makes a stop of a task take a time.
 func WithStopTime(d time.Duration) Option {
 	return func(s *Site) { s.stopTime = d }
@@ -64,8 +70,8 @@
 
 const (
 	service = "glazedesk"
-	// workersPerRack is the number of workers in a rack.
-	workersPerRack = 8
+	// defaultWorkersPerRack is the number of workers in a rack.
+	defaultWorkersPerRack = 8
 	// headerTimeout is the timeout for reading the header of a request.
 	headerTimeout = 5 * time.Second
 )
@@ -155,7 +161,7 @@
 // Open starts a site with the given number of workers. Its store listens at an
 // address, such as "127.0.0.1:0", and the workers on free ports of the same host.
 func Open(address string, workers int, options ...Option) (*Site, error) {
-	s := &Site{Keys: keyspace.New(), advertise: func(a string) (string, error) { return a, nil }, failureDomains: 1}
+	s := &Site{Keys: keyspace.New(), advertise: func(a string) (string, error) { return a, nil }, failureDomains: 1, workersPerRack: defaultWorkersPerRack}
 	for _, o := range options {
 		o(s)
 	}
@@ -200,9 +206,9 @@
 
 func (s *Site) addWorker(address string, i int) error {
 	w := s.Fleet.Add(lovagestand.WorkerName(fmt.Sprintf("i-%04d", i)), Capacity)
-	w.Rack = lovagestand.RackName(fmt.Sprintf("r1-%d", i/workersPerRack))
+	w.Rack = lovagestand.RackName(fmt.Sprintf("r1-%d", i/s.workersPerRack))
 	w.Labels = []string{"a", string(w.Rack)}
-	w.FailureDomain = lovagestand.FailureDomain(fmt.Sprintf("zone-%d", 1+i/workersPerRack%s.failureDomains))
+	w.FailureDomain = lovagestand.FailureDomain(fmt.Sprintf("zone-%d", 1+i/s.workersPerRack%s.failureDomains))
 	handler := platform.NewWorkerHandler(s.Fleet, w)
 	listenAddress, err := s.serve(address, handler)
 	if err != nil {
@@ -278,6 +284,16 @@
 	return s.register(s.workers[i])
 }
 
+// Worker returns the worker with an index as it registers, and whether it is up, listed
+// and not about to leave.
+func (s *Site) Worker(i int) (w lovagestand.FleetWorker, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w = s.workers[i]
+	_, listed := platform.DecodeWorker(s.Keys.Peek(platform.WorkerPrefix() + string(w.Name)))
+	return w, listed && w.Ready && s.Fleet.Born(w.Name) != 0
+}
+
 // WorkerName returns the name of the worker with an index.
 func (s *Site) WorkerName(i int) lovagestand.WorkerName { return s.workers[i].Name }
 
