--- a/shard/waits_test.go
+++ b/shard/waits_test.go
@@ -9,7 +9,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovagestand.example/lovagestand"
-	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/shard"
 )
