--- a/shard/waits_test.go
+++ b/shard/waits_test.go
@@ -10,7 +10,6 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/job"
-	"lovagestand.example/lovagestand/shard"
 )
 
 func cores(n int64) lovagestand.Resources {
