shard: no job moves for the load while the store does not answer

Cause, found by reading: a job that moves starts in neither shard until its move is stored, so that an outage of the store kept jobs from room that became free in their own shard, though placements wait for no write. Change: jobs stay while the store is stalled. Jobs chosen before the owner notices the outage, at most 16, still wait for its end; docs/design/platform.md.

--- a/shard/balance.go
+++ b/shard/balance.go
@@ -130,10 +130,11 @@
 }
 
 // balance starts to move jobs to shards with more room once the loads of other shards have
-// been queried. The steps of the pass are in the order of their ranks.
+// been queried. The steps of the pass are in the order of their ranks. While the store does not
+// answer, jobs stay: until its move is stored, a job starts in neither shard.
 func (s *Shard) balance(p *pass) {
 	b := &s.balancer
-	if !b.fresh || b.pending > 0 || s.deps.Move == nil || !s.resolved {
+	if !b.fresh || b.pending > 0 || s.deps.Move == nil || !s.resolved || s.stalled {
 		return
 	}
 	b.fresh = false
--- a/shard/balance_test.go
+++ b/shard/balance_test.go
@@ -16,6 +16,7 @@
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/shard"
+	"lovagestand.example/lovagestand/standin/keyspace"
 )
 
 // maxLoadWait is how long a job may wait in a full shard beside an empty one: 2 s before it is
@@ -220,6 +221,25 @@
 	})
 }
 
+// TestJobStaysDuringAnOutage guards against a job that starts nowhere during an outage of the
+// store because its move cannot be stored.
+func TestJobStaysDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newLoadedShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		first.current().submit(c, id(2), job.Step{Count: 4, Gang: true})
+		end := first.outage(keyspace.FaultLostRequest, 12*time.Second)
+		c.Assert(first.current().trySubmit(id(3), job.Step{Count: 1}), qt.IsNotNil)
+		time.Sleep(6 * time.Second)
+		go func() { _ = first.current().Cancel(context.Background(), job.ID(firstFiller), "") }()
+		time.Sleep(2 * time.Second)
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+		c.Check(first.fleet.Starts(), qt.Equals, 8+4)
+		c.Check(second.fleet.Starts(), qt.Equals, 0)
+	})
+}
+
 // TestJobsThatArriveCountBeforeTheLoadIsKnown guards against a shard that is given more jobs than
 // it has room for because the first ones have arrived after its load was read.
 func TestJobsThatArriveCountBeforeTheLoadIsKnown(t *testing.T) {
