shard: calls for advice that time out get more time

What callers see: a gang that needs long calls waited for good while the policy service was 1.8 times as slow as its route states; steps with short calls ran.

Cause: the timeout of a call is the stated duration + 0.7 s. A call that timed out was followed by one for as many workers with the same timeout. The backlog of the client, the end of held room and renewAhead rest on the stated duration too.

Change: each route has a learned factor (callTimes). A timeout makes it 1.5 times that of the call, at most 4; answers in the stated time take it back to 1. It counts only for calls that are at least as long as the shortest that has timed out, so that short calls neither get longer nor end it. The factor is that of the route, since all clients ask the same service; another client need not learn it anew. All four places use the expected duration.

Beyond 4 times the wait has no bound, as docs/design/waits.md says.

--- a/shard/advice.go
+++ b/shard/advice.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/dispatch"
 )
@@ -32,7 +34,7 @@
 	// region.
 	remoteCallDelay = 80 * time.Millisecond
 	// adviceTimeout is the timeout of a call beyond its expected duration and the
-	// backlog of its client.
+	// backlog of its client; see callTimes.
 	adviceTimeout = 700 * time.Millisecond
 	// adviceCallOverhead is how long each call takes beyond the policy's own time.
 	adviceCallOverhead = 6 * time.Millisecond
@@ -53,7 +55,8 @@
 func (s *Shard) requestAdvice(p *pass, waiting waitingStep, d dispatch.Decision) {
 	indexes := d.AdviceFor
 	policy := waiting.entry.progress.Job().Policy.Advice
-	cost := policy.Cost(len(indexes)) + adviceCallOverhead
+	stated := policy.Cost(len(indexes)) + adviceCallOverhead
+	cost := s.statsOf(waiting.entry).callTimes.expected(stated)
 	chosen, slot := s.pickAdviceClient(p.adviceClients, p.now, cost, p.adviceBacklog())
 	if slot == nil || d.IfIdle && slot.busyUntil.After(p.now) {
 		return
@@ -75,9 +78,9 @@
 		st.pendingRequests[requested[i]]++
 	}
 	step := waiting.entry.progress.Job().StepName(waiting.ref.Occurrence, waiting.ref.Step)
-	timeout := begin.Sub(p.now) + cost + adviceTimeout
+	call := adviceCall{begin: begin, stated: stated, expected: cost, timeout: begin.Sub(p.now) + cost + adviceTimeout}
 	s.log.Debug().Str("step", step).Str("by", string(chosen.Instance)).Int("workers", len(names)).Msg("advice requested")
-	go s.fetchAdvice(chosen, slot, waitingStep{entry: waiting.entry, ref: waiting.ref}, step, names, requested, timeout)
+	go s.fetchAdvice(chosen, slot, waitingStep{entry: waiting.entry, ref: waiting.ref}, step, names, requested, call)
 }
 
 // adviceBacklog returns how far ahead the pass may schedule calls on a client.
@@ -170,9 +173,20 @@
 	return sorted
 }
 
+// adviceCall describes the expected course of a call for advice.
+type adviceCall struct {
+	// begin is when the client is expected to make the call.
+	begin time.Time
+	// stated is how long the call takes according to the policy of its route, expected how
+	// long it is expected to take.
+	stated, expected time.Duration
+	// timeout is counted from the request, before begin.
+	timeout time.Duration
+}
+
 // fetchAdvice makes a call for advice and records the answer.
-func (s *Shard) fetchAdvice(client AdviceClient, slot *adviceSlot, waiting waitingStep, step string, names []lovagestand.WorkerName, requested []*worker, timeout time.Duration) {
-	limited, cancel := context.WithTimeout(s.ctx, timeout)
+func (s *Shard) fetchAdvice(client AdviceClient, slot *adviceSlot, waiting waitingStep, step string, names []lovagestand.WorkerName, requested []*worker, call adviceCall) {
+	limited, cancel := context.WithTimeout(s.ctx, call.timeout)
 	defer cancel()
 	begun := time.Now()
 	advice, err := client.Advise(limited, step, names)
@@ -189,14 +203,19 @@
 			delete(st.pendingRequests, w)
 		}
 	}
+	stats := s.stats(waiting.entry.route)
 	if err != nil {
+		if errors.Is(limited.Err(), context.DeadlineExceeded) {
+			stats.callTimes.recordTimeout(call)
+		}
 		slot.pausedUntil = now.Add(adviceFailurePause)
 		s.log.Warn().Err(err).Str("step", step).Str("by", string(client.Instance)).Msg("request for advice failed")
 		s.wake()
 		return
 	}
 	st.advised = true
-	s.stats(waiting.entry.route).recordAdvice(len(names), len(advice.Tickets))
+	stats.callTimes.recordAnswer(call, now)
+	stats.recordAdvice(len(names), len(advice.Tickets))
 	for _, name := range names {
 		if w := s.workers[name]; w != nil {
 			st.decided[w] = true
--- a/shard/learn.go
+++ b/shard/learn.go
@@ -44,6 +44,8 @@
 	// askedWorkers and allowedWorkers count the workers that were named in advice
 	// requests and those that the policy service allowed.
 	askedWorkers, allowedWorkers float64
+	// callTimes is how long calls for advice take.
+	callTimes callTimes
 	// locality compares run times near a step's data, or within one rack, and elsewhere.
 	locality localityStats
 	// runTimes are the run times of tasks relative to the expected ones.
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -693,12 +693,12 @@
 // dispatchStep describes a waiting step for the dispatcher.
 func (s *Shard) dispatchStep(p *pass, w *waitingStep) dispatch.Step {
 	e, st, step := w.entry, w.entry.step(w.ref), w.step
-	policy := e.progress.Policy()
+	policy, calls := e.progress.Policy(), &s.statsOf(e).callTimes
 	out := dispatch.Step{
 		Tasks: w.tasks, Suspects: w.suspects, Needs: step.Needs, Gang: step.Gang, SameRack: step.SameRack, Service: e.service, Label: step.Label,
 		Affinity: step.Affinity, MaxPerWorker: step.MaxPerWorker, NeedsTickets: policy.Advice.Needed(), AllowedShare: s.statsOf(e).allowedShare(),
-		RenewAhead: policy.Advice.Cost(renewAheadWorkers) + renewAheadMargin,
-		RunTime:    w.runTime, Waited: w.waited(p.now), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: policy.Advice.Cost(minLongCallWorkers) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
+		RenewAhead: calls.expected(policy.Advice.Cost(renewAheadWorkers)) + renewAheadMargin,
+		RunTime:    w.runTime, Waited: w.waited(p.now), Tier: int(w.tier), Score: w.score, Expired: w.expired, LongAdvice: calls.expected(policy.Advice.Cost(minLongCallWorkers)) > longCallThreshold, Seed: xxhash.Sum64String(string(e.id)), Team: p.team(e.team), Locality: s.localityOf(p, w, step),
 		Work: s.work(p.now, e, w.ref), Kept: s.keptFor(w),
 	}
 	if step.LongRunning {
