dispatch: the call ahead of a reserved start names the reserved workers

What callers see: on sites without teams, a gang that policy allows on more than 96 workers started late: its tickets were for other workers than those that became free for it.

Cause: without HoldRenewals, renewAhead passed no workers to extendRenewal, which fills the call with workers that have room and then with the first ones by name. While that call is pending, none is made for the reserved workers.

Change: the reserved workers come first in the call. Where one call names all candidates the order stays as it was. renewNear, the same call for a step that waits near its data, named its workers already.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -32,8 +32,9 @@
 			return
 		}
 	}
+	// A call that is filled names all candidates if they are few.
 	var reserved []int
-	if p.HoldRenewals {
+	if p.HoldRenewals || len(s.Candidates) > maxWorkersPerCall {
 		reserved = slices.Clone(workers)
 		slices.Sort(reserved)
 		reserved = slices.Compact(reserved)
