shard: jobs leave shards whose workers policy does not allow

Callers saw a job wait for good, with most workers free, if policy allowed a step on no worker of its shard, or on too few for the gang. Once the answers for all workers were known nothing was asked any more, and the job did not move: a step counted as unplaceable only if no worker was large enough, whether or not policy had refused the worker. Operators were told "no worker has room".

A step is unplaceable now if the workers that policy allows, or has not been asked about, cannot hold it. Policy does not change its answers for a step, so only a worker that joins can change that, and the step is looked at again then. What policy allows elsewhere is known only there, so the job tries the shards in the order of how many workers they have for it. Its record names the shards that it has left (deniedIn), so that the moves end, also if owners change: at most one for each shard, then it stays where it has the most workers.

The new reason "policy" replaces "noRoom" for such steps. The shards of the move tests have different names now, as in a cell.

--- a/job/record.go
+++ b/job/record.go
@@ -31,6 +31,8 @@
 	// is being moved to or, if Finished is set, was moved to; empty otherwise.
 	Moves   int    `json:"moves,omitempty"`
 	MovedTo string `json:"movedTo,omitempty"`
+	// DeniedIn holds the shards on whose workers policy does not allow the job to run.
+	DeniedIn []string `json:"deniedIn,omitempty"`
 	// Generation is the generation of the owner that accepted the job. It is not set or
 	// used at present.
 	Generation int64        `json:"generation,omitempty"`
--- a/shard/endlesswaits_test.go
+++ b/shard/endlesswaits_test.go
@@ -143,3 +143,42 @@
 		assertPhase(c, o, id(1), "completed")
 	})
 }
+
+// TestJobThatPolicyAllowsNowhereStopsMoving guards against a job that moves for good between
+// shards whose workers policy does not allow, and against one that then ignores a worker on
+// which it is allowed.
+func TestJobThatPolicyAllowsNowhereStopsMoving(t *testing.T) {
+	for name, replace := range map[string]bool{"one owner": false, "the owners change": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				first, second := newMovingShards(c)
+				defer func() { first.current().stop(); second.current().stop() }()
+				moves := 0
+				for _, m := range []*movingShard{first, second} {
+					m.beforeReceive = func() { moves++ }
+					m.advice = allowing("new")
+				}
+				c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
+					Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
+					Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
+				}, Steps: []job.Step{{Count: 1}}}), qt.IsNil)
+				for range 4 {
+					time.Sleep(10 * time.Second)
+					if replace {
+						first.replaceOwner()
+						second.replaceOwner()
+					}
+				}
+				c.Assert(moves > 0 && moves <= 2, qt.IsTrue, qt.Commentf("%d moves between two shards", moves))
+				for _, m := range []*movingShard{first, second} {
+					m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+						return append(workers, m.fleet.Add("new", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
+					})
+				}
+				time.Sleep(10 * time.Second)
+				c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 1)
+			})
+		})
+	}
+}
--- a/shard/leaving_test.go
+++ b/shard/leaving_test.go
@@ -160,6 +160,7 @@
 		c := qt.New(t)
 		k := newCell(c, 2, always(6*time.Second, lovagestand.EndingDone))
 		k.otherShard = newCell(c, 0, nil)
+		k.otherShard.name = "1"
 		o := k.startOnBoth(c)
 		defer o.stop()
 		time.Sleep(time.Second)
--- a/shard/move.go
+++ b/shard/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,8 +25,10 @@
 	moveRetryDelay = 200 * time.Millisecond
 	// maxMovesInFlight bounds the jobs that are passed on at the same time.
 	maxMovesInFlight = 16
-	// moveSinceUnplaceable and moveForLoad are the reasons for moves in the metrics.
+	// moveSinceUnplaceable, moveSinceDenied and moveForLoad are the reasons for moves in the
+	// metrics.
 	moveSinceUnplaceable = "unplaceable"
+	moveSinceDenied      = "denied"
 	moveForLoad          = "load"
 )
 
@@ -44,8 +47,8 @@
 	// shard, is due at retryAt.
 	calling bool
 	retryAt time.Time
-	// blockedSince is since when all waiting steps of the job fit no worker of the shard,
-	// as of the pass with the number blockedPass. placeablePass is the number of the last
+	// blockedSince is since when all waiting steps of the job are unplaceable in the shard, as
+	// of the pass with the number blockedPass. placeablePass is the number of the last
 	// pass in which a worker could hold one of them.
 	blockedSince               time.Time
 	blockedPass, placeablePass int64
@@ -59,6 +62,9 @@
 	tasks []dispatch.WaitingTasks
 	// refusedBy holds the shards in which the ID belongs to a job of another team.
 	refusedBy []string
+	// deniedIn holds the shards that the job has left because policy allows it on too few
+	// of their workers. It is stored with the job, so that these moves end.
+	deniedIn []string
 }
 
 // leaving reports whether the job is being moved or was moved to another shard.
@@ -96,6 +102,10 @@
 	if !blocked || p.now.Sub(m.blockedSince) < moveAfter || p.now.Before(m.retryAt) {
 		return
 	}
+	if p.denies(e) {
+		s.moveDenied(p, e)
+		return
+	}
 	target, ok := s.moveTarget(p, e)
 	if !ok {
 		m.retryAt = p.now.Add(moveAfter)
@@ -105,6 +115,63 @@
 	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Msg("job is being moved: no worker of the shard can hold it")
 }
 
+// moveDenied starts to move a job that policy allows on too few workers of the shard: to the
+// one with the most workers for it among the shards that it has not left for this reason. If
+// there are none, it returns to the one with the most workers of all, and stays there.
+func (s *Shard) moveDenied(p *pass, e *jobEntry) {
+	m := &e.move
+	steps, returned := p.unplaceableSteps(e), slices.Contains(m.deniedIn, s.term.Shard)
+	target := s.roomiest(e, steps, m.deniedIn)
+	if target == "" && !returned {
+		target = s.roomiest(e, steps, nil)
+		if workersFor(s.holders(p), e, steps) >= workersFor(s.otherShards[target], e, steps) {
+			target = ""
+		}
+	}
+	if target == "" {
+		m.retryAt = p.now.Add(moveAfter)
+		return
+	}
+	if !returned {
+		m.deniedIn = append(m.deniedIn, s.term.Shard)
+	}
+	s.startMove(e, target, moveSinceDenied)
+	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Strs("left", m.deniedIn).Msg("job is being moved: policy allows it on too few workers of the shard")
+}
+
+// roomiest returns the other shard, without some, that can hold the steps of a job and has the
+// most workers for them; empty if there is none.
+func (s *Shard) roomiest(e *jobEntry, steps []job.Step, without []string) string {
+	best, most := "", 0
+	for _, name := range slices.Sorted(maps.Keys(s.otherShards)) {
+		workers := s.otherShards[name]
+		if slices.Contains(without, name) || slices.Contains(e.move.refusedBy, name) || !holdsAll(workers, e, steps) {
+			continue
+		}
+		if n := workersFor(workers, e, steps); n > most {
+			best, most = name, n
+		}
+	}
+	return best
+}
+
+// workersFor returns how many workers can hold a task of the steps of a job, for each step.
+func workersFor(workers []dispatch.Worker, e *jobEntry, steps []job.Step) int {
+	n := 0
+	for i := range steps {
+		shape := shapeOf(e, &steps[i])
+		for k := range workers {
+			n += shape.Slots(workers[k:k+1], 1)
+		}
+	}
+	return n
+}
+
+// denies reports whether policy is why a step of a job is unplaceable.
+func (p *pass) denies(e *jobEntry) bool {
+	return slices.ContainsFunc(p.unplaceable, func(w waitingStep) bool { return w.entry == e && w.denied })
+}
+
 // startMove starts to move a job. Its tickets and pending requests for advice are dropped,
 // as are the workers that are held for it.
 func (s *Shard) startMove(e *jobEntry, target, reason string) {
@@ -142,7 +209,7 @@
 	return whole[xxhash.Sum64String(string(e.id))%uint64(len(whole))], true
 }
 
-// unplaceableSteps returns the waiting steps of a job that no worker of the shard can hold.
+// unplaceableSteps returns the waiting steps of a job that are unplaceable in the shard.
 func (p *pass) unplaceableSteps(e *jobEntry) []job.Step {
 	var steps []job.Step
 	for i := range p.unplaceable {
@@ -221,6 +288,7 @@
 		delete(s.moving, e.id)
 		m.tasks = nil
 		m.refusedBy, m.target, m.blockedSince = append(m.refusedBy, target), "", time.Now()
+		m.deniedIn = slices.DeleteFunc(m.deniedIn, func(name string) bool { return name == s.term.Shard })
 		s.enqueue(e)
 	default:
 		m.retryAt = time.Now().Add(moveRetryDelay)
@@ -321,7 +389,7 @@
 		e.unsubmitted, e.durable, e.route, e.team, e.cancelledBy = false, false, j.Policy.Route, j.Team, nil
 		e.move.count = r.Moves
 	case !known || e.unsubmitted || e.move.count < r.Moves:
-		e = s.acceptMoved(e, progress, body, r.Moves)
+		e = s.acceptMoved(e, progress, body, r)
 	}
 	s.enqueue(e)
 	done := s.addWaiter(e)
@@ -331,12 +399,12 @@
 
 // acceptMoved adds a job that comes from another shard, where none of its tasks runs any
 // more. It takes the place of what remains of it here from an earlier move.
-func (s *Shard) acceptMoved(former *jobEntry, progress *job.Progress, body []byte, moves int) *jobEntry {
+func (s *Shard) acceptMoved(former *jobEntry, progress *job.Progress, body []byte, r job.Record) *jobEntry {
 	progress.ReserveRuns(s.firstRunAfter(progress, time.Now()))
 	e := newJobEntry(progress, body)
 	s.estimateWork(e)
 	e = s.accept(former, e)
 	delete(s.moving, e.id)
-	e.move = moveState{count: moves, arrivedAt: time.Now()}
+	e.move = moveState{count: r.Moves, deniedIn: r.DeniedIn, arrivedAt: time.Now()}
 	return e
 }
--- a/shard/move_test.go
+++ b/shard/move_test.go
@@ -50,6 +50,7 @@
 // with changes to the dependencies of each owner.
 func newMovingShardsWith(c *qt.C, work func(lovagestand.Order) (time.Duration, lovagestand.RunEnding), changes ...func(*shard.Deps)) (first, second *movingShard) {
 	first, second = &movingShard{cell: newCell(c, 2, work)}, &movingShard{cell: newCell(c, 2, work)}
+	second.name = "1"
 	first.changes, second.changes = changes, changes
 	first.other, second.other = second, first
 	first.otherShard, second.otherShard = second.cell, first.cell
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -83,7 +83,8 @@
 	workers         []*worker
 	dispatchWorkers []dispatch.Worker
 	waiting         []waitingStep
-	// unplaceable holds the waiting steps that no worker can hold.
+	// unplaceable holds the waiting steps that no worker can hold or that policy allows on
+	// too few workers.
 	unplaceable   []waitingStep
 	dispatchSteps []dispatch.Step
 	adviceClients []AdviceClient
@@ -170,6 +171,8 @@
 	// division is that of the service, team the index of the job's team there.
 	division *division
 	team     int
+	// denied reports whether the step is unplaceable because of policy.
+	denied bool
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice. It returns
@@ -351,12 +354,15 @@
 }
 
 // dropUnplaceable removes the waiting steps that no worker of the shard can hold, even if it
-// were empty, and the gangs that all workers together cannot hold. They wait until other
-// workers join. Until then they count neither as demand nor against the steps of a pass.
+// were empty, and the gangs that all workers together cannot hold. Workers on which policy
+// does not allow a step do not count for it. They wait until other workers join. Until then
+// they count neither as demand nor against the steps of a pass.
 func (s *Shard) dropUnplaceable(p *pass) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
 		if s.placeable(p, &w) {
-			return false
+			if w.denied = s.denied(p, &w); !w.denied {
+				return false
+			}
 		}
 		p.unplaceable = append(p.unplaceable, w)
 		return true
@@ -427,6 +433,34 @@
 	return fits
 }
 
+// denied reports whether policy allows a step on too few workers that can hold it. Workers on
+// which its answer is not known count as allowed. The answer is kept for a version of the
+// fleet and until there is more advice, since policy does not change its answers for a step.
+func (s *Shard) denied(p *pass, w *waitingStep) bool {
+	st := w.entry.steps[w.ref]
+	if st == nil || len(st.decided) == 0 || !w.entry.progress.Policy().Advice.Needed() {
+		return false
+	}
+	if st.deniedVersion != s.fleetVersion || st.deniedDecided != len(st.decided) {
+		st.denied, st.deniedVersion, st.deniedDecided = !s.allowedSuffice(p, w, st), s.fleetVersion, len(st.decided)
+	}
+	return st.denied
+}
+
+// allowedSuffice reports whether the workers on which policy may allow a step can hold it.
+func (s *Shard) allowedSuffice(p *pass, w *waitingStep, st *stepState) bool {
+	shape, missing := shapeOf(w.entry, w.step), w.step.MinStart()
+	for i, held := range p.workers {
+		if _, allowed := st.tickets[held]; !held.info.Ready || !allowed && st.decided[held] {
+			continue
+		}
+		if missing -= shape.Slots(p.dispatchWorkers[i:i+1], missing); missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // holders returns the workers of the shard that are not about to leave.
 func (s *Shard) holders(p *pass) []dispatch.Worker {
 	if s.ready == nil {
--- a/shard/reasons.go
+++ b/shard/reasons.go
@@ -38,6 +38,8 @@
 	WaitsForFairShare dispatch.WaitReason = "fairShare"
 	// WaitsForCapShare means that other shards hold the rest of the cap.
 	WaitsForCapShare dispatch.WaitReason = "capShare"
+	// WaitsForPolicy means that policy allows the step on too few workers of the shard.
+	WaitsForPolicy dispatch.WaitReason = "policy"
 	// WaitsForFormerRuns means that the cap leaves room only once the runs of former
 	// owners are known.
 	WaitsForFormerRuns dispatch.WaitReason = "formerRuns"
@@ -54,6 +56,7 @@
 	dispatch.WaitsForAdvice:       "advice is not known yet",
 	dispatch.WaitsForAdviceClient: "advice is not known yet, and all clients for it are busy",
 	dispatch.WaitsForHeadroom:     "the job would be too late to be of use, and room is kept for others",
+	WaitsForPolicy:                "policy allows the tasks on too few workers of the shard",
 	WaitsForSteps:                 "earlier steps of the job must end first",
 	WaitsForStartTime:             "the start time of the job has not come",
 	WaitsForConfiguration:         waitsForConfiguration,
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -121,7 +121,7 @@
 	progress.ReserveRuns(s.firstRunAfter(progress, now))
 	e := newJobEntry(progress, body)
 	e.durable, e.recovered = true, true
-	if e.move = (moveState{count: r.Moves, target: r.MovedTo}); e.move.leaving() {
+	if e.move = (moveState{count: r.Moves, target: r.MovedTo, deniedIn: r.DeniedIn}); e.move.leaving() {
 		s.moving[id] = e
 	}
 	s.former.addLive(e, now)
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -409,9 +409,12 @@
 	// considered the step.
 	lastConsidered int64
 	// placeable reports whether the workers can hold the step, as of placeableVersion of
-	// the fleet.
-	placeable        bool
-	placeableVersion int64
+	// the fleet. denied reports whether they can hold it and policy allows it on too few of
+	// them, as of deniedVersion of the fleet and deniedDecided workers in decided.
+	placeable, denied bool
+	placeableVersion  int64
+	deniedVersion     int64
+	deniedDecided     int
 }
 
 // setTicket sets the ticket of a step for a worker.
--- a/shard/waits.go
+++ b/shard/waits.go
@@ -123,7 +123,7 @@
 		}
 		w := s.newWatchedStep(p, steps[k.index])
 		if k.index >= len(p.waiting) {
-			w.reason, w.hasRoom = dispatch.WaitsForWorker, false
+			w.reason, w.hasRoom = w.unplaceableReason(), false
 		}
 		if w.hasRoom {
 			roomy++
@@ -135,6 +135,19 @@
 	}
 }
 
+// unplaceableReason returns why the step waits if it is unplaceable.
+func (w *waitingStep) unplaceableReason() dispatch.WaitReason {
+	if w.denied {
+		return WaitsForPolicy
+	}
+	return dispatch.WaitsForWorker
+}
+
+// unplaceable reports whether the step was found to be unplaceable.
+func (w *watchedStep) unplaceable() bool {
+	return w.reason == dispatch.WaitsForWorker || w.reason == WaitsForPolicy
+}
+
 // workersNeeded is [StepFigures.WorkersNeeded] of a step.
 func (s *Shard) workersNeeded(p *pass, w *watchedStep) int {
 	return shapeOf(w.entry, w.step).WorkersNeeded(s.holders(p), w.step.MinStart())
@@ -164,10 +177,10 @@
 	return step.RoomOn(p.dispatchWorkers)
 }
 
-// explainAll gives the watched steps that a worker can hold one reason.
+// explainAll gives the watched steps that are not unplaceable one reason.
 func (p *pass) explainAll(reason dispatch.WaitReason) {
 	for _, w := range p.watched {
-		if w.reason != dispatch.WaitsForWorker {
+		if !w.unplaceable() {
 			w.reason = reason
 		}
 	}
@@ -176,7 +189,7 @@
 // explainHeld gives the watched steps that the quotas have kept out of the pass their reason.
 func (s *Shard) explainHeld(p *pass) {
 	for _, w := range p.watched {
-		if w.reason != dispatch.WaitsForWorker && p.indexOf(w) < 0 {
+		if !w.unplaceable() && p.indexOf(w) < 0 {
 			w.reason = s.refine(p, w.entry.team, w.tier, dispatch.WaitsForCap)
 		}
 	}
--- a/shard/where.go
+++ b/shard/where.go
@@ -189,8 +189,8 @@
 	positions map[int]int
 	tiers     map[int]fairshare.Tier
 	selected  map[int]bool
-	// unplaceable holds the steps that no worker can hold.
-	unplaceable map[int]bool
+	// unplaceable holds why steps are unplaceable.
+	unplaceable map[int]dispatch.WaitReason
 	explained   map[int]dispatch.Explanation
 	// waits holds the steps of the job with tasks that can start.
 	waits map[int]*watchedStep
@@ -200,7 +200,7 @@
 func newTrial(s *Shard, e *jobEntry) *trial {
 	t := &trial{
 		shard: s, entry: e, pass: s.newPass(), assured: s.deps.Assured(),
-		positions: map[int]int{}, tiers: map[int]fairshare.Tier{}, selected: map[int]bool{}, unplaceable: map[int]bool{}, explained: map[int]dispatch.Explanation{},
+		positions: map[int]int{}, tiers: map[int]fairshare.Tier{}, selected: map[int]bool{}, unplaceable: map[int]dispatch.WaitReason{}, explained: map[int]dispatch.Explanation{},
 		waits: map[int]*watchedStep{},
 	}
 	s.collect(t.pass)
@@ -209,7 +209,7 @@
 	s.dropUnplaceable(t.pass)
 	for _, w := range t.pass.unplaceable {
 		if w.entry == e && w.ref.Occurrence == 0 {
-			t.unplaceable[w.ref.Step] = true
+			t.unplaceable[w.ref.Step] = w.unplaceableReason()
 			t.addWait(w)
 		}
 	}
@@ -275,8 +275,8 @@
 	case considered:
 		out.Workers, out.Waiting, out.AdviceWorkers = t.workers(explanation.Workers), explanation.Waiting, len(explanation.AdviceFor)
 		out.Reason, out.Until = t.shard.refine(t.pass, t.entry.team, t.tiers[index], explanation.Reason), millisOf(explanation.Until)
-	case t.unplaceable[index]:
-		out.Reason = dispatch.WaitsForWorker
+	case t.unplaceable[index] != "":
+		out.Reason = t.unplaceable[index]
 	case out.Position == 0:
 		out.Reason, out.Until = t.notWaiting()
 	case !t.assured:
--- a/shard/write.go
+++ b/shard/write.go
@@ -260,7 +260,7 @@
 		return r.Encode(nil)
 	}
 	r := e.progress.Record()
-	r.Moves, r.MovedTo = e.move.count, e.move.target
+	r.Moves, r.MovedTo, r.DeniedIn = e.move.count, e.move.target, e.move.deniedIn
 	return r.Encode(e.body)
 }
 
