shard: jobs leave shards whose workers do not answer or stay closed

Callers saw a job wait for good for a worker that is listed and never answers, such as the entry of another writer, or that stays closed, although another shard had workers for it: whatever is listed as ready counted as a worker that can hold a step.

A worker that has never answered for 3 s, or was closed for 10 s, is absent now and does not count for the steps that wait. 10 s are longer than the lease of a worker that does not answer, so that a job does not move because a worker restarts. The job moves after a second, under the conditions of other unplaceable jobs. The lists do not show which workers of other shards are absent, and other than an answer of the policy service absence may end in any shard. So the number of these moves is not limited, but the pause before the next one doubles with each, and the target changes.

The reason for which a step is unplaceable is kept in one place; it is also found again if the service of the route changes, which the one of policy was not.

TestJobMovesIfItsOnlyWorkerNeverAnswers failed before. TestJobLeavesAWorkerThatStaysClosed and TestJobFindsTheWorkerThatAnswers are new: at most 6 moves in a minute while no worker answers, and the job runs where one does, within 3 minutes after that.

--- a/shard/endlesswaits_test.go
+++ b/shard/endlesswaits_test.go
@@ -182,3 +182,55 @@
 		})
 	}
 }
+
+// TestJobFindsTheWorkerThatAnswers guards against a job that waits in one shard for a worker
+// that never answers while that of the other shard does, and against one that moves all the
+// time while neither does.
+func TestJobFindsTheWorkerThatAnswers(t *testing.T) {
+	for name, answering := range map[string]int{"in its shard": 0, "in the other shard": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				first, second := newMovingShards(c)
+				defer func() { first.current().stop(); second.current().stop() }()
+				moves := 0
+				shards := []*movingShard{first, second}
+				for _, m := range shards {
+					m.beforeReceive = func() { moves++ }
+					silent := m.fleet.Add("w9", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
+					silent.Labels = []string{"d"}
+					m.fleet.SetUnreachable("w9", true)
+					m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return append(workers, silent) })
+				}
+				first.current().submit(c, id(1), job.Step{Count: 2, Label: "d"})
+				time.Sleep(time.Minute)
+				c.Assert(moves > 0 && moves <= 6, qt.IsTrue, qt.Commentf("%d moves in a minute", moves))
+				shards[answering].fleet.SetUnreachable("w9", false)
+				time.Sleep(3 * time.Minute)
+				c.Assert(shards[answering].fleet.Starts(), qt.Equals, 2)
+			})
+		})
+	}
+}
+
+// TestJobLeavesAWorkerThatStaysClosed guards against a step that waits for good for a worker
+// that has answered and does not any more, and is listed all the same.
+func TestJobLeavesAWorkerThatStaysClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		worker := first.fleet.Add("w9", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
+		worker.Labels = []string{"c"}
+		first.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return append(workers, worker) })
+		time.Sleep(4 * time.Second)
+		c.Assert(first.current().Status().OpenWorkers, qt.Equals, 3)
+		first.fleet.SetUnreachable("w9", true)
+		time.Sleep(4 * time.Second)
+		first.current().submit(c, id(1), job.Step{Count: 2, Label: "c"})
+		time.Sleep(5 * time.Second)
+		c.Assert(second.fleet.Starts(), qt.Equals, 0, qt.Commentf("a worker that is away for a short time is waited for"))
+		time.Sleep(10 * time.Second)
+		c.Assert(second.fleet.Starts(), qt.Equals, 2)
+	})
+}
--- a/shard/move.go
+++ b/shard/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -19,15 +20,19 @@
 	// of a job before the job is moved to another shard. A worker that restarts is missing
 	// for a shorter time.
 	moveAfter = time.Second
+	// maxMovePauseDoublings bounds the pause before a job is moved because workers are absent,
+	// which doubles with each move: no list shows which workers of other shards are.
+	maxMovePauseDoublings = 10
 	// moveTimeout bounds one call to the owner of the other shard, and moveRetryDelay is the
 	// pause after a failed one.
 	moveTimeout    = time.Second
 	moveRetryDelay = 200 * time.Millisecond
 	// maxMovesInFlight bounds the jobs that are passed on at the same time.
 	maxMovesInFlight = 16
-	// moveSinceUnplaceable, moveSinceDenied and moveForLoad are the reasons for moves in the
-	// metrics.
+	// moveSinceUnplaceable, moveSinceDenied, moveSinceAbsent and moveForLoad are the reasons
+	// for moves in the metrics.
 	moveSinceUnplaceable = "unplaceable"
+	moveSinceAbsent      = "absent"
 	moveSinceDenied      = "denied"
 	moveForLoad          = "load"
 )
@@ -102,17 +107,24 @@
 	if !blocked || p.now.Sub(m.blockedSince) < moveAfter || p.now.Before(m.retryAt) {
 		return
 	}
-	if p.denies(e) {
+	reason, message := moveSinceUnplaceable, "job is being moved: no worker of the shard can hold it"
+	switch {
+	case p.unplaceableFor(e, causeDenied):
 		s.moveDenied(p, e)
 		return
+	case p.unplaceableFor(e, causeAbsent):
+		if p.now.Sub(m.blockedSince) < moveAfter<<min(m.count, maxMovePauseDoublings) {
+			return
+		}
+		reason, message = moveSinceAbsent, "job is being moved: the workers of the shard that can hold it do not answer or are closed"
 	}
 	target, ok := s.moveTarget(p, e)
 	if !ok {
 		m.retryAt = p.now.Add(moveAfter)
 		return
 	}
-	s.startMove(e, target, moveSinceUnplaceable)
-	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Msg("job is being moved: no worker of the shard can hold it")
+	s.startMove(e, target, reason)
+	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Msg(message)
 }
 
 // moveDenied starts to move a job that policy allows on too few workers of the shard: to the
@@ -167,9 +179,9 @@
 	return n
 }
 
-// denies reports whether policy is why a step of a job is unplaceable.
-func (p *pass) denies(e *jobEntry) bool {
-	return slices.ContainsFunc(p.unplaceable, func(w waitingStep) bool { return w.entry == e && w.denied })
+// unplaceableFor reports whether a step of a job is unplaceable for a cause.
+func (p *pass) unplaceableFor(e *jobEntry, cause unplaceableCause) bool {
+	return slices.ContainsFunc(p.unplaceable, func(w waitingStep) bool { return w.entry == e && w.cause == cause })
 }
 
 // startMove starts to move a job. Its tickets and pending requests for advice are dropped,
@@ -184,8 +196,8 @@
 	s.deps.Recorder.Count("moves", target+"."+reason)
 }
 
-// moveTarget returns a shard whose workers can hold the waiting steps of a job. It prefers
-// the shards that can hold all of its steps.
+// moveTarget returns a shard whose workers can hold the waiting steps of a job, another one
+// after each move if there are several. It prefers the shards that can hold all of its steps.
 func (s *Shard) moveTarget(p *pass, e *jobEntry) (string, bool) {
 	var waiting, whole []string
 	for name, workers := range s.otherShards {
@@ -206,7 +218,7 @@
 		return "", false
 	}
 	slices.Sort(whole)
-	return whole[xxhash.Sum64String(string(e.id))%uint64(len(whole))], true
+	return whole[xxhash.Sum64String(fmt.Sprint(e.id, e.move.count))%uint64(len(whole))], true
 }
 
 // unplaceableSteps returns the waiting steps of a job that are unplaceable in the shard.
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -171,8 +171,8 @@
 	// division is that of the service, team the index of the job's team there.
 	division *division
 	team     int
-	// denied reports whether the step is unplaceable because of policy.
-	denied bool
+	// cause is why the step is unplaceable.
+	cause unplaceableCause
 }
 
 // plan runs one planning pass: it places waiting tasks and requests advice. It returns
@@ -355,34 +355,84 @@
 
 // dropUnplaceable removes the waiting steps that no worker of the shard can hold, even if it
 // were empty, and the gangs that all workers together cannot hold. Workers on which policy
-// does not allow a step do not count for it. They wait until other workers join. Until then
-// they count neither as demand nor against the steps of a pass.
+// does not allow a step, and absent ones, do not count for it. They wait until other workers
+// join. Until then they count neither as demand nor against the steps of a pass.
 func (s *Shard) dropUnplaceable(p *pass) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
-		if s.placeable(p, &w) {
-			if w.denied = s.denied(p, &w); !w.denied {
-				return false
-			}
+		if w.cause = s.unplaceableCause(p, &w); w.cause == causeNone {
+			return false
 		}
 		p.unplaceable = append(p.unplaceable, w)
 		return true
 	})
 }
 
-// placeable reports whether the workers of the shard can hold a waiting step. The answer is
-// kept for a version of the fleet.
-func (s *Shard) placeable(p *pass, w *waitingStep) bool {
+// unplaceableCause is why the workers of a shard cannot hold a waiting step.
+type unplaceableCause int
+
+const (
+	causeNone unplaceableCause = iota
+	// causeTooSmall means that no worker is large enough, or all together are too small.
+	causeTooSmall
+	// causeDenied means that policy allows the step on too few workers.
+	causeDenied
+	// causeAbsent means that too many of the workers are absent.
+	causeAbsent
+)
+
+// unplaceableCause returns why the workers of the shard cannot hold a waiting step, causeNone
+// if they can. The answer is kept for a version of the fleet and until there is more advice,
+// since policy does not change its answers for a step.
+func (s *Shard) unplaceableCause(p *pass, w *waitingStep) unplaceableCause {
 	st := w.entry.steps[w.ref]
 	if p.recordsWaits {
 		st = w.recordWait(st, p.now)
 	}
+	if st == nil {
+		return s.computeCause(p, w, nil)
+	}
+	if st.causeVersion != s.fleetVersion || st.causeDecided != len(st.decided) {
+		st.cause, st.causeVersion, st.causeDecided = s.computeCause(p, w, st), s.fleetVersion, len(st.decided)
+	}
+	return st.cause
+}
+
+// computeCause is [Shard.unplaceableCause] for a step with a state, which may be nil.
+func (s *Shard) computeCause(p *pass, w *waitingStep, st *stepState) unplaceableCause {
 	switch {
-	case st == nil:
-		return s.computePlaceable(p, w)
-	case st.placeableVersion != s.fleetVersion:
-		st.placeable, st.placeableVersion = s.computePlaceable(p, w), s.fleetVersion
+	case !s.computePlaceable(p, w):
+		return causeTooSmall
+	case !w.fitsWithout(p, st.denies):
+		return causeDenied
+	case !w.fitsWithout(p, func(held *worker) bool { return held.absent || st.denies(held) }):
+		return causeAbsent
+	}
+	return causeNone
+}
+
+// denies reports whether policy does not allow the step on a worker. Where its answer is not
+// known, it may.
+func (st *stepState) denies(held *worker) bool {
+	if st == nil || !st.decided[held] {
+		return false
 	}
-	return st.placeable
+	_, allowed := st.tickets[held]
+	return !allowed
+}
+
+// fitsWithout reports whether the workers that are not about to leave, without those left out,
+// can hold the step.
+func (w *waitingStep) fitsWithout(p *pass, leftOut func(*worker) bool) bool {
+	shape, missing := shapeOf(w.entry, w.step), w.step.MinStart()
+	for i, held := range p.workers {
+		if !held.info.Ready || leftOut(held) {
+			continue
+		}
+		if missing -= shape.Slots(p.dispatchWorkers[i:i+1], missing); missing <= 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // recordWait records since when the step waits, in its state if it has one, and returns the
@@ -419,7 +469,7 @@
 	return 0
 }
 
-// computePlaceable is [Shard.placeable] without the state of the step.
+// computePlaceable reports whether the workers of the shard are large enough for a step.
 func (s *Shard) computePlaceable(p *pass, w *waitingStep) bool {
 	if s.slotsVersion != s.fleetVersion {
 		s.slotsVersion, s.slots, s.ready = s.fleetVersion, map[slotsKey]bool{}, nil
@@ -433,34 +483,6 @@
 	return fits
 }
 
-// denied reports whether policy allows a step on too few workers that can hold it. Workers on
-// which its answer is not known count as allowed. The answer is kept for a version of the
-// fleet and until there is more advice, since policy does not change its answers for a step.
-func (s *Shard) denied(p *pass, w *waitingStep) bool {
-	st := w.entry.steps[w.ref]
-	if st == nil || len(st.decided) == 0 || !w.entry.progress.Policy().Advice.Needed() {
-		return false
-	}
-	if st.deniedVersion != s.fleetVersion || st.deniedDecided != len(st.decided) {
-		st.denied, st.deniedVersion, st.deniedDecided = !s.allowedSuffice(p, w, st), s.fleetVersion, len(st.decided)
-	}
-	return st.denied
-}
-
-// allowedSuffice reports whether the workers on which policy may allow a step can hold it.
-func (s *Shard) allowedSuffice(p *pass, w *waitingStep, st *stepState) bool {
-	shape, missing := shapeOf(w.entry, w.step), w.step.MinStart()
-	for i, held := range p.workers {
-		if _, allowed := st.tickets[held]; !held.info.Ready || !allowed && st.decided[held] {
-			continue
-		}
-		if missing -= shape.Slots(p.dispatchWorkers[i:i+1], missing); missing <= 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // holders returns the workers of the shard that are not about to leave.
 func (s *Shard) holders(p *pass) []dispatch.Worker {
 	if s.ready == nil {
@@ -585,9 +607,13 @@
 	s.findStuck(p)
 	for i, w := range p.workers {
 		w.passIndex = i
+		open := s.open(w, p.now)
+		if p.recordsWaits {
+			s.updateAbsence(w, open, p.now)
+		}
 		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
-			Open: s.open(w, p.now), Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
+			Open: open, Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
 		})
 	}
 }
--- a/shard/services.go
+++ b/shard/services.go
@@ -26,7 +26,7 @@
 	s.log.Info().Str("job", string(e.id)).Str("route", string(e.route)).Str("from", e.service).Str("to", service).Msg("tasks of the job start on another service")
 	e.service = service
 	for _, st := range e.steps {
-		st.placeableVersion = 0
+		st.causeVersion = 0
 	}
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -113,7 +113,8 @@
 	workersByName []*worker
 	// teamNumbers holds the numbers of the teams that have had jobs.
 	teamNumbers map[lovagestand.TeamName]int
-	// fleetVersion counts how often workersByName was built.
+	// fleetVersion counts how often workersByName was built and workers became absent or
+	// present.
 	fleetVersion int64
 	// staffed holds the services with workers, as of servicesVersion of the fleet.
 	staffed         map[string]bool
@@ -408,13 +409,11 @@
 	// lastConsidered is the number of the last pass over the whole queue that has
 	// considered the step.
 	lastConsidered int64
-	// placeable reports whether the workers can hold the step, as of placeableVersion of
-	// the fleet. denied reports whether they can hold it and policy allows it on too few of
-	// them, as of deniedVersion of the fleet and deniedDecided workers in decided.
-	placeable, denied bool
-	placeableVersion  int64
-	deniedVersion     int64
-	deniedDecided     int
+	// cause is why the workers cannot hold the step, as of causeVersion of the fleet and
+	// causeDecided workers in decided.
+	cause        unplaceableCause
+	causeVersion int64
+	causeDecided int
 }
 
 // setTicket sets the ticket of a step for a worker.
--- a/shard/waits.go
+++ b/shard/waits.go
@@ -137,7 +137,7 @@
 
 // unplaceableReason returns why the step waits if it is unplaceable.
 func (w *waitingStep) unplaceableReason() dispatch.WaitReason {
-	if w.denied {
+	if w.cause == causeDenied {
 		return WaitsForPolicy
 	}
 	return dispatch.WaitsForWorker
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -44,6 +44,9 @@
 	// silentAfter is how long a worker may be listed without an answer before it is taken
 	// off the roster.
 	silentAfter = 3 * time.Second
+	// absentAfter is how long a worker may be closed before it no longer counts as one that
+	// can hold a step. It is longer than the lease of a worker that does not answer.
+	absentAfter = 10 * time.Second
 	// heartbeatMargin allows for a store whose clock runs faster than that of this
 	// instance.
 	heartbeatMargin = 100 * time.Millisecond
@@ -91,6 +94,10 @@
 	// whether none has for so long that the entry may be that of another writer. A silent
 	// worker has been given no task.
 	answered, silent bool
+	// closedSince is since when passes have found the worker closed; zero if it is open.
+	// absent reports whether the worker does not count as one that can hold steps.
+	closedSince time.Time
+	absent      bool
 	// answerAddress is the address at which it has last answered a hold; empty if none has.
 	answerAddress string
 	contacted     bool // whether the current incarnation has answered a hold
@@ -258,6 +265,24 @@
 	return !w.quarantined(now) && !now.Before(w.trialUntil)
 }
 
+// updateAbsence records whether a worker is absent: it has never answered, or it was closed for
+// absentAfter. Steps then wait for it no longer.
+func (s *Shard) updateAbsence(w *worker, open bool, now time.Time) {
+	switch {
+	case open:
+		w.closedSince = time.Time{}
+	case w.closedSince.IsZero():
+		w.closedSince = now
+	}
+	absent := w.silent || !open && now.Sub(w.closedSince) >= absentAfter
+	if absent == w.absent {
+		return
+	}
+	w.absent = absent
+	s.fleetVersion++
+	s.log.Info().Str("worker", string(w.info.Name)).Bool("absent", absent).Msg("worker counts or no longer counts for the steps that wait")
+}
+
 // WorkerList is one read of the list of registered workers.
 type WorkerList struct {
 	Workers []lovagestand.FleetWorker
