dispatch, shard: a gang on more workers than a call names gets all its tickets

What callers see: in cells with teams and one or two instances, a gang on more than 96 workers did not start in an empty fleet.

Cause: a pass has one long call there. The renewal is cut into calls of 96 workers in the order of the workers, and the next pass asked about the same first 96 again, whose tickets were valid. Beside it: only the last call of a renewal carried the room to be held, and the room was held until that call is answered, although it names the fewest workers and is answered first.

Change: a renewal that needs several calls names the workers without a valid ticket first. Each of its calls carries the held room, which is held until the last answer that is expected.

Tried and left out: keeping the later calls on the workers held first. Left: three calls one after the other take longer than tickets are valid, so one client serves up to 192 workers.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -78,10 +78,37 @@
 // requestRenewal requests new tickets for the workers wanted and others. The parameter
 // hold contains a worker for each task of a gang, where its room is to be held.
 func (p *planner) requestRenewal(index int, s *Step, wanted, hold []int) {
-	p.requestAdvice(index, p.extendRenewal(s, wanted))
-	if last := len(p.decisions) - 1; p.HoldRenewals && s.Gang && !s.Expired && last >= 0 && p.decisions[last].Step == index {
-		p.decisions[last].Hold = hold
+	first := len(p.decisions)
+	p.requestAdvice(index, p.extendRenewal(s, s.withoutTicketFirst(wanted)))
+	if !p.HoldRenewals || !s.Gang || s.Expired {
+		return
+	}
+	for n := range p.decisions[first:] {
+		p.decisions[first+n].Hold = hold
+	}
+}
+
+// withoutTicketFirst returns the workers of a renewal, those without a valid ticket first if
+// one call does not name all of them: the pass may have no further call for the others.
+func (s *Step) withoutTicketFirst(workers []int) []int {
+	if len(workers) <= maxWorkersPerCall {
+		return workers
+	}
+	ticketed := map[int]bool{}
+	for _, c := range s.Candidates {
+		ticketed[c.Worker] = c.HasTicket
 	}
+	sorted := slices.Clone(workers)
+	slices.SortStableFunc(sorted, func(a, b int) int {
+		switch {
+		case ticketed[a] == ticketed[b]:
+			return 0
+		case ticketed[b]:
+			return -1
+		}
+		return 1
+	})
+	return sorted
 }
 
 // renewable returns the workers on which room is kept for the step. While advice
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -149,8 +149,9 @@
 	AdviceFor []int
 	// IfIdle indicates that the call is to be made only through an idle client.
 	IfIdle bool
-	// Hold contains a worker for each task of a gang whose tickets AdviceFor renews. The
-	// room there is to be held until the reply; see [Load.HoldRenewals].
+	// Hold contains a worker for each task of a gang whose tickets AdviceFor renews, alone or
+	// with other calls. The room there is to be held until all replies; see
+	// [Load.HoldRenewals].
 	Hold []int
 	// Wait is set if tasks wait that could start elsewhere.
 	Wait Wait
--- a/dispatch/waits_test.go
+++ b/dispatch/waits_test.go
@@ -52,6 +52,19 @@
 	c.Fatalf("the gang has not started after 20 calls in a fleet that is empty")
 }
 
+// TestRoomIsHeldDuringAllCallsOfARenewal guards against room that is held only until the last of
+// several calls is answered, which names few workers and is answered first.
+func TestRoomIsHeldDuringAllCallsOfARenewal(t *testing.T) {
+	c := qt.New(t)
+	const workers = 110
+	l := dispatch.Load{Now: now, Workers: emptyWorkers(workers), HoldRenewals: true, AdviceCalls: 9, LongAdviceCalls: 9, Steps: []dispatch.Step{wideGang(100, workers)}}
+	decisions := dispatch.Plan(l)
+	c.Assert(decisions, qt.HasLen, 2)
+	for _, d := range decisions {
+		c.Check(d.Hold, qt.HasLen, 100)
+	}
+}
+
 // TestCallAheadOfAStartNamesTheReservedWorkers guards against calls that name the first
 // workers by name in place of those on which a gang is about to start. While such a call is
 // pending, none is made for the reserved workers.
--- a/shard/advice.go
+++ b/shard/advice.go
@@ -65,7 +65,11 @@
 	slot.busyUntil = begin.Add(cost)
 	st := waiting.entry.step(waiting.ref)
 	if len(d.Hold) > 0 {
-		st.held, st.heldUntil = nil, slot.busyUntil.Add(renewalMargin)
+		until := slot.busyUntil.Add(renewalMargin)
+		if len(st.pendingRequests) > 0 {
+			until = later(until, st.heldUntil)
+		}
+		st.held, st.heldUntil = nil, until
 		for _, index := range d.Hold {
 			st.held = append(st.held, p.workers[index])
 		}
--- a/shard/endlesswaits_internal_test.go
+++ b/shard/endlesswaits_internal_test.go
@@ -75,3 +75,34 @@
 		c.Assert(asked, qt.Equals, 1, qt.Commentf("%s: the far client is idle", e.id))
 	})
 }
+
+// TestRoomIsHeldUntilAllCallsAreAnswered guards against a gang whose room is given away before
+// the longest of the calls that renew its tickets is answered.
+func TestRoomIsHeldUntilAllCallsAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWhereShard(4)
+		advise := func(ctx context.Context, _ string, _ []lovagestand.WorkerName) (lovagestand.Advice, error) {
+			<-ctx.Done()
+			return lovagestand.Advice{}, ctx.Err()
+		}
+		for _, instance := range []lovagestand.InstanceID{"a", "b", "c"} {
+			w.clients = append(w.clients, AdviceClient{Instance: instance, Advise: advise})
+		}
+		gang := whereJob(1, 2, job.Step{Count: 4, Needs: cores(4), Estimate: 4 * time.Second, Gang: true})
+		gang.Policy.Advice = job.AdvicePolicy{FixedDuration: 400 * time.Millisecond, PerWorker: 100 * time.Millisecond, Validity: 2500 * time.Millisecond}
+		e := w.add(gang)
+		p := w.newPass()
+		w.collect(p)
+		w.load(p)
+		hold := []int{0, 1, 2, 3}
+		for _, call := range [][]int{{0, 1, 2}, {3}} {
+			w.requestAdvice(p, p.waiting[0], dispatch.Decision{AdviceFor: call, Hold: hold})
+		}
+		st := e.step(job.StepRef{})
+		c.Assert(st.held, qt.HasLen, 4)
+		c.Assert(st.heldUntil.Sub(p.now) >= gang.Policy.Advice.Cost(3), qt.IsTrue, qt.Commentf("held for %s", st.heldUntil.Sub(p.now)))
+		w.cancel()
+		synctest.Wait()
+	})
+}
--- a/shard/waits_world_test.go
+++ b/shard/waits_world_test.go
@@ -63,6 +63,7 @@
 type watchedStep struct {
 	job.Step
 	id       string
+	team     lovagestand.TeamName
 	policy   job.Policy
 	runTime  time.Duration
 	accepted time.Time
@@ -115,7 +116,7 @@
 
 // begin begins a term with the clients of the policy service, each of which makes one call
 // at a time.
-func (w *waitsWorld) begin(name string) {
+func (w *waitsWorld) begin(name string, changes ...func(*shard.Deps)) {
 	var clients []shard.AdviceClient
 	for i := range w.clients {
 		free := make(chan struct{}, 1)
@@ -132,9 +133,10 @@
 			},
 		})
 	}
-	w.owner = w.beginTerm(name, func(d *shard.Deps) {
+	setClients := func(d *shard.Deps) {
 		d.AdviceClients = func() []shard.AdviceClient { return clients }
-	})
+	}
+	w.owner = w.beginTerm(name, append(changes, setClients)...)
 }
 
 // advise answers a call after the time that it takes, unless it is lost.
@@ -175,7 +177,7 @@
 	w.mu.Lock()
 	w.steps[s.id] = s
 	w.mu.Unlock()
-	j := job.Job{ID: job.ID(s.id), Policy: s.policy, Steps: []job.Step{s.Step}}
+	j := job.Job{ID: job.ID(s.id), Team: s.team, Policy: s.policy, Steps: []job.Step{s.Step}}
 	body, err := job.EncodeJob(j)
 	w.c.Assert(err, qt.IsNil)
 	w.c.Assert(w.owner.Submit(context.Background(), j, body, 0), qt.IsNil)
