shard: a call for an idle client is made through one

What callers see: a step that waited for room on the workers that it was asked about first was not asked about further ones while an idle client was available, because a client with a short backlog in the owner's region would have answered sooner.

Cause: requestAdvice chose the client by its expected answer and dropped the call if that client was not idle.

Change: only idle clients are chosen from for such a call. All other calls are as before.

Left, by reading: IdleAdviceClients counts clients that serve no long calls, so that the call of a gang may still be dropped while these are idle.

--- a/shard/advice.go
+++ b/shard/advice.go
@@ -51,14 +51,18 @@
 }
 
 // requestAdvice requests the advice of a decision for a step, unless every client has
-// too long a backlog.
+// too long a backlog, or any if the decision is for an idle client.
 func (s *Shard) requestAdvice(p *pass, waiting waitingStep, d dispatch.Decision) {
 	indexes := d.AdviceFor
 	policy := waiting.entry.progress.Job().Policy.Advice
 	stated := policy.Cost(len(indexes)) + adviceCallOverhead
 	cost := s.statsOf(waiting.entry).callTimes.expected(stated)
-	chosen, slot := s.pickAdviceClient(p.adviceClients, p.now, cost, p.adviceBacklog())
-	if slot == nil || d.IfIdle && slot.busyUntil.After(p.now) {
+	backlog := p.adviceBacklog()
+	if d.IfIdle {
+		backlog = 0
+	}
+	chosen, slot := s.pickAdviceClient(p.adviceClients, p.now, cost, backlog)
+	if slot == nil {
 		return
 	}
 	begin := later(slot.busyUntil, p.now)
--- a/shard/endlesswaits_internal_test.go
+++ b/shard/endlesswaits_internal_test.go
@@ -73,6 +73,10 @@
 		w.requestAdvice(p, p.waiting[0], dispatch.Decision{AdviceFor: []int{0}, IfIdle: true})
 		synctest.Wait()
 		c.Assert(asked, qt.Equals, 1, qt.Commentf("%s: the far client is idle", e.id))
+		w.adviceSlots["far"].busyUntil = p.now.Add(time.Millisecond)
+		w.requestAdvice(p, p.waiting[0], dispatch.Decision{AdviceFor: []int{0}, IfIdle: true})
+		synctest.Wait()
+		c.Assert(asked, qt.Equals, 1, qt.Commentf("%s: no client is idle", e.id))
 	})
 }
 
