shard: held room of a gang behind the pass is held

What callers see: with teams, while more than 250 steps wait, a gang of low rank whose tickets were being renewed lost its room during the call and did not go first when the answer came.

Cause: the room is withheld by the pass that considers the gang. One that is not among the 250 steps of a pass is considered in each eighth pass only, unless it is one of the eight longest waits.

Change: limitSteps always keeps the steps whose room is held, at most half of a pass. They are few: each holds room during a call, and calls are bounded by the clients. Room that is kept after a preemption was withheld for steps behind the pass already. Sites without teams and with even fleets hold no room.

Left, by reading: selectWithinQuotas runs before and may leave out a gang with held room if steps of its team with higher rank take the headroom.

--- a/shard/endlesswaits_internal_test.go
+++ b/shard/endlesswaits_internal_test.go
@@ -110,3 +110,30 @@
 		synctest.Wait()
 	})
 }
+
+// TestHeldStepsLeaveMostOfThePassToOthers guards against a pass that considers no step but
+// those whose room is held.
+func TestHeldStepsLeaveMostOfThePassToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWhereShard(1)
+		for i := range 2 * maxStepsPerPass {
+			e := w.add(whereJob(1+i, 2, job.Step{Count: 2, Needs: cores(4), Estimate: time.Second, Gang: true}))
+			if i >= maxStepsPerPass {
+				e.step(job.StepRef{}).heldUntil = time.Now().Add(time.Second)
+			}
+		}
+		p := w.newPass()
+		w.collect(p)
+		p.sortByScore()
+		w.limitSteps(p)
+		c.Assert(p.waiting, qt.HasLen, maxStepsPerPass)
+		held := 0
+		for _, s := range p.waiting {
+			if p.now.Before(s.entry.step(s.ref).heldUntil) {
+				held++
+			}
+		}
+		c.Assert(held, qt.Equals, maxHeldStepsPerPass)
+	})
+}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -32,6 +32,9 @@
 	// longestWaitsPerPass is how many of these are the steps that have waited longest, of
 	// which some get the first turn.
 	longestWaitsPerPass = 8
+	// maxHeldStepsPerPass bounds how many of them are steps whose room is held and that would
+	// not be considered otherwise.
+	maxHeldStepsPerPass = maxStepsPerPass / 2
 	// wholeQueueInterval is after how many passes at most one considers steps of the whole
 	// queue if there are more than maxStepsPerPass. A pass that has started nothing is
 	// followed by such a pass at once.
@@ -446,14 +449,19 @@
 }
 
 // limitSteps leaves in the pass the waiting steps that it considers: the first ones, or
-// those of [dispatch.Window].
+// those of [dispatch.Window], and in any case those whose room is held and the longest waits.
 func (s *Shard) limitSteps(p *pass) {
 	if len(p.waiting) <= maxStepsPerPass {
 		return
 	}
-	longest := p.longestWaits()
+	always := p.heldSteps()
+	for _, i := range p.longestWaits() {
+		if !slices.Contains(always, i) {
+			always = append(always, i)
+		}
+	}
 	if !s.wholeQueue {
-		p.limitTo(firstIndexes(maxStepsPerPass), longest)
+		p.limitTo(firstIndexes(maxStepsPerPass), always)
 		return
 	}
 	rooms := map[dispatch.Shape]bool{}
@@ -477,7 +485,20 @@
 		w := &p.waiting[i]
 		w.entry.step(w.ref).lastConsidered = s.passNumber
 	}
-	p.limitTo(window, longest)
+	p.limitTo(window, always)
+}
+
+// heldSteps returns the indexes of the steps whose room is held while their tickets are
+// renewed. A pass that did not consider them would give the room to others.
+func (p *pass) heldSteps() []int {
+	var held []int
+	for i := range p.waiting {
+		st := p.waiting[i].entry.steps[p.waiting[i].ref]
+		if st != nil && p.now.Before(st.heldUntil) && len(held) < maxHeldStepsPerPass {
+			held = append(held, i)
+		}
+	}
+	return held
 }
 
 // longestWaits returns the indexes of the longestWaitsPerPass steps that have waited longest,
