--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -32,7 +32,7 @@
 			return
 		}
 	}
-	// A call that is filled names all candidates if they are few.
+	// A call for no workers in particular names all candidates if they are few.
 	var reserved []int
 	if p.HoldRenewals || len(s.Candidates) > maxWorkersPerCall {
 		reserved = slices.Clone(workers)
@@ -83,8 +83,9 @@
 	if !p.HoldRenewals || !s.Gang || s.Expired {
 		return
 	}
-	for n := range p.decisions[first:] {
-		p.decisions[first+n].Hold = hold
+	calls := p.decisions[first:]
+	for n := range calls {
+		calls[n].Hold = hold
 	}
 }
 
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -32,8 +32,7 @@
 	// longestWaitsPerPass is how many of these are the steps that have waited longest, of
 	// which some get the first turn.
 	longestWaitsPerPass = 8
-	// maxHeldStepsPerPass bounds how many of them are steps whose room is held and that would
-	// not be considered otherwise.
+	// maxHeldStepsPerPass bounds how many of them are considered because their room is held.
 	maxHeldStepsPerPass = maxStepsPerPass / 2
 	// wholeQueueInterval is after how many passes at most one considers steps of the whole
 	// queue if there are more than maxStepsPerPass. A pass that has started nothing is
