--- a/shard/waits_world_test.go
+++ b/shard/waits_world_test.go
@@ -70,6 +70,7 @@
 type watchedStep struct {
 	job.Step
 	id       string
+	team     lovagestand.TeamName
 	policy   job.Policy
 	runTime  time.Duration
 	accepted time.Time
@@ -130,7 +131,7 @@
 
 // begin begins a term with the clients of the policy service, each of which makes one call
 // at a time.
-func (w *waitsWorld) begin(name string) {
+func (w *waitsWorld) begin(name string, changes ...func(*shard.Deps)) {
 	var clients []shard.AdviceClient
 	for i := range w.clients {
 		free := make(chan struct{}, 1)
@@ -147,9 +148,10 @@
 			},
 		})
 	}
-	o := w.beginTerm(name, func(d *shard.Deps) {
+	setClients := func(d *shard.Deps) {
 		d.AdviceClients = func() []shard.AdviceClient { return clients }
-	})
+	}
+	o := w.beginTerm(name, append(changes, setClients)...)
 	w.locked(func() { w.owner = o })
 }
 
@@ -195,7 +197,7 @@
 		}
 	}
 	w.locked(func() { w.steps[s.id] = s })
-	j := job.Job{ID: job.ID(s.id), Policy: s.policy, Steps: []job.Step{s.Step}}
+	j := job.Job{ID: job.ID(s.id), Team: s.team, Policy: s.policy, Steps: []job.Step{s.Step}}
 	body, err := job.EncodeJob(j)
 	w.c.Assert(err, qt.IsNil)
 	for w.currentOwner().Submit(context.Background(), j, body, 0) != nil {
