shard: a worker that restarts at another address is found

Operators saw a worker that was listed at its new address stay closed for good. It had restarted elsewhere while a hold was in flight, and another worker had taken its former address and refused the holds (421). holdFailed returned then before it marked the worker as unresponsive, and only of an unresponsive worker the entry of another incarnation is used, so that all holds went to the former address.

The refusal shows that the incarnation that last answered is gone; the worker counts as unresponsive now, as after any other failed hold. Holds only read until a worker has answered, and the entry gives their address alone. What counts as proof that a run is over is unchanged.

TestWorkerThatRestartsElsewhereIsFound failed before.

--- a/shard/hold.go
+++ b/shard/hold.go
@@ -163,6 +163,8 @@
 		case lovagestand.RefusalRestarted:
 			if targetMatches {
 				w.loseContact(time.Now(), timedOut)
+				// The entry of the incarnation that follows counts from now on, for its address.
+				w.unresponsive = true
 				if !s.resolved {
 					s.replacedWorkers[w.info.Name] = true
 				}
