dispatch: a gang beyond a lowered cap is passed over

Callers of a team saw its gangs wait while small jobs of the team kept starting. Room in the cap is reserved for the first gang of a team that has to wait; a gang that needs more than the cap, which had been lowered after it was accepted, took this place in each pass, although nothing can be reserved for it.

The place goes to the first gang for which the cap has room once the runs of the team have ended.

--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -33,6 +33,9 @@
 	selectable     lovagestand.Resources
 	selectionRound int
 	selecting      bool
+	// released is what the runs of the team release; it is set once releasedKnown is.
+	released      lovagestand.Resources
+	releasedKnown bool
 	// gangSelected reports whether a gang was selected for which there is no room yet.
 	gangSelected bool
 }
@@ -183,7 +186,7 @@
 			return true
 		}
 	}
-	if gang && !t.gangSelected {
+	if gang && !t.gangSelected && t.mayFit(least) {
 		// Room in the quota may be reserved for the first gang.
 		t.gangSelected = true
 		return true
@@ -191,3 +194,18 @@
 	t.HeldTasks += tasks
 	return false
 }
+
+// mayFit reports whether the headroom will have room for an amount once the runs of the team
+// have ended. It may not if the quota was lowered.
+func (t *Team) mayFit(amount lovagestand.Resources) bool {
+	if t.Releases == nil {
+		return true
+	}
+	if !t.releasedKnown {
+		for _, r := range t.Releases() {
+			t.released = t.released.Add(r.Frees)
+		}
+		t.releasedKnown = true
+	}
+	return amount.Fits(t.Headroom.Add(t.released))
+}
