dispatch: steps without room leave the cap to other steps

Callers of a team saw jobs wait although the cap and idle workers had room for them. A pass considers as many steps of a team as take the headroom of its cap twice. Steps ahead in the queue that wait for full workers, such as those with a rare label, stood for all of it in each pass, and the steps behind them were not considered.

Steps for which no open worker that policy may allow has room now are counted on their own, also twice the headroom: advice, reservations and preemptions are still decided for them. The bound on a backlog is four times the headroom in place of two. What starts is still limited by the headroom itself.

TestStepsWithoutRoomLeaveTheQuotaToOthers is new; it fails if all steps count as having room, and its second case if policy is left out.

--- a/dispatch/shape.go
+++ b/dispatch/shape.go
@@ -26,6 +26,25 @@
 	return slices.ContainsFunc(workers, func(w Worker) bool { return w.Open && s.Needs.Fits(w.Free) && s.matches(&w) })
 }
 
+// HasRoomFor reports whether a number of tasks of the shape fits on open workers now. Workers
+// that are left out do not count.
+func (s Shape) HasRoomFor(tasks int, workers []Worker, leftOut func(worker int) bool) bool {
+	for i := range workers {
+		w := &workers[i]
+		if !w.Open || !s.Needs.Fits(w.Free) || !s.matches(w) || leftOut(i) {
+			continue
+		}
+		most := tasks
+		if s.MaxPerWorker > 0 {
+			most = min(most, s.MaxPerWorker)
+		}
+		if tasks -= timesIn(s.Needs, w.Free, most); tasks <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Slots returns how many tasks of the shape the workers hold if nothing else runs on them.
 // It counts up to enough.
 func (s Shape) Slots(workers []Worker, enough int) int {
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -28,11 +28,9 @@
 	// ones only spare, what remains beside the gang.
 	reservedFrom time.Time
 	spare        lovagestand.Resources
-	// selectable is the part of the headroom that the selected steps leave in the round
-	// selectionRound; it is set once selecting is. See [Team.Selects].
-	selectable     lovagestand.Resources
-	selectionRound int
-	selecting      bool
+	// withRoom and withoutRoom are the selections of the steps for which workers have room
+	// and of the others. See [Team.Selects].
+	withRoom, withoutRoom selection
 	// released is what the runs of the team release; it is set once releasedKnown is.
 	released      lovagestand.Resources
 	releasedKnown bool
@@ -162,29 +160,33 @@
 // a pass considers, because some of them find no worker.
 const selectionRounds = 2
 
+// selection is what the steps of a team that were selected leave of its headroom.
+type selection struct {
+	// left is the part of the headroom that they leave in the round; it is set once begun is.
+	left  lovagestand.Resources
+	round int
+	begun bool
+}
+
 // Selects reports whether a pass should consider a step of the team. It is called for the
 // steps of the pass in their order, and bounds the steps of a long backlog to those that
 // the headroom may have room for. Otherwise they would take the place of other teams'
-// steps in the pass.
-func (t *Team) Selects(needs lovagestand.Resources, tasks int, gang bool) bool {
+// steps in the pass. Steps for which workers have no room are bounded on their own: the
+// headroom is left to others until they have.
+func (t *Team) Selects(needs lovagestand.Resources, tasks int, gang, hasRoom bool) bool {
 	if !t.limited() {
 		return true
 	}
-	if !t.selecting {
-		t.selectable, t.selecting = *t.Headroom, true
-	}
 	least := needs
 	if gang {
 		least = needs.Times(int64(tasks))
 	}
-	if t.fits(least) {
-		if !least.Fits(t.selectable) && t.selectionRound+1 < selectionRounds {
-			t.selectable, t.selectionRound = *t.Headroom, t.selectionRound+1
-		}
-		if least.Fits(t.selectable) {
-			t.selectable = t.selectable.Sub(needs.Times(int64(tasksIn(t.selectable, needs, tasks))))
-			return true
-		}
+	chosen := &t.withoutRoom
+	if hasRoom {
+		chosen = &t.withRoom
+	}
+	if t.fits(least) && chosen.take(*t.Headroom, least, needs, tasks) {
+		return true
 	}
 	if gang && !t.gangSelected && t.mayFit(least) {
 		// Room in the quota may be reserved for the first gang.
@@ -195,6 +197,22 @@
 	return false
 }
 
+// take takes what a step may use from the headroom. It returns false if the headroom has been
+// taken selectionRounds times.
+func (c *selection) take(headroom, least, needs lovagestand.Resources, tasks int) bool {
+	if !c.begun {
+		c.left, c.begun = headroom, true
+	}
+	if !least.Fits(c.left) && c.round+1 < selectionRounds {
+		c.left, c.round = headroom, c.round+1
+	}
+	if !least.Fits(c.left) {
+		return false
+	}
+	c.left = c.left.Sub(needs.Times(int64(tasksIn(c.left, needs, tasks))))
+	return true
+}
+
 // mayFit reports whether the headroom will have room for an amount once the runs of the team
 // have ended. It may not if the quota was lowered.
 func (t *Team) mayFit(amount lovagestand.Resources) bool {
--- a/shard/endlesswaits_internal_test.go
+++ b/shard/endlesswaits_internal_test.go
@@ -75,3 +75,37 @@
 		c.Assert(asked, qt.Equals, 1, qt.Commentf("%s: the far client is idle", e.id))
 	})
 }
+
+// TestStepsWithoutRoomLeaveTheQuotaToOthers guards against steps that stand for the headroom
+// of their team in each pass although no worker has room for them, or none that policy allows.
+func TestStepsWithoutRoomLeaveTheQuotaToOthers(t *testing.T) {
+	for name, block := range map[string]func(w *whereShard, e *jobEntry){
+		"the workers are full": func(_ *whereShard, e *jobEntry) { e.progress.JobStep(0).Label = "rare" },
+		"policy allows full workers only": func(w *whereShard, e *jobEntry) {
+			st := e.step(job.StepRef{})
+			st.advised, st.decided[w.workers["w0"]], st.decided[w.workers["w1"]] = true, true, true
+			st.setTicket(w.workers["w0"], ticket{until: time.Now().Add(time.Minute)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWhereShard(2)
+				w.Shard.deps.Fleet = startingFleet{}
+				w.setCap(2)
+				w.workers["w0"].info.Labels = []string{"rare"}
+				w.run("w0", "b", 4, time.Hour)
+				for i := range 5 {
+					j := whereJob(100+i, 0, job.Step{Count: 1, Needs: cores(1), Estimate: time.Second})
+					j.Policy.Advice = job.AdvicePolicy{FixedDuration: 50 * time.Millisecond, Validity: time.Minute}
+					block(w, w.add(j))
+				}
+				last := w.add(w.job)
+				w.plan()
+				c.Assert(last.active, qt.HasLen, 1)
+				w.cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/shard/quota.go
+++ b/shard/quota.go
@@ -124,6 +124,7 @@
 	var t *passTeam
 	var limit *lovagestand.Resources
 	team := lovagestand.TeamName("")
+	rooms := map[slotsKey]bool{}
 	for i := range p.waiting {
 		w := &p.waiting[i]
 		if w.entry.team == "" {
@@ -147,13 +148,29 @@
 		if limit != nil && !least.Fits(*limit) {
 			t.tooLarge += w.tasks
 		}
-		if t.Selects(w.needs, w.tasks, w.gang) {
+		if t.Selects(w.needs, w.tasks, w.gang, limit == nil || p.hasRoom(w, rooms)) {
 			p.ordered = append(p.ordered, *w)
 		}
 	}
 	p.waiting, p.ordered = p.ordered, p.waiting
 }
 
+// hasRoom reports whether open workers that policy may allow have room for a task of a step, or
+// for all of a gang. The answers for all workers are kept in rooms.
+func (p *pass) hasRoom(w *waitingStep, rooms map[slotsKey]bool) bool {
+	key := slotsKey{shape: shapeOf(w.entry, w.step), tasks: w.step.MinStart()}
+	room, known := rooms[key]
+	if !known {
+		room = key.shape.HasRoomFor(key.tasks, p.dispatchWorkers, func(int) bool { return false })
+		rooms[key] = room
+	}
+	st := w.entry.steps[w.ref]
+	if !room || st == nil || len(st.decided) == 0 {
+		return room
+	}
+	return key.shape.HasRoomFor(key.tasks, p.dispatchWorkers, func(i int) bool { return st.denies(p.workers[i]) })
+}
+
 // teamOf returns a team of the pass, and adds it with its headroom below a limit if it is
 // missing. A nil limit stands for no quota.
 func (s *Shard) teamOf(p *pass, team lovagestand.TeamName, limit *lovagestand.Resources) *passTeam {
