shard: jobs do not go back to where policy does not allow them

A job that policy does not allow in one shard, and whose workers do not answer in the other, went back and forth: 7 moves in a minute with two shards. The move away from workers that are absent looked only at the lists of workers, and so chose the shard that the job had left because of policy. That shard is left out now; the job waits for the workers that may run it.

TestJobWaitsForAnAbsentWorkerWherePolicyMayAllowIt failed before. The counters in the tests of moves are atomic: go test -race reported the one of TestJobThatPolicyAllowsNowhereStopsMoving.

--- a/shard/endlesswaits_test.go
+++ b/shard/endlesswaits_test.go
@@ -154,9 +154,9 @@
 				c := qt.New(t)
 				first, second := newMovingShards(c)
 				defer func() { first.current().stop(); second.current().stop() }()
-				moves := 0
+				var moves atomic.Int64
 				for _, m := range []*movingShard{first, second} {
-					m.beforeReceive = func() { moves++ }
+					m.beforeReceive = func() { moves.Add(1) }
 					m.advice = allowing("new")
 				}
 				c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
@@ -170,7 +170,7 @@
 						second.replaceOwner()
 					}
 				}
-				c.Assert(moves > 0 && moves <= 2, qt.IsTrue, qt.Commentf("%d moves between two shards", moves))
+				c.Assert(moves.Load() > 0 && moves.Load() <= 2, qt.IsTrue, qt.Commentf("%d moves between two shards", moves.Load()))
 				for _, m := range []*movingShard{first, second} {
 					m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
 						return append(workers, m.fleet.Add("new", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
@@ -193,10 +193,10 @@
 				c := qt.New(t)
 				first, second := newMovingShards(c)
 				defer func() { first.current().stop(); second.current().stop() }()
-				moves := 0
+				var moves atomic.Int64
 				shards := []*movingShard{first, second}
 				for _, m := range shards {
-					m.beforeReceive = func() { moves++ }
+					m.beforeReceive = func() { moves.Add(1) }
 					silent := m.fleet.Add("w9", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
 					silent.Labels = []string{"d"}
 					m.fleet.SetUnreachable("w9", true)
@@ -204,7 +204,7 @@
 				}
 				first.current().submit(c, id(1), job.Step{Count: 2, Label: "d"})
 				time.Sleep(time.Minute)
-				c.Assert(moves > 0 && moves <= 6, qt.IsTrue, qt.Commentf("%d moves in a minute", moves))
+				c.Assert(moves.Load() > 0 && moves.Load() <= 6, qt.IsTrue, qt.Commentf("%d moves in a minute", moves.Load()))
 				shards[answering].fleet.SetUnreachable("w9", false)
 				time.Sleep(3 * time.Minute)
 				c.Assert(shards[answering].fleet.Starts(), qt.Equals, 2)
@@ -234,3 +234,28 @@
 		c.Assert(second.fleet.Starts(), qt.Equals, 2)
 	})
 }
+
+// TestJobWaitsForAnAbsentWorkerWherePolicyMayAllowIt guards against a job that moves back and
+// forth between a shard in which policy does not allow it and one whose workers do not answer.
+func TestJobWaitsForAnAbsentWorkerWherePolicyMayAllowIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		var moves atomic.Int64
+		first.beforeReceive, second.beforeReceive = func() { moves.Add(1) }, func() { moves.Add(1) }
+		first.advice, second.advice = allowing(), allowing("w0", "w1")
+		second.fleet.SetUnreachable("w0", true)
+		second.fleet.SetUnreachable("w1", true)
+		time.Sleep(15 * time.Second)
+		c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
+			Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
+			Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
+		}, Steps: []job.Step{{Count: 1}}}), qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Assert(moves.Load(), qt.Equals, int64(1))
+		second.fleet.SetUnreachable("w0", false)
+		time.Sleep(10 * time.Second)
+		c.Assert(second.fleet.Starts(), qt.Equals, 1)
+	})
+}
--- a/shard/move.go
+++ b/shard/move.go
@@ -107,6 +107,7 @@
 	if !blocked || p.now.Sub(m.blockedSince) < moveAfter || p.now.Before(m.retryAt) {
 		return
 	}
+	var without []string
 	reason, message := moveSinceUnplaceable, "job is being moved: no worker of the shard can hold it"
 	switch {
 	case p.unplaceableFor(e, causeDenied):
@@ -116,9 +117,10 @@
 		if p.now.Sub(m.blockedSince) < moveAfter<<min(m.count, maxMovePauseDoublings) {
 			return
 		}
+		without = m.deniedIn
 		reason, message = moveSinceAbsent, "job is being moved: the workers of the shard that can hold it do not answer or are closed"
 	}
-	target, ok := s.moveTarget(p, e)
+	target, ok := s.moveTarget(p, e, without)
 	if !ok {
 		m.retryAt = p.now.Add(moveAfter)
 		return
@@ -196,12 +198,13 @@
 	s.deps.Recorder.Count("moves", target+"."+reason)
 }
 
-// moveTarget returns a shard whose workers can hold the waiting steps of a job, another one
-// after each move if there are several. It prefers the shards that can hold all of its steps.
-func (s *Shard) moveTarget(p *pass, e *jobEntry) (string, bool) {
+// moveTarget returns a shard, without some, whose workers can hold the waiting steps of a job,
+// another one after each move if there are several. It prefers the shards that can hold all of
+// its steps.
+func (s *Shard) moveTarget(p *pass, e *jobEntry, without []string) (string, bool) {
 	var waiting, whole []string
 	for name, workers := range s.otherShards {
-		if slices.Contains(e.move.refusedBy, name) {
+		if slices.Contains(e.move.refusedBy, name) || slices.Contains(without, name) {
 			continue
 		}
 		if holdsAll(workers, e, p.unplaceableSteps(e)) {
