shard: a refused start does not end the wait of a gang

A gang of which one worker refuses the start waited as if it were new: its wait was cleared when it was placed, and it lost its turn. The wait goes on if a task was placed and has not started, and no other task of the step runs; members of a gang are all stopped then. No test of its own.

--- a/shard/ending.go
+++ b/shard/ending.go
@@ -22,7 +22,19 @@
 	p.entry.active[p.name] = p
 	st := p.entry.step(p.ref())
 	st.placed[p.worker.info.Name]++
-	st.waitingSince = time.Time{}
+	p.waitingSince, st.waitingSince = st.waitingSince, time.Time{}
+}
+
+// resumeWait lets the wait of a step go on if a task of it was placed and has not started, and
+// no other task of the step runs. All members of a gang are stopped in this case.
+func (s *Shard) resumeWait(p *placement) {
+	step := p.entry.progress.JobStep(p.task.Step)
+	if p.started || p.waitingSince.IsZero() || !step.Gang && len(p.entry.active) > 0 {
+		return
+	}
+	if st := p.entry.step(p.ref()); st.waitingSince.IsZero() || p.waitingSince.Before(st.waitingSince) {
+		st.waitingSince = p.waitingSince
+	}
 }
 
 // releaseRoom removes a placement from its worker and its job, and frees its room.
@@ -60,6 +72,7 @@
 	s.clearSuspicion(p.entry, p.task, p.run)
 	if current && p.entry.progress != nil {
 		p.entry.progress.Requeue(p.task, p.run, p.checkpoint)
+		s.resumeWait(p)
 		s.stopGang(p)
 	}
 	s.wake()
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -168,6 +168,7 @@
 	placedAt        time.Time // when the run was ordered, or adopted
 	born            int64     // the incarnation of the worker that was ordered to start it
 	started         bool      // whether the worker has confirmed the start
+	waitingSince    time.Time // since when the step had waited
 	expectedRunTime time.Duration
 	// farFactor is the factor in expectedRunTime that stands for a run elsewhere than near;
 	// 0 for all other runs.
