dispatch, shard: several loaded shards share the room of another one

Two faults of the moves for the load, found by the reviewer. Owners decide independently: six full shards that saw the same empty one sent it 4.5 times its capacity, after which the jobs would move no more. Each now uses its part of the room, or sends one job. And what the caps of teams hold back counted as demand of the other shard, although it leaves the room free: a capped backlog in a shard with 7 of 8 cores free kept a job in a full one for 30 s. Tests: TestShardsShareTheRoomOfAnother, TestCappedBacklogDoesNotHideRoom, which failed before.

--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -122,6 +122,9 @@
 	// Jobs holds all jobs with waiting tasks, by rank.
 	Jobs   []WaitingJob
 	Others []OtherShard
+	// Senders is the number of shards that may send jobs to each of the others at the same
+	// time; 0 counts as 1. Each uses its part of the room there, or sends one job.
+	Senders int64
 }
 
 // BalanceMove is the decision to move a job.
@@ -161,6 +164,7 @@
 		}
 		moves = append(moves, BalanceMove{Job: i, To: best.index, OwnUse: ownUse, ToUse: best.load.Use(needs)})
 		best.add(j.Steps)
+		best.sent, best.budget = true, best.budget.Sub(needs)
 		own.Waiting = own.Waiting.Sub(needs)
 	}
 	return moves
@@ -208,6 +212,9 @@
 	workers []Worker
 	// lacking holds for how many tasks of a shape there is no room.
 	lacking map[Shape]int
+	// budget is the part of the room that is left for the shard, given what it has sent.
+	budget lovagestand.Resources
+	sent   bool
 }
 
 // targets returns the shards whose loads are recent.
@@ -225,6 +232,8 @@
 			}
 		}
 		t.add(o.Sent)
+		room, senders := t.load.Free.Sub(t.load.Waiting), max(1, b.Senders)
+		t.budget = lovagestand.Resources{MilliCPU: room.MilliCPU / senders, MemoryMiB: room.MemoryMiB / senders, Accelerators: room.Accelerators / senders}
 		targets = append(targets, t)
 	}
 	return targets
@@ -247,7 +256,7 @@
 // hasRoom reports whether there is room for a job, targetRoomFactor times and on the share
 // of the workers that policy usually allows.
 func (t *balanceTarget) hasRoom(j *WaitingJob, needs lovagestand.Resources) bool {
-	if !needs.Times(targetRoomFactor).Fits(t.load.Free.Sub(t.load.Waiting)) {
+	if !needs.Times(targetRoomFactor).Fits(t.load.Free.Sub(t.load.Waiting)) || t.sent && !needs.Fits(t.budget) {
 		return false
 	}
 	return !slices.ContainsFunc(j.Steps, func(step WaitingTasks) bool {
--- a/dispatch/balance_test.go
+++ b/dispatch/balance_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/dispatch"
 )
 
@@ -93,3 +94,22 @@
 	empty := dispatch.ShardLoad{Capacity: cores(3200), Free: cores(3200), Rooms: []dispatch.WorkerRoom{{Free: cores(32), Workers: 100}}}
 	c.Assert(dispatch.Balance(dispatch.Balancing{Own: loadOf(0, 0), Jobs: jobs, Others: []dispatch.OtherShard{{Load: empty}}}), qt.HasLen, 16)
 }
+
+// TestShardsShareTheRoomOfAnother guards against six full shards that see the same empty one at
+// the same time and fill it several times over.
+func TestShardsShareTheRoomOfAnother(t *testing.T) {
+	c := qt.New(t)
+	capacity := cores(275 * 32)
+	target := dispatch.OtherShard{Name: "empty", Load: dispatch.ShardLoad{Capacity: capacity, Free: capacity, Rooms: []dispatch.WorkerRoom{{Free: cores(32), Workers: 275}}}}
+	var sent lovagestand.Resources
+	for range 6 {
+		b := dispatch.Balancing{Own: dispatch.ShardLoad{Capacity: capacity}, Others: []dispatch.OtherShard{target}, Senders: 6}
+		for range 30 {
+			b.Jobs = append(b.Jobs, dispatch.WaitingJob{Steps: []dispatch.WaitingTasks{{Shape: dispatch.Shape{Needs: cores(15)}, Tasks: 40}}, Waited: 6 * time.Second, Movable: true, AllowedShare: 0.35})
+		}
+		for _, m := range dispatch.Balance(b) {
+			sent = sent.Add(b.Jobs[m.Job].Needs())
+		}
+	}
+	c.Check(sent.MilliCPU <= capacity.MilliCPU, qt.IsTrue, qt.Commentf("%.2f of the capacity was sent there", float64(sent.MilliCPU)/float64(capacity.MilliCPU)))
+}
--- a/shard/balance.go
+++ b/shard/balance.go
@@ -74,7 +74,6 @@
 	longest := time.Duration(0)
 	for i := range p.waiting {
 		w := &p.waiting[i]
-		b.waiting = b.waiting.Add(w.needs.Times(int64(w.tasks)))
 		m := &w.entry.move
 		if len(w.entry.heldRuns) > 0 || len(w.entry.active) > 0 {
 			continue
@@ -90,6 +89,14 @@
 	}
 }
 
+// recordDemand records what the waiting steps need that the caps of their teams leave to
+// start. Others would not use the room in this shard.
+func (s *Shard) recordDemand(p *pass) {
+	for i := range p.waiting {
+		s.balancer.waiting = s.balancer.waiting.Add(p.waiting[i].needs.Times(int64(p.waiting[i].tasks)))
+	}
+}
+
 // queryLoads begins a round of queries, unless one is pending or has just begun.
 func (s *Shard) queryLoads(now time.Time) {
 	b := &s.balancer
@@ -139,7 +146,7 @@
 	}
 	b.fresh = false
 	entries, jobs := s.waitingJobs(p)
-	input := dispatch.Balancing{Own: s.ownLoad(p), Soon: s.releasedSoon(p), Jobs: jobs, Others: s.otherLoads(p.now)}
+	input := dispatch.Balancing{Own: s.ownLoad(p), Soon: s.releasedSoon(p), Jobs: jobs, Others: s.otherLoads(p.now), Senders: int64(len(s.otherShards))}
 	for _, d := range dispatch.Balance(input) {
 		e, other := entries[d.Job], &input.Others[d.To]
 		e.move.tasks = jobs[d.Job].Steps
--- a/shard/balance_test.go
+++ b/shard/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -316,3 +317,35 @@
 		c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 3*8+4)
 	})
 }
+
+// TestCappedBacklogDoesNotHideRoom guards against jobs that stay in a full shard because of
+// what cannot start in another one: a backlog that its team's cap holds back waits in a shard that is
+// empty but for two cores. It counts as demand there, so that no job moves to the free room.
+func TestCappedBacklogDoesNotHideRoom(t *testing.T) {
+	teams := shard.Teams{Version: 1, Enabled: true, Policies: map[lovagestand.TeamName]lovagestand.TeamPolicy{
+		"capped": {Team: "capped", Weight: 1, Quota: &lovagestand.Resources{MilliCPU: 1000, MemoryMiB: 1 << 30, Accelerators: 1 << 30}},
+		"free":   {Team: "free", Weight: 1},
+	}}
+	for name, backlog := range map[string]int{"without": 0, "with": 40} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				first, second := newLoadedShards(c, func(d *shard.Deps) { d.Teams = func() (shard.Teams, bool) { return teams, true } })
+				defer func() { first.current().stop(); second.current().stop() }()
+				j := job.Job{ID: job.ID(id(50)), Team: "capped", Policy: job.Policy{Route: "filler", MaxAttempts: 2, Stretch: 2, Target: time.Second}}
+				for n := range backlog {
+					j.ID = job.ID(id(50 + n))
+					j.Steps = []job.Step{{Count: 1, Needs: needs(lovagestand.Order{}), Estimate: fillerRunTime}}
+					c.Assert(second.current().submitJob(j), qt.IsNil)
+				}
+				free := job.Job{ID: job.ID(id(1)), Team: "free", Policy: job.Policy{Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second}, Steps: []job.Step{{Count: 2, Gang: true}}}
+				time.Sleep(2 * time.Second)
+				c.Assert(first.current().submitJob(free), qt.IsNil)
+				time.Sleep(30 * time.Second)
+				phase, err := first.current().Shard.State(c.Context(), free.ID, free.Team)
+				var unknown *shard.UnknownJobError
+				c.Check(errors.As(err, &unknown), qt.IsTrue, qt.Commentf("it is %s in the full shard after 30 s; the other has 7 of 8 cores free", phase))
+			})
+		})
+	}
+}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -220,6 +220,7 @@
 	}
 	s.balance(p)
 	s.selectWithinQuotas(p)
+	s.recordDemand(p)
 	s.explainHeld(p)
 	load := s.load(p)
 	s.passNumber++
