--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -60,7 +60,7 @@
 			return
 		}
 		workers, start := p.reserve(s)
-		if s.firstTurn && workers == nil {
+		if s.firstTurn > 0 && workers == nil {
 			p.requestFurtherAdvice(index, s)
 			return
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -122,8 +122,9 @@
 	// Waited is for how long tasks of the step could have started and none has.
 	Waited time.Duration
 
-	// firstTurn indicates that the step is decided before others; see grantFirstTurns.
-	firstTurn bool
+	// firstTurn is the place of the step among those that are decided before others, from 1;
+	// 0 if it is not. See grantFirstTurns.
+	firstTurn int
 	// number identifies the step in the pass; it starts at 1.
 	number int
 	// class is the class of workers on which a gang runs.
@@ -323,7 +324,7 @@
 	p.requestIdleAdvice(order)
 	for i := range p.decisions {
 		d := &p.decisions[i]
-		d.FirstTurn = len(d.Workers) > 0 && p.Steps[d.Step].firstTurn
+		d.FirstTurn = len(d.Workers) > 0 && p.Steps[d.Step].firstTurn > 0
 	}
 	return p.decisions
 }
@@ -335,7 +336,7 @@
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(steps[a].turn(), steps[b].turn()), cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[a].deferral, steps[b].deferral), cmp.Compare(steps[b].Score, steps[a].Score))
+		return cmp.Or(cmp.Compare(steps[a].turn(), steps[b].turn()), cmp.Compare(steps[a].firstTurn, steps[b].firstTurn), cmp.Compare(steps[a].Tier, steps[b].Tier), cmp.Compare(steps[a].deferral, steps[b].deferral), cmp.Compare(steps[b].Score, steps[a].Score))
 	})
 	return order
 }
@@ -388,6 +389,10 @@
 		p.reserveQuota(&p.Steps[index], p.Now)
 		return
 	}
+	if s.firstTurn > 0 {
+		// The rest of a step that is no gang waits for its turn.
+		s = s.atOnce()
+	}
 	if s.NeedsTickets && s.Candidates == nil {
 		if len(s.AdvicePending) == 0 && p.mayRequestAdvice(s) && s.Team.admitAdvice(s) {
 			p.requestAdvice(index, p.initialAdvice(s))
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -22,7 +22,7 @@
 	switch {
 	case len(s.Held) > 0 && len(s.AdvicePending) == 0:
 		return 0
-	case s.firstTurn:
+	case s.firstTurn > 0:
 		return 1
 	}
 	return 2
@@ -48,7 +48,7 @@
 // preemption may be used, since runs were stopped for it, and short tasks need not wait,
 // since they give the room back before a burst is over.
 func (p *planner) leavesNoHeadroom(s *Step) bool {
-	if !s.Expired || p.ExpiredHeadroom <= 0 || p.idle || s.firstTurn || len(s.Kept) > 0 || s.RunTime <= shortRunTime {
+	if !s.Expired || p.ExpiredHeadroom <= 0 || p.idle || s.firstTurn > 0 || len(s.Kept) > 0 || s.RunTime <= shortRunTime {
 		return false
 	}
 	needs := s.Needs.MilliCPU
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -19,7 +19,7 @@
 // soonest, and returns them with the expected start. It returns none if it reserves
 // nothing.
 func (p *planner) reserve(s *Step) ([]int, time.Time) {
-	if s.firstTurn {
+	if s.firstTurn > 0 {
 		return p.reserveFirst(s)
 	}
 	if !s.Gang || p.reservations <= 0 {
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -38,9 +38,6 @@
 	// queue if there are more than maxStepsPerPass. A pass that has started nothing is
 	// followed by such a pass at once.
 	wholeQueueInterval = 8
-	// firstTurnPause is the pause after a step was decided before others because it has
-	// waited long.
-	firstTurnPause = time.Second
 	// expiredHeadroom is the fraction of the processors that jobs too late to be of use
 	// leave free.
 	expiredHeadroom = 0.2
@@ -235,7 +232,7 @@
 		d := &decisions[i]
 		w := &p.waiting[d.Step]
 		if d.FirstTurn {
-			s.firstTurnPausedUntil = p.now.Add(firstTurnPause)
+			s.firstTurnPausedUntil = p.now.Add(dispatch.FirstTurnPause(w.needs.Times(int64(len(d.Workers))), w.runTime, p.capacity()))
 			s.deps.Recorder.Count("firstTurns", string(w.entry.route))
 			s.log.Info().Str("step", w.entry.progress.Job().StepName(w.ref.Occurrence, w.ref.Step)).Int("tasks", len(d.Workers)).Dur("waited", w.waited(p.now)).Msg("step starts before others because it has waited long")
 		}
@@ -268,6 +265,15 @@
 	s.collectWorkers(p)
 }
 
+// capacity returns the capacity of all workers.
+func (p *pass) capacity() lovagestand.Resources {
+	var sum lovagestand.Resources
+	for i := range p.dispatchWorkers {
+		sum = sum.Add(p.dispatchWorkers[i].Capacity)
+	}
+	return sum
+}
+
 // sortByScore sorts the waiting steps by score, highest first, and then by job.
 func (p *pass) sortByScore() {
 	p.keys = p.keys[:0]
