dispatch: steps that never start do not keep others from the first turn

The steps of the 32 oldest jobs were looked at, so that 32 gangs that need the room of long-running tasks kept the turn from all others for good; found on reading. All are looked at now, and a start is searched for only where the turn may be granted. TestFirstTurnBehindStepsThatNeverStart failed before. A gang with locality reserves one rack in its first turn, as in any other reservation (reading, no test).

--- a/dispatch/firstturn.go
+++ b/dispatch/firstturn.go
@@ -29,8 +29,6 @@
 	maxEarlyTurns    = 2
 	firstTurnHorizon = 30 * time.Second
 	maxFirstTurnWait = time.Hour
-	// maxTurnCandidates bounds the steps of the longest waits for which room is looked for.
-	maxTurnCandidates = 32
 	// Tasks that fill the workers reserved for a first turn must end in the time until its
 	// expected start, divided by overrunFactor, since runs may take longer than expected, and
 	// fillMargin before.
@@ -41,8 +39,8 @@
 // grantFirstTurns selects the steps that are decided before all others. It answers the load of
 // a step that needs much room at one time, such as a wide gang, below a stream of steps of
 // higher rank: these take each part of the room as it becomes free, and the tickets of the
-// gang expire before it is complete. Those of the oldest jobs go first, so that the number of steps
-// that overtake any step is bounded.
+// gang expire before it is complete. Those of the oldest jobs go first, so that the number of
+// steps that overtake any step is bounded.
 func (p *planner) grantFirstTurns() {
 	var waiting []int
 	for i := range p.Steps {
@@ -65,7 +63,7 @@
 	if !p.FirstTurnPaused {
 		turns.loaded = 1
 	}
-	for _, i := range waiting[:min(len(waiting), maxTurnCandidates)] {
+	for _, i := range waiting {
 		p.grantFirstTurn(&turns, &p.Steps[i])
 	}
 }
@@ -87,16 +85,24 @@
 	if ample && !p.needsMuchAtOnce(s) || !ample && s.Waited < maxOvertakenLoaded {
 		return
 	}
+	mayStartSoon := t.loaded > 0
+	if ample {
+		mayStartSoon = !t.started || s.leastNeeds().Fits(t.room)
+	}
+	// It is costly to look for a start.
+	if !mayStartSoon && t.early == 0 {
+		return
+	}
 	start := p.startOf(s)
 	switch {
 	case start == startsLate && t.early > 0:
 		t.early--
-	case start == startsSoon && ample && (!t.started || s.leastNeeds().Fits(t.room)):
+	case start != startsSoon || !mayStartSoon:
+		return
+	case ample:
 		t.started, t.room = true, t.room.Sub(s.leastNeeds())
-	case start == startsSoon && !ample && t.loaded > 0:
-		t.loaded--
 	default:
-		return
+		t.loaded--
 	}
 	t.granted++
 	s.firstTurn = t.granted
@@ -200,10 +206,14 @@
 // is expected to start. Other tasks may use them in the meantime, but not until the expected
 // start, since each that runs longer than expected would delay it again.
 func (p *planner) reserveFirst(s *Step) ([]int, time.Time) {
-	workers, start := p.earliestStart(s.atOnce(), p.eligible(s, false))
+	eligible := p.eligible(s, false)
+	workers, start := p.earliestStart(s.atOnce(), eligible)
 	if workers == nil {
 		return nil, time.Time{}
 	}
+	if s.Gang && s.Locality != nil {
+		workers, start = p.preferRack(s, eligible, workers, start)
+	}
 	until := p.Now.Add(max(0, start.Sub(p.Now)/overrunFactor-fillMargin))
 	for _, i := range workers {
 		p.reserveOn(i, s.Needs, until)
--- a/dispatch/firstturn_test.go
+++ b/dispatch/firstturn_test.go
@@ -11,9 +11,7 @@
 )
 
 // TestFirstTurnLeavesScarceAccelerators guards against a late step that goes before an urgent
-// one because much else is free: all accelerators but one are in use, and most processors are free. Late
-// steps that need half of a worker's accelerators go before an urgent one without a bound, since
-// "much room is free" is judged by processors alone.
+// one because much else is free: all accelerators but one are in use, most processors are not.
 func TestFirstTurnLeavesScarceAccelerators(t *testing.T) {
 	c := qt.New(t)
 	gpu := lovagestand.Resources{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1}
@@ -114,6 +112,29 @@
 	c.Check(decisions[2].Workers, qt.HasLen, 20, qt.Commentf("first: %d tasks", len(decisions[0].Workers)))
 }
 
+// TestFirstTurnBehindStepsThatNeverStart guards against a gang behind many older ones that
+// need the room of long-running tasks.
+func TestFirstTurnBehindStepsThatNeverStart(t *testing.T) {
+	c := qt.New(t)
+	workers := emptyWorkers(100)
+	for i := 50; i < 100; i++ {
+		workers[i].Free = cores(0)
+	}
+	releases := func(i int) []dispatch.Release {
+		if i < 50 {
+			return nil
+		}
+		return []dispatch.Release{{At: now.Add(24 * time.Hour), Frees: cores(32)}}
+	}
+	steps := []dispatch.Step{{Tasks: 50, Needs: cores(20), RunTime: time.Second, Score: 1}}
+	for range 200 {
+		steps = append(steps, dispatch.Step{Tasks: 60, Needs: cores(20), Gang: true, RunTime: time.Second, Score: 0.002, Waited: time.Hour})
+	}
+	steps = append(steps, dispatch.Step{Tasks: 40, Needs: cores(20), Gang: true, RunTime: time.Second, Score: 0.001, Waited: time.Minute})
+	decisions := decisionsBy(dispatch.Plan(dispatch.Load{Now: now, Workers: workers, Steps: steps, Releases: releases}), len(steps))
+	c.Check(decisions[201].Workers, qt.HasLen, 40)
+}
+
 // TestFirstTurnIsNotHeldWithoutAdvice guards against the same: a gang whose policy service never answers holds the turn.
 func TestFirstTurnIsNotHeldWithoutAdvice(t *testing.T) {
 	c := qt.New(t)
