shard: a job returns to a shard that policy denied while its workers were away

The job left its shard when 3 of its 16 workers were listed and policy allowed none of them, went through all shards while their workers were away, and returned to one that allows 5 of 16 where 6 are needed; its record kept it from the others, where 8 are allowed.

The record now holds the number of workers of each shard that the job has left, and the job may return to those that have more since. TestJobReturnsToAShardThatPolicyDenied- WhileItsWorkersWereAway failed before.

--- a/job/record.go
+++ b/job/record.go
@@ -31,8 +31,9 @@
 	// is being moved to or, if Finished is set, was moved to; empty otherwise.
 	Moves   int    `json:"moves,omitempty"`
 	MovedTo string `json:"movedTo,omitempty"`
-	// DeniedIn holds the shards on whose workers policy does not allow the job to run.
-	DeniedIn []string `json:"deniedIn,omitempty"`
+	// DeniedIn holds the shards on whose workers policy does not allow the job to run, with
+	// the number of their workers when the job left them.
+	DeniedIn map[string]int `json:"deniedIn,omitempty"`
 	// Generation is the generation of the owner that accepted the job. It is not set or
 	// used at present.
 	Generation int64        `json:"generation,omitempty"`
--- a/shard/balance.go
+++ b/shard/balance.go
@@ -179,8 +179,9 @@
 
 // waitingJob describes a job without its steps.
 func (s *Shard) waitingJob(p *pass, e *jobEntry) dispatch.WaitingJob {
+	denied := s.stillDenied(e, e.progress.Job().Steps)
 	j := dispatch.WaitingJob{Movable: s.movableForLoad(p, e), AllowedShare: 1, MayMoveTo: func(name string) bool {
-		return !slices.Contains(e.move.refusedBy, name) && !slices.Contains(e.move.deniedIn, name) && holdsAll(s.otherShards[name], e, e.progress.Job().Steps)
+		return !slices.Contains(e.move.refusedBy, name) && !slices.Contains(denied, name) && holdsAll(s.otherShards[name], e, e.progress.Job().Steps)
 	}}
 	if e.move.waitingPass == s.balancer.passes {
 		j.Waited = p.now.Sub(e.move.waitingSince)
--- a/shard/endlesswaits_test.go
+++ b/shard/endlesswaits_test.go
@@ -186,6 +186,36 @@
 	}
 }
 
+// TestJobReturnsToAShardThatPolicyDeniedWhileItsWorkersWereAway guards against a job that waits
+// for good where policy denies it, because another shard had too few workers for a time.
+func TestJobReturnsToAShardThatPolicyDeniedWhileItsWorkersWereAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		first, second := newMovingShards(c)
+		defer func() { first.current().stop(); second.current().stop() }()
+		join := func(m *movingShard, name lovagestand.WorkerName) {
+			m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+				return append(workers, m.fleet.Add(name, lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
+			})
+		}
+		join(first, "third")
+		first.advice, second.advice = allowing("w0"), allowing("w0", "back-1", "back-2")
+		time.Sleep(2 * time.Second)
+		c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
+			Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
+			Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
+		}, Steps: []job.Step{{Count: 8, Gang: true}}}), qt.IsNil)
+		time.Sleep(20 * time.Second)
+		assertPhase(c, first.current(), id(1), "queued")
+		second.assertUnknown(c, id(1))
+		join(second, "back-1")
+		join(second, "back-2")
+		time.Sleep(10 * time.Second)
+		c.Assert(second.fleet.Starts(), qt.Equals, 8)
+		assertPhase(c, second.current(), id(1), "completed")
+	})
+}
+
 // TestJobFindsTheWorkerThatAnswers guards against a job that waits in one shard for a worker
 // that never answers while that of the other shard does, and against one that moves all the
 // time while neither does.
--- a/shard/move.go
+++ b/shard/move.go
@@ -68,8 +68,9 @@
 	// refusedBy holds the shards in which the ID belongs to a job of another team.
 	refusedBy []string
 	// deniedIn holds the shards that the job has left because policy allows it on too few
-	// of their workers. It is stored with the job, so that these moves end.
-	deniedIn []string
+	// of their workers, with the number of workers there that could hold a task of it. It is
+	// stored with the job, so that these moves end.
+	deniedIn map[string]int
 }
 
 // leaving reports whether the job is being moved or was moved to another shard.
@@ -117,7 +118,7 @@
 		if p.now.Sub(m.blockedSince) < moveAfter<<min(m.count, maxMovePauseDoublings) {
 			return
 		}
-		without = m.deniedIn
+		without = s.stillDenied(e, p.unplaceableSteps(e))
 		reason, message = moveSinceAbsent, "job is being moved: the workers of the shard that can hold it do not answer or are closed"
 	}
 	target, ok := s.moveTarget(p, e, without)
@@ -130,12 +131,14 @@
 }
 
 // moveDenied starts to move a job that policy allows on too few workers of the shard: to the
-// one with the most workers for it among the shards that it has not left for this reason. If
-// there are none, it returns to the one with the most workers of all, and stays there.
+// one with the most workers for it among the shards that it has not left for this reason, or
+// that have more workers for it than when it did. If there are none, it returns to the one with
+// the most workers of all, and stays there.
 func (s *Shard) moveDenied(p *pass, e *jobEntry) {
 	m := &e.move
-	steps, returned := p.unplaceableSteps(e), slices.Contains(m.deniedIn, s.term.Shard)
-	target := s.roomiest(e, steps, m.deniedIn)
+	steps := p.unplaceableSteps(e)
+	_, returned := m.deniedIn[s.term.Shard]
+	target := s.roomiest(e, steps, s.stillDenied(e, steps))
 	if target == "" && !returned {
 		target = s.roomiest(e, steps, nil)
 		if workersFor(s.holders(p), e, steps) >= workersFor(s.otherShards[target], e, steps) {
@@ -146,11 +149,26 @@
 		m.retryAt = p.now.Add(moveAfter)
 		return
 	}
-	if !returned {
-		m.deniedIn = append(m.deniedIn, s.term.Shard)
+	m.deniedIn = maps.Clone(m.deniedIn)
+	if m.deniedIn == nil {
+		m.deniedIn = map[string]int{}
 	}
+	m.deniedIn[s.term.Shard] = workersFor(s.holders(p), e, steps)
 	s.startMove(e, target, moveSinceDenied)
-	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Strs("left", m.deniedIn).Msg("job is being moved: policy allows it on too few workers of the shard")
+	s.log.Info().Str("job", string(e.id)).Str("to", target).Int("moves", m.count).Strs("left", slices.Sorted(maps.Keys(m.deniedIn))).Msg("job is being moved: policy allows it on too few workers of the shard")
+}
+
+// stillDenied returns the shards that a job has left because policy allows it on too few of
+// their workers, without those that have more workers for its steps than when it did. Workers
+// that were leaving or restarting at that time may be allowed.
+func (s *Shard) stillDenied(e *jobEntry, steps []job.Step) []string {
+	var names []string
+	for name, workers := range e.move.deniedIn {
+		if workersFor(s.otherShards[name], e, steps) <= workers {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // roomiest returns the other shard, without some, that can hold the steps of a job and has the
@@ -303,7 +321,8 @@
 		delete(s.moving, e.id)
 		m.tasks = nil
 		m.refusedBy, m.target, m.blockedSince = append(m.refusedBy, target), "", time.Now()
-		m.deniedIn = slices.DeleteFunc(m.deniedIn, func(name string) bool { return name == s.term.Shard })
+		m.deniedIn = maps.Clone(m.deniedIn)
+		delete(m.deniedIn, s.term.Shard)
 		s.enqueue(e)
 	default:
 		m.retryAt = time.Now().Add(moveRetryDelay)
