--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -260,6 +260,8 @@
 // submitAdmitted submits a job that a gateway admitted with a version of the
 // configuration.
 func (o *owner) submitAdmitted(j job.Job, version int64) error {
+	// An earlier submission of the job may share the steps.
+	j.Steps = slices.Clone(j.Steps)
 	for i := range j.Steps {
 		j.Steps[i].Needs = needs(lovagestand.Order{})
 		j.Steps[i].Estimate = time.Second
