node: one call for what owners answer in JSON

The query for the load of a shard repeated the call of where: status, error and decoding. Both use askOwner. No change of behaviour; go test ./node holds.

--- a/node/load.go
+++ b/node/load.go
@@ -4,12 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/shard"
@@ -37,22 +35,9 @@
 	if err != nil {
 		return dispatch.ShardLoad{}, &NoAnswerError{Err: err}
 	}
-	reply, err := n.peers.http.Do(request)
-	if err != nil {
-		return dispatch.ShardLoad{}, &NoAnswerError{Err: err}
-	}
-	defer func() { _ = reply.Body.Close() }()
-	switch reply.StatusCode {
-	case http.StatusOK:
-	case http.StatusServiceUnavailable:
-		return dispatch.ShardLoad{}, &shard.NotOwnerError{}
-	default:
-		// An instance of an earlier version answers 404.
-		return dispatch.ShardLoad{}, &NoAnswerError{Err: errors.Errorf("status %d", reply.StatusCode)}
-	}
 	var load dispatch.ShardLoad
-	if err := json.NewDecoder(io.LimitReader(reply.Body, maxLoadBytes)).Decode(&load); err != nil {
-		return dispatch.ShardLoad{}, &NoAnswerError{Err: err}
+	if err := n.askOwner(request, maxLoadBytes, &load); err != nil {
+		return dispatch.ShardLoad{}, err
 	}
 	return load, nil
 }
--- a/node/where.go
+++ b/node/where.go
@@ -84,24 +84,33 @@
 	if err != nil {
 		return shard.Placement{}, &NoAnswerError{Err: err}
 	}
+	var placement shard.Placement
+	if err := n.askOwner(request, maxWhereBytes, &placement); err != nil {
+		return shard.Placement{}, err
+	}
+	return placement, nil
+}
+
+// askOwner sends a request to the owner of a shard once, and decodes its answer, of which it
+// reads a number of bytes at most.
+func (n *Node) askOwner(request *http.Request, most int64, answer any) error {
 	reply, err := n.peers.http.Do(request)
 	if err != nil {
-		return shard.Placement{}, &NoAnswerError{Err: err}
+		return &NoAnswerError{Err: err}
 	}
 	defer func() { _ = reply.Body.Close() }()
 	switch reply.StatusCode {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
-		return shard.Placement{}, &shard.NotOwnerError{}
+		return &shard.NotOwnerError{}
 	default:
 		// An instance of an earlier version answers 404.
-		return shard.Placement{}, &NoAnswerError{Err: errors.Errorf("status %d", reply.StatusCode)}
+		return &NoAnswerError{Err: errors.Errorf("status %d", reply.StatusCode)}
 	}
-	var placement shard.Placement
-	if err := json.NewDecoder(io.LimitReader(reply.Body, maxWhereBytes)).Decode(&placement); err != nil {
-		return shard.Placement{}, &NoAnswerError{Err: err}
+	if err := json.NewDecoder(io.LimitReader(reply.Body, most)).Decode(answer); err != nil {
+		return &NoAnswerError{Err: err}
 	}
-	return placement, nil
+	return nil
 }
 
 // serveOwnerWhere answers another instance where a job would be placed in a shard that this
