dispatch, shard: one piece for room, capacity, and what tests set up

Found on reading the change once more; behaviour and assertions stay as they are. HasRoom is HasRoomFor one task; the load of the own shard takes the capacity of the pass; tests of waits share the job that needs advice and the start and listing of a further worker, which four and five of them spelled out, as addWorkers did.

--- a/dispatch/shape.go
+++ b/dispatch/shape.go
@@ -23,7 +23,7 @@
 
 // HasRoom reports whether a task of the shape fits on an open worker now.
 func (s Shape) HasRoom(workers []Worker) bool {
-	return slices.ContainsFunc(workers, func(w Worker) bool { return w.Open && s.Needs.Fits(w.Free) && s.matches(&w) })
+	return s.HasRoomFor(1, workers, func(int) bool { return false })
 }
 
 // HasRoomFor reports whether a number of tasks of the shape fits on open workers now. Workers
--- a/shard/balance.go
+++ b/shard/balance.go
@@ -228,11 +228,9 @@
 
 // ownLoad returns the load of the shard without what waits and without rooms.
 func (s *Shard) ownLoad(p *pass) dispatch.ShardLoad {
-	var load dispatch.ShardLoad
+	load := dispatch.ShardLoad{Capacity: p.capacity()}
 	for i := range p.dispatchWorkers {
-		w := &p.dispatchWorkers[i]
-		load.Capacity = load.Capacity.Add(w.Capacity)
-		if w.Open {
+		if w := &p.dispatchWorkers[i]; w.Open {
 			load.Free = load.Free.Add(w.Free)
 		}
 	}
--- a/shard/endlesswaits_test.go
+++ b/shard/endlesswaits_test.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// advisedJob returns the first job, whose tasks need tickets.
+func advisedJob(step job.Step) job.Job {
+	return job.Job{ID: job.ID(id(1)), Policy: job.Policy{
+		Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
+		Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
+	}, Steps: []job.Step{step}}
+}
+
 // TestJobMovesIfPolicyAllowsItOnNoWorkerOfItsShard guards against a step that waits for good
 // because policy allows it on too few workers of its shard, while another shard is empty.
 func TestJobMovesIfPolicyAllowsItOnNoWorkerOfItsShard(t *testing.T) {
@@ -42,10 +50,7 @@
 				first, second := newMovingShards(c)
 				defer func() { first.current().stop(); second.current().stop() }()
 				first.advice, second.advice = allowing(allowed...), allowing("w0", "w1")
-				c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
-					Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
-					Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
-				}, Steps: []job.Step{{Count: 6, Gang: true}}}), qt.IsNil)
+				c.Assert(first.current().submitJob(advisedJob(job.Step{Count: 6, Gang: true})), qt.IsNil)
 				time.Sleep(30 * time.Second)
 				c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 6)
 			})
@@ -61,10 +66,9 @@
 		c := qt.New(t)
 		first, second := newMovingShards(c)
 		defer func() { first.current().stop(); second.current().stop() }()
-		silent := first.fleet.Add("w9", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
-		silent.Labels = []string{"c"}
+		silent := first.startWorker("w9", "c")
 		first.fleet.SetUnreachable("w9", true)
-		first.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return append(workers, silent) })
+		first.enlist(silent)
 		second.loadUnknown.Store(true)
 		time.Sleep(4 * time.Second)
 		first.current().submit(c, id(1), job.Step{Count: 2, Label: "c"})
@@ -162,10 +166,7 @@
 					m.beforeReceive = func() { moves.Add(1) }
 					m.advice = allowing("new")
 				}
-				c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
-					Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
-					Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
-				}, Steps: []job.Step{{Count: 1}}}), qt.IsNil)
+				c.Assert(first.current().submitJob(advisedJob(job.Step{Count: 1})), qt.IsNil)
 				for range 4 {
 					time.Sleep(10 * time.Second)
 					if replace {
@@ -175,9 +176,7 @@
 				}
 				c.Assert(moves.Load() > 0 && moves.Load() <= 2, qt.IsTrue, qt.Commentf("%d moves between two shards", moves.Load()))
 				for _, m := range []*movingShard{first, second} {
-					m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
-						return append(workers, m.fleet.Add("new", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
-					})
+					m.join("new")
 				}
 				time.Sleep(10 * time.Second)
 				c.Assert(first.fleet.Starts()+second.fleet.Starts(), qt.Equals, 1)
@@ -193,23 +192,15 @@
 		c := qt.New(t)
 		first, second := newMovingShards(c)
 		defer func() { first.current().stop(); second.current().stop() }()
-		join := func(m *movingShard, name lovagestand.WorkerName) {
-			m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
-				return append(workers, m.fleet.Add(name, lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
-			})
-		}
-		join(first, "third")
+		first.join("third")
 		first.advice, second.advice = allowing("w0"), allowing("w0", "back-1", "back-2")
 		time.Sleep(2 * time.Second)
-		c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
-			Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
-			Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
-		}, Steps: []job.Step{{Count: 8, Gang: true}}}), qt.IsNil)
+		c.Assert(first.current().submitJob(advisedJob(job.Step{Count: 8, Gang: true})), qt.IsNil)
 		time.Sleep(20 * time.Second)
 		assertPhase(c, first.current(), id(1), "queued")
 		second.assertUnknown(c, id(1))
-		join(second, "back-1")
-		join(second, "back-2")
+		second.join("back-1")
+		second.join("back-2")
 		time.Sleep(10 * time.Second)
 		c.Assert(second.fleet.Starts(), qt.Equals, 8)
 		assertPhase(c, second.current(), id(1), "completed")
@@ -230,10 +221,9 @@
 				shards := []*movingShard{first, second}
 				for _, m := range shards {
 					m.beforeReceive = func() { moves.Add(1) }
-					silent := m.fleet.Add("w9", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
-					silent.Labels = []string{"d"}
+					silent := m.startWorker("w9", "d")
 					m.fleet.SetUnreachable("w9", true)
-					m.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return append(workers, silent) })
+					m.enlist(silent)
 				}
 				first.current().submit(c, id(1), job.Step{Count: 2, Label: "d"})
 				time.Sleep(time.Minute)
@@ -253,9 +243,7 @@
 		c := qt.New(t)
 		first, second := newMovingShards(c)
 		defer func() { first.current().stop(); second.current().stop() }()
-		worker := first.fleet.Add("w9", lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
-		worker.Labels = []string{"c"}
-		first.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return append(workers, worker) })
+		first.join("w9", "c")
 		time.Sleep(4 * time.Second)
 		c.Assert(first.current().Status().OpenWorkers, qt.Equals, 3)
 		second.loadUnknown.Store(true)
@@ -282,10 +270,7 @@
 		second.fleet.SetUnreachable("w0", true)
 		second.fleet.SetUnreachable("w1", true)
 		time.Sleep(15 * time.Second)
-		c.Assert(first.current().submitJob(job.Job{ID: job.ID(id(1)), Policy: job.Policy{
-			Route: "quote", MaxAttempts: 2, Stretch: 2, Target: time.Second,
-			Advice: job.AdvicePolicy{FixedDuration: 20 * time.Millisecond, Validity: 2500 * time.Millisecond},
-		}, Steps: []job.Step{{Count: 1}}}), qt.IsNil)
+		c.Assert(first.current().submitJob(advisedJob(job.Step{Count: 1})), qt.IsNil)
 		time.Sleep(time.Minute)
 		c.Assert(moves.Load(), qt.Equals, int64(1))
 		second.fleet.SetUnreachable("w0", false)
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -101,10 +101,27 @@
 // addWorkers starts workers and lists them.
 func (k *cell) addWorkers(n int) {
 	for i := range n {
-		k.workers = append(k.workers, k.fleet.Add(lovagestand.WorkerName(fmt.Sprintf("w%d", i)), lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000}))
+		k.join(lovagestand.WorkerName(fmt.Sprintf("w%d", i)))
 	}
 }
 
+// join starts a worker with labels and lists it.
+func (k *cell) join(name lovagestand.WorkerName, labels ...string) {
+	k.enlist(k.startWorker(name, labels...))
+}
+
+// startWorker starts a worker with labels.
+func (k *cell) startWorker(name lovagestand.WorkerName, labels ...string) lovagestand.FleetWorker {
+	w := k.fleet.Add(name, lovagestand.Resources{MilliCPU: 4000, MemoryMiB: 1000})
+	w.Labels = labels
+	return w
+}
+
+// enlist adds a worker to the list.
+func (k *cell) enlist(w lovagestand.FleetWorker) {
+	k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return append(workers, w) })
+}
+
 // setSilent sets whether a worker sends no heartbeats.
 func (k *cell) setSilent(name lovagestand.WorkerName, silent bool) {
 	k.mu.Lock()
@@ -260,7 +277,7 @@
 // submitAdmitted submits a job that a gateway admitted with a version of the
 // configuration.
 func (o *owner) submitAdmitted(j job.Job, version int64) error {
-	// An earlier submission of the job may share the steps.
+	// The shard may hold the steps since the same job was accepted.
 	j.Steps = slices.Clone(j.Steps)
 	for i := range j.Steps {
 		j.Steps[i].Needs = needs(lovagestand.Order{})
