--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -8,6 +8,7 @@
 
 var cases = map[string]scripted{
 	"crashes-lasting": {nodes: 3, runners: 7, maxAttempts: 2, run: crashesLasting},
+	"trials":          {nodes: 3, runners: 7, maxAttempts: 2, run: trials},
 	"crashes":         {nodes: 3, runners: 7, maxAttempts: 2, run: crashes},
 	"lost":            {nodes: 3, runners: 7, maxAttempts: 2, run: lost},
 	"takeover":        {nodes: 3, runners: 7, maxAttempts: 2, run: takeover},
@@ -126,12 +127,20 @@
 	return nil
 }
 
-// checkLasting reports the first task that lasts and has had nothing running for noticeFor,
-// from noticeAfter after its last run, with nothing but calm for calmBefore before that.
+// checkLasting checks the tasks of the job that lasts.
 func checkLasting(r *rig, lastTrouble time.Time) string {
-	broken, runs := "", r.runsOf(lasting)
+	var tasks []string
 	for n := range lastingTasks {
-		task := fmt.Sprintf("%s.0.0.%d", lasting, n)
+		tasks = append(tasks, fmt.Sprintf("%s.0.0.%d", lasting, n))
+	}
+	return checkTasks(r, tasks, lastTrouble)
+}
+
+// checkTasks reports the first task that lasts and has had nothing running for noticeFor,
+// from noticeAfter after its last run, with nothing but calm for calmBefore before that.
+func checkTasks(r *rig, tasks []string, lastTrouble time.Time) string {
+	broken, runs := "", r.runsOf("")
+	for _, task := range tasks {
 		for _, run := range runs {
 			if run.task != task || run.ended.IsZero() {
 				continue
@@ -242,3 +251,42 @@
 	time.Sleep(20 * time.Second)
 	return checkLasting(r, at), nil
 }
+
+// smallJobs is the number of jobs with one task each that last. A runner holds all of them.
+const smallJobs = 12
+
+// trials submits jobs that last, with one small task each, and lets the runner crash on
+// which most of them run. It starts again after crashDown.
+func trials(r *rig, trouble bool) (string, error) {
+	var tasks []string
+	for n := range smallJobs {
+		id := fmt.Sprintf("%016x", 0x30000+n)
+		if r.submit(id, `{"spec":"serves","steps":[{"count":1,"cpu":2000,"mem_mb":4000,"persistent":true}]}`) != http.StatusOK {
+			return "", errNotRun
+		}
+		tasks = append(tasks, id+".0.0.0")
+	}
+	on, busiest := map[string]int{}, ""
+	for _, task := range tasks {
+		run, ok := r.awaitActive(task, 10*time.Second)
+		if !ok {
+			return "", errNotRun
+		}
+		if on[run.runner]++; on[run.runner] > on[busiest] {
+			busiest = run.runner
+		}
+	}
+	time.Sleep(5 * time.Second)
+	at := time.Now()
+	if trouble {
+		r.killRunner(busiest)
+		time.Sleep(crashDown)
+		r.note("runner %s starts again", busiest)
+		if err := r.runners[busiest].start(); err != nil {
+			return "", err
+		}
+		at = time.Now()
+	}
+	time.Sleep(40 * time.Second)
+	return checkTasks(r, tasks, at), nil
+}
