--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -236,26 +236,33 @@
 	return checkLasting(r, at), nil
 }
 
-// smallJobs is the number of jobs with one task each that last. A runner holds all of them.
-const smallJobs = 12
+const (
+	// smallJobs is the number of jobs that last, and of jobs that end, with one task each.
+	// One runner holds all of them.
+	smallJobs = 8
+	// finishAfter is how long after the last submission, and here also after the last
+	// trouble, submissions are asked for.
+	finishAfter = 14 * time.Second
+)
 
-// trials submits jobs that last, with one small task each, and lets the runner crash on
-// which most of them run. It starts again after crashDown.
+// trials submits jobs with one small task each, and lets the runner crash on which most of
+// them run. It starts again after crashDown.
 func trials(r *rig, trouble bool) (string, error) {
-	var tasks []string
-	for n := range smallJobs {
-		id := fmt.Sprintf("%016x", 0x30000+n)
-		if r.submit(id, `{"spec":"serves","steps":[{"count":1,"cpu":2000,"mem_mb":4000,"persistent":true}]}`) != http.StatusOK {
+	var lasts, ends []string
+	on, busiest := map[string]int{}, ""
+	for n := range 2 * smallJobs {
+		id, spec, tasks := fmt.Sprintf("%016x", 0x30000+n), `"serves","steps":[{"persistent":true,`, &lasts
+		if n%2 == 1 {
+			spec, tasks = `"work_ms=30000","steps":[{"estimate_ms":30000,`, &ends
+		}
+		if r.submit(id, `{"spec":`+spec+`"count":1,"cpu":2000,"mem_mb":4000}]}`) != http.StatusOK {
 			return "", errNotRun
 		}
-		tasks = append(tasks, id+".0.0.0")
-	}
-	on, busiest := map[string]int{}, ""
-	for _, task := range tasks {
-		run, ok := r.awaitActive(task, 10*time.Second)
+		run, ok := r.awaitActive(id+".0.0.0", 10*time.Second)
 		if !ok {
 			return "", errNotRun
 		}
+		*tasks = append(*tasks, run.task)
 		if on[run.runner]++; on[run.runner] > on[busiest] {
 			busiest = run.runner
 		}
@@ -271,6 +278,30 @@
 		}
 		at = time.Now()
 	}
-	time.Sleep(40 * time.Second)
-	return checkTasks(r, tasks, at), nil
+	time.Sleep(45 * time.Second)
+	broken := checkTasks(r, lasts, at)
+	if idle := idleAt(r, ends, at.Add(finishAfter), at.Add(finishAfter+noticeFor)); idle > 0 {
+		broken = fmt.Sprintf("%s; LOST: %d of %d accepted jobs that end have nothing running when they are asked for", broken, idle, smallJobs)
+	}
+	return broken, nil
+}
+
+// idleAt returns how many tasks have neither ended done nor run between two times.
+func idleAt(r *rig, tasks []string, from, to time.Time) int {
+	idle := 0
+	for _, task := range tasks {
+		busy := false
+		for _, run := range r.runsOf(task) {
+			ended := run.ended
+			if ended.IsZero() {
+				ended = time.Now()
+			}
+			busy = busy || run.begun.Before(to) && ended.After(from) || run.how == "done" && ended.Before(to)
+		}
+		if !busy {
+			r.note("task %s has nothing running from %s to %s", task, r.seconds(from), r.seconds(to))
+			idle++
+		}
+	}
+	return idle
 }
