crowd: callers that do not behave, against limits of memory and descriptors

Callers that send large bodies, stop before the end of a request or open connections without use make an instance exceed the memory and the descriptors of its machine; whole jobs also make the owner exceed them, and the next owner as it loads what was accepted.

Package crowd starts a cell of real processes with 128 MiB and 1,000 descriptors a node and lets one crowd after the other call it. It asserts that no process ends, that peak resident memory and open descriptors stay within the limits, that an ordinary call is answered during the crowd and accepted after it, and for accepted jobs also after all nodes were killed. TestLargestRequest sends the largest job as slowly as its deadline allows.

Settings get maxDescriptors, which the template fills in; nothing uses it yet.

--- /dev/null
+++ b/crowd/crowd_test.go
@@ -0,0 +1,286 @@
+package crowd_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand/soak"
+)
+
+var (
+	program      = flag.String("program", "", "program to run instead of one built here")
+	logDirectory = flag.String("logs", "", "directory for the logs of the processes")
+	factor       = flag.Int("factor", 1, "factor by which the crowds are larger")
+)
+
+const (
+	nodes   = 3
+	workers = 7
+	// memoryMiB and maxDescriptors are the limits of each node.
+	memoryMiB      = 128
+	maxDescriptors = 1000
+	// holdTime is how long a crowd stays after all of it has been sent.
+	holdTime = 2 * time.Second
+	// attempts bounds the repetitions of an ordinary call, attemptTimeout the time of each.
+	attempts       = 60
+	attemptTimeout = 3 * time.Second
+	// smallJob is an ordinary job.
+	smallJob = `{"spec":"milliCPU=100 millis=50","steps":[{"count":1,"cpu":100,"estimate_ms":50}]}`
+)
+
+// port is the kind of port that a crowd calls.
+type port string
+
+const (
+	callers  port = "callers"
+	ready    port = "ready"
+	internal port = "internal"
+)
+
+// crowds are the crowds by name. Each has fewer clients than make the machine slow, and
+// enough for an instance without bounds to exceed a limit of its own.
+var crowds = []struct {
+	name    string
+	clients int
+	send    client
+	// owner is whether the crowd calls the owner of the shard, instead of another node.
+	owner bool
+	port  port
+	// restart is whether all nodes are killed and started again afterwards.
+	restart bool
+}{
+	{name: "announced bodies without the last byte", clients: 700, send: stopsShort(bodyBytes)},
+	{name: "the same in pieces", clients: 700, send: stopsShortInPieces(32, 2*time.Second)},
+	{name: "large chunks without the last chunk", clients: 700, send: chunked(3, 64<<10, 0)},
+	{name: "one chunk without its last byte", clients: 700, send: chunked(1, bodyBytes, 1)},
+	{name: "chunks of one byte", clients: 1500, send: chunked(64<<10, 1, 0)},
+	{name: "small bodies without the last byte", clients: 1500, send: stopsShort(200)},
+	{name: "small jobs in white space", clients: 700, send: whole(paddedJob())},
+	{name: "large jobs", clients: 700, send: whole(largeJob()), restart: true},
+	{name: "large jobs at the owner", clients: 700, send: whole(largeJob()), owner: true, restart: true},
+	{name: "jobs of many tasks", clients: 200, send: whole(wideJob()), restart: true},
+	{name: "bodies on an unknown route", clients: 3000, send: unknownRoute},
+	{name: "headers without an end", clients: 3000, send: endlessHeader(15 << 10)},
+	{name: "huge headers without an end", clients: 700, send: endlessHeader(512 << 10)},
+	{name: "queries with a body", clients: 700, send: queryWithBody},
+	{name: "connections without a byte", clients: 3000, send: silent},
+	{name: "connections to the ready port", clients: 3000, send: silent, port: ready},
+	{name: "connections to the internal port", clients: 3000, send: silent, port: internal},
+}
+
+func build(c *qt.C) string {
+	if *program != "" {
+		return *program
+	}
+	built := filepath.Join(c.TB.(*testing.T).TempDir(), "lovagestand")
+	out, err := exec.Command("go", "build", "-o", built, "../cmd/lovagestand").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return built
+}
+
+// TestCrowds guards against callers that end a process, use it up for others or leave jobs
+// behind that the next owner cannot load. Crowds come one at a time, each to a cell of its
+// own.
+func TestCrowds(t *testing.T) {
+	binary := build(qt.New(t))
+	for _, k := range crowds {
+		t.Run(strings.ReplaceAll(k.name, " ", "_"), func(t *testing.T) {
+			c := qt.New(t)
+			s := open(c, binary)
+			target := s.target(k.owner)
+			address := map[port]string{ready: target.Ready, internal: target.Internal}[k.port]
+			if address == "" {
+				address = target.Callers
+			}
+			g := gather(address, *factor*k.clients, k.send)
+			g.sent.Wait()
+			s.assertAnswer(target, "during the crowd")
+			time.Sleep(holdTime)
+			s.assertLimits()
+			g.disperse()
+			s.assertServed("after the crowd")
+			s.assertLimits()
+			if k.restart {
+				s.restart()
+				s.assertServed("after the restart")
+				s.assertLimits()
+			}
+		})
+	}
+}
+
+// TestLargestRequest guards against bounds that a caller within the limits meets: the
+// largest job arrives in pieces, as slowly as the caller's deadline allows.
+func TestLargestRequest(t *testing.T) {
+	c := qt.New(t)
+	s := open(c, build(c))
+	body := largeJob()
+	for i, n := range s.cell.Nodes {
+		reader := &slowReader{text: body, pieces: 32, pause: 2 * headerDeadline / 3 / 32}
+		r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/x/%016x", n.Callers, 100+i), reader)
+		c.Assert(err, qt.IsNil)
+		r.Host = "a.example"
+		r.ContentLength = int64(len(body))
+		r.Header.Set("X-Deadline-Ms", fmt.Sprint(headerDeadline.Milliseconds()))
+		reply, err := http.DefaultClient.Do(r)
+		c.Assert(err, qt.IsNil)
+		c.Check(reply.StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(reply.Body.Close(), qt.IsNil)
+	}
+	s.assertLimits()
+}
+
+// slowReader returns a text in pieces, with a pause before each.
+type slowReader struct {
+	text   string
+	pieces int
+	pause  time.Duration
+	at     int
+}
+
+// Read implements [io.Reader].
+func (r *slowReader) Read(p []byte) (int, error) {
+	time.Sleep(r.pause)
+	n, err := strings.NewReader(r.text[r.at:]).Read(p[:min(len(p), len(r.text)/r.pieces)])
+	r.at += n
+	return n, err
+}
+
+// cell is a cell of real processes whose use of memory and descriptors is watched.
+type cell struct {
+	c    *qt.C
+	cell *soak.Cell
+	http *http.Client
+	// calls numbers the ordinary jobs.
+	calls int
+
+	mu sync.Mutex
+	// descriptors is the largest number of open descriptors of each node.
+	descriptors map[*soak.Node]int
+}
+
+func open(c *qt.C, binary string) *cell {
+	directory := c.TB.(*testing.T).TempDir()
+	if *logDirectory != "" {
+		directory = filepath.Join(*logDirectory, filepath.Base(c.Name()))
+		c.Assert(os.MkdirAll(directory, 0o700), qt.IsNil)
+	}
+	opened, err := soak.OpenShape(binary, directory, soak.Shape{Nodes: nodes, Workers: workers, MemoryMiB: memoryMiB, MaxDescriptors: maxDescriptors})
+	c.Assert(err, qt.IsNil)
+	s := &cell{c: c, cell: opened, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, descriptors: map[*soak.Node]int{}}
+	c.Cleanup(opened.Close)
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() { s.watchDescriptors(stop) })
+	c.Cleanup(func() { close(stop); watching.Wait() })
+	s.assertServed("before the crowd")
+	return s
+}
+
+// target returns the owner of the shard or another node.
+func (s *cell) target(owner bool) *soak.Node {
+	for _, n := range s.cell.Nodes {
+		if (n == s.cell.Owner()) == owner {
+			return n
+		}
+	}
+	s.c.Fatal("no such node")
+	return nil
+}
+
+// watchDescriptors records the open descriptors of all nodes until it is stopped.
+func (s *cell) watchDescriptors(stop chan struct{}) {
+	const interval = 50 * time.Millisecond
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(interval):
+		}
+		for _, n := range s.cell.Nodes {
+			entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.PID()))
+			if err != nil {
+				continue
+			}
+			s.mu.Lock()
+			s.descriptors[n] = max(s.descriptors[n], len(entries))
+			s.mu.Unlock()
+		}
+	}
+}
+
+// assertLimits asserts that no process has ended or used more memory or descriptors than
+// it may.
+func (s *cell) assertLimits() {
+	s.c.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.cell.Nodes {
+		s.c.Check(n.UnexpectedExits(), qt.Equals, 0, qt.Commentf("%s ended: %s", n.Name, n.ExitReport()))
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.PID()))
+		s.c.Check(err, qt.IsNil)
+		peak := statusKiB(status, "VmHWM") >> 10
+		s.c.Logf("%s: peak %d MiB, %d descriptors", n.Name, peak, s.descriptors[n])
+		s.c.Check(peak > 0 && peak <= memoryMiB, qt.IsTrue, qt.Commentf("%s: peak of resident memory %d MiB, allowed %d", n.Name, peak, memoryMiB))
+		s.c.Check(s.descriptors[n] <= maxDescriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors, allowed %d", n.Name, s.descriptors[n], maxDescriptors))
+	}
+}
+
+// call submits an ordinary job to a node and returns the status of the reply, which is 0
+// if there is none.
+func (s *cell) call(n *soak.Node) int {
+	s.calls++
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	status, _ := n.Call(ctx, s.http, http.MethodPost, fmt.Sprintf("ffff%012x", s.calls), smallJob, "")
+	return status
+}
+
+// assertAnswer asserts that a node answers an ordinary call, if only with a rejection.
+func (s *cell) assertAnswer(n *soak.Node, when string) {
+	s.c.Helper()
+	for range attempts {
+		if s.call(n) != 0 {
+			return
+		}
+	}
+	s.c.Errorf("%s does not answer %s", n.Name, when)
+}
+
+// assertServed asserts that each node accepts an ordinary job.
+func (s *cell) assertServed(when string) {
+	s.c.Helper()
+	const pause = 100 * time.Millisecond
+	for _, n := range s.cell.Nodes {
+		served := false
+		for i := 0; i < attempts && !served; i++ {
+			if served = s.call(n) == http.StatusOK; !served {
+				time.Sleep(pause)
+			}
+		}
+		s.c.Check(served, qt.IsTrue, qt.Commentf("%s accepts no job %s", n.Name, when))
+	}
+}
+
+// restart kills all nodes and starts them again. Peaks are counted anew.
+func (s *cell) restart() {
+	for _, n := range s.cell.Nodes {
+		n.Signal(syscall.SIGKILL)
+	}
+	for _, n := range s.cell.Nodes {
+		n.Wait()
+		s.c.Assert(n.Start(), qt.IsNil)
+	}
+}
--- a/settings/node.go
+++ b/settings/node.go
@@ -16,6 +16,9 @@
 	UnevenAuto = "auto"
 )
 
+// minDescriptors is the lowest value of Node.MaxDescriptors.
+const minDescriptors = 256
+
 // Node holds the settings of an instance that the command "node" runs on the users'
 // platform.
 type Node struct {
@@ -38,6 +41,9 @@
 	Processors float64 `yaml:"processors"`
 	// MemoryMiB is the amount of memory that the process may use, in MiB.
 	MemoryMiB int64 `yaml:"memoryMiB"`
+	// MaxDescriptors is the number of file descriptors that the process may use; 0 for
+	// the limit that the operating system sets.
+	MaxDescriptors int `yaml:"maxDescriptors"`
 	// Heartbeat is the time between two writes of a worker's entry in the store.
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	// Grace is the time between the stop signal and the kill of the process.
@@ -121,6 +127,9 @@
 	if n.MemoryMiB <= 0 {
 		add("memoryMiB", "must be more than 0", "")
 	}
+	if n.MaxDescriptors != 0 && n.MaxDescriptors < minDescriptors {
+		add("maxDescriptors", "is too low", "give at least 256, or leave it out")
+	}
 	for key, value := range map[string]time.Duration{
 		"heartbeat": n.Heartbeat, "grace": n.Grace, "maxLease": n.MaxLease, "retention": n.Retention,
 	} {
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -42,6 +42,7 @@
 	c.Assert(n.Preemption, qt.IsFalse)
 	c.Assert(n.StopTimeout, qt.Equals, time.Duration(0), qt.Commentf("settings of earlier deployments have none"))
 	c.Assert(n.UnevenWorkers, qt.Equals, "", qt.Commentf("settings of earlier deployments have none"))
+	c.Assert(n.MaxDescriptors, qt.Equals, 0, qt.Commentf("settings of earlier deployments have none"))
 	n, err = settings.ParseNode("node.yaml", []byte(nodeFile+"unevenWorkers: off\n"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(n.UnevenWorkers, qt.Equals, settings.UnevenOff)
@@ -57,6 +58,7 @@
 		"an unknown key":                      {`grace`, `grase`},
 		"no processors":                       {`0.4`, `0`},
 		"no memory":                           {`284`, `0`},
+		"few descriptors":                     {`grace`, "maxDescriptors: 255\ngrace"},
 		"a missing instance":                  {`"edge-1"`, `""`},
 		"strict revocation without a timeout": {`grace`, "strictRevocation: true\ngrace"},
 		"a negative revocation timeout":       {`grace`, "revocationTimeout: -1s\ngrace"},
@@ -97,18 +99,20 @@
 		"heartbeat_ms": "1500", "bounds.grace_s": "6", "bounds.max_hold_ms": "10000", "bounds.status_s": "120", "bounds.checkpoint_interval_s": "0.5",
 	}
 	for _, r := range []struct {
-		strict, timeout string
-		want            settings.Node
+		strict, timeout, descriptors string
+		want                         settings.Node
 	}{
 		{want: settings.Node{}},
+		{descriptors: "4100", want: settings.Node{MaxDescriptors: 4100}},
 		{strict: "false", timeout: "4000", want: settings.Node{RevocationTimeout: 4 * time.Second}},
 		{strict: "true", timeout: "4000", want: settings.Node{StrictRevocation: true, RevocationTimeout: 4 * time.Second}},
 	} {
-		values["bounds.strict_revoke"], values["bounds.revoke_ms"] = r.strict, r.timeout
+		values["bounds.strict_revoke"], values["bounds.revoke_ms"], values["limits.max_fds"] = r.strict, r.timeout, r.descriptors
 		n, err := settings.ParseNode("node.yaml", []byte(render(string(template), values)))
 		c.Assert(err, qt.IsNil)
 		c.Check(n.StrictRevocation, qt.Equals, r.want.StrictRevocation)
 		c.Check(n.RevocationTimeout, qt.Equals, r.want.RevocationTimeout)
+		c.Check(n.MaxDescriptors, qt.Equals, r.want.MaxDescriptors)
 		c.Check(n.CheckpointInterval, qt.Equals, 500*time.Millisecond)
 		c.Check(n.UnevenWorkers, qt.Equals, settings.UnevenAuto)
 	}
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -66,8 +67,15 @@
 	WideGangs bool
 	// WorkersPerRack is the number of workers in a rack; 0 counts as that of a site.
 	WorkersPerRack int
+	// MemoryMiB and MaxDescriptors are the limits of each node; 0 counts as
+	// defaultMemoryMiB and as no limit.
+	MemoryMiB      int64
+	MaxDescriptors int
 }
 
+// defaultMemoryMiB is the memory of a node in MiB unless its shape says otherwise.
+const defaultMemoryMiB = 200
+
 func (s Shape) options() []site.Option {
 	options := []site.Option{site.WithFailureDomains(max(1, s.FailureDomains)), site.WithStopTime(s.StopTime)}
 	if s.Advice != nil {
@@ -87,7 +95,9 @@
 type Node struct {
 	Name    string
 	Callers string
-	Store   *Proxy
+	// Ready and Internal are the addresses for readiness checks and for the other nodes.
+	Ready, Internal string
+	Store           *Proxy
 
 	program, settings, log string
 
@@ -174,7 +184,8 @@
 store: %q
 advice: %q
 processors: 1
-memoryMiB: 200
+memoryMiB: %d
+maxDescriptors: %d
 heartbeat: 1s
 grace: 6s
 maxLease: 10s
@@ -196,10 +207,11 @@
 		}
 	}
 	n := &Node{
-		Name: name, Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Store: store, program: program,
+		Name: name, Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), Ready: fmt.Sprintf("127.0.0.1:%d", ports[1]), Internal: fmt.Sprintf("127.0.0.1:%d", ports[2]), Store: store, program: program,
 		settings: filepath.Join(directory, name+".yaml"), log: filepath.Join(directory, name+".log"),
 	}
-	text := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], store.Address(), c.Site.AdviceAddress(), c.shape.Preemption, c.shape.StopTime)
+	text := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], store.Address(), c.Site.AdviceAddress(),
+		cmp.Or(c.shape.MemoryMiB, defaultMemoryMiB), c.shape.MaxDescriptors, c.shape.Preemption, c.shape.StopTime)
 	return n, errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "write settings")
 }
 
@@ -310,6 +322,24 @@
 	}
 }
 
+// Owner returns the node that owns the first shard, or nil if none does.
+func (c *Cell) Owner() *Node {
+	name, _ := c.owner(layout.FirstShard)
+	for _, n := range c.Nodes {
+		if n.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// PID returns the number of the process that was started last.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.command.Process.Pid
+}
+
 // UnexpectedExits returns how many processes exited without having been sent a
 // signal to exit.
 func (n *Node) UnexpectedExits() int {
