ingress: the number of connections is bounded; silent ones make room

An instance accepted connections without a bound. Callers that open connections and send nothing, or stop within a header or a body, took more descriptors than the machine allows; then accepting fails, and so do the instance's own connections to the store, to workers and to other instances.

A connection beyond it closes one on which the server waits for the client: one that has been silent for a second before its first request, if there is one, otherwise the one that has been silent for longest. Not accepting further connections was ruled out: it shuts ordinary callers out for as long as the others like. Connections that are being served stay.

--- /dev/null
+++ b/node/limits.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"lovagestand.example/lovagestand/settings"
+)
+
+const (
+	// defaultMaxDescriptors is the number of descriptors that an instance uses at most if
+	// neither its settings nor the operating system allow fewer.
+	defaultMaxDescriptors = 4096
+	// reservedDescriptors is the number of descriptors that are left for files, or a fifth of
+	// all where there are few.
+	reservedDescriptors = 200
+
+	// The shares of the sockets for callers, other instances and readiness checks. The rest
+	// is for connections of the instance's own, to the store, to workers and to others.
+	callerSockets   = 0.4
+	internalSockets = 0.2
+	readySockets    = 0.02
+
+	// The shares of the memory for the connections themselves, of which each holds its
+	// buffers and a goroutine.
+	callerConnectionMemory   = 0.15
+	internalConnectionMemory = 0.08
+	connectionBytes          = 24 << 10
+)
+
+// limits are the bounds of an instance that follow from its machine.
+type limits struct {
+	callerConnections, internalConnections, readyConnections int
+}
+
+// MarshalZerologObject implements [zerolog.LogObjectMarshaler].
+func (l limits) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("callerConnections", l.callerConnections).Int("internalConnections", l.internalConnections).Int("readyConnections", l.readyConnections)
+}
+
+func newLimits(memoryMiB int64, descriptors int) limits {
+	sockets := float64(descriptors - min(reservedDescriptors, descriptors/5))
+	memory := float64(memoryMiB << 20)
+	return limits{
+		callerConnections:   int(min(callerSockets*sockets, callerConnectionMemory*memory/connectionBytes)),
+		internalConnections: int(min(internalSockets*sockets, internalConnectionMemory*memory/connectionBytes)),
+		readyConnections:    max(1, int(readySockets*sockets)),
+	}
+}
+
+// maxDescriptors returns the number of descriptors that an instance may use.
+func maxDescriptors(s settings.Node) int {
+	if s.MaxDescriptors > 0 {
+		return s.MaxDescriptors
+	}
+	var allowed unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &allowed); err != nil || allowed.Cur > defaultMaxDescriptors {
+		return defaultMaxDescriptors
+	}
+	return int(allowed.Cur)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"lovagestand.example/lovagestand/common/pause"
 	"lovagestand.example/lovagestand/election"
 	"lovagestand.example/lovagestand/gateway"
+	"lovagestand.example/lovagestand/ingress"
 	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/shard"
 )
@@ -73,6 +74,7 @@
 	gateway    *gateway.Gateway
 	cell       *cellServer
 	peers      *peers
+	limits     limits
 	servers    []*http.Server
 
 	mu sync.Mutex
@@ -93,7 +95,7 @@
 	n := &Node{
 		settings: s, deps: deps, storeCalls: calls, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
 		routes: gateway.NewRoutes(deps.Keys, deps.Log, routesOptions(s)...), peers: newPeers(), ignoredEntries: map[string]lovagestand.Revision{}, candidates: map[string]*election.Candidate{},
-		detectors: map[string]*election.Detector{},
+		detectors: map[string]*election.Detector{}, limits: newLimits(s.MemoryMiB, maxDescriptors(s)),
 	}
 	n.cell = &cellServer{
 		adviser: deps.Adviser, shards: map[string]*shard.Shard{},
@@ -129,7 +131,7 @@
 	if err := n.listen(failed); err != nil {
 		return err
 	}
-	n.deps.Log.Info().Str("instance", string(n.self.ID)).Str("region", string(n.self.Region)).Str("address", n.self.Address).Msg("started")
+	n.deps.Log.Info().Str("instance", string(n.self.ID)).Str("region", string(n.self.Region)).Str("address", n.self.Address).EmbedObject(n.limits).Msg("started")
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	contendCtx, stopContending := context.WithCancel(runCtx)
@@ -190,28 +192,39 @@
 	internal.Post(pathMove+"/{shard}/{job}", n.serveMove)
 	internal.Get(pathMove+"/{shard}/{job}", n.serveKnows)
 	internal.Get(pathLoad+"/{shard}", n.serveLoad)
-	for address, handler := range map[string]http.Handler{
-		n.settings.CallerAddress: n.gateway, n.settings.ReadyAddress: ready, n.self.Address: internal,
+	for _, e := range []endpoint{
+		{name: "callers", address: n.settings.CallerAddress, handler: n.gateway, maxConnections: n.limits.callerConnections},
+		{name: "ready", address: n.settings.ReadyAddress, handler: ready, maxConnections: n.limits.readyConnections},
+		{name: "internal", address: n.self.Address, handler: internal, maxConnections: n.limits.internalConnections},
 	} {
-		if err := n.serve(address, handler, failed); err != nil {
+		if err := n.serve(e, failed); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// serve starts the server at an address. If the server fails later, it sends the
-// error to failed.
-func (n *Node) serve(address string, handler http.Handler, failed chan<- error) error {
-	listener, err := net.Listen("tcp", address)
+// endpoint is an address at which an instance serves.
+type endpoint struct {
+	name           string
+	address        string
+	handler        http.Handler
+	maxConnections int
+}
+
+// serve starts the server of an endpoint. If the server fails later, it sends the error to
+// failed.
+func (n *Node) serve(e endpoint, failed chan<- error) error {
+	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	connections := ingress.New(ingress.WithMaxConnections(e.maxConnections), ingress.WithLogger(n.deps.Log, e.name), ingress.WithRecorder(n.deps.Recorder))
+	server := &http.Server{Addr: e.address, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.servers = append(n.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- errors.Wrap(err, "serve "+address)
+		if err := connections.Serve(server, listener, e.handler); !errors.Is(err, http.ErrServerClosed) {
+			failed <- errors.Wrap(err, "serve "+e.address)
 		}
 	}()
 	return nil
