ingress, gateway: a body that makes no progress ends

A caller that stopped within a body held its connection, its handler and what had been read for as long as it liked: the caller's deadline did not reach the read. A body that no handler reads (404, 400, 401, GET, DELETE) was drained by net/http without an end.

The body must arrive within the caller's deadline, 15 s without one; otherwise it is answered 408 and the connection is closed. Without a deadline of the caller the timeout of the call counts from the end of the body, so that a slow body is served where it was answered 504.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,10 @@
 	// deadlineMargin is the part of a caller's deadline that is reserved for the
 	// reply to reach the caller.
 	deadlineMargin = 50 * time.Millisecond
+	// defaultBodyTimeout bounds the time of a body whose caller sets no deadline,
+	// maxBodyTimeout that of any body.
+	defaultBodyTimeout = 15 * time.Second
+	maxBodyTimeout     = time.Minute
 	// defaultBodyBytes is the body size limit if the configuration sets none.
 	defaultBodyBytes = 256 << 10
 	// noOwnerRetryAfter is the Retry-After value while no instance owns the shard or
@@ -85,12 +90,13 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	recorded := &statusWriter{ResponseWriter: w, status: http.StatusOK}
-	g.serve(recorded, r)
+	g.serve(recorded, r, start)
 	g.recorder.Count("answers", r.Method+" "+strconv.Itoa(recorded.status))
 	g.recorder.Observe("answerTimes", r.Method, time.Since(start))
 }
 
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+// serve replies to a request whose header was complete at start.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, start time.Time) {
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -109,7 +115,16 @@
 		g.rejectKey(w, r, current.Version, route, rejection)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
+	var body []byte
+	if r.Method == http.MethodPost && job.ValidID(rest) {
+		if body, ok = readBody(w, r, current.bodyLimit()); !ok {
+			return
+		}
+		if _, set := callerDeadline(r); !set {
+			start = time.Now()
+		}
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), start.Add(deadline(r)))
 	defer cancel()
 	switch {
 	case rest == "" && r.Method == http.MethodGet:
@@ -117,7 +132,7 @@
 	case !job.ValidID(rest):
 		http.Error(w, "a job's ID has 16 hexadecimal digits", http.StatusBadRequest)
 	case r.Method == http.MethodPost:
-		g.submit(ctx, w, r, current, route, job.ID(rest), team)
+		g.submit(ctx, w, body, current, route, job.ID(rest), team)
 	case r.Method == http.MethodGet:
 		g.state(ctx, w, job.ID(rest), team)
 	case r.Method == http.MethodDelete:
@@ -142,14 +157,28 @@
 	http.Error(w, "the key is "+string(rejection), http.StatusUnauthorized)
 }
 
+// callerDeadline returns how long the caller waits for the reply, and whether it has said so.
+func callerDeadline(r *http.Request) (time.Duration, bool) {
+	n, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 32)
+	return time.Duration(n) * time.Millisecond, err == nil && n > 0
+}
+
 // deadline returns the timeout of a call: the deadline that the caller sets less
 // deadlineMargin, but at least half of it.
 func deadline(r *http.Request) time.Duration {
-	n, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 32)
-	if err != nil || n <= 0 {
+	d, set := callerDeadline(r)
+	if !set {
 		return defaultDeadline
 	}
-	return max(time.Duration(n)*time.Millisecond-deadlineMargin, time.Duration(n)*time.Millisecond/2)
+	return max(d-deadlineMargin, d/2)
+}
+
+// BodyTimeout returns how long the body of a request may take: until the caller's deadline.
+func BodyTimeout(r *http.Request) time.Duration {
+	if _, set := callerDeadline(r); !set {
+		return defaultBodyTimeout
+	}
+	return min(deadline(r), maxBodyTimeout)
 }
 
 // reject replies that the service is unavailable and when to retry.
@@ -164,17 +193,29 @@
 	http.Error(w, reason, status)
 }
 
-func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, current.bodyLimit()))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+// readBody returns the body of a request. If it cannot be read, readBody replies and
+// returns false.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	if r.ContentLength > limit {
 		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
-		return
+		return nil, false
 	}
-	if err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &large):
+		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		http.Error(w, "body is not complete in time", http.StatusRequestTimeout)
+	default:
 		http.Error(w, "body is not complete", http.StatusBadRequest)
-		return
 	}
+	return nil, false
+}
+
+func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, body []byte, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
 	j, err := platform.DecodeSubmission(id, route.Policy, body)
 	if err != nil {
 		g.log.Info().Err(err).Str("job", string(id)).Str("route", string(route.Policy.Route)).Msg("invalid job rejected")
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -25,8 +25,9 @@
 
 // Connections are the connections of one server. It is safe for concurrent use.
 type Connections struct {
-	max    int
-	closed closures
+	max         int
+	bodyTimeout func(*http.Request) time.Duration
+	closed      closures
 
 	mu   sync.Mutex
 	open int
@@ -42,6 +43,11 @@
 // WithMaxConnections limits the number of open connections.
 func WithMaxConnections(n int) Option { return func(c *Connections) { c.max = n } }
 
+// WithBodyTimeout sets how long the body of a request may take, from the end of its header.
+func WithBodyTimeout(f func(*http.Request) time.Duration) Option {
+	return func(c *Connections) { c.bodyTimeout = f }
+}
+
 // WithRecorder counts the closed connections.
 func WithRecorder(r lovagestand.Recorder) Option {
 	return func(c *Connections) { c.closed.recorder = r }
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -4,7 +4,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -91,3 +94,62 @@
 		assertReply(c, conn, "200")
 	}
 }
+
+const partialBody = " / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\n{"
+
+// TestBodyThatStopsEnds guards against callers that hold a handler by a body without an end.
+func TestBodyThatStopsEnds(t *testing.T) {
+	c := qt.New(t)
+	failed := make(chan error, 1)
+	_, address := serve(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		failed <- err
+		w.WriteHeader(http.StatusRequestTimeout)
+	}), ingress.WithBodyTimeout(func(*http.Request) time.Duration { return 10 * time.Millisecond }))
+	conn := dial(c, address)
+	send(c, conn, "POST"+partialBody)
+	c.Assert(<-failed, qt.ErrorIs, os.ErrDeadlineExceeded)
+	assertReply(c, conn, "408")
+	assertEnds(c, conn)
+}
+
+// TestBodyThatIsNotReadEnds guards against callers that hold a connection by a body that no
+// handler reads: the server reads the rest of it after the reply.
+func TestBodyThatIsNotReadEnds(t *testing.T) {
+	for _, method := range []string{"POST", "GET", "DELETE"} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			_, address := serve(c, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			conn := dial(c, address)
+			send(c, conn, method+partialBody)
+			assertReply(c, conn, "200")
+			assertEnds(c, conn)
+		})
+	}
+}
+
+// TestConnectionIsUsedAgain guards against deadlines that outlast their request.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	timeout := func(*http.Request) time.Duration { return 50 * time.Millisecond }
+	_, address := serve(c, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		c.Check(err, qt.IsNil)
+		time.Sleep(2 * timeout(r))
+		c.Check(r.Context().Err(), qt.IsNil)
+	}), ingress.WithBodyTimeout(timeout))
+	for range 3 {
+		reply, err := http.Post("http://"+address, "text/plain", strings.NewReader("text"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(reply.Close, qt.IsFalse)
+		c.Assert(reply.Body.Close(), qt.IsNil)
+	}
+}
+
+// assertEnds asserts that the server closes a connection after its reply.
+func assertEnds(c *qt.C, conn net.Conn) {
+	c.Helper()
+	_, err := io.Copy(io.Discard, conn)
+	c.Assert(err, qt.IsNil)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -193,9 +193,9 @@
 	internal.Get(pathMove+"/{shard}/{job}", n.serveKnows)
 	internal.Get(pathLoad+"/{shard}", n.serveLoad)
 	for _, e := range []endpoint{
-		{name: "callers", address: n.settings.CallerAddress, handler: n.gateway, maxConnections: n.limits.callerConnections},
-		{name: "ready", address: n.settings.ReadyAddress, handler: ready, maxConnections: n.limits.readyConnections},
-		{name: "internal", address: n.self.Address, handler: internal, maxConnections: n.limits.internalConnections},
+		{name: "callers", address: n.settings.CallerAddress, handler: n.gateway, maxConnections: n.limits.callerConnections, bodyTimeout: gateway.BodyTimeout},
+		{name: "ready", address: n.settings.ReadyAddress, handler: ready, maxConnections: n.limits.readyConnections, bodyTimeout: internalBodyTimeout},
+		{name: "internal", address: n.self.Address, handler: internal, maxConnections: n.limits.internalConnections, bodyTimeout: internalBodyTimeout},
 	} {
 		if err := n.serve(e, failed); err != nil {
 			return err
@@ -210,8 +210,14 @@
 	address        string
 	handler        http.Handler
 	maxConnections int
+	// bodyTimeout bounds the time of the body of a request.
+	bodyTimeout func(*http.Request) time.Duration
 }
 
+// internalBodyTimeout is the body timeout of calls from other instances, which give up
+// earlier.
+func internalBodyTimeout(*http.Request) time.Duration { return 5 * time.Second }
+
 // serve starts the server of an endpoint. If the server fails later, it sends the error to
 // failed.
 func (n *Node) serve(e endpoint, failed chan<- error) error {
@@ -219,7 +225,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	connections := ingress.New(ingress.WithMaxConnections(e.maxConnections), ingress.WithLogger(n.deps.Log, e.name), ingress.WithRecorder(n.deps.Recorder))
+	connections := ingress.New(
+		ingress.WithMaxConnections(e.maxConnections), ingress.WithBodyTimeout(e.bodyTimeout),
+		ingress.WithLogger(n.deps.Log, e.name), ingress.WithRecorder(n.deps.Recorder),
+	)
 	server := &http.Server{Addr: e.address, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.servers = append(n.servers, server)
 	go func() {
