ingress: the bytes of requests in flight are bounded

Each body was read whole, up to the largest size that the configuration allows, with no bound over all requests, and headers up to 1 MiB each. Callers that send large requests at once, whole, in pieces or in chunks, made a process exceed its memory.

What a request has beyond 8 KiB takes room in a budget of a tenth of the memory, from its announcement to the reply; a chunked body or a header takes it as it arrives. Where there is none, large requests without progress for half a second are closed. If all make progress, the new one is answered 503 with Retry-After before its body is read. Small requests need no room, so they are served while a crowd of large ones is there. A body of known length is read into a buffer of that size.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/credential"
+	"lovagestand.example/lovagestand/ingress"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/platform"
 	"lovagestand.example/lovagestand/shard"
@@ -200,11 +201,14 @@
 		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
 		return nil, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var large *http.MaxBytesError
+	var noRoom *ingress.TooManyBytesError
 	switch {
 	case err == nil:
 		return body, true
+	case errors.As(err, &noRoom):
+		ingress.Reject(w)
 	case errors.As(err, &large):
 		http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -215,6 +219,16 @@
 	return nil, false
 }
 
+// readAll reads a body of a length, which is negative if it is not known.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
 func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, body []byte, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
 	j, err := platform.DecodeSubmission(id, route.Policy, body)
 	if err != nil {
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -17,6 +17,18 @@
 const (
 	reasonCount = "connections"
 	reasonBusy  = "allServing"
+	reasonBytes = "bytes"
+	// reasonRejected is that of a request that is rejected because of its size.
+	reasonRejected = "rejected"
+)
+
+const (
+	// FreeBytes is the part of each request that takes no room from others. Ordinary requests
+	// are smaller.
+	FreeBytes = 8 << 10
+	// stallPatience is how long a large request may make no progress without being closed in
+	// favour of another one.
+	stallPatience = 500 * time.Millisecond
 )
 
 // unservedPatience is how long a connection may be silent before its first request without
@@ -26,15 +38,19 @@
 // Connections are the connections of one server. It is safe for concurrent use.
 type Connections struct {
 	max         int
+	maxBytes    int64
 	bodyTimeout func(*http.Request) time.Duration
 	closed      closures
 
 	mu   sync.Mutex
 	open int
+	// bytes is the room that the requests on all connections take.
+	bytes int64
 	// The open connections on which the server waits for the client, by what the client
 	// has sent, the longest silent first: those without a request so far, those that have
-	// been answered, and those with a request that is not complete.
-	unserved, idle, partial list.List
+	// been answered, those with a request that is not complete, and those with such a
+	// request that takes room from others.
+	unserved, idle, partial, large list.List
 }
 
 // Option configures [Connections].
@@ -43,6 +59,11 @@
 // WithMaxConnections limits the number of open connections.
 func WithMaxConnections(n int) Option { return func(c *Connections) { c.max = n } }
 
+// WithMaxBytes limits the bytes of all requests that are being received or served, without
+// the first [FreeBytes] of each. A request without room is rejected, unless others have made
+// no progress for a while: these are closed.
+func WithMaxBytes(n int64) Option { return func(c *Connections) { c.maxBytes = n } }
+
 // WithBodyTimeout sets how long the body of a request may take, from the end of its header.
 func WithBodyTimeout(f func(*http.Request) time.Duration) Option {
 	return func(c *Connections) { c.bodyTimeout = f }
@@ -108,7 +129,7 @@
 // all others are being served.
 func (c *Connections) add(accepted net.Conn) *connection {
 	now := time.Now()
-	k := &connection{Conn: accepted, connections: c, lastReceived: now}
+	k := &connection{Conn: accepted, connections: c, lastReceived: now, inHeader: true}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.max > 0 && c.open >= c.max {
@@ -131,7 +152,7 @@
 		return k
 	}
 	var oldest *connection
-	for _, l := range []*list.List{&c.unserved, &c.partial, &c.idle} {
+	for _, l := range []*list.List{&c.unserved, &c.partial, &c.large, &c.idle} {
 		if k := front(l); k != nil && (oldest == nil || k.lastReceived.Before(oldest.lastReceived)) {
 			oldest = k
 		}
@@ -174,6 +195,7 @@
 	}
 	k.closed = true
 	c.open--
+	c.release(k)
 	c.await(k, nil)
 }
 
@@ -190,6 +212,12 @@
 	// lastReceived is when the client last sent something, or opened the connection.
 	lastReceived time.Time
 	closed       bool
+	// inHeader is whether the client may be sending a header, of which headerBytes have been
+	// received.
+	inHeader    bool
+	headerBytes int64
+	// room is the room that the request takes from others.
+	room int64
 }
 
 type connectionKey struct{}
@@ -198,7 +226,7 @@
 func (k *connection) Read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
 	if n > 0 {
-		k.connections.received(k)
+		k.connections.received(k, int64(n))
 	}
 	return n, err
 }
@@ -212,20 +240,85 @@
 	return k.Conn.Close()
 }
 
-// received records that the client of a connection has sent something.
-func (c *Connections) received(k *connection) {
+// received records that the client of a connection has sent something. A header without
+// room closes the connection.
+func (c *Connections) received(k *connection, n int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k.lastReceived = time.Now()
-	if k.list != nil {
+	if k.closed {
+		return
+	}
+	now := time.Now()
+	k.lastReceived = now
+	if k.inHeader {
+		if k.headerBytes += n; !c.reserve(now, k, k.headerBytes) {
+			c.evict(now, k, reasonBytes)
+			return
+		}
+	}
+	c.awaitClient(k)
+}
+
+// awaitClient moves a connection behind all others on which the server waits for a request
+// to be complete. The caller holds mu.
+func (c *Connections) awaitClient(k *connection) {
+	switch {
+	case k.list == nil:
+	case k.room > 0:
+		c.await(k, &c.large)
+	default:
 		c.await(k, &c.partial)
 	}
 }
 
+// reserve makes room for the request of a connection, of which a number of bytes are
+// expected or have been received, and reports whether there is room. It closes connections
+// with large requests that make no progress. The caller holds mu.
+func (c *Connections) reserve(now time.Time, k *connection, bytes int64) bool {
+	more := max(0, bytes-FreeBytes) - k.room
+	if c.maxBytes <= 0 || more <= 0 {
+		return true
+	}
+	for c.bytes+more > c.maxBytes {
+		stalled := front(&c.large)
+		if stalled == nil || stalled == k || now.Sub(stalled.lastReceived) < stallPatience {
+			return false
+		}
+		c.evict(now, stalled, reasonBytes)
+	}
+	c.bytes += more
+	k.room += more
+	return true
+}
+
+// release frees the room of a request. The caller holds mu.
+func (c *Connections) release(k *connection) {
+	c.bytes -= k.room
+	k.room, k.headerBytes = 0, 0
+}
+
+// expect makes room for a request whose header is complete, given the number of bytes of its
+// body that have been announced or received, and reports whether there is room.
+func (c *Connections) expect(k *connection, body int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.closed {
+		return false
+	}
+	now := time.Now()
+	if k.inHeader = false; !c.reserve(now, k, k.headerBytes+body) {
+		c.closed.record(now, reasonRejected)
+		return false
+	}
+	c.awaitClient(k)
+	return true
+}
+
 // serving records that a request is complete, so that the client waits for the server.
 func (c *Connections) serving(k *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	k.inHeader = false
 	if !k.closed {
 		c.await(k, nil)
 	}
@@ -236,7 +329,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !k.closed {
-		k.lastReceived = time.Now()
+		k.lastReceived, k.inHeader = time.Now(), true
+		c.release(k)
 		c.await(k, &c.idle)
 	}
 }
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand/ingress"
 )
@@ -153,3 +155,73 @@
 	_, err := io.Copy(io.Discard, conn)
 	c.Assert(err, qt.IsNil)
 }
+
+// large is the header of a large request, without its body.
+var large = fmt.Sprintf("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n", 3*ingress.FreeBytes)
+
+// readBody replies to a request once it is complete, or with the rejection that the reading of
+// its body returns.
+func readBody(w http.ResponseWriter, r *http.Request) {
+	var noRoom *ingress.TooManyBytesError
+	if _, err := io.ReadAll(r.Body); errors.As(err, &noRoom) {
+		ingress.Reject(w)
+	}
+}
+
+// TestLargeRequestsAreBounded guards against callers that use up the memory by large
+// requests of which each is allowed, and against callers of small requests that are
+// rejected because of them.
+func TestLargeRequestsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	_, address := serve(c, http.HandlerFunc(readBody), ingress.WithMaxBytes(5*ingress.FreeBytes))
+	whole := large + strings.Repeat(" ", 3*ingress.FreeBytes)
+	for {
+		send(c, dial(c, address), large+"{")
+		if statusOf(c, address, whole) == "503" {
+			break
+		}
+	}
+	c.Assert(statusOf(c, address, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}"), qt.Equals, "200")
+	// Later the stalled ones make room.
+	for statusOf(c, address, whole) != "200" {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// statusOf sends a whole request on a connection of its own and returns the status of the
+// reply.
+func statusOf(c *qt.C, address, request string) string {
+	conn := dial(c, address)
+	// The server may reply, and close the connection, before it has read all.
+	_, _ = io.WriteString(conn, request)
+	reply := make([]byte, len("HTTP/1.1 200"))
+	_, err := io.ReadFull(conn, reply)
+	c.Assert(err, qt.IsNil)
+	return string(reply[len("HTTP/1.1 "):])
+}
+
+// TestChunkedRequestsAreBounded does the same with bodies of unknown size, and with headers.
+func TestChunkedRequestsAreBounded(t *testing.T) {
+	for name, part := range map[string]string{
+		"chunked": "POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s", 4*ingress.FreeBytes, strings.Repeat(" ", 3*ingress.FreeBytes)),
+		"header":  "POST / HTTP/1.1\r\nHost: a.example\r\nX-Fill: " + strings.Repeat("f", 3*ingress.FreeBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, address := serve(c, http.HandlerFunc(readBody), ingress.WithMaxBytes(3*ingress.FreeBytes))
+			conns := []net.Conn{dial(c, address), dial(c, address), dial(c, address)}
+			for _, conn := range conns {
+				_, _ = io.WriteString(conn, part)
+			}
+			ended := make(chan bool, len(conns))
+			for _, conn := range conns {
+				go func() {
+					_, _ = io.Copy(io.Discard, conn)
+					ended <- true
+				}()
+			}
+			<-ended
+			<-ended
+		})
+	}
+}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -10,8 +10,26 @@
 // so that it can read the reply.
 const lingerTime = 300 * time.Millisecond
 
+// retryAfter is the Retry-After value, in seconds, of requests for which there is no room.
+// Connections that keep it without progress are closed by then.
+const retryAfter = "1"
+
+// TooManyBytesError is the error of a read of a body for which there is no more room.
+type TooManyBytesError struct{}
+
+// Error implements error.
+func (e *TooManyBytesError) Error() string {
+	return "the instance is receiving too many large requests"
+}
+
+// Reject replies that a request was not served because there is no room for it.
+func Reject(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", retryAfter)
+	http.Error(w, (&TooManyBytesError{}).Error(), http.StatusServiceUnavailable)
+}
+
 // handler returns a handler that tells for each connection whether the server or the client
-// has to act next, and bounds the time of bodies.
+// has to act next, and bounds the bytes and the time of bodies.
 func (c *Connections) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		k, ok := r.Context().Value(connectionKey{}).(*connection)
@@ -22,17 +40,20 @@
 		if r.ContentLength == 0 {
 			c.serving(k)
 		} else {
-			body := &requestBody{ReadCloser: r.Body, complete: func() { c.serving(k) }}
+			body := &requestBody{ReadCloser: r.Body, connections: c, connection: k}
 			r.Body = body
-			w = &bodyWriter{ResponseWriter: w, body: body}
+			replying := &bodyWriter{ResponseWriter: w, body: body}
+			w = replying
+			defer replying.begin()
+			if !c.expect(k, max(0, r.ContentLength)) {
+				Reject(w)
+				return
+			}
 			if c.bodyTimeout != nil {
 				setReadDeadline(w, c.bodyTimeout(r))
 			}
 		}
 		next.ServeHTTP(w, r)
-		if replied, ok := w.(*bodyWriter); ok {
-			replied.begin()
-		}
 		c.answered(k)
 	})
 }
@@ -43,19 +64,26 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d))
 }
 
-// requestBody calls complete once a body has been read to its end.
+// requestBody is the body of a request. It makes room for what has been read of it, and
+// records when it has been read to its end.
 type requestBody struct {
 	io.ReadCloser
-	complete func()
-	ended    bool
+	connections *Connections
+	connection  *connection
+	read        int64
+	ended       bool
 }
 
 // Read implements [io.Reader].
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !b.ended {
+	b.read += int64(n)
+	switch {
+	case err == io.EOF && !b.ended:
 		b.ended = true
-		b.complete()
+		b.connections.serving(b.connection)
+	case b.read > FreeBytes && !b.connections.expect(b.connection, b.read):
+		return n, &TooManyBytesError{}
 	}
 	return n, err
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -25,17 +25,24 @@
 	// buffers and a goroutine.
 	callerConnectionMemory   = 0.15
 	internalConnectionMemory = 0.08
-	connectionBytes          = 24 << 10
+	connectionBytes          = 32 << 10
+
+	// callerByteMemory is the share of the memory for large requests of callers, from their
+	// arrival to the reply.
+	callerByteMemory = 0.1
 )
 
 // limits are the bounds of an instance that follow from its machine.
 type limits struct {
 	callerConnections, internalConnections, readyConnections int
+	// callerBytes is the room for large requests of callers.
+	callerBytes int64
 }
 
 // MarshalZerologObject implements [zerolog.LogObjectMarshaler].
 func (l limits) MarshalZerologObject(e *zerolog.Event) {
-	e.Int("callerConnections", l.callerConnections).Int("internalConnections", l.internalConnections).Int("readyConnections", l.readyConnections)
+	e.Int("callerConnections", l.callerConnections).Int("internalConnections", l.internalConnections).Int("readyConnections", l.readyConnections).
+		Int64("callerBytes", l.callerBytes)
 }
 
 func newLimits(memoryMiB int64, descriptors int) limits {
@@ -45,6 +52,7 @@
 		callerConnections:   int(min(callerSockets*sockets, callerConnectionMemory*memory/connectionBytes)),
 		internalConnections: int(min(internalSockets*sockets, internalConnectionMemory*memory/connectionBytes)),
 		readyConnections:    max(1, int(readySockets*sockets)),
+		callerBytes:         int64(callerByteMemory * memory),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,9 @@
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 30 * time.Second
+	// maxReadyBytes bounds the large requests to the port for readiness checks, of which there
+	// are none.
+	maxReadyBytes = 1 << 20
 )
 
 // Deps are the dependencies of a node.
@@ -193,8 +196,8 @@
 	internal.Get(pathMove+"/{shard}/{job}", n.serveKnows)
 	internal.Get(pathLoad+"/{shard}", n.serveLoad)
 	for _, e := range []endpoint{
-		{name: "callers", address: n.settings.CallerAddress, handler: n.gateway, maxConnections: n.limits.callerConnections, bodyTimeout: gateway.BodyTimeout},
-		{name: "ready", address: n.settings.ReadyAddress, handler: ready, maxConnections: n.limits.readyConnections, bodyTimeout: internalBodyTimeout},
+		{name: "callers", address: n.settings.CallerAddress, handler: n.gateway, maxConnections: n.limits.callerConnections, maxBytes: n.limits.callerBytes, bodyTimeout: gateway.BodyTimeout},
+		{name: "ready", address: n.settings.ReadyAddress, handler: ready, maxConnections: n.limits.readyConnections, maxBytes: maxReadyBytes, bodyTimeout: internalBodyTimeout},
 		{name: "internal", address: n.self.Address, handler: internal, maxConnections: n.limits.internalConnections, bodyTimeout: internalBodyTimeout},
 	} {
 		if err := n.serve(e, failed); err != nil {
@@ -210,6 +213,8 @@
 	address        string
 	handler        http.Handler
 	maxConnections int
+	// maxBytes is the room for large requests; 0 for no bound.
+	maxBytes int64
 	// bodyTimeout bounds the time of the body of a request.
 	bodyTimeout func(*http.Request) time.Duration
 }
@@ -226,7 +231,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	connections := ingress.New(
-		ingress.WithMaxConnections(e.maxConnections), ingress.WithBodyTimeout(e.bodyTimeout),
+		ingress.WithMaxConnections(e.maxConnections), ingress.WithMaxBytes(e.maxBytes), ingress.WithBodyTimeout(e.bodyTimeout),
 		ingress.WithLogger(n.deps.Log, e.name), ingress.WithRecorder(n.deps.Recorder),
 	)
 	server := &http.Server{Addr: e.address, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
