gateway: headers are bounded by the limit of the configuration

The limit of the configuration for headers was decoded and not used: each header could take 1 MiB, the default of net/http. A header beyond the limit, or beyond 64 KiB, is answered 431. TestHeaderLimit failed before (200).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,11 @@
 		reject(w, noOwnerRetryAfter, "no configuration yet")
 		return
 	}
+	if limit := current.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "header is too large", http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	route, rest, ok := current.find(r.Host, r.URL.Path)
 	if !ok {
 		http.Error(w, "no such route", http.StatusNotFound)
@@ -143,6 +148,19 @@
 	}
 }
 
+// headerBytes returns the size of the header of a request, without the parts that the server
+// has already used, such as the length of the body.
+func headerBytes(r *http.Request) int64 {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return int64(n)
+}
+
 // rejectKey replies to a call whose key is not accepted.
 func (g *Gateway) rejectKey(w http.ResponseWriter, r *http.Request, version int64, route platform.Route, rejection credential.Rejection) {
 	g.recorder.Count("rejectedKeys", string(rejection))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -154,3 +154,16 @@
 		c.Assert(request(g, http.MethodGet, jobPath, "").Header().Get("Connection"), qt.Equals, "close")
 	})
 }
+
+// TestHeaderLimit guards against headers beyond the limit of the configuration, and against a
+// limit that ordinary headers meet.
+func TestHeaderLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g, keys := serve(t, &owner{})
+		keys.Put(platform.ConfigurationKey, []byte(strings.Replace(first, `"max_body_bytes"`, `"max_header_bytes":1000,"max_body_bytes"`, 1)))
+		time.Sleep(time.Second)
+		c.Assert(request(g, http.MethodPost, jobPath, valid, strings.Repeat("k", 900)).Code, qt.Equals, http.StatusOK)
+		c.Assert(request(g, http.MethodPost, jobPath, valid, strings.Repeat("k", 1000)).Code, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,9 @@
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 30 * time.Second
+	// maxHeaderBytes bounds the header of a request before the limit of the configuration is
+	// compared with it.
+	maxHeaderBytes = 64 << 10
 	// maxReadyBytes bounds the large requests to the port for readiness checks, of which there
 	// are none.
 	maxReadyBytes = 1 << 20
@@ -234,7 +237,7 @@
 		ingress.WithMaxConnections(e.maxConnections), ingress.WithMaxBytes(e.maxBytes), ingress.WithBodyTimeout(e.bodyTimeout),
 		ingress.WithLogger(n.deps.Log, e.name), ingress.WithRecorder(n.deps.Recorder),
 	)
-	server := &http.Server{Addr: e.address, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Addr: e.address, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.servers = append(n.servers, server)
 	go func() {
 		if err := connections.Serve(server, listener, e.handler); !errors.Is(err, http.ErrServerClosed) {
