node: the calls to owners in progress are bounded

Each query of a caller opened a connection to the owner if none was idle, so callers that ask for many jobs at once took the descriptors of their instance and, over it, those of the owner (1,024 and 256 for 700 callers).

Submissions and queries each have slots, a twentieth of the sockets. A call waits 0.3 s for one and is then rejected; nothing has been sent, so the rejection is true. Two kinds of slots keep queries from keeping submissions out. A limit of the transport on connections was ruled out: a call that waits for one looks like an owner that does not answer, and the instance would count as isolated.

--- a/node/limits.go
+++ b/node/limits.go
@@ -20,6 +20,9 @@
 	callerSockets   = 0.4
 	internalSockets = 0.2
 	readySockets    = 0.02
+	// ownerCallSockets is the share for the submissions that are passed on to owners at a
+	// time, and as much for the queries.
+	ownerCallSockets = 0.05
 
 	// The shares of the memory for the connections themselves, of which each holds its
 	// buffers and a goroutine.
@@ -37,12 +40,15 @@
 	callerConnections, internalConnections, readyConnections int
 	// callerBytes is the room for large requests of callers.
 	callerBytes int64
+	// ownerCalls is the number of submissions that are passed on to owners at a time, and
+	// that of queries.
+	ownerCalls int
 }
 
 // MarshalZerologObject implements [zerolog.LogObjectMarshaler].
 func (l limits) MarshalZerologObject(e *zerolog.Event) {
 	e.Int("callerConnections", l.callerConnections).Int("internalConnections", l.internalConnections).Int("readyConnections", l.readyConnections).
-		Int64("callerBytes", l.callerBytes)
+		Int64("callerBytes", l.callerBytes).Int("ownerCalls", l.ownerCalls)
 }
 
 func newLimits(memoryMiB int64, descriptors int) limits {
@@ -53,6 +59,7 @@
 		internalConnections: int(min(internalSockets*sockets, internalConnectionMemory*memory/connectionBytes)),
 		readyConnections:    max(1, int(readySockets*sockets)),
 		callerBytes:         int64(callerByteMemory * memory),
+		ownerCalls:          int(ownerCallSockets * sockets),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -111,9 +111,10 @@
 		suspects:       func(name string, epoch lovagestand.Epoch) bool { return n.detector(name).Suspects(epoch) },
 		ownershipEnded: func(name string, epoch lovagestand.Epoch) bool { return n.candidate(name).OwnershipEnded(epoch) },
 	}
+	slots := newOwnerSlots(n.limits.ownerCalls)
 	n.owners = newOwnerClients(n.directory, func(name string) *ownerClient {
 		return &ownerClient{
-			shard: name, self: self, directory: n.directory, peers: n.peers, local: n.cell, log: deps.Log,
+			shard: name, self: self, directory: n.directory, peers: n.peers, slots: slots, local: n.cell, log: deps.Log,
 			depose: func(epoch lovagestand.Epoch) { n.depose(name, epoch) },
 		}
 	})
--- a/node/owner.go
+++ b/node/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/cellpb"
@@ -43,6 +44,11 @@
 	// there is one. The timeout is less than half of the three seconds that
 	// callers usually wait, so that they have time left to ask another instance.
 	callTimeout = 1400 * time.Millisecond
+	// slotWait is how long a call waits while too many calls to owners are in progress.
+	slotWait = 300 * time.Millisecond
+	// busyRetryAfter is the Retry-After value of calls that then have no slot. The calls in
+	// progress end within callTimeout.
+	busyRetryAfter = 2 * time.Second
 	// idlePeerConnections bounds the number of idle connections to one instance.
 	idlePeerConnections = 16
 )
@@ -78,12 +84,33 @@
 	return c
 }
 
+// ownerSlots bounds the calls for callers that are in progress. Submissions and queries have
+// slots of their own, so that neither keeps the other out.
+type ownerSlots struct {
+	submissions, queries *semaphore.Weighted
+}
+
+func newOwnerSlots(n int) ownerSlots {
+	return ownerSlots{submissions: semaphore.NewWeighted(int64(n)), queries: semaphore.NewWeighted(int64(n))}
+}
+
+// acquireSlot waits for a slot for up to slotWait, and returns the function that frees it.
+func acquireSlot(ctx context.Context, slots *semaphore.Weighted) (release func(), err error) {
+	ctx, cancel := context.WithTimeout(ctx, slotWait)
+	defer cancel()
+	if err := slots.Acquire(ctx, 1); err != nil {
+		return nil, &shard.RejectedError{Reason: "too many calls to the owners of shards are in progress", RetryAfter: busyRetryAfter}
+	}
+	return func() { slots.Release(1) }, nil
+}
+
 // ownerClient passes calls on to the owner of one shard.
 type ownerClient struct {
 	shard     string
 	self      lovagestand.Instance
 	directory *election.Directory
 	peers     *peers
+	slots     ownerSlots
 	local     cellpb.Cell
 	// depose ends the ownership of an owner at whose address no process listens.
 	depose func(lovagestand.Epoch)
@@ -254,6 +281,11 @@
 // accepted only if there is no earlier attempt whose outcome is unknown, since the owner
 // may still accept the job when that attempt arrives late.
 func (c *ownerClient) Submit(ctx context.Context, j job.Job, version int64) error {
+	release, err := acquireSlot(ctx, c.slots.submissions)
+	if err != nil {
+		return err
+	}
+	defer release()
 	body, err := job.EncodeJob(j)
 	if err != nil {
 		return err
@@ -281,8 +313,13 @@
 
 // State is [ownerClients.State] for this shard.
 func (c *ownerClient) State(ctx context.Context, id job.ID, team lovagestand.TeamName) (string, error) {
+	release, err := acquireSlot(ctx, c.slots.queries)
+	if err != nil {
+		return "", err
+	}
+	defer release()
 	phase := ""
-	err := c.call(ctx, "state", id, func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
+	err = c.call(ctx, "state", id, func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
 		reply, err := owner.State(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id), Team: string(team)})
 		phase = reply.GetPhase()
 		return reply.GetVerdict(), err
@@ -292,6 +329,11 @@
 
 // Cancel is [ownerClients.Cancel] for this shard.
 func (c *ownerClient) Cancel(ctx context.Context, id job.ID, team lovagestand.TeamName) error {
+	release, err := acquireSlot(ctx, c.slots.queries)
+	if err != nil {
+		return err
+	}
+	defer release()
 	return c.call(ctx, "cancel", id, func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
 		reply, err := owner.Cancel(ctx, &cellpb.JobRequest{Shard: c.shard, Id: string(id), Team: string(team)})
 		return reply.GetVerdict(), err
@@ -300,8 +342,13 @@
 
 // Pending is [ownerClients.Pending] for this shard.
 func (c *ownerClient) Pending(ctx context.Context, route lovagestand.RouteName) (int, error) {
+	release, err := acquireSlot(ctx, c.slots.queries)
+	if err != nil {
+		return 0, err
+	}
+	defer release()
 	n := 0
-	err := c.call(ctx, "pending", "", func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
+	err = c.call(ctx, "pending", "", func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
 		reply, err := owner.Pending(ctx, &cellpb.PendingRequest{Shard: c.shard, Route: string(route)})
 		n = int(reply.GetJobs())
 		return reply.GetVerdict(), err
