shard: accepted jobs are bounded by the memory of the smallest instance

Nothing weighed the jobs that an owner accepts against its memory. A crowd of large legal jobs ended the owner, and then the next one as it loaded what had been accepted, one after the other.

An owner counts about what its jobs take in memory, live and ended ones, and rejects those beyond a fifth of the memory of the smallest listed instance, divided by the number of shards. Instances list their memory. Moved jobs are checked too and stay where they are.

Bounding only the bytes in flight was ruled out: what is accepted stays.

--- a/member.go
+++ b/member.go
@@ -13,6 +13,8 @@
 	Leaving       bool          `json:"leaving,omitempty"`
 	// Processors is the number of cores that the instance may use.
 	Processors float64 `json:"processors,omitempty"`
+	// MemoryMiB is the memory that the instance may use, in MiB; 0 if it is not known.
+	MemoryMiB int64 `json:"memoryMiB,omitempty"`
 }
 
 // WithLeaving returns a copy of i that is or is not leaving.
--- a/node/limits.go
+++ b/node/limits.go
@@ -1,10 +1,16 @@
 package node
 
 import (
+	"sync"
+	"time"
+
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/layout"
 	"lovagestand.example/lovagestand/settings"
+	"lovagestand.example/lovagestand/shard"
 )
 
 const (
@@ -33,6 +39,11 @@
 	// callerByteMemory is the share of the memory for large requests of callers, from their
 	// arrival to the reply.
 	callerByteMemory = 0.1
+	// jobMemory is the share of the memory for the jobs that owners keep.
+	jobMemory = 0.2
+	// jobMemoryInterval is the time after which the memory of the other instances is compared
+	// again.
+	jobMemoryInterval = time.Second
 )
 
 // limits are the bounds of an instance that follow from its machine.
@@ -74,3 +85,30 @@
 	}
 	return int(allowed.Cur)
 }
+
+// jobMemory returns a function that returns the memory for the jobs of one shard. It is a part
+// of that of the smallest instance, since any of them may be the next owner, of all shards.
+func (n *Node) jobMemory(l layout.Layout) func() int64 {
+	var mu sync.Mutex
+	var limit int64
+	var comparedAt time.Time
+	return func() int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		if now := time.Now(); now.Sub(comparedAt) >= jobMemoryInterval {
+			limit, comparedAt = jobMemoryOf(n.self, n.directory.Members(), l.Shards), now
+		}
+		return limit
+	}
+}
+
+// jobMemoryOf returns the memory for the jobs of each of a number of shards.
+func jobMemoryOf(self lovagestand.Instance, members []lovagestand.Instance, shards int) int64 {
+	smallest := self.MemoryMiB
+	for _, m := range members {
+		if m.MemoryMiB > 0 {
+			smallest = min(smallest, m.MemoryMiB)
+		}
+	}
+	return max(shard.MinJobMemory, int64(jobMemory*float64(smallest<<20))/int64(shards))
+}
--- a/node/move.go
+++ b/node/move.go
@@ -94,11 +94,12 @@
 	err = n.cell.receive(r.Context(), chi.URLParam(r, "shard"), job.ID(chi.URLParam(r, "job")), value)
 	var otherTeam *shard.OtherTeamError
 	var notOwner *shard.NotOwnerError
+	var rejected *shard.RejectedError
 	switch {
 	case err == nil:
 	case errors.As(err, &otherTeam):
 		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.As(err, &notOwner):
+	case errors.As(err, &notOwner), errors.As(err, &rejected):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/node/node.go
+++ b/node/node.go
@@ -94,7 +94,7 @@
 func New(s settings.Node, deps Deps) *Node {
 	self := lovagestand.Instance{
 		ID: s.Instance, Address: net.JoinHostPort(s.Host, strconv.Itoa(s.Ports[0])), Region: s.Region, FailureDomain: s.FailureDomain,
-		Processors: s.Processors,
+		Processors: s.Processors, MemoryMiB: s.MemoryMiB,
 	}
 	calls := newStoreCalls(deps.Keys, deps.Log)
 	deps.Keys = calls
--- a/node/serve.go
+++ b/node/serve.go
@@ -50,7 +50,8 @@
 	deps := shard.Deps{
 		Fleet: n.deps.Fleet, Store: store,
 		AdviceClients: func() []shard.AdviceClient { return n.adviceClients(term.Shard) }, Confirmed: confirmed, Log: n.deps.Log,
-		Assured: n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Services: n.routes.Services, Recorder: n.deps.Recorder,
+		JobMemory: n.jobMemory(l),
+		Assured:   n.candidate(term.Shard).Assured, Teams: n.routes.Teams, Services: n.routes.Services, Recorder: n.deps.Recorder,
 	}
 	if l.Shards > 1 {
 		deps.DividedCaps, deps.Move, deps.Knows, deps.Load = true, n.moveJob, n.knowsJob, n.shardLoad
--- a/shard/move.go
+++ b/shard/move.go
@@ -340,6 +340,7 @@
 	s.recordArrival(e, time.Now())
 	e.move.moved, e.finishedAt, e.phase = true, time.Now(), e.progress.Phase()
 	e.progress, e.body, e.steps = nil, nil, nil
+	s.weigh(e)
 	s.enqueue(e)
 }
 
@@ -423,6 +424,10 @@
 		e.unsubmitted, e.durable, e.route, e.team, e.cancelledBy = false, false, j.Policy.Route, j.Team, nil
 		e.move.count = r.Moves
 	case !known || e.unsubmitted || e.move.count < r.Moves:
+		if err := s.checkMemory(id, weightOf(j, body)); err != nil {
+			s.mu.Unlock()
+			return err
+		}
 		e = s.acceptMoved(e, progress, body, r)
 	}
 	s.enqueue(e)
--- a/shard/reasons.go
+++ b/shard/reasons.go
@@ -15,6 +15,7 @@
 	RejectsForTeam      RejectionReason = "teamWithdrawn"
 	RejectsForCap       RejectionReason = "beyondCap"
 	RejectsForLoad      RejectionReason = "overload"
+	RejectsForMemory    RejectionReason = "memory"
 	RejectsKnownID      RejectionReason = "knownID"
 	RejectsOtherTeamsID RejectionReason = "otherTeamsID"
 	RejectsCancelledID  RejectionReason = "cancelledID"
@@ -70,6 +71,7 @@
 // rejectionOf describes an error with which a job is rejected.
 func rejectionOf(err error) *Rejection {
 	var beyondCap *QuotaError
+	var full *MemoryError
 	var rejected *RejectedError
 	if !errors.As(err, &rejected) {
 		return &Rejection{Reason: RejectsForTeam, Message: err.Error()}
@@ -78,6 +80,8 @@
 	switch {
 	case errors.As(err, &beyondCap):
 		r.Reason = RejectsForCap
+	case errors.As(err, &full):
+		r.Reason = RejectsForMemory
 	case rejected.Overloaded:
 		r.Reason = RejectsForLoad
 	case rejected.Stalled:
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -54,7 +54,7 @@
 		s.former = newFormerRuns()
 		s.settleSuspicions()
 	}
-	s.log.Info().Int("jobs", len(s.jobs)).Int("live", len(s.live)).Int("workers", len(s.unresolved)).Dur("took", time.Since(begun)).Msg("shard loaded")
+	s.log.Info().Int("jobs", len(s.jobs)).Int("live", len(s.live)).Int64("memory", s.memory.used).Int("workers", len(s.unresolved)).Dur("took", time.Since(begun)).Msg("shard loaded")
 	return nil
 }
 
@@ -106,7 +106,7 @@
 		if r.Unsubmitted {
 			e.team, e.cancelledBy = "", append([]lovagestand.TeamName{r.Team}, r.CancelledAlsoBy...)
 		}
-		s.jobs[id] = e
+		s.keep(e)
 		s.former.addEnded(e, r.Held, e.finishedAt.Add(s.endedRunDuration()), now)
 		return nil
 	}
@@ -126,7 +126,7 @@
 	}
 	s.former.addLive(e, now)
 	s.estimateWork(e)
-	s.jobs[id] = e
+	s.keep(e)
 	s.live[id] = e
 	return nil
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -59,8 +59,11 @@
 	// DividedCaps indicates that the caps are divided among several shards. The shard then
 	// starts tasks of a team with a cap only within [Shard.SetShares].
 	DividedCaps bool
-	Log         zerolog.Logger
-	Recorder    lovagestand.Recorder
+	// JobMemory returns the memory that the jobs of the shard may take, in bytes. A nil
+	// function means that there is no bound.
+	JobMemory func() int64
+	Log       zerolog.Logger
+	Recorder  lovagestand.Recorder
 }
 
 // Limits are the limits and intervals that the platform sets.
@@ -104,6 +107,11 @@
 	// jobs holds every known job, live those that have not ended.
 	jobs map[job.ID]*jobEntry
 	live map[job.ID]*jobEntry
+	// memory is what jobs take. rejectedSinceLog counts the jobs that were rejected for want
+	// of it since fullLoggedAt.
+	memory           jobMemory
+	rejectedSinceLog int
+	fullLoggedAt     time.Time
 	// unreadable holds the stored jobs that this version cannot decode.
 	unreadable map[job.ID]bool
 	workers    map[lovagestand.WorkerName]*worker
@@ -271,6 +279,8 @@
 	team     lovagestand.TeamName
 	progress *job.Progress
 	body     []byte
+	// weight is the memory that the entry takes, see [Shard.keep].
+	weight int64
 	// phase replaces progress, which is nil once the end of the job is durable and
 	// none of its tasks is active.
 	phase string
@@ -543,15 +553,17 @@
 
 // Status is a summary of a shard for operators.
 type Status struct {
-	Epoch              uint64 `json:"epoch"`
-	Jobs               int    `json:"jobs"`
-	LiveJobs           int    `json:"liveJobs"`
-	Workers            int    `json:"workers"`
-	OpenWorkers        int    `json:"openWorkers"`
-	RunningTasks       int    `json:"runningTasks"`
-	UnsavedJobs        int    `json:"unsavedJobs"`
-	StoreStalled       bool   `json:"storeStalled"`
-	FormerTermResolved bool   `json:"formerTermResolved"`
+	Epoch    uint64 `json:"epoch"`
+	Jobs     int    `json:"jobs"`
+	LiveJobs int    `json:"liveJobs"`
+	// JobMemoryBytes is about the memory that the jobs take.
+	JobMemoryBytes     int64 `json:"jobMemoryBytes"`
+	Workers            int   `json:"workers"`
+	OpenWorkers        int   `json:"openWorkers"`
+	RunningTasks       int   `json:"runningTasks"`
+	UnsavedJobs        int   `json:"unsavedJobs"`
+	StoreStalled       bool  `json:"storeStalled"`
+	FormerTermResolved bool  `json:"formerTermResolved"`
 	// Teams holds the teams with work in the shard, as of the last pass.
 	Teams []TeamStatus `json:"teams,omitempty"`
 	// Speeds describes the learned speeds of the workers; nil if they are not learned.
@@ -568,7 +580,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := Status{
-		Epoch: uint64(s.term.Epoch), Jobs: len(s.jobs), LiveJobs: len(s.live), Workers: len(s.workers),
+		Epoch: uint64(s.term.Epoch), Jobs: len(s.jobs), LiveJobs: len(s.live), JobMemoryBytes: s.memory.used, Workers: len(s.workers),
 		UnsavedJobs: len(s.queue), StoreStalled: s.stalled, FormerTermResolved: s.resolved, Teams: s.teamStatus,
 		Speeds: s.speedStatus(),
 	}
--- a/shard/submit.go
+++ b/shard/submit.go
@@ -112,7 +112,11 @@
 		return &NotOwnerError{}
 	}
 	if !known || e.unsubmitted && !e.cancelled(j.Team) {
-		if err := s.rejection(j, version); err != nil {
+		err := s.rejection(j, version)
+		if err == nil {
+			err = s.checkMemory(j.ID, weightOf(j, body))
+		}
+		if err != nil {
 			s.mu.Unlock()
 			return err
 		}
@@ -153,9 +157,9 @@
 	if cancellation != nil {
 		e = cancellation.replacedBy(e)
 	}
-	s.jobs[e.id] = e
+	s.keep(e)
 	s.live[e.id] = e
-	s.log.Info().Str("job", string(e.id)).Str("team", string(e.team)).Str("route", string(e.route)).Int("steps", len(e.progress.Job().Steps)).Int("live", len(s.live)).Msg("job accepted")
+	s.log.Info().Str("job", string(e.id)).Str("team", string(e.team)).Str("route", string(e.route)).Int("steps", len(e.progress.Job().Steps)).Int("live", len(s.live)).Int64("memory", s.memory.used).Msg("job accepted")
 	return e
 }
 
@@ -254,12 +258,18 @@
 		s.mu.Unlock()
 		return stalledError()
 	}
+	if !known {
+		if err := s.checkMemory(id, entryWeight); err != nil {
+			s.mu.Unlock()
+			return err
+		}
+	}
 	switch {
 	case !known:
 		e = newFinishedJobEntry(id, "", "", phaseCancelled, time.Now())
 		e.unsubmitted = true
 		e.cancelledBy = []lovagestand.TeamName{team}
-		s.jobs[id] = e
+		s.keep(e)
 	case e.unsubmitted && !e.cancelled(team):
 		e.addCancellation(team)
 	case !otherTeams && e.progress != nil && e.progress.Cancel():
--- a/shard/where.go
+++ b/shard/where.go
@@ -106,7 +106,7 @@
 	deps.Fleet, deps.Store, deps.Log, deps.Recorder = nil, nil, zerolog.Nop(), lovagestand.NoRecorder{}
 	c := New(s.term, s.limits, deps)
 	c.cancel()
-	c.jobs, c.unreadable, c.workers, c.stuck = s.jobs, s.unreadable, s.workers, s.stuck
+	c.jobs, c.memory, c.unreadable, c.workers, c.stuck = s.jobs, s.memory, s.unreadable, s.workers, s.stuck
 	c.stalled, c.writtenPosition = s.stalled, s.writtenPosition
 	c.unresolved, c.rosterUnreadable, c.resolved = s.unresolved, s.rosterUnreadable, s.resolved
 	c.teamUsage, c.former, c.shares = s.teamUsage, s.former, s.shares
@@ -170,6 +170,13 @@
 	if err := s.rejection(e.progress.Job(), version); err != nil {
 		return rejectionOf(err)
 	}
+	body, err := job.EncodeJob(e.progress.Job())
+	if err == nil {
+		err = s.memoryError(time.Now(), e.id, weightOf(e.progress.Job(), body))
+	}
+	if err != nil {
+		return rejectionOf(err)
+	}
 	s.estimateWork(e)
 	if err := s.admit(time.Now(), e); err != nil {
 		return rejectionOf(err)
--- a/shard/withdraw.go
+++ b/shard/withdraw.go
@@ -65,8 +65,7 @@
 		return false
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(q *jobEntry) bool { return q == e })
-	delete(s.jobs, e.id)
-	delete(s.live, e.id)
+	s.forget(e)
 	notifyWaiters(e.waiters, err)
 	e.queuePosition, e.waiters = 0, nil
 	return true
--- a/shard/write.go
+++ b/shard/write.go
@@ -181,8 +181,7 @@
 			continue
 		}
 		rejected++
-		delete(s.jobs, e.id)
-		delete(s.live, e.id)
+		s.forget(e)
 		notifyWaiters(e.waiters, stalledError())
 	}
 	s.queue = remaining
@@ -329,6 +328,9 @@
 		// jobs. A job without progress gets no new runs.
 		e.heldRuns = nil
 	}
+	if s.jobs[e.id] == e {
+		s.weigh(e)
+	}
 }
 
 // expireJobs queues the removal of finished jobs whose retention has passed. Nothing
@@ -356,7 +358,7 @@
 // jobRemoved records that an expired job has been removed from the store.
 func (s *Shard) jobRemoved(e *jobEntry) {
 	s.log.Info().Str("job", string(e.id)).Str("phase", e.phase).Dur("finishedFor", time.Since(e.finishedAt)).Msg("job removed after its retention")
-	delete(s.jobs, e.id)
+	s.forget(e)
 }
 
 // rosterEntry is the stored entry of a worker that may hold tasks.
