gateway, node: large submissions that are processed at a time are bounded

A submission takes several times its size while it is decoded, encoded for the owner, received and decoded there, and the owner received as many at a time as the other instances sent. Callers that send large jobs to all instances still made the owner exceed its memory, also with the connections, the requests in flight and the accepted jobs bounded.

A gateway processes submissions beyond 8 KiB while they are together a fiftieth of its memory. The port for other instances has as much room for large calls, and rejects others before they are decoded; the sender takes that as a rejection, so that the caller is answered 503 and the call is not repeated as one of unknown outcome.

Two crowds are added: large jobs at all nodes, and the same with a slow store.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -55,9 +55,12 @@
 	name    string
 	clients int
 	send    client
-	// owner is whether the crowd calls the owner of the shard, instead of another node.
-	owner bool
-	port  port
+	// owner is whether the crowd calls the owner of the shard, instead of another node, and
+	// everywhere whether it calls all nodes.
+	owner, everywhere bool
+	port              port
+	// slowStore is whether the store is slow during the crowd.
+	slowStore bool
 	// restart is whether all nodes are killed and started again afterwards.
 	restart bool
 }{
@@ -71,6 +74,8 @@
 	{name: "large jobs", clients: 700, send: whole(largeJob()), restart: true},
 	{name: "large jobs at the owner", clients: 700, send: whole(largeJob()), owner: true, restart: true},
 	{name: "jobs of many tasks", clients: 200, send: whole(wideJob()), restart: true},
+	{name: "large jobs at all nodes", clients: 500, send: whole(largeJob()), everywhere: true, restart: true},
+	{name: "large jobs with a slow store", clients: 500, send: whole(largeJob()), everywhere: true, slowStore: true, restart: true},
 	{name: "bodies on an unknown route", clients: 3000, send: unknownRoute},
 	{name: "headers without an end", clients: 3000, send: endlessHeader(15 << 10)},
 	{name: "huge headers without an end", clients: 700, send: endlessHeader(512 << 10)},
@@ -99,17 +104,27 @@
 		t.Run(strings.ReplaceAll(k.name, " ", "_"), func(t *testing.T) {
 			c := qt.New(t)
 			s := open(c, binary)
-			target := s.target(k.owner)
-			address := map[port]string{ready: target.Ready, internal: target.Internal}[k.port]
-			if address == "" {
-				address = target.Callers
+			targets := s.cell.Nodes
+			if !k.everywhere {
+				targets = []*soak.Node{s.target(k.owner)}
+			}
+			if k.slowStore {
+				s.setStoreMode(soak.Delay)
+			}
+			var gatherings []*gathering
+			for _, n := range targets {
+				gatherings = append(gatherings, gather(addressOf(n, k.port), *factor*k.clients, k.send))
+			}
+			for i, g := range gatherings {
+				g.sent.Wait()
+				s.assertAnswer(targets[i], "during the crowd")
 			}
-			g := gather(address, *factor*k.clients, k.send)
-			g.sent.Wait()
-			s.assertAnswer(target, "during the crowd")
 			time.Sleep(holdTime)
 			s.assertLimits()
-			g.disperse()
+			for _, g := range gatherings {
+				g.disperse()
+			}
+			s.setStoreMode(soak.Pass)
 			s.assertServed("after the crowd")
 			s.assertLimits()
 			if k.restart {
@@ -121,6 +136,17 @@
 	}
 }
 
+// addressOf returns the address of a port of a node.
+func addressOf(n *soak.Node, p port) string {
+	switch p {
+	case ready:
+		return n.Ready
+	case internal:
+		return n.Internal
+	}
+	return n.Callers
+}
+
 // TestLargestRequest guards against bounds that a caller within the limits meets: the
 // largest job arrives in pieces, as slowly as the caller's deadline allows.
 func TestLargestRequest(t *testing.T) {
@@ -274,6 +300,13 @@
 	}
 }
 
+// setStoreMode sets how calls of all nodes reach the store.
+func (s *cell) setStoreMode(m soak.Mode) {
+	for _, n := range s.cell.Nodes {
+		n.Store.SetMode(m)
+	}
+}
+
 // restart kills all nodes and starts them again. Peaks are counted anew.
 func (s *cell) restart() {
 	for _, n := range s.cell.Nodes {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"lovagestand.example/lovagestand"
 	"lovagestand.example/lovagestand/credential"
@@ -42,6 +43,8 @@
 	maxBodyTimeout     = time.Minute
 	// defaultBodyBytes is the body size limit if the configuration sets none.
 	defaultBodyBytes = 256 << 10
+	// submissionWait is how long a large submission waits while too many others are processed.
+	submissionWait = 300 * time.Millisecond
 	// noOwnerRetryAfter is the Retry-After value while no instance owns the shard or
 	// no configuration is loaded. A takeover takes about that long.
 	noOwnerRetryAfter = time.Second
@@ -58,11 +61,28 @@
 	recorder lovagestand.Recorder
 	draining atomic.Bool
 	repeats  repeatPacer
+	// submissions has as many units as bytes of large submissions may be processed at a time;
+	// nil without a bound.
+	submissions     *semaphore.Weighted
+	submissionBytes int64
+}
+
+// Option configures a new [Gateway].
+type Option func(*Gateway)
+
+// WithMaxSubmissionBytes limits the bytes of the large submissions that are decoded and passed
+// on at a time. Each takes several times its size in memory.
+func WithMaxSubmissionBytes(n int64) Option {
+	return func(g *Gateway) { g.submissions, g.submissionBytes = semaphore.NewWeighted(n), n }
 }
 
 // New returns a gateway that serves routes and forwards calls to owner.
-func New(routes *Routes, owner OwnerClient, log zerolog.Logger, recorder lovagestand.Recorder) *Gateway {
-	return &Gateway{routes: routes, owner: owner, log: log, recorder: recorder}
+func New(routes *Routes, owner OwnerClient, log zerolog.Logger, recorder lovagestand.Recorder, options ...Option) *Gateway {
+	g := &Gateway{routes: routes, owner: owner, log: log, recorder: recorder}
+	for _, o := range options {
+		o(g)
+	}
+	return g
 }
 
 // Close starts draining: from now on replies ask callers to close their connection, and
@@ -247,7 +267,29 @@
 	return body, err
 }
 
+// beginSubmission waits until a submission of a size may be processed. It returns the function
+// that ends the processing, or false if others take too long.
+func (g *Gateway) beginSubmission(ctx context.Context, bytes int64) (end func(), ok bool) {
+	if bytes <= ingress.FreeBytes || g.submissions == nil {
+		return func() {}, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, submissionWait)
+	defer cancel()
+	units := min(bytes, g.submissionBytes)
+	if err := g.submissions.Acquire(ctx, units); err != nil {
+		return nil, false
+	}
+	return func() { g.submissions.Release(units) }, true
+}
+
 func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, body []byte, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
+	end, ok := g.beginSubmission(ctx, int64(len(body)))
+	if !ok {
+		g.recorder.Count("rejectedSubmissions", "bytes")
+		ingress.Reject(w)
+		return
+	}
+	defer end()
 	j, err := platform.DecodeSubmission(id, route.Policy, body)
 	if err != nil {
 		g.log.Info().Err(err).Str("job", string(id)).Str("route", string(route.Policy.Route)).Msg("invalid job rejected")
--- a/node/limits.go
+++ b/node/limits.go
@@ -39,6 +39,14 @@
 	// callerByteMemory is the share of the memory for large requests of callers, from their
 	// arrival to the reply.
 	callerByteMemory = 0.1
+	// submissionMemory is the share for large submissions that are decoded and passed on, and
+	// internalByteMemory that for large calls of other instances. Both take about five times
+	// as much while they are processed.
+	submissionMemory   = 0.02
+	internalByteMemory = 0.02
+	// minSubmissionBytes is the least room for each of the two: that of the largest
+	// submissions, which grow on their way to the owner.
+	minSubmissionBytes = 1 << 20
 	// jobMemory is the share of the memory for the jobs that owners keep.
 	jobMemory = 0.2
 	// jobMemoryInterval is the time after which the memory of the other instances is compared
@@ -51,6 +59,9 @@
 	callerConnections, internalConnections, readyConnections int
 	// callerBytes is the room for large requests of callers.
 	callerBytes int64
+	// submissionBytes is the room for those that are being processed, internalBytes that for
+	// large calls of other instances.
+	submissionBytes, internalBytes int64
 	// ownerCalls is the number of submissions that are passed on to owners at a time, and
 	// that of queries.
 	ownerCalls int
@@ -59,7 +70,7 @@
 // MarshalZerologObject implements [zerolog.LogObjectMarshaler].
 func (l limits) MarshalZerologObject(e *zerolog.Event) {
 	e.Int("callerConnections", l.callerConnections).Int("internalConnections", l.internalConnections).Int("readyConnections", l.readyConnections).
-		Int64("callerBytes", l.callerBytes).Int("ownerCalls", l.ownerCalls)
+		Int64("callerBytes", l.callerBytes).Int64("submissionBytes", l.submissionBytes).Int64("internalBytes", l.internalBytes).Int("ownerCalls", l.ownerCalls)
 }
 
 func newLimits(memoryMiB int64, descriptors int) limits {
@@ -70,6 +81,8 @@
 		internalConnections: int(min(internalSockets*sockets, internalConnectionMemory*memory/connectionBytes)),
 		readyConnections:    max(1, int(readySockets*sockets)),
 		callerBytes:         int64(callerByteMemory * memory),
+		submissionBytes:     max(minSubmissionBytes, int64(submissionMemory*memory)),
+		internalBytes:       max(minSubmissionBytes, int64(internalByteMemory*memory)),
 		ownerCalls:          int(ownerCallSockets * sockets),
 	}
 }
--- a/node/limits_internal_test.go
+++ b/node/limits_internal_test.go
@@ -18,8 +18,8 @@
 		descriptors int
 		want        limits
 	}{
-		{284, 4100, limits{callerConnections: 1363, internalConnections: 727, readyConnections: 78, callerBytes: 29779558, ownerCalls: 195}},
-		{160, 4100, limits{callerConnections: 768, internalConnections: 409, readyConnections: 78, callerBytes: 16777216, ownerCalls: 195}},
+		{284, 4100, limits{callerConnections: 1363, internalConnections: 727, readyConnections: 78, callerBytes: 29779558, submissionBytes: 5955911, internalBytes: 5955911, ownerCalls: 195}},
+		{160, 4100, limits{callerConnections: 768, internalConnections: 409, readyConnections: 78, callerBytes: 16777216, submissionBytes: 3355443, internalBytes: 3355443, ownerCalls: 195}},
 	} {
 		l := newLimits(m.memoryMiB, m.descriptors)
 		c.Check(l, qt.Equals, m.want)
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 			depose: func(epoch lovagestand.Epoch) { n.depose(name, epoch) },
 		}
 	})
-	n.gateway = gateway.New(n.routes, n.owners, deps.Log, deps.Recorder)
+	n.gateway = gateway.New(n.routes, n.owners, deps.Log, deps.Recorder, gateway.WithMaxSubmissionBytes(n.limits.submissionBytes))
 	n.publishWaits()
 	return n
 }
@@ -202,7 +202,7 @@
 	for _, e := range []endpoint{
 		{name: "callers", address: n.settings.CallerAddress, handler: n.gateway, maxConnections: n.limits.callerConnections, maxBytes: n.limits.callerBytes, bodyTimeout: gateway.BodyTimeout},
 		{name: "ready", address: n.settings.ReadyAddress, handler: ready, maxConnections: n.limits.readyConnections, maxBytes: maxReadyBytes, bodyTimeout: internalBodyTimeout},
-		{name: "internal", address: n.self.Address, handler: internal, maxConnections: n.limits.internalConnections, bodyTimeout: internalBodyTimeout},
+		{name: "internal", address: n.self.Address, handler: internal, maxConnections: n.limits.internalConnections, maxBytes: n.limits.internalBytes, bodyTimeout: internalBodyTimeout},
 	} {
 		if err := n.serve(e, failed); err != nil {
 			return err
--- a/node/owner.go
+++ b/node/owner.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/semaphore"
 
 	"lovagestand.example/lovagestand"
@@ -49,6 +51,9 @@
 	// busyRetryAfter is the Retry-After value of calls that then have no slot. The calls in
 	// progress end within callTimeout.
 	busyRetryAfter = 2 * time.Second
+	// ownerFullRetryAfter is the Retry-After value of large jobs that the owner has no room to
+	// receive. It waits for the writes of those before.
+	ownerFullRetryAfter = time.Second
 	// idlePeerConnections bounds the number of idle connections to one instance.
 	idlePeerConnections = 16
 )
@@ -172,6 +177,14 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// notAdmitted reports whether err means that the server of the other instance rejected a call
+// for want of room before it was decoded, see [ingress.Reject].
+func notAdmitted(err error) bool {
+	var rejected twirp.Error
+	return errors.As(err, &rejected) && rejected.Meta("http_error_from_intermediary") == "true" &&
+		rejected.Meta("status_code") == strconv.Itoa(http.StatusServiceUnavailable)
+}
+
 // outcomeUnknown reports whether a call may have taken effect, or may still do so,
 // although no answer has confirmed it.
 func outcomeUnknown(verdict cellpb.Verdict, err error) bool {
@@ -295,6 +308,11 @@
 	err = c.call(ctx, "submit", j.ID, func(ctx context.Context, owner cellpb.Cell) (cellpb.Verdict, error) {
 		var err error
 		reply, err = owner.Submit(ctx, &cellpb.SubmitRequest{Shard: c.shard, Id: string(j.ID), Job: body, Version: version})
+		if notAdmitted(err) {
+			reply, err = &cellpb.SubmitReply{
+				Verdict: cellpb.Verdict_VERDICT_REJECTED, Reason: "the owner is receiving too many large jobs", RetryAfterMillis: ownerFullRetryAfter.Milliseconds(),
+			}, nil
+		}
 		anyUnknown = anyUnknown || outcomeUnknown(reply.GetVerdict(), err)
 		return reply.GetVerdict(), err
 	})
