shard: a write to the store is bounded in bytes

A write took as many jobs as a transaction may have entries, 29, of up to 256 KiB each, and a slow store has up to three attempts in each of six lanes. An owner of large jobs then holds several times its memory in attempts alone.

A write takes no more jobs from 256 KiB on. Writes of ordinary jobs are as before.

--- a/shard/memory_test.go
+++ b/shard/memory_test.go
@@ -1,7 +1,10 @@
 package shard_test
 
 import (
+	"context"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,3 +111,42 @@
 		o.submit(c, id(1000), job.Step{Count: 1})
 	})
 }
+
+// sizedStore records the size of the largest commit.
+type sizedStore struct {
+	lovagestand.Keyspace
+	largest atomic.Int64
+}
+
+func (s *sizedStore) Commit(ctx context.Context, t lovagestand.Transaction) (lovagestand.Revision, error) {
+	size := int64(0)
+	for _, w := range t.Set {
+		size += int64(len(w.Value))
+	}
+	s.largest.Store(max(s.largest.Load(), size))
+	time.Sleep(100 * time.Millisecond)
+	return s.Keyspace.Commit(ctx, t)
+}
+
+// TestWritesAreBoundedInBytes guards against writes of as many large jobs as one write may
+// contain.
+func TestWritesAreBoundedInBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 4, always(time.Minute, lovagestand.EndingDone))
+		var store *sizedStore
+		k.storeWrapper = func(keys lovagestand.Keyspace) lovagestand.Keyspace {
+			store = &sizedStore{Keyspace: keys}
+			return store
+		}
+		o := k.beginTerm("a")
+		defer func() { o.stop() }()
+		time.Sleep(time.Second)
+		var submitting sync.WaitGroup
+		for i := range 20 {
+			submitting.Go(func() { c.Check(o.trySubmit(id(i), largeStep(100<<10)), qt.IsNil) })
+		}
+		submitting.Wait()
+		c.Assert(store.largest.Load() < 512<<10, qt.IsTrue, qt.Commentf("%d bytes", store.largest.Load()))
+	})
+}
--- a/shard/write.go
+++ b/shard/write.go
@@ -20,6 +20,10 @@
 	// stallAfter is how long a write may take before new jobs are rejected instead of
 	// queued behind it.
 	stallAfter = 600 * time.Millisecond
+	// maxBatchBytes is the size from which a write takes no more jobs. A write takes several
+	// times its size in memory, and up to three attempts at it wait at the same time in each
+	// lane.
+	maxBatchBytes = 256 << 10
 	// slowWriteAfter is how long a write may take before it counts as slow and the next
 	// one starts beside it. It is far longer than a write to a store in another region
 	// takes.
@@ -221,8 +225,9 @@
 		orderQueue(s.queue)
 	}
 	remaining := s.queue[:0]
+	bytes := 0
 	for _, e := range s.queue {
-		if e.writing || len(values) >= jobstore.MaxEntries {
+		if e.writing || len(values) >= jobstore.MaxEntries || bytes >= maxBatchBytes {
 			remaining = append(remaining, e)
 			continue
 		}
@@ -231,6 +236,7 @@
 			s.log.Error().Err(err).Str("job", string(e.id)).Msg("cannot encode a job for the store")
 			continue
 		}
+		bytes += len(value)
 		values = append(values, jobstore.Entry{ID: jobKey(e.id), Value: value})
 		batch = append(batch, batchEntry{entry: e, queuePosition: e.queuePosition, final: e.final(), unsubmitted: e.unsubmitted, generation: e.generation, waiters: e.waiters})
 		e.queuePosition, e.waiters, e.writing = 0, nil, true
