job: the encoded form of a job does not escape characters

The encoded form of a job, which is passed on to the owner and stored, wrote the characters <, > and & as six bytes each. A legal body of 256 KiB of them became a value of 1.5 MiB, more than the store accepts, so that the owner's writes would be rejected again and again, and it took six times as much memory as it was counted.

TestEncodedJobIsAsLargeAsTheRequest failed before (6,240 bytes for 1,000 characters). That a store rejects such a value was not run.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -325,3 +326,19 @@
 	fmt.Println(id, task.Occurrence, task.Step, task.Index, ok)
 	// Output: 5c0e7a21d94b36f8 0 1 17 true
 }
+
+// TestEncodedJobIsAsLargeAsTheRequest guards against jobs that grow beyond what the store
+// accepts by the escapes of their encoded form.
+func TestEncodedJobIsAsLargeAsTheRequest(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{"<", ">", "&", "i", "\u00e9"} {
+		image := strings.Repeat(text, 1000)
+		j := newJob(2, job.Step{Count: 1, Image: image})
+		body, err := job.EncodeJob(j)
+		c.Assert(err, qt.IsNil)
+		c.Check(len(body) < len(image)+500, qt.IsTrue, qt.Commentf("%s: %d bytes", text, len(body)))
+		decoded, err := job.DecodeJob(body)
+		c.Assert(err, qt.IsNil)
+		c.Check(decoded.Steps[0].Image, qt.Equals, image)
+	}
+}
--- a/job/record.go
+++ b/job/record.go
@@ -248,8 +248,14 @@
 
 // EncodeJob returns the encoded job, to be decoded with [DecodeJob].
 func EncodeJob(j Job) ([]byte, error) {
-	body, err := json.Marshal(j)
-	return body, errors.Wrap(err, "encode job")
+	var body bytes.Buffer
+	encoder := json.NewEncoder(&body)
+	// Escaped, some characters would take six bytes each.
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(j); err != nil {
+		return nil, errors.Wrap(err, "encode job")
+	}
+	return bytes.Clone(bytes.TrimSuffix(body.Bytes(), []byte{'\n'})), nil
 }
 
 // DecodeJob decodes a job that [EncodeJob] returned and checks it, see [Job.Check].
