ingress: with many connections, callers take turns

Callers that send one request after the other without a pause kept all connections of an instance in service, and each new one was closed at once: an ordinary caller got no answer in 60 attempts (cancellations of unknown jobs, 1,000 callers at each of three nodes, limits of 128 MiB and 1,000 descriptors).

From seven eighths of the connections on, each is closed after its reply. A new one waits up to 100 ms for one in service to end.

TestCallersTakeTurns; without the change the connection stays open and the test hangs until its time limit.

--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -29,6 +29,10 @@
 	// stallPatience is how long a large request may make no progress without being closed in
 	// favour of another one.
 	stallPatience = 500 * time.Millisecond
+	// roomTimeout is how long a new connection waits while all others are being served, of
+	// which the next usually ends sooner.
+	roomTimeout      = 100 * time.Millisecond
+	roomPollInterval = 5 * time.Millisecond
 )
 
 // unservedPatience is how long a connection may be silent before its first request without
@@ -125,24 +129,44 @@
 	}
 }
 
-// add records a connection. If there are too many, it closes another one, or returns nil if
-// all others are being served.
+// add records a connection. If there are too many, it closes another one. While all others are
+// being served, it waits, and returns nil if none of them ends in time.
 func (c *Connections) add(accepted net.Conn) *connection {
+	for deadline := time.Now().Add(roomTimeout); ; time.Sleep(roomPollInterval) {
+		if k, ok := c.tryAdd(accepted, !time.Now().Before(deadline)); ok {
+			return k
+		}
+	}
+}
+
+// tryAdd records a connection unless there are too many that are all being served. If it is the
+// last attempt, the connection is then counted as closed.
+func (c *Connections) tryAdd(accepted net.Conn, last bool) (*connection, bool) {
 	now := time.Now()
-	k := &connection{Conn: accepted, connections: c, lastReceived: now, inHeader: true}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.max > 0 && c.open >= c.max {
 		victim := c.longestSilent(now)
 		if victim == nil {
-			c.closed.record(now, reasonBusy)
-			return nil
+			if last {
+				c.closed.record(now, reasonBusy)
+			}
+			return nil, last
 		}
 		c.evict(now, victim, reasonCount)
 	}
 	c.open++
+	k := &connection{Conn: accepted, connections: c, lastReceived: now, inHeader: true}
 	c.await(k, &c.unserved)
-	return k
+	return k, true
+}
+
+// crowded reports whether there are so many connections that each should be closed after the
+// reply to its request, so that those of other callers have their turn.
+func (c *Connections) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.max > 0 && c.open >= c.max-c.max/8
 }
 
 // longestSilent returns the connection to close in favour of a new one, or nil. The caller
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -76,6 +77,21 @@
 	c.Assert(connections.Open() <= 3, qt.IsTrue)
 }
 
+// TestCallersTakeTurns guards against callers that keep others out by sending one request after
+// the other: where there are many connections, each serves one request.
+func TestCallersTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	_, address := serve(c, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ingress.WithMaxConnections(2))
+	for range 3 {
+		dial(c, address)
+		conn := dial(c, address)
+		send(c, conn, strings.Repeat(query, 100))
+		replies, err := io.ReadAll(conn)
+		c.Assert(err == nil || errors.Is(err, syscall.ECONNRESET), qt.IsTrue)
+		c.Assert(strings.Count(string(replies), "HTTP/1.1 200"), qt.Equals, 1)
+	}
+}
+
 // TestServedConnectionsStay guards against callers that lose the reply to a request that is
 // being served: the new connection is closed instead.
 func TestServedConnectionsStay(t *testing.T) {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -37,6 +37,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if c.crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength == 0 {
 			c.serving(k)
 		} else {
