instance, entry: serve bounds connections, large requests and held bodies

An instance of serve read bodies and headers like node did, without a bound over all requests and without an end. Accepted requests kept their bodies while they waited, up to 1 MiB each for as many requests as the limiter admits, and after their answer for the retention.

The port uses the bounds of package ingress, which now counts the room of each request and knows connections of HTTP/2, on which several requests are in progress: such a connection counts as being served until the last of them is answered. A body is dropped with the final answer, since duplicates are detected by the fingerprint. New settings memoryMiB (1,024 if not set) and maxDescriptors.

Left: the queue of the owner of a shard keeps bodies without a bound.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -43,6 +43,7 @@
 func serve(ctx context.Context, s settings.Settings, log zerolog.Logger) error {
 	// Instances are small, so memory costs more than time in the garbage collector.
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMiB<<20)))
 	i, err := instance.New(s, instance.Deps{
 		Store:     platform.NewStore(s.Platform.Store),
 		Members:   platform.NewMemberList(s.Platform.Members),
--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -1,7 +1,6 @@
 package crowd_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -39,6 +38,9 @@
 
 func submission(id string, lines ...string) string { return header("POST", "/x/"+id, lines...) }
 
+// length returns the header line for a body of a size.
+func length(size int) string { return fmt.Sprint("Content-Length: ", size) }
+
 func write(conn net.Conn, parts ...string) error {
 	for _, part := range parts {
 		if _, err := io.WriteString(conn, part); err != nil {
@@ -59,7 +61,7 @@
 func stopsShort(size int) client {
 	body := strings.Repeat(" ", size-1)
 	return func(_ context.Context, conn net.Conn, id string) error {
-		return write(conn, submission(id, fmt.Sprint("Content-Length: ", size)), body)
+		return write(conn, submission(id, length(size)), body)
 	}
 }
 
@@ -67,7 +69,7 @@
 func stopsShortInPieces(pieces int, over time.Duration) client {
 	piece := strings.Repeat(" ", bodyBytes/pieces)
 	return func(ctx context.Context, conn net.Conn, id string) error {
-		if err := write(conn, submission(id, fmt.Sprint("Content-Length: ", bodyBytes))); err != nil {
+		if err := write(conn, submission(id, length(bodyBytes))); err != nil {
 			return err
 		}
 		for range pieces - 1 {
@@ -96,7 +98,7 @@
 // whole sends a whole request and waits for the reply.
 func whole(body string) client {
 	return func(_ context.Context, conn net.Conn, id string) error {
-		return write(conn, submission(id, fmt.Sprint("Content-Length: ", len(body))), body)
+		return write(conn, submission(id, length(len(body))), body)
 	}
 }
 
@@ -125,7 +127,7 @@
 // unknownRoute sends the header of a submission to a route that does not exist, and a part
 // of its body.
 func unknownRoute(_ context.Context, conn net.Conn, id string) error {
-	return write(conn, header("POST", "/unknown/"+id, fmt.Sprint("Content-Length: ", bodyBytes)), strings.Repeat(" ", 1<<10))
+	return write(conn, header("POST", "/unknown/"+id, length(bodyBytes)), strings.Repeat(" ", 1<<10))
 }
 
 // endlessHeader sends a header of a size that does not end.
@@ -138,7 +140,7 @@
 
 // queryWithBody asks for a job that does not exist, with a body that does not end.
 func queryWithBody(_ context.Context, conn net.Conn, id string) error {
-	return write(conn, header("GET", "/x/"+id, fmt.Sprint("Content-Length: ", bodyBytes)), strings.Repeat(" ", 1<<10))
+	return write(conn, header("GET", "/x/"+id, length(bodyBytes)), strings.Repeat(" ", 1<<10))
 }
 
 // repeated sends a number of requests, each about another job, without waiting for replies.
@@ -146,7 +148,7 @@
 	return func(_ context.Context, conn net.Conn, id string) error {
 		for i := range n {
 			own := fmt.Sprintf("%s%03x", id[:len(id)-3], i)
-			if err := write(conn, header(method, "/x/"+own, fmt.Sprint("Content-Length: ", len(body))), body); err != nil {
+			if err := write(conn, header(method, "/x/"+own, length(len(body))), body); err != nil {
 				return err
 			}
 		}
@@ -211,14 +213,3 @@
 	g.cancel()
 	g.clients.Wait()
 }
-
-// statusKiB returns the value in KiB of a field of a process's status.
-func statusKiB(status []byte, field string) int {
-	n := 0
-	for line := range bytes.Lines(status) {
-		if value, ok := bytes.CutPrefix(line, []byte(field+":")); ok {
-			_, _ = fmt.Sscan(string(value), &n)
-		}
-	}
-	return n
-}
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -196,10 +195,7 @@
 	http *http.Client
 	// calls numbers the ordinary jobs.
 	calls int
-
-	mu sync.Mutex
-	// descriptors is the largest number of open descriptors of each node.
-	descriptors map[*soak.Node]int
+	usage *usage
 }
 
 func open(c *qt.C, binary string) *cell {
@@ -210,12 +206,15 @@
 	}
 	opened, err := soak.OpenShape(binary, directory, soak.Shape{Nodes: nodes, Workers: workers, MemoryMiB: memoryMiB, MaxDescriptors: maxDescriptors})
 	c.Assert(err, qt.IsNil)
-	s := &cell{c: c, cell: opened, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, descriptors: map[*soak.Node]int{}}
+	s := &cell{c: c, cell: opened, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	c.Cleanup(opened.Close)
-	stop := make(chan struct{})
-	var watching sync.WaitGroup
-	watching.Go(func() { s.watchDescriptors(stop) })
-	c.Cleanup(func() { close(stop); watching.Wait() })
+	s.usage = watchUsage(c, func() map[string]int {
+		pids := map[string]int{}
+		for _, n := range opened.Nodes {
+			pids[n.Name] = n.PID()
+		}
+		return pids
+	})
 	s.assertServed("before the crowd")
 	return s
 }
@@ -231,42 +230,14 @@
 	return nil
 }
 
-// watchDescriptors records the open descriptors of all nodes until it is stopped.
-func (s *cell) watchDescriptors(stop chan struct{}) {
-	const interval = 50 * time.Millisecond
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(interval):
-		}
-		for _, n := range s.cell.Nodes {
-			entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.PID()))
-			if err != nil {
-				continue
-			}
-			s.mu.Lock()
-			s.descriptors[n] = max(s.descriptors[n], len(entries))
-			s.mu.Unlock()
-		}
-	}
-}
-
 // assertLimits asserts that no process has ended or used more memory or descriptors than
 // it may.
 func (s *cell) assertLimits() {
 	s.c.Helper()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, n := range s.cell.Nodes {
 		s.c.Check(n.UnexpectedExits(), qt.Equals, 0, qt.Commentf("%s ended: %s", n.Name, n.ExitReport()))
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.PID()))
-		s.c.Check(err, qt.IsNil)
-		peak := statusKiB(status, "VmHWM") >> 10
-		s.c.Logf("%s: peak %d MiB, %d descriptors", n.Name, peak, s.descriptors[n])
-		s.c.Check(peak > 0 && peak <= memoryMiB, qt.IsTrue, qt.Commentf("%s: peak of resident memory %d MiB, allowed %d", n.Name, peak, memoryMiB))
-		s.c.Check(s.descriptors[n] <= maxDescriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors, allowed %d", n.Name, s.descriptors[n], maxDescriptors))
 	}
+	s.usage.assertLimits(s.c)
 }
 
 // call submits an ordinary job to a node and returns the status of the reply, which is 0
--- a/entry/deps.go
+++ b/entry/deps.go
@@ -127,4 +127,7 @@
 	// Metrics counts answers and refusals; nil disables counting.
 	Metrics *metrics.Metrics
 	Log     zerolog.Logger
+	// MaxHeldBytes bounds the bodies of the requests without a final answer, besides small
+	// ones; 0 for no bound.
+	MaxHeldBytes int64
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,8 +34,10 @@
 	calls         map[lovagestand.RequestKey]*call
 	retained      []retainedAnswer
 	retainedBytes int
-	stopping      bool
-	processing    sync.WaitGroup
+	// heldBytes is the size of the large bodies of requests without a final answer.
+	heldBytes  int64
+	stopping   bool
+	processing sync.WaitGroup
 }
 
 // retainedAnswer refers to the call of a final answer by its key.
@@ -166,11 +168,13 @@
 	if e.stopping {
 		return nil, &NotReadyError{Reason: "the instance is stopping"}
 	}
-	release, err := e.deps.Limiter.Admit(route, request.Team)
+	held := heldBytes(request)
+	release, err := e.admit(route, request.Team, held)
 	if err != nil {
 		e.countLimited(err, request.Team)
 		return nil, err
 	}
+	e.heldBytes += held
 	c := newCall(request, route, sum, now)
 	c.release = release
 	e.calls[request.Key] = c
@@ -178,6 +182,30 @@
 	return c, nil
 }
 
+const (
+	// smallBodyBytes is the size up to which bodies take no room from others.
+	smallBodyBytes = 8 << 10
+	// limitHeldBytes is the limit of bodies that is reached, as callers and metrics see it.
+	limitHeldBytes = "heldBytes"
+)
+
+// heldBytes returns the room that a request takes from others until it has a final answer.
+func heldBytes(request lovagestand.Request) int64 {
+	if len(request.Body) <= smallBodyBytes {
+		return 0
+	}
+	return int64(len(request.Body))
+}
+
+// admit admits a request within the limits of the tables and the room for bodies. The caller
+// holds mu.
+func (e *Entry) admit(route Route, team lovagestand.TeamName, held int64) (release func(), err error) {
+	if held > 0 && e.deps.MaxHeldBytes > 0 && e.heldBytes+held > e.deps.MaxHeldBytes {
+		return nil, &LimitedError{Limit: limitHeldBytes, RetryAfter: defaultRetryAfter}
+	}
+	return e.deps.Limiter.Admit(route, team)
+}
+
 // countLimited counts a request that was refused because of a limit.
 func (e *Entry) countLimited(err error, team lovagestand.TeamName) {
 	var limited *LimitedError
@@ -206,11 +234,21 @@
 func (e *Entry) run(c *call) {
 	answer := e.process(context.Background(), c)
 	c.release()
+	e.dropBody(c)
 	c.finish(answer)
 	e.deps.Metrics.Answered(c.route.Name, c.route.Class, answer)
 	e.retain(c, answer)
 }
 
+// dropBody drops the body of a request that has its final answer. Duplicates are detected by
+// the fingerprint.
+func (e *Entry) dropBody(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heldBytes -= heldBytes(c.request)
+	c.request.Body = nil
+}
+
 func (e *Entry) retain(c *call, answer lovagestand.Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -289,3 +289,31 @@
 		})
 	}
 }
+
+// TestLargeBodiesAreBounded guards against callers whose waiting requests hold more than the
+// memory of the instance. Small requests are accepted meanwhile.
+func TestLargeBodiesAreBounded(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		x.first.blockedUntil = make(chan struct{})
+		submit := func(key, size int) (entry.Handle, error) {
+			return x.entry.Submit(lovagestand.Request{Key: lovagestand.RequestKey(fmt.Sprint(key)), Route: "quote", Team: "showroom", Body: make([]byte, size)})
+		}
+		held, err := submit(1, 60<<10)
+		x.Assert(err, qt.IsNil)
+		var limited *entry.LimitedError
+		_, err = submit(2, 60<<10)
+		x.Assert(err, qt.ErrorAs, &limited)
+		x.Assert(limited.RetryAfter > 0, qt.IsTrue)
+		small, err := submit(3, 1<<10)
+		x.Assert(err, qt.IsNil)
+		close(x.first.blockedUntil)
+		<-held.Done()
+		<-small.Done()
+		next, err := submit(4, 60<<10)
+		x.Assert(err, qt.IsNil)
+		<-next.Done()
+		again, err := submit(1, 60<<10)
+		x.Assert(err, qt.IsNil, qt.Commentf("a duplicate of a request with an answer takes no room"))
+		<-again.Done()
+	})
+}
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -171,6 +171,9 @@
 // Admit implements [entry.Limiter].
 func (admitAll) Admit(entry.Route, lovagestand.TeamName) (func(), error) { return func() {}, nil }
 
+// maxHeldBytes is the room for large bodies in a fixture.
+const maxHeldBytes = 100 << 10
+
 // fixture is an entry with two simulated owners.
 type fixture struct {
 	*qt.C
@@ -203,6 +206,8 @@
 			Client:      &http.Client{Transport: network{"first": x.first, "second": x.second}},
 			MaybePaused: func() bool { return true },
 			Log:         zerolog.Nop(),
+
+			MaxHeldBytes: maxHeldBytes,
 		})
 		f(x)
 	})
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -102,6 +102,9 @@
 	return server.Serve(&limitedListener{Listener: listener, connections: c})
 }
 
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
 // Open returns the number of open connections.
 func (c *Connections) Open() int {
 	c.mu.Lock()
@@ -157,6 +160,7 @@
 	}
 	c.open++
 	k := &connection{Conn: accepted, connections: c, lastReceived: now, inHeader: true}
+	k.next = &exchange{connection: k}
 	c.await(k, &c.unserved)
 	return k, true
 }
@@ -219,7 +223,7 @@
 	}
 	k.closed = true
 	c.open--
-	c.release(k)
+	c.bytes -= k.room
 	c.await(k, nil)
 }
 
@@ -236,16 +240,27 @@
 	// lastReceived is when the client last sent something, or opened the connection.
 	lastReceived time.Time
 	closed       bool
-	// inHeader is whether the client may be sending a header, of which headerBytes have been
-	// received.
-	inHeader    bool
+	// inHeader is whether the client may be sending the header of the next request.
+	inHeader bool
+	next     *exchange
+	// streams is the number of requests in progress on a connection of HTTP/2, on which
+	// several may be; multiplexed is whether it is such a connection.
+	streams     int
+	multiplexed bool
+	// room is the room that the requests take from others.
+	room int64
+}
+
+// exchange is a request that is being received or served, and its reply. It is guarded by the
+// mutex of its connections.
+type exchange struct {
+	connection *connection
+	// headerBytes is the part of the header that has been received.
 	headerBytes int64
 	// room is the room that the request takes from others.
 	room int64
 }
 
-type connectionKey struct{}
-
 // Read implements [net.Conn].
 func (k *connection) Read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
@@ -275,7 +290,7 @@
 	now := time.Now()
 	k.lastReceived = now
 	if k.inHeader {
-		if k.headerBytes += n; !c.reserve(now, k, k.headerBytes) {
+		if k.next.headerBytes += n; !c.reserve(now, k.next, k.next.headerBytes) {
 			c.evict(now, k, reasonBytes)
 			return
 		}
@@ -295,66 +310,88 @@
 	}
 }
 
-// reserve makes room for the request of a connection, of which a number of bytes are
-// expected or have been received, and reports whether there is room. It closes connections
-// with large requests that make no progress. The caller holds mu.
-func (c *Connections) reserve(now time.Time, k *connection, bytes int64) bool {
-	more := max(0, bytes-FreeBytes) - k.room
+// reserve makes room for a request, of which a number of bytes are expected or have been
+// received, and reports whether there is room. It closes connections with large requests that
+// make no progress. The caller holds mu.
+func (c *Connections) reserve(now time.Time, x *exchange, bytes int64) bool {
+	more := max(0, bytes-FreeBytes) - x.room
 	if c.maxBytes <= 0 || more <= 0 {
 		return true
 	}
 	for c.bytes+more > c.maxBytes {
 		stalled := front(&c.large)
-		if stalled == nil || stalled == k || now.Sub(stalled.lastReceived) < stallPatience {
+		if stalled == nil || stalled == x.connection || now.Sub(stalled.lastReceived) < stallPatience {
 			return false
 		}
 		c.evict(now, stalled, reasonBytes)
 	}
 	c.bytes += more
-	k.room += more
+	x.room += more
+	x.connection.room += more
 	return true
 }
 
-// release frees the room of a request. The caller holds mu.
-func (c *Connections) release(k *connection) {
-	c.bytes -= k.room
-	k.room, k.headerBytes = 0, 0
+// begin returns the request whose header is complete.
+func (c *Connections) begin(k *connection, http2 bool) *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.inHeader = false
+	if !http2 {
+		return k.next
+	}
+	// The bytes of the frames on the connection belong to several requests.
+	k.multiplexed = true
+	k.streams++
+	if !k.closed {
+		c.await(k, nil)
+	}
+	return &exchange{connection: k}
 }
 
 // expect makes room for a request whose header is complete, given the number of bytes of its
 // body that have been announced or received, and reports whether there is room.
-func (c *Connections) expect(k *connection, body int64) bool {
+func (c *Connections) expect(x *exchange, body int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if k.closed {
+	if x.connection.closed {
 		return false
 	}
 	now := time.Now()
-	if k.inHeader = false; !c.reserve(now, k, k.headerBytes+body) {
+	if !c.reserve(now, x, x.headerBytes+body) {
 		c.closed.record(now, reasonRejected)
 		return false
 	}
-	c.awaitClient(k)
+	c.awaitClient(x.connection)
 	return true
 }
 
 // serving records that a request is complete, so that the client waits for the server.
-func (c *Connections) serving(k *connection) {
+func (c *Connections) serving(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k.inHeader = false
-	if !k.closed {
-		c.await(k, nil)
+	if !x.connection.closed {
+		c.await(x.connection, nil)
 	}
 }
 
 // answered records that the reply to a request has been written.
-func (c *Connections) answered(k *connection) {
+func (c *Connections) answered(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !k.closed {
-		k.lastReceived, k.inHeader = time.Now(), true
-		c.release(k)
-		c.await(k, &c.idle)
+	k := x.connection
+	if k.multiplexed {
+		k.streams--
+	}
+	if k.closed {
+		return
+	}
+	c.bytes -= x.room
+	k.room -= x.room
+	x.room = 0
+	if k.streams > 0 {
+		return
 	}
+	k.lastReceived = time.Now()
+	k.inHeader, k.next = !k.multiplexed, &exchange{connection: k}
+	c.await(k, &c.idle)
 }
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,7 +23,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	connections := ingress.New(options...)
-	server := &http.Server{}
+	server := &http.Server{Protocols: new(http.Protocols)}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
 	done := make(chan error, 1)
 	go func() { done <- connections.Serve(server, listener, handler) }()
 	c.Cleanup(func() {
@@ -241,3 +244,39 @@
 		})
 	}
 }
+
+// TestMultiplexedConnectionStays guards against instances that lose calls in progress on a
+// connection of HTTP/2 because another call on it has been answered.
+func TestMultiplexedConnectionStays(t *testing.T) {
+	c := qt.New(t)
+	begun, end := make(chan bool), make(chan bool)
+	connections, address := serve(c, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			begun <- true
+			<-end
+		}
+	}), ingress.WithMaxConnections(8))
+	client := &http.Client{Transport: &http.Transport{Protocols: new(http.Protocols)}}
+	client.Transport.(*http.Transport).Protocols.SetUnencryptedHTTP2(true)
+	defer client.CloseIdleConnections()
+	call := func(path string) {
+		reply, err := client.Post("http://"+address+path, "text/plain", strings.NewReader(strings.Repeat(" ", 2*ingress.FreeBytes)))
+		if c.Check(err, qt.IsNil) {
+			c.Check(reply.ProtoMajor, qt.Equals, 2)
+			c.Check(reply.StatusCode, qt.Equals, http.StatusOK)
+			c.Check(reply.Body.Close(), qt.IsNil)
+		}
+	}
+	var calling sync.WaitGroup
+	calling.Go(func() { call("/long") })
+	<-begun
+	call("/short")
+	for range 20 {
+		conn := dial(c, address)
+		send(c, conn, query)
+		assertReply(c, conn, "200")
+	}
+	close(end)
+	calling.Wait()
+	c.Assert(connections.Open() <= 8, qt.IsTrue)
+}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -40,24 +40,25 @@
 		if c.crowded() {
 			w.Header().Set("Connection", "close")
 		}
+		x := c.begin(k, r.ProtoMajor >= 2)
+		defer c.answered(x)
 		if r.ContentLength == 0 {
-			c.serving(k)
-		} else {
-			body := &requestBody{ReadCloser: r.Body, connections: c, connection: k}
-			r.Body = body
-			replying := &bodyWriter{ResponseWriter: w, body: body}
-			w = replying
-			defer replying.begin()
-			if !c.expect(k, max(0, r.ContentLength)) {
-				Reject(w)
-				return
-			}
-			if c.bodyTimeout != nil {
-				setReadDeadline(w, c.bodyTimeout(r))
-			}
+			c.serving(x)
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &requestBody{ReadCloser: r.Body, connections: c, exchange: x}
+		r.Body = body
+		replying := &bodyWriter{ResponseWriter: w, body: body, http2: r.ProtoMajor >= 2}
+		defer replying.begin()
+		if !c.expect(x, max(0, r.ContentLength)) {
+			Reject(replying)
+			return
 		}
-		next.ServeHTTP(w, r)
-		c.answered(k)
+		if c.bodyTimeout != nil {
+			setReadDeadline(w, c.bodyTimeout(r))
+		}
+		next.ServeHTTP(replying, r)
 	})
 }
 
@@ -72,7 +73,7 @@
 type requestBody struct {
 	io.ReadCloser
 	connections *Connections
-	connection  *connection
+	exchange    *exchange
 	read        int64
 	ended       bool
 }
@@ -84,8 +85,8 @@
 	switch {
 	case err == io.EOF && !b.ended:
 		b.ended = true
-		b.connections.serving(b.connection)
-	case b.read > FreeBytes && !b.connections.expect(b.connection, b.read):
+		b.connections.serving(b.exchange)
+	case b.read > FreeBytes && !b.connections.expect(b.exchange, b.read):
 		return n, &TooManyBytesError{}
 	}
 	return n, err
@@ -97,6 +98,7 @@
 type bodyWriter struct {
 	http.ResponseWriter
 	body  *requestBody
+	http2 bool
 	begun bool
 }
 
@@ -109,7 +111,9 @@
 	}
 	w.begun = true
 	if !w.body.ended {
-		w.Header().Set("Connection", "close")
+		if !w.http2 {
+			w.Header().Set("Connection", "close")
+		}
 		setReadDeadline(w.ResponseWriter, lingerTime)
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,6 +18,7 @@
 	"lovagestand.example/lovagestand/claim"
 	"lovagestand.example/lovagestand/claim/claimpb"
 	"lovagestand.example/lovagestand/entry"
+	"lovagestand.example/lovagestand/ingress"
 	"lovagestand.example/lovagestand/limit"
 	"lovagestand.example/lovagestand/member"
 	"lovagestand.example/lovagestand/metrics"
@@ -40,9 +41,11 @@
 	leaving  atomic.Bool
 	log      zerolog.Logger
 
-	listener net.Listener
-	server   *http.Server
-	client   *http.Client
+	listener    net.Listener
+	server      *http.Server
+	connections *ingress.Connections
+	bounds      bounds
+	client      *http.Client
 
 	metrics         *metrics.Metrics
 	members         *member.Watcher
@@ -79,6 +82,7 @@
 		id:       lovagestand.InstanceID(uuid.NewString()),
 		address:  config.Address,
 		started:  time.Now(),
+		bounds:   newBounds(config),
 		listener: listener,
 		client:   &http.Client{Transport: deps.Transport},
 		serveErr: make(chan error, 1),
@@ -136,13 +140,20 @@
 		Client:      i.client,
 		Metrics:     i.metrics,
 		Log:         i.log,
+
+		MaxHeldBytes: i.bounds.heldBytes,
 	})
 	i.publishMetrics()
 	i.server = &http.Server{
-		Handler:           i.router(),
 		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         protocols(),
 	}
+	i.connections = ingress.New(
+		ingress.WithMaxConnections(i.bounds.connections), ingress.WithMaxBytes(i.bounds.requestBytes),
+		ingress.WithBodyTimeout(func(*http.Request) time.Duration { return bodyTimeout }), ingress.WithLogger(i.log, "instance"),
+	)
 }
 
 // remoteClaims returns a client for the claim partitions of another instance.
@@ -153,8 +164,15 @@
 // leaveTimeout bounds how long a planned stop tries to hand over its shards.
 const leaveTimeout = 20 * time.Second
 
-// readHeaderTimeout bounds how long a connection may take to send a header.
-const readHeaderTimeout = 10 * time.Second
+const (
+	// readHeaderTimeout bounds how long a connection may take to send a header, and bodyTimeout
+	// how long a body may take.
+	readHeaderTimeout = 10 * time.Second
+	bodyTimeout       = 30 * time.Second
+	// serverIdleTimeout is longer than clients of this program keep idle connections.
+	serverIdleTimeout = 3 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
 
 // protocols returns the protocols of the server. Unencrypted HTTP/2 lets the peers
 // multiplex their long calls over one connection.
@@ -193,7 +211,7 @@
 	i.running.Go(func() { i.quotas.Run(ctx) })
 	i.running.Go(func() { _ = i.claimPartitions.Run(ctx) })
 	i.running.Go(func() { i.entry.Run(ctx) })
-	go func() { i.serveErr <- i.server.Serve(i.listener) }()
+	go func() { i.serveErr <- i.connections.Serve(i.server, i.listener, i.router()) }()
 	i.log.Info().Str("address", i.address).Str("region", string(i.settings.Region)).Msg("listening")
 }
 
--- a/node/limits.go
+++ b/node/limits.go
@@ -5,22 +5,14 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/ingress"
 	"lovagestand.example/lovagestand/layout"
-	"lovagestand.example/lovagestand/settings"
 	"lovagestand.example/lovagestand/shard"
 )
 
 const (
-	// defaultMaxDescriptors is the number of descriptors that an instance uses at most if
-	// neither its settings nor the operating system allow fewer.
-	defaultMaxDescriptors = 4096
-	// reservedDescriptors is the number of descriptors that are left for files, or a fifth of
-	// all where there are few.
-	reservedDescriptors = 200
-
 	// The shares of the sockets for callers, other instances and readiness checks. The rest
 	// is for connections of the instance's own, to the store, to workers and to others.
 	callerSockets   = 0.4
@@ -34,7 +26,6 @@
 	// buffers and a goroutine.
 	callerConnectionMemory   = 0.15
 	internalConnectionMemory = 0.08
-	connectionBytes          = 32 << 10
 
 	// callerByteMemory is the share of the memory for large requests of callers, from their
 	// arrival to the reply.
@@ -73,12 +64,12 @@
 		Int64("callerBytes", l.callerBytes).Int64("submissionBytes", l.submissionBytes).Int64("internalBytes", l.internalBytes).Int("ownerCalls", l.ownerCalls)
 }
 
-func newLimits(memoryMiB int64, descriptors int) limits {
-	sockets := float64(descriptors - min(reservedDescriptors, descriptors/5))
+func newLimits(memoryMiB int64, maxDescriptors int) limits {
+	sockets := ingress.Sockets(maxDescriptors)
 	memory := float64(memoryMiB << 20)
 	return limits{
-		callerConnections:   int(min(callerSockets*sockets, callerConnectionMemory*memory/connectionBytes)),
-		internalConnections: int(min(internalSockets*sockets, internalConnectionMemory*memory/connectionBytes)),
+		callerConnections:   int(min(callerSockets*sockets, callerConnectionMemory*memory/ingress.ConnectionBytes)),
+		internalConnections: int(min(internalSockets*sockets, internalConnectionMemory*memory/ingress.ConnectionBytes)),
 		readyConnections:    max(1, int(readySockets*sockets)),
 		callerBytes:         int64(callerByteMemory * memory),
 		submissionBytes:     max(minSubmissionBytes, int64(submissionMemory*memory)),
@@ -87,18 +78,6 @@
 	}
 }
 
-// maxDescriptors returns the number of descriptors that an instance may use.
-func maxDescriptors(s settings.Node) int {
-	if s.MaxDescriptors > 0 {
-		return s.MaxDescriptors
-	}
-	var allowed unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &allowed); err != nil || allowed.Cur > defaultMaxDescriptors {
-		return defaultMaxDescriptors
-	}
-	return int(allowed.Cur)
-}
-
 // jobMemory returns a function that returns the memory for the jobs of one shard. It is a part
 // of that of the smallest instance, since any of them may be the next owner, of all shards.
 func (n *Node) jobMemory(l layout.Layout) func() int64 {
--- a/node/node.go
+++ b/node/node.go
@@ -101,7 +101,7 @@
 	n := &Node{
 		settings: s, deps: deps, storeCalls: calls, self: self, directory: election.NewDirectory(deps.Keys, deps.Log),
 		routes: gateway.NewRoutes(deps.Keys, deps.Log, routesOptions(s)...), peers: newPeers(), ignoredEntries: map[string]lovagestand.Revision{}, candidates: map[string]*election.Candidate{},
-		detectors: map[string]*election.Detector{}, limits: newLimits(s.MemoryMiB, maxDescriptors(s)),
+		detectors: map[string]*election.Detector{}, limits: newLimits(s.MemoryMiB, s.MaxDescriptors),
 	}
 	n.cell = &cellServer{
 		adviser: deps.Adviser, shards: map[string]*shard.Shard{},
--- a/settings/node.go
+++ b/settings/node.go
@@ -16,7 +16,7 @@
 	UnevenAuto = "auto"
 )
 
-// minDescriptors is the lowest value of Node.MaxDescriptors.
+// minDescriptors is the lowest limit of descriptors.
 const minDescriptors = 256
 
 // Node holds the settings of an instance that the command "node" runs on the users'
@@ -127,9 +127,7 @@
 	if n.MemoryMiB <= 0 {
 		add("memoryMiB", "must be more than 0", "")
 	}
-	if n.MaxDescriptors != 0 && n.MaxDescriptors < minDescriptors {
-		add("maxDescriptors", "is too low", "give at least 256, or leave it out")
-	}
+	checkMaxDescriptors(add, n.MaxDescriptors)
 	for key, value := range map[string]time.Duration{
 		"heartbeat": n.Heartbeat, "grace": n.Grace, "maxLease": n.MaxLease, "retention": n.Retention,
 	} {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,11 @@
 	Log           Log                       `yaml:"log"`
 	// StopWithin is the maximum duration of a planned stop.
 	StopWithin time.Duration `yaml:"stopWithin"`
+	// MemoryMiB is the memory that the process may use, in MiB.
+	MemoryMiB int64 `yaml:"memoryMiB"`
+	// MaxDescriptors is the number of file descriptors that the process may use; 0 for
+	// the limit that the operating system sets.
+	MaxDescriptors int `yaml:"maxDescriptors"`
 }
 
 // Platform holds the locations of the platform's services.
@@ -46,8 +51,12 @@
 	Level string `yaml:"level"`
 }
 
-// defaultStopWithin is the default of [Settings.StopWithin].
-const defaultStopWithin = 60 * time.Second
+const (
+	// defaultStopWithin is the default of [Settings.StopWithin].
+	defaultStopWithin = 60 * time.Second
+	// defaultMemoryMiB is the default of [Settings.MemoryMiB].
+	defaultMemoryMiB = 1024
+)
 
 // Default returns the defaults, which apply to all keys that a file does not set.
 func Default() Settings {
@@ -55,6 +64,7 @@
 		Listen:     "127.0.0.1:7400",
 		Log:        Log{Level: "info"},
 		StopWithin: defaultStopWithin,
+		MemoryMiB:  defaultMemoryMiB,
 	}
 }
 
@@ -134,6 +144,10 @@
 	if s.StopWithin <= 0 {
 		add("stopWithin", "must be more than 0", "")
 	}
+	if s.MemoryMiB <= 0 {
+		add("memoryMiB", "must be more than 0", "")
+	}
+	checkMaxDescriptors(add, s.MaxDescriptors)
 }
 
 func checkAddress(add func(key, problem, hint string), key, address string) {
@@ -147,6 +161,13 @@
 	}
 }
 
+// checkMaxDescriptors checks a number of descriptors, which is 0 if it is not set.
+func checkMaxDescriptors(add func(key, problem, hint string), n int) {
+	if n != 0 && n < minDescriptors {
+		add("maxDescriptors", "is too low", "give at least 256, or leave it out")
+	}
+}
+
 func checkURL(add func(key, problem, hint string), key, text string) {
 	u, err := url.Parse(text)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -31,6 +31,8 @@
 		{"bad unit", validSettings + "stopWithin: 3 parsecs\n", `instance\.yaml:8: .*stopWithin.*`},
 		{"missing name", "listen: 127.0.0.1:7400\n", `(?s).*region.*is missing.*failureDomain.*platform\.store.*`},
 		{"host name", "listen: localhost:7400\n", `(?s)instance\.yaml:1: .*listen.*IP number.*`},
+		{"no memory", validSettings + "memoryMiB: 0\n", `instance\.yaml:8: .*memoryMiB.*`},
+		{"few descriptors", validSettings + "maxDescriptors: 255\n", `instance\.yaml:8: .*maxDescriptors.*`},
 		{"log level", validSettings + "log: {level: loud}\n", `instance\.yaml:8: .*log\.level.*loud.*`},
 	} {
 		t.Run(k.name, func(t *testing.T) {
