--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -22,15 +22,14 @@
 	program      = flag.String("program", "", "program to run instead of one built here")
 	logDirectory = flag.String("logs", "", "directory for the logs of the processes")
 	factor       = flag.Int("factor", 1, "factor by which the crowds are larger")
+	memoryMiB    = flag.Int("memory", 128, "memory of each process in MiB")
+	descriptors  = flag.Int("descriptors", 1000, "descriptors of each process")
 	holdTime     = flag.Duration("hold", 2*time.Second, "how long a crowd stays after all of it has been sent")
 )
 
 const (
 	nodes   = 3
 	workers = 7
-	// memoryMiB and maxDescriptors are the limits of each node.
-	memoryMiB      = 128
-	maxDescriptors = 1000
 	// attempts bounds the repetitions of an ordinary call, attemptTimeout the time of each,
 	// and pause is that between two of them.
 	attempts       = 60
@@ -204,7 +203,7 @@
 		directory = filepath.Join(*logDirectory, filepath.Base(c.Name()))
 		c.Assert(os.MkdirAll(directory, 0o700), qt.IsNil)
 	}
-	opened, err := soak.OpenShape(binary, directory, soak.Shape{Nodes: nodes, Workers: workers, MemoryMiB: memoryMiB, MaxDescriptors: maxDescriptors})
+	opened, err := soak.OpenShape(binary, directory, soak.Shape{Nodes: nodes, Workers: workers, MemoryMiB: int64(*memoryMiB), MaxDescriptors: *descriptors})
 	c.Assert(err, qt.IsNil)
 	s := &cell{c: c, cell: opened, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	c.Cleanup(opened.Close)
--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -117,7 +117,7 @@
 	c.Assert(applied, qt.IsTrue)
 	file := filepath.Join(directory, "instance.yaml")
 	text := fmt.Sprintf("listen: %s\nregion: ernakulam\nregions: [ernakulam, malabar, travancore]\nfailureDomain: ernakulam-1\n"+
-		"platform:\n  store: http://%s\n  members: http://%s\nmemoryMiB: %d\nmaxDescriptors: %d\n", address, store, members, memoryMiB, maxDescriptors)
+		"platform:\n  store: http://%s\n  members: http://%s\nmemoryMiB: %d\nmaxDescriptors: %d\n", address, store, members, *memoryMiB, *descriptors)
 	c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
 	pid := start(c, directory, binary, "serve", "--config", file)
 	s := &serving{address: address, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
--- a/crowd/usage_test.go
+++ b/crowd/usage_test.go
@@ -68,8 +68,8 @@
 		c.Check(err, qt.IsNil)
 		peak := statusKiB(status, "VmHWM") >> 10
 		c.Logf("%s: peak %d MiB, %d descriptors", name, peak, u.descriptors[name])
-		c.Check(peak > 0 && peak <= memoryMiB, qt.IsTrue, qt.Commentf("%s: peak of resident memory %d MiB, allowed %d", name, peak, memoryMiB))
-		c.Check(u.descriptors[name] <= maxDescriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors, allowed %d", name, u.descriptors[name], maxDescriptors))
+		c.Check(peak > 0 && peak <= *memoryMiB, qt.IsTrue, qt.Commentf("%s: peak of resident memory %d MiB, allowed %d", name, peak, *memoryMiB))
+		c.Check(u.descriptors[name] <= *descriptors, qt.IsTrue, qt.Commentf("%s: %d descriptors, allowed %d", name, u.descriptors[name], *descriptors))
 	}
 }
 
