ingress: a size for which there is never room closes no others; names

A request that announces more than all of the room had the large requests of others closed that paused for half a second, and was then rejected. Its body now takes room as it arrives; the gateway answers 413 at once. What follows an incomplete request on its connection no longer counts as the next header, which could break off the reply under pressure. TestImpossibleSizesCloseNoOthers failed before (503). Shares of memory and sockets are named so, and package soak has the one copy of the build of the program.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -168,7 +168,7 @@
 	if e.stopping {
 		return nil, &NotReadyError{Reason: "the instance is stopping"}
 	}
-	held := heldBytes(request)
+	held := largeBodyBytes(request)
 	release, err := e.admit(route, request.Team, held)
 	if err != nil {
 		e.countLimited(err, request.Team)
@@ -189,8 +189,8 @@
 	limitHeldBytes = "heldBytes"
 )
 
-// heldBytes returns the room that a request takes from others until it has a final answer.
-func heldBytes(request lovagestand.Request) int64 {
+// largeBodyBytes returns the room that a request takes from others until it has a final answer.
+func largeBodyBytes(request lovagestand.Request) int64 {
 	if len(request.Body) <= smallBodyBytes {
 		return 0
 	}
@@ -245,7 +245,7 @@
 func (e *Entry) dropBody(c *call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.heldBytes -= heldBytes(c.request)
+	e.heldBytes -= largeBodyBytes(c.request)
 	c.request.Body = nil
 }
 
--- a/ingress/closures.go
+++ b/ingress/closures.go
@@ -11,7 +11,8 @@
 // logInterval is the shortest time between two log lines about closed connections.
 const logInterval = time.Second
 
-// closures counts the connections that were closed, and logs them together.
+// closures counts the connections that were closed and the requests that were rejected, and
+// logs them together.
 type closures struct {
 	log      zerolog.Logger
 	recorder lovagestand.Recorder
@@ -31,7 +32,7 @@
 	for r, n := range c.byReason {
 		event = event.Int(r, n)
 	}
-	event.Msg("connections closed because a limit of the server is reached")
+	event.Msg("connections closed or requests rejected because a limit of the server is reached")
 	clear(c.byReason)
 	c.loggedAt = now
 }
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -33,12 +33,11 @@
 	// which the next usually ends sooner.
 	roomTimeout      = 100 * time.Millisecond
 	roomPollInterval = 5 * time.Millisecond
+	// unservedPatience is how long a connection may be silent before its first request without
+	// being closed in favour of all others. A request normally follows within a round trip.
+	unservedPatience = time.Second
 )
 
-// unservedPatience is how long a connection may be silent before its first request without
-// being closed in favour of all others. A request normally follows within a round trip.
-const unservedPatience = time.Second
-
 // Connections are the connections of one server. It is safe for concurrent use.
 type Connections struct {
 	max         int
@@ -255,8 +254,10 @@
 // mutex of its connections.
 type exchange struct {
 	connection *connection
-	// headerBytes is the part of the header that has been received.
+	// headerBytes is the part of the header that has been received. complete is whether the
+	// whole request has been.
 	headerBytes int64
+	complete    bool
 	// room is the room that the request takes from others.
 	room int64
 }
@@ -318,6 +319,9 @@
 	if c.maxBytes <= 0 || more <= 0 {
 		return true
 	}
+	if x.room+more > c.maxBytes {
+		return false
+	}
 	for c.bytes+more > c.maxBytes {
 		stalled := front(&c.large)
 		if stalled == nil || stalled == x.connection || now.Sub(stalled.lastReceived) < stallPatience {
@@ -348,6 +352,16 @@
 	return &exchange{connection: k}
 }
 
+// expectAnnounced makes room for a body of an announced size, and reports whether there is
+// room. A body that is larger than all of the room takes it as it arrives: handlers usually
+// reject such a size.
+func (c *Connections) expectAnnounced(x *exchange, size int64) bool {
+	if size > c.maxBytes {
+		size = 0
+	}
+	return c.expect(x, max(0, size))
+}
+
 // expect makes room for a request whose header is complete, given the number of bytes of its
 // body that have been announced or received, and reports whether there is room.
 func (c *Connections) expect(x *exchange, body int64) bool {
@@ -369,6 +383,7 @@
 func (c *Connections) serving(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	x.complete = true
 	if !x.connection.closed {
 		c.await(x.connection, nil)
 	}
@@ -392,6 +407,7 @@
 		return
 	}
 	k.lastReceived = time.Now()
-	k.inHeader, k.next = !k.multiplexed, &exchange{connection: k}
+	// What follows an incomplete request is the rest of its body.
+	k.inHeader, k.next = x.complete && !k.multiplexed, &exchange{connection: k}
 	c.await(k, &c.idle)
 }
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -207,6 +207,28 @@
 	}
 }
 
+// TestImpossibleSizesCloseNoOthers guards against callers that have the large requests of
+// others closed by the announcement of a size for which there is never room.
+func TestImpossibleSizesCloseNoOthers(t *testing.T) {
+	c := qt.New(t)
+	reading := make(chan bool)
+	_, address := serve(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 5*ingress.FreeBytes {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
+		reading <- true
+		readBody(w, r)
+	}), ingress.WithMaxBytes(5*ingress.FreeBytes))
+	slow := dial(c, address)
+	send(c, slow, large)
+	<-reading
+	time.Sleep(600 * time.Millisecond)
+	c.Assert(statusOf(c, address, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10000000000\r\n\r\n"), qt.Equals, "413")
+	send(c, slow, strings.Repeat(" ", 3*ingress.FreeBytes))
+	assertReply(c, slow, "200")
+}
+
 // statusOf sends a whole request on a connection of its own and returns the status of the
 // reply.
 func statusOf(c *qt.C, address, request string) string {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -51,7 +51,7 @@
 		r.Body = body
 		replying := &bodyWriter{ResponseWriter: w, body: body, http2: r.ProtoMajor >= 2}
 		defer replying.begin()
-		if !c.expect(x, max(0, r.ContentLength)) {
+		if !c.expectAnnounced(x, r.ContentLength) {
 			Reject(replying)
 			return
 		}
--- a/instance/bounds.go
+++ b/instance/bounds.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	// connectionSockets is the share of the sockets for the port of the instance, and
-	// connectionMemory that of the memory for these connections. The rest is for connections of
+	// connectionSocketShare is the share of the sockets for the port of the instance, and
+	// connectionMemoryShare that of the memory for these connections. The rest is for connections of
 	// the instance's own.
-	connectionSockets = 0.6
-	connectionMemory  = 0.2
-	// requestMemory is the share of the memory for large requests that are being received or
-	// served, heldMemory that for the bodies of requests without a final answer.
-	requestMemory = 0.1
-	heldMemory    = 0.1
+	connectionSocketShare = 0.6
+	connectionMemoryShare = 0.2
+	// requestMemoryShare is the share of the memory for large requests that are being received or
+	// served, heldMemoryShare that for the bodies of requests without a final answer.
+	requestMemoryShare = 0.1
+	heldMemoryShare    = 0.1
 )
 
 // bounds are the limits of an instance that follow from its machine.
@@ -26,8 +26,8 @@
 func newBounds(s settings.Settings) bounds {
 	memory := float64(s.MemoryMiB << 20)
 	return bounds{
-		connections:  int(min(connectionSockets*ingress.Sockets(s.MaxDescriptors), connectionMemory*memory/ingress.ConnectionBytes)),
-		requestBytes: int64(requestMemory * memory),
-		heldBytes:    int64(heldMemory * memory),
+		connections:  int(min(connectionSocketShare*ingress.Sockets(s.MaxDescriptors), connectionMemoryShare*memory/ingress.ConnectionBytes)),
+		requestBytes: int64(requestMemoryShare * memory),
+		heldBytes:    int64(heldMemoryShare * memory),
 	}
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -15,31 +15,31 @@
 const (
 	// The shares of the sockets for callers, other instances and readiness checks. The rest
 	// is for connections of the instance's own, to the store, to workers and to others.
-	callerSockets   = 0.4
-	internalSockets = 0.2
-	readySockets    = 0.02
-	// ownerCallSockets is the share for the submissions that are passed on to owners at a
+	callerSocketShare   = 0.4
+	internalSocketShare = 0.2
+	readySocketShare    = 0.02
+	// ownerCallSocketShare is the share for the submissions that are passed on to owners at a
 	// time, and as much for the queries.
-	ownerCallSockets = 0.05
+	ownerCallSocketShare = 0.05
 
 	// The shares of the memory for the connections themselves, of which each holds its
 	// buffers and a goroutine.
-	callerConnectionMemory   = 0.15
-	internalConnectionMemory = 0.08
+	callerConnectionMemoryShare   = 0.15
+	internalConnectionMemoryShare = 0.08
 
-	// callerByteMemory is the share of the memory for large requests of callers, from their
+	// callerByteMemoryShare is the share of the memory for large requests of callers, from their
 	// arrival to the reply.
-	callerByteMemory = 0.1
-	// submissionMemory is the share for large submissions that are decoded and passed on, and
-	// internalByteMemory that for large calls of other instances. Both take about five times
+	callerByteMemoryShare = 0.1
+	// submissionMemoryShare is the share for large submissions that are decoded and passed on, and
+	// internalByteMemoryShare that for large calls of other instances. Both take about five times
 	// as much while they are processed.
-	submissionMemory   = 0.02
-	internalByteMemory = 0.02
+	submissionMemoryShare   = 0.02
+	internalByteMemoryShare = 0.02
 	// minSubmissionBytes is the least room for each of the two: that of the largest
 	// submissions, which grow on their way to the owner.
 	minSubmissionBytes = 1 << 20
-	// jobMemory is the share of the memory for the jobs that owners keep.
-	jobMemory = 0.2
+	// jobMemoryShare is the share of the memory for the jobs that owners keep.
+	jobMemoryShare = 0.2
 	// jobMemoryInterval is the time after which the memory of the other instances is compared
 	// again.
 	jobMemoryInterval = time.Second
@@ -68,13 +68,13 @@
 	sockets := ingress.Sockets(maxDescriptors)
 	memory := float64(memoryMiB << 20)
 	return limits{
-		callerConnections:   int(min(callerSockets*sockets, callerConnectionMemory*memory/ingress.ConnectionBytes)),
-		internalConnections: int(min(internalSockets*sockets, internalConnectionMemory*memory/ingress.ConnectionBytes)),
-		readyConnections:    max(1, int(readySockets*sockets)),
-		callerBytes:         int64(callerByteMemory * memory),
-		submissionBytes:     max(minSubmissionBytes, int64(submissionMemory*memory)),
-		internalBytes:       max(minSubmissionBytes, int64(internalByteMemory*memory)),
-		ownerCalls:          int(ownerCallSockets * sockets),
+		callerConnections:   int(min(callerSocketShare*sockets, callerConnectionMemoryShare*memory/ingress.ConnectionBytes)),
+		internalConnections: int(min(internalSocketShare*sockets, internalConnectionMemoryShare*memory/ingress.ConnectionBytes)),
+		readyConnections:    max(1, int(readySocketShare*sockets)),
+		callerBytes:         int64(callerByteMemoryShare * memory),
+		submissionBytes:     max(minSubmissionBytes, int64(submissionMemoryShare*memory)),
+		internalBytes:       max(minSubmissionBytes, int64(internalByteMemoryShare*memory)),
+		ownerCalls:          int(ownerCallSocketShare * sockets),
 	}
 }
 
@@ -102,5 +102,5 @@
 			smallest = min(smallest, m.MemoryMiB)
 		}
 	}
-	return max(shard.MinJobMemory, int64(jobMemory*float64(smallest<<20))/int64(shards))
+	return max(shard.MinJobMemory, int64(jobMemoryShare*float64(smallest<<20))/int64(shards))
 }
--- a/soak/cell.go
+++ b/soak/cell.go
@@ -112,6 +112,14 @@
 	exitReport      string
 }
 
+// Build builds the program in a directory and returns its path. It must be called in the
+// folder of a package of this module.
+func Build(directory string) (string, error) {
+	built := filepath.Join(directory, "lovagestand")
+	out, err := exec.Command("go", "build", "-o", built, "../cmd/lovagestand").CombinedOutput()
+	return built, errors.Wrapf(err, "build: %s", out)
+}
+
 // Open starts a cell with a number of nodes and workers. The nodes' settings and
 // logs are written to the directory.
 func Open(program, directory string, nodes, workers int, options ...site.Option) (*Cell, error) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -61,9 +60,8 @@
 	if *program != "" {
 		return *program
 	}
-	built := filepath.Join(c.TB.(*testing.T).TempDir(), "lovagestand")
-	out, err := exec.Command("go", "build", "-o", built, "../cmd/lovagestand").CombinedOutput()
-	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	built, err := soak.Build(c.TB.(*testing.T).TempDir())
+	c.Assert(err, qt.IsNil)
 	return built
 }
 
