gateway: methods that callers make up are counted together

Metrics counted answers by the method of the request, which callers choose and which may be as long as a header: 2,000 of them are kept for good. The method was also logged.

Methods that are not known are counted and logged as other.

--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -156,6 +156,19 @@
 	}
 }
 
+// longMethods sends a number of requests, each with a method of its own of a size.
+func longMethods(n, size int) client {
+	fill := strings.Repeat("M", size)
+	return func(_ context.Context, conn net.Conn, id string) error {
+		for i := range n {
+			if err := write(conn, header(fmt.Sprintf("%s%s%d", fill, id, i), "/x/"+id)); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // silent sends nothing.
 func silent(context.Context, net.Conn, string) error { return nil }
 
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -81,6 +81,7 @@
 	{name: "bodies on an unknown route", clients: 3000, send: unknownRoute},
 	{name: "headers without an end", clients: 3000, send: endlessHeader(15 << 10)},
 	{name: "huge headers without an end", clients: 700, send: endlessHeader(512 << 10)},
+	{name: "long methods", clients: 300, send: longMethods(10, 60<<10)},
 	{name: "queries with a body", clients: 700, send: queryWithBody},
 	{name: "connections without a byte", clients: 3000, send: silent},
 	{name: "connections to the ready port", clients: 3000, send: silent, port: ready},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,8 +112,19 @@
 	start := time.Now()
 	recorded := &statusWriter{ResponseWriter: w, status: http.StatusOK}
 	g.serve(recorded, r, start)
-	g.recorder.Count("answers", r.Method+" "+strconv.Itoa(recorded.status))
-	g.recorder.Observe("answerTimes", r.Method, time.Since(start))
+	method := knownMethod(r)
+	g.recorder.Count("answers", method+" "+strconv.Itoa(recorded.status))
+	g.recorder.Observe("answerTimes", method, time.Since(start))
+}
+
+// knownMethod returns the method of a request for logs and metrics. Callers may choose others
+// than these, of any length.
+func knownMethod(r *http.Request) string {
+	switch r.Method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete, http.MethodHead, http.MethodPut, http.MethodPatch, http.MethodOptions:
+		return r.Method
+	}
+	return "other"
 }
 
 // serve replies to a request whose header was complete at start.
@@ -184,7 +195,7 @@
 // rejectKey replies to a call whose key is not accepted.
 func (g *Gateway) rejectKey(w http.ResponseWriter, r *http.Request, version int64, route platform.Route, rejection credential.Rejection) {
 	g.recorder.Count("rejectedKeys", string(rejection))
-	g.log.Info().Str("route", string(route.Policy.Route)).Str("method", r.Method).Str("caller", r.RemoteAddr).Int64("version", version).Str("reason", string(rejection)).Msg("key of a call rejected")
+	g.log.Info().Str("route", string(route.Policy.Route)).Str("method", knownMethod(r)).Str("caller", r.RemoteAddr).Int64("version", version).Str("reason", string(rejection)).Msg("key of a call rejected")
 	if rejection == credential.RejectionUnconfirmed {
 		// Another instance may be in contact with the store, and a new connection
 		// reaches one.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -167,3 +167,23 @@
 		c.Assert(request(g, http.MethodPost, jobPath, valid, strings.Repeat("k", 1000)).Code, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 	})
 }
+
+// kinds records the kinds of events.
+type kinds struct {
+	lovagestand.NoRecorder
+	counted map[string]int
+}
+
+func (k kinds) Count(_, kind string) { k.counted[kind]++ }
+
+// TestUnknownMethodsAreCountedTogether guards against callers who fill the memory by methods
+// of their own, of which metrics keep the names.
+func TestUnknownMethodsAreCountedTogether(t *testing.T) {
+	c := qt.New(t)
+	k := kinds{counted: map[string]int{}}
+	g := gateway.New(gateway.NewRoutes(keyspace.New(), zerolog.Nop()), &owner{}, zerolog.Nop(), k)
+	for _, method := range []string{"MADE-UP", strings.Repeat("M", 1000), http.MethodPost} {
+		request(g, method, jobPath, "")
+	}
+	c.Assert(k.counted, qt.DeepEquals, map[string]int{"other 503": 2, "POST 503": 1})
+}
