soak: faults beside callers that do not behave

A cell of nodes with 128 MiB and 600 descriptors, which 250 callers at each node call that stop within requests.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,8 @@
 	busyLength   = flag.Duration("busylength", 2*time.Second, "how long faults are injected into a busy cell")
 	wideSeeds    = flag.Int("wide", 1, "number of seeds of a cell with wide gangs and several shards")
 	wideLength   = flag.Duration("widelength", 2*time.Second, "how long faults are injected into a cell with wide gangs")
+	crowdedSeeds = flag.Int("crowded", 1, "number of seeds of a cell with callers that do not behave")
+	crowdLength  = flag.Duration("crowdedlength", 3*time.Second, "how long faults are injected into a crowded cell")
 	calmLength   = flag.Duration("calmlength", 15*time.Second, "how long jobs are submitted after that, half as often")
 )
 
@@ -88,6 +90,25 @@
 	}
 }
 
+// TestCrowdedSoak is the soak with nodes of little memory and few descriptors, which a crowd of
+// callers that do not behave calls all the time.
+func TestCrowdedSoak(t *testing.T) {
+	t.Parallel()
+	binary := build(qt.New(t))
+	shape := soak.Shape{Nodes: nodes, Workers: workers, MemoryMiB: 128, MaxDescriptors: 600}
+	for i := range *crowdedSeeds {
+		seed := *firstSeed + uint64(i)
+		run(t, binary, seed, shape, *crowdLength, func(c *soak.Cell, r *rand.Rand, length time.Duration, log func(string)) error {
+			defer c.Crowd(crowdSize, seed)()
+			return c.InjectFaults(r, length, log)
+		})
+	}
+}
+
+// crowdSize is the number of callers of a crowd at each node, which is more than the
+// connections that a node of TestCrowdedSoak keeps.
+const crowdSize = 250
+
 // busyShape returns the shape of the busy cell of a seed: those of odd seeds need advice,
 // the others stop tasks for urgent ones.
 func busyShape(seed uint64) soak.Shape {
