placer: the bodies that an owner holds are bounded

Each entry of serve bounds the bodies of its own requests, but the owner of a shard held those of all entries, so that together they exceed its memory.

An owner rejects a task whose body has no room beside the others in its shards as it does for a full queue: the entry tries another shard or answers that the request did not run. TestBodiesAreBounded failed before (waiting, where it asks for full).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -121,7 +121,8 @@
 		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
 			return pool.New(n)
 		},
-		Log: i.log,
+		MaxBodyBytes: i.bounds.heldBytes,
+		Log:          i.log,
 	})
 	i.ownership.SetDigestFunc(i.placer.Digests)
 	i.ownership.SetRevisionFunc(func() uint64 { return uint64(i.follower.Status().Revision) })
--- a/placer/fixture_test.go
+++ b/placer/fixture_test.go
@@ -173,7 +173,8 @@
 		NewDecider: func(n lovagestand.ShardName) lovagestand.Decider {
 			return naive.New(n)
 		},
-		Log: zerolog.Nop(),
+		MaxBodyBytes: 64 << 10,
+		Log:          zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -43,7 +43,10 @@
 	MayHaveRun func(key lovagestand.RequestKey) bool
 	// NewDecider returns an empty decider for a shard.
 	NewDecider func(shard lovagestand.ShardName) lovagestand.Decider
-	Log        zerolog.Logger
+	// MaxBodyBytes bounds the bodies of the requests without a final answer in all shards
+	// together, besides small ones; 0 for no bound.
+	MaxBodyBytes int64
+	Log          zerolog.Logger
 }
 
 // Placer runs requests in the shards that an instance owns. It is safe for
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -482,3 +482,22 @@
 		x.Assert(x.attempts(plan.Key), qt.Equals, 1)
 	})
 }
+
+// TestBodiesAreBounded guards against callers whose waiting requests hold more than the memory
+// of an owner, through several entries. Small requests are queued meanwhile.
+func TestBodiesAreBounded(t *testing.T) {
+	inBubble(t, func(x *fixture) {
+		large := append(runFor(10*time.Second), bytes.Repeat([]byte{' '}, 40<<10)...)
+		x.Assert(x.place(newTask("plan-1"), large, false, time.Second).GetStatus(), qt.Equals, placerpb.Status_STATUS_WAITING)
+		refused := newTask("plan-2")
+		reply := x.place(refused, large, false, time.Second)
+		x.Assert(reply.GetStatus(), qt.Equals, placerpb.Status_STATUS_FULL)
+		x.Assert(reply.GetRetryAfter() > 0, qt.IsTrue)
+		x.Assert(reply.GetDoubt(), qt.IsFalse)
+		small := newTask("plan-3")
+		x.assertDone(x.settle(small, runFor(time.Second), false), small, runFor(time.Second))
+		time.Sleep(15 * time.Second)
+		x.Assert(x.attempts(refused.Key), qt.Equals, 0)
+		x.Assert(x.place(newTask("plan-4"), large, false, time.Second).GetStatus(), qt.Equals, placerpb.Status_STATUS_WAITING)
+	})
+}
--- a/placer/rpc.go
+++ b/placer/rpc.go
@@ -39,7 +39,9 @@
 	case <-window.Done():
 		return waitingReply(), nil
 	}
-	r, reply := s.attach(time.Now(), TaskOf(request.GetTask()), request.GetBody(), request.GetResubmitted())
+	task := TaskOf(request.GetTask())
+	full := p.bodyError(task, len(request.GetBody()))
+	r, reply := s.attach(time.Now(), task, request.GetBody(), full, request.GetResubmitted())
 	if reply != nil {
 		return reply, nil
 	}
@@ -103,8 +105,9 @@
 }
 
 // attach returns the request of a task, adding it if the shard does not hold it
-// yet. If there is nothing to wait for, it returns a reply instead.
-func (s *shard) attach(now time.Time, task lovagestand.Task, body []byte, resubmitted bool) (*request, *placerpb.PlaceReply) {
+// yet, unless full is the error that there is no room for its body. If there is nothing to
+// wait for, it returns a reply instead.
+func (s *shard) attach(now time.Time, task lovagestand.Task, body []byte, full error, resubmitted bool) (*request, *placerpb.PlaceReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r, ok := s.requests[task.ID]; ok {
@@ -135,9 +138,13 @@
 		s.expire(now, r.parts[0], "the time to start had passed", 0)
 		return r, nil
 	}
-	r.body = body
-	r.hasBody = true
-	if err := s.submit(now, r); err != nil {
+	err := full
+	if err == nil {
+		s.setBody(r, body)
+		r.hasBody = true
+		err = s.submit(now, r)
+	}
+	if err != nil {
 		earlierStart := r.started()
 		s.markWithdrawn(now, r, err.Error())
 		reply := rejectionReply(err)
@@ -156,7 +163,7 @@
 	} else {
 		r.finish(now, lovagestand.NotRunAnswer(r.task.Key, reason, 0))
 	}
-	r.body = nil
+	s.setBody(r, nil)
 	r.parts = nil
 	s.requests[r.task.ID] = r
 }
@@ -190,7 +197,7 @@
 	if r.hasBody || r.final() {
 		return
 	}
-	r.body = body
+	s.setBody(r, body)
 	r.hasBody = true
 	for _, p := range r.parts {
 		if p.state == partBlocked {
--- a/placer/shard.go
+++ b/placer/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	stop     context.CancelFunc
 	ctx      context.Context
 	inFlight sync.WaitGroup
+	// bodyBytes is the size of the bodies of all requests. It changes while mu is held.
+	bodyBytes atomic.Int64
 
 	mu       sync.Mutex
 	decider  lovagestand.Decider
@@ -218,7 +221,7 @@
 		}
 	}
 	r.finish(now, a)
-	r.body = nil
+	s.setBody(r, nil)
 }
 
 // submit queues either all parts of a request or none of them.
