--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -124,6 +124,12 @@
 	return fmt.Sprintf(`{"spec":"milliCPU=4000 millis=60000","steps":[{"count":%d,"cpu":4000}]}`, job.MaxTasks)
 }
 
+// jobOfEmptySteps returns a body of the largest size with many more steps than a job may have.
+func jobOfEmptySteps() string {
+	const begin, step, end = `{"spec":"t","steps":[`, `{},`, `{}]}`
+	return begin + strings.Repeat(step, (bodyBytes-len(begin)-len(end))/len(step)) + end
+}
+
 // unknownRoute sends the header of a submission to a route that does not exist, and a part
 // of its body.
 func unknownRoute(_ context.Context, conn net.Conn, id string) error {
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -76,6 +76,7 @@
 	{name: "jobs of many tasks", clients: 200, send: whole(wideJob()), restart: true},
 	{name: "large jobs at all nodes", clients: 500, send: whole(largeJob()), everywhere: true, restart: true},
 	{name: "large jobs with a slow store", clients: 500, send: whole(largeJob()), everywhere: true, slowStore: true, restart: true},
+	{name: "jobs of too many steps", clients: 300, send: whole(jobOfEmptySteps())},
 	{name: "many small jobs", clients: 200, send: repeated(100, "POST", longJob), everywhere: true, restart: true},
 	{name: "cancellations of unknown jobs", clients: 200, send: repeated(200, "DELETE", ""), everywhere: true, restart: true},
 	{name: "bodies on an unknown route", clients: 3000, send: unknownRoute},
--- a/shard/memory.go
+++ b/shard/memory.go
@@ -17,6 +17,7 @@
 	entryWeight = 800
 	bodyFactor  = 3
 	stepWeight  = 512
+	afterWeight = 8
 	taskWeight  = 256
 )
 
@@ -81,11 +82,12 @@
 
 // weightOf returns the memory that a job takes until it has ended, given its encoded form.
 func weightOf(j job.Job, body []byte) int64 {
-	tasks := 0
+	tasks, after := 0, 0
 	for i := range j.Steps {
 		tasks += j.Steps[i].Count
+		after += len(j.Steps[i].After)
 	}
-	return entryWeight + bodyFactor*int64(len(body)) + stepWeight*int64(len(j.Steps)) + taskWeight*int64(tasks*j.Schedule.Occurrences())
+	return entryWeight + bodyFactor*int64(len(body)) + stepWeight*int64(len(j.Steps)) + afterWeight*int64(after) + taskWeight*int64(tasks*j.Schedule.Occurrences())
 }
 
 // keep adds an entry, or a job to the entry of a cancellation.
