ingress: large requests that arrive byte by byte make room too

Callers that send large requests byte by byte kept the room for as long as their deadline allowed, since they were never silent for half a second, and large requests of others were rejected for that time. Where there is no room, those that have taken 2 s at less than 32 KiB/s count as without progress. With room they are still served, until their deadline.

--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -29,6 +29,10 @@
 	// stallPatience is how long a large request may make no progress without being closed in
 	// favour of another one.
 	stallPatience = 500 * time.Millisecond
+	// minBodyRate is the rate in bytes per second below which a large request counts as
+	// without progress too, once it has taken slowPatience.
+	minBodyRate  = 32 << 10
+	slowPatience = 2 * time.Second
 	// roomTimeout is how long a new connection waits while all others are being served, of
 	// which the next usually ends sooner.
 	roomTimeout      = 100 * time.Millisecond
@@ -242,6 +246,10 @@
 	// inHeader is whether the client may be sending the header of the next request.
 	inHeader bool
 	next     *exchange
+	// begunAt is when the header of the present request was complete, and received what has
+	// arrived since.
+	begunAt  time.Time
+	received int64
 	// streams is the number of requests in progress on a connection of HTTP/2, on which
 	// several may be; multiplexed is whether it is such a connection.
 	streams     int
@@ -290,6 +298,7 @@
 	}
 	now := time.Now()
 	k.lastReceived = now
+	k.received += n
 	if k.inHeader {
 		if k.next.headerBytes += n; !c.reserve(now, k.next, k.next.headerBytes) {
 			c.evict(now, k, reasonBytes)
@@ -323,8 +332,8 @@
 		return false
 	}
 	for c.bytes+more > c.maxBytes {
-		stalled := front(&c.large)
-		if stalled == nil || stalled == x.connection || now.Sub(stalled.lastReceived) < stallPatience {
+		stalled := c.stalled(now, x.connection)
+		if stalled == nil {
 			return false
 		}
 		c.evict(now, stalled, reasonBytes)
@@ -335,11 +344,31 @@
 	return true
 }
 
+// stalled returns a connection other than the given one whose large request makes no progress,
+// or nil. The caller holds mu.
+func (c *Connections) stalled(now time.Time, except *connection) *connection {
+	for e := c.large.Front(); e != nil; e = e.Next() {
+		if k := e.Value.(*connection); k != except && k.stalled(now) {
+			return k
+		}
+	}
+	return nil
+}
+
+// stalled reports whether the client of a connection has been silent for too long, or slow.
+func (k *connection) stalled(now time.Time) bool {
+	if now.Sub(k.lastReceived) >= stallPatience {
+		return true
+	}
+	elapsed := now.Sub(k.begunAt)
+	return !k.inHeader && elapsed >= slowPatience && float64(k.received) < minBodyRate*elapsed.Seconds()
+}
+
 // begin returns the request whose header is complete.
 func (c *Connections) begin(k *connection, http2 bool) *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k.inHeader = false
+	k.inHeader, k.begunAt, k.received = false, time.Now(), 0
 	if !http2 {
 		return k.next
 	}
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -207,6 +207,34 @@
 	}
 }
 
+// TestSlowRequestsMakeRoom guards against callers that keep large requests out by sending
+// theirs byte by byte.
+func TestSlowRequestsMakeRoom(t *testing.T) {
+	c := qt.New(t)
+	_, address := serve(c, http.HandlerFunc(readBody), ingress.WithMaxBytes(5*ingress.FreeBytes))
+	var sending sync.WaitGroup
+	c.Cleanup(sending.Wait)
+	for range 2 {
+		conn := dial(c, address)
+		sending.Go(func() {
+			_, err := io.WriteString(conn, large)
+			for err == nil {
+				time.Sleep(20 * time.Millisecond)
+				_, err = io.WriteString(conn, " ")
+			}
+		})
+	}
+	whole := large + strings.Repeat(" ", 3*ingress.FreeBytes)
+	for statusOf(c, address, whole) != "503" {
+		time.Sleep(time.Millisecond)
+	}
+	for range 2 {
+		for statusOf(c, address, whole) != "200" {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
 // TestImpossibleSizesCloseNoOthers guards against callers that have the large requests of
 // others closed by the announcement of a size for which there is never room.
 func TestImpossibleSizesCloseNoOthers(t *testing.T) {
