--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -130,6 +130,13 @@
 	return begin + strings.Repeat(step, (bodyBytes-len(begin)-len(end))/len(step)) + end
 }
 
+// jobOfLongLists returns a job of the largest size whose second step names the first one again
+// and again.
+func jobOfLongLists() string {
+	const begin, end = `{"spec":"milliCPU=4000 millis=60000","steps":[{"count":1,"cpu":4000},{"count":1,"cpu":4000,"after":[0`, `]}]}`
+	return begin + strings.Repeat(",0", (bodyBytes-len(begin)-len(end))/len(",0")) + end
+}
+
 // unknownRoute sends the header of a submission to a route that does not exist, and a part
 // of its body.
 func unknownRoute(_ context.Context, conn net.Conn, id string) error {
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -77,6 +77,7 @@
 	{name: "large jobs at all nodes", clients: 500, send: whole(largeJob()), everywhere: true, restart: true},
 	{name: "large jobs with a slow store", clients: 500, send: whole(largeJob()), everywhere: true, slowStore: true, restart: true},
 	{name: "jobs of too many steps", clients: 300, send: whole(jobOfEmptySteps())},
+	{name: "jobs of long lists", clients: 500, send: whole(jobOfLongLists()), everywhere: true, restart: true},
 	{name: "many small jobs", clients: 200, send: repeated(100, "POST", longJob), everywhere: true, restart: true},
 	{name: "cancellations of unknown jobs", clients: 200, send: repeated(200, "DELETE", ""), everywhere: true, restart: true},
 	{name: "bodies on an unknown route", clients: 3000, send: unknownRoute},
