ingress: TestSlowRequestsMakeRoom no longer depends on who arrives first

It failed once (too many open files after 12 s): a slow request that arrived beside a whole one was rejected itself, so that only one held room and the rejection that the test waits for never came. Slow requests are sent until it comes.

--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -214,7 +214,7 @@
 	_, address := serve(c, http.HandlerFunc(readBody), ingress.WithMaxBytes(5*ingress.FreeBytes))
 	var sending sync.WaitGroup
 	c.Cleanup(sending.Wait)
-	for range 2 {
+	sendSlowly := func() {
 		conn := dial(c, address)
 		sending.Go(func() {
 			_, err := io.WriteString(conn, large)
@@ -225,7 +225,8 @@
 		})
 	}
 	whole := large + strings.Repeat(" ", 3*ingress.FreeBytes)
-	for statusOf(c, address, whole) != "503" {
+	// A slow request that arrives beside a whole one may be rejected itself.
+	for sendSlowly(); statusOf(c, address, whole) != "503"; sendSlowly() {
 		time.Sleep(time.Millisecond)
 	}
 	for range 2 {
