gateway, ingress, crowd: what the change wrote twice

No behaviour changes. The gateway reads a body where it submits it, without a second check of method and ID before the switch. The size up to which requests need no room stands in ingress alone; entry and placer had copies. The spread of Retry-After by a hash is admission.Spread, which shard had written again. A request takes the lock of its server's connections once less. The crowds' clients take a path; a connection that rewrote requests is gone. Tests of the gateway share how they follow the configuration.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -93,7 +93,11 @@
 // retryAfter returns a time from when the backlog is expected to be short enough, spread
 // over the same time again so that rejected callers do not return together.
 func retryAfter(excess float64, hash uint64) time.Duration {
-	base := min(max(seconds(excess), minRetryAfter), maxRetryAfter/2)
+	return Spread(min(max(seconds(excess), minRetryAfter), maxRetryAfter/2), hash)
+}
+
+// Spread returns a time between base and twice as long, by a hash.
+func Spread(base time.Duration, hash uint64) time.Duration {
 	return base + time.Duration(float64(base)*float64(hash>>11)/(1<<53))
 }
 
--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -36,7 +36,11 @@
 	return text + "\r\n"
 }
 
-func submission(id string, lines ...string) string { return header("POST", "/x/"+id, lines...) }
+// callerPath is the path of the route of a cell.
+const callerPath = "/x/"
+
+// post returns the header of a submission to a path, to which an ID is appended.
+func post(path, id string, lines ...string) string { return header("POST", path+id, lines...) }
 
 // length returns the header line for a body of a size.
 func length(size int) string { return fmt.Sprint("Content-Length: ", size) }
@@ -57,11 +61,11 @@
 	}
 }
 
-// stopsShort sends a request of a size without its last byte.
-func stopsShort(size int) client {
+// stopsShort sends a request of a size to a path, without its last byte.
+func stopsShort(path string, size int) client {
 	body := strings.Repeat(" ", size-1)
 	return func(_ context.Context, conn net.Conn, id string) error {
-		return write(conn, submission(id, length(size)), body)
+		return write(conn, post(path, id, length(size)), body)
 	}
 }
 
@@ -69,7 +73,7 @@
 func stopsShortInPieces(pieces int, over time.Duration) client {
 	piece := strings.Repeat(" ", bodyBytes/pieces)
 	return func(ctx context.Context, conn net.Conn, id string) error {
-		if err := write(conn, submission(id, length(bodyBytes))); err != nil {
+		if err := write(conn, post(callerPath, id, length(bodyBytes))); err != nil {
 			return err
 		}
 		for range pieces - 1 {
@@ -82,23 +86,23 @@
 	}
 }
 
-// chunked sends a number of chunks of a size, and does not end the body. The last chunk
-// lacks a number of bytes.
-func chunked(chunks, size, missing int) client {
+// chunked sends a number of chunks of a size to a path, and does not end the body. The last
+// chunk lacks a number of bytes.
+func chunked(path string, chunks, size, missing int) client {
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat(" ", size))
 	body := strings.Repeat(chunk, chunks)
 	if missing > 0 {
 		body = body[:len(body)-missing-len("\r\n")]
 	}
 	return func(_ context.Context, conn net.Conn, id string) error {
-		return write(conn, submission(id, "Transfer-Encoding: chunked"), body)
+		return write(conn, post(path, id, "Transfer-Encoding: chunked"), body)
 	}
 }
 
 // whole sends a whole request and waits for the reply.
 func whole(body string) client {
 	return func(_ context.Context, conn net.Conn, id string) error {
-		return write(conn, submission(id, length(len(body))), body)
+		return write(conn, post(callerPath, id, length(len(body))), body)
 	}
 }
 
@@ -145,7 +149,7 @@
 
 // endlessHeader sends a header of a size that does not end.
 func endlessHeader(size int) client {
-	text := strings.TrimSuffix(submission("0000000000000001"), "\r\n")
+	text := strings.TrimSuffix(post(callerPath, "0000000000000001"), "\r\n")
 	return func(_ context.Context, conn net.Conn, _ string) error {
 		return write(conn, text, "X-Fill: ", strings.Repeat("f", size))
 	}
@@ -153,7 +157,7 @@
 
 // queryWithBody asks for a job that does not exist, with a body that does not end.
 func queryWithBody(_ context.Context, conn net.Conn, id string) error {
-	return write(conn, header("GET", "/x/"+id, length(bodyBytes)), strings.Repeat(" ", 1<<10))
+	return write(conn, header("GET", callerPath+id, length(bodyBytes)), strings.Repeat(" ", 1<<10))
 }
 
 // repeated sends a number of requests, each about another job, without waiting for replies.
@@ -161,7 +165,7 @@
 	return func(_ context.Context, conn net.Conn, id string) error {
 		for i := range n {
 			own := fmt.Sprintf("%s%03x", id[:len(id)-3], i)
-			if err := write(conn, header(method, "/x/"+own, length(len(body))), body); err != nil {
+			if err := write(conn, header(method, callerPath+own, length(len(body))), body); err != nil {
 				return err
 			}
 		}
@@ -174,7 +178,7 @@
 	fill := strings.Repeat("M", size)
 	return func(_ context.Context, conn net.Conn, id string) error {
 		for i := range n {
-			if err := write(conn, header(fmt.Sprintf("%s%s%d", fill, id, i), "/x/"+id)); err != nil {
+			if err := write(conn, header(fmt.Sprintf("%s%s%d", fill, id, i), callerPath+id)); err != nil {
 				return err
 			}
 		}
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -64,12 +64,12 @@
 	// restart is whether all nodes are killed and started again afterwards.
 	restart bool
 }{
-	{name: "announced bodies without the last byte", clients: 700, send: stopsShort(bodyBytes)},
+	{name: "announced bodies without the last byte", clients: 700, send: stopsShort(callerPath, bodyBytes)},
 	{name: "the same in pieces", clients: 700, send: stopsShortInPieces(32, 2*time.Second)},
-	{name: "large chunks without the last chunk", clients: 700, send: chunked(3, 64<<10, 0)},
-	{name: "one chunk without its last byte", clients: 700, send: chunked(1, bodyBytes, 1)},
-	{name: "chunks of one byte", clients: 1500, send: chunked(64<<10, 1, 0)},
-	{name: "small bodies without the last byte", clients: 1500, send: stopsShort(200)},
+	{name: "large chunks without the last chunk", clients: 700, send: chunked(callerPath, 3, 64<<10, 0)},
+	{name: "one chunk without its last byte", clients: 700, send: chunked(callerPath, 1, bodyBytes, 1)},
+	{name: "chunks of one byte", clients: 1500, send: chunked(callerPath, 64<<10, 1, 0)},
+	{name: "small bodies without the last byte", clients: 1500, send: stopsShort(callerPath, 200)},
 	{name: "small jobs in white space", clients: 700, send: whole(paddedJob())},
 	{name: "large jobs", clients: 700, send: whole(largeJob()), restart: true},
 	{name: "large jobs at the owner", clients: 700, send: whole(largeJob()), owner: true, restart: true},
--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -21,6 +21,8 @@
 const (
 	// servedBytes is the largest JSON of a request to an instance of the command "serve".
 	servedBytes = 2 << 20
+	// servedPath is the path of requests, before the ID of a client, which has no meaning there.
+	servedPath = "/v1/requests?"
 	// longWork is the body of a request whose task does not end during a test.
 	longWork = `{"runFor":"10m"}`
 )
@@ -31,37 +33,14 @@
 	clients int
 	send    client
 }{
-	{name: "announced bodies without the last byte", clients: 200, send: to("/v1/requests", stopsShort(servedBytes))},
-	{name: "chunks without the last chunk", clients: 200, send: to("/v1/requests", chunked(30, 64<<10, 0))},
-	{name: "bodies without a reader", clients: 1500, send: to("/healthz", stopsShort(1<<10))},
+	{name: "announced bodies without the last byte", clients: 200, send: stopsShort(servedPath, servedBytes)},
+	{name: "chunks without the last chunk", clients: 200, send: chunked(servedPath, 30, 64<<10, 0)},
+	{name: "bodies without a reader", clients: 1500, send: stopsShort("/healthz?", 1<<10)},
 	{name: "large requests", clients: 200, send: largeServedRequest},
 	{name: "headers without an end", clients: 300, send: endlessHeader(512 << 10)},
 	{name: "connections without a byte", clients: 1500, send: silent},
 }
 
-// redirected is a connection on which requests are sent with another path.
-type redirected struct {
-	net.Conn
-	path string
-}
-
-func (r redirected) Write(p []byte) (int, error) {
-	text := string(p)
-	if rest, ok := strings.CutPrefix(text, "POST /x/"); ok {
-		_, rest, _ = strings.Cut(rest, " ")
-		text = "POST " + r.path + " " + rest
-	}
-	_, err := r.Conn.Write([]byte(text))
-	return len(p), err
-}
-
-// to lets a client send its requests with a path.
-func to(path string, send client) client {
-	return func(ctx context.Context, conn net.Conn, id string) error {
-		return send(ctx, redirected{Conn: conn, path: path}, id)
-	}
-}
-
 // largeServedRequest sends a whole request with a large body, whose task does not end soon.
 func largeServedRequest(_ context.Context, conn net.Conn, id string) error {
 	body := requestJSON(id, longWork+strings.Repeat(" ", 1<<20-len(longWork)))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/ingress"
 )
 
 const (
@@ -182,16 +183,12 @@
 	return c, nil
 }
 
-const (
-	// smallBodyBytes is the size up to which bodies take no room from others.
-	smallBodyBytes = 8 << 10
-	// limitHeldBytes is the limit of bodies that is reached, as callers and metrics see it.
-	limitHeldBytes = "heldBytes"
-)
+// limitHeldBytes is the limit of bodies that is reached, as callers and metrics see it.
+const limitHeldBytes = "heldBytes"
 
 // largeBodyBytes returns the room that a request takes from others until it has a final answer.
 func largeBodyBytes(request lovagestand.Request) int64 {
-	if len(request.Body) <= smallBodyBytes {
+	if len(request.Body) <= ingress.FreeBytes {
 		return 0
 	}
 	return int64(len(request.Body))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,15 +152,6 @@
 		g.rejectKey(w, r, current.Version, route, rejection)
 		return
 	}
-	var body []byte
-	if r.Method == http.MethodPost && job.ValidID(rest) {
-		if body, ok = readBody(w, r, current.bodyLimit()); !ok {
-			return
-		}
-		if _, set := callerDeadline(r); !set {
-			start = time.Now()
-		}
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(deadline(r)))
 	defer cancel()
 	switch {
@@ -169,7 +160,7 @@
 	case !job.ValidID(rest):
 		http.Error(w, "a job's ID has 16 hexadecimal digits", http.StatusBadRequest)
 	case r.Method == http.MethodPost:
-		g.submit(ctx, w, body, current, route, job.ID(rest), team)
+		g.submit(w, r, start, current, route, job.ID(rest), team)
 	case r.Method == http.MethodGet:
 		g.state(ctx, w, job.ID(rest), team)
 	case r.Method == http.MethodDelete:
@@ -293,7 +284,18 @@
 	return func() { g.submissions.Release(units) }, true
 }
 
-func (g *Gateway) submit(ctx context.Context, w http.ResponseWriter, body []byte, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
+// submit replies to a submission whose header was complete at start. Without a deadline of the
+// caller, the timeout of the call counts from the end of the body.
+func (g *Gateway) submit(w http.ResponseWriter, r *http.Request, start time.Time, current *routing, route platform.Route, id job.ID, team lovagestand.TeamName) {
+	body, ok := readBody(w, r, current.bodyLimit())
+	if !ok {
+		return
+	}
+	if _, set := callerDeadline(r); !set {
+		start = time.Now()
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), start.Add(deadline(r)))
+	defer cancel()
 	end, ok := g.beginSubmission(ctx, int64(len(body)))
 	if !ok {
 		g.recorder.Count("rejectedSubmissions", "bytes")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,14 +46,20 @@
 func (o *owner) Cancel(context.Context, job.ID, lovagestand.TeamName) error  { return o.err }
 func (o *owner) Pending(context.Context, lovagestand.RouteName) (int, error) { return 12, o.err }
 
-// serve returns a gateway and the store in which it follows the configuration.
-func serve(t *testing.T, o gateway.OwnerClient, options ...gateway.RoutesOption) (*gateway.Gateway, *keyspace.Store) {
+// follow returns routes that follow the configuration in a store.
+func follow(t *testing.T, options ...gateway.RoutesOption) (*gateway.Routes, *keyspace.Store) {
 	keys := keyspace.New()
 	routes := gateway.NewRoutes(keys, zerolog.Nop(), options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); routes.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
+	return routes, keys
+}
+
+// serve returns a gateway and the store in which it follows the configuration.
+func serve(t *testing.T, o gateway.OwnerClient, options ...gateway.RoutesOption) (*gateway.Gateway, *keyspace.Store) {
+	routes, keys := follow(t, options...)
 	return gateway.New(routes, o, zerolog.Nop(), lovagestand.NoRecorder{}), keys
 }
 
--- a/gateway/submissions_test.go
+++ b/gateway/submissions_test.go
@@ -15,7 +15,6 @@
 	"lovagestand.example/lovagestand/gateway"
 	"lovagestand.example/lovagestand/job"
 	"lovagestand.example/lovagestand/platform"
-	"lovagestand.example/lovagestand/standin/keyspace"
 )
 
 // slowOwner accepts large jobs only after a time.
@@ -33,13 +32,8 @@
 func TestLargeSubmissionsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		keys := keyspace.New()
+		routes, keys := follow(t)
 		keys.Put(platform.ConfigurationKey, []byte(strings.Replace(first, `"max_body_bytes":200`, `"max_body_bytes":100000`, 1)))
-		routes := gateway.NewRoutes(keys, zerolog.Nop())
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); routes.Run(ctx) }()
-		defer func() { cancel(); <-done }()
 		time.Sleep(time.Second)
 		g := gateway.New(routes, &slowOwner{}, zerolog.Nop(), lovagestand.NoRecorder{}, gateway.WithMaxSubmissionBytes(50000))
 		large := `{"spec":"t","steps":[{"count":1,"cpu":500,"image":"` + strings.Repeat("i", 20000) + `"}]}`
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -168,14 +168,6 @@
 	return k, true
 }
 
-// crowded reports whether there are so many connections that each should be closed after the
-// reply to its request, so that those of other callers have their turn.
-func (c *Connections) crowded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.max > 0 && c.open >= c.max-c.max/8
-}
-
 // longestSilent returns the connection to close in favour of a new one, or nil. The caller
 // holds mu.
 func (c *Connections) longestSilent(now time.Time) *connection {
@@ -364,13 +356,16 @@
 	return !k.inHeader && elapsed >= slowPatience && float64(k.received) < minBodyRate*elapsed.Seconds()
 }
 
-// begin returns the request whose header is complete.
-func (c *Connections) begin(k *connection, http2 bool) *exchange {
+// begin returns the request whose header is complete. It also reports whether there are so
+// many connections that each should be closed after the reply to its request, so that those of
+// other callers have their turn.
+func (c *Connections) begin(k *connection, http2 bool) (x *exchange, crowded bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	crowded = c.max > 0 && c.open >= c.max-c.max/8
 	k.inHeader, k.begunAt, k.received = false, time.Now(), 0
 	if !http2 {
-		return k.next
+		return k.next, crowded
 	}
 	// The bytes of the frames on the connection belong to several requests.
 	k.multiplexed = true
@@ -378,7 +373,7 @@
 	if !k.closed {
 		c.await(k, nil)
 	}
-	return &exchange{connection: k}
+	return &exchange{connection: k}, crowded
 }
 
 // expectAnnounced makes room for a body of an announced size, and reports whether there is
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -37,11 +37,11 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if c.crowded() {
+		x, crowded := c.begin(k, r.ProtoMajor >= 2)
+		defer c.answered(x)
+		if crowded {
 			w.Header().Set("Connection", "close")
 		}
-		x := c.begin(k, r.ProtoMajor >= 2)
-		defer c.answered(x)
 		if r.ContentLength == 0 {
 			c.serving(x)
 			next.ServeHTTP(w, r)
--- a/placer/bodies.go
+++ b/placer/bodies.go
@@ -5,14 +5,11 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/ingress"
 )
 
-const (
-	// smallBodyBytes is the size up to which bodies take no room from others.
-	smallBodyBytes = 8 << 10
-	// bodyRetryAfter is how long a caller should wait if there is no room for a body.
-	bodyRetryAfter = time.Second
-)
+// bodyRetryAfter is how long a caller should wait if there is no room for a body.
+const bodyRetryAfter = time.Second
 
 // BodiesError is returned for a task whose body has no room beside those of other requests.
 // The task was not queued.
@@ -36,7 +33,7 @@
 
 // bodyError returns a [BodiesError] if there is no room for the body of a task.
 func (p *Placer) bodyError(task lovagestand.Task, size int) error {
-	if p.deps.MaxBodyBytes <= 0 || size <= smallBodyBytes {
+	if p.deps.MaxBodyBytes <= 0 || size <= ingress.FreeBytes {
 		return nil
 	}
 	held := int64(size)
--- a/shard/memory.go
+++ b/shard/memory.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"lovagestand.example/lovagestand/admission"
 	"lovagestand.example/lovagestand/job"
 )
 
@@ -77,7 +78,7 @@
 	if rate := m.rate(now); float64(weight) < rate*maxFullRetryAfter.Seconds() {
 		wait = max(minFullRetryAfter, time.Duration(float64(weight)/rate*float64(time.Second)))
 	}
-	return wait + time.Duration(float64(wait)*float64(hash>>11)/(1<<53))
+	return admission.Spread(wait, hash)
 }
 
 // weightOf returns the memory that a job takes until it has ended, given its encoded form.
