--- /dev/null
+++ b/review/stand-3/services.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	serviceWork = time.Hour
+	// runnerCPU and runnerMemory are the capacity of each runner of the hmsw installation.
+	runnerCPU, runnerMemory = 16000, 65536
+)
+
+// step returns a step of a submission.
+func step(count int, cpu, mem int64, more map[string]any) map[string]any {
+	s := map[string]any{"count": count, "cpu": cpu, "mem_mb": mem}
+	for k, v := range more {
+		s[k] = v
+	}
+	return s
+}
+
+// crashedService lets two runners crash, one after the other, on which a task that lasts is at
+// work, and checks that its submission is not shown as failed.
+func crashedService(rec *record) (int, error) {
+	const path, task = "/desk/5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.0.0"
+	c, err := newCell(rec, 3)
+	if err != nil {
+		return failed, err
+	}
+	defer c.close()
+	c.configure(1, []queue{{name: "desk", prefix: "/desk/", priority: 1, attempts: 3}})
+	f, err := newFleet(rec, c.store, 8, runnerCPU, runnerMemory, 4, func(string, string, int64) behaviour {
+		return behaviour{work: serviceWork, how: "done", cpu: 2000, mem: 1024}
+	})
+	if err != nil {
+		return failed, err
+	}
+	if err := c.awaitReady(20 * time.Second); err != nil {
+		return failed, err
+	}
+	body := map[string]any{"spec": "service", "steps": []any{step(1, 2000, 1024, map[string]any{"persistent": true, "estimate_ms": 1000})}}
+	if !c.submit(path, body) {
+		return failed, fmt.Errorf("the submission was not accepted")
+	}
+	if !awaitTask(f, task, 10*time.Second) {
+		return failed, fmt.Errorf("the task did not start")
+	}
+	time.Sleep(8 * time.Second)
+	if trouble() {
+		for n := range 2 {
+			at := f.where(task)
+			if at < 0 {
+				return failed, fmt.Errorf("the task does not run before crash %d", n+1)
+			}
+			f.crash(at)
+			time.Sleep(time.Second)
+			if err := f.restart(at); err != nil {
+				return failed, err
+			}
+			if n == 0 && !awaitTask(f, task, 12*time.Second) {
+				return failed, fmt.Errorf("the task was not started again after the first crash")
+			}
+			if n == 0 {
+				time.Sleep(1500 * time.Millisecond)
+			}
+		}
+	}
+	// All runners are up again. Beyond contact_ms the installation is calm.
+	time.Sleep(20 * time.Second)
+	state := c.state(path)
+	runs := f.where(task) >= 0
+	rec.printf("state %q, the task runs: %t", state, runs)
+	if state != "running" || !runs {
+		rec.printf("BROKEN LOST: a submission that lasts is %q, and no run of its task has ended failed", state)
+		return broken, nil
+	}
+	return held, nil
+}
+
+// awaitTask waits until a task runs.
+func awaitTask(f *fleet, task string, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f.where(task) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// The bounds of the rule: when submissions are asked for after the end of the traffic, and for
+// how long nothing of one may run.
+const (
+	finishAfter = 14 * time.Second
+	idleFor     = 3 * time.Second
+)
+
+// crashLoop hands a service in whose tasks fail again and again, and an ordinary submission
+// beside it, and checks that this one runs while most of the capacity is free.
+func crashLoop(rec *record) (int, error) {
+	const servicePath, jobPath, jobID = "/desk/00000000000000a1", "/plans/00000000000000b2", "00000000000000b2"
+	const jobTasks, jobCPU, jobMemory = 4, 6000, 1024
+	c, err := newCell(rec, 3)
+	if err != nil {
+		return failed, err
+	}
+	defer c.close()
+	c.configure(1, []queue{{name: "desk", prefix: "/desk/", priority: 0, attempts: 2}, {name: "plans", prefix: "/plans/", priority: 2, attempts: 2}})
+	f, err := newFleet(rec, c.store, 8, runnerCPU, runnerMemory, 4, func(task, spec string, run int64) behaviour {
+		if strings.HasPrefix(task, jobID) {
+			return behaviour{work: 2 * time.Second, how: "done", cpu: jobCPU, mem: jobMemory}
+		}
+		b := behaviour{work: serviceWork, how: "done", cpu: 2500, mem: 2048}
+		if trouble() {
+			// Each run fails 0.2 to 0.7 s after its start.
+			h := fnv.New32a()
+			fmt.Fprint(h, task, run)
+			b.work, b.how = 200*time.Millisecond+time.Duration(h.Sum32()%500)*time.Millisecond, "failed"
+		}
+		return b
+	})
+	if err != nil {
+		return failed, err
+	}
+	if err := c.awaitReady(20 * time.Second); err != nil {
+		return failed, err
+	}
+	service := map[string]any{"spec": "service", "steps": []any{step(24, 2500, 2048, map[string]any{"persistent": true, "estimate_ms": 1000})}}
+	if !c.submit(servicePath, service) {
+		return failed, fmt.Errorf("the service was not accepted")
+	}
+	time.Sleep(15 * time.Second)
+	job := map[string]any{"spec": "plan", "steps": []any{step(jobTasks, jobCPU, jobMemory, map[string]any{"estimate_ms": 2000})}}
+	if !c.submit(jobPath, job) {
+		return failed, fmt.Errorf("the job was not accepted")
+	}
+	rec.printf("end of the traffic")
+	time.Sleep(finishAfter)
+	idle := 0.0
+	var since time.Time
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		perRunner, running := f.usage()
+		used, room, runs := int64(0), int64(0), 0
+		for _, u := range perRunner {
+			used += u.cpu
+			room += min((runnerCPU-u.cpu)/jobCPU, (runnerMemory-u.mem)/jobMemory)
+		}
+		for name := range running {
+			if strings.HasPrefix(name, jobID) {
+				runs++
+			}
+		}
+		if runs > 0 || room < 2*jobTasks || 2*used >= int64(len(perRunner))*runnerCPU || f.done(jobID) == jobTasks {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = time.Now()
+		}
+		idle = max(idle, time.Since(since).Seconds())
+	}
+	state := c.state(jobPath)
+	rec.printf("state of the submission %q; for %.1f s on end nothing of it ran while there was capacity for it twice over and under half of all was in use", state, idle)
+	if idle > idleFor.Seconds() {
+		rec.printf("BROKEN LOST: nothing of an accepted submission runs")
+		return broken, nil
+	}
+	return held, nil
+}
+
+// done returns how many tasks of a submission have ended done.
+func (f *fleet) done(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.events {
+		if strings.HasPrefix(e.task, id) && e.how == "done" {
+			n++
+		}
+	}
+	return n
+}
+
+// The bounds of the rule for tasks that last: from when on after its last run a task counts as
+// without a run, and how long the installation must have been calm before.
+const (
+	restartTime = 6 * time.Second
+	calmBefore  = 4 * time.Second
+	contactTime = 4 * time.Second
+)
+
+// takeover loses a runner for good and then kills the owner of the shard, and checks how long a
+// task that lasts is without a run although the other runners are idle.
+func takeover(rec *record) (int, error) {
+	const path, task = "/desk/5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.0.0"
+	c, err := newCell(rec, 3)
+	if err != nil {
+		return failed, err
+	}
+	defer c.close()
+	c.configure(1, []queue{{name: "desk", prefix: "/desk/", priority: 1, attempts: 3}})
+	f, err := newFleet(rec, c.store, 8, runnerCPU, runnerMemory, 4, func(string, string, int64) behaviour {
+		return behaviour{work: serviceWork, how: "done", cpu: 2000, mem: 1024}
+	})
+	if err != nil {
+		return failed, err
+	}
+	if err := c.awaitReady(20 * time.Second); err != nil {
+		return failed, err
+	}
+	body := map[string]any{"spec": "service", "steps": []any{step(1, 2000, 1024, map[string]any{"persistent": true, "estimate_ms": 1000})}}
+	if !c.submit(path, body) {
+		return failed, fmt.Errorf("the submission was not accepted")
+	}
+	if !awaitTask(f, task, 10*time.Second) {
+		return failed, fmt.Errorf("the task did not start")
+	}
+	time.Sleep(6 * time.Second)
+	lost, calm := time.Time{}, time.Time{}
+	if trouble() {
+		at, owner := f.where(task), c.owner()
+		if at < 0 || owner == nil {
+			return failed, fmt.Errorf("the task does not run, or the shard has no owner")
+		}
+		lost = time.Now()
+		f.crash(at)
+		time.Sleep(200 * time.Millisecond)
+		c.signal(owner, syscall.SIGKILL)
+		<-owner.done
+		time.Sleep(500 * time.Millisecond)
+		if err := c.start(owner); err != nil {
+			return failed, err
+		}
+		calm = time.Now().Add(contactTime)
+	}
+	longest := 0.0
+	var since time.Time
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		now := time.Now()
+		if f.where(task) >= 0 || now.Before(calm.Add(calmBefore)) || now.Before(lost.Add(restartTime)) {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = now
+		}
+		longest = max(longest, now.Sub(since).Seconds())
+	}
+	rec.printf("the task had no run for %.2f s on end, counted from %v after its last run and after %v of calm", longest, restartTime, calmBefore)
+	if longest > idleFor.Seconds() {
+		rec.printf("BROKEN LOST: a task that lasts was not started again, with capacity for it on seven idle runners")
+		return broken, nil
+	}
+	return held, nil
+}
