--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -22,6 +22,7 @@
 	"crash-loop":      crashLoop,
 	"takeover":        takeover,
 	"dark-runner":     darkRunner,
+	"busy-fleet":      busyFleet,
 }
 
 func main() {
--- a/review/stand-3/runner.go
+++ b/review/stand-3/runner.go
@@ -94,7 +94,9 @@
 	mem     int64
 	maxHold time.Duration
 	perRack int
-	does    func(task, spec string, run int64) behaviour
+	// others holds the runners of kind "b"; all others are of kind "a".
+	others map[int]bool
+	does   func(task, spec string, run int64) behaviour
 
 	mu      sync.Mutex
 	runners []*runner
@@ -120,8 +122,11 @@
 	serviceName = "glazedesk"
 )
 
-func newFleet(rec *record, st *store, size int, cpu, mem int64, perRack int, does func(task, spec string, run int64) behaviour) (*fleet, error) {
-	f := &fleet{record: rec, store: st, service: serviceName, cpu: cpu, mem: mem, maxHold: 10 * time.Second, perRack: perRack, does: does, runners: make([]*runner, size)}
+func newFleet(rec *record, st *store, size int, cpu, mem int64, perRack int, does func(task, spec string, run int64) behaviour, others ...int) (*fleet, error) {
+	f := &fleet{record: rec, store: st, service: serviceName, cpu: cpu, mem: mem, maxHold: 10 * time.Second, perRack: perRack, does: does, runners: make([]*runner, size), others: map[int]bool{}}
+	for _, i := range others {
+		f.others[i] = true
+	}
 	for i := range size {
 		if err := f.start(i, fmt.Sprintf("i-%08x", 0x7f3a0000+i), "127.0.0.1:0"); err != nil {
 			return nil, err
@@ -273,10 +278,13 @@
 func (r *runner) beat() {
 	for {
 		r.seq++
-		rack := fmt.Sprintf("r1-%d", r.index/r.fleet.perRack)
+		kind, rack := "a", fmt.Sprintf("r1-%d", r.index/r.fleet.perRack)
+		if r.fleet.others[r.index] {
+			kind = "b"
+		}
 		r.fleet.store.put("servers/"+r.id, map[string]any{
 			"service": r.fleet.service, "addr": r.address, "zone": "zone-1", "version": "1.0", "slots": 8, "state": "ready", "cold_left_ms": 0,
-			"seq": r.seq, "born": r.born.UnixMilli(), "labels": []string{"a", rack},
+			"seq": r.seq, "born": r.born.UnixMilli(), "labels": []string{kind, rack},
 			"capacity": map[string]int64{"cpu": r.fleet.cpu, "mem_mb": r.fleet.mem, "gpu": 0},
 		})
 		select {
--- a/review/stand-3/services.go
+++ b/review/stand-3/services.go
@@ -275,6 +275,68 @@
 	return held, nil
 }
 
+// busyFleet loses the runner of a task that lasts for good, while submissions come that have one
+// task on each of the other runners, and checks how long the task is without a run.
+func busyFleet(rec *record) (int, error) {
+	const path, task = "/desk/5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.0.0"
+	const interval, size = 180 * time.Millisecond, 8
+	c, err := newCell(rec, 3)
+	if err != nil {
+		return failed, err
+	}
+	defer c.close()
+	c.configure(1, []queue{{name: "desk", prefix: "/desk/", priority: 2, attempts: 3}, {name: "checks", prefix: "/checks/", priority: 0, attempts: 2}})
+	f, err := newFleet(rec, c.store, size, runnerCPU, runnerMemory, 4, func(name, _ string, _ int64) behaviour {
+		if name == task {
+			return behaviour{work: serviceWork, how: "done", cpu: 2000, mem: 1024}
+		}
+		return behaviour{work: 100 * time.Millisecond, how: "done", cpu: 1000, mem: 512}
+	}, 0)
+	if err != nil {
+		return failed, err
+	}
+	if err := c.awaitReady(20 * time.Second); err != nil {
+		return failed, err
+	}
+	service := map[string]any{"spec": "service", "steps": []any{step(1, 2000, 1024, map[string]any{"persistent": true, "estimate_ms": 1000})}}
+	if !c.submit(path, service) {
+		return failed, fmt.Errorf("the submission was not accepted")
+	}
+	if !awaitTask(f, task, 10*time.Second) {
+		return failed, fmt.Errorf("the task did not start")
+	}
+	at := f.where(task)
+	if !f.others[at] {
+		return failed, fmt.Errorf("the task is not on the runner of the other kind")
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		check := map[string]any{"spec": "check", "steps": []any{step(size-1, 1000, 512, map[string]any{"estimate_ms": 100, "requires": "a", "max_per_server": 1})}}
+		for n := 1; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(interval):
+				go c.call(c.nodes[n%len(c.nodes)], "POST", fmt.Sprintf("/checks/%016x", n), check)
+			}
+		}
+	}()
+	time.Sleep(6 * time.Second)
+	var lost time.Time
+	if trouble() {
+		lost = time.Now()
+		f.crash(at)
+	}
+	longest := downtime(f, task, lost, lost, 45*time.Second)
+	rec.printf("the task had no run for %.2f s on end, counted from %v after its last run and after %v of calm", longest, restartTime, calmBefore)
+	if longest > idleFor.Seconds() {
+		rec.printf("BROKEN LOST: a task that lasts was not started again, with capacity for it on seven runners")
+		return broken, nil
+	}
+	return held, nil
+}
+
 // takeover loses a runner for good and then kills the owner of the shard, and checks how long a
 // task that lasts is without a run although the other runners are idle.
 func takeover(rec *record) (int, error) {
