--- a/review/stand-3/services.go
+++ b/review/stand-3/services.go
@@ -275,20 +275,25 @@
 	return held, nil
 }
 
-// busyFleet loses the runner of a task that lasts for good, while submissions come that have one
-// task on each of the other runners, and checks how long the task is without a run.
+// busyFleet loses a runner for good on which a task that lasts and an ordinary task are at work,
+// while a scheduled submission starts a task on each of the other runners again and again, and
+// checks how long the two are without a run.
 func busyFleet(rec *record) (int, error) {
-	const path, task = "/desk/5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.0.0"
-	const interval, size = 180 * time.Millisecond, 8
+	const servicePath, planPath, schedulePath = "/desk/5c0e7a21d94b36f8", "/plans/00000000000000b2", "/checks/00000000000000c3"
+	const serviceTask, planTask = "5c0e7a21d94b36f8.0.0.0", "00000000000000b2.0.0.0"
+	const interval, occurrences, size = 180 * time.Millisecond, 400, 8
 	c, err := newCell(rec, 3)
 	if err != nil {
 		return failed, err
 	}
 	defer c.close()
-	c.configure(1, []queue{{name: "desk", prefix: "/desk/", priority: 2, attempts: 3}, {name: "checks", prefix: "/checks/", priority: 0, attempts: 2}})
+	c.configure(1, []queue{{"desk", "/desk/", 2, 3}, {"plans", "/plans/", 2, 3}, {"checks", "/checks/", 0, 2}})
 	f, err := newFleet(rec, c.store, size, runnerCPU, runnerMemory, 4, func(name, _ string, _ int64) behaviour {
-		if name == task {
+		switch name {
+		case serviceTask:
 			return behaviour{work: serviceWork, how: "done", cpu: 2000, mem: 1024}
+		case planTask:
+			return behaviour{work: 15 * time.Second, how: "done", cpu: 2000, mem: 1024}
 		}
 		return behaviour{work: 100 * time.Millisecond, how: "done", cpu: 1000, mem: 512}
 	}, 0)
@@ -298,45 +303,63 @@
 	if err := c.awaitReady(20 * time.Second); err != nil {
 		return failed, err
 	}
-	service := map[string]any{"spec": "service", "steps": []any{step(1, 2000, 1024, map[string]any{"persistent": true, "estimate_ms": 1000})}}
-	if !c.submit(path, service) {
-		return failed, fmt.Errorf("the submission was not accepted")
+	service := step(1, 2000, 1024, map[string]any{"persistent": true, "estimate_ms": 1000})
+	plan := step(1, 2000, 1024, map[string]any{"estimate_ms": 15000})
+	check := step(size-1, 1000, 512, map[string]any{"estimate_ms": 100, "requires": "a", "max_per_server": 1})
+	schedule := map[string]any{
+		"spec": "check", "steps": []any{check}, "repeat_count": occurrences, "interval_ms": interval.Milliseconds(),
+		"start_time_ms": time.Now().Add(time.Second).UnixMilli(),
 	}
-	if !awaitTask(f, task, 10*time.Second) {
-		return failed, fmt.Errorf("the task did not start")
+	if !c.submit(servicePath, map[string]any{"spec": "service", "steps": []any{service}}) || !c.submit(planPath, map[string]any{"spec": "plan", "steps": []any{plan}}) || !c.submit(schedulePath, schedule) {
+		return failed, fmt.Errorf("a submission was not accepted")
 	}
-	at := f.where(task)
-	if !f.others[at] {
-		return failed, fmt.Errorf("the task is not on the runner of the other kind")
+	finish := time.Now().Add(finishAfter)
+	rec.printf("end of the traffic")
+	if !awaitTask(f, serviceTask, 10*time.Second) || !awaitTask(f, planTask, 10*time.Second) {
+		return failed, fmt.Errorf("a task did not start")
+	}
+	at := f.where(serviceTask)
+	if !f.others[at] || f.where(planTask) != at {
+		return failed, fmt.Errorf("the tasks are not on the runner of the other kind")
 	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		check := map[string]any{"spec": "check", "steps": []any{step(size-1, 1000, 512, map[string]any{"estimate_ms": 100, "requires": "a", "max_per_server": 1})}}
-		for n := 1; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(interval):
-				go c.call(c.nodes[n%len(c.nodes)], "POST", fmt.Sprintf("/checks/%016x", n), check)
-			}
-		}
-	}()
 	time.Sleep(6 * time.Second)
 	var lost time.Time
 	if trouble() {
 		lost = time.Now()
 		f.crash(at)
 	}
-	longest := downtime(f, task, lost, lost, 45*time.Second)
-	rec.printf("the task had no run for %.2f s on end, counted from %v after its last run and after %v of calm", longest, restartTime, calmBefore)
-	if longest > idleFor.Seconds() {
-		rec.printf("BROKEN LOST: a task that lasts was not started again, with capacity for it on seven runners")
+	idle := make(chan float64)
+	go func() { idle <- f.idleTime(planTask, finish, 45*time.Second) }()
+	longest := downtime(f, serviceTask, lost, lost, 45*time.Second)
+	planIdle := <-idle
+	rec.printf("state of the ordinary submission %q, of the service %q, of the schedule %q", c.state(planPath), c.state(servicePath), c.state(schedulePath))
+	rec.printf("the service had no run for %.2f s on end, counted from %v after its last run and after %v of calm", longest, restartTime, calmBefore)
+	rec.printf("nothing of the ordinary submission ran for %.2f s on end, counted from %v after the end of the traffic", planIdle, finishAfter)
+	if longest > idleFor.Seconds() || planIdle > idleFor.Seconds() {
+		rec.printf("BROKEN LOST: accepted submissions are not started again, with capacity for them on seven runners")
 		return broken, nil
 	}
 	return held, nil
 }
 
+// idleTime returns for how long on end a task of an ordinary submission has neither run nor ended
+// done, from a time on.
+func (f *fleet) idleTime(task string, from time.Time, length time.Duration) float64 {
+	longest := 0.0
+	var since time.Time
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if time.Now().Before(from) || f.where(task) >= 0 || f.done(task) > 0 {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = time.Now()
+		}
+		longest = max(longest, time.Since(since).Seconds())
+	}
+	return longest
+}
+
 // takeover loses a runner for good and then kills the owner of the shard, and checks how long a
 // task that lasts is without a run although the other runners are idle.
 func takeover(rec *record) (int, error) {
