--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -23,6 +23,7 @@
 	"takeover":        takeover,
 	"dark-runner":     darkRunner,
 	"busy-fleet":      busyFleet,
+	"suspects":        suspects,
 }
 
 func main() {
--- a/review/stand-3/services.go
+++ b/review/stand-3/services.go
@@ -342,6 +342,78 @@
 	return held, nil
 }
 
+// suspects loses a runner for good on which many small services are at work. Those that need its
+// kind have no room elsewhere. Two submissions of lower priority have, and the case checks how
+// long they are without a run.
+func suspects(rec *record) (int, error) {
+	const fillerTask, serviceTask, planTask = "00000000000000a1.0.0.0", "5c0e7a21d94b36f8.0.0.0", "00000000000000b2.0.0.0"
+	const size, small = 8, 9
+	c, err := newCell(rec, 3)
+	if err != nil {
+		return failed, err
+	}
+	defer c.close()
+	c.configure(1, []queue{{"desk", "/desk/", 2, 3}, {"plans", "/plans/", 2, 3}, {"checks", "/checks/", 0, 2}})
+	needs := map[string]int64{fillerTask: 15000, serviceTask: 2000, planTask: 2000}
+	f, err := newFleet(rec, c.store, size, runnerCPU, runnerMemory, 4, func(name, _ string, _ int64) behaviour {
+		switch name {
+		case fillerTask, serviceTask:
+			return behaviour{work: serviceWork, how: "done", cpu: needs[name], mem: 1024}
+		case planTask:
+			return behaviour{work: 15 * time.Second, how: "done", cpu: needs[name], mem: 1024}
+		}
+		return behaviour{work: serviceWork, how: "done", cpu: 1200, mem: 512}
+	}, 0, 1)
+	if err != nil {
+		return failed, err
+	}
+	if err := c.awaitReady(20 * time.Second); err != nil {
+		return failed, err
+	}
+	submit := func(path string, cpu int64, more map[string]any) bool {
+		return c.submit(path, map[string]any{"spec": "work", "steps": []any{step(1, cpu, 512, more)}})
+	}
+	if !submit("/desk/00000000000000a1", needs[fillerTask], map[string]any{"persistent": true, "estimate_ms": 1000, "requires": "b"}) || !awaitTask(f, fillerTask, 10*time.Second) {
+		return failed, fmt.Errorf("the first service was not accepted or does not run")
+	}
+	for n := range small {
+		task := fmt.Sprintf("00000000000000c%d.0.0.0", n)
+		if !submit("/checks/"+task[:16], 1200, map[string]any{"persistent": true, "estimate_ms": 1000, "requires": "b"}) || !awaitTask(f, task, 10*time.Second) {
+			return failed, fmt.Errorf("a small service was not accepted or does not run")
+		}
+	}
+	if !submit("/desk/5c0e7a21d94b36f8", needs[serviceTask], map[string]any{"persistent": true, "estimate_ms": 1000}) || !submit("/plans/00000000000000b2", needs[planTask], map[string]any{"estimate_ms": 15000}) {
+		return failed, fmt.Errorf("a submission was not accepted")
+	}
+	finish := time.Now().Add(finishAfter)
+	rec.printf("end of the traffic")
+	if !awaitTask(f, serviceTask, 10*time.Second) || !awaitTask(f, planTask, 10*time.Second) {
+		return failed, fmt.Errorf("a task did not start")
+	}
+	at := f.where(serviceTask)
+	if !f.others[at] || at == f.where(fillerTask) || f.where(planTask) != at || f.where("00000000000000c0.0.0.0") != at {
+		return failed, fmt.Errorf("the tasks are not on one runner of the other kind")
+	}
+	time.Sleep(3 * time.Second)
+	var lost time.Time
+	if trouble() {
+		lost = time.Now()
+		f.crash(at)
+	}
+	idle := make(chan float64)
+	go func() { idle <- f.idleTime(planTask, finish, 45*time.Second) }()
+	longest := downtime(f, serviceTask, lost, lost, 45*time.Second)
+	planIdle := <-idle
+	rec.printf("state of the ordinary submission %q, of the service %q", c.state("/plans/00000000000000b2"), c.state("/desk/5c0e7a21d94b36f8"))
+	rec.printf("the service had no run for %.2f s on end, counted from %v after its last run and after %v of calm", longest, restartTime, calmBefore)
+	rec.printf("nothing of the ordinary submission ran for %.2f s on end, counted from %v after the end of the traffic", planIdle, finishAfter)
+	if longest > idleFor.Seconds() || planIdle > idleFor.Seconds() {
+		rec.printf("BROKEN LOST: accepted submissions are not started again, with six idle runners")
+		return broken, nil
+	}
+	return held, nil
+}
+
 // idleTime returns for how long on end a task of an ordinary submission has neither run nor ended
 // done, from a time on.
 func (f *fleet) idleTime(task string, from time.Time, length time.Duration) float64 {
