--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -24,6 +24,7 @@
 	"dark-runner":     darkRunner,
 	"busy-fleet":      busyFleet,
 	"suspects":        suspects,
+	"trials":          trials,
 }
 
 func main() {
--- a/review/stand-3/services.go
+++ b/review/stand-3/services.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -342,6 +344,64 @@
 	return held, nil
 }
 
+// trials loses a runner for good on which twelve services of one task each are at work, and checks
+// how long each of them is without a run although the other seven runners are idle.
+func trials(rec *record) (int, error) {
+	const services = 12
+	c, err := newCell(rec, 3)
+	if err != nil {
+		return failed, err
+	}
+	defer c.close()
+	c.configure(1, []queue{{"desk", "/desk/", 1, 3}})
+	f, err := newFleet(rec, c.store, 8, runnerCPU, runnerMemory, 4, func(string, string, int64) behaviour {
+		return behaviour{work: serviceWork, how: "done", cpu: 1000, mem: 512}
+	})
+	if err != nil {
+		return failed, err
+	}
+	if err := c.awaitReady(20 * time.Second); err != nil {
+		return failed, err
+	}
+	at, tasks := -1, make([]string, services)
+	for n := range tasks {
+		id := fmt.Sprintf("%016x", 0xd0+n)
+		tasks[n] = id + ".0.0.0"
+		body := map[string]any{"spec": "service", "steps": []any{step(1, 1000, 512, map[string]any{"persistent": true, "estimate_ms": 1000})}}
+		if !c.submit("/desk/"+id, body) || !awaitTask(f, tasks[n], 10*time.Second) {
+			return failed, fmt.Errorf("a service was not accepted or does not run")
+		}
+		if n > 0 && f.where(tasks[n]) != at {
+			return failed, fmt.Errorf("the services are not on one runner")
+		}
+		at = f.where(tasks[n])
+	}
+	time.Sleep(5 * time.Second)
+	var lost time.Time
+	if trouble() {
+		lost = time.Now()
+		f.crash(at)
+	}
+	times := make([]float64, services)
+	var measured sync.WaitGroup
+	for n, task := range tasks {
+		measured.Go(func() { times[n] = downtime(f, task, lost, lost, 50*time.Second) })
+	}
+	measured.Wait()
+	late := 0
+	for _, d := range times {
+		if d > idleFor.Seconds() {
+			late++
+		}
+	}
+	rec.printf("%d of %d services had no run for more than %v, the longest for %.2f s on end, counted from %v after their last run and after %v of calm", late, services, idleFor, slices.Max(times), restartTime, calmBefore)
+	if late > 0 {
+		rec.printf("BROKEN LOST: tasks that last were not started again, with seven idle runners")
+		return broken, nil
+	}
+	return held, nil
+}
+
 // suspects loses a runner for good on which many small services are at work. Those that need its
 // kind have no room elsewhere. Two submissions of lower priority have, and the case checks how
 // long they are without a run.
