--- a/review/stand-3/cell.go
+++ b/review/stand-3/cell.go
@@ -13,8 +13,8 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -37,12 +37,11 @@
 	record *record
 	folder string
 	store  *store
-	nodes  []*node
-	client *http.Client
-
-	mu      sync.Mutex
-	ended   bool
-	answers int
+	// nodes are the nodes that are up, vanished those that never continue.
+	nodes, vanished []*node
+	client          *http.Client
+	template        string
+	address         string
 }
 
 // bounds are those of the small installations on the users' pages.
@@ -104,34 +103,50 @@
 	if err != nil {
 		return nil, err
 	}
+	c.template, c.address = string(template), l.Addr().String()
 	for i := range size {
-		// The addresses differ between cells that run at the same time.
-		pid := os.Getpid()
-		n := &node{name: fmt.Sprintf("edge-zone-1-%d", i+1), ip: fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&127, pid&255, i+1)}
-		ports, err := freePorts(n.ip, 3)
-		if err != nil {
-			return nil, err
-		}
-		n.front, n.ready = fmt.Sprintf("%s:%d", n.ip, ports[0]), fmt.Sprintf("%s:%d", n.ip, ports[1])
-		values := map[string]string{
-			"node": n.name, "region": "region-1", "zone": "zone-1", "listen.front": n.front, "listen.ready": n.ready, "ip": n.ip,
-			"port_range": fmt.Sprintf("%d,%d", ports[2], ports[2]+15), "platform.addr": l.Addr().String(),
-		}
-		for key, value := range bounds {
-			values[key] = value
-		}
-		n.settings = filepath.Join(folder, n.name+".yaml")
-		if err := os.WriteFile(n.settings, []byte(render(string(template), values)), 0o600); err != nil {
-			return nil, err
-		}
-		c.nodes = append(c.nodes, n)
-		if err := c.start(n); err != nil {
+		if _, err := c.add(i + 1); err != nil {
 			return nil, err
 		}
 	}
 	return c, nil
 }
 
+// add starts a node with a number at an address of its own.
+func (c *cell) add(number int) (*node, error) {
+	// The addresses differ between cells that run at the same time.
+	pid := os.Getpid()
+	n := &node{name: fmt.Sprintf("edge-zone-1-%d", number), ip: fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&127, pid&255, number)}
+	ports, err := freePorts(n.ip, 3)
+	if err != nil {
+		return nil, err
+	}
+	n.front, n.ready = fmt.Sprintf("%s:%d", n.ip, ports[0]), fmt.Sprintf("%s:%d", n.ip, ports[1])
+	values := map[string]string{
+		"node": n.name, "region": "region-1", "zone": "zone-1", "listen.front": n.front, "listen.ready": n.ready, "ip": n.ip,
+		"port_range": fmt.Sprintf("%d,%d", ports[2], ports[2]+15), "platform.addr": c.address,
+	}
+	for key, value := range bounds {
+		values[key] = value
+	}
+	n.settings = filepath.Join(c.folder, n.name+".yaml")
+	if err := os.WriteFile(n.settings, []byte(render(c.template, values)), 0o600); err != nil {
+		return nil, err
+	}
+	c.nodes = append(c.nodes, n)
+	return n, c.start(n)
+}
+
+// replace takes the power from the machine of a node for good: its process is stopped and never
+// continues, so that its channels stay open and silent. Another machine comes at another address.
+func (c *cell) replace(n *node, number int) error {
+	c.signal(n, syscall.SIGSTOP)
+	c.nodes = slices.DeleteFunc(c.nodes, func(o *node) bool { return o == n })
+	c.vanished = append(c.vanished, n)
+	_, err := c.add(number)
+	return err
+}
+
 // start starts the process of a node with the command of the deploy file.
 func (c *cell) start(n *node) error {
 	log, err := os.OpenFile(filepath.Join(c.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -163,7 +178,7 @@
 
 // close ends all processes. The logs of the nodes are kept if LOGS names a folder.
 func (c *cell) close() {
-	for _, n := range c.nodes {
+	for _, n := range append(c.nodes, c.vanished...) {
 		_ = n.command.Process.Kill()
 		<-n.done
 	}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -18,13 +18,10 @@
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
 var cases = map[string]func(*record) (int, error){
-	"crashed-service": crashedService,
 	"crash-loop":      crashLoop,
-	"takeover":        takeover,
-	"dark-runner":     darkRunner,
+	"vanished-owners": vanishedOwners,
 	"busy-fleet":      busyFleet,
 	"suspects":        suspects,
-	"trials":          trials,
 }
 
 func main() {
--- a/review/stand-3/runner.go
+++ b/review/stand-3/runner.go
@@ -2,16 +2,14 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 )
 
@@ -63,26 +61,47 @@
 	changed chan struct{}
 	seq     int64
 	dead    bool
-	// dark is closed when the machine of the runner goes dark.
-	dark chan struct{}
+	// channels is the number of open channels.
+	channels atomic.Int64
 }
 
-// darkListener accepts nothing more once the machine is dark, so that new channels hang.
-type darkListener struct {
+// maxChannels is how many channels a runner has, as on the users' sheets. It resets further ones.
+const maxChannels = 64
+
+// limitedListener resets the channels beyond maxChannels.
+type limitedListener struct {
 	net.Listener
-	dark chan struct{}
+	open *atomic.Int64
+}
+
+// countedConn is a channel that counts until it is closed.
+type countedConn struct {
+	net.Conn
+	open   *atomic.Int64
+	closed sync.Once
+}
+
+// Close implements [net.Conn].
+func (c *countedConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // Accept implements [net.Listener].
-func (l darkListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	select {
-	case <-l.dark:
-		// Accepted just before; it stays open without an answer.
-		select {}
-	default:
+func (l limitedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) > maxChannels {
+			l.open.Add(-1)
+			_ = accepted.(*net.TCPConn).SetLinger(0)
+			_ = accepted.Close()
+			continue
+		}
+		return &countedConn{Conn: accepted, open: l.open}, nil
 	}
-	return accepted, err
 }
 
 // fleet is all runners of a small installation.
@@ -98,9 +117,10 @@
 	others map[int]bool
 	does   func(task, spec string, run int64) behaviour
 
-	mu      sync.Mutex
 	runners []*runner
-	// starts holds all starts and ends, in order.
+
+	mu sync.Mutex
+	// events holds all starts and ends, in order.
 	events []event
 }
 
@@ -142,57 +162,23 @@
 		return err
 	}
 	r := &runner{
-		fleet: f, index: index, id: id, address: l.Addr().String(), listener: l, born: time.Now(), stop: make(chan struct{}), dark: make(chan struct{}),
+		fleet: f, index: index, id: id, address: l.Addr().String(), listener: l, born: time.Now(), stop: make(chan struct{}),
 		runs: map[string]*run{}, over: map[string]int64{}, changed: make(chan struct{}),
 	}
 	r.server = &http.Server{Handler: r, ErrorLog: log.New(io.Discard, "", 0)}
-	f.mu.Lock()
 	f.runners[index] = r
-	f.mu.Unlock()
-	go func() { _ = r.server.Serve(darkListener{l, r.dark}) }()
+	go func() { _ = r.server.Serve(limitedListener{l, &r.channels}) }()
 	f.record.printf("runner %s up at %s", id, r.address)
 	go r.beat()
 	go r.watchLease()
 	return nil
 }
 
-// crash ends a runner: its runs and connections are gone, and nothing listens.
+// crash ends a runner for good: its runs and connections are gone, and nothing listens.
 func (f *fleet) crash(index int) {
-	r := f.lose(index, false)
-	_ = r.server.Close()
-}
-
-// goDark takes the power from the machine of a runner: its runs are gone, open channels to it are
-// silent, and new ones hang.
-func (f *fleet) goDark(index int) error {
-	r := f.lose(index, true)
-	raw, err := r.listener.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		return err
-	}
-	if err := raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }); err != nil {
-		return err
-	}
-	// With a full queue, the opening packets of further channels are dropped.
-	for range 4 {
-		if _, err := net.DialTimeout("tcp", r.address, 50*time.Millisecond); err != nil {
-			return nil
-		}
-	}
-	return errors.New("the address of a dark runner still accepts channels")
-}
-
-// lose ends the runs of a runner that crashes.
-func (f *fleet) lose(index int, dark bool) *runner {
-	f.mu.Lock()
 	r := f.runners[index]
-	f.mu.Unlock()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.dead = true
-	if dark {
-		close(r.dark)
-	}
 	close(r.stop)
 	lost := []string{}
 	for name, x := range r.runs {
@@ -201,26 +187,9 @@
 		f.note(event{at: time.Now(), task: name, run: x.number, runner: r.id, how: "crashed"})
 	}
 	r.runs = map[string]*run{}
-	f.record.printf("runner %s crashes (dark: %t) with %d runs: %s", r.id, dark, len(lost), strings.Join(lost, ", "))
-	return r
-}
-
-// sayNothing ends a call to a runner that has crashed without an answer.
-func (r *runner) sayNothing() {
-	select {
-	case <-r.dark:
-		select {}
-	default:
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// restart starts the runner again at its address, under its id.
-func (f *fleet) restart(index int) error {
-	f.mu.Lock()
-	r := f.runners[index]
-	f.mu.Unlock()
-	return f.start(index, r.id, r.address)
+	r.mu.Unlock()
+	_ = r.server.Close()
+	f.record.printf("runner %s crashes with %d runs: %s", r.id, len(lost), strings.Join(lost, ", "))
 }
 
 func (f *fleet) note(e event) {
@@ -231,10 +200,7 @@
 
 // where returns the index of the runner on which a task runs, -1 if there is none.
 func (f *fleet) where(task string) int {
-	f.mu.Lock()
-	runners := append([]*runner(nil), f.runners...)
-	f.mu.Unlock()
-	for i, r := range runners {
+	for i, r := range f.runners {
 		r.mu.Lock()
 		_, ok := r.runs[task]
 		ok = ok && !r.dead
@@ -252,11 +218,8 @@
 // usage returns the room that is in use on each runner that is up, and the names of all tasks
 // that run.
 func (f *fleet) usage() (perRunner []use, running map[string]int) {
-	f.mu.Lock()
-	runners := append([]*runner(nil), f.runners...)
-	f.mu.Unlock()
 	running = map[string]int{}
-	for _, r := range runners {
+	for _, r := range f.runners {
 		r.mu.Lock()
 		if !r.dead {
 			u := use{}
@@ -296,15 +259,10 @@
 	}
 }
 
-// expire removes the entry of a runner that has been silent, unless it has started again.
+// expire removes the entry of a runner that has been silent.
 func (r *runner) expire() {
-	r.fleet.mu.Lock()
-	replaced := r.fleet.runners[r.index] != r
-	r.fleet.mu.Unlock()
-	if !replaced {
-		r.fleet.store.drop("servers/" + r.id)
-		r.fleet.record.printf("entry of runner %s removed", r.id)
-	}
+	r.fleet.store.drop("servers/" + r.id)
+	r.fleet.record.printf("entry of runner %s removed", r.id)
 }
 
 // watchLease kills everything when the lease ends.
@@ -375,7 +333,7 @@
 	dead := r.dead
 	r.mu.Unlock()
 	if dead {
-		r.sayNothing()
+		panic(http.ErrAbortHandler)
 	}
 	switch q.URL.Path {
 	case "/run-start":
@@ -482,9 +440,8 @@
 		}
 		r.mu.Lock()
 		if r.dead {
-			r.mu.Unlock()
-			defer r.mu.Lock()
-			r.sayNothing()
+			// A process that has ended sends nothing more.
+			panic(http.ErrAbortHandler)
 		}
 	}
 	running, ends := [][]any{}, [][]any{}
@@ -498,15 +455,3 @@
 	}
 	reply(w, http.StatusOK, map[string]any{"clock_ms": r.clock(), "born": r.born.UnixMilli(), "running": running, "ended": ends})
 }
-
-// taskOf splits the name of a task into the ID of its submission, occurrence, step and index.
-func taskOf(name string) (id string, occurrence, step, index int) {
-	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
-		return name, 0, 0, 0
-	}
-	occurrence, _ = strconv.Atoi(parts[1])
-	step, _ = strconv.Atoi(parts[2])
-	index, _ = strconv.Atoi(parts[3])
-	return parts[0], occurrence, step, index
-}
