--- a/review/stand-3/services.go
+++ b/review/stand-3/services.go
@@ -50,7 +50,7 @@
 	}
 	defer c.close()
 	c.configure(1, []queue{{name: "desk", prefix: "/desk/", priority: 0, attempts: 2}, {name: "plans", prefix: "/plans/", priority: 2, attempts: 2}})
-	f, err := newFleet(rec, c.store, 8, runnerCPU, runnerMemory, 4, func(task, spec string, run int64) behaviour {
+	f, err := newFleet(rec, c.store, 8, runnerCPU, runnerMemory, 4, func(task, _ string, run int64) behaviour {
 		if strings.HasPrefix(task, jobID) {
 			return behaviour{work: 2 * time.Second, how: "done", cpu: jobCPU, mem: jobMemory}
 		}
