shard: waits for workers of a former owner are reported

Operators saw a shard on which no job of the owner before ran, with most of its room free, and nothing that told it: `load` said live=129 stepsWaiting=0, and `longest wait` knew only steps that a pass had collected.

Cause: while a worker may run any task of a former owner, a pass leaves out all recovered jobs before it collects their steps (anyTaskMayRun).

Change: their steps are among those of `longest wait`, of `longest wait with room free` and of `where`, with the reason `formerOwner`. `load` tells how many jobs wait so, for how many workers, and the name of the first. Nothing is decided by it.

--- a/shard/plan.go
+++ b/shard/plan.go
@@ -84,7 +84,10 @@
 	waiting         []waitingStep
 	// unplaceable holds the waiting steps that no worker can hold or that policy allows on
 	// too few workers.
-	unplaceable   []waitingStep
+	unplaceable []waitingStep
+	// held holds the recovered jobs that wait for workers of a former owner; see
+	// [Shard.anyTaskMayRun].
+	held          []*jobEntry
 	dispatchSteps []dispatch.Step
 	adviceClients []AdviceClient
 	// holdRenewals is [dispatch.Load.HoldRenewals].
@@ -135,12 +138,13 @@
 	clear(p.ordered[:cap(p.ordered)])
 	clear(p.unplaceable[:cap(p.unplaceable)])
 	clear(p.dispatchSteps[:cap(p.dispatchSteps)])
+	clear(p.held[:cap(p.held)])
 	clear(p.runs[:cap(p.runs)])
 	clear(p.placements[:cap(p.placements)])
 	clear(p.dispatchRuns)
 	*p = pass{
 		spareDivisions: p.divisions,
-		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0], unplaceable: p.unplaceable[:0],
+		now:            time.Now(), waitsForLocality: s.waitsForLocality(), dispatchWorkers: p.dispatchWorkers[:0], waiting: p.waiting[:0], ordered: p.ordered[:0], unplaceable: p.unplaceable[:0], held: p.held[:0],
 		dispatchSteps: p.dispatchSteps[:0], runs: p.runs[:0], refs: p.refs[:0], indexes: p.indexes[:0], releases: p.releases[:0], keys: p.keys[:0], placements: p.placements[:0], dispatchRuns: p.dispatchRuns[:0],
 	}
 	p.policies, p.configured = s.teams()
@@ -258,9 +262,14 @@
 	for _, e := range s.live {
 		// Tasks of a recovered job may still be running on workers. The quota of a team is
 		// not known without a configuration.
-		if e.durable && !e.move.leaving() && (!e.recovered || !anyTaskMayRun) && (p.configured || e.team == "") {
-			s.collectWaitingSteps(p, e)
+		if !e.durable || e.move.leaving() || !p.configured && e.team != "" {
+			continue
+		}
+		if e.recovered && anyTaskMayRun {
+			p.held = append(p.held, e)
+			continue
 		}
+		s.collectWaitingSteps(p, e)
 	}
 	s.collectWorkers(p)
 }
--- a/shard/reasons.go
+++ b/shard/reasons.go
@@ -44,6 +44,9 @@
 	// WaitsForFormerRuns means that the cap leaves room only once the runs of former
 	// owners are known.
 	WaitsForFormerRuns dispatch.WaitReason = "formerRuns"
+	// WaitsForFormerOwner means that workers which may run any task of a former owner have
+	// not answered, or not with all ends.
+	WaitsForFormerOwner dispatch.WaitReason = "formerOwner"
 )
 
 // waitMessages are the sentences for operators, by reason.
@@ -66,6 +69,7 @@
 	WaitsForFairShare:             "no worker has room, and the team is beyond its fair share",
 	WaitsForCapShare:              waitsForShare,
 	WaitsForFormerRuns:            waitsForFormerRuns,
+	WaitsForFormerOwner:           "workers that may run tasks of a former owner have not answered with all that they hold",
 }
 
 // rejectionOf describes an error with which a job is rejected.
--- a/shard/summary.go
+++ b/shard/summary.go
@@ -9,6 +9,17 @@
 // summaryInterval is the minimum time between two summaries of the load in the log.
 const summaryInterval = time.Second
 
+// firstUnanswered returns the first of the workers that may still run tasks of a former owner.
+func (s *Shard) firstUnanswered() lovagestand.WorkerName {
+	first := lovagestand.WorkerName("")
+	for name := range s.unresolved {
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first
+}
+
 // recordPass records how long a planning pass took.
 func (s *Shard) recordPass(took time.Duration) {
 	s.deps.Recorder.Observe("planTimes", "pass", took)
@@ -51,7 +62,11 @@
 	for _, slot := range s.adviceSlots {
 		backlog += max(0, slot.busyUntil.Sub(p.now))
 	}
-	s.log.Info().Int("live", len(s.live)).Int64("milliCPU", capacity.MilliCPU).Int64("openMilliCPU", open.MilliCPU).
+	event := s.log.Info()
+	if len(p.held) > 0 {
+		event = event.Int("jobsOfFormerOwner", len(p.held)).Int("unanswered", len(s.unresolved)).Str("firstUnanswered", string(s.firstUnanswered()))
+	}
+	event.Int("live", len(s.live)).Int64("milliCPU", capacity.MilliCPU).Int64("openMilliCPU", open.MilliCPU).
 		Int64("usedMilliCPU", used.MilliCPU).Int64("usedMemoryMiB", used.MemoryMiB).Int64("memoryMiB", capacity.MemoryMiB).
 		Int("gangsWaiting", gangs).Int64("gangMilliCPU", gangMilliCPU).Int("stepsWaiting", otherSteps).Int64("stepMilliCPU", otherMilliCPU).
 		Int("unadvised", unadvised).Dur("adviceBacklog", backlog).
--- a/shard/waits.go
+++ b/shard/waits.go
@@ -64,10 +64,15 @@
 	// hasRoom reports whether there is room for the step, on workers that policy allows or
 	// on which advice is not known.
 	hasRoom bool
+	// held, if set, reports whether the step still waits for workers of a former owner.
+	held func() bool
 }
 
 // waits reports whether no task of the step has been placed since it was watched.
 func (w *watchedStep) waits() bool {
+	if w.held != nil {
+		return w.held() && !w.entry.final()
+	}
 	return w.state.waitingSince.Equal(w.since) && !w.entry.final()
 }
 
@@ -106,11 +111,17 @@
 		return
 	}
 	steps := slices.Concat(p.waiting, p.unplaceable)
+	firstHeld := len(steps)
+	steps = append(steps, s.heldSteps(p)...)
 	keys := make([]waitKey, 0, len(steps))
 	jobs := map[*jobEntry]bool{}
 	for i := range steps {
 		jobs[steps[i].entry] = true
-		keys = append(keys, waitKey{since: steps[i].entry.step(steps[i].ref).waitingSince, id: steps[i].entry.id, index: i})
+		since := steps[i].entry.step(steps[i].ref).waitingSince
+		if i >= firstHeld {
+			since = s.heldSince(&steps[i])
+		}
+		keys = append(keys, waitKey{since: since, id: steps[i].entry.id, index: i})
 	}
 	slices.SortFunc(keys, func(a, b waitKey) int {
 		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.id, b.id), cmp.Compare(a.index, b.index))
@@ -122,7 +133,10 @@
 			return
 		}
 		w := s.newWatchedStep(p, steps[k.index])
-		if k.index >= len(p.waiting) {
+		switch {
+		case k.index >= firstHeld:
+			w.reason, w.since, w.held = WaitsForFormerOwner, k.since, s.anyTaskMayRun
+		case k.index >= len(p.waiting):
 			w.reason, w.hasRoom = w.unplaceableReason(), false
 		}
 		if w.hasRoom {
@@ -143,9 +157,26 @@
 	return dispatch.WaitsForWorker
 }
 
-// unplaceable reports whether the step was found to be unplaceable.
-func (w *watchedStep) unplaceable() bool {
-	return w.reason == dispatch.WaitsForWorker || w.reason == WaitsForPolicy
+// heldSteps returns the waiting steps of the jobs that wait for workers of a former owner.
+func (s *Shard) heldSteps(p *pass) []waitingStep {
+	first := len(p.waiting)
+	for _, e := range p.held {
+		s.collectWaitingSteps(p, e)
+	}
+	held := slices.Clone(p.waiting[first:])
+	p.waiting = p.waiting[:first]
+	return held
+}
+
+// heldSince returns since when a step waits for workers of a former owner: since the job was
+// accepted if nothing of it has run, and otherwise at least since the shard was loaded.
+func (s *Shard) heldSince(w *waitingStep) time.Time {
+	return w.entry.waitingSince(w.ref, s.loadedAt)
+}
+
+// outsidePass reports whether the step was found to wait for a reason that no pass decides on.
+func (w *watchedStep) outsidePass() bool {
+	return w.held != nil || w.reason == dispatch.WaitsForWorker || w.reason == WaitsForPolicy
 }
 
 // workersNeeded is [StepFigures.WorkersNeeded] of a step.
@@ -177,10 +208,10 @@
 	return step.RoomOn(p.dispatchWorkers)
 }
 
-// explainAll gives the watched steps that are not unplaceable one reason.
+// explainAll gives the watched steps that a pass would decide on one reason.
 func (p *pass) explainAll(reason dispatch.WaitReason) {
 	for _, w := range p.watched {
-		if !w.unplaceable() {
+		if !w.outsidePass() {
 			w.reason = reason
 		}
 	}
@@ -189,7 +220,7 @@
 // explainHeld gives the watched steps that the quotas have kept out of the pass their reason.
 func (s *Shard) explainHeld(p *pass) {
 	for _, w := range p.watched {
-		if !w.unplaceable() && p.indexOf(w) < 0 {
+		if !w.outsidePass() && p.indexOf(w) < 0 {
 			w.reason = s.refine(p, w.entry.team, w.tier, dispatch.WaitsForCap)
 		}
 	}
--- a/shard/waits_internal_test.go
+++ b/shard/waits_internal_test.go
@@ -161,6 +161,20 @@
 			w.add(w.job)
 			c.Check(w.pass(c)[longestWithRoom].Reason, qt.Equals, WaitsForAssurance)
 		},
+		"a job that waits for a worker of a former owner": func(c *qt.C, w *waitShard) {
+			w.addOfFormerOwner(w.job)
+			w.pass(c)
+			time.Sleep(9 * time.Second)
+			lines := w.pass(c)
+			c.Check(lines[longest].Reason, qt.Equals, WaitsForFormerOwner)
+			c.Check(lines[longestWithRoom].Reason, qt.Equals, WaitsForFormerOwner)
+			c.Check(lines[longest].AgeSeconds, qt.Equals, 11.0)
+			c.Check(w.Status().LongestWaitWithRoom.Age, qt.Equals, int64(11_000))
+			w.resolveWorker("w0")
+			c.Check(w.Status().LongestWait, qt.Equals, StepWait{})
+			w.plan()
+			c.Check(w.pass(c), qt.HasLen, 0)
+		},
 		"a step that starts in the pass": func(c *qt.C, w *waitShard) {
 			w.add(whereJob(1, 2, gangOf(4)))
 			c.Check(w.pass(c), qt.HasLen, 0)
--- a/shard/where.go
+++ b/shard/where.go
@@ -108,7 +108,7 @@
 	c.cancel()
 	c.jobs, c.memory, c.unreadable, c.workers, c.stuck = s.jobs, s.memory, s.unreadable, s.workers, s.stuck
 	c.stalled, c.writtenPosition = s.stalled, s.writtenPosition
-	c.unresolved, c.rosterUnreadable, c.resolved = s.unresolved, s.rosterUnreadable, s.resolved
+	c.unresolved, c.rosterUnreadable, c.resolved, c.loadedAt = s.unresolved, s.rosterUnreadable, s.resolved, s.loadedAt
 	c.teamUsage, c.former, c.shares = s.teamUsage, s.former, s.shares
 	c.backlog, c.adviceSlots, c.firstTurnPausedUntil = s.backlog, s.adviceSlots, s.firstTurnPausedUntil
 	c.workersByName, c.fleetVersion = s.workersByName, s.fleetVersion
@@ -196,7 +196,7 @@
 	positions map[int]int
 	tiers     map[int]fairshare.Tier
 	selected  map[int]bool
-	// unplaceable holds why steps are unplaceable.
+	// unplaceable holds why no pass decides on steps.
 	unplaceable map[int]dispatch.WaitReason
 	explained   map[int]dispatch.Explanation
 	// waits holds the steps of the job with tasks that can start.
@@ -211,6 +211,13 @@
 		waits: map[int]*watchedStep{},
 	}
 	s.collect(t.pass)
+	for _, w := range s.heldSteps(t.pass) {
+		if w.entry == e && w.ref.Occurrence == 0 {
+			t.unplaceable[w.ref.Step] = WaitsForFormerOwner
+			t.addWait(w)
+			t.waits[w.ref.Step].since = s.heldSince(&w)
+		}
+	}
 	s.applySpeeds(t.pass)
 	s.dropKeptRoom(t.pass)
 	s.dropUnplaceable(t.pass)
