shard: owners that vanish leave connections to their successors

Callers saw that nothing ran any more after some twenty losses of the machine that owns the shard: workers reset every connection of the next owners (LOST).

Cause: a worker keeps the connections of an owner whose machine has vanished. An owner left up to four, and the next one knew nothing of them, so that the sum over owners had no bound.

Change: the roster states how many connections the owners until now may have left to an incarnation of a worker. An owner adds its share before it uses it: four connections while the sum is small, none when it reaches four fifths of what the worker accepts (max_conns of the configuration). Without any, holds do not wait and each call closes its connection.

Why it works: the sum of the shares cannot exceed four fifths, whatever the number of owners and the time between them; after that an owner leaves a connection only if it vanishes during a call.

--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -132,7 +132,7 @@
 	for _, t := range c.Teams {
 		n.teams.Policies[t.Policy.Team] = t.Policy
 	}
-	n.services = shard.Services{Version: c.Version, ByRoute: map[lovagestand.RouteName]string{}}
+	n.services = shard.Services{Version: c.Version, ByRoute: map[lovagestand.RouteName]string{}, MaxConnections: c.MaxConnections}
 	for _, route := range c.Routes {
 		n.services.ByRoute[route.Policy.Route] = route.Policy.Service
 		n.byHost[route.Host] = append(n.byHost[route.Host], route)
--- a/shard/adopt.go
+++ b/shard/adopt.go
@@ -35,6 +35,9 @@
 	if holding.Born != 0 {
 		w.born = holding.Born
 	}
+	if w.connections.answered(holding.Born) {
+		s.requestRosterWrite()
+	}
 	w.resolveIncarnation(holding.Born, begun)
 	now := time.Now()
 	if !w.contacted {
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -18,7 +18,7 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		request, unacked := s.holdRequest(w)
-		target := w.info
+		target := w.target()
 		s.mu.Unlock()
 		if unacked {
 			if !s.awaitAcknowledgement(ctx, w) {
@@ -27,7 +27,7 @@
 			// Another incarnation of the worker may have answered in the meantime.
 			s.mu.Lock()
 			request, _ = s.holdRequest(w)
-			target = w.info
+			target = w.target()
 			s.mu.Unlock()
 		}
 		begun := time.Now()
@@ -40,13 +40,13 @@
 		}
 		s.mu.Lock()
 		answered := err == nil && s.recordHolding(w, target.Address, begun, holding)
-		paced := time.Now().Before(w.fewConnectionsUntil)
+		paced, delay := w.fewConnections(time.Now()), w.connections.holdDelay()
 		if err != nil {
 			s.holdFailed(w, target, err, timedOut)
 		}
 		s.mu.Unlock()
 		if !answered || paced {
-			pause.For(ctx, holdRetryDelay)
+			pause.For(ctx, delay)
 		}
 	}
 }
@@ -56,7 +56,7 @@
 func (s *Shard) queryWorker(w *worker) {
 	s.mu.Lock()
 	request := lovagestand.HoldRequest{Epoch: s.term.Epoch}
-	target := w.info
+	target := w.target()
 	s.mu.Unlock()
 	begun := time.Now()
 	limited, cancel := context.WithTimeout(s.ctx, holdTimeout)
@@ -87,12 +87,18 @@
 			request.Until = s.extendLease(w, now)
 		}
 	}
-	if unacked || now.Before(w.fewConnectionsUntil) {
+	if unacked || w.fewConnections(now) {
 		request.Wait = 0
 	}
 	return request, unacked
 }
 
+// fewConnections reports whether holds do not wait at the worker, because orders may need their
+// connection.
+func (w *worker) fewConnections(now time.Time) bool {
+	return w.connections.scarce() || now.Before(w.fewConnectionsUntil)
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -232,4 +238,5 @@
 	s.requestRosterWrite()
 	w.ackedEnds, w.seenEnds, w.pendingAcks = 0, 0, nil
 	w.health = health{}
+	w.connections = connectionUse{formerBorn: born}
 }
--- a/shard/order.go
+++ b/shard/order.go
@@ -64,7 +64,7 @@
 	}
 	e.logLost(event, name).Msg("task placed")
 	p.startUntil = order.Until
-	go s.sendStart(p, w.info, order)
+	go s.sendStart(p, w.target(), order)
 }
 
 // sendStart sends an order to start and records the outcome. If the outcome is
@@ -207,11 +207,11 @@
 }
 
 // workerInfo returns the entry of a worker in the list, with the address and the
-// incarnation that orders are sent to.
+// incarnation that orders are sent to, and the bounds for their connections.
 func (s *Shard) workerInfo(w *worker) lovagestand.FleetWorker {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return w.info
+	return w.target()
 }
 
 // sendStop sends an order to stop until the worker has confirmed it, the placement is
--- a/shard/recover.go
+++ b/shard/recover.go
@@ -68,6 +68,7 @@
 	}
 	idle, listed := 0, 0
 	for name, former := range roster {
+		s.formerConnections[name] = connectionUse{former: former.Connections, formerBorn: former.Born}
 		if former.Tasks != nil {
 			listed += len(*former.Tasks)
 			if len(*former.Tasks) == 0 {
--- a/shard/services.go
+++ b/shard/services.go
@@ -6,6 +6,9 @@
 type Services struct {
 	Version int64
 	ByRoute map[lovagestand.RouteName]string
+	// MaxConnections holds how many connections the workers of each service accept, where
+	// that is known.
+	MaxConnections map[string]int
 }
 
 // updateService sets the service whose workers run the tasks of a job: that of its route in
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -197,6 +197,8 @@
 	replacedWorkers map[lovagestand.WorkerName]bool
 	// unresolved holds the workers that may still run tasks of a former term.
 	unresolved map[lovagestand.WorkerName]rosterEntry
+	// formerConnections holds the connections of former owners to the workers of the roster.
+	formerConnections map[lovagestand.WorkerName]connectionUse
 	// rosterUnreadable reports whether the stored roster could not be decoded, so
 	// that workers missing from unresolved may run such tasks too.
 	rosterUnreadable bool
@@ -263,7 +265,7 @@
 		unacknowledged: map[*worker]bool{}, moving: map[job.ID]*jobEntry{},
 		balancer:       balancer{loads: map[string]otherLoad{}, failed: map[string]bool{}},
 		writeRequested: make(chan struct{}, 1), wakeup: make(chan struct{}, 1),
-		unresolved: map[lovagestand.WorkerName]rosterEntry{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
+		unresolved: map[lovagestand.WorkerName]rosterEntry{}, formerConnections: map[lovagestand.WorkerName]connectionUse{}, replacedWorkers: map[lovagestand.WorkerName]bool{},
 		teamUsage: map[lovagestand.TeamName]lovagestand.Resources{}, held: map[lovagestand.TeamName]*heldTeam{}, former: newFormerRuns(),
 		teamNumbers: map[lovagestand.TeamName]int{}, speeds: speed.New(),
 		beyond:      map[lovagestand.TeamName]*beyondPeriod{},
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -129,6 +129,8 @@
 	// maxCapacity is the largest capacity that the worker has had since it was added to
 	// the roster.
 	maxCapacity lovagestand.Resources
+	// connections describes the connections to the worker.
+	connections connectionUse
 	// fewConnectionsUntil is the end of the time in which holds do not wait at the worker,
 	// because orders may need their connection.
 	fewConnectionsUntil time.Time
@@ -492,6 +494,7 @@
 	w := &worker{
 		addedAt: time.Now(), info: info, free: info.Capacity, maxCapacity: s.formerCapacity(info), cancel: cancel, listed: !now.IsZero(), lastListed: now,
 		placements: map[string]*placement{}, strays: map[string]int64{}, replacedIncarnations: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
+		connections: s.formerConnections[info.Name],
 	}
 	s.workers[info.Name] = w
 	s.workersByName = nil
--- a/shard/write.go
+++ b/shard/write.go
@@ -377,10 +377,20 @@
 	// Capacity is the largest capacity that the worker has had since it was added; nil in
 	// a deployment without teams.
 	Capacity *lovagestand.Resources `json:"capacity,omitempty"`
+	// Connections is how many connections the owners until now may leave open to the
+	// incarnation Born of the worker, which is 0 if it is not known.
+	Connections int   `json:"connections,omitempty"`
+	Born        int64 `json:"born,omitempty"`
+}
+
+// silentEntry returns the entry of a worker that has never answered and holds no tasks. The next
+// owner does not wait for it.
+func (w *worker) silentEntry() rosterEntry {
+	return rosterEntry{Address: w.info.Address, Tasks: &[]string{}, Connections: w.connections.former, Born: w.connections.formerBorn}
 }
 
 // encodeRoster returns the roster, which lists the workers that may hold or be given
-// tasks, without the silent ones: the next owner would wait for them.
+// tasks. The silent ones have an entry without tasks: the next owner would wait for them.
 func (s *Shard) encodeRoster() jobstore.Entry {
 	roster := map[lovagestand.WorkerName]rosterEntry{}
 	for name, former := range s.unresolved {
@@ -388,6 +398,9 @@
 	}
 	for name, w := range s.workers {
 		if w.silent {
+			if _, unresolved := s.unresolved[name]; !unresolved {
+				roster[name] = w.silentEntry()
+			}
 			continue
 		}
 		address := w.info.Address
@@ -395,7 +408,9 @@
 			// The entry in the list may be that of another writer.
 			address = former.Address
 		}
-		roster[name] = rosterEntry{Address: address, Leaving: !w.info.Ready, Tasks: s.tasksOnLeaving(w), Capacity: s.rosterCapacity(w)}
+		entry := rosterEntry{Address: address, Leaving: !w.info.Ready, Tasks: s.tasksOnLeaving(w), Capacity: s.rosterCapacity(w)}
+		s.countConnections(w, &entry)
+		roster[name] = entry
 		w.inRosterWrite = true
 	}
 	value, err := json.Marshal(roster)
@@ -411,5 +426,8 @@
 func (s *Shard) rosterWritten() {
 	for _, w := range s.workers {
 		w.enrolled = w.enrolled || w.inRosterWrite
+		if w.inRosterWrite {
+			w.connections.kept = w.connections.keptInWrite
+		}
 	}
 }
