shard: suspects without room no longer keep others from being considered

Cause: a pass considers at most as many suspects as there are workers, the first ones by score. Those for which no worker has room took all places in every pass.

Change: half of the places go by score, the others in turn to suspects with room, as in limitSteps. Queries of `where` no longer count as a turn.

Why it works: each suspect with room is considered after a bounded number of passes, whatever is ahead of it.

TestSuspectsWithoutRoomKeepNoSuspectsWaiting fails without it (1 start instead of 2).

--- a/shard/crash_test.go
+++ b/shard/crash_test.go
@@ -276,3 +276,39 @@
 		}
 	})
 }
+
+// TestSuspectsWithoutRoomKeepNoSuspectsWaiting guards against suspects that are never started
+// again, on idle workers, behind as many that have no room as a pass considers.
+func TestSuspectsWithoutRoomKeepNoSuspectsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 0, always(time.Hour, lovagestand.EndingDone))
+		k.join("w0", "b")
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		submit := func(n, priority, tasks int, label string) {
+			step := job.Step{Count: tasks, Label: label, LongRunning: true, Needs: needs(lovagestand.Order{})}
+			policy := job.Policy{Route: "quote", Priority: priority, MaxAttempts: 2, Stretch: 2, Target: time.Hour}
+			c.Assert(o.submitJob(job.Job{ID: job.ID(id(n)), Policy: policy, Steps: []job.Step{step}}), qt.IsNil)
+		}
+		submit(0, 0, 4, "b")
+		time.Sleep(time.Second)
+		k.join("w1", "b")
+		time.Sleep(time.Second)
+		for n := range 3 {
+			submit(1+n, 0, 1, "b")
+		}
+		submit(4, 2, 1, "")
+		time.Sleep(3 * time.Second)
+		c.Assert(k.fleet.Starts(), qt.Equals, 8)
+		k.join("w2")
+		time.Sleep(time.Second)
+		k.fleet.Crash("w1")
+		k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+			return slices.DeleteFunc(workers, func(w lovagestand.FleetWorker) bool { return w.Name == "w1" })
+		})
+		time.Sleep(15 * time.Second)
+		c.Assert(k.startsOf(id(4)), qt.Equals, 2, qt.Commentf("the suspect with room was not started again"))
+		c.Assert(k.startsOf(id(1)), qt.Equals, 1)
+	})
+}
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -347,23 +347,64 @@
 
 // limitSuspects removes waiting suspects beyond those for which there may be room: only some
 // workers are on trial at a time, and further suspects would keep other steps out of the pass.
+// Those with room take turns, see [dispatch.Window]: one that cannot start keeps none of those
+// behind it from being considered.
 func (s *Shard) limitSuspects(p *pass) {
-	suspectSteps, limit := 0, min(len(s.workers), maxStepsPerPass/2)
+	var suspects []int
 	for i := range p.waiting {
 		if p.waiting[i].suspects > 0 {
-			suspectSteps++
+			suspects = append(suspects, i)
 		}
 	}
-	if suspectSteps <= limit {
+	limit := min(len(s.workers), maxStepsPerPass/2)
+	if len(suspects) <= limit {
 		return
 	}
-	suspectSteps = 0
-	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingStep) bool {
-		if w.suspects > 0 {
-			suspectSteps++
+	hasRoom, lastConsidered := p.roomCheck(), p.lastConsidered
+	window := dispatch.Window(len(suspects), limit, func(n int) bool { return hasRoom(suspects[n]) }, func(n int) int64 { return lastConsidered(suspects[n]) })
+	considered := make(map[int]bool, len(window))
+	for _, n := range window {
+		considered[suspects[n]] = true
+		s.recordConsidered(p, suspects[n])
+	}
+	p.ordered = p.ordered[:0]
+	for i := range p.waiting {
+		if p.waiting[i].suspects == 0 || considered[i] {
+			p.ordered = append(p.ordered, p.waiting[i])
 		}
-		return w.suspects > 0 && suspectSteps > limit
-	})
+	}
+	p.waiting, p.ordered = p.ordered, p.waiting
+}
+
+// roomCheck returns a function that reports whether a worker has room for a task of a waiting
+// step.
+func (p *pass) roomCheck() func(i int) bool {
+	rooms := map[dispatch.Shape]bool{}
+	return func(i int) bool {
+		shape := shapeOf(p.waiting[i].entry, p.waiting[i].step)
+		room, known := rooms[shape]
+		if !known {
+			room = shape.HasRoom(p.dispatchWorkers)
+			rooms[shape] = room
+		}
+		return room
+	}
+}
+
+// lastConsidered returns the number of the last pass that considered a waiting step in turn.
+func (p *pass) lastConsidered(i int) int64 {
+	if st := p.waiting[i].entry.steps[p.waiting[i].ref]; st != nil {
+		return st.lastConsidered
+	}
+	return 0
+}
+
+// recordConsidered records that the pass considers a waiting step in turn. A pass of
+// [Shard.Where] takes no turns.
+func (s *Shard) recordConsidered(p *pass, i int) {
+	if p.recordsWaits {
+		p.waiting[i].entry.step(p.waiting[i].ref).lastConsidered = s.passNumber
+	}
 }
 
 // shapeOf returns the shape of the tasks of a step.
@@ -535,26 +576,9 @@
 		p.limitTo(firstIndexes(maxStepsPerPass), always)
 		return
 	}
-	rooms := map[dispatch.Shape]bool{}
-	hasRoom := func(i int) bool {
-		shape := shapeOf(p.waiting[i].entry, p.waiting[i].step)
-		room, known := rooms[shape]
-		if !known {
-			room = shape.HasRoom(p.dispatchWorkers)
-			rooms[shape] = room
-		}
-		return room
-	}
-	lastConsidered := func(i int) int64 {
-		if st := p.waiting[i].entry.steps[p.waiting[i].ref]; st != nil {
-			return st.lastConsidered
-		}
-		return 0
-	}
-	window := dispatch.Window(len(p.waiting), maxStepsPerPass, hasRoom, lastConsidered)
+	window := dispatch.Window(len(p.waiting), maxStepsPerPass, p.roomCheck(), p.lastConsidered)
 	for _, i := range window {
-		w := &p.waiting[i]
-		w.entry.step(w.ref).lastConsidered = s.passNumber
+		s.recordConsidered(p, i)
 	}
 	p.limitTo(window, always)
 }
