shard: runs that outlast every trial are no suspects

Cause: if no run had just started when a worker is lost, all runs on it became suspects, each with a trial of 1.5 times the time that it had run, 5 s at most, on a worker of its own.

Change: a run that had lasted for more than 5 s is no suspect then.

Why it works: such a trial ends before the run can crash its worker as late as the former one, so it shows nothing; the task is started at once on any worker.

TestTasksOfALostWorkerStartAgain fails without it: 14 of 16 jobs are not started again within 3 s, whether the worker restarts or is gone. TestTaskThatCrashesItsWorkerLate- TakesFewWorkers holds before and after: two workers.

--- a/shard/crash_test.go
+++ b/shard/crash_test.go
@@ -28,20 +28,22 @@
 	k := newCell(c, 0, nil)
 	k.fleet = runner.New(needs, work, append(options, runner.WithCrashes(runner.Crashes{
 		By:       func(o lovagestand.Order) (time.Duration, bool) { return crashDelay, deadly(o.Task) },
-		Downtime: crashDowntime,
-		Returned: func(former lovagestand.WorkerName, w lovagestand.FleetWorker) {
-			k.changeList(func(list []lovagestand.FleetWorker) []lovagestand.FleetWorker {
-				i := slices.IndexFunc(list, func(e lovagestand.FleetWorker) bool { return e.Name == former })
-				w.Address = list[i].Address
-				list[i] = w
-				return list
-			})
-		},
+		Downtime: crashDowntime, Returned: k.returned,
 	}))...)
 	k.addWorkers(workers)
 	return k
 }
 
+// returned lists a worker that has returned at the address of a crashed one.
+func (k *cell) returned(former lovagestand.WorkerName, w lovagestand.FleetWorker) {
+	k.changeList(func(list []lovagestand.FleetWorker) []lovagestand.FleetWorker {
+		i := slices.IndexFunc(list, func(e lovagestand.FleetWorker) bool { return e.Name == former })
+		w.Address = list[i].Address
+		list[i] = w
+		return list
+	})
+}
+
 // isTask returns a function that reports whether a task has one of the names.
 func isTask(names ...string) func(string) bool {
 	return func(task string) bool { return slices.Contains(names, task) }
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -140,9 +140,9 @@
 }
 
 // recordCrash records which of the lost runs of a worker may have crashed it: those that
-// had just started and those on trial, or all of them if there are none. Their tasks
-// are suspects from then on. A job fails once only its tasks can have caused a crash, and
-// it is not the first crash under one of them.
+// had just started and those on trial, or, if there are none, all that a trial can show
+// something about. Their tasks are suspects from then on. A job fails once only its tasks
+// can have caused a crash, and it is not the first crash under one of them.
 func (s *Shard) recordCrash(w *worker, lost []*placement, cause lossCause) {
 	// The end of a run on an incarnation that was about to leave is no crash.
 	lost = slices.DeleteFunc(slices.Clone(lost), func(p *placement) bool { return p.born != 0 && p.born == w.leftBorn })
@@ -151,6 +151,7 @@
 	}
 	suspects, conclusive := s.suspects(w, lost)
 	if len(suspects) == 0 {
+		lost = slices.DeleteFunc(lost, (*placement).outlastsTrials)
 		for _, p := range lost {
 			suspects[p] = true
 		}
@@ -161,6 +162,12 @@
 	}
 }
 
+// outlastsTrials reports whether a run had lasted for longer than any trial when its worker was
+// lost. A trial would end before the next run can show that it crashes its worker as late.
+func (p *placement) outlastsTrials() bool {
+	return p.worker.aliveUntil.Sub(p.placedAt) > maxTrial
+}
+
 // sameJob reports whether all placements are of one job.
 func sameJob(placements map[*placement]bool) bool {
 	var e *jobEntry
--- /dev/null
+++ b/shard/trials_test.go
@@ -0,0 +1,101 @@
+package shard_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/job"
+	"lovagestand.example/lovagestand/standin/runner"
+)
+
+// TestTasksOfALostWorkerStartAgain guards against jobs whose tasks wait for trials one after the
+// other, on idle workers, after the worker on which all of them ran was lost.
+func TestTasksOfALostWorkerStartAgain(t *testing.T) {
+	const jobs = 16
+	losses := map[string]struct {
+		lose func(k *cell)
+		// noticed is how long the owner takes to notice that the runs are over.
+		noticed time.Duration
+	}{
+		"restarted": {func(k *cell) { k.restart(0) }, time.Second},
+		"gone": {func(k *cell) {
+			k.fleet.Crash("w0")
+			k.changeList(func(workers []lovagestand.FleetWorker) []lovagestand.FleetWorker { return slices.Delete(workers, 0, 1) })
+		}, 9 * time.Second},
+	}
+	for name, loss := range losses {
+		for _, ran := range []time.Duration{6 * time.Second, time.Minute} {
+			t.Run(fmt.Sprintf("%s after %s", name, ran), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					k := newCell(c, 0, always(time.Hour, lovagestand.EndingDone))
+					for n := range 7 {
+						k.enlist(k.fleet.Add(lovagestand.WorkerName(fmt.Sprint("w", n)), lovagestand.Resources{MilliCPU: 16000, MemoryMiB: 16000}))
+					}
+					o := k.beginReadyTerm("a")
+					defer o.stop()
+					for n := range jobs {
+						o.submit(c, id(n), job.Step{Count: 1, LongRunning: n%2 == 0, Estimate: time.Hour})
+						time.Sleep(100 * time.Millisecond)
+					}
+					for _, r := range k.fleet.Runs() {
+						c.Assert(r.Worker, qt.Equals, lovagestand.WorkerName("w0"))
+					}
+					time.Sleep(ran)
+					loss.lose(k)
+					time.Sleep(loss.noticed + 3*time.Second)
+					for n := range jobs {
+						c.Check(k.startsOf(id(n)), qt.Equals, 2, qt.Commentf("job %d", n))
+					}
+					k.assertNoViolations()
+				})
+			})
+		}
+	}
+}
+
+// TestTaskThatCrashesItsWorkerLateTakesFewWorkers guards against trials that let a task crash more
+// workers than the first one and one in a trial: it crashes them some time after its start, when
+// no other run has just started.
+func TestTaskThatCrashesItsWorkerLateTakesFewWorkers(t *testing.T) {
+	const jobs, deadly = 12, 5
+	for _, after := range []time.Duration{400 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 0, nil)
+				k.fleet = runner.New(needs, always(10*time.Second, lovagestand.EndingDone), runner.WithCrashes(runner.Crashes{
+					By:       func(o lovagestand.Order) (time.Duration, bool) { return after, o.Task == id(deadly)+".0.0.0" },
+					Downtime: crashDowntime, Returned: k.returned,
+				}))
+				for n := range 6 {
+					k.enlist(k.fleet.Add(lovagestand.WorkerName(fmt.Sprint("w", n)), lovagestand.Resources{MilliCPU: 16000, MemoryMiB: 16000}))
+				}
+				o := k.beginReadyTerm("a")
+				defer o.stop()
+				for n := range jobs {
+					if n != deadly {
+						o.submit(c, id(n), job.Step{Count: 1})
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+				o.submit(c, id(deadly), job.Step{Count: 1})
+				time.Sleep(90 * time.Second)
+				assertPhase(c, o, id(deadly), "failed")
+				c.Check(k.startsOf(id(deadly)), qt.Equals, 2)
+				for n := range jobs {
+					if n != deadly {
+						assertPhase(c, o, id(n), "completed")
+					}
+				}
+				c.Check(k.fleet.Violations(), qt.HasLen, 0)
+			})
+		})
+	}
+}
