shard, dispatch: suspects share the workers on trial

Cause: each suspect had a worker to itself for its trial, so that a second crash is conclusive, and a third of the workers are on trial at a time.

Change: a run on trial has a moment at which it would crash its worker, as long after its start as the former run had lasted. Suspects of other jobs start beside it if these moments are 0.5 s apart, and a crash counts against the run whose moment it is. Not for suspects whose former run had just started, of a second crash, of gangs, or of unknown age; and after a time-out all that shared are suspects.

Why it works: runs beside each other remain distinguishable, so a task that crashes its workers within 5 s takes two of them, as before.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -51,7 +51,7 @@
 // the ticket.
 func (p *planner) mayStart(s *Step, worker int) bool {
 	w := &p.Workers[worker]
-	if !w.Open || w.keptFor != 0 && w.keptFor != s.number || !s.matches(w) {
+	if !w.Open && !p.sharesTrial(s, w) || w.keptFor != 0 && w.keptFor != s.number || !s.matches(w) {
 		return false
 	}
 	return !p.delaysReservation(s, w) || s.Needs.Fits(w.spare)
@@ -211,7 +211,9 @@
 		p.takeQuota(s, -1)
 		if n < s.Suspects && w.keptFor != 0 && !p.held {
 			w.keptFor = 0
-			p.trials++
+			if w.Open {
+				p.trials++
+			}
 		}
 		w.Free = w.Free.Add(s.Needs)
 		p.free += s.Needs.MilliCPU
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -28,6 +28,11 @@
 	Quiet bool
 	// OnTrial indicates that a suspect has just started here. The worker is not open.
 	OnTrial bool
+	// SharesTrials indicates that further suspects may start here beside those on trial, and
+	// CrashTimes holds when these would crash the worker: as long after their start as their
+	// former run had lasted.
+	SharesTrials bool
+	CrashTimes   []time.Time
 
 	// reservedFrom is when a gang is expected to start here. Tasks that end before
 	// then may use all free resources, longer ones only spare, the resources that
@@ -64,9 +69,12 @@
 	// Suspects is how many of the tasks may crash the worker that starts them. They are
 	// the first of the step.
 	Suspects int
-	Needs    lovagestand.Resources
-	Gang     bool
-	SameRack bool
+	// CrashAges holds after which time each suspect would crash its worker, by its former run.
+	// Such suspects may share a worker with those of other steps; nil if they may not.
+	CrashAges []time.Duration
+	Needs     lovagestand.Resources
+	Gang      bool
+	SameRack  bool
 	// Service limits the step to the workers of one service; empty means any.
 	Service      string
 	Label        string
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -1,9 +1,17 @@
 package dispatch
 
+import (
+	"slices"
+	"time"
+)
+
 const (
 	// trialShare is the inverse of the largest share of the workers on which suspects
 	// start, or which are kept for them, at the same time. A gang may exceed it.
 	trialShare = 3
+	// trialGap is the minimum time between the moments at which suspects of different steps
+	// that share a worker would crash it, so that a crash tells which of them has caused it.
+	trialGap = 500 * time.Millisecond
 	// keptBonus is subtracted from the cost of the workers that are kept for the step.
 	keptBonus = 100
 )
@@ -23,6 +31,18 @@
 	return max(1, (open+trials)/trialShare) - trials
 }
 
+// sharesTrial reports whether the suspects of a step may start on a worker beside those that are
+// on trial there. It answers the load of many suspects after the loss of one worker: with a
+// worker to each of them for the whole trial, the last ones wait for many trials.
+func (p *planner) sharesTrial(s *Step, w *Worker) bool {
+	if s.Gang || s.Suspects == 0 || len(s.CrashAges) < s.Suspects || !w.SharesTrials || !w.Quiet || w.starts > 0 && w.keptFor != s.number {
+		return false
+	}
+	return !slices.ContainsFunc(w.CrashTimes, func(at time.Time) bool {
+		return slices.ContainsFunc(s.CrashAges[:s.Suspects], func(age time.Duration) bool { return p.Now.Add(age).Sub(at).Abs() < trialGap })
+	})
+}
+
 // trialWorker returns the worker for one suspect of a step: one that is kept for the step
 // already, or else the one that has the least work to lose, which it keeps for the step. If
 // a task has started there recently, the worker is only kept, for a later pass.
@@ -34,7 +54,7 @@
 		if w.keptFor == s.number {
 			return cost - keptBonus, true
 		}
-		return cost, mayKeep && w.starts == 0
+		return cost, (mayKeep || !w.Open) && w.starts == 0
 	})
 	if !ok {
 		return worker, false
@@ -42,7 +62,9 @@
 	w := &p.Workers[worker]
 	if w.keptFor == 0 {
 		w.keptFor = s.number
-		p.trials--
+		if w.Open {
+			p.trials--
+		}
 	}
 	p.held = p.held || !w.Quiet
 	return worker, w.Quiet
--- a/dispatch/trial_test.go
+++ b/dispatch/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -77,6 +78,57 @@
 	})
 }
 
+// TestSuspectsShareTrials covers the load of many suspects after the loss of one worker: they
+// start beside others on trial, at moments that keep a crash attributable.
+func TestSuspectsShareTrials(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	step := func(ages ...time.Duration) dispatch.Step {
+		return dispatch.Step{Tasks: len(ages), Suspects: len(ages), Needs: cores(1), CrashAges: ages}
+	}
+	alone := func(tasks int) dispatch.Step { return dispatch.Step{Tasks: tasks, Suspects: tasks, Needs: cores(1)} }
+	gang := step(3*time.Second, 3*time.Second)
+	gang.Gang = true
+	loud := func(w *dispatch.Worker) { w.Quiet = false }
+	closed := func(w *dispatch.Worker) { w.SharesTrials = false }
+	for name, test := range map[string]struct {
+		step   dispatch.Step
+		change func(w *dispatch.Worker)
+		starts int
+	}{
+		"before the other crash":      {step(time.Second), nil, 1},
+		"after it":                    {step(3 * time.Second), nil, 1},
+		"together":                    {step(time.Second, 3*time.Second), nil, 2},
+		"not at the same time":        {step(2 * time.Second), nil, 0},
+		"not soon before it":          {step(1600 * time.Millisecond), nil, 0},
+		"not soon after it":           {step(2400 * time.Millisecond), nil, 0},
+		"not if one is":               {step(time.Second, 2*time.Second), nil, 0},
+		"not if the age is unknown":   {alone(1), nil, 0},
+		"not as members of a gang":    {gang, nil, 0},
+		"not just after a start":      {step(time.Second), loud, 0},
+		"not on a closed worker":      {step(time.Second), closed, 0},
+		"and nothing else does there": {dispatch.Step{Tasks: 1, Needs: cores(1)}, nil, 0},
+	} {
+		c.Run(name, func(c *qt.C) {
+			workers := quietWorkers(1)
+			workers[0].Open, workers[0].OnTrial, workers[0].SharesTrials = false, true, true
+			workers[0].CrashTimes = []time.Time{now.Add(2 * time.Second)}
+			if test.change != nil {
+				test.change(&workers[0])
+			}
+			decisions := dispatch.Plan(dispatch.Load{Now: now, Workers: workers, Steps: []dispatch.Step{test.step}})
+			c.Assert(placed(decisions, 0), qt.HasLen, test.starts)
+		})
+	}
+	c.Run("of two steps do not start in one pass", func(c *qt.C) {
+		workers := quietWorkers(1)
+		workers[0].Open, workers[0].OnTrial, workers[0].SharesTrials = false, true, true
+		decisions := dispatch.Plan(dispatch.Load{Now: now, Workers: workers, Steps: []dispatch.Step{step(time.Second), step(3 * time.Second)}})
+		c.Assert(placed(decisions, 0), qt.HasLen, 1)
+		c.Assert(placed(decisions, 1), qt.HasLen, 0)
+	})
+}
+
 // TestSuspectsNeverShareAWorkerWithOtherSteps covers the load of many suspects: on a
 // worker on which one starts, no task of another step starts in the same pass.
 func TestSuspectsNeverShareAWorkerWithOtherSteps(t *testing.T) {
--- a/shard/ending.go
+++ b/shard/ending.go
@@ -47,7 +47,7 @@
 		s.addUsage(e.team, lovagestand.Resources{}.Sub(p.needs))
 		e.releaseHeldRun(p.name)
 		if !p.trialUntil.IsZero() {
-			p.worker.trialUntil = time.Time{}
+			p.worker.updateTrials()
 		}
 	}
 	if e.active[p.name] == p {
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -29,6 +29,10 @@
 	// crashWindow is the time before the loss of contact with a worker in which a run
 	// must have started to be a suspect. An order takes at most that long.
 	crashWindow = orderTimeout
+	// crashTolerance is by how much the time from a start to a crash of the worker may differ
+	// between two runs of a task. It is half of the time that dispatch leaves between the
+	// moments at which suspects on one worker would crash it.
+	crashTolerance = 250 * time.Millisecond
 	// The next run of a suspect is on trial for trialFactor times the time that the last
 	// one had run when the worker crashed, within these bounds.
 	trialFactor = 1.5
@@ -43,7 +47,7 @@
 	if w.unresponsive {
 		return
 	}
-	w.aliveUntil = now
+	w.aliveUntil, w.timedOut = now, timedOut
 	if timedOut {
 		w.aliveUntil = w.lastAnswer
 		for _, p := range w.placements {
@@ -89,13 +93,38 @@
 	suspects = make(map[*placement]bool)
 	for _, p := range lost {
 		s.endTrial(p, w.aliveUntil)
-		if p.placedAt.After(w.aliveUntil.Add(-crashWindow)) || !p.trialUntil.IsZero() {
+		if p.justStarted() || !p.trialUntil.IsZero() {
 			suspects[p] = true
 		}
 	}
+	if !sameJob(suspects) && !w.timedOut {
+		suspects = atTheirCrashTime(suspects)
+	}
 	return suspects, len(w.strays) == 0 && sameJob(suspects)
 }
 
+// justStarted reports whether the run had just started when its worker broke off contact.
+func (p *placement) justStarted() bool {
+	return p.placedAt.After(p.worker.aliveUntil.Add(-crashWindow))
+}
+
+// atTheirCrashTime returns those of the runs on trial on one worker that had lasted for as long
+// as the former run of their task when the worker broke off contact. It returns all if there
+// are none.
+func atTheirCrashTime(suspects map[*placement]bool) map[*placement]bool {
+	expected := make(map[*placement]bool)
+	for p := range suspects {
+		late := p.worker.aliveUntil.Sub(p.placedAt) - p.crashAge
+		if p.crashAge > 0 && late.Abs() < crashTolerance {
+			expected[p] = true
+		}
+	}
+	if len(expected) == 0 {
+		return suspects
+	}
+	return expected
+}
+
 // suspectRuns records which runs may have crashed a worker that has just broken off
 // contact, so that the next owner counts the crash if this one does not learn of it.
 func (s *Shard) suspectRuns(w *worker) {
@@ -194,7 +223,7 @@
 	}
 	if suspect && !(silent && e.progress.Crashes(p.task).Suspect()) {
 		crash.Suspected = 1
-		e.trialTimes[p.name] = min(maxTrial, max(minTrial, time.Duration(trialFactor*float64(p.worker.aliveUntil.Sub(p.placedAt)))))
+		e.crashAges[p.name] = max(0, p.worker.aliveUntil.Sub(p.placedAt))
 	}
 	e.progress.RecordCrash(p.task, crash, suspect && conclusive && !silent)
 	s.log.Warn().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Str("reason", string(cause)).
@@ -216,13 +245,62 @@
 	}
 }
 
+// trialTime returns how long the next run of a suspect is on trial, given how long the last one
+// had run when the worker crashed.
+func trialTime(crashAge time.Duration) time.Duration {
+	return min(maxTrial, max(minTrial, time.Duration(trialFactor*float64(crashAge))))
+}
+
+// updateTrials sets until when a worker is on trial.
+func (w *worker) updateTrials() {
+	w.trialUntil = time.Time{}
+	for _, p := range w.placements {
+		w.trialUntil = later(w.trialUntil, p.trialUntil)
+	}
+}
+
+// crashTimes returns when the runs on trial on a worker would crash it, and whether other
+// suspects may start beside them.
+func (w *worker) crashTimes() ([]time.Time, bool) {
+	var times []time.Time
+	for _, p := range w.placements {
+		if p.trialUntil.IsZero() {
+			continue
+		}
+		if p.crashAge == 0 {
+			return nil, false
+		}
+		times = append(times, p.placedAt.Add(p.crashAge))
+	}
+	return times, true
+}
+
+// sharedCrashAges returns after which times tasks of a step would crash their worker, by their
+// lost runs. It returns nil if one of them must be on trial alone: its lost run had just
+// started, it is not known how long that had lasted, or it was not the first such crash.
+func (e *jobEntry) sharedCrashAges(ref job.StepRef, indexes []int) []time.Duration {
+	ages := make([]time.Duration, 0, len(indexes))
+	for _, i := range indexes {
+		task := job.Task{Occurrence: ref.Occurrence, Step: ref.Step, Index: i}
+		age := e.crashAges[e.progress.Job().TaskName(task)]
+		if age <= crashWindow || e.progress.Crashes(task).Suspected != 1 {
+			return nil
+		}
+		ages = append(ages, age)
+	}
+	return ages
+}
+
 // beginTrial puts a run on trial if its task is a suspect.
 func (s *Shard) beginTrial(p *placement) {
 	if !p.entry.progress.Crashes(p.task).Suspect() {
 		return
 	}
-	p.trialUntil = p.placedAt.Add(max(minTrial, p.entry.trialTimes[p.name]))
-	p.worker.trialUntil = p.trialUntil
+	p.trialUntil = p.placedAt.Add(trialTime(p.entry.crashAges[p.name]))
+	if ages := p.entry.sharedCrashAges(p.ref(), []int{p.task.Index}); ages != nil && !p.entry.progress.JobStep(p.task.Step).Gang {
+		p.crashAge = ages[0]
+	}
+	p.worker.updateTrials()
 	s.log.Info().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Dur("for", p.trialUntil.Sub(p.placedAt)).Int("tasks", len(p.worker.placements)).Msg("task on trial")
 }
 
@@ -231,8 +309,9 @@
 	if p.trialUntil.IsZero() || now.Before(p.trialUntil) || p.entry.progress == nil {
 		return
 	}
-	p.trialUntil, p.worker.trialUntil = time.Time{}, time.Time{}
+	p.trialUntil = time.Time{}
+	p.worker.updateTrials()
 	p.entry.progress.ClearCrashes(p.task)
-	delete(p.entry.trialTimes, p.name)
+	delete(p.entry.crashAges, p.name)
 	s.log.Info().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Msg("task is no longer suspected to crash workers")
 }
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -671,10 +671,14 @@
 		if p.recordsWaits {
 			s.updateAbsence(w, open, p.now)
 		}
-		p.dispatchWorkers = append(p.dispatchWorkers, dispatch.Worker{
+		described := dispatch.Worker{
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
 			Open: open, Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
-		})
+		}
+		if described.OnTrial && w.usableForTrials(p.now) && !slices.Contains(s.stuck, w) {
+			described.CrashTimes, described.SharesTrials = w.crashTimes()
+		}
+		p.dispatchWorkers = append(p.dispatchWorkers, described)
 	}
 }
 
@@ -851,6 +855,9 @@
 		}
 		out.AdvicePending[w.passIndex] = true
 	}
+	if w.suspects > 0 && !step.Gang {
+		out.CrashAges = e.sharedCrashAges(w.ref, w.indexes[:w.suspects])
+	}
 	s.setAllowed(p, st, &out)
 	return out
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -346,8 +346,8 @@
 	// stored record states.
 	former    lovagestand.Resources
 	accounted map[job.Task]bool
-	// trialTimes is how long the next run of a suspect is on trial, by task name.
-	trialTimes map[string]time.Duration
+	// crashAges is how long the lost run of each suspect had lasted, by task name.
+	crashAges map[string]time.Duration
 	// lost holds the last lost run of each task, by task name.
 	lost map[string]lostRun
 	// preempted holds the tasks of which a run was preempted, by task name.
@@ -474,7 +474,7 @@
 	return &jobEntry{
 		id: p.Job().ID, route: p.Job().Policy.Route, service: p.Job().Policy.Service, team: p.Job().Team, progress: p, body: body, started: p.Started(),
 		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, heldRuns: map[string]int{},
-		trialTimes: map[string]time.Duration{}, longRunning: p.Job().LongRunning(),
+		crashAges: map[string]time.Duration{}, longRunning: p.Job().LongRunning(),
 	}
 }
 
--- a/shard/trials_test.go
+++ b/shard/trials_test.go
@@ -17,7 +17,7 @@
 // TestTasksOfALostWorkerStartAgain guards against jobs whose tasks wait for trials one after the
 // other, on idle workers, after the worker on which all of them ran was lost.
 func TestTasksOfALostWorkerStartAgain(t *testing.T) {
-	const jobs = 16
+	const jobs, restartTime = 16, 6 * time.Second
 	losses := map[string]struct {
 		lose func(k *cell)
 		// noticed is how long the owner takes to notice that the runs are over.
@@ -30,7 +30,7 @@
 		}, 9 * time.Second},
 	}
 	for name, loss := range losses {
-		for _, ran := range []time.Duration{6 * time.Second, time.Minute} {
+		for _, ran := range []time.Duration{time.Second, 2 * time.Second, 3500 * time.Millisecond, 6 * time.Second, time.Minute} {
 			t.Run(fmt.Sprintf("%s after %s", name, ran), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					c := qt.New(t)
@@ -41,7 +41,7 @@
 					o := k.beginReadyTerm("a")
 					defer o.stop()
 					for n := range jobs {
-						o.submit(c, id(n), job.Step{Count: 1, LongRunning: n%2 == 0, Estimate: time.Hour})
+						o.submit(c, id(n), job.Step{Count: 1, LongRunning: true})
 						time.Sleep(100 * time.Millisecond)
 					}
 					for _, r := range k.fleet.Runs() {
@@ -49,7 +49,7 @@
 					}
 					time.Sleep(ran)
 					loss.lose(k)
-					time.Sleep(loss.noticed + 3*time.Second)
+					time.Sleep(loss.noticed + restartTime)
 					for n := range jobs {
 						c.Check(k.startsOf(id(n)), qt.Equals, 2, qt.Commentf("job %d", n))
 					}
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -106,6 +106,9 @@
 	// aliveUntil is when the worker is known to have been alive last, once it does not
 	// answer or was found to have restarted.
 	aliveUntil time.Time
+	// timedOut reports whether contact ended with a time-out, so that the worker may have been
+	// alive for longer.
+	timedOut   bool
 	holdSentAt time.Time // when the last hold that was answered was sent
 	// clock is the worker's clock in milliseconds, as received at clockAt.
 	clock   int64
@@ -134,8 +137,8 @@
 	// fewConnectionsUntil is the end of the time in which holds do not wait at the worker,
 	// because orders may need their connection.
 	fewConnectionsUntil time.Time
-	// lastPlacedAt is when a run was last placed here. trialUntil is the end of a trial
-	// that goes on here, see [placement.trialUntil]; zero if there is none.
+	// lastPlacedAt is when a run was last placed here. trialUntil is the end of the last of
+	// the trials that go on here, see [placement.trialUntil]; zero if there is none.
 	lastPlacedAt, trialUntil time.Time
 	// passIndex is the index of the worker in the current planning pass. It is not valid if
 	// the worker was removed.
@@ -201,6 +204,9 @@
 	// trialUntil is the time from which a run whose task may crash its worker has shown
 	// that it does not; zero for all other runs. No other run starts beside it before.
 	trialUntil time.Time
+	// crashAge is after which time a run on trial would crash its worker, by the former run of
+	// its task; 0 if the trial is not shared with those of other steps.
+	crashAge time.Duration
 }
 
 // leaseDuration returns the duration of the lease that workers are given.
@@ -259,13 +265,18 @@
 
 // usable reports whether the worker can be given new tasks by what it has answered.
 func (w *worker) usable(now time.Time) bool {
+	return w.usableForTrials(now) && !now.Before(w.trialUntil)
+}
+
+// usableForTrials reports whether it can be given new tasks but for the trials that go on there.
+func (w *worker) usableForTrials(now time.Time) bool {
 	if !w.contacted || w.unresponsive || w.otherIncarnation != 0 || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
 		return false
 	}
 	if !w.listMatches() || w.expired || !w.listed && now.Sub(w.lastListed) > unlistedGrace {
 		return false
 	}
-	return !w.quarantined(now) && !now.Before(w.trialUntil)
+	return !w.quarantined(now)
 }
 
 // updateAbsence records whether a worker is absent: it has never answered, or it was closed for
