shard, dispatch: a worker is kept for the suspect that has waited longest

Change: the suspect with room that has waited longest, 2 s at least, is in each pass and is decided first. Only one whose former run had not just started.

Why it works: the worker that is kept for it gets no starts from any step, and is quiet 0.25 s later.

TestSuspectStartsBesideAStream fails without it (1 start instead of 2 after 15 s).

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -133,6 +133,9 @@
 	// firstTurn is the place of the step among those that are decided before others, from 1;
 	// 0 if it is not. See grantFirstTurns.
 	firstTurn int
+	// trialTurn indicates that the step is the suspect that is decided before others. See
+	// grantTrialTurn.
+	trialTurn bool
 	// number identifies the step in the pass; it starts at 1.
 	number int
 	// class is the class of workers on which a gang runs.
@@ -321,6 +324,7 @@
 		p.withholdKept(&l.Steps[i], l.Steps[i].Kept)
 	}
 	p.grantFirstTurns()
+	p.grantTrialTurn()
 	order := stepOrder(l.Steps)
 	p.holdForRenewals()
 	for _, i := range order {
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -12,6 +12,8 @@
 	// trialGap is the minimum time between the moments at which suspects of different steps
 	// that share a worker would crash it, so that a crash tells which of them has caused it.
 	trialGap = 500 * time.Millisecond
+	// maxSuspectWait is how long a suspect waits for a quiet worker before one is kept for it.
+	maxSuspectWait = 2 * time.Second
 	// keptBonus is subtracted from the cost of the workers that are kept for the step.
 	keptBonus = 100
 )
@@ -43,6 +45,27 @@
 	})
 }
 
+// grantTrialTurn has the suspect that has waited longest decided before others. It answers the
+// load of steps of higher score that start tasks on each worker so often that none is quiet: a
+// worker is kept for the suspect against these too. It does so for one step at a time, and not
+// for suspects whose former run had just started: with many tasks that crash their workers,
+// these would always have a worker.
+func (p *planner) grantTrialTurn() {
+	oldest := -1
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		if len(s.CrashAges) == 0 || s.Gang || s.Waited < maxSuspectWait || oldest >= 0 && s.Waited <= p.Steps[oldest].Waited {
+			continue
+		}
+		if slices.ContainsFunc(p.eligible(s, true), func(worker int) bool { return s.Needs.Fits(p.Workers[worker].Free) }) {
+			oldest = i
+		}
+	}
+	if oldest >= 0 {
+		p.Steps[oldest].trialTurn = true
+	}
+}
+
 // trialWorker returns the worker for one suspect of a step: one that is kept for the step
 // already, or else the one that has the least work to lose, which it keeps for the step. If
 // a task has started there recently, the worker is only kept, for a later pass.
--- a/dispatch/trial_test.go
+++ b/dispatch/trial_test.go
@@ -129,6 +129,33 @@
 	})
 }
 
+// TestSuspectIsKeptAWorker covers the load of steps of higher score that start tasks on each
+// worker all the time, so that none is quiet.
+func TestSuspectIsKeptAWorker(t *testing.T) {
+	for name, test := range map[string]struct {
+		waited time.Duration
+		ages   []time.Duration
+		kept   bool
+	}{
+		"after a wait":                    {3 * time.Second, []time.Duration{time.Second}, true},
+		"not at once":                     {time.Second, []time.Duration{time.Second}, false},
+		"not if its run had just started": {3 * time.Second, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			workers := quietWorkers(3)
+			for i := range workers {
+				workers[i].Quiet = false
+			}
+			suspect := dispatch.Step{Tasks: 1, Suspects: 1, Needs: cores(1), Score: 1, Waited: test.waited, CrashAges: test.ages}
+			stream := dispatch.Step{Tasks: 3, Needs: cores(1), Score: 2, MaxPerWorker: 1}
+			decisions := plan(workers, []dispatch.Step{suspect, stream})
+			c.Assert(placed(decisions, 0), qt.HasLen, 0)
+			c.Assert(slices.Contains(placed(decisions, 1), 2), qt.Equals, !test.kept)
+		})
+	}
+}
+
 // TestSuspectsNeverShareAWorkerWithOtherSteps covers the load of many suspects: on a
 // worker on which one starts, no task of another step starts in the same pass.
 func TestSuspectsNeverShareAWorkerWithOtherSteps(t *testing.T) {
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -367,6 +367,9 @@
 		considered[suspects[n]] = true
 		s.recordConsidered(p, suspects[n])
 	}
+	if oldest, found := p.longestWaitingSuspect(hasRoom); found {
+		considered[oldest] = true
+	}
 	p.ordered = p.ordered[:0]
 	for i := range p.waiting {
 		if p.waiting[i].suspects == 0 || considered[i] {
@@ -376,6 +379,23 @@
 	p.waiting, p.ordered = p.ordered, p.waiting
 }
 
+// longestWaitingSuspect returns the index of the suspect with room that has waited longest, of
+// those that may share a worker. Each pass considers it, since a worker is kept for it from pass
+// to pass.
+func (p *pass) longestWaitingSuspect(hasRoom func(i int) bool) (int, bool) {
+	oldest := -1
+	for i := range p.waiting {
+		w := &p.waiting[i]
+		if w.suspects == 0 || w.gang || oldest >= 0 && w.waited(p.now) <= p.waiting[oldest].waited(p.now) {
+			continue
+		}
+		if hasRoom(i) && w.entry.sharedCrashAges(w.ref, w.indexes[:w.suspects]) != nil {
+			oldest = i
+		}
+	}
+	return oldest, oldest >= 0
+}
+
 // roomCheck returns a function that reports whether a worker has room for a task of a waiting
 // step.
 func (p *pass) roomCheck() func(i int) bool {
@@ -572,6 +592,9 @@
 			always = append(always, i)
 		}
 	}
+	if oldest, found := p.longestWaitingSuspect(p.roomCheck()); found && !slices.Contains(always, oldest) {
+		always = append(always, oldest)
+	}
 	if !s.wholeQueue {
 		p.limitTo(firstIndexes(maxStepsPerPass), always)
 		return
--- a/shard/trials_test.go
+++ b/shard/trials_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,3 +100,51 @@
 		})
 	}
 }
+
+// TestSuspectStartsBesideAStream guards against a suspect that is never started again because
+// steps of higher score start tasks on each worker so often that none is quiet.
+func TestSuspectStartsBesideAStream(t *testing.T) {
+	const workers, interval = 6, 180 * time.Millisecond
+	const leaseTime, restartTime = 9 * time.Second, 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		k := newCell(c, 0, func(o lovagestand.Order) (time.Duration, lovagestand.RunEnding) {
+			if o.Task < id(1) {
+				return time.Hour, lovagestand.EndingDone
+			}
+			return 100 * time.Millisecond, lovagestand.EndingDone
+		})
+		k.join("lost", "b")
+		o := k.beginReadyTerm("a")
+		defer o.stop()
+		policy := func(priority int) job.Policy {
+			return job.Policy{Route: lovagestand.RouteName(fmt.Sprint("route", priority)), Priority: priority, MaxAttempts: 2, Stretch: 2, Target: time.Second}
+		}
+		c.Assert(o.submitJob(job.Job{ID: job.ID(id(0)), Policy: policy(2), Steps: []job.Step{{Count: 1, LongRunning: true}}}), qt.IsNil)
+		time.Sleep(2 * time.Second)
+		for n := range workers {
+			k.join(lovagestand.WorkerName(fmt.Sprint("w", n)), "a")
+		}
+		time.Sleep(time.Second)
+		stop := make(chan struct{})
+		var stream sync.WaitGroup
+		defer stream.Wait()
+		defer close(stop)
+		stream.Go(func() {
+			for n := 1; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(interval):
+					_ = o.submitJob(job.Job{ID: job.ID(id(n)), Policy: policy(0), Steps: []job.Step{{Count: workers, Label: "a", MaxPerWorker: 1}}})
+				}
+			}
+		})
+		time.Sleep(time.Second)
+		c.Assert(k.startsOf(id(0)), qt.Equals, 1)
+		k.fleet.Crash("lost")
+		k.removeFirst()
+		time.Sleep(leaseTime + restartTime)
+		c.Assert(k.startsOf(id(0)), qt.Equals, 2)
+	})
+}
