shard: failures that follow a job do not count against workers

Cause: three failures in a row have a worker quarantined, whatever the tasks, and each further one again. The tasks of one job closed all workers.

Change: a failure does not count if tasks of the job have failed on two other workers since one has completed, and no run of the step has lasted for 4 s.

Why it works: one job can then close two workers at most, and a worker that is at fault fails the tasks of other jobs too.

TestFailingJobLeavesWorkersToOthers fails without it: the job beside the failing one is "running" 4 s after it was submitted. TestWorkerThatFailsAllIsQuarantined holds before and after.

--- a/shard/ending.go
+++ b/shard/ending.go
@@ -151,6 +151,7 @@
 	if !e.progress.Finish(task, end.Run) {
 		return
 	}
+	clear(e.failedOn)
 	if step := e.progress.Job().Steps[task.Step]; step.Gang && !step.LongRunning {
 		s.gangDone(e, task, end.Run)
 	}
@@ -184,7 +185,7 @@
 // taskFailed records that a run of a task has failed. It finishes the job if the task
 // has no attempts left, and stops the other members of the run of a gang.
 func (s *Shard) taskFailed(w *worker, e *jobEntry, task job.Task, end lovagestand.EndedTask, now time.Time) {
-	if w.recordFailure(now) {
+	if !e.failureFollowsTask(w, task, now) && w.recordFailure(now) {
 		s.log.Warn().Str("worker", string(w.info.Name)).Dur("for", quarantineFor).Msg("worker quarantined after repeated task failures")
 	}
 	if !e.progress.Fail(task, end.Run, end.Checkpoint) {
--- a/shard/health.go
+++ b/shard/health.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// followsAfter is on how many other workers tasks of a job must have failed before its
+	// failures no longer count against their worker.
+	followsAfter = 2
 	// quarantineAfter is the number of consecutive failures after which a worker is
 	// quarantined for quarantineFor. After that, one more failure quarantines it again
 	// unless a task has completed on it in between.
@@ -93,6 +96,24 @@
 	return overdue >= dispatch.MinOverdue
 }
 
+// failureFollowsTask records that a task has failed on a worker, and reports whether the job is
+// the likely cause: its tasks have failed on other workers too, none has completed since, and no
+// run of the step has lasted. Such failures would have all workers quarantined, one after the
+// other, and keep them from other jobs.
+func (e *jobEntry) failureFollowsTask(w *worker, task job.Task, now time.Time) bool {
+	e.failedOn[w.info.Name] = true
+	others := len(e.failedOn) - 1
+	if others < followsAfter {
+		return false
+	}
+	for _, p := range e.active {
+		if p.task.Step == task.Step && p.task.Occurrence == task.Occurrence && now.Sub(p.placedAt) > quarantineFor {
+			return false
+		}
+	}
+	return true
+}
+
 func (h *health) recordSuccess() {
 	h.consecutiveFailures = 0
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -346,6 +346,8 @@
 	// stored record states.
 	former    lovagestand.Resources
 	accounted map[job.Task]bool
+	// failedOn holds the workers on which tasks of the job have failed since one has completed.
+	failedOn map[lovagestand.WorkerName]bool
 	// crashAges is how long the lost run of each suspect had lasted, by task name.
 	crashAges map[string]time.Duration
 	// lost holds the last lost run of each task, by task name.
@@ -474,7 +476,7 @@
 	return &jobEntry{
 		id: p.Job().ID, route: p.Job().Policy.Route, service: p.Job().Policy.Service, team: p.Job().Team, progress: p, body: body, started: p.Started(),
 		steps: map[job.StepRef]*stepState{}, active: map[string]*placement{}, heldRuns: map[string]int{},
-		crashAges: map[string]time.Duration{}, longRunning: p.Job().LongRunning(),
+		crashAges: map[string]time.Duration{}, failedOn: map[lovagestand.WorkerName]bool{}, longRunning: p.Job().LongRunning(),
 	}
 }
 
--- a/shard/teams.go
+++ b/shard/teams.go
@@ -112,7 +112,7 @@
 // ID. It remains the same entry, so that the writes of both cannot overtake each other.
 func (e *jobEntry) replacedBy(n *jobEntry) *jobEntry {
 	e.team, e.route, e.service, e.progress, e.body, e.started = n.team, n.route, n.service, n.progress, n.body, n.started
-	e.steps, e.crashAges = n.steps, n.crashAges
+	e.steps, e.crashAges, e.failedOn = n.steps, n.crashAges, n.failedOn
 	e.objective, e.totalCoreTime, e.longRunning, e.workStale = n.objective, n.totalCoreTime, n.longRunning, true
 	e.phase, e.finishedAt = "", time.Time{}
 	e.unsubmitted, e.expired, e.cancelledBy = false, false, nil
