shard: fewer holds while the roster is not stored

Cause: until the roster is stored, each hold opens a connection. An owner that takes over just before an outage of the store did so five times a second for each worker.

Change: twice a second, from half a second after the worker was added.

--- a/shard/connections.go
+++ b/shard/connections.go
@@ -70,9 +70,10 @@
 // the worker.
 func (u *connectionUse) scarce() bool { return u.kept <= 1 }
 
-// holdDelay returns the pause between holds that do not wait.
-func (u *connectionUse) holdDelay() time.Duration {
-	if u.kept == 0 && u.former > 0 {
+// holdDelay returns the pause between holds that do not wait, to a worker that was added some
+// time ago. Usually the roster is stored soon after that.
+func (u *connectionUse) holdDelay(added time.Duration) time.Duration {
+	if u.kept == 0 && added > connectionHoldDelay {
 		return connectionHoldDelay
 	}
 	return holdRetryDelay
--- a/shard/hold.go
+++ b/shard/hold.go
@@ -40,7 +40,8 @@
 		}
 		s.mu.Lock()
 		answered := err == nil && s.recordHolding(w, target.Address, begun, holding)
-		paced, delay := w.fewConnections(time.Now()), w.connections.holdDelay()
+		now := time.Now()
+		paced, delay := w.fewConnections(now), w.connections.holdDelay(now.Sub(w.addedAt))
 		if err != nil {
 			s.holdFailed(w, target, err, timedOut)
 		}
