--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -16,8 +16,8 @@
 }
 
 // turn returns 0 for a step whose renewed tickets have arrived and whose room was held, 1
-// for one that has the first turn or that of a suspect, and 2 for all others. The former go first, since their
-// tickets are valid for a short time only.
+// for one that has the first turn or that of a suspect, and 2 for all others. Tickets are
+// valid for a short time only, so the first of these go first.
 func (s *Step) turn() int {
 	switch {
 	case len(s.Held) > 0 && len(s.AdvicePending) == 0:
--- a/shard/health.go
+++ b/shard/health.go
@@ -101,8 +101,13 @@
 // run of the step has lasted. Such failures would have all workers quarantined, one after the
 // other, and keep them from other jobs.
 func (e *jobEntry) failureFollowsTask(w *worker, task job.Task, now time.Time) bool {
-	e.failedOn[w.info.Name] = true
-	others := len(e.failedOn) - 1
+	if len(e.failedOn) <= followsAfter {
+		e.failedOn[w.info.Name] = true
+	}
+	others := len(e.failedOn)
+	if e.failedOn[w.info.Name] {
+		others--
+	}
 	if others < followsAfter {
 		return false
 	}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -346,7 +346,8 @@
 	// stored record states.
 	former    lovagestand.Resources
 	accounted map[job.Task]bool
-	// failedOn holds the workers on which tasks of the job have failed since one has completed.
+	// failedOn holds the first workers on which tasks of the job have failed since one has
+	// completed.
 	failedOn map[lovagestand.WorkerName]bool
 	// crashAges is how long the lost run of each suspect had lasted, by task name.
 	crashAges map[string]time.Duration
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -507,6 +507,9 @@
 		placements: map[string]*placement{}, strays: map[string]int64{}, replacedIncarnations: map[int64]bool{}, acknowledged: make(chan struct{}, 1),
 		connections: s.formerConnections[info.Name],
 	}
+	if w.connections.former == 0 {
+		w.connections.formerBorn = info.Born
+	}
 	s.workers[info.Name] = w
 	s.workersByName = nil
 	s.log.Info().Str("worker", string(info.Name)).Str("address", info.Address).Str("rack", string(info.Rack)).Msg("worker added")
