--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -9,9 +9,9 @@
 	// trialShare is the inverse of the largest share of the workers on which suspects
 	// start, or which are kept for them, at the same time. A gang may exceed it.
 	trialShare = 3
-	// trialGap is the minimum time between the moments at which suspects of different steps
+	// TrialGap is the minimum time between the moments at which suspects of different steps
 	// that share a worker would crash it, so that a crash tells which of them has caused it.
-	trialGap = 500 * time.Millisecond
+	TrialGap = 500 * time.Millisecond
 	// maxSuspectWait is how long a suspect waits for a quiet worker before one is kept for it.
 	maxSuspectWait = 2 * time.Second
 	// keptBonus is subtracted from the cost of the workers that are kept for the step.
@@ -41,7 +41,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(w.CrashTimes, func(at time.Time) bool {
-		return slices.ContainsFunc(s.CrashAges[:s.Suspects], func(age time.Duration) bool { return p.Now.Add(age).Sub(at).Abs() < trialGap })
+		return slices.ContainsFunc(s.CrashAges[:s.Suspects], func(age time.Duration) bool { return p.Now.Add(age).Sub(at).Abs() < TrialGap })
 	})
 }
 
--- a/shard/loss.go
+++ b/shard/loss.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagestand.example/lovagestand"
+	"lovagestand.example/lovagestand/dispatch"
 	"lovagestand.example/lovagestand/job"
 )
 
@@ -30,9 +31,8 @@
 	// must have started to be a suspect. An order takes at most that long.
 	crashWindow = orderTimeout
 	// crashTolerance is by how much the time from a start to a crash of the worker may differ
-	// between two runs of a task. It is half of the time that dispatch leaves between the
-	// moments at which suspects on one worker would crash it.
-	crashTolerance = 250 * time.Millisecond
+	// between two runs of a task: a moment is that of one suspect at most.
+	crashTolerance = dispatch.TrialGap / 2
 	// The next run of a suspect is on trial for trialFactor times the time that the last
 	// one had run when the worker crashed, within these bounds.
 	trialFactor = 1.5
@@ -65,7 +65,7 @@
 	p.recordLost(cause)
 	event := s.log.Info().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Int64("born", p.worker.born)
 	if !p.worker.aliveUntil.IsZero() {
-		event = event.Dur("placedBefore", p.worker.aliveUntil.Sub(p.placedAt))
+		event = event.Dur("placedBefore", p.lasted())
 	}
 	event.Bool("confirmed", p.started).Str("reason", string(cause)).Msg("run ended with its worker")
 }
@@ -103,9 +103,14 @@
 	return suspects, len(w.strays) == 0 && sameJob(suspects)
 }
 
+// lasted returns how long the run had lasted when its worker broke off contact.
+func (p *placement) lasted() time.Duration {
+	return p.worker.aliveUntil.Sub(p.placedAt)
+}
+
 // justStarted reports whether the run had just started when its worker broke off contact.
 func (p *placement) justStarted() bool {
-	return p.placedAt.After(p.worker.aliveUntil.Add(-crashWindow))
+	return p.lasted() < crashWindow
 }
 
 // atTheirCrashTime returns those of the runs on trial on one worker that had lasted for as long
@@ -114,8 +119,7 @@
 func atTheirCrashTime(suspects map[*placement]bool) map[*placement]bool {
 	expected := make(map[*placement]bool)
 	for p := range suspects {
-		late := p.worker.aliveUntil.Sub(p.placedAt) - p.crashAge
-		if p.crashAge > 0 && late.Abs() < crashTolerance {
+		if p.crashAge > 0 && (p.lasted()-p.crashAge).Abs() < crashTolerance {
 			expected[p] = true
 		}
 	}
@@ -194,7 +198,7 @@
 // outlastsTrials reports whether a run had lasted for longer than any trial when its worker was
 // lost. A trial would end before the next run can show that it crashes its worker as late.
 func (p *placement) outlastsTrials() bool {
-	return p.worker.aliveUntil.Sub(p.placedAt) > maxTrial
+	return p.lasted() > maxTrial
 }
 
 // sameJob reports whether all placements are of one job.
@@ -223,7 +227,7 @@
 	}
 	if suspect && !(silent && e.progress.Crashes(p.task).Suspect()) {
 		crash.Suspected = 1
-		e.crashAges[p.name] = max(0, p.worker.aliveUntil.Sub(p.placedAt))
+		e.crashAges[p.name] = max(0, p.lasted())
 	}
 	e.progress.RecordCrash(p.task, crash, suspect && conclusive && !silent)
 	s.log.Warn().Str("task", p.name).Int64("run", p.run).Str("worker", string(p.worker.info.Name)).Str("reason", string(cause)).
@@ -276,9 +280,13 @@
 }
 
 // sharedCrashAges returns after which times tasks of a step would crash their worker, by their
-// lost runs. It returns nil if one of them must be on trial alone: its lost run had just
-// started, it is not known how long that had lasted, or it was not the first such crash.
+// lost runs. It returns nil if one of them must be on trial alone: it is the member of a gang,
+// its lost run had just started, it is not known how long that had lasted, or it was not the
+// first such crash.
 func (e *jobEntry) sharedCrashAges(ref job.StepRef, indexes []int) []time.Duration {
+	if e.progress.JobStep(ref.Step).Gang {
+		return nil
+	}
 	ages := make([]time.Duration, 0, len(indexes))
 	for _, i := range indexes {
 		task := job.Task{Occurrence: ref.Occurrence, Step: ref.Step, Index: i}
@@ -297,7 +305,7 @@
 		return
 	}
 	p.trialUntil = p.placedAt.Add(trialTime(p.entry.crashAges[p.name]))
-	if ages := p.entry.sharedCrashAges(p.ref(), []int{p.task.Index}); ages != nil && !p.entry.progress.JobStep(p.task.Step).Gang {
+	if ages := p.entry.sharedCrashAges(p.ref(), []int{p.task.Index}); ages != nil {
 		p.crashAge = ages[0]
 	}
 	p.worker.updateTrials()
--- a/shard/plan.go
+++ b/shard/plan.go
@@ -360,8 +360,8 @@
 	if len(suspects) <= limit {
 		return
 	}
-	hasRoom, lastConsidered := p.roomCheck(), p.lastConsidered
-	window := dispatch.Window(len(suspects), limit, func(n int) bool { return hasRoom(suspects[n]) }, func(n int) int64 { return lastConsidered(suspects[n]) })
+	hasRoom := p.roomCheck()
+	window := dispatch.Window(len(suspects), limit, func(n int) bool { return hasRoom(suspects[n]) }, func(n int) int64 { return p.lastConsidered(suspects[n]) })
 	considered := make(map[int]bool, len(window))
 	for _, n := range window {
 		considered[suspects[n]] = true
@@ -386,7 +386,7 @@
 	oldest := -1
 	for i := range p.waiting {
 		w := &p.waiting[i]
-		if w.suspects == 0 || w.gang || oldest >= 0 && w.waited(p.now) <= p.waiting[oldest].waited(p.now) {
+		if w.suspects == 0 || oldest >= 0 && w.waited(p.now) <= p.waiting[oldest].waited(p.now) {
 			continue
 		}
 		if hasRoom(i) && w.entry.sharedCrashAges(w.ref, w.indexes[:w.suspects]) != nil {
@@ -592,14 +592,15 @@
 			always = append(always, i)
 		}
 	}
-	if oldest, found := p.longestWaitingSuspect(p.roomCheck()); found && !slices.Contains(always, oldest) {
+	hasRoom := p.roomCheck()
+	if oldest, found := p.longestWaitingSuspect(hasRoom); found && !slices.Contains(always, oldest) {
 		always = append(always, oldest)
 	}
 	if !s.wholeQueue {
 		p.limitTo(firstIndexes(maxStepsPerPass), always)
 		return
 	}
-	window := dispatch.Window(len(p.waiting), maxStepsPerPass, p.roomCheck(), p.lastConsidered)
+	window := dispatch.Window(len(p.waiting), maxStepsPerPass, hasRoom, p.lastConsidered)
 	for _, i := range window {
 		s.recordConsidered(p, i)
 	}
@@ -698,7 +699,7 @@
 			Service: w.info.Service, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity, Free: w.free,
 			Open: open, Slowness: w.slowness, Quiet: p.now.Sub(w.lastPlacedAt) > crashWindow, OnTrial: p.now.Before(w.trialUntil),
 		}
-		if described.OnTrial && w.usableForTrials(p.now) && !slices.Contains(s.stuck, w) {
+		if described.OnTrial && s.openForTrials(w, p.now) {
 			described.CrashTimes, described.SharesTrials = w.crashTimes()
 		}
 		p.dispatchWorkers = append(p.dispatchWorkers, described)
@@ -878,7 +879,7 @@
 		}
 		out.AdvicePending[w.passIndex] = true
 	}
-	if w.suspects > 0 && !step.Gang {
+	if w.suspects > 0 {
 		out.CrashAges = e.sharedCrashAges(w.ref, w.indexes[:w.suspects])
 	}
 	s.setAllowed(p, st, &out)
--- a/shard/waits.go
+++ b/shard/waits.go
@@ -132,11 +132,12 @@
 		if n >= watchedSteps && roomy >= watchedSteps {
 			return
 		}
-		w := s.newWatchedStep(p, steps[k.index])
-		switch {
-		case k.index >= firstHeld:
-			w.reason, w.since, w.held = WaitsForFormerOwner, k.since, s.anyTaskMayRun
-		case k.index >= len(p.waiting):
+		newStep := s.newWatchedStep
+		if k.index >= firstHeld {
+			newStep = s.newHeldStep
+		}
+		w := newStep(p, steps[k.index])
+		if k.index >= len(p.waiting) && k.index < firstHeld {
 			w.reason, w.hasRoom = w.unplaceableReason(), false
 		}
 		if w.hasRoom {
@@ -198,6 +199,14 @@
 	}
 }
 
+// newHeldStep is [Shard.newWatchedStep] for a step of a job that waits for workers of a former
+// owner.
+func (s *Shard) newHeldStep(p *pass, waiting waitingStep) *watchedStep {
+	w := s.newWatchedStep(p, waiting)
+	w.reason, w.since, w.held = WaitsForFormerOwner, s.heldSince(&waiting), s.anyTaskMayRun
+	return w
+}
+
 // roomFor returns the room that the workers have for a waiting step.
 func (s *Shard) roomFor(p *pass, w *waitingStep, st *stepState) dispatch.Room {
 	step := dispatch.Step{
--- a/shard/where.go
+++ b/shard/where.go
@@ -214,8 +214,7 @@
 	for _, w := range s.heldSteps(t.pass) {
 		if w.entry == e && w.ref.Occurrence == 0 {
 			t.unplaceable[w.ref.Step] = WaitsForFormerOwner
-			t.addWait(w)
-			t.waits[w.ref.Step].since = s.heldSince(&w)
+			t.addWait(s.newHeldStep(t.pass, w))
 		}
 	}
 	s.applySpeeds(t.pass)
@@ -224,10 +223,10 @@
 	for _, w := range t.pass.unplaceable {
 		if w.entry == e && w.ref.Occurrence == 0 {
 			t.unplaceable[w.ref.Step] = w.unplaceableReason()
-			t.addWait(w)
+			t.addWait(s.newWatchedStep(t.pass, w))
 		}
 	}
-	t.ownSteps(func(_ int, w waitingStep) { t.addWait(w) })
+	t.ownSteps(func(_ int, w waitingStep) { t.addWait(s.newWatchedStep(t.pass, w)) })
 	t.pass.sortByScore()
 	s.assignTiers(t.pass)
 	if t.pass.divisions != nil {
@@ -251,10 +250,9 @@
 }
 
 // addWait adds a step of the job with tasks that can start.
-func (t *trial) addWait(waiting waitingStep) {
-	w := t.shard.newWatchedStep(t.pass, waiting)
+func (t *trial) addWait(w *watchedStep) {
 	w.figures.WorkersNeeded = t.shard.workersNeeded(t.pass, w)
-	t.waits[waiting.ref.Step] = w
+	t.waits[w.ref.Step] = w
 }
 
 // waitingSteps returns the steps of the job with tasks that wait.
--- a/shard/worker.go
+++ b/shard/worker.go
@@ -260,16 +260,17 @@
 
 // open reports whether a worker can be given new tasks.
 func (s *Shard) open(w *worker, now time.Time) bool {
+	return s.openForTrials(w, now) && !now.Before(w.trialUntil)
+}
+
+// openForTrials reports whether a worker can be given new tasks but for the trials that go on
+// there.
+func (s *Shard) openForTrials(w *worker, now time.Time) bool {
 	return w.usable(now) && !slices.Contains(s.stuck, w)
 }
 
 // usable reports whether the worker can be given new tasks by what it has answered.
 func (w *worker) usable(now time.Time) bool {
-	return w.usableForTrials(now) && !now.Before(w.trialUntil)
-}
-
-// usableForTrials reports whether it can be given new tasks but for the trials that go on there.
-func (w *worker) usableForTrials(now time.Time) bool {
 	if !w.contacted || w.unresponsive || w.otherIncarnation != 0 || !w.enrolled || !w.info.Ready || len(w.strays) > 0 || now.Sub(w.lastAnswer) > openFor {
 		return false
 	}
