shard: connections to silent workers are counted like those to others

Cause: a worker that has answered nothing for 3 s has a roster entry of its own, which held the connections of former owners without the share of this one, and that of its predecessor where its runs are not known yet. The stored sum fell while the share stayed in use.

Change: both entries are counted by countConnections, as all others are.

Why it works: no entry is stored without the share of the owner that writes it.

TestOwnersThatVanishBesideASilentWorker fails without it, in both forms ("64 connections are left by 15 owners").

--- a/shard/connections_test.go
+++ b/shard/connections_test.go
@@ -57,6 +57,15 @@
 	return f.Fleet.Hold(ctx, w, r)
 }
 
+// withMaxConnections states how many connections workers accept.
+func withMaxConnections(n int) func(*shard.Deps) {
+	return func(d *shard.Deps) {
+		d.Services = func() (shard.Services, bool) {
+			return shard.Services{MaxConnections: map[string]int{"glazedesk": n}}, true
+		}
+	}
+}
+
 // TestOwnersThatVanishLeaveConnectionsToTheNext guards against owners that together use up the
 // connections of all workers by vanishing one after the other, so that no later one reaches any.
 func TestOwnersThatVanishLeaveConnectionsToTheNext(t *testing.T) {
@@ -66,15 +75,10 @@
 		k := newCell(c, 2, always(300*time.Millisecond, lovagestand.EndingDone))
 		fleet := &connectionFleet{Fleet: k.fleet}
 		k.fleetWrapper = fleet
-		services := func(d *shard.Deps) {
-			d.Services = func() (shard.Services, bool) {
-				return shard.Services{MaxConnections: map[string]int{"glazedesk": accepted}}, true
-			}
-		}
 		open := map[lovagestand.WorkerName]int{}
 		for n := range owners {
 			fleet.nextOwner()
-			o := k.beginTerm(fmt.Sprint("owner", n), services)
+			o := k.beginTerm(fmt.Sprint("owner", n), withMaxConnections(accepted))
 			time.Sleep(time.Second)
 			o.submit(c, id(n), job.Step{Count: 2, Needs: lovagestand.Resources{MilliCPU: 1000, MemoryMiB: 100}, Estimate: 300 * time.Millisecond})
 			time.Sleep(2 * time.Second)
@@ -94,3 +98,34 @@
 		k.assertNoViolations()
 	})
 }
+
+// TestOwnersThatVanishBesideASilentWorker guards against connections to a worker that answers no
+// owner and are not counted, so that they are used up once it answers again.
+func TestOwnersThatVanishBesideASilentWorker(t *testing.T) {
+	const owners, accepted = 30, 64
+	for name, term := range map[string]time.Duration{"while its runs are not known": 10 * time.Second, "after its lease": 15 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				k := newCell(c, 1, always(time.Hour, lovagestand.EndingDone))
+				fleet := &connectionFleet{Fleet: k.fleet, left: map[lovagestand.WorkerName]int{}}
+				k.fleetWrapper = fleet
+				o := k.beginTerm("first", withMaxConnections(accepted))
+				time.Sleep(time.Second)
+				o.submit(c, id(0), job.Step{Count: 1, LongRunning: true})
+				time.Sleep(time.Second)
+				c.Assert(k.startsOf(id(0)), qt.Equals, 1)
+				o.stop()
+				k.fleet.SetUnreachable("w0", true)
+				left := fleet.nextOwner()["w0"]
+				for n := range owners {
+					o := k.beginTerm(fmt.Sprint("owner", n), withMaxConnections(accepted))
+					time.Sleep(term)
+					o.stop()
+					left += fleet.nextOwner()["w0"]
+					c.Assert(left < accepted, qt.IsTrue, qt.Commentf("%d connections are left by %d owners", left, n+1))
+				}
+			})
+		})
+	}
+}
--- a/shard/write.go
+++ b/shard/write.go
@@ -383,14 +383,8 @@
 	Born        int64 `json:"born,omitempty"`
 }
 
-// silentEntry returns the entry of a worker that has never answered and holds no tasks. The next
-// owner does not wait for it.
-func (w *worker) silentEntry() rosterEntry {
-	return rosterEntry{Address: w.info.Address, Tasks: &[]string{}, Connections: w.connections.former, Born: w.connections.formerBorn}
-}
-
 // encodeRoster returns the roster, which lists the workers that may hold or be given
-// tasks. The silent ones have an entry without tasks: the next owner would wait for them.
+// tasks. The silent ones hold none of this owner, and the next one does not wait for them.
 func (s *Shard) encodeRoster() jobstore.Entry {
 	roster := map[lovagestand.WorkerName]rosterEntry{}
 	for name, former := range s.unresolved {
@@ -398,9 +392,12 @@
 	}
 	for name, w := range s.workers {
 		if w.silent {
-			if _, unresolved := s.unresolved[name]; !unresolved {
-				roster[name] = w.silentEntry()
+			entry, unresolved := s.unresolved[name]
+			if !unresolved {
+				entry = rosterEntry{Address: w.info.Address, Tasks: &[]string{}}
 			}
+			s.countConnections(w, &entry)
+			roster[name] = entry
 			continue
 		}
 		address := w.info.Address
